--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks."""
--- /dev/null
+++ b/bronzeslip/__init__.py
@@ -0,0 +1,1 @@
+"""Serving system for language model generations of unknown length."""
--- /dev/null
+++ b/bronzeslip/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission of work to one endpoint."""
--- /dev/null
+++ b/bronzeslip/admission/gate.py
@@ -0,0 +1,97 @@
+"""Admission of requests to one endpoint."""
+
+import asyncio
+import collections
+
+from bronzeslip.admission import errors
+from bronzeslip.settings import sidecar
+from bronzeslip.transport.frames import link
+from bronzeslip.transport.frames import reason
+
+_RETRY_AFTER_S = 1.0
+
+
+class AdmissionGate:
+    """Bounds what runs on an endpoint and what waits for it."""
+
+    def __init__(self, settings: sidecar.SidecarSettings) -> None:
+        self._settings = settings
+        self._running = 0
+        self._waiters: collections.deque[asyncio.Future[None]] = (
+            collections.deque()
+        )
+        self._draining = False
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    @property
+    def load(self) -> link.EndpointLoad:
+        """What runs and waits now."""
+        return link.EndpointLoad(
+            running=self._running,
+            queued=len(self._waiters),
+            draining=self._draining,
+        )
+
+    def drain(self) -> None:
+        """Refuses new work from now on."""
+        self._draining = True
+
+    async def enter(self, expires_in_s: float) -> None:
+        """Waits for a place on the endpoint.
+
+        Args:
+            expires_in_s: Longest wait, in seconds.
+
+        Raises:
+            errors.AdmissionRefusedError: If there will be none in time.
+        """
+        self._check_open(expires_in_s)
+        if self._running < self._settings.max_running_requests:
+            self._running += 1
+            self._idle.clear()
+            return
+        await self._wait(expires_in_s)
+
+    def leave(self) -> None:
+        """Gives a place back."""
+        while self._waiters:
+            waiter = self._waiters.popleft()
+            if not waiter.done():
+                waiter.set_result(None)
+                return
+        self._running -= 1
+        if not self._running:
+            self._idle.set()
+
+    async def wait_idle(self) -> None:
+        """Waits until nothing runs or waits."""
+        await self._idle.wait()
+
+    def _check_open(self, expires_in_s: float) -> None:
+        if self._draining:
+            raise errors.AdmissionRefusedError(
+                reason.RefusalReason.DRAINING, _RETRY_AFTER_S
+            )
+        if expires_in_s <= 0:
+            raise errors.AdmissionRefusedError(
+                reason.RefusalReason.EXPIRED, _RETRY_AFTER_S
+            )
+        full = self._running >= self._settings.max_running_requests
+        if full and len(self._waiters) >= self._settings.max_queued_requests:
+            raise errors.AdmissionRefusedError(
+                reason.RefusalReason.QUEUE_FULL, _RETRY_AFTER_S
+            )
+
+    async def _wait(self, expires_in_s: float) -> None:
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters.append(waiter)
+        try:
+            await asyncio.wait_for(waiter, expires_in_s)
+        except TimeoutError as error:
+            raise errors.AdmissionRefusedError(
+                reason.RefusalReason.EXPIRED, _RETRY_AFTER_S
+            ) from error
+        finally:
+            if waiter.cancelled() and waiter in self._waiters:
+                self._waiters.remove(waiter)
--- /dev/null
+++ b/bronzeslip/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Durable claims that make a call run at most once."""
--- /dev/null
+++ b/bronzeslip/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line for operators."""
--- /dev/null
+++ b/bronzeslip/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Numbered configuration and its patches."""
--- /dev/null
+++ b/bronzeslip/configuration/document.py
@@ -0,0 +1,120 @@
+"""The whole configuration as one document."""
+
+from typing import Any
+
+import msgspec
+
+from bronzeslip import ids
+from bronzeslip.configuration import binding
+from bronzeslip.configuration import errors
+from bronzeslip.configuration import pool
+from bronzeslip.configuration import service
+from bronzeslip.configuration import workspace
+
+
+class Document(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Everything operators declare, by kind and name."""
+
+    services: dict[ids.ServiceName, service.Service] = {}
+    pools: dict[ids.PoolName, pool.Pool] = {}
+    bindings: dict[str, binding.Binding] = {}
+    workspaces: dict[ids.WorkspaceId, workspace.Workspace] = {}
+
+
+def parse(tree: Any) -> Document:
+    """Converts plain JSON values into a checked document.
+
+    Raises:
+        errors.InvalidDocumentError: With the field and the reason.
+    """
+    try:
+        document = msgspec.convert(tree, Document)
+    except msgspec.ValidationError as error:
+        raise errors.InvalidDocumentError(str(error)) from error
+    check(document)
+    return document
+
+
+def to_tree(document: Document) -> Any:
+    """Converts a document into plain JSON values."""
+    return msgspec.to_builtins(document)
+
+
+def check(document: Document) -> None:
+    """Checks what the types of the fields do not.
+
+    Raises:
+        errors.InvalidDocumentError: With the field and the reason.
+    """
+    for name, declared in document.services.items():
+        _check_service(name, declared)
+    for name, bound in document.bindings.items():
+        _check_binding(document, name, bound)
+    for name, declared in document.workspaces.items():
+        _check_workspace(name, declared)
+
+
+def _require(condition: bool, path: str, reason: str) -> None:
+    if not condition:
+        raise errors.InvalidDocumentError(f"{path}: {reason}")
+
+
+def _check_service(name: str, declared: service.Service) -> None:
+    path = f"services.{name}"
+    _require(
+        declared.max_output_tokens > 0,
+        f"{path}.max_output_tokens",
+        "must be above zero",
+    )
+    _require(
+        declared.deadline_s > 0, f"{path}.deadline_s", "must be above zero"
+    )
+    _require(
+        declared.retry_budget_ratio >= 0,
+        f"{path}.retry_budget_ratio",
+        "must not be negative",
+    )
+    if declared.kind is service.ServiceKind.GENERATION:
+        _require(bool(declared.model), f"{path}.model", "is required")
+
+
+def _check_binding(
+    document: Document, name: str, bound: binding.Binding
+) -> None:
+    path = f"bindings.{name}"
+    _require(
+        bound.service in document.services,
+        f"{path}.service",
+        f"no service {bound.service!r}",
+    )
+    _require(
+        bound.pool in document.pools, f"{path}.pool", f"no pool {bound.pool!r}"
+    )
+    for workspace_id in bound.workspaces:
+        _require(
+            workspace_id == binding.ANY_WORKSPACE
+            or workspace_id in document.workspaces,
+            f"{path}.workspaces",
+            f"no workspace {workspace_id!r}",
+        )
+
+
+def _check_workspace(name: str, declared: workspace.Workspace) -> None:
+    path = f"workspaces.{name}"
+    limits = declared.limits
+    _require(declared.weight > 0, f"{path}.weight", "must be above zero")
+    _require(
+        limits.requests_in_flight > 0,
+        f"{path}.limits.requests_in_flight",
+        "must be above zero",
+    )
+    _require(
+        limits.requests_per_s is None or limits.requests_per_s > 0,
+        f"{path}.limits.requests_per_s",
+        "must be above zero",
+    )
+    _require(
+        limits.prompt_bytes > 0,
+        f"{path}.limits.prompt_bytes",
+        "must be above zero",
+    )
--- /dev/null
+++ b/bronzeslip/configuration/index.py
@@ -0,0 +1,75 @@
+"""Look-up tables over a configuration."""
+
+import hashlib
+import hmac
+
+from bronzeslip import ids
+from bronzeslip.configuration import binding
+from bronzeslip.configuration import document
+from bronzeslip.configuration import service
+
+
+class ConfigurationIndex:
+    """Answers the questions that a request asks of a configuration."""
+
+    def __init__(self, source: document.Document) -> None:
+        self._document = source
+        self._workspace_by_digest = {
+            digest: workspace_id
+            for workspace_id, declared in source.workspaces.items()
+            for digest in declared.credentials_sha256
+        }
+        self._services_by_model: dict[str, list[ids.ServiceName]] = {}
+        for name, declared in source.services.items():
+            if declared.kind is service.ServiceKind.GENERATION:
+                self._services_by_model.setdefault(declared.model, []).append(
+                    name
+                )
+        self._bindings: dict[
+            tuple[ids.WorkspaceId, ids.ServiceName], binding.Binding
+        ] = {}
+        for _, bound in sorted(source.bindings.items()):
+            for workspace_id in bound.workspaces:
+                self._bindings.setdefault((workspace_id, bound.service), bound)
+
+    @property
+    def document(self) -> document.Document:
+        """The configuration itself."""
+        return self._document
+
+    def workspace_of(self, credential: str) -> ids.WorkspaceId | None:
+        """Finds the workspace that a credential belongs to."""
+        digest = hashlib.sha256(credential.encode()).hexdigest()
+        workspace_id = self._workspace_by_digest.get(digest)
+        if workspace_id is None:
+            return None
+        declared = self._document.workspaces[workspace_id]
+        matches = [
+            hmac.compare_digest(digest, known)
+            for known in declared.credentials_sha256
+        ]
+        return workspace_id if any(matches) else None
+
+    def binding_of(
+        self, workspace_id: ids.WorkspaceId, service_name: ids.ServiceName
+    ) -> binding.Binding | None:
+        """Finds the rule that binds a workspace for a service."""
+        own = self._bindings.get((workspace_id, service_name))
+        return own or self._bindings.get((binding.ANY_WORKSPACE, service_name))
+
+    def service_for_model(
+        self, workspace_id: ids.WorkspaceId, model: str
+    ) -> ids.ServiceName | None:
+        """Finds the service that offers a model to a workspace."""
+        for name in self._services_by_model.get(model, ()):
+            if self.binding_of(workspace_id, name) is not None:
+                return name
+        return None
+
+    def models_of(self, workspace_id: ids.WorkspaceId) -> tuple[str, ...]:
+        """Lists the models a workspace may name."""
+        return tuple(
+            model
+            for model in sorted(self._services_by_model)
+            if self.service_for_model(workspace_id, model) is not None
+        )
--- /dev/null
+++ b/bronzeslip/engine/__init__.py
@@ -0,0 +1,1 @@
+"""Client of a model engine."""
--- /dev/null
+++ b/bronzeslip/engine/client.py
@@ -0,0 +1,150 @@
+"""Client of a model engine."""
+
+from collections.abc import AsyncIterator
+import contextlib
+from typing import Any
+from typing import TypeVar
+
+import httpx
+import httpx_sse
+import msgspec
+
+from bronzeslip import ids
+from bronzeslip.engine import errors
+from bronzeslip.engine import messages
+
+_CONNECT_TIMEOUT_S = 1.0
+_CALL_TIMEOUT_S = 5.0
+
+_event_decoder = msgspec.json.Decoder(messages.StreamEvent)
+
+AnswerT = TypeVar("AnswerT")
+
+
+class EngineClient:
+    """Calls one engine; every method raises errors.EngineError."""
+
+    def __init__(self, base_url: str) -> None:
+        timeout = httpx.Timeout(_CALL_TIMEOUT_S, connect=_CONNECT_TIMEOUT_S)
+        limits = httpx.Limits(max_connections=None)
+        self._http = httpx.AsyncClient(
+            base_url=base_url, timeout=timeout, limits=limits
+        )
+
+    async def close(self) -> None:
+        """Closes the connections to the engine."""
+        await self._http.aclose()
+
+    async def generate(
+        self, request: messages.GenerationRequest
+    ) -> AsyncIterator[messages.StreamEvent]:
+        """Starts a generation and yields its events.
+
+        Raises:
+            errors.EngineRefusedError: If the engine did not take it.
+            errors.EngineUnavailableError: If the stream broke off.
+        """
+        async for event in self._stream(
+            "POST", "/v1/generations", content=msgspec.json.encode(request)
+        ):
+            yield event
+
+    async def resume(
+        self, generation_id: ids.GenerationId, next_index: int
+    ) -> AsyncIterator[messages.StreamEvent]:
+        """Yields the events of a generation from an index on.
+
+        Raises:
+            errors.GenerationUnknownError: If the engine does not have it.
+            errors.EngineUnavailableError: If the stream broke off.
+        """
+        path = f"/v1/generations/{generation_id}/stream"
+        async for event in self._stream(
+            "GET", path, params={"next_index": next_index}
+        ):
+            yield event
+
+    async def cancel(self, generation_id: ids.GenerationId) -> None:
+        """Ends a generation; an unknown one is no error."""
+        await self._call("DELETE", f"/v1/generations/{generation_id}")
+
+    async def load(self) -> messages.EngineLoad:
+        """Reads the engine's lagging load report."""
+        response = await self._call("GET", "/v1/load")
+        return _decode(response, messages.EngineLoad)
+
+    async def cache_events(
+        self, after_sequence: int
+    ) -> tuple[messages.CacheEvent, ...]:
+        """Reads the cache events after a sequence number."""
+        response = await self._call(
+            "GET", "/v1/cache-events", params={"after": after_sequence}
+        )
+        return _decode(response, tuple[messages.CacheEvent, ...])
+
+    async def state(self) -> messages.EngineState:
+        """Reads what the engine has loaded."""
+        response = await self._call("GET", "/v1/state")
+        return _decode(response, messages.EngineState)
+
+    async def order(self, order: messages.EngineOrder) -> messages.EngineState:
+        """Sends an order.
+
+        Raises:
+            errors.EngineRefusedError: If its fencing number is old.
+            errors.EngineUnavailableError: If no answer came; the order may
+                have been carried out.
+        """
+        response = await self._call(
+            "POST", "/v1/orders", content=msgspec.json.encode(order)
+        )
+        return _decode(response, messages.EngineState)
+
+    async def _stream(
+        self, method: str, path: str, **options: Any
+    ) -> AsyncIterator[messages.StreamEvent]:
+        timeout = httpx.Timeout(None, connect=_CONNECT_TIMEOUT_S)
+        with _converted_errors(path):
+            async with httpx_sse.aconnect_sse(
+                self._http, method, path, timeout=timeout, **options
+            ) as source:
+                _raise_for_status(path, source.response)
+                async for event in source.aiter_sse():
+                    yield _event_decoder.decode(event.data)
+
+    async def _call(
+        self, method: str, path: str, **options: Any
+    ) -> httpx.Response:
+        with _converted_errors(path):
+            response = await self._http.request(method, path, **options)
+        _raise_for_status(path, response)
+        return response
+
+
+@contextlib.contextmanager
+def _converted_errors(path: str) -> Any:
+    try:
+        yield
+    except (httpx.HTTPError, httpx_sse.SSEError) as error:
+        raise errors.EngineUnavailableError(
+            f"{path}: {type(error).__name__}"
+        ) from error
+    except msgspec.MsgspecError as error:
+        raise errors.EngineError(f"{path}: {error}") from error
+
+
+def _raise_for_status(path: str, response: httpx.Response) -> None:
+    status = response.status_code
+    if status < httpx.codes.BAD_REQUEST:
+        return
+    text = f"{path}: status {status}"
+    if status == httpx.codes.NOT_FOUND:
+        raise errors.GenerationUnknownError(text)
+    if status >= httpx.codes.INTERNAL_SERVER_ERROR:
+        raise errors.EngineUnavailableError(text)
+    raise errors.EngineRefusedError(text)
+
+
+def _decode(response: httpx.Response, wanted: type[AnswerT]) -> AnswerT:
+    with _converted_errors(str(response.url.path)):
+        return msgspec.json.decode(response.content, type=wanted)
--- /dev/null
+++ b/bronzeslip/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Gateway daemon on an entry VM."""
--- /dev/null
+++ b/bronzeslip/gateway/access.py
@@ -0,0 +1,102 @@
+"""Finds out who calls and what they may call."""
+
+import hashlib
+import hmac
+import time
+
+from bronzeslip import ids
+from bronzeslip.configuration import in_force
+from bronzeslip.gateway import errors
+from bronzeslip.gateway import request_context
+from bronzeslip.settings import gateway
+
+_SCHEME = "bearer"
+
+
+class Access:
+    """Checks credentials against the configuration in force."""
+
+    def __init__(
+        self,
+        settings: gateway.GatewaySettings,
+        configuration: in_force.ConfigurationInForce,
+    ) -> None:
+        self._settings = settings
+        self._configuration = configuration
+
+    def workspace(self, authorization: str | None) -> ids.WorkspaceId:
+        """Finds the workspace that an Authorization header belongs to.
+
+        Raises:
+            errors.UnauthorizedError: If there is none.
+        """
+        credential = _bearer_credential(authorization)
+        workspace_id = self._configuration.index.workspace_of(credential)
+        if workspace_id is None:
+            raise errors.UnauthorizedError("the credential is not known")
+        return workspace_id
+
+    def check_operator(self, authorization: str | None) -> None:
+        """Checks that an Authorization header is an operator's.
+
+        Raises:
+            errors.UnauthorizedError: If it is not.
+        """
+        credential = _bearer_credential(authorization)
+        digest = hashlib.sha256(credential.encode()).hexdigest()
+        matches = [
+            hmac.compare_digest(digest, known)
+            for known in self._settings.operator_credentials_sha256
+        ]
+        if not any(matches):
+            raise errors.UnauthorizedError("the credential is no operator's")
+
+    def context_for_model(
+        self, authorization: str | None, model: str
+    ) -> request_context.RequestContext:
+        """Resolves a request for a model.
+
+        Raises:
+            errors.NotFoundError: If the workspace has no such model.
+        """
+        workspace_id = self.workspace(authorization)
+        name = self._configuration.index.service_for_model(workspace_id, model)
+        if name is None:
+            raise errors.NotFoundError(f"no model {model!r}")
+        return self._context(workspace_id, name)
+
+    def context_for_service(
+        self, authorization: str | None, name: ids.ServiceName
+    ) -> request_context.RequestContext:
+        """Resolves a request for a service.
+
+        Raises:
+            errors.NotFoundError: If the workspace has no such service.
+        """
+        return self._context(self.workspace(authorization), name)
+
+    def _context(
+        self, workspace_id: ids.WorkspaceId, name: ids.ServiceName
+    ) -> request_context.RequestContext:
+        index = self._configuration.index
+        bound = index.binding_of(workspace_id, name)
+        if bound is None:
+            raise errors.NotFoundError(f"no service {name!r}")
+        declared = index.document.services[name]
+        deadline_s = min(declared.deadline_s, self._settings.request_deadline_s)
+        return request_context.RequestContext(
+            ids.RequestId(ids.random_id()),
+            workspace_id,
+            index.document.workspaces[workspace_id],
+            name,
+            declared,
+            bound,
+            time.monotonic() + deadline_s,
+        )
+
+
+def _bearer_credential(authorization: str | None) -> str:
+    scheme, _, credential = (authorization or "").partition(" ")
+    if scheme.lower() != _SCHEME or not credential:
+        raise errors.UnauthorizedError("a bearer credential is required")
+    return credential.strip()
--- /dev/null
+++ b/bronzeslip/gateway/answer.py
@@ -0,0 +1,84 @@
+"""Renders a generation as a whole answer or as server-sent events."""
+
+from collections.abc import AsyncIterator
+
+import msgspec
+
+from bronzeslip import errors
+from bronzeslip import logs
+from bronzeslip.gateway import answer_format
+from bronzeslip.gateway import generation_session
+from bronzeslip.gateway import openai_messages as messages
+from bronzeslip.gateway import problem
+
+logger = logs.get_logger(__name__)
+
+_DONE = b"data: [DONE]\n\n"
+_encoder = msgspec.json.Encoder()
+
+
+async def whole(
+    session: generation_session.GenerationSession,
+    form: answer_format.AnswerFormat,
+) -> messages.Completion:
+    """Collects a generation into one answer."""
+    texts: list[str] = []
+    try:
+        async for batch in session.batches():
+            texts.extend(batch.texts)
+    finally:
+        await session.close()
+    finished = session.finished
+    return form.whole(
+        "".join(texts), finished.finish_reason.value, _usage(session)
+    )
+
+
+async def events(
+    session: generation_session.GenerationSession,
+    form: answer_format.AnswerFormat,
+    include_usage: bool,
+) -> AsyncIterator[bytes]:
+    """Yields a generation as server-sent events."""
+    try:
+        async for batch in session.batches():
+            chunk = form.chunk("".join(batch.texts), batch.first_index == 0)
+            next_index = batch.first_index + len(batch.texts)
+            yield _event(chunk, f"{session.generation_id}.{next_index}")
+        yield _event(form.last_chunk(session.finished.finish_reason.value))
+        if include_usage:
+            yield _event(form.usage_chunk(_usage(session)))
+        yield _DONE
+    except errors.BronzeslipError as error:
+        logger.warning(
+            "generation.incomplete",
+            generation_id=session.generation_id,
+            reason=error.message,
+        )
+        yield _error_event(error)
+    finally:
+        await session.close()
+
+
+def _event(chunk: messages.Completion, event_id: str = "") -> bytes:
+    line = b"data: " + _encoder.encode(chunk) + b"\n\n"
+    if event_id:
+        return b"id: " + event_id.encode() + b"\n" + line
+    return line
+
+
+def _error_event(error: errors.BronzeslipError) -> bytes:
+    described = problem.from_error(error)
+    body = {
+        "error": {"message": error.message, **msgspec.to_builtins(described)}
+    }
+    return b"event: error\ndata: " + _encoder.encode(body) + b"\n\n"
+
+
+def _usage(session: generation_session.GenerationSession) -> messages.Usage:
+    finished = session.finished
+    return messages.Usage(
+        finished.prompt_token_count,
+        finished.token_count,
+        finished.prompt_token_count + finished.token_count,
+    )
--- /dev/null
+++ b/bronzeslip/gateway/answer_format.py
@@ -0,0 +1,104 @@
+"""Forms of an answer: chat or plain completion."""
+
+import abc
+import time
+
+from bronzeslip import ids
+from bronzeslip.gateway import openai_messages as messages
+
+
+class AnswerFormat(abc.ABC):
+    """Builds answers and chunks for one request."""
+
+    chunk_object = ""
+    whole_object = ""
+
+    def __init__(self, request_id: ids.RequestId, model: str) -> None:
+        self._id = f"{self.id_prefix}-{request_id}"
+        self._model = model
+        self._created_unix_s = int(time.time())
+
+    @property
+    @abc.abstractmethod
+    def id_prefix(self) -> str:
+        """Start of the answer's id."""
+
+    @abc.abstractmethod
+    def _chunk_choice(
+        self, text: str, finish_reason: str | None, first: bool
+    ) -> messages.Choice:
+        """Builds the choice of a chunk."""
+
+    @abc.abstractmethod
+    def _whole_choice(self, text: str, finish_reason: str) -> messages.Choice:
+        """Builds the choice of a whole answer."""
+
+    def chunk(self, text: str, first: bool) -> messages.Completion:
+        """Builds a chunk with text."""
+        return self._completion(
+            self.chunk_object, [self._chunk_choice(text, None, first)]
+        )
+
+    def last_chunk(self, finish_reason: str) -> messages.Completion:
+        """Builds the chunk that tells why the answer ended."""
+        return self._completion(
+            self.chunk_object, [self._chunk_choice("", finish_reason, False)]
+        )
+
+    def usage_chunk(self, usage: messages.Usage) -> messages.Completion:
+        """Builds the chunk that tells the usage."""
+        return self._completion(self.chunk_object, [], usage)
+
+    def whole(
+        self, text: str, finish_reason: str, usage: messages.Usage
+    ) -> messages.Completion:
+        """Builds a whole answer."""
+        return self._completion(
+            self.whole_object, [self._whole_choice(text, finish_reason)], usage
+        )
+
+    def _completion(
+        self,
+        kind: str,
+        choices: list[messages.Choice],
+        usage: messages.Usage | None = None,
+    ) -> messages.Completion:
+        return messages.Completion(
+            self._id, kind, self._created_unix_s, self._model, choices, usage
+        )
+
+
+class ChatFormat(AnswerFormat):
+    """Form of /v1/chat/completions."""
+
+    chunk_object = "chat.completion.chunk"
+    whole_object = "chat.completion"
+    id_prefix = "chatcmpl"
+
+    def _chunk_choice(
+        self, text: str, finish_reason: str | None, first: bool
+    ) -> messages.Choice:
+        delta = {"content": text} if text else {}
+        if first:
+            delta["role"] = "assistant"
+        return messages.Choice(0, finish_reason, delta=delta)
+
+    def _whole_choice(self, text: str, finish_reason: str) -> messages.Choice:
+        message = {"role": "assistant", "content": text}
+        return messages.Choice(0, finish_reason, message=message)
+
+
+class CompletionFormat(AnswerFormat):
+    """Form of /v1/completions."""
+
+    chunk_object = "text_completion"
+    whole_object = "text_completion"
+    id_prefix = "cmpl"
+
+    def _chunk_choice(
+        self, text: str, finish_reason: str | None, first: bool
+    ) -> messages.Choice:
+        return messages.Choice(0, finish_reason, text=text)
+
+    def _whole_choice(self, text: str, finish_reason: str) -> messages.Choice:
+        return messages.Choice(0, finish_reason, text=text)
--- /dev/null
+++ b/bronzeslip/gateway/inbox.py
@@ -0,0 +1,39 @@
+"""Frames that have arrived for one run."""
+
+import asyncio
+import collections
+
+from bronzeslip.transport import codec
+from bronzeslip.transport import errors
+
+
+class Inbox:
+    """Queue of frames that ends when its connection does."""
+
+    def __init__(self) -> None:
+        self._frames: collections.deque[codec.Frame] = collections.deque()
+        self._closed = False
+        self._wake = asyncio.Event()
+
+    def put(self, frame: codec.Frame) -> None:
+        """Adds a frame."""
+        self._frames.append(frame)
+        self._wake.set()
+
+    def close(self) -> None:
+        """Tells the reader that no more frames will come."""
+        self._closed = True
+        self._wake.set()
+
+    async def get(self) -> codec.Frame:
+        """Waits for the next frame.
+
+        Raises:
+            errors.ConnectionLostError: If the connection is gone.
+        """
+        while not self._frames:
+            if self._closed:
+                raise errors.ConnectionLostError("the connection is gone")
+            self._wake.clear()
+            await self._wake.wait()
+        return self._frames.popleft()
--- /dev/null
+++ b/bronzeslip/gateway/operators_api.py
@@ -0,0 +1,71 @@
+"""Routes of operators."""
+
+import litestar
+import msgspec
+
+from bronzeslip import ids
+from bronzeslip.configuration import errors as configuration_errors
+from bronzeslip.configuration import record
+from bronzeslip.configuration import store
+from bronzeslip.gateway import body
+from bronzeslip.gateway import errors
+from bronzeslip.gateway import state
+
+
+class PatchAnswer(msgspec.Struct, frozen=True):
+    """Answer to an accepted patch.
+
+    Attributes:
+        number: Number of the configuration that holds the patch.
+    """
+
+    number: ids.ConfigurationNumber
+
+
+@litestar.get("/v1/configuration", summary="Reads the current configuration")
+async def read_configuration(
+    request: litestar.Request, parts: state.GatewayState
+) -> record.ConfigurationRecord:
+    """Reads the current configuration from the platform."""
+    _check_operator(request, parts)
+    try:
+        return await parts.store.read()
+    except configuration_errors.ConfigurationError as error:
+        raise _converted(error) from error
+
+
+@litestar.post(
+    "/v1/configuration/patches", status_code=200, summary="Submits a patch"
+)
+async def submit_patch(
+    request: litestar.Request, parts: state.GatewayState
+) -> PatchAnswer:
+    """Applies a patch if its base number is still current."""
+    _check_operator(request, parts)
+    wanted = await body.decode(request, store.PatchRequest)
+    try:
+        accepted = await parts.store.apply(wanted)
+    except configuration_errors.ConfigurationError as error:
+        raise _converted(error) from error
+    await parts.configuration.adopt(accepted)
+    return PatchAnswer(accepted.number)
+
+
+def _check_operator(
+    request: litestar.Request, parts: state.GatewayState
+) -> None:
+    parts.access.check_operator(request.headers.get("authorization"))
+
+
+def _converted(
+    error: configuration_errors.ConfigurationError,
+) -> errors.GatewayError:
+    kinds: dict[type, type[errors.GatewayError]] = {
+        configuration_errors.StaleNumberError: errors.ConflictError,
+        configuration_errors.InvalidDocumentError: errors.BadRequestError,
+        configuration_errors.OutcomeUnknownError: errors.OutcomeUnknownError,
+    }
+    kind = kinds.get(type(error), errors.UnavailableError)
+    converted = kind(error.message, retry_after_s=error.retry_after_s)
+    converted.code = error.code
+    return converted
--- /dev/null
+++ b/bronzeslip/gateway/peer.py
@@ -0,0 +1,59 @@
+"""One connection of a gateway to a sidecar."""
+
+from bronzeslip import logs
+from bronzeslip.gateway import inbox
+from bronzeslip.settings import gateway
+from bronzeslip.transport import codec
+from bronzeslip.transport import connection
+from bronzeslip.transport.frames import call as call_frames
+
+logger = logs.get_logger(__name__)
+
+
+class Peer:
+    """One sidecar's connection and the runs that use it."""
+
+    def __init__(self, address: str, settings: gateway.GatewaySettings) -> None:
+        self._inboxes: dict[str, inbox.Inbox] = {}
+        self._connection = connection.PeerConnection(
+            address, settings, self._on_frame, self._on_close
+        )
+
+    @property
+    def connection(self) -> connection.PeerConnection:
+        """The connection itself."""
+        return self._connection
+
+    def open(self, run_id: str) -> inbox.Inbox:
+        """Opens the inbox of a run."""
+        opened = inbox.Inbox()
+        self._inboxes[run_id] = opened
+        if self._connection.closed:
+            opened.close()
+        return opened
+
+    def close(self, run_id: str) -> None:
+        """Closes the inbox of a run; its later frames are dropped."""
+        self._inboxes.pop(run_id, None)
+
+    def _on_frame(self, frame: codec.Frame) -> None:
+        found = self._inboxes.get(_run_id_of(frame))
+        if found is None:
+            logger.debug("peer.frame_dropped", frame=type(frame).__name__)
+            return
+        found.put(frame)
+
+    def _on_close(self) -> None:
+        for opened in self._inboxes.values():
+            opened.close()
+
+
+def _run_id_of(frame: codec.Frame) -> str:
+    if isinstance(
+        frame,
+        call_frames.CallFinished
+        | call_frames.CallRefused
+        | call_frames.CallOutcomeUnknown,
+    ):
+        return frame.call_id
+    return getattr(frame, "generation_id", "")
--- /dev/null
+++ b/bronzeslip/gateway/peer_pool.py
@@ -0,0 +1,31 @@
+"""Connections of a gateway to sidecars."""
+
+from bronzeslip.gateway import peer as gateway_peer
+from bronzeslip.settings import gateway
+from bronzeslip.transport.frames import link
+
+
+class PeerPool:
+    """Connections by address, opened on first use."""
+
+    def __init__(self, settings: gateway.GatewaySettings) -> None:
+        self._settings = settings
+        self._peers: dict[str, gateway_peer.Peer] = {}
+
+    def peer(self, address: str) -> gateway_peer.Peer:
+        """Returns a live connection to an address."""
+        known = self._peers.get(address)
+        if known is None or known.connection.closed:
+            known = gateway_peer.Peer(address, self._settings)
+            self._peers[address] = known
+        return known
+
+    def load_of(self, address: str) -> link.EndpointLoad:
+        """Returns the latest load heard from an address."""
+        known = self._peers.get(address)
+        return known.connection.load if known else link.EndpointLoad()
+
+    async def close(self) -> None:
+        """Ends every connection."""
+        for known in self._peers.values():
+            await known.connection.close()
--- /dev/null
+++ b/bronzeslip/gateway/request_context.py
@@ -0,0 +1,36 @@
+"""What a gateway knows of one request."""
+
+import time
+
+import msgspec
+
+from bronzeslip import ids
+from bronzeslip.configuration import binding
+from bronzeslip.configuration import service
+from bronzeslip.configuration import workspace
+
+
+class RequestContext(msgspec.Struct, frozen=True):
+    """One request after access and look-ups.
+
+    Attributes:
+        request_id: Drawn by the gateway.
+        workspace_id: Workspace of the caller.
+        workspace: Its declaration.
+        service_name: Service called.
+        service: Its declaration.
+        binding: Rule that names the pool.
+        deadline_s: Deadline on this process's monotonic clock, in seconds.
+    """
+
+    request_id: ids.RequestId
+    workspace_id: ids.WorkspaceId
+    workspace: workspace.Workspace
+    service_name: ids.ServiceName
+    service: service.Service
+    binding: binding.Binding
+    deadline_s: float
+
+    def remaining_s(self) -> float:
+        """Returns the time left until the deadline, in seconds."""
+        return self.deadline_s - time.monotonic()
--- /dev/null
+++ b/bronzeslip/gateway/services_api.py
@@ -0,0 +1,75 @@
+"""Routes of plain services."""
+
+import litestar
+from litestar import response
+
+from bronzeslip import ids
+from bronzeslip.configuration import service
+from bronzeslip.gateway import body
+from bronzeslip.gateway import call_session
+from bronzeslip.gateway import errors
+from bronzeslip.gateway import state
+from bronzeslip.transport.frames import call as frames
+
+_METHODS = ["GET", "POST", "PUT", "PATCH", "DELETE"]
+_PASSED_REQUEST_HEADERS = frozenset(
+    {"accept", "accept-language", "content-type", "idempotency-key"}
+)
+_DROPPED_RESPONSE_HEADERS = frozenset(
+    {"connection", "content-length", "date", "server", "transfer-encoding"}
+)
+
+
+@litestar.route(
+    "/v1/services/{service_name:str}/{path:path}",
+    http_method=_METHODS,
+    summary="Calls a plain service",
+)
+async def call_service(
+    request: litestar.Request,
+    parts: state.GatewayState,
+    service_name: str,
+    path: str,
+) -> litestar.Response[bytes]:
+    """Passes a call on to an endpoint of a plain service."""
+    context = parts.access.context_for_service(
+        request.headers.get("authorization"), ids.ServiceName(service_name)
+    )
+    if context.service.kind is not service.ServiceKind.PLAIN:
+        raise errors.NotFoundError(f"{service_name!r} is no plain service")
+    wanted = call_session.CallInput(
+        request.method,
+        _path_with_query(request, path),
+        _passed_headers(request),
+        await body.read(request),
+    )
+    finished = await parts.call(context, wanted).run()
+    return _to_response(finished)
+
+
+def _path_with_query(request: litestar.Request, path: str) -> str:
+    query = request.url.query
+    return f"{path}?{query}" if query else path
+
+
+def _passed_headers(request: litestar.Request) -> tuple[frames.Header, ...]:
+    return tuple(
+        frames.Header(str(name), value)
+        for name, value in request.headers.multi_items()
+        if name in _PASSED_REQUEST_HEADERS
+    )
+
+
+def _to_response(finished: frames.CallFinished) -> litestar.Response[bytes]:
+    headers = {
+        header.name: header.value
+        for header in finished.headers
+        if header.name not in _DROPPED_RESPONSE_HEADERS
+    }
+    media_type = headers.pop("content-type", "application/octet-stream")
+    return response.Response(
+        finished.body,
+        status_code=finished.status,
+        media_type=media_type,
+        headers=headers,
+    )
--- /dev/null
+++ b/bronzeslip/gateway/state.py
@@ -0,0 +1,59 @@
+"""What the HTTP handlers of a gateway share."""
+
+import dataclasses
+
+from bronzeslip.configuration import in_force
+from bronzeslip.configuration import store
+from bronzeslip.gateway import access
+from bronzeslip.gateway import call_session
+from bronzeslip.gateway import generation_session
+from bronzeslip.gateway import peer_pool
+from bronzeslip.gateway import request_context
+from bronzeslip.membership import directory
+from bronzeslip.routing import router
+from bronzeslip.settings import gateway
+
+
+@dataclasses.dataclass
+class GatewayState:
+    """Parts of a gateway.
+
+    Attributes:
+        settings: Settings of the process.
+        configuration: Configuration in force.
+        store: Configuration kept by the platform.
+        members: Known members.
+        peers: Connections to sidecars.
+        routes: Choice of endpoints.
+        access: Checks of credentials.
+        ready: Whether new requests are taken.
+    """
+
+    settings: gateway.GatewaySettings
+    configuration: in_force.ConfigurationInForce
+    store: store.ConfigurationStore
+    members: directory.MemberDirectory
+    peers: peer_pool.PeerPool
+    routes: router.Router
+    access: access.Access
+    ready: bool = False
+
+    def generation(
+        self,
+        context: request_context.RequestContext,
+        wanted: generation_session.GenerationInput,
+    ) -> generation_session.GenerationSession:
+        """Creates the session of a generation."""
+        return generation_session.GenerationSession(
+            self.settings, self.routes, self.peers, context, wanted
+        )
+
+    def call(
+        self,
+        context: request_context.RequestContext,
+        wanted: call_session.CallInput,
+    ) -> call_session.CallSession:
+        """Creates the session of a call."""
+        return call_session.CallSession(
+            self.settings, self.routes, self.peers, context, wanted
+        )
--- /dev/null
+++ b/bronzeslip/generation/__init__.py
@@ -0,0 +1,1 @@
+"""Generations, their tokens and their buffers."""
--- /dev/null
+++ b/bronzeslip/generation/reader.py
@@ -0,0 +1,96 @@
+"""Sends one generation's tokens to one connection."""
+
+from bronzeslip import ids
+from bronzeslip.generation import run
+from bronzeslip.transport import codec
+from bronzeslip.transport import outbox
+from bronzeslip.transport.frames import generation as frames
+
+WINDOW_TOKENS = 512
+MAX_FRAME_TOKENS = 128
+
+
+class GenerationReader:
+    """Position of one connection in one generation."""
+
+    def __init__(
+        self,
+        source: run.GenerationRun,
+        target: outbox.Outbox,
+        next_index: int = 0,
+    ) -> None:
+        """Starts to read a generation.
+
+        Args:
+            source: Generation to read.
+            target: Outbox of the connection.
+            next_index: Index of the first token wanted.
+        """
+        self._source = source
+        self._target = target
+        self._next_index = next_index
+        self._acknowledged_index = next_index
+        self._accepted_sent = False
+        self._terminal_sent = False
+        source.add_listener(self._mark_ready)
+        self._mark_ready()
+
+    @property
+    def generation_id(self) -> ids.GenerationId:
+        """Generation that is read."""
+        return self._source.start.generation_id
+
+    @property
+    def source(self) -> run.GenerationRun:
+        """Generation that is read."""
+        return self._source
+
+    def acknowledge(self, next_index: int) -> None:
+        """Opens the window up to an index."""
+        if next_index > self._acknowledged_index:
+            self._acknowledged_index = next_index
+            self._mark_ready()
+
+    def close(self) -> None:
+        """Stops reading."""
+        self._source.remove_listener(self._mark_ready)
+
+    def _mark_ready(self) -> None:
+        self._target.mark_ready(self.generation_id, self._take)
+
+    def _take(self) -> list[codec.Frame]:
+        taken: list[codec.Frame] = []
+        if (
+            not self._accepted_sent
+            and self._source.state is not run.RunState.QUEUED
+        ):
+            self._accepted_sent = True
+            taken.append(frames.GenerationAccepted(self.generation_id))
+        texts = self._read_window()
+        if texts:
+            taken.append(
+                frames.Tokens(self.generation_id, self._next_index, texts)
+            )
+            self._next_index += len(texts)
+        self._take_rest(taken)
+        return taken
+
+    def _read_window(self) -> list[str]:
+        open_tokens = (
+            self._acknowledged_index + WINDOW_TOKENS - self._next_index
+        )
+        limit = min(open_tokens, MAX_FRAME_TOKENS)
+        if limit <= 0:
+            return []
+        return self._source.buffer.read(self._next_index, limit)
+
+    def _take_rest(self, taken: list[codec.Frame]) -> None:
+        if self._next_index < self._source.buffer.next_index:
+            window_end = self._acknowledged_index + WINDOW_TOKENS
+            if self._next_index < window_end:
+                self._mark_ready()
+            return
+        terminal = self._source.terminal
+        if terminal is not None and not self._terminal_sent:
+            self._terminal_sent = True
+            taken.append(terminal)
--- /dev/null
+++ b/bronzeslip/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP server shared by the daemons."""
--- /dev/null
+++ b/bronzeslip/http/health.py
@@ -0,0 +1,36 @@
+"""Health routes of the daemons."""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+
+import litestar
+from litestar import handlers as litestar_handlers
+
+_OK_STATUS = 200
+_UNAVAILABLE_STATUS = 503
+
+
+def handlers(
+    is_ready: Callable[[], bool],
+) -> Sequence[litestar_handlers.BaseRouteHandler]:
+    """Returns the handlers of /livez and /readyz."""
+
+    @litestar.get(
+        "/livez",
+        media_type=litestar.MediaType.TEXT,
+        summary="Tells that the process runs",
+    )
+    async def livez() -> str:
+        return "ok"
+
+    @litestar.get(
+        "/readyz",
+        media_type=litestar.MediaType.TEXT,
+        summary="Tells whether the process takes new work",
+    )
+    async def readyz() -> litestar.Response[str]:
+        if is_ready():
+            return litestar.Response("ok", status_code=_OK_STATUS)
+        return litestar.Response("not ready", status_code=_UNAVAILABLE_STATUS)
+
+    return (livez, readyz)
--- /dev/null
+++ b/bronzeslip/logs.py
@@ -0,0 +1,103 @@
+"""Structured event logging over absl.logging."""
+
+import datetime
+import enum
+import logging as standard_logging
+from typing import Any
+
+from absl import flags
+from absl import logging
+from absl.logging import converter
+import msgspec
+
+_NOISY_LIBRARIES = ("httpx", "httpcore", "uvicorn", "grpc")
+
+
+class LogFormat(enum.Enum):
+    """Form of one log line."""
+
+    KEY_VALUE = "key-value"
+    JSON = "json"
+
+
+class EventLogger:
+    """Writes one line per event for one module."""
+
+    _format = LogFormat.KEY_VALUE
+
+    def __init__(self, module: str) -> None:
+        self._module = module
+
+    @classmethod
+    def set_format(cls, log_format: LogFormat) -> None:
+        """Selects the form of every logger's lines."""
+        cls._format = log_format
+
+    def debug(self, event: str, **fields: Any) -> None:
+        """Writes an event at debug level."""
+        self._write(logging.DEBUG, event, fields)
+
+    def info(self, event: str, **fields: Any) -> None:
+        """Writes an event at info level."""
+        self._write(logging.INFO, event, fields)
+
+    def warning(self, event: str, **fields: Any) -> None:
+        """Writes an event at warning level."""
+        self._write(logging.WARNING, event, fields)
+
+    def error(self, event: str, **fields: Any) -> None:
+        """Writes an event at error level."""
+        self._write(logging.ERROR, event, fields)
+
+    def _write(self, level: int, event: str, fields: dict[str, Any]) -> None:
+        if level == logging.DEBUG and not logging.level_debug():
+            return
+        line = {"event": event, "module": self._module, **fields}
+        if self._format is LogFormat.JSON:
+            line = {**_stamp(level), **line}
+        logging.log(level, "%s", _render(line, self._format))
+
+
+def _stamp(level: int) -> dict[str, Any]:
+    now = datetime.datetime.now(datetime.UTC)
+    return {
+        "time": now,
+        "level": standard_logging.getLevelName(
+            converter.absl_to_standard(level)
+        ),
+    }
+
+
+def _render(line: dict[str, Any], log_format: LogFormat) -> str:
+    if log_format is LogFormat.JSON:
+        return msgspec.json.encode(line, enc_hook=str).decode()
+    return " ".join(f"{key}={_quote(value)}" for key, value in line.items())
+
+
+def _quote(value: Any) -> str:
+    text = value.value if isinstance(value, enum.Enum) else str(value)
+    text = str(text)
+    return f'"{text}"' if " " in text or not text else text
+
+
+def configure(log_format: LogFormat, level: str) -> None:
+    """Sets up logging of a daemon.
+
+    Args:
+        log_format: Form of each line.
+        level: Name of the lowest level written, as absl names it.
+    """
+    EventLogger.set_format(log_format)
+    flags.FLAGS.mark_as_parsed()
+    logging.use_absl_handler()
+    logging.set_verbosity(level)
+    logging.set_stderrthreshold(level)
+    for noisy in _NOISY_LIBRARIES:
+        standard_logging.getLogger(noisy).setLevel(standard_logging.WARNING)
+    if log_format is LogFormat.JSON:
+        logging.get_absl_handler().setFormatter(None)
+
+
+def get_logger(module: str) -> EventLogger:
+    """Returns the event logger of a module."""
+    return EventLogger(module)
--- /dev/null
+++ b/bronzeslip/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Processes of the system and the state of their VMs."""
--- /dev/null
+++ b/bronzeslip/membership/errors.py
@@ -0,0 +1,9 @@
+"""Errors of membership."""
+
+from bronzeslip import errors
+
+
+class MembershipError(errors.BronzeslipError):
+    """A membership operation failed."""
+
+    code = "membership-error"
--- /dev/null
+++ b/bronzeslip/membership/member.py
@@ -0,0 +1,55 @@
+"""One process of the system as others know it."""
+
+import enum
+
+import msgspec
+
+from bronzeslip import ids
+
+MEMBERS_PREFIX = "members/"
+
+
+class MemberRole(enum.Enum):
+    """Program that a member runs."""
+
+    GATEWAY = "gateway"
+    SIDECAR = "sidecar"
+
+
+class MemberState(enum.Enum):
+    """Whether a member takes new work."""
+
+    SERVING = "serving"
+    DRAINING = "draining"
+
+
+class Member(msgspec.Struct, frozen=True):
+    """One incarnation of one process.
+
+    Attributes:
+        vm_id: VM that the process runs on.
+        incarnation_id: Drawn at each start of the process.
+        role: Program that runs.
+        region: Region of the VM.
+        failure_domain: Failure domain of the VM.
+        address: IP number and peer port.
+        state: Whether it takes new work.
+        endpoint_id: Endpoint behind a sidecar.
+        pool: Pool of the endpoint.
+    """
+
+    vm_id: ids.VmId
+    incarnation_id: ids.IncarnationId
+    role: MemberRole
+    region: ids.RegionName
+    failure_domain: ids.FailureDomainName
+    address: str
+    state: MemberState = MemberState.SERVING
+    endpoint_id: ids.EndpointId | None = None
+    pool: ids.PoolName | None = None
+
+
+def key_of(member: Member) -> ids.ObjectKey:
+    """Returns the platform key under which a member registers."""
+    name = member.endpoint_id or member.vm_id
+    return ids.ObjectKey(f"{MEMBERS_PREFIX}{member.role.value}/{name}")
--- /dev/null
+++ b/bronzeslip/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to engines under leases and fencing numbers."""
--- /dev/null
+++ b/bronzeslip/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's object API."""
--- /dev/null
+++ b/bronzeslip/platform/client.py
@@ -0,0 +1,167 @@
+"""Client of the platform's object API, VM list and weight store."""
+
+from typing import Any
+from typing import TypeVar
+
+import httpx
+import msgspec
+
+from bronzeslip import ids
+from bronzeslip.platform import errors
+from bronzeslip.platform import objects
+
+_WATCH_MARGIN_S = 2.0
+_CONFLICT_STATUS = 412
+_TOO_LARGE_STATUS = 413
+_GONE_STATUS = 410
+_NOT_FOUND_STATUS = 404
+
+AnswerT = TypeVar("AnswerT")
+
+
+class PlatformClient:
+    """Calls the platform; every method raises errors.PlatformError."""
+
+    def __init__(self, base_url: str, timeout_s: float) -> None:
+        """Creates a client.
+
+        Args:
+            base_url: Base URL of the platform.
+            timeout_s: Timeout of one call, in seconds.
+        """
+        self._timeout_s = timeout_s
+        self._http = httpx.AsyncClient(base_url=base_url, timeout=timeout_s)
+
+    async def close(self) -> None:
+        """Closes the connections to the platform."""
+        await self._http.aclose()
+
+    async def get(self, key: str) -> objects.PlatformObject | None:
+        """Reads an object, or None if there is none.
+
+        Raises:
+            errors.PlatformUnavailableError: If no answer came.
+        """
+        response = await self._call("GET", f"/objects/{key}")
+        if response.status_code == _NOT_FOUND_STATUS:
+            return None
+        return _decode(response, objects.PlatformObject)
+
+    async def list_objects(self, prefix: str) -> objects.ObjectList:
+        """Reads all objects whose key starts with a prefix."""
+        response = await self._call(
+            "GET", "/objects", params={"prefix": prefix}
+        )
+        return _decode(response, objects.ObjectList)
+
+    async def create(self, key: str, value: Any) -> objects.PlatformObject:
+        """Writes an object that must not exist yet.
+
+        Raises:
+            errors.VersionConflictError: If the object exists.
+            errors.PlatformUnavailableError: If no answer came; the write may
+                have taken effect.
+        """
+        return await self._put(key, value, {"If-None-Match": "*"})
+
+    async def update(
+        self, key: str, value: Any, version: ids.ObjectVersion
+    ) -> objects.PlatformObject:
+        """Writes an object that must be at a version.
+
+        Raises:
+            errors.VersionConflictError: If it is at another version.
+            errors.PlatformUnavailableError: If no answer came; the write may
+                have taken effect.
+        """
+        return await self._put(key, value, {"If-Match": str(version)})
+
+    async def delete(self, key: str, version: ids.ObjectVersion) -> None:
+        """Deletes an object that must be at a version."""
+        await self._call(
+            "DELETE", f"/objects/{key}", headers={"If-Match": str(version)}
+        )
+
+    async def watch(
+        self, prefix: str, after: ids.ObjectVersion, wait_s: float
+    ) -> objects.WatchBatch:
+        """Waits for changes under a prefix.
+
+        Args:
+            prefix: Start of the keys watched.
+            after: Version of the store that the caller already has.
+            wait_s: Longest wait, in seconds.
+
+        Returns:
+            The changes, empty if there were none.
+
+        Raises:
+            errors.WatchExpiredError: If older events are gone; list anew.
+        """
+        response = await self._call(
+            "GET",
+            "/watch",
+            params={"prefix": prefix, "after": after, "wait_s": wait_s},
+            timeout=wait_s + _WATCH_MARGIN_S,
+        )
+        return _decode(response, objects.WatchBatch)
+
+    async def vms(self) -> tuple[objects.VmEntry, ...]:
+        """Reads the platform's lagging list of VMs."""
+        response = await self._call("GET", "/vms")
+        return _decode(response, tuple[objects.VmEntry, ...])
+
+    async def acquire_weights(self, size_bytes: int) -> objects.WeightGrant:
+        """Asks the weight store for leave to download."""
+        response = await self._call(
+            "POST", "/weights/acquire", params={"size_bytes": size_bytes}
+        )
+        return _decode(response, objects.WeightGrant)
+
+    async def _put(
+        self, key: str, value: Any, condition: dict[str, str]
+    ) -> objects.PlatformObject:
+        response = await self._call(
+            "PUT",
+            f"/objects/{key}",
+            content=msgspec.json.encode(value),
+            headers={"Content-Type": "application/json", **condition},
+        )
+        return _decode(response, objects.PlatformObject)
+
+    async def _call(
+        self, method: str, path: str, **options: Any
+    ) -> httpx.Response:
+        try:
+            response = await self._http.request(method, path, **options)
+        except httpx.HTTPError as error:
+            raise errors.PlatformUnavailableError(
+                f"{method} {path}: {type(error).__name__}"
+            ) from error
+        _raise_for_status(method, path, response)
+        return response
+
+
+def _raise_for_status(method: str, path: str, response: httpx.Response) -> None:
+    status = response.status_code
+    if status < httpx.codes.BAD_REQUEST or status == _NOT_FOUND_STATUS:
+        return
+    text = f"{method} {path}: status {status}"
+    if status == _CONFLICT_STATUS:
+        raise errors.VersionConflictError(text)
+    if status == _TOO_LARGE_STATUS:
+        raise errors.ValueTooLargeError(text)
+    if status == _GONE_STATUS:
+        raise errors.WatchExpiredError(text)
+    if status >= httpx.codes.INTERNAL_SERVER_ERROR:
+        raise errors.PlatformUnavailableError(text)
+    raise errors.PlatformError(text)
+
+
+def _decode(response: httpx.Response, wanted: type[AnswerT]) -> AnswerT:
+    try:
+        return msgspec.json.decode(response.content, type=wanted)
+    except msgspec.MsgspecError as error:
+        raise errors.PlatformError(
+            f"unreadable answer from the platform: {error}"
+        ) from error
--- /dev/null
+++ b/bronzeslip/platform/follower.py
@@ -0,0 +1,76 @@
+"""Follows the objects under a prefix by list and watch."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import random
+
+from bronzeslip import ids
+from bronzeslip import logs
+from bronzeslip.platform import client
+from bronzeslip.platform import errors
+from bronzeslip.platform import objects
+
+logger = logs.get_logger(__name__)
+
+_WATCH_WAIT_S = 20.0
+_MIN_BACKOFF_S = 0.2
+_MAX_BACKOFF_S = 5.0
+
+
+class PrefixFollower:
+    """Hands every change under a prefix to two callbacks."""
+
+    def __init__(
+        self,
+        platform: client.PlatformClient,
+        prefix: str,
+        on_list: Callable[[objects.ObjectList], Awaitable[None]],
+        on_event: Callable[[objects.ObjectEvent], Awaitable[None]],
+    ) -> None:
+        """Creates a follower.
+
+        Args:
+            platform: Client of the platform.
+            prefix: Start of the keys followed.
+            on_list: Called with the whole state at the start and whenever
+                events were missed.
+            on_event: Called with each later change, in order.
+        """
+        self._platform = platform
+        self._prefix = prefix
+        self._on_list = on_list
+        self._on_event = on_event
+
+    async def run(self) -> None:
+        """Follows until cancelled; platform errors are retried."""
+        backoff_s = _MIN_BACKOFF_S
+        while True:
+            try:
+                version = await self._list()
+                backoff_s = _MIN_BACKOFF_S
+                await self._watch(version)
+            except errors.WatchExpiredError:
+                continue
+            except errors.PlatformError as error:
+                logger.warning(
+                    "platform.follow_failed",
+                    prefix=self._prefix,
+                    reason=error.message,
+                )
+                await asyncio.sleep(backoff_s * random.uniform(0.5, 1.0))
+                backoff_s = min(backoff_s * 2, _MAX_BACKOFF_S)
+
+    async def _list(self) -> ids.ObjectVersion:
+        listed = await self._platform.list_objects(self._prefix)
+        await self._on_list(listed)
+        return listed.version
+
+    async def _watch(self, version: ids.ObjectVersion) -> None:
+        while True:
+            batch = await self._platform.watch(
+                self._prefix, version, _WATCH_WAIT_S
+            )
+            for event in batch.events:
+                await self._on_event(event)
+            version = batch.version
--- /dev/null
+++ b/bronzeslip/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of an endpoint for a request."""
--- /dev/null
+++ b/bronzeslip/routing/candidate.py
@@ -0,0 +1,20 @@
+"""One endpoint that a request may go to."""
+
+import msgspec
+
+from bronzeslip.membership import member
+from bronzeslip.transport.frames import link
+
+
+class Candidate(msgspec.Struct, frozen=True):
+    """An endpoint with what is known of its load.
+
+    Attributes:
+        endpoint: Sidecar before the endpoint.
+        outstanding: Requests of this gateway that it has.
+        load: Latest load heard from its sidecar.
+    """
+
+    endpoint: member.Member
+    outstanding: int
+    load: link.EndpointLoad
--- /dev/null
+++ b/bronzeslip/routing/least_outstanding.py
@@ -0,0 +1,34 @@
+"""Policy that prefers the endpoint with the least work."""
+
+from collections.abc import Sequence
+import random
+
+from bronzeslip.routing import candidate
+from bronzeslip.routing import policy
+
+
+class LeastOutstandingPolicy:
+    """Orders by region, then by what is running and waiting."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+
+    def order(
+        self,
+        request: policy.RoutingRequest,
+        candidates: Sequence[candidate.Candidate],
+    ) -> list[candidate.Candidate]:
+        """Returns the candidates, the least loaded of the region first."""
+
+        def rank(option: candidate.Candidate) -> tuple[bool, bool, int, float]:
+            return (
+                option.load.draining,
+                option.endpoint.region != request.region,
+                max(
+                    option.outstanding,
+                    option.load.running + option.load.queued,
+                ),
+                self._rng.random(),
+            )
+
+        return sorted(candidates, key=rank)
--- /dev/null
+++ b/bronzeslip/routing/load_source.py
@@ -0,0 +1,12 @@
+"""Interface to what is known of endpoints' load."""
+
+from typing import Protocol
+
+from bronzeslip.transport.frames import link
+
+
+class LoadSource(Protocol):
+    """Knows the latest load heard from sidecars."""
+
+    def load_of(self, address: str) -> link.EndpointLoad:
+        """Returns the latest load heard from the sidecar at an address."""
--- /dev/null
+++ b/bronzeslip/routing/router.py
@@ -0,0 +1,68 @@
+"""Finds the endpoints for a request."""
+
+import collections
+
+from bronzeslip import ids
+from bronzeslip.configuration import binding
+from bronzeslip.membership import directory
+from bronzeslip.membership import member
+from bronzeslip.routing import candidate
+from bronzeslip.routing import errors
+from bronzeslip.routing import load_source
+from bronzeslip.routing import policy
+
+_RETRY_AFTER_S = 1.0
+
+
+class Router:
+    """Applies a policy to the endpoints of a pool."""
+
+    def __init__(
+        self,
+        members: directory.MemberDirectory,
+        loads: load_source.LoadSource,
+        chosen_policy: policy.RoutingPolicy,
+    ) -> None:
+        self._members = members
+        self._loads = loads
+        self._policy = chosen_policy
+        self._outstanding: collections.Counter[ids.EndpointId] = (
+            collections.Counter()
+        )
+
+    def candidates(
+        self, bound: binding.Binding, request: policy.RoutingRequest
+    ) -> list[candidate.Candidate]:
+        """Lists the endpoints for a request, the best first.
+
+        Raises:
+            errors.NoEndpointError: If there is none.
+        """
+        options = [
+            self._candidate(known)
+            for known in self._members.endpoints_of(bound.pool)
+            if not bound.regions or known.region in bound.regions
+        ]
+        if not options:
+            raise errors.NoEndpointError(
+                f"pool {bound.pool!r} has no endpoint",
+                retry_after_s=_RETRY_AFTER_S,
+            )
+        return self._policy.order(request, options)
+
+    def begin(self, endpoint_id: ids.EndpointId) -> None:
+        """Counts a request sent to an endpoint."""
+        self._outstanding[endpoint_id] += 1
+
+    def end(self, endpoint_id: ids.EndpointId) -> None:
+        """Counts a request that an endpoint has ended."""
+        self._outstanding[endpoint_id] -= 1
+        if self._outstanding[endpoint_id] <= 0:
+            del self._outstanding[endpoint_id]
+
+    def _candidate(self, known: member.Member) -> candidate.Candidate:
+        return candidate.Candidate(
+            known,
+            self._outstanding[known.endpoint_id],
+            self._loads.load_of(known.address),
+        )
--- /dev/null
+++ b/bronzeslip/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of the programs from flags and environment variables."""
--- /dev/null
+++ b/bronzeslip/settings/gateway.py
@@ -0,0 +1,36 @@
+"""Settings of the gateway."""
+
+import dataclasses
+
+from bronzeslip.settings import common
+from bronzeslip.settings.setting import setting
+
+
+@dataclasses.dataclass(frozen=True)
+class GatewaySettings(common.CommonSettings):
+    """Settings of one gateway process."""
+
+    operator_credentials_sha256: tuple[str, ...] = setting(
+        "SHA-256 digests of operators' credentials", "security", default=()
+    )
+    max_body_bytes: int = setting(
+        "largest request body, in bytes",
+        "limits",
+        default=4_000_000,
+        minimum=1_000,
+        maximum=64_000_000,
+    )
+    dispatch_attempts: int = setting(
+        "endpoints tried before a request is refused",
+        "routing",
+        default=3,
+        minimum=1,
+        maximum=16,
+    )
+    request_deadline_s: float = setting(
+        "deadline of a request that names none, in seconds",
+        "limits",
+        default=3600.0,
+        minimum=1,
+        maximum=86_400,
+    )
--- /dev/null
+++ b/bronzeslip/settings/setting.py
@@ -0,0 +1,46 @@
+"""Declaration of one setting on a settings class."""
+
+import dataclasses
+from typing import Any
+
+_METADATA_KEY = "setting"
+
+
+@dataclasses.dataclass(frozen=True)
+class Setting:
+    """What is known of a setting beside its name and type.
+
+    Attributes:
+        help: Sentence shown by --help and in the reference.
+        group: Heading under which the setting is listed.
+        minimum: Smallest number allowed, or None.
+        maximum: Largest number allowed, or None.
+        secret: Whether the value is kept out of logs and errors.
+    """
+
+    help: str
+    group: str
+    minimum: float | None = None
+    maximum: float | None = None
+    secret: bool = False
+
+
+def setting(
+    help: str,
+    group: str,
+    *,
+    default: Any = dataclasses.MISSING,
+    minimum: float | None = None,
+    maximum: float | None = None,
+    secret: bool = False,
+) -> Any:
+    """Declares a dataclass field that is a setting."""
+    details = Setting(help, group, minimum, maximum, secret)
+    return dataclasses.field(
+        default=default, metadata={_METADATA_KEY: details}, kw_only=True
+    )
+
+
+def details_of(field: dataclasses.Field) -> Setting:
+    """Returns the declaration behind a field of a settings class."""
+    return field.metadata[_METADATA_KEY]
--- /dev/null
+++ b/bronzeslip/settings/sidecar.py
@@ -0,0 +1,44 @@
+"""Settings of the sidecar."""
+
+import dataclasses
+
+from bronzeslip import ids
+from bronzeslip.settings import common
+from bronzeslip.settings.setting import setting
+
+
+@dataclasses.dataclass(frozen=True)
+class SidecarSettings(common.CommonSettings):
+    """Settings of one sidecar process."""
+
+    endpoint_id: ids.EndpointId = setting("id of the endpoint", "identity")
+    pool: ids.PoolName = setting("pool the endpoint belongs to", "identity")
+    endpoint_url: str = setting("base URL of the endpoint", "endpoint")
+    max_queued_requests: int = setting(
+        "requests held before new ones are refused",
+        "admission",
+        default=64,
+        minimum=0,
+        maximum=100_000,
+    )
+    max_running_requests: int = setting(
+        "requests running on the endpoint at once",
+        "admission",
+        default=64,
+        minimum=1,
+        maximum=100_000,
+    )
+    generation_grace_s: float = setting(
+        "time a finished generation stays readable, in seconds",
+        "generation",
+        default=60.0,
+        minimum=0,
+        maximum=3600,
+    )
+    orphan_timeout_s: float = setting(
+        "time a generation runs on without a reader, in seconds",
+        "generation",
+        default=30.0,
+        minimum=0.1,
+        maximum=3600,
+    )
--- /dev/null
+++ b/bronzeslip/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""Sidecar daemon beside an endpoint."""
--- /dev/null
+++ b/bronzeslip/sidecar/daemon.py
@@ -0,0 +1,115 @@
+"""The sidecar as one object."""
+
+import asyncio
+
+from bronzeslip import ids
+from bronzeslip import logs
+from bronzeslip.admission import gate
+from bronzeslip.engine import client as engine_client
+from bronzeslip.http import server as http_server
+from bronzeslip.http import shutdown
+from bronzeslip.membership import member
+from bronzeslip.membership import registrar
+from bronzeslip.platform import client as platform_client
+from bronzeslip.settings import sidecar
+from bronzeslip.sidecar import app
+from bronzeslip.sidecar import calls
+from bronzeslip.sidecar import generations
+from bronzeslip.sidecar import peer_session
+from bronzeslip.transport import server as transport_server
+from bronzeslip.transport import stream
+
+logger = logs.get_logger(__name__)
+
+
+class SidecarDaemon:
+    """Runs beside one endpoint and is the only way to it."""
+
+    def __init__(self, settings: sidecar.SidecarSettings) -> None:
+        self._settings = settings
+        self._incarnation_id = ids.IncarnationId(ids.random_id())
+        self._ready = False
+        self._admission = gate.AdmissionGate(settings)
+        self._engine = engine_client.EngineClient(settings.endpoint_url)
+        self._table = generations.GenerationTable(
+            settings, self._engine, self._admission
+        )
+        self._runner = calls.CallRunner(settings, self._admission)
+        self._platform = platform_client.PlatformClient(
+            settings.platform_url, settings.platform_timeout_s
+        )
+        self._peers = transport_server.PeerServer(
+            settings.listen_address,
+            settings.peer_port,
+            settings.peer_key,
+            self._serve_peer,
+        )
+        self._http = http_server.HttpServer(
+            app.create(lambda: self._ready),
+            settings.listen_address,
+            settings.http_port,
+        )
+        self._registrar = registrar.Registrar(self._platform, self._member())
+
+    async def run(self) -> None:
+        """Serves until told to shut down, then drains."""
+        signals = shutdown.ShutdownSignals()
+        signals.install()
+        await self._peers.start()
+        self._http.start()
+        registration = asyncio.create_task(self._registrar.register())
+        self._ready = True
+        logger.info(
+            "sidecar.listening",
+            http_port=self._http.port,
+            peer_port=self._peers.port,
+            endpoint_id=self._settings.endpoint_id,
+        )
+        await signals.requested.wait()
+        registration.cancel()
+        await self._drain(signals)
+        await self._close()
+
+    async def _drain(self, signals: shutdown.ShutdownSignals) -> None:
+        self._ready = False
+        self._admission.drain()
+        announcement = asyncio.create_task(self._registrar.announce_draining())
+        idle = asyncio.create_task(self._admission.wait_idle())
+        hurried = asyncio.create_task(signals.hurried.wait())
+        await asyncio.wait((idle, hurried), return_when=asyncio.FIRST_COMPLETED)
+        for task in (announcement, idle, hurried):
+            task.cancel()
+        logger.info("sidecar.drained", hurried=signals.hurried.is_set())
+
+    async def _close(self) -> None:
+        await asyncio.sleep(self._settings.drain_notice_s)
+        await self._registrar.withdraw()
+        await self._peers.stop()
+        await self._http.stop()
+        await self._runner.close()
+        await self._engine.close()
+        await self._platform.close()
+
+    async def _serve_peer(self, peer: stream.PeerStream) -> None:
+        session = peer_session.PeerSession(
+            self._settings,
+            self._incarnation_id,
+            self._admission,
+            self._table,
+            self._runner,
+            peer,
+        )
+        await session.run()
+
+    def _member(self) -> member.Member:
+        settings = self._settings
+        return member.Member(
+            vm_id=settings.vm_id,
+            incarnation_id=self._incarnation_id,
+            role=member.MemberRole.SIDECAR,
+            region=settings.region,
+            failure_domain=settings.failure_domain,
+            address=f"{settings.advertise_address}:{self._peers.port}",
+            endpoint_id=settings.endpoint_id,
+            pool=settings.pool,
+        )
--- /dev/null
+++ b/bronzeslip/sidecar/peer_session.py
@@ -0,0 +1,140 @@
+"""One gateway's connection to a sidecar."""
+
+import asyncio
+import contextlib
+import functools
+
+from bronzeslip import ids
+from bronzeslip import logs
+from bronzeslip.admission import gate
+from bronzeslip.generation import reader
+from bronzeslip.generation import run as generation_run
+from bronzeslip.settings import sidecar
+from bronzeslip.sidecar import calls
+from bronzeslip.sidecar import generations
+from bronzeslip.transport import codec
+from bronzeslip.transport import errors
+from bronzeslip.transport import outbox
+from bronzeslip.transport import stream
+from bronzeslip.transport.frames import call as call_frames
+from bronzeslip.transport.frames import generation as generation_frames
+from bronzeslip.transport.frames import link
+from bronzeslip.transport.frames import reason
+
+logger = logs.get_logger(__name__)
+
+_RETRY_AFTER_S = 1.0
+
+
+class PeerSession:
+    """Carries out what one gateway asks on one connection."""
+
+    def __init__(
+        self,
+        settings: sidecar.SidecarSettings,
+        incarnation_id: ids.IncarnationId,
+        admission: gate.AdmissionGate,
+        table: generations.GenerationTable,
+        runner: calls.CallRunner,
+        peer: stream.PeerStream,
+    ) -> None:
+        self._settings = settings
+        self._incarnation_id = incarnation_id
+        self._admission = admission
+        self._table = table
+        self._runner = runner
+        self._peer = peer
+        self._outbox = outbox.Outbox()
+        self._readers: dict[ids.GenerationId, reader.GenerationReader] = {}
+        self._calls: set[asyncio.Task] = set()
+
+    async def run(self) -> None:
+        """Serves the connection until it ends."""
+        workers = [
+            asyncio.create_task(self._read()),
+            asyncio.create_task(self._write()),
+            asyncio.create_task(self._beat()),
+        ]
+        try:
+            with contextlib.suppress(errors.TransportError):
+                await asyncio.gather(*workers)
+        finally:
+            for worker in workers:
+                worker.cancel()
+            for open_reader in self._readers.values():
+                open_reader.close()
+
+    async def _read(self) -> None:
+        while True:
+            for frame in await self._peer.read():
+                self._take(frame)
+
+    async def _write(self) -> None:
+        while True:
+            await self._peer.write(await self._outbox.take())
+
+    async def _beat(self) -> None:
+        while True:
+            self._outbox.put(
+                link.Heartbeat(self._incarnation_id, self._admission.load)
+            )
+            await asyncio.sleep(self._settings.heartbeat_interval_s)
+
+    @functools.singledispatchmethod
+    def _take(self, frame: codec.Frame) -> None:
+        logger.warning("peer.unexpected_frame", frame=type(frame).__name__)
+
+    @_take.register
+    def _(self, frame: link.Heartbeat) -> None:
+        pass
+
+    @_take.register
+    def _(self, frame: generation_frames.StartGeneration) -> None:
+        self._open(self._table.start(frame), 0)
+
+    @_take.register
+    def _(self, frame: generation_frames.ResumeGeneration) -> None:
+        found = self._table.find(frame.generation_id, frame.workspace_id)
+        if found is None:
+            self._outbox.put(
+                generation_frames.GenerationRefused(
+                    frame.generation_id,
+                    reason.RefusalReason.UNKNOWN_GENERATION,
+                    _RETRY_AFTER_S,
+                )
+            )
+            return
+        self._open(found, frame.next_index)
+
+    @_take.register
+    def _(self, frame: generation_frames.CancelGeneration) -> None:
+        self._close(frame.generation_id)
+        self._table.cancel(frame.generation_id)
+
+    @_take.register
+    def _(self, frame: generation_frames.AcknowledgeTokens) -> None:
+        found = self._readers.get(frame.generation_id)
+        if found is not None:
+            found.acknowledge(frame.next_index)
+
+    @_take.register
+    def _(self, frame: call_frames.StartCall) -> None:
+        task = asyncio.create_task(self._run_call(frame))
+        self._calls.add(task)
+        task.add_done_callback(self._calls.discard)
+
+    async def _run_call(self, frame: call_frames.StartCall) -> None:
+        self._outbox.put(await self._runner.run(frame))
+
+    def _open(
+        self, source: generation_run.GenerationRun, next_index: int
+    ) -> None:
+        self._close(source.start.generation_id)
+        self._readers[source.start.generation_id] = reader.GenerationReader(
+            source, self._outbox, next_index
+        )
+
+    def _close(self, generation_id: ids.GenerationId) -> None:
+        found = self._readers.pop(generation_id, None)
+        if found is not None:
+            found.close()
--- /dev/null
+++ b/bronzeslip/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Connections between the system's own processes."""
--- /dev/null
+++ b/bronzeslip/transport/codec.py
@@ -0,0 +1,47 @@
+"""Encoding of frames."""
+
+from collections.abc import Sequence
+
+import msgspec
+
+from bronzeslip.transport import errors
+from bronzeslip.transport.frames import call
+from bronzeslip.transport.frames import generation
+from bronzeslip.transport.frames import link
+
+Frame = (
+    generation.StartGeneration
+    | generation.ResumeGeneration
+    | generation.CancelGeneration
+    | generation.AcknowledgeTokens
+    | generation.GenerationAccepted
+    | generation.Tokens
+    | generation.GenerationFinished
+    | generation.GenerationRefused
+    | generation.GenerationLost
+    | call.StartCall
+    | call.CallFinished
+    | call.CallRefused
+    | call.CallOutcomeUnknown
+    | link.Heartbeat
+)
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(list[Frame])
+
+
+def encode(batch: Sequence[Frame]) -> bytes:
+    """Encodes frames that travel together."""
+    return _encoder.encode(batch)
+
+
+def decode(data: bytes) -> list[Frame]:
+    """Decodes frames that travelled together.
+
+    Raises:
+        errors.BadFrameError: If the bytes are no frames.
+    """
+    try:
+        return _decoder.decode(data)
+    except msgspec.MsgspecError as error:
+        raise errors.BadFrameError(str(error)) from error
--- /dev/null
+++ b/bronzeslip/transport/connection.py
@@ -0,0 +1,127 @@
+"""Client side of one peer connection."""
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+import time
+
+import grpc
+import grpc.aio
+
+from bronzeslip import logs
+from bronzeslip.settings import common
+from bronzeslip.transport import codec
+from bronzeslip.transport import errors
+from bronzeslip.transport import outbox
+from bronzeslip.transport import service
+from bronzeslip.transport import stream
+from bronzeslip.transport.frames import link
+
+logger = logs.get_logger(__name__)
+
+
+class PeerConnection:
+    """One TCP connection to a peer, shared by all work with that peer."""
+
+    def __init__(
+        self,
+        address: str,
+        settings: common.CommonSettings,
+        on_frame: Callable[[codec.Frame], None],
+        on_close: Callable[[], None],
+    ) -> None:
+        """Opens the connection.
+
+        Args:
+            address: IP number and port of the peer.
+            settings: Peer key, heartbeat interval and silence timeout.
+            on_frame: Called with each frame but heartbeats.
+            on_close: Called once when the connection is gone.
+        """
+        self.address = address
+        self.load = link.EndpointLoad()
+        self._settings = settings
+        self._on_frame = on_frame
+        self._on_close = on_close
+        self._outbox = outbox.Outbox()
+        self._last_heard_s = time.monotonic()
+        self._task = asyncio.create_task(self._run())
+
+    @property
+    def closed(self) -> bool:
+        """Whether the connection is gone."""
+        return self._task.done()
+
+    def send(self, frame: codec.Frame) -> None:
+        """Queues a frame; it is lost if the connection is."""
+        self._outbox.put(frame)
+
+    async def close(self) -> None:
+        """Ends the connection."""
+        self._task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self._task
+
+    async def _run(self) -> None:
+        try:
+            async with self._open_channel() as channel:
+                await self._serve(channel)
+        except errors.TransportError as error:
+            logger.warning(
+                "transport.connection_lost",
+                address=self.address,
+                reason=error.message,
+            )
+        finally:
+            self._on_close()
+
+    def _open_channel(self) -> grpc.aio.Channel:
+        return grpc.aio.insecure_channel(
+            self.address,
+            options=(
+                ("grpc.use_local_subchannel_pool", 1),
+                ("grpc.enable_retries", 0),
+                ("grpc.max_receive_message_length", service.MAX_MESSAGE_BYTES),
+            ),
+        )
+
+    async def _serve(self, channel: grpc.aio.Channel) -> None:
+        method = channel.stream_stream(service.METHOD_PATH)
+        call = method(
+            metadata=((service.KEY_METADATA, self._settings.peer_key),)
+        )
+        peer = stream.PeerStream(call)
+        workers = [
+            asyncio.create_task(self._read(peer)),
+            asyncio.create_task(self._write(peer)),
+            asyncio.create_task(self._watch_silence()),
+        ]
+        try:
+            await asyncio.gather(*workers)
+        finally:
+            for worker in workers:
+                worker.cancel()
+            call.cancel()
+
+    async def _read(self, peer: stream.PeerStream) -> None:
+        while True:
+            batch = await peer.read()
+            self._last_heard_s = time.monotonic()
+            for frame in batch:
+                if isinstance(frame, link.Heartbeat):
+                    self.load = frame.load or self.load
+                else:
+                    self._on_frame(frame)
+
+    async def _write(self, peer: stream.PeerStream) -> None:
+        while True:
+            await peer.write(await self._outbox.take())
+
+    async def _watch_silence(self) -> None:
+        interval_s = self._settings.heartbeat_interval_s
+        while True:
+            await asyncio.sleep(interval_s)
+            self.send(link.Heartbeat(""))
+            silent_s = time.monotonic() - self._last_heard_s
+            if silent_s > self._settings.peer_silence_timeout_s:
+                raise errors.ConnectionLostError(f"silent for {silent_s:.1f} s")
--- /dev/null
+++ b/bronzeslip/transport/errors.py
@@ -0,0 +1,21 @@
+"""Errors of the transport."""
+
+from bronzeslip import errors
+
+
+class TransportError(errors.BronzeslipError):
+    """A peer connection failed."""
+
+    code = "transport-error"
+
+
+class ConnectionLostError(TransportError):
+    """The connection ended or fell silent."""
+
+    code = "connection-lost"
+
+
+class BadFrameError(TransportError):
+    """A peer sent bytes that are no frames."""
+
+    code = "bad-frame"
--- /dev/null
+++ b/bronzeslip/transport/frames/__init__.py
@@ -0,0 +1,1 @@
+"""Messages that cross a peer connection."""
--- /dev/null
+++ b/bronzeslip/transport/frames/link.py
@@ -0,0 +1,35 @@
+"""Messages about the connection itself."""
+
+import msgspec
+
+from bronzeslip import ids
+
+
+class EndpointLoad(msgspec.Struct, frozen=True, array_like=True):
+    """Load of one endpoint as its sidecar knows it.
+
+    Attributes:
+        running: Requests running.
+        queued: Requests waiting at the sidecar.
+        memory_used_ratio: Share of the engine's cache memory in use.
+        queue_wait_s: Expected wait of a new request, in seconds.
+        draining: Whether new work is refused.
+    """
+
+    running: int = 0
+    queued: int = 0
+    memory_used_ratio: float = 0.0
+    queue_wait_s: float = 0.0
+    draining: bool = False
+
+
+class Heartbeat(msgspec.Struct, frozen=True, tag="heartbeat"):
+    """Shows that the sender is alive.
+
+    Attributes:
+        incarnation_id: Incarnation of the sender.
+        load: Load of the sender's endpoint, if it has one.
+    """
+
+    incarnation_id: ids.IncarnationId
+    load: EndpointLoad | None = None
--- /dev/null
+++ b/bronzeslip/transport/server.py
@@ -0,0 +1,72 @@
+"""Server side of peer connections."""
+
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+import hmac
+
+import grpc
+import grpc.aio
+
+from bronzeslip import logs
+from bronzeslip.transport import service
+from bronzeslip.transport import stream
+
+logger = logs.get_logger(__name__)
+
+Handler = Callable[[stream.PeerStream], Awaitable[None]]
+
+
+class PeerServer:
+    """Accepts connections of other processes of the system."""
+
+    def __init__(
+        self, address: str, port: int, peer_key: str, handler: Handler
+    ) -> None:
+        """Binds the port.
+
+        Args:
+            address: IP number to listen on.
+            port: Port to listen on; 0 lets the system choose.
+            peer_key: Key that every peer must show.
+            handler: Called with each accepted connection; the connection
+                ends when it returns.
+        """
+        self._peer_key = peer_key
+        self._handler = handler
+        self._server = grpc.aio.server(
+            options=(
+                ("grpc.max_receive_message_length", service.MAX_MESSAGE_BYTES),
+                ("grpc.so_reuseport", 0),
+            )
+        )
+        method = grpc.stream_stream_rpc_method_handler(self._exchange)
+        self._server.add_generic_rpc_handlers(
+            (
+                grpc.method_handlers_generic_handler(
+                    service.SERVICE_NAME, {service.METHOD_NAME: method}
+                ),
+            )
+        )
+        self.port = self._server.add_insecure_port(f"{address}:{port}")
+
+    async def start(self) -> None:
+        """Starts to accept connections."""
+        await self._server.start()
+
+    async def stop(self) -> None:
+        """Ends every connection."""
+        await self._server.stop(0)
+
+    async def _exchange(
+        self, _: AsyncIterator[bytes], context: grpc.aio.ServicerContext
+    ) -> None:
+        shown = dict(context.invocation_metadata()).get(
+            service.KEY_METADATA, ""
+        )
+        if not hmac.compare_digest(
+            str(shown).encode(), self._peer_key.encode()
+        ):
+            logger.warning("transport.key_refused", peer=context.peer())
+            await context.abort(grpc.StatusCode.UNAUTHENTICATED, "peer key")
+        await self._handler(stream.PeerStream(context))
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems outside bronzeslip."""
--- /dev/null
+++ b/standins/engine/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for a model engine."""
--- /dev/null
+++ b/standins/engine/orders.py
@@ -0,0 +1,46 @@
+"""Orders to the engine stand-in."""
+
+from bronzeslip.engine import messages
+
+
+class RefusedError(Exception):
+    """An order carries an old fencing number."""
+
+
+class OrderBook:
+    """What the engine has loaded, changed by orders."""
+
+    def __init__(self, model: str, checks_fencing: bool) -> None:
+        self._checks_fencing = checks_fencing
+        self._model = model
+        self._model_version = "1"
+        self._adapters: dict[str, str] = {}
+        self._role = "serve"
+        self._fencing_number = 0
+        self.applied: list[messages.EngineOrder] = []
+
+    @property
+    def state(self) -> messages.EngineState:
+        """What is loaded now."""
+        number = self._fencing_number if self._checks_fencing else 0
+        return messages.EngineState(
+            self._model,
+            self._model_version,
+            dict(self._adapters),
+            self._role,
+            number,
+        )
+
+    def apply(self, order: messages.EngineOrder) -> messages.EngineState:
+        """Carries an order out, or refuses an old one."""
+        if self._checks_fencing and order.fencing_number < self._fencing_number:
+            raise RefusedError(str(self._fencing_number))
+        self._fencing_number = max(self._fencing_number, order.fencing_number)
+        if order.kind is messages.OrderKind.LOAD_MODEL:
+            self._model, self._model_version = order.name, order.version
+        elif order.kind is messages.OrderKind.LOAD_ADAPTER:
+            self._adapters[order.name] = order.version
+        else:
+            self._role = order.name
+        self.applied.append(order)
+        return self.state
--- /dev/null
+++ b/standins/plain/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for a plain service."""
--- /dev/null
+++ b/standins/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for the platform."""
--- /dev/null
+++ b/standins/serve.py
@@ -0,0 +1,27 @@
+"""Runs a stand-in as a process."""
+
+import argparse
+import asyncio
+import signal
+import sys
+from typing import Any
+
+from bronzeslip.http import server
+
+
+def add_port_flag(parser: argparse.ArgumentParser) -> None:
+    """Adds the flag of the port to a stand-in's parser."""
+    parser.add_argument("--port", type=int, default=0)
+
+
+async def serve(app: Any, port: int) -> None:
+    """Serves an application until SIGTERM; prints its URL first."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    http = server.HttpServer(app, "127.0.0.1", port)
+    http.start()
+    print(f"listening http://127.0.0.1:{http.port}", flush=True)
+    sys.stdout.flush()
+    await stop.wait()
+    await http.abort()
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Developer tools."""
--- /dev/null
+++ b/tools/run_tests.py
@@ -0,0 +1,54 @@
+"""Runs the tests and tells the verdict in one line."""
+
+import argparse
+import pathlib
+import sys
+import unittest
+
+_ROOT = pathlib.Path(__file__).resolve().parent.parent
+_KNOWN_RED_FILE = _ROOT / "KNOWN-RED.txt"
+_TEST_KEY = "test:"
+
+
+def main() -> None:
+    """Runs all tests, or the modules named."""
+    parser = argparse.ArgumentParser(prog="run-tests")
+    parser.add_argument("modules", nargs="*", help="test modules; default all")
+    flags = parser.parse_args()
+    loader = unittest.TestLoader()
+    if flags.modules:
+        suite = loader.loadTestsFromNames(flags.modules)
+    else:
+        suite = loader.discover(str(_ROOT / "tests"), top_level_dir=str(_ROOT))
+    result = unittest.TextTestRunner(verbosity=1, buffer=True).run(suite)
+    sys.exit(_report(result))
+
+
+def known_red() -> tuple[str, ...]:
+    """Lists the tests that are known to fail."""
+    lines = _KNOWN_RED_FILE.read_text().splitlines()
+    return tuple(
+        line.removeprefix(_TEST_KEY).strip()
+        for line in lines
+        if line.startswith(_TEST_KEY)
+    )
+
+
+def _report(result: unittest.TestResult) -> int:
+    broken = {test.id() for test, _ in (*result.failures, *result.errors)}
+    broken |= {test.id() for test in result.unexpectedSuccesses}
+    known = set(known_red())
+    for name in sorted(broken & known):
+        print(f"known red: {name}")
+    for name in sorted(broken - known):
+        print(f"failed: {name}")
+    failed = len(broken - known)
+    passed = result.testsRun - len(broken)
+    skipped = len(result.skipped)
+    tail = f", {skipped} skipped" if skipped else ""
+    print(f"{passed - skipped} passed, {failed} failed{tail}")
+    return 1 if failed or not passed else 0
+
+
+if __name__ == "__main__":
+    main()
