Add bronzeslipctl for declarations kept in version control

Operators had only the raw HTTP routes. The command reads YAML and TOML files, checks every entry with the same types that gateways use, computes an RFC 7396 merge patch against the number in force and submits it under one patch id over all retries.

An empty set of files is refused.

The status route is not there yet; its form is the one that cli/spread.py reads, and the tests answer it from a stand-in transport.

--- a/bronzeslip/cli/__init__.py
+++ b/bronzeslip/cli/__init__.py
@@ -1,1 +1,1 @@
-"""Command line for operators."""
+"""Command bronzeslipctl, for operators."""
--- /dev/null
+++ b/bronzeslip/cli/arguments.py
@@ -0,0 +1,125 @@
+"""Command line of bronzeslipctl."""
+
+import argparse
+
+from bronzeslip.cli import exit_status
+from bronzeslip.settings import operator
+from bronzeslip.settings import parser as settings_parser
+
+PROGRAM = "bronzeslipctl"
+HASH_COMMAND = "hash-credential"
+_DESCRIPTION = "Steers bronzeslip by declarations kept in version control."
+_WAIT_TIMEOUT_S = 60.0
+
+
+def build() -> argparse.ArgumentParser:
+    """Builds the parser with all commands."""
+    parser = settings_parser.SettingsParser(
+        prog=PROGRAM,
+        description=_DESCRIPTION,
+        epilog=_statuses(),
+        allow_abbrev=False,
+    )
+    commands = parser.add_subparsers(
+        dest="command", metavar="COMMAND", required=True
+    )
+    _add_diff(commands)
+    _add_apply(commands)
+    _add_get(commands)
+    _add_plain(commands, "history", "shows the most recent patches")
+    _add_plain(commands, "status", "shows which number is in force where")
+    _add_watch(commands)
+    commands.add_parser(
+        HASH_COMMAND,
+        help="reads a credential from the standard input, prints its digest",
+        allow_abbrev=False,
+    )
+    return parser
+
+
+def _statuses() -> str:
+    listed = ", ".join(
+        f"{int(status)} {status.name.lower().replace('_', ' ')}"
+        for status in exit_status.ExitStatus
+    )
+    return f"exit statuses: {listed}"
+
+
+def _add_plain(
+    commands: argparse._SubParsersAction, name: str, text: str
+) -> argparse.ArgumentParser:
+    added = commands.add_parser(
+        name, help=text, description=text, allow_abbrev=False
+    )
+    settings_parser.add_settings(added, operator.OperatorSettings)
+    return added
+
+
+def _add_files(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "paths",
+        nargs="+",
+        metavar="PATH",
+        help="declaration file (.yaml, .yml, .toml) or folder of them",
+    )
+    parser.add_argument(
+        "--keep-undeclared",
+        action="store_true",
+        help="leave entries that the files do not declare as they are",
+    )
+
+
+def _add_diff(commands: argparse._SubParsersAction) -> None:
+    parser = _add_plain(
+        commands, "diff", "shows what the declarations would change"
+    )
+    _add_files(parser)
+    parser.add_argument(
+        "--exit-code",
+        action="store_true",
+        help="exit with status 7 if there are differences",
+    )
+
+
+def _add_apply(commands: argparse._SubParsersAction) -> None:
+    parser = _add_plain(
+        commands, "apply", "submits the declarations as a patch"
+    )
+    _add_files(parser)
+    parser.add_argument(
+        "--base-number",
+        type=int,
+        metavar="NUMBER",
+        help="refuse unless this is the current number",
+    )
+    parser.add_argument(
+        "--dry-run", action="store_true", help="show, but change nothing"
+    )
+    parser.add_argument(
+        "--wait",
+        action="store_true",
+        help="wait until in force everywhere, with progress",
+    )
+    parser.add_argument(
+        "--wait-timeout-s",
+        type=float,
+        default=_WAIT_TIMEOUT_S,
+        metavar="S",
+        help="longest wait, in seconds; default: %(default)s",
+    )
+
+
+def _add_get(commands: argparse._SubParsersAction) -> None:
+    parser = _add_plain(commands, "get", "shows the configuration")
+    parser.add_argument("kind", nargs="?", help="one kind only")
+    parser.add_argument("name", nargs="?", help="one entry of it only")
+
+
+def _add_watch(commands: argparse._SubParsersAction) -> None:
+    parser = _add_plain(commands, "watch", "shows each patch as it is accepted")
+    parser.add_argument(
+        "--until",
+        type=int,
+        metavar="NUMBER",
+        help="end once this number is current",
+    )
--- /dev/null
+++ b/bronzeslip/cli/commands.py
@@ -0,0 +1,169 @@
+"""The commands of bronzeslipctl."""
+
+import argparse
+import asyncio
+import hashlib
+import pathlib
+from typing import TextIO
+
+from bronzeslip.cli import declarations
+from bronzeslip.cli import difference
+from bronzeslip.cli import errors
+from bronzeslip.cli import exit_status
+from bronzeslip.cli import operator_client
+from bronzeslip.cli import printer
+from bronzeslip.cli import progress
+from bronzeslip.cli import results
+from bronzeslip.configuration import document
+from bronzeslip.configuration import record
+from bronzeslip.settings import operator
+
+
+class Commands:
+    """Commands over one client and one output."""
+
+    def __init__(
+        self,
+        settings: operator.OperatorSettings,
+        client: operator_client.OperatorClient,
+        output: printer.Printer,
+    ) -> None:
+        self._settings = settings
+        self._client = client
+        self._output = output
+
+    async def diff(
+        self, arguments: argparse.Namespace
+    ) -> exit_status.ExitStatus:
+        """Shows what the declarations would change."""
+        wanted = _read_declarations(arguments)
+        current = await self._client.read()
+        found = _difference(arguments, current, wanted)
+        self._output.show(
+            results.DiffResult(current.number, found.patch, found.changes)
+        )
+        if found.changes and arguments.exit_code:
+            return exit_status.ExitStatus.DIFFERENT
+        return exit_status.ExitStatus.OK
+
+    async def apply(
+        self, arguments: argparse.Namespace
+    ) -> exit_status.ExitStatus:
+        """Submits the difference as a patch against the number it was made.
+
+        Raises:
+            errors.StaleError: If the number is not the expected one, or
+                another patch came first.
+        """
+        wanted = _read_declarations(arguments)
+        current = await self._client.read()
+        _check_base(arguments, current)
+        found = _difference(arguments, current, wanted)
+        number = current.number
+        applied = bool(found.changes) and not arguments.dry_run
+        if applied:
+            number = await self._client.submit(current.number, found.patch)
+        self._output.show(
+            results.ApplyResult(number, current.number, applied, found.changes)
+        )
+        if arguments.wait and not arguments.dry_run:
+            await self._wait(number, arguments.wait_timeout_s)
+        return exit_status.ExitStatus.OK
+
+    async def get(
+        self, arguments: argparse.Namespace
+    ) -> exit_status.ExitStatus:
+        """Shows the configuration, one kind or one entry of it.
+
+        Raises:
+            errors.CommandError: If there is no such kind or entry.
+        """
+        current = await self._client.read()
+        value = difference.to_tree(current.document)
+        for key in (arguments.kind, arguments.name):
+            if key is None:
+                continue
+            if key not in value:
+                raise errors.CommandError(f"nothing named {key!r}")
+            value = value[key]
+        self._output.show(results.GetResult(current.number, value))
+        return exit_status.ExitStatus.OK
+
+    async def history(self, _: argparse.Namespace) -> exit_status.ExitStatus:
+        """Shows the most recent patches."""
+        current = await self._client.read()
+        self._output.show(results.HistoryResult(current.recent_patches))
+        return exit_status.ExitStatus.OK
+
+    async def status(self, _: argparse.Namespace) -> exit_status.ExitStatus:
+        """Shows which number is in force where, and who lags."""
+        self._output.show(await self._client.status())
+        return exit_status.ExitStatus.OK
+
+    async def watch(
+        self, arguments: argparse.Namespace
+    ) -> exit_status.ExitStatus:
+        """Shows each patch as it is accepted, until interrupted."""
+        seen = (await self._client.read()).number
+        self._output.progress(f"watching from number {seen}")
+        while arguments.until is None or seen < arguments.until:
+            await asyncio.sleep(self._settings.poll_interval_s)
+            current = await self._client.read()
+            fresh = tuple(
+                entry for entry in current.recent_patches if entry.number > seen
+            )
+            if fresh:
+                self._output.show(results.HistoryResult(fresh))
+            seen = max(seen, current.number)
+        return exit_status.ExitStatus.OK
+
+    async def _wait(self, number: int, timeout_s: float) -> None:
+        waiting = progress.InForceProgress(number)
+        try:
+            async with asyncio.timeout(timeout_s):
+                while not waiting.take(await self._client.status()):
+                    self._output.progress(waiting.text)
+                    await asyncio.sleep(self._settings.poll_interval_s)
+        except TimeoutError as error:
+            raise errors.NotInForceError(waiting.text) from error
+        self._output.progress(waiting.text)
+
+
+def hash_credential(source: TextIO) -> results.DigestResult:
+    """Computes the digest under which a credential is declared.
+
+    Raises:
+        errors.UsageError: If the credential is empty or has inner spaces.
+    """
+    credential = source.read().strip()
+    if not credential or len(credential.split()) != 1:
+        raise errors.UsageError(
+            "the standard input must hold one credential without spaces"
+        )
+    digest = hashlib.sha256(credential.encode()).hexdigest()
+    return results.DigestResult(digest)
+
+
+def _read_declarations(arguments: argparse.Namespace) -> document.Document:
+    return declarations.read(pathlib.Path(path) for path in arguments.paths)
+
+
+def _difference(
+    arguments: argparse.Namespace,
+    current: record.ConfigurationRecord,
+    wanted: document.Document,
+) -> difference.Difference:
+    if arguments.keep_undeclared:
+        wanted = difference.with_undeclared(current.document, wanted)
+    return difference.between(current.document, wanted)
+
+
+def _check_base(
+    arguments: argparse.Namespace, current: record.ConfigurationRecord
+) -> None:
+    expected = arguments.base_number
+    if expected is not None and expected != current.number:
+        raise errors.StaleError(
+            f"the current configuration number is {current.number}, "
+            f"not {expected}"
+        )
--- /dev/null
+++ b/bronzeslip/cli/declaration_file.py
@@ -0,0 +1,83 @@
+"""Reading of one declaration file."""
+
+from collections.abc import Callable
+import pathlib
+import tomllib
+from typing import Any
+
+import yaml
+
+from bronzeslip.cli import errors
+
+
+class _UniqueKeyLoader(yaml.SafeLoader):
+    """Loader that refuses a key written twice in one mapping."""
+
+    def construct_mapping(
+        self, node: yaml.MappingNode, deep: bool = False
+    ) -> dict[Any, Any]:
+        seen = set()
+        for key_node, _ in node.value:
+            key = self.construct_object(key_node, deep=True)
+            if not isinstance(key, str):
+                raise yaml.constructor.ConstructorError(
+                    None, None, f"{key!r} is not text", key_node.start_mark
+                )
+            if key in seen:
+                raise yaml.constructor.ConstructorError(
+                    None, None, f"{key!r} stands twice", key_node.start_mark
+                )
+            seen.add(key)
+        return super().construct_mapping(node, deep)
+
+
+def _read_yaml(text: str) -> Any:
+    return yaml.load(text, _UniqueKeyLoader)
+
+
+_READERS: dict[str, Callable[[str], Any]] = {
+    ".yaml": _read_yaml,
+    ".yml": _read_yaml,
+    ".toml": tomllib.loads,
+}
+
+
+def is_declaration(path: pathlib.Path) -> bool:
+    """Tells whether a file's name is that of a declaration file."""
+    return path.suffix in _READERS
+
+
+def read(path: pathlib.Path) -> dict[str, Any]:
+    """Reads one file into plain values.
+
+    Raises:
+        errors.InvalidDeclarationError: With the file and the reason.
+    """
+    reader = _READERS.get(path.suffix)
+    if reader is None:
+        allowed = ", ".join(_READERS)
+        raise errors.InvalidDeclarationError(
+            f"{path}: the name must end in one of {allowed}"
+        )
+    try:
+        tree = reader(path.read_text("utf-8"))
+    except (OSError, ValueError, yaml.YAMLError, RecursionError) as error:
+        raise errors.InvalidDeclarationError(
+            f"{path}: {_one_line(error)}"
+        ) from error
+    if tree is None:
+        return {}
+    if not isinstance(tree, dict):
+        raise errors.InvalidDeclarationError(
+            f"{path}: the top of the file must be a mapping of kinds"
+        )
+    return tree
+
+
+def _one_line(error: Exception) -> str:
+    if isinstance(error, OSError):
+        return error.strerror or type(error).__name__
+    mark = getattr(error, "problem_mark", None)
+    if mark is None:
+        return " ".join(str(error).split())
+    return f"line {mark.line + 1}, column {mark.column + 1}: {error.problem}"
--- /dev/null
+++ b/bronzeslip/cli/difference.py
@@ -0,0 +1,104 @@
+"""Difference between two configurations."""
+
+from collections.abc import Iterator
+import enum
+from typing import Any
+
+import json_merge_patch
+import msgspec
+
+from bronzeslip.configuration import document
+
+_ABSENT = msgspec.UNSET
+
+
+class ChangeKind(enum.Enum):
+    """What happens to one field."""
+
+    ADDED = "added"
+    REMOVED = "removed"
+    CHANGED = "changed"
+
+
+class Change(msgspec.Struct, frozen=True, omit_defaults=True):
+    """One field that differs.
+
+    Attributes:
+        kind: What happens to it.
+        path: Kind, name and field.
+        before: Value in force.
+        after: Value declared.
+    """
+
+    kind: ChangeKind
+    path: str
+    before: Any = _ABSENT
+    after: Any = _ABSENT
+
+
+class Difference(msgspec.Struct, frozen=True):
+    """What turns one configuration into another.
+
+    Attributes:
+        patch: RFC 7396 merge patch.
+        changes: The fields that differ, in order of their paths.
+    """
+
+    patch: dict[str, Any]
+    changes: tuple[Change, ...]
+
+
+def between(
+    current: document.Document, wanted: document.Document
+) -> Difference:
+    """Computes the patch from one document to another."""
+    before, after = to_tree(current), to_tree(wanted)
+    patch = json_merge_patch.create_patch(before, after)
+    return Difference(patch, tuple(_changes("", before, after)))
+
+
+def with_undeclared(
+    current: document.Document, wanted: document.Document
+) -> document.Document:
+    """Adds to a document the entries that only the current one has."""
+    merged = {
+        field.name: {
+            **getattr(current, field.name),
+            **getattr(wanted, field.name),
+        }
+        for field in msgspec.structs.fields(document.Document)
+    }
+    return document.Document(**merged)
+
+
+def to_tree(source: document.Document) -> dict[str, Any]:
+    """Converts a document into plain values without empty fields."""
+    return _without_none(document.to_tree(source))
+
+
+def _without_none(value: Any) -> Any:
+    if not isinstance(value, dict):
+        return list(value) if isinstance(value, tuple) else value
+    return {
+        key: _without_none(inner)
+        for key, inner in value.items()
+        if inner is not None
+    }
+
+
+def _changes(path: str, before: Any, after: Any) -> Iterator[Change]:
+    if before == after:
+        return
+    if isinstance(before, dict) and isinstance(after, dict):
+        for key in sorted(before.keys() | after.keys()):
+            yield from _changes(
+                f"{path}.{key}" if path else key,
+                before.get(key, _ABSENT),
+                after.get(key, _ABSENT),
+            )
+    elif before is _ABSENT:
+        yield Change(ChangeKind.ADDED, path, after=after)
+    elif after is _ABSENT:
+        yield Change(ChangeKind.REMOVED, path, before=before)
+    else:
+        yield Change(ChangeKind.CHANGED, path, before, after)
--- /dev/null
+++ b/bronzeslip/cli/operator_client.py
@@ -0,0 +1,186 @@
+"""Client of the gateways' routes for operators."""
+
+import asyncio
+import getpass
+import pathlib
+import ssl
+from typing import Any
+from typing import TypeVar
+
+import httpx
+import msgspec
+import tenacity
+
+from bronzeslip import ids
+from bronzeslip.cli import errors
+from bronzeslip.cli import problem
+from bronzeslip.cli import spread
+from bronzeslip.configuration import record
+from bronzeslip.configuration import store
+from bronzeslip.settings import operator
+
+_CONFIGURATION_PATH = "/v1/configuration"
+_PATCHES_PATH = "/v1/configuration/patches"
+_STATUS_PATH = "/v1/configuration/status"
+_MAX_DELAY_S = 5.0
+
+AnswerT = TypeVar("AnswerT")
+
+
+class PatchAnswer(msgspec.Struct, frozen=True):
+    """Answer to an accepted patch."""
+
+    number: ids.ConfigurationNumber
+
+
+class OperatorClient:
+    """Asks the gateways in turn until one answers."""
+
+    def __init__(
+        self,
+        settings: operator.OperatorSettings,
+        transport: httpx.AsyncBaseTransport | None = None,
+    ) -> None:
+        """Creates a client.
+
+        Args:
+            settings: Gateways, credential and retries.
+            transport: Transport that takes the place of the network.
+
+        Raises:
+            errors.UsageError: If there is no readable credential.
+        """
+        self._settings = settings
+        self._url_index = 0
+        self._http = httpx.AsyncClient(
+            transport=transport,
+            timeout=settings.request_timeout_s,
+            verify=_tls_context(settings),
+            headers={"Authorization": f"Bearer {_credential(settings)}"},
+        )
+
+    async def close(self) -> None:
+        """Closes the connections."""
+        await self._http.aclose()
+
+    async def read(self) -> record.ConfigurationRecord:
+        """Reads the current configuration."""
+        return await self._get(_CONFIGURATION_PATH, record.ConfigurationRecord)
+
+    async def status(self) -> spread.SpreadStatus:
+        """Reads which number is in force where."""
+        return await self._get(_STATUS_PATH, spread.SpreadStatus)
+
+    async def submit(
+        self, base_number: ids.ConfigurationNumber, patch: Any
+    ) -> ids.ConfigurationNumber:
+        """Submits a patch, under one id over all retries.
+
+        Raises:
+            errors.StaleError: If another patch came first.
+            errors.InvalidDeclarationError: If the result is not valid.
+            errors.OutcomeUnknownError: If no gateway could tell.
+        """
+        request = store.PatchRequest(
+            ids.PatchId(ids.random_id()),
+            base_number,
+            self._settings.operator or _user_name(),
+            patch,
+        )
+        content = msgspec.json.encode(request)
+        try:
+            response = await self._send("POST", _PATCHES_PATH, content)
+        except errors.UnreachableError as error:
+            raise errors.OutcomeUnknownError(
+                f"patch {request.patch_id}: {error.message}; it may have been "
+                "accepted: run diff, and apply again if it shows changes"
+            ) from error
+        return _decode(response, PatchAnswer).number
+
+    async def _get(self, path: str, wanted: type[AnswerT]) -> AnswerT:
+        return _decode(await self._send("GET", path, None), wanted)
+
+    async def _send(
+        self, method: str, path: str, content: bytes | None
+    ) -> httpx.Response:
+        retrying = tenacity.AsyncRetrying(
+            retry=tenacity.retry_if_exception_type(errors.UnreachableError),
+            stop=tenacity.stop_after_attempt(self._settings.attempts),
+            wait=tenacity.wait_random_exponential(
+                self._settings.retry_delay_s, max=_MAX_DELAY_S
+            ),
+            sleep=asyncio.sleep,
+            reraise=True,
+        )
+        return await retrying(self._send_once, method, path, content)
+
+    async def _send_once(
+        self, method: str, path: str, content: bytes | None
+    ) -> httpx.Response:
+        url = self._settings.gateway_urls[self._url_index]
+        try:
+            response = await self._http.request(
+                method, url.rstrip("/") + path, content=content
+            )
+        except (httpx.HTTPError, httpx.InvalidURL) as error:
+            self._turn()
+            raise errors.UnreachableError(
+                f"{url}: {type(error).__name__}"
+            ) from error
+        if response.status_code < httpx.codes.BAD_REQUEST:
+            return response
+        if response.status_code >= httpx.codes.INTERNAL_SERVER_ERROR:
+            self._turn()
+        raise problem.to_error(url, response)
+
+    def _turn(self) -> None:
+        self._url_index = (self._url_index + 1) % len(
+            self._settings.gateway_urls
+        )
+
+
+def _user_name() -> ids.OperatorName:
+    try:
+        return ids.OperatorName(getpass.getuser())
+    except (KeyError, OSError):
+        return ids.OperatorName("unknown")
+
+
+def _credential(settings: operator.OperatorSettings) -> str:
+    if settings.credential:
+        return settings.credential
+    if settings.credential_file is None:
+        raise errors.UsageError(
+            "no credential; set BRONZESLIP_CREDENTIAL or --credential-file"
+        )
+    try:
+        text = pathlib.Path(settings.credential_file).read_text("utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise errors.UsageError(
+            f"--credential-file: {settings.credential_file!r} is not allowed; "
+            "allowed: a file that can be read"
+        ) from error
+    return text.strip()
+
+
+def _tls_context(
+    settings: operator.OperatorSettings,
+) -> ssl.SSLContext | bool:
+    if settings.ca_file is None:
+        return True
+    try:
+        return ssl.create_default_context(cafile=settings.ca_file)
+    except (OSError, ssl.SSLError) as error:
+        raise errors.UsageError(
+            f"--ca-file: {settings.ca_file!r} is not allowed; "
+            "allowed: a file of certificates in PEM form"
+        ) from error
+
+
+def _decode(response: httpx.Response, wanted: type[AnswerT]) -> AnswerT:
+    try:
+        return msgspec.json.decode(response.content, type=wanted)
+    except msgspec.MsgspecError as error:
+        raise errors.CommandError(
+            f"unreadable answer of the gateway: {error}"
+        ) from error
--- /dev/null
+++ b/bronzeslip/cli/printer.py
@@ -0,0 +1,45 @@
+"""Output of bronzeslipctl."""
+
+from typing import Any
+from typing import TextIO
+
+import msgspec
+
+from bronzeslip.cli import render
+from bronzeslip.cli import results
+from bronzeslip.settings import operator
+
+
+class Printer:
+    """Writes results for a person or for a program.
+
+    Results go to the standard output, one JSON document a line if a program
+    reads them; progress and errors go to the standard error output.
+    """
+
+    def __init__(
+        self, form: operator.OutputForm, output: TextIO, errors: TextIO
+    ) -> None:
+        self._form = form
+        self._output = output
+        self._errors = errors
+
+    def show(self, result: Any) -> None:
+        """Writes a result."""
+        if self._form is operator.OutputForm.JSON:
+            line = msgspec.json.encode(result).decode()
+        else:
+            line = render.to_text(result)
+        print(line, file=self._output, flush=True)
+
+    def progress(self, message: str) -> None:
+        """Writes how far a command has come."""
+        if self._form is operator.OutputForm.TEXT:
+            print(message, file=self._errors, flush=True)
+
+    def fail(self, code: str, message: str) -> None:
+        """Writes why a command failed."""
+        if self._form is operator.OutputForm.JSON:
+            self.show(results.ErrorResult(code, message))
+        else:
+            print(f"bronzeslipctl: {message}", file=self._errors, flush=True)
--- /dev/null
+++ b/bronzeslip/cli/program.py
@@ -0,0 +1,80 @@
+"""Runs bronzeslipctl from its arguments to its exit status."""
+
+import argparse
+import asyncio
+from collections.abc import Mapping
+from collections.abc import Sequence
+from typing import TextIO
+
+import httpx
+
+from bronzeslip.cli import arguments as command_line
+from bronzeslip.cli import commands
+from bronzeslip.cli import errors
+from bronzeslip.cli import exit_status
+from bronzeslip.cli import operator_client
+from bronzeslip.cli import printer
+from bronzeslip.settings import errors as settings_errors
+from bronzeslip.settings import operator
+from bronzeslip.settings import parser as settings_parser
+
+
+class Program:
+    """One run of bronzeslipctl."""
+
+    def __init__(
+        self,
+        environment: Mapping[str, str],
+        source: TextIO,
+        output: TextIO,
+        errors_output: TextIO,
+        transport: httpx.AsyncBaseTransport | None = None,
+    ) -> None:
+        """Creates a run.
+
+        Args:
+            environment: Environment variables.
+            source: Standard input.
+            output: Standard output.
+            errors_output: Standard error output.
+            transport: Transport that takes the place of the network.
+        """
+        self._environment = environment
+        self._source = source
+        self._output = output
+        self._errors_output = errors_output
+        self._transport = transport
+        self._printer = printer.Printer(
+            operator.OutputForm.TEXT, output, errors_output
+        )
+
+    def run(self, argv: Sequence[str]) -> exit_status.ExitStatus:
+        """Runs a command and returns its exit status."""
+        try:
+            arguments = command_line.build().parse_args(argv)
+            if arguments.command == command_line.HASH_COMMAND:
+                self._printer.show(commands.hash_credential(self._source))
+                return exit_status.ExitStatus.OK
+            return asyncio.run(self._run(arguments))
+        except settings_errors.SettingsError as error:
+            self._printer.fail(error.code, error.message)
+            return exit_status.ExitStatus.USAGE
+        except errors.CommandError as error:
+            self._printer.fail(error.code, error.message)
+            return error.status
+
+    async def _run(
+        self, arguments: argparse.Namespace
+    ) -> exit_status.ExitStatus:
+        settings = settings_parser.parse(
+            operator.OperatorSettings, arguments, self._environment
+        )
+        self._printer = printer.Printer(
+            settings.output, self._output, self._errors_output
+        )
+        client = operator_client.OperatorClient(settings, self._transport)
+        try:
+            known = commands.Commands(settings, client, self._printer)
+            return await getattr(known, arguments.command)(arguments)
+        finally:
+            await client.close()
--- a/bronzeslip/settings/convert.py
+++ b/bronzeslip/settings/convert.py
@@ -1,5 +1,6 @@
 """Conversion of a setting's text into its type."""
 
+import dataclasses
 import enum
 import types
 import typing
@@ -98,3 +99,19 @@
         raise ValueError("too small")
     if details.maximum is not None and value > details.maximum:
         raise ValueError("too large")
+
+
+def default_text(field: dataclasses.Field) -> str:
+    """Describes the default of a settings field."""
+    value = field.default
+    if value is dataclasses.MISSING:
+        return "required"
+    if value is None or value in ("", ()):
+        return "default: none"
+    if isinstance(value, enum.Enum):
+        return f"default: {value.value}"
+    if isinstance(value, tuple):
+        return "default: " + ",".join(str(part) for part in value)
+    if isinstance(value, bool):
+        return f"default: {str(value).lower()}"
+    return f"default: {value}"
--- /dev/null
+++ b/bronzeslip/settings/operator.py
@@ -0,0 +1,89 @@
+"""Settings of bronzeslipctl."""
+
+import dataclasses
+import enum
+
+from bronzeslip import ids
+from bronzeslip.settings import errors
+from bronzeslip.settings.setting import setting
+
+
+class OutputForm(enum.Enum):
+    """Form of what bronzeslipctl prints."""
+
+    TEXT = "text"
+    JSON = "json"
+
+
+@dataclasses.dataclass(frozen=True)
+class OperatorSettings:
+    """Settings of one run of bronzeslipctl."""
+
+    gateway_urls: tuple[str, ...] = setting(
+        "base URLs of gateways, tried in turn", "gateway"
+    )
+    credential: str | None = setting(
+        "operator's credential",
+        "access",
+        default=None,
+        secret=True,
+        environment_only=True,
+    )
+    credential_file: str | None = setting(
+        "file that holds the operator's credential", "access", default=None
+    )
+    ca_file: str | None = setting(
+        "certificates trusted for https, in PEM form", "access", default=None
+    )
+    operator: ids.OperatorName | None = setting(
+        "name written into the history", "access", default=None
+    )
+    request_timeout_s: float = setting(
+        "timeout of one request to a gateway, in seconds",
+        "gateway",
+        default=5.0,
+        minimum=0.1,
+        maximum=600,
+    )
+    attempts: int = setting(
+        "requests made before a command gives up",
+        "gateway",
+        default=6,
+        minimum=1,
+        maximum=1000,
+    )
+    retry_delay_s: float = setting(
+        "delay before the first retry, doubled each time, in seconds",
+        "gateway",
+        default=0.25,
+        minimum=0,
+        maximum=60,
+    )
+    poll_interval_s: float = setting(
+        "time between polls while waiting or watching, in seconds",
+        "gateway",
+        default=1.0,
+        minimum=0.05,
+        maximum=60,
+    )
+    output: OutputForm = setting(
+        "form of the output", "output", default=OutputForm.TEXT
+    )
+
+    def check(self) -> None:
+        """Checks the settings against each other.
+
+        Raises:
+            errors.SettingsError: With the flag, the value and what is
+                allowed.
+        """
+        if not self.gateway_urls:
+            raise errors.SettingsError(
+                "--gateway-urls: '' is not allowed; "
+                "allowed: a comma-separated list of at least one URL"
+            )
+        if self.credential and self.credential_file:
+            raise errors.SettingsError(
+                f"--credential-file: {self.credential_file!r} is not allowed; "
+                "allowed: nothing while BRONZESLIP_CREDENTIAL is set"
+            )
--- a/bronzeslip/settings/parser.py
+++ b/bronzeslip/settings/parser.py
@@ -6,6 +6,7 @@
 import dataclasses
 import sys
 import typing
+from typing import Any
 from typing import NoReturn
 from typing import TypeVar
 
@@ -19,8 +20,15 @@
 SettingsT = TypeVar("SettingsT")
 
 
-class _ArgumentParser(argparse.ArgumentParser):
+class SettingsParser(argparse.ArgumentParser):
+    """Argument parser that raises instead of printing its usage."""
+
     def error(self, message: str) -> NoReturn:
+        """Reports a wrong command line.
+
+        Raises:
+            errors.SettingsError: Always.
+        """
         raise errors.SettingsError(message)
 
 
@@ -34,29 +42,37 @@
     return ENVIRONMENT_PREFIX + field.name.upper()
 
 
-def build(
-    settings_type: type, program: str, description: str
-) -> argparse.ArgumentParser:
-    """Builds the argument parser of a settings class."""
-    parser = _ArgumentParser(
-        prog=program, description=description, allow_abbrev=False
-    )
-    parser.add_argument(
-        "--check-settings",
-        action="store_true",
-        help="check the settings and exit",
-    )
+def add_settings(parser: argparse.ArgumentParser, settings_type: type) -> None:
+    """Adds the flags of a settings class to a parser, by groups."""
+    hints = typing.get_type_hints(settings_type)
     groups: dict[str, argparse._ArgumentGroup] = {}
     for field in dataclasses.fields(settings_type):
         details = setting.details_of(field)
+        if details.environment_only:
+            continue
         if details.group not in groups:
             groups[details.group] = parser.add_argument_group(details.group)
         groups[details.group].add_argument(
             flag_of(field),
             default=None,
             metavar=field.name.rsplit("_", 1)[-1].upper(),
-            help=f"{details.help} [{variable_of(field)}]".replace("%", "%%"),
+            help=_help(field, hints[field.name]).replace("%", "%%"),
         )
+
+
+def build(
+    settings_type: type, program: str, description: str
+) -> argparse.ArgumentParser:
+    """Builds the argument parser of a daemon's settings class."""
+    parser = SettingsParser(
+        prog=program, description=description, allow_abbrev=False
+    )
+    parser.add_argument(
+        "--check-settings",
+        action="store_true",
+        help="check the settings and exit",
+    )
+    add_settings(parser, settings_type)
     return parser
 
 
@@ -82,19 +98,22 @@
     values = {}
     for field in dataclasses.fields(settings_type):
         details = setting.details_of(field)
-        text = getattr(arguments, field.name)
-        if text is None:
-            text = environment.get(variable_of(field))
-        if text is not None:
+        found = _find(field, arguments, environment)
+        if found is not None:
+            name, text = found
             values[field.name] = convert.convert(
-                flag_of(field), text, hints[field.name], details
+                name, text, hints[field.name], details
             )
         elif field.default is dataclasses.MISSING:
             raise errors.SettingsError(
-                f"{flag_of(field)}: missing; allowed: "
+                f"{_name_of(field)}: missing; allowed: "
                 f"{convert.allowed_values(hints[field.name], details)}"
             )
-    return settings_type(**values)
+    settings = settings_type(**values)
+    check = getattr(settings, "check", None)
+    if check is not None:
+        check()
+    return settings
 
 
 def parse_or_exit(
@@ -115,3 +134,30 @@
         print(f"{program}: settings are valid")
         sys.exit(0)
     return settings
+
+
+def _name_of(field: dataclasses.Field) -> str:
+    if setting.details_of(field).environment_only:
+        return variable_of(field)
+    return flag_of(field)
+
+
+def _find(
+    field: dataclasses.Field,
+    arguments: argparse.Namespace,
+    environment: Mapping[str, str],
+) -> tuple[str, str] | None:
+    text = getattr(arguments, field.name, None)
+    if text is not None:
+        return flag_of(field), text
+    variable = variable_of(field)
+    if variable in environment:
+        return variable, environment[variable]
+    return None
+
+
+def _help(field: dataclasses.Field, hint: Any) -> str:
+    details = setting.details_of(field)
+    allowed = convert.allowed_values(hint, details)
+    default = convert.default_text(field)
+    return f"{details.help}; {allowed}; {default} [{variable_of(field)}]"
--- a/bronzeslip/settings/setting.py
+++ b/bronzeslip/settings/setting.py
@@ -16,6 +16,8 @@
         minimum: Smallest number allowed, or None.
         maximum: Largest number allowed, or None.
         secret: Whether the value is kept out of logs and errors.
+        environment_only: Whether there is no flag, so that the value does
+            not show in a list of processes.
     """
 
     help: str
@@ -23,6 +25,7 @@
     minimum: float | None = None
     maximum: float | None = None
     secret: bool = False
+    environment_only: bool = False
 
 
 def setting(
@@ -33,9 +36,10 @@
     minimum: float | None = None,
     maximum: float | None = None,
     secret: bool = False,
+    environment_only: bool = False,
 ) -> Any:
     """Declares a dataclass field that is a setting."""
-    details = Setting(help, group, minimum, maximum, secret)
+    details = Setting(help, group, minimum, maximum, secret, environment_only)
     return dataclasses.field(
         default=default, metadata={_METADATA_KEY: details}, kw_only=True
     )
--- /dev/null
+++ b/tests/cli/command_case.py
@@ -0,0 +1,92 @@
+"""Base of the tests that run bronzeslipctl against a gateway."""
+
+import io
+import json
+import pathlib
+import tempfile
+import unittest
+
+from bronzeslip import ids
+from bronzeslip.cli import program
+from bronzeslip.configuration import store
+from standins.platform import app as platform_app
+from tests import gateway_fake
+from tools import declarations
+
+DRAFTS = """\
+services:
+  drafts: {kind: generation, model: tin-drafter}
+pools:
+  drafting: {kind: generation, models: [tin-drafter]}
+bindings:
+  drafts: {workspaces: ["*"], service: drafts, pool: drafting}
+"""
+SMITHS = """\
+[workspaces.smiths]
+credentials_sha256 = ["aa"]
+workspace_class = "draft"
+"""
+
+
+class CommandCase(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        self.standin = platform_app.PlatformStandin()
+        self.parts = gateway_fake.create_parts(self.standin)
+        self.transport = gateway_fake.create_transport(self.parts)
+        self.environment = {
+            "BRONZESLIP_GATEWAY_URLS": gateway_fake.URL,
+            "BRONZESLIP_CREDENTIAL": declarations.OPERATOR_CREDENTIAL,
+            "BRONZESLIP_RETRY_DELAY_S": "0",
+            "BRONZESLIP_ATTEMPTS": "3",
+            "BRONZESLIP_POLL_INTERVAL_S": "0.05",
+            "BRONZESLIP_OPERATOR": "tester",
+        }
+
+    def write(self, name, text):
+        path = self.folder / name
+        path.parent.mkdir(parents=True, exist_ok=True)
+        path.write_text(text)
+        return str(path)
+
+    def write_all(self):
+        self.write("drafts.yaml", DRAFTS)
+        self.write("people/smiths.toml", SMITHS)
+        return str(self.folder)
+
+    def run_command(self, *argv, source=""):
+        output, errors = io.StringIO(), io.StringIO()
+        run = program.Program(
+            self.environment,
+            io.StringIO(source),
+            output,
+            errors,
+            self.transport,
+        )
+        self.status = run.run(argv)
+        self.output, self.errors = output.getvalue(), errors.getvalue()
+        for text in (self.output, self.errors):
+            self.assertNotIn(declarations.OPERATOR_CREDENTIAL, text)
+        return int(self.status)
+
+    def run_json(self, *argv):
+        self.run_command(*argv, "--output", "json")
+        return [json.loads(line) for line in self.output.splitlines()]
+
+
+def patch_request(base_number, patch):
+    return store.PatchRequest(ids.random_id(), base_number, "rival", patch)
+
+
+def status_of(lagging_number):
+    numbers = {"1": 1}
+    numbers[str(lagging_number)] = numbers.get(str(lagging_number), 0) + 1
+    lagging = [] if lagging_number else ["entry-1"]
+    domain = {
+        "failure_domain": "brum-1",
+        "numbers": numbers,
+        "lagging": lagging,
+    }
+    return {"number": 1, "domains": [domain]}
