--- a/bronzeslip/engine/client.py
+++ b/bronzeslip/engine/client.py
@@ -24,11 +24,24 @@
 class EngineClient:
     """Calls one engine; every method raises errors.EngineError."""
 
-    def __init__(self, base_url: str) -> None:
+    def __init__(
+        self,
+        base_url: str,
+        transport: httpx.AsyncBaseTransport | None = None,
+    ) -> None:
+        """Creates a client.
+
+        Args:
+            base_url: Base URL of the engine.
+            transport: Transport to use in place of TCP, for tests.
+        """
         timeout = httpx.Timeout(_CALL_TIMEOUT_S, connect=_CONNECT_TIMEOUT_S)
         limits = httpx.Limits(max_connections=None)
         self._http = httpx.AsyncClient(
-            base_url=base_url, timeout=timeout, limits=limits
+            base_url=base_url,
+            timeout=timeout,
+            limits=limits,
+            transport=transport,
         )
 
     async def close(self) -> None:
--- a/bronzeslip/platform/client.py
+++ b/bronzeslip/platform/client.py
@@ -22,15 +22,22 @@
 class PlatformClient:
     """Calls the platform; every method raises errors.PlatformError."""
 
-    def __init__(self, base_url: str, timeout_s: float) -> None:
+    def __init__(
+        self,
+        base_url: str,
+        timeout_s: float,
+        transport: httpx.AsyncBaseTransport | None = None,
+    ) -> None:
         """Creates a client.
 
         Args:
             base_url: Base URL of the platform.
             timeout_s: Timeout of one call, in seconds.
+            transport: Transport to use in place of TCP, for tests.
         """
-        self._timeout_s = timeout_s
-        self._http = httpx.AsyncClient(base_url=base_url, timeout=timeout_s)
+        self._http = httpx.AsyncClient(
+            base_url=base_url, timeout=timeout_s, transport=transport
+        )
 
     async def close(self) -> None:
         """Closes the connections to the platform."""
