Order engines under leases, fencing numbers and rollout slots

Cause: nothing brought engines to a declared model, adapter or role. Ruled out: one planner for all engines (paused planner holds up every pool) and leases that are renewed for ever (860 platform writes a second at 4,300 engines). Change: a pool declares its assignment; each sidecar's reconciler compares its engine with it and sends orders through one gate, under a lease taken on demand. Not yet started by the sidecar daemon, which has no configuration.

--- a/bronzeslip/configuration/document.py
+++ b/bronzeslip/configuration/document.py
@@ -48,6 +48,8 @@
     """
     for name, declared in document.services.items():
         _check_service(name, declared)
+    for name, declared in document.pools.items():
+        _check_pool(name, declared)
     for name, bound in document.bindings.items():
         _check_binding(document, name, bound)
     for name, declared in document.workspaces.items():
@@ -78,6 +80,24 @@
         _require(bool(declared.model), f"{path}.model", "is required")
 
 
+def _check_pool(name: str, declared: pool.Pool) -> None:
+    path = f"pools.{name}.assignment"
+    wanted = declared.assignment
+    if wanted is None:
+        return
+    _require(bool(wanted.model), f"{path}.model", "must not be empty")
+    _require(
+        wanted.weights_bytes >= 0,
+        f"{path}.weights_bytes",
+        "must not be negative",
+    )
+    _require(
+        wanted.max_unavailable > 0,
+        f"{path}.max_unavailable",
+        "must be above zero",
+    )
+
+
 def _check_binding(
     document: Document, name: str, bound: binding.Binding
 ) -> None:
--- a/bronzeslip/configuration/pool.py
+++ b/bronzeslip/configuration/pool.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from bronzeslip.configuration import assignment as assignments
 from bronzeslip.configuration import service
 
 
@@ -21,8 +22,10 @@
         kind: Kind of the endpoints.
         models: Models that the engines of the pool serve.
         fencing: Whether its endpoints refuse old fencing numbers.
+        assignment: What its engines are to have loaded; None leaves them.
     """
 
     kind: service.ServiceKind
     models: tuple[str, ...] = ()
     fencing: FencingMode = FencingMode.IGNORED
+    assignment: assignments.Assignment | None = None
--- /dev/null
+++ b/bronzeslip/orders/factory.py
@@ -0,0 +1,49 @@
+"""Builds the reconciler of a sidecar."""
+
+from bronzeslip import ids
+from bronzeslip.configuration import in_force
+from bronzeslip.engine import client as engine_client
+from bronzeslip.orders import lease_keeper
+from bronzeslip.orders import reconciler
+from bronzeslip.orders import rollout_slots
+from bronzeslip.orders import work_gate
+from bronzeslip.platform import client as platform_client
+from bronzeslip.settings import sidecar
+
+
+def create(
+    settings: sidecar.SidecarSettings,
+    incarnation_id: ids.IncarnationId,
+    platform: platform_client.PlatformClient,
+    engine: engine_client.EngineClient,
+    configuration: in_force.ConfigurationInForce,
+    work: work_gate.WorkGate,
+) -> reconciler.Reconciler:
+    """Builds the reconciler of one engine.
+
+    Args:
+        settings: Settings of the sidecar.
+        incarnation_id: Incarnation of the sidecar.
+        platform: Client of the platform.
+        engine: Client of the engine.
+        configuration: Configuration in force.
+        work: Admission of work to the engine.
+    """
+
+    def keeper_of(name: str) -> lease_keeper.LeaseKeeper:
+        return lease_keeper.LeaseKeeper(
+            platform, name, incarnation_id, settings.order_lease_ttl_s
+        )
+
+    def slot_of(number: int) -> lease_keeper.LeaseKeeper:
+        return keeper_of(f"rollouts/{settings.pool}/{number}")
+
+    return reconciler.Reconciler(
+        settings,
+        platform,
+        engine,
+        configuration,
+        work,
+        keeper_of(f"orders/{settings.endpoint_id}"),
+        rollout_slots.RolloutSlots(slot_of),
+    )
--- /dev/null
+++ b/bronzeslip/orders/order_gate.py
@@ -0,0 +1,40 @@
+"""The only place from which orders are sent to an engine."""
+
+from bronzeslip.engine import client
+from bronzeslip.engine import errors as engine_errors
+from bronzeslip.engine import messages
+from bronzeslip.orders import errors
+from bronzeslip.orders import lease_keeper
+
+
+class OrderGate:
+    """Sends an order only while the lease behind it is held."""
+
+    def __init__(
+        self, engine: client.EngineClient, keeper: lease_keeper.LeaseKeeper
+    ) -> None:
+        self._engine = engine
+        self._keeper = keeper
+
+    async def send(self, order: messages.EngineOrder) -> messages.EngineState:
+        """Sends an order.
+
+        Args:
+            order: Order to send.
+
+        Returns:
+            State of the engine after the order.
+
+        Raises:
+            errors.LeaseNotHeldError: If the lease is not held; nothing was
+                sent.
+            errors.OrderRefusedError: If the engine knows a higher number.
+            errors.OrderOutcomeUnknownError: If the engine gave no answer.
+        """
+        self._keeper.check()
+        try:
+            return await self._engine.order(order)
+        except engine_errors.EngineRefusedError as error:
+            raise errors.OrderRefusedError(error.message) from error
+        except engine_errors.EngineError as error:
+            raise errors.OrderOutcomeUnknownError(error.message) from error
--- a/bronzeslip/settings/sidecar.py
+++ b/bronzeslip/settings/sidecar.py
@@ -42,3 +42,17 @@
         minimum=0.1,
         maximum=3600,
     )
+    order_check_interval_s: float = setting(
+        "time between comparisons of the engine with its pool, in seconds",
+        "orders",
+        default=5.0,
+        minimum=0.05,
+        maximum=600,
+    )
+    order_lease_ttl_s: float = setting(
+        "time to live of the leases for orders, in seconds",
+        "orders",
+        default=10.0,
+        minimum=0.5,
+        maximum=600,
+    )
--- /dev/null
+++ b/tests/orders/test_lease_keeper.py
@@ -0,0 +1,115 @@
+"""Tests of the keeper of a lease."""
+
+import unittest
+
+from bronzeslip.orders import errors
+from bronzeslip.orders import lease_keeper
+from standins.platform import faults
+from tests.support import clock
+from tests.support import in_process
+
+_TTL_S = 10.0
+
+
+class LeaseKeeperTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.clock = clock.ManualClock()
+        self.platform, self.client = in_process.platform_pair()
+
+    async def asyncTearDown(self):
+        await self.client.close()
+
+    def keeper(self, holder, own_clock=None):
+        return lease_keeper.LeaseKeeper(
+            self.client, "one", holder, _TTL_S, own_clock or self.clock
+        )
+
+    async def test_second_holder_waits_until_lease_lapses(self):
+        first, second = self.keeper("a"), self.keeper("b")
+        self.assertTrue(await first.try_acquire())
+        self.assertFalse(await second.try_acquire())
+        self.clock.advance(_TTL_S + 1)
+        self.assertFalse(await second.try_acquire())
+        self.clock.advance(_TTL_S)
+        self.assertTrue(await second.try_acquire())
+
+    async def test_lease_ends_for_holder_before_rival_takes_it(self):
+        first, second = self.keeper("a"), self.keeper("b")
+        await first.try_acquire()
+        await second.try_acquire()
+        for _ in range(200):
+            self.clock.advance(_TTL_S / 100)
+            if await second.try_acquire():
+                break
+        self.assertTrue(second.held)
+        self.assertFalse(first.held)
+
+    async def test_renewal_keeps_rival_out(self):
+        first, second = self.keeper("a"), self.keeper("b")
+        await first.try_acquire()
+        for _ in range(5):
+            self.assertFalse(await second.try_acquire())
+            self.clock.advance(_TTL_S * 0.7)
+            self.assertTrue(await first.renew())
+        self.assertFalse(await second.try_acquire())
+
+    async def test_fencing_number_grows_with_holders(self):
+        first, second = self.keeper("a"), self.keeper("b")
+        await first.try_acquire()
+        number = first.fencing_number
+        await first.release()
+        self.assertTrue(await second.try_acquire())
+        self.assertGreater(second.fencing_number, number)
+
+    async def test_paused_holder_does_not_hold(self):
+        first = self.keeper("a")
+        await first.try_acquire()
+        self.clock.advance(_TTL_S)
+        self.assertFalse(first.held)
+        with self.assertRaises(errors.LeaseNotHeldError):
+            first.check()
+        self.assertFalse(await first.renew())
+
+    async def test_renewal_recognises_own_write_with_lost_answer(self):
+        first = self.keeper("a")
+        await first.try_acquire()
+        self.platform.faults = faults.Faults(
+            faults.FaultMode.LOST_ANSWER, write_count=1
+        )
+        self.clock.advance(_TTL_S / 3)
+        self.assertTrue(await first.renew())
+        self.clock.advance(_TTL_S / 3)
+        self.assertTrue(await first.renew())
+        self.clock.advance(_TTL_S * 0.9)
+        self.assertTrue(first.held)
+
+    async def test_acquisition_with_lost_answer_is_not_held_at_once(self):
+        first = self.keeper("a")
+        self.platform.faults = faults.Faults(
+            faults.FaultMode.LOST_ANSWER, write_count=1
+        )
+        self.assertFalse(await first.try_acquire())
+        self.assertTrue(await first.try_acquire())
+
+    async def test_outage_lets_lease_lapse(self):
+        first = self.keeper("a")
+        await first.try_acquire()
+        self.platform.faults = faults.Faults(faults.FaultMode.OUTAGE)
+        self.clock.advance(_TTL_S / 2)
+        self.assertTrue(await first.renew())
+        self.clock.advance(_TTL_S / 2)
+        self.assertFalse(await first.renew())
+
+    async def test_release_after_renewal_with_lost_answer(self):
+        first, second = self.keeper("a"), self.keeper("b")
+        await first.try_acquire()
+        self.platform.faults = faults.Faults(
+            faults.FaultMode.LOST_ANSWER, write_count=1
+        )
+        await first.renew()
+        await first.release()
+        self.assertTrue(await second.try_acquire())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/orders/test_plan.py
@@ -0,0 +1,40 @@
+"""Tests of the plan of orders."""
+
+import unittest
+
+from bronzeslip.configuration import assignment
+from bronzeslip.engine import messages
+from bronzeslip.orders import plan
+
+_STATE = messages.EngineState("m", "1", {"old": "1"}, "serve", 0)
+
+
+class OrdersNeededTest(unittest.TestCase):
+    def test_none_when_reached(self):
+        wanted = assignment.Assignment("m", "1", adapters={"old": "1"})
+        self.assertEqual(plan.orders_needed(_STATE, wanted, 4), [])
+
+    def test_model_goes_before_adapters_and_role(self):
+        wanted = assignment.Assignment("m", "2", "decode", {"new": "5"})
+        orders = plan.orders_needed(_STATE, wanted, 4)
+        self.assertEqual(
+            [order.kind for order in orders],
+            [
+                messages.OrderKind.LOAD_MODEL,
+                messages.OrderKind.LOAD_ADAPTER,
+                messages.OrderKind.SET_ROLE,
+            ],
+        )
+        self.assertEqual({order.fencing_number for order in orders}, {4})
+
+    def test_only_adapters_leave_work_running(self):
+        wanted = assignment.Assignment("m", "2", "decode", {"new": "5"})
+        interrupting = [
+            plan.interrupts_work(order)
+            for order in plan.orders_needed(_STATE, wanted, 4)
+        ]
+        self.assertEqual(interrupting, [True, False, True])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/orders/test_reconciler.py
@@ -0,0 +1,235 @@
+"""Tests of the reconciler of an engine."""
+
+import asyncio
+import unittest
+
+from bronzeslip import ids
+from bronzeslip.configuration import document
+from bronzeslip.configuration import in_force
+from bronzeslip.configuration import record
+from bronzeslip.orders import errors
+from bronzeslip.orders import lease_keeper
+from bronzeslip.orders import reconciler
+from bronzeslip.orders import rollout_slots
+from bronzeslip.settings import sidecar
+from standins.platform import faults
+from tests.support import clock
+from tests.support import in_process
+
+_TTL_S = 10.0
+
+
+class FakeWork:
+    """Counts pauses; a test decides when running work has ended."""
+
+    def __init__(self):
+        self.paused = False
+        self.pause_called = asyncio.Event()
+        self.idle = asyncio.Event()
+        self.idle.set()
+
+    def pause(self):
+        self.paused = True
+        self.pause_called.set()
+
+    def resume(self):
+        self.paused = False
+
+    async def wait_idle(self):
+        await self.idle.wait()
+
+
+class Holder:
+    """One sidecar incarnation with a clock of its own."""
+
+    def __init__(self, case, name, endpoint_id="drafting-0"):
+        self.clock = clock.ManualClock()
+        self.work = FakeWork()
+        settings = sidecar.SidecarSettings(
+            vm_id="vm",
+            region="brum",
+            failure_domain="brum-1",
+            peer_key="key",
+            platform_url="http://platform",
+            endpoint_id=endpoint_id,
+            pool="drafting",
+            endpoint_url="http://engine",
+        )
+        self.lease = self._keeper(case, f"orders/{endpoint_id}", name)
+        self.reconciler = reconciler.Reconciler(
+            settings,
+            case.client,
+            case.engine,
+            case.configuration,
+            self.work,
+            self.lease,
+            rollout_slots.RolloutSlots(
+                lambda number: self._keeper(case, f"slot/{number}", name)
+            ),
+        )
+
+    def _keeper(self, case, key, name):
+        return lease_keeper.LeaseKeeper(
+            case.client, key, ids.IncarnationId(name), _TTL_S, self.clock
+        )
+
+
+class ReconcilerTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.platform, self.client = in_process.platform_pair()
+        self.configuration = in_force.ConfigurationInForce()
+        self.use_engine(checks_fencing=True)
+        await self.assign("2")
+
+    async def asyncTearDown(self):
+        await self.client.close()
+        await self.engine.close()
+
+    def use_engine(self, checks_fencing):
+        self.standin, self.engine = in_process.engine_pair(checks_fencing)
+
+    async def assign(self, version, **more):
+        tree = {
+            "pools": {
+                "drafting": {
+                    "kind": "generation",
+                    "assignment": {
+                        "model": "tin-drafter",
+                        "model_version": version,
+                        **more,
+                    },
+                }
+            }
+        }
+        number = ids.ConfigurationNumber(self.configuration.number + 1)
+        await self.configuration.adopt(
+            record.ConfigurationRecord(number, document.parse(tree))
+        )
+
+    def version(self):
+        return self.standin.orders.state.model_version
+
+    async def test_reaches_assignment(self):
+        await self.assign("3", adapters={"ornate": "7"}, role="prefill")
+        holder = Holder(self, "a")
+        self.assertTrue(await holder.reconciler.reconcile())
+        state = self.standin.orders.state
+        self.assertEqual(state.model_version, "3")
+        self.assertEqual(state.adapters, {"ornate": "7"})
+        self.assertEqual(state.role, "prefill")
+        self.assertFalse(holder.work.paused)
+
+    async def test_sends_nothing_when_reached(self):
+        holder = Holder(self, "a")
+        await holder.reconciler.reconcile()
+        writes = self.platform.calls["put"]
+        self.assertTrue(await holder.reconciler.reconcile())
+        self.assertEqual(self.platform.calls["put"], writes)
+        self.assertEqual(len(self.standin.orders.applied), 1)
+
+    async def test_waits_for_running_work_before_model_changes(self):
+        holder = Holder(self, "a")
+        holder.work.idle.clear()
+        task = asyncio.create_task(holder.reconciler.reconcile())
+        await holder.work.pause_called.wait()
+        self.assertEqual(self.standin.orders.applied, [])
+        holder.work.idle.set()
+        self.assertTrue(await task)
+        self.assertEqual(self.version(), "2")
+
+    async def test_holder_paused_past_its_lease_sends_nothing(self):
+        for checks_fencing in (True, False):
+            with self.subTest(checks_fencing=checks_fencing):
+                self.use_engine(checks_fencing)
+                await self.assign("2")
+                paused, rival = Holder(self, "a"), Holder(self, "b")
+                paused.work.idle.clear()
+                task = asyncio.create_task(paused.reconciler.reconcile())
+                await paused.work.pause_called.wait()
+                await self.take_over(rival)
+                paused.clock.advance(2 * _TTL_S)
+                paused.work.idle.set()
+                with self.assertRaises(errors.LeaseNotHeldError):
+                    await task
+                self.assertEqual(len(self.standin.orders.applied), 1)
+                await paused.reconciler._lease.release()
+                await self.free_leases()
+
+    async def test_engine_refuses_order_delayed_past_the_lease(self):
+        holder, rival = Holder(self, "a"), Holder(self, "b")
+        await holder.lease.try_acquire()
+        delayed = holder.reconciler._stamped(
+            await holder.reconciler._next_order(holder.reconciler._wanted())
+        )
+        await self.assign("3")
+        await self.take_over(rival)
+        with self.assertRaises(errors.OrderRefusedError):
+            await holder.reconciler._gate.send(delayed)
+        self.assertEqual(self.version(), "3")
+
+    async def test_late_order_is_repaired_where_numbers_are_ignored(self):
+        self.use_engine(checks_fencing=False)
+        holder, rival = Holder(self, "a"), Holder(self, "b")
+        await holder.lease.try_acquire()
+        delayed = holder.reconciler._stamped(
+            await holder.reconciler._next_order(holder.reconciler._wanted())
+        )
+        await self.assign("3")
+        await self.take_over(rival)
+        await self.engine.order(delayed)
+        self.assertEqual(self.version(), "2")
+        self.assertTrue(await rival.reconciler.reconcile())
+        self.assertEqual(self.version(), "3")
+
+    async def test_one_engine_of_the_pool_changes_at_once(self):
+        first = Holder(self, "a")
+        second = Holder(self, "b", endpoint_id="drafting-1")
+        first.work.idle.clear()
+        task = asyncio.create_task(first.reconciler.reconcile())
+        await first.work.pause_called.wait()
+        self.assertFalse(await second.reconciler.reconcile())
+        self.assertFalse(second.work.paused)
+        first.work.idle.set()
+        self.assertTrue(await task)
+
+    async def test_newer_assignment_replaces_one_in_progress(self):
+        holder = Holder(self, "a")
+        holder.work.idle.clear()
+        task = asyncio.create_task(holder.reconciler.reconcile())
+        await holder.work.pause_called.wait()
+        await self.assign("9")
+        holder.work.idle.set()
+        self.assertTrue(await task)
+        versions = [order.version for order in self.standin.orders.applied]
+        self.assertEqual(versions, ["9"])
+
+    async def test_platform_outage_sends_nothing(self):
+        holder = Holder(self, "a")
+        self.platform.faults = faults.Faults(faults.FaultMode.OUTAGE)
+        self.assertFalse(await holder.reconciler.reconcile())
+        self.assertEqual(self.standin.orders.applied, [])
+        self.platform.faults = faults.Faults()
+        self.assertTrue(await holder.reconciler.reconcile())
+
+    async def test_waits_for_weight_store(self):
+        await self.assign("2", weights_bytes=1_000_000)
+        self.platform.weights.acquire(20_000_000)
+        holder = Holder(self, "a")
+        self.assertTrue(await holder.reconciler.reconcile())
+        self.assertEqual(self.version(), "2")
+
+    async def take_over(self, rival):
+        """Lets a rival see the leases lapse and change the engine."""
+        await rival.reconciler.reconcile()
+        rival.clock.advance(2 * _TTL_S)
+        await rival.reconciler.reconcile()
+        rival.clock.advance(2 * _TTL_S)
+        self.assertTrue(await rival.reconciler.reconcile())
+
+    async def free_leases(self):
+        for found in self.platform.store.list_objects("leases/").objects:
+            await self.platform.store.delete(found.key, found.version)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Fakes and helpers for the tests."""
--- /dev/null
+++ b/tests/support/in_process.py
@@ -0,0 +1,31 @@
+"""Clients of stand-ins that run in the test's own process."""
+
+import httpx
+
+from bronzeslip.engine import client as engine_client
+from bronzeslip.platform import client as platform_client
+from standins.engine import app as engine_app
+from standins.engine import model
+from standins.engine import orders
+from standins.platform import app as platform_app
+
+_TIMEOUT_S = 2.0
+
+
+def platform_pair():
+    """Returns a platform stand-in and a client of it."""
+    standin = platform_app.PlatformStandin()
+    transport = httpx.ASGITransport(standin.app())
+    client = platform_client.PlatformClient(
+        "http://platform", _TIMEOUT_S, transport
+    )
+    return standin, client
+
+
+def engine_pair(checks_fencing):
+    """Returns an engine stand-in and a client of it."""
+    standin = engine_app.EngineStandin(
+        model.EngineShape(), orders.OrderBook("tin-drafter", checks_fencing)
+    )
+    transport = httpx.ASGITransport(standin.app())
+    return standin, engine_client.EngineClient("http://engine", transport)
