--- a/standins/engine/sequence.py
+++ b/standins/engine/sequence.py
@@ -7,6 +7,7 @@
 
 _LENGTH_MARK = re.compile(r"#length=(\d+)")
 _CRASH_MARK = "#crash"
+_RUN_MARK_LENGTH = 6
 _MIN_LENGTH_TOKENS = 8
 _MAX_LENGTH_TOKENS = 160
 
@@ -39,8 +40,9 @@
         self.prefill_left_tokens = 0
         self.blocks_held = 0
         self.crashes = _CRASH_MARK in prompt
-        self._digest = xxhash.xxh64_hexdigest(prompt.encode())[:6]
+        self._digest = prompt_mark(prompt)
         wanted = _wanted_length(prompt, self._digest)
+        self._run_mark = generation_id[:_RUN_MARK_LENGTH]
         self.length_tokens = min(wanted, max_tokens)
         self.finish_reason = "stop" if wanted <= max_tokens else "length"
 
@@ -50,8 +52,17 @@
         return len(self.prompt_words) + len(self.texts)
 
     def next_text(self) -> str:
-        """Returns the text of the next token."""
-        return f"{self._digest}-{len(self.texts)} "
+        """Returns the text of the next token.
+
+        It tells the prompt, the run and the index, so that a reader can see
+        where a token comes from.
+        """
+        return f"{self._digest}.{self._run_mark}-{len(self.texts)} "
+
+
+def prompt_mark(prompt: str) -> str:
+    """Returns the mark that tokens of a prompt carry."""
+    return xxhash.xxh64_hexdigest(prompt.encode())[:6]
 
 
 def _wanted_length(prompt: str, digest: str) -> int:
--- /dev/null
+++ b/tools/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Fault matrix: histories, promises, steps and faults."""
