--- a/bronzeslip/platform/client.py
+++ b/bronzeslip/platform/client.py
@@ -33,9 +33,8 @@
         Args:
             base_url: Base URL of the platform.
             timeout_s: Timeout of one call, in seconds.
-            transport: Transport that takes the place of the network.
+            transport: Transport to use in place of TCP, for tests.
         """
-        self._timeout_s = timeout_s
         self._http = httpx.AsyncClient(
             base_url=base_url, timeout=timeout_s, transport=transport
         )
