Check settings whole and keep secrets out of their errors

Cause: the text of a setting was checked only for its type, so that a wrong log level, URL, address, digest or a silence timeout below the heartbeat interval came up as a running daemon; an unknown flag was printed with its value, which may be a mistyped secret; a log value with a quote, an equals sign or a line break could forge a field or a line.

Change: text forms on settings, a check method over whole settings, an Enum of log levels, unknown flags named without values, repr without secrets, JSON quoting of values in key=value lines, further accepted peer keys, and a settings reference generated from the classes and compared by a test.

--- a/bronzeslip/logs.py
+++ b/bronzeslip/logs.py
@@ -2,7 +2,9 @@
 
 import datetime
 import enum
+import json
 import logging as standard_logging
+import re
 from typing import Any
 
 from absl import flags
@@ -12,6 +14,8 @@
 
 _NOISY_LIBRARIES = ("httpx", "httpcore", "uvicorn", "grpc")
 
+_PLAIN_TEXT = re.compile(r"[A-Za-z0-9_.:/@%+,*~()\[\]{}'|;?!&<>#$^-]+")
+
 
 class LogFormat(enum.Enum):
     """Form of one log line."""
@@ -20,6 +24,15 @@
     JSON = "json"
 
 
+class LogLevel(enum.Enum):
+    """Lowest level that is written."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
 class EventLogger:
     """Writes one line per event for one module."""
 
@@ -75,23 +88,22 @@
 
 
 def _quote(value: Any) -> str:
-    text = value.value if isinstance(value, enum.Enum) else str(value)
-    text = str(text)
-    return f'"{text}"' if " " in text or not text else text
+    text = str(value.value if isinstance(value, enum.Enum) else value)
+    return text if _PLAIN_TEXT.fullmatch(text) else json.dumps(text)
 
 
-def configure(log_format: LogFormat, level: str) -> None:
+def configure(log_format: LogFormat, level: LogLevel) -> None:
     """Sets up logging of a daemon.
 
     Args:
         log_format: Form of each line.
-        level: Name of the lowest level written, as absl names it.
+        level: Lowest level written.
     """
     EventLogger.set_format(log_format)
     flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
-    logging.set_verbosity(level)
-    logging.set_stderrthreshold(level)
+    logging.set_verbosity(level.value)
+    logging.set_stderrthreshold(level.value)
     for noisy in _NOISY_LIBRARIES:
         standard_logging.getLogger(noisy).setLevel(standard_logging.WARNING)
     if log_format is LogFormat.JSON:
--- a/bronzeslip/settings/common.py
+++ b/bronzeslip/settings/common.py
@@ -4,9 +4,12 @@
 
 from bronzeslip import ids
 from bronzeslip import logs
+from bronzeslip.settings import errors
+from bronzeslip.settings import text_form
 from bronzeslip.settings.setting import setting
 
 MAX_PORT = 65535
+_MIN_SILENT_HEARTBEATS = 2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -19,10 +22,16 @@
         "failure domain of the VM", "identity"
     )
     listen_address: str = setting(
-        "IP number to listen on", "network", default="127.0.0.1"
+        "IP number to listen on",
+        "network",
+        default="127.0.0.1",
+        form=text_form.IP_NUMBER,
     )
     advertise_address: str = setting(
-        "IP number given to other processes", "network", default="127.0.0.1"
+        "IP number given to other processes",
+        "network",
+        default="127.0.0.1",
+        form=text_form.IP_NUMBER,
     )
     http_port: int = setting(
         "port for HTTP; 0 lets the system choose",
@@ -39,9 +48,19 @@
         maximum=MAX_PORT,
     )
     peer_key: str = setting(
-        "shared key of the system's own processes", "security", secret=True
+        "shared key that this process shows to other processes",
+        "security",
+        secret=True,
+    )
+    accepted_peer_keys: tuple[str, ...] = setting(
+        "further shared keys accepted from other processes, for rotation",
+        "security",
+        default=(),
+        secret=True,
+    )
+    platform_url: str = setting(
+        "base URL of the platform", "platform", form=text_form.HTTP_URL
     )
-    platform_url: str = setting("base URL of the platform", "platform")
     platform_timeout_s: float = setting(
         "timeout of one call to the platform, in seconds",
         "platform",
@@ -73,4 +92,26 @@
     log_format: logs.LogFormat = setting(
         "form of log lines", "logs", default=logs.LogFormat.KEY_VALUE
     )
-    log_level: str = setting("lowest level logged", "logs", default="info")
+    log_level: logs.LogLevel = setting(
+        "lowest level logged", "logs", default=logs.LogLevel.INFO
+    )
+
+    @property
+    def all_peer_keys(self) -> tuple[str, ...]:
+        """Every shared key accepted from other processes."""
+        return (self.peer_key, *self.accepted_peer_keys)
+
+    def check(self) -> None:
+        """Checks the settings against each other.
+
+        Raises:
+            errors.SettingsError: With the flag, the value and what is
+                allowed.
+        """
+        least_s = _MIN_SILENT_HEARTBEATS * self.heartbeat_interval_s
+        if self.peer_silence_timeout_s < least_s:
+            raise errors.SettingsError(
+                f"--peer-silence-timeout-s: {self.peer_silence_timeout_s} is "
+                f"not allowed; allowed: at least twice "
+                f"--heartbeat-interval-s, which is {self.heartbeat_interval_s}"
+            )
--- a/bronzeslip/settings/convert.py
+++ b/bronzeslip/settings/convert.py
@@ -32,6 +32,7 @@
     try:
         value = _parse(text, base)
         _check_bounds(value, details)
+        _check_form(value, details)
     except ValueError as error:
         shown = "(secret)" if details.secret else repr(text)
         raise errors.SettingsError(
@@ -44,6 +45,8 @@
 def allowed_values(wanted: Any, details: setting.Setting) -> str:
     """Describes the values that a setting takes."""
     base = _without_none(wanted)
+    if details.form is not None:
+        return details.form.description
     if isinstance(base, type) and issubclass(base, enum.Enum):
         return ", ".join(str(member.value) for member in base)
     if base is bool:
@@ -101,6 +104,14 @@
         raise ValueError("too large")
 
 
+def _check_form(value: Any, details: setting.Setting) -> None:
+    if details.form is None:
+        return
+    parts = value if isinstance(value, tuple) else (value,)
+    if not all(details.form.matches(part) for part in parts):
+        raise ValueError("another form")
+
+
 def default_text(field: dataclasses.Field) -> str:
     """Describes the default of a settings field."""
     value = field.default
--- a/bronzeslip/settings/gateway.py
+++ b/bronzeslip/settings/gateway.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from bronzeslip.settings import common
+from bronzeslip.settings import text_form
 from bronzeslip.settings.setting import setting
 
 
@@ -11,7 +12,10 @@
     """Settings of one gateway process."""
 
     operator_credentials_sha256: tuple[str, ...] = setting(
-        "SHA-256 digests of operators' credentials", "security", default=()
+        "SHA-256 digests of operators' credentials",
+        "security",
+        default=(),
+        form=text_form.SHA256_DIGESTS,
     )
     max_body_bytes: int = setting(
         "largest request body, in bytes",
--- a/bronzeslip/settings/operator.py
+++ b/bronzeslip/settings/operator.py
@@ -5,6 +5,7 @@
 
 from bronzeslip import ids
 from bronzeslip.settings import errors
+from bronzeslip.settings import text_form
 from bronzeslip.settings.setting import setting
 
 
@@ -20,7 +21,9 @@
     """Settings of one run of bronzeslipctl."""
 
     gateway_urls: tuple[str, ...] = setting(
-        "base URLs of gateways, tried in turn", "gateway"
+        "base URLs of gateways, tried in turn",
+        "gateway",
+        form=text_form.HTTP_URLS,
     )
     credential: str | None = setting(
         "operator's credential",
--- a/bronzeslip/settings/parser.py
+++ b/bronzeslip/settings/parser.py
@@ -31,6 +31,20 @@
         """
         raise errors.SettingsError(message)
 
+    def parse_args(
+        self,
+        args: Sequence[str] | None = None,
+        namespace: argparse.Namespace | None = None,
+    ) -> argparse.Namespace:
+        """Parses a command line; unknown words are named without values."""
+        parsed, rest = self.parse_known_args(args, namespace)
+        if rest:
+            flags = [word for word in rest if word.startswith("-")]
+            if not flags:
+                self.error("unexpected argument; see --help")
+            self.error(f"{flags[0].split('=')[0]}: no such flag; see --help")
+        return parsed
+
 
 def flag_of(field: dataclasses.Field) -> str:
     """Returns the command line flag of a settings field."""
@@ -152,7 +166,12 @@
         return flag_of(field), text
     variable = variable_of(field)
     if variable in environment:
-        return variable, environment[variable]
+        name = (
+            variable
+            if setting.details_of(field).environment_only
+            else f"{flag_of(field)} ({variable})"
+        )
+        return name, environment[variable]
     return None
 
 
--- a/bronzeslip/settings/setting.py
+++ b/bronzeslip/settings/setting.py
@@ -3,6 +3,8 @@
 import dataclasses
 from typing import Any
 
+from bronzeslip.settings import text_form
+
 _METADATA_KEY = "setting"
 
 
@@ -18,6 +20,7 @@
         secret: Whether the value is kept out of logs and errors.
         environment_only: Whether there is no flag, so that the value does
             not show in a list of processes.
+        form: Form of the text, or of each part of a list, or None.
     """
 
     help: str
@@ -26,6 +29,7 @@
     maximum: float | None = None
     secret: bool = False
     environment_only: bool = False
+    form: text_form.TextForm | None = None
 
 
 def setting(
@@ -37,11 +41,17 @@
     maximum: float | None = None,
     secret: bool = False,
     environment_only: bool = False,
+    form: text_form.TextForm | None = None,
 ) -> Any:
     """Declares a dataclass field that is a setting."""
-    details = Setting(help, group, minimum, maximum, secret, environment_only)
+    details = Setting(
+        help, group, minimum, maximum, secret, environment_only, form
+    )
     return dataclasses.field(
-        default=default, metadata={_METADATA_KEY: details}, kw_only=True
+        default=default,
+        metadata={_METADATA_KEY: details},
+        kw_only=True,
+        repr=not secret,
     )
 
 
--- /dev/null
+++ b/bronzeslip/settings/text_form.py
@@ -0,0 +1,46 @@
+"""Forms that the text of a setting may be required to have."""
+
+from collections.abc import Callable
+import dataclasses
+import ipaddress
+import re
+import urllib.parse
+
+
+@dataclasses.dataclass(frozen=True)
+class TextForm:
+    """A form of text.
+
+    Attributes:
+        description: What is allowed, for errors and the reference.
+        matches: Tells whether a text has the form.
+    """
+
+    description: str
+    matches: Callable[[str], bool]
+
+
+def _is_http_url(text: str) -> bool:
+    parts = urllib.parse.urlsplit(text)
+    return parts.scheme in ("http", "https") and bool(parts.hostname)
+
+
+def _is_ip_number(text: str) -> bool:
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+_DIGEST = re.compile(r"[0-9a-f]{64}")
+
+HTTP_URL = TextForm("an http or https URL", _is_http_url)
+HTTP_URLS = TextForm(
+    "a comma-separated list of http or https URLs", _is_http_url
+)
+IP_NUMBER = TextForm("an IP number", _is_ip_number)
+SHA256_DIGESTS = TextForm(
+    "a comma-separated list of SHA-256 digests in hexadecimal",
+    lambda text: bool(_DIGEST.fullmatch(text)),
+)
--- a/bronzeslip/sidecar/daemon.py
+++ b/bronzeslip/sidecar/daemon.py
@@ -41,7 +41,7 @@
         self._peers = transport_server.PeerServer(
             settings.listen_address,
             settings.peer_port,
-            settings.peer_key,
+            settings.all_peer_keys,
             self._serve_peer,
         )
         self._http = http_server.HttpServer(
--- a/bronzeslip/transport/server.py
+++ b/bronzeslip/transport/server.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Sequence
 import hmac
 
 import grpc
@@ -21,18 +22,22 @@
     """Accepts connections of other processes of the system."""
 
     def __init__(
-        self, address: str, port: int, peer_key: str, handler: Handler
+        self,
+        address: str,
+        port: int,
+        peer_keys: Sequence[str],
+        handler: Handler,
     ) -> None:
         """Binds the port.
 
         Args:
             address: IP number to listen on.
             port: Port to listen on; 0 lets the system choose.
-            peer_key: Key that every peer must show.
+            peer_keys: Keys of which every peer must show one.
             handler: Called with each accepted connection; the connection
                 ends when it returns.
         """
-        self._peer_key = peer_key
+        self._peer_keys = tuple(key.encode() for key in peer_keys)
         self._handler = handler
         self._server = grpc.aio.server(
             options=(
@@ -64,9 +69,11 @@
         shown = dict(context.invocation_metadata()).get(
             service.KEY_METADATA, ""
         )
-        if not hmac.compare_digest(
-            str(shown).encode(), self._peer_key.encode()
-        ):
+        matches = [
+            hmac.compare_digest(str(shown).encode(), key)
+            for key in self._peer_keys
+        ]
+        if not any(matches):
             logger.warning("transport.key_refused", peer=context.peer())
             await context.abort(grpc.StatusCode.UNAUTHENTICATED, "peer key")
         await self._handler(stream.PeerStream(context))
--- a/tests/cli/command_case.py
+++ b/tests/cli/command_case.py
@@ -9,8 +9,8 @@
 from bronzeslip import ids
 from bronzeslip.cli import program
 from bronzeslip.configuration import store
-from standins.platform import app as platform_app
-from tests import gateway_fake
+from tests.support import gateway_app
+from tests.support import in_process
 from tools import declarations
 
 DRAFTS = """\
@@ -33,11 +33,11 @@
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.folder = pathlib.Path(folder.name)
-        self.standin = platform_app.PlatformStandin()
-        self.parts = gateway_fake.create_parts(self.standin)
-        self.transport = gateway_fake.create_transport(self.parts)
+        self.standin, platform = in_process.platform_pair()
+        self.parts = gateway_app.create_parts(platform)
+        self.transport = gateway_app.create_transport(self.parts)
         self.environment = {
-            "BRONZESLIP_GATEWAY_URLS": gateway_fake.URL,
+            "BRONZESLIP_GATEWAY_URLS": gateway_app.URL,
             "BRONZESLIP_CREDENTIAL": declarations.OPERATOR_CREDENTIAL,
             "BRONZESLIP_RETRY_DELAY_S": "0",
             "BRONZESLIP_ATTEMPTS": "3",
--- a/tests/cli/test_program.py
+++ b/tests/cli/test_program.py
@@ -6,8 +6,8 @@
 import httpx
 
 from standins.platform import faults
-from tests import gateway_fake
 from tests.cli import command_case
+from tests.support import gateway_app
 
 
 class DiffTest(command_case.CommandCase):
@@ -165,7 +165,7 @@
 
     def test_tries_the_gateways_in_turn(self):
         self.environment["BRONZESLIP_GATEWAY_URLS"] = (
-            f"http://dead,{gateway_fake.URL}"
+            f"http://dead,{gateway_app.URL}"
         )
         self.transport = DeadHostTransport(self.transport)
         self.assertEqual(self.run_command("get"), 0)
--- a/tests/gateway_fake.py
+++ b/tests/support/gateway_app.py
@@ -14,8 +14,7 @@
 from bronzeslip.routing import least_outstanding
 from bronzeslip.routing import router
 from bronzeslip.settings import gateway
-from standins.platform import app as platform_app
-from tests import platform_fake
+from tests.support import in_process
 from tools import declarations
 
 URL = "http://gateway"
@@ -27,7 +26,7 @@
         "region": "brum",
         "failure_domain": "brum-1",
         "peer_key": "trial-peer-key",
-        "platform_url": platform_fake.BASE_URL,
+        "platform_url": "http://platform",
         "operator_credentials_sha256": (
             declarations.digest_of(declarations.OPERATOR_CREDENTIAL),
         ),
@@ -35,16 +34,17 @@
     return gateway.GatewaySettings(**{**values, **changes})
 
 
-def create_parts(standin=None, **changes):
+def create_parts(platform=None, **changes):
     settings = create_settings(**changes)
-    standin = standin or platform_app.PlatformStandin()
+    if platform is None:
+        _, platform = in_process.platform_pair()
     configuration = in_force.ConfigurationInForce()
     members = directory.MemberDirectory()
     peers = peer_pool.PeerPool(settings)
     return state.GatewayState(
         settings=settings,
         configuration=configuration,
-        store=store.ConfigurationStore(platform_fake.create_client(standin)),
+        store=store.ConfigurationStore(platform),
         members=members,
         peers=peers,
         routes=router.Router(
--- /dev/null
+++ b/tools/settings_reference.py
@@ -0,0 +1,80 @@
+"""Writes the settings reference from the settings classes."""
+
+import argparse
+import dataclasses
+import pathlib
+import typing
+
+from bronzeslip.settings import convert
+from bronzeslip.settings import gateway
+from bronzeslip.settings import operator
+from bronzeslip.settings import parser as settings_parser
+from bronzeslip.settings import setting
+from bronzeslip.settings import sidecar
+
+PAGE = pathlib.Path(__file__).parent.parent / "docs/reference/settings.md"
+_PROGRAMS = (
+    ("bronzeslip-gateway", gateway.GatewaySettings),
+    ("bronzeslip-sidecar", sidecar.SidecarSettings),
+    ("bronzeslipctl", operator.OperatorSettings),
+)
+_INTRODUCTION = """\
+# Settings
+
+Written by `python -m tools.settings_reference`; a test compares the two.
+
+Every setting is a flag and an environment variable; a flag goes before its
+variable. A wrong setting gives one line that names the flag, the value and
+what is allowed, and exit status 2. The daemons take `--check-settings`, which
+only checks. Secret values are never shown; give them by variable, so that
+they do not stand in a list of processes.
+"""
+_HEADER = """
+| flag | variable | meaning | allowed | default |
+| --- | --- | --- | --- | --- |
+"""
+
+
+def render() -> str:
+    """Returns the text of the page."""
+    sections = [
+        f"\n## {program}\n{_table(settings_type)}"
+        for program, settings_type in _PROGRAMS
+    ]
+    return _INTRODUCTION + "".join(sections)
+
+
+def _table(settings_type: type) -> str:
+    hints = typing.get_type_hints(settings_type)
+    groups: dict[str, list[str]] = {}
+    for field in dataclasses.fields(settings_type):
+        details = setting.details_of(field)
+        row = _row(field, details, hints[field.name])
+        groups.setdefault(details.group, []).append(row)
+    return "".join(
+        f"\n### {group.capitalize()}\n{_HEADER}" + "".join(rows)
+        for group, rows in groups.items()
+    )
+
+
+def _row(field: dataclasses.Field, details: setting.Setting, hint: type) -> str:
+    flag = f"`{settings_parser.flag_of(field)}`"
+    cells = (
+        "" if details.environment_only else flag,
+        f"`{settings_parser.variable_of(field)}`",
+        details.help + (" (secret)" if details.secret else ""),
+        convert.allowed_values(hint, details),
+        convert.default_text(field).removeprefix("default: "),
+    )
+    return f"| {' | '.join(cells)} |\n"
+
+
+def main() -> None:
+    """Writes the page."""
+    argparse.ArgumentParser(prog="settings_reference").parse_args()
+    PAGE.parent.mkdir(parents=True, exist_ok=True)
+    PAGE.write_text(render())
+
+
+if __name__ == "__main__":
+    main()
