--- a/standins/platform/app.py
+++ b/standins/platform/app.py
@@ -10,6 +10,7 @@
 from bronzeslip import ids
 from bronzeslip.platform import objects
 from standins.platform import faults
+from standins.platform import holding
 from standins.platform import store
 from standins.platform import vm_list
 from standins.platform import weight_store
@@ -27,6 +28,7 @@
         self.vms = vm_list.VmList(vm_lag_s)
         self.weights = weight_store.WeightStore(weight_rate_bytes_per_s)
         self.faults = faults.Faults()
+        self.hold = holding.HoldPoint()
         self.calls: collections.Counter[str] = collections.Counter()
 
     def app(self) -> litestar.Litestar:
@@ -52,12 +54,15 @@
                     self._set_faults
                 ),
                 litestar.get("/standin/calls")(self._calls),
+                litestar.post("/standin/hold", status_code=200)(self._set_hold),
+                litestar.get("/standin/held")(self._held),
             ],
             openapi_config=None,
             logging_config=None,
         )
 
     async def _get(self, key: str) -> litestar.Response:
+        await self.hold.passing("get", key.lstrip("/"), False)
         if not await self._admit("get"):
             return _status(503)
         found = self.store.get(key.lstrip("/"))
@@ -71,6 +76,7 @@
     async def _put(
         self, key: str, request: litestar.Request
     ) -> litestar.Response:
+        await self.hold.passing("put", key.lstrip("/"), False)
         if not await self._admit("put"):
             return _status(503)
         value = await request.body()
@@ -83,6 +89,7 @@
             )
         except store.ConflictError:
             return _status(412)
+        await self.hold.passing("put", key.lstrip("/"), True)
         if self._loses_answer():
             return _status(504)
         return _json(stored)
@@ -136,6 +143,15 @@
         )
         return _status(200)
 
+    async def _set_hold(self, request: litestar.Request) -> litestar.Response:
+        await self.hold.set(
+            msgspec.json.decode(await request.body(), type=faults.Hold | None)
+        )
+        return _status(200)
+
+    async def _held(self) -> litestar.Response:
+        return _json(self.hold.held_count)
+
     async def _calls(self) -> litestar.Response:
         return _json(dict(self.calls))
 
--- a/standins/platform/faults.py
+++ b/standins/platform/faults.py
@@ -26,3 +26,17 @@
     mode: FaultMode = FaultMode.NONE
     delay_s: float = 0.0
     write_count: int = 0
+
+
+class Hold(msgspec.Struct, frozen=True):
+    """Calls that wait until the hold is lifted.
+
+    Attributes:
+        call: Kind of call held, as the counter of calls names it.
+        prefix: Start of the keys held.
+        after_effect: Whether a write takes effect before it waits.
+    """
+
+    call: str
+    prefix: str
+    after_effect: bool = False
--- /dev/null
+++ b/standins/platform/holding.py
@@ -0,0 +1,40 @@
+"""Holding of calls at an exact step."""
+
+import asyncio
+
+from standins.platform import faults
+
+
+class HoldPoint:
+    """Lets matching calls wait until the hold is lifted."""
+
+    def __init__(self) -> None:
+        self._hold: faults.Hold | None = None
+        self._changed = asyncio.Condition()
+        self.held_count = 0
+
+    async def set(self, hold: faults.Hold | None) -> None:
+        """Sets the hold, or lifts it."""
+        async with self._changed:
+            self._hold = hold
+            self._changed.notify_all()
+
+    async def passing(self, call: str, key: str, after_effect: bool) -> None:
+        """Waits while a hold matches this point of a call."""
+        if not self._matches(call, key, after_effect):
+            return
+        self.held_count += 1
+        async with self._changed:
+            await self._changed.wait_for(
+                lambda: not self._matches(call, key, after_effect)
+            )
+        self.held_count -= 1
+
+    def _matches(self, call: str, key: str, after_effect: bool) -> bool:
+        hold = self._hold
+        return (
+            hold is not None
+            and hold.call == call
+            and key.startswith(hold.prefix)
+            and hold.after_effect == after_effect
+        )
