--- a/bronzeslip/settings/common.py
+++ b/bronzeslip/settings/common.py
@@ -38,6 +38,13 @@
         minimum=0,
         maximum=MAX_PORT,
     )
+    advertise_peer_port: int = setting(
+        "peer port given to other processes; 0 gives the one listened on",
+        "network",
+        default=0,
+        minimum=0,
+        maximum=MAX_PORT,
+    )
     peer_key: str = setting(
         "shared key of the system's own processes", "security", secret=True
     )
--- a/bronzeslip/sidecar/daemon.py
+++ b/bronzeslip/sidecar/daemon.py
@@ -103,13 +103,14 @@
 
     def _member(self) -> member.Member:
         settings = self._settings
+        port = settings.advertise_peer_port or self._peers.port
         return member.Member(
             vm_id=settings.vm_id,
             incarnation_id=self._incarnation_id,
             role=member.MemberRole.SIDECAR,
             region=settings.region,
             failure_domain=settings.failure_domain,
-            address=f"{settings.advertise_address}:{self._peers.port}",
+            address=f"{settings.advertise_address}:{port}",
             endpoint_id=settings.endpoint_id,
             pool=settings.pool,
         )
--- a/standins/engine/app.py
+++ b/standins/engine/app.py
@@ -52,6 +52,7 @@
         self.orders = order_book
         self.modes = StandinModes()
         self.started_ids: list[str] = []
+        self.shown_tokens: dict[str, int] = {}
         self._load_lag_s = load_lag_s
         self._gap_every = cache_event_gap_every
         self._sequences: collections.OrderedDict[str, sequence.Sequence] = (
@@ -82,6 +83,7 @@
                     self._set_modes
                 ),
                 litestar.get("/standin/started")(self._started),
+                litestar.get("/standin/shown")(self._get_shown),
             ],
             openapi_config=None,
             logging_config=None,
@@ -160,6 +162,9 @@
     async def _started(self) -> litestar.Response:
         return _json(self.started_ids)
 
+    async def _get_shown(self) -> litestar.Response:
+        return _json(self.shown_tokens)
+
     def _ensure_running(self) -> None:
         if self._task is None:
             self._task = asyncio.create_task(self._run())
@@ -188,6 +193,7 @@
                     )
                 )
                 next_index += len(texts)
+                self.shown_tokens[source.generation_id] = next_index
             if self._is_whole(source, next_index):
                 break
         yield _event(
--- /dev/null
+++ b/tools/faults/request_kind.py
@@ -0,0 +1,11 @@
+"""Kinds of requests in the matrix."""
+
+import enum
+
+
+class RequestKind(enum.Enum):
+    """How a caller asks."""
+
+    STREAMED = "streamed generation"
+    WHOLE = "whole generation"
+    CALL = "call that must not repeat"
--- a/tools/local_process.py
+++ b/tools/local_process.py
@@ -26,6 +26,7 @@
             *arguments: Its flags.
         """
         self.module = module
+        self._arguments = arguments
         self.lines: list[str] = []
         self._stop_requested = False
         self._changed = threading.Condition()
@@ -39,6 +40,14 @@
         self._reader = threading.Thread(target=self._read, daemon=True)
         self._reader.start()
 
+    def restarted(self, *arguments: str) -> "LocalProcess":
+        """Starts the same program again.
+
+        Args:
+            *arguments: More flags, which go before the earlier ones.
+        """
+        return LocalProcess(self.module, *self._arguments, *arguments)
+
     @property
     def pid(self) -> int:
         """Id of the process."""
