--- a/standins/engine/app.py
+++ b/standins/engine/app.py
@@ -28,11 +28,14 @@
         silent: Streams stay open and carry nothing.
         slow_factor: Multiplies the time of each step.
         leaving: Announces that the VM is about to be reclaimed.
+        hold_at_tokens: Streams carry no token from this index on and do not
+            end until this is unset.
     """
 
     silent: bool = False
     slow_factor: float = 1.0
     leaving: bool = False
+    hold_at_tokens: int | None = None
 
 
 class EngineStandin:
@@ -49,6 +52,7 @@
         self.orders = order_book
         self.modes = StandinModes()
         self.started_ids: list[str] = []
+        self.shown_tokens: dict[str, int] = {}
         self._load_lag_s = load_lag_s
         self._gap_every = cache_event_gap_every
         self._sequences: collections.OrderedDict[str, sequence.Sequence] = (
@@ -79,6 +83,7 @@
                     self._set_modes
                 ),
                 litestar.get("/standin/started")(self._started),
+                litestar.get("/standin/shown")(self._get_shown),
             ],
             openapi_config=None,
             logging_config=None,
@@ -150,11 +155,16 @@
         self.modes = msgspec.json.decode(
             await request.body(), type=StandinModes
         )
+        async with self._stepped:
+            self._stepped.notify_all()
         return _status(200)
 
     async def _started(self) -> litestar.Response:
         return _json(self.started_ids)
 
+    async def _get_shown(self) -> litestar.Response:
+        return _json(self.shown_tokens)
+
     def _ensure_running(self) -> None:
         if self._task is None:
             self._task = asyncio.create_task(self._run())
@@ -175,7 +185,7 @@
     ) -> AsyncIterator[bytes]:
         while True:
             await self._wait_for(source, next_index)
-            texts = source.texts[next_index:]
+            texts = source.texts[next_index : self.modes.hold_at_tokens]
             if texts:
                 yield _event(
                     messages.StreamEvent(
@@ -183,7 +193,8 @@
                     )
                 )
                 next_index += len(texts)
-            if source.state is sequence.SequenceState.FINISHED:
+                self.shown_tokens[source.generation_id] = next_index
+            if self._is_whole(source, next_index):
                 break
         yield _event(
             messages.StreamEvent(
@@ -197,17 +208,23 @@
     async def _wait_for(
         self, source: sequence.Sequence, next_index: int
     ) -> None:
+        def has_news() -> bool:
+            shown = source.texts[next_index : self.modes.hold_at_tokens]
+            return bool(shown) or self._is_whole(source, next_index)
+
         async with self._stepped:
             await self._stepped.wait_for(
-                lambda: (
-                    not self.modes.silent
-                    and (
-                        len(source.texts) > next_index
-                        or source.state is sequence.SequenceState.FINISHED
-                    )
-                )
+                lambda: not self.modes.silent and has_news()
             )
 
+    def _is_whole(self, source: sequence.Sequence, next_index: int) -> bool:
+        finished = source.state is sequence.SequenceState.FINISHED
+        return (
+            finished
+            and next_index >= len(source.texts)
+            and self.modes.hold_at_tokens is None
+        )
+
     def _current_load(self) -> messages.EngineLoad:
         shape = self.engine.shape
         return messages.EngineLoad(
