Answer every malformed request by a problem document

Cause: a wrong content type, unsupported OpenAI fields (n, stop, tools, best_of ...) and non-text parts were taken and ignored, so that the answer was not what the caller asked for; unknown routes and methods shared one code; OpenAI clients found no error member; headers were unbounded in size and time; bytes that are no HTTP were answered into the middle of a running answer; a caller that stopped reading held its answer for ever; an unexpected error logged the text of the exception, which may hold a prompt.

Ruled out: litestar's own validation (its messages and codes are not ours); h11 with its header limit (a pure Python parser on every request); a timeout around every send (it costs on each chunk; a timer on the transport's pause_writing costs only when the caller is slow).

Change: checks in the request types, body.decode and a protocol class over uvicorn's httptools one; HTTP settings apart, so that stand-ins share them.

--- a/bronzeslip/gateway/access.py
+++ b/bronzeslip/gateway/access.py
@@ -62,7 +62,9 @@
         workspace_id = self.workspace(authorization)
         name = self._configuration.index.service_for_model(workspace_id, model)
         if name is None:
-            raise errors.NotFoundError(f"no model {model!r}")
+            raise errors.ModelNotFoundError(
+                f"no model {model!r}", field="model"
+            )
         return self._context(workspace_id, name)
 
     def context_for_service(
@@ -81,7 +83,7 @@
         index = self._configuration.index
         bound = index.binding_of(workspace_id, name)
         if bound is None:
-            raise errors.NotFoundError(f"no service {name!r}")
+            raise errors.ServiceNotFoundError(f"no service {name!r}")
         declared = index.document.services[name]
         deadline_s = min(declared.deadline_s, self._settings.request_deadline_s)
         return request_context.RequestContext(
--- a/bronzeslip/gateway/answer.py
+++ b/bronzeslip/gateway/answer.py
@@ -69,10 +69,7 @@
 
 def _error_event(error: errors.BronzeslipError) -> bytes:
     described = problem.from_error(error)
-    body = {
-        "error": {"message": error.message, **msgspec.to_builtins(described)}
-    }
-    return b"event: error\ndata: " + _encoder.encode(body) + b"\n\n"
+    return b"event: error\ndata: " + _encoder.encode(described) + b"\n\n"
 
 
 def _usage(session: generation_session.GenerationSession) -> messages.Usage:
--- a/bronzeslip/gateway/app.py
+++ b/bronzeslip/gateway/app.py
@@ -1,6 +1,9 @@
 """HTTP application of the gateway."""
 
+import traceback
+
 import litestar
+from litestar import datastructures
 from litestar import di
 from litestar import exceptions
 from litestar import openapi
@@ -20,6 +23,14 @@
 
 _TITLE = "bronzeslip"
 _VERSION = "0.1.0"
+_KINDS: dict[int, type[errors.GatewayError]] = {
+    kind.status: kind
+    for kind in (
+        errors.RouteNotFoundError,
+        errors.MethodNotAllowedError,
+        errors.TooLargeError,
+    )
+}
 
 
 def create(parts: state.GatewayState) -> litestar.Litestar:
@@ -45,6 +56,9 @@
             Exception: _on_unexpected,
         },
         request_max_body_size=parts.settings.max_body_bytes,
+        state=datastructures.State(
+            {"body_timeout_s": parts.settings.body_timeout_s}
+        ),
         logging_config=None,
         openapi_config=openapi.OpenAPIConfig(title=_TITLE, version=_VERSION),
     )
@@ -63,29 +77,23 @@
 def _on_http_exception(
     _: litestar.Request, error: exceptions.HTTPException
 ) -> litestar.Response:
-    kinds = {
-        kind.status: kind
-        for kind in (
-            errors.BadRequestError,
-            errors.NotFoundError,
-            errors.TooLargeError,
-        )
-    }
-    kind = kinds.get(error.status_code, errors.BadRequestError)
+    kind = _KINDS.get(error.status_code, errors.BadRequestError)
     if error.status_code >= errors.GatewayError.status:
         kind = errors.GatewayError
-    converted = kind(error.detail)
-    converted.status = error.status_code
-    return problem.to_response(problem.from_error(converted))
+    answer = problem.to_response(problem.from_error(kind(error.detail)))
+    answer.headers.update(error.headers or {})
+    return answer
 
 
 def _on_unexpected(
     request: litestar.Request, error: Exception
 ) -> litestar.Response:
+    last_frame = traceback.extract_tb(error.__traceback__)[-1]
     logger.error(
         "gateway.unexpected_error",
         path=request.url.path,
-        reason=f"{type(error).__name__}: {error}",
+        reason=type(error).__name__,
+        place=f"{last_frame.filename}:{last_frame.lineno}",
     )
     converted = errors.GatewayError("an unexpected error; see the log")
     return problem.to_response(problem.from_error(converted))
--- a/bronzeslip/gateway/body.py
+++ b/bronzeslip/gateway/body.py
@@ -1,6 +1,7 @@
 """Reading of request bodies."""
 
-from typing import Any
+import asyncio
+import re
 from typing import TypeVar
 
 import litestar
@@ -9,6 +10,15 @@
 
 from bronzeslip.gateway import errors
 
+_JSON_MEDIA_TYPE = re.compile(
+    r"application/(?:[\w.-]+\+)?json\s*(?:;.*)?", re.IGNORECASE
+)
+_VALIDATION_MESSAGE = re.compile(
+    r"^(?P<reason>.*?)(?: - at `\$\.?(?P<path>.*)`)?$", re.DOTALL
+)
+_MISSING_FIELD = re.compile(r"missing required field `(\w+)`")
+_NAMED_FIELD = re.compile(r"^`(\w+)`")
+
 BodyT = TypeVar("BodyT")
 
 
@@ -17,11 +27,17 @@
 
     Raises:
         errors.TooLargeError: If it is larger than allowed.
+        errors.ReadTimeoutError: If it does not arrive in time.
         errors.BadRequestError: If the caller broke it off.
     """
     try:
-        return await request.body()
-    except exceptions.ClientException as error:
+        async with asyncio.timeout(request.app.state.get("body_timeout_s")):
+            return await request.body()
+    except TimeoutError as error:
+        raise errors.ReadTimeoutError(
+            "the body did not arrive in time"
+        ) from error
+    except exceptions.HTTPException as error:
         if error.status_code == errors.TooLargeError.status:
             raise errors.TooLargeError("the body is too large") from error
         raise errors.BadRequestError("the body is not complete") from error
@@ -31,15 +47,41 @@
     """Reads a JSON body into a type.
 
     Raises:
+        errors.UnsupportedMediaTypeError: If it is declared as another type.
         errors.BadRequestError: If it does not have that form.
     """
+    _check_media_type(request)
     data = await read(request)
     try:
         return msgspec.json.decode(data, type=wanted)
-    except msgspec.MsgspecError as error:
-        raise errors.BadRequestError(str(error)) from error
+    except msgspec.ValidationError as error:
+        raise _invalid(str(error)) from error
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise errors.BadRequestError(_describe(error)) from error
+    except RecursionError as error:
+        raise errors.BadRequestError("the JSON is nested too deeply") from error
+
+
+def _check_media_type(request: litestar.Request) -> None:
+    declared = request.headers.get("content-type")
+    if declared and not _JSON_MEDIA_TYPE.fullmatch(declared):
+        raise errors.UnsupportedMediaTypeError(
+            "the body must be application/json"
+        )
+
+
+def _describe(error: Exception) -> str:
+    if isinstance(error, UnicodeDecodeError):
+        return "the JSON is not valid UTF-8"
+    return f"malformed JSON: {error}"
 
 
-def encode(value: Any) -> bytes:
-    """Writes a JSON body."""
-    return msgspec.json.encode(value)
+def _invalid(message: str) -> errors.BadRequestError:
+    matched = _VALIDATION_MESSAGE.match(message)
+    reason, path = matched["reason"], matched["path"] or ""
+    named = _MISSING_FIELD.search(reason) or _NAMED_FIELD.match(reason)
+    if named and not path.endswith(named[1]):
+        path = f"{path}.{named[1]}" if path else named[1]
+    return errors.BadRequestError(
+        f"{path}: {reason}" if path else reason, field=path or None
+    )
--- a/bronzeslip/gateway/daemon.py
+++ b/bronzeslip/gateway/daemon.py
@@ -26,21 +26,35 @@
 class GatewayDaemon:
     """Serves callers and operators on one entry VM."""
 
-    def __init__(self, settings: gateway.GatewaySettings) -> None:
+    def __init__(
+        self,
+        settings: gateway.GatewaySettings,
+        platform: platform_client.PlatformClient | None = None,
+    ) -> None:
+        """Creates a gateway without starting it.
+
+        Args:
+            settings: Settings of the process.
+            platform: Client that takes the place of the settings' platform.
+        """
         self._settings = settings
-        self._platform = platform_client.PlatformClient(
+        self._platform = platform or platform_client.PlatformClient(
             settings.platform_url, settings.platform_timeout_s
         )
         self._parts = self._create_parts()
         self._http = http_server.HttpServer(
             app.create(self._parts),
-            settings.listen_address,
-            settings.http_port,
+            settings,
         )
         self._watcher = watcher.ConfigurationWatcher(
             self._platform, self._parts.configuration
         )
 
+    @property
+    def parts(self) -> state.GatewayState:
+        """Parts of the gateway."""
+        return self._parts
+
     async def run(self) -> None:
         """Serves until told to shut down, then drains."""
         signals = shutdown.ShutdownSignals()
--- a/bronzeslip/gateway/errors.py
+++ b/bronzeslip/gateway/errors.py
@@ -1,6 +1,7 @@
 """Errors that the gateway tells its callers."""
 
 from bronzeslip import errors
+from bronzeslip import ids
 
 
 class GatewayError(errors.BronzeslipError):
@@ -9,10 +10,26 @@
     Attributes:
         status: HTTP status of the answer.
         title: Short summary of the kind of problem.
+        field: Field of the request that is wrong, or None.
+        may_repeat: Whether the client may send the request again by itself;
+            None leaves it to the status.
+        current_number: Current configuration number, if it is the matter.
     """
 
     status = 500
     title = "Internal error"
+    may_repeat: bool | None = None
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        retry_after_s: float | None = None,
+        field: str | None = None,
+    ) -> None:
+        super().__init__(message, retry_after_s=retry_after_s)
+        self.field = field
+        self.current_number: ids.ConfigurationNumber | None = None
 
 
 class BadRequestError(GatewayError):
@@ -39,6 +56,48 @@
     title = "Not found"
 
 
+class ModelNotFoundError(NotFoundError):
+    """The workspace has no such model."""
+
+    code = "model-not-found"
+
+
+class ServiceNotFoundError(NotFoundError):
+    """The workspace has no such service."""
+
+    code = "service-not-found"
+
+
+class RouteNotFoundError(NotFoundError):
+    """There is no such route."""
+
+    code = "route-not-found"
+
+
+class MethodNotAllowedError(GatewayError):
+    """The route does not take this method."""
+
+    code = "method-not-allowed"
+    status = 405
+    title = "Method not allowed"
+
+
+class ReadTimeoutError(GatewayError):
+    """The request did not arrive in time; it was not run."""
+
+    code = "read-timeout"
+    status = 408
+    title = "Request timeout"
+
+
+class UnsupportedMediaTypeError(GatewayError):
+    """The body has another media type than the route takes."""
+
+    code = "unsupported-media-type"
+    status = 415
+    title = "Unsupported media type"
+
+
 class TooLargeError(GatewayError):
     """The request is larger than allowed."""
 
@@ -51,6 +110,7 @@
     """The request conflicts with the current state."""
 
     code = "conflict"
+    may_repeat = False
     status = 409
     title = "Conflict"
 
@@ -83,6 +143,7 @@
     """The call may or may not have been run."""
 
     code = "outcome-unknown"
+    may_repeat = False
     status = 502
     title = "Outcome unknown"
 
--- a/bronzeslip/gateway/generations_api.py
+++ b/bronzeslip/gateway/generations_api.py
@@ -71,8 +71,6 @@
     prompt: str,
     limit: int | None,
 ) -> generation_session.GenerationSession:
-    if limit is not None and limit <= 0:
-        raise errors.BadRequestError("max_tokens must be above zero")
     if len(prompt.encode()) > context.workspace.limits.prompt_bytes:
         raise errors.TooLargeError("the prompt is too large")
     most = context.service.max_output_tokens
@@ -101,8 +99,6 @@
 
 
 def _chat_prompt(chat: list[messages.ChatMessage]) -> str:
-    if not chat:
-        raise errors.BadRequestError("messages must not be empty")
     return "\n".join(
         f"<|{message.role}|>{_content_text(message)}" for message in chat
     )
@@ -117,6 +113,4 @@
 def _completion_prompt(prompt: str | list[str]) -> str:
     if isinstance(prompt, str):
         return prompt
-    if len(prompt) != 1:
-        raise errors.BadRequestError("exactly one prompt is supported")
     return prompt[0]
--- a/bronzeslip/gateway/openai_messages.py
+++ b/bronzeslip/gateway/openai_messages.py
@@ -1,14 +1,20 @@
 """Requests and answers in the OpenAI form."""
 
+from typing import Annotated
 from typing import Any
+from typing import Literal
 
 import msgspec
 
+TokenLimit = Annotated[int, msgspec.Meta(ge=1)]
+_ONE = 1
+_TEXT = "text"
+
 
 class ContentPart(msgspec.Struct, frozen=True):
-    """A part of a message's content."""
+    """A part of a message's content; only text is supported."""
 
-    type: str
+    type: Literal["text"]
     text: str = ""
 
 
@@ -25,25 +31,73 @@
     include_usage: bool = False
 
 
+class ResponseFormat(msgspec.Struct, frozen=True):
+    """Form wanted of the answer's text."""
+
+    type: str
+
+
 class ChatRequest(msgspec.Struct, frozen=True):
-    """Body of /v1/chat/completions; unknown fields are ignored."""
+    """Body of /v1/chat/completions.
+
+    Fields that would change what the answer is and are not supported are
+    refused; other unknown fields are ignored.
+    """
 
     model: str
-    messages: list[ChatMessage]
+    messages: Annotated[list[ChatMessage], msgspec.Meta(min_length=1)]
     stream: bool = False
-    max_tokens: int | None = None
-    max_completion_tokens: int | None = None
+    max_tokens: TokenLimit | None = None
+    max_completion_tokens: TokenLimit | None = None
     stream_options: StreamOptions | None = None
+    n: int | None = None
+    stop: str | list[str] | None = None
+    tools: list[Any] | None = None
+    functions: list[Any] | None = None
+    logprobs: bool | None = None
+    response_format: ResponseFormat | None = None
+    modalities: list[str] | None = None
+
+    def __post_init__(self) -> None:
+        """Refuses what is not supported."""
+        _refuse("n", self.n not in (None, _ONE))
+        for name in ("stop", "tools", "functions", "logprobs"):
+            _refuse(name, bool(getattr(self, name)))
+        wanted = self.response_format
+        _refuse("response_format", bool(wanted) and wanted.type != _TEXT)
+        _refuse("modalities", (self.modalities or [_TEXT]) != [_TEXT])
 
 
 class CompletionRequest(msgspec.Struct, frozen=True):
-    """Body of /v1/completions; unknown fields are ignored."""
+    """Body of /v1/completions.
+
+    Fields that would change what the answer is and are not supported are
+    refused; other unknown fields are ignored.
+    """
 
     model: str
-    prompt: str | list[str]
+    prompt: str | Annotated[list[str], msgspec.Meta(min_length=1, max_length=1)]
     stream: bool = False
-    max_tokens: int | None = None
+    max_tokens: TokenLimit | None = None
     stream_options: StreamOptions | None = None
+    n: int | None = None
+    best_of: int | None = None
+    stop: str | list[str] | None = None
+    echo: bool | None = None
+    suffix: str | None = None
+    logprobs: int | None = None
+
+    def __post_init__(self) -> None:
+        """Refuses what is not supported."""
+        for name in ("n", "best_of"):
+            _refuse(name, getattr(self, name) not in (None, _ONE))
+        for name in ("stop", "echo", "suffix", "logprobs"):
+            _refuse(name, bool(getattr(self, name)))
+
+
+def _refuse(name: str, condition: bool) -> None:
+    if condition:
+        raise ValueError(f"`{name}` with this value is not supported")
 
 
 class Usage(msgspec.Struct, frozen=True):
--- a/bronzeslip/gateway/operators_api.py
+++ b/bronzeslip/gateway/operators_api.py
@@ -68,4 +68,6 @@
     kind = kinds.get(type(error), errors.UnavailableError)
     converted = kind(error.message, retry_after_s=error.retry_after_s)
     converted.code = error.code
+    if isinstance(error, configuration_errors.StaleNumberError):
+        converted.current_number = error.current
     return converted
--- a/bronzeslip/gateway/problem.py
+++ b/bronzeslip/gateway/problem.py
@@ -1,4 +1,4 @@
-"""Problem documents of RFC 9457."""
+"""Problem documents of the gateway's errors."""
 
 import math
 
@@ -7,53 +7,53 @@
 
 from bronzeslip import errors
 from bronzeslip.gateway import errors as gateway_errors
+from bronzeslip.http import problem as http_problem
 
-MEDIA_TYPE = "application/problem+json"
-_TYPE_PREFIX = "urn:bronzeslip:problem:"
+_MAY_REPEAT_HEADER = "x-should-retry"
 
 
-class Problem(msgspec.Struct, frozen=True, omit_defaults=True):
-    """An error as callers read it.
-
-    Attributes:
-        type: URN of the kind of problem.
-        title: Summary of the kind.
-        status: HTTP status.
-        detail: Explanation of this occurrence.
-        code: Stable code of the kind.
-        retry_after_s: When to come back, in seconds.
-    """
-
-    type: str
-    title: str
-    status: int
-    detail: str
-    code: str
-    retry_after_s: float | None = None
-
-
-def from_error(error: errors.BronzeslipError) -> Problem:
+def from_error(error: errors.BronzeslipError) -> http_problem.Problem:
     """Describes an error of any layer."""
-    status = getattr(error, "status", gateway_errors.GatewayError.status)
-    title = getattr(error, "title", gateway_errors.GatewayError.title)
-    return Problem(
-        _TYPE_PREFIX + error.code,
-        title,
-        status,
-        error.message,
+    if not isinstance(error, gateway_errors.GatewayError):
+        error = _converted(error)
+    return http_problem.create(
         error.code,
-        error.retry_after_s,
+        error.title,
+        error.status,
+        error.message,
+        field=error.field,
+        retry_after_s=error.retry_after_s,
+        current_number=error.current_number,
+        may_repeat=error.may_repeat,
     )
 
 
-def to_response(problem: Problem) -> litestar.Response[bytes]:
+def to_response(problem: http_problem.Problem) -> litestar.Response[bytes]:
     """Renders a problem as an HTTP answer."""
-    headers = {}
-    if problem.retry_after_s is not None:
-        headers["Retry-After"] = str(max(1, math.ceil(problem.retry_after_s)))
     return litestar.Response(
         msgspec.json.encode(problem),
         status_code=problem.status,
-        media_type=MEDIA_TYPE,
-        headers=headers,
+        media_type=http_problem.MEDIA_TYPE,
+        headers=_headers(problem),
+    )
+
+
+def _headers(problem: http_problem.Problem) -> dict[str, str]:
+    headers = {}
+    if problem.retry_after_s is not None:
+        headers["Retry-After"] = str(max(1, math.ceil(problem.retry_after_s)))
+    if problem.may_repeat is not None:
+        headers[_MAY_REPEAT_HEADER] = str(problem.may_repeat).lower()
+    if problem.status == http_problem.UNAUTHORIZED_STATUS:
+        headers["WWW-Authenticate"] = "Bearer"
+    return headers
+
+
+def _converted(
+    error: errors.BronzeslipError,
+) -> gateway_errors.GatewayError:
+    converted = gateway_errors.GatewayError(
+        error.message, retry_after_s=error.retry_after_s
     )
+    converted.code = error.code
+    return converted
--- a/bronzeslip/gateway/services_api.py
+++ b/bronzeslip/gateway/services_api.py
@@ -36,7 +36,9 @@
         request.headers.get("authorization"), ids.ServiceName(service_name)
     )
     if context.service.kind is not service.ServiceKind.PLAIN:
-        raise errors.NotFoundError(f"{service_name!r} is no plain service")
+        raise errors.ServiceNotFoundError(
+            f"{service_name!r} is no plain service"
+        )
     wanted = call_session.CallInput(
         request.method,
         _path_with_query(request, path),
--- /dev/null
+++ b/bronzeslip/http/limited_protocol.py
@@ -0,0 +1,146 @@
+"""HTTP protocol that bounds headers and the time that peers take."""
+
+import asyncio
+from typing import Any
+
+import msgspec
+from uvicorn.protocols.http import httptools_impl
+
+from bronzeslip import logs
+from bronzeslip.http import problem
+from bronzeslip.settings import http
+
+logger = logs.get_logger(__name__)
+
+_MALFORMED = problem.create(
+    "bad-request", "Bad request", 400, "the bytes are no HTTP request"
+)
+_HEADERS_TOO_LARGE = problem.create(
+    "headers-too-large",
+    "Headers too large",
+    431,
+    "the request line and headers are too large",
+)
+_HEADERS_TOO_LATE = problem.create(
+    "read-timeout",
+    "Request timeout",
+    408,
+    "the headers did not arrive in time",
+)
+
+
+class _RefusedError(Exception):
+    """Stops the parser."""
+
+
+class LimitedHttpProtocol(httptools_impl.HttpToolsProtocol):
+    """Refuses large or late headers, gives up callers that stop reading."""
+
+    def __init__(
+        self, settings: http.HttpSettings, *args: Any, **options: Any
+    ) -> None:
+        super().__init__(*args, **options)
+        self._settings = settings
+        self._refusal = _MALFORMED
+        self._in_headers = True
+        self._header_bytes = 0
+        self._header_timer: asyncio.TimerHandle | None = None
+        self._stall_timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Starts to wait for the first request."""
+        super().connection_made(transport)
+        self._start_header_timer()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Stops the timers."""
+        self._stop_header_timer()
+        self._stop_stall_timer()
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        """Parses bytes and bounds those of unfinished headers."""
+        super().data_received(data)
+        if not self._in_headers or self.transport.is_closing():
+            return
+        self._header_bytes += len(data)
+        if self._header_bytes > self._settings.max_header_bytes:
+            self._refuse(_HEADERS_TOO_LARGE)
+
+    def on_message_begin(self) -> None:
+        """Notes the start of a request's headers."""
+        super().on_message_begin()
+        self._in_headers = True
+        self._header_bytes = 0
+        if self._header_timer is None:
+            self._start_header_timer()
+
+    def on_headers_complete(self) -> None:
+        """Refuses headers that are too large.
+
+        Raises:
+            _RefusedError: To stop the parser.
+        """
+        self._in_headers = False
+        self._stop_header_timer()
+        size_bytes = len(self.url) + sum(
+            len(name) + len(value) for name, value in self.headers
+        )
+        if size_bytes > self._settings.max_header_bytes:
+            self._refusal = _HEADERS_TOO_LARGE
+            raise _RefusedError
+        super().on_headers_complete()
+
+    def send_400_response(self, msg: str) -> None:
+        """Answers what the parser does not take."""
+        self._refuse(self._refusal)
+
+    def pause_writing(self) -> None:
+        """Starts to wait for a caller that does not read."""
+        super().pause_writing()
+        self._stall_timer = self.loop.call_later(
+            self._settings.caller_stall_timeout_s, self._give_up_caller
+        )
+
+    def resume_writing(self) -> None:
+        """Notes that the caller reads again."""
+        self._stop_stall_timer()
+        super().resume_writing()
+
+    def _refuse(self, refusal: problem.Problem) -> None:
+        self._stop_header_timer()
+        logger.warning("http.refused", reason=refusal.code)
+        if self.cycle is None or self.cycle.response_complete:
+            self.transport.write(_render(refusal))
+        self.transport.close()
+
+    def _give_up_caller(self) -> None:
+        logger.warning("http.caller_stalled")
+        self._stall_timer = None
+        self.transport.abort()
+
+    def _start_header_timer(self) -> None:
+        self._header_timer = self.loop.call_later(
+            self._settings.header_timeout_s, self._refuse, _HEADERS_TOO_LATE
+        )
+
+    def _stop_header_timer(self) -> None:
+        if self._header_timer is not None:
+            self._header_timer.cancel()
+            self._header_timer = None
+
+    def _stop_stall_timer(self) -> None:
+        if self._stall_timer is not None:
+            self._stall_timer.cancel()
+            self._stall_timer = None
+
+
+def _render(refusal: problem.Problem) -> bytes:
+    body = msgspec.json.encode(refusal)
+    head = (
+        f"content-type: {problem.MEDIA_TYPE}\r\n"
+        f"content-length: {len(body)}\r\n"
+        "connection: close\r\n\r\n"
+    )
+    status_line = httptools_impl.STATUS_LINE[refusal.status]
+    return status_line + head.encode() + body
--- a/bronzeslip/http/server.py
+++ b/bronzeslip/http/server.py
@@ -3,11 +3,17 @@
 import asyncio
 from collections.abc import Iterator
 import contextlib
+import functools
 import socket
 from typing import Any
 
 import uvicorn
 
+from bronzeslip.http import limited_protocol
+from bronzeslip.settings import http
+
+_BACKLOG = 2048
+
 
 class _Server(uvicorn.Server):
     @contextlib.contextmanager
@@ -18,18 +24,22 @@
 class HttpServer:
     """Serves an ASGI application until told to stop."""
 
-    def __init__(self, app: Any, address: str, port: int) -> None:
-        """Binds the port.
+    def __init__(self, app: Any, settings: http.HttpSettings) -> None:
+        """Creates a server.
 
         Args:
             app: ASGI application.
-            address: IP number to listen on.
-            port: Port to listen on; 0 lets the system choose.
+            settings: Address, limits and certificate.
         """
-        self._socket = socket.create_server((address, port), backlog=2048)
+        self._address = (settings.listen_address, settings.http_port)
+        self._socket: socket.socket | None = None
         config = uvicorn.Config(
             app,
-            http="httptools",
+            http=functools.partial(
+                limited_protocol.LimitedHttpProtocol, settings
+            ),
+            ssl_certfile=settings.http_certificate_file,
+            ssl_keyfile=settings.http_private_key_file,
             loop="asyncio",
             lifespan="off",
             log_config=None,
@@ -41,11 +51,12 @@
 
     @property
     def port(self) -> int:
-        """Port that the server listens on."""
+        """Port that the server listens on, once started."""
         return self._socket.getsockname()[1]
 
     def start(self) -> None:
-        """Starts to accept connections."""
+        """Binds the port and starts to accept connections."""
+        self._socket = socket.create_server(self._address, backlog=_BACKLOG)
         self._task = asyncio.create_task(
             self._server.serve(sockets=[self._socket])
         )
@@ -64,4 +75,5 @@
     async def _end(self) -> None:
         if self._task is not None:
             await self._task
-        self._socket.close()
+        if self._socket is not None:
+            self._socket.close()
--- a/bronzeslip/settings/common.py
+++ b/bronzeslip/settings/common.py
@@ -5,15 +5,15 @@
 from bronzeslip import ids
 from bronzeslip import logs
 from bronzeslip.settings import errors
+from bronzeslip.settings import http
 from bronzeslip.settings import text_form
 from bronzeslip.settings.setting import setting
 
-MAX_PORT = 65535
 _MIN_SILENT_HEARTBEATS = 2
 
 
 @dataclasses.dataclass(frozen=True)
-class CommonSettings:
+class CommonSettings(http.HttpSettings):
     """Settings that the gateway and the sidecar share."""
 
     vm_id: ids.VmId = setting("id of the VM this process runs on", "identity")
@@ -21,38 +21,25 @@
     failure_domain: ids.FailureDomainName = setting(
         "failure domain of the VM", "identity"
     )
-    listen_address: str = setting(
-        "IP number to listen on",
-        "network",
-        default="127.0.0.1",
-        form=text_form.IP_NUMBER,
-    )
     advertise_address: str = setting(
         "IP number given to other processes",
         "network",
         default="127.0.0.1",
         form=text_form.IP_NUMBER,
     )
-    http_port: int = setting(
-        "port for HTTP; 0 lets the system choose",
-        "network",
-        default=0,
-        minimum=0,
-        maximum=MAX_PORT,
-    )
     peer_port: int = setting(
         "port for the system's own processes; 0 lets the system choose",
         "network",
         default=0,
         minimum=0,
-        maximum=MAX_PORT,
+        maximum=http.MAX_PORT,
     )
     advertise_peer_port: int = setting(
         "peer port given to other processes; 0 gives the one listened on",
         "network",
         default=0,
         minimum=0,
-        maximum=MAX_PORT,
+        maximum=http.MAX_PORT,
     )
     peer_key: str = setting(
         "shared key that this process shows to other processes",
@@ -89,6 +76,22 @@
         minimum=0.1,
         maximum=60,
     )
+    peer_certificate_file: str | None = setting(
+        "certificate chain shown to the system's own processes, in PEM form, "
+        "for the name bronzeslip-peer",
+        "tls",
+        default=None,
+    )
+    peer_private_key_file: str | None = setting(
+        "private key of the peer certificate, in PEM form",
+        "tls",
+        default=None,
+    )
+    peer_ca_file: str | None = setting(
+        "certificates that sign the peer certificates, in PEM form",
+        "tls",
+        default=None,
+    )
     drain_notice_s: float = setting(
         "time to stay open after readiness fails, in seconds",
         "shutdown",
@@ -103,11 +106,6 @@
         "lowest level logged", "logs", default=logs.LogLevel.INFO
     )
 
-    @property
-    def all_peer_keys(self) -> tuple[str, ...]:
-        """Every shared key accepted from other processes."""
-        return (self.peer_key, *self.accepted_peer_keys)
-
     def check(self) -> None:
         """Checks the settings against each other.
 
@@ -115,6 +113,13 @@
             errors.SettingsError: With the flag, the value and what is
                 allowed.
         """
+        self._check_silence()
+        super().check()
+        self._check_files(
+            "peer_certificate_file", "peer_private_key_file", "peer_ca_file"
+        )
+
+    def _check_silence(self) -> None:
         least_s = _MIN_SILENT_HEARTBEATS * self.heartbeat_interval_s
         if self.peer_silence_timeout_s < least_s:
             raise errors.SettingsError(
--- a/bronzeslip/settings/gateway.py
+++ b/bronzeslip/settings/gateway.py
@@ -24,6 +24,13 @@
         minimum=1_000,
         maximum=64_000_000,
     )
+    body_timeout_s: float = setting(
+        "longest wait for a whole request body, in seconds",
+        "limits",
+        default=60.0,
+        minimum=0.1,
+        maximum=3600,
+    )
     dispatch_attempts: int = setting(
         "endpoints tried before a request is refused",
         "routing",
--- /dev/null
+++ b/bronzeslip/settings/http.py
@@ -0,0 +1,84 @@
+"""Settings of an HTTP server."""
+
+import dataclasses
+import os
+
+from bronzeslip.settings import errors
+from bronzeslip.settings import text_form
+from bronzeslip.settings.setting import setting
+
+MAX_PORT = 65535
+
+
+@dataclasses.dataclass(frozen=True)
+class HttpSettings:
+    """Where and how a process serves HTTP."""
+
+    listen_address: str = setting(
+        "IP number to listen on",
+        "network",
+        default="127.0.0.1",
+        form=text_form.IP_NUMBER,
+    )
+    http_port: int = setting(
+        "port for HTTP; 0 lets the system choose",
+        "network",
+        default=0,
+        minimum=0,
+        maximum=MAX_PORT,
+    )
+    max_header_bytes: int = setting(
+        "largest request line and headers of an HTTP request, in bytes",
+        "limits",
+        default=32_768,
+        minimum=1_024,
+        maximum=1_048_576,
+    )
+    header_timeout_s: float = setting(
+        "longest wait for the headers of an HTTP request, in seconds",
+        "limits",
+        default=10.0,
+        minimum=0.1,
+        maximum=600,
+    )
+    caller_stall_timeout_s: float = setting(
+        "time a caller may leave its answer unread, in seconds",
+        "limits",
+        default=60.0,
+        minimum=0.1,
+        maximum=3600,
+    )
+    http_certificate_file: str | None = setting(
+        "certificate chain for https, in PEM form", "tls", default=None
+    )
+    http_private_key_file: str | None = setting(
+        "private key of the https certificate, in PEM form",
+        "tls",
+        default=None,
+    )
+
+    def check(self) -> None:
+        """Checks the settings against each other.
+
+        Raises:
+            errors.SettingsError: With the flag, the value and what is
+                allowed.
+        """
+        self._check_files("http_certificate_file", "http_private_key_file")
+
+    def _check_files(self, *names: str) -> None:
+        values = {name: getattr(self, name) for name in names}
+        if not any(values.values()):
+            return
+        for name, value in values.items():
+            flag = "--" + name.replace("_", "-")
+            if value is None:
+                raise errors.SettingsError(
+                    f"{flag}: missing; allowed: a file, since "
+                    "another one of the group is given"
+                )
+            if not os.access(value, os.R_OK):
+                raise errors.SettingsError(
+                    f"{flag}: {value!r} is not allowed; "
+                    "allowed: a file that can be read"
+                )
--- a/bronzeslip/sidecar/daemon.py
+++ b/bronzeslip/sidecar/daemon.py
@@ -18,6 +18,7 @@
 from bronzeslip.sidecar import peer_session
 from bronzeslip.transport import server as transport_server
 from bronzeslip.transport import stream
+from bronzeslip.transport import tls
 
 logger = logs.get_logger(__name__)
 
@@ -41,13 +42,14 @@
         self._peers = transport_server.PeerServer(
             settings.listen_address,
             settings.peer_port,
-            settings.all_peer_keys,
+            settings.peer_key,
             self._serve_peer,
+            accepted_peer_keys=settings.accepted_peer_keys,
+            credentials=tls.server_credentials(settings),
         )
         self._http = http_server.HttpServer(
             app.create(lambda: self._ready),
-            settings.listen_address,
-            settings.http_port,
+            settings,
         )
         self._registrar = registrar.Registrar(self._platform, self._member())
 
--- a/bronzeslip/transport/connection.py
+++ b/bronzeslip/transport/connection.py
@@ -15,6 +15,7 @@
 from bronzeslip.transport import outbox
 from bronzeslip.transport import service
 from bronzeslip.transport import stream
+from bronzeslip.transport import tls
 from bronzeslip.transport.frames import link
 
 logger = logs.get_logger(__name__)
@@ -76,13 +77,17 @@
             self._on_close()
 
     def _open_channel(self) -> grpc.aio.Channel:
-        return grpc.aio.insecure_channel(
-            self.address,
-            options=(
-                ("grpc.use_local_subchannel_pool", 1),
-                ("grpc.enable_retries", 0),
-                ("grpc.max_receive_message_length", service.MAX_MESSAGE_BYTES),
-            ),
+        options = (
+            ("grpc.use_local_subchannel_pool", 1),
+            ("grpc.enable_retries", 0),
+            ("grpc.max_receive_message_length", service.MAX_MESSAGE_BYTES),
+            *tls.CHANNEL_OPTIONS,
+        )
+        credentials = tls.channel_credentials(self._settings)
+        if credentials is None:
+            return grpc.aio.insecure_channel(self.address, options=options)
+        return grpc.aio.secure_channel(
+            self.address, credentials, options=options
         )
 
     async def _serve(self, channel: grpc.aio.Channel) -> None:
--- a/bronzeslip/transport/server.py
+++ b/bronzeslip/transport/server.py
@@ -25,19 +25,26 @@
         self,
         address: str,
         port: int,
-        peer_keys: Sequence[str],
+        peer_key: str,
         handler: Handler,
+        *,
+        accepted_peer_keys: Sequence[str] = (),
+        credentials: grpc.ServerCredentials | None = None,
     ) -> None:
         """Binds the port.
 
         Args:
             address: IP number to listen on.
             port: Port to listen on; 0 lets the system choose.
-            peer_keys: Keys of which every peer must show one.
+            peer_key: Key that every peer must show.
             handler: Called with each accepted connection; the connection
                 ends when it returns.
+            accepted_peer_keys: Further keys that a peer may show instead.
+            credentials: Certificates for TLS, or None for plain TCP.
         """
-        self._peer_keys = tuple(key.encode() for key in peer_keys)
+        self._peer_keys = tuple(
+            key.encode() for key in (peer_key, *accepted_peer_keys)
+        )
         self._handler = handler
         self._server = grpc.aio.server(
             options=(
@@ -53,7 +60,13 @@
                 ),
             )
         )
-        self.port = self._server.add_insecure_port(f"{address}:{port}")
+        listen_address = f"{address}:{port}"
+        if credentials is None:
+            self.port = self._server.add_insecure_port(listen_address)
+        else:
+            self.port = self._server.add_secure_port(
+                listen_address, credentials
+            )
 
     async def start(self) -> None:
         """Starts to accept connections."""
--- /dev/null
+++ b/bronzeslip/transport/tls.py
@@ -0,0 +1,42 @@
+"""Certificates of the ports between the system's own processes."""
+
+import pathlib
+
+import grpc
+
+from bronzeslip.settings import common
+
+PEER_NAME = "bronzeslip-peer"
+CHANNEL_OPTIONS = (("grpc.ssl_target_name_override", PEER_NAME),)
+
+
+def server_credentials(
+    settings: common.CommonSettings,
+) -> grpc.ServerCredentials | None:
+    """Reads what a server shows and asks for, or None without TLS."""
+    if settings.peer_certificate_file is None:
+        return None
+    certificate, key, authority = _read(settings)
+    return grpc.ssl_server_credentials(
+        [(key, certificate)],
+        root_certificates=authority,
+        require_client_auth=True,
+    )
+
+
+def channel_credentials(
+    settings: common.CommonSettings,
+) -> grpc.ChannelCredentials | None:
+    """Reads what a client shows and asks for, or None without TLS."""
+    if settings.peer_certificate_file is None:
+        return None
+    certificate, key, authority = _read(settings)
+    return grpc.ssl_channel_credentials(authority, key, certificate)
+
+
+def _read(settings: common.CommonSettings) -> tuple[bytes, bytes, bytes]:
+    return (
+        pathlib.Path(settings.peer_certificate_file).read_bytes(),
+        pathlib.Path(settings.peer_private_key_file).read_bytes(),
+        pathlib.Path(settings.peer_ca_file).read_bytes(),
+    )
--- a/standins/serve.py
+++ b/standins/serve.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from bronzeslip.http import server
+from bronzeslip.settings import http as http_settings
 
 
 def add_port_flag(parser: argparse.ArgumentParser) -> None:
@@ -19,7 +20,8 @@
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
-    http = server.HttpServer(app, "127.0.0.1", port)
+    settings = http_settings.HttpSettings(http_port=port)
+    http = server.HttpServer(app, settings)
     http.start()
     print(f"listening http://127.0.0.1:{http.port}", flush=True)
     sys.stdout.flush()
--- /dev/null
+++ b/tests/gateway/bad_input_case.py
@@ -0,0 +1,48 @@
+"""Base of the tests that send requests to a gateway's application."""
+
+import typing
+import unittest
+
+import httpx
+
+from bronzeslip import ids
+from bronzeslip.configuration import document
+from bronzeslip.configuration import record
+from tests.support import gateway_app
+from tools import declarations
+from tools import shapes
+
+CALLER = {"Authorization": "Bearer smiths-key"}
+OPERATOR = {"Authorization": f"Bearer {declarations.OPERATOR_CREDENTIAL}"}
+
+
+class GatewayCase(unittest.IsolatedAsyncioTestCase):
+    settings: typing.ClassVar = {}
+
+    async def asyncSetUp(self):
+        self.parts = gateway_app.create_parts(**self.settings)
+        tree = declarations.document_of(shapes.MIDLANDS)
+        await self.parts.configuration.adopt(
+            record.ConfigurationRecord(
+                ids.ConfigurationNumber(1), document.parse(tree)
+            )
+        )
+        self.client = httpx.AsyncClient(
+            transport=gateway_app.create_transport(self.parts),
+            base_url=gateway_app.URL,
+        )
+        self.addAsyncCleanup(self.client.aclose)
+
+    def assert_problem(self, answer, status, code, text=""):
+        self.assertEqual(answer.status_code, status, answer.text)
+        self.assertEqual(
+            answer.headers["content-type"], "application/problem+json"
+        )
+        problem = answer.json()
+        self.assertEqual(problem["code"], code)
+        self.assertEqual(problem["status"], status)
+        self.assertEqual(problem["type"], f"urn:bronzeslip:problem:{code}")
+        self.assertIn(text, problem["detail"])
+        self.assertEqual(problem["error"]["code"], code)
+        self.assertEqual(problem["error"]["message"], problem["detail"])
+        return problem
--- /dev/null
+++ b/tests/gateway/test_bad_input.py
@@ -0,0 +1,291 @@
+"""Malformed requests, each answered by a problem document."""
+
+import typing
+import unittest
+
+from tests.gateway import bad_input_case
+
+_CHAT = "/v1/chat/completions"
+_PLAIN = "/v1/completions"
+_MESSAGES = [{"role": "user", "content": "x"}]
+
+
+def _chat(**fields):
+    return {"model": "tin-drafter", "messages": _MESSAGES, **fields}
+
+
+_WRONG_BODIES = (
+    ("malformed", b'{"model": ', "malformed"),
+    ("empty", b"", "malformed"),
+    ("not utf-8", b'{"model": "\xff\xfe"}', "UTF-8"),
+    ("deep", b'{"x":' + b"[" * 100_000, "nested too deeply"),
+    ("not an object", b"[1]", "Expected `object`"),
+    (
+        "trailing",
+        b'{"model":"m","prompt":"x","messages":[{"role":"u"}]} {}',
+        "malformed",
+    ),
+)
+_WRONG_FIELDS = (
+    ({"model": "tin-drafter"}, "messages"),
+    ({"messages": _MESSAGES}, "model"),
+    (_chat(model=7), "model"),
+    (_chat(messages="x"), "messages"),
+    (_chat(messages=[]), "messages"),
+    (_chat(messages=[{"content": "x"}]), "role"),
+    (_chat(max_tokens=0), "max_tokens"),
+    (_chat(max_tokens=-5), "max_tokens"),
+    (_chat(max_tokens="5"), "max_tokens"),
+    (_chat(max_tokens=1.5), "max_tokens"),
+    (_chat(max_completion_tokens=-1), "max_completion_tokens"),
+    (_chat(stream="yes"), "stream"),
+    (_chat(stream_options={"include_usage": 1}), "include_usage"),
+    (_chat(n=2), "n"),
+    (_chat(n=0), "n"),
+    (_chat(tools=[{"type": "function"}]), "tools"),
+    (_chat(functions=[{}]), "functions"),
+    (_chat(stop=["\n"]), "stop"),
+    (_chat(logprobs=True), "logprobs"),
+    (_chat(response_format={"type": "json_object"}), "response_format"),
+    (_chat(modalities=["audio"]), "modalities"),
+    (
+        _chat(
+            messages=[
+                {"role": "user", "content": [{"type": "image_url"}]},
+            ]
+        ),
+        "messages",
+    ),
+)
+_WRONG_COMPLETION_FIELDS = (
+    ({"model": "tin-drafter"}, "prompt"),
+    ({"prompt": "x"}, "model"),
+    ({"model": "tin-drafter", "prompt": ["a", "b"]}, "prompt"),
+    ({"model": "tin-drafter", "prompt": [1, 2]}, "prompt"),
+    ({"model": "tin-drafter", "prompt": "x", "n": 3}, "n"),
+    ({"model": "tin-drafter", "prompt": "x", "best_of": 2}, "best_of"),
+    ({"model": "tin-drafter", "prompt": "x", "echo": True}, "echo"),
+    ({"model": "tin-drafter", "prompt": "x", "suffix": "y"}, "suffix"),
+    ({"model": "tin-drafter", "prompt": "x", "logprobs": 2}, "logprobs"),
+    ({"model": "tin-drafter", "prompt": "x", "max_tokens": -1}, "max_tokens"),
+)
+
+
+class BadInputTest(bad_input_case.GatewayCase):
+    async def post(self, path, **options):
+        headers = {**bad_input_case.CALLER, **options.pop("headers", {})}
+        return await self.client.post(path, headers=headers, **options)
+
+    async def test_wrong_bodies(self):
+        for name, content, text in _WRONG_BODIES:
+            for path in (_CHAT, _PLAIN):
+                with self.subTest(name=name, path=path):
+                    answer = await self.post(path, content=content)
+                    problem = self.assert_problem(answer, 400, "bad-request")
+                    self.assertIn(text, problem["detail"])
+
+    async def test_wrong_fields_are_named(self):
+        cases = [(_CHAT, *case) for case in _WRONG_FIELDS]
+        cases += [(_PLAIN, *case) for case in _WRONG_COMPLETION_FIELDS]
+        for path, body, field in cases:
+            with self.subTest(path=path, body=body):
+                answer = await self.post(path, json=body)
+                problem = self.assert_problem(answer, 400, "bad-request")
+                self.assertIn(field, problem["detail"])
+                self.assertTrue(
+                    problem["error"]["param"].startswith(field)
+                    or problem["error"]["param"].endswith(f".{field}"),
+                    problem,
+                )
+
+    async def test_harmless_fields_are_accepted(self):
+        body = _chat(
+            n=1,
+            max_tokens=10**12,
+            temperature=0.2,
+            top_p=1,
+            seed=3,
+            user="u",
+            stop=None,
+            tools=[],
+            logprobs=False,
+            response_format={"type": "text"},
+            metadata={"a": "b"},
+            store=False,
+        )
+        answer = await self.post(_CHAT, json=body)
+        self.assert_problem(answer, 503, "not-run")
+        self.assertGreaterEqual(int(answer.headers["retry-after"]), 1)
+
+    async def test_max_tokens_beyond_any_integer(self):
+        content = b'{"model":"tin-drafter","prompt":"x","max_tokens":1e999}'
+        answer = await self.post(_PLAIN, content=content)
+        self.assert_problem(answer, 400, "bad-request")
+
+    async def test_wrong_content_type(self):
+        for media_type in ("text/plain", "multipart/form-data; boundary=x"):
+            with self.subTest(media_type=media_type):
+                answer = await self.post(
+                    _CHAT,
+                    content=b"{}",
+                    headers={"content-type": media_type},
+                )
+                self.assert_problem(answer, 415, "unsupported-media-type")
+
+    async def test_json_content_types(self):
+        for media_type in (
+            "application/json; charset=utf-8",
+            "APPLICATION/JSON",
+            "application/merge-patch+json",
+        ):
+            with self.subTest(media_type=media_type):
+                answer = await self.post(
+                    _CHAT, content=b"{}", headers={"content-type": media_type}
+                )
+                self.assert_problem(answer, 400, "bad-request")
+
+    async def test_unknown_model_and_service(self):
+        answer = await self.post(_CHAT, json=_chat(model="none"))
+        problem = self.assert_problem(answer, 404, "model-not-found", "none")
+        self.assertEqual(problem["error"]["param"], "model")
+        answer = await self.post("/v1/services/none/x", content=b"")
+        self.assert_problem(answer, 404, "service-not-found", "none")
+
+    async def test_unknown_route_and_method(self):
+        answer = await self.post("/v1/embeddings", json={})
+        self.assert_problem(answer, 404, "route-not-found")
+        answer = await self.client.delete(_CHAT)
+        self.assert_problem(answer, 405, "method-not-allowed")
+        self.assertIn("POST", answer.headers["allow"])
+
+    async def test_oversize_prompt(self):
+        answer = await self.post(
+            _PLAIN, json={"model": "tin-drafter", "prompt": "x" * 1_000_001}
+        )
+        self.assert_problem(answer, 413, "too-large")
+
+    async def test_errors_do_not_repeat_the_prompt(self):
+        for body in (
+            {"model": "tin-drafter", "prompt": "secret words", "stream": "x"},
+            {"model": "tin-drafter", "prompt": {"secret words": 1}},
+        ):
+            answer = await self.post(_PLAIN, json=body)
+            self.assertNotIn("secret words", answer.text)
+
+    async def test_no_configuration_yet(self):
+        parts = self.parts
+        parts.configuration._record = parts.configuration._index = None
+        answer = await self.post(_CHAT, json=_chat())
+        self.assert_problem(answer, 503, "unavailable")
+        self.assertIn("retry-after", answer.headers)
+
+
+class OversizeTest(bad_input_case.GatewayCase):
+    settings: typing.ClassVar = {"max_body_bytes": 1000}
+
+    async def test_announced_size(self):
+        answer = await self.client.post(
+            _CHAT, headers=bad_input_case.CALLER, content=b"x" * 1001
+        )
+        self.assert_problem(answer, 413, "too-large")
+
+    async def test_size_found_out_while_reading(self):
+        async def chunks():
+            for _ in range(20):
+                yield b"x" * 100
+
+        for path in (_CHAT, "/v1/services/commissions/x"):
+            with self.subTest(path=path):
+                answer = await self.client.post(
+                    path, headers=bad_input_case.CALLER, content=chunks()
+                )
+                self.assert_problem(answer, 413, "too-large")
+
+
+class AccessTest(bad_input_case.GatewayCase):
+    async def test_unknown_credentials(self):
+        for value in (
+            None,
+            "",
+            "Bearer",
+            "Bearer ",
+            "Bearer wrong",
+            "Basic c21pdGhzLWtleQ==",
+            "smiths-key",
+            "Bearer \u00e9".encode("latin-1"),
+        ):
+            headers = {} if value is None else {"Authorization": value}
+            for method, path in (
+                ("POST", _CHAT),
+                ("GET", "/v1/models"),
+                ("POST", "/v1/services/commissions/x"),
+                ("GET", "/v1/configuration"),
+            ):
+                with self.subTest(value=value, path=path):
+                    answer = await self.client.request(
+                        method, path, headers=headers, json=_chat()
+                    )
+                    self.assert_problem(answer, 401, "unauthorized")
+                    self.assertEqual(
+                        answer.headers["www-authenticate"], "Bearer"
+                    )
+                    self.assertNotIn("wrong", answer.text)
+
+    async def test_callers_and_operators_are_apart(self):
+        answer = await self.client.get(
+            "/v1/configuration", headers=bad_input_case.CALLER
+        )
+        self.assert_problem(answer, 401, "unauthorized")
+        answer = await self.client.get(
+            "/v1/models", headers=bad_input_case.OPERATOR
+        )
+        self.assert_problem(answer, 401, "unauthorized")
+
+    async def test_scheme_is_case_insensitive(self):
+        answer = await self.client.get(
+            "/v1/models", headers={"Authorization": "bearer smiths-key"}
+        )
+        self.assertEqual(answer.status_code, 200)
+
+
+class PatchTest(bad_input_case.GatewayCase):
+    async def submit(self, **fields):
+        body = {
+            "patch_id": "a" * 32,
+            "base_number": 0,
+            "operator": "o",
+            "patch": {},
+            **fields,
+        }
+        return await self.client.post(
+            "/v1/configuration/patches",
+            headers=bad_input_case.OPERATOR,
+            json=body,
+        )
+
+    async def test_stale_number_is_told(self):
+        answer = await self.submit(base_number=7)
+        problem = self.assert_problem(answer, 409, "configuration-stale")
+        self.assertEqual(problem["current_number"], 0)
+        self.assertEqual(answer.headers["x-should-retry"], "false")
+
+    async def test_invalid_patches(self):
+        for patch in (
+            "text",
+            None,
+            [1],
+            {"services": {"s": {"kind": "odd"}}},
+            {"workspaces": {"w": {"credentials_sha256": [], "weight": -1}}},
+            {"unknown": {"a": 1}},
+        ):
+            with self.subTest(patch=patch):
+                answer = await self.submit(patch=patch)
+                self.assert_problem(answer, 400, "configuration-invalid")
+
+    async def test_wrong_types(self):
+        answer = await self.submit(base_number="x")
+        self.assert_problem(answer, 400, "bad-request", "base_number")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/http/test_limited_protocol.py
@@ -0,0 +1,133 @@
+"""Limits of the HTTP server, over real connections."""
+
+import asyncio
+import json
+import unittest
+
+from bronzeslip.http import server
+from bronzeslip.settings import http
+
+_REQUEST = b"GET / HTTP/1.1\r\nhost: x\r\n"
+
+
+class StreamingApp:
+    """Answers with chunks until the caller is gone."""
+
+    def __init__(self, chunk=b"x", chunk_count=1):
+        self.chunk = chunk
+        self.chunk_count = chunk_count
+        self.started = 0
+        self.gone = asyncio.Event()
+
+    async def __call__(self, scope, receive, send):
+        self.started += 1
+        await send(
+            {"type": "http.response.start", "status": 200, "headers": []}
+        )
+        writing = asyncio.create_task(self._write(send))
+        while (await receive())["type"] != "http.disconnect":
+            pass
+        if not writing.done():
+            writing.cancel()
+            self.gone.set()
+
+    async def _write(self, send):
+        for _ in range(self.chunk_count):
+            await send(
+                {
+                    "type": "http.response.body",
+                    "body": self.chunk,
+                    "more_body": True,
+                }
+            )
+        await send({"type": "http.response.body", "body": b""})
+
+
+class LimitedProtocolTest(unittest.IsolatedAsyncioTestCase):
+    async def start(self, app, **settings):
+        instance = server.HttpServer(app, http.HttpSettings(**settings))
+        instance.start()
+        self.addAsyncCleanup(instance.abort)
+        self.port = instance.port
+
+    async def connect(self, **options):
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", self.port, **options
+        )
+        self.addCleanup(writer.close)
+        return reader, writer
+
+    async def exchange(self, data):
+        reader, writer = await self.connect()
+        writer.write(data)
+        async with asyncio.timeout(10):
+            return await reader.read()
+
+    def assert_problem(self, answer, status, code):
+        head, _, body = answer.partition(b"\r\n\r\n")
+        self.assertTrue(head.startswith(f"HTTP/1.1 {status} ".encode()), answer)
+        self.assertIn(b"application/problem+json", head)
+        problem = json.loads(body)
+        self.assertEqual(problem["code"], code)
+        self.assertEqual(problem["error"]["code"], code)
+
+    async def test_large_headers(self):
+        app = StreamingApp()
+        await self.start(app, max_header_bytes=2000)
+        for name, rest in (
+            ("one", b"a: " + b"x" * 3000 + b"\r\n\r\n"),
+            ("many", b"a: b\r\n" * 1000 + b"\r\n"),
+            ("unfinished", b"a: " + b"x" * 100_000),
+        ):
+            with self.subTest(name=name):
+                answer = await self.exchange(_REQUEST + rest)
+                self.assert_problem(answer, 431, "headers-too-large")
+        with self.subTest(name="target"):
+            answer = await self.exchange(
+                b"GET /" + b"x" * 3000 + b" HTTP/1.1\r\n\r\n"
+            )
+            self.assert_problem(answer, 431, "headers-too-large")
+        self.assertEqual(app.started, 0)
+
+    async def test_late_headers(self):
+        await self.start(StreamingApp(), header_timeout_s=0.1)
+        for name, data in (("none", b""), ("some", _REQUEST)):
+            with self.subTest(name=name):
+                answer = await self.exchange(data)
+                self.assert_problem(answer, 408, "read-timeout")
+
+    async def test_no_http(self):
+        await self.start(StreamingApp())
+        answer = await self.exchange(b"\x16\x03\x01\x02\x00\r\n\r\n")
+        self.assert_problem(answer, 400, "bad-request")
+
+    async def test_garbage_does_not_mix_into_an_answer(self):
+        app = StreamingApp(b"y" * 100, 10**6)
+        await self.start(app)
+        reader, writer = await self.connect()
+        writer.write(_REQUEST + b"\r\n")
+        await reader.readuntil(b"yyy")
+        writer.write(b"\x16garbage\r\n\r\n")
+        rest = await reader.read()
+        self.assertNotIn(b"HTTP/1.1", rest)
+
+    async def test_limits_hold_for_each_request_of_a_connection(self):
+        app = StreamingApp()
+        await self.start(app, max_header_bytes=1024)
+        reader, writer = await self.connect()
+        for _ in range(20):
+            writer.write(_REQUEST + b"a: " + b"x" * 500 + b"\r\n\r\n")
+            await reader.readuntil(b"0\r\n\r\n")
+        self.assertEqual(app.started, 20)
+
+    async def test_caller_that_stops_reading_is_given_up(self):
+        app = StreamingApp(b"z" * 65536, 10**6)
+        await self.start(app, caller_stall_timeout_s=0.2)
+        _, writer = await self.connect(limit=1024)
+        writer.write(_REQUEST + b"\r\n")
+        async with asyncio.timeout(10):
+            await app.gone.wait()
+
+
+if __name__ == "__main__":
+    unittest.main()
