Offer TLS on every port and prove who is let in

HTTP takes a certificate, peer connections take mutual TLS for the name bronzeslip-peer, so that certificates need not list the IP numbers of VMs that are replaced at any time. Several peer keys are accepted while they rotate. Weighed: TLS alone in place of the shared key; kept both, since a deployment without an authority of its own still needs the key.

Tests show that a wrong key, an untrusted certificate on either side and a plain connection are refused, that a body cut off or stalled is never dispatched and harms no other caller, and that the OpenAI client maps the problems to its own error classes with code and param.

--- /dev/null
+++ b/tests/gateway/test_connections.py
@@ -0,0 +1,118 @@
+"""A gateway's application over real connections."""
+
+import asyncio
+import json
+import unittest
+
+import httpx
+import openai
+
+from bronzeslip.gateway import app
+from bronzeslip.http import server
+from tests.gateway import bad_input_case
+
+_HEAD = (
+    b"POST /v1/completions HTTP/1.1\r\nhost: x\r\n"
+    b"authorization: Bearer smiths-key\r\ncontent-length: 1000\r\n\r\n"
+)
+_PART = b'{"model": "tin-drafter", "prompt": "'
+
+
+class ConnectionsTest(bad_input_case.GatewayCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.dispatched = []
+        original = self.parts.generation
+        self.parts.generation = lambda *args: (
+            self.dispatched.append(args) or original(*args)
+        )
+        self.server = server.HttpServer(
+            app.create(self.parts), self.parts.settings
+        )
+        self.server.start()
+        self.addAsyncCleanup(self.server.abort)
+        self.url = f"http://127.0.0.1:{self.server.port}"
+
+    async def assert_others_unharmed(self):
+        async with httpx.AsyncClient(base_url=self.url) as client:
+            answer = await client.get(
+                "/v1/models", headers=bad_input_case.CALLER
+            )
+        self.assertEqual(answer.status_code, 200)
+
+
+class BrokenBodyTest(ConnectionsTest):
+    settings = {"body_timeout_s": 0.2}  # noqa: RUF012
+
+    async def open(self, data):
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", self.server.port
+        )
+        self.addCleanup(writer.close)
+        writer.write(data)
+        return reader, writer
+
+    async def test_body_cut_off_midway(self):
+        with self.assertNoLogs(logger="absl", level="ERROR"):
+            _, writer = await self.open(_HEAD + _PART)
+            writer.write_eof()
+            writer.close()
+            await writer.wait_closed()
+            await self.assert_others_unharmed()
+        self.assertEqual(self.dispatched, [])
+
+    async def test_body_that_stalls(self):
+        reader, _ = await self.open(_HEAD + _PART)
+        head = await reader.readuntil(b"\r\n\r\n")
+        self.assertTrue(head.startswith(b"HTTP/1.1 408 "), head)
+        body = await reader.readuntil(b"}}")
+        self.assertEqual(json.loads(body)["code"], "read-timeout")
+        await self.assert_others_unharmed()
+        self.assertEqual(self.dispatched, [])
+
+
+class OpenAiClientTest(ConnectionsTest):
+    async def create(self, key="smiths-key", **changes):
+        client = openai.AsyncOpenAI(
+            base_url=f"{self.url}/v1", api_key=key, max_retries=0
+        )
+        wanted = {
+            "model": "tin-drafter",
+            "messages": [{"role": "user", "content": "x"}],
+            **changes,
+        }
+        try:
+            await client.chat.completions.create(**wanted)
+        except openai.APIStatusError as error:
+            return error
+        finally:
+            await client.close()
+        raise AssertionError("no error")
+
+    async def test_error_classes(self):
+        cases = (
+            ({"key": "x"}, openai.AuthenticationError, "unauthorized", None),
+            ({"model": "x"}, openai.NotFoundError, "model-not-found", "model"),
+            ({"n": 2}, openai.BadRequestError, "bad-request", "n"),
+            (
+                {"max_tokens": -1},
+                openai.BadRequestError,
+                "bad-request",
+                "max_tokens",
+            ),
+            ({}, openai.InternalServerError, "not-run", None),
+        )
+        for changes, kind, code, param in cases:
+            with self.subTest(code=code):
+                error = await self.create(**changes)
+                self.assertIsInstance(error, kind)
+                self.assertEqual(error.code, code)
+                self.assertEqual(error.param, param)
+                self.assertTrue(error.type)
+                self.assertTrue(error.body["message"])
+
+
+del ConnectionsTest
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/http/test_server.py
@@ -0,0 +1,54 @@
+"""The HTTP server with a certificate."""
+
+import ssl
+import unittest
+
+import httpx
+
+from bronzeslip.http import server
+from bronzeslip.settings import errors
+from bronzeslip.settings import http
+from tests.support import certificates
+
+
+async def _app(scope, receive, send):
+    await send({"type": "http.response.start", "status": 204, "headers": []})
+    await send({"type": "http.response.body"})
+
+
+class HttpsTest(unittest.IsolatedAsyncioTestCase):
+    async def test_serves_https(self):
+        settings = http.HttpSettings(
+            http_certificate_file=certificates.path("trusted-certificate"),
+            http_private_key_file=certificates.path("trusted-key"),
+        )
+        settings.check()
+        instance = server.HttpServer(_app, settings)
+        instance.start()
+        self.addAsyncCleanup(instance.abort)
+        context = ssl.create_default_context(
+            cafile=certificates.path("trusted-ca")
+        )
+        async with httpx.AsyncClient(verify=context) as client:
+            answer = await client.get(f"https://127.0.0.1:{instance.port}/")
+        self.assertEqual(answer.status_code, 204)
+
+    async def test_half_a_pair_is_refused(self):
+        settings = http.HttpSettings(http_private_key_file="/none")
+        with self.assertRaisesRegex(
+            errors.SettingsError, "--http-certificate-file: missing"
+        ):
+            settings.check()
+
+    async def test_unreadable_file_is_refused(self):
+        settings = http.HttpSettings(
+            http_certificate_file="/none", http_private_key_file="/none"
+        )
+        with self.assertRaisesRegex(
+            errors.SettingsError, "--http-certificate-file: '/none'"
+        ):
+            settings.check()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/support/certificates/__init__.py
@@ -0,0 +1,17 @@
+"""Certificates for tests: one authority that is trusted and another."""
+
+import pathlib
+
+_FOLDER = pathlib.Path(__file__).parent
+
+
+def path(name):
+    return str(_FOLDER / f"{name}.pem")
+
+
+def peer_settings(authority="trusted", ca="trusted"):
+    return {
+        "peer_certificate_file": path(f"{authority}-certificate"),
+        "peer_private_key_file": path(f"{authority}-key"),
+        "peer_ca_file": path(f"{ca}-ca"),
+    }
