--- /dev/null
+++ b/tools/faults/__main__.py
@@ -0,0 +1,36 @@
+"""Runs the fault matrix and prints its results."""
+
+import argparse
+import collections
+import sys
+
+from tools.faults import cell_result
+from tools.faults import request_cells
+from tools.faults import runner
+
+
+def main() -> None:
+    """Runs the cells whose names contain a text."""
+    parser = argparse.ArgumentParser(prog="faults")
+    parser.add_argument("--match", default="", help="part of a cell's name")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--workers", type=int, default=3)
+    flags = parser.parse_args()
+    cells = [
+        wanted
+        for wanted in request_cells.all_cells()
+        if flags.match in wanted.name
+    ]
+    results = runner.run_cells(cells, flags.seed, flags.workers)
+    for result in results:
+        print(
+            f"{result.verdict.value:15}{result.cell.name:55}"
+            f"{result.duration_s:6.1f} s  {result.detail}"
+        )
+    counts = collections.Counter(result.verdict for result in results)
+    print({verdict.value: count for verdict, count in counts.items()})
+    sys.exit(counts[cell_result.Verdict.FAILED] > 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/faults/caller.py
@@ -0,0 +1,128 @@
+"""Base of the callers in a trial."""
+
+import abc
+from collections.abc import Iterator
+import json
+import threading
+import time
+from typing import Any
+
+import httpx
+
+from tools import local_deployment
+from tools import local_process
+from tools.faults import history
+
+CALLER_TIMEOUT_S = 60.0
+RETRY_PAUSE_S = 0.2
+MAX_ATTEMPTS = 40
+
+
+class Caller(abc.ABC):
+    """Sends one request from a thread and goes on until it has an answer."""
+
+    def __init__(
+        self,
+        gateways: list[local_process.LocalProcess],
+        first_gateway: int,
+        workspace: str,
+    ) -> None:
+        self._urls = [gateway.http_url() for gateway in gateways]
+        self._first_gateway = first_gateway
+        self._headers = local_deployment.caller_headers(workspace)
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._body_held = threading.Event()
+        self._body_free = threading.Event()
+        self._body_free.set()
+        self.given_up = threading.Event()
+        self.in_flight_at_drain = False
+        self.outcome = history.Outcome.BROKEN_OFF
+        self.retry_after_s: float | None = None
+
+    @abc.abstractmethod
+    def answer(self) -> history.CallerAnswer:
+        """Describes the request and its answer."""
+
+    @abc.abstractmethod
+    def _attempt(self, url: str) -> bool:
+        """Sends the request once; returns whether the answer is final."""
+
+    def hold_body(self) -> None:
+        """Makes the caller stop in the middle of its body."""
+        self._body_free.clear()
+
+    def wait_body_held(self) -> None:
+        """Waits until half of the body has been sent."""
+        self._body_held.wait(CALLER_TIMEOUT_S)
+
+    def free_body(self) -> None:
+        """Lets the caller send the rest."""
+        self._body_free.set()
+
+    def start(self) -> None:
+        """Starts to send."""
+        self._thread.start()
+
+    def abandon(self) -> None:
+        """Makes the caller go away without a word."""
+        self.given_up.set()
+        self.free_body()
+
+    def join(self) -> None:
+        """Waits for the final answer."""
+        self._thread.join(CALLER_TIMEOUT_S)
+        if self._thread.is_alive():
+            self.given_up.set()
+
+    def _run(self) -> None:
+        for attempt in range(MAX_ATTEMPTS):
+            url = self._urls[(self._first_gateway + attempt) % len(self._urls)]
+            try:
+                if self._attempt(url) or self.given_up.is_set():
+                    return
+            except httpx.HTTPError:
+                if self.given_up.is_set():
+                    return
+            time.sleep(RETRY_PAUSE_S)
+
+    def _content(self, body: Any) -> Iterator[bytes]:
+        data = (
+            json.dumps(body).encode() if not isinstance(body, bytes) else body
+        )
+        half = len(data) // 2
+        yield data[:half]
+        self._body_held.set()
+        self._body_free.wait(CALLER_TIMEOUT_S)
+        if self.given_up.is_set():
+            raise httpx.WriteError("the caller has gone")
+        yield data[half:]
+
+    def _take_status(self, answer: httpx.Response) -> None:
+        retry_after = answer.headers.get("retry-after")
+        self.retry_after_s = float(retry_after) if retry_after else None
+        self.outcome = outcome_of(answer)
+
+
+def outcome_of(answer: httpx.Response) -> history.Outcome:
+    """Tells the outcome that a whole answer stands for."""
+    if answer.status_code == httpx.codes.OK:
+        return history.Outcome.COMPLETED
+    code = answer.json().get("code", "")
+    return outcome_of_code(code, answer.status_code)
+
+
+def outcome_of_code(code: str, status: int) -> history.Outcome:
+    """Tells the outcome that a problem stands for."""
+    by_code = {
+        "incomplete": history.Outcome.INCOMPLETE,
+        "outcome-unknown": history.Outcome.OUTCOME_UNKNOWN,
+        "in-progress": history.Outcome.IN_PROGRESS,
+    }
+    if code in by_code:
+        return by_code[code]
+    if status in (
+        httpx.codes.SERVICE_UNAVAILABLE,
+        httpx.codes.TOO_MANY_REQUESTS,
+    ):
+        return history.Outcome.NOT_RUN
+    return history.Outcome.REJECTED
--- /dev/null
+++ b/tools/faults/fleet.py
@@ -0,0 +1,181 @@
+"""A deployment that trials break and repair."""
+
+import contextlib
+import json
+import signal
+import time
+from typing import Any
+
+import httpx
+
+from tools import local_deployment
+from tools import local_process
+from tools import shapes
+from tools.faults import link
+
+POLL_S = 0.02
+WAIT_S = 30.0
+
+SHAPE = shapes.DeploymentShape(
+    name="trial",
+    regions=("north", "south"),
+    model="trial-model",
+    engine_pool="engines",
+    engine_count=3,
+    generation_service="drafts",
+    plain_pool="ledger",
+    plain_count=2,
+    plain_service="awards",
+    workspaces=("clerks", "smiths"),
+)
+
+_GATEWAY_FLAGS = ("--drain-notice-s", "0.1")
+_SIDECAR_FLAGS = ("--order-check-interval-s", "0.2", "--order-lease-ttl-s", "2")
+
+
+class Fleet(local_deployment.LocalDeployment):
+    """Two gateways, three engines, two plain endpoints and their links."""
+
+    def __init__(self) -> None:
+        super().__init__(
+            SHAPE,
+            gateway_flags=_GATEWAY_FLAGS,
+            sidecar_flags=_SIDECAR_FLAGS,
+        )
+        self.links: list[link.Link] = []
+
+    def start_sidecar(
+        self,
+        name: str,
+        pool: str,
+        endpoint: local_process.LocalProcess,
+        index: int,
+    ) -> local_process.LocalProcess:
+        """Starts one sidecar behind a link of its own."""
+        opened = link.Link()
+        self.links.append(opened)
+        flags = self._sidecar_flags
+        self._sidecar_flags = (
+            *flags,
+            "--advertise-peer-port",
+            str(opened.port),
+        )
+        try:
+            started = super().start_sidecar(name, pool, endpoint, index)
+        finally:
+            self._sidecar_flags = flags
+        opened.set_target(started.peer_port())
+        return started
+
+    def stop(self) -> None:
+        """Stops every process and link."""
+        super().stop()
+        for opened in self.links:
+            opened.close()
+
+    @property
+    def endpoints(self) -> list[local_process.LocalProcess]:
+        """Engines and plain endpoints, in the order of the sidecars."""
+        return [*self.engines, *self.plain_endpoints]
+
+    def repair(self) -> None:
+        """Lifts every fault and restarts what has died."""
+        self._lift_faults()
+        self._restart(self.engines, "--port")
+        self._restart(self.plain_endpoints, "--port")
+        self._restart_sidecars()
+        self._restart(self.gateways, "--http-port")
+        for endpoint in self.engines:
+            post(endpoint, "/standin/modes", {})
+        for endpoint in self.plain_endpoints:
+            post(endpoint, "/standin/modes", {})
+        self.wait_ready()
+
+    def index_of_generation(self, known: set[str]) -> int:
+        """Waits for a generation that is not among the known ones.
+
+        Returns:
+            Index of the engine that has it.
+        """
+
+        def find() -> int | None:
+            for index, engine in enumerate(self.engines):
+                if set(get(engine, "/standin/started")) - known:
+                    return index
+            return None
+
+        return wait_for(find, "no engine got the generation")
+
+    def index_of_call(self, body: str) -> int:
+        """Waits until a plain endpoint runs a body; returns its index."""
+
+        def find() -> int | None:
+            for index, endpoint in enumerate(self.plain_endpoints):
+                if body in get(endpoint, "/standin/runs"):
+                    return len(self.engines) + index
+            return None
+
+        return wait_for(find, "no endpoint got the call")
+
+    def started_generations(self) -> set[str]:
+        """Lists the generations that the live engines have started."""
+        started: set[str] = set()
+        for engine in self.engines:
+            with contextlib.suppress(httpx.HTTPError):
+                started |= set(get(engine, "/standin/started"))
+        return started
+
+    def set_engine_modes(self, modes: dict[str, Any]) -> None:
+        """Sets the modes of every engine."""
+        for engine in self.engines:
+            post(engine, "/standin/modes", modes)
+
+    def _lift_faults(self) -> None:
+        post(self.platform, "/standin/faults", {})
+        post(self.platform, "/standin/hold", None)
+        for opened in self.links:
+            opened.resume()
+        for process in (*self.endpoints, *self.sidecars, *self.gateways):
+            process.send(signal.SIGCONT)
+
+    def _restart(
+        self, group: list[local_process.LocalProcess], flag: str
+    ) -> None:
+        for index, process in enumerate(group):
+            if process.exit_status is not None:
+                port = str(process.http_port())
+                group[index] = process.restarted(flag, port)
+                group[index].http_port()
+
+    def _restart_sidecars(self) -> None:
+        for index, process in enumerate(self.sidecars):
+            if process.exit_status is not None:
+                self.sidecars[index] = process.restarted()
+                port = self.sidecars[index].peer_port()
+                self.links[index].set_target(port)
+
+
+def wait_for(find: Any, failure: str) -> Any:
+    """Polls until a function returns something other than None."""
+    end_s = time.monotonic() + WAIT_S
+    while time.monotonic() < end_s:
+        found = find()
+        if found is not None:
+            return found
+        time.sleep(POLL_S)
+    raise RuntimeError(failure)
+
+
+def post(process: local_process.LocalProcess, path: str, body: Any) -> None:
+    """Posts JSON to a stand-in."""
+    answer = httpx.post(
+        f"{process.http_url()}{path}", content=json.dumps(body).encode()
+    )
+    answer.raise_for_status()
+
+
+def get(process: local_process.LocalProcess, path: str) -> Any:
+    """Reads JSON from a stand-in."""
+    answer = httpx.get(f"{process.http_url()}{path}")
+    answer.raise_for_status()
+    return answer.json()
--- /dev/null
+++ b/tools/faults/request_trial.py
@@ -0,0 +1,97 @@
+"""Runs a cell that is about a request."""
+
+import random
+
+from tools.faults import caller
+from tools.faults import cell
+from tools.faults import checker
+from tools.faults import fault
+from tools.faults import fleet
+from tools.faults import history
+from tools.faults import holder
+from tools.faults import injector
+from tools.faults import request_cells
+from tools.faults import request_kind
+from tools.faults import service_caller
+from tools.faults import streamed_caller
+from tools.faults import whole_caller
+
+
+class RequestTrial:
+    """One request held at a step, hit by a fault, beside a bystander."""
+
+    def __init__(
+        self, ground: fleet.Fleet, wanted: cell.Cell, rng: random.Random
+    ) -> None:
+        self._fleet = ground
+        self._cell = wanted
+        self._name = f"{rng.getrandbits(48):012x}"
+        self._gateway_index = rng.randrange(len(ground.gateways))
+
+    def run(self) -> list[str]:
+        """Runs the trial.
+
+        Returns:
+            What was wrong; empty if nothing was.
+        """
+        held = holder.Holder(self._fleet, self._cell.kind, self._cell.step)
+        subject = self._subject()
+        held.prepare(subject)
+        subject.start()
+        endpoint_index = held.reach(subject)
+        bystander = self._bystander()
+        bystander.start()
+        injector.Injector(
+            self._fleet, subject, self._gateway_index, endpoint_index
+        ).inject(self._cell.fault)
+        held.release(subject)
+        subject.join()
+        bystander.join()
+        return self._judge(subject, bystander)
+
+    def _subject(self) -> caller.Caller:
+        gateways, first = self._fleet.gateways, self._gateway_index
+        if self._cell.kind is request_kind.RequestKind.CALL:
+            return service_caller.ServiceCaller(gateways, first, self._name)
+        kinds = {
+            request_kind.RequestKind.STREAMED: streamed_caller.StreamedCaller,
+            request_kind.RequestKind.WHOLE: whole_caller.WholeCaller,
+        }
+        return kinds[self._cell.kind](
+            gateways, first, self._name, holder.LENGTH_TOKENS
+        )
+
+    def _bystander(self) -> caller.Caller:
+        return whole_caller.WholeCaller(
+            self._fleet.gateways,
+            self._gateway_index,
+            f"bystander {self._name}",
+            holder.LENGTH_TOKENS,
+        )
+
+    def _judge(
+        self, subject: caller.Caller, bystander: caller.Caller
+    ) -> list[str]:
+        events: list[history.Event] = [bystander.answer()]
+        abandoned = self._cell.fault is fault.Fault.KILL_CALLER
+        if not abandoned:
+            events.append(subject.answer())
+        events.extend(self._runs())
+        wrong = [
+            f"{found.promise.value}: {found.detail}"
+            for found in checker.check(events)
+        ]
+        allowed = request_cells.allowed_outcomes(self._cell)
+        if subject.outcome not in allowed:
+            wrong.append(f"ended as {subject.outcome.value}")
+        return wrong
+
+    def _runs(self) -> list[history.EndpointRun]:
+        runs = []
+        for index, endpoint in enumerate(self._fleet.plain_endpoints):
+            if endpoint.exit_status is not None:
+                continue
+            for body, count in fleet.get(endpoint, "/standin/runs").items():
+                run = history.EndpointRun(f"plain-{index}", body)
+                runs.extend([run] * count)
+        return runs
--- /dev/null
+++ b/tools/faults/streamed_caller.py
@@ -0,0 +1,119 @@
+"""Caller of a streamed generation."""
+
+import json
+import threading
+
+import httpx
+import httpx_sse
+
+from standins.engine import sequence
+from tools import local_process
+from tools.faults import caller
+from tools.faults import fleet
+from tools.faults import history
+from tools.faults import token_text
+
+_DONE = "[DONE]"
+
+
+class StreamedCaller(caller.Caller):
+    """Reads a stream and reconnects with the last event's id."""
+
+    def __init__(
+        self,
+        gateways: list[local_process.LocalProcess],
+        first_gateway: int,
+        name: str,
+        length: int,
+    ) -> None:
+        super().__init__(gateways, first_gateway, fleet.SHAPE.workspaces[0])
+        self._name = name
+        self._length = length
+        self.prompt = f"{name} #length={length}"
+        self.tokens: list[history.TokenSeen] = []
+        self._last_event_id = ""
+        self._reading = threading.Event()
+        self._reading.set()
+        self._changed = threading.Condition()
+
+    def pause_reading(self) -> None:
+        """Stops reading the stream."""
+        self._reading.clear()
+
+    def resume_reading(self) -> None:
+        """Goes on reading."""
+        self._reading.set()
+
+    def wait_tokens(self, count: int) -> None:
+        """Waits until a number of tokens has been read."""
+        with self._changed:
+            self._changed.wait_for(
+                lambda: len(self.tokens) >= count, caller.CALLER_TIMEOUT_S
+            )
+
+    def answer(self) -> history.CallerAnswer:
+        """Describes the request and its answer."""
+        return history.CallerAnswer(
+            self._name,
+            self.outcome,
+            prompt_mark=sequence.prompt_mark(self.prompt),
+            expected_tokens=self._length,
+            tokens=tuple(self.tokens),
+            retry_after_s=self.retry_after_s,
+            in_flight_at_drain=self.in_flight_at_drain,
+        )
+
+    def _attempt(self, url: str) -> bool:
+        headers = dict(self._headers)
+        if self._last_event_id:
+            headers["Last-Event-ID"] = self._last_event_id
+        body = {
+            "model": fleet.SHAPE.model,
+            "prompt": self.prompt,
+            "stream": True,
+        }
+        with (
+            httpx.Client(timeout=caller.CALLER_TIMEOUT_S) as client,
+            httpx_sse.connect_sse(
+                client,
+                "POST",
+                f"{url}/v1/completions",
+                headers={**headers, "Content-Type": "application/json"},
+                content=self._content(body),
+            ) as source,
+        ):
+            if source.response.status_code != httpx.codes.OK:
+                source.response.read()
+                self._take_status(source.response)
+                return True
+            return self._read(source)
+
+    def _read(self, source: httpx_sse.EventSource) -> bool:
+        for event in source.iter_sse():
+            self._reading.wait(caller.CALLER_TIMEOUT_S)
+            if self.given_up.is_set():
+                return True
+            if event.data == _DONE:
+                self.outcome = history.Outcome.COMPLETED
+                return True
+            if event.event == "error":
+                self._take_error(json.loads(event.data))
+                return True
+            self._take_chunk(event)
+        return False
+
+    def _take_chunk(self, event: httpx_sse.ServerSentEvent) -> None:
+        choices = json.loads(event.data).get("choices") or []
+        with self._changed:
+            for choice in choices:
+                self.tokens.extend(token_text.parse(choice["text"]))
+            self._changed.notify_all()
+        if event.id:
+            self._last_event_id = event.id
+
+    def _take_error(self, body: dict) -> None:
+        error = body["error"]
+        self.retry_after_s = error.get("retry_after_s")
+        self.outcome = caller.outcome_of_code(
+            error.get("code", ""), error.get("status", 0)
+        )
--- /dev/null
+++ b/tools/faults/token_text.py
@@ -0,0 +1,15 @@
+"""Reads the marks in the tokens of the engine stand-in."""
+
+import re
+
+from tools.faults import history
+
+_TOKEN = re.compile(r"([0-9a-f]+)\.([0-9a-f]+)-(\d+)")
+
+
+def parse(text: str) -> tuple[history.TokenSeen, ...]:
+    """Reads the tokens that a text is made of."""
+    return tuple(
+        history.TokenSeen(prompt, run, int(index))
+        for prompt, run, index in _TOKEN.findall(text)
+    )
