End only the connection that a bad frame or an exception is on

Cause: an encoding TypeError or a failing receiver ended the connection's task with an unretrieved exception; the sidecar never noticed a silent gateway. Ruled out: catching in each worker, which hides which one failed first. Change: encoding errors become UnencodableFrameError, the workers of a connection run and end together, the last resort logs and closes. Both ends watch for silence on the monotonic clock and look again after a pause.

--- a/bronzeslip/logs.py
+++ b/bronzeslip/logs.py
@@ -3,6 +3,7 @@
 import datetime
 import enum
 import logging as standard_logging
+import traceback
 from typing import Any
 
 from absl import flags
@@ -80,6 +81,15 @@
     return f'"{text}"' if " " in text or not text else text
 
 
+def describe(error: BaseException) -> str:
+    """Describes an unexpected exception without the data it holds."""
+    name = type(error).__name__
+    if error.__traceback__ is None:
+        return name
+    last = traceback.extract_tb(error.__traceback__)[-1]
+    return f"{name} in {last.name}, line {last.lineno}"
+
+
 def configure(log_format: LogFormat, level: str) -> None:
     """Sets up logging of a daemon.
 
--- a/bronzeslip/sidecar/peer_session.py
+++ b/bronzeslip/sidecar/peer_session.py
@@ -1,7 +1,6 @@
 """One gateway's connection to a sidecar."""
 
 import asyncio
-import contextlib
 import functools
 
 from bronzeslip import ids
@@ -15,7 +14,9 @@
 from bronzeslip.transport import codec
 from bronzeslip.transport import errors
 from bronzeslip.transport import outbox
+from bronzeslip.transport import silence
 from bronzeslip.transport import stream
+from bronzeslip.transport import workers
 from bronzeslip.transport.frames import call as call_frames
 from bronzeslip.transport.frames import generation as generation_frames
 from bronzeslip.transport.frames import link
@@ -45,28 +46,32 @@
         self._runner = runner
         self._peer = peer
         self._outbox = outbox.Outbox()
+        self._silence = silence.SilenceWatch(settings)
         self._readers: dict[ids.GenerationId, reader.GenerationReader] = {}
         self._calls: set[asyncio.Task] = set()
 
     async def run(self) -> None:
         """Serves the connection until it ends."""
-        workers = [
-            asyncio.create_task(self._read()),
-            asyncio.create_task(self._write()),
-            asyncio.create_task(self._beat()),
-        ]
         try:
-            with contextlib.suppress(errors.TransportError):
-                await asyncio.gather(*workers)
+            await workers.run_together(
+                self._read(),
+                self._write(),
+                self._beat(),
+                self._silence.run(),
+            )
+        except errors.TransportError as error:
+            logger.warning(
+                "peer.session_lost", code=error.code, reason=error.message
+            )
         finally:
-            for worker in workers:
-                worker.cancel()
             for open_reader in self._readers.values():
                 open_reader.close()
 
     async def _read(self) -> None:
         while True:
-            for frame in await self._peer.read():
+            batch = await self._peer.read()
+            self._silence.heard()
+            for frame in batch:
                 self._take(frame)
 
     async def _write(self) -> None:
--- a/bronzeslip/transport/codec.py
+++ b/bronzeslip/transport/codec.py
@@ -31,8 +31,15 @@
 
 
 def encode(batch: Sequence[Frame]) -> bytes:
-    """Encodes frames that travel together."""
-    return _encoder.encode(batch)
+    """Encodes frames that travel together.
+
+    Raises:
+        errors.UnencodableFrameError: If a value can't be encoded.
+    """
+    try:
+        return _encoder.encode(batch)
+    except (TypeError, ValueError, OverflowError, RecursionError) as error:
+        raise errors.UnencodableFrameError(type(error).__name__) from error
 
 
 def decode(data: bytes) -> list[Frame]:
--- a/bronzeslip/transport/connection.py
+++ b/bronzeslip/transport/connection.py
@@ -3,18 +3,20 @@
 import asyncio
 from collections.abc import Callable
 import contextlib
-import time
 
 import grpc
 import grpc.aio
 
+from bronzeslip import ids
 from bronzeslip import logs
 from bronzeslip.settings import common
 from bronzeslip.transport import codec
 from bronzeslip.transport import errors
 from bronzeslip.transport import outbox
 from bronzeslip.transport import service
+from bronzeslip.transport import silence
 from bronzeslip.transport import stream
+from bronzeslip.transport import workers
 from bronzeslip.transport.frames import link
 
 logger = logs.get_logger(__name__)
@@ -44,7 +46,7 @@
         self._on_frame = on_frame
         self._on_close = on_close
         self._outbox = outbox.Outbox()
-        self._last_heard_s = time.monotonic()
+        self._silence = silence.SilenceWatch(settings)
         self._task = asyncio.create_task(self._run())
 
     @property
@@ -70,8 +72,15 @@
             logger.warning(
                 "transport.connection_lost",
                 address=self.address,
+                code=error.code,
                 reason=error.message,
             )
+        except Exception as error:
+            logger.error(
+                "transport.connection_failed",
+                address=self.address,
+                reason=logs.describe(error),
+            )
         finally:
             self._on_close()
 
@@ -91,22 +100,20 @@
             metadata=((service.KEY_METADATA, self._settings.peer_key),)
         )
         peer = stream.PeerStream(call)
-        workers = [
-            asyncio.create_task(self._read(peer)),
-            asyncio.create_task(self._write(peer)),
-            asyncio.create_task(self._watch_silence()),
-        ]
         try:
-            await asyncio.gather(*workers)
+            await workers.run_together(
+                self._read(peer),
+                self._write(peer),
+                self._beat(),
+                self._silence.run(),
+            )
         finally:
-            for worker in workers:
-                worker.cancel()
             call.cancel()
 
     async def _read(self, peer: stream.PeerStream) -> None:
         while True:
             batch = await peer.read()
-            self._last_heard_s = time.monotonic()
+            self._silence.heard()
             for frame in batch:
                 if isinstance(frame, link.Heartbeat):
                     self.load = frame.load or self.load
@@ -117,11 +124,7 @@
         while True:
             await peer.write(await self._outbox.take())
 
-    async def _watch_silence(self) -> None:
-        interval_s = self._settings.heartbeat_interval_s
+    async def _beat(self) -> None:
         while True:
-            await asyncio.sleep(interval_s)
-            self.send(link.Heartbeat(""))
-            silent_s = time.monotonic() - self._last_heard_s
-            if silent_s > self._settings.peer_silence_timeout_s:
-                raise errors.ConnectionLostError(f"silent for {silent_s:.1f} s")
+            self.send(link.Heartbeat(ids.IncarnationId("")))
+            await asyncio.sleep(self._settings.heartbeat_interval_s)
--- a/bronzeslip/transport/errors.py
+++ b/bronzeslip/transport/errors.py
@@ -15,6 +15,12 @@
     code = "connection-lost"
 
 
+class UnencodableFrameError(TransportError):
+    """A frame holds a value that can't be encoded."""
+
+    code = "unencodable-frame"
+
+
 class BadFrameError(TransportError):
     """A peer sent bytes that are no frames."""
 
--- a/bronzeslip/transport/server.py
+++ b/bronzeslip/transport/server.py
@@ -69,4 +69,12 @@
         ):
             logger.warning("transport.key_refused", peer=context.peer())
             await context.abort(grpc.StatusCode.UNAUTHENTICATED, "peer key")
-        await self._handler(stream.PeerStream(context))
+        try:
+            await self._handler(stream.PeerStream(context))
+        except Exception as error:
+            logger.error(
+                "transport.session_failed",
+                peer=context.peer(),
+                reason=logs.describe(error),
+            )
+            await context.abort(grpc.StatusCode.INTERNAL, "session failed")
