Resume a generation at its offset on a new connection

Cause: a lost connection or a gap ended the answer, a lost dispatch was taken for a refusal and told as not run, and a lost whole answer was an error. Ruled out: a sequence number per connection, which says nothing about the generation; continuing a lost generation elsewhere from its prefix, which would mix two generations in one answer. Change: RemoteGeneration is bound to one sidecar and one id and passes on only the next index; a lost dispatch is asked again with the same id; the session starts another generation only while no token has reached the caller and the service is idempotent; a failure is told as not run only if nothing may have run. Before: the session had none of this.

--- a/bronzeslip/gateway/answer.py
+++ b/bronzeslip/gateway/answer.py
@@ -22,12 +22,10 @@
     form: answer_format.AnswerFormat,
 ) -> messages.Completion:
     """Collects a generation into one answer."""
-    texts: list[str] = []
     try:
-        async for batch in session.batches():
-            texts.extend(batch.texts)
+        texts = await session.collect()
     finally:
-        await session.close()
+        session.close()
     finished = session.finished
     return form.whole(
         "".join(texts), finished.finish_reason.value, _usage(session)
@@ -39,12 +37,16 @@
     form: answer_format.AnswerFormat,
     include_usage: bool,
 ) -> AsyncIterator[bytes]:
-    """Yields a generation as server-sent events."""
+    """Yields a generation as server-sent events.
+
+    The last event is [DONE] if the answer is whole and an error if not.
+    """
+    generation_id = session.generation_id
     try:
         async for batch in session.batches():
             chunk = form.chunk("".join(batch.texts), batch.first_index == 0)
             next_index = batch.first_index + len(batch.texts)
-            yield _event(chunk, f"{session.generation_id}.{next_index}")
+            yield _event(chunk, f"{generation_id}.{next_index}")
         yield _event(form.last_chunk(session.finished.finish_reason.value))
         if include_usage:
             yield _event(form.usage_chunk(_usage(session)))
@@ -52,12 +54,12 @@
     except errors.BronzeslipError as error:
         logger.warning(
             "generation.incomplete",
-            generation_id=session.generation_id,
+            generation_id=generation_id,
             reason=error.message,
         )
         yield _error_event(error)
     finally:
-        await session.close()
+        session.close()
 
 
 def _event(chunk: messages.Completion, event_id: str = "") -> bytes:
--- a/bronzeslip/gateway/generation_session.py
+++ b/bronzeslip/gateway/generation_session.py
@@ -1,7 +1,7 @@
 """One caller's generation, from dispatch to its end."""
 
 from collections.abc import AsyncIterator
-import contextlib
+import functools
 
 import msgspec
 
@@ -9,20 +9,18 @@
 from bronzeslip import logs
 from bronzeslip.configuration import workspace
 from bronzeslip.gateway import errors
-from bronzeslip.gateway import inbox
-from bronzeslip.gateway import peer as gateway_peer
 from bronzeslip.gateway import peer_pool
+from bronzeslip.gateway import remote_generation
 from bronzeslip.gateway import request_context
+from bronzeslip.generation import errors as generation_errors
+from bronzeslip.membership import directory
 from bronzeslip.membership import member
 from bronzeslip.routing import candidate
 from bronzeslip.routing import errors as routing_errors
 from bronzeslip.routing import policy
 from bronzeslip.routing import router
 from bronzeslip.settings import gateway
-from bronzeslip.transport import codec
-from bronzeslip.transport import errors as transport_errors
 from bronzeslip.transport.frames import generation as frames
-from bronzeslip.transport.frames import reason
 
 logger = logs.get_logger(__name__)
 
@@ -49,43 +47,59 @@
 
 
 class GenerationSession:
-    """Dispatches a generation and relays its tokens in order."""
+    """Dispatches a generation and relays its tokens in order.
+
+    Another generation is started for the same request only while no token
+    has reached the caller and the service is idempotent.
+    """
 
     def __init__(
         self,
         settings: gateway.GatewaySettings,
         routes: router.Router,
         peers: peer_pool.PeerPool,
+        members: directory.MemberDirectory,
         context: request_context.RequestContext,
         wanted: GenerationInput,
     ) -> None:
+        self.finished: frames.GenerationFinished | None = None
         self._settings = settings
         self._routes = routes
         self._peers = peers
+        self._members = members
         self._context = context
         self._wanted = wanted
-        self._peer: gateway_peer.Peer | None = None
-        self._inbox: inbox.Inbox | None = None
-        self._next_index = 0
-        self._endpoint: member.Member | None = None
-        self.generation_id = ids.GenerationId("")
-        self.finished: frames.GenerationFinished | None = None
+        self._remote: remote_generation.RemoteGeneration | None = None
+        self._tried: set[ids.EndpointId] = set()
+        self._attempts_left = settings.dispatch_attempts
+        self._retry_after_s = _RETRY_AFTER_S
+        self._has_run = False
+        self._is_unresolved = False
+
+    @property
+    def generation_id(self) -> ids.GenerationId:
+        """Generation that is relayed."""
+        return self._remote.generation_id
+
+    @property
+    def endpoint_id(self) -> ids.EndpointId:
+        """Endpoint that runs the generation."""
+        return self._remote.endpoint.endpoint_id
 
     async def start(self) -> None:
         """Finds an endpoint that takes the generation.
 
         Raises:
-            errors.NotRunError: If no endpoint took it.
+            errors.NotRunError: If none took it; it was not run.
+            errors.OutcomeUnknownError: If one may have run it.
+            errors.IncompleteError: If one ran it and lost it.
         """
-        retry_after_s = _RETRY_AFTER_S
         for option in self._candidates():
-            refusal = await self._try(option.endpoint)
-            if refusal is None:
+            self._attempts_left -= 1
+            if await self._try(option.endpoint):
+                self._has_run = True
                 return
-            retry_after_s = refusal.retry_after_s or retry_after_s
-        raise errors.NotRunError(
-            "no endpoint took the request", retry_after_s=retry_after_s
-        )
+        raise self._failure("no endpoint took the request")
 
     async def batches(self) -> AsyncIterator[frames.Tokens]:
         """Yields the tokens, each once and in order.
@@ -93,28 +107,38 @@
         Raises:
             errors.IncompleteError: If the generation was lost.
         """
+        delivered = False
         while self.finished is None:
-            frame = await self._receive()
-            if isinstance(frame, frames.Tokens):
-                if frame.first_index != self._next_index:
-                    raise errors.IncompleteError("tokens are missing")
-                self._next_index += len(frame.texts)
-                yield frame
-                self._acknowledge()
-            elif isinstance(frame, frames.GenerationFinished):
-                self.finished = frame
-            else:
-                raise errors.IncompleteError("the generation was lost")
-
-    async def close(self) -> None:
+            progress = await self._receive(may_rerun=not delivered)
+            if isinstance(progress, frames.Tokens):
+                delivered = True
+                yield progress
+                self._remote.acknowledge()
+
+    async def collect(self) -> list[str]:
+        """Returns the tokens of the whole answer.
+
+        A generation that is lost midway is replaced by another one.
+
+        Raises:
+            errors.IncompleteError: If no endpoint came to the end.
+        """
+        texts: list[str] = []
+        while self.finished is None:
+            progress = await self._receive(may_rerun=True)
+            if progress is None:
+                texts.clear()
+            elif isinstance(progress, frames.Tokens):
+                texts.extend(progress.texts)
+                self._remote.acknowledge()
+        return texts
+
+    def close(self) -> None:
         """Gives the generation up if it has not finished."""
-        if self._peer is None:
-            return
-        if self.finished is None:
-            self._peer.connection.send(
-                frames.CancelGeneration(self.generation_id)
-            )
-        self._leave()
+        if self._remote is not None:
+            self._remote.close()
+            self._routes.end(self.endpoint_id)
+            self._remote = None
 
     def _candidates(self) -> list[candidate.Candidate]:
         request = policy.RoutingRequest(
@@ -126,47 +150,46 @@
         try:
             options = self._routes.candidates(self._context.binding, request)
         except routing_errors.RoutingError as error:
-            raise errors.NotRunError(
-                error.message, retry_after_s=error.retry_after_s
-            ) from error
-        return options[: self._settings.dispatch_attempts]
-
-    async def _try(
-        self, endpoint: member.Member
-    ) -> frames.GenerationRefused | None:
+            self._retry_after_s = error.retry_after_s or _RETRY_AFTER_S
+            raise self._failure(error.message) from error
+        fresh = [
+            option
+            for option in options
+            if option.endpoint.endpoint_id not in self._tried
+        ]
+        return (fresh or options)[: self._attempts_left]
+
+    async def _try(self, endpoint: member.Member) -> bool:
         self._enter(endpoint)
-        self._peer.connection.send(self._start_frame())
         try:
-            frame = await self._inbox.get()
-        except transport_errors.TransportError:
-            frame = frames.GenerationRefused(
-                self.generation_id,
-                reason.RefusalReason.ENDPOINT_DOWN,
-                _RETRY_AFTER_S,
-            )
+            await self._remote.wait_accepted()
+        except generation_errors.GenerationError as error:
+            self.close()
+            self._note_failure(error)
+            return False
         except BaseException:
-            await self.close()
+            self.close()
             raise
-        if isinstance(frame, frames.GenerationAccepted):
-            return None
-        self._leave()
-        if isinstance(frame, frames.GenerationRefused):
-            return frame
-        raise errors.NotRunError(
-            "the endpoint failed", retry_after_s=_RETRY_AFTER_S
-        )
+        return True
 
     def _enter(self, endpoint: member.Member) -> None:
-        self.generation_id = ids.GenerationId(ids.random_id())
-        self._endpoint = endpoint
-        self._peer = self._peers.peer(endpoint.address)
-        self._inbox = self._peer.open(self.generation_id)
+        self._tried.add(endpoint.endpoint_id)
+        self._remote = remote_generation.RemoteGeneration(
+            self._settings,
+            self._peers,
+            self._members,
+            endpoint,
+            ids.GenerationId(ids.random_id()),
+            self._context.workspace_id,
+            self._context.deadline_s,
+        )
         self._routes.begin(endpoint.endpoint_id)
+        self._remote.begin(self._start_frame, self._resolve_timeout_s())
 
-    def _leave(self) -> None:
-        self._peer.close(self.generation_id)
-        self._peer = None
-        self._routes.end(self._endpoint.endpoint_id)
+    def _resolve_timeout_s(self) -> float:
+        if self._context.service.idempotent:
+            return self._settings.peer_silence_timeout_s
+        return self._settings.resume_timeout_s
 
     def _start_frame(self) -> frames.StartGeneration:
         return frames.StartGeneration(
@@ -182,25 +205,57 @@
             self._context.remaining_s(),
         )
 
-    async def _receive(self) -> codec.Frame:
-        try:
-            return await self._inbox.get()
-        except transport_errors.TransportError as error:
-            raise errors.IncompleteError("the connection was lost") from error
+    @functools.singledispatchmethod
+    def _note_failure(self, error: generation_errors.GenerationError) -> None:
+        self._is_unresolved = True
+        self._check_may_rerun(error)
 
-    def _acknowledge(self) -> None:
-        self._peer.connection.send(
-            frames.AcknowledgeTokens(self.generation_id, self._next_index)
-        )
+    @_note_failure.register
+    def _(self, error: generation_errors.GenerationRefusedError) -> None:
+        self._retry_after_s = error.retry_after_s or _RETRY_AFTER_S
 
+    @_note_failure.register
+    def _(self, error: generation_errors.GenerationLostError) -> None:
+        self._has_run = True
+        self._check_may_rerun(error)
 
-@contextlib.asynccontextmanager
-async def opened(
-    session: GenerationSession,
-) -> AsyncIterator[GenerationSession]:
-    """Starts a session and closes it at the end."""
-    await session.start()
-    try:
-        yield session
-    finally:
-        await session.close()
+    def _check_may_rerun(
+        self, error: generation_errors.GenerationError
+    ) -> None:
+        expired = isinstance(error, generation_errors.DeadlineError)
+        if expired or not self._context.service.idempotent:
+            raise self._failure(error.message) from error
+
+    def _failure(self, text: str) -> errors.GatewayError:
+        kind = errors.NotRunError
+        if self._is_unresolved:
+            kind = errors.OutcomeUnknownError
+        if self._has_run:
+            kind = errors.IncompleteError
+        return kind(text, retry_after_s=self._retry_after_s)
+
+    async def _receive(
+        self, may_rerun: bool
+    ) -> remote_generation.Progress | None:
+        try:
+            progress = await self._remote.receive()
+        except generation_errors.GenerationError as error:
+            if not may_rerun:
+                raise self._failure(error.message) from error
+            await self._rerun(error)
+            return None
+        if isinstance(progress, frames.GenerationFinished):
+            self.finished = progress
+        return progress
+
+    async def _rerun(self, error: generation_errors.GenerationError) -> None:
+        logger.warning(
+            "generation.lost",
+            request_id=self._context.request_id,
+            generation_id=self.generation_id,
+            endpoint_id=self.endpoint_id,
+            reason=error.message,
+        )
+        self.close()
+        self._check_may_rerun(error)
+        await self.start()
--- a/bronzeslip/gateway/inbox.py
+++ b/bronzeslip/gateway/inbox.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 
+from bronzeslip import errors as base_errors
 from bronzeslip.transport import codec
 from bronzeslip.transport import errors
 
@@ -12,7 +13,7 @@
 
     def __init__(self) -> None:
         self._frames: collections.deque[codec.Frame] = collections.deque()
-        self._closed = False
+        self._error: base_errors.BronzeslipError | None = None
         self._wake = asyncio.Event()
 
     def put(self, frame: codec.Frame) -> None:
@@ -20,9 +21,16 @@
         self._frames.append(frame)
         self._wake.set()
 
-    def close(self) -> None:
-        """Tells the reader that no more frames will come."""
-        self._closed = True
+    def close(self, error: base_errors.BronzeslipError | None = None) -> None:
+        """Tells the reader that no more frames will come.
+
+        Args:
+            error: Why; by default the connection was lost.
+        """
+        if self._error is None:
+            self._error = error or errors.ConnectionLostError(
+                "the connection is gone"
+            )
         self._wake.set()
 
     async def get(self) -> codec.Frame:
@@ -32,8 +40,8 @@
             errors.ConnectionLostError: If the connection is gone.
         """
         while not self._frames:
-            if self._closed:
-                raise errors.ConnectionLostError("the connection is gone")
+            if self._error is not None:
+                raise self._error
             self._wake.clear()
             await self._wake.wait()
         return self._frames.popleft()
--- a/bronzeslip/gateway/peer.py
+++ b/bronzeslip/gateway/peer.py
@@ -6,6 +6,7 @@
 from bronzeslip.transport import codec
 from bronzeslip.transport import connection
 from bronzeslip.transport.frames import call as call_frames
+from bronzeslip.transport.frames import generation as generation_frames
 
 logger = logs.get_logger(__name__)
 
@@ -37,12 +38,21 @@
         self._inboxes.pop(run_id, None)
 
     def _on_frame(self, frame: codec.Frame) -> None:
+        if self._connection.closed:
+            return
         found = self._inboxes.get(_run_id_of(frame))
         if found is None:
-            logger.debug("peer.frame_dropped", frame=type(frame).__name__)
+            self._drop(frame)
             return
         found.put(frame)
 
+    def _drop(self, frame: codec.Frame) -> None:
+        logger.debug("peer.frame_dropped", frame=type(frame).__name__)
+        if isinstance(frame, generation_frames.Tokens):
+            self._connection.send(
+                generation_frames.CancelGeneration(frame.generation_id)
+            )
+
     def _on_close(self) -> None:
         for opened in self._inboxes.values():
             opened.close()
--- a/bronzeslip/gateway/peer_pool.py
+++ b/bronzeslip/gateway/peer_pool.py
@@ -20,6 +20,12 @@
             self._peers[address] = known
         return known
 
+    def renew(self, address: str) -> None:
+        """Ends a connection that can't be trusted; the next use opens one."""
+        known = self._peers.get(address)
+        if known is not None:
+            known.connection.abort()
+
     def load_of(self, address: str) -> link.EndpointLoad:
         """Returns the latest load heard from an address."""
         known = self._peers.get(address)
--- /dev/null
+++ b/bronzeslip/gateway/remote_generation.py
@@ -0,0 +1,288 @@
+"""One generation at one sidecar, read over connections that may fail."""
+
+import asyncio
+from collections.abc import Callable
+import functools
+import random
+import time
+
+from bronzeslip import ids
+from bronzeslip import logs
+from bronzeslip.gateway import inbox
+from bronzeslip.gateway import peer as gateway_peer
+from bronzeslip.gateway import peer_pool
+from bronzeslip.generation import errors
+from bronzeslip.membership import directory
+from bronzeslip.membership import member
+from bronzeslip.settings import gateway
+from bronzeslip.transport import codec
+from bronzeslip.transport import errors as transport_errors
+from bronzeslip.transport.frames import generation as frames
+
+logger = logs.get_logger(__name__)
+
+_MIN_BACKOFF_S = 0.05
+_MAX_BACKOFF_S = 1.0
+_MOST_GAPS_IN_A_ROW = 4
+_ACKNOWLEDGE_EVERY_TOKENS = 64
+
+Progress = frames.Tokens | frames.GenerationFinished
+StartFactory = Callable[[], frames.StartGeneration]
+
+
+class RemoteGeneration:
+    """A generation bound to one sidecar and to one generation id.
+
+    Only the token with the next index is passed on. A gap, a silent link or
+    a lost connection leads to a new connection on which the generation is
+    resumed at that index.
+    """
+
+    def __init__(
+        self,
+        settings: gateway.GatewaySettings,
+        peers: peer_pool.PeerPool,
+        members: directory.MemberDirectory,
+        endpoint: member.Member,
+        generation_id: ids.GenerationId,
+        workspace_id: ids.WorkspaceId,
+        deadline_s: float,
+        next_index: int = 0,
+    ) -> None:
+        """Names a generation without asking for it.
+
+        Args:
+            settings: Settings of the gateway.
+            peers: Connections to sidecars.
+            members: Known members, which tell of a replaced sidecar.
+            endpoint: Sidecar that runs the generation.
+            generation_id: The generation.
+            workspace_id: Workspace of the caller.
+            deadline_s: Deadline on the monotonic clock, in seconds.
+            next_index: Index of the first token wanted.
+        """
+        self.endpoint = endpoint
+        self.generation_id = generation_id
+        self.next_index = next_index
+        self.duplicate_tokens = 0
+        self.resume_count = 0
+        self._settings = settings
+        self._peers = peers
+        self._members = members
+        self._workspace_id = workspace_id
+        self._deadline_s = deadline_s
+        self._acknowledged_index = next_index
+        self._accepted = False
+        self._ended = False
+        self._failures = 0
+        self._gaps = 0
+        self._give_up_s = 0.0
+        self._start: StartFactory | None = None
+        self._resolve_timeout_s = 0.0
+        self._peer: gateway_peer.Peer | None = None
+        self._inbox: inbox.Inbox | None = None
+        self._timer: asyncio.TimerHandle | None = None
+
+    def begin(self, start: StartFactory, resolve_timeout_s: float) -> None:
+        """Asks the sidecar to run the generation.
+
+        Args:
+            start: Builds the frame, anew each time it has to be sent.
+            resolve_timeout_s: Time to ask again, after a lost connection,
+                whether it was accepted, in seconds.
+        """
+        self._start = start
+        self._resolve_timeout_s = resolve_timeout_s
+        self._open()
+
+    def resume(self) -> None:
+        """Asks the sidecar for a generation that it runs already."""
+        self._open()
+
+    async def wait_accepted(self) -> None:
+        """Waits until the sidecar has taken the generation on.
+
+        Raises:
+            errors.GenerationRefusedError: If it did not and has not run it.
+            errors.GenerationLostError: If it took it on and lost it.
+            errors.SidecarAwayError: If it could not be asked.
+            errors.DeadlineError: If the request's deadline has passed.
+        """
+        while not self._accepted:
+            self._take(await self._next_frame())
+
+    async def receive(self) -> Progress:
+        """Waits for the next tokens or the end.
+
+        Raises:
+            errors.GenerationLostError: If it will never be whole.
+            errors.SidecarAwayError: If the sidecar could not be asked.
+            errors.DeadlineError: If the request's deadline has passed.
+        """
+        while True:
+            progress = self._take(await self._next_frame())
+            if progress is not None:
+                return progress
+
+    def acknowledge(self) -> None:
+        """Tells the sidecar, now and then, how far the caller has got."""
+        count = self.next_index - self._acknowledged_index
+        if count >= _ACKNOWLEDGE_EVERY_TOKENS:
+            self._acknowledged_index = self.next_index
+            self._send(
+                frames.AcknowledgeTokens(self.generation_id, self.next_index)
+            )
+
+    def close(self) -> None:
+        """Stops reading and cancels the generation if it has not ended."""
+        if self._peer is None:
+            return
+        if not self._ended:
+            self._send(frames.CancelGeneration(self.generation_id))
+        self._detach()
+
+    def _open(self) -> None:
+        self._peer = self._peers.peer(self.endpoint.address)
+        self._inbox = self._peer.open(self.generation_id)
+        self._arm_deadline()
+        if self._start is not None and not self._accepted:
+            self._send(self._start())
+            return
+        self._acknowledged_index = self.next_index
+        self._send(
+            frames.ResumeGeneration(
+                self.generation_id, self._workspace_id, self.next_index
+            )
+        )
+
+    def _detach(self) -> None:
+        self._timer.cancel()
+        self._peer.close(self.generation_id)
+        self._peer = None
+
+    def _arm_deadline(self) -> None:
+        left_s = max(self._deadline_s - time.monotonic(), 0)
+        error = errors.DeadlineError("the deadline has passed")
+        self._timer = asyncio.get_running_loop().call_later(
+            left_s, self._inbox.close, error
+        )
+
+    def _send(self, frame: codec.Frame) -> None:
+        self._peer.connection.send(frame)
+
+    async def _next_frame(self) -> codec.Frame:
+        while True:
+            try:
+                return await self._inbox.get()
+            except transport_errors.ConnectionLostError:
+                await self._reopen()
+
+    async def _reopen(self) -> None:
+        self._detach()
+        now_s = time.monotonic()
+        if not self._failures:
+            self._give_up_s = min(now_s + self._patience_s(), self._deadline_s)
+        self._check_reachable(now_s)
+        self._failures += 1
+        await asyncio.sleep(_backoff_s(self._failures))
+        self._check_reachable(time.monotonic())
+        self.resume_count += 1
+        logger.info(
+            "generation.resume",
+            generation_id=self.generation_id,
+            endpoint_id=self.endpoint.endpoint_id,
+            next_index=self.next_index,
+            accepted=self._accepted,
+        )
+        self._open()
+
+    def _patience_s(self) -> float:
+        if self._accepted or self._start is None:
+            return self._settings.resume_timeout_s
+        return self._resolve_timeout_s
+
+    def _check_reachable(self, now_s: float) -> None:
+        known = self._members.endpoint(self.endpoint.endpoint_id)
+        if (
+            known is not None
+            and known.incarnation_id != self.endpoint.incarnation_id
+        ):
+            raise errors.GenerationLostError("the sidecar was replaced")
+        if now_s >= self._give_up_s:
+            raise errors.SidecarAwayError("the sidecar can't be reached")
+
+    @functools.singledispatchmethod
+    def _take(self, frame: codec.Frame) -> Progress | None:
+        logger.warning("generation.unexpected", frame=type(frame).__name__)
+        return None
+
+    @_take.register
+    def _(self, _: frames.GenerationAccepted) -> Progress | None:
+        self._accepted = True
+        self._failures = 0
+
+    @_take.register
+    def _(self, frame: frames.Tokens) -> Progress | None:
+        self._accepted = True
+        seen = self.next_index - frame.first_index
+        if seen < 0:
+            self._distrust(frame.first_index)
+            return None
+        self._failures = 0
+        if seen:
+            return self._without_duplicates(frame, seen)
+        self._gaps = 0
+        self.next_index += len(frame.texts)
+        return frame
+
+    @_take.register
+    def _(self, frame: frames.GenerationFinished) -> Progress | None:
+        if frame.token_count != self.next_index:
+            self._distrust(frame.token_count)
+            return None
+        self._ended = True
+        return frame
+
+    @_take.register
+    def _(self, frame: frames.GenerationRefused) -> Progress | None:
+        self._ended = True
+        if self._accepted or self._start is None:
+            raise errors.GenerationLostError(frame.reason.value)
+        raise errors.GenerationRefusedError(frame.reason, frame.retry_after_s)
+
+    @_take.register
+    def _(self, frame: frames.GenerationLost) -> Progress | None:
+        self._ended = True
+        raise errors.GenerationLostError(frame.reason.value)
+
+    def _without_duplicates(
+        self, frame: frames.Tokens, seen: int
+    ) -> frames.Tokens | None:
+        fresh = frame.texts[seen:]
+        self.duplicate_tokens += len(frame.texts) - len(fresh)
+        if not fresh:
+            return None
+        self._gaps = 0
+        first_index = self.next_index
+        self.next_index += len(fresh)
+        return frames.Tokens(self.generation_id, first_index, fresh)
+
+    def _distrust(self, index: int) -> None:
+        logger.warning(
+            "generation.gap",
+            generation_id=self.generation_id,
+            next_index=self.next_index,
+            index=index,
+        )
+        self._gaps += 1
+        if self._gaps > _MOST_GAPS_IN_A_ROW:
+            raise errors.GenerationLostError("tokens are missing")
+        self._peers.renew(self.endpoint.address)
+        self._peer.close(self.generation_id)
+        self._inbox = inbox.Inbox()
+        self._inbox.close()
+
+
+def _backoff_s(failures: int) -> float:
+    most_s = min(_MIN_BACKOFF_S * 2 ** (failures - 1), _MAX_BACKOFF_S)
+    return random.uniform(most_s / 2, most_s)
--- a/bronzeslip/gateway/state.py
+++ b/bronzeslip/gateway/state.py
@@ -45,7 +45,12 @@
     ) -> generation_session.GenerationSession:
         """Creates the session of a generation."""
         return generation_session.GenerationSession(
-            self.settings, self.routes, self.peers, context, wanted
+            self.settings,
+            self.routes,
+            self.peers,
+            self.members,
+            context,
+            wanted,
         )
 
     def call(
--- a/bronzeslip/settings/gateway.py
+++ b/bronzeslip/settings/gateway.py
@@ -27,6 +27,14 @@
         minimum=1,
         maximum=16,
     )
+    resume_timeout_s: float = setting(
+        "time to reach a sidecar again before its generation is given up,"
+        " in seconds",
+        "routing",
+        default=10.0,
+        minimum=0.1,
+        maximum=3600,
+    )
     request_deadline_s: float = setting(
         "deadline of a request that names none, in seconds",
         "limits",
--- a/bronzeslip/transport/connection.py
+++ b/bronzeslip/transport/connection.py
@@ -46,21 +46,27 @@
         self._on_frame = on_frame
         self._on_close = on_close
         self._outbox = outbox.Outbox()
+        self._aborted = False
         self._silence = silence.SilenceWatch(settings)
         self._task = asyncio.create_task(self._run())
 
     @property
     def closed(self) -> bool:
         """Whether the connection is gone."""
-        return self._task.done()
+        return self._aborted or self._task.done()
 
     def send(self, frame: codec.Frame) -> None:
         """Queues a frame; it is lost if the connection is."""
         self._outbox.put(frame)
 
+    def abort(self) -> None:
+        """Ends the connection without waiting; no more frames are passed."""
+        self._aborted = True
+        self._task.cancel()
+
     async def close(self) -> None:
         """Ends the connection."""
-        self._task.cancel()
+        self.abort()
         with contextlib.suppress(asyncio.CancelledError):
             await self._task
 
--- /dev/null
+++ b/tests/gateway/fake_sidecar.py
@@ -0,0 +1,106 @@
+"""A sidecar whose frames a test writes itself."""
+
+import asyncio
+
+from bronzeslip import ids
+from bronzeslip.membership import member
+from bronzeslip.settings import gateway
+from bronzeslip.transport import codec
+from bronzeslip.transport import errors
+from bronzeslip.transport import server
+from bronzeslip.transport import stream
+from bronzeslip.transport.frames import generation as frames
+from bronzeslip.transport.frames import link
+
+_KEY = "key"
+
+
+class FakeConnection:
+    """One accepted connection, seen from the sidecar."""
+
+    def __init__(self, peer: stream.PeerStream) -> None:
+        self._peer = peer
+        self._got: asyncio.Queue[codec.Frame] = asyncio.Queue()
+        self._closed = asyncio.Event()
+
+    async def serve(self) -> None:
+        """Collects frames until the test or the gateway ends it."""
+        reading = asyncio.create_task(self._read())
+        await self._closed.wait()
+        reading.cancel()
+
+    async def get(self, kind: type) -> codec.Frame:
+        """Waits for the next frame, which has to be of a kind."""
+        frame = await self._got.get()
+        if not isinstance(frame, kind):
+            raise AssertionError(f"{frame} is no {kind.__name__}")
+        return frame
+
+    async def send(self, *batch: codec.Frame) -> None:
+        """Sends frames to the gateway."""
+        await self._peer.write(batch)
+
+    def close(self) -> None:
+        """Ends the connection."""
+        self._closed.set()
+
+    async def _read(self) -> None:
+        try:
+            while True:
+                for frame in await self._peer.read():
+                    is_quiet = isinstance(
+                        frame, link.Heartbeat | frames.AcknowledgeTokens
+                    )
+                    if not is_quiet:
+                        self._got.put_nowait(frame)
+        except errors.TransportError:
+            self._closed.set()
+
+
+class FakeSidecar:
+    """Accepts connections and hands them to the test."""
+
+    def __init__(self, name: str = "e") -> None:
+        self._accepted: asyncio.Queue[FakeConnection] = asyncio.Queue()
+        self._server = server.PeerServer("127.0.0.1", 0, _KEY, self._serve)
+        self.member = member.Member(
+            vm_id=ids.VmId("vm"),
+            incarnation_id=ids.IncarnationId("first"),
+            role=member.MemberRole.SIDECAR,
+            region=ids.RegionName("r"),
+            failure_domain=ids.FailureDomainName("d"),
+            address=f"127.0.0.1:{self._server.port}",
+            endpoint_id=ids.EndpointId(name),
+            pool=ids.PoolName("pool"),
+        )
+
+    async def start(self) -> None:
+        """Starts to accept."""
+        await self._server.start()
+
+    async def stop(self) -> None:
+        """Ends every connection and refuses new ones."""
+        await self._server.stop()
+
+    async def accept(self) -> FakeConnection:
+        """Waits for the next connection."""
+        return await self._accepted.get()
+
+    async def _serve(self, peer: stream.PeerStream) -> None:
+        accepted = FakeConnection(peer)
+        await self._accepted.put(accepted)
+        await accepted.serve()
+
+
+def settings(**changes: object) -> gateway.GatewaySettings:
+    """Returns settings of a gateway that reaches fake sidecars."""
+    values = {
+        "vm_id": "entry",
+        "region": "r",
+        "failure_domain": "d",
+        "peer_key": _KEY,
+        "platform_url": "http://127.0.0.1:1",
+        "peer_silence_timeout_s": 60.0,
+        **changes,
+    }
+    return gateway.GatewaySettings(**values)
--- /dev/null
+++ b/tests/gateway/test_generation_session.py
@@ -0,0 +1,197 @@
+"""Tests of a request's generation over several sidecars."""
+
+import asyncio
+import random
+import time
+import unittest
+
+from bronzeslip import ids
+from bronzeslip.configuration import binding
+from bronzeslip.configuration import service
+from bronzeslip.configuration import workspace
+from bronzeslip.gateway import errors
+from bronzeslip.gateway import generation_session
+from bronzeslip.gateway import peer_pool
+from bronzeslip.gateway import request_context
+from bronzeslip.membership import directory
+from bronzeslip.routing import least_outstanding
+from bronzeslip.routing import router
+from bronzeslip.transport.frames import generation as frames
+from bronzeslip.transport.frames import reason
+from tests.gateway import fake_sidecar
+
+_RETRY_AFTER_S = 7.0
+
+
+class GenerationSessionTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.sidecars = {}
+        self.members = directory.MemberDirectory()
+        for name in ("e1", "e2"):
+            sidecar = fake_sidecar.FakeSidecar(name)
+            await sidecar.start()
+            self.addAsyncCleanup(sidecar.stop)
+            self.members.put(sidecar.member)
+            self.sidecars[name] = sidecar
+
+    def session(self, idempotent=True, deadline_s=60.0, **changes):
+        settings = fake_sidecar.settings(**changes)
+        pool = peer_pool.PeerPool(settings)
+        self.addAsyncCleanup(pool.close)
+        routes = router.Router(
+            self.members,
+            pool,
+            least_outstanding.LeastOutstandingPolicy(random.Random(1)),
+        )
+        context = request_context.RequestContext(
+            ids.RequestId("r"),
+            ids.WorkspaceId("w"),
+            workspace.Workspace(()),
+            ids.ServiceName("s"),
+            service.Service(
+                service.ServiceKind.GENERATION, idempotent=idempotent
+            ),
+            binding.Binding((), ids.ServiceName("s"), ids.PoolName("pool")),
+            time.monotonic() + deadline_s,
+        )
+        return generation_session.GenerationSession(
+            settings,
+            routes,
+            pool,
+            self.members,
+            context,
+            generation_session.GenerationInput("m", "p", 9),
+        )
+
+    async def first_asked(self):
+        """Waits until either sidecar is asked to start a generation."""
+        asked = {
+            asyncio.create_task(sidecar.accept()): name
+            for name, sidecar in self.sidecars.items()
+        }
+        done, rest = await asyncio.wait(
+            asked, return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in rest:
+            task.cancel()
+        (task,) = done
+        start = await task.result().get(frames.StartGeneration)
+        return task.result(), asked[task], start.generation_id
+
+    async def collecting(self, session):
+        await session.start()
+        return await session.collect()
+
+    async def streaming(self, session, got):
+        await session.start()
+        async for batch in session.batches():
+            got.extend(batch.texts)
+
+    async def accept(self, *texts):
+        connection, name, generation_id = await self.first_asked()
+        await connection.send(
+            frames.GenerationAccepted(generation_id),
+            frames.Tokens(generation_id, 0, list(texts)),
+        )
+        return connection, name, generation_id
+
+    async def finish(self, connection, generation_id, count):
+        await connection.send(
+            frames.GenerationFinished(
+                generation_id, count, reason.FinishReason.STOP, 1
+            )
+        )
+
+    async def lose(self, connection, generation_id):
+        await connection.send(
+            frames.GenerationLost(
+                generation_id, reason.LossReason.ENDPOINT_DOWN
+            )
+        )
+
+    async def refuse(self):
+        connection, _, generation_id = await self.first_asked()
+        await connection.send(
+            frames.GenerationRefused(
+                generation_id, reason.RefusalReason.QUEUE_FULL, _RETRY_AFTER_S
+            )
+        )
+
+    async def test_whole_answer_is_rerun_elsewhere(self):
+        running = asyncio.create_task(self.collecting(self.session()))
+        connection, first, first_id = await self.accept("a", "b")
+        await self.lose(connection, first_id)
+        connection, second, second_id = await self.accept("c")
+        await self.finish(connection, second_id, 1)
+        self.assertEqual(await running, ["c"])
+        self.assertNotEqual(first, second)
+        self.assertNotEqual(first_id, second_id)
+
+    async def test_whole_answer_that_must_not_repeat_is_incomplete(self):
+        running = asyncio.create_task(
+            self.collecting(self.session(idempotent=False))
+        )
+        connection, _, generation_id = await self.accept("a")
+        await self.lose(connection, generation_id)
+        with self.assertRaises(errors.IncompleteError):
+            await running
+
+    async def test_stream_is_incomplete_once_a_token_was_delivered(self):
+        got = []
+        running = asyncio.create_task(self.streaming(self.session(), got))
+        connection, _, generation_id = await self.accept("a")
+        await self.lose(connection, generation_id)
+        with self.assertRaises(errors.IncompleteError):
+            await running
+        self.assertEqual(got, ["a"])
+
+    async def test_stream_is_rerun_before_its_first_token(self):
+        got = []
+        running = asyncio.create_task(self.streaming(self.session(), got))
+        connection, _, first_id = await self.first_asked()
+        await connection.send(frames.GenerationAccepted(first_id))
+        await self.lose(connection, first_id)
+        connection, _, second_id = await self.accept("b")
+        await self.finish(connection, second_id, 1)
+        await running
+        self.assertEqual(got, ["b"])
+
+    async def test_refused_everywhere_is_not_run(self):
+        running = asyncio.create_task(self.session().start())
+        await self.refuse()
+        await self.refuse()
+        with self.assertRaises(errors.NotRunError) as caught:
+            await running
+        self.assertEqual(caught.exception.retry_after_s, _RETRY_AFTER_S)
+
+    async def test_refusal_after_a_lost_run_is_not_called_not_run(self):
+        running = asyncio.create_task(self.collecting(self.session()))
+        connection, _, generation_id = await self.accept("a")
+        await self.lose(connection, generation_id)
+        await self.refuse()
+        with self.assertRaises(errors.IncompleteError):
+            await running
+
+    async def test_unresolved_dispatch_is_not_called_not_run(self):
+        session = self.session(idempotent=False, resume_timeout_s=0.1)
+        running = asyncio.create_task(session.start())
+        _, name, _ = await self.first_asked()
+        await self.sidecars[name].stop()
+        with self.assertRaises(errors.OutcomeUnknownError):
+            await running
+
+    async def test_unresolved_dispatch_moves_on_if_idempotent(self):
+        session = self.session(peer_silence_timeout_s=0.2)
+        running = asyncio.create_task(self.collecting(session))
+        _, first, _ = await self.first_asked()
+        await self.sidecars.pop(first).stop()
+        connection, _, generation_id = await self.accept("a")
+        await self.finish(connection, generation_id, 1)
+        self.assertEqual(await running, ["a"])
+
+    async def test_deadline_ends_the_wait(self):
+        session = self.session(deadline_s=0.1)
+        running = asyncio.create_task(session.start())
+        await self.first_asked()
+        with self.assertRaises(errors.OutcomeUnknownError):
+            await running
