Resume engine streams, cancel orphans and bound the buffers

Cause: a stream of the engine that broke or fell silent lost or hung the generation; one that nobody read ran on; a refusal was preceded by an acceptance, so the gateway took it for a loss; a reader stayed registered after its generation had ended. Ruled out: a time limit on the read of the HTTP client, which can't tell a waiting generation from a dead engine.

--- a/bronzeslip/engine/client.py
+++ b/bronzeslip/engine/client.py
@@ -15,6 +15,7 @@
 
 _CONNECT_TIMEOUT_S = 1.0
 _CALL_TIMEOUT_S = 5.0
+_PROBE_TIMEOUT_S = 1.0
 
 _event_decoder = msgspec.json.Decoder(messages.StreamEvent)
 
@@ -43,10 +44,17 @@
             limits=limits,
             transport=transport,
         )
+        self._unpooled_http = httpx.AsyncClient(
+            base_url=base_url,
+            timeout=timeout,
+            limits=httpx.Limits(max_keepalive_connections=0),
+            transport=transport,
+        )
 
     async def close(self) -> None:
         """Closes the connections to the engine."""
         await self._http.aclose()
+        await self._unpooled_http.aclose()
 
     async def generate(
         self, request: messages.GenerationRequest
@@ -55,17 +63,21 @@
 
         Raises:
             errors.EngineRefusedError: If the engine did not take it.
+            errors.EngineUnreachableError: If it was not sent.
             errors.EngineUnavailableError: If the stream broke off.
         """
         async for event in self._stream(
-            "POST", "/v1/generations", content=msgspec.json.encode(request)
+            self._http,
+            "POST",
+            "/v1/generations",
+            content=msgspec.json.encode(request),
         ):
             yield event
 
     async def resume(
         self, generation_id: ids.GenerationId, next_index: int
     ) -> AsyncIterator[messages.StreamEvent]:
-        """Yields the events of a generation from an index on.
+        """Yields the events from an index on, over a new connection.
 
         Raises:
             errors.GenerationUnknownError: If the engine does not have it.
@@ -73,7 +85,7 @@
         """
         path = f"/v1/generations/{generation_id}/stream"
         async for event in self._stream(
-            "GET", path, params={"next_index": next_index}
+            self._unpooled_http, "GET", path, params={"next_index": next_index}
         ):
             yield event
 
@@ -86,6 +98,21 @@
         response = await self._call("GET", "/v1/load")
         return _decode(response, messages.EngineLoad)
 
+    async def probe(self) -> messages.EngineLoad:
+        """Reads the load over a new connection, with a short timeout.
+
+        Raises:
+            errors.EngineUnreachableError: If no connection came about.
+            errors.EngineUnavailableError: If no answer came in time.
+        """
+        path = "/v1/load"
+        with _converted_errors(path):
+            response = await self._unpooled_http.get(
+                path, timeout=_PROBE_TIMEOUT_S
+            )
+        _raise_for_status(path, response)
+        return _decode(response, messages.EngineLoad)
+
     async def cache_events(
         self, after_sequence: int
     ) -> tuple[messages.CacheEvent, ...]:
@@ -114,12 +141,16 @@
         return _decode(response, messages.EngineState)
 
     async def _stream(
-        self, method: str, path: str, **options: Any
+        self,
+        http: httpx.AsyncClient,
+        method: str,
+        path: str,
+        **options: Any,
     ) -> AsyncIterator[messages.StreamEvent]:
         timeout = httpx.Timeout(None, connect=_CONNECT_TIMEOUT_S)
         with _converted_errors(path):
             async with httpx_sse.aconnect_sse(
-                self._http, method, path, timeout=timeout, **options
+                http, method, path, timeout=timeout, **options
             ) as source:
                 _raise_for_status(path, source.response)
                 async for event in source.aiter_sse():
@@ -138,6 +169,10 @@
 def _converted_errors(path: str) -> Any:
     try:
         yield
+    except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+        raise errors.EngineUnreachableError(
+            f"{path}: {type(error).__name__}"
+        ) from error
     except (httpx.HTTPError, httpx_sse.SSEError) as error:
         raise errors.EngineUnavailableError(
             f"{path}: {type(error).__name__}"
--- a/bronzeslip/engine/errors.py
+++ b/bronzeslip/engine/errors.py
@@ -15,6 +15,12 @@
     code = "engine-unavailable"
 
 
+class EngineUnreachableError(EngineUnavailableError):
+    """No connection to the engine came about; nothing was sent."""
+
+    code = "engine-unreachable"
+
+
 class EngineRefusedError(EngineError):
     """The engine answered that it did not take the request."""
 
--- a/bronzeslip/gateway/generation_session.py
+++ b/bronzeslip/gateway/generation_session.py
@@ -191,7 +191,9 @@
             return self._settings.peer_silence_timeout_s
         return self._settings.resume_timeout_s
 
-    def _start_frame(self) -> frames.StartGeneration:
+    def _start_frame(
+        self, incarnation_id: ids.IncarnationId
+    ) -> frames.StartGeneration:
         return frames.StartGeneration(
             self.generation_id,
             self._context.request_id,
@@ -203,6 +205,7 @@
             _PRIORITIES[self._context.workspace.workspace_class],
             self._context.workspace.weight,
             self._context.remaining_s(),
+            incarnation_id,
         )
 
     @functools.singledispatchmethod
--- a/bronzeslip/gateway/remote_generation.py
+++ b/bronzeslip/gateway/remote_generation.py
@@ -18,6 +18,7 @@
 from bronzeslip.transport import codec
 from bronzeslip.transport import errors as transport_errors
 from bronzeslip.transport.frames import generation as frames
+from bronzeslip.transport.frames import reason
 
 logger = logs.get_logger(__name__)
 
@@ -27,7 +28,7 @@
 _ACKNOWLEDGE_EVERY_TOKENS = 64
 
 Progress = frames.Tokens | frames.GenerationFinished
-StartFactory = Callable[[], frames.StartGeneration]
+StartFactory = Callable[[ids.IncarnationId], frames.StartGeneration]
 
 
 class RemoteGeneration:
@@ -72,6 +73,7 @@
         self._workspace_id = workspace_id
         self._deadline_s = deadline_s
         self._acknowledged_index = next_index
+        self._incarnation_id = ids.IncarnationId("")
         self._accepted = False
         self._ended = False
         self._failures = 0
@@ -87,7 +89,8 @@
         """Asks the sidecar to run the generation.
 
         Args:
-            start: Builds the frame, anew each time it has to be sent.
+            start: Builds the frame, anew each time it has to be sent, for
+                one incarnation of the sidecar or, if empty, for any.
             resolve_timeout_s: Time to ask again, after a lost connection,
                 whether it was accepted, in seconds.
         """
@@ -146,7 +149,7 @@
         self._inbox = self._peer.open(self.generation_id)
         self._arm_deadline()
         if self._start is not None and not self._accepted:
-            self._send(self._start())
+            self._send(self._start(self._incarnation_id))
             return
         self._acknowledged_index = self.next_index
         self._send(
@@ -178,6 +181,11 @@
                 await self._reopen()
 
     async def _reopen(self) -> None:
+        self._incarnation_id = (
+            self._peer.connection.incarnation_id
+            or self._incarnation_id
+            or self.endpoint.incarnation_id
+        )
         self._detach()
         now_s = time.monotonic()
         if not self._failures:
@@ -203,9 +211,9 @@
 
     def _check_reachable(self, now_s: float) -> None:
         known = self._members.endpoint(self.endpoint.endpoint_id)
-        if (
-            known is not None
-            and known.incarnation_id != self.endpoint.incarnation_id
+        if known is not None and known.incarnation_id not in (
+            self.endpoint.incarnation_id,
+            self._incarnation_id,
         ):
             raise errors.GenerationLostError("the sidecar was replaced")
         if now_s >= self._give_up_s:
@@ -246,7 +254,9 @@
     @_take.register
     def _(self, frame: frames.GenerationRefused) -> Progress | None:
         self._ended = True
-        if self._accepted or self._start is None:
+        asked_again = self._incarnation_id != ""
+        wrong = frame.reason is reason.RefusalReason.WRONG_INCARNATION
+        if self._accepted or self._start is None or (asked_again and wrong):
             raise errors.GenerationLostError(frame.reason.value)
         raise errors.GenerationRefusedError(frame.reason, frame.retry_after_s)
 
--- a/bronzeslip/generation/reader.py
+++ b/bronzeslip/generation/reader.py
@@ -1,10 +1,14 @@
 """Sends one generation's tokens to one connection."""
 
+from collections.abc import Callable
+
 from bronzeslip import ids
+from bronzeslip.generation import errors
 from bronzeslip.generation import run
 from bronzeslip.transport import codec
 from bronzeslip.transport import outbox
 from bronzeslip.transport.frames import generation as frames
+from bronzeslip.transport.frames import reason
 
 WINDOW_TOKENS = 512
 MAX_FRAME_TOKENS = 128
@@ -17,7 +21,8 @@
         self,
         source: run.GenerationRun,
         target: outbox.Outbox,
-        next_index: int = 0,
+        next_index: int,
+        on_done: Callable[[], None],
     ) -> None:
         """Starts to read a generation.
 
@@ -25,13 +30,15 @@
             source: Generation to read.
             target: Outbox of the connection.
             next_index: Index of the first token wanted.
+            on_done: Called once when the outcome has been taken.
         """
         self._source = source
         self._target = target
         self._next_index = next_index
         self._acknowledged_index = next_index
         self._accepted_sent = False
-        self._terminal_sent = False
+        self._on_done = on_done
+        self._closed = False
         source.add_listener(self._mark_ready)
         self._mark_ready()
 
@@ -47,12 +54,14 @@
 
     def acknowledge(self, next_index: int) -> None:
         """Opens the window up to an index."""
+        self._source.acknowledge(next_index)
         if next_index > self._acknowledged_index:
             self._acknowledged_index = next_index
             self._mark_ready()
 
     def close(self) -> None:
         """Stops reading."""
+        self._closed = True
         self._source.remove_listener(self._mark_ready)
 
     def _mark_ready(self) -> None:
@@ -60,29 +69,43 @@
 
     def _take(self) -> list[codec.Frame]:
         taken: list[codec.Frame] = []
-        if (
-            not self._accepted_sent
-            and self._source.state is not run.RunState.QUEUED
-        ):
-            self._accepted_sent = True
-            taken.append(frames.GenerationAccepted(self.generation_id))
-        texts = self._read_window()
-        if texts:
-            taken.append(
-                frames.Tokens(self.generation_id, self._next_index, texts)
+        if self._closed:
+            return taken
+        self._take_accepted(taken)
+        try:
+            self._take_tokens(taken)
+        except errors.IndexGoneError:
+            refusal = reason.RefusalReason.UNKNOWN_GENERATION
+            self._finish(
+                taken,
+                frames.GenerationRefused(self.generation_id, refusal, 0.0),
             )
-            self._next_index += len(texts)
+            return taken
         self._take_rest(taken)
         return taken
 
-    def _read_window(self) -> list[str]:
+    def _take_accepted(self, taken: list[codec.Frame]) -> None:
+        queued = self._source.state is run.RunState.QUEUED
+        if not self._accepted_sent and not queued and not self._was_refused():
+            self._accepted_sent = True
+            taken.append(frames.GenerationAccepted(self.generation_id))
+
+    def _was_refused(self) -> bool:
+        return isinstance(self._source.terminal, frames.GenerationRefused)
+
+    def _take_tokens(self, taken: list[codec.Frame]) -> None:
         open_tokens = (
             self._acknowledged_index + WINDOW_TOKENS - self._next_index
         )
         limit = min(open_tokens, MAX_FRAME_TOKENS)
         if limit <= 0:
-            return []
-        return self._source.buffer.read(self._next_index, limit)
+            return
+        texts = self._source.buffer.read(self._next_index, limit)
+        if texts:
+            taken.append(
+                frames.Tokens(self.generation_id, self._next_index, texts)
+            )
+            self._next_index += len(texts)
 
     def _take_rest(self, taken: list[codec.Frame]) -> None:
         if self._next_index < self._source.buffer.next_index:
@@ -91,6 +114,12 @@
                 self._mark_ready()
             return
         terminal = self._source.terminal
-        if terminal is not None and not self._terminal_sent:
-            self._terminal_sent = True
-            taken.append(terminal)
+        if terminal is not None:
+            self._finish(taken, terminal)
+
+    def _finish(
+        self, taken: list[codec.Frame], terminal: run.TerminalFrame
+    ) -> None:
+        taken.append(terminal)
+        self.close()
+        self._on_done()
--- a/bronzeslip/generation/run.py
+++ b/bronzeslip/generation/run.py
@@ -1,7 +1,9 @@
 """One generation at its sidecar."""
 
+import asyncio
 from collections.abc import Callable
 import enum
+import time
 
 from bronzeslip.generation import buffer
 from bronzeslip.transport.frames import generation as frames
@@ -20,22 +22,44 @@
 
 
 class GenerationRun:
-    """Tokens and outcome of one run of a generation."""
+    """Tokens and outcome of one run of a generation.
+
+    Attributes:
+        start: What was asked for.
+        state: How far it has come.
+        buffer: Tokens kept for readers.
+        terminal: Outcome, once there is one.
+        ended_at_s: When it ended on the monotonic clock, in seconds.
+        unread: Set while nobody reads it.
+        unread_since_s: When the last reader left, in seconds, or None.
+    """
 
     def __init__(self, start: frames.StartGeneration) -> None:
         self.start = start
         self.state = RunState.QUEUED
         self.buffer = buffer.GenerationBuffer()
         self.terminal: TerminalFrame | None = None
+        self.ended_at_s: float | None = None
+        self.unread_since_s: float | None = time.monotonic()
+        self.unread = asyncio.Event()
+        self.unread.set()
         self._listeners: set[Callable[[], None]] = set()
+        self._acknowledged_index = 0
+        self._droppable_index = 0
+        self._droppable_at_s = 0.0
 
     def add_listener(self, listener: Callable[[], None]) -> None:
         """Calls a listener after each change from now on."""
         self._listeners.add(listener)
+        self.unread_since_s = None
+        self.unread.clear()
 
     def remove_listener(self, listener: Callable[[], None]) -> None:
         """Stops calling a listener."""
         self._listeners.discard(listener)
+        if not self._listeners and self.unread_since_s is None:
+            self.unread_since_s = time.monotonic()
+            self.unread.set()
 
     @property
     def has_listeners(self) -> bool:
@@ -58,8 +82,21 @@
             return
         self.state = RunState.ENDED
         self.terminal = terminal
+        self.ended_at_s = time.monotonic()
         self._notify()
 
+    def acknowledge(self, index: int) -> None:
+        """Notes that the tokens below an index were handed to a caller."""
+        self._acknowledged_index = max(self._acknowledged_index, index)
+
+    def drop_acknowledged(self, now_s: float, grace_s: float) -> None:
+        """Drops tokens that were acknowledged at least a grace time ago."""
+        if now_s < self._droppable_at_s:
+            return
+        self.buffer.drop_before(self._droppable_index)
+        self._droppable_index = self._acknowledged_index
+        self._droppable_at_s = now_s + grace_s
+
     def _notify(self) -> None:
         for listener in tuple(self._listeners):
             listener()
--- a/bronzeslip/settings/sidecar.py
+++ b/bronzeslip/settings/sidecar.py
@@ -42,6 +42,21 @@
         minimum=0.1,
         maximum=3600,
     )
+    engine_silence_timeout_s: float = setting(
+        "silence of an engine's stream after which it is resumed, in seconds",
+        "endpoint",
+        default=2.0,
+        minimum=0.05,
+        maximum=600,
+    )
+    engine_loss_timeout_s: float = setting(
+        "time without an answer of the engine after which its generations"
+        " are lost, in seconds",
+        "endpoint",
+        default=10.0,
+        minimum=0.05,
+        maximum=3600,
+    )
     order_check_interval_s: float = setting(
         "time between comparisons of the engine with its pool, in seconds",
         "orders",
--- a/bronzeslip/sidecar/daemon.py
+++ b/bronzeslip/sidecar/daemon.py
@@ -58,6 +58,7 @@
         await self._peers.start()
         self._http.start()
         registration = asyncio.create_task(self._registrar.register())
+        sweeping = asyncio.create_task(self._table.sweep())
         self._ready = True
         logger.info(
             "sidecar.listening",
@@ -68,19 +69,24 @@
         await signals.requested.wait()
         registration.cancel()
         await self._drain(signals)
+        sweeping.cancel()
         await self._close()
 
     async def _drain(self, signals: shutdown.ShutdownSignals) -> None:
         self._ready = False
         self._admission.drain()
         announcement = asyncio.create_task(self._registrar.announce_draining())
-        idle = asyncio.create_task(self._admission.wait_idle())
+        idle = asyncio.create_task(self._wait_idle())
         hurried = asyncio.create_task(signals.hurried.wait())
         await asyncio.wait((idle, hurried), return_when=asyncio.FIRST_COMPLETED)
         for task in (announcement, idle, hurried):
             task.cancel()
         logger.info("sidecar.drained", hurried=signals.hurried.is_set())
 
+    async def _wait_idle(self) -> None:
+        await self._admission.wait_idle()
+        await self._table.wait_read()
+
     async def _close(self) -> None:
         await asyncio.sleep(self._settings.drain_notice_s)
         await self._registrar.withdraw()
--- /dev/null
+++ b/bronzeslip/sidecar/engine_reader.py
@@ -0,0 +1,155 @@
+"""Reads one generation from the engine until it has an outcome."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+import time
+
+from bronzeslip import errors as base_errors
+from bronzeslip import logs
+from bronzeslip.engine import client
+from bronzeslip.engine import errors
+from bronzeslip.engine import messages
+from bronzeslip.generation import run
+from bronzeslip.settings import sidecar
+from bronzeslip.transport.frames import generation as frames
+from bronzeslip.transport.frames import reason
+
+logger = logs.get_logger(__name__)
+
+_RETRY_AFTER_S = 1.0
+_RETRY_DELAY_S = 0.1
+_SILENCE_GROWTH = 2
+_MAX_SILENCE_FACTOR = 8
+
+
+class EngineReader:
+    """Fills one run from the engine.
+
+    A stream that breaks off or falls silent is resumed at the next index
+    on a new connection, as long as the engine answers a probe.
+    """
+
+    def __init__(
+        self,
+        settings: sidecar.SidecarSettings,
+        engine: client.EngineClient,
+        current: run.GenerationRun,
+    ) -> None:
+        self._settings = settings
+        self._engine = engine
+        self._run = current
+        self._silence_s = settings.engine_silence_timeout_s
+        self._last_answer_s = time.monotonic()
+        self._may_have_run = False
+
+    async def run(self) -> None:
+        """Reads until the run has an outcome."""
+        events = self._engine.generate(_request(self._run))
+        while self._run.terminal is None:
+            try:
+                await self._read(events)
+            except (
+                errors.EngineRefusedError,
+                errors.EngineUnreachableError,
+                errors.GenerationUnknownError,
+            ):
+                self._give_up()
+            except (base_errors.BronzeslipError, TimeoutError) as error:
+                await self._check_engine(error)
+            self._may_have_run = True
+            events = self._engine.resume(
+                self._run.start.generation_id, self._run.buffer.next_index
+            )
+
+    async def _read(self, events: AsyncIterator[messages.StreamEvent]) -> None:
+        loop = asyncio.get_running_loop()
+        async with contextlib.aclosing(events):
+            async with asyncio.timeout(self._silence_s) as silence:
+                async for event in events:
+                    self._take(event)
+                    if self._run.terminal is not None:
+                        return
+                    silence.reschedule(loop.time() + self._silence_s)
+        raise errors.EngineUnavailableError("the stream has no end")
+
+    def _take(self, event: messages.StreamEvent) -> None:
+        self._silence_s = self._settings.engine_silence_timeout_s
+        self._last_answer_s = time.monotonic()
+        if self._run.state is run.RunState.QUEUED:
+            self._run.mark_running()
+        if event.kind is messages.StreamEventKind.TOKENS:
+            self._run.append(event.first_index, event.texts)
+            return
+        self._run.end(
+            frames.GenerationFinished(
+                self._run.start.generation_id,
+                self._run.buffer.next_index,
+                reason.FinishReason(event.finish_reason),
+                event.prompt_token_count,
+            )
+        )
+
+    async def _check_engine(self, error: Exception) -> None:
+        silent = isinstance(error, TimeoutError)
+        logger.warning(
+            "generation.engine_stream_lost",
+            generation_id=self._run.start.generation_id,
+            next_index=self._run.buffer.next_index,
+            silent=silent,
+        )
+        try:
+            load = await self._engine.probe()
+        except errors.EngineUnreachableError:
+            self._lose(reason.LossReason.ENDPOINT_DOWN)
+        except errors.EngineError:
+            await self._wait_for_answer()
+        else:
+            if silent:
+                self._note_answer()
+            elif load.leaving:
+                self._lose(reason.LossReason.RECLAIMED)
+            else:
+                await self._wait_for_answer()
+
+    def _note_answer(self) -> None:
+        self._last_answer_s = time.monotonic()
+        self._silence_s = min(
+            self._silence_s * _SILENCE_GROWTH,
+            self._settings.engine_silence_timeout_s * _MAX_SILENCE_FACTOR,
+        )
+
+    async def _wait_for_answer(self) -> None:
+        quiet_s = time.monotonic() - self._last_answer_s
+        if quiet_s >= self._settings.engine_loss_timeout_s:
+            self._lose(reason.LossReason.ENDPOINT_DOWN)
+            return
+        await asyncio.sleep(_RETRY_DELAY_S)
+
+    def _give_up(self) -> None:
+        if self._may_have_run or self._run.state is not run.RunState.QUEUED:
+            self._lose(reason.LossReason.ENDPOINT_DOWN)
+            return
+        self._run.end(
+            frames.GenerationRefused(
+                self._run.start.generation_id,
+                reason.RefusalReason.ENDPOINT_DOWN,
+                _RETRY_AFTER_S,
+            )
+        )
+
+    def _lose(self, loss: reason.LossReason) -> None:
+        self._run.end(
+            frames.GenerationLost(self._run.start.generation_id, loss)
+        )
+
+
+def _request(current: run.GenerationRun) -> messages.GenerationRequest:
+    start = current.start
+    return messages.GenerationRequest(
+        start.generation_id,
+        start.model,
+        start.prompt,
+        start.max_tokens,
+        start.priority,
+    )
--- a/bronzeslip/sidecar/generations.py
+++ b/bronzeslip/sidecar/generations.py
@@ -1,6 +1,7 @@
 """Generations that a sidecar runs on its engine."""
 
 import asyncio
+import time
 
 from bronzeslip import ids
 from bronzeslip import logs
@@ -8,15 +9,16 @@
 from bronzeslip.admission import gate
 from bronzeslip.engine import client
 from bronzeslip.engine import errors as engine_errors
-from bronzeslip.engine import messages
+from bronzeslip.generation import errors
 from bronzeslip.generation import run
 from bronzeslip.settings import sidecar
+from bronzeslip.sidecar import engine_reader
 from bronzeslip.transport.frames import generation as frames
 from bronzeslip.transport.frames import reason
 
 logger = logs.get_logger(__name__)
 
-_RETRY_AFTER_S = 1.0
+_SWEEP_INTERVAL_S = 0.5
 
 
 class GenerationTable:
@@ -33,17 +35,24 @@
         self._admission = admission
         self._runs: dict[ids.GenerationId, run.GenerationRun] = {}
         self._tasks: dict[ids.GenerationId, asyncio.Task] = {}
+        self._cancelled_at_s: dict[ids.GenerationId, float] = {}
 
     def start(self, start: frames.StartGeneration) -> run.GenerationRun:
-        """Runs a generation, or returns the run that has its id."""
+        """Runs a generation, or returns the run that has its id.
+
+        Raises:
+            errors.GenerationRefusedError: If it was cancelled before.
+        """
         known = self._runs.get(start.generation_id)
         if known is not None:
             return known
+        if start.generation_id in self._cancelled_at_s:
+            raise errors.GenerationRefusedError(
+                reason.RefusalReason.CANCELLED, 0.0
+            )
         created = run.GenerationRun(start)
         self._runs[start.generation_id] = created
-        self._tasks[start.generation_id] = asyncio.create_task(
-            self._run(created)
-        )
+        self._track(start.generation_id, self._run(created))
         return created
 
     def find(
@@ -56,7 +65,70 @@
         return found
 
     def cancel(self, generation_id: ids.GenerationId) -> None:
-        """Ends a generation and forgets it."""
+        """Ends a generation that nobody reads.
+
+        One that has not been started yet is not run when its start arrives.
+        """
+        known = self._runs.get(generation_id)
+        if known is None:
+            self._cancelled_at_s[generation_id] = time.monotonic()
+            self.forget_at_engine(generation_id)
+        elif not known.has_listeners:
+            self._end(known, reason.LossReason.CANCELLED)
+
+    def forget_at_engine(self, generation_id: ids.GenerationId) -> None:
+        """Ends, at the engine, what an earlier incarnation has started."""
+        if generation_id not in self._runs:
+            self._track(generation_id, self._cancel_at_engine(generation_id))
+
+    async def wait_read(self) -> None:
+        """Waits until every reader has taken its generation's outcome."""
+        for current in tuple(self._runs.values()):
+            await current.unread.wait()
+
+    async def wait_ended(self) -> None:
+        """Waits until no generation runs."""
+        while self._tasks:
+            await asyncio.wait(self._tasks.values())
+
+    async def sweep(self) -> None:
+        """Ends orphans and forgets what is no longer needed, for ever."""
+        while True:
+            await asyncio.sleep(_SWEEP_INTERVAL_S)
+            self.sweep_once(time.monotonic())
+
+    def sweep_once(self, now_s: float) -> None:
+        """Ends and forgets what is due at a time, in seconds."""
+        orphan_before_s = now_s - self._settings.orphan_timeout_s
+        forget_before_s = now_s - self._settings.generation_grace_s
+        for current in tuple(self._runs.values()):
+            current.drop_acknowledged(now_s, self._settings.orphan_timeout_s)
+            if current.ended_at_s is not None:
+                if current.ended_at_s < forget_before_s:
+                    del self._runs[current.start.generation_id]
+            elif (current.unread_since_s or now_s) < orphan_before_s:
+                self._end(current, reason.LossReason.ORPHANED)
+        for generation_id, at_s in tuple(self._cancelled_at_s.items()):
+            if at_s < forget_before_s:
+                del self._cancelled_at_s[generation_id]
+
+    def _track(self, generation_id: ids.GenerationId, work: object) -> None:
+        task = asyncio.create_task(work)
+        self._tasks[generation_id] = task
+        task.add_done_callback(lambda _: self._tasks.pop(generation_id, None))
+
+    def _end(self, current: run.GenerationRun, loss: reason.LossReason) -> None:
+        generation_id = current.start.generation_id
+        logger.info(
+            "generation.ended",
+            generation_id=generation_id,
+            workspace_id=current.start.workspace_id,
+            reason=loss,
+        )
+        if current.state is run.RunState.QUEUED:
+            current.end(_refused(current, reason.RefusalReason.CANCELLED, 0.0))
+        else:
+            current.end(frames.GenerationLost(generation_id, loss))
         task = self._tasks.get(generation_id)
         if task is not None:
             task.cancel()
@@ -66,82 +138,44 @@
             await self._admission.enter(current.start.expires_in_s)
         except admission_errors.AdmissionRefusedError as error:
             current.end(_refused(current, error.refusal, error.retry_after_s))
-        except asyncio.CancelledError:
-            current.end(_refused(current, reason.RefusalReason.CANCELLED, 0))
-        else:
-            try:
-                await self._generate(current)
-            finally:
-                self._admission.leave()
-        await self._forget_later(current)
+            return
+        try:
+            await self._generate(current)
+        finally:
+            self._admission.leave()
 
     async def _generate(self, current: run.GenerationRun) -> None:
+        generation_id = current.start.generation_id
+        reader = engine_reader.EngineReader(
+            self._settings, self._engine, current
+        )
         try:
-            async for event in self._engine.generate(_request(current)):
-                self._take(current, event)
-        except engine_errors.EngineRefusedError:
-            current.end(
-                _refused(
-                    current, reason.RefusalReason.ENDPOINT_DOWN, _RETRY_AFTER_S
-                )
-            )
-        except engine_errors.EngineError as error:
-            logger.warning(
-                "generation.engine_failed",
-                generation_id=current.start.generation_id,
-                reason=error.message,
-            )
+            await reader.run()
         except asyncio.CancelledError:
-            await self._cancel_at_engine(current)
-        current.end(
-            frames.GenerationLost(
-                current.start.generation_id, reason.LossReason.ENDPOINT_DOWN
+            await self._cancel_at_engine(generation_id)
+        except Exception as error:
+            logger.error(
+                "generation.failed",
+                generation_id=generation_id,
+                reason=logs.describe(error),
             )
-        )
-
-    def _take(
-        self, current: run.GenerationRun, event: messages.StreamEvent
-    ) -> None:
-        if current.state is run.RunState.QUEUED:
-            current.mark_running()
-        if event.kind is messages.StreamEventKind.TOKENS:
-            current.append(event.first_index, event.texts)
-            return
+            await self._cancel_at_engine(generation_id)
         current.end(
-            frames.GenerationFinished(
-                current.start.generation_id,
-                current.buffer.next_index,
-                reason.FinishReason(event.finish_reason),
-                event.prompt_token_count,
+            frames.GenerationLost(
+                generation_id, reason.LossReason.ENDPOINT_DOWN
             )
         )
 
-    async def _cancel_at_engine(self, current: run.GenerationRun) -> None:
+    async def _cancel_at_engine(self, generation_id: ids.GenerationId) -> None:
         try:
-            await self._engine.cancel(current.start.generation_id)
+            await self._engine.cancel(generation_id)
         except engine_errors.EngineError as error:
             logger.warning(
                 "generation.cancel_failed",
-                generation_id=current.start.generation_id,
+                generation_id=generation_id,
                 reason=error.message,
             )
 
-    async def _forget_later(self, current: run.GenerationRun) -> None:
-        await asyncio.sleep(self._settings.generation_grace_s)
-        self._runs.pop(current.start.generation_id, None)
-        self._tasks.pop(current.start.generation_id, None)
-
-
-def _request(current: run.GenerationRun) -> messages.GenerationRequest:
-    start = current.start
-    return messages.GenerationRequest(
-        start.generation_id,
-        start.model,
-        start.prompt,
-        start.max_tokens,
-        start.priority,
-    )
-
 
 def _refused(
     current: run.GenerationRun,
--- a/bronzeslip/sidecar/peer_session.py
+++ b/bronzeslip/sidecar/peer_session.py
@@ -6,6 +6,7 @@
 from bronzeslip import ids
 from bronzeslip import logs
 from bronzeslip.admission import gate
+from bronzeslip.generation import errors as generation_errors
 from bronzeslip.generation import reader
 from bronzeslip.generation import run as generation_run
 from bronzeslip.settings import sidecar
@@ -95,19 +96,25 @@
 
     @_take.register
     def _(self, frame: generation_frames.StartGeneration) -> None:
-        self._open(self._table.start(frame), 0)
+        if frame.incarnation_id not in ("", self._incarnation_id):
+            self._refuse(
+                frame.generation_id, reason.RefusalReason.WRONG_INCARNATION
+            )
+            self._table.forget_at_engine(frame.generation_id)
+            return
+        try:
+            self._open(self._table.start(frame), 0)
+        except generation_errors.GenerationRefusedError as error:
+            self._refuse(frame.generation_id, error.refusal)
 
     @_take.register
     def _(self, frame: generation_frames.ResumeGeneration) -> None:
         found = self._table.find(frame.generation_id, frame.workspace_id)
         if found is None:
-            self._outbox.put(
-                generation_frames.GenerationRefused(
-                    frame.generation_id,
-                    reason.RefusalReason.UNKNOWN_GENERATION,
-                    _RETRY_AFTER_S,
-                )
+            self._refuse(
+                frame.generation_id, reason.RefusalReason.UNKNOWN_GENERATION
             )
+            self._table.forget_at_engine(frame.generation_id)
             return
         self._open(found, frame.next_index)
 
@@ -131,12 +138,25 @@
     async def _run_call(self, frame: call_frames.StartCall) -> None:
         self._outbox.put(await self._runner.run(frame))
 
+    def _refuse(
+        self, generation_id: ids.GenerationId, refusal: reason.RefusalReason
+    ) -> None:
+        self._outbox.put(
+            generation_frames.GenerationRefused(
+                generation_id, refusal, _RETRY_AFTER_S
+            )
+        )
+
     def _open(
         self, source: generation_run.GenerationRun, next_index: int
     ) -> None:
-        self._close(source.start.generation_id)
-        self._readers[source.start.generation_id] = reader.GenerationReader(
-            source, self._outbox, next_index
+        generation_id = source.start.generation_id
+        self._close(generation_id)
+        self._readers[generation_id] = reader.GenerationReader(
+            source,
+            self._outbox,
+            next_index,
+            lambda: self._readers.pop(generation_id, None),
         )
 
     def _close(self, generation_id: ids.GenerationId) -> None:
--- a/bronzeslip/transport/connection.py
+++ b/bronzeslip/transport/connection.py
@@ -42,6 +42,7 @@
         """
         self.address = address
         self.load = link.EndpointLoad()
+        self.incarnation_id = ids.IncarnationId("")
         self._settings = settings
         self._on_frame = on_frame
         self._on_close = on_close
@@ -123,6 +124,7 @@
             for frame in batch:
                 if isinstance(frame, link.Heartbeat):
                     self.load = frame.load or self.load
+                    self.incarnation_id = frame.incarnation_id
                 else:
                     self._on_frame(frame)
 
--- a/bronzeslip/transport/frames/generation.py
+++ b/bronzeslip/transport/frames/generation.py
@@ -20,6 +20,8 @@
         priority: Engine priority; higher goes first.
         weight: Fair share of the workspace.
         expires_in_s: Time after which the run must not start, in seconds.
+        incarnation_id: Incarnation of the sidecar that alone may run it, or
+            empty if any may.
     """
 
     generation_id: ids.GenerationId
@@ -32,6 +34,7 @@
     priority: int
     weight: float
     expires_in_s: float
+    incarnation_id: ids.IncarnationId = ids.IncarnationId("")
 
 
 class ResumeGeneration(msgspec.Struct, frozen=True, tag="resume"):
--- a/bronzeslip/transport/frames/reason.py
+++ b/bronzeslip/transport/frames/reason.py
@@ -21,6 +21,7 @@
     ENDPOINT_DOWN = "endpoint-down"
     RECLAIMED = "reclaimed"
     ORPHANED = "orphaned"
+    CANCELLED = "cancelled"
 
 
 class FinishReason(enum.Enum):
--- a/tests/gateway/test_remote_generation.py
+++ b/tests/gateway/test_remote_generation.py
@@ -14,9 +14,10 @@
 from bronzeslip.transport.frames import generation as frames
 from bronzeslip.transport.frames import reason
 from tests.gateway import fake_sidecar
+from tests.support import generation_frames
 
-_ID = ids.GenerationId("g")
-_WORKSPACE = ids.WorkspaceId("w")
+_ID = generation_frames.GENERATION_ID
+_WORKSPACE = generation_frames.WORKSPACE_ID
 _ACCEPTED = frames.GenerationAccepted(_ID)
 _LONG_S = 60.0
 
@@ -30,12 +31,6 @@
     return frames.GenerationFinished(_ID, count, reason.FinishReason.STOP, 1)
 
 
-def start_frame():
-    return frames.StartGeneration(
-        _ID, ids.RequestId("r"), _WORKSPACE, "s", "m", "p", 9, 0, 1.0, 1.0
-    )
-
-
 class RemoteGenerationTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.sidecar = fake_sidecar.FakeSidecar()
@@ -61,7 +56,7 @@
 
     async def started(self, **changes):
         remote = self.remote(**changes)
-        remote.begin(start_frame, _LONG_S)
+        remote.begin(generation_frames.start, _LONG_S)
         connection = await self.sidecar.accept()
         await connection.get(frames.StartGeneration)
         await connection.send(_ACCEPTED)
@@ -130,7 +125,7 @@
 
     async def test_lost_dispatch_asks_again_with_same_id(self):
         remote = self.remote()
-        remote.begin(start_frame, _LONG_S)
+        remote.begin(generation_frames.start, _LONG_S)
         connection = await self.sidecar.accept()
         await connection.get(frames.StartGeneration)
         connection.close()
@@ -138,6 +133,9 @@
         other = await self.sidecar.accept()
         again = await other.get(frames.StartGeneration)
         self.assertEqual(again.generation_id, _ID)
+        self.assertEqual(
+            again.incarnation_id, self.sidecar.member.incarnation_id
+        )
         await other.send(_ACCEPTED)
         await accepted
 
@@ -172,7 +170,7 @@
 
     async def test_refusal_is_told(self):
         remote = self.remote()
-        remote.begin(start_frame, _LONG_S)
+        remote.begin(generation_frames.start, _LONG_S)
         connection = await self.sidecar.accept()
         await connection.send(
             frames.GenerationRefused(_ID, reason.RefusalReason.QUEUE_FULL, 7.0)
--- /dev/null
+++ b/tests/sidecar/scripted_engine.py
@@ -0,0 +1,64 @@
+"""An engine whose streams a test writes beforehand."""
+
+import asyncio
+
+from bronzeslip.engine import messages
+
+
+def tokens(first_index, *texts):
+    """Returns an event with tokens."""
+    return messages.StreamEvent(
+        messages.StreamEventKind.TOKENS, first_index, list(texts)
+    )
+
+
+FINISHED = messages.StreamEvent(
+    messages.StreamEventKind.FINISHED,
+    finish_reason="stop",
+    prompt_token_count=1,
+)
+HANG = object()
+
+
+class ScriptedEngine:
+    """Plays one list of events, errors and hangs per stream.
+
+    Attributes:
+        resumed_at: Indexes from which streams were resumed.
+        cancelled: Generations that were cancelled.
+    """
+
+    def __init__(self, *streams, probe=None):
+        self.resumed_at = []
+        self.cancelled = []
+        self.started = 0
+        self._streams = list(streams)
+        self._probe = probe
+
+    async def generate(self, request):
+        self.started += 1
+        async for event in self._play():
+            yield event
+
+    async def resume(self, generation_id, next_index):
+        self.resumed_at.append(next_index)
+        async for event in self._play():
+            yield event
+
+    async def probe(self):
+        if isinstance(self._probe, Exception):
+            raise self._probe
+        return messages.EngineLoad(
+            0, 0, 0, 1, 1, 0.01, 0, leaving=self._probe == "leaving"
+        )
+
+    async def cancel(self, generation_id):
+        self.cancelled.append(generation_id)
+
+    async def _play(self):
+        for event in self._streams.pop(0):
+            if event is HANG:
+                await asyncio.get_running_loop().create_future()
+            if isinstance(event, Exception):
+                raise event
+            yield event
--- /dev/null
+++ b/tests/sidecar/test_generations.py
@@ -0,0 +1,129 @@
+"""Tests of the table of generations."""
+
+import asyncio
+import time
+import types
+import unittest
+
+import msgspec
+
+from bronzeslip import ids
+from bronzeslip.admission import gate
+from bronzeslip.generation import errors
+from bronzeslip.sidecar import generations
+from bronzeslip.transport.frames import generation as frames
+from bronzeslip.transport.frames import reason
+from tests.sidecar import scripted_engine
+from tests.sidecar.scripted_engine import FINISHED
+from tests.sidecar.scripted_engine import HANG
+from tests.sidecar.scripted_engine import tokens
+from tests.support import generation_frames
+
+_ORPHAN_TIMEOUT_S = 30.0
+_GRACE_S = 60.0
+_SETTINGS = types.SimpleNamespace(
+    engine_silence_timeout_s=60.0,
+    engine_loss_timeout_s=60.0,
+    orphan_timeout_s=_ORPHAN_TIMEOUT_S,
+    generation_grace_s=_GRACE_S,
+    max_running_requests=1,
+    max_queued_requests=1,
+)
+_START = generation_frames.start()
+_ID = _START.generation_id
+
+
+class GenerationTableTest(unittest.IsolatedAsyncioTestCase):
+    def table(self, *streams):
+        self.engine = scripted_engine.ScriptedEngine(*streams)
+        return generations.GenerationTable(
+            _SETTINGS, self.engine, gate.AdmissionGate(_SETTINGS)
+        )
+
+    async def reading(self, table, count):
+        """Starts a generation and waits until it has tokens."""
+        changed = asyncio.Event()
+        current = table.start(_START)
+        current.add_listener(changed.set)
+        while current.buffer.next_index < count:
+            await changed.wait()
+            changed.clear()
+        return current, changed
+
+    async def test_start_with_known_id_returns_its_run(self):
+        table = self.table([tokens(0, "a"), HANG])
+        first, _ = await self.reading(table, 1)
+        self.assertIs(table.start(_START), first)
+        self.assertEqual(self.engine.started, 1)
+
+    async def test_orphan_is_cancelled_after_its_timeout(self):
+        table = self.table([tokens(0, "a"), HANG])
+        current, changed = await self.reading(table, 1)
+        table.sweep_once(time.monotonic() + _ORPHAN_TIMEOUT_S + 1)
+        self.assertIsNone(current.terminal)
+        current.remove_listener(changed.set)
+        table.sweep_once(time.monotonic() + _ORPHAN_TIMEOUT_S - 1)
+        self.assertIsNone(current.terminal)
+        table.sweep_once(time.monotonic() + _ORPHAN_TIMEOUT_S + 1)
+        self.assertEqual(current.terminal.reason, reason.LossReason.ORPHANED)
+        await table.wait_ended()
+        self.assertEqual(self.engine.cancelled, [_ID])
+
+    async def test_cancel_spares_a_generation_that_another_reads(self):
+        table = self.table([tokens(0, "a"), HANG])
+        current, changed = await self.reading(table, 1)
+        table.cancel(_ID)
+        self.assertIsNone(current.terminal)
+        current.remove_listener(changed.set)
+        table.cancel(_ID)
+        self.assertEqual(current.terminal.reason, reason.LossReason.CANCELLED)
+
+    async def test_start_after_its_cancel_is_refused(self):
+        table = self.table()
+        table.cancel(_ID)
+        with self.assertRaises(errors.GenerationRefusedError):
+            table.start(_START)
+        await asyncio.sleep(0)
+        self.assertEqual(self.engine.started, 0)
+        self.assertEqual(self.engine.cancelled, [_ID])
+
+    async def test_waiting_generation_is_refused_when_cancelled(self):
+        table = self.table([HANG])
+        table.start(_START)
+        await asyncio.sleep(0)
+        other_id = ids.GenerationId("waiting")
+        waiting = table.start(
+            msgspec.structs.replace(_START, generation_id=other_id)
+        )
+        await asyncio.sleep(0)
+        table.cancel(other_id)
+        self.assertIsInstance(waiting.terminal, frames.GenerationRefused)
+        self.assertEqual(self.engine.started, 1)
+
+    async def test_finished_generation_is_kept_for_its_grace_time(self):
+        table = self.table([tokens(0, "a"), FINISHED])
+        current, _ = await self.reading(table, 1)
+        await table.wait_ended()
+        table.sweep_once(time.monotonic() + _GRACE_S - 1)
+        self.assertIs(table.find(_ID, _START.workspace_id), current)
+        self.assertIsNone(table.find(_ID, ids.WorkspaceId("other")))
+        table.sweep_once(time.monotonic() + _GRACE_S + 1)
+        self.assertIsNone(table.find(_ID, _START.workspace_id))
+
+    async def test_acknowledged_tokens_are_dropped_after_a_grace_time(self):
+        table = self.table([tokens(0, "a", "b", "c"), HANG])
+        current, _ = await self.reading(table, 3)
+        now_s = time.monotonic()
+        current.acknowledge(2)
+        table.sweep_once(now_s)
+        table.sweep_once(now_s + _ORPHAN_TIMEOUT_S - 1)
+        self.assertEqual(current.buffer.first_index, 0)
+        table.sweep_once(now_s + _ORPHAN_TIMEOUT_S + 1)
+        self.assertEqual(current.buffer.first_index, 2)
+
+    async def test_engine_event_of_unknown_form_loses_the_generation(self):
+        odd = msgspec.structs.replace(FINISHED, finish_reason="odd")
+        table = self.table([tokens(0, "a"), odd])
+        current, _ = await self.reading(table, 1)
+        await table.wait_ended()
+        self.assertIsInstance(current.terminal, frames.GenerationLost)
