Keep the configuration as a manifest with segments

Ruled out: bounding the history by bytes alone (the document itself grows past a megabyte with bindings that list workspaces, and each patch would spread all of it); content-addressed segments (deleting an unused one races with a patch that is about to name it).

Change: the manifest names up to 128 segments by bucket of the declared name. A patch writes the changed segments under its own number and token, then the manifest by conditional update. Segments that the current manifest does not name are deleted if they were written for its number or a lower one, which no patch under way can name. Patches move into blocks of 16 whose content follows from their numbers; 256 blocks are kept, so a patch is found by its number (base + 1) with one read.

--- /dev/null
+++ b/bench/configuration_apply.py
@@ -0,0 +1,86 @@
+"""Time and memory to patch and adopt a configuration of the letter's size."""
+
+import argparse
+import asyncio
+import resource
+import time
+
+import httpx
+import msgspec
+
+from bronzeslip import ids
+from bronzeslip.configuration import in_force
+from bronzeslip.configuration import manifest
+from bronzeslip.configuration import store
+from bronzeslip.configuration import watcher
+from bronzeslip.platform import client
+from standins.platform import app
+from tools import letter_size
+
+_BYTES_PER_MB = 1_000_000
+_KIB_BYTES = 1024
+
+
+def main() -> None:
+    """Runs the measurement and prints a table."""
+    parser = argparse.ArgumentParser(prog="configuration_apply")
+    parser.add_argument("--patches", type=int, default=50)
+    flags = parser.parse_args()
+    asyncio.run(_run(flags.patches))
+
+
+async def _run(patches: int) -> None:
+    standin = app.PlatformStandin()
+    platform = client.PlatformClient(
+        "http://platform", 60.0, httpx.ASGITransport(standin.app())
+    )
+    holder = in_force.ConfigurationInForce()
+    follower = watcher.ConfigurationWatcher(holder)
+    patched = store.ConfigurationStore(platform)
+    first_s = await _timed(patched.apply(_request(0, letter_size.document())))
+    listed = await platform.list_objects(manifest.PREFIX)
+    adopt_first_s = await _timed(follower.on_list(listed))
+    version, apply_s, adopt_s, sent_bytes = listed.version, 0.0, 0.0, 0
+    calls_before = standin.calls.total()
+    for number in range(1, patches + 1):
+        patch = {"workspaces": {f"workspace-{number}": {"weight": 2.0}}}
+        apply_s += await _timed(patched.apply(_request(number, patch)))
+        batch = await platform.watch(manifest.PREFIX, version, 0.0)
+        version = batch.version
+        sent_bytes += len(msgspec.json.encode(batch))
+        for event in batch.events:
+            adopt_s += await _timed(follower.on_event(event))
+    calls = standin.calls.total() - calls_before - patches
+    memory_kib = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    await platform.close()
+    print("| figure | value |\n| --- | --- |")
+    print(f"| workspaces | {len(holder.current.document.workspaces)} |")
+    print(f"| first apply | {first_s * 1e3:.0f} ms |")
+    print(f"| first adoption from a snapshot | {adopt_first_s * 1e3:.0f} ms |")
+    print(
+        f"| apply one patch at a gateway | {apply_s / patches * 1e3:.1f} ms |"
+    )
+    print(f"| adopt one patch | {adopt_s / patches * 1e3:.1f} ms |")
+    print(f"| bytes of events a patch | {sent_bytes / patches:.0f} |")
+    print(f"| platform calls a patch | {calls / patches:.1f} |")
+    memory_mb = memory_kib * _KIB_BYTES / _BYTES_PER_MB
+    print(f"| peak memory, stand-in included | {memory_mb:.0f} MB |")
+
+
+def _request(base_number: int, patch: object) -> store.PatchRequest:
+    return store.PatchRequest(
+        ids.PatchId(ids.random_id()),
+        ids.ConfigurationNumber(base_number),
+        ids.OperatorName("bench"),
+        patch,
+    )
+
+
+async def _timed(work: object) -> float:
+    start_s = time.perf_counter()
+    await work
+    return time.perf_counter() - start_s
+
+
+if __name__ == "__main__":
+    main()
--- a/bronzeslip/configuration/document.py
+++ b/bronzeslip/configuration/document.py
@@ -21,6 +21,9 @@
     workspaces: dict[ids.WorkspaceId, workspace.Workspace] = {}
 
 
+KINDS = Document.__struct_fields__
+
+
 def parse(tree: Any) -> Document:
     """Converts plain JSON values into a checked document.
 
--- /dev/null
+++ b/bronzeslip/configuration/history.py
@@ -0,0 +1,103 @@
+"""Accepted patches that the manifest no longer holds."""
+
+import msgspec
+
+from bronzeslip import ids
+from bronzeslip.configuration import manifest
+from bronzeslip.configuration import record
+from bronzeslip.platform import client
+from bronzeslip.platform import errors
+
+PREFIX = "configuration-history/"
+BLOCK_PATCHES = 16
+BLOCKS_KEPT = 256
+MAX_KEPT_PATCH_BYTES = 2_048
+
+_Patches = tuple[record.PatchEntry, ...]
+
+
+class PatchHistory:
+    """Blocks of consecutive patches, each one object of the platform.
+
+    A block holds BLOCK_PATCHES accepted patches and its content follows from
+    their numbers, so it does not matter which gateway writes it, or how often.
+    """
+
+    def __init__(self, platform: client.PlatformClient) -> None:
+        self._platform = platform
+
+    async def find(
+        self, current: manifest.Manifest, number: ids.ConfigurationNumber
+    ) -> record.PatchEntry | None:
+        """Finds the patch that produced a number, if it is still kept."""
+        patches = current.recent_patches
+        if number <= current.number - len(patches):
+            patches = await self.block(_block_of(number))
+        return next(
+            (entry for entry in patches if entry.number == number), None
+        )
+
+    async def block(self, index: int) -> _Patches:
+        """Reads a block, empty if it is not kept."""
+        if index < 0:
+            return ()
+        found = await self._platform.get(_key(index))
+        if found is None:
+            return ()
+        return msgspec.json.decode(found.value, type=_Patches)
+
+    async def append(
+        self, current: manifest.Manifest, entry: record.PatchEntry
+    ) -> _Patches:
+        """Returns the manifest's patches with one more.
+
+        When the manifest's own are a whole block, they are kept as one first.
+        """
+        patches = current.recent_patches
+        if len(patches) >= BLOCK_PATCHES:
+            await self._keep(_block_of(patches[0].number), patches)
+            patches = ()
+        return (*patches, _bounded(entry))
+
+    async def _keep(self, index: int, patches: _Patches) -> None:
+        try:
+            await self._platform.create(_key(index), patches)
+        except errors.VersionConflictError:
+            pass
+        except errors.PlatformUnavailableError:
+            if not await self.block(index):
+                raise
+        await self._drop(index - BLOCKS_KEPT)
+
+    async def _drop(self, index: int) -> None:
+        if index < 0:
+            return
+        found = await self._platform.get(_key(index))
+        if found is not None:
+            await delete_if_unchanged(self._platform, found.key, found.version)
+
+
+async def delete_if_unchanged(
+    platform: client.PlatformClient,
+    key: ids.ObjectKey,
+    version: ids.ObjectVersion,
+) -> None:
+    """Deletes an object that nobody needs; another try may do it later."""
+    try:
+        await platform.delete(key, version)
+    except errors.PlatformError:
+        return
+
+
+def _block_of(number: ids.ConfigurationNumber) -> int:
+    return (number - 1) // BLOCK_PATCHES
+
+
+def _key(index: int) -> ids.ObjectKey:
+    return ids.ObjectKey(f"{PREFIX}{index:012d}")
+
+
+def _bounded(entry: record.PatchEntry) -> record.PatchEntry:
+    if len(msgspec.json.encode(entry.patch)) <= MAX_KEPT_PATCH_BYTES:
+        return entry
+    return msgspec.structs.replace(entry, patch=None)
--- a/bronzeslip/configuration/record.py
+++ b/bronzeslip/configuration/record.py
@@ -1,4 +1,4 @@
-"""The stored form of the configuration."""
+"""The configuration under its number, with its latest patches."""
 
 from typing import Any
 
@@ -7,9 +7,6 @@
 from bronzeslip import ids
 from bronzeslip.configuration import document
 
-CURRENT_KEY = ids.ObjectKey("configuration/current")
-HISTORY_LENGTH = 64
-
 
 class PatchEntry(msgspec.Struct, frozen=True):
     """One accepted patch.
@@ -19,7 +16,8 @@
         number: Number of the configuration that the patch produced.
         operator: Who submitted it.
         accepted_at_unix_s: When it was accepted, by the gateway's clock.
-        patch: RFC 7396 merge patch against number - 1.
+        patch: RFC 7396 merge patch against number - 1, or None if it was too
+            large to be kept.
     """
 
     patch_id: ids.PatchId
--- /dev/null
+++ b/bronzeslip/configuration/segment_store.py
@@ -0,0 +1,134 @@
+"""Reads and writes the objects of a numbered configuration."""
+
+import asyncio
+import secrets
+
+import msgspec
+
+from bronzeslip import ids
+from bronzeslip.configuration import document
+from bronzeslip.configuration import history
+from bronzeslip.configuration import manifest
+from bronzeslip.configuration import record
+from bronzeslip.configuration import segment_cache
+from bronzeslip.configuration import segments
+from bronzeslip.platform import client
+from bronzeslip.platform import errors
+from bronzeslip.platform import objects
+
+_TOKEN_BYTES = 4
+_CONCURRENT_CALLS = 8
+
+
+class StoredConfiguration(msgspec.Struct, frozen=True):
+    """A configuration as read.
+
+    Attributes:
+        root: The manifest.
+        version: Version of the manifest's object, None before the first.
+        whole: The configuration put together.
+    """
+
+    root: manifest.Manifest
+    version: ids.ObjectVersion | None
+    whole: record.ConfigurationRecord
+
+
+class SegmentStore:
+    """The objects of the configuration; raises platform errors."""
+
+    def __init__(self, platform: client.PlatformClient) -> None:
+        self._platform = platform
+        self._cache = segment_cache.SegmentCache()
+        self._slots = asyncio.Semaphore(_CONCURRENT_CALLS)
+
+    async def read(self) -> StoredConfiguration:
+        """Reads the current configuration, whole."""
+        found = await self._platform.get(manifest.MANIFEST_KEY)
+        if found is None:
+            return StoredConfiguration(manifest.EMPTY, None, record.EMPTY)
+        root = segment_cache.decode_manifest(found)
+        if not self._cache.holds(root):
+            found = await self._list()
+            root = segment_cache.decode_manifest(found)
+        return StoredConfiguration(
+            root, found.version, self._cache.record_of(root)
+        )
+
+    async def write_segments(
+        self, base: manifest.Manifest, wanted: document.Document
+    ) -> dict[segments.Bucket, manifest.SegmentName]:
+        """Writes the segments in which a document differs from its base.
+
+        Returns:
+            The names of all segments of the document, by bucket.
+        """
+        number = ids.ConfigurationNumber(base.number + 1)
+        token = secrets.token_hex(_TOKEN_BYTES)
+        names: dict[segments.Bucket, manifest.SegmentName] = {}
+        changed: dict[manifest.SegmentName, document.Document] = {}
+        for bucket, part in segments.split(wanted).items():
+            name = base.segments.get(bucket, "")
+            if self._cache.part_of(name) != part:
+                name = manifest.segment_name(number, token, bucket)
+                changed[name] = part
+            names[bucket] = name
+        await asyncio.gather(
+            *(self._create(name, part) for name, part in changed.items())
+        )
+        return names
+
+    async def write_root(
+        self, root: manifest.Manifest, version: ids.ObjectVersion | None
+    ) -> None:
+        """Makes a configuration the current one if its base still is."""
+        if version is None:
+            await self._platform.create(manifest.MANIFEST_KEY, root)
+        else:
+            await self._platform.update(manifest.MANIFEST_KEY, root, version)
+
+    async def remove_unused(self, current: manifest.Manifest) -> None:
+        """Deletes the known segments that no configuration needs.
+
+        A segment written for a higher number than the current one may belong
+        to a patch under way and stays.
+        """
+        used = set(current.segments.values())
+        unused = [
+            name
+            for name in self._cache.names()
+            if name not in used and manifest.number_of(name) <= current.number
+        ]
+        await asyncio.gather(*(self._delete(name) for name in unused))
+
+    async def _list(self) -> objects.PlatformObject:
+        listed = await self._platform.list_objects(manifest.PREFIX)
+        for found in listed.objects:
+            if found.key.startswith(manifest.SEGMENTS_PREFIX):
+                self._cache.add(found)
+        return next(
+            found
+            for found in listed.objects
+            if found.key == manifest.MANIFEST_KEY
+        )
+
+    async def _create(
+        self, name: manifest.SegmentName, part: document.Document
+    ) -> None:
+        key = manifest.segment_key(name)
+        async with self._slots:
+            try:
+                created = await self._platform.create(key, part)
+            except errors.PlatformUnavailableError:
+                created = await self._platform.get(key)
+                if created is None:
+                    raise
+        self._cache.add(created)
+
+    async def _delete(self, name: manifest.SegmentName) -> None:
+        key = manifest.segment_key(name)
+        async with self._slots:
+            await history.delete_if_unchanged(
+                self._platform, key, self._cache.version_of(name)
+            )
+        self._cache.remove(key)
--- /dev/null
+++ b/bronzeslip/configuration/segments.py
@@ -0,0 +1,39 @@
+"""Division of a document into segments."""
+
+from collections.abc import Iterable
+
+import msgspec
+import xxhash
+
+from bronzeslip.configuration import document
+
+BUCKET_COUNT = 128
+
+Bucket = str
+
+
+def split(whole: document.Document) -> dict[Bucket, document.Document]:
+    """Divides a document by the hash of each declared name."""
+    kinds = msgspec.structs.asdict(whole)
+    buckets: dict[Bucket, dict[str, dict]] = {}
+    for kind, declared in kinds.items():
+        for name, value in declared.items():
+            bucket = buckets.setdefault(bucket_of(kind, name), {})
+            bucket.setdefault(kind, {})[name] = value
+    return {
+        bucket: document.Document(**found) for bucket, found in buckets.items()
+    }
+
+
+def join(parts: Iterable[document.Document]) -> document.Document:
+    """Puts segments together again."""
+    joined: dict[str, dict] = {kind: {} for kind in document.KINDS}
+    for part in parts:
+        for kind, declared in joined.items():
+            declared.update(getattr(part, kind))
+    return document.Document(**joined)
+
+
+def bucket_of(kind: str, name: str) -> Bucket:
+    """Returns the bucket that a declaration belongs to."""
+    return str(xxhash.xxh32_intdigest(f"{kind}/{name}".encode()) % BUCKET_COUNT)
--- a/bronzeslip/configuration/store.py
+++ b/bronzeslip/configuration/store.py
@@ -9,10 +9,14 @@
 from bronzeslip import ids
 from bronzeslip.configuration import document
 from bronzeslip.configuration import errors
+from bronzeslip.configuration import history
+from bronzeslip.configuration import manifest
 from bronzeslip.configuration import record
+from bronzeslip.configuration import segment_store
 from bronzeslip.platform import client
 from bronzeslip.platform import errors as platform_errors
-from bronzeslip.platform import objects
+
+_RETRY_AFTER_S = 2.0
 
 
 class PatchRequest(msgspec.Struct, frozen=True):
@@ -31,116 +35,173 @@
     patch: Any
 
 
+class AcceptedPatch(msgspec.Struct, frozen=True):
+    """Tells that a patch has been accepted, now or before.
+
+    Attributes:
+        number: Number that the patch produced.
+        current: Configuration that holds the patch, or a later one.
+    """
+
+    number: ids.ConfigurationNumber
+    current: record.ConfigurationRecord
+
+
 class ConfigurationStore:
     """The configuration as the platform keeps it."""
 
     def __init__(self, platform: client.PlatformClient) -> None:
-        self._platform = platform
+        self._segments = segment_store.SegmentStore(platform)
+        self._history = history.PatchHistory(platform)
 
     async def read(self) -> record.ConfigurationRecord:
-        """Reads the current configuration.
+        """Reads the current configuration with its latest patches.
 
         Raises:
             errors.ConfigurationError: If the platform gives no answer.
         """
-        current, _ = await self._read_with_version()
-        return current
+        found = await self._read()
+        recent = found.root.recent_patches
+        first = found.root.number - len(recent)
+        try:
+            block = await self._history.block(
+                first // history.BLOCK_PATCHES - 1
+            )
+        except platform_errors.PlatformError as error:
+            raise _unavailable() from error
+        return msgspec.structs.replace(
+            found.whole, recent_patches=(*block, *recent)
+        )
 
-    async def apply(self, request: PatchRequest) -> record.ConfigurationRecord:
+    async def apply(self, request: PatchRequest) -> AcceptedPatch:
         """Applies a patch if its base is still current.
 
-        A patch whose id is already among the recent ones has been accepted
-        before and is answered with the record it produced or a later one.
+        A patch that has been accepted before is told so, as long as the
+        history reaches back to it.
 
         Raises:
             errors.StaleNumberError: If another patch came first.
             errors.InvalidDocumentError: If the result is not valid.
             errors.OutcomeUnknownError: If the platform cannot tell.
+            errors.ConfigurationError: If the platform gives no answer; the
+                patch has not been accepted.
         """
-        current, version = await self._read_with_version()
-        if _contains(current, request.patch_id):
-            return current
-        if current.number != request.base_number:
-            raise errors.StaleNumberError(current.number)
-        wanted = patched(current, request)
+        found = await self._read()
+        if found.root.number != request.base_number:
+            return await self._accepted_before(request, found)
+        wanted = patched(found.whole, request)
         try:
-            await self._write(wanted, version)
-        except platform_errors.VersionConflictError as error:
-            return await self._resolve(request, error)
-        except platform_errors.PlatformUnavailableError as error:
-            return await self._resolve(request, error)
-        return wanted
+            root = await self._write_parts(found.root, wanted, request)
+        except platform_errors.ValueTooLargeError as error:
+            raise errors.InvalidDocumentError(
+                "a declaration is larger than the platform stores"
+            ) from error
+        except platform_errors.PlatformError as error:
+            raise _unavailable() from error
+        return await self._write_root(request, found, root, wanted)
 
-    async def _read_with_version(
-        self,
-    ) -> tuple[record.ConfigurationRecord, ids.ObjectVersion | None]:
+    async def _read(self) -> segment_store.StoredConfiguration:
         try:
-            found = await self._platform.get(record.CURRENT_KEY)
+            return await self._segments.read()
         except platform_errors.PlatformError as error:
-            raise errors.ConfigurationError(
-                "the platform gives no answer", retry_after_s=2.0
-            ) from error
-        if found is None:
-            return record.EMPTY, None
-        return decode(found), found.version
+            raise _unavailable() from error
 
-    async def _write(
+    async def _write_parts(
+        self,
+        base: manifest.Manifest,
+        wanted: document.Document,
+        request: PatchRequest,
+    ) -> manifest.Manifest:
+        number = ids.ConfigurationNumber(base.number + 1)
+        entry = record.PatchEntry(
+            request.patch_id,
+            number,
+            request.operator,
+            time.time(),
+            request.patch,
+        )
+        names = await self._segments.write_segments(base, wanted)
+        patches = await self._history.append(base, entry)
+        return manifest.Manifest(number, names, patches)
+
+    async def _write_root(
         self,
-        wanted: record.ConfigurationRecord,
-        version: ids.ObjectVersion | None,
-    ) -> None:
-        if version is None:
-            await self._platform.create(record.CURRENT_KEY, wanted)
-        else:
-            await self._platform.update(record.CURRENT_KEY, wanted, version)
+        request: PatchRequest,
+        base: segment_store.StoredConfiguration,
+        root: manifest.Manifest,
+        wanted: document.Document,
+    ) -> AcceptedPatch:
+        try:
+            await self._segments.write_root(root, base.version)
+        except (
+            platform_errors.VersionConflictError,
+            platform_errors.PlatformUnavailableError,
+        ) as error:
+            return await self._resolve(request, error)
+        await self._segments.remove_unused(root)
+        return AcceptedPatch(
+            root.number,
+            record.ConfigurationRecord(
+                root.number, wanted, root.recent_patches
+            ),
+        )
 
     async def _resolve(
         self, request: PatchRequest, cause: platform_errors.PlatformError
-    ) -> record.ConfigurationRecord:
+    ) -> AcceptedPatch:
         try:
-            current, _ = await self._read_with_version()
+            found = await self._read()
         except errors.ConfigurationError as error:
             raise errors.OutcomeUnknownError(
                 "the platform gives no answer; submit the same patch again",
-                retry_after_s=2.0,
+                retry_after_s=_RETRY_AFTER_S,
             ) from error
-        if _contains(current, request.patch_id):
-            return current
-        if current.number != request.base_number:
-            raise errors.StaleNumberError(current.number)
-        raise errors.OutcomeUnknownError(
-            "the write may still take effect; submit the same patch again",
-            retry_after_s=1.0,
-        ) from cause
+        if found.root.number == request.base_number:
+            raise errors.OutcomeUnknownError(
+                "the write may still take effect; submit the same patch again",
+                retry_after_s=_RETRY_AFTER_S,
+            ) from cause
+        await self._segments.remove_unused(found.root)
+        return await self._accepted_before(request, found)
+
+    async def _accepted_before(
+        self,
+        request: PatchRequest,
+        found: segment_store.StoredConfiguration,
+    ) -> AcceptedPatch:
+        number = ids.ConfigurationNumber(request.base_number + 1)
+        if number > found.root.number or number < 1:
+            raise errors.StaleNumberError(found.root.number)
+        try:
+            entry = await self._history.find(found.root, number)
+        except platform_errors.PlatformError as error:
+            raise errors.OutcomeUnknownError(
+                "the platform gives no answer; submit the same patch again",
+                retry_after_s=_RETRY_AFTER_S,
+            ) from error
+        if entry is None:
+            raise errors.OutcomeUnknownError(
+                f"the history no longer reaches back to number {number}; the "
+                f"current configuration number is {found.root.number}"
+            )
+        if entry.patch_id != request.patch_id:
+            raise errors.StaleNumberError(found.root.number)
+        return AcceptedPatch(number, found.whole)
 
 
 def patched(
     current: record.ConfigurationRecord, request: PatchRequest
-) -> record.ConfigurationRecord:
-    """Computes the record that a patch produces.
+) -> document.Document:
+    """Computes the document that a patch produces.
 
     Raises:
         errors.InvalidDocumentError: If the result is not valid.
     """
     tree = document.to_tree(current.document)
-    merged = json_merge_patch.merge(tree, request.patch)
-    number = ids.ConfigurationNumber(current.number + 1)
-    entry = record.PatchEntry(
-        request.patch_id, number, request.operator, time.time(), request.patch
-    )
-    recent = (*current.recent_patches, entry)[-record.HISTORY_LENGTH :]
-    return record.ConfigurationRecord(number, document.parse(merged), recent)
+    return document.parse(json_merge_patch.merge(tree, request.patch))
 
 
-def decode(found: objects.PlatformObject) -> record.ConfigurationRecord:
-    """Decodes the stored record."""
-    try:
-        return msgspec.json.decode(found.value, type=record.ConfigurationRecord)
-    except msgspec.MsgspecError as error:
-        raise errors.InvalidDocumentError(str(error)) from error
-
-
-def _contains(
-    current: record.ConfigurationRecord, patch_id: ids.PatchId
-) -> bool:
-    return any(entry.patch_id == patch_id for entry in current.recent_patches)
+def _unavailable() -> errors.ConfigurationError:
+    return errors.ConfigurationError(
+        "the platform gives no answer", retry_after_s=_RETRY_AFTER_S
+    )
--- a/bronzeslip/gateway/daemon.py
+++ b/bronzeslip/gateway/daemon.py
@@ -6,6 +6,7 @@
 from bronzeslip import ids
 from bronzeslip import logs
 from bronzeslip.configuration import in_force
+from bronzeslip.configuration import manifest
 from bronzeslip.configuration import store
 from bronzeslip.configuration import watcher
 from bronzeslip.gateway import access
@@ -16,6 +17,7 @@
 from bronzeslip.http import shutdown
 from bronzeslip.membership import directory
 from bronzeslip.platform import client as platform_client
+from bronzeslip.platform import follower
 from bronzeslip.routing import least_outstanding
 from bronzeslip.routing import router
 from bronzeslip.settings import gateway
@@ -37,16 +39,14 @@
             settings.listen_address,
             settings.http_port,
         )
-        self._watcher = watcher.ConfigurationWatcher(
-            self._platform, self._parts.configuration
-        )
+        self._watcher = watcher.ConfigurationWatcher(self._parts.configuration)
 
     async def run(self) -> None:
         """Serves until told to shut down, then drains."""
         signals = shutdown.ShutdownSignals()
         signals.install()
         followers = [
-            asyncio.create_task(self._watcher.run()),
+            asyncio.create_task(self._configuration_follower().run()),
             asyncio.create_task(
                 self._parts.members.follower(self._platform).run()
             ),
@@ -64,6 +64,14 @@
         await self._parts.peers.close()
         await self._platform.close()
 
+    def _configuration_follower(self) -> follower.PrefixFollower:
+        return follower.PrefixFollower(
+            self._platform,
+            manifest.PREFIX,
+            self._watcher.on_list,
+            self._watcher.on_event,
+        )
+
     async def _stop_http(self, signals: shutdown.ShutdownSignals) -> None:
         stopping = asyncio.create_task(self._http.stop())
         hurried = asyncio.create_task(signals.hurried.wait())
--- a/tests/configuration/test_store.py
+++ b/tests/configuration/test_store.py
@@ -1,7 +1,6 @@
 """Patches against the platform's object API."""
 
 import asyncio
-import hashlib
 import unittest
 
 from bronzeslip import ids
@@ -10,46 +9,7 @@
 from standins.platform import app
 from standins.platform import faults
 from tests import platform_fake
-
-WORKSPACE_COUNT = 1_200
-MODEL_COUNT = 20
-
-
-def workspace_tree(index, weight=1.0):
-    return {
-        "credentials_sha256": [
-            hashlib.sha256(f"{index}-{copy}".encode()).hexdigest()
-            for copy in range(2)
-        ],
-        "workspace_class": "interactive",
-        "weight": weight,
-        "limits": {"requests_in_flight": 100 + index},
-    }
-
-
-def letter_size_tree():
-    names = [f"model-{index}" for index in range(MODEL_COUNT)]
-    workspaces = [f"workspace-{index}" for index in range(WORKSPACE_COUNT)]
-    return {
-        "services": {
-            name: {"kind": "generation", "model": name} for name in names
-        },
-        "pools": {
-            f"pool-{name}": {"kind": "generation", "models": [name]}
-            for name in names
-        },
-        "bindings": {
-            name: {
-                "workspaces": workspaces,
-                "service": name,
-                "pool": f"pool-{name}",
-            }
-            for name in names
-        },
-        "workspaces": {
-            name: workspace_tree(index) for index, name in enumerate(workspaces)
-        },
-    }
+from tools import letter_size
 
 
 def request(base_number, patch, patch_id=None):
@@ -62,7 +22,7 @@
 
 
 def workspace_patch(name, weight=1.0):
-    return {"workspaces": {name: workspace_tree(0, weight)}}
+    return {"workspaces": {name: letter_size.workspace(name, weight)}}
 
 
 class StoreTest(unittest.IsolatedAsyncioTestCase):
@@ -148,16 +108,19 @@
         self.assertEqual((await self.stores[0].read()).number, 0)
 
     async def test_letter_size(self):
-        tree = letter_size_tree()
-        await self.stores[0].apply(request(0, tree))
+        await self.stores[0].apply(request(0, letter_size.document()))
         await self.stores[1].apply(
             request(1, workspace_patch("workspace-7", weight=3.0))
         )
         await self.stores[0].apply(
-            request(2, {"workspaces": {"extra": workspace_tree(5)}})
+            request(
+                2, {"workspaces": {"extra": letter_size.workspace("extra")}}
+            )
         )
         current = await self.create_store().read()
-        self.assertEqual(len(current.document.workspaces), WORKSPACE_COUNT + 1)
+        self.assertEqual(
+            len(current.document.workspaces), letter_size.WORKSPACE_COUNT + 1
+        )
         self.assertEqual(current.document.workspaces["workspace-7"].weight, 3.0)
 
 
