--- /dev/null
+++ b/bronzeslip/spread/__init__.py
@@ -0,0 +1,1 @@
+"""Spread of the platform's objects to every process through relays."""
--- /dev/null
+++ b/bronzeslip/spread/event_log.py
@@ -0,0 +1,42 @@
+"""The latest events of a prefix."""
+
+import collections
+
+from bronzeslip import ids
+from bronzeslip.platform import objects
+
+MAX_EVENTS = 2_000
+MAX_BYTES = 4_000_000
+
+
+class EventLog:
+    """Events after a base version, bounded by count and by bytes."""
+
+    def __init__(self, base: ids.ObjectVersion) -> None:
+        self._base = base
+        self._events: collections.deque[objects.ObjectEvent] = (
+            collections.deque()
+        )
+        self._size_bytes = 0
+
+    def append(self, event: objects.ObjectEvent) -> None:
+        """Adds the newest event."""
+        self._events.append(event)
+        self._size_bytes += len(event.value)
+        while len(self._events) > MAX_EVENTS or self._size_bytes > MAX_BYTES:
+            dropped = self._events.popleft()
+            self._size_bytes -= len(dropped.value)
+            self._base = dropped.version
+
+    def after(
+        self, version: ids.ObjectVersion
+    ) -> tuple[objects.ObjectEvent, ...] | None:
+        """Returns the events after a version, None if some are gone."""
+        if version < self._base:
+            return None
+        found: list[objects.ObjectEvent] = []
+        for event in reversed(self._events):
+            if event.version <= version:
+                break
+            found.append(event)
+        return tuple(reversed(found))
--- /dev/null
+++ b/bronzeslip/spread/prefix_state.py
@@ -0,0 +1,157 @@
+"""State of the objects under one prefix."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import time
+
+from bronzeslip import ids
+from bronzeslip.platform import objects
+from bronzeslip.spread import change
+from bronzeslip.spread import errors
+from bronzeslip.spread import event_log
+
+
+class PrefixState:
+    """Objects under a prefix; their version never goes back.
+
+    Several sources may feed one state, such as the platform and a relay: each
+    delivers every event after what it has delivered before, and what the
+    state already has is skipped.
+    """
+
+    def __init__(self, prefix: str) -> None:
+        self.prefix = prefix
+        self._objects: dict[ids.ObjectKey, objects.PlatformObject] = {}
+        self._version = change.UNKNOWN_VERSION
+        self._log = event_log.EventLog(self._version)
+        self._confirmed_at_s = -float("inf")
+        self._listeners: set[Callable[[], None]] = set()
+
+    @property
+    def version(self) -> ids.ObjectVersion:
+        """Version of the state, or UNKNOWN_VERSION."""
+        return self._version
+
+    @property
+    def known(self) -> bool:
+        """Whether there is any state."""
+        return self._version != change.UNKNOWN_VERSION
+
+    def age_s(self) -> float:
+        """Returns the time since the platform confirmed the state."""
+        return time.monotonic() - self._confirmed_at_s
+
+    def confirm(self, age_s: float = 0.0) -> None:
+        """Notes that the platform confirmed the state some time ago."""
+        confirmed_at_s = time.monotonic() - age_s
+        self._confirmed_at_s = max(self._confirmed_at_s, confirmed_at_s)
+
+    def add_listener(self, listener: Callable[[], None]) -> None:
+        """Calls a listener after each change from now on."""
+        self._listeners.add(listener)
+
+    def remove_listener(self, listener: Callable[[], None]) -> None:
+        """Stops calling a listener."""
+        self._listeners.discard(listener)
+
+    def replace(self, listed: objects.ObjectList) -> None:
+        """Takes the whole state of the prefix as of a version."""
+        if listed.version <= self._version:
+            return
+        if not self.known:
+            self._objects = {found.key: found for found in listed.objects}
+            self._log = event_log.EventLog(listed.version)
+        else:
+            for event in self._difference(listed):
+                self._apply(event)
+        self._version = listed.version
+        self._notify()
+
+    def advance(
+        self,
+        base: ids.ObjectVersion,
+        version: ids.ObjectVersion,
+        events: Iterable[objects.ObjectEvent],
+    ) -> None:
+        """Takes the changes from one version to another.
+
+        Raises:
+            errors.GapError: If the state is older than the base.
+        """
+        if base > self._version:
+            raise errors.GapError(f"{self.prefix}: {self._version} to {base}")
+        if version <= self._version:
+            return
+        for event in events:
+            if event.version > self._version:
+                self._apply(event)
+        self._version = version
+        self._notify()
+
+    def change_after(
+        self, version: ids.ObjectVersion, prefix: str
+    ) -> change.Change | None:
+        """Returns what a follower at a version needs.
+
+        Args:
+            version: Version that the follower has.
+            prefix: Prefix that it follows, equal to the state's or longer.
+
+        Returns:
+            None if the follower is up to date.
+        """
+        if not self.known or version >= self._version:
+            return None
+        logged = self._log.after(version)
+        if version == change.UNKNOWN_VERSION or logged is None:
+            return change.Snapshot(self._listed(prefix))
+        events = tuple(
+            event for event in logged if event.key.startswith(prefix)
+        )
+        return change.Delta(version, self._version, events)
+
+    def _listed(self, prefix: str) -> objects.ObjectList:
+        found = tuple(
+            kept
+            for key, kept in self._objects.items()
+            if key.startswith(prefix)
+        )
+        return objects.ObjectList(self._version, found)
+
+    def _difference(
+        self, listed: objects.ObjectList
+    ) -> list[objects.ObjectEvent]:
+        present = {found.key for found in listed.objects}
+        written = [
+            objects.ObjectEvent(
+                objects.EventKind.PUT, found.key, found.version, found.value
+            )
+            for found in sorted(listed.objects, key=_version_of)
+            if found.version > self._version
+        ]
+        deleted = [
+            objects.ObjectEvent(objects.EventKind.DELETE, key, listed.version)
+            for key in self._objects
+            if key not in present
+        ]
+        return written + deleted
+
+    def _apply(self, event: objects.ObjectEvent) -> None:
+        if event.kind is objects.EventKind.PUT:
+            self._objects[event.key] = objects.PlatformObject(
+                event.key, event.version, event.value
+            )
+            self._log.append(event)
+            return
+        self._objects.pop(event.key, None)
+        self._log.append(
+            objects.ObjectEvent(event.kind, event.key, event.version)
+        )
+
+    def _notify(self) -> None:
+        for listener in tuple(self._listeners):
+            listener()
+
+
+def _version_of(found: objects.PlatformObject) -> ids.ObjectVersion:
+    return found.version
--- a/bronzeslip/transport/codec.py
+++ b/bronzeslip/transport/codec.py
@@ -8,6 +8,7 @@
 from bronzeslip.transport.frames import call
 from bronzeslip.transport.frames import generation
 from bronzeslip.transport.frames import link
+from bronzeslip.transport.frames import spread
 
 Frame = (
     generation.StartGeneration
@@ -24,6 +25,13 @@
     | call.CallRefused
     | call.CallOutcomeUnknown
     | link.Heartbeat
+    | spread.FollowPrefix
+    | spread.PrefixSnapshot
+    | spread.PrefixDelta
+    | spread.RelayHeartbeat
+    | spread.StatusReport
+    | spread.AskStatus
+    | spread.StatusAnswer
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- /dev/null
+++ b/bronzeslip/transport/frames/spread.py
@@ -0,0 +1,113 @@
+"""Messages between a relay and its followers."""
+
+import msgspec
+
+from bronzeslip import ids
+
+
+class FollowPrefix(msgspec.Struct, frozen=True, tag="follow"):
+    """Asks a relay for the objects under a prefix.
+
+    Attributes:
+        prefix: Start of the keys.
+        version: Version that the follower has, -1 for none.
+    """
+
+    prefix: str
+    version: ids.ObjectVersion
+
+
+class PrefixSnapshot(msgspec.Struct, frozen=True, tag="prefix-snapshot"):
+    """Carries the whole state of a prefix.
+
+    Attributes:
+        prefix: Prefix asked for.
+        version: Version of the state.
+        age_s: Time since the platform confirmed it, in seconds.
+        listed: Compressed object list.
+    """
+
+    prefix: str
+    version: ids.ObjectVersion
+    age_s: float
+    listed: bytes
+
+
+class PrefixDelta(msgspec.Struct, frozen=True, tag="prefix-delta"):
+    """Carries the changes of a prefix between two versions.
+
+    Attributes:
+        prefix: Prefix asked for.
+        base: Version that the follower has.
+        version: Version that it has after the events.
+        age_s: Time since the platform confirmed it, in seconds.
+        events: Compressed events.
+    """
+
+    prefix: str
+    base: ids.ObjectVersion
+    version: ids.ObjectVersion
+    age_s: float
+    events: bytes
+
+
+class PrefixPosition(msgspec.Struct, frozen=True, array_like=True):
+    """How far a follower has come in a prefix.
+
+    Attributes:
+        prefix: Prefix followed.
+        version: Version that the follower has.
+        age_s: Time since the platform confirmed it, in seconds.
+    """
+
+    prefix: str
+    version: ids.ObjectVersion
+    age_s: float = 0.0
+
+
+class RelayHeartbeat(msgspec.Struct, frozen=True, tag="relay-heartbeat"):
+    """Shows that a relay is alive, and the versions that it has sent."""
+
+    positions: tuple[PrefixPosition, ...]
+
+
+class Laggard(msgspec.Struct, frozen=True, array_like=True):
+    """A process behind others.
+
+    Attributes:
+        name: Id of its VM.
+        number: Configuration number that it has in force.
+    """
+
+    name: str
+    number: ids.ConfigurationNumber
+
+
+class DomainSummary(msgspec.Struct, frozen=True, array_like=True):
+    """What processes of one failure domain have in force.
+
+    Attributes:
+        failure_domain: The failure domain.
+        counts: Processes by configuration number.
+        laggards: Some of the processes that have the lowest numbers.
+    """
+
+    failure_domain: ids.FailureDomainName
+    counts: dict[ids.ConfigurationNumber, int]
+    laggards: tuple[Laggard, ...] = ()
+
+
+class StatusReport(msgspec.Struct, frozen=True, tag="status-report"):
+    """Tells a relay what its follower, and those behind it, have in force."""
+
+    domains: tuple[DomainSummary, ...]
+
+
+class AskStatus(msgspec.Struct, frozen=True, tag="ask-status"):
+    """Asks a gateway for its summary."""
+
+
+class StatusAnswer(msgspec.Struct, frozen=True, tag="status-answer"):
+    """Carries a gateway's summary of itself and its followers."""
+
+    domains: tuple[DomainSummary, ...]
