--- a/bronzeslip/spread/packing.py
+++ b/bronzeslip/spread/packing.py
@@ -1,15 +1,15 @@
 """Compressed form of objects and events."""
 
-import functools
 import zlib
 
 import msgspec
 
+from bronzeslip import ids
 from bronzeslip.platform import objects
+from bronzeslip.spread import change
 from bronzeslip.transport import errors
 
 _LEVEL = 6
-_CACHED_PACKS = 64
 _MAX_UNPACKED_BYTES = 256_000_000
 
 _Events = tuple[objects.ObjectEvent, ...]
@@ -20,9 +20,31 @@
     return zlib.compress(msgspec.json.encode(listed), _LEVEL)
 
 
-def pack_events(events: _Events) -> bytes:
-    """Compresses events; followers at the same version share the result."""
-    return _pack_events(_PackedOnce(events))
+class EventPacker:
+    """Compresses events once for followers that are at the same version."""
+
+    def __init__(self) -> None:
+        self._packed: dict[str, _Packed] = {}
+
+    def pack(self, prefix: str, delta: change.Delta) -> bytes:
+        """Compresses the events that followers of a prefix are sent."""
+        last = self._packed.get(prefix)
+        if last is None or last.events != _identity(delta.events):
+            data = zlib.compress(msgspec.json.encode(delta.events), _LEVEL)
+            last = _Packed(_identity(delta.events), data)
+            self._packed[prefix] = last
+        return last.data
+
+
+class _Packed(msgspec.Struct, frozen=True):
+    events: tuple[tuple[ids.ObjectKey, ids.ObjectVersion], ...]
+    data: bytes
+
+
+def _identity(
+    events: _Events,
+) -> tuple[tuple[ids.ObjectKey, ids.ObjectVersion], ...]:
+    return tuple((event.key, event.version) for event in events)
 
 
 def unpack_list(data: bytes) -> objects.ObjectList:
@@ -43,27 +65,6 @@
     return _unpack(data, _Events)
 
 
-class _PackedOnce:
-    """Events compared by their keys and versions alone."""
-
-    def __init__(self, events: _Events) -> None:
-        self.events = events
-        self._identity = tuple((event.key, event.version) for event in events)
-
-    def __hash__(self) -> int:
-        return hash(self._identity)
-
-    def __eq__(self, other: object) -> bool:
-        return (
-            isinstance(other, _PackedOnce) and self._identity == other._identity
-        )
-
-
-@functools.lru_cache(maxsize=_CACHED_PACKS)
-def _pack_events(wanted: _PackedOnce) -> bytes:
-    return zlib.compress(msgspec.json.encode(wanted.events), _LEVEL)
-
-
 def _unpack(data: bytes, wanted: type) -> object:
     inflater = zlib.decompressobj()
     try:
--- a/bronzeslip/spread/subscription.py
+++ b/bronzeslip/spread/subscription.py
@@ -18,6 +18,7 @@
         state: prefix_state.PrefixState,
         follow: frames.FollowPrefix,
         target: outbox.Outbox,
+        packer: packing.EventPacker,
     ) -> None:
         """Starts to send.
 
@@ -25,11 +26,14 @@
             state: State that holds the prefix.
             follow: What the follower asked.
             target: Outbox of the connection.
+            packer: Compresses events, shared by the followers.
         """
         self._state = state
         self._prefix = follow.prefix
         self._version = follow.version
+        self._told_version = follow.version
         self._target = target
+        self._packer = packer
         state.add_listener(self._mark_ready)
         self._mark_ready()
 
@@ -38,9 +42,10 @@
         self._state.remove_listener(self._mark_ready)
 
     def position(self) -> frames.PrefixPosition:
-        """Tells how far the follower has been brought."""
+        """Tells the follower how far it has been brought."""
+        base, self._told_version = self._told_version, self._version
         return frames.PrefixPosition(
-            self._prefix, self._version, self._state.age_s()
+            self._prefix, base, self._version, self._state.age_s()
         )
 
     def _mark_ready(self) -> None:
@@ -51,12 +56,14 @@
         if found is None:
             return []
         if isinstance(found, change.Snapshot):
-            self._version = found.listed.version
+            self._version = self._told_version = found.listed.version
             return [self._snapshot_frame(found)]
         self._version = found.version
         if not found.events:
             return []
-        return [self._delta_frame(found)]
+        frame = self._delta_frame(found)
+        self._told_version = found.version
+        return [frame]
 
     def _snapshot_frame(self, found: change.Snapshot) -> frames.PrefixSnapshot:
         return frames.PrefixSnapshot(
@@ -69,8 +76,8 @@
     def _delta_frame(self, found: change.Delta) -> frames.PrefixDelta:
         return frames.PrefixDelta(
             self._prefix,
-            found.base,
+            self._told_version,
             found.version,
             self._state.age_s(),
-            packing.pack_events(found.events),
+            self._packer.pack(self._prefix, found),
         )
--- a/bronzeslip/transport/frames/spread.py
+++ b/bronzeslip/transport/frames/spread.py
@@ -52,17 +52,19 @@
 
 
 class PrefixPosition(msgspec.Struct, frozen=True, array_like=True):
-    """How far a follower has come in a prefix.
+    """Tells that a prefix has not changed between two versions.
 
     Attributes:
         prefix: Prefix followed.
-        version: Version that the follower has.
+        base: Version that the follower was last told.
+        version: Version that it has now.
         age_s: Time since the platform confirmed it, in seconds.
     """
 
     prefix: str
+    base: ids.ObjectVersion
     version: ids.ObjectVersion
-    age_s: float = 0.0
+    age_s: float
 
 
 class RelayHeartbeat(msgspec.Struct, frozen=True, tag="relay-heartbeat"):
