--- a/bronzeslip/gateway/app.py
+++ b/bronzeslip/gateway/app.py
@@ -35,6 +35,7 @@
             generations_api.completions,
             services_api.call_service,
             operators_api.read_configuration,
+            operators_api.read_status,
             operators_api.submit_patch,
             *health.handlers(lambda: parts.ready),
         ],
--- a/bronzeslip/gateway/daemon.py
+++ b/bronzeslip/gateway/daemon.py
@@ -3,24 +3,25 @@
 import asyncio
 import random
 
+from bronzeslip import background
 from bronzeslip import ids
 from bronzeslip import logs
-from bronzeslip.configuration import in_force
-from bronzeslip.configuration import manifest
 from bronzeslip.configuration import store
-from bronzeslip.configuration import watcher
 from bronzeslip.gateway import access
 from bronzeslip.gateway import app
 from bronzeslip.gateway import peer_pool
 from bronzeslip.gateway import state
 from bronzeslip.http import server as http_server
 from bronzeslip.http import shutdown
-from bronzeslip.membership import directory
+from bronzeslip.membership import member
+from bronzeslip.membership import registrar
 from bronzeslip.platform import client as platform_client
-from bronzeslip.platform import follower
 from bronzeslip.routing import least_outstanding
 from bronzeslip.routing import router
 from bronzeslip.settings import gateway
+from bronzeslip.spread import service
+from bronzeslip.spread import status_collector
+from bronzeslip.transport import server as transport_server
 
 logger = logs.get_logger(__name__)
 
@@ -30,73 +31,95 @@
 
     def __init__(self, settings: gateway.GatewaySettings) -> None:
         self._settings = settings
+        self._signals = shutdown.ShutdownSignals()
+        self._tasks = background.BackgroundTasks(self._signals.request)
         self._platform = platform_client.PlatformClient(
             settings.platform_url, settings.platform_timeout_s
         )
+        self._spread = service.SpreadService(
+            settings, member.MemberRole.GATEWAY, self._platform
+        )
+        self._peers = transport_server.PeerServer(
+            settings.listen_address,
+            settings.peer_port,
+            settings.peer_key,
+            self._spread.relay.serve,
+        )
+        self._registrar = registrar.Registrar(
+            self._platform,
+            member.of_process(
+                settings,
+                member.MemberRole.GATEWAY,
+                ids.IncarnationId(ids.random_id()),
+                self._peers.port,
+            ),
+        )
         self._parts = self._create_parts()
         self._http = http_server.HttpServer(
             app.create(self._parts),
             settings.listen_address,
             settings.http_port,
         )
-        self._watcher = watcher.ConfigurationWatcher(self._parts.configuration)
 
     async def run(self) -> None:
         """Serves until told to shut down, then drains."""
-        signals = shutdown.ShutdownSignals()
-        signals.install()
-        followers = [
-            asyncio.create_task(self._configuration_follower().run()),
-            asyncio.create_task(
-                self._parts.members.follower(self._platform).run()
-            ),
-        ]
+        self._signals.install()
+        await self._peers.start()
         self._http.start()
-        logger.info("gateway.listening", http_port=self._http.port)
-        await self._parts.configuration.wait_for(ids.ConfigurationNumber(0))
-        self._parts.ready = True
-        await signals.requested.wait()
+        self._tasks.start("spread", self._spread.run())
+        self._tasks.start("registration", self._registrar.register())
+        self._tasks.start("readiness", self._become_ready())
+        logger.info(
+            "gateway.listening",
+            http_port=self._http.port,
+            peer_port=self._peers.port,
+        )
+        await self._signals.requested.wait()
+        await self._drain()
+        await self._close()
+
+    async def _become_ready(self) -> None:
+        await self._spread.configuration.wait_for(ids.ConfigurationNumber(0))
+        self._parts.ready = not self._signals.requested.is_set()
+
+    async def _drain(self) -> None:
+        """Fails readiness, then lets the running requests end."""
         self._parts.ready = False
+        self._tasks.start("announcement", self._registrar.announce_draining())
+        ended = await self._signals.unless_hurried(self._stop_http())
+        if not ended:
+            await self._http.abort()
+        logger.info("gateway.drained", hurried=not ended)
+
+    async def _stop_http(self) -> None:
         await asyncio.sleep(self._settings.drain_notice_s)
-        await self._stop_http(signals)
-        for task in followers:
-            task.cancel()
+        await self._http.stop()
+
+    async def _close(self) -> None:
+        await self._registrar.withdraw()
+        await self._tasks.stop()
         await self._parts.peers.close()
+        await self._peers.stop()
         await self._platform.close()
 
-    def _configuration_follower(self) -> follower.PrefixFollower:
-        return follower.PrefixFollower(
-            self._platform,
-            manifest.PREFIX,
-            self._watcher.on_list,
-            self._watcher.on_event,
-        )
-
-    async def _stop_http(self, signals: shutdown.ShutdownSignals) -> None:
-        stopping = asyncio.create_task(self._http.stop())
-        hurried = asyncio.create_task(signals.hurried.wait())
-        await asyncio.wait(
-            (stopping, hurried), return_when=asyncio.FIRST_COMPLETED
-        )
-        for task in (stopping, hurried):
-            task.cancel()
-
     def _create_parts(self) -> state.GatewayState:
         settings = self._settings
-        configuration = in_force.ConfigurationInForce()
-        members = directory.MemberDirectory()
+        spread = self._spread
         peers = peer_pool.PeerPool(settings)
         routes = router.Router(
-            members,
+            spread.members,
             peers,
             least_outstanding.LeastOutstandingPolicy(random.Random()),
         )
         return state.GatewayState(
             settings=settings,
-            configuration=configuration,
+            configuration=spread.configuration,
             store=store.ConfigurationStore(self._platform),
-            members=members,
+            members=spread.members,
             peers=peers,
             routes=routes,
-            access=access.Access(settings, configuration),
+            access=access.Access(settings, spread.configuration),
+            status=status_collector.StatusCollector(
+                settings, spread.board, spread.members, spread.configuration
+            ),
         )
--- a/bronzeslip/gateway/operators_api.py
+++ b/bronzeslip/gateway/operators_api.py
@@ -10,6 +10,7 @@
 from bronzeslip.gateway import body
 from bronzeslip.gateway import errors
 from bronzeslip.gateway import state
+from bronzeslip.spread import status_collector
 
 
 class PatchAnswer(msgspec.Struct, frozen=True):
@@ -34,6 +35,17 @@
         raise _converted(error) from error
 
 
+@litestar.get(
+    "/v1/configuration/status", summary="Tells which number is in force where"
+)
+async def read_status(
+    request: litestar.Request, parts: state.GatewayState
+) -> status_collector.SpreadStatus:
+    """Collects from the relays what every process has in force."""
+    _check_operator(request, parts)
+    return await parts.status.collect()
+
+
 @litestar.post(
     "/v1/configuration/patches", status_code=200, summary="Submits a patch"
 )
--- a/bronzeslip/gateway/state.py
+++ b/bronzeslip/gateway/state.py
@@ -12,6 +12,7 @@
 from bronzeslip.membership import directory
 from bronzeslip.routing import router
 from bronzeslip.settings import gateway
+from bronzeslip.spread import status_collector
 
 
 @dataclasses.dataclass
@@ -26,6 +27,7 @@
         peers: Connections to sidecars.
         routes: Choice of endpoints.
         access: Checks of credentials.
+        status: Collects what is in force everywhere.
         ready: Whether new requests are taken.
     """
 
@@ -36,6 +38,7 @@
     peers: peer_pool.PeerPool
     routes: router.Router
     access: access.Access
+    status: status_collector.StatusCollector
     ready: bool = False
 
     def generation(
--- a/bronzeslip/http/shutdown.py
+++ b/bronzeslip/http/shutdown.py
@@ -1,7 +1,9 @@
 """Signals that ask a daemon to shut down."""
 
 import asyncio
+from collections.abc import Coroutine
 import signal
+from typing import Any
 
 from bronzeslip import logs
 
@@ -26,6 +28,30 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._on_signal)
 
+    def request(self) -> None:
+        """Asks for a drain as the first signal does."""
+        self.requested.set()
+
+    async def unless_hurried(self, work: Coroutine[Any, Any, None]) -> bool:
+        """Waits for work, or for the second signal.
+
+        Returns:
+            Whether the work has ended; otherwise it was cancelled.
+        """
+        task = asyncio.create_task(work)
+        hurried = asyncio.create_task(self.hurried.wait())
+        try:
+            await asyncio.wait(
+                (task, hurried), return_when=asyncio.FIRST_COMPLETED
+            )
+            if task.done():
+                task.result()
+                return True
+            return False
+        finally:
+            for started in (task, hurried):
+                started.cancel()
+
     def _on_signal(self) -> None:
         event = self.hurried if self.requested.is_set() else self.requested
         logger.info("shutdown.signal", hurried=event is self.hurried)
--- a/bronzeslip/membership/directory.py
+++ b/bronzeslip/membership/directory.py
@@ -5,29 +5,33 @@
 from bronzeslip import ids
 from bronzeslip import logs
 from bronzeslip.membership import member
-from bronzeslip.platform import client
-from bronzeslip.platform import follower
 from bronzeslip.platform import objects
 
 logger = logs.get_logger(__name__)
 
 
 class MemberDirectory:
-    """Members by key, followed from the platform."""
+    """Members by key, kept up to date by a follower of their prefix."""
 
     def __init__(self) -> None:
         self._members: dict[ids.ObjectKey, member.Member] = {}
+        self._gateways: dict[ids.ObjectKey, member.Member] = {}
+        self._pools: dict[ids.PoolName, dict[ids.ObjectKey, member.Member]] = {}
 
     def members(self) -> tuple[member.Member, ...]:
         """Lists every known member."""
         return tuple(self._members.values())
 
+    def gateways(self) -> tuple[member.Member, ...]:
+        """Lists the known gateways, whatever their state."""
+        return tuple(self._gateways.values())
+
     def endpoints_of(self, pool: ids.PoolName) -> tuple[member.Member, ...]:
         """Lists the sidecars before a pool's endpoints."""
         return tuple(
             known
-            for known in self._members.values()
-            if known.pool == pool and known.state is member.MemberState.SERVING
+            for known in self._pools.get(pool, {}).values()
+            if known.state is member.MemberState.SERVING
         )
 
     def endpoint(self, endpoint_id: ids.EndpointId) -> member.Member | None:
@@ -37,30 +41,41 @@
 
     def put(self, known: member.Member) -> None:
         """Adds or replaces a member."""
-        self._members[member.key_of(known)] = known
-
-    def follower(
-        self, platform: client.PlatformClient
-    ) -> follower.PrefixFollower:
-        """Returns a follower that keeps this directory up to date."""
-        return follower.PrefixFollower(
-            platform, member.MEMBERS_PREFIX, self._on_list, self._on_event
-        )
+        self._put(member.key_of(known), known)
 
-    async def _on_list(self, listed: objects.ObjectList) -> None:
-        self._members = {
-            found.key: known
-            for found in listed.objects
-            if (known := _decode(found.key, found.value)) is not None
-        }
+    async def on_list(self, listed: objects.ObjectList) -> None:
+        """Takes the whole state of the prefix."""
+        self._members.clear()
+        self._gateways.clear()
+        self._pools.clear()
+        for found in listed.objects:
+            self._take(found.key, found.value)
 
-    async def _on_event(self, event: objects.ObjectEvent) -> None:
+    async def on_event(self, event: objects.ObjectEvent) -> None:
+        """Takes one later change."""
         if event.kind is objects.EventKind.DELETE:
-            self._members.pop(event.key, None)
-            return
-        known = _decode(event.key, event.value)
+            self._remove(event.key)
+        else:
+            self._take(event.key, event.value)
+
+    def _take(self, key: ids.ObjectKey, value: msgspec.Raw) -> None:
+        known = _decode(key, value)
         if known is not None:
-            self._members[event.key] = known
+            self._put(key, known)
+
+    def _put(self, key: ids.ObjectKey, known: member.Member) -> None:
+        self._remove(key)
+        self._members[key] = known
+        if known.role is member.MemberRole.GATEWAY:
+            self._gateways[key] = known
+        elif known.pool is not None:
+            self._pools.setdefault(known.pool, {})[key] = known
+
+    def _remove(self, key: ids.ObjectKey) -> None:
+        known = self._members.pop(key, None)
+        self._gateways.pop(key, None)
+        if known is not None and known.pool in self._pools:
+            self._pools[known.pool].pop(key, None)
 
 
 def _decode(key: ids.ObjectKey, value: msgspec.Raw) -> member.Member | None:
--- a/bronzeslip/membership/member.py
+++ b/bronzeslip/membership/member.py
@@ -5,8 +5,10 @@
 import msgspec
 
 from bronzeslip import ids
+from bronzeslip.settings import common
 
 MEMBERS_PREFIX = "members/"
+GATEWAYS_PREFIX = "members/gateway/"
 
 
 class MemberRole(enum.Enum):
@@ -53,3 +55,28 @@
     """Returns the platform key under which a member registers."""
     name = member.endpoint_id or member.vm_id
     return ids.ObjectKey(f"{MEMBERS_PREFIX}{member.role.value}/{name}")
+
+
+def of_process(
+    settings: common.CommonSettings,
+    role: MemberRole,
+    incarnation_id: ids.IncarnationId,
+    listening_port: int,
+) -> Member:
+    """Describes this process, without an endpoint.
+
+    Args:
+        settings: Settings of the process.
+        role: Program that runs.
+        incarnation_id: Drawn at the start of the process.
+        listening_port: Peer port that it listens on.
+    """
+    port = settings.advertise_peer_port or listening_port
+    return Member(
+        vm_id=settings.vm_id,
+        incarnation_id=incarnation_id,
+        role=role,
+        region=settings.region,
+        failure_domain=settings.failure_domain,
+        address=f"{settings.advertise_address}:{port}",
+    )
--- a/bronzeslip/settings/common.py
+++ b/bronzeslip/settings/common.py
@@ -70,6 +70,11 @@
         minimum=0.1,
         maximum=60,
     )
+    seed_peers: tuple[str, ...] = setting(
+        "peer addresses of gateways to ask when no other is known",
+        "network",
+        default=(),
+    )
     drain_notice_s: float = setting(
         "time to stay open after readiness fails, in seconds",
         "shutdown",
--- /dev/null
+++ b/bronzeslip/spread/node.py
@@ -0,0 +1,193 @@
+"""Keeps a process's hub up to date."""
+
+import asyncio
+from collections.abc import Callable
+import random
+import time
+
+from bronzeslip import logs
+from bronzeslip.membership import directory
+from bronzeslip.membership import member
+from bronzeslip.platform import client
+from bronzeslip.platform import errors as platform_errors
+from bronzeslip.settings import common
+from bronzeslip.spread import errors
+from bronzeslip.spread import hub
+from bronzeslip.spread import platform_source
+from bronzeslip.spread import relay_link
+from bronzeslip.spread import status_board
+from bronzeslip.spread import upstream_order
+from bronzeslip.transport import workers
+
+logger = logs.get_logger(__name__)
+
+_CHECK_INTERVAL_S = 0.2
+_MIN_WATCH_DELAY_S = 2.0
+_MAX_WATCH_DELAY_S = 4.0
+_MAX_FIRST_READ_DELAY_S = 0.5
+_STALE_STAY_S = 15.0
+_MIN_READ_DELAY_S = 1.0
+_MAX_READ_DELAY_S = 60.0
+_MIN_PASS_DELAY_S = 0.1
+_MAX_PASS_DELAY_S = 0.4
+
+
+class SpreadNode:
+    """Follows the platform or a relay, whichever is this process's turn."""
+
+    def __init__(
+        self,
+        settings: common.CommonSettings,
+        role: member.MemberRole,
+        platform: client.PlatformClient,
+        target: hub.SpreadHub,
+        board: status_board.StatusBoard,
+        members: directory.MemberDirectory,
+    ) -> None:
+        """Creates a node.
+
+        Args:
+            settings: Settings of the process.
+            role: Program that the process runs.
+            platform: Client of the platform.
+            target: Hub that is kept up to date.
+            board: Board whose summary is reported to the relay.
+            members: Known members, fed from the hub.
+        """
+        self._settings = settings
+        self._role = role
+        self._target = target
+        self._board = board
+        self._members = members
+        self._order = upstream_order.UpstreamOrder(settings, role, members)
+        self._source = platform_source.PlatformSource(platform, target)
+        self._linked = False
+        self._unlinked_at_s = -float("inf")
+        self._watch_delay_s = random.uniform(
+            _MIN_WATCH_DELAY_S, _MAX_WATCH_DELAY_S
+        )
+
+    async def run(self) -> None:
+        """Keeps the hub up to date until cancelled."""
+        await workers.run_together(
+            self._watch_platform(), self._read_platform(), self._follow_relays()
+        )
+
+    def watches(self) -> bool:
+        """Tells whether this process watches the platform now.
+
+        A gateway whose turn it is not does so while no relay answers it.
+        """
+        if self._role is not member.MemberRole.GATEWAY:
+            return False
+        if self._order.watches():
+            return True
+        if self._linked:
+            return False
+        unlinked_s = time.monotonic() - self._unlinked_at_s
+        return not self._target.known or unlinked_s > self._watch_delay_s
+
+    async def _watch_platform(self) -> None:
+        while True:
+            await self._wait_until(self.watches)
+            watching = asyncio.create_task(self._source.watch())
+            try:
+                await self._wait_until(lambda: not self.watches())
+            finally:
+                watching.cancel()
+                await asyncio.wait((watching,))
+
+    async def _read_platform(self) -> None:
+        """Reads the platform now and then while neither source is fresh."""
+        await asyncio.sleep(random.uniform(0, _MAX_FIRST_READ_DELAY_S))
+        while True:
+            await self._wait_until(self._needs_read)
+            delay_s = _MIN_READ_DELAY_S
+            while self._needs_read():
+                await self._read_once()
+                end_s = time.monotonic() + delay_s * random.uniform(0.75, 1.25)
+                await self._wait_until(
+                    lambda end_s=end_s: (
+                        not self._needs_read() or time.monotonic() > end_s
+                    )
+                )
+                delay_s = min(delay_s * 2, _MAX_READ_DELAY_S)
+
+    def _needs_read(self) -> bool:
+        fresh = self._target.age_s() < relay_link.MAX_AGE_S
+        return not self.watches() and not (self._linked and fresh)
+
+    async def _wait_until(self, holds: Callable[[], bool]) -> None:
+        while True:
+            if holds():
+                return
+            await asyncio.sleep(_CHECK_INTERVAL_S)
+
+    async def _read_once(self) -> None:
+        prefixes = tuple(state.prefix for state in self._target.states())
+        if not self._members.gateways():
+            prefixes = tuple(
+                prefix
+                for prefix in prefixes
+                if prefix.startswith(member.MEMBERS_PREFIX)
+            )
+        try:
+            await self._source.read(prefixes)
+        except platform_errors.PlatformError as error:
+            logger.warning("spread.read_failed", reason=error.message)
+
+    async def _follow_relays(self) -> None:
+        allow_stale = False
+        while True:
+            allow_stale = await self._try_candidates(allow_stale)
+            await asyncio.sleep(
+                random.uniform(_MIN_PASS_DELAY_S, _MAX_PASS_DELAY_S)
+            )
+
+    async def _try_candidates(self, allow_stale: bool) -> bool:
+        """Follows each candidate until it is lost.
+
+        Returns:
+            Whether one answered but was out of date, so that the next pass
+            should put up with one that is.
+        """
+        found_stale = False
+        for address in self._order.candidates():
+            if self._satisfied():
+                return False
+            followed = relay_link.RelayLink(
+                self._settings, self._target, self._board, address
+            )
+            await self._follow(followed, allow_stale)
+            found_stale = found_stale or followed.heard
+        return found_stale and not allow_stale
+
+    async def _follow(
+        self, followed: relay_link.RelayLink, allow_stale: bool
+    ) -> None:
+        stay_until_s = time.monotonic() + _STALE_STAY_S * random.uniform(
+            0.75, 1.25
+        )
+
+        def should_stop() -> bool:
+            self._linked = followed.heard and self._target.known
+            stale = self._target.age_s() > relay_link.MAX_AGE_S
+            if stale and time.monotonic() > stay_until_s:
+                return True
+            return self._satisfied()
+
+        try:
+            await followed.run(should_stop, allow_stale)
+        except errors.RelayLostError as error:
+            logger.warning("spread.relay_lost", reason=error.message)
+        finally:
+            if self._linked:
+                self._unlinked_at_s = time.monotonic()
+            self._linked = False
+
+    def _satisfied(self) -> bool:
+        """Tells whether the platform itself feeds this process."""
+        return (
+            self._order.watches()
+            and self._source.age_s() < relay_link.MAX_AGE_S
+        )
--- /dev/null
+++ b/bronzeslip/spread/status_collector.py
@@ -0,0 +1,174 @@
+"""Asks the relays what is in force everywhere."""
+
+import asyncio
+from collections.abc import Iterable
+from collections.abc import Sequence
+
+import msgspec
+
+from bronzeslip import ids
+from bronzeslip.configuration import in_force
+from bronzeslip.membership import directory
+from bronzeslip.membership import member
+from bronzeslip.membership import rendezvous
+from bronzeslip.settings import common
+from bronzeslip.spread import status_board
+from bronzeslip.transport import codec
+from bronzeslip.transport import connection
+from bronzeslip.transport.frames import spread as frames
+
+_ANSWER_TIMEOUT_S = 1.5
+_ROUND_SIZES = (2, 4)
+
+
+class DomainStatus(msgspec.Struct, frozen=True):
+    """What the processes of one failure domain have in force.
+
+    Attributes:
+        failure_domain: The failure domain.
+        numbers: Processes by the number that they have in force.
+        lagging: Some of the VMs behind the highest number.
+        unreported: Registered processes that no relay has heard from.
+    """
+
+    failure_domain: ids.FailureDomainName
+    numbers: dict[ids.ConfigurationNumber, int]
+    lagging: tuple[ids.VmId, ...] = ()
+    unreported: int = 0
+
+
+class SpreadStatus(msgspec.Struct, frozen=True):
+    """What all processes have in force.
+
+    Attributes:
+        number: Highest number known.
+        in_force_everywhere: Whether every registered process reports it.
+        domains: Status of each failure domain.
+    """
+
+    number: ids.ConfigurationNumber
+    in_force_everywhere: bool
+    domains: tuple[DomainStatus, ...]
+
+
+class StatusCollector:
+    """Collects the summaries of the relays of each failure domain."""
+
+    def __init__(
+        self,
+        settings: common.CommonSettings,
+        board: status_board.StatusBoard,
+        members: directory.MemberDirectory,
+        holder: in_force.ConfigurationInForce,
+    ) -> None:
+        self._settings = settings
+        self._board = board
+        self._members = members
+        self._holder = holder
+
+    async def collect(self) -> SpreadStatus:
+        """Asks the relays, starting with those that watch the platform."""
+        reports = [self._board.summary()]
+        asked = {self._settings.vm_id}
+        for size in _ROUND_SIZES:
+            chosen = self._next(size, asked, status_board.merge(reports))
+            asked.update(known.vm_id for known in chosen)
+            answers = await asyncio.gather(
+                *(self._ask(known.address) for known in chosen)
+            )
+            reports.extend(answer for answer in answers if answer is not None)
+        return self._status(status_board.merge(reports))
+
+    def _next(
+        self,
+        size: int,
+        asked: set[ids.VmId],
+        known_so_far: status_board.Summaries,
+    ) -> list[member.Member]:
+        """Chooses the next gateways of each domain that lacks reports."""
+        reported = {
+            found.failure_domain: sum(found.counts.values())
+            for found in known_so_far
+        }
+        chosen: list[member.Member] = []
+        for domain, expected in self._expected().items():
+            if reported.get(domain, 0) >= expected:
+                continue
+            gateways = [
+                known
+                for known in self._members.gateways()
+                if known.failure_domain == domain and known.vm_id not in asked
+            ]
+            chosen += rendezvous.ranked(gateways, _name_of)[:size]
+        return chosen
+
+    def _expected(self) -> dict[ids.FailureDomainName, int]:
+        counts: dict[ids.FailureDomainName, int] = {}
+        for known in self._members.members():
+            domain = known.failure_domain
+            counts[domain] = counts.get(domain, 0) + 1
+        return counts
+
+    async def _ask(self, address: str) -> status_board.Summaries | None:
+        answer: asyncio.Future[status_board.Summaries | None] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+        def settle(value: status_board.Summaries | None) -> None:
+            if not answer.done():
+                answer.set_result(value)
+
+        def on_frame(frame: codec.Frame) -> None:
+            if isinstance(frame, frames.StatusAnswer):
+                settle(frame.domains)
+
+        opened = connection.PeerConnection(
+            address, self._settings, on_frame, lambda: settle(None)
+        )
+        opened.send(frames.AskStatus())
+        try:
+            async with asyncio.timeout(_ANSWER_TIMEOUT_S):
+                return await answer
+        except TimeoutError:
+            return None
+        finally:
+            await opened.close()
+
+    def _status(self, merged: Iterable[frames.DomainSummary]) -> SpreadStatus:
+        found = {summary.failure_domain: summary for summary in merged}
+        number = max(
+            self._holder.number,
+            *(n for summary in found.values() for n in summary.counts),
+        )
+        domains = tuple(
+            _domain_status(name, found.get(name), expected)
+            for name, expected in sorted(self._all_expected(found).items())
+        )
+        everywhere = all(
+            not domain.unreported and set(domain.numbers) <= {number}
+            for domain in domains
+        )
+        return SpreadStatus(number, everywhere, domains)
+
+    def _all_expected(
+        self, found: Sequence[ids.FailureDomainName]
+    ) -> dict[ids.FailureDomainName, int]:
+        return dict.fromkeys(found, 0) | self._expected()
+
+
+def _domain_status(
+    name: ids.FailureDomainName,
+    summary: frames.DomainSummary | None,
+    expected: int,
+) -> DomainStatus:
+    if summary is None:
+        return DomainStatus(name, {}, (), expected)
+    reported = sum(summary.counts.values())
+    lagging = tuple(ids.VmId(late.name) for late in summary.laggards)
+    return DomainStatus(
+        name, summary.counts, lagging, max(expected - reported, 0)
+    )
+
+
+def _name_of(known: member.Member) -> str:
+    return known.vm_id
--- a/tests/configuration/test_store.py
+++ b/tests/configuration/test_store.py
@@ -8,7 +8,7 @@
 from bronzeslip.configuration import store
 from standins.platform import app
 from standins.platform import faults
-from tests import platform_fake
+from tests.support import in_process
 from tools import letter_size
 
 
@@ -31,7 +31,7 @@
         self.stores = [self.create_store(), self.create_store()]
 
     def create_store(self):
-        created = platform_fake.create_client(self.standin)
+        created = in_process.platform_client_of(self.standin)
         self.addAsyncCleanup(created.close)
         return store.ConfigurationStore(created)
 
--- a/tests/configuration/test_watcher.py
+++ b/tests/configuration/test_watcher.py
@@ -8,14 +8,14 @@
 from bronzeslip.configuration import watcher
 from bronzeslip.platform import objects
 from standins.platform import app
-from tests import platform_fake
 from tests.configuration import test_store
+from tests.support import in_process
 
 
 class WatcherTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.standin = app.PlatformStandin()
-        self.platform = platform_fake.create_client(self.standin)
+        self.platform = in_process.platform_client_of(self.standin)
         self.addAsyncCleanup(self.platform.close)
         self.store = store.ConfigurationStore(self.platform)
         self.holder = in_force.ConfigurationInForce()
--- /dev/null
+++ b/tests/spread/test_prefix_state.py
@@ -0,0 +1,119 @@
+"""State of a prefix and what its followers need."""
+
+import unittest
+from unittest import mock
+
+import hypothesis
+from hypothesis import strategies
+
+from bronzeslip.platform import objects
+from bronzeslip.spread import change
+from bronzeslip.spread import errors
+from bronzeslip.spread import event_log
+from bronzeslip.spread import prefix_state
+
+PREFIX = "members/"
+
+
+def put(key, version):
+    value = str(version).encode()
+    return objects.ObjectEvent(objects.EventKind.PUT, key, version, value)
+
+
+def delete(key, version):
+    return objects.ObjectEvent(objects.EventKind.DELETE, key, version)
+
+
+def contents(state):
+    listed = state.change_after(change.UNKNOWN_VERSION, PREFIX).listed
+    return {found.key: bytes(found.value) for found in listed.objects}
+
+
+def bring_up(follower, source):
+    """Does what a relay link does."""
+    found = source.change_after(follower.version, PREFIX)
+    if isinstance(found, change.Snapshot):
+        follower.replace(found.listed)
+    elif isinstance(found, change.Delta):
+        follower.advance(found.base, found.version, found.events)
+
+
+class PrefixStateTest(unittest.TestCase):
+    def setUp(self):
+        self.state = prefix_state.PrefixState(PREFIX)
+        self.state.replace(objects.ObjectList(5, ()))
+
+    def test_gap_is_refused(self):
+        with self.assertRaises(errors.GapError):
+            self.state.advance(6, 7, (put("members/a", 7),))
+        self.assertEqual(self.state.version, 5)
+
+    def test_late_and_repeated_events_change_nothing(self):
+        self.state.advance(5, 7, (put("members/a", 7),))
+        self.state.advance(5, 6, (delete("members/a", 6),))
+        self.state.replace(objects.ObjectList(6, ()))
+        self.assertEqual(self.state.version, 7)
+        self.assertEqual(contents(self.state), {"members/a": b"7"})
+
+    def test_narrower_prefix_gets_its_own_events(self):
+        events = (put("members/gateway/a", 6), put("members/sidecar/b", 7))
+        self.state.advance(5, 7, events)
+        found = self.state.change_after(5, "members/gateway/")
+        self.assertEqual(found.version, 7)
+        self.assertEqual(found.events, events[:1])
+
+    def test_confirmation_ages_and_never_goes_back(self):
+        with mock.patch.object(prefix_state.time, "monotonic") as clock:
+            clock.return_value = 100.0
+            self.state.confirm()
+            clock.return_value = 104.0
+            self.state.confirm(age_s=30.0)
+            self.assertEqual(self.state.age_s(), 4.0)
+
+    @hypothesis.settings(derandomize=True, deadline=None)
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(["put", "delete", "list", "pull"]),
+                strategies.integers(0, 4),
+            ),
+            max_size=60,
+        )
+    )
+    def test_follower_ends_up_alike_after_any_absence(self, steps):
+        source = prefix_state.PrefixState(PREFIX)
+        follower = prefix_state.PrefixState(PREFIX)
+        truth = {}
+        version = 1
+        source.replace(objects.ObjectList(version, ()))
+        with mock.patch.object(event_log, "MAX_EVENTS", 3):
+            for action, index in steps:
+                key = f"{PREFIX}{index}"
+                if action == "pull":
+                    bring_up(follower, source)
+                    continue
+                version += 1
+                if action == "put":
+                    truth[key] = version
+                    source.advance(version - 1, version, (put(key, version),))
+                elif action == "delete":
+                    truth.pop(key, None)
+                    source.advance(
+                        version - 1, version, (delete(key, version),)
+                    )
+                else:
+                    truth[key] = version
+                    found = tuple(
+                        objects.PlatformObject(name, at, str(at).encode())
+                        for name, at in truth.items()
+                    )
+                    source.replace(objects.ObjectList(version, found))
+            bring_up(follower, source)
+        wanted = {name: str(at).encode() for name, at in truth.items()}
+        self.assertEqual(contents(source), wanted)
+        self.assertEqual(contents(follower), wanted)
+        self.assertEqual(follower.version, version)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/support/in_process.py
+++ b/tests/support/in_process.py
@@ -15,11 +15,15 @@
 def platform_pair():
     """Returns a platform stand-in and a client of it."""
     standin = platform_app.PlatformStandin()
+    return standin, platform_client_of(standin)
+
+
+def platform_client_of(standin):
+    """Returns one more client of a platform stand-in."""
     transport = httpx.ASGITransport(standin.app())
-    client = platform_client.PlatformClient(
+    return platform_client.PlatformClient(
         "http://platform", _TIMEOUT_S, transport
     )
-    return standin, client
 
 
 def engine_pair(checks_fencing):
