Spread the platform's objects through relays

Cause: every gateway watched the platform for each prefix and sidecars had no configuration at all, so watches grew with the fleet and a process that started during an outage of the platform had nothing to serve with.

Ruled out: leases for the relays (an effect of a double watcher is only a platform call, so the rank by rendezvous hash is enough); acting on a relay's heartbeat alone (it may be alive while its own source is not, so it carries the time since the platform confirmed each prefix, which also cannot be kept young by relays that follow each other).

A gateway follows only one that is ranked above it, sidecars choose among the gateways of their failure domain. Status is summed up along the same links and collected from the relays on request; a gateway counted below another one is not counted twice (seen in the first run of test_spread: 11 processes reported of 7).

--- a/bronzeslip/membership/registrar.py
+++ b/bronzeslip/membership/registrar.py
@@ -38,11 +38,14 @@
         await retrying(self._try_write)
 
     async def announce_draining(self) -> None:
-        """Marks the member as draining, once, as well as can be."""
+        """Marks the member as draining, trying until it is written.
+
+        A registration under way writes the same state from now on.
+        """
         self._own = msgspec.structs.replace(
             self._own, state=member.MemberState.DRAINING
         )
-        await self._try_write()
+        await self.register()
 
     async def withdraw(self) -> None:
         """Deletes the record if it is still this incarnation's."""
--- a/bronzeslip/sidecar/daemon.py
+++ b/bronzeslip/sidecar/daemon.py
@@ -2,6 +2,9 @@
 
 import asyncio
 
+import msgspec
+
+from bronzeslip import background
 from bronzeslip import ids
 from bronzeslip import logs
 from bronzeslip.admission import gate
@@ -16,6 +19,7 @@
 from bronzeslip.sidecar import calls
 from bronzeslip.sidecar import generations
 from bronzeslip.sidecar import peer_session
+from bronzeslip.spread import service
 from bronzeslip.transport import server as transport_server
 from bronzeslip.transport import stream
 
@@ -29,6 +33,8 @@
         self._settings = settings
         self._incarnation_id = ids.IncarnationId(ids.random_id())
         self._ready = False
+        self._signals = shutdown.ShutdownSignals()
+        self._tasks = background.BackgroundTasks(self._signals.request)
         self._admission = gate.AdmissionGate(settings)
         self._engine = engine_client.EngineClient(settings.endpoint_url)
         self._table = generations.GenerationTable(
@@ -38,6 +44,9 @@
         self._platform = platform_client.PlatformClient(
             settings.platform_url, settings.platform_timeout_s
         )
+        self._spread = service.SpreadService(
+            settings, member.MemberRole.SIDECAR, self._platform
+        )
         self._peers = transport_server.PeerServer(
             settings.listen_address,
             settings.peer_port,
@@ -53,11 +62,11 @@
 
     async def run(self) -> None:
         """Serves until told to shut down, then drains."""
-        signals = shutdown.ShutdownSignals()
-        signals.install()
+        self._signals.install()
         await self._peers.start()
         self._http.start()
-        registration = asyncio.create_task(self._registrar.register())
+        self._tasks.start("spread", self._spread.run())
+        self._tasks.start("registration", self._registrar.register())
         self._ready = True
         logger.info(
             "sidecar.listening",
@@ -65,25 +74,21 @@
             peer_port=self._peers.port,
             endpoint_id=self._settings.endpoint_id,
         )
-        await signals.requested.wait()
-        registration.cancel()
-        await self._drain(signals)
+        await self._signals.requested.wait()
+        await self._drain()
         await self._close()
 
-    async def _drain(self, signals: shutdown.ShutdownSignals) -> None:
+    async def _drain(self) -> None:
         self._ready = False
         self._admission.drain()
-        announcement = asyncio.create_task(self._registrar.announce_draining())
-        idle = asyncio.create_task(self._admission.wait_idle())
-        hurried = asyncio.create_task(signals.hurried.wait())
-        await asyncio.wait((idle, hurried), return_when=asyncio.FIRST_COMPLETED)
-        for task in (announcement, idle, hurried):
-            task.cancel()
-        logger.info("sidecar.drained", hurried=signals.hurried.is_set())
+        self._tasks.start("announcement", self._registrar.announce_draining())
+        ended = await self._signals.unless_hurried(self._admission.wait_idle())
+        logger.info("sidecar.drained", hurried=not ended)
 
     async def _close(self) -> None:
         await asyncio.sleep(self._settings.drain_notice_s)
         await self._registrar.withdraw()
+        await self._tasks.stop()
         await self._peers.stop()
         await self._http.stop()
         await self._runner.close()
@@ -102,15 +107,14 @@
         await session.run()
 
     def _member(self) -> member.Member:
-        settings = self._settings
-        port = settings.advertise_peer_port or self._peers.port
-        return member.Member(
-            vm_id=settings.vm_id,
-            incarnation_id=self._incarnation_id,
-            role=member.MemberRole.SIDECAR,
-            region=settings.region,
-            failure_domain=settings.failure_domain,
-            address=f"{settings.advertise_address}:{port}",
-            endpoint_id=settings.endpoint_id,
-            pool=settings.pool,
+        process = member.of_process(
+            self._settings,
+            member.MemberRole.SIDECAR,
+            self._incarnation_id,
+            self._peers.port,
+        )
+        return msgspec.structs.replace(
+            process,
+            endpoint_id=self._settings.endpoint_id,
+            pool=self._settings.pool,
         )
--- a/bronzeslip/spread/service.py
+++ b/bronzeslip/spread/service.py
@@ -47,7 +47,7 @@
         self.configuration = in_force.ConfigurationInForce()
         self.members = directory.MemberDirectory()
         self.board = status_board.StatusBoard(
-            settings.vm_id, settings.failure_domain, self.configuration
+            settings, role, self.configuration
         )
         self.relay = relay.Relay(settings, self.hub, self.board)
         self.node = node.SpreadNode(
--- a/bronzeslip/spread/status_board.py
+++ b/bronzeslip/spread/status_board.py
@@ -6,6 +6,8 @@
 
 from bronzeslip import ids
 from bronzeslip.configuration import in_force
+from bronzeslip.membership import member
+from bronzeslip.settings import common
 from bronzeslip.transport.frames import spread as frames
 
 MAX_LAGGARDS = 20
@@ -18,19 +20,19 @@
 
     def __init__(
         self,
-        name: str,
-        failure_domain: ids.FailureDomainName,
+        settings: common.CommonSettings,
+        role: member.MemberRole,
         holder: in_force.ConfigurationInForce,
     ) -> None:
         """Creates a board.
 
         Args:
-            name: Id of this process's VM.
-            failure_domain: Failure domain of this process.
+            settings: VM id and failure domain of this process.
+            role: Program that the process runs.
             holder: Configuration in force here.
         """
-        self._name = name
-        self._failure_domain = failure_domain
+        self._settings = settings
+        self._role = role
         self._holder = holder
         self._reports: dict[Hashable, Summaries] = {}
         self._listeners: set[Callable[[], None]] = set()
@@ -61,9 +63,15 @@
 
     def _own(self) -> Summaries:
         number = self._holder.number
-        laggard = frames.Laggard(self._name, number)
+        vm_id = self._settings.vm_id
+        is_gateway = self._role is member.MemberRole.GATEWAY
         return (
-            frames.DomainSummary(self._failure_domain, {number: 1}, (laggard,)),
+            frames.DomainSummary(
+                self._settings.failure_domain,
+                {number: 1},
+                (frames.Laggard(vm_id, number),),
+                (vm_id,) if is_gateway else (),
+            ),
         )
 
     def _notify(self) -> None:
@@ -93,7 +101,10 @@
         (*left.laggards, *right.laggards), key=lambda found: found.number
     )
     return frames.DomainSummary(
-        left.failure_domain, counts, tuple(laggards[:MAX_LAGGARDS])
+        left.failure_domain,
+        counts,
+        tuple(laggards[:MAX_LAGGARDS]),
+        left.gateways + right.gateways,
     )
 
 
@@ -109,6 +120,7 @@
             found.failure_domain,
             found.counts,
             tuple(late for late in found.laggards if late.number < highest),
+            found.gateways,
         )
         for _, found in sorted(merged.items())
     )
--- a/bronzeslip/spread/status_collector.py
+++ b/bronzeslip/spread/status_collector.py
@@ -68,27 +68,23 @@
 
     async def collect(self) -> SpreadStatus:
         """Asks the relays, starting with those that watch the platform."""
-        reports = [self._board.summary()]
-        asked = {self._settings.vm_id}
+        reports = {self._settings.vm_id: self._board.summary()}
         for size in _ROUND_SIZES:
-            chosen = self._next(size, asked, status_board.merge(reports))
-            asked.update(known.vm_id for known in chosen)
+            chosen = self._next(size, reports)
             answers = await asyncio.gather(
                 *(self._ask(known.address) for known in chosen)
             )
-            reports.extend(answer for answer in answers if answer is not None)
-        return self._status(status_board.merge(reports))
+            for known, answer in zip(chosen, answers, strict=True):
+                reports[known.vm_id] = answer
+        return self._status(merge_distinct(reports))
 
     def _next(
-        self,
-        size: int,
-        asked: set[ids.VmId],
-        known_so_far: status_board.Summaries,
+        self, size: int, reports: dict[ids.VmId, status_board.Summaries]
     ) -> list[member.Member]:
         """Chooses the next gateways of each domain that lacks reports."""
         reported = {
             found.failure_domain: sum(found.counts.values())
-            for found in known_so_far
+            for found in merge_distinct(reports)
         }
         chosen: list[member.Member] = []
         for domain, expected in self._expected().items():
@@ -97,7 +93,7 @@
             gateways = [
                 known
                 for known in self._members.gateways()
-                if known.failure_domain == domain and known.vm_id not in asked
+                if known.failure_domain == domain and known.vm_id not in reports
             ]
             chosen += rendezvous.ranked(gateways, _name_of)[:size]
         return chosen
@@ -109,12 +105,12 @@
             counts[domain] = counts.get(domain, 0) + 1
         return counts
 
-    async def _ask(self, address: str) -> status_board.Summaries | None:
-        answer: asyncio.Future[status_board.Summaries | None] = (
+    async def _ask(self, address: str) -> status_board.Summaries:
+        answer: asyncio.Future[status_board.Summaries] = (
             asyncio.get_running_loop().create_future()
         )
 
-        def settle(value: status_board.Summaries | None) -> None:
+        def settle(value: status_board.Summaries) -> None:
             if not answer.done():
                 answer.set_result(value)
 
@@ -123,14 +119,14 @@
                 settle(frame.domains)
 
         opened = connection.PeerConnection(
-            address, self._settings, on_frame, lambda: settle(None)
+            address, self._settings, on_frame, lambda: settle(())
         )
         opened.send(frames.AskStatus())
         try:
             async with asyncio.timeout(_ANSWER_TIMEOUT_S):
                 return await answer
         except TimeoutError:
-            return None
+            return ()
         finally:
             await opened.close()
 
@@ -156,6 +152,26 @@
         return dict.fromkeys(found, 0) | self._expected()
 
 
+def merge_distinct(
+    reports: dict[ids.VmId, status_board.Summaries],
+) -> status_board.Summaries:
+    """Adds up reports of gateways, each process once.
+
+    A gateway that another one counts among its followers is left out.
+    """
+    covered: dict[ids.VmId, set[ids.VmId]] = {
+        vm_id: {name for found in domains for name in found.gateways}
+        for vm_id, domains in reports.items()
+    }
+    counted: set[ids.VmId] = set()
+    accepted = []
+    for vm_id in sorted(covered, key=lambda name: -len(covered[name])):
+        if vm_id not in counted:
+            counted |= covered[vm_id]
+            accepted.append(reports[vm_id])
+    return status_board.merge(accepted)
+
+
 def _domain_status(
     name: ids.FailureDomainName,
     summary: frames.DomainSummary | None,
--- a/bronzeslip/transport/frames/spread.py
+++ b/bronzeslip/transport/frames/spread.py
@@ -92,11 +92,13 @@
         failure_domain: The failure domain.
         counts: Processes by configuration number.
         laggards: Some of the processes that have the lowest numbers.
+        gateways: Gateways that are counted here with their followers.
     """
 
     failure_domain: ids.FailureDomainName
     counts: dict[ids.ConfigurationNumber, int]
     laggards: tuple[Laggard, ...] = ()
+    gateways: tuple[ids.VmId, ...] = ()
 
 
 class StatusReport(msgspec.Struct, frozen=True, tag="status-report"):
--- a/tools/local_deployment.py
+++ b/tools/local_deployment.py
@@ -68,7 +68,9 @@
             for process in group:
                 process.stop()
 
-    def start_gateway(self, index: int) -> local_process.LocalProcess:
+    def start_gateway(
+        self, index: int, *more_flags: str
+    ) -> local_process.LocalProcess:
         """Starts one gateway."""
         digest = declarations.digest_of(declarations.OPERATOR_CREDENTIAL)
         return local_process.LocalProcess(
@@ -77,6 +79,7 @@
             "--operator-credentials-sha256",
             digest,
             *self._gateway_flags,
+            *more_flags,
         )
 
     def start_sidecar(
