--- a/bronzeslip/platform/follower.py
+++ b/bronzeslip/platform/follower.py
@@ -13,7 +13,7 @@
 
 logger = logs.get_logger(__name__)
 
-_WATCH_WAIT_S = 20.0
+_WATCH_WAIT_S = 5.0
 _MIN_BACKOFF_S = 0.2
 _MAX_BACKOFF_S = 5.0
 
@@ -27,6 +27,7 @@
         prefix: str,
         on_list: Callable[[objects.ObjectList], Awaitable[None]],
         on_event: Callable[[objects.ObjectEvent], Awaitable[None]],
+        on_progress: Callable[[ids.ObjectVersion], None] | None = None,
     ) -> None:
         """Creates a follower.
 
@@ -36,11 +37,14 @@
             on_list: Called with the whole state at the start and whenever
                 events were missed.
             on_event: Called with each later change, in order.
+            on_progress: Called after each answer with the version up to
+                which every change has been handed over.
         """
         self._platform = platform
         self._prefix = prefix
         self._on_list = on_list
         self._on_event = on_event
+        self._on_progress = on_progress
 
     async def run(self) -> None:
         """Follows until cancelled; platform errors are retried."""
@@ -64,6 +68,7 @@
     async def _list(self) -> ids.ObjectVersion:
         listed = await self._platform.list_objects(self._prefix)
         await self._on_list(listed)
+        self._report(listed.version)
         return listed.version
 
     async def _watch(self, version: ids.ObjectVersion) -> None:
@@ -74,3 +79,8 @@
             for event in batch.events:
                 await self._on_event(event)
             version = batch.version
+            self._report(version)
+
+    def _report(self, version: ids.ObjectVersion) -> None:
+        if self._on_progress is not None:
+            self._on_progress(version)
