--- a/bronzeslip/cli/operator_client.py
+++ b/bronzeslip/cli/operator_client.py
@@ -14,10 +14,10 @@
 from bronzeslip import ids
 from bronzeslip.cli import errors
 from bronzeslip.cli import problem
-from bronzeslip.cli import spread
 from bronzeslip.configuration import record
 from bronzeslip.configuration import store
 from bronzeslip.settings import operator
+from bronzeslip.spread import status
 
 _CONFIGURATION_PATH = "/v1/configuration"
 _PATCHES_PATH = "/v1/configuration/patches"
@@ -67,9 +67,9 @@
         """Reads the current configuration."""
         return await self._get(_CONFIGURATION_PATH, record.ConfigurationRecord)
 
-    async def status(self) -> spread.SpreadStatus:
+    async def status(self) -> status.SpreadStatus:
         """Reads which number is in force where."""
-        return await self._get(_STATUS_PATH, spread.SpreadStatus)
+        return await self._get(_STATUS_PATH, status.SpreadStatus)
 
     async def submit(
         self, base_number: ids.ConfigurationNumber, patch: Any
--- a/bronzeslip/cli/progress.py
+++ b/bronzeslip/cli/progress.py
@@ -1,6 +1,6 @@
 """How far a configuration number has come into force."""
 
-from bronzeslip.cli import spread
+from bronzeslip.spread import status
 
 
 class InForceProgress:
@@ -15,16 +15,14 @@
         self._number = number
         self.text = f"waiting for number {number}"
 
-    def take(self, status: spread.SpreadStatus) -> bool:
+    def take(self, latest: status.SpreadStatus) -> bool:
         """Takes a new status.
 
         Returns:
             Whether the number is in force everywhere.
         """
-        total = sum(domain.process_count for domain in status.domains)
-        done = total - sum(
-            domain.behind(self._number) for domain in status.domains
-        )
+        total = sum(domain.process_count for domain in latest.domains)
+        done = sum(domain.count_at(self._number) for domain in latest.domains)
         if total and done == total:
             self.text = f"number {self._number} is in force everywhere"
             return True
--- a/bronzeslip/cli/render.py
+++ b/bronzeslip/cli/render.py
@@ -9,7 +9,7 @@
 
 from bronzeslip.cli import difference
 from bronzeslip.cli import results
-from bronzeslip.cli import spread
+from bronzeslip.spread import status
 
 _SIGNS = {
     difference.ChangeKind.ADDED: "+",
@@ -64,14 +64,17 @@
 
 
 @to_text.register
-def _(result: spread.SpreadStatus) -> str:
-    lines = [f"number {result.number}"]
+def _(result: status.SpreadStatus) -> str:
+    place = "everywhere" if result.in_force_everywhere else "not everywhere"
+    lines = [f"number {result.number}, in force {place}"]
     for domain in result.domains:
         numbers = ", ".join(
             f"{count} at {number}" for number, count in domain.numbers.items()
         )
         lagging = " ".join(domain.lagging)
         tail = f"; lagging: {lagging}" if lagging else ""
+        if domain.unreported:
+            tail = f", {domain.unreported} not heard from{tail}"
         lines.append(f"{domain.failure_domain}: {numbers}{tail}")
     return "\n".join(lines)
 
--- a/bronzeslip/configuration/in_force.py
+++ b/bronzeslip/configuration/in_force.py
@@ -1,6 +1,7 @@
 """The configuration that a process has in force."""
 
 import asyncio
+from collections.abc import Callable
 
 from bronzeslip import ids
 from bronzeslip import logs
@@ -18,6 +19,11 @@
         self._record: record.ConfigurationRecord | None = None
         self._index: index.ConfigurationIndex | None = None
         self._changed = asyncio.Condition()
+        self._listeners: set[Callable[[], None]] = set()
+
+    def add_listener(self, listener: Callable[[], None]) -> None:
+        """Calls a listener after each adoption from now on."""
+        self._listeners.add(listener)
 
     @property
     def number(self) -> ids.ConfigurationNumber:
@@ -59,6 +65,8 @@
         built = index.ConfigurationIndex(candidate.document)
         self._record, self._index = candidate, built
         logger.info("configuration.in_force", number=candidate.number)
+        for listener in tuple(self._listeners):
+            listener()
         async with self._changed:
             self._changed.notify_all()
         return True
--- a/bronzeslip/logs.py
+++ b/bronzeslip/logs.py
@@ -5,6 +5,7 @@
 import json
 import logging as standard_logging
 import re
+import traceback
 from typing import Any
 
 from absl import flags
@@ -92,6 +93,15 @@
     return text if _PLAIN_TEXT.fullmatch(text) else json.dumps(text)
 
 
+def describe(error: BaseException) -> str:
+    """Describes an unexpected exception without the data it holds."""
+    name = type(error).__name__
+    if error.__traceback__ is None:
+        return name
+    last = traceback.extract_tb(error.__traceback__)[-1]
+    return f"{name} in {last.name}, line {last.lineno}"
+
+
 def configure(log_format: LogFormat, level: LogLevel) -> None:
     """Sets up logging of a daemon.
 
--- a/bronzeslip/settings/common.py
+++ b/bronzeslip/settings/common.py
@@ -92,6 +92,11 @@
         "tls",
         default=None,
     )
+    seed_peers: tuple[str, ...] = setting(
+        "peer addresses of gateways to ask when no other is known",
+        "network",
+        default=(),
+    )
     drain_notice_s: float = setting(
         "time to stay open after readiness fails, in seconds",
         "shutdown",
--- a/bronzeslip/transport/codec.py
+++ b/bronzeslip/transport/codec.py
@@ -8,6 +8,7 @@
 from bronzeslip.transport.frames import call
 from bronzeslip.transport.frames import generation
 from bronzeslip.transport.frames import link
+from bronzeslip.transport.frames import spread
 
 Frame = (
     generation.StartGeneration
@@ -24,6 +25,13 @@
     | call.CallRefused
     | call.CallOutcomeUnknown
     | link.Heartbeat
+    | spread.FollowPrefix
+    | spread.PrefixSnapshot
+    | spread.PrefixDelta
+    | spread.RelayHeartbeat
+    | spread.StatusReport
+    | spread.AskStatus
+    | spread.StatusAnswer
 )
 
 _encoder = msgspec.msgpack.Encoder()
@@ -31,8 +39,15 @@
 
 
 def encode(batch: Sequence[Frame]) -> bytes:
-    """Encodes frames that travel together."""
-    return _encoder.encode(batch)
+    """Encodes frames that travel together.
+
+    Raises:
+        errors.UnencodableFrameError: If a value can't be encoded.
+    """
+    try:
+        return _encoder.encode(batch)
+    except (TypeError, ValueError, OverflowError, RecursionError) as error:
+        raise errors.UnencodableFrameError(type(error).__name__) from error
 
 
 def decode(data: bytes) -> list[Frame]:
--- a/tests/cli/command_case.py
+++ b/tests/cli/command_case.py
@@ -89,4 +89,9 @@
         "numbers": numbers,
         "lagging": lagging,
     }
-    return {"number": 1, "domains": [domain]}
+    everywhere = lagging_number == 1
+    return {
+        "number": 1,
+        "in_force_everywhere": everywhere,
+        "domains": [domain],
+    }
--- a/tests/cli/test_program.py
+++ b/tests/cli/test_program.py
@@ -137,6 +137,12 @@
         self.assertEqual(self.run_command("watch", "--until", "2"), 0)
         self.assertIn("2  ", self.output)
 
+    def test_status_of_a_gateway(self):
+        self.run_command("apply", self.write_all())
+        self.assertEqual(self.run_command("status"), 0)
+        self.assertIn("number 1, in force everywhere", self.output)
+        self.assertIn("brum-1: 1 at 1", self.output)
+
     def test_status_shows_who_lags(self):
         self.transport = StatusTransport(self.transport, (0,))
         self.assertEqual(self.run_command("status"), 0)
--- a/tests/support/gateway_app.py
+++ b/tests/support/gateway_app.py
@@ -3,8 +3,10 @@
 import httpx
 
 from bronzeslip.gateway import app
-from bronzeslip.gateway import daemon
+from bronzeslip.gateway import parts
+from bronzeslip.membership import member
 from bronzeslip.settings import gateway
+from bronzeslip.spread import service
 from tests.support import in_process
 from tools import declarations
 
@@ -28,10 +30,14 @@
 def create_parts(platform=None, **changes):
     if platform is None:
         _, platform = in_process.platform_pair()
-    parts = daemon.GatewayDaemon(create_settings(**changes), platform).parts
-    parts.ready = True
-    return parts
+    settings = create_settings(**changes)
+    spread = service.SpreadService(
+        settings, member.MemberRole.GATEWAY, platform
+    )
+    created = parts.create(settings, platform, spread)
+    created.ready = True
+    return created
 
 
-def create_transport(parts):
-    return httpx.ASGITransport(app.create(parts))
+def create_transport(created):
+    return httpx.ASGITransport(app.create(created))
