Record every request in logs and metrics

One record goes with a request's context: it writes a line when the request is accepted, dispatched, finished, refused, incomplete or cancelled, and folds its times into histograms by service, workspace class and outcome. Times between tokens are counted per answer in a list and folded in at its end, since a histogram's own observe walks all buckets for each token.

--- a/bronzeslip/gateway/access.py
+++ b/bronzeslip/gateway/access.py
@@ -8,6 +8,9 @@
 from bronzeslip.configuration import in_force
 from bronzeslip.gateway import errors
 from bronzeslip.gateway import request_context
+from bronzeslip.gateway import request_record
+from bronzeslip.metrics import gateway_metrics
+from bronzeslip.metrics import request_labels
 from bronzeslip.settings import gateway
 
 _SCHEME = "bearer"
@@ -20,7 +23,9 @@
         self,
         settings: gateway.GatewaySettings,
         configuration: in_force.ConfigurationInForce,
+        metrics: gateway_metrics.GatewayMetrics,
     ) -> None:
+        self._metrics = metrics
         self._settings = settings
         self._configuration = configuration
 
@@ -86,14 +91,24 @@
             raise errors.ServiceNotFoundError(f"no service {name!r}")
         declared = index.document.services[name]
         deadline_s = min(declared.deadline_s, self._settings.request_deadline_s)
+        request_id = ids.RequestId(ids.random_id())
+        caller = index.document.workspaces[workspace_id]
+        record = request_record.RequestRecord(
+            self._metrics,
+            request_id,
+            workspace_id,
+            request_labels.RequestLabels(name, caller.workspace_class),
+        )
+        record.accepted()
         return request_context.RequestContext(
-            ids.RequestId(ids.random_id()),
+            request_id,
             workspace_id,
-            index.document.workspaces[workspace_id],
+            caller,
             name,
             declared,
             bound,
             time.monotonic() + deadline_s,
+            record,
         )
 
 
--- a/bronzeslip/gateway/answer.py
+++ b/bronzeslip/gateway/answer.py
@@ -5,14 +5,11 @@
 import msgspec
 
 from bronzeslip import errors
-from bronzeslip import logs
 from bronzeslip.gateway import answer_format
 from bronzeslip.gateway import generation_session
 from bronzeslip.gateway import openai_messages as messages
 from bronzeslip.gateway import problem
 
-logger = logs.get_logger(__name__)
-
 _DONE = b"data: [DONE]\n\n"
 _encoder = msgspec.json.Encoder()
 
@@ -23,7 +20,8 @@
 ) -> messages.Completion:
     """Collects a generation into one answer."""
     try:
-        texts = await session.collect()
+        with session.record.answering():
+            texts = await session.collect()
     finally:
         session.close()
     finished = session.finished
@@ -43,20 +41,16 @@
     """
     generation_id = session.generation_id
     try:
-        async for batch in session.batches():
-            chunk = form.chunk("".join(batch.texts), batch.first_index == 0)
-            next_index = batch.first_index + len(batch.texts)
-            yield _event(chunk, f"{generation_id}.{next_index}")
-        yield _event(form.last_chunk(session.finished.finish_reason.value))
-        if include_usage:
-            yield _event(form.usage_chunk(_usage(session)))
-        yield _DONE
+        with session.record.answering():
+            async for batch in session.batches():
+                chunk = form.chunk("".join(batch.texts), batch.first_index == 0)
+                next_index = batch.first_index + len(batch.texts)
+                yield _event(chunk, f"{generation_id}.{next_index}")
+            yield _event(form.last_chunk(session.finished.finish_reason.value))
+            if include_usage:
+                yield _event(form.usage_chunk(_usage(session)))
+            yield _DONE
     except errors.BronzeslipError as error:
-        logger.warning(
-            "generation.incomplete",
-            generation_id=generation_id,
-            reason=error.message,
-        )
         yield _error_event(error)
     finally:
         session.close()
--- a/bronzeslip/gateway/app.py
+++ b/bronzeslip/gateway/app.py
@@ -1,36 +1,20 @@
 """HTTP application of the gateway."""
 
-import traceback
-
 import litestar
 from litestar import datastructures
 from litestar import di
-from litestar import exceptions
 from litestar import openapi
 
-from bronzeslip import errors as base_errors
-from bronzeslip import logs
-from bronzeslip.configuration import errors as configuration_errors
-from bronzeslip.gateway import errors
+from bronzeslip.gateway import error_handlers
 from bronzeslip.gateway import generations_api
 from bronzeslip.gateway import operators_api
-from bronzeslip.gateway import problem
 from bronzeslip.gateway import services_api
 from bronzeslip.gateway import state
 from bronzeslip.http import health
-
-logger = logs.get_logger(__name__)
+from bronzeslip.metrics import page
 
 _TITLE = "bronzeslip"
 _VERSION = "0.1.0"
-_KINDS: dict[int, type[errors.GatewayError]] = {
-    kind.status: kind
-    for kind in (
-        errors.RouteNotFoundError,
-        errors.MethodNotAllowedError,
-        errors.TooLargeError,
-    )
-}
 
 
 def create(parts: state.GatewayState) -> litestar.Litestar:
@@ -49,13 +33,12 @@
             operators_api.read_status,
             operators_api.submit_patch,
             *health.handlers(lambda: parts.ready),
+            page.handler(parts.metrics),
         ],
         dependencies={"parts": di.Provide(provide_parts, sync_to_thread=False)},
-        exception_handlers={
-            base_errors.BronzeslipError: _on_error,
-            exceptions.HTTPException: _on_http_exception,
-            Exception: _on_unexpected,
-        },
+        exception_handlers=error_handlers.ErrorHandlers(
+            parts.metrics
+        ).by_type(),
         request_max_body_size=parts.settings.max_body_bytes,
         state=datastructures.State(
             {"body_timeout_s": parts.settings.body_timeout_s}
@@ -63,38 +46,3 @@
         logging_config=None,
         openapi_config=openapi.OpenAPIConfig(title=_TITLE, version=_VERSION),
     )
-
-
-def _on_error(
-    _: litestar.Request, error: base_errors.BronzeslipError
-) -> litestar.Response:
-    if isinstance(error, configuration_errors.NoConfigurationError):
-        error = errors.UnavailableError(
-            error.message, retry_after_s=error.retry_after_s
-        )
-    return problem.to_response(problem.from_error(error))
-
-
-def _on_http_exception(
-    _: litestar.Request, error: exceptions.HTTPException
-) -> litestar.Response:
-    kind = _KINDS.get(error.status_code, errors.BadRequestError)
-    if error.status_code >= errors.GatewayError.status:
-        kind = errors.GatewayError
-    answer = problem.to_response(problem.from_error(kind(error.detail)))
-    answer.headers.update(error.headers or {})
-    return answer
-
-
-def _on_unexpected(
-    request: litestar.Request, error: Exception
-) -> litestar.Response:
-    last_frame = traceback.extract_tb(error.__traceback__)[-1]
-    logger.error(
-        "gateway.unexpected_error",
-        path=request.url.path,
-        reason=type(error).__name__,
-        place=f"{last_frame.filename}:{last_frame.lineno}",
-    )
-    converted = errors.GatewayError("an unexpected error; see the log")
-    return problem.to_response(problem.from_error(converted))
--- a/bronzeslip/gateway/call_session.py
+++ b/bronzeslip/gateway/call_session.py
@@ -90,6 +90,7 @@
         call_id = ids.CallId(ids.random_id())
         opened = self._peers.peer(endpoint.address)
         arrived = opened.open(call_id)
+        self._context.record.dispatched(endpoint.endpoint_id, call_id=call_id)
         self._routes.begin(endpoint.endpoint_id)
         opened.connection.send(self._start_frame(call_id))
         try:
--- a/bronzeslip/gateway/daemon.py
+++ b/bronzeslip/gateway/daemon.py
@@ -11,6 +11,7 @@
 from bronzeslip.http import shutdown
 from bronzeslip.membership import member
 from bronzeslip.membership import registrar
+from bronzeslip.metrics import gateway_metrics
 from bronzeslip.platform import client as platform_client
 from bronzeslip.settings import gateway
 from bronzeslip.spread import service
@@ -27,8 +28,11 @@
         self._settings = settings
         self._signals = shutdown.ShutdownSignals()
         self._tasks = background.BackgroundTasks(self._signals.request)
+        metrics = gateway_metrics.GatewayMetrics()
         self._platform = platform_client.PlatformClient(
-            settings.platform_url, settings.platform_timeout_s
+            settings.platform_url,
+            settings.platform_timeout_s,
+            on_call=metrics.platform_called,
         )
         self._spread = service.SpreadService(
             settings, member.MemberRole.GATEWAY, self._platform
@@ -50,7 +54,9 @@
                 self._peers.port,
             ),
         )
-        self._parts = parts.create(settings, self._platform, self._spread)
+        self._parts = parts.create(
+            settings, self._platform, self._spread, metrics
+        )
         self._http = http_server.HttpServer(app.create(self._parts), settings)
 
     async def run(self) -> None:
--- a/bronzeslip/gateway/errors.py
+++ b/bronzeslip/gateway/errors.py
@@ -13,6 +13,7 @@
         field: Field of the request that is wrong, or None.
         may_repeat: Whether the client may send the request again by itself;
             None leaves it to the status.
+        request_id: Request that failed, once it is known.
         current_number: Current configuration number, if it is the matter.
     """
 
@@ -29,6 +30,7 @@
     ) -> None:
         super().__init__(message, retry_after_s=retry_after_s)
         self.field = field
+        self.request_id: ids.RequestId | None = None
         self.current_number: ids.ConfigurationNumber | None = None
 
 
--- a/bronzeslip/gateway/generation_session.py
+++ b/bronzeslip/gateway/generation_session.py
@@ -63,6 +63,7 @@
         wanted: GenerationInput,
     ) -> None:
         self.finished: frames.GenerationFinished | None = None
+        self.record = context.record
         self._settings = settings
         self._routes = routes
         self._peers = peers
@@ -112,6 +113,7 @@
             progress = await self._receive(may_rerun=not delivered)
             if isinstance(progress, frames.Tokens):
                 delivered = True
+                self.record.tokens(len(progress.texts))
                 yield progress
                 self._remote.acknowledge()
 
@@ -137,6 +139,9 @@
         """Gives the generation up if it has not finished."""
         if self._remote is not None:
             self._remote.close()
+            self.record.relayed(
+                self._remote.resume_count, self._remote.duplicate_tokens
+            )
             self._routes.end(self.endpoint_id)
             self._remote = None
 
@@ -164,12 +169,14 @@
         try:
             await self._remote.wait_accepted()
         except generation_errors.GenerationError as error:
+            self.record.turned_away()
             self.close()
             self._note_failure(error)
             return False
         except BaseException:
             self.close()
             raise
+        self.record.started()
         return True
 
     def _enter(self, endpoint: member.Member) -> None:
@@ -183,6 +190,9 @@
             self._context.workspace_id,
             self._context.deadline_s,
         )
+        self.record.dispatched(
+            endpoint.endpoint_id, generation_id=self.generation_id
+        )
         self._routes.begin(endpoint.endpoint_id)
         self._remote.begin(self._start_frame, self._resolve_timeout_s())
 
--- a/bronzeslip/gateway/generations_api.py
+++ b/bronzeslip/gateway/generations_api.py
@@ -8,6 +8,7 @@
 from bronzeslip.gateway import answer
 from bronzeslip.gateway import answer_format
 from bronzeslip.gateway import body
+from bronzeslip.gateway import error_handlers
 from bronzeslip.gateway import errors
 from bronzeslip.gateway import generation_session
 from bronzeslip.gateway import openai_messages as messages
@@ -16,7 +17,6 @@
 
 _AUTHORIZATION = "authorization"
 _EVENT_STREAM = "text/event-stream"
-_REQUEST_ID_HEADER = "x-request-id"
 
 
 @litestar.get("/v1/models", summary="Lists the models of the workspace")
@@ -71,8 +71,8 @@
     prompt: str,
     limit: int | None,
 ) -> generation_session.GenerationSession:
-    if len(prompt.encode()) > context.workspace.limits.prompt_bytes:
-        raise errors.TooLargeError("the prompt is too large")
+    with context.record.starting():
+        _check_size(context, prompt)
     most = context.service.max_output_tokens
     wanted = generation_session.GenerationInput(
         model, prompt, min(limit or most, most)
@@ -80,14 +80,20 @@
     return parts.generation(context, wanted)
 
 
+def _check_size(context: request_context.RequestContext, prompt: str) -> None:
+    if len(prompt.encode()) > context.workspace.limits.prompt_bytes:
+        raise errors.TooLargeError("the prompt is too large")
+
+
 async def _answer(
     session: generation_session.GenerationSession,
     form: answer_format.AnswerFormat,
     wanted: messages.ChatRequest | messages.CompletionRequest,
     context: request_context.RequestContext,
 ) -> Any:
-    await session.start()
-    headers = {_REQUEST_ID_HEADER: context.request_id}
+    with session.record.starting():
+        await session.start()
+    headers = {error_handlers.REQUEST_ID_HEADER: context.request_id}
     if wanted.stream:
         options = wanted.stream_options or messages.StreamOptions()
         return response.Stream(
--- a/bronzeslip/gateway/parts.py
+++ b/bronzeslip/gateway/parts.py
@@ -6,6 +6,7 @@
 from bronzeslip.gateway import access
 from bronzeslip.gateway import peer_pool
 from bronzeslip.gateway import state
+from bronzeslip.metrics import gateway_metrics
 from bronzeslip.platform import client
 from bronzeslip.routing import least_outstanding
 from bronzeslip.routing import router
@@ -18,8 +19,10 @@
     settings: gateway.GatewaySettings,
     platform: client.PlatformClient,
     spread: service.SpreadService,
+    metrics: gateway_metrics.GatewayMetrics,
 ) -> state.GatewayState:
     """Creates the parts of a gateway."""
+    metrics.follow_configuration(spread.configuration)
     peers = peer_pool.PeerPool(settings)
     routes = router.Router(
         spread.members,
@@ -33,8 +36,9 @@
         members=spread.members,
         peers=peers,
         routes=routes,
-        access=access.Access(settings, spread.configuration),
+        access=access.Access(settings, spread.configuration, metrics),
         status=status_collector.StatusCollector(
             settings, spread.board, spread.members, spread.configuration
         ),
+        metrics=metrics,
     )
--- a/bronzeslip/gateway/request_context.py
+++ b/bronzeslip/gateway/request_context.py
@@ -8,6 +8,7 @@
 from bronzeslip.configuration import binding
 from bronzeslip.configuration import service
 from bronzeslip.configuration import workspace
+from bronzeslip.gateway import request_record
 
 
 class RequestContext(msgspec.Struct, frozen=True):
@@ -21,6 +22,7 @@
         service: Its declaration.
         binding: Rule that names the pool.
         deadline_s: Deadline on this process's monotonic clock, in seconds.
+        record: Log lines and metrics of the request.
     """
 
     request_id: ids.RequestId
@@ -30,6 +32,9 @@
     service: service.Service
     binding: binding.Binding
     deadline_s: float
+    record: request_record.RequestRecord = msgspec.field(
+        default_factory=request_record.unrecorded
+    )
 
     def remaining_s(self) -> float:
         """Returns the time left until the deadline, in seconds."""
--- /dev/null
+++ b/bronzeslip/gateway/request_record.py
@@ -0,0 +1,176 @@
+"""Log lines and metrics of one request."""
+
+from collections.abc import Iterator
+import contextlib
+import functools
+import time
+
+from bronzeslip import errors as base_errors
+from bronzeslip import ids
+from bronzeslip import logs
+from bronzeslip.configuration import workspace
+from bronzeslip.gateway import errors
+from bronzeslip.metrics import gateway_metrics
+from bronzeslip.metrics import outcome as outcomes
+from bronzeslip.metrics import request_labels
+from bronzeslip.metrics import token_times
+
+logger = logs.get_logger(__name__)
+
+RequestOutcome = outcomes.RequestOutcome
+
+
+class RequestRecord:
+    """Follows one request from its acceptance to its outcome."""
+
+    def __init__(
+        self,
+        metrics: gateway_metrics.GatewayMetrics,
+        request_id: ids.RequestId,
+        workspace_id: ids.WorkspaceId,
+        labels: request_labels.RequestLabels,
+    ) -> None:
+        self._metrics = metrics
+        self._request_id = request_id
+        self._workspace_id = workspace_id
+        self._labels = labels
+        self._started_s = time.monotonic()
+        self._times = token_times.TokenTimes(self._started_s)
+        self._dispatched_s: float | None = None
+        self._run_ids: dict[str, str | None] = {}
+        self._ended = False
+
+    def accepted(self) -> None:
+        """Notes that the request has passed access."""
+        self._log(logger.info, "request.accepted")
+
+    def dispatched(
+        self,
+        endpoint_id: ids.EndpointId,
+        *,
+        generation_id: ids.GenerationId | None = None,
+        call_id: ids.CallId | None = None,
+    ) -> None:
+        """Notes that the request was sent to an endpoint.
+
+        Args:
+            endpoint_id: Endpoint that is to run it.
+            generation_id: Generation that was started, if it is one.
+            call_id: Call that was started, if it is one.
+        """
+        if self._dispatched_s is not None:
+            self._metrics.retried(self._labels)
+        self._run_ids = {
+            "generation_id": generation_id,
+            "call_id": call_id,
+            "endpoint_id": endpoint_id,
+        }
+        self._dispatched_s = time.monotonic()
+        self._log(logger.info, "request.dispatched")
+
+    def started(self) -> None:
+        """Notes that an endpoint runs the request."""
+        wait_s = time.monotonic() - self._dispatched_s
+        self._metrics.queued(self._labels, RequestOutcome.COMPLETED, wait_s)
+
+    def turned_away(self) -> None:
+        """Notes that an endpoint did not take the request."""
+        wait_s = time.monotonic() - self._dispatched_s
+        self._metrics.queued(self._labels, RequestOutcome.REFUSED, wait_s)
+
+    def tokens(self, count: int) -> None:
+        """Notes tokens that have arrived together."""
+        self._times.add(count)
+
+    def relayed(self, resume_count: int, duplicate_tokens: int) -> None:
+        """Notes what it took to relay one generation."""
+        self._metrics.relayed(self._labels, resume_count, duplicate_tokens)
+
+    @contextlib.contextmanager
+    def starting(self) -> Iterator[None]:
+        """Notes an error that ends the request before its answer."""
+        try:
+            yield
+        except base_errors.BronzeslipError as error:
+            self._fail(error)
+            raise
+        except Exception:
+            self._end(RequestOutcome.FAILED, "request.failed")
+            raise
+        except BaseException:
+            self._end(RequestOutcome.CANCELLED, "request.cancelled")
+            raise
+
+    @contextlib.contextmanager
+    def answering(self) -> Iterator[None]:
+        """Notes the outcome of the request."""
+        with self.starting():
+            yield
+        self._end(RequestOutcome.COMPLETED, "request.finished")
+
+    def _fail(self, error: base_errors.BronzeslipError) -> None:
+        outcome = _outcome_of(error)
+        if outcome is RequestOutcome.REFUSED and not self._ended:
+            self._metrics.refused(self._labels, error.code)
+        if isinstance(error, errors.GatewayError):
+            error.request_id = self._request_id
+        self._end(outcome, f"request.{outcome.value}", reason=error.code)
+
+    def _end(
+        self, outcome: RequestOutcome, event: str, reason: str | None = None
+    ) -> None:
+        if self._ended:
+            return
+        self._ended = True
+        elapsed_s = time.monotonic() - self._started_s
+        self._metrics.answered(self._labels, outcome, elapsed_s, self._times)
+        write = (
+            logger.info
+            if outcome is RequestOutcome.COMPLETED
+            else logger.warning
+        )
+        self._log(write, event, elapsed_s=round(elapsed_s, 4), reason=reason)
+
+    def _log(
+        self, write: logs.EventWriter, event: str, **fields: object
+    ) -> None:
+        known = {
+            "request_id": self._request_id,
+            "workspace_id": self._workspace_id,
+            "service": self._labels.service_name,
+            **self._run_ids,
+            **fields,
+        }
+        write(event, **{k: v for k, v in known.items() if v is not None})
+
+
+def unrecorded() -> RequestRecord:
+    """Returns a record of a request that nobody follows."""
+    return RequestRecord(
+        gateway_metrics.GatewayMetrics(),
+        ids.RequestId(""),
+        ids.WorkspaceId(""),
+        request_labels.RequestLabels(
+            ids.ServiceName(""), workspace.WorkspaceClass.INTERACTIVE
+        ),
+    )
+
+
+@functools.singledispatch
+def _outcome_of(_: base_errors.BronzeslipError) -> RequestOutcome:
+    return RequestOutcome.FAILED
+
+
+@_outcome_of.register
+def _(_: errors.GatewayError) -> RequestOutcome:
+    return RequestOutcome.REFUSED
+
+
+@_outcome_of.register
+def _(_: errors.IncompleteError) -> RequestOutcome:
+    return RequestOutcome.INCOMPLETE
+
+
+@_outcome_of.register
+def _(_: errors.OutcomeUnknownError) -> RequestOutcome:
+    return RequestOutcome.UNKNOWN
--- a/bronzeslip/gateway/services_api.py
+++ b/bronzeslip/gateway/services_api.py
@@ -39,13 +39,14 @@
         raise errors.ServiceNotFoundError(
             f"{service_name!r} is no plain service"
         )
-    wanted = call_session.CallInput(
-        request.method,
-        _path_with_query(request, path),
-        _passed_headers(request),
-        await body.read(request),
-    )
-    finished = await parts.call(context, wanted).run()
+    with context.record.answering():
+        wanted = call_session.CallInput(
+            request.method,
+            _path_with_query(request, path),
+            _passed_headers(request),
+            await body.read(request),
+        )
+        finished = await parts.call(context, wanted).run()
     return _to_response(finished)
 
 
--- a/bronzeslip/gateway/state.py
+++ b/bronzeslip/gateway/state.py
@@ -10,6 +10,7 @@
 from bronzeslip.gateway import peer_pool
 from bronzeslip.gateway import request_context
 from bronzeslip.membership import directory
+from bronzeslip.metrics import gateway_metrics
 from bronzeslip.routing import router
 from bronzeslip.settings import gateway
 from bronzeslip.spread import status_collector
@@ -28,6 +29,7 @@
         routes: Choice of endpoints.
         access: Checks of credentials.
         status: Collects what is in force everywhere.
+        metrics: Metrics of the process.
         ready: Whether new requests are taken.
     """
 
@@ -39,6 +41,7 @@
     routes: router.Router
     access: access.Access
     status: status_collector.StatusCollector
+    metrics: gateway_metrics.GatewayMetrics
     ready: bool = False
 
     def generation(
--- a/bronzeslip/logs.py
+++ b/bronzeslip/logs.py
@@ -1,5 +1,6 @@
 """Structured event logging over absl.logging."""
 
+from collections.abc import Callable
 import datetime
 import enum
 import json
@@ -17,6 +18,8 @@
 
 _PLAIN_TEXT = re.compile(r"[A-Za-z0-9_.:/@%+,*~()\[\]{}'|;?!&<>#$^-]+")
 
+EventWriter = Callable[..., None]
+
 
 class LogFormat(enum.Enum):
     """Form of one log line."""
--- /dev/null
+++ b/bronzeslip/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics of the daemons."""
--- /dev/null
+++ b/bronzeslip/metrics/process_metrics.py
@@ -0,0 +1,47 @@
+"""Metrics that every daemon has."""
+
+import aioprometheus
+
+from bronzeslip.configuration import in_force
+
+
+class ProcessMetrics:
+    """Metrics of one process.
+
+    Attributes:
+        registry: Everything that /metrics shows.
+    """
+
+    def __init__(self) -> None:
+        self.registry = aioprometheus.Registry()
+        self._platform_calls = self._counter(
+            "bronzeslip_platform_calls_total",
+            "Calls to the platform by kind and result",
+        )
+        self._configuration_number = aioprometheus.Gauge(
+            "bronzeslip_configuration_number",
+            "Number of the configuration in force, -1 before the first",
+            registry=self.registry,
+        )
+        self._configuration_number.set({}, -1)
+
+    def platform_called(self, kind: str, result: str) -> None:
+        """Counts a call to the platform."""
+        self._platform_calls.inc({"kind": kind, "result": result})
+
+    def follow_configuration(
+        self, holder: in_force.ConfigurationInForce
+    ) -> None:
+        """Shows the number that a holder has in force."""
+
+        def note_number() -> None:
+            self._configuration_number.set({}, holder.number)
+
+        holder.add_listener(note_number)
+        note_number()
+
+    def refresh(self) -> None:
+        """Reads what is only read when the metrics are asked for."""
+
+    def _counter(self, name: str, help_text: str) -> aioprometheus.Counter:
+        return aioprometheus.Counter(name, help_text, registry=self.registry)
--- /dev/null
+++ b/bronzeslip/metrics/sidecar_metrics.py
@@ -0,0 +1,76 @@
+"""Metrics of a sidecar."""
+
+from collections.abc import Callable
+
+import aioprometheus
+
+from bronzeslip import ids
+from bronzeslip.metrics import buckets
+from bronzeslip.metrics import folding_histogram
+from bronzeslip.metrics import labels
+from bronzeslip.metrics import process_metrics
+from bronzeslip.transport.frames import link
+from bronzeslip.transport.frames import reason
+
+
+class SidecarMetrics(process_metrics.ProcessMetrics):
+    """Metrics of one endpoint."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._load: Callable[[], link.EndpointLoad] = link.EndpointLoad
+        self._admission_wait = folding_histogram.FoldingHistogram(
+            "bronzeslip_admission_wait_seconds",
+            "Time that a request waited for admission to the endpoint",
+            registry=self.registry,
+            buckets=buckets.QUEUE_WAIT_S,
+        )
+        self._refusals = self._counter(
+            "bronzeslip_endpoint_refusals_total", "Requests refused by reason"
+        )
+        self._preemptions = self._counter(
+            "bronzeslip_preemptions_total",
+            "Preemptions of finished generations as the engine told them",
+        )
+        self._engine_resumes = self._counter(
+            "bronzeslip_engine_resumes_total",
+            "Streams of the engine taken up again",
+        )
+        self._requests = aioprometheus.Gauge(
+            "bronzeslip_endpoint_requests",
+            "Requests at the endpoint by state",
+            registry=self.registry,
+        )
+
+    def follow_load(self, load: Callable[[], link.EndpointLoad]) -> None:
+        """Shows a load that is read when the metrics are asked for."""
+        self._load = load
+
+    def refresh(self) -> None:
+        """Reads the load."""
+        load = self._load()
+        self._requests.set({"state": "running"}, load.running)
+        self._requests.set({"state": "queued"}, load.queued)
+
+    def admitted(self, service_name: ids.ServiceName, wait_s: float) -> None:
+        """Records the wait of a request that was admitted."""
+        self._admission_wait.observe(_service(service_name), wait_s)
+
+    def refused(
+        self, service_name: ids.ServiceName, refusal: reason.RefusalReason
+    ) -> None:
+        """Counts a request that was refused."""
+        self._refusals.inc({**_service(service_name), "reason": refusal.value})
+
+    def preempted(self, service_name: ids.ServiceName, count: int) -> None:
+        """Counts the preemptions of one generation."""
+        if count:
+            self._preemptions.add(_service(service_name), count)
+
+    def engine_resumed(self, service_name: ids.ServiceName) -> None:
+        """Counts a stream of the engine that is taken up again."""
+        self._engine_resumes.inc(_service(service_name))
+
+
+def _service(service_name: ids.ServiceName) -> dict[str, str]:
+    return {"service": labels.escaped(service_name)}
--- a/bronzeslip/platform/client.py
+++ b/bronzeslip/platform/client.py
@@ -1,5 +1,6 @@
 """Client of the platform's object API, VM list and weight store."""
 
+from collections.abc import Callable
 from typing import Any
 from typing import TypeVar
 
@@ -27,6 +28,7 @@
         base_url: str,
         timeout_s: float,
         transport: httpx.AsyncBaseTransport | None = None,
+        on_call: Callable[[str, str], None] | None = None,
     ) -> None:
         """Creates a client.
 
@@ -34,7 +36,9 @@
             base_url: Base URL of the platform.
             timeout_s: Timeout of one call, in seconds.
             transport: Transport to use in place of TCP, for tests.
+            on_call: Called after each call with its kind and its result.
         """
+        self._on_call = on_call or _ignore_call
         self._http = httpx.AsyncClient(
             base_url=base_url, timeout=timeout_s, transport=transport
         )
@@ -139,16 +143,23 @@
     async def _call(
         self, method: str, path: str, **options: Any
     ) -> httpx.Response:
+        kind = f"{method} /{path.split('/')[1]}"
         try:
             response = await self._http.request(method, path, **options)
         except httpx.HTTPError as error:
+            self._on_call(kind, type(error).__name__)
             raise errors.PlatformUnavailableError(
                 f"{method} {path}: {type(error).__name__}"
             ) from error
+        self._on_call(kind, str(response.status_code))
         _raise_for_status(method, path, response)
         return response
 
 
+def _ignore_call(_: str, __: str) -> None:
+    pass
+
+
 def _raise_for_status(method: str, path: str, response: httpx.Response) -> None:
     status = response.status_code
     if status < httpx.codes.BAD_REQUEST or status == _NOT_FOUND_STATUS:
--- a/bronzeslip/sidecar/app.py
+++ b/bronzeslip/sidecar/app.py
@@ -5,12 +5,16 @@
 import litestar
 
 from bronzeslip.http import health
+from bronzeslip.metrics import page
+from bronzeslip.metrics import sidecar_metrics
 
 
-def create(is_ready: Callable[[], bool]) -> litestar.Litestar:
+def create(
+    is_ready: Callable[[], bool], metrics: sidecar_metrics.SidecarMetrics
+) -> litestar.Litestar:
     """Creates the application."""
     return litestar.Litestar(
-        route_handlers=health.handlers(is_ready),
+        route_handlers=[*health.handlers(is_ready), page.handler(metrics)],
         openapi_config=None,
         logging_config=None,
     )
--- a/bronzeslip/sidecar/calls.py
+++ b/bronzeslip/sidecar/calls.py
@@ -1,10 +1,13 @@
 """Calls that a sidecar runs on its plain endpoint."""
 
+import time
+
 import httpx
 
 from bronzeslip import logs
 from bronzeslip.admission import errors as admission_errors
 from bronzeslip.admission import gate
+from bronzeslip.metrics import sidecar_metrics
 from bronzeslip.settings import sidecar
 from bronzeslip.transport.frames import call as frames
 from bronzeslip.transport.frames import reason
@@ -26,7 +29,9 @@
         self,
         settings: sidecar.SidecarSettings,
         admission: gate.AdmissionGate,
+        metrics: sidecar_metrics.SidecarMetrics,
     ) -> None:
+        self._metrics = metrics
         self._admission = admission
         self._http = httpx.AsyncClient(base_url=settings.endpoint_url)
 
@@ -36,12 +41,15 @@
 
     async def run(self, start: frames.StartCall) -> CallOutcome:
         """Runs a call, or tells that it was not run."""
+        asked_s = time.monotonic()
         try:
             await self._admission.enter(start.expires_in_s)
         except admission_errors.AdmissionRefusedError as error:
+            self._metrics.refused(start.service_name, error.refusal)
             return frames.CallRefused(
                 start.call_id, error.refusal, error.retry_after_s
             )
+        self._metrics.admitted(start.service_name, time.monotonic() - asked_s)
         try:
             return await self._send(start)
         finally:
--- a/bronzeslip/sidecar/daemon.py
+++ b/bronzeslip/sidecar/daemon.py
@@ -13,6 +13,7 @@
 from bronzeslip.http import shutdown
 from bronzeslip.membership import member
 from bronzeslip.membership import registrar
+from bronzeslip.metrics import sidecar_metrics
 from bronzeslip.platform import client as platform_client
 from bronzeslip.settings import sidecar
 from bronzeslip.sidecar import app
@@ -36,18 +37,23 @@
         self._ready = False
         self._signals = shutdown.ShutdownSignals()
         self._tasks = background.BackgroundTasks(self._signals.request)
+        metrics = sidecar_metrics.SidecarMetrics()
         self._admission = gate.AdmissionGate(settings)
         self._engine = engine_client.EngineClient(settings.endpoint_url)
         self._table = generations.GenerationTable(
-            settings, self._engine, self._admission
+            settings, self._engine, self._admission, metrics
         )
-        self._runner = calls.CallRunner(settings, self._admission)
+        self._runner = calls.CallRunner(settings, self._admission, metrics)
         self._platform = platform_client.PlatformClient(
-            settings.platform_url, settings.platform_timeout_s
+            settings.platform_url,
+            settings.platform_timeout_s,
+            on_call=metrics.platform_called,
         )
         self._spread = service.SpreadService(
             settings, member.MemberRole.SIDECAR, self._platform
         )
+        metrics.follow_configuration(self._spread.configuration)
+        metrics.follow_load(lambda: self._admission.load)
         self._peers = transport_server.PeerServer(
             settings.listen_address,
             settings.peer_port,
@@ -57,8 +63,7 @@
             credentials=tls.server_credentials(settings),
         )
         self._http = http_server.HttpServer(
-            app.create(lambda: self._ready),
-            settings,
+            app.create(lambda: self._ready, metrics), settings
         )
         self._registrar = registrar.Registrar(self._platform, self._member())
 
--- a/bronzeslip/sidecar/engine_reader.py
+++ b/bronzeslip/sidecar/engine_reader.py
@@ -11,6 +11,7 @@
 from bronzeslip.engine import errors
 from bronzeslip.engine import messages
 from bronzeslip.generation import run
+from bronzeslip.metrics import sidecar_metrics
 from bronzeslip.settings import sidecar
 from bronzeslip.transport.frames import generation as frames
 from bronzeslip.transport.frames import reason
@@ -35,10 +36,12 @@
         settings: sidecar.SidecarSettings,
         engine: client.EngineClient,
         current: run.GenerationRun,
+        metrics: sidecar_metrics.SidecarMetrics | None = None,
     ) -> None:
         self._settings = settings
         self._engine = engine
         self._run = current
+        self._metrics = metrics or sidecar_metrics.SidecarMetrics()
         self._silence_s = settings.engine_silence_timeout_s
         self._last_answer_s = time.monotonic()
         self._may_have_run = False
@@ -58,6 +61,8 @@
             except (base_errors.BronzeslipError, TimeoutError) as error:
                 await self._check_engine(error)
             self._may_have_run = True
+            if self._run.terminal is None:
+                self._metrics.engine_resumed(self._run.start.service_name)
             events = self._engine.resume(
                 self._run.start.generation_id, self._run.buffer.next_index
             )
@@ -81,6 +86,9 @@
         if event.kind is messages.StreamEventKind.TOKENS:
             self._run.append(event.first_index, event.texts)
             return
+        self._metrics.preempted(
+            self._run.start.service_name, event.preemption_count
+        )
         self._run.end(
             frames.GenerationFinished(
                 self._run.start.generation_id,
--- a/bronzeslip/sidecar/generations.py
+++ b/bronzeslip/sidecar/generations.py
@@ -11,6 +11,7 @@
 from bronzeslip.engine import errors as engine_errors
 from bronzeslip.generation import errors
 from bronzeslip.generation import run
+from bronzeslip.metrics import sidecar_metrics
 from bronzeslip.settings import sidecar
 from bronzeslip.sidecar import engine_reader
 from bronzeslip.transport.frames import generation as frames
@@ -29,10 +30,12 @@
         settings: sidecar.SidecarSettings,
         engine: client.EngineClient,
         admission: gate.AdmissionGate,
+        metrics: sidecar_metrics.SidecarMetrics | None = None,
     ) -> None:
         self._settings = settings
         self._engine = engine
         self._admission = admission
+        self._metrics = metrics or sidecar_metrics.SidecarMetrics()
         self._runs: dict[ids.GenerationId, run.GenerationRun] = {}
         self._tasks: dict[ids.GenerationId, asyncio.Task] = {}
         self._cancelled_at_s: dict[ids.GenerationId, float] = {}
@@ -134,11 +137,15 @@
             task.cancel()
 
     async def _run(self, current: run.GenerationRun) -> None:
+        service_name = current.start.service_name
+        asked_s = time.monotonic()
         try:
             await self._admission.enter(current.start.expires_in_s)
         except admission_errors.AdmissionRefusedError as error:
+            self._metrics.refused(service_name, error.refusal)
             current.end(_refused(current, error.refusal, error.retry_after_s))
             return
+        self._metrics.admitted(service_name, time.monotonic() - asked_s)
         try:
             await self._generate(current)
         finally:
@@ -147,7 +154,7 @@
     async def _generate(self, current: run.GenerationRun) -> None:
         generation_id = current.start.generation_id
         reader = engine_reader.EngineReader(
-            self._settings, self._engine, current
+            self._settings, self._engine, current, self._metrics
         )
         try:
             await reader.run()
--- a/tests/support/gateway_app.py
+++ b/tests/support/gateway_app.py
@@ -5,6 +5,7 @@
 from bronzeslip.gateway import app
 from bronzeslip.gateway import parts
 from bronzeslip.membership import member
+from bronzeslip.metrics import gateway_metrics
 from bronzeslip.settings import gateway
 from bronzeslip.spread import service
 from tests.support import in_process
@@ -34,7 +35,9 @@
     spread = service.SpreadService(
         settings, member.MemberRole.GATEWAY, platform
     )
-    created = parts.create(settings, platform, spread)
+    created = parts.create(
+        settings, platform, spread, gateway_metrics.GatewayMetrics()
+    )
     created.ready = True
     return created
 
