Describe bodies and problems on the OpenAPI page

Handlers read bodies themselves, so that the page had routes without bodies. The schemas now come from the message types. The page is served as JSON and YAML; the pages of other kinds load scripts from elsewhere.

--- /dev/null
+++ b/bronzeslip/gateway/api_description.py
@@ -0,0 +1,155 @@
+"""Description of the routes for the OpenAPI page.
+
+Handlers read bodies themselves, so that errors have the gateway's own form;
+the schemas of the bodies come from the message types.
+"""
+
+import dataclasses
+from typing import Any
+
+from litestar import openapi
+from litestar.openapi import plugins
+from litestar.openapi import spec
+import msgspec
+
+from bronzeslip.configuration import store
+from bronzeslip.gateway import openai_messages as messages
+from bronzeslip.http import problem
+
+_TITLE = "bronzeslip"
+_VERSION = "0.1.0"
+_REFERENCE = "#/components/schemas/{name}"
+_SECURITY_SCHEME = "credential"
+_JSON = "application/json"
+_EVENT_STREAM = "text/event-stream"
+_BINARY = "application/octet-stream"
+_DESCRIBED_TYPES = (
+    messages.ChatRequest,
+    messages.CompletionRequest,
+    messages.Completion,
+    store.PatchRequest,
+    problem.Problem,
+)
+
+
+@dataclasses.dataclass
+class DescribedComponents(spec.Components):
+    """Components with the message types that handlers decode themselves."""
+
+    def to_schema(self) -> dict[str, Any]:
+        """Returns the plain values."""
+        described = super().to_schema()
+        _, schemas = msgspec.json.schema_components(
+            _DESCRIBED_TYPES, ref_template=_REFERENCE
+        )
+        described["schemas"].update(schemas)
+        return described
+
+
+@dataclasses.dataclass
+class DescribedOperation(spec.Operation):
+    """A route with its credential and its errors."""
+
+    def __post_init__(self) -> None:
+        """Adds what every route has."""
+        self.security = [{_SECURITY_SCHEME: []}]
+        self.responses = {
+            **(self.responses or {}),
+            "default": spec.OpenAPIResponse(
+                "Why the request was not served",
+                content={problem.MEDIA_TYPE: _media(problem.Problem)},
+            ),
+        }
+
+    def _take(self, media_type: str, schema: spec.OpenAPIMediaType) -> None:
+        self.request_body = spec.RequestBody(
+            content={media_type: schema}, required=True
+        )
+
+
+@dataclasses.dataclass
+class ChatOperation(DescribedOperation):
+    """Route of chat answers."""
+
+    def __post_init__(self) -> None:
+        """Adds the body and the answer."""
+        super().__post_init__()
+        self._take(_JSON, _media(messages.ChatRequest))
+        self.responses["200"] = _completion()
+
+
+@dataclasses.dataclass
+class CompletionOperation(DescribedOperation):
+    """Route of completions."""
+
+    def __post_init__(self) -> None:
+        """Adds the body and the answer."""
+        super().__post_init__()
+        self._take(_JSON, _media(messages.CompletionRequest))
+        self.responses["200"] = _completion()
+
+
+@dataclasses.dataclass
+class PatchOperation(DescribedOperation):
+    """Route of configuration patches."""
+
+    def __post_init__(self) -> None:
+        """Adds the body."""
+        super().__post_init__()
+        self._take(_JSON, _media(store.PatchRequest))
+
+
+@dataclasses.dataclass
+class CallOperation(DescribedOperation):
+    """Route of plain services, whose bodies pass through."""
+
+    def __post_init__(self) -> None:
+        """Adds the body and the answer."""
+        super().__post_init__()
+        binary = spec.OpenAPIMediaType(
+            schema=spec.Schema(
+                type=spec.OpenAPIType.STRING,
+                format=spec.OpenAPIFormat.BINARY,
+            )
+        )
+        self.request_body = spec.RequestBody(content={_BINARY: binary})
+        self.responses = {
+            "2XX": spec.OpenAPIResponse(
+                "Answer of the endpoint", content={_BINARY: binary}
+            ),
+            "default": self.responses["default"],
+        }
+
+
+def create_config() -> openapi.OpenAPIConfig:
+    """Creates the settings of the OpenAPI page."""
+    return openapi.OpenAPIConfig(
+        title=_TITLE,
+        version=_VERSION,
+        components=DescribedComponents(
+            security_schemes={
+                _SECURITY_SCHEME: spec.SecurityScheme(
+                    type="http", scheme="bearer"
+                )
+            },
+        ),
+        render_plugins=[
+            plugins.JsonRenderPlugin(path=["/", "/openapi.json"]),
+            plugins.YamlRenderPlugin(),
+        ],
+    )
+
+
+def _media(described: type) -> spec.OpenAPIMediaType:
+    reference = _REFERENCE.format(name=described.__name__)
+    return spec.OpenAPIMediaType(schema=spec.Reference(ref=reference))
+
+
+def _completion() -> spec.OpenAPIResponse:
+    return spec.OpenAPIResponse(
+        "The answer, or its chunks if it is streamed",
+        content={
+            _JSON: _media(messages.Completion),
+            _EVENT_STREAM: _media(messages.Completion),
+        },
+    )
--- a/bronzeslip/gateway/app.py
+++ b/bronzeslip/gateway/app.py
@@ -3,8 +3,8 @@
 import litestar
 from litestar import datastructures
 from litestar import di
-from litestar import openapi
 
+from bronzeslip.gateway import api_description
 from bronzeslip.gateway import error_handlers
 from bronzeslip.gateway import generations_api
 from bronzeslip.gateway import operators_api
@@ -13,9 +13,6 @@
 from bronzeslip.http import health
 from bronzeslip.metrics import page
 
-_TITLE = "bronzeslip"
-_VERSION = "0.1.0"
-
 
 def create(parts: state.GatewayState) -> litestar.Litestar:
     """Creates the application over the parts of a gateway."""
@@ -44,5 +41,5 @@
             {"body_timeout_s": parts.settings.body_timeout_s}
         ),
         logging_config=None,
-        openapi_config=openapi.OpenAPIConfig(title=_TITLE, version=_VERSION),
+        openapi_config=api_description.create_config(),
     )
--- a/bronzeslip/gateway/generations_api.py
+++ b/bronzeslip/gateway/generations_api.py
@@ -7,6 +7,7 @@
 
 from bronzeslip.gateway import answer
 from bronzeslip.gateway import answer_format
+from bronzeslip.gateway import api_description
 from bronzeslip.gateway import body
 from bronzeslip.gateway import error_handlers
 from bronzeslip.gateway import errors
@@ -19,7 +20,11 @@
 _EVENT_STREAM = "text/event-stream"
 
 
-@litestar.get("/v1/models", summary="Lists the models of the workspace")
+@litestar.get(
+    "/v1/models",
+    operation_class=api_description.DescribedOperation,
+    summary="Lists the models of the workspace",
+)
 async def list_models(
     request: litestar.Request, parts: state.GatewayState
 ) -> messages.ModelList:
@@ -30,7 +35,10 @@
 
 
 @litestar.post(
-    "/v1/chat/completions", status_code=200, summary="Generates a chat answer"
+    "/v1/chat/completions",
+    status_code=200,
+    operation_class=api_description.ChatOperation,
+    summary="Generates a chat answer",
 )
 async def chat_completions(
     request: litestar.Request, parts: state.GatewayState
@@ -48,7 +56,10 @@
 
 
 @litestar.post(
-    "/v1/completions", status_code=200, summary="Generates a completion"
+    "/v1/completions",
+    status_code=200,
+    operation_class=api_description.CompletionOperation,
+    summary="Generates a completion",
 )
 async def completions(
     request: litestar.Request, parts: state.GatewayState
--- a/bronzeslip/gateway/operators_api.py
+++ b/bronzeslip/gateway/operators_api.py
@@ -7,6 +7,7 @@
 from bronzeslip.configuration import errors as configuration_errors
 from bronzeslip.configuration import record
 from bronzeslip.configuration import store
+from bronzeslip.gateway import api_description
 from bronzeslip.gateway import body
 from bronzeslip.gateway import errors
 from bronzeslip.gateway import state
@@ -23,7 +24,11 @@
     number: ids.ConfigurationNumber
 
 
-@litestar.get("/v1/configuration", summary="Reads the current configuration")
+@litestar.get(
+    "/v1/configuration",
+    operation_class=api_description.DescribedOperation,
+    summary="Reads the current configuration",
+)
 async def read_configuration(
     request: litestar.Request, parts: state.GatewayState
 ) -> record.ConfigurationRecord:
@@ -36,7 +41,9 @@
 
 
 @litestar.get(
-    "/v1/configuration/status", summary="Tells which number is in force where"
+    "/v1/configuration/status",
+    operation_class=api_description.DescribedOperation,
+    summary="Tells which number is in force where",
 )
 async def read_status(
     request: litestar.Request, parts: state.GatewayState
@@ -47,7 +54,10 @@
 
 
 @litestar.post(
-    "/v1/configuration/patches", status_code=200, summary="Submits a patch"
+    "/v1/configuration/patches",
+    status_code=200,
+    operation_class=api_description.PatchOperation,
+    summary="Submits a patch",
 )
 async def submit_patch(
     request: litestar.Request, parts: state.GatewayState
--- a/bronzeslip/gateway/services_api.py
+++ b/bronzeslip/gateway/services_api.py
@@ -5,6 +5,7 @@
 
 from bronzeslip import ids
 from bronzeslip.configuration import service
+from bronzeslip.gateway import api_description
 from bronzeslip.gateway import body
 from bronzeslip.gateway import call_session
 from bronzeslip.gateway import errors
@@ -23,6 +24,7 @@
 @litestar.route(
     "/v1/services/{service_name:str}/{path:path}",
     http_method=_METHODS,
+    operation_class=api_description.CallOperation,
     summary="Calls a plain service",
 )
 async def call_service(
--- /dev/null
+++ b/tests/gateway/test_api_description.py
@@ -0,0 +1,68 @@
+"""The OpenAPI page."""
+
+import re
+import unittest
+
+from tests.gateway import bad_input_case
+
+_BODIES = {
+    "/v1/chat/completions": "ChatRequest",
+    "/v1/completions": "CompletionRequest",
+    "/v1/configuration/patches": "PatchRequest",
+}
+
+
+class ApiDescriptionTest(bad_input_case.GatewayCase):
+    async def page(self):
+        answer = await self.client.get("/schema/openapi.json")
+        self.assertEqual(answer.status_code, 200)
+        return answer.json()
+
+    async def test_page_is_served(self):
+        answer = await self.client.get("/schema")
+        self.assertEqual(answer.status_code, 200)
+        self.assertEqual(answer.json(), await self.page())
+
+    async def test_lists_every_route(self):
+        paths = (await self.page())["paths"]
+        self.assertLessEqual(
+            {
+                "/v1/models",
+                "/v1/services/{service_name}/{path}",
+                "/v1/configuration",
+                "/v1/configuration/status",
+                "/livez",
+                "/readyz",
+                "/metrics",
+                *_BODIES,
+            },
+            paths.keys(),
+        )
+
+    async def test_bodies_and_problems_are_described(self):
+        page = await self.page()
+        for path, name in _BODIES.items():
+            with self.subTest(path=path):
+                operation = page["paths"][path]["post"]
+                body = operation["requestBody"]["content"]
+                self.assertEqual(
+                    body["application/json"]["schema"]["$ref"],
+                    f"#/components/schemas/{name}",
+                )
+                problem = operation["responses"]["default"]["content"]
+                self.assertEqual(
+                    problem["application/problem+json"]["schema"]["$ref"],
+                    "#/components/schemas/Problem",
+                )
+        chat = page["components"]["schemas"]["ChatRequest"]
+        self.assertLessEqual({"model", "messages"}, set(chat["required"]))
+
+    async def test_every_reference_leads_somewhere(self):
+        answer = await self.client.get("/schema/openapi.json")
+        schemas = answer.json()["components"]["schemas"]
+        for name in re.findall(r'"#/components/schemas/(\w+)"', answer.text):
+            self.assertIn(name, schemas)
+
+
+if __name__ == "__main__":
+    unittest.main()
