--- a/tools/demo.py
+++ b/tools/demo.py
@@ -1,14 +1,19 @@
 """Runs both deployments in small and prints a streamed answer of each."""
 
 import argparse
+import pathlib
 import signal
 
 import openai
 
+from tools import commands
 from tools import declarations
 from tools import local_deployment
 from tools import shapes
 
+_ROOT = pathlib.Path(__file__).resolve().parent.parent
+_EXAMPLES = _ROOT / "examples"
+
 
 def main() -> None:
     """Runs the demonstration."""
@@ -24,7 +29,8 @@
     try:
         for deployment in deployments:
             deployment.start()
-            _show(deployment)
+            _show_answer(deployment)
+            _show_commands(deployment)
         if not flags.exit:
             print("Running. Press Ctrl+C to stop.", flush=True)
             signal.sigwait({signal.SIGINT, signal.SIGTERM})
@@ -33,7 +39,12 @@
             deployment.stop()
 
 
-def _show(deployment: local_deployment.LocalDeployment) -> None:
+def examples_of(shape: shapes.DeploymentShape) -> pathlib.Path:
+    """Returns the folder of a user's declarations."""
+    return _EXAMPLES / shape.name
+
+
+def _show_answer(deployment: local_deployment.LocalDeployment) -> None:
     workspace = deployment.shape.workspaces[0]
     credential = declarations.credential_of(workspace)
     base_url = f"{deployment.gateways[0].http_url()}/v1"
@@ -49,5 +60,17 @@
     print()
 
 
+def _show_commands(deployment: local_deployment.LocalDeployment) -> None:
+    folder = str(examples_of(deployment.shape).relative_to(_ROOT))
+    for arguments in (("apply", "--wait", folder), ("status",)):
+        print(f"$ bronzeslipctl {' '.join(arguments)}")
+        finished = commands.run(deployment, *arguments)
+        print(finished.stdout + finished.stderr, end="", flush=True)
+        finished.check_returncode()
+    urls = ",".join(gateway.http_url() for gateway in deployment.gateways)
+    print(f"export BRONZESLIP_GATEWAY_URLS={urls}")
+    print(f"export BRONZESLIP_CREDENTIAL={declarations.OPERATOR_CREDENTIAL}")
+
+
 if __name__ == "__main__":
     main()
