--- a/bronzeslip/cli/render.py
+++ b/bronzeslip/cli/render.py
@@ -56,9 +56,10 @@
         accepted = datetime.datetime.fromtimestamp(
             entry.accepted_at_unix_s, datetime.UTC
         )
+        patch = "(too large)" if entry.patch is None else _json(entry.patch)
         lines.append(
             f"{entry.number}  {accepted.isoformat(timespec='seconds')}  "
-            f"{entry.operator}  {_json(entry.patch)}"
+            f"{entry.operator}  {patch}"
         )
     return "\n".join(lines) or "no patches yet"
 
