--- a/bronzeslip/settings/parser.py
+++ b/bronzeslip/settings/parser.py
@@ -12,6 +12,7 @@
 
 from bronzeslip.settings import convert
 from bronzeslip.settings import errors
+from bronzeslip.settings import programs
 from bronzeslip.settings import setting
 
 ENVIRONMENT_PREFIX = "BRONZESLIP_"
@@ -108,6 +109,7 @@
     Raises:
         errors.SettingsError: If a setting is missing or not allowed.
     """
+    _check_variables(environment)
     hints = typing.get_type_hints(settings_type)
     values = {}
     for field in dataclasses.fields(settings_type):
@@ -150,6 +152,18 @@
     return settings
 
 
+def _check_variables(environment: Mapping[str, str]) -> None:
+    """Refuses variables that no program of the system reads."""
+    known = {
+        variable_of(field)
+        for settings_type in programs.SETTINGS_BY_PROGRAM.values()
+        for field in dataclasses.fields(settings_type)
+    }
+    for name in sorted(environment):
+        if name.startswith(ENVIRONMENT_PREFIX) and name not in known:
+            raise errors.SettingsError(f"{name}: no such setting; see --help")
+
+
 def _name_of(field: dataclasses.Field) -> str:
     if setting.details_of(field).environment_only:
         return variable_of(field)
--- /dev/null
+++ b/bronzeslip/settings/programs.py
@@ -0,0 +1,11 @@
+"""Settings classes of all programs."""
+
+from bronzeslip.settings import gateway
+from bronzeslip.settings import operator
+from bronzeslip.settings import sidecar
+
+SETTINGS_BY_PROGRAM: dict[str, type] = {
+    "bronzeslip-gateway": gateway.GatewaySettings,
+    "bronzeslip-sidecar": sidecar.SidecarSettings,
+    "bronzeslipctl": operator.OperatorSettings,
+}
--- a/tests/settings/test_parser.py
+++ b/tests/settings/test_parser.py
@@ -112,6 +112,16 @@
         self.assertEqual(self.status, 2)
         self.assertIn("--http-port (BRONZESLIP_HTTP_PORT): 'x'", self.errors)
 
+    def test_unknown_variable_is_refused(self):
+        self.parse(*_GATEWAY_FLAGS, environment={"BRONZESLIP_HTP_PORT": "80"})
+        self.assertEqual(self.status, 2)
+        self.assertIn("BRONZESLIP_HTP_PORT: no such setting", self.errors)
+
+    def test_variables_of_other_programs_are_left_alone(self):
+        environment = {"BRONZESLIP_CREDENTIAL": _SECRET, "OTHER": "x"}
+        self.parse(*_GATEWAY_FLAGS, environment=environment)
+        self.assertEqual(self.status, 0)
+
     def test_values_have_their_types(self):
         parsed = self.parse(
             *_GATEWAY_FLAGS,
--- a/tools/settings_reference.py
+++ b/tools/settings_reference.py
@@ -6,18 +6,11 @@
 import typing
 
 from bronzeslip.settings import convert
-from bronzeslip.settings import gateway
-from bronzeslip.settings import operator
 from bronzeslip.settings import parser as settings_parser
+from bronzeslip.settings import programs
 from bronzeslip.settings import setting
-from bronzeslip.settings import sidecar
 
 PAGE = pathlib.Path(__file__).parent.parent / "docs/reference/settings.md"
-_PROGRAMS = (
-    ("bronzeslip-gateway", gateway.GatewaySettings),
-    ("bronzeslip-sidecar", sidecar.SidecarSettings),
-    ("bronzeslipctl", operator.OperatorSettings),
-)
 _INTRODUCTION = """\
 # Settings
 
@@ -39,7 +32,7 @@
     """Returns the text of the page."""
     sections = [
         f"\n## {program}\n{_table(settings_type)}"
-        for program, settings_type in _PROGRAMS
+        for program, settings_type in programs.SETTINGS_BY_PROGRAM.items()
     ]
     return _INTRODUCTION + "".join(sections)
 
