Resume answers at any gateway and cancel what nobody reads

Cause: a caller whose gateway died had no way back to its generation, one that left while its request waited kept the engine busy, and one that stopped reading held its connection for ever. Ruled out: a watchdog per answer around each write, which costs a timer a token; a session store, which the gateways do not have. Change: event ids are resume tokens signed for the workspace, naming endpoint, generation and index; the answer's own response type ends its session however it ends; TCP_USER_TIMEOUT ends connections that take no data. Ten trials against real processes (sidecar, engine and gateway paused and killed midway, a caller that leaves or does not read) with the engine held at a token.

--- a/bronzeslip/gateway/answer.py
+++ b/bronzeslip/gateway/answer.py
@@ -1,6 +1,6 @@
 """Renders a generation as a whole answer or as server-sent events."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 
 import msgspec
 
@@ -36,7 +36,7 @@
     session: generation_session.GenerationSession,
     form: answer_format.AnswerFormat,
     include_usage: bool,
-) -> AsyncIterator[bytes]:
+) -> AsyncGenerator[bytes, None]:
     """Yields a generation as server-sent events.
 
     The last event is [DONE] if the answer is whole and an error if not.
@@ -46,7 +46,7 @@
         async for batch in session.batches():
             chunk = form.chunk("".join(batch.texts), batch.first_index == 0)
             next_index = batch.first_index + len(batch.texts)
-            yield _event(chunk, f"{generation_id}.{next_index}")
+            yield _event(chunk, session.resume_token(next_index))
         yield _event(form.last_chunk(session.finished.finish_reason.value))
         if include_usage:
             yield _event(form.usage_chunk(_usage(session)))
--- a/bronzeslip/gateway/daemon.py
+++ b/bronzeslip/gateway/daemon.py
@@ -11,6 +11,7 @@
 from bronzeslip.gateway import access
 from bronzeslip.gateway import app
 from bronzeslip.gateway import peer_pool
+from bronzeslip.gateway import resume_token
 from bronzeslip.gateway import state
 from bronzeslip.http import server as http_server
 from bronzeslip.http import shutdown
@@ -36,6 +37,7 @@
             app.create(self._parts),
             settings.listen_address,
             settings.http_port,
+            settings.caller_stall_timeout_s,
         )
         self._watcher = watcher.ConfigurationWatcher(
             self._platform, self._parts.configuration
@@ -91,4 +93,5 @@
             peers=peers,
             routes=routes,
             access=access.Access(settings, configuration),
+            resume_tokens=resume_token.ResumeTokenSigner(settings),
         )
--- a/bronzeslip/gateway/errors.py
+++ b/bronzeslip/gateway/errors.py
@@ -39,6 +39,28 @@
     title = "Not found"
 
 
+class BadResumeTokenError(BadRequestError):
+    """The Last-Event-ID is not one that this workspace was given."""
+
+    code = "bad-resume-token"
+
+
+class GenerationGoneError(GatewayError):
+    """The generation to be read on is no longer kept."""
+
+    code = "generation-gone"
+    status = 410
+    title = "Generation gone"
+
+
+class CallerGoneError(GatewayError):
+    """The caller closed the connection; nobody reads this."""
+
+    code = "caller-gone"
+    status = 499
+    title = "Caller gone"
+
+
 class TooLargeError(GatewayError):
     """The request is larger than allowed."""
 
--- a/bronzeslip/gateway/generation_session.py
+++ b/bronzeslip/gateway/generation_session.py
@@ -12,6 +12,7 @@
 from bronzeslip.gateway import peer_pool
 from bronzeslip.gateway import remote_generation
 from bronzeslip.gateway import request_context
+from bronzeslip.gateway import resume_token
 from bronzeslip.generation import errors as generation_errors
 from bronzeslip.membership import directory
 from bronzeslip.membership import member
@@ -59,6 +60,7 @@
         routes: router.Router,
         peers: peer_pool.PeerPool,
         members: directory.MemberDirectory,
+        resume_tokens: resume_token.ResumeTokenSigner,
         context: request_context.RequestContext,
         wanted: GenerationInput,
     ) -> None:
@@ -67,6 +69,7 @@
         self._routes = routes
         self._peers = peers
         self._members = members
+        self._resume_tokens = resume_tokens
         self._context = context
         self._wanted = wanted
         self._remote: remote_generation.RemoteGeneration | None = None
@@ -74,6 +77,7 @@
         self._attempts_left = settings.dispatch_attempts
         self._retry_after_s = _RETRY_AFTER_S
         self._has_run = False
+        self._delivered = False
         self._is_unresolved = False
 
     @property
@@ -101,17 +105,50 @@
                 return
         raise self._failure("no endpoint took the request")
 
+    async def resume(self, token: resume_token.ResumeToken) -> None:
+        """Reads on where the caller of another connection stopped.
+
+        Raises:
+            errors.GenerationGoneError: If the generation is no longer kept.
+        """
+        endpoint = self._members.endpoint(token.endpoint_id)
+        if endpoint is None:
+            raise errors.GenerationGoneError("the endpoint has gone")
+        self._has_run = True
+        self._delivered = True
+        self._bind(endpoint, token.generation_id, token.next_index)
+        self._remote.resume()
+        try:
+            await self._remote.wait_accepted()
+        except generation_errors.GenerationError as error:
+            self.close()
+            raise errors.GenerationGoneError(error.message) from error
+        except BaseException:
+            self.close()
+            raise
+
+    def resume_token(self, next_index: int) -> str:
+        """Returns the token that resumes the answer at an index."""
+        return self._resume_tokens.sign(
+            self._context.workspace_id,
+            resume_token.ResumeToken(
+                self.endpoint_id,
+                self.generation_id,
+                self._context.request_id,
+                next_index,
+            ),
+        )
+
     async def batches(self) -> AsyncIterator[frames.Tokens]:
         """Yields the tokens, each once and in order.
 
         Raises:
             errors.IncompleteError: If the generation was lost.
         """
-        delivered = False
         while self.finished is None:
-            progress = await self._receive(may_rerun=not delivered)
+            progress = await self._receive(may_rerun=not self._delivered)
             if isinstance(progress, frames.Tokens):
-                delivered = True
+                self._delivered = True
                 yield progress
                 self._remote.acknowledge()
 
@@ -174,17 +211,26 @@
 
     def _enter(self, endpoint: member.Member) -> None:
         self._tried.add(endpoint.endpoint_id)
+        self._bind(endpoint, ids.GenerationId(ids.random_id()), 0)
+        self._remote.begin(self._start_frame, self._resolve_timeout_s())
+
+    def _bind(
+        self,
+        endpoint: member.Member,
+        generation_id: ids.GenerationId,
+        next_index: int,
+    ) -> None:
         self._remote = remote_generation.RemoteGeneration(
             self._settings,
             self._peers,
             self._members,
             endpoint,
-            ids.GenerationId(ids.random_id()),
+            generation_id,
             self._context.workspace_id,
             self._context.deadline_s,
+            next_index,
         )
         self._routes.begin(endpoint.endpoint_id)
-        self._remote.begin(self._start_frame, self._resolve_timeout_s())
 
     def _resolve_timeout_s(self) -> float:
         if self._context.service.idempotent:
--- a/bronzeslip/gateway/generations_api.py
+++ b/bronzeslip/gateway/generations_api.py
@@ -3,19 +3,22 @@
 from typing import Any
 
 import litestar
-from litestar import response
+import msgspec
 
 from bronzeslip.gateway import answer
 from bronzeslip.gateway import answer_format
 from bronzeslip.gateway import body
+from bronzeslip.gateway import disconnect
 from bronzeslip.gateway import errors
+from bronzeslip.gateway import event_stream
 from bronzeslip.gateway import generation_session
 from bronzeslip.gateway import openai_messages as messages
 from bronzeslip.gateway import request_context
+from bronzeslip.gateway import resume_token
 from bronzeslip.gateway import state
 
 _AUTHORIZATION = "authorization"
-_EVENT_STREAM = "text/event-stream"
+_LAST_EVENT_ID = "last-event-id"
 _REQUEST_ID_HEADER = "x-request-id"
 
 
@@ -40,11 +43,16 @@
     context = parts.access.context_for_model(
         request.headers.get(_AUTHORIZATION), wanted.model
     )
-    form = answer_format.ChatFormat(context.request_id, wanted.model)
     limit = wanted.max_completion_tokens or wanted.max_tokens
     prompt = _chat_prompt(wanted.messages)
-    session = _session(parts, context, wanted.model, prompt, limit)
-    return await _answer(session, form, wanted, context)
+    return await _answer(
+        request,
+        parts,
+        context,
+        wanted,
+        _input(context, wanted.model, prompt, limit),
+        answer_format.ChatFormat,
+    )
 
 
 @litestar.post(
@@ -58,46 +66,72 @@
     context = parts.access.context_for_model(
         request.headers.get(_AUTHORIZATION), wanted.model
     )
-    form = answer_format.CompletionFormat(context.request_id, wanted.model)
     prompt = _completion_prompt(wanted.prompt)
-    session = _session(parts, context, wanted.model, prompt, wanted.max_tokens)
-    return await _answer(session, form, wanted, context)
+    return await _answer(
+        request,
+        parts,
+        context,
+        wanted,
+        _input(context, wanted.model, prompt, wanted.max_tokens),
+        answer_format.CompletionFormat,
+    )
 
 
-def _session(
-    parts: state.GatewayState,
+def _input(
     context: request_context.RequestContext,
     model: str,
     prompt: str,
     limit: int | None,
-) -> generation_session.GenerationSession:
+) -> generation_session.GenerationInput:
     if limit is not None and limit <= 0:
         raise errors.BadRequestError("max_tokens must be above zero")
     if len(prompt.encode()) > context.workspace.limits.prompt_bytes:
         raise errors.TooLargeError("the prompt is too large")
     most = context.service.max_output_tokens
-    wanted = generation_session.GenerationInput(
+    return generation_session.GenerationInput(
         model, prompt, min(limit or most, most)
     )
-    return parts.generation(context, wanted)
 
 
 async def _answer(
-    session: generation_session.GenerationSession,
-    form: answer_format.AnswerFormat,
-    wanted: messages.ChatRequest | messages.CompletionRequest,
+    request: litestar.Request,
+    parts: state.GatewayState,
     context: request_context.RequestContext,
+    wanted: messages.ChatRequest | messages.CompletionRequest,
+    generation: generation_session.GenerationInput,
+    form_type: type[answer_format.AnswerFormat],
 ) -> Any:
-    await session.start()
+    token = _resume_token(request, parts, context)
+    if token is not None:
+        context = msgspec.structs.replace(context, request_id=token.request_id)
+    session = parts.generation(context, generation)
+    form = form_type(context.request_id, wanted.model)
     headers = {_REQUEST_ID_HEADER: context.request_id}
-    if wanted.stream:
-        options = wanted.stream_options or messages.StreamOptions()
-        return response.Stream(
-            answer.events(session, form, options.include_usage),
-            media_type=_EVENT_STREAM,
-            headers={**headers, "cache-control": "no-cache"},
+    starting = session.resume(token) if token else session.start()
+    await disconnect.run_while_connected(request.receive, starting)
+    if not wanted.stream:
+        collecting = answer.whole(session, form)
+        whole = await disconnect.run_while_connected(
+            request.receive, collecting
         )
-    return litestar.Response(await answer.whole(session, form), headers=headers)
+        return litestar.Response(whole, headers=headers)
+    options = wanted.stream_options or messages.StreamOptions()
+    return event_stream.EventStream(
+        answer.events(session, form, options.include_usage),
+        session.close,
+        headers,
+    )
+
+
+def _resume_token(
+    request: litestar.Request,
+    parts: state.GatewayState,
+    context: request_context.RequestContext,
+) -> resume_token.ResumeToken | None:
+    text = request.headers.get(_LAST_EVENT_ID)
+    if not text:
+        return None
+    return parts.resume_tokens.verify(context.workspace_id, text)
 
 
 def _chat_prompt(chat: list[messages.ChatMessage]) -> str:
--- a/bronzeslip/gateway/state.py
+++ b/bronzeslip/gateway/state.py
@@ -9,6 +9,7 @@
 from bronzeslip.gateway import generation_session
 from bronzeslip.gateway import peer_pool
 from bronzeslip.gateway import request_context
+from bronzeslip.gateway import resume_token
 from bronzeslip.membership import directory
 from bronzeslip.routing import router
 from bronzeslip.settings import gateway
@@ -26,6 +27,7 @@
         peers: Connections to sidecars.
         routes: Choice of endpoints.
         access: Checks of credentials.
+        resume_tokens: Signer of resume tokens.
         ready: Whether new requests are taken.
     """
 
@@ -36,6 +38,7 @@
     peers: peer_pool.PeerPool
     routes: router.Router
     access: access.Access
+    resume_tokens: resume_token.ResumeTokenSigner
     ready: bool = False
 
     def generation(
@@ -49,6 +52,7 @@
             self.routes,
             self.peers,
             self.members,
+            self.resume_tokens,
             context,
             wanted,
         )
--- a/bronzeslip/http/server.py
+++ b/bronzeslip/http/server.py
@@ -8,6 +8,8 @@
 
 import uvicorn
 
+_MS_PER_S = 1000
+
 
 class _Server(uvicorn.Server):
     @contextlib.contextmanager
@@ -18,15 +20,30 @@
 class HttpServer:
     """Serves an ASGI application until told to stop."""
 
-    def __init__(self, app: Any, address: str, port: int) -> None:
+    def __init__(
+        self,
+        app: Any,
+        address: str,
+        port: int,
+        stall_timeout_s: float | None = None,
+    ) -> None:
         """Binds the port.
 
         Args:
             app: ASGI application.
             address: IP number to listen on.
             port: Port to listen on; 0 lets the system choose.
+            stall_timeout_s: Time after which a connection whose other end
+                takes no data is closed, in seconds, or None for never.
         """
         self._socket = socket.create_server((address, port), backlog=2048)
+        if stall_timeout_s is not None:
+            # Accepted sockets inherit the option; it covers closed windows.
+            self._socket.setsockopt(
+                socket.IPPROTO_TCP,
+                socket.TCP_USER_TIMEOUT,
+                round(stall_timeout_s * _MS_PER_S),
+            )
         config = uvicorn.Config(
             app,
             http="httptools",
--- a/bronzeslip/settings/gateway.py
+++ b/bronzeslip/settings/gateway.py
@@ -27,6 +27,13 @@
         minimum=1,
         maximum=16,
     )
+    caller_stall_timeout_s: float = setting(
+        "time after which a caller that does not read is given up, in seconds",
+        "limits",
+        default=30.0,
+        minimum=0.1,
+        maximum=3600,
+    )
     resume_timeout_s: float = setting(
         "time to reach a sidecar again before its generation is given up,"
         " in seconds",
--- a/standins/engine/app.py
+++ b/standins/engine/app.py
@@ -52,6 +52,7 @@
         self.orders = order_book
         self.modes = StandinModes()
         self.started_ids: list[str] = []
+        self.cancelled_ids: list[str] = []
         self.shown_tokens: dict[str, int] = {}
         self._load_lag_s = load_lag_s
         self._gap_every = cache_event_gap_every
@@ -83,6 +84,7 @@
                     self._set_modes
                 ),
                 litestar.get("/standin/started")(self._started),
+                litestar.get("/standin/cancelled")(self._get_cancelled),
                 litestar.get("/standin/shown")(self._get_shown),
             ],
             openapi_config=None,
@@ -119,6 +121,7 @@
 
     async def _cancel(self, generation_id: str) -> litestar.Response:
         found = self._sequences.pop(generation_id, None)
+        self.cancelled_ids.append(generation_id)
         if found is not None:
             self.engine.remove(found)
             found.state = sequence.SequenceState.FINISHED
@@ -162,6 +165,9 @@
     async def _started(self) -> litestar.Response:
         return _json(self.started_ids)
 
+    async def _get_cancelled(self) -> litestar.Response:
+        return _json(self.cancelled_ids)
+
     async def _get_shown(self) -> litestar.Response:
         return _json(self.shown_tokens)
 
--- a/tests/gateway/test_generation_session.py
+++ b/tests/gateway/test_generation_session.py
@@ -13,6 +13,7 @@
 from bronzeslip.gateway import generation_session
 from bronzeslip.gateway import peer_pool
 from bronzeslip.gateway import request_context
+from bronzeslip.gateway import resume_token
 from bronzeslip.membership import directory
 from bronzeslip.routing import least_outstanding
 from bronzeslip.routing import router
@@ -59,6 +60,7 @@
             routes,
             pool,
             self.members,
+            resume_token.ResumeTokenSigner(settings),
             context,
             generation_session.GenerationInput("m", "p", 9),
         )
@@ -189,6 +191,46 @@
         await self.finish(connection, generation_id, 1)
         self.assertEqual(await running, ["a"])
 
+    async def test_resumes_from_a_token(self):
+        token = resume_token.ResumeToken(
+            ids.EndpointId("e2"),
+            ids.GenerationId("g"),
+            ids.RequestId("r"),
+            3,
+        )
+        session = self.session()
+        starting = asyncio.create_task(session.resume(token))
+        connection = await self.sidecars["e2"].accept()
+        asked = await connection.get(frames.ResumeGeneration)
+        self.assertEqual((asked.generation_id, asked.next_index), ("g", 3))
+        await connection.send(
+            frames.GenerationAccepted(token.generation_id),
+            frames.Tokens(token.generation_id, 3, ["d"]),
+        )
+        await starting
+        await self.finish(connection, token.generation_id, 4)
+        got = [batch.texts async for batch in session.batches()]
+        self.assertEqual(got, [["d"]])
+
+    async def test_resuming_an_unknown_generation_is_gone(self):
+        token = resume_token.ResumeToken(
+            ids.EndpointId("e1"),
+            ids.GenerationId("g"),
+            ids.RequestId("r"),
+            3,
+        )
+        starting = asyncio.create_task(self.session().resume(token))
+        connection = await self.sidecars["e1"].accept()
+        await connection.send(
+            frames.GenerationRefused(
+                token.generation_id,
+                reason.RefusalReason.UNKNOWN_GENERATION,
+                1.0,
+            )
+        )
+        with self.assertRaises(errors.GenerationGoneError):
+            await starting
+
     async def test_deadline_ends_the_wait(self):
         session = self.session(deadline_s=0.1)
         running = asyncio.create_task(session.start())
--- /dev/null
+++ b/tests/processes/test_generation_failures.py
@@ -0,0 +1,328 @@
+"""Generations while processes are killed, paused and cut off."""
+
+import dataclasses
+import signal
+import socket
+import threading
+import time
+import unittest
+
+import httpx
+
+from tests.support import caller_stream
+from tools import local_deployment
+from tools import shapes
+
+_SHAPE = dataclasses.replace(shapes.MIDLANDS, engine_count=2, plain_count=0)
+_LENGTH = 40
+_HOLD = 10
+_PROMPT = f"#length={_LENGTH}"
+_LONG_PROMPT = "#length=3000"
+_WAIT_TIMEOUT_S = 20.0
+_LINK_FLAGS = (
+    "--heartbeat-interval-s=0.1",
+    "--peer-silence-timeout-s=0.5",
+)
+
+
+class GenerationFailuresTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.deployment = local_deployment.LocalDeployment(
+            _SHAPE,
+            engine_flags=("--step-base-s=0.004",),
+            sidecar_flags=(
+                *_LINK_FLAGS,
+                "--engine-silence-timeout-s=0.3",
+                "--engine-loss-timeout-s=2",
+                "--orphan-timeout-s=2",
+            ),
+            gateway_flags=(
+                *_LINK_FLAGS,
+                "--resume-timeout-s=2",
+                "--caller-stall-timeout-s=0.5",
+            ),
+        )
+        cls.addClassCleanup(cls.deployment.stop)
+        cls.deployment.start()
+
+    def setUp(self):
+        self.addCleanup(self.hold, None)
+
+    def hold(self, tokens):
+        """Holds every engine's streams at a token, or lets them go."""
+        for engine in self.deployment.engines:
+            if engine.exit_status is None:
+                httpx.post(
+                    f"{engine.http_url()}/standin/modes",
+                    json={"hold_at_tokens": tokens},
+                )
+
+    def stream(self, prompt=_PROMPT, gateway=0, last_event_id=None):
+        opened = caller_stream.CallerStream(
+            self.deployment.gateways[gateway].http_url(),
+            "smiths",
+            _SHAPE.model,
+            prompt,
+            last_event_id,
+        )
+        self.addCleanup(opened.close)
+        return opened
+
+    def held_stream(self, prompt=_PROMPT):
+        """Opens a stream and reads it up to the token it is held at."""
+        self.hold(_HOLD)
+        opened = self.stream(prompt)
+        opened.read_until(_HOLD)
+        return opened
+
+    def whole(self, answers):
+        """Asks for a whole answer and keeps it."""
+        answers.append(
+            httpx.post(
+                f"{self.deployment.gateways[0].http_url()}/v1/completions",
+                headers=local_deployment.caller_headers("smiths"),
+                json={"model": _SHAPE.model, "prompt": _PROMPT},
+                timeout=_WAIT_TIMEOUT_S,
+            )
+        )
+
+    def held_whole(self):
+        """Asks for a whole answer and waits until its engine holds it."""
+        before = {id_ for ids in self.reported("shown") for id_ in ids}
+        self.hold(_HOLD)
+        answers = []
+        asking = threading.Thread(target=self.whole, args=(answers,))
+        asking.start()
+        self.addCleanup(asking.join)
+
+        def held():
+            for index, shown in enumerate(self.reported("shown")):
+                for generation_id, count in shown.items():
+                    if generation_id not in before and count == _HOLD:
+                        return index + 1
+            return 0
+
+        index = self.wait_for(held) - 1
+        return index, asking, answers
+
+    def reported(self, name):
+        """Asks each engine stand-in for a report."""
+        return [
+            httpx.get(f"{engine.http_url()}/standin/{name}").json()
+            for engine in self.deployment.engines
+        ]
+
+    def wait_for(self, condition):
+        """Asks until a condition holds and returns what it returned."""
+        end_s = time.monotonic() + _WAIT_TIMEOUT_S
+        while not (result := condition()):
+            self.assertLess(time.monotonic(), end_s)
+            time.sleep(0.02)
+        return result
+
+    def index_of(self, opened):
+        """Finds the engine that a stream's tokens come from."""
+        mark = opened.words[0].split(".")[1].split("-")[0]
+        for index, started in enumerate(self.reported("started")):
+            if any(name.startswith(mark) for name in started):
+                return index
+        return self.fail("no engine has started it")
+
+    def wait_cancelled(self, opened):
+        """Waits until an engine was told to cancel a stream's run."""
+        mark = opened.words[0].split(".")[1].split("-")[0]
+        self.wait_for(
+            lambda: any(
+                name.startswith(mark)
+                for names in self.reported("cancelled")
+                for name in names
+            )
+        )
+
+    def replace(self, index):
+        """Starts an endpoint and its sidecar anew."""
+        deployment = self.deployment
+        deployment.sidecars[index].kill()
+        deployment.engines[index].kill()
+        deployment.sidecars[index].stop()
+        deployment.engines[index].stop()
+        deployment.engines[index] = deployment.start_engine()
+        deployment.sidecars[index] = deployment.start_sidecar(
+            f"{_SHAPE.engine_pool}-{index}",
+            _SHAPE.engine_pool,
+            deployment.engines[index],
+            index,
+        )
+        deployment.sidecars[index].peer_port()
+
+    def assert_whole(self, words, length=_LENGTH):
+        runs = {word.split("-")[0] for word in words}
+        self.assertEqual(len(runs), 1)
+        indexes = [int(word.split("-")[1]) for word in words]
+        self.assertEqual(indexes, list(range(length)))
+
+    def assert_incomplete(self, opened):
+        self.assertEqual(opened.error["code"], "incomplete")
+        self.assertFalse(opened.is_whole)
+        indexes = [int(word.split("-")[1]) for word in opened.words]
+        self.assertEqual(indexes, list(range(_HOLD)))
+
+    def assert_rerun(self, asking, answers):
+        self.hold(None)
+        asking.join()
+        self.assertEqual(answers[0].status_code, httpx.codes.OK)
+        self.assert_whole(answers[0].json()["choices"][0]["text"].split())
+
+    def test_paused_sidecar_is_resumed(self):
+        opened = self.held_stream()
+        sidecar = self.deployment.sidecars[self.index_of(opened)]
+        gateway = self.deployment.gateways[0]
+        seen = len(gateway.lines)
+        sidecar.send(signal.SIGSTOP)
+        self.addCleanup(sidecar.send, signal.SIGCONT)
+        self.wait_for(
+            lambda: any(
+                "connection-lost" in line for line in gateway.lines[seen:]
+            )
+        )
+        sidecar.send(signal.SIGCONT)
+        self.hold(None)
+        opened.read_rest()
+        self.assertTrue(opened.is_whole)
+        self.assert_whole(opened.words)
+
+    def test_killed_sidecar_ends_a_stream_as_incomplete(self):
+        opened = self.held_stream()
+        index = self.index_of(opened)
+        self.addCleanup(self.replace, index)
+        self.deployment.sidecars[index].kill()
+        opened.read_rest()
+        self.assert_incomplete(opened)
+
+    def test_killed_sidecar_reruns_a_whole_answer(self):
+        index, asking, answers = self.held_whole()
+        self.addCleanup(self.replace, index)
+        self.deployment.sidecars[index].kill()
+        self.assert_rerun(asking, answers)
+
+    def test_paused_engine_is_resumed(self):
+        opened = self.held_stream()
+        index = self.index_of(opened)
+        engine = self.deployment.engines[index]
+        sidecar = self.deployment.sidecars[index]
+        seen = len(sidecar.lines)
+        engine.send(signal.SIGSTOP)
+        self.addCleanup(engine.send, signal.SIGCONT)
+        self.wait_for(
+            lambda: any("stream_lost" in line for line in sidecar.lines[seen:])
+        )
+        engine.send(signal.SIGCONT)
+        self.hold(None)
+        opened.read_rest()
+        self.assertTrue(opened.is_whole)
+        self.assert_whole(opened.words)
+
+    def test_killed_engine_ends_a_stream_as_incomplete(self):
+        opened = self.held_stream()
+        index = self.index_of(opened)
+        self.addCleanup(self.replace, index)
+        self.deployment.engines[index].kill()
+        opened.read_rest()
+        self.assert_incomplete(opened)
+
+    def test_killed_engine_reruns_a_whole_answer(self):
+        index, asking, answers = self.held_whole()
+        self.addCleanup(self.replace, index)
+        self.deployment.engines[index].kill()
+        self.assert_rerun(asking, answers)
+
+    def test_killed_gateway_is_resumed_at_another(self):
+        opened = self.held_stream()
+        self.kill_gateway()
+        opened.read_rest()
+        self.assertFalse(opened.is_whole)
+        resumed = self.stream(gateway=1, last_event_id=opened.last_event_id)
+        self.hold(None)
+        resumed.read_rest()
+        self.assertTrue(resumed.is_whole)
+        self.assert_whole(opened.words + resumed.words)
+        self.assertEqual(opened.answer_ids, resumed.answer_ids)
+
+    def test_orphan_of_a_killed_gateway_is_cancelled(self):
+        opened = self.held_stream()
+        self.kill_gateway()
+        self.wait_cancelled(opened)
+        self.hold(None)
+        resumed = self.stream(gateway=1, last_event_id=opened.last_event_id)
+        resumed.read_rest()
+        self.assertFalse(resumed.is_whole)
+        self.assertEqual(resumed.error["code"], "incomplete")
+
+    def test_leaving_caller_cancels(self):
+        opened = self.held_stream()
+        opened.close()
+        self.wait_cancelled(opened)
+
+    def test_caller_that_does_not_read_is_given_up(self):
+        shown = self.reported("shown")
+        stalled = self.stalled_caller()
+        other = self.stream()
+        other.read_rest()
+        self.assertTrue(other.is_whole)
+        self.assert_whole(other.words)
+        before = {name for names in shown for name in names}
+
+        def cancelled():
+            started = {
+                name
+                for names in self.reported("shown")
+                for name, count in names.items()
+                if count > _LENGTH
+            }
+            names = {
+                name for names in self.reported("cancelled") for name in names
+            }
+            return (started - before) & names
+
+        self.wait_for(cancelled)
+        stalled.close()
+
+    def stalled_caller(self):
+        """Sends a request for a long answer and reads nothing."""
+        stalled = socket.socket()
+        stalled.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        port = self.deployment.gateways[0].http_port()
+        stalled.connect(("127.0.0.1", port))
+        self.addCleanup(stalled.close)
+        request = httpx.Request(
+            "POST",
+            f"http://127.0.0.1:{port}/v1/completions",
+            headers=local_deployment.caller_headers("smiths"),
+            json={
+                "model": _SHAPE.model,
+                "prompt": _LONG_PROMPT,
+                "stream": True,
+            },
+        )
+        lines = [f"POST {request.url.path} HTTP/1.1"]
+        lines += [f"{name}: {value}" for name, value in request.headers.items()]
+        head = "\r\n".join((*lines, "", ""))
+        stalled.sendall(head.encode() + request.content)
+        return stalled
+
+    def kill_gateway(self):
+        """Kills the first gateway; it is started anew after the test."""
+        deployment = self.deployment
+        deployment.gateways[0].kill()
+        deployment.gateways[0].stop()
+
+        def restart():
+            deployment.gateways[0] = deployment.start_gateway(0)
+            deployment.wait_ready()
+
+        self.addCleanup(restart)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/support/caller_stream.py
@@ -0,0 +1,78 @@
+"""A caller that reads a streamed answer piece by piece."""
+
+import contextlib
+import json
+
+import httpx
+import httpx_sse
+
+from tools import local_deployment
+
+_TIMEOUT_S = 30.0
+_DONE = "[DONE]"
+
+
+class CallerStream:
+    """One streamed answer.
+
+    Attributes:
+        words: Tokens read so far.
+        last_event_id: Resume token of the last event read.
+        answer_ids: Ids that the chunks carried.
+        is_whole: Whether the terminal event of a whole answer came.
+        error: The terminal error, if one came.
+    """
+
+    def __init__(self, url, workspace, model, prompt, last_event_id=None):
+        self.words = []
+        self.answer_ids = set()
+        self.last_event_id = last_event_id
+        self.is_whole = False
+        self.error = None
+        self._stack = contextlib.ExitStack()
+        http = self._stack.enter_context(httpx.Client(timeout=_TIMEOUT_S))
+        headers = local_deployment.caller_headers(workspace)
+        if last_event_id:
+            headers["Last-Event-ID"] = last_event_id
+        source = self._stack.enter_context(
+            httpx_sse.connect_sse(
+                http,
+                "POST",
+                f"{url}/v1/completions",
+                headers=headers,
+                json={"model": model, "prompt": prompt, "stream": True},
+            )
+        )
+        source.response.raise_for_status()
+        self._events = source.iter_sse()
+
+    def close(self):
+        """Closes the connection."""
+        self._stack.close()
+
+    def read_until(self, count):
+        """Reads until so many tokens have come."""
+        while len(self.words) < count and self._read_event():
+            pass
+
+    def read_rest(self):
+        """Reads to the end of the stream, however it ends."""
+        with contextlib.suppress(httpx.HTTPError):
+            while self._read_event():
+                pass
+        self.close()
+
+    def _read_event(self):
+        event = next(self._events, None)
+        if event is None:
+            return False
+        self.last_event_id = event.id or self.last_event_id
+        if event.event == "error":
+            self.error = json.loads(event.data)["error"]
+        elif event.data == _DONE:
+            self.is_whole = True
+        else:
+            chunk = json.loads(event.data)
+            self.answer_ids.add(chunk["id"])
+            self.words += chunk["choices"][0]["text"].split()
+        return True
--- a/tools/local_deployment.py
+++ b/tools/local_deployment.py
@@ -79,6 +79,16 @@
             *self._gateway_flags,
         )
 
+    def start_engine(self) -> local_process.LocalProcess:
+        """Starts one engine."""
+        return local_process.LocalProcess(
+            "standins.engine",
+            "--model",
+            self.shape.model,
+            "--checks-fencing",
+            *self._engine_flags,
+        )
+
     def start_sidecar(
         self,
         name: str,
@@ -133,15 +143,7 @@
 
     def _start_endpoints(self) -> None:
         for _ in range(self.shape.engine_count):
-            self.engines.append(
-                local_process.LocalProcess(
-                    "standins.engine",
-                    "--model",
-                    self.shape.model,
-                    "--checks-fencing",
-                    *self._engine_flags,
-                )
-            )
+            self.engines.append(self.start_engine())
         for _ in range(self.shape.plain_count):
             self.plain_endpoints.append(
                 local_process.LocalProcess("standins.plain")
