--- a/bronzeslip/gateway/state.py
+++ b/bronzeslip/gateway/state.py
@@ -13,6 +13,7 @@
 from bronzeslip.membership import directory
 from bronzeslip.routing import router
 from bronzeslip.settings import gateway
+from bronzeslip.spread import status_collector
 
 
 @dataclasses.dataclass
@@ -28,6 +29,7 @@
         routes: Choice of endpoints.
         access: Checks of credentials.
         resume_tokens: Signer of resume tokens.
+        status: Collects what is in force everywhere.
         ready: Whether new requests are taken.
     """
 
@@ -39,6 +41,7 @@
     routes: router.Router
     access: access.Access
     resume_tokens: resume_token.ResumeTokenSigner
+    status: status_collector.StatusCollector
     ready: bool = False
 
     def generation(
--- /dev/null
+++ b/bronzeslip/spread/platform_source.py
@@ -0,0 +1,67 @@
+"""Feeds a hub from the platform."""
+
+import asyncio
+import time
+
+from bronzeslip import ids
+from bronzeslip.platform import client
+from bronzeslip.platform import follower
+from bronzeslip.platform import objects
+from bronzeslip.spread import hub
+from bronzeslip.spread import prefix_state
+from bronzeslip.transport import workers
+
+
+class PlatformSource:
+    """Watches every prefix of a hub, or reads each once."""
+
+    def __init__(
+        self, platform: client.PlatformClient, target: hub.SpreadHub
+    ) -> None:
+        self._platform = platform
+        self._target = target
+        self._progress_at_s: dict[str, float] = {}
+
+    def age_s(self) -> float:
+        """Returns the time since the platform answered for every prefix."""
+        oldest_s = min(
+            self._progress_at_s.get(state.prefix, -float("inf"))
+            for state in self._target.states()
+        )
+        return time.monotonic() - oldest_s
+
+    async def watch(self) -> None:
+        """Watches until cancelled."""
+        await workers.run_together(
+            *(self._follower(state).run() for state in self._target.states())
+        )
+
+    async def read(self, prefixes: tuple[str, ...]) -> None:
+        """Reads prefixes once.
+
+        Raises:
+            platform.errors.PlatformError: If the platform gives no answer.
+        """
+        for prefix in prefixes:
+            state = self._target.state(prefix)
+            state.replace(await self._platform.list_objects(prefix))
+            state.confirm()
+            await asyncio.sleep(0)
+
+    def _follower(
+        self, state: prefix_state.PrefixState
+    ) -> follower.PrefixFollower:
+        async def on_list(listed: objects.ObjectList) -> None:
+            state.replace(listed)
+
+        async def on_event(event: objects.ObjectEvent) -> None:
+            state.advance(state.version, event.version, (event,))
+
+        def on_progress(version: ids.ObjectVersion) -> None:
+            state.advance(state.version, version, ())
+            state.confirm()
+            self._progress_at_s[state.prefix] = time.monotonic()
+
+        return follower.PrefixFollower(
+            self._platform, state.prefix, on_list, on_event, on_progress
+        )
--- /dev/null
+++ b/bronzeslip/spread/relay.py
@@ -0,0 +1,30 @@
+"""Serves the objects that a process holds to other processes."""
+
+from bronzeslip.settings import common
+from bronzeslip.spread import hub
+from bronzeslip.spread import packing
+from bronzeslip.spread import relay_session
+from bronzeslip.spread import status_board
+from bronzeslip.transport import stream
+
+
+class Relay:
+    """Server side of the spread; every gateway is one."""
+
+    def __init__(
+        self,
+        settings: common.CommonSettings,
+        source: hub.SpreadHub,
+        board: status_board.StatusBoard,
+    ) -> None:
+        self._settings = settings
+        self._source = source
+        self._board = board
+        self._packer = packing.EventPacker()
+
+    async def serve(self, peer: stream.PeerStream) -> None:
+        """Serves one connection until it ends."""
+        session = relay_session.RelaySession(
+            self._settings, self._source, self._board, self._packer, peer
+        )
+        await session.run()
--- /dev/null
+++ b/bronzeslip/spread/relay_link.py
@@ -0,0 +1,168 @@
+"""A process's connection to the relay that it follows."""
+
+import asyncio
+from collections.abc import Callable
+import functools
+import time
+
+from bronzeslip import logs
+from bronzeslip.settings import common
+from bronzeslip.spread import errors
+from bronzeslip.spread import hub
+from bronzeslip.spread import packing
+from bronzeslip.spread import status_board
+from bronzeslip.transport import codec
+from bronzeslip.transport import connection
+from bronzeslip.transport import errors as transport_errors
+from bronzeslip.transport.frames import spread as frames
+
+logger = logs.get_logger(__name__)
+
+MAX_AGE_S = 9.0
+_FIRST_ANSWER_S = 2.0
+_CHECK_INTERVAL_S = 0.25
+_REPORT_DELAY_S = 0.2
+
+
+class RelayLink:
+    """Follows every prefix of a hub at one relay."""
+
+    def __init__(
+        self,
+        settings: common.CommonSettings,
+        target: hub.SpreadHub,
+        board: status_board.StatusBoard,
+        address: str,
+    ) -> None:
+        """Describes a link without opening it.
+
+        Args:
+            settings: Peer key, heartbeat interval and silence timeout.
+            target: Hub that is fed.
+            board: Board whose summary is reported to the relay.
+            address: IP number and port of the relay.
+        """
+        self._settings = settings
+        self._target = target
+        self._board = board
+        self._address = address
+        self._lost = asyncio.Event()
+        self._changed = asyncio.Event()
+        self._heard = False
+        self._connection: connection.PeerConnection | None = None
+
+    @property
+    def heard(self) -> bool:
+        """Whether the relay has answered."""
+        return self._heard
+
+    async def run(
+        self, should_stop: Callable[[], bool], allow_stale: bool
+    ) -> None:
+        """Follows until told to stop.
+
+        Args:
+            should_stop: Asked now and then whether to stop.
+            allow_stale: Whether to stay with a relay that has not heard from
+                the platform for MAX_AGE_S.
+
+        Raises:
+            errors.RelayLostError: If the relay is lost or out of date.
+        """
+        self._connection = connection.PeerConnection(
+            self._address, self._settings, self._on_frame, self._lost.set
+        )
+        reporting = asyncio.create_task(self._report())
+        try:
+            await self._follow(should_stop, allow_stale)
+        finally:
+            reporting.cancel()
+            await self._connection.close()
+
+    async def _follow(
+        self, should_stop: Callable[[], bool], allow_stale: bool
+    ) -> None:
+        for state in self._target.states():
+            self._ask(state.prefix)
+        opened_at_s = time.monotonic()
+        while not should_stop():
+            if self._lost.is_set():
+                raise errors.RelayLostError(f"{self._address} is lost")
+            open_s = time.monotonic() - opened_at_s
+            if not allow_stale and open_s > _FIRST_ANSWER_S:
+                self._check_age()
+            try:
+                async with asyncio.timeout(_CHECK_INTERVAL_S):
+                    await self._lost.wait()
+            except TimeoutError:
+                continue
+
+    def _check_age(self) -> None:
+        age_s = self._target.age_s()
+        if age_s > MAX_AGE_S:
+            raise errors.RelayLostError(
+                f"{self._address} is {age_s:.0f} s out of date"
+            )
+
+    def _ask(self, prefix: str) -> None:
+        version = self._target.state(prefix).version
+        self._connection.send(frames.FollowPrefix(prefix, version))
+
+    async def _report(self) -> None:
+        self._board.add_listener(self._changed.set)
+        try:
+            while True:
+                self._changed.clear()
+                report = frames.StatusReport(self._board.summary())
+                self._connection.send(report)
+                await self._changed.wait()
+                await asyncio.sleep(_REPORT_DELAY_S)
+        finally:
+            self._board.remove_listener(self._changed.set)
+
+    def _on_frame(self, frame: codec.Frame) -> None:
+        self._heard = True
+        try:
+            self._take(frame)
+        except errors.GapError as error:
+            self._close_gap(frame.prefix, error)
+        except transport_errors.BadFrameError as error:
+            logger.error("spread.unreadable", reason=error.message)
+            self._lost.set()
+
+    def _close_gap(self, prefix: str, error: errors.GapError) -> None:
+        logger.info("spread.gap", reason=error.message)
+        self._ask(prefix)
+
+    @functools.singledispatchmethod
+    def _take(self, frame: codec.Frame) -> None:
+        logger.warning("spread.unexpected_frame", frame=type(frame).__name__)
+
+    @_take.register
+    def _(self, frame: frames.PrefixSnapshot) -> None:
+        state = self._target.state(frame.prefix)
+        state.replace(packing.unpack_list(frame.listed))
+        state.confirm(frame.age_s)
+
+    @_take.register
+    def _(self, frame: frames.PrefixDelta) -> None:
+        state = self._target.state(frame.prefix)
+        events = packing.unpack_events(frame.events)
+        state.advance(frame.base, frame.version, events)
+        state.confirm(frame.age_s)
+
+    @_take.register
+    def _(self, frame: frames.RelayHeartbeat) -> None:
+        for position in frame.positions:
+            self._take_position(position)
+
+    def _take_position(self, position: frames.PrefixPosition) -> None:
+        state = self._target.state(position.prefix)
+        if not state.known:
+            return
+        try:
+            state.advance(position.base, position.version, ())
+        except errors.GapError as error:
+            self._close_gap(position.prefix, error)
+        else:
+            state.confirm(position.age_s)
