--- /dev/null
+++ b/bench/paced_engine.py
@@ -0,0 +1,102 @@
+"""Engine that emits tokens at a fixed pace, stamped with the time.
+
+The text of the first token tells when the request came in, each text tells
+when the token was sent, in microseconds of the system's monotonic clock.
+"""
+
+import argparse
+import asyncio
+import time
+from typing import Any
+
+import msgspec
+
+from bronzeslip.engine import messages
+from standins import serve
+
+_HEADERS = [(b"content-type", b"text/event-stream")]
+_READY_MARK = "#length=1"
+_US_PER_S = 1_000_000
+
+
+class PacedEngine:
+    """ASGI application in which every stream steps at the same instants."""
+
+    def __init__(self, step_s: float) -> None:
+        self._step_s = step_s
+        self._stepped = asyncio.Event()
+        self._ticking: asyncio.Task | None = None
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Serves one request."""
+        if scope["method"] != "POST":
+            await self._answer(send)
+            return
+        self._ticking = self._ticking or asyncio.create_task(self._tick())
+        received_us = _now_us()
+        request = msgspec.json.decode(
+            await _body(receive), type=messages.GenerationRequest
+        )
+        count = 1 if _READY_MARK in request.prompt else request.max_tokens
+        await self._stream(send, count, received_us)
+
+    async def _answer(self, send: Any) -> None:
+        load = messages.EngineLoad(0, 0, 0, 1, 16, self._step_s, 0)
+        await send(_start_message([(b"content-type", b"application/json")]))
+        await send(_body_message(msgspec.json.encode(load), False))
+
+    async def _stream(self, send: Any, count: int, received_us: int) -> None:
+        await send(_start_message(_HEADERS))
+        for index in range(count):
+            await self._stepped.wait()
+            text = f"{received_us}:" if index == 0 else ""
+            event = (
+                f'data: {{"kind":"tokens","first_index":{index},'
+                f'"texts":["{text}@{_now_us()} "]}}\n\n'
+            )
+            await send(_body_message(event.encode(), True))
+        last = messages.StreamEvent(
+            messages.StreamEventKind.FINISHED, finish_reason="length"
+        )
+        event = b"data: " + msgspec.json.encode(last) + b"\n\n"
+        await send(_body_message(event, False))
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(self._step_s)
+            stepped, self._stepped = self._stepped, asyncio.Event()
+            stepped.set()
+
+
+async def _body(receive: Any) -> bytes:
+    parts = []
+    while True:
+        message = await receive()
+        parts.append(message.get("body", b""))
+        if not message.get("more_body"):
+            return b"".join(parts)
+
+
+def _start_message(headers: list[tuple[bytes, bytes]]) -> dict[str, Any]:
+    return {"type": "http.response.start", "status": 200, "headers": headers}
+
+
+def _body_message(body: bytes, more: bool) -> dict[str, Any]:
+    return {"type": "http.response.body", "body": body, "more_body": more}
+
+
+def _now_us() -> int:
+    return int(time.monotonic() * _US_PER_S)
+
+
+def main() -> None:
+    """Parses the flags and serves."""
+    parser = argparse.ArgumentParser(prog="paced-engine")
+    serve.add_port_flag(parser)
+    parser.add_argument("--step-s", type=float, default=0.027)
+    flags, _ = parser.parse_known_args()
+    asyncio.run(serve.serve(PacedEngine(flags.step_s), flags.port))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/stream_client.py
@@ -0,0 +1,145 @@
+"""Callers that read streamed answers and note when tokens arrive."""
+
+import argparse
+import asyncio
+import re
+import time
+
+import msgspec
+
+_STAMP = re.compile(rb"(?:(\d+):)?@(\d+) ")
+_DONE = b"[DONE]"
+_US_PER_S = 1_000_000
+
+
+class Samples(msgspec.Struct):
+    """What the callers of one process have seen.
+
+    Attributes:
+        requests: Requests ended.
+        tokens: Tokens read.
+        first_us: Time that the path added to each first token.
+        delay_us: Time from the engine to the caller of each later token.
+        gap_us: Time that the path added between two tokens.
+        unfinished: Requests that did not end as they should.
+    """
+
+    requests: int = 0
+    tokens: int = 0
+    first_us: list[int] = []
+    delay_us: list[int] = []
+    gap_us: list[int] = []
+    unfinished: int = 0
+
+
+class Caller(asyncio.Protocol):
+    """One connection with one request after another."""
+
+    def __init__(
+        self, samples: Samples, request: bytes, until_s: float
+    ) -> None:
+        self.ended = asyncio.get_running_loop().create_future()
+        self._samples = samples
+        self._request = request
+        self._until_s = until_s
+        self._transport: asyncio.Transport | None = None
+        self._sent_us = 0
+        self._last_delay_us: int | None = None
+        self._rest = b""
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Sends the first request."""
+        self._transport = transport
+        self._send()
+
+    def data_received(self, data: bytes) -> None:
+        """Notes the tokens; sends the next request after the last."""
+        now_us = int(time.monotonic() * _US_PER_S)
+        data = self._rest + data
+        end = 0
+        for found in _STAMP.finditer(data):
+            end = found.end()
+            self._note(found, now_us)
+        self._rest = data[end:][-64:]
+        if _DONE in data:
+            self._rest = b""
+            self._samples.requests += 1
+            if time.monotonic() < self._until_s:
+                self._send()
+            else:
+                self._transport.close()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Ends the caller."""
+        if not self.ended.done():
+            self.ended.set_result(None)
+
+    def _send(self) -> None:
+        self._sent_us = int(time.monotonic() * _US_PER_S)
+        self._last_delay_us = None
+        self._transport.write(self._request)
+
+    def _note(self, found: re.Match[bytes], now_us: int) -> None:
+        samples = self._samples
+        samples.tokens += 1
+        delay_us = now_us - int(found.group(2))
+        if found.group(1):
+            way_there_us = int(found.group(1)) - self._sent_us
+            samples.first_us.append(way_there_us + delay_us)
+        else:
+            samples.delay_us.append(delay_us)
+            if self._last_delay_us is not None:
+                samples.gap_us.append(delay_us - self._last_delay_us)
+        self._last_delay_us = delay_us
+
+
+async def _run(flags: argparse.Namespace) -> Samples:
+    samples = Samples()
+    body = msgspec.json.encode(
+        {
+            "model": flags.model,
+            "prompt": "p" * flags.prompt_bytes,
+            "stream": True,
+            "max_tokens": flags.tokens,
+        }
+    )
+    request = (
+        f"POST /v1/completions HTTP/1.1\r\nHost: bench\r\n"
+        f"Authorization: Bearer {flags.credential}\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    ).encode() + body
+    until_s = time.monotonic() + flags.seconds
+    loop = asyncio.get_running_loop()
+    callers = []
+    for index in range(flags.streams):
+        await asyncio.sleep(flags.ramp_s / flags.streams if index else 0)
+        _, caller = await loop.create_connection(
+            lambda: Caller(samples, request, until_s),
+            "127.0.0.1",
+            flags.port,
+        )
+        callers.append(caller.ended)
+    timeout_s = flags.seconds + flags.drain_s
+    _, unfinished = await asyncio.wait(callers, timeout=timeout_s)
+    samples.unfinished = len(unfinished)
+    return samples
+
+
+def main() -> None:
+    """Runs the callers and prints what they have seen as JSON."""
+    parser = argparse.ArgumentParser(prog="stream-client")
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--credential", required=True)
+    parser.add_argument("--model", required=True)
+    parser.add_argument("--streams", type=int, required=True)
+    parser.add_argument("--tokens", type=int, required=True)
+    parser.add_argument("--prompt-bytes", type=int, default=2000)
+    parser.add_argument("--seconds", type=float, required=True)
+    parser.add_argument("--ramp-s", type=float, default=1.0)
+    parser.add_argument("--drain-s", type=float, default=30.0)
+    samples = asyncio.run(_run(parser.parse_args()))
+    print(msgspec.json.encode(samples).decode(), flush=True)
+
+
+if __name__ == "__main__":
+    main()
