Read engine streams to their end so that connections are reused

Cause: the reader left the stream at its last event, so the client closed the connection and every request opened a new one.

--- a/bronzeslip/sidecar/engine_reader.py
+++ b/bronzeslip/sidecar/engine_reader.py
@@ -56,7 +56,8 @@
             ):
                 self._give_up()
             except (base_errors.BronzeslipError, TimeoutError) as error:
-                await self._check_engine(error)
+                if self._run.terminal is None:
+                    await self._check_engine(error)
             self._may_have_run = True
             events = self._engine.resume(
                 self._run.start.generation_id, self._run.buffer.next_index
@@ -66,12 +67,12 @@
         loop = asyncio.get_running_loop()
         async with contextlib.aclosing(events):
             async with asyncio.timeout(self._silence_s) as silence:
+                # Read to its end, the connection can serve another request.
                 async for event in events:
                     self._take(event)
-                    if self._run.terminal is not None:
-                        return
                     silence.reschedule(loop.time() + self._silence_s)
-        raise errors.EngineUnavailableError("the stream has no end")
+        if self._run.terminal is None:
+            raise errors.EngineUnavailableError("the stream has no end")
 
     def _take(self, event: messages.StreamEvent) -> None:
         self._silence_s = self._settings.engine_silence_timeout_s
