--- a/bronzeslip/http/server.py
+++ b/bronzeslip/http/server.py
@@ -57,6 +57,9 @@
     def start(self) -> None:
         """Binds the port and starts to accept connections."""
         self._socket = socket.create_server(self._address, backlog=_BACKLOG)
+        # Accepted sockets inherit this option. asyncio sets it by itself only
+        # on sockets that were created with a protocol number.
+        self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._task = asyncio.create_task(
             self._server.serve(sockets=[self._socket])
         )
