--- a/bronzeslip/http/server.py
+++ b/bronzeslip/http/server.py
@@ -13,6 +13,7 @@
 from bronzeslip.settings import http
 
 _BACKLOG = 2048
+_MS_PER_S = 1000
 
 
 class _Server(uvicorn.Server):
@@ -31,6 +32,7 @@
             app: ASGI application.
             settings: Address, limits and certificate.
         """
+        self._stall_timeout_s = settings.caller_stall_timeout_s
         self._address = (settings.listen_address, settings.http_port)
         self._socket: socket.socket | None = None
         config = uvicorn.Config(
@@ -57,9 +59,15 @@
     def start(self) -> None:
         """Binds the port and starts to accept connections."""
         self._socket = socket.create_server(self._address, backlog=_BACKLOG)
-        # Accepted sockets inherit this option. asyncio sets it by itself only
-        # on sockets that were created with a protocol number.
+        # Accepted sockets inherit these options. asyncio sets TCP_NODELAY by
+        # itself only on sockets that were created with a protocol number.
         self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        # Covers closed windows as well as lost acknowledgements.
+        self._socket.setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            round(self._stall_timeout_s * _MS_PER_S),
+        )
         self._task = asyncio.create_task(
             self._server.serve(sockets=[self._socket])
         )
