--- a/bronzeslip/sidecar/daemon.py
+++ b/bronzeslip/sidecar/daemon.py
@@ -67,6 +67,7 @@
         self._http.start()
         self._tasks.start("spread", self._spread.run())
         self._tasks.start("registration", self._registrar.register())
+        self._tasks.start("sweep", self._table.sweep())
         self._ready = True
         logger.info(
             "sidecar.listening",
@@ -82,9 +83,13 @@
         self._ready = False
         self._admission.drain()
         self._tasks.start("announcement", self._registrar.announce_draining())
-        ended = await self._signals.unless_hurried(self._admission.wait_idle())
+        ended = await self._signals.unless_hurried(self._wait_idle())
         logger.info("sidecar.drained", hurried=not ended)
 
+    async def _wait_idle(self) -> None:
+        await self._admission.wait_idle()
+        await self._table.wait_read()
+
     async def _close(self) -> None:
         await asyncio.sleep(self._settings.drain_notice_s)
         await self._registrar.withdraw()
