Show that an old incarnation overwrites its replacement

Red tests: a process that drains after another one has taken over its endpoint writes itself back as the member; and a record that was removed by mistake is never written again.

Seen: tests.membership.test_registrar 3 passed, 3 failed.

--- /dev/null
+++ b/tests/membership/test_registrar.py
@@ -0,0 +1,68 @@
+"""Records of members, their replacement and their loss."""
+
+import unittest
+
+from bronzeslip.membership import member
+from bronzeslip.membership import registrar
+from standins.platform import faults
+from tests.membership import member_case
+from tests.support import in_process
+
+
+class RegistrarTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.standin, self.platform = in_process.platform_pair()
+        self.addAsyncCleanup(self.platform.close)
+        self.old = self.registrar("old")
+        self.new = self.registrar("new")
+
+    def registrar(self, incarnation):
+        own = member_case.sidecar("vm-1", incarnation=incarnation)
+        return registrar.Registrar(self.platform, own)
+
+    async def stored(self):
+        return await member_case.stored(self.platform, self.new.own)
+
+    async def test_new_incarnation_replaces_the_old(self):
+        await self.old.register()
+        await self.new.register()
+        self.assertEqual((await self.stored()).incarnation_id, "new")
+
+    async def test_old_incarnation_leaves_the_new_one_alone(self):
+        await self.old.register()
+        await self.new.register()
+        await self.old.announce_draining()
+        await self.old.withdraw()
+        found = await self.stored()
+        self.assertEqual(found.incarnation_id, "new")
+        self.assertIs(found.state, member.MemberState.SERVING)
+
+    async def test_lost_answer_is_recognised(self):
+        self.standin.faults = faults.Faults(
+            faults.FaultMode.LOST_ANSWER, write_count=1
+        )
+        await self.new.register()
+        self.assertEqual((await self.stored()).incarnation_id, "new")
+
+    async def test_drain_and_withdrawal(self):
+        await self.new.register()
+        await self.new.announce_draining()
+        self.assertIs((await self.stored()).state, member.MemberState.DRAINING)
+        await self.new.withdraw()
+        self.assertIsNone(await self.stored())
+
+    async def test_removed_record_is_written_again(self):
+        await self.new.register()
+        await self.new.withdraw()
+        await self.new.renew()
+        self.assertEqual((await self.stored()).incarnation_id, "new")
+
+    async def test_renewal_leaves_another_incarnation_alone(self):
+        await self.old.register()
+        await self.new.register()
+        await self.old.renew()
+        self.assertEqual((await self.stored()).incarnation_id, "new")
+
+
+if __name__ == "__main__":
+    unittest.main()
