--- a/bronzeslip/gateway/daemon.py
+++ b/bronzeslip/gateway/daemon.py
@@ -15,6 +15,7 @@
 from bronzeslip.http import shutdown
 from bronzeslip.membership import member
 from bronzeslip.membership import registrar
+from bronzeslip.membership import vm_sweeper
 from bronzeslip.platform import client as platform_client
 from bronzeslip.routing import least_outstanding
 from bronzeslip.routing import router
@@ -54,6 +55,9 @@
                 self._peers.port,
             ),
         )
+        self._sweeper = vm_sweeper.VmSweeper(
+            settings, self._platform, self._spread.members
+        )
         self._parts = self._create_parts()
         self._http = http_server.HttpServer(
             app.create(self._parts),
@@ -67,7 +71,8 @@
         await self._peers.start()
         self._http.start()
         self._tasks.start("spread", self._spread.run())
-        self._tasks.start("registration", self._registrar.register())
+        self._tasks.start("registration", self._registrar.keep())
+        self._tasks.start("vm sweeper", self._sweeper.run())
         self._tasks.start("readiness", self._become_ready())
         logger.info(
             "gateway.listening",
--- a/bronzeslip/membership/directory.py
+++ b/bronzeslip/membership/directory.py
@@ -3,12 +3,9 @@
 import msgspec
 
 from bronzeslip import ids
-from bronzeslip import logs
 from bronzeslip.membership import member
 from bronzeslip.platform import objects
 
-logger = logs.get_logger(__name__)
-
 
 class MemberDirectory:
     """Members by key, kept up to date by a follower of their prefix."""
@@ -59,7 +56,7 @@
             self._take(event.key, event.value)
 
     def _take(self, key: ids.ObjectKey, value: msgspec.Raw) -> None:
-        known = _decode(key, value)
+        known = member.decode(value)
         if known is not None:
             self._put(key, known)
 
@@ -76,11 +73,3 @@
         self._gateways.pop(key, None)
         if known is not None and known.pool in self._pools:
             self._pools[known.pool].pop(key, None)
-
-
-def _decode(key: ids.ObjectKey, value: msgspec.Raw) -> member.Member | None:
-    try:
-        return msgspec.json.decode(value, type=member.Member)
-    except msgspec.MsgspecError as error:
-        logger.error("membership.unreadable", key=key, reason=str(error))
-        return None
--- a/bronzeslip/membership/member.py
+++ b/bronzeslip/membership/member.py
@@ -5,8 +5,11 @@
 import msgspec
 
 from bronzeslip import ids
+from bronzeslip import logs
 from bronzeslip.settings import common
 
+logger = logs.get_logger(__name__)
+
 MEMBERS_PREFIX = "members/"
 GATEWAYS_PREFIX = "members/gateway/"
 
@@ -57,6 +60,15 @@
     return ids.ObjectKey(f"{MEMBERS_PREFIX}{member.role.value}/{name}")
 
 
+def decode(value: msgspec.Raw) -> Member | None:
+    """Reads a stored record, None if it is unreadable."""
+    try:
+        return msgspec.json.decode(value, type=Member)
+    except msgspec.MsgspecError as error:
+        logger.error("membership.unreadable", reason=str(error))
+        return None
+
+
 def of_process(
     settings: common.CommonSettings,
     role: MemberRole,
--- a/bronzeslip/membership/registrar.py
+++ b/bronzeslip/membership/registrar.py
@@ -1,18 +1,25 @@
 """Registers this process with the platform."""
 
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import random
+
 import msgspec
 import tenacity
 
-from bronzeslip import ids
 from bronzeslip import logs
 from bronzeslip.membership import member
 from bronzeslip.platform import client
 from bronzeslip.platform import errors
+from bronzeslip.platform import objects
 
 logger = logs.get_logger(__name__)
 
 _MIN_RETRY_DELAY_S = 0.5
-_MAX_RETRY_DELAY_S = 1.5
+_MAX_RETRY_DELAY_S = 30.0
+_MIN_RENEWAL_DELAY_S = 400.0
+_MAX_RENEWAL_DELAY_S = 800.0
 
 
 class Registrar:
@@ -31,49 +38,74 @@
 
     async def register(self) -> None:
         """Writes the record, replacing an earlier incarnation's."""
-        retrying = tenacity.AsyncRetrying(
-            retry=tenacity.retry_if_result(lambda written: not written),
-            wait=tenacity.wait_random(_MIN_RETRY_DELAY_S, _MAX_RETRY_DELAY_S),
-        )
-        await retrying(self._try_write)
+        await _retried(self._try_register)
 
-    async def announce_draining(self) -> None:
-        """Marks the member as draining, trying until it is written.
+    async def keep(self) -> None:
+        """Registers, then restores the record if it has been removed."""
+        await self.register()
+        while True:
+            await asyncio.sleep(
+                random.uniform(_MIN_RENEWAL_DELAY_S, _MAX_RENEWAL_DELAY_S)
+            )
+            await self.renew()
 
-        A registration under way writes the same state from now on.
-        """
+    async def renew(self) -> None:
+        """Writes the record if there is none."""
+        await _retried(self._try_renew)
+
+    async def announce_draining(self) -> None:
+        """Marks this incarnation as draining, trying until it is written."""
         self._own = msgspec.structs.replace(
             self._own, state=member.MemberState.DRAINING
         )
-        await self.register()
+        await _retried(self._try_announce)
 
     async def withdraw(self) -> None:
         """Deletes the record if it is still this incarnation's."""
         try:
-            version = await self._own_version()
-            if version is not None:
-                await self._platform.delete(member.key_of(self._own), version)
+            found = await self._platform.get(member.key_of(self._own))
+            if found is not None and self._is_own(found):
+                await self._platform.delete(found.key, found.version)
         except errors.PlatformError as error:
             logger.warning("membership.withdraw_failed", reason=error.message)
 
-    async def _try_write(self) -> bool:
+    async def _try_register(self) -> bool:
+        return await self._try_write(lambda found: True)
+
+    async def _try_announce(self) -> bool:
+        return await self._try_write(self._is_own)
+
+    async def _try_renew(self) -> bool:
+        return await self._try_write(lambda found: False)
+
+    async def _try_write(
+        self, may_replace: Callable[[objects.PlatformObject], bool]
+    ) -> bool:
         key = member.key_of(self._own)
         try:
             found = await self._platform.get(key)
             if found is None:
                 await self._platform.create(key, self._own)
-            else:
+            elif may_replace(found) and member.decode(found.value) != self._own:
                 await self._platform.update(key, self._own, found.version)
         except errors.PlatformError as error:
             logger.warning("membership.register_failed", reason=error.message)
             return False
         return True
 
-    async def _own_version(self) -> ids.ObjectVersion | None:
-        found = await self._platform.get(member.key_of(self._own))
-        if found is None:
-            return None
-        stored = msgspec.json.decode(found.value, type=member.Member)
-        if stored.incarnation_id != self._own.incarnation_id:
-            return None
-        return found.version
+    def _is_own(self, found: objects.PlatformObject) -> bool:
+        stored = member.decode(found.value)
+        return (
+            stored is not None
+            and stored.incarnation_id == self._own.incarnation_id
+        )
+
+
+async def _retried(attempt: Callable[[], Awaitable[bool]]) -> None:
+    retrying = tenacity.AsyncRetrying(
+        retry=tenacity.retry_if_result(lambda written: not written),
+        wait=tenacity.wait_random_exponential(
+            _MIN_RETRY_DELAY_S, _MAX_RETRY_DELAY_S
+        ),
+    )
+    await retrying(attempt)
--- a/bronzeslip/settings/gateway.py
+++ b/bronzeslip/settings/gateway.py
@@ -42,3 +42,17 @@
         minimum=1,
         maximum=86_400,
     )
+    vm_list_interval_s: float = setting(
+        "time between reads of the platform's list of VMs, in seconds",
+        "membership",
+        default=5.0,
+        minimum=0.1,
+        maximum=600,
+    )
+    vm_list_lag_s: float = setting(
+        "time that a VM must be missing from the list to be gone, in seconds",
+        "membership",
+        default=60.0,
+        minimum=0,
+        maximum=3600,
+    )
--- a/bronzeslip/sidecar/daemon.py
+++ b/bronzeslip/sidecar/daemon.py
@@ -66,7 +66,7 @@
         await self._peers.start()
         self._http.start()
         self._tasks.start("spread", self._spread.run())
-        self._tasks.start("registration", self._registrar.register())
+        self._tasks.start("registration", self._registrar.keep())
         self._tasks.start("sweep", self._table.sweep())
         self._ready = True
         logger.info(
--- /dev/null
+++ b/tests/membership/test_vm_sweeper.py
@@ -0,0 +1,159 @@
+"""Records against the platform's lagging list of VMs."""
+
+import unittest
+
+from bronzeslip import ids
+from bronzeslip.membership import directory
+from bronzeslip.membership import member
+from bronzeslip.membership import rendezvous
+from bronzeslip.membership import vm_sweeper
+from bronzeslip.platform import objects
+from bronzeslip.settings import gateway
+from tests.membership import member_case
+from tests.support import in_process
+
+LAG_S = 60.0
+
+
+class VmSweeperTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.standin, self.platform = in_process.platform_pair()
+        self.addAsyncCleanup(self.platform.close)
+        self.standin.vms = in_process.vm_list_without_lag()
+        self.now_s = 0.0
+        self.members = directory.MemberDirectory()
+
+    def sweeper(self, vm_id, domain="domain-1"):
+        settings = gateway.GatewaySettings(
+            vm_id=ids.VmId(vm_id),
+            region=ids.RegionName("region-1"),
+            failure_domain=ids.FailureDomainName(domain),
+            peer_key="key",
+            platform_url="http://platform",
+            vm_list_lag_s=LAG_S,
+        )
+        return vm_sweeper.VmSweeper(settings, self.platform, self.members)
+
+    async def add(self, known, state=objects.VmState.LIVE):
+        key = member.key_of(known)
+        found = await self.platform.get(key)
+        if found is None:
+            await self.platform.create(key, known)
+        else:
+            await self.platform.update(key, known, found.version)
+        self.members.put(known)
+        self.list_vm(known, state)
+
+    def list_vm(self, known, state):
+        entry = objects.VmEntry(known.vm_id, known.failure_domain, state)
+        self.standin.vms.set(known.vm_id, state and entry)
+
+    async def stored(self, known):
+        return await member_case.stored(self.platform, known)
+
+    async def sweep(self, sweeper, after_s=0.0, everywhere=False):
+        self.now_s += after_s
+        await sweeper.sweep_once(self.now_s, everywhere)
+
+    async def test_record_of_a_vm_that_is_gone_is_removed(self):
+        gone = member_case.sidecar("vm-1")
+        await self.add(member_case.gateway("entry-1"))
+        await self.add(gone)
+        sweeper = self.sweeper("entry-1")
+        await self.sweep(sweeper)
+        self.list_vm(gone, None)
+        await self.sweep(sweeper, 1.0)
+        await self.sweep(sweeper, LAG_S - 1.0)
+        self.assertIsNotNone(await self.stored(gone))
+        await self.sweep(sweeper, 1.0)
+        self.assertIsNone(await self.stored(gone))
+
+    async def test_new_vm_not_yet_listed_is_kept(self):
+        new = member_case.sidecar("vm-1")
+        await self.add(member_case.gateway("entry-1"))
+        await self.add(new, None)
+        sweeper = self.sweeper("entry-1")
+        await self.sweep(sweeper)
+        self.list_vm(new, objects.VmState.LIVE)
+        await self.sweep(sweeper, LAG_S - 1.0)
+        self.list_vm(new, None)
+        await self.sweep(sweeper, 2.0)
+        self.assertIsNotNone(await self.stored(new))
+
+    async def test_replacement_at_the_same_address_is_kept(self):
+        old = member_case.sidecar("vm-1", incarnation="old")
+        await self.add(member_case.gateway("entry-1"))
+        await self.add(old, None)
+        sweeper = self.sweeper("entry-1")
+        await self.sweep(sweeper)
+        new = member_case.sidecar("vm-1", incarnation="new")
+        await self.add(new, None)
+        self.members.put(old)
+        await self.sweep(sweeper, LAG_S)
+        self.assertEqual((await self.stored(new)).incarnation_id, "new")
+
+    async def test_leaving_vm_is_marked(self):
+        leaving = member_case.sidecar("vm-1")
+        await self.add(member_case.gateway("entry-1"))
+        await self.add(leaving, objects.VmState.LEAVING)
+        await self.sweep(self.sweeper("entry-1"))
+        state = (await self.stored(leaving)).state
+        self.assertIs(state, member.MemberState.DRAINING)
+
+    async def test_one_gateway_sweeps_a_domain(self):
+        names = ("entry-1", "entry-2", "entry-3")
+        for name in names:
+            await self.add(member_case.gateway(name))
+        for name in names:
+            await self.sweep(self.sweeper(name))
+        self.assertEqual(self.standin.calls["vms"], 1)
+
+    async def test_lost_domain_is_swept_from_elsewhere(self):
+        lost = [
+            member_case.sidecar(f"vm-{index}", "domain-2") for index in range(3)
+        ]
+        await self.add(member_case.gateway("entry-1"))
+        for known in lost:
+            await self.add(known, None)
+        sweeper = self.sweeper("entry-1")
+        await self.sweep(sweeper)
+        await self.sweep(sweeper, LAG_S)
+        for known in lost:
+            self.assertIsNone(await self.stored(known))
+
+    async def test_record_of_the_gateway_on_duty_is_removed(self):
+        gateways = [member_case.gateway(f"entry-{index}") for index in (1, 2)]
+        for known in gateways:
+            await self.add(known)
+        first, second = (
+            self.sweeper(known.vm_id)
+            for known in rendezvous.ranked(
+                gateways, lambda known: known.vm_id, "domain-1"
+            )
+        )
+        gone = first.settings.vm_id
+        self.standin.vms.set(gone, None)
+        await self.sweep(second)
+        self.assertEqual(self.standin.calls["vms"], 0)
+        await self.sweep(second, everywhere=True)
+        await self.sweep(second, LAG_S)
+        await self.sweep(second, everywhere=True)
+        left = [
+            known.vm_id
+            for known in gateways
+            if await self.stored(known) is not None
+        ]
+        self.assertEqual(left, [second.settings.vm_id])
+
+    async def test_empty_list_removes_nothing(self):
+        gone = member_case.sidecar("vm-1")
+        await self.add(member_case.gateway("entry-1"), None)
+        await self.add(gone, None)
+        sweeper = self.sweeper("entry-1")
+        await self.sweep(sweeper)
+        await self.sweep(sweeper, LAG_S)
+        self.assertIsNotNone(await self.stored(gone))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/support/in_process.py
+++ b/tests/support/in_process.py
@@ -8,6 +8,7 @@
 from standins.engine import model
 from standins.engine import orders
 from standins.platform import app as platform_app
+from standins.platform import vm_list
 
 _TIMEOUT_S = 2.0
 
@@ -26,6 +27,11 @@
     )
 
 
+def vm_list_without_lag():
+    """Returns a VM list that shows changes at once."""
+    return vm_list.VmList(0.0)
+
+
 def engine_pair(checks_fencing):
     """Returns an engine stand-in and a client of it."""
     standin = engine_app.EngineStandin(
