Bound the endpoints that a gateway connects to

Cause: a gateway could open a connection to every endpoint of every pool, so connections grew with gateways times endpoints.

Ruled out: subsetting by gateway index (gateways have no stable index), and a random subset (a restart would move every connection).

Change: 32 endpoints of the own region a pool and a quarter as many of each other region, by rendezvous hashing of endpoint and gateway; the router takes any source of endpoints.

--- a/bronzeslip/gateway/daemon.py
+++ b/bronzeslip/gateway/daemon.py
@@ -13,6 +13,7 @@
 from bronzeslip.gateway import state
 from bronzeslip.http import server as http_server
 from bronzeslip.http import shutdown
+from bronzeslip.membership import endpoint_subset
 from bronzeslip.membership import member
 from bronzeslip.membership import registrar
 from bronzeslip.membership import vm_sweeper
@@ -112,7 +113,7 @@
         spread = self._spread
         peers = peer_pool.PeerPool(settings)
         routes = router.Router(
-            spread.members,
+            endpoint_subset.EndpointSubset(settings, spread.members),
             peers,
             least_outstanding.LeastOutstandingPolicy(random.Random()),
         )
--- a/bronzeslip/membership/directory.py
+++ b/bronzeslip/membership/directory.py
@@ -12,9 +12,15 @@
 
     def __init__(self) -> None:
         self._members: dict[ids.ObjectKey, member.Member] = {}
+        self._change_count = 0
         self._gateways: dict[ids.ObjectKey, member.Member] = {}
         self._pools: dict[ids.PoolName, dict[ids.ObjectKey, member.Member]] = {}
 
+    @property
+    def change_count(self) -> int:
+        """Counts the changes, for those who keep what they have derived."""
+        return self._change_count
+
     def members(self) -> tuple[member.Member, ...]:
         """Lists every known member."""
         return tuple(self._members.values())
@@ -42,6 +48,7 @@
 
     async def on_list(self, listed: objects.ObjectList) -> None:
         """Takes the whole state of the prefix."""
+        self._change_count += 1
         self._members.clear()
         self._gateways.clear()
         self._pools.clear()
@@ -69,6 +76,7 @@
             self._pools.setdefault(known.pool, {})[key] = known
 
     def _remove(self, key: ids.ObjectKey) -> None:
+        self._change_count += 1
         known = self._members.pop(key, None)
         self._gateways.pop(key, None)
         if known is not None and known.pool in self._pools:
--- /dev/null
+++ b/bronzeslip/membership/endpoint_subset.py
@@ -0,0 +1,64 @@
+"""The endpoints of each pool that one gateway may connect to."""
+
+from collections.abc import Iterable
+
+from bronzeslip import ids
+from bronzeslip.membership import directory
+from bronzeslip.membership import member
+from bronzeslip.membership import rendezvous
+from bronzeslip.settings import gateway
+
+_DISTANT_SHARE = 4
+
+
+class EndpointSubset:
+    """Bounds a gateway's connections, whatever the size of the fleet.
+
+    Each gateway keeps a number of endpoints of its own region and a quarter
+    as many of each other region, chosen by the hash of both ids, so that
+    gateways spread evenly over endpoints and a change of one endpoint moves
+    few others. A pool that is no larger is kept whole.
+    """
+
+    def __init__(
+        self,
+        settings: gateway.GatewaySettings,
+        members: directory.MemberDirectory,
+    ) -> None:
+        self._settings = settings
+        self._members = members
+        self._chosen: dict[ids.PoolName, tuple[member.Member, ...]] = {}
+        self._chosen_at_change = -1
+
+    def endpoints_of(self, pool: ids.PoolName) -> tuple[member.Member, ...]:
+        """Lists the sidecars before the endpoints chosen of a pool."""
+        if self._chosen_at_change != self._members.change_count:
+            self._chosen.clear()
+            self._chosen_at_change = self._members.change_count
+        if pool not in self._chosen:
+            self._chosen[pool] = self._choose(self._members.endpoints_of(pool))
+        return self._chosen[pool]
+
+    def _choose(
+        self, endpoints: Iterable[member.Member]
+    ) -> tuple[member.Member, ...]:
+        regions: dict[ids.RegionName, list[member.Member]] = {}
+        for known in endpoints:
+            regions.setdefault(known.region, []).append(known)
+        chosen: list[member.Member] = []
+        for region, group in sorted(regions.items()):
+            ordered = rendezvous.ranked(
+                group, _endpoint_of, self._settings.vm_id
+            )
+            chosen += ordered[: self._limit_of(region)]
+        return tuple(chosen)
+
+    def _limit_of(self, region: ids.RegionName) -> int:
+        limit = self._settings.endpoints_per_pool
+        if region == self._settings.region:
+            return limit
+        return max(limit // _DISTANT_SHARE, 1)
+
+
+def _endpoint_of(known: member.Member) -> str:
+    return known.endpoint_id or known.vm_id
--- a/bronzeslip/routing/router.py
+++ b/bronzeslip/routing/router.py
@@ -4,9 +4,9 @@
 
 from bronzeslip import ids
 from bronzeslip.configuration import binding
-from bronzeslip.membership import directory
 from bronzeslip.membership import member
 from bronzeslip.routing import candidate
+from bronzeslip.routing import endpoint_source
 from bronzeslip.routing import errors
 from bronzeslip.routing import load_source
 from bronzeslip.routing import policy
@@ -19,7 +19,7 @@
 
     def __init__(
         self,
-        members: directory.MemberDirectory,
+        members: endpoint_source.EndpointSource,
         loads: load_source.LoadSource,
         chosen_policy: policy.RoutingPolicy,
     ) -> None:
--- a/bronzeslip/settings/gateway.py
+++ b/bronzeslip/settings/gateway.py
@@ -56,3 +56,10 @@
         minimum=0,
         maximum=3600,
     )
+    endpoints_per_pool: int = setting(
+        "endpoints of its own region that a gateway uses of each pool",
+        "membership",
+        default=32,
+        minimum=1,
+        maximum=10_000,
+    )
