--- a/bronzeslip/gateway/daemon.py
+++ b/bronzeslip/gateway/daemon.py
@@ -10,6 +10,7 @@
 from bronzeslip.gateway import access
 from bronzeslip.gateway import app
 from bronzeslip.gateway import peer_pool
+from bronzeslip.gateway import resume_token
 from bronzeslip.gateway import state
 from bronzeslip.http import server as http_server
 from bronzeslip.http import shutdown
@@ -64,6 +65,7 @@
             app.create(self._parts),
             settings.listen_address,
             settings.http_port,
+            settings.caller_stall_timeout_s,
         )
 
     async def run(self) -> None:
@@ -128,4 +130,5 @@
             status=status_collector.StatusCollector(
                 settings, spread.board, spread.members, spread.configuration
             ),
+            resume_tokens=resume_token.ResumeTokenSigner(settings),
         )
--- a/bronzeslip/gateway/state.py
+++ b/bronzeslip/gateway/state.py
@@ -9,6 +9,7 @@
 from bronzeslip.gateway import generation_session
 from bronzeslip.gateway import peer_pool
 from bronzeslip.gateway import request_context
+from bronzeslip.gateway import resume_token
 from bronzeslip.membership import directory
 from bronzeslip.routing import router
 from bronzeslip.settings import gateway
@@ -28,6 +29,7 @@
         routes: Choice of endpoints.
         access: Checks of credentials.
         status: Collects what is in force everywhere.
+        resume_tokens: Signer of resume tokens.
         ready: Whether new requests are taken.
     """
 
@@ -39,6 +41,7 @@
     routes: router.Router
     access: access.Access
     status: status_collector.StatusCollector
+    resume_tokens: resume_token.ResumeTokenSigner
     ready: bool = False
 
     def generation(
@@ -52,6 +55,7 @@
             self.routes,
             self.peers,
             self.members,
+            self.resume_tokens,
             context,
             wanted,
         )
