--- a/bronzeslip/settings/sidecar.py
+++ b/bronzeslip/settings/sidecar.py
@@ -71,3 +71,10 @@
         minimum=0.5,
         maximum=600,
     )
+    reclaim_notice_s: float = setting(
+        "time from the engine's notice of reclaim to its end, in seconds",
+        "shutdown",
+        default=30.0,
+        minimum=0,
+        maximum=86_400,
+    )
