Refuse new work once an endpoint is about to leave

Cause: a sidecar did not ask its engine whether it leaves and did not see its own record marked by a gateway; at the end of a drain the connections were cancelled half a second after the last work had left admission, so an answer behind a slow link could be lost; a second signal cancelled the HTTP server's task under the daemon's hands.

Ruled out: ending sessions by the server's stop with a grace time (it breaks off streams that never end by themselves, whatever they still hold).

Change: the sidecar asks the engine each 0.5 s and follows its own record. It then refuses new work, and 2 s before the end of the notice it tells the generations still running as lost. Its sessions end by themselves after their outbox is empty, so that the trailers follow the data.

Before: tests.processes.test_draining 1 passed, 1 failed. After: 2 passed, with 3 of tests.sidecar.test_leaving_watch.

--- a/bronzeslip/http/server.py
+++ b/bronzeslip/http/server.py
@@ -80,5 +80,5 @@
 
     async def _end(self) -> None:
         if self._task is not None:
-            await self._task
+            await asyncio.wait((self._task,))
         self._socket.close()
--- a/bronzeslip/membership/member.py
+++ b/bronzeslip/membership/member.py
@@ -12,6 +12,7 @@
 
 MEMBERS_PREFIX = "members/"
 GATEWAYS_PREFIX = "members/gateway/"
+SIDECARS_PREFIX = "members/sidecar/"
 
 
 class MemberRole(enum.Enum):
--- a/bronzeslip/sidecar/daemon.py
+++ b/bronzeslip/sidecar/daemon.py
@@ -18,13 +18,17 @@
 from bronzeslip.sidecar import app
 from bronzeslip.sidecar import calls
 from bronzeslip.sidecar import generations
+from bronzeslip.sidecar import leaving_watch
 from bronzeslip.sidecar import peer_session
 from bronzeslip.spread import service
 from bronzeslip.transport import server as transport_server
 from bronzeslip.transport import stream
+from bronzeslip.transport.frames import reason
 
 logger = logs.get_logger(__name__)
 
+_RECLAIM_MARGIN_S = 2.0
+
 
 class SidecarDaemon:
     """Runs beside one endpoint and is the only way to it."""
@@ -44,9 +48,21 @@
         self._platform = platform_client.PlatformClient(
             settings.platform_url, settings.platform_timeout_s
         )
+        self._own_prefix = f"{member.SIDECARS_PREFIX}{settings.endpoint_id}"
         self._spread = service.SpreadService(
-            settings, member.MemberRole.SIDECAR, self._platform
+            settings,
+            member.MemberRole.SIDECAR,
+            self._platform,
+            (self._own_prefix,),
         )
+        self._leaving = leaving_watch.LeavingWatch(
+            settings,
+            self._incarnation_id,
+            self._engine,
+            self._spread.configuration,
+            self._on_leaving,
+        )
+        self._sessions: set[peer_session.PeerSession] = set()
         self._peers = transport_server.PeerServer(
             settings.listen_address,
             settings.peer_port,
@@ -68,6 +84,15 @@
         self._tasks.start("spread", self._spread.run())
         self._tasks.start("registration", self._registrar.keep())
         self._tasks.start("sweep", self._table.sweep())
+        self._tasks.start("leaving watch", self._leaving.run())
+        self._tasks.start(
+            "own record",
+            self._spread.hub.follower(
+                self._own_prefix,
+                self._leaving.on_list,
+                self._leaving.on_event,
+            ).run(),
+        )
         self._ready = True
         logger.info(
             "sidecar.listening",
@@ -79,16 +104,38 @@
         await self._drain()
         await self._close()
 
+    def _on_leaving(self) -> None:
+        """Refuses new work; what cannot end in time is lost with notice."""
+        self._refuse_new_work()
+        self._tasks.start("reclaim", self._lose_before_reclaim())
+
+    async def _lose_before_reclaim(self) -> None:
+        notice_s = self._settings.reclaim_notice_s
+        await asyncio.sleep(max(notice_s - _RECLAIM_MARGIN_S, 0.0))
+        logger.info("sidecar.reclaimed")
+        self._table.lose_all(reason.LossReason.RECLAIMED)
+
+    def _refuse_new_work(self) -> None:
+        if self._ready:
+            self._ready = False
+            self._admission.drain()
+            self._tasks.start(
+                "announcement", self._registrar.announce_draining()
+            )
+
     async def _drain(self) -> None:
-        self._ready = False
-        self._admission.drain()
-        self._tasks.start("announcement", self._registrar.announce_draining())
+        self._leaving.ignore_record()
+        self._refuse_new_work()
         ended = await self._signals.unless_hurried(self._wait_idle())
         logger.info("sidecar.drained", hurried=not ended)
 
     async def _wait_idle(self) -> None:
         await self._admission.wait_idle()
         await self._table.wait_read()
+        for session in self._sessions:
+            session.finish()
+        while self._sessions:
+            await next(iter(self._sessions)).ended.wait()
 
     async def _close(self) -> None:
         await asyncio.sleep(self._settings.drain_notice_s)
@@ -109,7 +156,12 @@
             self._runner,
             peer,
         )
-        await session.run()
+        self._sessions.add(session)
+        try:
+            await session.run()
+        finally:
+            self._sessions.discard(session)
+            session.ended.set()
 
     def _member(self) -> member.Member:
         process = member.of_process(
--- a/bronzeslip/sidecar/generations.py
+++ b/bronzeslip/sidecar/generations.py
@@ -81,6 +81,12 @@
         if generation_id not in self._runs:
             self._track(generation_id, self._cancel_at_engine(generation_id))
 
+    def lose_all(self, loss: reason.LossReason) -> None:
+        """Ends every generation that has not come to its end."""
+        for current in tuple(self._runs.values()):
+            if current.terminal is None:
+                self._end(current, loss)
+
     async def wait_read(self) -> None:
         """Waits until every reader has taken its generation's outcome."""
         for current in tuple(self._runs.values()):
--- /dev/null
+++ b/bronzeslip/sidecar/leaving_watch.py
@@ -0,0 +1,103 @@
+"""Notices that this sidecar's endpoint is about to leave."""
+
+import asyncio
+from collections.abc import Callable
+
+from bronzeslip import ids
+from bronzeslip import logs
+from bronzeslip.configuration import in_force
+from bronzeslip.configuration import service
+from bronzeslip.engine import client
+from bronzeslip.engine import errors
+from bronzeslip.membership import member
+from bronzeslip.platform import objects
+from bronzeslip.settings import sidecar
+
+logger = logs.get_logger(__name__)
+
+_CHECK_INTERVAL_S = 0.5
+
+
+class LeavingWatch:
+    """Asks the engine, and reads the own record that a gateway has marked."""
+
+    def __init__(
+        self,
+        settings: sidecar.SidecarSettings,
+        incarnation_id: ids.IncarnationId,
+        engine: client.EngineClient,
+        configuration: in_force.ConfigurationInForce,
+        on_leaving: Callable[[], None],
+    ) -> None:
+        """Creates a watch.
+
+        Args:
+            settings: Settings of the sidecar.
+            incarnation_id: Incarnation of the sidecar.
+            engine: Client of the endpoint, if it is an engine.
+            configuration: Tells what kind of endpoint it is.
+            on_leaving: Called once when the endpoint leaves.
+        """
+        self._settings = settings
+        self._incarnation_id = incarnation_id
+        self._engine = engine
+        self._configuration = configuration
+        self._on_leaving = on_leaving
+        self._told = False
+        self._ignores_record = False
+
+    def ignore_record(self) -> None:
+        """Takes the record no longer into account.
+
+        A sidecar that was told to drain marks the record itself.
+        """
+        self._ignores_record = True
+
+    async def run(self) -> None:
+        """Asks the engine until it leaves."""
+        while not self._told:
+            if self._is_engine() and await self._engine_leaves():
+                self._tell("engine")
+            await asyncio.sleep(_CHECK_INTERVAL_S)
+
+    async def on_list(self, listed: objects.ObjectList) -> None:
+        """Takes the own record."""
+        for found in listed.objects:
+            self._take(found.value)
+
+    async def on_event(self, event: objects.ObjectEvent) -> None:
+        """Takes a change of the own record."""
+        if event.kind is objects.EventKind.PUT:
+            self._take(event.value)
+
+    def _take(self, value: bytes) -> None:
+        known = member.decode(value)
+        if (
+            not self._ignores_record
+            and known is not None
+            and known.incarnation_id == self._incarnation_id
+            and known.state is member.MemberState.DRAINING
+        ):
+            self._tell("platform")
+
+    def _is_engine(self) -> bool:
+        if self._configuration.number < 0:
+            return False
+        pools = self._configuration.current.document.pools
+        declared = pools.get(self._settings.pool)
+        return (
+            declared is not None
+            and declared.kind is service.ServiceKind.GENERATION
+        )
+
+    async def _engine_leaves(self) -> bool:
+        try:
+            return (await self._engine.load()).leaving
+        except errors.EngineError:
+            return False
+
+    def _tell(self, source: str) -> None:
+        if not self._told:
+            self._told = True
+            logger.info("sidecar.leaving", source=source)
+            self._on_leaving()
--- a/bronzeslip/sidecar/peer_session.py
+++ b/bronzeslip/sidecar/peer_session.py
@@ -29,7 +29,11 @@
 
 
 class PeerSession:
-    """Carries out what one gateway asks on one connection."""
+    """Carries out what one gateway asks on one connection.
+
+    Attributes:
+        ended: Set when the connection has ended.
+    """
 
     def __init__(
         self,
@@ -50,11 +54,20 @@
         self._silence = silence.SilenceWatch(settings)
         self._readers: dict[ids.GenerationId, reader.GenerationReader] = {}
         self._calls: set[asyncio.Task] = set()
+        self._finishing = asyncio.Event()
+        self.ended = asyncio.Event()
+
+    def finish(self) -> None:
+        """Ends the connection once all that was put has been sent."""
+        self._finishing.set()
+        self._outbox.put(
+            link.Heartbeat(self._incarnation_id, self._admission.load)
+        )
 
     async def run(self) -> None:
         """Serves the connection until it ends."""
         try:
-            await workers.run_together(
+            await workers.run_until_first(
                 self._read(),
                 self._write(),
                 self._beat(),
@@ -76,7 +89,7 @@
                 self._take(frame)
 
     async def _write(self) -> None:
-        while True:
+        while not (self._finishing.is_set() and self._outbox.empty):
             await self._peer.write(await self._outbox.take())
 
     async def _beat(self) -> None:
--- a/bronzeslip/spread/service.py
+++ b/bronzeslip/spread/service.py
@@ -42,8 +42,17 @@
         settings: common.CommonSettings,
         role: member.MemberRole,
         platform: client.PlatformClient,
+        more_prefixes: tuple[str, ...] = (),
     ) -> None:
-        self.hub = hub.SpreadHub(_PREFIXES[role])
+        """Creates the service.
+
+        Args:
+            settings: Settings of the process.
+            role: Program that the process runs.
+            platform: Client of the platform.
+            more_prefixes: Prefixes to follow beside those of the role.
+        """
+        self.hub = hub.SpreadHub((*_PREFIXES[role], *more_prefixes))
         self.configuration = in_force.ConfigurationInForce()
         self.members = directory.MemberDirectory()
         self.board = status_board.StatusBoard(
--- a/bronzeslip/transport/outbox.py
+++ b/bronzeslip/transport/outbox.py
@@ -22,6 +22,11 @@
         self._ready: dict[str, Callable[[], list[codec.Frame]]] = {}
         self._wake = asyncio.Event()
 
+    @property
+    def empty(self) -> bool:
+        """Whether nothing waits to be sent."""
+        return not self._frames and not self._ready
+
     def put(self, frame: codec.Frame) -> None:
         """Queues a control frame."""
         self._frames.append(frame)
--- /dev/null
+++ b/tests/sidecar/test_leaving_watch.py
@@ -0,0 +1,58 @@
+"""Notice that an endpoint leaves."""
+
+import unittest
+
+import msgspec
+
+from bronzeslip import ids
+from bronzeslip.configuration import in_force
+from bronzeslip.membership import member
+from bronzeslip.platform import objects
+from bronzeslip.sidecar import leaving_watch
+from tests.membership import member_case
+
+
+class LeavingWatchTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.calls = []
+        self.own = member_case.sidecar("vm-1", incarnation="own")
+        self.watch = leaving_watch.LeavingWatch(
+            None,
+            ids.IncarnationId("own"),
+            None,
+            in_force.ConfigurationInForce(),
+            lambda: self.calls.append("leaving"),
+        )
+
+    async def take(self, **changes):
+        known = msgspec.structs.replace(self.own, **changes)
+        await self.watch.on_event(
+            objects.ObjectEvent(
+                objects.EventKind.PUT,
+                member.key_of(known),
+                1,
+                msgspec.json.encode(known),
+            )
+        )
+
+    async def test_marked_record_is_noticed_once(self):
+        await self.take()
+        self.assertEqual(self.calls, [])
+        for _ in range(2):
+            await self.take(state=member.MemberState.DRAINING)
+        self.assertEqual(self.calls, ["leaving"])
+
+    async def test_record_that_the_sidecar_marks_itself_is_ignored(self):
+        self.watch.ignore_record()
+        await self.take(state=member.MemberState.DRAINING)
+        self.assertEqual(self.calls, [])
+
+    async def test_record_of_another_incarnation_is_ignored(self):
+        await self.take(
+            state=member.MemberState.DRAINING, incarnation_id="other"
+        )
+        self.assertEqual(self.calls, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
