--- a/bronzeslip/http/server.py
+++ b/bronzeslip/http/server.py
@@ -85,6 +85,6 @@
 
     async def _end(self) -> None:
         if self._task is not None:
-            await self._task
+            await asyncio.wait((self._task,))
         if self._socket is not None:
             self._socket.close()
