--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -1,6 +1,7 @@
 """Runs the tests and tells the verdict in one line."""
 
 import argparse
+import faulthandler
 import pathlib
 import sys
 import unittest
@@ -8,6 +9,7 @@
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 _KNOWN_RED_FILE = _ROOT / "KNOWN-RED.txt"
 _TEST_KEY = "test:"
+_STUCK_TEST_S = 300
 
 
 def main() -> None:
@@ -20,10 +22,27 @@
         suite = loader.loadTestsFromNames(flags.modules)
     else:
         suite = loader.discover(str(_ROOT / "tests"), top_level_dir=str(_ROOT))
-    result = unittest.TextTestRunner(verbosity=1, buffer=True).run(suite)
+    runner = unittest.TextTestRunner(
+        verbosity=1, buffer=True, resultclass=_GuardedResult
+    )
+    result = runner.run(suite)
     sys.exit(_report(result))
 
 
+class _GuardedResult(unittest.TextTestResult):
+    """Ends the run with every stack if one test does not come to an end."""
+
+    def startTest(self, test: unittest.TestCase) -> None:  # noqa: N802
+        faulthandler.dump_traceback_later(
+            _STUCK_TEST_S, exit=True, file=sys.__stderr__
+        )
+        super().startTest(test)
+
+    def stopTest(self, test: unittest.TestCase) -> None:  # noqa: N802
+        faulthandler.cancel_dump_traceback_later()
+        super().stopTest(test)
+
+
 def known_red() -> tuple[str, ...]:
     """Lists the tests that are known to fail."""
     lines = _KNOWN_RED_FILE.read_text().splitlines()
