--- a/bronzeslip/gateway/parts.py
+++ b/bronzeslip/gateway/parts.py
@@ -5,6 +5,7 @@
 from bronzeslip.configuration import store
 from bronzeslip.gateway import access
 from bronzeslip.gateway import peer_pool
+from bronzeslip.gateway import resume_token
 from bronzeslip.gateway import state
 from bronzeslip.metrics import gateway_metrics
 from bronzeslip.platform import client
@@ -36,6 +37,7 @@
         members=spread.members,
         peers=peers,
         routes=routes,
+        resume_tokens=resume_token.ResumeTokenSigner(settings),
         access=access.Access(settings, spread.configuration, metrics),
         status=status_collector.StatusCollector(
             settings, spread.board, spread.members, spread.configuration
--- a/bronzeslip/gateway/state.py
+++ b/bronzeslip/gateway/state.py
@@ -9,6 +9,7 @@
 from bronzeslip.gateway import generation_session
 from bronzeslip.gateway import peer_pool
 from bronzeslip.gateway import request_context
+from bronzeslip.gateway import resume_token
 from bronzeslip.membership import directory
 from bronzeslip.metrics import gateway_metrics
 from bronzeslip.routing import router
@@ -28,6 +29,7 @@
         peers: Connections to sidecars.
         routes: Choice of endpoints.
         access: Checks of credentials.
+        resume_tokens: Signer of resume tokens.
         status: Collects what is in force everywhere.
         metrics: Metrics of the process.
         ready: Whether new requests are taken.
@@ -40,6 +42,7 @@
     peers: peer_pool.PeerPool
     routes: router.Router
     access: access.Access
+    resume_tokens: resume_token.ResumeTokenSigner
     status: status_collector.StatusCollector
     metrics: gateway_metrics.GatewayMetrics
     ready: bool = False
@@ -55,6 +58,7 @@
             self.routes,
             self.peers,
             self.members,
+            self.resume_tokens,
             context,
             wanted,
         )
--- a/bronzeslip/http/server.py
+++ b/bronzeslip/http/server.py
@@ -13,6 +13,7 @@
 from bronzeslip.settings import http
 
 _BACKLOG = 2048
+_MS_PER_S = 1000
 
 
 class _Server(uvicorn.Server):
@@ -32,6 +33,9 @@
             settings: Address, limits and certificate.
         """
         self._address = (settings.listen_address, settings.http_port)
+        self._stall_timeout_ms = round(
+            settings.caller_stall_timeout_s * _MS_PER_S
+        )
         self._socket: socket.socket | None = None
         config = uvicorn.Config(
             app,
@@ -57,6 +61,13 @@
     def start(self) -> None:
         """Binds the port and starts to accept connections."""
         self._socket = socket.create_server(self._address, backlog=_BACKLOG)
+        # Accepted sockets inherit these options. asyncio sets TCP_NODELAY by
+        # itself only on sockets that were created with a protocol number.
+        self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        # Covers closed windows as well as lost acknowledgements.
+        self._socket.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, self._stall_timeout_ms
+        )
         self._task = asyncio.create_task(
             self._server.serve(sockets=[self._socket])
         )
--- a/bronzeslip/settings/http.py
+++ b/bronzeslip/settings/http.py
@@ -42,9 +42,9 @@
         maximum=600,
     )
     caller_stall_timeout_s: float = setting(
-        "time a caller may leave its answer unread, in seconds",
+        "time after which a caller that does not read is given up, in seconds",
         "limits",
-        default=60.0,
+        default=30.0,
         minimum=0.1,
         maximum=3600,
     )
--- a/tools/local_deployment.py
+++ b/tools/local_deployment.py
@@ -82,6 +82,16 @@
             *more_flags,
         )
 
+    def start_engine(self) -> local_process.LocalProcess:
+        """Starts one engine."""
+        return local_process.LocalProcess(
+            "standins.engine",
+            "--model",
+            self.shape.model,
+            "--checks-fencing",
+            *self._engine_flags,
+        )
+
     def start_sidecar(
         self,
         name: str,
@@ -136,15 +146,7 @@
 
     def _start_endpoints(self) -> None:
         for _ in range(self.shape.engine_count):
-            self.engines.append(
-                local_process.LocalProcess(
-                    "standins.engine",
-                    "--model",
-                    self.shape.model,
-                    "--checks-fencing",
-                    *self._engine_flags,
-                )
-            )
+            self.engines.append(self.start_engine())
         for _ in range(self.shape.plain_count):
             self.plain_endpoints.append(
                 local_process.LocalProcess("standins.plain")
