--- a/tests/processes/test_thin_path.py
+++ b/tests/processes/test_thin_path.py
@@ -58,7 +58,10 @@
         url = self.deployment.gateways[0].http_url()
         answer = httpx.post(
             f"{url}/v1/services/commissions/awards?year=1",
-            headers=local_deployment.caller_headers("clerks"),
+            headers={
+                **local_deployment.caller_headers("clerks"),
+                "Idempotency-Key": "thin-path",
+            },
             content=b"award 7",
         )
         self.assertEqual(answer.status_code, 200)
