Claim the key of a call before it is dispatched

Cause: a call of a service that may not be repeated was dispatched on nothing but the caller's word, so a retry ran it again.

Ruled out: deciding by wall clocks when a claimant is too late, since clocks of VMs are not synchronised; a tombstone for each retry, since a lost one would have to be kept for ever; an expiry counted from receipt alone, since a frame may be delayed in flight.

Change: a sidecar issues a ticket, which is its incarnation and a reading of its own monotonic clock. The ticket is taken before the claim is written, travels with the dispatch and is checked on the clock that issued it. The claim names the attempt, the sidecar and the ticket. Another attempt takes it over by conditional update only after that sidecar has ruled the call out. Answers are written to the claim in the background.

Conclusion: a key's call runs at most once, and not run is told only after the sidecar or the gateway has ruled it out.

--- /dev/null
+++ b/bronzeslip/claims/result_keeper.py
@@ -0,0 +1,70 @@
+"""Writes answers to claims after the callers have them."""
+
+import asyncio
+
+import tenacity
+
+from bronzeslip import logs
+from bronzeslip.claims import claim as claims
+from bronzeslip.claims import errors
+from bronzeslip.claims import kept_result
+from bronzeslip.claims import store
+from bronzeslip.settings import gateway
+from bronzeslip.transport.frames import call as frames
+
+logger = logs.get_logger(__name__)
+
+_WRITE_ATTEMPTS = 6
+_MAX_BACKOFF_S = 8.0
+
+
+class ResultKeeper:
+    """Keeps answers in the background, retrying while the platform is away.
+
+    Until an answer is written, the sidecar that ran the call has it.
+    """
+
+    def __init__(
+        self, settings: gateway.GatewaySettings, claim_store: store.ClaimStore
+    ) -> None:
+        self._settings = settings
+        self._store = claim_store
+        self._tasks: set[asyncio.Task] = set()
+
+    def keep(
+        self, held: claims.HeldClaim, finished: frames.CallFinished
+    ) -> None:
+        """Starts to write an answer to its claim."""
+        result = kept_result.from_finished(
+            finished, self._settings.kept_result_bytes
+        )
+        task = asyncio.create_task(self._write(held, result))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def drain(self) -> None:
+        """Waits until every answer is written or given up."""
+        if self._tasks:
+            await asyncio.wait(self._tasks)
+
+    async def _write(
+        self, held: claims.HeldClaim, result: kept_result.KeptResult
+    ) -> None:
+        retrying = tenacity.AsyncRetrying(
+            retry=tenacity.retry_if_exception_type(
+                errors.ClaimsUnavailableError
+            ),
+            wait=tenacity.wait_random_exponential(max=_MAX_BACKOFF_S),
+            stop=tenacity.stop_after_attempt(_WRITE_ATTEMPTS),
+            reraise=True,
+        )
+        try:
+            await retrying(self._store.finish, held, result)
+        except errors.ClaimTakenError:
+            logger.debug("claim.result_known", call_id=held.claim.call_id)
+        except errors.ClaimError as error:
+            logger.warning(
+                "claim.result_not_kept",
+                call_id=held.claim.call_id,
+                reason=error.message,
+            )
--- /dev/null
+++ b/bronzeslip/gateway/call_dispatcher.py
@@ -0,0 +1,121 @@
+"""Exchanges of frames with sidecars for one call."""
+
+from bronzeslip import ids
+from bronzeslip.claims import claim as claims
+from bronzeslip.gateway import call_input
+from bronzeslip.gateway import errors
+from bronzeslip.gateway import peer_pool
+from bronzeslip.gateway import request_context
+from bronzeslip.membership import member
+from bronzeslip.routing import candidate
+from bronzeslip.routing import errors as routing_errors
+from bronzeslip.routing import policy
+from bronzeslip.routing import router
+from bronzeslip.settings import gateway
+from bronzeslip.transport import codec
+from bronzeslip.transport import errors as transport_errors
+from bronzeslip.transport.frames import call as frames
+
+
+class CallDispatcher:
+    """Finds endpoints for a call and talks to their sidecars."""
+
+    def __init__(
+        self,
+        settings: gateway.GatewaySettings,
+        routes: router.Router,
+        peers: peer_pool.PeerPool,
+        context: request_context.RequestContext,
+        wanted: call_input.CallInput,
+    ) -> None:
+        self._settings = settings
+        self._routes = routes
+        self._peers = peers
+        self._context = context
+        self._wanted = wanted
+
+    def candidates(self) -> list[candidate.Candidate]:
+        """Lists the endpoints to try, the best first.
+
+        Raises:
+            errors.NotRunError: If there is none.
+        """
+        request = policy.RoutingRequest(
+            self._context.workspace_id,
+            self._context.service_name,
+            "",
+            self._settings.region,
+        )
+        try:
+            options = self._routes.candidates(self._context.binding, request)
+        except routing_errors.RoutingError as error:
+            raise errors.NotRunError(
+                error.message, retry_after_s=error.retry_after_s
+            ) from error
+        return options[: self._settings.dispatch_attempts]
+
+    async def prepare(
+        self, endpoint: member.Member, call_id: ids.CallId
+    ) -> frames.CallPrepared | None:
+        """Asks for a ticket; None if the sidecar gives none."""
+        frame = await self._exchange(
+            endpoint.address, call_id, frames.PrepareCall(call_id)
+        )
+        return frame if isinstance(frame, frames.CallPrepared) else None
+
+    async def start(
+        self,
+        endpoint: member.Member,
+        call_id: ids.CallId,
+        ticket: frames.DispatchTicket | None = None,
+    ) -> frames.CallOutcome | None:
+        """Dispatches the call; None if the connection was lost."""
+        self._routes.begin(endpoint.endpoint_id)
+        try:
+            return await self._exchange(
+                endpoint.address, call_id, self._start_frame(call_id, ticket)
+            )
+        finally:
+            self._routes.end(endpoint.endpoint_id)
+
+    async def query(
+        self, claim: claims.Claim, *, settle: bool
+    ) -> frames.CallOutcome | frames.CallPending | None:
+        """Asks about a claimed call; None if the connection was lost."""
+        query_id = ids.CallId(ids.random_id())
+        report = await self._exchange(
+            claim.address,
+            query_id,
+            frames.QueryCall(query_id, claim.call_id, claim.ticket, settle),
+        )
+        return None if report is None else report.outcome
+
+    async def _exchange(
+        self, address: str, run_id: ids.CallId, frame: codec.Frame
+    ) -> codec.Frame | None:
+        opened = self._peers.peer(address)
+        arrived = opened.open(run_id)
+        opened.connection.send(frame)
+        try:
+            return await arrived.get()
+        except transport_errors.TransportError:
+            return None
+        finally:
+            opened.close(run_id)
+
+    def _start_frame(
+        self, call_id: ids.CallId, ticket: frames.DispatchTicket | None
+    ) -> frames.StartCall:
+        return frames.StartCall(
+            call_id,
+            self._context.request_id,
+            self._context.workspace_id,
+            self._context.service_name,
+            self._wanted.method,
+            self._wanted.path,
+            self._wanted.headers,
+            self._wanted.body,
+            self._context.service.idempotent,
+            self._context.remaining_s(),
+            ticket,
+        )
--- /dev/null
+++ b/bronzeslip/gateway/claim_resolver.py
@@ -0,0 +1,77 @@
+"""Finds out what has become of a claimed call."""
+
+import asyncio
+import random
+
+from bronzeslip.claims import claim as claims
+from bronzeslip.claims import result_keeper
+from bronzeslip.gateway import call_answer
+from bronzeslip.gateway import call_dispatcher
+from bronzeslip.gateway import errors
+from bronzeslip.transport.frames import call as frames
+
+_RETRY_AFTER_S = 1.0
+_SETTLE_ATTEMPTS = 4
+_SETTLE_BACKOFF_S = 0.2
+
+
+class ClaimResolver:
+    """Answers from a claim or by asking the sidecar that it names."""
+
+    def __init__(
+        self,
+        dispatcher: call_dispatcher.CallDispatcher,
+        keeper: result_keeper.ResultKeeper,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._keeper = keeper
+
+    async def resolve(
+        self, held: claims.HeldClaim, request_sha256: str
+    ) -> call_answer.CallAnswer | None:
+        """Tells the outcome of another attempt.
+
+        Returns:
+            The answer, or None if the call was not run and never will be.
+
+        Raises:
+            errors.KeyReusedError: If the key stands for another request.
+            errors.InProgressError: If the call runs or may still arrive.
+            errors.AlreadyRunError: If its answer was too large to keep.
+            errors.OutcomeUnknownError: If nobody knows.
+        """
+        if held.claim.request_sha256 != request_sha256:
+            raise errors.KeyReusedError(
+                "the key has been used for another request"
+            )
+        if held.claim.result is not None:
+            return call_answer.from_kept(held.claim.result)
+        outcome = await self._dispatcher.query(held.claim, settle=False)
+        if isinstance(outcome, frames.CallFinished):
+            self._keeper.keep(held, outcome)
+            return call_answer.from_finished(outcome, replayed=True)
+        if isinstance(outcome, frames.CallRefused):
+            return None
+        if isinstance(outcome, frames.CallPending):
+            raise errors.InProgressError(
+                "an earlier attempt with this key is under way",
+                retry_after_s=_RETRY_AFTER_S,
+            )
+        raise unknown()
+
+    async def settle(self, claim: claims.Claim) -> frames.CallOutcome:
+        """Finds out what has become of a call whose connection was lost."""
+        for _ in range(_SETTLE_ATTEMPTS):
+            outcome = await self._dispatcher.query(claim, settle=True)
+            if outcome is not None:
+                return outcome
+            await asyncio.sleep(_SETTLE_BACKOFF_S * random.uniform(0.5, 1.5))
+        return frames.CallOutcomeUnknown(claim.call_id)
+
+
+def unknown() -> errors.OutcomeUnknownError:
+    """Returns the error for a call that may have been run."""
+    return errors.OutcomeUnknownError(
+        "the call may have been run; it will not be run again",
+        retry_after_s=_RETRY_AFTER_S,
+    )
--- /dev/null
+++ b/bronzeslip/gateway/claimed_call_session.py
@@ -0,0 +1,162 @@
+"""One caller's call of a plain service that may not be repeated."""
+
+import time
+
+from bronzeslip import ids
+from bronzeslip.claims import claim as claims
+from bronzeslip.claims import errors as claim_errors
+from bronzeslip.claims import result_keeper
+from bronzeslip.claims import store as claim_store
+from bronzeslip.gateway import call_answer
+from bronzeslip.gateway import call_dispatcher
+from bronzeslip.gateway import claim_resolver
+from bronzeslip.gateway import errors
+from bronzeslip.membership import member
+from bronzeslip.transport.frames import call as frames
+
+_RETRY_AFTER_S = 1.0
+_TAKE_ATTEMPTS = 4
+
+
+class ClaimedCallSession:
+    """Claims the key of a call, then dispatches the call.
+
+    Whatever becomes of this session or its gateway, the call is dispatched
+    only while the claim names the attempt, and another attempt replaces the
+    claim only after the sidecar that it names has ruled the call out.
+    """
+
+    def __init__(
+        self,
+        store: claim_store.ClaimStore,
+        keeper: result_keeper.ResultKeeper,
+        dispatcher: call_dispatcher.CallDispatcher,
+        key: ids.ObjectKey,
+        request_sha256: str,
+    ) -> None:
+        """Creates the session of one request.
+
+        Args:
+            store: Claims at the platform.
+            keeper: Keeps answers with their claims.
+            dispatcher: Talks to sidecars.
+            key: Platform key of the claim.
+            request_sha256: Digest of what the caller asks for.
+        """
+        self._store = store
+        self._keeper = keeper
+        self._dispatcher = dispatcher
+        self._resolver = claim_resolver.ClaimResolver(dispatcher, keeper)
+        self._key = key
+        self._request_sha256 = request_sha256
+
+    async def run(self) -> call_answer.CallAnswer:
+        """Runs the call, or tells what an earlier attempt has come to.
+
+        Raises:
+            errors.GatewayError: If there is no answer; each kind tells
+                whether the call was run.
+        """
+        held: claims.HeldClaim | None = None
+        for endpoint in self._endpoints():
+            wanted = await self._prepare(endpoint)
+            if wanted is None:
+                continue
+            taken = await self._take(held, wanted)
+            if isinstance(taken, call_answer.CallAnswer):
+                return taken
+            held = taken
+            outcome = await self._dispatch(endpoint, held.claim)
+            if isinstance(outcome, frames.CallFinished):
+                self._keeper.keep(held, outcome)
+                return call_answer.from_finished(outcome)
+            if not isinstance(outcome, frames.CallRefused):
+                raise claim_resolver.unknown()
+        return await self._give_up(held)
+
+    def _endpoints(self) -> list[member.Member]:
+        try:
+            return [option.endpoint for option in self._dispatcher.candidates()]
+        except errors.NotRunError:
+            return []
+
+    async def _prepare(self, endpoint: member.Member) -> claims.Claim | None:
+        call_id = ids.CallId(ids.random_id())
+        prepared = await self._dispatcher.prepare(endpoint, call_id)
+        if prepared is None:
+            return None
+        return claims.Claim(
+            call_id,
+            self._request_sha256,
+            endpoint.address,
+            prepared.ticket,
+            int(time.time()),
+        )
+
+    async def _take(
+        self, held: claims.HeldClaim | None, wanted: claims.Claim
+    ) -> claims.HeldClaim | call_answer.CallAnswer:
+        try:
+            for _ in range(_TAKE_ATTEMPTS):
+                try:
+                    return await self._write(held, wanted)
+                except claim_errors.ClaimTakenError:
+                    held = await self._store.read(self._key)
+                if held is not None:
+                    answer = await self._resolver.resolve(
+                        held, self._request_sha256
+                    )
+                    if answer is not None:
+                        return answer
+        except claim_errors.ClaimError as error:
+            raise errors.UnavailableError(
+                f"this attempt was not run: {error.message}",
+                retry_after_s=error.retry_after_s or _RETRY_AFTER_S,
+            ) from error
+        raise errors.InProgressError(
+            "other attempts with this key are under way",
+            retry_after_s=_RETRY_AFTER_S,
+        )
+
+    async def _write(
+        self, held: claims.HeldClaim | None, wanted: claims.Claim
+    ) -> claims.HeldClaim:
+        if held is None:
+            return await self._store.create(self._key, wanted)
+        return await self._store.replace(held, wanted)
+
+    async def _dispatch(
+        self, endpoint: member.Member, claim: claims.Claim
+    ) -> frames.CallOutcome:
+        outcome = await self._dispatcher.start(
+            endpoint, claim.call_id, claim.ticket
+        )
+        if outcome is None:
+            outcome = await self._resolver.settle(claim)
+        return outcome
+
+    async def _give_up(
+        self, held: claims.HeldClaim | None
+    ) -> call_answer.CallAnswer:
+        answer = None
+        try:
+            if held is not None:
+                await self._store.release(held)
+            else:
+                answer = await self._resolve_current()
+        except claim_errors.ClaimTakenError:
+            answer = await self._resolve_current()
+        except claim_errors.ClaimError as error:
+            if held is not None:
+                raise claim_resolver.unknown() from error
+        if answer is not None:
+            return answer
+        raise errors.NotRunError(
+            "no endpoint took the call", retry_after_s=_RETRY_AFTER_S
+        )
+
+    async def _resolve_current(self) -> call_answer.CallAnswer | None:
+        current = await self._store.read(self._key)
+        if current is None:
+            return None
+        return await self._resolver.resolve(current, self._request_sha256)
--- a/bronzeslip/gateway/daemon.py
+++ b/bronzeslip/gateway/daemon.py
@@ -5,6 +5,8 @@
 
 from bronzeslip import ids
 from bronzeslip import logs
+from bronzeslip.claims import result_keeper
+from bronzeslip.claims import store as claim_store
 from bronzeslip.configuration import in_force
 from bronzeslip.configuration import store
 from bronzeslip.configuration import watcher
@@ -65,7 +67,7 @@
         await self._platform.close()
 
     async def _stop_http(self, signals: shutdown.ShutdownSignals) -> None:
-        stopping = asyncio.create_task(self._http.stop())
+        stopping = asyncio.create_task(self._finish_requests())
         hurried = asyncio.create_task(signals.hurried.wait())
         await asyncio.wait(
             (stopping, hurried), return_when=asyncio.FIRST_COMPLETED
@@ -73,6 +75,10 @@
         for task in (stopping, hurried):
             task.cancel()
 
+    async def _finish_requests(self) -> None:
+        await self._http.stop()
+        await self._parts.results.drain()
+
     def _create_parts(self) -> state.GatewayState:
         settings = self._settings
         configuration = in_force.ConfigurationInForce()
@@ -83,6 +89,7 @@
             peers,
             least_outstanding.LeastOutstandingPolicy(random.Random()),
         )
+        claims = claim_store.ClaimStore(self._platform)
         return state.GatewayState(
             settings=settings,
             configuration=configuration,
@@ -91,4 +98,6 @@
             peers=peers,
             routes=routes,
             access=access.Access(settings, configuration),
+            claims=claims,
+            results=result_keeper.ResultKeeper(settings, claims),
         )
--- a/bronzeslip/gateway/errors.py
+++ b/bronzeslip/gateway/errors.py
@@ -55,6 +55,30 @@
     title = "Conflict"
 
 
+class InProgressError(GatewayError):
+    """Another attempt with the same key is under way."""
+
+    code = "in-progress"
+    status = 409
+    title = "In progress"
+
+
+class AlreadyRunError(GatewayError):
+    """The call has been run and its answer is no longer kept."""
+
+    code = "already-run"
+    status = 409
+    title = "Already run"
+
+
+class KeyReusedError(GatewayError):
+    """The key stands for another request; this one was not run."""
+
+    code = "key-reused"
+    status = 422
+    title = "Idempotency key reused"
+
+
 class LimitedError(GatewayError):
     """The workspace is over its limit; the request was not run."""
 
--- a/bronzeslip/gateway/peer.py
+++ b/bronzeslip/gateway/peer.py
@@ -51,9 +51,12 @@
 def _run_id_of(frame: codec.Frame) -> str:
     if isinstance(
         frame,
-        call_frames.CallFinished
+        call_frames.CallPrepared
+        | call_frames.CallFinished
         | call_frames.CallRefused
         | call_frames.CallOutcomeUnknown,
     ):
         return frame.call_id
+    if isinstance(frame, call_frames.CallReport):
+        return frame.query_id
     return getattr(frame, "generation_id", "")
--- a/bronzeslip/gateway/services_api.py
+++ b/bronzeslip/gateway/services_api.py
@@ -6,8 +6,11 @@
 from bronzeslip import ids
 from bronzeslip.configuration import service
 from bronzeslip.gateway import body
-from bronzeslip.gateway import call_session
+from bronzeslip.gateway import call_answer
+from bronzeslip.gateway import call_input
 from bronzeslip.gateway import errors
+from bronzeslip.gateway import idempotency
+from bronzeslip.gateway import request_context
 from bronzeslip.gateway import state
 from bronzeslip.transport.frames import call as frames
 
@@ -37,14 +40,25 @@
     )
     if context.service.kind is not service.ServiceKind.PLAIN:
         raise errors.NotFoundError(f"{service_name!r} is no plain service")
-    wanted = call_session.CallInput(
+    wanted = call_input.CallInput(
         request.method,
         _path_with_query(request, path),
         _passed_headers(request),
         await body.read(request),
     )
-    finished = await parts.call(context, wanted).run()
-    return _to_response(finished)
+    return _to_response(await _run(request, parts, context, wanted))
+
+
+async def _run(
+    request: litestar.Request,
+    parts: state.GatewayState,
+    context: request_context.RequestContext,
+    wanted: call_input.CallInput,
+) -> call_answer.CallAnswer:
+    if context.service.idempotent:
+        return await parts.call(context, wanted).run()
+    key = idempotency.require_key(request.headers.get(idempotency.KEY_HEADER))
+    return await parts.claimed_call(context, wanted, key).run()
 
 
 def _path_with_query(request: litestar.Request, path: str) -> str:
@@ -60,16 +74,18 @@
     )
 
 
-def _to_response(finished: frames.CallFinished) -> litestar.Response[bytes]:
+def _to_response(answer: call_answer.CallAnswer) -> litestar.Response[bytes]:
     headers = {
         header.name: header.value
-        for header in finished.headers
+        for header in answer.headers
         if header.name not in _DROPPED_RESPONSE_HEADERS
     }
+    if answer.replayed:
+        headers[idempotency.REPLAYED_HEADER] = "true"
     media_type = headers.pop("content-type", "application/octet-stream")
     return response.Response(
-        finished.body,
-        status_code=finished.status,
+        answer.body,
+        status_code=answer.status,
         media_type=media_type,
         headers=headers,
     )
--- a/bronzeslip/gateway/state.py
+++ b/bronzeslip/gateway/state.py
@@ -2,10 +2,16 @@
 
 import dataclasses
 
+from bronzeslip.claims import claim
+from bronzeslip.claims import result_keeper
+from bronzeslip.claims import store as claim_store
 from bronzeslip.configuration import in_force
 from bronzeslip.configuration import store
 from bronzeslip.gateway import access
+from bronzeslip.gateway import call_dispatcher
+from bronzeslip.gateway import call_input
 from bronzeslip.gateway import call_session
+from bronzeslip.gateway import claimed_call_session
 from bronzeslip.gateway import generation_session
 from bronzeslip.gateway import peer_pool
 from bronzeslip.gateway import request_context
@@ -26,6 +32,8 @@
         peers: Connections to sidecars.
         routes: Choice of endpoints.
         access: Checks of credentials.
+        claims: Claims of idempotency keys.
+        results: Keeps answers with their claims.
         ready: Whether new requests are taken.
     """
 
@@ -36,6 +44,8 @@
     peers: peer_pool.PeerPool
     routes: router.Router
     access: access.Access
+    claims: claim_store.ClaimStore
+    results: result_keeper.ResultKeeper
     ready: bool = False
 
     def generation(
@@ -51,9 +61,33 @@
     def call(
         self,
         context: request_context.RequestContext,
-        wanted: call_session.CallInput,
+        wanted: call_input.CallInput,
     ) -> call_session.CallSession:
-        """Creates the session of a call."""
-        return call_session.CallSession(
+        """Creates the session of a call that may be repeated."""
+        return call_session.CallSession(self._dispatcher(context, wanted))
+
+    def claimed_call(
+        self,
+        context: request_context.RequestContext,
+        wanted: call_input.CallInput,
+        idempotency_key: str,
+    ) -> claimed_call_session.ClaimedCallSession:
+        """Creates the session of a call that may not be repeated."""
+        return claimed_call_session.ClaimedCallSession(
+            self.claims,
+            self.results,
+            self._dispatcher(context, wanted),
+            claim.key_of(
+                context.workspace_id, context.service_name, idempotency_key
+            ),
+            claim.request_digest(wanted.method, wanted.path, wanted.body),
+        )
+
+    def _dispatcher(
+        self,
+        context: request_context.RequestContext,
+        wanted: call_input.CallInput,
+    ) -> call_dispatcher.CallDispatcher:
+        return call_dispatcher.CallDispatcher(
             self.settings, self.routes, self.peers, context, wanted
         )
--- a/bronzeslip/settings/gateway.py
+++ b/bronzeslip/settings/gateway.py
@@ -34,3 +34,24 @@
         minimum=1,
         maximum=86_400,
     )
+    claim_retention_s: float = setting(
+        "time the claim of an idempotency key is kept, in seconds",
+        "claims",
+        default=172_800.0,
+        minimum=60,
+        maximum=2_592_000,
+    )
+    claim_sweep_interval_s: float = setting(
+        "time between sweeps for claims past their retention, in seconds",
+        "claims",
+        default=600.0,
+        minimum=1,
+        maximum=86_400,
+    )
+    kept_result_bytes: int = setting(
+        "largest answer kept with a claim, in bytes",
+        "claims",
+        default=16_384,
+        minimum=0,
+        maximum=500_000,
+    )
--- a/bronzeslip/settings/sidecar.py
+++ b/bronzeslip/settings/sidecar.py
@@ -42,3 +42,24 @@
         minimum=0.1,
         maximum=3600,
     )
+    dispatch_window_s: float = setting(
+        "age up to which a ticket to dispatch a call is accepted, in seconds",
+        "calls",
+        default=10.0,
+        minimum=0.1,
+        maximum=600,
+    )
+    call_grace_s: float = setting(
+        "time the outcome of an ended call is kept, in seconds",
+        "calls",
+        default=120.0,
+        minimum=0,
+        maximum=3600,
+    )
+    kept_calls_bytes: int = setting(
+        "most bytes of answers kept for ended calls",
+        "calls",
+        default=32_000_000,
+        minimum=0,
+        maximum=1_000_000_000,
+    )
--- /dev/null
+++ b/bronzeslip/sidecar/call_table.py
@@ -0,0 +1,170 @@
+"""Calls that may not be repeated, as one sidecar knows them.
+
+Every time in this module is read from the sidecar's own monotonic clock. A
+dispatch shows a ticket that this incarnation issued, so an old dispatch is
+told by its ticket however long it was delayed and whatever other machines'
+clocks show.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import time
+
+from bronzeslip import ids
+from bronzeslip import logs
+from bronzeslip.settings import sidecar
+from bronzeslip.sidecar import call_entry
+from bronzeslip.transport.frames import call as frames
+from bronzeslip.transport.frames import reason
+
+logger = logs.get_logger(__name__)
+
+_RETRY_AFTER_S = 1.0
+_FORGET_INTERVAL_S = 1.0
+
+SendCall = Callable[[frames.StartCall], Awaitable[frames.CallOutcome]]
+
+
+class CallTable:
+    """Starts each call at most once and keeps its outcome for a time."""
+
+    def __init__(
+        self,
+        settings: sidecar.SidecarSettings,
+        incarnation_id: ids.IncarnationId,
+        send: SendCall,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Creates an empty table.
+
+        Args:
+            settings: Dispatch window and how much is kept for how long.
+            incarnation_id: Incarnation of this sidecar.
+            send: Runs a call on the endpoint and tells its outcome.
+            clock: Monotonic clock, in seconds.
+        """
+        self._settings = settings
+        self._incarnation_id = incarnation_id
+        self._send = send
+        self._clock = clock
+        self._entries: dict[ids.CallId, call_entry.CallEntry] = {}
+        self._tasks: set[asyncio.Task] = set()
+        self._kept_bytes = 0
+        self._forgotten_until_s = float("-inf")
+        self._forget_next_s = clock()
+
+    def ticket(self) -> frames.DispatchTicket:
+        """Issues a ticket that is valid from now on for the window."""
+        return frames.DispatchTicket(self._incarnation_id, self._clock())
+
+    async def run(self, start: frames.StartCall) -> frames.CallOutcome:
+        """Starts a call, or waits for the run that has its id."""
+        known = self._entries.get(start.call_id)
+        if known is None:
+            refusal = self._refusal(start.ticket)
+            if refusal is not None:
+                return _refused(start.call_id, refusal)
+            known = self._add(start.call_id, start.ticket, arrived=True)
+            self._spawn(self._run(start, known))
+        return await asyncio.shield(known.outcome)
+
+    async def query(
+        self, question: frames.QueryCall
+    ) -> frames.CallOutcome | frames.CallPending:
+        """Tells what has become of a call."""
+        known = self._entries.get(question.call_id)
+        if known is None:
+            return self._judge_absent(question)
+        if question.settle or known.outcome.done():
+            return await asyncio.shield(known.outcome)
+        return frames.CallPending(question.call_id)
+
+    def _forget_old(self) -> None:
+        now_s = self._clock()
+        if now_s < self._forget_next_s:
+            return
+        self._forget_next_s = now_s + _FORGET_INTERVAL_S
+        for call_id, entry in list(self._entries.items()):
+            if self._may_forget(entry, now_s):
+                self._forget(call_id, entry)
+
+    def _may_forget(self, entry: call_entry.CallEntry, now_s: float) -> bool:
+        if entry.ended_s is None or self._is_valid(entry.ticket):
+            return False
+        over = self._kept_bytes > self._settings.kept_calls_bytes
+        return over or now_s - entry.ended_s > self._settings.call_grace_s
+
+    def _judge_absent(
+        self, question: frames.QueryCall
+    ) -> frames.CallOutcome | frames.CallPending:
+        ticket = question.ticket
+        if (
+            ticket.incarnation_id != self._incarnation_id
+            or ticket.issued_s <= self._forgotten_until_s
+        ):
+            return frames.CallOutcomeUnknown(question.call_id)
+        if not self._is_valid(ticket):
+            return _refused(question.call_id, reason.RefusalReason.EXPIRED)
+        if not question.settle:
+            return frames.CallPending(question.call_id)
+        refused = _refused(question.call_id, reason.RefusalReason.CANCELLED)
+        entry = self._add(question.call_id, ticket, arrived=False)
+        entry.end(refused, self._clock())
+        return refused
+
+    def _refusal(
+        self, ticket: frames.DispatchTicket | None
+    ) -> reason.RefusalReason | None:
+        if ticket is None:
+            return reason.RefusalReason.EXPIRED
+        if ticket.incarnation_id != self._incarnation_id:
+            return reason.RefusalReason.WRONG_INCARNATION
+        if not self._is_valid(ticket):
+            return reason.RefusalReason.EXPIRED
+        return None
+
+    def _is_valid(self, ticket: frames.DispatchTicket) -> bool:
+        age_s = self._clock() - ticket.issued_s
+        return age_s <= self._settings.dispatch_window_s
+
+    def _add(
+        self,
+        call_id: ids.CallId,
+        ticket: frames.DispatchTicket,
+        *,
+        arrived: bool,
+    ) -> call_entry.CallEntry:
+        self._forget_old()
+        entry = call_entry.CallEntry(ticket, arrived)
+        self._entries[call_id] = entry
+        return entry
+
+    def _forget(self, call_id: ids.CallId, entry: call_entry.CallEntry) -> None:
+        del self._entries[call_id]
+        self._kept_bytes -= entry.kept_bytes
+        if entry.arrived:
+            self._forgotten_until_s = max(
+                self._forgotten_until_s, entry.ticket.issued_s
+            )
+
+    def _spawn(self, work: Awaitable[None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _run(
+        self, start: frames.StartCall, entry: call_entry.CallEntry
+    ) -> None:
+        outcome: frames.CallOutcome = frames.CallOutcomeUnknown(start.call_id)
+        try:
+            outcome = await self._send(start)
+        finally:
+            entry.end(outcome, self._clock())
+            self._kept_bytes += entry.kept_bytes
+
+
+def _refused(
+    call_id: ids.CallId, refusal: reason.RefusalReason
+) -> frames.CallRefused:
+    return frames.CallRefused(call_id, refusal, _RETRY_AFTER_S)
--- a/bronzeslip/sidecar/calls.py
+++ b/bronzeslip/sidecar/calls.py
@@ -2,22 +2,21 @@
 
 import httpx
 
+from bronzeslip import ids
 from bronzeslip import logs
 from bronzeslip.admission import errors as admission_errors
 from bronzeslip.admission import gate
 from bronzeslip.settings import sidecar
+from bronzeslip.sidecar import call_table
 from bronzeslip.transport.frames import call as frames
 from bronzeslip.transport.frames import reason
 
 logger = logs.get_logger(__name__)
 
 _CONNECT_TIMEOUT_S = 1.0
+_KEEPALIVE_EXPIRY_S = 2.0
 _RETRY_AFTER_S = 1.0
 
-CallOutcome = (
-    frames.CallFinished | frames.CallRefused | frames.CallOutcomeUnknown
-)
-
 
 class CallRunner:
     """Runs calls on the endpoint and tells their outcome truthfully."""
@@ -25,17 +24,49 @@
     def __init__(
         self,
         settings: sidecar.SidecarSettings,
+        incarnation_id: ids.IncarnationId,
         admission: gate.AdmissionGate,
     ) -> None:
         self._admission = admission
-        self._http = httpx.AsyncClient(base_url=settings.endpoint_url)
+        self._http = httpx.AsyncClient(
+            base_url=settings.endpoint_url,
+            limits=httpx.Limits(
+                max_connections=None, keepalive_expiry=_KEEPALIVE_EXPIRY_S
+            ),
+        )
+        self._table = call_table.CallTable(
+            settings, incarnation_id, self._admit_and_send
+        )
 
     async def close(self) -> None:
         """Closes the connections to the endpoint."""
         await self._http.aclose()
 
-    async def run(self, start: frames.StartCall) -> CallOutcome:
+    async def run(self, start: frames.StartCall) -> frames.CallOutcome:
         """Runs a call, or tells that it was not run."""
+        if start.idempotent:
+            return await self._admit_and_send(start)
+        return await self._table.run(start)
+
+    def prepare(
+        self, wanted: frames.PrepareCall
+    ) -> frames.CallPrepared | frames.CallRefused:
+        """Issues a ticket for a call, unless it would be refused now."""
+        if self._admission.load.draining:
+            return frames.CallRefused(
+                wanted.call_id, reason.RefusalReason.DRAINING, _RETRY_AFTER_S
+            )
+        return frames.CallPrepared(wanted.call_id, self._table.ticket())
+
+    async def query(self, question: frames.QueryCall) -> frames.CallReport:
+        """Tells what has become of a call."""
+        return frames.CallReport(
+            question.query_id, await self._table.query(question)
+        )
+
+    async def _admit_and_send(
+        self, start: frames.StartCall
+    ) -> frames.CallOutcome:
         try:
             await self._admission.enter(start.expires_in_s)
         except admission_errors.AdmissionRefusedError as error:
@@ -47,7 +78,7 @@
         finally:
             self._admission.leave()
 
-    async def _send(self, start: frames.StartCall) -> CallOutcome:
+    async def _send(self, start: frames.StartCall) -> frames.CallOutcome:
         try:
             response = await self._http.request(
                 start.method,
--- a/bronzeslip/sidecar/daemon.py
+++ b/bronzeslip/sidecar/daemon.py
@@ -34,7 +34,9 @@
         self._table = generations.GenerationTable(
             settings, self._engine, self._admission
         )
-        self._runner = calls.CallRunner(settings, self._admission)
+        self._runner = calls.CallRunner(
+            settings, self._incarnation_id, self._admission
+        )
         self._platform = platform_client.PlatformClient(
             settings.platform_url, settings.platform_timeout_s
         )
--- a/bronzeslip/sidecar/peer_session.py
+++ b/bronzeslip/sidecar/peer_session.py
@@ -1,6 +1,7 @@
 """One gateway's connection to a sidecar."""
 
 import asyncio
+from collections.abc import Awaitable
 import contextlib
 import functools
 
@@ -117,14 +118,25 @@
         if found is not None:
             found.acknowledge(frame.next_index)
 
+    @_take.register
+    def _(self, frame: call_frames.PrepareCall) -> None:
+        self._outbox.put(self._runner.prepare(frame))
+
     @_take.register
     def _(self, frame: call_frames.StartCall) -> None:
-        task = asyncio.create_task(self._run_call(frame))
+        self._answer(self._runner.run(frame))
+
+    @_take.register
+    def _(self, frame: call_frames.QueryCall) -> None:
+        self._answer(self._runner.query(frame))
+
+    def _answer(self, work: Awaitable[codec.Frame]) -> None:
+        task = asyncio.create_task(self._put_result(work))
         self._calls.add(task)
         task.add_done_callback(self._calls.discard)
 
-    async def _run_call(self, frame: call_frames.StartCall) -> None:
-        self._outbox.put(await self._runner.run(frame))
+    async def _put_result(self, work: Awaitable[codec.Frame]) -> None:
+        self._outbox.put(await work)
 
     def _open(
         self, source: generation_run.GenerationRun, next_index: int
--- a/bronzeslip/transport/codec.py
+++ b/bronzeslip/transport/codec.py
@@ -19,10 +19,14 @@
     | generation.GenerationFinished
     | generation.GenerationRefused
     | generation.GenerationLost
+    | call.PrepareCall
+    | call.CallPrepared
     | call.StartCall
     | call.CallFinished
     | call.CallRefused
     | call.CallOutcomeUnknown
+    | call.QueryCall
+    | call.CallReport
     | link.Heartbeat
 )
 
