--- a/bronzeslip/gateway/state.py
+++ b/bronzeslip/gateway/state.py
@@ -18,6 +18,7 @@
 from bronzeslip.membership import directory
 from bronzeslip.routing import router
 from bronzeslip.settings import gateway
+from bronzeslip.spread import status_collector
 
 
 @dataclasses.dataclass
@@ -32,6 +33,7 @@
         peers: Connections to sidecars.
         routes: Choice of endpoints.
         access: Checks of credentials.
+        status: Collects what is in force everywhere.
         claims: Claims of idempotency keys.
         results: Keeps answers with their claims.
         ready: Whether new requests are taken.
@@ -44,6 +46,7 @@
     peers: peer_pool.PeerPool
     routes: router.Router
     access: access.Access
+    status: status_collector.StatusCollector
     claims: claim_store.ClaimStore
     results: result_keeper.ResultKeeper
     ready: bool = False
@@ -55,7 +58,12 @@
     ) -> generation_session.GenerationSession:
         """Creates the session of a generation."""
         return generation_session.GenerationSession(
-            self.settings, self.routes, self.peers, context, wanted
+            self.settings,
+            self.routes,
+            self.peers,
+            self.members,
+            context,
+            wanted,
         )
 
     def call(
--- a/bronzeslip/settings/sidecar.py
+++ b/bronzeslip/settings/sidecar.py
@@ -63,3 +63,32 @@
         minimum=0,
         maximum=1_000_000_000,
     )
+    engine_silence_timeout_s: float = setting(
+        "silence of an engine's stream after which it is resumed, in seconds",
+        "endpoint",
+        default=2.0,
+        minimum=0.05,
+        maximum=600,
+    )
+    engine_loss_timeout_s: float = setting(
+        "time without an answer of the engine after which its generations"
+        " are lost, in seconds",
+        "endpoint",
+        default=10.0,
+        minimum=0.05,
+        maximum=3600,
+    )
+    order_check_interval_s: float = setting(
+        "time between comparisons of the engine with its pool, in seconds",
+        "orders",
+        default=5.0,
+        minimum=0.05,
+        maximum=600,
+    )
+    order_lease_ttl_s: float = setting(
+        "time to live of the leases for orders, in seconds",
+        "orders",
+        default=10.0,
+        minimum=0.5,
+        maximum=600,
+    )
--- a/bronzeslip/sidecar/peer_session.py
+++ b/bronzeslip/sidecar/peer_session.py
@@ -2,12 +2,12 @@
 
 import asyncio
 from collections.abc import Awaitable
-import contextlib
 import functools
 
 from bronzeslip import ids
 from bronzeslip import logs
 from bronzeslip.admission import gate
+from bronzeslip.generation import errors as generation_errors
 from bronzeslip.generation import reader
 from bronzeslip.generation import run as generation_run
 from bronzeslip.settings import sidecar
@@ -16,7 +16,9 @@
 from bronzeslip.transport import codec
 from bronzeslip.transport import errors
 from bronzeslip.transport import outbox
+from bronzeslip.transport import silence
 from bronzeslip.transport import stream
+from bronzeslip.transport import workers
 from bronzeslip.transport.frames import call as call_frames
 from bronzeslip.transport.frames import generation as generation_frames
 from bronzeslip.transport.frames import link
@@ -46,28 +48,32 @@
         self._runner = runner
         self._peer = peer
         self._outbox = outbox.Outbox()
+        self._silence = silence.SilenceWatch(settings)
         self._readers: dict[ids.GenerationId, reader.GenerationReader] = {}
         self._calls: set[asyncio.Task] = set()
 
     async def run(self) -> None:
         """Serves the connection until it ends."""
-        workers = [
-            asyncio.create_task(self._read()),
-            asyncio.create_task(self._write()),
-            asyncio.create_task(self._beat()),
-        ]
         try:
-            with contextlib.suppress(errors.TransportError):
-                await asyncio.gather(*workers)
+            await workers.run_together(
+                self._read(),
+                self._write(),
+                self._beat(),
+                self._silence.run(),
+            )
+        except errors.TransportError as error:
+            logger.warning(
+                "peer.session_lost", code=error.code, reason=error.message
+            )
         finally:
-            for worker in workers:
-                worker.cancel()
             for open_reader in self._readers.values():
                 open_reader.close()
 
     async def _read(self) -> None:
         while True:
-            for frame in await self._peer.read():
+            batch = await self._peer.read()
+            self._silence.heard()
+            for frame in batch:
                 self._take(frame)
 
     async def _write(self) -> None:
@@ -91,19 +97,25 @@
 
     @_take.register
     def _(self, frame: generation_frames.StartGeneration) -> None:
-        self._open(self._table.start(frame), 0)
+        if frame.incarnation_id not in ("", self._incarnation_id):
+            self._refuse(
+                frame.generation_id, reason.RefusalReason.WRONG_INCARNATION
+            )
+            self._table.forget_at_engine(frame.generation_id)
+            return
+        try:
+            self._open(self._table.start(frame), 0)
+        except generation_errors.GenerationRefusedError as error:
+            self._refuse(frame.generation_id, error.refusal)
 
     @_take.register
     def _(self, frame: generation_frames.ResumeGeneration) -> None:
         found = self._table.find(frame.generation_id, frame.workspace_id)
         if found is None:
-            self._outbox.put(
-                generation_frames.GenerationRefused(
-                    frame.generation_id,
-                    reason.RefusalReason.UNKNOWN_GENERATION,
-                    _RETRY_AFTER_S,
-                )
+            self._refuse(
+                frame.generation_id, reason.RefusalReason.UNKNOWN_GENERATION
             )
+            self._table.forget_at_engine(frame.generation_id)
             return
         self._open(found, frame.next_index)
 
@@ -138,12 +150,25 @@
     async def _put_result(self, work: Awaitable[codec.Frame]) -> None:
         self._outbox.put(await work)
 
+    def _refuse(
+        self, generation_id: ids.GenerationId, refusal: reason.RefusalReason
+    ) -> None:
+        self._outbox.put(
+            generation_frames.GenerationRefused(
+                generation_id, refusal, _RETRY_AFTER_S
+            )
+        )
+
     def _open(
         self, source: generation_run.GenerationRun, next_index: int
     ) -> None:
-        self._close(source.start.generation_id)
-        self._readers[source.start.generation_id] = reader.GenerationReader(
-            source, self._outbox, next_index
+        generation_id = source.start.generation_id
+        self._close(generation_id)
+        self._readers[generation_id] = reader.GenerationReader(
+            source,
+            self._outbox,
+            next_index,
+            lambda: self._readers.pop(generation_id, None),
         )
 
     def _close(self, generation_id: ids.GenerationId) -> None:
