--- /dev/null
+++ b/bronzeslip/claims/sweeper.py
@@ -0,0 +1,101 @@
+"""Deletes claims that are past their retention."""
+
+import asyncio
+from collections.abc import Callable
+import random
+import time
+
+from bronzeslip import logs
+from bronzeslip.claims import claim as claims
+from bronzeslip.claims import errors
+from bronzeslip.claims import store
+from bronzeslip.membership import directory
+from bronzeslip.membership import rendezvous
+from bronzeslip.platform import client
+from bronzeslip.platform import errors as platform_errors
+from bronzeslip.settings import gateway
+
+logger = logs.get_logger(__name__)
+
+_PAUSE_S = 0.05
+
+
+class ClaimSweeper:
+    """Sweeps the shards of claims that fall to this gateway.
+
+    Two gateways that sweep the same shard only waste calls: each deletion
+    names the version that was read.
+    """
+
+    def __init__(
+        self,
+        settings: gateway.GatewaySettings,
+        platform: client.PlatformClient,
+        members: directory.MemberDirectory,
+        wall_clock: Callable[[], float] = time.time,
+    ) -> None:
+        """Creates a sweeper.
+
+        Args:
+            settings: Retention, interval and VM id.
+            platform: Client of the platform.
+            members: Known gateways, which share out the shards.
+            wall_clock: Clock that claims are dated by, in seconds.
+        """
+        self._settings = settings
+        self._platform = platform
+        self._store = store.ClaimStore(platform)
+        self._members = members
+        self._wall_clock = wall_clock
+
+    async def run(self) -> None:
+        """Sweeps at every interval until cancelled."""
+        while True:
+            interval_s = self._settings.claim_sweep_interval_s
+            await asyncio.sleep(interval_s * random.uniform(0.5, 1.0))
+            await self.sweep()
+
+    async def sweep(self) -> int:
+        """Sweeps the shards of this gateway once.
+
+        Returns:
+            How many claims were deleted.
+        """
+        deleted = 0
+        for shard in range(claims.SHARD_COUNT):
+            if not self._is_own(shard):
+                continue
+            try:
+                deleted += await self._sweep_shard(shard)
+            except platform_errors.PlatformError as error:
+                logger.warning(
+                    "claims.sweep_failed", shard=shard, reason=error.message
+                )
+                break
+            await asyncio.sleep(_PAUSE_S)
+        return deleted
+
+    def _is_own(self, shard: int) -> bool:
+        names = {known.vm_id for known in self._members.gateways()}
+        names.add(self._settings.vm_id)
+        ranked = rendezvous.ranked(sorted(names), str, str(shard))
+        return ranked[0] == self._settings.vm_id
+
+    async def _sweep_shard(self, shard: int) -> int:
+        listed = await self._platform.list_objects(claims.shard_prefix(shard))
+        deleted = 0
+        for found in listed.objects:
+            try:
+                held = store.decode(found)
+                if self._is_old(held.claim):
+                    await self._store.release(held)
+                    deleted += 1
+            except errors.ClaimError as error:
+                logger.warning(
+                    "claims.not_swept", key=found.key, reason=error.message
+                )
+        return deleted
+
+    def _is_old(self, claim: claims.Claim) -> bool:
+        age_s = self._wall_clock() - claim.claimed_unix_s
+        return age_s > self._settings.claim_retention_s
--- a/bronzeslip/gateway/daemon.py
+++ b/bronzeslip/gateway/daemon.py
@@ -8,6 +8,7 @@
 from bronzeslip import logs
 from bronzeslip.claims import result_keeper
 from bronzeslip.claims import store as claim_store
+from bronzeslip.claims import sweeper
 from bronzeslip.configuration import store
 from bronzeslip.gateway import access
 from bronzeslip.gateway import app
@@ -57,6 +58,9 @@
             ),
         )
         self._parts = self._create_parts()
+        self._sweeper = sweeper.ClaimSweeper(
+            settings, self._platform, self._spread.members
+        )
         self._http = http_server.HttpServer(
             app.create(self._parts),
             settings.listen_address,
@@ -71,6 +75,7 @@
         self._tasks.start("spread", self._spread.run())
         self._tasks.start("registration", self._registrar.register())
         self._tasks.start("readiness", self._become_ready())
+        self._tasks.start("claim-sweep", self._sweeper.run())
         logger.info(
             "gateway.listening",
             http_port=self._http.port,
