Bound retries by a budget for each service

Cause: every request was tried at up to three endpoints at once, so that an outage of a pool tripled its work, with no wait and no regard to others.

Ruled out: a fixed number of retries, which multiplies work when all fail; one budget for all services, as one broken pool would starve the others.

Change: a request adds retry_budget_ratio to its service's budget and a retry takes one; retries wait for a jittered, growing time within the deadline, and a request that is given up gets its answer at once with the refusal's Retry-After. Sessions of generations, calls and claimed calls share the plan.

Tests: the sessions' tests give the new argument; no check was changed.

--- a/bronzeslip/gateway/call_session.py
+++ b/bronzeslip/gateway/call_session.py
@@ -4,6 +4,7 @@
 from bronzeslip.gateway import call_answer
 from bronzeslip.gateway import call_dispatcher
 from bronzeslip.gateway import errors
+from bronzeslip.routing import retry_plan
 from bronzeslip.transport.frames import call as frames
 
 _RETRY_AFTER_S = 1.0
@@ -12,8 +13,15 @@
 class CallSession:
     """Dispatches a call until an endpoint has answered it."""
 
-    def __init__(self, dispatcher: call_dispatcher.CallDispatcher) -> None:
+    def __init__(
+        self,
+        dispatcher: call_dispatcher.CallDispatcher,
+        retries: retry_plan.RetryPlan,
+    ) -> None:
         self._dispatcher = dispatcher
+        self._retries = retries
+        self._may_have_run = False
+        self._retry_after_s = _RETRY_AFTER_S
 
     async def run(self) -> call_answer.CallAnswer:
         """Runs the call on an endpoint.
@@ -22,18 +30,27 @@
             errors.NotRunError: If no endpoint took it.
             errors.OutcomeUnknownError: If it may have been run.
         """
-        refused_only = True
         for option in self._dispatcher.candidates():
+            if not await self._retries.admit():
+                break
             call_id = ids.CallId(ids.random_id())
             outcome = await self._dispatcher.start(option.endpoint, call_id)
             if isinstance(outcome, frames.CallFinished):
                 return call_answer.from_finished(outcome)
-            if not isinstance(outcome, frames.CallRefused):
-                refused_only = False
-        if refused_only:
-            raise errors.NotRunError(
-                "no endpoint took the call", retry_after_s=_RETRY_AFTER_S
+            self._note(outcome)
+        raise self._failure()
+
+    def _note(self, outcome: frames.CallOutcome | None) -> None:
+        if isinstance(outcome, frames.CallRefused):
+            self._retry_after_s = outcome.retry_after_s or _RETRY_AFTER_S
+        else:
+            self._may_have_run = True
+
+    def _failure(self) -> errors.GatewayError:
+        if self._may_have_run:
+            return errors.OutcomeUnknownError(
+                "the call may have been run", retry_after_s=self._retry_after_s
             )
-        raise errors.OutcomeUnknownError(
-            "the call may have been run", retry_after_s=_RETRY_AFTER_S
+        return errors.NotRunError(
+            "no endpoint took the call", retry_after_s=self._retry_after_s
         )
--- a/bronzeslip/gateway/claimed_call_session.py
+++ b/bronzeslip/gateway/claimed_call_session.py
@@ -12,6 +12,7 @@
 from bronzeslip.gateway import claim_resolver
 from bronzeslip.gateway import errors
 from bronzeslip.membership import member
+from bronzeslip.routing import retry_plan
 from bronzeslip.transport.frames import call as frames
 
 _RETRY_AFTER_S = 1.0
@@ -31,6 +32,7 @@
         store: claim_store.ClaimStore,
         keeper: result_keeper.ResultKeeper,
         dispatcher: call_dispatcher.CallDispatcher,
+        retries: retry_plan.RetryPlan,
         key: ids.ObjectKey,
         request_sha256: str,
     ) -> None:
@@ -40,15 +42,18 @@
             store: Claims at the platform.
             keeper: Keeps answers with their claims.
             dispatcher: Talks to sidecars.
+            retries: Admits attempts at further endpoints.
             key: Platform key of the claim.
             request_sha256: Digest of what the caller asks for.
         """
         self._store = store
         self._keeper = keeper
         self._dispatcher = dispatcher
+        self._retries = retries
         self._resolver = claim_resolver.ClaimResolver(dispatcher, keeper)
         self._key = key
         self._request_sha256 = request_sha256
+        self._retry_after_s = _RETRY_AFTER_S
 
     async def run(self) -> call_answer.CallAnswer:
         """Runs the call, or tells what an earlier attempt has come to.
@@ -59,6 +64,8 @@
         """
         held: claims.HeldClaim | None = None
         for endpoint in self._endpoints():
+            if not await self._retries.admit():
+                break
             wanted = await self._prepare(endpoint)
             if wanted is None:
                 continue
@@ -72,6 +79,7 @@
                 return call_answer.from_finished(outcome)
             if not isinstance(outcome, frames.CallRefused):
                 raise claim_resolver.unknown()
+            self._retry_after_s = outcome.retry_after_s or _RETRY_AFTER_S
         return await self._give_up(held)
 
     def _endpoints(self) -> list[member.Member]:
@@ -152,7 +160,7 @@
         if answer is not None:
             return answer
         raise errors.NotRunError(
-            "no endpoint took the call", retry_after_s=_RETRY_AFTER_S
+            "no endpoint took the call", retry_after_s=self._retry_after_s
         )
 
     async def _resolve_current(self) -> call_answer.CallAnswer | None:
--- a/bronzeslip/gateway/daemon.py
+++ b/bronzeslip/gateway/daemon.py
@@ -20,6 +20,7 @@
 from bronzeslip.membership import registrar
 from bronzeslip.platform import client as platform_client
 from bronzeslip.routing import least_outstanding
+from bronzeslip.routing import retry_budgets
 from bronzeslip.routing import router
 from bronzeslip.settings import gateway
 from bronzeslip.spread import service
@@ -133,4 +134,5 @@
             ),
             claims=claims,
             results=result_keeper.ResultKeeper(settings, claims),
+            retries=retry_budgets.RetryBudgets(settings, random.Random()),
         )
--- a/bronzeslip/gateway/generation_session.py
+++ b/bronzeslip/gateway/generation_session.py
@@ -18,6 +18,7 @@
 from bronzeslip.routing import candidate
 from bronzeslip.routing import errors as routing_errors
 from bronzeslip.routing import policy
+from bronzeslip.routing import retry_plan
 from bronzeslip.routing import router
 from bronzeslip.settings import gateway
 from bronzeslip.transport.frames import generation as frames
@@ -61,6 +62,7 @@
         members: directory.MemberDirectory,
         context: request_context.RequestContext,
         wanted: GenerationInput,
+        retries: retry_plan.RetryPlan,
     ) -> None:
         self.finished: frames.GenerationFinished | None = None
         self._settings = settings
@@ -69,9 +71,9 @@
         self._members = members
         self._context = context
         self._wanted = wanted
+        self._retries = retries
         self._remote: remote_generation.RemoteGeneration | None = None
         self._tried: set[ids.EndpointId] = set()
-        self._attempts_left = settings.dispatch_attempts
         self._retry_after_s = _RETRY_AFTER_S
         self._has_run = False
         self._is_unresolved = False
@@ -95,7 +97,8 @@
             errors.IncompleteError: If one ran it and lost it.
         """
         for option in self._candidates():
-            self._attempts_left -= 1
+            if not await self._retries.admit():
+                break
             if await self._try(option.endpoint):
                 self._has_run = True
                 return
@@ -157,7 +160,7 @@
             for option in options
             if option.endpoint.endpoint_id not in self._tried
         ]
-        return (fresh or options)[: self._attempts_left]
+        return fresh or options
 
     async def _try(self, endpoint: member.Member) -> bool:
         self._enter(endpoint)
--- a/bronzeslip/gateway/state.py
+++ b/bronzeslip/gateway/state.py
@@ -16,6 +16,8 @@
 from bronzeslip.gateway import peer_pool
 from bronzeslip.gateway import request_context
 from bronzeslip.membership import directory
+from bronzeslip.routing import retry_budgets
+from bronzeslip.routing import retry_plan
 from bronzeslip.routing import router
 from bronzeslip.settings import gateway
 from bronzeslip.spread import status_collector
@@ -36,6 +38,7 @@
         status: Collects what is in force everywhere.
         claims: Claims of idempotency keys.
         results: Keeps answers with their claims.
+        retries: Budgets of retries.
         ready: Whether new requests are taken.
     """
 
@@ -49,6 +52,7 @@
     status: status_collector.StatusCollector
     claims: claim_store.ClaimStore
     results: result_keeper.ResultKeeper
+    retries: retry_budgets.RetryBudgets
     ready: bool = False
 
     def generation(
@@ -64,6 +68,7 @@
             self.members,
             context,
             wanted,
+            self._retry_plan(context),
         )
 
     def call(
@@ -72,7 +77,9 @@
         wanted: call_input.CallInput,
     ) -> call_session.CallSession:
         """Creates the session of a call that may be repeated."""
-        return call_session.CallSession(self._dispatcher(context, wanted))
+        return call_session.CallSession(
+            self._dispatcher(context, wanted), self._retry_plan(context)
+        )
 
     def claimed_call(
         self,
@@ -85,12 +92,20 @@
             self.claims,
             self.results,
             self._dispatcher(context, wanted),
+            self._retry_plan(context),
             claim.key_of(
                 context.workspace_id, context.service_name, idempotency_key
             ),
             claim.request_digest(wanted.method, wanted.path, wanted.body),
         )
 
+    def _retry_plan(
+        self, context: request_context.RequestContext
+    ) -> retry_plan.RetryPlan:
+        return self.retries.plan(
+            context.service_name, context.service, context.deadline_s
+        )
+
     def _dispatcher(
         self,
         context: request_context.RequestContext,
--- /dev/null
+++ b/bronzeslip/routing/retry_budgets.py
@@ -0,0 +1,35 @@
+"""Budgets of retries by service."""
+
+import random
+
+from bronzeslip import ids
+from bronzeslip.configuration import service
+from bronzeslip.routing import retry_budget
+from bronzeslip.routing import retry_plan
+from bronzeslip.settings import gateway
+
+
+class RetryBudgets:
+    """Keeps one budget for each service at this gateway."""
+
+    def __init__(
+        self, settings: gateway.GatewaySettings, rng: random.Random
+    ) -> None:
+        self._settings = settings
+        self._rng = rng
+        self._budgets: dict[ids.ServiceName, retry_budget.RetryBudget] = {}
+
+    def plan(
+        self,
+        service_name: ids.ServiceName,
+        declared: service.Service,
+        deadline_s: float,
+    ) -> retry_plan.RetryPlan:
+        """Counts a request and plans its retries."""
+        budget = self._budgets.setdefault(
+            service_name, retry_budget.RetryBudget()
+        )
+        budget.add_request(declared.retry_budget_ratio)
+        return retry_plan.RetryPlan(
+            budget, self._settings.dispatch_attempts, deadline_s, self._rng
+        )
--- /dev/null
+++ b/bronzeslip/routing/retry_plan.py
@@ -0,0 +1,66 @@
+"""Retries of one request."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import random
+import time
+
+from bronzeslip.routing import retry_budget
+
+_FIRST_DELAY_S = 0.02
+_MAX_DELAY_S = 0.5
+
+Sleep = Callable[[float], Awaitable[None]]
+
+
+class RetryPlan:
+    """Decides whether a request is tried again, and waits before it is."""
+
+    def __init__(
+        self,
+        budget: retry_budget.RetryBudget,
+        attempts: int,
+        deadline_s: float,
+        rng: random.Random,
+        sleep: Sleep = asyncio.sleep,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Creates the plan of one request.
+
+        Args:
+            budget: Budget of the request's service.
+            attempts: Most attempts, the first one included.
+            deadline_s: Deadline of the request on the clock, in seconds.
+            rng: Source of the jitter.
+            sleep: Waits for a time in seconds.
+            clock: Monotonic clock, in seconds.
+        """
+        self._budget = budget
+        self._attempts_left = attempts
+        self._deadline_s = deadline_s
+        self._rng = rng
+        self._sleep = sleep
+        self._clock = clock
+        self._longest_s = 0.0
+
+    async def admit(self) -> bool:
+        """Admits an attempt; a retry is admitted after a jittered wait.
+
+        Returns:
+            Whether the attempt may be made. If not, the request is given up.
+        """
+        if self._attempts_left <= 0:
+            return False
+        self._attempts_left -= 1
+        if not self._longest_s:
+            self._longest_s = _FIRST_DELAY_S
+            return True
+        delay_s = self._longest_s * self._rng.random()
+        if self._clock() + delay_s >= self._deadline_s:
+            return False
+        if not self._budget.take():
+            return False
+        self._longest_s = min(2 * self._longest_s, _MAX_DELAY_S)
+        await self._sleep(delay_s)
+        return self._clock() < self._deadline_s
--- a/tests/claims/test_protocol.py
+++ b/tests/claims/test_protocol.py
@@ -168,10 +168,14 @@
     def request(self):
         dispatcher = FakeDispatcher(self)
         store = claim_store.ClaimStore(self._platform)
+        retries = types.SimpleNamespace(admit=_always)
         session = claimed_call_session.ClaimedCallSession(
-            store, FakeKeeper(self, store), dispatcher, _KEY, "digest"
+            store, FakeKeeper(self, store), dispatcher, retries, _KEY, "digest"
         )
         task = asyncio.create_task(session.run())
+        task.add_done_callback(
+            lambda done: done.cancelled() or done.exception()
+        )
         self.requests.append((dispatcher, task))
 
     def act(self, action):
@@ -189,6 +193,10 @@
     raise platform_errors.PlatformUnavailableError("")
 
 
+async def _always():
+    return True
+
+
 def _none():
     return None
 
--- a/tests/gateway/test_generation_session.py
+++ b/tests/gateway/test_generation_session.py
@@ -15,6 +15,8 @@
 from bronzeslip.gateway import request_context
 from bronzeslip.membership import directory
 from bronzeslip.routing import least_outstanding
+from bronzeslip.routing import retry_budget
+from bronzeslip.routing import retry_plan
 from bronzeslip.routing import router
 from bronzeslip.transport.frames import generation as frames
 from bronzeslip.transport.frames import reason
@@ -61,6 +63,12 @@
             self.members,
             context,
             generation_session.GenerationInput("m", "p", 9),
+            retry_plan.RetryPlan(
+                retry_budget.RetryBudget(),
+                settings.dispatch_attempts,
+                context.deadline_s,
+                random.Random(1),
+            ),
         )
 
     async def first_asked(self):
