--- a/bronzeslip/gateway/daemon.py
+++ b/bronzeslip/gateway/daemon.py
@@ -5,6 +5,7 @@
 from bronzeslip import background
 from bronzeslip import ids
 from bronzeslip import logs
+from bronzeslip.claims import sweeper
 from bronzeslip.gateway import app
 from bronzeslip.gateway import parts
 from bronzeslip.http import server as http_server
@@ -57,6 +58,9 @@
         self._parts = parts.create(
             settings, self._platform, self._spread, metrics
         )
+        self._sweeper = sweeper.ClaimSweeper(
+            settings, self._platform, self._spread.members
+        )
         self._http = http_server.HttpServer(app.create(self._parts), settings)
 
     async def run(self) -> None:
@@ -67,6 +71,7 @@
         self._tasks.start("spread", self._spread.run())
         self._tasks.start("registration", self._registrar.register())
         self._tasks.start("readiness", self._become_ready())
+        self._tasks.start("claim-sweep", self._sweeper.run())
         logger.info(
             "gateway.listening",
             http_port=self._http.port,
@@ -92,6 +97,7 @@
     async def _stop_http(self) -> None:
         await asyncio.sleep(self._settings.drain_notice_s)
         await self._http.stop()
+        await self._parts.results.drain()
 
     async def _close(self) -> None:
         await self._registrar.withdraw()
--- a/bronzeslip/gateway/parts.py
+++ b/bronzeslip/gateway/parts.py
@@ -2,6 +2,8 @@
 
 import random
 
+from bronzeslip.claims import result_keeper
+from bronzeslip.claims import store as claim_store
 from bronzeslip.configuration import store
 from bronzeslip.gateway import access
 from bronzeslip.gateway import peer_pool
@@ -10,6 +12,7 @@
 from bronzeslip.metrics import gateway_metrics
 from bronzeslip.platform import client
 from bronzeslip.routing import least_outstanding
+from bronzeslip.routing import retry_budgets
 from bronzeslip.routing import router
 from bronzeslip.settings import gateway
 from bronzeslip.spread import service
@@ -30,6 +33,7 @@
         peers,
         least_outstanding.LeastOutstandingPolicy(random.Random()),
     )
+    claims = claim_store.ClaimStore(platform)
     return state.GatewayState(
         settings=settings,
         configuration=spread.configuration,
@@ -43,4 +47,7 @@
             settings, spread.board, spread.members, spread.configuration
         ),
         metrics=metrics,
+        claims=claims,
+        results=result_keeper.ResultKeeper(settings, claims),
+        retries=retry_budgets.RetryBudgets(settings, random.Random()),
     )
