--- a/bronzeslip/gateway/daemon.py
+++ b/bronzeslip/gateway/daemon.py
@@ -5,6 +5,7 @@
 from bronzeslip import background
 from bronzeslip import ids
 from bronzeslip import logs
+from bronzeslip.claims import sweeper
 from bronzeslip.gateway import app
 from bronzeslip.gateway import parts
 from bronzeslip.http import server as http_server
@@ -55,12 +56,15 @@
                 self._peers.port,
             ),
         )
-        self._sweeper = vm_sweeper.VmSweeper(
-            settings, self._platform, self._spread.members
-        )
         self._parts = parts.create(
             settings, self._platform, self._spread, metrics
         )
+        self._vm_sweeper = vm_sweeper.VmSweeper(
+            settings, self._platform, self._spread.members
+        )
+        self._claim_sweeper = sweeper.ClaimSweeper(
+            settings, self._platform, self._spread.members
+        )
         self._http = http_server.HttpServer(app.create(self._parts), settings)
 
     async def run(self) -> None:
@@ -70,8 +74,9 @@
         self._http.start()
         self._tasks.start("spread", self._spread.run())
         self._tasks.start("registration", self._registrar.keep())
-        self._tasks.start("vm sweeper", self._sweeper.run())
+        self._tasks.start("vm sweeper", self._vm_sweeper.run())
         self._tasks.start("readiness", self._become_ready())
+        self._tasks.start("claim sweeper", self._claim_sweeper.run())
         logger.info(
             "gateway.listening",
             http_port=self._http.port,
@@ -97,6 +102,7 @@
     async def _stop_http(self) -> None:
         await asyncio.sleep(self._settings.drain_notice_s)
         await self._http.stop()
+        await self._parts.results.drain()
 
     async def _close(self) -> None:
         await self._registrar.withdraw()
--- a/bronzeslip/gateway/generation_session.py
+++ b/bronzeslip/gateway/generation_session.py
@@ -19,6 +19,7 @@
 from bronzeslip.routing import candidate
 from bronzeslip.routing import errors as routing_errors
 from bronzeslip.routing import policy
+from bronzeslip.routing import retry_plan
 from bronzeslip.routing import router
 from bronzeslip.settings import gateway
 from bronzeslip.transport.frames import generation as frames
@@ -63,6 +64,7 @@
         resume_tokens: resume_token.ResumeTokenSigner,
         context: request_context.RequestContext,
         wanted: GenerationInput,
+        retries: retry_plan.RetryPlan,
     ) -> None:
         self.finished: frames.GenerationFinished | None = None
         self.record = context.record
@@ -73,9 +75,9 @@
         self._resume_tokens = resume_tokens
         self._context = context
         self._wanted = wanted
+        self._retries = retries
         self._remote: remote_generation.RemoteGeneration | None = None
         self._tried: set[ids.EndpointId] = set()
-        self._attempts_left = settings.dispatch_attempts
         self._retry_after_s = _RETRY_AFTER_S
         self._has_run = False
         self._delivered = False
@@ -100,7 +102,8 @@
             errors.IncompleteError: If one ran it and lost it.
         """
         for option in self._candidates():
-            self._attempts_left -= 1
+            if not await self._retries.admit():
+                break
             if await self._try(option.endpoint):
                 self._has_run = True
                 return
@@ -199,7 +202,7 @@
             for option in options
             if option.endpoint.endpoint_id not in self._tried
         ]
-        return (fresh or options)[: self._attempts_left]
+        return fresh or options
 
     async def _try(self, endpoint: member.Member) -> bool:
         self._enter(endpoint)
--- a/bronzeslip/gateway/resume_token.py
+++ b/bronzeslip/gateway/resume_token.py
@@ -40,12 +40,15 @@
     """Signs tokens for a workspace with the key of the system."""
 
     def __init__(self, settings: gateway.GatewaySettings) -> None:
-        self._key = hmac.digest(settings.peer_key.encode(), _PURPOSE, _DIGEST)
+        self._keys = [
+            hmac.digest(peer_key.encode(), _PURPOSE, _DIGEST)
+            for peer_key in (settings.peer_key, *settings.accepted_peer_keys)
+        ]
 
     def sign(self, workspace_id: ids.WorkspaceId, token: ResumeToken) -> str:
         """Renders a token that only this workspace can use."""
         data = _encoder.encode(token)
-        mac = self._mac(workspace_id, data)
+        mac = _mac(self._keys[0], workspace_id, data)
         return base64.urlsafe_b64encode(mac + data).decode()
 
     def verify(self, workspace_id: ids.WorkspaceId, text: str) -> ResumeToken:
@@ -57,14 +60,24 @@
         try:
             signed = base64.urlsafe_b64decode(text.encode())
             mac, data = signed[:_MAC_BYTES], signed[_MAC_BYTES:]
-            if hmac.compare_digest(mac, self._mac(workspace_id, data)):
+            if self._matches(workspace_id, mac, data):
                 return _decoder.decode(data)
         except (binascii.Error, ValueError, msgspec.MsgspecError) as error:
             raise errors.BadResumeTokenError("it is malformed") from error
         raise errors.BadResumeTokenError("it is not known to this workspace")
 
-    def _mac(self, workspace_id: ids.WorkspaceId, data: bytes) -> bytes:
-        # The length keeps the workspace apart from the data behind it.
-        name = workspace_id.encode()
-        signed = len(name).to_bytes(4, "big") + name + data
-        return hmac.digest(self._key, signed, _DIGEST)[:_MAC_BYTES]
+    def _matches(
+        self, workspace_id: ids.WorkspaceId, mac: bytes, data: bytes
+    ) -> bool:
+        matches = [
+            hmac.compare_digest(mac, _mac(key, workspace_id, data))
+            for key in self._keys
+        ]
+        return any(matches)
+
+
+def _mac(key: bytes, workspace_id: ids.WorkspaceId, data: bytes) -> bytes:
+    # The length keeps the workspace apart from the data behind it.
+    name = workspace_id.encode()
+    signed = len(name).to_bytes(4, "big") + name + data
+    return hmac.digest(key, signed, _DIGEST)[:_MAC_BYTES]
--- a/bronzeslip/http/server.py
+++ b/bronzeslip/http/server.py
@@ -32,8 +32,10 @@
             app: ASGI application.
             settings: Address, limits and certificate.
         """
-        self._stall_timeout_s = settings.caller_stall_timeout_s
         self._address = (settings.listen_address, settings.http_port)
+        self._stall_timeout_ms = round(
+            settings.caller_stall_timeout_s * _MS_PER_S
+        )
         self._socket: socket.socket | None = None
         config = uvicorn.Config(
             app,
@@ -64,9 +66,7 @@
         self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         # Covers closed windows as well as lost acknowledgements.
         self._socket.setsockopt(
-            socket.IPPROTO_TCP,
-            socket.TCP_USER_TIMEOUT,
-            round(self._stall_timeout_s * _MS_PER_S),
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, self._stall_timeout_ms
         )
         self._task = asyncio.create_task(
             self._server.serve(sockets=[self._socket])
--- a/bronzeslip/sidecar/daemon.py
+++ b/bronzeslip/sidecar/daemon.py
@@ -47,7 +47,9 @@
         self._table = generations.GenerationTable(
             settings, self._engine, self._admission, metrics
         )
-        self._runner = calls.CallRunner(settings, self._admission, metrics)
+        self._runner = calls.CallRunner(
+            settings, self._incarnation_id, self._admission, metrics
+        )
         self._platform = platform_client.PlatformClient(
             settings.platform_url,
             settings.platform_timeout_s,
--- a/tests/gateway/test_resume_token.py
+++ b/tests/gateway/test_resume_token.py
@@ -7,6 +7,7 @@
 from bronzeslip.gateway import errors
 from bronzeslip.gateway import resume_token
 from tests.gateway import fake_sidecar
+from tests.support import gateway_app
 
 _TOKEN = resume_token.ResumeToken(
     ids.EndpointId("e"), ids.GenerationId("g"), ids.RequestId("r"), 41
@@ -27,6 +28,18 @@
         other = resume_token.ResumeTokenSigner(fake_sidecar.settings())
         self.assertEqual(other.verify(_OWNER, self.text), _TOKEN)
 
+    def test_outlives_a_rotation_of_the_key(self):
+        old = gateway_app.create_settings(peer_key="old")
+        text = resume_token.ResumeTokenSigner(old).sign(_OWNER, _TOKEN)
+        new = gateway_app.create_settings(
+            peer_key="new", accepted_peer_keys=("old",)
+        )
+        signer = resume_token.ResumeTokenSigner(new)
+        self.assertEqual(signer.verify(_OWNER, text), _TOKEN)
+        last = gateway_app.create_settings(peer_key="new")
+        with self.assertRaises(errors.BadResumeTokenError):
+            resume_token.ResumeTokenSigner(last).verify(_OWNER, text)
+
     def test_belongs_to_its_workspace(self):
         self.assert_refused(self.text, ids.WorkspaceId("other"))
 
