Wake a generation's reader by a future

Cause: an event's wait costs more than a future, and the union of call frames was built for each frame.

--- a/bronzeslip/gateway/inbox.py
+++ b/bronzeslip/gateway/inbox.py
@@ -14,12 +14,12 @@
     def __init__(self) -> None:
         self._frames: collections.deque[codec.Frame] = collections.deque()
         self._error: base_errors.BronzeslipError | None = None
-        self._wake = asyncio.Event()
+        self._waiter: asyncio.Future[None] | None = None
 
     def put(self, frame: codec.Frame) -> None:
         """Adds a frame."""
         self._frames.append(frame)
-        self._wake.set()
+        self._wake()
 
     def close(self, error: base_errors.BronzeslipError | None = None) -> None:
         """Tells the reader that no more frames will come.
@@ -31,7 +31,7 @@
             self._error = error or errors.ConnectionLostError(
                 "the connection is gone"
             )
-        self._wake.set()
+        self._wake()
 
     async def get(self) -> codec.Frame:
         """Waits for the next frame.
@@ -42,6 +42,10 @@
         while not self._frames:
             if self._error is not None:
                 raise self._error
-            self._wake.clear()
-            await self._wake.wait()
+            self._waiter = asyncio.get_running_loop().create_future()
+            await self._waiter
         return self._frames.popleft()
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
--- a/bronzeslip/gateway/peer.py
+++ b/bronzeslip/gateway/peer.py
@@ -8,6 +8,12 @@
 from bronzeslip.transport.frames import call as call_frames
 from bronzeslip.transport.frames import generation as generation_frames
 
+_CALL_FRAMES = (
+    call_frames.CallFinished,
+    call_frames.CallRefused,
+    call_frames.CallOutcomeUnknown,
+)
+
 logger = logs.get_logger(__name__)
 
 
@@ -59,11 +65,6 @@
 
 
 def _run_id_of(frame: codec.Frame) -> str:
-    if isinstance(
-        frame,
-        call_frames.CallFinished
-        | call_frames.CallRefused
-        | call_frames.CallOutcomeUnknown,
-    ):
+    if isinstance(frame, _CALL_FRAMES):
         return frame.call_id
     return getattr(frame, "generation_id", "")
