--- a/bronzeslip/gateway/answer.py
+++ b/bronzeslip/gateway/answer.py
@@ -5,7 +5,6 @@
 import msgspec
 
 from bronzeslip import errors
-from bronzeslip import logs
 from bronzeslip.gateway import answer_format
 from bronzeslip.gateway import chunk_renderer
 from bronzeslip.gateway import generation_session
@@ -13,8 +12,6 @@
 from bronzeslip.gateway import problem
 from bronzeslip.gateway import resume_token
 
-logger = logs.get_logger(__name__)
-
 _DONE = b"data: [DONE]\n\n"
 _encoder = msgspec.json.Encoder()
 
@@ -25,7 +22,8 @@
 ) -> messages.Completion:
     """Collects a generation into one answer."""
     try:
-        texts = await session.collect()
+        with session.record.answering():
+            texts = await session.collect()
     finally:
         session.close()
     finished = session.finished
@@ -46,25 +44,21 @@
     renderer = chunk_renderer.ChunkRenderer(form)
     tokens: resume_token.ResumeTokenSeries | None = None
     try:
-        async for batch in session.batches():
-            tokens = tokens or session.resume_tokens()
-            next_index = batch.first_index + len(batch.texts)
-            yield renderer.render(
-                "".join(batch.texts),
-                tokens.at(next_index),
-                batch.first_index == 0,
-            )
-        finish_reason = session.finished.finish_reason.value
-        yield chunk_renderer.event(form.last_chunk(finish_reason))
-        if include_usage:
-            yield chunk_renderer.event(form.usage_chunk(_usage(session)))
-        yield _DONE
+        with session.record.answering():
+            async for batch in session.batches():
+                tokens = tokens or session.resume_tokens()
+                next_index = batch.first_index + len(batch.texts)
+                yield renderer.render(
+                    "".join(batch.texts),
+                    tokens.at(next_index),
+                    batch.first_index == 0,
+                )
+            finish_reason = session.finished.finish_reason.value
+            yield chunk_renderer.event(form.last_chunk(finish_reason))
+            if include_usage:
+                yield chunk_renderer.event(form.usage_chunk(_usage(session)))
+            yield _DONE
     except errors.BronzeslipError as error:
-        logger.warning(
-            "generation.incomplete",
-            request_id=session.request_id,
-            reason=error.message,
-        )
         yield _error_event(error)
     finally:
         session.close()
@@ -72,10 +66,7 @@
 
 def _error_event(error: errors.BronzeslipError) -> bytes:
     described = problem.from_error(error)
-    body = {
-        "error": {"message": error.message, **msgspec.to_builtins(described)}
-    }
-    return b"event: error\ndata: " + _encoder.encode(body) + b"\n\n"
+    return b"event: error\ndata: " + _encoder.encode(described) + b"\n\n"
 
 
 def _usage(session: generation_session.GenerationSession) -> messages.Usage:
--- /dev/null
+++ b/bronzeslip/gateway/parts.py
@@ -0,0 +1,46 @@
+"""Assembly of what the HTTP handlers of a gateway share."""
+
+import random
+
+from bronzeslip.configuration import store
+from bronzeslip.gateway import access
+from bronzeslip.gateway import peer_pool
+from bronzeslip.gateway import resume_token
+from bronzeslip.gateway import state
+from bronzeslip.metrics import gateway_metrics
+from bronzeslip.platform import client
+from bronzeslip.routing import least_outstanding
+from bronzeslip.routing import router
+from bronzeslip.settings import gateway
+from bronzeslip.spread import service
+from bronzeslip.spread import status_collector
+
+
+def create(
+    settings: gateway.GatewaySettings,
+    platform: client.PlatformClient,
+    spread: service.SpreadService,
+    metrics: gateway_metrics.GatewayMetrics,
+) -> state.GatewayState:
+    """Creates the parts of a gateway."""
+    metrics.follow_configuration(spread.configuration)
+    peers = peer_pool.PeerPool(settings)
+    routes = router.Router(
+        spread.members,
+        peers,
+        least_outstanding.LeastOutstandingPolicy(random.Random()),
+    )
+    return state.GatewayState(
+        settings=settings,
+        configuration=spread.configuration,
+        store=store.ConfigurationStore(platform),
+        members=spread.members,
+        peers=peers,
+        routes=routes,
+        resume_tokens=resume_token.ResumeTokenSigner(settings),
+        access=access.Access(settings, spread.configuration, metrics),
+        status=status_collector.StatusCollector(
+            settings, spread.board, spread.members, spread.configuration
+        ),
+        metrics=metrics,
+    )
--- a/bronzeslip/gateway/state.py
+++ b/bronzeslip/gateway/state.py
@@ -11,6 +11,7 @@
 from bronzeslip.gateway import request_context
 from bronzeslip.gateway import resume_token
 from bronzeslip.membership import directory
+from bronzeslip.metrics import gateway_metrics
 from bronzeslip.routing import router
 from bronzeslip.settings import gateway
 from bronzeslip.spread import status_collector
@@ -30,6 +31,7 @@
         access: Checks of credentials.
         resume_tokens: Signer of resume tokens.
         status: Collects what is in force everywhere.
+        metrics: Metrics of the process.
         ready: Whether new requests are taken.
     """
 
@@ -42,6 +44,7 @@
     access: access.Access
     resume_tokens: resume_token.ResumeTokenSigner
     status: status_collector.StatusCollector
+    metrics: gateway_metrics.GatewayMetrics
     ready: bool = False
 
     def generation(
