--- a/bronzeslip/membership/directory.py
+++ b/bronzeslip/membership/directory.py
@@ -3,21 +3,24 @@
 import msgspec
 
 from bronzeslip import ids
-from bronzeslip import logs
 from bronzeslip.membership import member
 from bronzeslip.platform import objects
 
-logger = logs.get_logger(__name__)
-
 
 class MemberDirectory:
     """Members by key, kept up to date by a follower of their prefix."""
 
     def __init__(self) -> None:
         self._members: dict[ids.ObjectKey, member.Member] = {}
+        self._change_count = 0
         self._gateways: dict[ids.ObjectKey, member.Member] = {}
         self._pools: dict[ids.PoolName, dict[ids.ObjectKey, member.Member]] = {}
 
+    @property
+    def change_count(self) -> int:
+        """Counts the changes, for those who keep what they have derived."""
+        return self._change_count
+
     def members(self) -> tuple[member.Member, ...]:
         """Lists every known member."""
         return tuple(self._members.values())
@@ -45,6 +48,7 @@
 
     async def on_list(self, listed: objects.ObjectList) -> None:
         """Takes the whole state of the prefix."""
+        self._change_count += 1
         self._members.clear()
         self._gateways.clear()
         self._pools.clear()
@@ -59,7 +63,7 @@
             self._take(event.key, event.value)
 
     def _take(self, key: ids.ObjectKey, value: msgspec.Raw) -> None:
-        known = _decode(key, value)
+        known = member.decode(value)
         if known is not None:
             self._put(key, known)
 
@@ -72,15 +76,8 @@
             self._pools.setdefault(known.pool, {})[key] = known
 
     def _remove(self, key: ids.ObjectKey) -> None:
+        self._change_count += 1
         known = self._members.pop(key, None)
         self._gateways.pop(key, None)
         if known is not None and known.pool in self._pools:
             self._pools[known.pool].pop(key, None)
-
-
-def _decode(key: ids.ObjectKey, value: msgspec.Raw) -> member.Member | None:
-    try:
-        return msgspec.json.decode(value, type=member.Member)
-    except msgspec.MsgspecError as error:
-        logger.error("membership.unreadable", key=key, reason=str(error))
-        return None
