--- /dev/null
+++ b/bench/policy_experiment.py
@@ -0,0 +1,104 @@
+"""Compares policies on the same seeded mornings.
+
+Run as: python -m bench.policy_experiment --seeds 5 --table
+"""
+
+import argparse
+import concurrent.futures
+import itertools
+import json
+import statistics
+
+import msgspec
+
+from bench import contender
+from bench import morning
+from bench import summary
+from bench import trial
+from bench import virtual_loop
+from tools import shapes
+
+_SHAPES = {one.name: one for one in (shapes.MIDLANDS, shapes.MONGOLIA)}
+_MORNINGS = {
+    "rush": morning.MorningSettings(),
+    "idle": morning.IDLE_MORNING,
+    "overload": morning.OVERLOADED_MORNING,
+}
+_CONTENDERS = {one.name: one for one in contender.BASELINES}
+
+
+class Trial(msgspec.Struct, frozen=True):
+    """One cell of the experiment and its figures."""
+
+    shape: str
+    morning: str
+    contender: str
+    seed: int
+    figures: summary.Summary
+
+
+def main() -> None:
+    """Runs the trials and prints JSON or a table."""
+    flags = _parse()
+    cells = list(
+        itertools.product(
+            flags.shapes, flags.mornings, flags.contenders, range(flags.seeds)
+        )
+    )
+    with concurrent.futures.ProcessPoolExecutor(flags.jobs) as pool:
+        trials = list(pool.map(_run, cells))
+    if flags.json:
+        with open(flags.json, "w", encoding="utf-8") as target:
+            json.dump(msgspec.to_builtins(trials), target, indent=1)
+    for shape, name in itertools.product(flags.shapes, flags.mornings):
+        found = [t for t in trials if (t.shape, t.morning) == (shape, name)]
+        print(f"\n{shape}, {name}, {flags.seeds} seeds\n\n{_table(found)}")
+
+
+def _parse() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(prog="policy-experiment")
+    parser.add_argument("--seeds", type=int, default=3)
+    parser.add_argument("--jobs", type=int, default=3)
+    parser.add_argument("--json", help="file for the figures of each trial")
+    parser.add_argument("--shapes", nargs="+", default=list(_SHAPES))
+    parser.add_argument("--mornings", nargs="+", default=["rush"])
+    parser.add_argument("--contenders", nargs="+", default=list(_CONTENDERS))
+    return parser.parse_args()
+
+
+def _run(cell: tuple[str, str, str, int]) -> Trial:
+    shape, name, chosen, seed = cell
+    settings = _MORNINGS[name]
+    result = virtual_loop.run(
+        trial.run(_CONTENDERS[chosen], _SHAPES[shape], settings, seed)
+    )
+    return Trial(*cell, summary.summarize(result, settings))
+
+
+def _table(trials: list[Trial]) -> str:
+    names = list(dict.fromkeys(one.contender for one in trials))
+    rows = [f"| figure | {' | '.join(names)} |"]
+    rows.append("| --- |" + " --- |" * len(names))
+    for field in summary.Summary.__struct_fields__:
+        cells = [
+            _cell(
+                [
+                    getattr(one.figures, field)
+                    for one in trials
+                    if one.contender == name
+                ]
+            )
+            for name in names
+        ]
+        rows.append(f"| {field} | {' | '.join(cells)} |")
+    return "\n".join(rows)
+
+
+def _cell(values: list[float]) -> str:
+    mean = statistics.fmean(values)
+    spread = statistics.pstdev(values)
+    return f"{mean:.3g} ± {spread:.2g}"
+
+
+if __name__ == "__main__":
+    main()
--- a/bronzeslip/gateway/peer_pool.py
+++ b/bronzeslip/gateway/peer_pool.py
@@ -1,5 +1,8 @@
 """Connections of a gateway to sidecars."""
 
+import math
+import time
+
 from bronzeslip.gateway import peer as gateway_peer
 from bronzeslip.settings import gateway
 from bronzeslip.transport.frames import link
@@ -31,6 +34,13 @@
         known = self._peers.get(address)
         return known.connection.load if known else link.EndpointLoad()
 
+    def load_age_s(self, address: str) -> float:
+        """Returns the time since it was heard; infinite if never."""
+        known = self._peers.get(address)
+        if known is None:
+            return math.inf
+        return time.monotonic() - known.connection.load_heard_s
+
     async def close(self) -> None:
         """Ends every connection."""
         for known in self._peers.values():
--- a/bronzeslip/routing/candidate.py
+++ b/bronzeslip/routing/candidate.py
@@ -13,8 +13,12 @@
         endpoint: Sidecar before the endpoint.
         outstanding: Requests of this gateway that it has.
         load: Latest load heard from its sidecar.
+        load_age_s: Time since it was heard, in seconds.
+        sent_since_load: Requests that this gateway has sent there since.
     """
 
     endpoint: member.Member
     outstanding: int
     load: link.EndpointLoad
+    load_age_s: float = 0.0
+    sent_since_load: int = 0
--- a/bronzeslip/routing/least_outstanding.py
+++ b/bronzeslip/routing/least_outstanding.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 import random
 
+from bronzeslip import ids
 from bronzeslip.routing import candidate
 from bronzeslip.routing import policy
 
@@ -32,3 +33,8 @@
             )
 
         return sorted(candidates, key=rank)
+
+    def sent(
+        self, request: policy.RoutingRequest, endpoint_id: ids.EndpointId
+    ) -> None:
+        """Has no use for what was sent."""
--- a/bronzeslip/routing/load_source.py
+++ b/bronzeslip/routing/load_source.py
@@ -10,3 +10,6 @@
 
     def load_of(self, address: str) -> link.EndpointLoad:
         """Returns the latest load heard from the sidecar at an address."""
+
+    def load_age_s(self, address: str) -> float:
+        """Returns the time since it was heard; infinite if never."""
--- a/bronzeslip/routing/policy.py
+++ b/bronzeslip/routing/policy.py
@@ -34,3 +34,8 @@
         candidates: Sequence[candidate.Candidate],
     ) -> list[candidate.Candidate]:
         """Returns the candidates, the best first."""
+
+    def sent(
+        self, request: RoutingRequest, endpoint_id: ids.EndpointId
+    ) -> None:
+        """Notes that an endpoint took a request."""
--- a/bronzeslip/routing/router.py
+++ b/bronzeslip/routing/router.py
@@ -1,5 +1,7 @@
 """Finds the endpoints for a request."""
 
+import asyncio
+import bisect
 import collections
 
 from bronzeslip import ids
@@ -12,6 +14,7 @@
 from bronzeslip.routing import policy
 
 _RETRY_AFTER_S = 1.0
+_MAX_SENT_TIMES = 256
 
 
 class Router:
@@ -29,6 +32,7 @@
         self._outstanding: collections.Counter[ids.EndpointId] = (
             collections.Counter()
         )
+        self._sent_times_s: dict[ids.EndpointId, list[float]] = {}
 
     def candidates(
         self, bound: binding.Binding, request: policy.RoutingRequest
@@ -53,6 +57,16 @@
     def begin(self, endpoint_id: ids.EndpointId) -> None:
         """Counts a request sent to an endpoint."""
         self._outstanding[endpoint_id] += 1
+        times_s = self._sent_times_s.setdefault(endpoint_id, [])
+        times_s.append(_now_s())
+        if len(times_s) > _MAX_SENT_TIMES:
+            del times_s[: _MAX_SENT_TIMES // 2]
+
+    def accepted(
+        self, request: policy.RoutingRequest, endpoint_id: ids.EndpointId
+    ) -> None:
+        """Notes that an endpoint took a request."""
+        self._policy.sent(request, endpoint_id)
 
     def end(self, endpoint_id: ids.EndpointId) -> None:
         """Counts a request that an endpoint has ended."""
@@ -61,8 +75,16 @@
             del self._outstanding[endpoint_id]
 
     def _candidate(self, known: member.Member) -> candidate.Candidate:
+        age_s = self._loads.load_age_s(known.address)
+        times_s = self._sent_times_s.get(known.endpoint_id, [])
         return candidate.Candidate(
             known,
             self._outstanding[known.endpoint_id],
             self._loads.load_of(known.address),
+            age_s,
+            len(times_s) - bisect.bisect_right(times_s, _now_s() - age_s),
         )
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- a/bronzeslip/settings/gateway.py
+++ b/bronzeslip/settings/gateway.py
@@ -42,3 +42,89 @@
         minimum=1,
         maximum=86_400,
     )
+    quick_queue_wait_s: float = setting(
+        "expected wait at which an endpoint is passed over for the next, in "
+        "seconds",
+        "routing",
+        default=0.05,
+        minimum=0,
+        maximum=60,
+    )
+    load_trust_s: float = setting(
+        "age up to which a load report is believed, in seconds",
+        "routing",
+        default=2.0,
+        minimum=0.1,
+        maximum=60,
+    )
+    unknown_load_cost_s: float = setting(
+        "price of an endpoint of unknown load, in seconds of waiting",
+        "routing",
+        default=0.3,
+        minimum=0,
+        maximum=60,
+    )
+    request_memory_ratio: float = setting(
+        "memory that a request just sent is taken to need, as a share",
+        "routing",
+        default=0.03,
+        minimum=0,
+        maximum=1,
+    )
+    memory_pressure_start_ratio: float = setting(
+        "predicted use of memory from which an endpoint is avoided",
+        "routing",
+        default=0.5,
+        minimum=0,
+        maximum=1,
+    )
+    memory_pressure_cost_s: float = setting(
+        "price of memory in full use, in seconds of waiting",
+        "routing",
+        default=4.0,
+        minimum=0,
+        maximum=1000,
+    )
+    prefill_bytes_per_s: float = setting(
+        "bytes of prompt that an engine computes in a second",
+        "routing",
+        default=250_000.0,
+        minimum=100,
+        maximum=1e9,
+    )
+    slow_endpoint_cost_s: float = setting(
+        "price of steps of twice the usual time, in seconds of waiting",
+        "routing",
+        default=4.0,
+        minimum=0,
+        maximum=1000,
+    )
+    cross_region_cost_s: float = setting(
+        "price of leaving the region, in seconds of waiting",
+        "routing",
+        default=0.2,
+        minimum=0,
+        maximum=1000,
+    )
+    prefix_spread_factor: float = setting(
+        "endpoints that share a prefix, as a multiple of its share of "
+        "requests times the pool",
+        "routing",
+        default=1.5,
+        minimum=0.1,
+        maximum=100,
+    )
+    prefix_min_homes: int = setting(
+        "endpoints that share a prefix at least",
+        "routing",
+        default=1,
+        minimum=0,
+        maximum=64,
+    )
+    prefix_index_blocks: int = setting(
+        "prompt blocks remembered for each endpoint",
+        "routing",
+        default=1024,
+        minimum=0,
+        maximum=1_000_000,
+    )
--- a/bronzeslip/transport/connection.py
+++ b/bronzeslip/transport/connection.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Callable
 import contextlib
+import math
+import time
 
 import grpc
 import grpc.aio
@@ -42,6 +44,7 @@
         """
         self.address = address
         self.load = link.EndpointLoad()
+        self.load_heard_s = -math.inf
         self.incarnation_id = ids.IncarnationId("")
         self._settings = settings
         self._on_frame = on_frame
@@ -123,11 +126,16 @@
             self._silence.heard()
             for frame in batch:
                 if isinstance(frame, link.Heartbeat):
-                    self.load = frame.load or self.load
+                    self._take_load(frame.load)
                     self.incarnation_id = frame.incarnation_id
                 else:
                     self._on_frame(frame)
 
+    def _take_load(self, load: link.EndpointLoad | None) -> None:
+        if load is not None:
+            self.load = load
+            self.load_heard_s = time.monotonic()
+
     async def _write(self, peer: stream.PeerStream) -> None:
         while True:
             await peer.write(await self._outbox.take())
--- a/bronzeslip/transport/frames/reason.py
+++ b/bronzeslip/transport/frames/reason.py
@@ -8,6 +8,7 @@
 
     DRAINING = "draining"
     QUEUE_FULL = "queue-full"
+    BUSY = "busy"
     EXPIRED = "expired"
     ENDPOINT_DOWN = "endpoint-down"
     UNKNOWN_GENERATION = "unknown-generation"
--- a/standins/engine/app.py
+++ b/standins/engine/app.py
@@ -89,7 +89,7 @@
             logging_config=None,
         )
 
-    async def _start(self, request: litestar.Request) -> response.Stream:
+    async def _start(self, request: litestar.Request) -> litestar.Response:
         wanted = msgspec.json.decode(
             await request.body(), type=messages.GenerationRequest
         )
@@ -101,6 +101,8 @@
         )
         if created.crashes:
             os._exit(_CRASH_STATUS)
+        if not self.engine.fits(created):
+            return _status(413)
         self._sequences[wanted.generation_id] = created
         self.started_ids.append(wanted.generation_id)
         self._forget_finished()
--- a/standins/engine/sequence.py
+++ b/standins/engine/sequence.py
@@ -51,6 +51,12 @@
         """Tokens that the cache must hold for this sequence."""
         return len(self.prompt_words) + len(self.texts)
 
+    def cut(self, most_tokens: int) -> None:
+        """Lowers the length of the output to what there is room for."""
+        if self.length_tokens > most_tokens:
+            self.length_tokens = max(most_tokens, 1)
+            self.finish_reason = "length"
+
     def next_text(self) -> str:
         """Returns the text of the next token.
 
--- /dev/null
+++ b/tests/standins/engine/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the engine stand-in."""
