Admit generations against the predicted peak of memory

Change: survival of output lengths by service, class and workspace, learnt from censored lengths too; forecast of the memory's mean and variance at ten horizons; admission at a quantile of its peak; start-time fair queueing over workspaces with ageing; a floor for drafts and a reserve for short requests; waits and times to come back computed from the queue's cost. Ruled out: a quantile for each sequence (their sum holds far too much back; lengths are independent, so the sum's own quantile is taken), and a mean (blind to what a draft has generated already). Found by the tests: places were counted only once the waiter had resumed, so one release of all places let the whole queue in.

--- /dev/null
+++ b/bronzeslip/admission/engine_view.py
@@ -0,0 +1,98 @@
+"""What the sidecar believes of its engine's size and speed."""
+
+import collections
+
+from bronzeslip.engine import messages
+
+_DEFAULT_STEP_TIME_S = 0.025
+_DEFAULT_BYTES_PER_TOKEN = 4.0
+_BYTES_PER_TOKEN_GAIN = 0.05
+_STEP_TIME_GAIN = 0.3
+_WINDOW_REPORTS = 8
+_CAUTION_PER_PREEMPTION = 0.01
+_MAX_CAUTION = 0.15
+_CAUTION_KEPT_PER_REPORT = 0.97
+
+
+class EngineView:
+    """Combines lagging reports with what the sidecar itself has sent.
+
+    Attributes:
+        memory_tokens: Tokens that the engine's cache holds; infinite until
+            a report tells.
+        step_time_s: Smoothed time of a step, in seconds.
+    """
+
+    def __init__(self) -> None:
+        self.memory_tokens = float("inf")
+        self.block_tokens = 1
+        self.step_time_s = _DEFAULT_STEP_TIME_S
+        self._bytes_per_token = _DEFAULT_BYTES_PER_TOKEN
+        self._own_used = collections.deque(maxlen=_WINDOW_REPORTS)
+        self._foreign_tokens = 0.0
+        self._caution_ratio = 0.0
+        self._preemptions_total: int | None = None
+
+    @property
+    def usable_tokens(self) -> float:
+        """Memory that the sidecar's own sequences may fill."""
+        usable = self.memory_tokens - self._foreign_tokens
+        return usable * (1 - self._caution_ratio)
+
+    def take_report(
+        self, report: messages.EngineLoad, own_tokens: float
+    ) -> None:
+        """Takes a load report in; one that can't be true is passed over.
+
+        Args:
+            report: The report, of a moment ago.
+            own_tokens: Memory that the sidecar's sequences use now.
+        """
+        if not _is_plausible(report):
+            return
+        self.block_tokens = report.block_tokens
+        self.memory_tokens = float(report.blocks_total * report.block_tokens)
+        self.step_time_s += _STEP_TIME_GAIN * (
+            report.step_time_s - self.step_time_s
+        )
+        self._own_used.append(own_tokens)
+        used_tokens = report.blocks_used * report.block_tokens
+        unexplained = used_tokens - 1.1 * max(self._own_used)
+        self._foreign_tokens = min(
+            max(unexplained, 0.0), self.memory_tokens / 2
+        )
+        self._take_preemptions(report.preemptions_total)
+
+    def learn_prompt(self, prompt_bytes: int, prompt_tokens: int) -> None:
+        """Learns how many bytes a token of a prompt has."""
+        if prompt_tokens > 0:
+            seen = prompt_bytes / prompt_tokens
+            self._bytes_per_token += _BYTES_PER_TOKEN_GAIN * (
+                seen - self._bytes_per_token
+            )
+
+    def prompt_tokens(self, prompt_bytes: int) -> float:
+        """Returns the tokens that a prompt probably has."""
+        return prompt_bytes / self._bytes_per_token + self.block_tokens / 2
+
+    def _take_preemptions(self, total: int) -> None:
+        known = (
+            total
+            if self._preemptions_total is None
+            else (self._preemptions_total)
+        )
+        self._preemptions_total = total
+        self._caution_ratio = min(
+            self._caution_ratio * _CAUTION_KEPT_PER_REPORT
+            + max(total - known, 0) * _CAUTION_PER_PREEMPTION,
+            _MAX_CAUTION,
+        )
+
+
+def _is_plausible(report: messages.EngineLoad) -> bool:
+    return (
+        report.blocks_total > 0
+        and report.block_tokens > 0
+        and 0 <= report.blocks_used <= report.blocks_total
+        and 0 < report.step_time_s < 10
+    )
--- a/bronzeslip/admission/gate.py
+++ b/bronzeslip/admission/gate.py
@@ -48,8 +48,7 @@
         """
         self._check_open(expires_in_s)
         if self._running < self._settings.max_running_requests:
-            self._running += 1
-            self._idle.clear()
+            self._enter_one()
             return
         await self._wait(expires_in_s)
 
@@ -60,14 +59,21 @@
             if not waiter.done():
                 waiter.set_result(None)
                 return
-        self._running -= 1
-        if not self._running:
-            self._idle.set()
+        self._leave_one()
 
     async def wait_idle(self) -> None:
         """Waits until nothing runs or waits."""
         await self._idle.wait()
 
+    def _enter_one(self) -> None:
+        self._running += 1
+        self._idle.clear()
+
+    def _leave_one(self) -> None:
+        self._running -= 1
+        if not self._running:
+            self._idle.set()
+
     def _check_open(self, expires_in_s: float) -> None:
         if self._draining:
             raise errors.AdmissionRefusedError(
--- a/bronzeslip/settings/sidecar.py
+++ b/bronzeslip/settings/sidecar.py
@@ -28,6 +28,35 @@
         minimum=1,
         maximum=100_000,
     )
+    memory_overflow_probability: float = setting(
+        "chance that admitted work outgrows the engine's memory",
+        "admission",
+        default=0.02,
+        minimum=0.0001,
+        maximum=0.5,
+    )
+    draft_floor_ratio: float = setting(
+        "share of the engine's memory that short requests leave to waiting "
+        "drafts",
+        "admission",
+        default=0.6,
+        minimum=0,
+        maximum=1,
+    )
+    interactive_reserve_ratio: float = setting(
+        "share of the engine's memory that drafts leave to short requests",
+        "admission",
+        default=0.08,
+        minimum=0,
+        maximum=1,
+    )
+    queue_ageing_ratio: float = setting(
+        "engine time that one second of waiting makes up for, in seconds",
+        "admission",
+        default=0.5,
+        minimum=0,
+        maximum=100,
+    )
     generation_grace_s: float = setting(
         "time a finished generation stays readable, in seconds",
         "generation",
--- a/bronzeslip/transport/frames/link.py
+++ b/bronzeslip/transport/frames/link.py
@@ -14,6 +14,9 @@
         memory_used_ratio: Share of the engine's cache memory in use.
         queue_wait_s: Expected wait of a new request, in seconds.
         draining: Whether new work is refused.
+        memory_peak_ratio: Predicted peak of the memory in use.
+        step_time_s: Time of one step of the engine, in seconds; 0 if
+            unknown.
     """
 
     running: int = 0
@@ -21,6 +24,8 @@
     memory_used_ratio: float = 0.0
     queue_wait_s: float = 0.0
     draining: bool = False
+    memory_peak_ratio: float = 0.0
+    step_time_s: float = 0.0
 
 
 class Heartbeat(msgspec.Struct, frozen=True, tag="heartbeat"):
--- /dev/null
+++ b/tests/admission/test_length_estimator.py
@@ -0,0 +1,94 @@
+"""Tests of the estimates of output lengths."""
+
+import random
+import unittest
+
+from bronzeslip import ids
+from bronzeslip.admission import length_estimator
+from bronzeslip.admission import request
+from bronzeslip.configuration import workspace
+
+
+def _request(workspace_id="w", kind=workspace.WorkspaceClass.DRAFT):
+    return request.AdmissionRequest(
+        ids.GenerationId("g"),
+        ids.WorkspaceId(workspace_id),
+        ids.ServiceName("s"),
+        kind,
+        1.0,
+        100,
+        10_000,
+        60.0,
+    )
+
+
+def _observe(estimator, asked, length, cancelled_at=None):
+    reached = min(length, cancelled_at or length)
+    for count in range(reached):
+        estimator.add_progress(asked, count, count + 1)
+    if cancelled_at is None or cancelled_at >= length:
+        estimator.add_end(asked, length)
+
+
+class LengthEstimatorTest(unittest.TestCase):
+    def setUp(self):
+        self.rng = random.Random(7)
+        self.estimator = length_estimator.LengthEstimator()
+
+    def lengths(self, count):
+        return [int(self.rng.lognormvariate(5, 0.8)) + 1 for _ in range(count)]
+
+    def test_median_of_what_was_seen(self):
+        asked = _request()
+        lengths = self.lengths(400)
+        for length in lengths:
+            _observe(self.estimator, asked, length)
+        found = self.estimator.curve(asked).remaining_quantile(0, 0.5)
+        self.assertAlmostEqual(
+            found, sorted(lengths)[200], delta=0.2 * sorted(lengths)[200]
+        )
+
+    def test_cancelled_ones_do_not_shorten_the_estimate(self):
+        asked = _request()
+        lengths = self.lengths(800)
+        for length in lengths:
+            _observe(self.estimator, asked, length, self.rng.randrange(1, 400))
+        found = self.estimator.curve(asked).remaining_quantile(0, 0.5)
+        true = sorted(lengths)[400]
+        self.assertAlmostEqual(found, true, delta=0.25 * true)
+
+    def test_remaining_is_conditional_on_what_is_generated(self):
+        asked = _request()
+        for length in [10] * 90 + [3000] * 10:
+            _observe(self.estimator, asked, length)
+        curve = self.estimator.curve(asked)
+        self.assertLess(curve.mean_remaining(0, 10_000), 500)
+        self.assertGreater(curve.mean_remaining(100, 10_000), 1500)
+
+    def test_unknown_workspace_falls_back_to_class(self):
+        for _ in range(100):
+            _observe(
+                self.estimator,
+                _request("a", workspace.WorkspaceClass.INTERACTIVE),
+                10,
+            )
+            _observe(self.estimator, _request("b"), 900)
+        short = self.estimator.curve(
+            _request("new", workspace.WorkspaceClass.INTERACTIVE)
+        )
+        long = self.estimator.curve(_request("new"))
+        self.assertLess(short.remaining_quantile(0, 0.5), 20)
+        self.assertGreater(long.remaining_quantile(0, 0.5), 500)
+
+    def test_length_cut_by_limit_is_censored(self):
+        asked = _request()
+        self.estimator.add_end(asked, asked.max_tokens)
+        empty = length_estimator.LengthEstimator()
+        self.assertEqual(
+            self.estimator.curve(asked).remaining_quantile(0, 0.5),
+            empty.curve(asked).remaining_quantile(0, 0.5),
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/admission/test_memory_gate.py
@@ -0,0 +1,223 @@
+"""Tests of admission against predicted memory."""
+
+import asyncio
+import dataclasses
+import unittest
+
+from bench import virtual_loop
+from bronzeslip import ids
+from bronzeslip.admission import errors
+from bronzeslip.admission import memory_gate
+from bronzeslip.admission import request
+from bronzeslip.configuration import workspace
+from bronzeslip.engine import messages
+from bronzeslip.settings import sidecar
+from bronzeslip.transport.frames import reason
+
+_SETTINGS = sidecar.SidecarSettings(
+    vm_id="vm",
+    region="here",
+    failure_domain="here-1",
+    peer_key="key",
+    platform_url="",
+    endpoint_id="e",
+    pool="p",
+    endpoint_url="",
+)
+_DRAFT = workspace.WorkspaceClass.DRAFT
+_SHORT = workspace.WorkspaceClass.INTERACTIVE
+
+
+def _request(kind=_DRAFT, **changes):
+    fields = {
+        "generation_id": ids.GenerationId("g"),
+        "workspace_id": ids.WorkspaceId(kind.value),
+        "service_name": ids.ServiceName("s"),
+        "workspace_class": kind,
+        "weight": 1.0,
+        "prompt_bytes": 400,
+        "max_tokens": 400,
+        "expires_in_s": 60.0,
+    }
+    return request.AdmissionRequest(**{**fields, **changes})
+
+
+def _report(blocks_used=0, blocks_total=64, preemptions=0):
+    return messages.EngineLoad(
+        1, 0, blocks_used, blocks_total, 16, 0.02, preemptions
+    )
+
+
+class MemoryGateTest(unittest.TestCase):
+    def gate(self, **changes):
+        created = memory_gate.MemoryGate(
+            dataclasses.replace(_SETTINGS, **changes)
+        )
+        created.take_report(_report())
+        return created
+
+    async def fill(self, gate, kind=_DRAFT):
+        """Admits until one would have to wait; returns the places."""
+        held = []
+        while True:
+            try:
+                held.append(
+                    await gate.admit(_request(kind, max_queue_wait_s=-1.0))
+                )
+            except errors.AdmissionRefusedError as error:
+                self.assertIs(error.refusal, reason.RefusalReason.BUSY)
+                return held
+
+    def test_leaves_room_for_growth(self):
+        async def main():
+            gate = self.gate()
+            held = await self.fill(gate)
+            used = len(held) * 100
+            self.assertGreater(len(held), 1)
+            self.assertLess(used, 0.8 * 64 * 16)
+            return len(held)
+
+        careless = {"memory_overflow_probability": 0.5}
+        self.assertGreater(virtual_loop.run(main()), 1)
+
+        async def count(**changes):
+            return len(await self.fill(self.gate(**changes)))
+
+        self.assertGreater(
+            virtual_loop.run(count(**careless)), virtual_loop.run(count())
+        )
+
+    def test_waiting_request_gets_place_of_ended_one(self):
+        async def main():
+            gate = self.gate()
+            held = await self.fill(gate)
+            waiting = asyncio.create_task(gate.admit(_request()))
+            await asyncio.sleep(0)
+            self.assertEqual(gate.load.queued, 1)
+            for one in held[:2]:
+                gate.release(one, whole=True)
+            gate.release(await waiting, whole=True)
+            for one in held[2:]:
+                gate.release(one, whole=False)
+            await gate.wait_idle()
+            self.assertEqual(gate.load.queued, 0)
+
+        virtual_loop.run(main())
+
+    def test_expired_request_is_refused_in_time(self):
+        async def main():
+            gate = self.gate()
+            await self.fill(gate)
+            with self.assertRaises(errors.AdmissionRefusedError) as caught:
+                await gate.admit(_request(expires_in_s=30.0))
+            self.assertIs(
+                caught.exception.refusal, reason.RefusalReason.EXPIRED
+            )
+            self.assertGreater(caught.exception.retry_after_s, 0)
+            self.assertEqual(gate.load.queued, 0)
+
+        virtual_loop.run(main())
+
+    def test_cancelled_waiter_leaves_queue(self):
+        async def main():
+            gate = self.gate()
+            await self.fill(gate)
+            waiting = asyncio.create_task(gate.admit(_request()))
+            await asyncio.sleep(0)
+            waiting.cancel()
+            with self.assertRaises(asyncio.CancelledError):
+                await waiting
+            self.assertEqual(gate.load.queued, 0)
+
+        virtual_loop.run(main())
+
+    def test_waiter_cancelled_after_its_admission_gives_place_back(self):
+        async def main():
+            gate = self.gate()
+            held = await self.fill(gate)
+            waiting = asyncio.create_task(gate.admit(_request()))
+            await asyncio.sleep(0)
+            for one in held:
+                gate.release(one, whole=False)
+            waiting.cancel()
+            with self.assertRaises(asyncio.CancelledError):
+                await waiting
+            await gate.wait_idle()
+            self.assertAlmostEqual(gate.load.memory_used_ratio, 0.0)
+
+        virtual_loop.run(main())
+
+    def test_short_requests_keep_reserve_while_drafts_fill(self):
+        async def main():
+            gate = self.gate(interactive_reserve_ratio=0.3)
+            await self.fill(gate)
+            wanted = _request(_SHORT, max_tokens=4, max_queue_wait_s=-1.0)
+            await gate.admit(wanted)
+
+        virtual_loop.run(main())
+
+    def test_rush_of_short_requests_leaves_floor_to_drafts(self):
+        async def main():
+            gate = self.gate(draft_floor_ratio=0.6)
+            held = await self.fill(gate, _SHORT)
+            draft = asyncio.create_task(gate.admit(_request()))
+            rush = [
+                asyncio.create_task(gate.admit(_request(_SHORT)))
+                for _ in range(20)
+            ]
+            await asyncio.sleep(0)
+            for one in held:
+                gate.release(one, whole=True)
+            await asyncio.sleep(1)
+            self.assertTrue(draft.done())
+            self.assertFalse(all(one.done() for one in rush))
+            for one in rush:
+                one.cancel()
+
+        virtual_loop.run(main())
+
+    def test_heavy_workspace_does_not_hold_up_light_one(self):
+        async def main():
+            gate = self.gate()
+            held = await self.fill(gate)
+            heavy = [
+                asyncio.create_task(gate.admit(_request(workspace_id="a")))
+                for _ in range(20)
+            ]
+            await asyncio.sleep(0)
+            light = asyncio.create_task(gate.admit(_request(workspace_id="b")))
+            await asyncio.sleep(0)
+            for one in held:
+                gate.release(one, whole=True)
+            await asyncio.sleep(0)
+            self.assertTrue(light.done())
+            self.assertFalse(all(one.done() for one in heavy))
+            for one in heavy:
+                one.cancel()
+
+        virtual_loop.run(main())
+
+    def test_impossible_report_changes_nothing(self):
+        async def main():
+            gate = self.gate()
+            await self.fill(gate)
+            before = gate.load
+            gate.take_report(_report(blocks_used=99, blocks_total=0))
+            self.assertEqual(gate.load, before)
+
+        virtual_loop.run(main())
+
+    def test_memory_filled_by_others_lowers_room(self):
+        async def main():
+            gate = self.gate()
+            free = len(await self.fill(gate))
+            other = self.gate()
+            for _ in range(8):
+                other.take_report(_report(blocks_used=30))
+            self.assertLess(len(await self.fill(other)), free)
+
+        virtual_loop.run(main())
+
+
+if __name__ == "__main__":
+    unittest.main()
