--- a/bench/contender.py
+++ b/bench/contender.py
@@ -7,7 +7,9 @@
 from bench import baselines
 from bench import count_gate
 from bench import simulated_sidecar
+from bronzeslip.admission import memory_gate
 from bronzeslip.routing import policy
+from bronzeslip.routing import prefix_load
 from bronzeslip.settings import gateway
 from bronzeslip.settings import sidecar
 
@@ -51,3 +53,12 @@
         count_gate.CountGate,
     ),
 )
+
+ADMISSION = (
+    Contender(
+        "least-outstanding+memory",
+        lambda settings, rng: baselines.least_outstanding(rng),
+        memory_gate.MemoryGate,
+    ),
+    Contender("ours", prefix_load.PrefixLoadPolicy, memory_gate.MemoryGate),
+)
--- a/bench/policy_experiment.py
+++ b/bench/policy_experiment.py
@@ -24,7 +24,9 @@
     "idle": morning.IDLE_MORNING,
     "overload": morning.OVERLOADED_MORNING,
 }
-_CONTENDERS = {one.name: one for one in contender.BASELINES}
+_CONTENDERS = {
+    one.name: one for one in (*contender.BASELINES, *contender.ADMISSION)
+}
 
 
 class Trial(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/bronzeslip/routing/prefix_index.py
@@ -0,0 +1,42 @@
+"""Prompt blocks that are believed to be cached."""
+
+import collections
+from collections.abc import Sequence
+
+_DEFAULT_CAPACITY_BLOCKS = 4096
+
+
+class PrefixIndex:
+    """Least recently used prompt blocks of one endpoint."""
+
+    def __init__(self, capacity_blocks: int = _DEFAULT_CAPACITY_BLOCKS) -> None:
+        self.capacity_blocks = capacity_blocks
+        self._blocks: collections.OrderedDict[int, None] = (
+            collections.OrderedDict()
+        )
+
+    def __len__(self) -> int:
+        return len(self._blocks)
+
+    def count_cached(self, hashes: Sequence[int]) -> int:
+        """Returns how many leading blocks are believed to be cached."""
+        for count, block_hash in enumerate(hashes):
+            if block_hash not in self._blocks:
+                return count
+        return len(hashes)
+
+    def add(self, hashes: Sequence[int]) -> None:
+        """Notes that a prompt was sent to the endpoint."""
+        for block_hash in reversed(hashes):
+            self._blocks[block_hash] = None
+            self._blocks.move_to_end(block_hash)
+        self.drop_oldest(len(self._blocks) - self.capacity_blocks)
+
+    def drop_oldest(self, count: int) -> None:
+        """Forgets the blocks that were used longest ago."""
+        for _ in range(min(count, len(self._blocks))):
+            self._blocks.popitem(last=False)
+
+    def clear(self) -> None:
+        """Forgets every block."""
+        self._blocks.clear()
--- /dev/null
+++ b/bronzeslip/routing/prefix_popularity.py
@@ -0,0 +1,36 @@
+"""Which prefixes many prompts share."""
+
+import collections
+from collections.abc import Sequence
+
+_WINDOW_PROMPTS = 512
+_MIN_SHARERS = 3
+
+
+class PrefixPopularity:
+    """Counts the prefixes of the latest prompts."""
+
+    def __init__(self) -> None:
+        self._window: collections.deque[tuple[int, ...]] = collections.deque()
+        self._counts: collections.Counter[int] = collections.Counter()
+
+    def add(self, hashes: tuple[int, ...]) -> None:
+        """Counts a prompt."""
+        self._window.append(hashes)
+        self._counts.update(hashes)
+        if len(self._window) > _WINDOW_PROMPTS:
+            for block_hash in self._window.popleft():
+                self._counts[block_hash] -= 1
+                if not self._counts[block_hash]:
+                    del self._counts[block_hash]
+
+    def shared_blocks(self, hashes: Sequence[int]) -> int:
+        """Returns how many leading blocks other prompts share."""
+        for count, block_hash in enumerate(hashes):
+            if self._counts[block_hash] < _MIN_SHARERS:
+                return count
+        return len(hashes)
+
+    def share(self, block_hash: int) -> float:
+        """Returns the share of the latest prompts that have a prefix."""
+        return self._counts[block_hash] / max(len(self._window), 1)
--- /dev/null
+++ b/bronzeslip/routing/prompt_blocks.py
@@ -0,0 +1,18 @@
+"""Hashes of a prompt's prefixes."""
+
+import xxhash
+
+BLOCK_BYTES = 512
+_MAX_BLOCKS = 64
+_HASH_MASK = 0xFFFFFFFF
+
+
+def hashes_of(prompt: str) -> tuple[int, ...]:
+    """Returns a 32-bit hash of the prompt up to the end of each block."""
+    data = prompt.encode()[: BLOCK_BYTES * _MAX_BLOCKS]
+    running = xxhash.xxh64()
+    hashes = []
+    for end in range(BLOCK_BYTES, len(data) + 1, BLOCK_BYTES):
+        running.update(data[end - BLOCK_BYTES : end])
+        hashes.append(running.intdigest() & _HASH_MASK)
+    return tuple(hashes)
--- a/bronzeslip/settings/gateway.py
+++ b/bronzeslip/settings/gateway.py
@@ -110,7 +110,7 @@
         "endpoints that share a prefix, as a multiple of its share of "
         "requests times the pool",
         "routing",
-        default=1.5,
+        default=1.0,
         minimum=0.1,
         maximum=100,
     )
@@ -124,7 +124,7 @@
     prefix_index_blocks: int = setting(
         "prompt blocks remembered for each endpoint",
         "routing",
-        default=1024,
+        default=64,
         minimum=0,
         maximum=1_000_000,
     )
--- a/bronzeslip/settings/sidecar.py
+++ b/bronzeslip/settings/sidecar.py
@@ -31,7 +31,7 @@
     memory_overflow_probability: float = setting(
         "chance that admitted work outgrows the engine's memory",
         "admission",
-        default=0.02,
+        default=0.1,
         minimum=0.0001,
         maximum=0.5,
     )
@@ -46,7 +46,7 @@
     interactive_reserve_ratio: float = setting(
         "share of the engine's memory that drafts leave to short requests",
         "admission",
-        default=0.08,
+        default=0.04,
         minimum=0,
         maximum=1,
     )
--- /dev/null
+++ b/tests/routing/test_prefix_load.py
@@ -0,0 +1,136 @@
+"""Tests of the policy that weighs prefixes, load and distance."""
+
+import collections
+import dataclasses
+import math
+import random
+import unittest
+
+from bronzeslip import ids
+from bronzeslip.membership import member
+from bronzeslip.routing import candidate
+from bronzeslip.routing import policy
+from bronzeslip.routing import prefix_load
+from bronzeslip.settings import gateway
+from bronzeslip.transport.frames import link
+
+_SETTINGS = gateway.GatewaySettings(
+    vm_id="vm",
+    region="here",
+    failure_domain="here-1",
+    peer_key="key",
+    platform_url="",
+)
+_LOAD = link.EndpointLoad(running=10, memory_peak_ratio=0.3, step_time_s=0.02)
+
+
+def _option(name, load=_LOAD, region="here", age_s=0.1, **counts):
+    endpoint = member.Member(
+        vm_id=ids.VmId(name),
+        incarnation_id=ids.IncarnationId(name),
+        role=member.MemberRole.SIDECAR,
+        region=ids.RegionName(region),
+        failure_domain=ids.FailureDomainName(region),
+        address=name,
+        endpoint_id=ids.EndpointId(name),
+    )
+    return candidate.Candidate(
+        endpoint,
+        counts.get("outstanding", 0),
+        load,
+        age_s,
+        counts.get("sent_since_load", 0),
+    )
+
+
+def _changed(**changes):
+    return _option(
+        "changed",
+        link.EndpointLoad(
+            **{
+                "running": 10,
+                "memory_peak_ratio": 0.3,
+                "step_time_s": 0.02,
+                **changes,
+            }
+        ),
+    )
+
+
+def _request(preamble="p", particulars=0):
+    prompt = f"{preamble} " * 2500 + f"particulars {particulars}"
+    return policy.RoutingRequest(
+        ids.WorkspaceId("w"),
+        ids.ServiceName("s"),
+        prompt,
+        ids.RegionName("here"),
+    )
+
+
+def _policy(seed=1, **changes):
+    return prefix_load.PrefixLoadPolicy(
+        dataclasses.replace(_SETTINGS, **changes), random.Random(seed)
+    )
+
+
+def _first(chosen, options, request=None):
+    return chosen.order(request or _request(), options)[0].endpoint.endpoint_id
+
+
+class PrefixLoadPolicyTest(unittest.TestCase):
+    def test_prefers_endpoint_that_had_the_prefix(self):
+        chosen = _policy()
+        options = [_option(f"e{index}") for index in range(5)]
+        chosen.sent(_request(particulars=1), ids.EndpointId("e3"))
+        self.assertEqual(_first(chosen, options, _request(particulars=2)), "e3")
+
+    def test_gateways_agree_on_home_of_shared_prefix(self):
+        options = [_option(f"e{index}") for index in range(7)]
+        chosen = set()
+        for seed in range(4):
+            one = _policy(seed)
+            for number in range(8):
+                for preamble in range(16):
+                    one.order(_request(f"p{preamble}", number), options)
+            chosen.add(_first(one, options, _request("p0", 99)))
+        self.assertEqual(len(chosen), 1)
+
+    def test_hot_prefix_is_spread_when_its_home_fills(self):
+        chosen = _policy()
+        sent = collections.Counter()
+        for number in range(100):
+            options = [
+                _option(f"e{index}", sent_since_load=sent[f"e{index}"])
+                for index in range(4)
+            ]
+            name = _first(chosen, options, _request(particulars=number))
+            chosen.sent(_request(particulars=number), name)
+            sent[name] += 1
+        self.assertGreater(min(sent[f"e{index}"] for index in range(4)), 10)
+
+    def test_avoids_worse_endpoint(self):
+        cases = {
+            "queue": _changed(queue_wait_s=5.0),
+            "memory": _changed(memory_peak_ratio=1.1),
+            "slow": _changed(step_time_s=0.08),
+            "draining": _changed(draining=True),
+            "far": _option("changed", region="there"),
+            "stale": _option("changed", link.EndpointLoad(), age_s=math.inf),
+            "sent": _option("changed", sent_since_load=30),
+        }
+        others = [_option("a"), _option("b")]
+        for name, changed in cases.items():
+            with self.subTest(name):
+                order = _policy().order(_request(), [changed, *others])
+                self.assertEqual(order[-1].endpoint.endpoint_id, "changed")
+
+    def test_leaves_region_when_near_endpoint_is_full(self):
+        near = _option(
+            "near", link.EndpointLoad(queue_wait_s=3.0, memory_peak_ratio=1.0)
+        )
+        far = _option("far", region="there")
+        self.assertEqual(_first(_policy(), [near, far]), "far")
+
+
+if __name__ == "__main__":
+    unittest.main()
