--- a/bronzeslip/gateway/operators_api.py
+++ b/bronzeslip/gateway/operators_api.py
@@ -7,10 +7,11 @@
 from bronzeslip.configuration import errors as configuration_errors
 from bronzeslip.configuration import record
 from bronzeslip.configuration import store
+from bronzeslip.gateway import api_description
 from bronzeslip.gateway import body
 from bronzeslip.gateway import errors
 from bronzeslip.gateway import state
-from bronzeslip.spread import status_collector
+from bronzeslip.spread import status
 
 
 class PatchAnswer(msgspec.Struct, frozen=True):
@@ -23,7 +24,11 @@
     number: ids.ConfigurationNumber
 
 
-@litestar.get("/v1/configuration", summary="Reads the current configuration")
+@litestar.get(
+    "/v1/configuration",
+    operation_class=api_description.DescribedOperation,
+    summary="Reads the current configuration",
+)
 async def read_configuration(
     request: litestar.Request, parts: state.GatewayState
 ) -> record.ConfigurationRecord:
@@ -36,18 +41,23 @@
 
 
 @litestar.get(
-    "/v1/configuration/status", summary="Tells which number is in force where"
+    "/v1/configuration/status",
+    operation_class=api_description.DescribedOperation,
+    summary="Tells which number is in force where",
 )
 async def read_status(
     request: litestar.Request, parts: state.GatewayState
-) -> status_collector.SpreadStatus:
+) -> status.SpreadStatus:
     """Collects from the relays what every process has in force."""
     _check_operator(request, parts)
     return await parts.status.collect()
 
 
 @litestar.post(
-    "/v1/configuration/patches", status_code=200, summary="Submits a patch"
+    "/v1/configuration/patches",
+    status_code=200,
+    operation_class=api_description.PatchOperation,
+    summary="Submits a patch",
 )
 async def submit_patch(
     request: litestar.Request, parts: state.GatewayState
@@ -80,4 +90,6 @@
     kind = kinds.get(type(error), errors.UnavailableError)
     converted = kind(error.message, retry_after_s=error.retry_after_s)
     converted.code = error.code
+    if isinstance(error, configuration_errors.StaleNumberError):
+        converted.current_number = error.current
     return converted
--- a/bronzeslip/gateway/services_api.py
+++ b/bronzeslip/gateway/services_api.py
@@ -5,6 +5,7 @@
 
 from bronzeslip import ids
 from bronzeslip.configuration import service
+from bronzeslip.gateway import api_description
 from bronzeslip.gateway import body
 from bronzeslip.gateway import call_session
 from bronzeslip.gateway import errors
@@ -23,6 +24,7 @@
 @litestar.route(
     "/v1/services/{service_name:str}/{path:path}",
     http_method=_METHODS,
+    operation_class=api_description.CallOperation,
     summary="Calls a plain service",
 )
 async def call_service(
@@ -36,14 +38,17 @@
         request.headers.get("authorization"), ids.ServiceName(service_name)
     )
     if context.service.kind is not service.ServiceKind.PLAIN:
-        raise errors.NotFoundError(f"{service_name!r} is no plain service")
-    wanted = call_session.CallInput(
-        request.method,
-        _path_with_query(request, path),
-        _passed_headers(request),
-        await body.read(request),
-    )
-    finished = await parts.call(context, wanted).run()
+        raise errors.ServiceNotFoundError(
+            f"{service_name!r} is no plain service"
+        )
+    with context.record.answering():
+        wanted = call_session.CallInput(
+            request.method,
+            _path_with_query(request, path),
+            _passed_headers(request),
+            await body.read(request),
+        )
+        finished = await parts.call(context, wanted).run()
     return _to_response(finished)
 
 
--- a/bronzeslip/transport/server.py
+++ b/bronzeslip/transport/server.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Sequence
 import hmac
 
 import grpc
@@ -21,7 +22,14 @@
     """Accepts connections of other processes of the system."""
 
     def __init__(
-        self, address: str, port: int, peer_key: str, handler: Handler
+        self,
+        address: str,
+        port: int,
+        peer_key: str,
+        handler: Handler,
+        *,
+        accepted_peer_keys: Sequence[str] = (),
+        credentials: grpc.ServerCredentials | None = None,
     ) -> None:
         """Binds the port.
 
@@ -31,8 +39,12 @@
             peer_key: Key that every peer must show.
             handler: Called with each accepted connection; the connection
                 ends when it returns.
+            accepted_peer_keys: Further keys that a peer may show instead.
+            credentials: Certificates for TLS, or None for plain TCP.
         """
-        self._peer_key = peer_key
+        self._peer_keys = tuple(
+            key.encode() for key in (peer_key, *accepted_peer_keys)
+        )
         self._handler = handler
         self._server = grpc.aio.server(
             options=(
@@ -48,7 +60,13 @@
                 ),
             )
         )
-        self.port = self._server.add_insecure_port(f"{address}:{port}")
+        listen_address = f"{address}:{port}"
+        if credentials is None:
+            self.port = self._server.add_insecure_port(listen_address)
+        else:
+            self.port = self._server.add_secure_port(
+                listen_address, credentials
+            )
 
     async def start(self) -> None:
         """Starts to accept connections."""
@@ -64,9 +82,11 @@
         shown = dict(context.invocation_metadata()).get(
             service.KEY_METADATA, ""
         )
-        if not hmac.compare_digest(
-            str(shown).encode(), self._peer_key.encode()
-        ):
+        matches = [
+            hmac.compare_digest(str(shown).encode(), key)
+            for key in self._peer_keys
+        ]
+        if not any(matches):
             logger.warning("transport.key_refused", peer=context.peer())
             await context.abort(grpc.StatusCode.UNAUTHENTICATED, "peer key")
         try:
