--- a/bronzeslip/settings/gateway.py
+++ b/bronzeslip/settings/gateway.py
@@ -138,6 +138,7 @@
         default=64,
         minimum=0,
         maximum=1_000_000,
+    )
     vm_list_interval_s: float = setting(
         "time between reads of the platform's list of VMs, in seconds",
         "membership",
--- a/tests/gateway/test_resume_token.py
+++ b/tests/gateway/test_resume_token.py
@@ -31,7 +31,7 @@
 
     def test_outlives_a_rotation_of_the_key(self):
         old = gateway_app.create_settings(peer_key="old")
-        text = resume_token.ResumeTokenSigner(old).sign(_OWNER, _TOKEN)
+        text = resume_token.ResumeTokenSigner(old).series(_OWNER, _RUN).at(41)
         new = gateway_app.create_settings(
             peer_key="new", accepted_peer_keys=("old",)
         )
