Carry fewer bytes in the spread and measure it

Ruled out: longer silence (a frozen relay must be left within 2 s); relays that refuse further followers (more messages after each loss).

Change: heartbeats of relays every 0.9 s, of followers every 3 s; positions only when a version has moved, and all at every tenth; non-watching gateways choose a parent by rank, three to a relay. The order of relays is kept until the members change, and candidates are listed only when one is needed.

--- a/bench/configuration_apply.py
+++ b/bench/configuration_apply.py
@@ -8,7 +8,7 @@
 import httpx
 import msgspec
 
-from bronzeslip import ids
+from bench.spread import patch_events
 from bronzeslip.configuration import in_force
 from bronzeslip.configuration import manifest
 from bronzeslip.configuration import store
@@ -37,14 +37,18 @@
     holder = in_force.ConfigurationInForce()
     follower = watcher.ConfigurationWatcher(holder)
     patched = store.ConfigurationStore(platform)
-    first_s = await _timed(patched.apply(_request(0, letter_size.document())))
+    first_s = await _timed(
+        patched.apply(patch_events.request(0, letter_size.document()))
+    )
     listed = await platform.list_objects(manifest.PREFIX)
     adopt_first_s = await _timed(follower.on_list(listed))
     version, apply_s, adopt_s, sent_bytes = listed.version, 0.0, 0.0, 0
     calls_before = standin.calls.total()
     for number in range(1, patches + 1):
         patch = {"workspaces": {f"workspace-{number}": {"weight": 2.0}}}
-        apply_s += await _timed(patched.apply(_request(number, patch)))
+        apply_s += await _timed(
+            patched.apply(patch_events.request(number, patch))
+        )
         batch = await platform.watch(manifest.PREFIX, version, 0.0)
         version = batch.version
         sent_bytes += len(msgspec.json.encode(batch))
@@ -67,15 +71,6 @@
     print(f"| peak memory, stand-in included | {memory_mb:.0f} MB |")
 
 
-def _request(base_number: int, patch: object) -> store.PatchRequest:
-    return store.PatchRequest(
-        ids.PatchId(ids.random_id()),
-        ids.ConfigurationNumber(base_number),
-        ids.OperatorName("bench"),
-        patch,
-    )
-
-
 async def _timed(work: object) -> float:
     start_s = time.perf_counter()
     await work
--- /dev/null
+++ b/bench/configuration_spread.py
@@ -0,0 +1,37 @@
+"""Compares ways to spread the configuration, by size of the fleet."""
+
+import argparse
+import asyncio
+
+from bench.spread import all_watching
+from bench.spread import figures
+from bench.spread import flat_gossip
+from bench.spread import fleet
+from bench.spread import patch_events
+from bench.spread import relay_tree
+
+
+def main() -> None:
+    """Runs the models and prints a table."""
+    parser = argparse.ArgumentParser(prog="configuration_spread")
+    parser.add_argument("--patches", type=int, default=4)
+    parser.add_argument("--most-processes", type=int, default=4_680)
+    flags = parser.parse_args()
+    batches = asyncio.run(patch_events.collect(flags.patches))
+    sizes = [flat_gossip.packed_bytes(batch) for batch in batches]
+    print(f"compressed bytes a patch: {sum(sizes) / len(sizes):.0f}\n")
+    print(figures.HEADER)
+    for shape in fleet.SHAPES:
+        if shape.size > flags.most_processes:
+            continue
+        for result in (
+            relay_tree.measure(shape, batches, freeze=False),
+            relay_tree.measure(shape, batches, freeze=True),
+            flat_gossip.measure(shape, batches),
+            all_watching.measure(shape, batches),
+        ):
+            print(result.row(), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/spread/__init__.py
@@ -0,0 +1,1 @@
+"""Models of ways to spread a configuration."""
--- /dev/null
+++ b/bench/spread/fleet.py
@@ -0,0 +1,75 @@
+"""Processes of a fleet, their places and the delays between them."""
+
+import dataclasses
+
+from bronzeslip import ids
+from bronzeslip.membership import member
+
+WITHIN_DOMAIN_DELAY_S = 0.000_3
+BETWEEN_DOMAINS_DELAY_S = 0.001_5
+BETWEEN_REGIONS_DELAY_S = 0.012
+PLATFORM_DELAY_S = 0.005
+PROCESSING_DELAY_S = 0.015
+HEADER_BYTES = 54
+
+
+@dataclasses.dataclass(frozen=True)
+class FleetShape:
+    """Numbers of a fleet.
+
+    Attributes:
+        regions: Regions.
+        domains: Failure domains over all regions.
+        gateways: Gateways over all failure domains.
+        sidecars: Sidecars over all failure domains.
+    """
+
+    regions: int
+    domains: int
+    gateways: int
+    sidecars: int
+
+    @property
+    def size(self) -> int:
+        """Processes in all."""
+        return self.gateways + self.sidecars
+
+
+TODAY = FleetShape(3, 3, 3, 10)
+SHAPES = (
+    TODAY,
+    FleetShape(4, 13, 39, 429),
+    FleetShape(4, 13, 130, 1_430),
+    FleetShape(4, 13, 380, 4_300),
+)
+
+
+def members_of(shape: FleetShape) -> list[member.Member]:
+    """Lists the processes of a fleet."""
+    roles = [member.MemberRole.GATEWAY] * shape.gateways
+    roles += [member.MemberRole.SIDECAR] * shape.sidecars
+    return [_member(shape, index, role) for index, role in enumerate(roles)]
+
+
+def delay_s(left: member.Member, right: member.Member) -> float:
+    """Returns the one-way delay between two processes."""
+    if left.failure_domain == right.failure_domain:
+        return WITHIN_DOMAIN_DELAY_S
+    if left.region == right.region:
+        return BETWEEN_DOMAINS_DELAY_S
+    return BETWEEN_REGIONS_DELAY_S
+
+
+def _member(
+    shape: FleetShape, index: int, role: member.MemberRole
+) -> member.Member:
+    domain = index % shape.domains
+    name = f"vm-{index}"
+    return member.Member(
+        vm_id=ids.VmId(name),
+        incarnation_id=ids.IncarnationId("1"),
+        role=role,
+        region=ids.RegionName(f"region-{domain % shape.regions}"),
+        failure_domain=ids.FailureDomainName(f"domain-{domain}"),
+        address=name,
+    )
--- /dev/null
+++ b/bench/spread/patch_events.py
@@ -0,0 +1,45 @@
+"""Events of patches of a configuration of the letter's size."""
+
+import httpx
+
+from bronzeslip import ids
+from bronzeslip.configuration import manifest
+from bronzeslip.configuration import store
+from bronzeslip.platform import client
+from bronzeslip.platform import objects
+from standins.platform import app
+from tools import letter_size
+
+PATCHES_PER_DAY = 3_800
+_SECONDS_PER_DAY = 86_400
+PATCHES_PER_S = PATCHES_PER_DAY / _SECONDS_PER_DAY
+_WARM_UP_PATCHES = 8
+
+
+async def collect(count: int) -> list[objects.WatchBatch]:
+    """Applies patches to the platform stand-in and returns their events."""
+    standin = app.PlatformStandin()
+    platform = client.PlatformClient(
+        "http://platform", 60.0, httpx.ASGITransport(standin.app())
+    )
+    patched = store.ConfigurationStore(platform)
+    await patched.apply(request(0, letter_size.document()))
+    batches = []
+    for number in range(1, _WARM_UP_PATCHES + count + 1):
+        before = (await platform.list_objects("none/")).version
+        name = f"workspace-{number * 37 % letter_size.WORKSPACE_COUNT}"
+        patch = {"workspaces": {name: {"weight": float(number)}}}
+        await patched.apply(request(number, patch))
+        batches.append(await platform.watch(manifest.PREFIX, before, 0.0))
+    await platform.close()
+    return batches[-count:]
+
+
+def request(base_number: int, patch: object) -> store.PatchRequest:
+    """Describes a patch of the measurement."""
+    return store.PatchRequest(
+        ids.PatchId(ids.random_id()),
+        ids.ConfigurationNumber(base_number),
+        ids.OperatorName("bench"),
+        patch,
+    )
--- /dev/null
+++ b/bench/spread/traffic.py
@@ -0,0 +1,36 @@
+"""Counts messages between processes."""
+
+import collections
+
+from bench.spread import fleet
+from bronzeslip.membership import member
+
+
+class Traffic:
+    """Messages and bytes by process, and between regions."""
+
+    def __init__(self) -> None:
+        self.messages = 0
+        self.region_messages = 0
+        self.region_bytes = 0
+        self.bytes_by_vm: collections.Counter[str] = collections.Counter()
+
+    def count(
+        self, sender: member.Member, receiver: member.Member, size_bytes: int
+    ) -> None:
+        """Counts a message with its headers."""
+        size_bytes += fleet.HEADER_BYTES
+        self.messages += 1
+        self.bytes_by_vm[sender.vm_id] += size_bytes
+        self.bytes_by_vm[receiver.vm_id] += size_bytes
+        if sender.region != receiver.region:
+            self.region_messages += 1
+            self.region_bytes += size_bytes
+
+    def mean_bytes(self, processes: int) -> float:
+        """Returns the mean bytes of a process."""
+        return sum(self.bytes_by_vm.values()) / processes
+
+    def most_bytes(self) -> int:
+        """Returns the bytes of the busiest process."""
+        return max(self.bytes_by_vm.values(), default=0)
--- a/bronzeslip/settings/common.py
+++ b/bronzeslip/settings/common.py
@@ -70,6 +70,27 @@
         minimum=0.1,
         maximum=60,
     )
+    relay_heartbeat_interval_s: float = setting(
+        "time between heartbeats of a relay to its followers, in seconds",
+        "network",
+        default=0.9,
+        minimum=0.05,
+        maximum=10,
+    )
+    relay_silence_timeout_s: float = setting(
+        "silence after which a follower gives its relay up, in seconds",
+        "network",
+        default=1.8,
+        minimum=0.1,
+        maximum=60,
+    )
+    follower_heartbeat_interval_s: float = setting(
+        "time between heartbeats of a follower to its relay, in seconds",
+        "network",
+        default=3.0,
+        minimum=0.05,
+        maximum=60,
+    )
     seed_peers: tuple[str, ...] = setting(
         "peer addresses of gateways to ask when no other is known",
         "network",
--- /dev/null
+++ b/bronzeslip/spread/hub_feed.py
@@ -0,0 +1,87 @@
+"""Applies what a relay sends to a hub."""
+
+from collections.abc import Callable
+import functools
+
+from bronzeslip import logs
+from bronzeslip.spread import errors
+from bronzeslip.spread import hub
+from bronzeslip.spread import packing
+from bronzeslip.transport import codec
+from bronzeslip.transport.frames import spread as frames
+
+logger = logs.get_logger(__name__)
+
+
+class HubFeed:
+    """Takes frames of one relay and asks anew when some are missing."""
+
+    def __init__(
+        self, target: hub.SpreadHub, send: Callable[[codec.Frame], None]
+    ) -> None:
+        """Creates a feed.
+
+        Args:
+            target: Hub that is fed.
+            send: Sends a frame to the relay.
+        """
+        self._target = target
+        self._send = send
+
+    def start(self) -> None:
+        """Asks for every prefix."""
+        for state in self._target.states():
+            self._ask(state.prefix)
+
+    def take(self, frame: codec.Frame) -> None:
+        """Applies a frame.
+
+        Raises:
+            transport.errors.BadFrameError: If its content is unreadable.
+        """
+        try:
+            self._take(frame)
+        except errors.GapError as error:
+            self._close_gap(frame.prefix, error)
+
+    def _ask(self, prefix: str) -> None:
+        version = self._target.state(prefix).version
+        self._send(frames.FollowPrefix(prefix, version))
+
+    def _close_gap(self, prefix: str, error: errors.GapError) -> None:
+        logger.info("spread.gap", reason=error.message)
+        self._ask(prefix)
+
+    @functools.singledispatchmethod
+    def _take(self, frame: codec.Frame) -> None:
+        logger.warning("spread.unexpected_frame", frame=type(frame).__name__)
+
+    @_take.register
+    def _(self, frame: frames.PrefixSnapshot) -> None:
+        state = self._target.state(frame.prefix)
+        state.replace(packing.unpack_list(frame.listed))
+        state.confirm(frame.age_s)
+
+    @_take.register
+    def _(self, frame: frames.PrefixDelta) -> None:
+        state = self._target.state(frame.prefix)
+        events = packing.unpack_events(frame.events)
+        state.advance(frame.base, frame.version, events)
+        state.confirm(frame.age_s)
+
+    @_take.register
+    def _(self, frame: frames.RelayHeartbeat) -> None:
+        for position in frame.positions:
+            self._take_position(position)
+        for state in self._target.states():
+            if state.known:
+                state.confirm(frame.age_s)
+
+    def _take_position(self, position: frames.PrefixPosition) -> None:
+        state = self._target.state(position.prefix)
+        if not state.known:
+            return
+        try:
+            state.advance(position.base, position.version, ())
+        except errors.GapError as error:
+            self._close_gap(position.prefix, error)
--- a/bronzeslip/spread/node.py
+++ b/bronzeslip/spread/node.py
@@ -21,7 +21,7 @@
 
 logger = logs.get_logger(__name__)
 
-_CHECK_INTERVAL_S = 0.2
+_CHECK_INTERVAL_S = 0.5
 _MIN_WATCH_DELAY_S = 2.0
 _MAX_WATCH_DELAY_S = 4.0
 _MAX_FIRST_READ_DELAY_S = 0.5
@@ -139,6 +139,7 @@
     async def _follow_relays(self) -> None:
         allow_stale = False
         while True:
+            await self._wait_until(lambda: not self._satisfied())
             allow_stale = await self._try_candidates(allow_stale)
             await asyncio.sleep(
                 random.uniform(_MIN_PASS_DELAY_S, _MAX_PASS_DELAY_S)
--- a/bronzeslip/spread/relay.py
+++ b/bronzeslip/spread/relay.py
@@ -2,6 +2,7 @@
 
 from bronzeslip.settings import common
 from bronzeslip.spread import hub
+from bronzeslip.spread import link_settings
 from bronzeslip.spread import packing
 from bronzeslip.spread import relay_session
 from bronzeslip.spread import status_board
@@ -17,7 +18,7 @@
         source: hub.SpreadHub,
         board: status_board.StatusBoard,
     ) -> None:
-        self._settings = settings
+        self._settings = link_settings.of_relay(settings)
         self._source = source
         self._board = board
         self._packer = packing.EventPacker()
--- a/bronzeslip/spread/relay_link.py
+++ b/bronzeslip/spread/relay_link.py
@@ -2,14 +2,14 @@
 
 import asyncio
 from collections.abc import Callable
-import functools
 import time
 
 from bronzeslip import logs
 from bronzeslip.settings import common
 from bronzeslip.spread import errors
 from bronzeslip.spread import hub
-from bronzeslip.spread import packing
+from bronzeslip.spread import hub_feed
+from bronzeslip.spread import link_settings
 from bronzeslip.spread import status_board
 from bronzeslip.transport import codec
 from bronzeslip.transport import connection
@@ -20,7 +20,7 @@
 
 MAX_AGE_S = 9.0
 _FIRST_ANSWER_S = 2.0
-_CHECK_INTERVAL_S = 0.25
+_CHECK_INTERVAL_S = 0.5
 _REPORT_DELAY_S = 0.2
 
 
@@ -42,7 +42,7 @@
             board: Board whose summary is reported to the relay.
             address: IP number and port of the relay.
         """
-        self._settings = settings
+        self._settings = link_settings.of_follower(settings)
         self._target = target
         self._board = board
         self._address = address
@@ -50,6 +50,7 @@
         self._changed = asyncio.Event()
         self._heard = False
         self._connection: connection.PeerConnection | None = None
+        self._feed: hub_feed.HubFeed | None = None
 
     @property
     def heard(self) -> bool:
@@ -72,6 +73,7 @@
         self._connection = connection.PeerConnection(
             self._address, self._settings, self._on_frame, self._lost.set
         )
+        self._feed = hub_feed.HubFeed(self._target, self._connection.send)
         reporting = asyncio.create_task(self._report())
         try:
             await self._follow(should_stop, allow_stale)
@@ -82,8 +84,7 @@
     async def _follow(
         self, should_stop: Callable[[], bool], allow_stale: bool
     ) -> None:
-        for state in self._target.states():
-            self._ask(state.prefix)
+        self._feed.start()
         opened_at_s = time.monotonic()
         while not should_stop():
             if self._lost.is_set():
@@ -104,10 +105,6 @@
                 f"{self._address} is {age_s:.0f} s out of date"
             )
 
-    def _ask(self, prefix: str) -> None:
-        version = self._target.state(prefix).version
-        self._connection.send(frames.FollowPrefix(prefix, version))
-
     async def _report(self) -> None:
         self._board.add_listener(self._changed.set)
         try:
@@ -123,46 +120,7 @@
     def _on_frame(self, frame: codec.Frame) -> None:
         self._heard = True
         try:
-            self._take(frame)
-        except errors.GapError as error:
-            self._close_gap(frame.prefix, error)
+            self._feed.take(frame)
         except transport_errors.BadFrameError as error:
             logger.error("spread.unreadable", reason=error.message)
             self._lost.set()
-
-    def _close_gap(self, prefix: str, error: errors.GapError) -> None:
-        logger.info("spread.gap", reason=error.message)
-        self._ask(prefix)
-
-    @functools.singledispatchmethod
-    def _take(self, frame: codec.Frame) -> None:
-        logger.warning("spread.unexpected_frame", frame=type(frame).__name__)
-
-    @_take.register
-    def _(self, frame: frames.PrefixSnapshot) -> None:
-        state = self._target.state(frame.prefix)
-        state.replace(packing.unpack_list(frame.listed))
-        state.confirm(frame.age_s)
-
-    @_take.register
-    def _(self, frame: frames.PrefixDelta) -> None:
-        state = self._target.state(frame.prefix)
-        events = packing.unpack_events(frame.events)
-        state.advance(frame.base, frame.version, events)
-        state.confirm(frame.age_s)
-
-    @_take.register
-    def _(self, frame: frames.RelayHeartbeat) -> None:
-        for position in frame.positions:
-            self._take_position(position)
-
-    def _take_position(self, position: frames.PrefixPosition) -> None:
-        state = self._target.state(position.prefix)
-        if not state.known:
-            return
-        try:
-            state.advance(position.base, position.version, ())
-        except errors.GapError as error:
-            self._close_gap(position.prefix, error)
-        else:
-            state.confirm(position.age_s)
--- a/bronzeslip/spread/relay_session.py
+++ b/bronzeslip/spread/relay_session.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import functools
+import itertools
+import math
 
 from bronzeslip import logs
 from bronzeslip.settings import common
@@ -20,6 +22,8 @@
 
 logger = logs.get_logger(__name__)
 
+_TURNS_TO_ALL_POSITIONS = 10
+
 
 class RelaySession:
     """Serves prefixes to one follower and takes its reports."""
@@ -66,13 +70,22 @@
             await self._peer.write(await self._outbox.take())
 
     async def _beat(self) -> None:
-        while True:
-            positions = tuple(
-                found.position() for found in self._subscriptions.values()
-            )
-            self._outbox.put(frames.RelayHeartbeat(positions))
+        for turn in itertools.count():
+            tell_all = turn % _TURNS_TO_ALL_POSITIONS == 0
+            self._outbox.put(self._heartbeat(tell_all))
             await asyncio.sleep(self._settings.heartbeat_interval_s)
 
+    def _heartbeat(self, tell_all: bool) -> frames.RelayHeartbeat:
+        followed = self._subscriptions.values()
+        return frames.RelayHeartbeat(
+            max((found.age_s() for found in followed), default=math.inf),
+            tuple(
+                found.position()
+                for found in followed
+                if tell_all or found.has_news
+            ),
+        )
+
     @functools.singledispatchmethod
     def _take(self, frame: codec.Frame) -> None:
         logger.warning("spread.unexpected_frame", frame=type(frame).__name__)
--- a/bronzeslip/spread/subscription.py
+++ b/bronzeslip/spread/subscription.py
@@ -44,9 +44,16 @@
     def position(self) -> frames.PrefixPosition:
         """Tells the follower how far it has been brought."""
         base, self._told_version = self._told_version, self._version
-        return frames.PrefixPosition(
-            self._prefix, base, self._version, self._state.age_s()
-        )
+        return frames.PrefixPosition(self._prefix, base, self._version)
+
+    @property
+    def has_news(self) -> bool:
+        """Whether the follower has not been told its position."""
+        return self._told_version != self._version
+
+    def age_s(self) -> float:
+        """Returns the time since the platform confirmed the prefix."""
+        return self._state.age_s()
 
     def _mark_ready(self) -> None:
         self._target.mark_ready(_KEY_PREFIX + self._prefix, self._take)
--- a/bronzeslip/spread/upstream_order.py
+++ b/bronzeslip/spread/upstream_order.py
@@ -9,6 +9,7 @@
 from bronzeslip.settings import common
 
 WATCHERS_PER_DOMAIN = 2
+GATEWAYS_PER_RELAY = 3
 _MAX_DISTANT_RELAYS = 4
 
 
@@ -17,7 +18,8 @@
 
     Gateways of a failure domain are ranked by the hash of their VM id. The
     first few watch the platform. Any other follows only a gateway ranked
-    above itself, so that no two ever wait for each other.
+    above itself, so that no two ever wait for each other, and by its rank
+    chooses one that few others choose.
     """
 
     def __init__(
@@ -36,12 +38,14 @@
         self._settings = settings
         self._role = role
         self._members = members
+        self._above: list[member.Member] = []
+        self._above_at_change = -1
 
     def watches(self) -> bool:
         """Tells whether this process watches the platform."""
         if self._role is not member.MemberRole.GATEWAY:
             return False
-        above = self._above()
+        above = self._gateways_above()
         return len(above) < WATCHERS_PER_DOMAIN
 
     def candidates(self) -> list[str]:
@@ -56,11 +60,15 @@
         if self._role is not member.MemberRole.GATEWAY:
             own = self._gateways_of(self._settings.failure_domain)
             return rendezvous.ranked(own, _name_of, self._settings.vm_id)
-        above = self._above()
-        watchers = rendezvous.ranked(
-            above[:WATCHERS_PER_DOMAIN], _name_of, self._settings.vm_id
-        )
-        return watchers + above[WATCHERS_PER_DOMAIN:]
+        above = self._gateways_above()
+        if self.watches():
+            return list(above)
+        parent = above[(len(above) - WATCHERS_PER_DOMAIN) // GATEWAYS_PER_RELAY]
+        others = [known for known in above if known is not parent]
+        return [
+            parent,
+            *rendezvous.ranked(others, _name_of, self._settings.vm_id),
+        ]
 
     def _distant(self) -> list[member.Member]:
         """Lists gateways elsewhere, those of the same region first.
@@ -88,7 +96,14 @@
             :_MAX_DISTANT_RELAYS
         ]
 
-    def _above(self) -> list[member.Member]:
+    def _gateways_above(self) -> list[member.Member]:
+        """Lists the gateways ranked above this process, the first first."""
+        if self._above_at_change != self._members.change_count:
+            self._above_at_change = self._members.change_count
+            self._above = self._rank_above()
+        return self._above
+
+    def _rank_above(self) -> list[member.Member]:
         own = rendezvous.weight_of(self._settings.vm_id)
         return [
             known
--- a/bronzeslip/transport/frames/spread.py
+++ b/bronzeslip/transport/frames/spread.py
@@ -58,19 +58,26 @@
         prefix: Prefix followed.
         base: Version that the follower was last told.
         version: Version that it has now.
-        age_s: Time since the platform confirmed it, in seconds.
     """
 
     prefix: str
     base: ids.ObjectVersion
     version: ids.ObjectVersion
-    age_s: float
 
 
-class RelayHeartbeat(msgspec.Struct, frozen=True, tag="relay-heartbeat"):
-    """Shows that a relay is alive, and the versions that it has sent."""
+class RelayHeartbeat(
+    msgspec.Struct, frozen=True, omit_defaults=True, tag="relay-heartbeat"
+):
+    """Shows that a relay is alive.
+
+    Attributes:
+        age_s: Time since the platform confirmed what was sent, in seconds.
+        positions: Versions that were sent, of prefixes that have changed; now
+            and then of all, so that a follower notices what it has missed.
+    """
 
-    positions: tuple[PrefixPosition, ...]
+    age_s: float
+    positions: tuple[PrefixPosition, ...] = ()
 
 
 class Laggard(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/spread/spread_case.py
+++ b/tests/spread/spread_case.py
@@ -29,8 +29,8 @@
             failure_domain=ids.FailureDomainName(domain),
             peer_key=PEER_KEY,
             platform_url="http://platform",
-            heartbeat_interval_s=0.1,
-            peer_silence_timeout_s=1.0,
+            relay_heartbeat_interval_s=0.1,
+            relay_silence_timeout_s=1.0,
             seed_peers=tuple(seeds),
         )
         self.role = role
