Ask a sidecar whose connection was lost lately last

Cause: every request sent first to a dead sidecar that the directory still lists waited for its connection to be given up. Change: the pool remembers when an address was lost and not heard from since; the session asks such endpoints last. A paused gateway is tried as well. Before: test_unreachable_sidecar_is_asked_last failed. After: it passes.

--- a/bronzeslip/gateway/generation_session.py
+++ b/bronzeslip/gateway/generation_session.py
@@ -203,7 +203,11 @@
             for option in options
             if option.endpoint.endpoint_id not in self._tried
         ]
-        return (fresh or options)[: self._attempts_left]
+        ordered = sorted(
+            fresh or options,
+            key=lambda option: self._peers.is_failing(option.endpoint.address),
+        )
+        return ordered[: self._attempts_left]
 
     async def _try(self, endpoint: member.Member) -> bool:
         self._enter(endpoint)
--- a/bronzeslip/gateway/peer.py
+++ b/bronzeslip/gateway/peer.py
@@ -1,5 +1,7 @@
 """One connection of a gateway to a sidecar."""
 
+import time
+
 from bronzeslip import logs
 from bronzeslip.gateway import inbox
 from bronzeslip.settings import gateway
@@ -18,9 +20,15 @@
 
 
 class Peer:
-    """One sidecar's connection and the runs that use it."""
+    """One sidecar's connection and the runs that use it.
+
+    Attributes:
+        lost_at_s: When the connection ended on the monotonic clock, in
+            seconds, or None.
+    """
 
     def __init__(self, address: str, settings: gateway.GatewaySettings) -> None:
+        self.lost_at_s: float | None = None
         self._inboxes: dict[str, inbox.Inbox] = {}
         self._connection = connection.PeerConnection(
             address, settings, self._on_frame, self._on_close
@@ -60,6 +68,7 @@
             )
 
     def _on_close(self) -> None:
+        self.lost_at_s = time.monotonic()
         for opened in self._inboxes.values():
             opened.close()
 
--- a/tests/gateway/test_generation_session.py
+++ b/tests/gateway/test_generation_session.py
@@ -17,6 +17,7 @@
 from bronzeslip.membership import directory
 from bronzeslip.routing import least_outstanding
 from bronzeslip.routing import router
+from bronzeslip.transport import errors as transport_errors
 from bronzeslip.transport.frames import generation as frames
 from bronzeslip.transport.frames import reason
 from tests.gateway import fake_sidecar
@@ -35,10 +36,11 @@
             self.members.put(sidecar.member)
             self.sidecars[name] = sidecar
 
-    def session(self, idempotent=True, deadline_s=60.0, **changes):
+    def session(self, idempotent=True, deadline_s=60.0, pool=None, **changes):
         settings = fake_sidecar.settings(**changes)
-        pool = peer_pool.PeerPool(settings)
-        self.addAsyncCleanup(pool.close)
+        if pool is None:
+            pool = peer_pool.PeerPool(settings)
+            self.addAsyncCleanup(pool.close)
         routes = router.Router(
             self.members,
             pool,
@@ -235,6 +237,25 @@
         with self.assertRaises(errors.GenerationGoneError):
             await starting
 
+    async def test_unreachable_sidecar_is_asked_last(self):
+        settings = fake_sidecar.settings(peer_silence_timeout_s=0.2)
+        pool = peer_pool.PeerPool(settings)
+        self.addAsyncCleanup(pool.close)
+        stopped = self.sidecars.pop("e1")
+        await stopped.stop()
+        opened = pool.peer(stopped.member.address)
+        with self.assertRaises(transport_errors.ConnectionLostError):
+            await opened.open("run").get()
+        for _ in range(8):
+            session = self.session(pool=pool)
+            starting = asyncio.create_task(session.start())
+            connection, _, generation_id = await self.first_asked()
+            await connection.send(frames.GenerationAccepted(generation_id))
+            await starting
+            self.assertEqual(session.endpoint_id, "e2")
+            session.close()
+            pool.renew(self.sidecars["e2"].member.address)
+
     async def test_deadline_ends_the_wait(self):
         session = self.session(deadline_s=0.1)
         running = asyncio.create_task(session.start())
--- a/tests/processes/test_generation_failures.py
+++ b/tests/processes/test_generation_failures.py
@@ -174,24 +174,34 @@
         self.assertEqual(answers[0].status_code, httpx.codes.OK)
         self.assert_whole(answers[0].json()["choices"][0]["text"].split())
 
-    def test_paused_sidecar_is_resumed(self):
-        opened = self.held_stream()
-        sidecar = self.deployment.sidecars[self.index_of(opened)]
-        gateway = self.deployment.gateways[0]
-        seen = len(gateway.lines)
-        sidecar.send(signal.SIGSTOP)
-        self.addCleanup(sidecar.send, signal.SIGCONT)
+    def pause(self, process, watched, text):
+        """Pauses a process until another one notices."""
+        seen = len(watched.lines)
+        process.send(signal.SIGSTOP)
+        self.addCleanup(process.send, signal.SIGCONT)
         self.wait_for(
-            lambda: any(
-                "connection-lost" in line for line in gateway.lines[seen:]
-            )
+            lambda: any(text in line for line in watched.lines[seen:])
         )
-        sidecar.send(signal.SIGCONT)
+        process.send(signal.SIGCONT)
+
+    def assert_goes_on(self, opened):
         self.hold(None)
         opened.read_rest()
         self.assertTrue(opened.is_whole)
         self.assert_whole(opened.words)
 
+    def test_paused_sidecar_is_resumed(self):
+        opened = self.held_stream()
+        sidecar = self.deployment.sidecars[self.index_of(opened)]
+        self.pause(sidecar, self.deployment.gateways[0], "connection-lost")
+        self.assert_goes_on(opened)
+
+    def test_paused_gateway_resumes(self):
+        opened = self.held_stream()
+        sidecar = self.deployment.sidecars[self.index_of(opened)]
+        self.pause(self.deployment.gateways[0], sidecar, "peer.session_lost")
+        self.assert_goes_on(opened)
+
     def test_killed_sidecar_ends_a_stream_as_incomplete(self):
         opened = self.held_stream()
         index = self.index_of(opened)
@@ -210,18 +220,8 @@
         opened = self.held_stream()
         index = self.index_of(opened)
         engine = self.deployment.engines[index]
-        sidecar = self.deployment.sidecars[index]
-        seen = len(sidecar.lines)
-        engine.send(signal.SIGSTOP)
-        self.addCleanup(engine.send, signal.SIGCONT)
-        self.wait_for(
-            lambda: any("stream_lost" in line for line in sidecar.lines[seen:])
-        )
-        engine.send(signal.SIGCONT)
-        self.hold(None)
-        opened.read_rest()
-        self.assertTrue(opened.is_whole)
-        self.assert_whole(opened.words)
+        self.pause(engine, self.deployment.sidecars[index], "stream_lost")
+        self.assert_goes_on(opened)
 
     def test_killed_engine_ends_a_stream_as_incomplete(self):
         opened = self.held_stream()
