Choose endpoints by prefix, load and distance; admit by memory in the sidecar

Cause: gateways with lagging load herd, prefixes are computed anew at every engine, and the sidecar process still counted requests. Change: expected cost per endpoint (queue, prefill held against the batch, memory pressure, slow steps, distance), rendezvous homes for shared prefixes that grow with their share, corrections by what was sent since the last load; a busy endpoint refuses at once and the least loaded one holds; loads ride on accept, refuse and finish; the sidecar polls its engine's load. Test change: tests of the generation table take real settings, as the gate needs more of them.

--- a/bench/policy_experiment.py
+++ b/bench/policy_experiment.py
@@ -24,9 +24,6 @@
     "idle": morning.IDLE_MORNING,
     "overload": morning.OVERLOADED_MORNING,
 }
-_CONTENDERS = {
-    one.name: one for one in (*contender.BASELINES, *contender.ADMISSION)
-}
 
 
 class Trial(msgspec.Struct, frozen=True):
@@ -64,7 +61,12 @@
     parser.add_argument("--json", help="file for the figures of each trial")
     parser.add_argument("--shapes", nargs="+", default=list(_SHAPES))
     parser.add_argument("--mornings", nargs="+", default=["rush"])
-    parser.add_argument("--contenders", nargs="+", default=list(_CONTENDERS))
+    parser.add_argument(
+        "--contenders",
+        nargs="+",
+        default=list(contender.MAIN),
+        choices=list(contender.ALL),
+    )
     return parser.parse_args()
 
 
@@ -72,7 +74,7 @@
     shape, name, chosen, seed = cell
     settings = _MORNINGS[name]
     result = virtual_loop.run(
-        trial.run(_CONTENDERS[chosen], _SHAPES[shape], settings, seed)
+        trial.run(contender.ALL[chosen], _SHAPES[shape], settings, seed)
     )
     return Trial(*cell, summary.summarize(result, settings))
 
--- a/bench/simulated_gateway.py
+++ b/bench/simulated_gateway.py
@@ -55,7 +55,18 @@
         chosen_policy: policy.RoutingPolicy,
         sidecars: Sequence[simulated_sidecar.SimulatedSidecar],
         places: distances.Distances,
+        tells_lengths: bool = False,
     ) -> None:
+        """Creates a gateway.
+
+        Args:
+            settings: Settings of the gateway.
+            chosen_policy: Choice of endpoints.
+            sidecars: Sidecars of the pool.
+            places: Delays.
+            tells_lengths: Whether max_tokens is the true length.
+        """
+        self._tells_lengths = tells_lengths
         self._settings = settings
         self._quick_wait_s = settings.quick_queue_wait_s
         self._places = places
@@ -148,7 +159,7 @@
             arrival.workspace_class,
             arrival.weight,
             len(arrival.prompt),
-            _MAX_TOKENS,
+            arrival.length_tokens if self._tells_lengths else _MAX_TOKENS,
             expires_in_s,
             max_queue_wait_s,
         )
--- a/bench/trial.py
+++ b/bench/trial.py
@@ -100,6 +100,7 @@
         endpoint_id=ids.EndpointId(name),
         pool=ids.PoolName(shape.engine_pool),
         endpoint_url="",
+        **chosen.sidecar_changes,
     )
     self_member = member.Member(
         vm_id=ids.VmId(name),
@@ -125,10 +126,16 @@
     places: distances.Distances,
     seed: int,
 ) -> simulated_gateway.SimulatedGateway:
-    settings = gateway.GatewaySettings(**_common(region))
+    settings = gateway.GatewaySettings(
+        **_common(region), **chosen.gateway_changes
+    )
     rng = random.Random(f"{seed} {region}")
     return simulated_gateway.SimulatedGateway(
-        settings, chosen.create_policy(settings, rng), sidecars, places
+        settings,
+        chosen.create_policy(settings, rng),
+        sidecars,
+        places,
+        chosen is contender.ORACLE,
     )
 
 
--- a/bronzeslip/admission/memory_forecast.py
+++ b/bronzeslip/admission/memory_forecast.py
@@ -4,7 +4,23 @@
 
 from bronzeslip.admission import survival_curve
 
-HORIZONS_TOKENS = (0, 16, 32, 64, 128, 256, 512, 1024, 2048, 4096)
+HORIZONS_TOKENS = (
+    0,
+    16,
+    32,
+    64,
+    96,
+    128,
+    192,
+    256,
+    384,
+    512,
+    768,
+    1024,
+    1536,
+    2048,
+    4096,
+)
 
 _NO_DEMAND = [(0.0, 0.0)] * len(HORIZONS_TOKENS)
 
--- a/bronzeslip/admission/memory_gate.py
+++ b/bronzeslip/admission/memory_gate.py
@@ -10,9 +10,9 @@
 from bronzeslip.admission import length_estimator
 from bronzeslip.admission import memory_forecast
 from bronzeslip.admission import pending
+from bronzeslip.admission import priorities
 from bronzeslip.admission import request
 from bronzeslip.admission import ticket
-from bronzeslip.configuration import workspace
 from bronzeslip.engine import messages
 from bronzeslip.settings import sidecar
 from bronzeslip.transport.frames import link
@@ -21,15 +21,15 @@
 _MIN_RETRY_AFTER_S = 0.1
 _MAX_RETRY_AFTER_S = 60.0
 _FORECAST_AGE_S = 0.05
-_PRIORITIES = {
-    workspace.WorkspaceClass.DRAFT: 2,
-    workspace.WorkspaceClass.INTERACTIVE: 1,
-    workspace.WorkspaceClass.BATCH: 0,
-}
+_MIN_WAIT_STEPS = 8
 
 
 class MemoryGate(gate.AdmissionGate):
-    """Admits generations while the predicted peak of memory has room."""
+    """Admits generations while the predicted peak of memory has room.
+
+    Attributes:
+        used: Set once a generation has asked for a place.
+    """
 
     def __init__(
         self,
@@ -41,6 +41,7 @@
         self._deviations = statistics.NormalDist().inv_cdf(
             1 - settings.memory_overflow_probability
         )
+        self.used = asyncio.Event()
         self._view = engine_view.EngineView()
         self._queue = fair_queue.FairQueue(settings.queue_ageing_ratio)
         self._held: dict[ticket.Ticket, memory_forecast.Occupant] = {}
@@ -55,7 +56,7 @@
         usable = self._view.usable_tokens
         return link.EndpointLoad(
             running=self._running,
-            queued=len(self._queue),
+            queued=len(self._queue) + len(self._waiters),
             memory_used_ratio=forecast.now_tokens / usable,
             queue_wait_s=self._queue_wait_s(),
             draining=self._draining,
@@ -69,6 +70,7 @@
         Raises:
             errors.AdmissionRefusedError: If there will be none in time.
         """
+        self.used.set()
         waiting = self._pending(wanted)
         if self._draining:
             raise self._refusal(reason.RefusalReason.DRAINING)
@@ -81,7 +83,9 @@
         else:
             self._queue.rank(waiting, _now_s())
             self._take_place(waiting)
-        held = ticket.Ticket(wanted, _PRIORITIES[wanted.workspace_class])
+        held = ticket.Ticket(
+            wanted, priorities.priority_of(wanted.workspace_class)
+        )
         self._held[held] = waiting.occupant
         return held
 
@@ -225,6 +229,7 @@
         steps = self._current_forecast().steps_until(
             self._view.usable_tokens, waiting.occupant.prompt_tokens
         )
+        steps = max(steps, _MIN_WAIT_STEPS)
         return self._queue.cost_s + steps * self._view.step_time_s
 
     def _queue_wait_s(self) -> float:
--- a/bronzeslip/gateway/generation_session.py
+++ b/bronzeslip/gateway/generation_session.py
@@ -7,7 +7,7 @@
 
 from bronzeslip import ids
 from bronzeslip import logs
-from bronzeslip.configuration import workspace
+from bronzeslip.admission import priorities
 from bronzeslip.gateway import errors
 from bronzeslip.gateway import peer_pool
 from bronzeslip.gateway import remote_generation
@@ -22,15 +22,11 @@
 from bronzeslip.routing import router
 from bronzeslip.settings import gateway
 from bronzeslip.transport.frames import generation as frames
+from bronzeslip.transport.frames import reason
 
 logger = logs.get_logger(__name__)
 
 _RETRY_AFTER_S = 1.0
-_PRIORITIES = {
-    workspace.WorkspaceClass.INTERACTIVE: 2,
-    workspace.WorkspaceClass.DRAFT: 1,
-    workspace.WorkspaceClass.BATCH: 0,
-}
 
 
 class GenerationInput(msgspec.Struct, frozen=True):
@@ -80,6 +76,8 @@
         self._has_run = False
         self._delivered = False
         self._is_unresolved = False
+        self._is_pool_busy = False
+        self._max_queue_wait_s: float | None = None
 
     @property
     def generation_id(self) -> ids.GenerationId:
@@ -99,10 +97,14 @@
             errors.OutcomeUnknownError: If one may have run it.
             errors.IncompleteError: If one ran it and lost it.
         """
+        self._max_queue_wait_s = self._settings.quick_queue_wait_s
         for option in self._candidates():
             self._attempts_left -= 1
             if await self._try(option.endpoint):
-                self._has_run = True
+                return
+        if self._is_pool_busy:
+            self._max_queue_wait_s = None
+            if await self._try(self._ranked()[0].endpoint):
                 return
         raise self._failure("no endpoint took the request")
 
@@ -182,18 +184,25 @@
             self._routes.end(self.endpoint_id)
             self._remote = None
 
-    def _candidates(self) -> list[candidate.Candidate]:
-        request = policy.RoutingRequest(
+    def _routing_request(self) -> policy.RoutingRequest:
+        return policy.RoutingRequest(
             self._context.workspace_id,
             self._context.service_name,
             self._wanted.prompt,
             self._settings.region,
         )
+
+    def _ranked(self) -> list[candidate.Candidate]:
         try:
-            options = self._routes.candidates(self._context.binding, request)
+            return self._routes.candidates(
+                self._context.binding, self._routing_request()
+            )
         except routing_errors.RoutingError as error:
             self._retry_after_s = error.retry_after_s or _RETRY_AFTER_S
             raise self._failure(error.message) from error
+
+    def _candidates(self) -> list[candidate.Candidate]:
+        options = self._ranked()
         fresh = [
             option
             for option in options
@@ -214,11 +223,13 @@
             self.close()
             raise
         self.record.started()
+        self._has_run = True
         return True
 
     def _enter(self, endpoint: member.Member) -> None:
         self._tried.add(endpoint.endpoint_id)
         self._bind(endpoint, ids.GenerationId(ids.random_id()), 0)
+        self._routes.accepted(self._routing_request(), endpoint.endpoint_id)
         self._remote.begin(self._start_frame, self._resolve_timeout_s())
 
     def _bind(
@@ -258,10 +269,12 @@
             self._wanted.model,
             self._wanted.prompt,
             self._wanted.max_tokens,
-            _PRIORITIES[self._context.workspace.workspace_class],
+            priorities.priority_of(self._context.workspace.workspace_class),
             self._context.workspace.weight,
             self._context.remaining_s(),
             incarnation_id,
+            self._context.workspace.workspace_class,
+            self._max_queue_wait_s,
         )
 
     @functools.singledispatchmethod
@@ -271,6 +284,8 @@
 
     @_note_failure.register
     def _(self, error: generation_errors.GenerationRefusedError) -> None:
+        if error.refusal is reason.RefusalReason.BUSY:
+            self._is_pool_busy = True
         self._retry_after_s = error.retry_after_s or _RETRY_AFTER_S
 
     @_note_failure.register
--- a/bronzeslip/gateway/parts.py
+++ b/bronzeslip/gateway/parts.py
@@ -10,7 +10,7 @@
 from bronzeslip.membership import endpoint_subset
 from bronzeslip.metrics import gateway_metrics
 from bronzeslip.platform import client
-from bronzeslip.routing import least_outstanding
+from bronzeslip.routing import prefix_load
 from bronzeslip.routing import router
 from bronzeslip.settings import gateway
 from bronzeslip.spread import service
@@ -29,7 +29,7 @@
     routes = router.Router(
         endpoint_subset.EndpointSubset(settings, spread.members),
         peers,
-        least_outstanding.LeastOutstandingPolicy(random.Random()),
+        prefix_load.PrefixLoadPolicy(settings, random.Random()),
     )
     return state.GatewayState(
         settings=settings,
--- a/bronzeslip/routing/endpoint_cost.py
+++ b/bronzeslip/routing/endpoint_cost.py
@@ -10,6 +10,7 @@
     """Cost in seconds that callers wait, this one and others.
 
     Attributes:
+        crowding_s: Requests that run there already.
         wait_s: Wait in the sidecar's queue.
         prefill_s: Prompt to compute, as it holds up the whole batch.
         pressure_s: Memory that is close to full.
@@ -17,6 +18,7 @@
         distance_s: Way to the endpoint, and traffic paid for.
     """
 
+    crowding_s: float
     wait_s: float
     prefill_s: float
     pressure_s: float
@@ -27,7 +29,8 @@
     def total_s(self) -> float:
         """The sum."""
         return (
-            self.wait_s
+            self.crowding_s
+            + self.wait_s
             + self.prefill_s
             + self.pressure_s
             + self.slowness_s
@@ -71,7 +74,10 @@
     excess = max(peak - settings.memory_pressure_start_ratio, 0.0)
     step_s = load.step_time_s if is_known else pool.median_step_s
     slow_by = max(step_s / pool.median_step_s - 1.25, 0.0) if step_s else 0.0
+    crowd = max(running + load.queued, option.outstanding)
+    crowd += option.sent_since_load
     return EndpointCost(
+        crowding_s=crowd * settings.request_cost_s,
         wait_s=load.queue_wait_s if is_known else settings.unknown_load_cost_s,
         prefill_s=uncached_bytes
         / settings.prefill_bytes_per_s
--- a/bronzeslip/routing/prefix_load.py
+++ b/bronzeslip/routing/prefix_load.py
@@ -18,6 +18,7 @@
 
 _HOME_BELIEF = 0.5
 _TIE_NOISE = 0.02
+_TIE_NOISE_S = 0.0005
 
 
 class PrefixLoadPolicy:
@@ -55,8 +56,9 @@
                 self._uncached_bytes(option, request, hashes, homes),
                 option.endpoint.region == request.region,
             )
-            noise = 1 + _TIE_NOISE * self._rng.random()
-            return option.load.draining, cost.total_s * noise
+            noise = self._rng.random()
+            total_s = cost.total_s * (1 + _TIE_NOISE * noise)
+            return option.load.draining, total_s + _TIE_NOISE_S * noise
 
         return sorted(candidates, key=rank)
 
--- a/bronzeslip/settings/gateway.py
+++ b/bronzeslip/settings/gateway.py
@@ -75,6 +75,13 @@
         minimum=0,
         maximum=60,
     )
+    request_cost_s: float = setting(
+        "price of each request that an endpoint has, in seconds of waiting",
+        "routing",
+        default=0.002,
+        minimum=0,
+        maximum=60,
+    )
     request_memory_ratio: float = setting(
         "memory that a request just sent is taken to need, as a share",
         "routing",
@@ -138,6 +145,7 @@
         default=64,
         minimum=0,
         maximum=1_000_000,
+    )
     vm_list_interval_s: float = setting(
         "time between reads of the platform's list of VMs, in seconds",
         "membership",
--- a/bronzeslip/settings/sidecar.py
+++ b/bronzeslip/settings/sidecar.py
@@ -60,6 +60,13 @@
         minimum=0,
         maximum=100,
     )
+    load_poll_interval_s: float = setting(
+        "time between reads of the engine's load, in seconds",
+        "admission",
+        default=0.5,
+        minimum=0.05,
+        maximum=60,
+    )
     generation_grace_s: float = setting(
         "time a finished generation stays readable, in seconds",
         "generation",
--- a/bronzeslip/sidecar/daemon.py
+++ b/bronzeslip/sidecar/daemon.py
@@ -7,7 +7,7 @@
 from bronzeslip import background
 from bronzeslip import ids
 from bronzeslip import logs
-from bronzeslip.admission import gate
+from bronzeslip.admission import memory_gate
 from bronzeslip.engine import client as engine_client
 from bronzeslip.http import server as http_server
 from bronzeslip.http import shutdown
@@ -20,6 +20,7 @@
 from bronzeslip.sidecar import calls
 from bronzeslip.sidecar import generations
 from bronzeslip.sidecar import leaving_watch
+from bronzeslip.sidecar import load_poller
 from bronzeslip.sidecar import peer_session
 from bronzeslip.spread import service
 from bronzeslip.transport import server as transport_server
@@ -42,11 +43,14 @@
         self._signals = shutdown.ShutdownSignals()
         self._tasks = background.BackgroundTasks(self._signals.request)
         metrics = sidecar_metrics.SidecarMetrics()
-        self._admission = gate.AdmissionGate(settings)
+        self._admission = memory_gate.MemoryGate(settings)
         self._engine = engine_client.EngineClient(settings.endpoint_url)
         self._table = generations.GenerationTable(
             settings, self._engine, self._admission, metrics
         )
+        self._poller = load_poller.LoadPoller(
+            settings, self._engine, self._admission
+        )
         self._runner = calls.CallRunner(settings, self._admission, metrics)
         self._platform = platform_client.PlatformClient(
             settings.platform_url,
@@ -90,6 +94,7 @@
         self._http.start()
         self._tasks.start("spread", self._spread.run())
         self._tasks.start("registration", self._registrar.keep())
+        self._tasks.start("load poller", self._poller.run())
         self._tasks.start("sweep", self._table.sweep())
         self._tasks.start("leaving watch", self._leaving.run())
         self._tasks.start(
--- a/bronzeslip/sidecar/engine_reader.py
+++ b/bronzeslip/sidecar/engine_reader.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 import contextlib
 import time
 
@@ -37,7 +38,18 @@
         engine: client.EngineClient,
         current: run.GenerationRun,
         metrics: sidecar_metrics.SidecarMetrics | None = None,
+        on_progress: Callable[[int], None] = lambda _: None,
     ) -> None:
+        """Prepares to read a generation that has a place on the engine.
+
+        Args:
+            settings: Timeouts.
+            engine: Engine to read from.
+            current: Run to fill.
+            metrics: Metrics of the sidecar.
+            on_progress: Called with the count of tokens after each batch.
+        """
+        self._on_progress = on_progress
         self._settings = settings
         self._engine = engine
         self._run = current
@@ -86,6 +98,7 @@
             self._run.mark_running()
         if event.kind is messages.StreamEventKind.TOKENS:
             self._run.append(event.first_index, event.texts)
+            self._on_progress(self._run.buffer.next_index)
             return
         self._metrics.preempted(
             self._run.start.service_name, event.preemption_count
--- a/bronzeslip/sidecar/generations.py
+++ b/bronzeslip/sidecar/generations.py
@@ -1,12 +1,15 @@
 """Generations that a sidecar runs on its engine."""
 
 import asyncio
+import math
 import time
 
 from bronzeslip import ids
 from bronzeslip import logs
 from bronzeslip.admission import errors as admission_errors
-from bronzeslip.admission import gate
+from bronzeslip.admission import memory_gate
+from bronzeslip.admission import request
+from bronzeslip.admission import ticket
 from bronzeslip.engine import client
 from bronzeslip.engine import errors as engine_errors
 from bronzeslip.generation import errors
@@ -29,7 +32,7 @@
         self,
         settings: sidecar.SidecarSettings,
         engine: client.EngineClient,
-        admission: gate.AdmissionGate,
+        admission: memory_gate.MemoryGate,
         metrics: sidecar_metrics.SidecarMetrics | None = None,
     ) -> None:
         self._settings = settings
@@ -146,21 +149,27 @@
         service_name = current.start.service_name
         asked_s = time.monotonic()
         try:
-            await self._admission.enter(current.start.expires_in_s)
+            held = await self._admission.admit(_admission_request(current))
         except admission_errors.AdmissionRefusedError as error:
             self._metrics.refused(service_name, error.refusal)
             current.end(_refused(current, error.refusal, error.retry_after_s))
             return
         self._metrics.admitted(service_name, time.monotonic() - asked_s)
         try:
-            await self._generate(current)
+            await self._generate(current, held)
         finally:
-            self._admission.leave()
+            self._release(current, held)
 
-    async def _generate(self, current: run.GenerationRun) -> None:
+    async def _generate(
+        self, current: run.GenerationRun, held: ticket.Ticket
+    ) -> None:
         generation_id = current.start.generation_id
         reader = engine_reader.EngineReader(
-            self._settings, self._engine, current, self._metrics
+            self._settings,
+            self._engine,
+            current,
+            self._metrics,
+            lambda count: self._admission.progress(held, count),
         )
         try:
             await reader.run()
@@ -179,6 +188,13 @@
             )
         )
 
+    def _release(self, current: run.GenerationRun, held: ticket.Ticket) -> None:
+        finished = current.terminal
+        whole = isinstance(finished, frames.GenerationFinished)
+        if whole:
+            held.prompt_tokens = finished.prompt_token_count
+        self._admission.release(held, whole)
+
     async def _cancel_at_engine(self, generation_id: ids.GenerationId) -> None:
         try:
             await self._engine.cancel(generation_id)
@@ -190,6 +206,22 @@
             )
 
 
+def _admission_request(current: run.GenerationRun) -> request.AdmissionRequest:
+    start = current.start
+    longest_s = start.max_queue_wait_s
+    return request.AdmissionRequest(
+        start.generation_id,
+        start.workspace_id,
+        start.service_name,
+        start.workspace_class,
+        start.weight,
+        len(start.prompt.encode()),
+        start.max_tokens,
+        start.expires_in_s,
+        math.inf if longest_s is None else longest_s,
+    )
+
+
 def _refused(
     current: run.GenerationRun,
     refusal: reason.RefusalReason,
--- /dev/null
+++ b/bronzeslip/sidecar/load_poller.py
@@ -0,0 +1,44 @@
+"""Reads the engine's load reports for admission."""
+
+import asyncio
+
+from bronzeslip import logs
+from bronzeslip.admission import memory_gate
+from bronzeslip.engine import client
+from bronzeslip.engine import errors
+from bronzeslip.settings import sidecar
+
+logger = logs.get_logger(__name__)
+
+
+class LoadPoller:
+    """Hands each load report of the engine to the gate."""
+
+    def __init__(
+        self,
+        settings: sidecar.SidecarSettings,
+        engine: client.EngineClient,
+        admission: memory_gate.MemoryGate,
+    ) -> None:
+        self._settings = settings
+        self._engine = engine
+        self._admission = admission
+
+    async def run(self) -> None:
+        """Polls from the first generation on, for ever.
+
+        A plain endpoint never gets one and is never asked.
+        """
+        await self._admission.used.wait()
+        while True:
+            await self.poll_once()
+            await asyncio.sleep(self._settings.load_poll_interval_s)
+
+    async def poll_once(self) -> None:
+        """Reads one report; a failure leaves the last one in use."""
+        try:
+            report = await self._engine.load()
+        except errors.EngineError as error:
+            logger.debug("load.unreadable", reason=error.message)
+            return
+        self._admission.take_report(report)
--- a/bronzeslip/sidecar/peer_session.py
+++ b/bronzeslip/sidecar/peer_session.py
@@ -26,6 +26,11 @@
 logger = logs.get_logger(__name__)
 
 _RETRY_AFTER_S = 1.0
+_TELLING_FRAMES = (
+    generation_frames.GenerationAccepted,
+    generation_frames.GenerationRefused,
+    generation_frames.GenerationFinished,
+)
 
 
 class PeerSession:
@@ -90,15 +95,19 @@
 
     async def _write(self) -> None:
         while not (self._finishing.is_set() and self._outbox.empty):
-            await self._peer.write(await self._outbox.take())
+            batch = await self._outbox.take()
+            if any(isinstance(frame, _TELLING_FRAMES) for frame in batch):
+                batch = [self._heartbeat(), *batch]
+            await self._peer.write(batch)
 
     async def _beat(self) -> None:
         while True:
-            self._outbox.put(
-                link.Heartbeat(self._incarnation_id, self._admission.load)
-            )
+            self._outbox.put(self._heartbeat())
             await asyncio.sleep(self._settings.heartbeat_interval_s)
 
+    def _heartbeat(self) -> link.Heartbeat:
+        return link.Heartbeat(self._incarnation_id, self._admission.load)
+
     @functools.singledispatchmethod
     def _take(self, frame: codec.Frame) -> None:
         logger.warning("peer.unexpected_frame", frame=type(frame).__name__)
--- a/bronzeslip/transport/frames/generation.py
+++ b/bronzeslip/transport/frames/generation.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from bronzeslip import ids
+from bronzeslip.configuration import workspace
 from bronzeslip.transport.frames import reason
 
 
@@ -22,6 +23,9 @@
         expires_in_s: Time after which the run must not start, in seconds.
         incarnation_id: Incarnation of the sidecar that alone may run it, or
             empty if any may.
+        workspace_class: Class of the workspace.
+        max_queue_wait_s: Longest expected wait to be held for, in seconds;
+            None for any.
     """
 
     generation_id: ids.GenerationId
@@ -35,6 +39,10 @@
     weight: float
     expires_in_s: float
     incarnation_id: ids.IncarnationId = ids.IncarnationId("")
+    workspace_class: workspace.WorkspaceClass = (
+        workspace.WorkspaceClass.INTERACTIVE
+    )
+    max_queue_wait_s: float | None = None
 
 
 class ResumeGeneration(msgspec.Struct, frozen=True, tag="resume"):
--- a/tests/sidecar/test_generations.py
+++ b/tests/sidecar/test_generations.py
@@ -2,14 +2,14 @@
 
 import asyncio
 import time
-import types
 import unittest
 
 import msgspec
 
 from bronzeslip import ids
-from bronzeslip.admission import gate
+from bronzeslip.admission import memory_gate
 from bronzeslip.generation import errors
+from bronzeslip.settings import sidecar
 from bronzeslip.sidecar import generations
 from bronzeslip.transport.frames import generation as frames
 from bronzeslip.transport.frames import reason
@@ -21,7 +21,15 @@
 
 _ORPHAN_TIMEOUT_S = 30.0
 _GRACE_S = 60.0
-_SETTINGS = types.SimpleNamespace(
+_SETTINGS = sidecar.SidecarSettings(
+    vm_id=ids.VmId("vm"),
+    region=ids.RegionName("here"),
+    failure_domain=ids.FailureDomainName("here-1"),
+    peer_key="key",
+    platform_url="",
+    endpoint_id=ids.EndpointId("e"),
+    pool=ids.PoolName("p"),
+    endpoint_url="",
     engine_silence_timeout_s=60.0,
     engine_loss_timeout_s=60.0,
     orphan_timeout_s=_ORPHAN_TIMEOUT_S,
@@ -37,7 +45,7 @@
     def table(self, *streams):
         self.engine = scripted_engine.ScriptedEngine(*streams)
         return generations.GenerationTable(
-            _SETTINGS, self.engine, gate.AdmissionGate(_SETTINGS)
+            _SETTINGS, self.engine, memory_gate.MemoryGate(_SETTINGS)
         )
 
     async def reading(self, table, count):
