--- a/bench/simulated_engine.py
+++ b/bench/simulated_engine.py
@@ -7,6 +7,8 @@
 from standins.engine import model
 from standins.engine import sequence
 
+_EVENT_GAP_EVERY = 1999
+
 
 class SimulatedEngine:
     """Runs the batches of one engine."""
@@ -44,6 +46,16 @@
         for one in lost:
             self._end(one, False)
 
+    def cache_events(
+        self, after_sequence: int
+    ) -> tuple[messages.CacheEvent, ...]:
+        """Returns the events after a sequence number, with gaps."""
+        return tuple(
+            event
+            for event in self.model.cache.events[after_sequence:]
+            if event.sequence % _EVENT_GAP_EVERY
+        )
+
     def load(self) -> messages.EngineLoad:
         """Returns the load as the engine would report it now."""
         shape = self.model.shape
--- a/bench/simulated_sidecar.py
+++ b/bench/simulated_sidecar.py
@@ -8,6 +8,7 @@
 from bronzeslip.admission import request
 from bronzeslip.admission import ticket
 from bronzeslip.membership import member
+from bronzeslip.sidecar import cache_index
 from bronzeslip.transport.frames import generation as frames
 from bronzeslip.transport.frames import link
 from bronzeslip.transport.frames import reason
@@ -41,7 +42,10 @@
         self_member: member.Member,
         engine: simulated_engine.SimulatedEngine,
         gate: Gate,
+        cache: cache_index.CacheIndex,
     ) -> None:
+        self.cache = cache
+        gate.cached_prefixes = cache.digest
         self.member = self_member
         self.engine = engine
         self.gate = gate
@@ -57,6 +61,7 @@
                 wanted.generation_id, error.refusal, error.retry_after_s
             )
         whole = False
+        self.cache.add_prompt(result.arrival.prompt)
         current = sequence.Sequence(
             wanted.generation_id,
             result.arrival.prompt,
--- a/bench/trial.py
+++ b/bench/trial.py
@@ -16,6 +16,7 @@
 from bronzeslip.membership import member
 from bronzeslip.settings import gateway
 from bronzeslip.settings import sidecar
+from bronzeslip.sidecar import cache_index
 from standins.engine import model
 from tools import shapes
 
@@ -86,8 +87,10 @@
     take = getattr(one.gate, "take_report", None)
     while take is not None:
         report = one.engine.load()
+        events = one.engine.cache_events(one.cache.last_sequence)
         await asyncio.sleep(_LOAD_LAG_S)
         take(report)
+        one.cache.take_events(events, one.gate.block_bytes)
 
 
 def _sidecar(
@@ -116,6 +119,7 @@
         self_member,
         simulated_engine.SimulatedEngine(ENGINE_SHAPE),
         chosen.create_gate(settings),
+        cache_index.CacheIndex(settings),
     )
 
 
--- a/bronzeslip/admission/engine_view.py
+++ b/bronzeslip/admission/engine_view.py
@@ -75,6 +75,11 @@
         """Returns the tokens that a prompt probably has."""
         return prompt_bytes / self._bytes_per_token + self.block_tokens / 2
 
+    @property
+    def block_bytes(self) -> float:
+        """Bytes of prompt in one block of the engine."""
+        return self.block_tokens * self._bytes_per_token
+
     def _take_preemptions(self, total: int) -> None:
         known = (
             total
--- a/bronzeslip/admission/memory_gate.py
+++ b/bronzeslip/admission/memory_gate.py
@@ -1,6 +1,7 @@
 """Admission of generations against the engine's predicted memory."""
 
 import asyncio
+from collections.abc import Callable
 import statistics
 
 from bronzeslip.admission import engine_view
@@ -29,6 +30,7 @@
 
     Attributes:
         used: Set once a generation has asked for a place.
+        cached_prefixes: Returns the digest that the load carries.
     """
 
     def __init__(
@@ -42,6 +44,9 @@
             1 - settings.memory_overflow_probability
         )
         self.used = asyncio.Event()
+        self.cached_prefixes: Callable[[], tuple[int, ...] | None] = lambda: (
+            None
+        )
         self._view = engine_view.EngineView()
         self._queue = fair_queue.FairQueue(settings.queue_ageing_ratio)
         self._held: dict[ticket.Ticket, memory_forecast.Occupant] = {}
@@ -62,6 +67,7 @@
             draining=self._draining,
             memory_peak_ratio=forecast.peak_tokens(self._deviations) / usable,
             step_time_s=self._view.step_time_s,
+            cached_prefixes=self.cached_prefixes(),
         )
 
     async def admit(self, wanted: request.AdmissionRequest) -> ticket.Ticket:
@@ -114,6 +120,11 @@
         self._give_place(occupant)
         self._admit_waiting()
 
+    @property
+    def block_bytes(self) -> float:
+        """Bytes of prompt in one block of the engine."""
+        return self._view.block_bytes
+
     def take_report(self, report: messages.EngineLoad) -> None:
         """Takes a load report of the engine in."""
         self._view.take_report(report, self._current_forecast().now_tokens)
--- a/bronzeslip/routing/prefix_index.py
+++ b/bronzeslip/routing/prefix_index.py
@@ -18,6 +18,9 @@
     def __len__(self) -> int:
         return len(self._blocks)
 
+    def __contains__(self, block_hash: int) -> bool:
+        return block_hash in self._blocks
+
     def count_cached(self, hashes: Sequence[int]) -> int:
         """Returns how many leading blocks are believed to be cached."""
         for count, block_hash in enumerate(hashes):
--- a/bronzeslip/routing/prefix_load.py
+++ b/bronzeslip/routing/prefix_load.py
@@ -94,7 +94,7 @@
         homes: set[ids.EndpointId],
     ) -> float:
         endpoint_id = option.endpoint.endpoint_id
-        cached = float(self._index(endpoint_id).count_cached(hashes))
+        cached = float(self._cached_blocks(option, hashes))
         if endpoint_id in homes:
             shared = self._popularity.shared_blocks(hashes)
             cached = max(cached, _HOME_BELIEF * shared)
@@ -102,6 +102,18 @@
             len(request.prompt) - cached * prompt_blocks.BLOCK_BYTES, 0.0
         )
 
+    def _cached_blocks(
+        self, option: candidate.Candidate, hashes: tuple[int, ...]
+    ) -> int:
+        told = option.load.cached_prefixes
+        if told is None or option.load_age_s > self._settings.load_trust_s:
+            index = self._index(option.endpoint.endpoint_id)
+            return index.count_cached(hashes)
+        for count in range(len(hashes), 0, -1):
+            if hashes[count - 1] in told:
+                return count
+        return 0
+
     def _index(self, endpoint_id: ids.EndpointId) -> prefix_index.PrefixIndex:
         found = self._indexes.get(endpoint_id)
         if found is None:
--- a/bronzeslip/settings/gateway.py
+++ b/bronzeslip/settings/gateway.py
@@ -106,7 +106,7 @@
     prefill_bytes_per_s: float = setting(
         "bytes of prompt that an engine computes in a second",
         "routing",
-        default=250_000.0,
+        default=100_000.0,
         minimum=100,
         maximum=1e9,
     )
@@ -135,7 +135,7 @@
     prefix_min_homes: int = setting(
         "endpoints that share a prefix at least",
         "routing",
-        default=1,
+        default=2,
         minimum=0,
         maximum=64,
     )
--- a/bronzeslip/settings/sidecar.py
+++ b/bronzeslip/settings/sidecar.py
@@ -67,6 +67,13 @@
         minimum=0.05,
         maximum=60,
     )
+    cache_digest_prefixes: int = setting(
+        "shared prefixes told to gateways with each load",
+        "admission",
+        default=24,
+        minimum=0,
+        maximum=1000,
+    )
     generation_grace_s: float = setting(
         "time a finished generation stays readable, in seconds",
         "generation",
--- a/bronzeslip/sidecar/daemon.py
+++ b/bronzeslip/sidecar/daemon.py
@@ -17,6 +17,7 @@
 from bronzeslip.platform import client as platform_client
 from bronzeslip.settings import sidecar
 from bronzeslip.sidecar import app
+from bronzeslip.sidecar import cache_index
 from bronzeslip.sidecar import calls
 from bronzeslip.sidecar import generations
 from bronzeslip.sidecar import leaving_watch
@@ -43,13 +44,15 @@
         self._signals = shutdown.ShutdownSignals()
         self._tasks = background.BackgroundTasks(self._signals.request)
         metrics = sidecar_metrics.SidecarMetrics()
+        self._cache = cache_index.CacheIndex(settings)
         self._admission = memory_gate.MemoryGate(settings)
         self._engine = engine_client.EngineClient(settings.endpoint_url)
         self._table = generations.GenerationTable(
-            settings, self._engine, self._admission, metrics
+            settings, self._engine, self._admission, metrics, self._cache
         )
+        self._admission.cached_prefixes = self._cache.digest
         self._poller = load_poller.LoadPoller(
-            settings, self._engine, self._admission
+            settings, self._engine, self._admission, self._cache
         )
         self._runner = calls.CallRunner(settings, self._admission, metrics)
         self._platform = platform_client.PlatformClient(
--- a/bronzeslip/sidecar/generations.py
+++ b/bronzeslip/sidecar/generations.py
@@ -16,6 +16,7 @@
 from bronzeslip.generation import run
 from bronzeslip.metrics import sidecar_metrics
 from bronzeslip.settings import sidecar
+from bronzeslip.sidecar import cache_index
 from bronzeslip.sidecar import engine_reader
 from bronzeslip.transport.frames import generation as frames
 from bronzeslip.transport.frames import reason
@@ -34,7 +35,9 @@
         engine: client.EngineClient,
         admission: memory_gate.MemoryGate,
         metrics: sidecar_metrics.SidecarMetrics | None = None,
+        cache: cache_index.CacheIndex | None = None,
     ) -> None:
+        self._cache = cache or cache_index.CacheIndex(settings)
         self._settings = settings
         self._engine = engine
         self._admission = admission
@@ -164,6 +167,7 @@
         self, current: run.GenerationRun, held: ticket.Ticket
     ) -> None:
         generation_id = current.start.generation_id
+        self._cache.add_prompt(current.start.prompt)
         reader = engine_reader.EngineReader(
             self._settings,
             self._engine,
--- a/bronzeslip/sidecar/load_poller.py
+++ b/bronzeslip/sidecar/load_poller.py
@@ -1,4 +1,4 @@
-"""Reads the engine's load reports for admission."""
+"""Reads the engine's load reports and cache events."""
 
 import asyncio
 
@@ -7,19 +7,22 @@
 from bronzeslip.engine import client
 from bronzeslip.engine import errors
 from bronzeslip.settings import sidecar
+from bronzeslip.sidecar import cache_index
 
 logger = logs.get_logger(__name__)
 
 
 class LoadPoller:
-    """Hands each load report of the engine to the gate."""
+    """Hands reports to the gate and cache events to the index."""
 
     def __init__(
         self,
         settings: sidecar.SidecarSettings,
         engine: client.EngineClient,
         admission: memory_gate.MemoryGate,
+        cache: cache_index.CacheIndex,
     ) -> None:
+        self._cache = cache
         self._settings = settings
         self._engine = engine
         self._admission = admission
@@ -38,7 +41,9 @@
         """Reads one report; a failure leaves the last one in use."""
         try:
             report = await self._engine.load()
+            events = await self._engine.cache_events(self._cache.last_sequence)
         except errors.EngineError as error:
             logger.debug("load.unreadable", reason=error.message)
             return
         self._admission.take_report(report)
+        self._cache.take_events(events, self._admission.block_bytes)
--- a/bronzeslip/transport/frames/link.py
+++ b/bronzeslip/transport/frames/link.py
@@ -17,6 +17,8 @@
         memory_peak_ratio: Predicted peak of the memory in use.
         step_time_s: Time of one step of the engine, in seconds; 0 if
             unknown.
+        cached_prefixes: Hashes of shared prefixes that the engine has
+            cached; None if the sidecar can't tell.
     """
 
     running: int = 0
@@ -26,6 +28,7 @@
     draining: bool = False
     memory_peak_ratio: float = 0.0
     step_time_s: float = 0.0
+    cached_prefixes: tuple[int, ...] | None = None
 
 
 class Heartbeat(msgspec.Struct, frozen=True, tag="heartbeat"):
--- a/tests/sidecar/test_load_poller.py
+++ b/tests/sidecar/test_load_poller.py
@@ -7,6 +7,7 @@
 from bronzeslip.engine import errors
 from bronzeslip.engine import messages
 from bronzeslip.settings import sidecar
+from bronzeslip.sidecar import cache_index
 from bronzeslip.sidecar import load_poller
 
 _SETTINGS = sidecar.SidecarSettings(
@@ -31,13 +32,18 @@
             raise self.answer
         return self.answer
 
+    async def cache_events(self, after_sequence):
+        return ()
+
 
 class LoadPollerTest(unittest.IsolatedAsyncioTestCase):
     async def test_hands_reports_on_and_outlives_failures(self):
         gate = memory_gate.MemoryGate(_SETTINGS)
         unknown_step_s = gate.load.step_time_s
         engine = _Engine(errors.EngineUnavailableError("away"))
-        poller = load_poller.LoadPoller(_SETTINGS, engine, gate)
+        poller = load_poller.LoadPoller(
+            _SETTINGS, engine, gate, cache_index.CacheIndex(_SETTINGS)
+        )
         await poller.poll_once()
         self.assertEqual(gate.load.step_time_s, unknown_step_s)
         engine.answer = _REPORT
