--- a/bronzeslip/gateway/generations_api.py
+++ b/bronzeslip/gateway/generations_api.py
@@ -115,14 +115,19 @@
     generation: generation_session.GenerationInput,
     form_type: type[answer_format.AnswerFormat],
 ) -> Any:
-    token = _resume_token(request, parts, context)
+    record = context.record
+    with record.starting():
+        token = _resume_token(request, parts, context)
     if token is not None:
-        context = msgspec.structs.replace(context, request_id=token.request_id)
+        context = msgspec.structs.replace(
+            context, request_id=token.run.request_id
+        )
+        record.continues(token.run.request_id)
     session = parts.generation(context, generation)
     form = form_type(context.request_id, wanted.model)
     headers = {error_handlers.REQUEST_ID_HEADER: context.request_id}
     starting = session.resume(token) if token else session.start()
-    with session.record.starting():
+    with record.starting():
         await disconnect.run_while_connected(request.receive, starting)
     if not wanted.stream:
         collecting = answer.whole(session, form)
--- a/bronzeslip/gateway/parts.py
+++ b/bronzeslip/gateway/parts.py
@@ -2,6 +2,8 @@
 
 import random
 
+from bronzeslip.claims import result_keeper
+from bronzeslip.claims import store as claim_store
 from bronzeslip.configuration import store
 from bronzeslip.gateway import access
 from bronzeslip.gateway import peer_pool
@@ -11,6 +13,7 @@
 from bronzeslip.metrics import gateway_metrics
 from bronzeslip.platform import client
 from bronzeslip.routing import prefix_load
+from bronzeslip.routing import retry_budgets
 from bronzeslip.routing import router
 from bronzeslip.settings import gateway
 from bronzeslip.spread import service
@@ -31,6 +34,7 @@
         peers,
         prefix_load.PrefixLoadPolicy(settings, random.Random()),
     )
+    claims = claim_store.ClaimStore(platform)
     return state.GatewayState(
         settings=settings,
         configuration=spread.configuration,
@@ -44,4 +48,7 @@
             settings, spread.board, spread.members, spread.configuration
         ),
         metrics=metrics,
+        claims=claims,
+        results=result_keeper.ResultKeeper(settings, claims),
+        retries=retry_budgets.RetryBudgets(settings, random.Random()),
     )
--- a/bronzeslip/gateway/state.py
+++ b/bronzeslip/gateway/state.py
@@ -2,16 +2,24 @@
 
 import dataclasses
 
+from bronzeslip.claims import claim
+from bronzeslip.claims import result_keeper
+from bronzeslip.claims import store as claim_store
 from bronzeslip.configuration import in_force
 from bronzeslip.configuration import store
 from bronzeslip.gateway import access
+from bronzeslip.gateway import call_dispatcher
+from bronzeslip.gateway import call_input
 from bronzeslip.gateway import call_session
+from bronzeslip.gateway import claimed_call_session
 from bronzeslip.gateway import generation_session
 from bronzeslip.gateway import peer_pool
 from bronzeslip.gateway import request_context
 from bronzeslip.gateway import resume_token
 from bronzeslip.membership import directory
 from bronzeslip.metrics import gateway_metrics
+from bronzeslip.routing import retry_budgets
+from bronzeslip.routing import retry_plan
 from bronzeslip.routing import router
 from bronzeslip.settings import gateway
 from bronzeslip.spread import status_collector
@@ -32,6 +40,9 @@
         resume_tokens: Signer of resume tokens.
         status: Collects what is in force everywhere.
         metrics: Metrics of the process.
+        claims: Claims of idempotency keys.
+        results: Keeps answers with their claims.
+        retries: Budgets of retries.
         ready: Whether new requests are taken.
     """
 
@@ -45,6 +56,9 @@
     resume_tokens: resume_token.ResumeTokenSigner
     status: status_collector.StatusCollector
     metrics: gateway_metrics.GatewayMetrics
+    claims: claim_store.ClaimStore
+    results: result_keeper.ResultKeeper
+    retries: retry_budgets.RetryBudgets
     ready: bool = False
 
     def generation(
@@ -61,14 +75,49 @@
             self.resume_tokens,
             context,
             wanted,
+            self._retry_plan(context),
         )
 
     def call(
         self,
         context: request_context.RequestContext,
-        wanted: call_session.CallInput,
+        wanted: call_input.CallInput,
     ) -> call_session.CallSession:
-        """Creates the session of a call."""
+        """Creates the session of a call that may be repeated."""
         return call_session.CallSession(
+            self._dispatcher(context, wanted), self._retry_plan(context)
+        )
+
+    def claimed_call(
+        self,
+        context: request_context.RequestContext,
+        wanted: call_input.CallInput,
+        idempotency_key: str,
+    ) -> claimed_call_session.ClaimedCallSession:
+        """Creates the session of a call that may not be repeated."""
+        return claimed_call_session.ClaimedCallSession(
+            self.claims,
+            self.results,
+            self._dispatcher(context, wanted),
+            self._retry_plan(context),
+            claim.key_of(
+                context.workspace_id, context.service_name, idempotency_key
+            ),
+            claim.request_digest(wanted.method, wanted.path, wanted.body),
+        )
+
+    def _retry_plan(
+        self, context: request_context.RequestContext
+    ) -> retry_plan.RetryPlan:
+        return self.retries.plan(
+            context.service_name, context.service, context.deadline_s
+        )
+
+    def _dispatcher(
+        self,
+        context: request_context.RequestContext,
+        wanted: call_input.CallInput,
+    ) -> call_dispatcher.CallDispatcher:
+        return call_dispatcher.CallDispatcher(
             self.settings, self.routes, self.peers, context, wanted
         )
--- a/bronzeslip/http/limited_protocol.py
+++ b/bronzeslip/http/limited_protocol.py
@@ -1,4 +1,4 @@
-"""HTTP protocol that bounds headers and the time that peers take."""
+"""HTTP protocol that bounds headers in size and time."""
 
 import asyncio
 from typing import Any
@@ -34,7 +34,7 @@
 
 
 class LimitedHttpProtocol(httptools_impl.HttpToolsProtocol):
-    """Refuses large or late headers, gives up callers that stop reading."""
+    """Refuses large or late headers."""
 
     def __init__(
         self, settings: http.HttpSettings, *args: Any, **options: Any
@@ -45,7 +45,6 @@
         self._in_headers = True
         self._header_bytes = 0
         self._header_timer: asyncio.TimerHandle | None = None
-        self._stall_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Starts to wait for the first request."""
@@ -53,9 +52,8 @@
         self._start_header_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Stops the timers."""
+        """Stops the timer."""
         self._stop_header_timer()
-        self._stop_stall_timer()
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
@@ -95,18 +93,6 @@
         """Answers what the parser does not take."""
         self._refuse(self._refusal)
 
-    def pause_writing(self) -> None:
-        """Starts to wait for a caller that does not read."""
-        super().pause_writing()
-        self._stall_timer = self.loop.call_later(
-            self._settings.caller_stall_timeout_s, self._give_up_caller
-        )
-
-    def resume_writing(self) -> None:
-        """Notes that the caller reads again."""
-        self._stop_stall_timer()
-        super().resume_writing()
-
     def _refuse(self, refusal: problem.Problem) -> None:
         self._stop_header_timer()
         logger.warning("http.refused", reason=refusal.code)
@@ -114,11 +100,6 @@
             self.transport.write(_render(refusal))
         self.transport.close()
 
-    def _give_up_caller(self) -> None:
-        logger.warning("http.caller_stalled")
-        self._stall_timer = None
-        self.transport.abort()
-
     def _start_header_timer(self) -> None:
         self._header_timer = self.loop.call_later(
             self._settings.header_timeout_s, self._refuse, _HEADERS_TOO_LATE
@@ -129,11 +110,6 @@
             self._header_timer.cancel()
             self._header_timer = None
 
-    def _stop_stall_timer(self) -> None:
-        if self._stall_timer is not None:
-            self._stall_timer.cancel()
-            self._stall_timer = None
-
 
 def _render(refusal: problem.Problem) -> bytes:
     body = msgspec.json.encode(refusal)
--- a/bronzeslip/sidecar/daemon.py
+++ b/bronzeslip/sidecar/daemon.py
@@ -54,7 +54,9 @@
         self._poller = load_poller.LoadPoller(
             settings, self._engine, self._admission, self._cache
         )
-        self._runner = calls.CallRunner(settings, self._admission, metrics)
+        self._runner = calls.CallRunner(
+            settings, self._incarnation_id, self._admission, metrics
+        )
         self._platform = platform_client.PlatformClient(
             settings.platform_url,
             settings.platform_timeout_s,
