Keep workspaces' limits and quarantine crashing requests

Cause: limits of workspaces were declared and not kept; a request that crashed its engine was sent on to the next ones.

Change: each gateway keeps an even share of a workspace's limits. A sidecar gives the generations that it loses to one crash the same crash id; gateways note it by fingerprint, share it in one record each over the spread, run a suspect apart from other suspects and refuse it after two crashes. A suspect that runs to its end is cleared.

--- a/bronzeslip/admission/errors.py
+++ b/bronzeslip/admission/errors.py
@@ -14,3 +14,9 @@
     ) -> None:
         super().__init__(refusal.value, retry_after_s=retry_after_s)
         self.refusal = refusal
+
+
+class WorkspaceLimitedError(errors.BronzeslipError):
+    """A workspace is at its limit; the request was not run."""
+
+    code = "workspace-limited"
--- a/bronzeslip/configuration/workspace.py
+++ b/bronzeslip/configuration/workspace.py
@@ -14,7 +14,7 @@
 
 
 class WorkspaceLimits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Limits of one workspace at each gateway.
+    """Limits of one workspace, shared out evenly between the gateways.
 
     Attributes:
         requests_in_flight: Most requests running or waiting at once.
--- a/bronzeslip/gateway/daemon.py
+++ b/bronzeslip/gateway/daemon.py
@@ -6,6 +6,7 @@
 from bronzeslip import background
 from bronzeslip import ids
 from bronzeslip import logs
+from bronzeslip.admission import workspace_limiter
 from bronzeslip.claims import result_keeper
 from bronzeslip.claims import store as claim_store
 from bronzeslip.claims import sweeper
@@ -22,6 +23,8 @@
 from bronzeslip.routing import least_outstanding
 from bronzeslip.routing import retry_budgets
 from bronzeslip.routing import router
+from bronzeslip.routing import suspect_list
+from bronzeslip.routing import suspect_publisher
 from bronzeslip.settings import gateway
 from bronzeslip.spread import service
 from bronzeslip.spread import status_collector
@@ -77,6 +80,7 @@
         self._tasks.start("registration", self._registrar.register())
         self._tasks.start("readiness", self._become_ready())
         self._tasks.start("claim-sweep", self._sweeper.run())
+        self._start_suspects()
         logger.info(
             "gateway.listening",
             http_port=self._http.port,
@@ -86,6 +90,14 @@
         await self._drain()
         await self._close()
 
+    def _start_suspects(self) -> None:
+        suspects = self._parts.suspects
+        follower = self._spread.hub.follower(
+            suspect_list.SUSPECTS_PREFIX, suspects.on_list, suspects.on_event
+        )
+        self._tasks.start("suspects", follower.run())
+        self._tasks.start("suspect-writes", self._parts.suspect_publisher.run())
+
     async def _become_ready(self) -> None:
         await self._spread.configuration.wait_for(ids.ConfigurationNumber(0))
         self._parts.ready = not self._signals.requested.is_set()
@@ -121,6 +133,7 @@
             least_outstanding.LeastOutstandingPolicy(random.Random()),
         )
         claims = claim_store.ClaimStore(self._platform)
+        suspects = suspect_list.SuspectList(settings)
         return state.GatewayState(
             settings=settings,
             configuration=spread.configuration,
@@ -134,5 +147,10 @@
             ),
             claims=claims,
             results=result_keeper.ResultKeeper(settings, claims),
+            limiter=workspace_limiter.WorkspaceLimiter(spread.members),
+            suspects=suspects,
+            suspect_publisher=suspect_publisher.SuspectPublisher(
+                settings, self._platform, spread.members, suspects
+            ),
             retries=retry_budgets.RetryBudgets(settings, random.Random()),
         )
--- a/bronzeslip/gateway/errors.py
+++ b/bronzeslip/gateway/errors.py
@@ -79,6 +79,14 @@
     title = "Idempotency key reused"
 
 
+class QuarantinedError(GatewayError):
+    """The request has crashed endpoints and is no longer run."""
+
+    code = "quarantined"
+    status = 422
+    title = "Quarantined"
+
+
 class LimitedError(GatewayError):
     """The workspace is over its limit; the request was not run."""
 
--- a/bronzeslip/gateway/generation_session.py
+++ b/bronzeslip/gateway/generation_session.py
@@ -12,6 +12,7 @@
 from bronzeslip.gateway import peer_pool
 from bronzeslip.gateway import remote_generation
 from bronzeslip.gateway import request_context
+from bronzeslip.gateway import suspicion
 from bronzeslip.generation import errors as generation_errors
 from bronzeslip.membership import directory
 from bronzeslip.membership import member
@@ -63,6 +64,7 @@
         context: request_context.RequestContext,
         wanted: GenerationInput,
         retries: retry_plan.RetryPlan,
+        suspected: suspicion.Suspicion,
     ) -> None:
         self.finished: frames.GenerationFinished | None = None
         self._settings = settings
@@ -72,6 +74,7 @@
         self._context = context
         self._wanted = wanted
         self._retries = retries
+        self._suspicion = suspected
         self._remote: remote_generation.RemoteGeneration | None = None
         self._tried: set[ids.EndpointId] = set()
         self._retry_after_s = _RETRY_AFTER_S
@@ -95,13 +98,16 @@
             errors.NotRunError: If none took it; it was not run.
             errors.OutcomeUnknownError: If one may have run it.
             errors.IncompleteError: If one ran it and lost it.
+            errors.QuarantinedError: If it has crashed endpoints.
         """
         for option in self._candidates():
+            await self._suspicion.admit()
             if not await self._retries.admit():
                 break
             if await self._try(option.endpoint):
                 self._has_run = True
                 return
+        await self._suspicion.admit()
         raise self._failure("no endpoint took the request")
 
     async def batches(self) -> AsyncIterator[frames.Tokens]:
@@ -160,6 +166,8 @@
             for option in options
             if option.endpoint.endpoint_id not in self._tried
         ]
+        if self._suspicion.is_suspect:
+            fresh.sort(key=_work_of)
         return fresh or options
 
     async def _try(self, endpoint: member.Member) -> bool:
@@ -168,6 +176,7 @@
             await self._remote.wait_accepted()
         except generation_errors.GenerationError as error:
             self.close()
+            self._note_crash(error)
             self._note_failure(error)
             return False
         except BaseException:
@@ -209,6 +218,7 @@
             self._context.workspace.weight,
             self._context.remaining_s(),
             incarnation_id,
+            self._suspicion.is_suspect,
         )
 
     @functools.singledispatchmethod
@@ -246,14 +256,20 @@
         try:
             progress = await self._remote.receive()
         except generation_errors.GenerationError as error:
+            self._note_crash(error)
             if not may_rerun:
                 raise self._failure(error.message) from error
             await self._rerun(error)
             return None
         if isinstance(progress, frames.GenerationFinished):
             self.finished = progress
+            self._suspicion.note_finished()
         return progress
 
+    def _note_crash(self, error: generation_errors.GenerationError) -> None:
+        if isinstance(error, generation_errors.GenerationLostError):
+            self._suspicion.note_crash(error.crash_id)
+
     async def _rerun(self, error: generation_errors.GenerationError) -> None:
         logger.warning(
             "generation.lost",
@@ -265,3 +281,7 @@
         self.close()
         self._check_may_rerun(error)
         await self.start()
+
+
+def _work_of(option: candidate.Candidate) -> int:
+    return option.outstanding + option.load.running + option.load.queued
--- a/bronzeslip/gateway/generations_api.py
+++ b/bronzeslip/gateway/generations_api.py
@@ -1,5 +1,8 @@
 """Routes of generations, in the OpenAI form."""
 
+from collections.abc import AsyncGenerator
+from collections.abc import AsyncIterator
+import contextlib
 from typing import Any
 
 import litestar
@@ -44,7 +47,7 @@
     limit = wanted.max_completion_tokens or wanted.max_tokens
     prompt = _chat_prompt(wanted.messages)
     session = _session(parts, context, wanted.model, prompt, limit)
-    return await _answer(session, form, wanted, context)
+    return await _answer(parts, session, form, wanted, context)
 
 
 @litestar.post(
@@ -61,7 +64,7 @@
     form = answer_format.CompletionFormat(context.request_id, wanted.model)
     prompt = _completion_prompt(wanted.prompt)
     session = _session(parts, context, wanted.model, prompt, wanted.max_tokens)
-    return await _answer(session, form, wanted, context)
+    return await _answer(parts, session, form, wanted, context)
 
 
 def _session(
@@ -83,21 +86,35 @@
 
 
 async def _answer(
+    parts: state.GatewayState,
     session: generation_session.GenerationSession,
     form: answer_format.AnswerFormat,
     wanted: messages.ChatRequest | messages.CompletionRequest,
     context: request_context.RequestContext,
 ) -> Any:
-    await session.start()
     headers = {_REQUEST_ID_HEADER: context.request_id}
-    if wanted.stream:
+    with contextlib.ExitStack() as held:
+        held.enter_context(parts.enter(context))
+        await session.start()
+        if not wanted.stream:
+            whole = await answer.whole(session, form)
+            return litestar.Response(whole, headers=headers)
         options = wanted.stream_options or messages.StreamOptions()
+        events = answer.events(session, form, options.include_usage)
         return response.Stream(
-            answer.events(session, form, options.include_usage),
+            _held_during(held.pop_all(), events),
             media_type=_EVENT_STREAM,
             headers={**headers, "cache-control": "no-cache"},
         )
-    return litestar.Response(await answer.whole(session, form), headers=headers)
+
+
+async def _held_during(
+    held: contextlib.ExitStack, events: AsyncGenerator[bytes]
+) -> AsyncIterator[bytes]:
+    with held:
+        async with contextlib.aclosing(events):
+            async for event in events:
+                yield event
 
 
 def _chat_prompt(chat: list[messages.ChatMessage]) -> str:
--- a/bronzeslip/gateway/remote_generation.py
+++ b/bronzeslip/gateway/remote_generation.py
@@ -263,7 +263,7 @@
     @_take.register
     def _(self, frame: frames.GenerationLost) -> Progress | None:
         self._ended = True
-        raise errors.GenerationLostError(frame.reason.value)
+        raise errors.GenerationLostError(frame.reason.value, frame.crash_id)
 
     def _without_duplicates(
         self, frame: frames.Tokens, seen: int
--- a/bronzeslip/gateway/services_api.py
+++ b/bronzeslip/gateway/services_api.py
@@ -46,7 +46,8 @@
         _passed_headers(request),
         await body.read(request),
     )
-    return _to_response(await _run(request, parts, context, wanted))
+    with parts.enter(context):
+        return _to_response(await _run(request, parts, context, wanted))
 
 
 async def _run(
--- a/bronzeslip/gateway/state.py
+++ b/bronzeslip/gateway/state.py
@@ -2,6 +2,9 @@
 
 import dataclasses
 
+from bronzeslip.admission import errors as admission_errors
+from bronzeslip.admission import permit
+from bronzeslip.admission import workspace_limiter
 from bronzeslip.claims import claim
 from bronzeslip.claims import result_keeper
 from bronzeslip.claims import store as claim_store
@@ -12,13 +15,18 @@
 from bronzeslip.gateway import call_input
 from bronzeslip.gateway import call_session
 from bronzeslip.gateway import claimed_call_session
+from bronzeslip.gateway import errors
 from bronzeslip.gateway import generation_session
 from bronzeslip.gateway import peer_pool
 from bronzeslip.gateway import request_context
+from bronzeslip.gateway import suspicion
 from bronzeslip.membership import directory
+from bronzeslip.routing import fingerprint
 from bronzeslip.routing import retry_budgets
 from bronzeslip.routing import retry_plan
 from bronzeslip.routing import router
+from bronzeslip.routing import suspect_list
+from bronzeslip.routing import suspect_publisher
 from bronzeslip.settings import gateway
 from bronzeslip.spread import status_collector
 
@@ -39,6 +47,9 @@
         claims: Claims of idempotency keys.
         results: Keeps answers with their claims.
         retries: Budgets of retries.
+        limiter: Limits of workspaces.
+        suspects: Requests that were running at crashes.
+        suspect_publisher: Tells other gateways of them.
         ready: Whether new requests are taken.
     """
 
@@ -53,6 +64,9 @@
     claims: claim_store.ClaimStore
     results: result_keeper.ResultKeeper
     retries: retry_budgets.RetryBudgets
+    limiter: workspace_limiter.WorkspaceLimiter
+    suspects: suspect_list.SuspectList
+    suspect_publisher: suspect_publisher.SuspectPublisher
     ready: bool = False
 
     def generation(
@@ -69,8 +83,22 @@
             context,
             wanted,
             self._retry_plan(context),
+            self._suspicion(context, wanted),
         )
 
+    def enter(self, context: request_context.RequestContext) -> permit.Permit:
+        """Counts a request against its workspace's limits.
+
+        Raises:
+            errors.LimitedError: If the workspace is at its limit.
+        """
+        try:
+            return self.limiter.enter(context.workspace_id, context.workspace)
+        except admission_errors.WorkspaceLimitedError as error:
+            raise errors.LimitedError(
+                error.message, retry_after_s=error.retry_after_s
+            ) from error
+
     def call(
         self,
         context: request_context.RequestContext,
@@ -106,6 +134,19 @@
             context.service_name, context.service, context.deadline_s
         )
 
+    def _suspicion(
+        self,
+        context: request_context.RequestContext,
+        wanted: generation_session.GenerationInput,
+    ) -> suspicion.Suspicion:
+        return suspicion.Suspicion(
+            self.suspects,
+            self.suspect_publisher,
+            fingerprint.of_request(
+                context.workspace_id, wanted.model, wanted.prompt
+            ),
+        )
+
     def _dispatcher(
         self,
         context: request_context.RequestContext,
--- /dev/null
+++ b/bronzeslip/gateway/suspicion.py
@@ -0,0 +1,57 @@
+"""One request's standing after crashes of endpoints."""
+
+from bronzeslip import ids
+from bronzeslip.gateway import errors
+from bronzeslip.routing import suspect_list
+from bronzeslip.routing import suspect_publisher
+from bronzeslip.routing import suspect_state
+
+_PUBLISH_TIMEOUT_S = 1.0
+
+
+class Suspicion:
+    """Notes the crashes of one request and refuses it after the second."""
+
+    def __init__(
+        self,
+        suspects: suspect_list.SuspectList,
+        publisher: suspect_publisher.SuspectPublisher,
+        fingerprint: ids.Fingerprint,
+    ) -> None:
+        self._suspects = suspects
+        self._publisher = publisher
+        self._fingerprint = fingerprint
+        self._crashed = False
+
+    @property
+    def is_suspect(self) -> bool:
+        """Whether the request must run apart from other suspects."""
+        state = self._suspects.state_of(self._fingerprint)
+        return state is not suspect_state.SuspectState.CLEAR
+
+    async def admit(self) -> None:
+        """Lets the request be dispatched, once others know of its crash.
+
+        Raises:
+            errors.QuarantinedError: If it was in flight at two crashes.
+        """
+        if self._crashed:
+            await self._publisher.wait_published(_PUBLISH_TIMEOUT_S)
+        state = self._suspects.state_of(self._fingerprint)
+        if state is suspect_state.SuspectState.QUARANTINED:
+            raise errors.QuarantinedError(
+                "the request was running at two crashes of endpoints"
+            )
+
+    def note_crash(self, crash_id: ids.CrashId) -> None:
+        """Notes that an endpoint crashed while it ran the request."""
+        if crash_id:
+            self._crashed = True
+            self._suspects.add_crash(self._fingerprint, crash_id)
+            self._publisher.publish()
+
+    def note_finished(self) -> None:
+        """Notes that an endpoint ran the request to its end."""
+        if self._suspects.crashes_of(self._fingerprint):
+            self._suspects.clear(self._fingerprint)
+            self._publisher.publish()
--- a/bronzeslip/generation/errors.py
+++ b/bronzeslip/generation/errors.py
@@ -1,8 +1,11 @@
 """Errors of generations."""
 
 from bronzeslip import errors
+from bronzeslip import ids
 from bronzeslip.transport.frames import reason
 
+_NO_CRASH = ids.CrashId("")
+
 
 class GenerationError(errors.BronzeslipError):
     """A generation did not go as asked."""
@@ -33,6 +36,10 @@
 
     code = "generation-lost"
 
+    def __init__(self, message: str, crash_id: ids.CrashId = _NO_CRASH) -> None:
+        super().__init__(message)
+        self.crash_id = crash_id
+
 
 class SidecarAwayError(GenerationError):
     """The sidecar could not be reached in time; the outcome is unknown."""
--- a/bronzeslip/ids.py
+++ b/bronzeslip/ids.py
@@ -17,6 +17,8 @@
 PatchId = NewType("PatchId", str)
 OperatorName = NewType("OperatorName", str)
 ConfigurationNumber = NewType("ConfigurationNumber", int)
+Fingerprint = NewType("Fingerprint", str)
+CrashId = NewType("CrashId", str)
 ObjectKey = NewType("ObjectKey", str)
 ObjectVersion = NewType("ObjectVersion", int)
 
--- a/bronzeslip/routing/retry_budget.py
+++ b/bronzeslip/routing/retry_budget.py
@@ -1,6 +1,6 @@
 """Budget of retries of one service."""
 
-_RESERVE_RETRIES = 5.0
+_RESERVE_RETRIES = 50.0
 
 
 class RetryBudget:
--- /dev/null
+++ b/bronzeslip/routing/suspect_list.py
@@ -0,0 +1,197 @@
+"""Requests that were in flight when an endpoint crashed."""
+
+from collections.abc import Callable
+import time
+
+import msgspec
+
+from bronzeslip import ids
+from bronzeslip import logs
+from bronzeslip.platform import objects
+from bronzeslip.routing import suspect_record
+from bronzeslip.routing import suspect_state
+from bronzeslip.settings import gateway
+
+logger = logs.get_logger(__name__)
+
+SUSPECTS_PREFIX = "suspects/"
+_QUARANTINE_CRASHES = 2
+_MAX_OWN_ENTRIES = 2000
+
+_NO_ENTRY = suspect_record.SuspectEntry()
+
+
+class SuspectList:
+    """Joins what this gateway has seen with what others have written.
+
+    A fingerprint stands by the crashes that any gateway has seen it at, less
+    those that any gateway has cleared it of. Entries are only added to, so
+    the order in which records arrive does not matter.
+    """
+
+    def __init__(
+        self,
+        settings: gateway.GatewaySettings,
+        wall_clock: Callable[[], float] = time.time,
+    ) -> None:
+        """Creates an empty list.
+
+        Args:
+            settings: VM id and time to live of entries.
+            wall_clock: Clock that entries are dated by, in seconds.
+        """
+        self._settings = settings
+        self._wall_clock = wall_clock
+        self._own_key = own_key(settings.vm_id)
+        self._records: dict[
+            ids.ObjectKey,
+            dict[ids.Fingerprint, suspect_record.SuspectEntry],
+        ] = {self._own_key: {}}
+        self._holders: dict[ids.Fingerprint, set[ids.ObjectKey]] = {}
+
+    def state_of(
+        self, fingerprint: ids.Fingerprint
+    ) -> suspect_state.SuspectState:
+        """Tells how a request stands."""
+        count = len(self.crashes_of(fingerprint))
+        if count >= _QUARANTINE_CRASHES:
+            return suspect_state.SuspectState.QUARANTINED
+        if count:
+            return suspect_state.SuspectState.SUSPECT
+        return suspect_state.SuspectState.CLEAR
+
+    def crashes_of(self, fingerprint: ids.Fingerprint) -> set[ids.CrashId]:
+        """Lists the crashes that a request is not cleared of."""
+        crashes: set[ids.CrashId] = set()
+        cleared: set[ids.CrashId] = set()
+        for key in self._holders.get(fingerprint, ()):
+            entry = self._records[key][fingerprint]
+            if not self._is_old(entry):
+                crashes.update(entry.crash_ids)
+                cleared.update(entry.cleared_ids)
+        return crashes - cleared
+
+    def add_crash(
+        self, fingerprint: ids.Fingerprint, crash_id: ids.CrashId
+    ) -> None:
+        """Notes that a request was in flight at a crash."""
+        entry = self._own(fingerprint)
+        crash_ids = (*entry.crash_ids, crash_id)
+        self._put_own(
+            fingerprint, msgspec.structs.replace(entry, crash_ids=crash_ids)
+        )
+
+    def clear(self, fingerprint: ids.Fingerprint) -> None:
+        """Notes that a request has run well since its crashes."""
+        entry = self._own(fingerprint)
+        cleared = {*entry.cleared_ids, *self.crashes_of(fingerprint)}
+        self._put_own(
+            fingerprint,
+            msgspec.structs.replace(entry, cleared_ids=tuple(sorted(cleared))),
+        )
+
+    def own_record(self) -> suspect_record.SuspectRecord:
+        """Returns what this gateway has to tell the others."""
+        own = self._records[self._own_key]
+        for fingerprint, entry in list(own.items()):
+            if self._is_old(entry) or len(own) > _MAX_OWN_ENTRIES:
+                self._remove(self._own_key, fingerprint)
+        return suspect_record.SuspectRecord(dict(own))
+
+    def abandoned_keys(self, live: set[ids.VmId]) -> tuple[ids.ObjectKey, ...]:
+        """Lists records of gateways that are gone, with none but old entries.
+
+        Args:
+            live: VM ids of the gateways known.
+        """
+        live_keys = {own_key(vm_id) for vm_id in live} | {self._own_key}
+        return tuple(
+            key
+            for key, entries in self._records.items()
+            if key not in live_keys
+            and all(self._is_old(entry) for entry in entries.values())
+        )
+
+    async def on_list(self, listed: objects.ObjectList) -> None:
+        """Takes the records of all gateways."""
+        gone = set(self._records) - {found.key for found in listed.objects}
+        for key in gone - {self._own_key}:
+            self._drop(key)
+        for found in listed.objects:
+            self._take(found.key, found.value)
+
+    async def on_event(self, event: objects.ObjectEvent) -> None:
+        """Takes one changed record."""
+        if event.kind is objects.EventKind.PUT:
+            self._take(event.key, event.value)
+        elif event.key != self._own_key:
+            self._drop(event.key)
+
+    def _take(self, key: ids.ObjectKey, value: msgspec.Raw) -> None:
+        try:
+            record = msgspec.json.decode(
+                value, type=suspect_record.SuspectRecord
+            )
+        except msgspec.MsgspecError as error:
+            logger.error("suspects.unreadable", key=key, reason=str(error))
+            return
+        if key == self._own_key:
+            self._adopt_own(record)
+            return
+        self._drop(key)
+        self._records[key] = {}
+        for fingerprint, entry in record.entries.items():
+            self._put(key, fingerprint, entry)
+
+    def _adopt_own(self, record: suspect_record.SuspectRecord) -> None:
+        own = self._records[self._own_key]
+        for fingerprint, entry in record.entries.items():
+            if fingerprint not in own:
+                self._put(self._own_key, fingerprint, entry)
+
+    def _own(self, fingerprint: ids.Fingerprint) -> suspect_record.SuspectEntry:
+        return self._records[self._own_key].get(fingerprint, _NO_ENTRY)
+
+    def _put_own(
+        self,
+        fingerprint: ids.Fingerprint,
+        entry: suspect_record.SuspectEntry,
+    ) -> None:
+        noted = msgspec.structs.replace(
+            entry, noted_unix_s=int(self._wall_clock())
+        )
+        self._put(self._own_key, fingerprint, noted)
+
+    def _put(
+        self,
+        key: ids.ObjectKey,
+        fingerprint: ids.Fingerprint,
+        entry: suspect_record.SuspectEntry,
+    ) -> None:
+        before = self.state_of(fingerprint)
+        self._records[key][fingerprint] = entry
+        self._holders.setdefault(fingerprint, set()).add(key)
+        state = self.state_of(fingerprint)
+        if state is not before:
+            logger.info(f"suspects.{state.value}", fingerprint=fingerprint)
+
+    def _drop(self, key: ids.ObjectKey) -> None:
+        for fingerprint in list(self._records.get(key, ())):
+            self._remove(key, fingerprint)
+        self._records.pop(key, None)
+
+    def _remove(self, key: ids.ObjectKey, fingerprint: ids.Fingerprint) -> None:
+        del self._records[key][fingerprint]
+        holders = self._holders[fingerprint]
+        holders.discard(key)
+        if not holders:
+            del self._holders[fingerprint]
+
+    def _is_old(self, entry: suspect_record.SuspectEntry) -> bool:
+        age_s = self._wall_clock() - entry.noted_unix_s
+        return age_s > self._settings.suspect_ttl_s
+
+
+def own_key(vm_id: ids.VmId) -> ids.ObjectKey:
+    """Returns the platform key of a gateway's record."""
+    return ids.ObjectKey(f"{SUSPECTS_PREFIX}{vm_id}")
--- /dev/null
+++ b/bronzeslip/routing/suspect_publisher.py
@@ -0,0 +1,108 @@
+"""Writes this gateway's suspects to the platform."""
+
+import asyncio
+import contextlib
+
+from bronzeslip import logs
+from bronzeslip.membership import directory
+from bronzeslip.membership import rendezvous
+from bronzeslip.platform import client
+from bronzeslip.platform import errors
+from bronzeslip.routing import suspect_list
+from bronzeslip.routing import suspect_record
+from bronzeslip.settings import gateway
+
+logger = logs.get_logger(__name__)
+
+_MIN_INTERVAL_S = 0.1
+_RETRY_DELAY_S = 2.0
+_UPKEEP_INTERVAL_S = 60.0
+
+
+class SuspectPublisher:
+    """Writes one record, all changes since the last write together."""
+
+    def __init__(
+        self,
+        settings: gateway.GatewaySettings,
+        platform: client.PlatformClient,
+        members: directory.MemberDirectory,
+        suspects: suspect_list.SuspectList,
+    ) -> None:
+        """Creates a publisher.
+
+        Args:
+            settings: VM id of the gateway.
+            platform: Client of the platform.
+            members: Known gateways, one of which deletes abandoned records.
+            suspects: The suspects.
+        """
+        self._settings = settings
+        self._platform = platform
+        self._members = members
+        self._suspects = suspects
+        self._key = suspect_list.own_key(settings.vm_id)
+        self._changed = asyncio.Event()
+        self._written = asyncio.Condition()
+        self._wanted = 0
+        self._done = 0
+
+    def publish(self) -> None:
+        """Has the record written soon."""
+        self._wanted += 1
+        self._changed.set()
+
+    async def wait_published(self, timeout_s: float) -> None:
+        """Waits until all changes so far are written, or for a time."""
+        wanted = self._wanted
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s), self._written:
+                await self._written.wait_for(lambda: self._done >= wanted)
+
+    async def run(self) -> None:
+        """Writes changes and removes abandoned records until cancelled."""
+        while True:
+            try:
+                async with asyncio.timeout(_UPKEEP_INTERVAL_S):
+                    await self._changed.wait()
+            except TimeoutError:
+                await self._delete_abandoned()
+                continue
+            self._changed.clear()
+            if await self._write(self._wanted):
+                await asyncio.sleep(_MIN_INTERVAL_S)
+            else:
+                self._changed.set()
+                await asyncio.sleep(_RETRY_DELAY_S)
+
+    async def _write(self, wanted: int) -> bool:
+        record = self._suspects.own_record()
+        try:
+            await self._put(record)
+        except errors.PlatformError as error:
+            logger.warning("suspects.write_failed", reason=error.message)
+            return False
+        async with self._written:
+            self._done = wanted
+            self._written.notify_all()
+        return True
+
+    async def _put(self, record: suspect_record.SuspectRecord) -> None:
+        found = await self._platform.get(self._key)
+        if found is None:
+            await self._platform.create(self._key, record)
+        else:
+            await self._platform.update(self._key, record, found.version)
+
+    async def _delete_abandoned(self) -> None:
+        live = {known.vm_id for known in self._members.gateways()}
+        own = self._settings.vm_id
+        for key in self._suspects.abandoned_keys(live):
+            if rendezvous.ranked(live | {own}, str, key)[0] != own:
+                continue
+            try:
+                found = await self._platform.get(key)
+                if found is not None:
+                    await self._platform.delete(key, found.version)
+            except errors.PlatformError as error:
+                logger.warning("suspects.delete_failed", reason=error.message)
--- a/bronzeslip/settings/gateway.py
+++ b/bronzeslip/settings/gateway.py
@@ -42,6 +42,13 @@
         minimum=1,
         maximum=86_400,
     )
+    suspect_ttl_s: float = setting(
+        "time a request that was running at a crash stays suspect, in seconds",
+        "routing",
+        default=1800.0,
+        minimum=1,
+        maximum=604_800,
+    )
     claim_retention_s: float = setting(
         "time the claim of an idempotency key is kept, in seconds",
         "claims",
--- a/bronzeslip/sidecar/engine_reader.py
+++ b/bronzeslip/sidecar/engine_reader.py
@@ -6,12 +6,14 @@
 import time
 
 from bronzeslip import errors as base_errors
+from bronzeslip import ids
 from bronzeslip import logs
 from bronzeslip.engine import client
 from bronzeslip.engine import errors
 from bronzeslip.engine import messages
 from bronzeslip.generation import run
 from bronzeslip.settings import sidecar
+from bronzeslip.sidecar import crash_log
 from bronzeslip.transport.frames import generation as frames
 from bronzeslip.transport.frames import reason
 
@@ -35,10 +37,12 @@
         settings: sidecar.SidecarSettings,
         engine: client.EngineClient,
         current: run.GenerationRun,
+        crashes: crash_log.CrashLog,
     ) -> None:
         self._settings = settings
         self._engine = engine
         self._run = current
+        self._crashes = crashes
         self._silence_s = settings.engine_silence_timeout_s
         self._last_answer_s = time.monotonic()
         self._may_have_run = False
@@ -77,6 +81,7 @@
         self._silence_s = self._settings.engine_silence_timeout_s
         self._last_answer_s = time.monotonic()
         if self._run.state is run.RunState.QUEUED:
+            self._crashes.note_alive()
             self._run.mark_running()
         if event.kind is messages.StreamEventKind.TOKENS:
             self._run.append(event.first_index, event.texts)
@@ -139,8 +144,11 @@
         )
 
     def _lose(self, loss: reason.LossReason) -> None:
+        crash_id = ids.CrashId("")
+        if loss is reason.LossReason.ENDPOINT_DOWN:
+            crash_id = self._crashes.note_loss()
         self._run.end(
-            frames.GenerationLost(self._run.start.generation_id, loss)
+            frames.GenerationLost(self._run.start.generation_id, loss, crash_id)
         )
 
 
--- a/bronzeslip/sidecar/generations.py
+++ b/bronzeslip/sidecar/generations.py
@@ -12,6 +12,7 @@
 from bronzeslip.generation import errors
 from bronzeslip.generation import run
 from bronzeslip.settings import sidecar
+from bronzeslip.sidecar import crash_log
 from bronzeslip.sidecar import engine_reader
 from bronzeslip.transport.frames import generation as frames
 from bronzeslip.transport.frames import reason
@@ -33,6 +34,8 @@
         self._settings = settings
         self._engine = engine
         self._admission = admission
+        self._crashes = crash_log.CrashLog()
+        self._suspect_turn = asyncio.Lock()
         self._runs: dict[ids.GenerationId, run.GenerationRun] = {}
         self._tasks: dict[ids.GenerationId, asyncio.Task] = {}
         self._cancelled_at_s: dict[ids.GenerationId, float] = {}
@@ -134,6 +137,21 @@
             task.cancel()
 
     async def _run(self, current: run.GenerationRun) -> None:
+        if not current.start.suspect:
+            await self._admit(current)
+            return
+        try:
+            async with asyncio.timeout(current.start.expires_in_s):
+                await self._suspect_turn.acquire()
+        except TimeoutError:
+            current.end(_refused(current, reason.RefusalReason.EXPIRED, 0.0))
+            return
+        try:
+            await self._admit(current)
+        finally:
+            self._suspect_turn.release()
+
+    async def _admit(self, current: run.GenerationRun) -> None:
         try:
             await self._admission.enter(current.start.expires_in_s)
         except admission_errors.AdmissionRefusedError as error:
@@ -147,7 +165,7 @@
     async def _generate(self, current: run.GenerationRun) -> None:
         generation_id = current.start.generation_id
         reader = engine_reader.EngineReader(
-            self._settings, self._engine, current
+            self._settings, self._engine, current, self._crashes
         )
         try:
             await reader.run()
--- a/bronzeslip/transport/frames/generation.py
+++ b/bronzeslip/transport/frames/generation.py
@@ -22,6 +22,8 @@
         expires_in_s: Time after which the run must not start, in seconds.
         incarnation_id: Incarnation of the sidecar that alone may run it, or
             empty if any may.
+        suspect: Whether it was running at a crash, so that it must not run
+            beside another such one.
     """
 
     generation_id: ids.GenerationId
@@ -35,6 +37,7 @@
     weight: float
     expires_in_s: float
     incarnation_id: ids.IncarnationId = ids.IncarnationId("")
+    suspect: bool = False
 
 
 class ResumeGeneration(msgspec.Struct, frozen=True, tag="resume"):
@@ -90,7 +93,14 @@
 
 
 class GenerationLost(msgspec.Struct, frozen=True, tag="lost"):
-    """Tells that a generation started and will not be whole."""
+    """Tells that a generation started and will not be whole.
+
+    Attributes:
+        generation_id: The generation.
+        reason: Why it was lost.
+        crash_id: Crash of the engine that it was lost to, or empty.
+    """
 
     generation_id: ids.GenerationId
     reason: reason.LossReason
+    crash_id: ids.CrashId = ids.CrashId("")
--- /dev/null
+++ b/tests/admission/test_workspace_limiter.py
@@ -0,0 +1,67 @@
+"""Limits of workspaces at one gateway."""
+
+import gc
+import unittest
+
+from bronzeslip.admission import errors
+from bronzeslip.admission import workspace_limiter
+from bronzeslip.configuration import workspace
+from bronzeslip.membership import directory
+from bronzeslip.membership import member
+from tests.support import clock
+
+
+class WorkspaceLimiterTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = clock.ManualClock()
+        self.members = directory.MemberDirectory()
+        self.limiter = workspace_limiter.WorkspaceLimiter(
+            self.members, self.clock
+        )
+
+    def enter(self, name="clerks", **limits):
+        declared = workspace.Workspace(
+            (), limits=workspace.WorkspaceLimits(**limits)
+        )
+        return self.limiter.enter(name, declared)
+
+    def admitted(self, **limits):
+        permits = []
+        try:
+            while len(permits) < 100:
+                permits.append(self.enter(**limits))
+        except errors.WorkspaceLimitedError as error:
+            self.retry_after_s = error.retry_after_s
+        return permits
+
+    def test_in_flight_is_bounded_and_freed(self):
+        permits = self.admitted(requests_in_flight=3)
+        self.assertEqual(len(permits), 3)
+        self.enter("smiths", requests_in_flight=1).release()
+        permits[0].release()
+        permits[0].release()
+        self.assertEqual(len(self.admitted(requests_in_flight=3)), 1)
+
+    def test_gateways_share_a_limit(self):
+        for vm_id in ("g1", "g2", "g3"):
+            self.members.put(
+                member.Member(
+                    vm_id, vm_id, member.MemberRole.GATEWAY, "r", "d", vm_id
+                )
+            )
+        self.assertEqual(len(self.admitted(requests_in_flight=10)), 4)
+
+    def test_rate_is_bounded_and_tells_when_to_come_back(self):
+        self.assertEqual(len(self.admitted(requests_per_s=4.0)), 4)
+        self.assertAlmostEqual(self.retry_after_s, 0.25)
+        self.clock.advance(0.5)
+        self.assertEqual(len(self.admitted(requests_per_s=4.0)), 2)
+
+    def test_dropped_permit_is_released(self):
+        self.enter(requests_in_flight=1)
+        gc.collect()
+        self.enter(requests_in_flight=1)
+
+
+if __name__ == "__main__":
+    unittest.main()
