--- a/bronzeslip/gateway/call_dispatcher.py
+++ b/bronzeslip/gateway/call_dispatcher.py
@@ -70,6 +70,7 @@
         ticket: frames.DispatchTicket | None = None,
     ) -> frames.CallOutcome | None:
         """Dispatches the call; None if the connection was lost."""
+        self._context.record.dispatched(endpoint.endpoint_id, call_id=call_id)
         self._routes.begin(endpoint.endpoint_id)
         try:
             return await self._exchange(
--- a/bronzeslip/gateway/generations_api.py
+++ b/bronzeslip/gateway/generations_api.py
@@ -1,28 +1,34 @@
 """Routes of generations, in the OpenAI form."""
 
-from collections.abc import AsyncGenerator
-from collections.abc import AsyncIterator
 import contextlib
 from typing import Any
 
 import litestar
-from litestar import response
+import msgspec
 
 from bronzeslip.gateway import answer
 from bronzeslip.gateway import answer_format
+from bronzeslip.gateway import api_description
 from bronzeslip.gateway import body
+from bronzeslip.gateway import disconnect
+from bronzeslip.gateway import error_handlers
 from bronzeslip.gateway import errors
+from bronzeslip.gateway import event_stream
 from bronzeslip.gateway import generation_session
 from bronzeslip.gateway import openai_messages as messages
 from bronzeslip.gateway import request_context
+from bronzeslip.gateway import resume_token
 from bronzeslip.gateway import state
 
 _AUTHORIZATION = "authorization"
-_EVENT_STREAM = "text/event-stream"
-_REQUEST_ID_HEADER = "x-request-id"
+_LAST_EVENT_ID = "last-event-id"
 
 
-@litestar.get("/v1/models", summary="Lists the models of the workspace")
+@litestar.get(
+    "/v1/models",
+    operation_class=api_description.DescribedOperation,
+    summary="Lists the models of the workspace",
+)
 async def list_models(
     request: litestar.Request, parts: state.GatewayState
 ) -> messages.ModelList:
@@ -33,7 +39,10 @@
 
 
 @litestar.post(
-    "/v1/chat/completions", status_code=200, summary="Generates a chat answer"
+    "/v1/chat/completions",
+    status_code=200,
+    operation_class=api_description.ChatOperation,
+    summary="Generates a chat answer",
 )
 async def chat_completions(
     request: litestar.Request, parts: state.GatewayState
@@ -43,15 +52,23 @@
     context = parts.access.context_for_model(
         request.headers.get(_AUTHORIZATION), wanted.model
     )
-    form = answer_format.ChatFormat(context.request_id, wanted.model)
     limit = wanted.max_completion_tokens or wanted.max_tokens
     prompt = _chat_prompt(wanted.messages)
-    session = _session(parts, context, wanted.model, prompt, limit)
-    return await _answer(parts, session, form, wanted, context)
+    return await _answer(
+        request,
+        parts,
+        context,
+        wanted,
+        _input(context, wanted.model, prompt, limit),
+        answer_format.ChatFormat,
+    )
 
 
 @litestar.post(
-    "/v1/completions", status_code=200, summary="Generates a completion"
+    "/v1/completions",
+    status_code=200,
+    operation_class=api_description.CompletionOperation,
+    summary="Generates a completion",
 )
 async def completions(
     request: litestar.Request, parts: state.GatewayState
@@ -61,65 +78,82 @@
     context = parts.access.context_for_model(
         request.headers.get(_AUTHORIZATION), wanted.model
     )
-    form = answer_format.CompletionFormat(context.request_id, wanted.model)
     prompt = _completion_prompt(wanted.prompt)
-    session = _session(parts, context, wanted.model, prompt, wanted.max_tokens)
-    return await _answer(parts, session, form, wanted, context)
+    return await _answer(
+        request,
+        parts,
+        context,
+        wanted,
+        _input(context, wanted.model, prompt, wanted.max_tokens),
+        answer_format.CompletionFormat,
+    )
 
 
-def _session(
-    parts: state.GatewayState,
+def _input(
     context: request_context.RequestContext,
     model: str,
     prompt: str,
     limit: int | None,
-) -> generation_session.GenerationSession:
-    if limit is not None and limit <= 0:
-        raise errors.BadRequestError("max_tokens must be above zero")
-    if len(prompt.encode()) > context.workspace.limits.prompt_bytes:
-        raise errors.TooLargeError("the prompt is too large")
+) -> generation_session.GenerationInput:
+    with context.record.starting():
+        _check_size(context, prompt)
     most = context.service.max_output_tokens
-    wanted = generation_session.GenerationInput(
+    return generation_session.GenerationInput(
         model, prompt, min(limit or most, most)
     )
-    return parts.generation(context, wanted)
+
+
+def _check_size(context: request_context.RequestContext, prompt: str) -> None:
+    if len(prompt.encode()) > context.workspace.limits.prompt_bytes:
+        raise errors.TooLargeError("the prompt is too large")
 
 
 async def _answer(
+    request: litestar.Request,
     parts: state.GatewayState,
-    session: generation_session.GenerationSession,
-    form: answer_format.AnswerFormat,
-    wanted: messages.ChatRequest | messages.CompletionRequest,
     context: request_context.RequestContext,
+    wanted: messages.ChatRequest | messages.CompletionRequest,
+    generation: generation_session.GenerationInput,
+    form_type: type[answer_format.AnswerFormat],
 ) -> Any:
-    headers = {_REQUEST_ID_HEADER: context.request_id}
+    token = _resume_token(request, parts, context)
+    if token is not None:
+        context = msgspec.structs.replace(context, request_id=token.request_id)
+    session = parts.generation(context, generation)
+    form = form_type(context.request_id, wanted.model)
+    headers = {error_handlers.REQUEST_ID_HEADER: context.request_id}
     with contextlib.ExitStack() as held:
-        held.enter_context(parts.enter(context))
-        await session.start()
+        with session.record.starting():
+            held.enter_context(parts.enter(context))
+            starting = session.resume(token) if token else session.start()
+            await disconnect.run_while_connected(request.receive, starting)
         if not wanted.stream:
-            whole = await answer.whole(session, form)
+            collecting = answer.whole(session, form)
+            whole = await disconnect.run_while_connected(
+                request.receive, collecting
+            )
             return litestar.Response(whole, headers=headers)
+        held.callback(session.close)
         options = wanted.stream_options or messages.StreamOptions()
-        events = answer.events(session, form, options.include_usage)
-        return response.Stream(
-            _held_during(held.pop_all(), events),
-            media_type=_EVENT_STREAM,
-            headers={**headers, "cache-control": "no-cache"},
+        return event_stream.EventStream(
+            answer.events(session, form, options.include_usage),
+            held.pop_all().close,
+            headers,
         )
 
 
-async def _held_during(
-    held: contextlib.ExitStack, events: AsyncGenerator[bytes]
-) -> AsyncIterator[bytes]:
-    with held:
-        async with contextlib.aclosing(events):
-            async for event in events:
-                yield event
+def _resume_token(
+    request: litestar.Request,
+    parts: state.GatewayState,
+    context: request_context.RequestContext,
+) -> resume_token.ResumeToken | None:
+    text = request.headers.get(_LAST_EVENT_ID)
+    if not text:
+        return None
+    return parts.resume_tokens.verify(context.workspace_id, text)
 
 
 def _chat_prompt(chat: list[messages.ChatMessage]) -> str:
-    if not chat:
-        raise errors.BadRequestError("messages must not be empty")
     return "\n".join(
         f"<|{message.role}|>{_content_text(message)}" for message in chat
     )
@@ -134,6 +168,4 @@
 def _completion_prompt(prompt: str | list[str]) -> str:
     if isinstance(prompt, str):
         return prompt
-    if len(prompt) != 1:
-        raise errors.BadRequestError("exactly one prompt is supported")
     return prompt[0]
--- a/bronzeslip/gateway/services_api.py
+++ b/bronzeslip/gateway/services_api.py
@@ -5,6 +5,7 @@
 
 from bronzeslip import ids
 from bronzeslip.configuration import service
+from bronzeslip.gateway import api_description
 from bronzeslip.gateway import body
 from bronzeslip.gateway import call_answer
 from bronzeslip.gateway import call_input
@@ -26,6 +27,7 @@
 @litestar.route(
     "/v1/services/{service_name:str}/{path:path}",
     http_method=_METHODS,
+    operation_class=api_description.CallOperation,
     summary="Calls a plain service",
 )
 async def call_service(
@@ -39,15 +41,18 @@
         request.headers.get("authorization"), ids.ServiceName(service_name)
     )
     if context.service.kind is not service.ServiceKind.PLAIN:
-        raise errors.NotFoundError(f"{service_name!r} is no plain service")
-    wanted = call_input.CallInput(
-        request.method,
-        _path_with_query(request, path),
-        _passed_headers(request),
-        await body.read(request),
-    )
-    with parts.enter(context):
-        return _to_response(await _run(request, parts, context, wanted))
+        raise errors.ServiceNotFoundError(
+            f"{service_name!r} is no plain service"
+        )
+    with context.record.answering(), parts.enter(context):
+        wanted = call_input.CallInput(
+            request.method,
+            _path_with_query(request, path),
+            _passed_headers(request),
+            await body.read(request),
+        )
+        answered = await _run(request, parts, context, wanted)
+    return _to_response(answered)
 
 
 async def _run(
--- a/bronzeslip/gateway/state.py
+++ b/bronzeslip/gateway/state.py
@@ -19,8 +19,10 @@
 from bronzeslip.gateway import generation_session
 from bronzeslip.gateway import peer_pool
 from bronzeslip.gateway import request_context
+from bronzeslip.gateway import resume_token
 from bronzeslip.gateway import suspicion
 from bronzeslip.membership import directory
+from bronzeslip.metrics import gateway_metrics
 from bronzeslip.routing import fingerprint
 from bronzeslip.routing import retry_budgets
 from bronzeslip.routing import retry_plan
@@ -43,7 +45,9 @@
         peers: Connections to sidecars.
         routes: Choice of endpoints.
         access: Checks of credentials.
+        resume_tokens: Signer of resume tokens.
         status: Collects what is in force everywhere.
+        metrics: Metrics of the process.
         claims: Claims of idempotency keys.
         results: Keeps answers with their claims.
         retries: Budgets of retries.
@@ -60,7 +64,9 @@
     peers: peer_pool.PeerPool
     routes: router.Router
     access: access.Access
+    resume_tokens: resume_token.ResumeTokenSigner
     status: status_collector.StatusCollector
+    metrics: gateway_metrics.GatewayMetrics
     claims: claim_store.ClaimStore
     results: result_keeper.ResultKeeper
     retries: retry_budgets.RetryBudgets
@@ -80,6 +86,7 @@
             self.routes,
             self.peers,
             self.members,
+            self.resume_tokens,
             context,
             wanted,
             self._retry_plan(context),
--- a/bronzeslip/settings/common.py
+++ b/bronzeslip/settings/common.py
@@ -4,13 +4,16 @@
 
 from bronzeslip import ids
 from bronzeslip import logs
+from bronzeslip.settings import errors
+from bronzeslip.settings import http
+from bronzeslip.settings import text_form
 from bronzeslip.settings.setting import setting
 
-MAX_PORT = 65535
+_MIN_SILENT_HEARTBEATS = 2
 
 
 @dataclasses.dataclass(frozen=True)
-class CommonSettings:
+class CommonSettings(http.HttpSettings):
     """Settings that the gateway and the sidecar share."""
 
     vm_id: ids.VmId = setting("id of the VM this process runs on", "identity")
@@ -18,37 +21,40 @@
     failure_domain: ids.FailureDomainName = setting(
         "failure domain of the VM", "identity"
     )
-    listen_address: str = setting(
-        "IP number to listen on", "network", default="127.0.0.1"
-    )
     advertise_address: str = setting(
-        "IP number given to other processes", "network", default="127.0.0.1"
-    )
-    http_port: int = setting(
-        "port for HTTP; 0 lets the system choose",
+        "IP number given to other processes",
         "network",
-        default=0,
-        minimum=0,
-        maximum=MAX_PORT,
+        default="127.0.0.1",
+        form=text_form.IP_NUMBER,
     )
     peer_port: int = setting(
         "port for the system's own processes; 0 lets the system choose",
         "network",
         default=0,
         minimum=0,
-        maximum=MAX_PORT,
+        maximum=http.MAX_PORT,
     )
     advertise_peer_port: int = setting(
         "peer port given to other processes; 0 gives the one listened on",
         "network",
         default=0,
         minimum=0,
-        maximum=MAX_PORT,
+        maximum=http.MAX_PORT,
     )
     peer_key: str = setting(
-        "shared key of the system's own processes", "security", secret=True
+        "shared key that this process shows to other processes",
+        "security",
+        secret=True,
+    )
+    accepted_peer_keys: tuple[str, ...] = setting(
+        "further shared keys accepted from other processes, for rotation",
+        "security",
+        default=(),
+        secret=True,
+    )
+    platform_url: str = setting(
+        "base URL of the platform", "platform", form=text_form.HTTP_URL
     )
-    platform_url: str = setting("base URL of the platform", "platform")
     platform_timeout_s: float = setting(
         "timeout of one call to the platform, in seconds",
         "platform",
@@ -70,6 +76,22 @@
         minimum=0.1,
         maximum=60,
     )
+    peer_certificate_file: str | None = setting(
+        "certificate chain shown to the system's own processes, in PEM form, "
+        "for the name bronzeslip-peer",
+        "tls",
+        default=None,
+    )
+    peer_private_key_file: str | None = setting(
+        "private key of the peer certificate, in PEM form",
+        "tls",
+        default=None,
+    )
+    peer_ca_file: str | None = setting(
+        "certificates that sign the peer certificates, in PEM form",
+        "tls",
+        default=None,
+    )
     seed_peers: tuple[str, ...] = setting(
         "peer addresses of gateways to ask when no other is known",
         "network",
@@ -85,4 +107,28 @@
     log_format: logs.LogFormat = setting(
         "form of log lines", "logs", default=logs.LogFormat.KEY_VALUE
     )
-    log_level: str = setting("lowest level logged", "logs", default="info")
+    log_level: logs.LogLevel = setting(
+        "lowest level logged", "logs", default=logs.LogLevel.INFO
+    )
+
+    def check(self) -> None:
+        """Checks the settings against each other.
+
+        Raises:
+            errors.SettingsError: With the flag, the value and what is
+                allowed.
+        """
+        self._check_silence()
+        super().check()
+        self._check_files(
+            "peer_certificate_file", "peer_private_key_file", "peer_ca_file"
+        )
+
+    def _check_silence(self) -> None:
+        least_s = _MIN_SILENT_HEARTBEATS * self.heartbeat_interval_s
+        if self.peer_silence_timeout_s < least_s:
+            raise errors.SettingsError(
+                f"--peer-silence-timeout-s: {self.peer_silence_timeout_s} is "
+                f"not allowed; allowed: at least twice "
+                f"--heartbeat-interval-s, which is {self.heartbeat_interval_s}"
+            )
--- a/bronzeslip/settings/gateway.py
+++ b/bronzeslip/settings/gateway.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from bronzeslip.settings import common
+from bronzeslip.settings import text_form
 from bronzeslip.settings.setting import setting
 
 
@@ -11,7 +12,10 @@
     """Settings of one gateway process."""
 
     operator_credentials_sha256: tuple[str, ...] = setting(
-        "SHA-256 digests of operators' credentials", "security", default=()
+        "SHA-256 digests of operators' credentials",
+        "security",
+        default=(),
+        form=text_form.SHA256_DIGESTS,
     )
     max_body_bytes: int = setting(
         "largest request body, in bytes",
@@ -20,6 +24,13 @@
         minimum=1_000,
         maximum=64_000_000,
     )
+    body_timeout_s: float = setting(
+        "longest wait for a whole request body, in seconds",
+        "limits",
+        default=60.0,
+        minimum=0.1,
+        maximum=3600,
+    )
     dispatch_attempts: int = setting(
         "endpoints tried before a request is refused",
         "routing",
--- a/bronzeslip/sidecar/daemon.py
+++ b/bronzeslip/sidecar/daemon.py
@@ -13,6 +13,7 @@
 from bronzeslip.http import shutdown
 from bronzeslip.membership import member
 from bronzeslip.membership import registrar
+from bronzeslip.metrics import sidecar_metrics
 from bronzeslip.platform import client as platform_client
 from bronzeslip.settings import sidecar
 from bronzeslip.sidecar import app
@@ -22,6 +23,7 @@
 from bronzeslip.spread import service
 from bronzeslip.transport import server as transport_server
 from bronzeslip.transport import stream
+from bronzeslip.transport import tls
 
 logger = logs.get_logger(__name__)
 
@@ -35,30 +37,35 @@
         self._ready = False
         self._signals = shutdown.ShutdownSignals()
         self._tasks = background.BackgroundTasks(self._signals.request)
+        metrics = sidecar_metrics.SidecarMetrics()
         self._admission = gate.AdmissionGate(settings)
         self._engine = engine_client.EngineClient(settings.endpoint_url)
         self._table = generations.GenerationTable(
-            settings, self._engine, self._admission
+            settings, self._engine, self._admission, metrics
         )
         self._runner = calls.CallRunner(
-            settings, self._incarnation_id, self._admission
+            settings, self._incarnation_id, self._admission, metrics
         )
         self._platform = platform_client.PlatformClient(
-            settings.platform_url, settings.platform_timeout_s
+            settings.platform_url,
+            settings.platform_timeout_s,
+            on_call=metrics.platform_called,
         )
         self._spread = service.SpreadService(
             settings, member.MemberRole.SIDECAR, self._platform
         )
+        metrics.follow_configuration(self._spread.configuration)
+        metrics.follow_load(lambda: self._admission.load)
         self._peers = transport_server.PeerServer(
             settings.listen_address,
             settings.peer_port,
             settings.peer_key,
             self._serve_peer,
+            accepted_peer_keys=settings.accepted_peer_keys,
+            credentials=tls.server_credentials(settings),
         )
         self._http = http_server.HttpServer(
-            app.create(lambda: self._ready),
-            settings.listen_address,
-            settings.http_port,
+            app.create(lambda: self._ready, metrics), settings
         )
         self._registrar = registrar.Registrar(self._platform, self._member())
 
--- /dev/null
+++ b/tests/support/gateway_app.py
@@ -0,0 +1,46 @@
+"""A gateway's application inside the test's own process."""
+
+import httpx
+
+from bronzeslip.gateway import app
+from bronzeslip.gateway import parts
+from bronzeslip.membership import member
+from bronzeslip.metrics import gateway_metrics
+from bronzeslip.settings import gateway
+from bronzeslip.spread import service
+from tests.support import in_process
+from tools import declarations
+
+URL = "http://gateway"
+
+
+def create_settings(**changes):
+    values = {
+        "vm_id": "entry-0",
+        "region": "brum",
+        "failure_domain": "brum-1",
+        "peer_key": "trial-peer-key",
+        "platform_url": "http://platform",
+        "operator_credentials_sha256": (
+            declarations.digest_of(declarations.OPERATOR_CREDENTIAL),
+        ),
+    }
+    return gateway.GatewaySettings(**{**values, **changes})
+
+
+def create_parts(platform=None, **changes):
+    if platform is None:
+        _, platform = in_process.platform_pair()
+    settings = create_settings(**changes)
+    spread = service.SpreadService(
+        settings, member.MemberRole.GATEWAY, platform
+    )
+    created = parts.create(
+        settings, platform, spread, gateway_metrics.GatewayMetrics()
+    )
+    created.ready = True
+    return created
+
+
+def create_transport(created):
+    return httpx.ASGITransport(app.create(created))
--- a/tests/transport/test_connection.py
+++ b/tests/transport/test_connection.py
@@ -1,7 +1,6 @@
 """Tests of peer connections over loopback."""
 
 import asyncio
-import types
 import unittest
 
 from bronzeslip import ids
@@ -10,6 +9,7 @@
 from bronzeslip.transport import server
 from bronzeslip.transport.frames import generation as frames
 from bronzeslip.transport.frames import link
+from tests.support import gateway_app
 
 _KEY = "key"
 _TOKENS = frames.Tokens(ids.GenerationId("g"), 0, ["a"])
@@ -28,7 +28,7 @@
         await ended
 
     async def connect(self, on_frame, silence_timeout_s=60):
-        settings = types.SimpleNamespace(
+        settings = gateway_app.create_settings(
             peer_key=_KEY,
             heartbeat_interval_s=0.05,
             peer_silence_timeout_s=silence_timeout_s,
