--- a/bronzeslip/gateway/daemon.py
+++ b/bronzeslip/gateway/daemon.py
@@ -12,6 +12,7 @@
 from bronzeslip.http import shutdown
 from bronzeslip.membership import member
 from bronzeslip.membership import registrar
+from bronzeslip.membership import vm_sweeper
 from bronzeslip.metrics import gateway_metrics
 from bronzeslip.platform import client as platform_client
 from bronzeslip.routing import suspect_list
@@ -59,7 +60,10 @@
         self._parts = parts.create(
             settings, self._platform, self._spread, metrics
         )
-        self._sweeper = sweeper.ClaimSweeper(
+        self._vm_sweeper = vm_sweeper.VmSweeper(
+            settings, self._platform, self._spread.members
+        )
+        self._claim_sweeper = sweeper.ClaimSweeper(
             settings, self._platform, self._spread.members
         )
         self._http = http_server.HttpServer(app.create(self._parts), settings)
@@ -70,9 +74,10 @@
         await self._peers.start()
         self._http.start()
         self._tasks.start("spread", self._spread.run())
-        self._tasks.start("registration", self._registrar.register())
+        self._tasks.start("registration", self._registrar.keep())
+        self._tasks.start("vm sweeper", self._vm_sweeper.run())
         self._tasks.start("readiness", self._become_ready())
-        self._tasks.start("claim-sweep", self._sweeper.run())
+        self._tasks.start("claim sweeper", self._claim_sweeper.run())
         self._start_suspects()
         logger.info(
             "gateway.listening",
--- a/bronzeslip/gateway/request_record.py
+++ b/bronzeslip/gateway/request_record.py
@@ -78,6 +78,11 @@
         wait_s = time.monotonic() - self._dispatched_s
         self._metrics.queued(self._labels, RequestOutcome.REFUSED, wait_s)
 
+    def continues(self, request_id: ids.RequestId) -> None:
+        """Notes that the request reads on in the answer of another one."""
+        self._log(logger.info, "request.continues", continued_id=request_id)
+        self._request_id = request_id
+
     def tokens(self, count: int) -> None:
         """Notes tokens that have arrived together."""
         self._times.add(count)
@@ -171,6 +176,11 @@
     return RequestOutcome.INCOMPLETE
 
 
+@_outcome_of.register
+def _(_: errors.CallerGoneError) -> RequestOutcome:
+    return RequestOutcome.CANCELLED
+
+
 @_outcome_of.register
 def _(_: errors.OutcomeUnknownError) -> RequestOutcome:
     return RequestOutcome.UNKNOWN
--- a/bronzeslip/gateway/services_api.py
+++ b/bronzeslip/gateway/services_api.py
@@ -51,8 +51,8 @@
             _passed_headers(request),
             await body.read(request),
         )
-        answered = await _run(request, parts, context, wanted)
-    return _to_response(answered)
+        answer = await _run(request, parts, context, wanted)
+    return _to_response(answer)
 
 
 async def _run(
