--- a/bronzeslip/gateway/generation_session.py
+++ b/bronzeslip/gateway/generation_session.py
@@ -214,7 +214,10 @@
         ]
         if self._suspicion.is_suspect:
             fresh.sort(key=_work_of)
-        return fresh or options
+        return sorted(
+            fresh or options,
+            key=lambda option: self._peers.is_failing(option.endpoint.address),
+        )
 
     async def _try(self, endpoint: member.Member) -> bool:
         self._enter(endpoint)
