--- a/bronzeslip/gateway/errors.py
+++ b/bronzeslip/gateway/errors.py
@@ -164,6 +164,15 @@
     title = "Idempotency key reused"
 
 
+class QuarantinedError(GatewayError):
+    """The request has crashed endpoints and is no longer run."""
+
+    code = "quarantined"
+    may_repeat = False
+    status = 422
+    title = "Quarantined"
+
+
 class LimitedError(GatewayError):
     """The workspace is over its limit; the request was not run."""
 
--- a/bronzeslip/gateway/generation_session.py
+++ b/bronzeslip/gateway/generation_session.py
@@ -13,6 +13,7 @@
 from bronzeslip.gateway import remote_generation
 from bronzeslip.gateway import request_context
 from bronzeslip.gateway import resume_token
+from bronzeslip.gateway import suspicion
 from bronzeslip.generation import errors as generation_errors
 from bronzeslip.membership import directory
 from bronzeslip.membership import member
@@ -61,6 +62,7 @@
         context: request_context.RequestContext,
         wanted: GenerationInput,
         retries: retry_plan.RetryPlan,
+        suspected: suspicion.Suspicion,
     ) -> None:
         self.finished: frames.GenerationFinished | None = None
         self.record = context.record
@@ -72,6 +74,7 @@
         self._context = context
         self._wanted = wanted
         self._retries = retries
+        self._suspicion = suspected
         self._remote: remote_generation.RemoteGeneration | None = None
         self._tried: set[ids.EndpointId] = set()
         self._retry_after_s = _RETRY_AFTER_S
@@ -103,9 +106,11 @@
             errors.NotRunError: If none took it; it was not run.
             errors.OutcomeUnknownError: If one may have run it.
             errors.IncompleteError: If one ran it and lost it.
+            errors.QuarantinedError: If it has crashed endpoints.
         """
         self._max_queue_wait_s = self._settings.quick_queue_wait_s
         for option in self._candidates():
+            await self._suspicion.admit()
             if not await self._retries.admit():
                 break
             if await self._try(option.endpoint):
@@ -114,6 +119,7 @@
             self._max_queue_wait_s = None
             if await self._try(self._ranked()[0].endpoint):
                 return
+        await self._suspicion.admit()
         raise self._failure("no endpoint took the request")
 
     async def resume(self, token: resume_token.ResumeToken) -> None:
@@ -215,6 +221,8 @@
             for option in options
             if option.endpoint.endpoint_id not in self._tried
         ]
+        if self._suspicion.is_suspect:
+            fresh.sort(key=_work_of)
         return sorted(
             fresh or options,
             key=lambda option: self._peers.is_failing(option.endpoint.address),
@@ -227,6 +235,7 @@
         except generation_errors.GenerationError as error:
             self.record.turned_away()
             self.close()
+            self._note_crash(error)
             self._note_failure(error)
             return False
         except BaseException:
@@ -285,6 +294,7 @@
             incarnation_id,
             self._context.workspace.workspace_class,
             self._max_queue_wait_s,
+            self._suspicion.is_suspect,
         )
 
     @functools.singledispatchmethod
@@ -324,14 +334,20 @@
         try:
             progress = await self._remote.receive()
         except generation_errors.GenerationError as error:
+            self._note_crash(error)
             if not may_rerun:
                 raise self._failure(error.message) from error
             await self._rerun(error)
             return None
         if isinstance(progress, frames.GenerationFinished):
             self.finished = progress
+            self._suspicion.note_finished()
         return progress
 
+    def _note_crash(self, error: generation_errors.GenerationError) -> None:
+        if isinstance(error, generation_errors.GenerationLostError):
+            self._suspicion.note_crash(error.crash_id)
+
     async def _rerun(self, error: generation_errors.GenerationError) -> None:
         logger.warning(
             "generation.lost",
@@ -343,3 +359,7 @@
         self.close()
         self._check_may_rerun(error)
         await self.start()
+
+
+def _work_of(option: candidate.Candidate) -> int:
+    return option.outstanding + option.load.running + option.load.queued
--- a/bronzeslip/gateway/generations_api.py
+++ b/bronzeslip/gateway/generations_api.py
@@ -1,5 +1,6 @@
 """Routes of generations, in the OpenAI form."""
 
+import contextlib
 from typing import Any
 
 import litestar
@@ -126,21 +127,24 @@
     session = parts.generation(context, generation)
     form = form_type(context.request_id, wanted.model)
     headers = {error_handlers.REQUEST_ID_HEADER: context.request_id}
-    starting = session.resume(token) if token else session.start()
-    with record.starting():
-        await disconnect.run_while_connected(request.receive, starting)
-    if not wanted.stream:
-        collecting = answer.whole(session, form)
-        whole = await disconnect.run_while_connected(
-            request.receive, collecting
+    with contextlib.ExitStack() as held:
+        with record.starting():
+            held.enter_context(parts.enter(context))
+            starting = session.resume(token) if token else session.start()
+            await disconnect.run_while_connected(request.receive, starting)
+        if not wanted.stream:
+            collecting = answer.whole(session, form)
+            whole = await disconnect.run_while_connected(
+                request.receive, collecting
+            )
+            return litestar.Response(whole, headers=headers)
+        held.callback(session.close)
+        options = wanted.stream_options or messages.StreamOptions()
+        return event_stream.EventStream(
+            answer.events(session, form, options.include_usage),
+            held.pop_all().close,
+            headers,
         )
-        return litestar.Response(whole, headers=headers)
-    options = wanted.stream_options or messages.StreamOptions()
-    return event_stream.EventStream(
-        answer.events(session, form, options.include_usage),
-        session.close,
-        headers,
-    )
 
 
 def _resume_token(
--- a/bronzeslip/gateway/parts.py
+++ b/bronzeslip/gateway/parts.py
@@ -2,6 +2,7 @@
 
 import random
 
+from bronzeslip.admission import workspace_limiter
 from bronzeslip.claims import result_keeper
 from bronzeslip.claims import store as claim_store
 from bronzeslip.configuration import store
@@ -15,6 +16,8 @@
 from bronzeslip.routing import prefix_load
 from bronzeslip.routing import retry_budgets
 from bronzeslip.routing import router
+from bronzeslip.routing import suspect_list
+from bronzeslip.routing import suspect_publisher
 from bronzeslip.settings import gateway
 from bronzeslip.spread import service
 from bronzeslip.spread import status_collector
@@ -35,6 +38,7 @@
         prefix_load.PrefixLoadPolicy(settings, random.Random()),
     )
     claims = claim_store.ClaimStore(platform)
+    suspects = suspect_list.SuspectList(settings)
     return state.GatewayState(
         settings=settings,
         configuration=spread.configuration,
@@ -51,4 +55,9 @@
         claims=claims,
         results=result_keeper.ResultKeeper(settings, claims),
         retries=retry_budgets.RetryBudgets(settings, random.Random()),
+        limiter=workspace_limiter.WorkspaceLimiter(spread.members),
+        suspects=suspects,
+        suspect_publisher=suspect_publisher.SuspectPublisher(
+            settings, platform, spread.members, suspects
+        ),
     )
--- a/bronzeslip/sidecar/engine_reader.py
+++ b/bronzeslip/sidecar/engine_reader.py
@@ -7,6 +7,7 @@
 import time
 
 from bronzeslip import errors as base_errors
+from bronzeslip import ids
 from bronzeslip import logs
 from bronzeslip.engine import client
 from bronzeslip.engine import errors
@@ -14,6 +15,7 @@
 from bronzeslip.generation import run
 from bronzeslip.metrics import sidecar_metrics
 from bronzeslip.settings import sidecar
+from bronzeslip.sidecar import crash_log
 from bronzeslip.transport.frames import generation as frames
 from bronzeslip.transport.frames import reason
 
@@ -37,6 +39,7 @@
         settings: sidecar.SidecarSettings,
         engine: client.EngineClient,
         current: run.GenerationRun,
+        crashes: crash_log.CrashLog,
         metrics: sidecar_metrics.SidecarMetrics | None = None,
         on_progress: Callable[[int], None] = lambda _: None,
     ) -> None:
@@ -46,6 +49,7 @@
             settings: Timeouts.
             engine: Engine to read from.
             current: Run to fill.
+            crashes: Notes what was running when the engine died.
             metrics: Metrics of the sidecar.
             on_progress: Called with the count of tokens after each batch.
         """
@@ -53,6 +57,7 @@
         self._settings = settings
         self._engine = engine
         self._run = current
+        self._crashes = crashes
         self._metrics = metrics or sidecar_metrics.SidecarMetrics()
         self._silence_s = settings.engine_silence_timeout_s
         self._last_answer_s = time.monotonic()
@@ -95,6 +100,7 @@
         self._silence_s = self._settings.engine_silence_timeout_s
         self._last_answer_s = time.monotonic()
         if self._run.state is run.RunState.QUEUED:
+            self._crashes.note_alive()
             self._run.mark_running()
         if event.kind is messages.StreamEventKind.TOKENS:
             self._run.append(event.first_index, event.texts)
@@ -161,8 +167,11 @@
         )
 
     def _lose(self, loss: reason.LossReason) -> None:
+        crash_id = ids.CrashId("")
+        if loss is reason.LossReason.ENDPOINT_DOWN:
+            crash_id = self._crashes.note_loss()
         self._run.end(
-            frames.GenerationLost(self._run.start.generation_id, loss)
+            frames.GenerationLost(self._run.start.generation_id, loss, crash_id)
         )
 
 
