--- a/tests/processes/test_generation_failures.py
+++ b/tests/processes/test_generation_failures.py
@@ -17,7 +17,7 @@
 _LENGTH = 40
 _HOLD = 10
 _PROMPT = f"#length={_LENGTH}"
-_LONG_PROMPT = "#length=3000"
+_LONG_PROMPT = "#length=20000"
 _WAIT_TIMEOUT_S = 20.0
 _LINK_FLAGS = (
     "--heartbeat-interval-s=0.1",
