--- a/bronzeslip/gateway/answer.py
+++ b/bronzeslip/gateway/answer.py
@@ -5,13 +5,12 @@
 import msgspec
 
 from bronzeslip import errors
-from bronzeslip import logs
 from bronzeslip.gateway import answer_format
+from bronzeslip.gateway import chunk_renderer
 from bronzeslip.gateway import generation_session
 from bronzeslip.gateway import openai_messages as messages
 from bronzeslip.gateway import problem
-
-logger = logs.get_logger(__name__)
+from bronzeslip.gateway import resume_token
 
 _DONE = b"data: [DONE]\n\n"
 _encoder = msgspec.json.Encoder()
@@ -23,7 +22,8 @@
 ) -> messages.Completion:
     """Collects a generation into one answer."""
     try:
-        texts = await session.collect()
+        with session.record.answering():
+            texts = await session.collect()
     finally:
         session.close()
     finished = session.finished
@@ -41,40 +41,32 @@
 
     The last event is [DONE] if the answer is whole and an error if not.
     """
-    generation_id = session.generation_id
+    renderer = chunk_renderer.ChunkRenderer(form)
+    tokens: resume_token.ResumeTokenSeries | None = None
     try:
-        async for batch in session.batches():
-            chunk = form.chunk("".join(batch.texts), batch.first_index == 0)
-            next_index = batch.first_index + len(batch.texts)
-            yield _event(chunk, session.resume_token(next_index))
-        yield _event(form.last_chunk(session.finished.finish_reason.value))
-        if include_usage:
-            yield _event(form.usage_chunk(_usage(session)))
-        yield _DONE
+        with session.record.answering():
+            async for batch in session.batches():
+                tokens = tokens or session.resume_tokens()
+                next_index = batch.first_index + len(batch.texts)
+                yield renderer.render(
+                    "".join(batch.texts),
+                    tokens.at(next_index),
+                    batch.first_index == 0,
+                )
+            finish_reason = session.finished.finish_reason.value
+            yield chunk_renderer.event(form.last_chunk(finish_reason))
+            if include_usage:
+                yield chunk_renderer.event(form.usage_chunk(_usage(session)))
+            yield _DONE
     except errors.BronzeslipError as error:
-        logger.warning(
-            "generation.incomplete",
-            generation_id=generation_id,
-            reason=error.message,
-        )
         yield _error_event(error)
     finally:
         session.close()
 
 
-def _event(chunk: messages.Completion, event_id: str = "") -> bytes:
-    line = b"data: " + _encoder.encode(chunk) + b"\n\n"
-    if event_id:
-        return b"id: " + event_id.encode() + b"\n" + line
-    return line
-
-
 def _error_event(error: errors.BronzeslipError) -> bytes:
     described = problem.from_error(error)
-    body = {
-        "error": {"message": error.message, **msgspec.to_builtins(described)}
-    }
-    return b"event: error\ndata: " + _encoder.encode(body) + b"\n\n"
+    return b"event: error\ndata: " + _encoder.encode(described) + b"\n\n"
 
 
 def _usage(session: generation_session.GenerationSession) -> messages.Usage:
--- a/bronzeslip/gateway/daemon.py
+++ b/bronzeslip/gateway/daemon.py
@@ -1,30 +1,24 @@
 """The gateway as one object."""
 
 import asyncio
-import random
 
 from bronzeslip import background
 from bronzeslip import ids
 from bronzeslip import logs
-from bronzeslip.configuration import store
-from bronzeslip.gateway import access
+from bronzeslip.claims import sweeper
 from bronzeslip.gateway import app
-from bronzeslip.gateway import peer_pool
-from bronzeslip.gateway import resume_token
-from bronzeslip.gateway import state
+from bronzeslip.gateway import parts
 from bronzeslip.http import server as http_server
 from bronzeslip.http import shutdown
-from bronzeslip.membership import endpoint_subset
 from bronzeslip.membership import member
 from bronzeslip.membership import registrar
 from bronzeslip.membership import vm_sweeper
+from bronzeslip.metrics import gateway_metrics
 from bronzeslip.platform import client as platform_client
-from bronzeslip.routing import least_outstanding
-from bronzeslip.routing import router
 from bronzeslip.settings import gateway
 from bronzeslip.spread import service
-from bronzeslip.spread import status_collector
 from bronzeslip.transport import server as transport_server
+from bronzeslip.transport import tls
 
 logger = logs.get_logger(__name__)
 
@@ -36,8 +30,11 @@
         self._settings = settings
         self._signals = shutdown.ShutdownSignals()
         self._tasks = background.BackgroundTasks(self._signals.request)
+        metrics = gateway_metrics.GatewayMetrics()
         self._platform = platform_client.PlatformClient(
-            settings.platform_url, settings.platform_timeout_s
+            settings.platform_url,
+            settings.platform_timeout_s,
+            on_call=metrics.platform_called,
         )
         self._spread = service.SpreadService(
             settings, member.MemberRole.GATEWAY, self._platform
@@ -47,6 +44,8 @@
             settings.peer_port,
             settings.peer_key,
             self._spread.relay.serve,
+            accepted_peer_keys=settings.accepted_peer_keys,
+            credentials=tls.server_credentials(settings),
         )
         self._registrar = registrar.Registrar(
             self._platform,
@@ -57,16 +56,16 @@
                 self._peers.port,
             ),
         )
-        self._sweeper = vm_sweeper.VmSweeper(
+        self._parts = parts.create(
+            settings, self._platform, self._spread, metrics
+        )
+        self._vm_sweeper = vm_sweeper.VmSweeper(
             settings, self._platform, self._spread.members
         )
-        self._parts = self._create_parts()
-        self._http = http_server.HttpServer(
-            app.create(self._parts),
-            settings.listen_address,
-            settings.http_port,
-            settings.caller_stall_timeout_s,
+        self._claim_sweeper = sweeper.ClaimSweeper(
+            settings, self._platform, self._spread.members
         )
+        self._http = http_server.HttpServer(app.create(self._parts), settings)
 
     async def run(self) -> None:
         """Serves until told to shut down, then drains."""
@@ -75,8 +74,9 @@
         self._http.start()
         self._tasks.start("spread", self._spread.run())
         self._tasks.start("registration", self._registrar.keep())
-        self._tasks.start("vm sweeper", self._sweeper.run())
+        self._tasks.start("vm sweeper", self._vm_sweeper.run())
         self._tasks.start("readiness", self._become_ready())
+        self._tasks.start("claim sweeper", self._claim_sweeper.run())
         logger.info(
             "gateway.listening",
             http_port=self._http.port,
@@ -102,6 +102,7 @@
     async def _stop_http(self) -> None:
         await asyncio.sleep(self._settings.drain_notice_s)
         await self._http.stop()
+        await self._parts.results.drain()
 
     async def _close(self) -> None:
         await self._registrar.withdraw()
@@ -109,26 +110,3 @@
         await self._parts.peers.close()
         await self._peers.stop()
         await self._platform.close()
-
-    def _create_parts(self) -> state.GatewayState:
-        settings = self._settings
-        spread = self._spread
-        peers = peer_pool.PeerPool(settings)
-        routes = router.Router(
-            endpoint_subset.EndpointSubset(settings, spread.members),
-            peers,
-            least_outstanding.LeastOutstandingPolicy(random.Random()),
-        )
-        return state.GatewayState(
-            settings=settings,
-            configuration=spread.configuration,
-            store=store.ConfigurationStore(self._platform),
-            members=spread.members,
-            peers=peers,
-            routes=routes,
-            access=access.Access(settings, spread.configuration),
-            status=status_collector.StatusCollector(
-                settings, spread.board, spread.members, spread.configuration
-            ),
-            resume_tokens=resume_token.ResumeTokenSigner(settings),
-        )
--- a/bronzeslip/gateway/generation_session.py
+++ b/bronzeslip/gateway/generation_session.py
@@ -19,6 +19,7 @@
 from bronzeslip.routing import candidate
 from bronzeslip.routing import errors as routing_errors
 from bronzeslip.routing import policy
+from bronzeslip.routing import retry_plan
 from bronzeslip.routing import router
 from bronzeslip.settings import gateway
 from bronzeslip.transport.frames import generation as frames
@@ -63,8 +64,10 @@
         resume_tokens: resume_token.ResumeTokenSigner,
         context: request_context.RequestContext,
         wanted: GenerationInput,
+        retries: retry_plan.RetryPlan,
     ) -> None:
         self.finished: frames.GenerationFinished | None = None
+        self.record = context.record
         self._settings = settings
         self._routes = routes
         self._peers = peers
@@ -72,14 +75,19 @@
         self._resume_tokens = resume_tokens
         self._context = context
         self._wanted = wanted
+        self._retries = retries
         self._remote: remote_generation.RemoteGeneration | None = None
         self._tried: set[ids.EndpointId] = set()
-        self._attempts_left = settings.dispatch_attempts
         self._retry_after_s = _RETRY_AFTER_S
         self._has_run = False
         self._delivered = False
         self._is_unresolved = False
 
+    @property
+    def request_id(self) -> ids.RequestId:
+        """Request that is served."""
+        return self._context.request_id
+
     @property
     def generation_id(self) -> ids.GenerationId:
         """Generation that is relayed."""
@@ -99,7 +107,8 @@
             errors.IncompleteError: If one ran it and lost it.
         """
         for option in self._candidates():
-            self._attempts_left -= 1
+            if not await self._retries.admit():
+                break
             if await self._try(option.endpoint):
                 self._has_run = True
                 return
@@ -111,12 +120,12 @@
         Raises:
             errors.GenerationGoneError: If the generation is no longer kept.
         """
-        endpoint = self._members.endpoint(token.endpoint_id)
+        endpoint = self._members.endpoint(token.run.endpoint_id)
         if endpoint is None:
             raise errors.GenerationGoneError("the endpoint has gone")
         self._has_run = True
         self._delivered = True
-        self._bind(endpoint, token.generation_id, token.next_index)
+        self._bind(endpoint, token.run.generation_id, token.next_index)
         self._remote.resume()
         try:
             await self._remote.wait_accepted()
@@ -127,15 +136,14 @@
             self.close()
             raise
 
-    def resume_token(self, next_index: int) -> str:
-        """Returns the token that resumes the answer at an index."""
-        return self._resume_tokens.sign(
+    def resume_tokens(self) -> resume_token.ResumeTokenSeries:
+        """Returns the tokens that resume the generation relayed now."""
+        return self._resume_tokens.series(
             self._context.workspace_id,
-            resume_token.ResumeToken(
+            resume_token.ResumableRun(
                 self.endpoint_id,
                 self.generation_id,
                 self._context.request_id,
-                next_index,
             ),
         )
 
@@ -149,6 +157,7 @@
             progress = await self._receive(may_rerun=not self._delivered)
             if isinstance(progress, frames.Tokens):
                 self._delivered = True
+                self.record.tokens(len(progress.texts))
                 yield progress
                 self._remote.acknowledge()
 
@@ -174,6 +183,9 @@
         """Gives the generation up if it has not finished."""
         if self._remote is not None:
             self._remote.close()
+            self.record.relayed(
+                self._remote.resume_count, self._remote.duplicate_tokens
+            )
             self._routes.end(self.endpoint_id)
             self._remote = None
 
@@ -194,19 +206,21 @@
             for option in options
             if option.endpoint.endpoint_id not in self._tried
         ]
-        return (fresh or options)[: self._attempts_left]
+        return fresh or options
 
     async def _try(self, endpoint: member.Member) -> bool:
         self._enter(endpoint)
         try:
             await self._remote.wait_accepted()
         except generation_errors.GenerationError as error:
+            self.record.turned_away()
             self.close()
             self._note_failure(error)
             return False
         except BaseException:
             self.close()
             raise
+        self.record.started()
         return True
 
     def _enter(self, endpoint: member.Member) -> None:
@@ -230,6 +244,9 @@
             self._context.deadline_s,
             next_index,
         )
+        self.record.dispatched(
+            endpoint.endpoint_id, generation_id=self.generation_id
+        )
         self._routes.begin(endpoint.endpoint_id)
 
     def _resolve_timeout_s(self) -> float:
--- a/bronzeslip/gateway/generations_api.py
+++ b/bronzeslip/gateway/generations_api.py
@@ -7,8 +7,10 @@
 
 from bronzeslip.gateway import answer
 from bronzeslip.gateway import answer_format
+from bronzeslip.gateway import api_description
 from bronzeslip.gateway import body
 from bronzeslip.gateway import disconnect
+from bronzeslip.gateway import error_handlers
 from bronzeslip.gateway import errors
 from bronzeslip.gateway import event_stream
 from bronzeslip.gateway import generation_session
@@ -19,10 +21,13 @@
 
 _AUTHORIZATION = "authorization"
 _LAST_EVENT_ID = "last-event-id"
-_REQUEST_ID_HEADER = "x-request-id"
 
 
-@litestar.get("/v1/models", summary="Lists the models of the workspace")
+@litestar.get(
+    "/v1/models",
+    operation_class=api_description.DescribedOperation,
+    summary="Lists the models of the workspace",
+)
 async def list_models(
     request: litestar.Request, parts: state.GatewayState
 ) -> messages.ModelList:
@@ -33,7 +38,10 @@
 
 
 @litestar.post(
-    "/v1/chat/completions", status_code=200, summary="Generates a chat answer"
+    "/v1/chat/completions",
+    status_code=200,
+    operation_class=api_description.ChatOperation,
+    summary="Generates a chat answer",
 )
 async def chat_completions(
     request: litestar.Request, parts: state.GatewayState
@@ -56,7 +64,10 @@
 
 
 @litestar.post(
-    "/v1/completions", status_code=200, summary="Generates a completion"
+    "/v1/completions",
+    status_code=200,
+    operation_class=api_description.CompletionOperation,
+    summary="Generates a completion",
 )
 async def completions(
     request: litestar.Request, parts: state.GatewayState
@@ -83,16 +94,19 @@
     prompt: str,
     limit: int | None,
 ) -> generation_session.GenerationInput:
-    if limit is not None and limit <= 0:
-        raise errors.BadRequestError("max_tokens must be above zero")
-    if len(prompt.encode()) > context.workspace.limits.prompt_bytes:
-        raise errors.TooLargeError("the prompt is too large")
+    with context.record.starting():
+        _check_size(context, prompt)
     most = context.service.max_output_tokens
     return generation_session.GenerationInput(
         model, prompt, min(limit or most, most)
     )
 
 
+def _check_size(context: request_context.RequestContext, prompt: str) -> None:
+    if len(prompt.encode()) > context.workspace.limits.prompt_bytes:
+        raise errors.TooLargeError("the prompt is too large")
+
+
 async def _answer(
     request: litestar.Request,
     parts: state.GatewayState,
@@ -101,14 +115,20 @@
     generation: generation_session.GenerationInput,
     form_type: type[answer_format.AnswerFormat],
 ) -> Any:
-    token = _resume_token(request, parts, context)
+    record = context.record
+    with record.starting():
+        token = _resume_token(request, parts, context)
     if token is not None:
-        context = msgspec.structs.replace(context, request_id=token.request_id)
+        context = msgspec.structs.replace(
+            context, request_id=token.run.request_id
+        )
+        record.continues(token.run.request_id)
     session = parts.generation(context, generation)
     form = form_type(context.request_id, wanted.model)
-    headers = {_REQUEST_ID_HEADER: context.request_id}
+    headers = {error_handlers.REQUEST_ID_HEADER: context.request_id}
     starting = session.resume(token) if token else session.start()
-    await disconnect.run_while_connected(request.receive, starting)
+    with record.starting():
+        await disconnect.run_while_connected(request.receive, starting)
     if not wanted.stream:
         collecting = answer.whole(session, form)
         whole = await disconnect.run_while_connected(
@@ -135,8 +155,6 @@
 
 
 def _chat_prompt(chat: list[messages.ChatMessage]) -> str:
-    if not chat:
-        raise errors.BadRequestError("messages must not be empty")
     return "\n".join(
         f"<|{message.role}|>{_content_text(message)}" for message in chat
     )
@@ -151,6 +169,4 @@
 def _completion_prompt(prompt: str | list[str]) -> str:
     if isinstance(prompt, str):
         return prompt
-    if len(prompt) != 1:
-        raise errors.BadRequestError("exactly one prompt is supported")
     return prompt[0]
--- a/bronzeslip/http/server.py
+++ b/bronzeslip/http/server.py
@@ -3,11 +3,16 @@
 import asyncio
 from collections.abc import Iterator
 import contextlib
+import functools
 import socket
 from typing import Any
 
 import uvicorn
 
+from bronzeslip.http import limited_protocol
+from bronzeslip.settings import http
+
+_BACKLOG = 2048
 _MS_PER_S = 1000
 
 
@@ -20,33 +25,25 @@
 class HttpServer:
     """Serves an ASGI application until told to stop."""
 
-    def __init__(
-        self,
-        app: Any,
-        address: str,
-        port: int,
-        stall_timeout_s: float | None = None,
-    ) -> None:
-        """Binds the port.
+    def __init__(self, app: Any, settings: http.HttpSettings) -> None:
+        """Creates a server.
 
         Args:
             app: ASGI application.
-            address: IP number to listen on.
-            port: Port to listen on; 0 lets the system choose.
-            stall_timeout_s: Time after which a connection whose other end
-                takes no data is closed, in seconds, or None for never.
+            settings: Address, limits and certificate.
         """
-        self._socket = socket.create_server((address, port), backlog=2048)
-        if stall_timeout_s is not None:
-            # Accepted sockets inherit the option; it covers closed windows.
-            self._socket.setsockopt(
-                socket.IPPROTO_TCP,
-                socket.TCP_USER_TIMEOUT,
-                round(stall_timeout_s * _MS_PER_S),
-            )
+        self._address = (settings.listen_address, settings.http_port)
+        self._stall_timeout_ms = round(
+            settings.caller_stall_timeout_s * _MS_PER_S
+        )
+        self._socket: socket.socket | None = None
         config = uvicorn.Config(
             app,
-            http="httptools",
+            http=functools.partial(
+                limited_protocol.LimitedHttpProtocol, settings
+            ),
+            ssl_certfile=settings.http_certificate_file,
+            ssl_keyfile=settings.http_private_key_file,
             loop="asyncio",
             lifespan="off",
             log_config=None,
@@ -58,11 +55,19 @@
 
     @property
     def port(self) -> int:
-        """Port that the server listens on."""
+        """Port that the server listens on, once started."""
         return self._socket.getsockname()[1]
 
     def start(self) -> None:
-        """Starts to accept connections."""
+        """Binds the port and starts to accept connections."""
+        self._socket = socket.create_server(self._address, backlog=_BACKLOG)
+        # Accepted sockets inherit these options. asyncio sets TCP_NODELAY by
+        # itself only on sockets that were created with a protocol number.
+        self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        # Covers closed windows as well as lost acknowledgements.
+        self._socket.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, self._stall_timeout_ms
+        )
         self._task = asyncio.create_task(
             self._server.serve(sockets=[self._socket])
         )
@@ -81,4 +86,5 @@
     async def _end(self) -> None:
         if self._task is not None:
             await asyncio.wait((self._task,))
-        self._socket.close()
+        if self._socket is not None:
+            self._socket.close()
--- a/bronzeslip/settings/parser.py
+++ b/bronzeslip/settings/parser.py
@@ -6,11 +6,13 @@
 import dataclasses
 import sys
 import typing
+from typing import Any
 from typing import NoReturn
 from typing import TypeVar
 
 from bronzeslip.settings import convert
 from bronzeslip.settings import errors
+from bronzeslip.settings import programs
 from bronzeslip.settings import setting
 
 ENVIRONMENT_PREFIX = "BRONZESLIP_"
@@ -19,10 +21,31 @@
 SettingsT = TypeVar("SettingsT")
 
 
-class _ArgumentParser(argparse.ArgumentParser):
+class SettingsParser(argparse.ArgumentParser):
+    """Argument parser that raises instead of printing its usage."""
+
     def error(self, message: str) -> NoReturn:
+        """Reports a wrong command line.
+
+        Raises:
+            errors.SettingsError: Always.
+        """
         raise errors.SettingsError(message)
 
+    def parse_args(
+        self,
+        args: Sequence[str] | None = None,
+        namespace: argparse.Namespace | None = None,
+    ) -> argparse.Namespace:
+        """Parses a command line; unknown words are named without values."""
+        parsed, rest = self.parse_known_args(args, namespace)
+        if rest:
+            flags = [word for word in rest if word.startswith("-")]
+            if not flags:
+                self.error("unexpected argument; see --help")
+            self.error(f"{flags[0].split('=')[0]}: no such flag; see --help")
+        return parsed
+
 
 def flag_of(field: dataclasses.Field) -> str:
     """Returns the command line flag of a settings field."""
@@ -34,29 +57,37 @@
     return ENVIRONMENT_PREFIX + field.name.upper()
 
 
-def build(
-    settings_type: type, program: str, description: str
-) -> argparse.ArgumentParser:
-    """Builds the argument parser of a settings class."""
-    parser = _ArgumentParser(
-        prog=program, description=description, allow_abbrev=False
-    )
-    parser.add_argument(
-        "--check-settings",
-        action="store_true",
-        help="check the settings and exit",
-    )
+def add_settings(parser: argparse.ArgumentParser, settings_type: type) -> None:
+    """Adds the flags of a settings class to a parser, by groups."""
+    hints = typing.get_type_hints(settings_type)
     groups: dict[str, argparse._ArgumentGroup] = {}
     for field in dataclasses.fields(settings_type):
         details = setting.details_of(field)
+        if details.environment_only:
+            continue
         if details.group not in groups:
             groups[details.group] = parser.add_argument_group(details.group)
         groups[details.group].add_argument(
             flag_of(field),
             default=None,
             metavar=field.name.rsplit("_", 1)[-1].upper(),
-            help=f"{details.help} [{variable_of(field)}]".replace("%", "%%"),
+            help=_help(field, hints[field.name]).replace("%", "%%"),
         )
+
+
+def build(
+    settings_type: type, program: str, description: str
+) -> argparse.ArgumentParser:
+    """Builds the argument parser of a daemon's settings class."""
+    parser = SettingsParser(
+        prog=program, description=description, allow_abbrev=False
+    )
+    parser.add_argument(
+        "--check-settings",
+        action="store_true",
+        help="check the settings and exit",
+    )
+    add_settings(parser, settings_type)
     return parser
 
 
@@ -78,23 +109,27 @@
     Raises:
         errors.SettingsError: If a setting is missing or not allowed.
     """
+    _check_variables(environment)
     hints = typing.get_type_hints(settings_type)
     values = {}
     for field in dataclasses.fields(settings_type):
         details = setting.details_of(field)
-        text = getattr(arguments, field.name)
-        if text is None:
-            text = environment.get(variable_of(field))
-        if text is not None:
+        found = _find(field, arguments, environment)
+        if found is not None:
+            name, text = found
             values[field.name] = convert.convert(
-                flag_of(field), text, hints[field.name], details
+                name, text, hints[field.name], details
             )
         elif field.default is dataclasses.MISSING:
             raise errors.SettingsError(
-                f"{flag_of(field)}: missing; allowed: "
+                f"{_name_of(field)}: missing; allowed: "
                 f"{convert.allowed_values(hints[field.name], details)}"
             )
-    return settings_type(**values)
+    settings = settings_type(**values)
+    check = getattr(settings, "check", None)
+    if check is not None:
+        check()
+    return settings
 
 
 def parse_or_exit(
@@ -115,3 +150,47 @@
         print(f"{program}: settings are valid")
         sys.exit(0)
     return settings
+
+
+def _check_variables(environment: Mapping[str, str]) -> None:
+    """Refuses variables that no program of the system reads."""
+    known = {
+        variable_of(field)
+        for settings_type in programs.SETTINGS_BY_PROGRAM.values()
+        for field in dataclasses.fields(settings_type)
+    }
+    for name in sorted(environment):
+        if name.startswith(ENVIRONMENT_PREFIX) and name not in known:
+            raise errors.SettingsError(f"{name}: no such setting; see --help")
+
+
+def _name_of(field: dataclasses.Field) -> str:
+    if setting.details_of(field).environment_only:
+        return variable_of(field)
+    return flag_of(field)
+
+
+def _find(
+    field: dataclasses.Field,
+    arguments: argparse.Namespace,
+    environment: Mapping[str, str],
+) -> tuple[str, str] | None:
+    text = getattr(arguments, field.name, None)
+    if text is not None:
+        return flag_of(field), text
+    variable = variable_of(field)
+    if variable in environment:
+        name = (
+            variable
+            if setting.details_of(field).environment_only
+            else f"{flag_of(field)} ({variable})"
+        )
+        return name, environment[variable]
+    return None
+
+
+def _help(field: dataclasses.Field, hint: Any) -> str:
+    details = setting.details_of(field)
+    allowed = convert.allowed_values(hint, details)
+    default = convert.default_text(field)
+    return f"{details.help}; {allowed}; {default} [{variable_of(field)}]"
--- a/bronzeslip/settings/sidecar.py
+++ b/bronzeslip/settings/sidecar.py
@@ -4,6 +4,7 @@
 
 from bronzeslip import ids
 from bronzeslip.settings import common
+from bronzeslip.settings import text_form
 from bronzeslip.settings.setting import setting
 
 
@@ -13,7 +14,9 @@
 
     endpoint_id: ids.EndpointId = setting("id of the endpoint", "identity")
     pool: ids.PoolName = setting("pool the endpoint belongs to", "identity")
-    endpoint_url: str = setting("base URL of the endpoint", "endpoint")
+    endpoint_url: str = setting(
+        "base URL of the endpoint", "endpoint", form=text_form.HTTP_URL
+    )
     max_queued_requests: int = setting(
         "requests held before new ones are refused",
         "admission",
@@ -28,6 +31,35 @@
         minimum=1,
         maximum=100_000,
     )
+    memory_overflow_probability: float = setting(
+        "chance that admitted work outgrows the engine's memory",
+        "admission",
+        default=0.1,
+        minimum=0.0001,
+        maximum=0.5,
+    )
+    draft_floor_ratio: float = setting(
+        "share of the engine's memory that short requests leave to waiting "
+        "drafts",
+        "admission",
+        default=0.6,
+        minimum=0,
+        maximum=1,
+    )
+    interactive_reserve_ratio: float = setting(
+        "share of the engine's memory that drafts leave to short requests",
+        "admission",
+        default=0.04,
+        minimum=0,
+        maximum=1,
+    )
+    queue_ageing_ratio: float = setting(
+        "engine time that one second of waiting makes up for, in seconds",
+        "admission",
+        default=0.5,
+        minimum=0,
+        maximum=100,
+    )
     generation_grace_s: float = setting(
         "time a finished generation stays readable, in seconds",
         "generation",
@@ -42,6 +74,27 @@
         minimum=0.1,
         maximum=3600,
     )
+    dispatch_window_s: float = setting(
+        "age up to which a ticket to dispatch a call is accepted, in seconds",
+        "calls",
+        default=10.0,
+        minimum=0.1,
+        maximum=600,
+    )
+    call_grace_s: float = setting(
+        "time the outcome of an ended call is kept, in seconds",
+        "calls",
+        default=120.0,
+        minimum=0,
+        maximum=3600,
+    )
+    kept_calls_bytes: int = setting(
+        "most bytes of answers kept for ended calls",
+        "calls",
+        default=32_000_000,
+        minimum=0,
+        maximum=1_000_000_000,
+    )
     engine_silence_timeout_s: float = setting(
         "silence of an engine's stream after which it is resumed, in seconds",
         "endpoint",
--- a/bronzeslip/spread/status_collector.py
+++ b/bronzeslip/spread/status_collector.py
@@ -4,14 +4,13 @@
 from collections.abc import Iterable
 from collections.abc import Sequence
 
-import msgspec
-
 from bronzeslip import ids
 from bronzeslip.configuration import in_force
 from bronzeslip.membership import directory
 from bronzeslip.membership import member
 from bronzeslip.membership import rendezvous
 from bronzeslip.settings import common
+from bronzeslip.spread import status
 from bronzeslip.spread import status_board
 from bronzeslip.transport import codec
 from bronzeslip.transport import connection
@@ -21,36 +20,6 @@
 _ROUND_SIZES = (2, 4)
 
 
-class DomainStatus(msgspec.Struct, frozen=True):
-    """What the processes of one failure domain have in force.
-
-    Attributes:
-        failure_domain: The failure domain.
-        numbers: Processes by the number that they have in force.
-        lagging: Some of the VMs behind the highest number.
-        unreported: Registered processes that no relay has heard from.
-    """
-
-    failure_domain: ids.FailureDomainName
-    numbers: dict[ids.ConfigurationNumber, int]
-    lagging: tuple[ids.VmId, ...] = ()
-    unreported: int = 0
-
-
-class SpreadStatus(msgspec.Struct, frozen=True):
-    """What all processes have in force.
-
-    Attributes:
-        number: Highest number known.
-        in_force_everywhere: Whether every registered process reports it.
-        domains: Status of each failure domain.
-    """
-
-    number: ids.ConfigurationNumber
-    in_force_everywhere: bool
-    domains: tuple[DomainStatus, ...]
-
-
 class StatusCollector:
     """Collects the summaries of the relays of each failure domain."""
 
@@ -66,7 +35,7 @@
         self._members = members
         self._holder = holder
 
-    async def collect(self) -> SpreadStatus:
+    async def collect(self) -> status.SpreadStatus:
         """Asks the relays, starting with those that watch the platform."""
         reports = {self._settings.vm_id: self._board.summary()}
         for size in _ROUND_SIZES:
@@ -130,7 +99,9 @@
         finally:
             await opened.close()
 
-    def _status(self, merged: Iterable[frames.DomainSummary]) -> SpreadStatus:
+    def _status(
+        self, merged: Iterable[frames.DomainSummary]
+    ) -> status.SpreadStatus:
         found = {summary.failure_domain: summary for summary in merged}
         number = max(
             self._holder.number,
@@ -144,7 +115,7 @@
             not domain.unreported and set(domain.numbers) <= {number}
             for domain in domains
         )
-        return SpreadStatus(number, everywhere, domains)
+        return status.SpreadStatus(number, everywhere, domains)
 
     def _all_expected(
         self, found: Sequence[ids.FailureDomainName]
@@ -176,12 +147,12 @@
     name: ids.FailureDomainName,
     summary: frames.DomainSummary | None,
     expected: int,
-) -> DomainStatus:
+) -> status.DomainStatus:
     if summary is None:
-        return DomainStatus(name, {}, (), expected)
+        return status.DomainStatus(name, {}, (), expected)
     reported = sum(summary.counts.values())
     lagging = tuple(ids.VmId(late.name) for late in summary.laggards)
-    return DomainStatus(
+    return status.DomainStatus(
         name, summary.counts, lagging, max(expected - reported, 0)
     )
 
--- a/bronzeslip/transport/connection.py
+++ b/bronzeslip/transport/connection.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Callable
 import contextlib
+import math
+import time
 
 import grpc
 import grpc.aio
@@ -16,6 +18,7 @@
 from bronzeslip.transport import service
 from bronzeslip.transport import silence
 from bronzeslip.transport import stream
+from bronzeslip.transport import tls
 from bronzeslip.transport import workers
 from bronzeslip.transport.frames import link
 
@@ -42,6 +45,7 @@
         """
         self.address = address
         self.load = link.EndpointLoad()
+        self.load_heard_s = -math.inf
         self.incarnation_id = ids.IncarnationId("")
         self._settings = settings
         self._on_frame = on_frame
@@ -92,13 +96,17 @@
             self._on_close()
 
     def _open_channel(self) -> grpc.aio.Channel:
-        return grpc.aio.insecure_channel(
-            self.address,
-            options=(
-                ("grpc.use_local_subchannel_pool", 1),
-                ("grpc.enable_retries", 0),
-                ("grpc.max_receive_message_length", service.MAX_MESSAGE_BYTES),
-            ),
+        options = (
+            ("grpc.use_local_subchannel_pool", 1),
+            ("grpc.enable_retries", 0),
+            ("grpc.max_receive_message_length", service.MAX_MESSAGE_BYTES),
+            *tls.CHANNEL_OPTIONS,
+        )
+        credentials = tls.channel_credentials(self._settings)
+        if credentials is None:
+            return grpc.aio.insecure_channel(self.address, options=options)
+        return grpc.aio.secure_channel(
+            self.address, credentials, options=options
         )
 
     async def _serve(self, channel: grpc.aio.Channel) -> None:
@@ -123,11 +131,16 @@
             self._silence.heard()
             for frame in batch:
                 if isinstance(frame, link.Heartbeat):
-                    self.load = frame.load or self.load
+                    self._take_load(frame.load)
                     self.incarnation_id = frame.incarnation_id
                 else:
                     self._on_frame(frame)
 
+    def _take_load(self, load: link.EndpointLoad | None) -> None:
+        if load is not None:
+            self.load = load
+            self.load_heard_s = time.monotonic()
+
     async def _write(self, peer: stream.PeerStream) -> None:
         while True:
             await peer.write(await self._outbox.take())
