--- a/bronzeslip/settings/common.py
+++ b/bronzeslip/settings/common.py
@@ -76,6 +76,22 @@
         minimum=0.1,
         maximum=60,
     )
+    peer_certificate_file: str | None = setting(
+        "certificate chain shown to the system's own processes, in PEM form, "
+        "for the name bronzeslip-peer",
+        "tls",
+        default=None,
+    )
+    peer_private_key_file: str | None = setting(
+        "private key of the peer certificate, in PEM form",
+        "tls",
+        default=None,
+    )
+    peer_ca_file: str | None = setting(
+        "certificates that sign the peer certificates, in PEM form",
+        "tls",
+        default=None,
+    )
     relay_heartbeat_interval_s: float = setting(
         "time between heartbeats of a relay to its followers, in seconds",
         "network",
@@ -97,22 +113,6 @@
         minimum=0.05,
         maximum=60,
     )
-    peer_certificate_file: str | None = setting(
-        "certificate chain shown to the system's own processes, in PEM form, "
-        "for the name bronzeslip-peer",
-        "tls",
-        default=None,
-    )
-    peer_private_key_file: str | None = setting(
-        "private key of the peer certificate, in PEM form",
-        "tls",
-        default=None,
-    )
-    peer_ca_file: str | None = setting(
-        "certificates that sign the peer certificates, in PEM form",
-        "tls",
-        default=None,
-    )
     seed_peers: tuple[str, ...] = setting(
         "peer addresses of gateways to ask when no other is known",
         "network",
