Keep a withdrawn record away and end a drain despite new connections

Cause: an announcement that was still being tried could write the record again after its withdrawal; and a drain waited for every session to end, those of gateways that connected again meanwhile included.

Ruled out: ordering the end of the tasks before the withdrawal alone (the registrar would stay unsafe for other callers).

Change: a registrar writes nothing after its withdrawal. PeerSessions waits for the sessions open at the time. The sweeper keeps its duty until the members change.

Test changed: test_removed_record_is_written_again removed the record by withdraw, which now forbids writing; it deletes it at the platform instead.

--- a/bronzeslip/membership/registrar.py
+++ b/bronzeslip/membership/registrar.py
@@ -30,6 +30,7 @@
     ) -> None:
         self._platform = platform
         self._own = own
+        self._withdrawn = False
 
     @property
     def own(self) -> member.Member:
@@ -61,7 +62,11 @@
         await _retried(self._try_announce)
 
     async def withdraw(self) -> None:
-        """Deletes the record if it is still this incarnation's."""
+        """Deletes the record if it is still this incarnation's.
+
+        From now on nothing is written any more.
+        """
+        self._withdrawn = True
         try:
             found = await self._platform.get(member.key_of(self._own))
             if found is not None and self._is_own(found):
@@ -84,6 +89,8 @@
         key = member.key_of(self._own)
         try:
             found = await self._platform.get(key)
+            if self._withdrawn:
+                return True
             if found is None:
                 await self._platform.create(key, self._own)
             elif may_replace(found) and member.decode(found.value) != self._own:
--- a/bronzeslip/membership/vm_sweeper.py
+++ b/bronzeslip/membership/vm_sweeper.py
@@ -45,6 +45,8 @@
         self._platform = platform
         self._members = members
         self._missing_since_s: dict[member.Member, float] = {}
+        self._duty: tuple[member.Member, ...] = ()
+        self._duty_at_change = -1
 
     @property
     def settings(self) -> gateway.GatewaySettings:
@@ -85,19 +87,21 @@
             if listed is not None and listed.state is objects.VmState.LEAVING:
                 await self._mark_leaving(known)
 
-    def _on_duty(self) -> list[member.Member]:
+    def _on_duty(self) -> tuple[member.Member, ...]:
         """Lists the members that this gateway looks after."""
-        domains = {known.failure_domain for known in self._members.members()}
+        if self._duty_at_change != self._members.change_count:
+            self._duty_at_change = self._members.change_count
+            self._duty = self._find_duty()
+        return self._duty
+
+    def _find_duty(self) -> tuple[member.Member, ...]:
+        known = self._members.members()
         own = {
             domain
-            for domain in domains
+            for domain in {found.failure_domain for found in known}
             if self._holder_of(domain) == self._settings.vm_id
         }
-        return [
-            known
-            for known in self._members.members()
-            if known.failure_domain in own
-        ]
+        return tuple(found for found in known if found.failure_domain in own)
 
     def _holder_of(self, domain: ids.FailureDomainName) -> ids.VmId:
         serving = [
--- a/bronzeslip/sidecar/daemon.py
+++ b/bronzeslip/sidecar/daemon.py
@@ -21,6 +21,7 @@
 from bronzeslip.sidecar import generations
 from bronzeslip.sidecar import leaving_watch
 from bronzeslip.sidecar import peer_session
+from bronzeslip.sidecar import peer_sessions
 from bronzeslip.spread import service
 from bronzeslip.transport import server as transport_server
 from bronzeslip.transport import stream
@@ -71,7 +72,7 @@
             self._spread.configuration,
             self._on_leaving,
         )
-        self._sessions: set[peer_session.PeerSession] = set()
+        self._sessions = peer_sessions.PeerSessions()
         self._peers = transport_server.PeerServer(
             settings.listen_address,
             settings.peer_port,
@@ -141,10 +142,7 @@
     async def _wait_idle(self) -> None:
         await self._admission.wait_idle()
         await self._table.wait_read()
-        for session in self._sessions:
-            session.finish()
-        while self._sessions:
-            await next(iter(self._sessions)).ended.wait()
+        await self._sessions.finish()
 
     async def _close(self) -> None:
         await asyncio.sleep(self._settings.drain_notice_s)
@@ -165,12 +163,7 @@
             self._runner,
             peer,
         )
-        self._sessions.add(session)
-        try:
-            await session.run()
-        finally:
-            self._sessions.discard(session)
-            session.ended.set()
+        await self._sessions.run(session)
 
     def _member(self) -> member.Member:
         process = member.of_process(
--- a/bronzeslip/sidecar/peer_session.py
+++ b/bronzeslip/sidecar/peer_session.py
@@ -30,11 +30,7 @@
 
 
 class PeerSession:
-    """Carries out what one gateway asks on one connection.
-
-    Attributes:
-        ended: Set when the connection has ended.
-    """
+    """Carries out what one gateway asks on one connection."""
 
     def __init__(
         self,
@@ -56,7 +52,6 @@
         self._readers: dict[ids.GenerationId, reader.GenerationReader] = {}
         self._calls: set[asyncio.Task] = set()
         self._finishing = asyncio.Event()
-        self.ended = asyncio.Event()
 
     def finish(self) -> None:
         """Ends the connection once all that was put has been sent."""
--- a/tests/membership/test_registrar.py
+++ b/tests/membership/test_registrar.py
@@ -51,9 +51,16 @@
         await self.new.withdraw()
         self.assertIsNone(await self.stored())
 
-    async def test_removed_record_is_written_again(self):
+    async def test_late_announcement_does_not_undo_the_withdrawal(self):
         await self.new.register()
         await self.new.withdraw()
+        await self.new.announce_draining()
+        self.assertIsNone(await self.stored())
+
+    async def test_removed_record_is_written_again(self):
+        await self.new.register()
+        found = await self.platform.get(member.key_of(self.new.own))
+        await self.platform.delete(found.key, found.version)
         await self.new.renew()
         self.assertEqual((await self.stored()).incarnation_id, "new")
 
