--- a/bronzeslip/gateway/generation_session.py
+++ b/bronzeslip/gateway/generation_session.py
@@ -7,12 +7,13 @@
 
 from bronzeslip import ids
 from bronzeslip import logs
-from bronzeslip.configuration import workspace
+from bronzeslip.admission import priorities
 from bronzeslip.gateway import errors
 from bronzeslip.gateway import peer_pool
 from bronzeslip.gateway import remote_generation
 from bronzeslip.gateway import request_context
 from bronzeslip.gateway import resume_token
+from bronzeslip.gateway import suspicion
 from bronzeslip.generation import errors as generation_errors
 from bronzeslip.membership import directory
 from bronzeslip.membership import member
@@ -23,15 +24,11 @@
 from bronzeslip.routing import router
 from bronzeslip.settings import gateway
 from bronzeslip.transport.frames import generation as frames
+from bronzeslip.transport.frames import reason
 
 logger = logs.get_logger(__name__)
 
 _RETRY_AFTER_S = 1.0
-_PRIORITIES = {
-    workspace.WorkspaceClass.INTERACTIVE: 2,
-    workspace.WorkspaceClass.DRAFT: 1,
-    workspace.WorkspaceClass.BATCH: 0,
-}
 
 
 class GenerationInput(msgspec.Struct, frozen=True):
@@ -65,6 +62,7 @@
         context: request_context.RequestContext,
         wanted: GenerationInput,
         retries: retry_plan.RetryPlan,
+        suspected: suspicion.Suspicion,
     ) -> None:
         self.finished: frames.GenerationFinished | None = None
         self.record = context.record
@@ -76,12 +74,15 @@
         self._context = context
         self._wanted = wanted
         self._retries = retries
+        self._suspicion = suspected
         self._remote: remote_generation.RemoteGeneration | None = None
         self._tried: set[ids.EndpointId] = set()
         self._retry_after_s = _RETRY_AFTER_S
         self._has_run = False
         self._delivered = False
         self._is_unresolved = False
+        self._is_pool_busy = False
+        self._max_queue_wait_s: float | None = None
 
     @property
     def request_id(self) -> ids.RequestId:
@@ -105,13 +106,20 @@
             errors.NotRunError: If none took it; it was not run.
             errors.OutcomeUnknownError: If one may have run it.
             errors.IncompleteError: If one ran it and lost it.
+            errors.QuarantinedError: If it has crashed endpoints.
         """
+        self._max_queue_wait_s = self._settings.quick_queue_wait_s
         for option in self._candidates():
+            await self._suspicion.admit()
             if not await self._retries.admit():
                 break
             if await self._try(option.endpoint):
-                self._has_run = True
                 return
+        if self._is_pool_busy:
+            self._max_queue_wait_s = None
+            if await self._try(self._ranked()[0].endpoint):
+                return
+        await self._suspicion.admit()
         raise self._failure("no endpoint took the request")
 
     async def resume(self, token: resume_token.ResumeToken) -> None:
@@ -189,23 +197,32 @@
             self._routes.end(self.endpoint_id)
             self._remote = None
 
-    def _candidates(self) -> list[candidate.Candidate]:
-        request = policy.RoutingRequest(
+    def _routing_request(self) -> policy.RoutingRequest:
+        return policy.RoutingRequest(
             self._context.workspace_id,
             self._context.service_name,
             self._wanted.prompt,
             self._settings.region,
         )
+
+    def _ranked(self) -> list[candidate.Candidate]:
         try:
-            options = self._routes.candidates(self._context.binding, request)
+            return self._routes.candidates(
+                self._context.binding, self._routing_request()
+            )
         except routing_errors.RoutingError as error:
             self._retry_after_s = error.retry_after_s or _RETRY_AFTER_S
             raise self._failure(error.message) from error
+
+    def _candidates(self) -> list[candidate.Candidate]:
+        options = self._ranked()
         fresh = [
             option
             for option in options
             if option.endpoint.endpoint_id not in self._tried
         ]
+        if self._suspicion.is_suspect:
+            fresh.sort(key=_work_of)
         return sorted(
             fresh or options,
             key=lambda option: self._peers.is_failing(option.endpoint.address),
@@ -218,17 +235,20 @@
         except generation_errors.GenerationError as error:
             self.record.turned_away()
             self.close()
+            self._note_crash(error)
             self._note_failure(error)
             return False
         except BaseException:
             self.close()
             raise
         self.record.started()
+        self._has_run = True
         return True
 
     def _enter(self, endpoint: member.Member) -> None:
         self._tried.add(endpoint.endpoint_id)
         self._bind(endpoint, ids.GenerationId(ids.random_id()), 0)
+        self._routes.accepted(self._routing_request(), endpoint.endpoint_id)
         self._remote.begin(self._start_frame, self._resolve_timeout_s())
 
     def _bind(
@@ -268,10 +288,13 @@
             self._wanted.model,
             self._wanted.prompt,
             self._wanted.max_tokens,
-            _PRIORITIES[self._context.workspace.workspace_class],
+            priorities.priority_of(self._context.workspace.workspace_class),
             self._context.workspace.weight,
             self._context.remaining_s(),
             incarnation_id,
+            self._context.workspace.workspace_class,
+            self._max_queue_wait_s,
+            self._suspicion.is_suspect,
         )
 
     @functools.singledispatchmethod
@@ -281,6 +304,8 @@
 
     @_note_failure.register
     def _(self, error: generation_errors.GenerationRefusedError) -> None:
+        if error.refusal is reason.RefusalReason.BUSY:
+            self._is_pool_busy = True
         self._retry_after_s = error.retry_after_s or _RETRY_AFTER_S
 
     @_note_failure.register
@@ -309,14 +334,20 @@
         try:
             progress = await self._remote.receive()
         except generation_errors.GenerationError as error:
+            self._note_crash(error)
             if not may_rerun:
                 raise self._failure(error.message) from error
             await self._rerun(error)
             return None
         if isinstance(progress, frames.GenerationFinished):
             self.finished = progress
+            self._suspicion.note_finished()
         return progress
 
+    def _note_crash(self, error: generation_errors.GenerationError) -> None:
+        if isinstance(error, generation_errors.GenerationLostError):
+            self._suspicion.note_crash(error.crash_id)
+
     async def _rerun(self, error: generation_errors.GenerationError) -> None:
         logger.warning(
             "generation.lost",
@@ -328,3 +359,7 @@
         self.close()
         self._check_may_rerun(error)
         await self.start()
+
+
+def _work_of(option: candidate.Candidate) -> int:
+    return option.outstanding + option.load.running + option.load.queued
--- a/bronzeslip/gateway/parts.py
+++ b/bronzeslip/gateway/parts.py
@@ -2,6 +2,7 @@
 
 import random
 
+from bronzeslip.admission import workspace_limiter
 from bronzeslip.claims import result_keeper
 from bronzeslip.claims import store as claim_store
 from bronzeslip.configuration import store
@@ -12,9 +13,11 @@
 from bronzeslip.membership import endpoint_subset
 from bronzeslip.metrics import gateway_metrics
 from bronzeslip.platform import client
-from bronzeslip.routing import least_outstanding
+from bronzeslip.routing import prefix_load
 from bronzeslip.routing import retry_budgets
 from bronzeslip.routing import router
+from bronzeslip.routing import suspect_list
+from bronzeslip.routing import suspect_publisher
 from bronzeslip.settings import gateway
 from bronzeslip.spread import service
 from bronzeslip.spread import status_collector
@@ -32,9 +35,10 @@
     routes = router.Router(
         endpoint_subset.EndpointSubset(settings, spread.members),
         peers,
-        least_outstanding.LeastOutstandingPolicy(random.Random()),
+        prefix_load.PrefixLoadPolicy(settings, random.Random()),
     )
     claims = claim_store.ClaimStore(platform)
+    suspects = suspect_list.SuspectList(settings)
     return state.GatewayState(
         settings=settings,
         configuration=spread.configuration,
@@ -51,4 +55,9 @@
         claims=claims,
         results=result_keeper.ResultKeeper(settings, claims),
         retries=retry_budgets.RetryBudgets(settings, random.Random()),
+        limiter=workspace_limiter.WorkspaceLimiter(spread.members),
+        suspects=suspects,
+        suspect_publisher=suspect_publisher.SuspectPublisher(
+            settings, platform, spread.members, suspects
+        ),
     )
--- a/bronzeslip/settings/gateway.py
+++ b/bronzeslip/settings/gateway.py
@@ -53,6 +53,13 @@
         minimum=1,
         maximum=86_400,
     )
+    suspect_ttl_s: float = setting(
+        "time a request that was running at a crash stays suspect, in seconds",
+        "routing",
+        default=1800.0,
+        minimum=1,
+        maximum=604_800,
+    )
     quick_queue_wait_s: float = setting(
         "expected wait at which an endpoint is passed over for the next, in "
         "seconds",
@@ -75,6 +82,13 @@
         minimum=0,
         maximum=60,
     )
+    request_cost_s: float = setting(
+        "price of each request that an endpoint has, in seconds of waiting",
+        "routing",
+        default=0.002,
+        minimum=0,
+        maximum=60,
+    )
     request_memory_ratio: float = setting(
         "memory that a request just sent is taken to need, as a share",
         "routing",
@@ -99,7 +113,7 @@
     prefill_bytes_per_s: float = setting(
         "bytes of prompt that an engine computes in a second",
         "routing",
-        default=250_000.0,
+        default=100_000.0,
         minimum=100,
         maximum=1e9,
     )
@@ -128,7 +142,7 @@
     prefix_min_homes: int = setting(
         "endpoints that share a prefix at least",
         "routing",
-        default=1,
+        default=2,
         minimum=0,
         maximum=64,
     )
