--- a/bronzeslip/gateway/daemon.py
+++ b/bronzeslip/gateway/daemon.py
@@ -5,13 +5,14 @@
 from bronzeslip import background
 from bronzeslip import ids
 from bronzeslip import logs
-from bronzeslip.claims import sweeper
+from bronzeslip.claims import sweeper as claim_sweeper
 from bronzeslip.gateway import app
 from bronzeslip.gateway import parts
 from bronzeslip.http import server as http_server
 from bronzeslip.http import shutdown
 from bronzeslip.membership import member
 from bronzeslip.membership import registrar
+from bronzeslip.membership import vm_sweeper
 from bronzeslip.metrics import gateway_metrics
 from bronzeslip.platform import client as platform_client
 from bronzeslip.settings import gateway
@@ -55,10 +56,13 @@
                 self._peers.port,
             ),
         )
+        self._vm_sweeper = vm_sweeper.VmSweeper(
+            settings, self._platform, self._spread.members
+        )
         self._parts = parts.create(
             settings, self._platform, self._spread, metrics
         )
-        self._sweeper = sweeper.ClaimSweeper(
+        self._claim_sweeper = claim_sweeper.ClaimSweeper(
             settings, self._platform, self._spread.members
         )
         self._http = http_server.HttpServer(app.create(self._parts), settings)
@@ -69,9 +73,10 @@
         await self._peers.start()
         self._http.start()
         self._tasks.start("spread", self._spread.run())
-        self._tasks.start("registration", self._registrar.register())
+        self._tasks.start("registration", self._registrar.keep())
+        self._tasks.start("vm-sweep", self._vm_sweeper.run())
         self._tasks.start("readiness", self._become_ready())
-        self._tasks.start("claim-sweep", self._sweeper.run())
+        self._tasks.start("claim-sweep", self._claim_sweeper.run())
         logger.info(
             "gateway.listening",
             http_port=self._http.port,
--- a/bronzeslip/gateway/parts.py
+++ b/bronzeslip/gateway/parts.py
@@ -9,6 +9,7 @@
 from bronzeslip.gateway import peer_pool
 from bronzeslip.gateway import resume_token
 from bronzeslip.gateway import state
+from bronzeslip.membership import endpoint_subset
 from bronzeslip.metrics import gateway_metrics
 from bronzeslip.platform import client
 from bronzeslip.routing import least_outstanding
@@ -29,7 +30,7 @@
     metrics.follow_configuration(spread.configuration)
     peers = peer_pool.PeerPool(settings)
     routes = router.Router(
-        spread.members,
+        endpoint_subset.EndpointSubset(settings, spread.members),
         peers,
         least_outstanding.LeastOutstandingPolicy(random.Random()),
     )
--- a/bronzeslip/http/server.py
+++ b/bronzeslip/http/server.py
@@ -32,6 +32,7 @@
             app: ASGI application.
             settings: Address, limits and certificate.
         """
+        self._stall_timeout_s = settings.caller_stall_timeout_s
         self._address = (settings.listen_address, settings.http_port)
         self._stall_timeout_ms = round(
             settings.caller_stall_timeout_s * _MS_PER_S
@@ -85,6 +86,6 @@
 
     async def _end(self) -> None:
         if self._task is not None:
-            await self._task
+            await asyncio.wait((self._task,))
         if self._socket is not None:
             self._socket.close()
