--- a/bronzeslip/gateway/generations_api.py
+++ b/bronzeslip/gateway/generations_api.py
@@ -119,8 +119,10 @@
     with record.starting():
         token = _resume_token(request, parts, context)
     if token is not None:
-        context = msgspec.structs.replace(context, request_id=token.request_id)
-        record.continues(token.request_id)
+        context = msgspec.structs.replace(
+            context, request_id=token.run.request_id
+        )
+        record.continues(token.run.request_id)
     session = parts.generation(context, generation)
     form = form_type(context.request_id, wanted.model)
     headers = {error_handlers.REQUEST_ID_HEADER: context.request_id}
--- a/bronzeslip/http/server.py
+++ b/bronzeslip/http/server.py
@@ -32,7 +32,6 @@
             app: ASGI application.
             settings: Address, limits and certificate.
         """
-        self._stall_timeout_s = settings.caller_stall_timeout_s
         self._address = (settings.listen_address, settings.http_port)
         self._stall_timeout_ms = round(
             settings.caller_stall_timeout_s * _MS_PER_S
