--- a/bronzeslip/gateway/generation_session.py
+++ b/bronzeslip/gateway/generation_session.py
@@ -206,7 +206,10 @@
             for option in options
             if option.endpoint.endpoint_id not in self._tried
         ]
-        return fresh or options
+        return sorted(
+            fresh or options,
+            key=lambda option: self._peers.is_failing(option.endpoint.address),
+        )
 
     async def _try(self, endpoint: member.Member) -> bool:
         self._enter(endpoint)
