Pass targets of calls on as sent, and only to the endpoint

Cause: the gateway passed the decoded path on, so that an encoded question mark or hash cut the target short, and double slashes were merged. The sidecar joined the target to its base URL by httpx, which takes a target such as //host/x, http://host/x or @host/x as another host: a gateway that had passed the raw path on would have let callers reach any host from an endpoint's VM.

Ruled out: checks at the gateway alone, since the sidecar is the one that knows where its requests go.

Change: the gateway takes raw path and query and refuses dot segments; the sidecar appends the target to its endpoint's URL. Errors of every kind have an x-request-id, unexpected ones that of their request; log lines name the file that wrote them.

--- a/bronzeslip/gateway/error_handlers.py
+++ b/bronzeslip/gateway/error_handlers.py
@@ -5,6 +5,7 @@
 from litestar import types
 
 from bronzeslip import errors as base_errors
+from bronzeslip import ids
 from bronzeslip import logs
 from bronzeslip.configuration import errors as configuration_errors
 from bronzeslip.gateway import errors
@@ -60,21 +61,28 @@
     def _on_unexpected(
         self, request: litestar.Request, error: Exception
     ) -> litestar.Response:
+        converted = errors.GatewayError("an unexpected error; see the log")
+        converted.request_id = getattr(error, "request_id", None) or _new_id()
         logger.error(
             "gateway.unexpected_error",
+            request_id=converted.request_id,
             route=request.scope.get("path_template", ""),
             reason=logs.describe(error),
         )
-        return self._answer(
-            errors.GatewayError("an unexpected error; see the log")
-        )
+        return self._answer(converted)
 
     def _answer(self, error: base_errors.BronzeslipError) -> litestar.Response:
         self._metrics.problem_sent(error.code)
         answer = problem.to_response(problem.from_error(error))
         request_id = getattr(error, "request_id", None)
         if request_id is None:
-            logger.warning("request.refused", reason=error.code)
-        else:
-            answer.headers[REQUEST_ID_HEADER] = request_id
+            request_id = _new_id()
+            logger.warning(
+                "request.refused", request_id=request_id, reason=error.code
+            )
+        answer.headers[REQUEST_ID_HEADER] = request_id
         return answer
+
+
+def _new_id() -> ids.RequestId:
+    return ids.RequestId(ids.random_id())
--- a/bronzeslip/gateway/request_record.py
+++ b/bronzeslip/gateway/request_record.py
@@ -99,7 +99,8 @@
         except base_errors.BronzeslipError as error:
             self._fail(error)
             raise
-        except Exception:
+        except Exception as error:
+            error.request_id = self._request_id
             self._end(RequestOutcome.FAILED, "request.failed")
             raise
         except BaseException:
--- a/bronzeslip/gateway/services_api.py
+++ b/bronzeslip/gateway/services_api.py
@@ -1,5 +1,7 @@
 """Routes of plain services."""
 
+import urllib.parse
+
 import litestar
 from litestar import response
 
@@ -9,6 +11,7 @@
 from bronzeslip.gateway import body
 from bronzeslip.gateway import call_answer
 from bronzeslip.gateway import call_input
+from bronzeslip.gateway import error_handlers
 from bronzeslip.gateway import errors
 from bronzeslip.gateway import idempotency
 from bronzeslip.gateway import request_context
@@ -16,6 +19,8 @@
 from bronzeslip.transport.frames import call as frames
 
 _METHODS = ["GET", "POST", "PUT", "PATCH", "DELETE"]
+_PREFIX_SEGMENTS = 4
+_DOT_SEGMENTS = frozenset({".", ".."})
 _PASSED_REQUEST_HEADERS = frozenset(
     {"accept", "accept-language", "content-type", "idempotency-key"}
 )
@@ -40,19 +45,20 @@
     context = parts.access.context_for_service(
         request.headers.get("authorization"), ids.ServiceName(service_name)
     )
-    if context.service.kind is not service.ServiceKind.PLAIN:
-        raise errors.ServiceNotFoundError(
-            f"{service_name!r} is no plain service"
-        )
     with context.record.answering():
+        if context.service.kind is not service.ServiceKind.PLAIN:
+            raise errors.ServiceNotFoundError(
+                f"{service_name!r} is no plain service"
+            )
         wanted = call_input.CallInput(
             request.method,
-            _path_with_query(request, path),
+            _target(request),
             _passed_headers(request),
             await body.read(request),
         )
         answer = await _run(request, parts, context, wanted)
-    return _to_response(answer)
+    headers = {error_handlers.REQUEST_ID_HEADER: context.request_id}
+    return _to_response(answer, headers)
 
 
 async def _run(
@@ -67,8 +73,18 @@
     return await parts.claimed_call(context, wanted, key).run()
 
 
-def _path_with_query(request: litestar.Request, path: str) -> str:
-    query = request.url.query
+def _target(request: litestar.Request) -> str:
+    """Returns path and query below the service, encoded as they were sent.
+
+    Raises:
+        errors.BadRequestError: If the path would lead above the service.
+    """
+    raw_path = request.scope["raw_path"].decode("ascii")
+    path = "/" + raw_path.split("/", _PREFIX_SEGMENTS)[-1]
+    for segment in path.split("/"):
+        if urllib.parse.unquote(segment) in _DOT_SEGMENTS:
+            raise errors.BadRequestError("the path has a dot segment")
+    query = request.scope["query_string"].decode("ascii")
     return f"{path}?{query}" if query else path
 
 
@@ -80,12 +96,15 @@
     )
 
 
-def _to_response(answer: call_answer.CallAnswer) -> litestar.Response[bytes]:
+def _to_response(
+    answer: call_answer.CallAnswer, own_headers: dict[str, str]
+) -> litestar.Response[bytes]:
     headers = {
         header.name: header.value
         for header in answer.headers
         if header.name not in _DROPPED_RESPONSE_HEADERS
     }
+    headers.update(own_headers)
     if answer.replayed:
         headers[idempotency.REPLAYED_HEADER] = "true"
     media_type = headers.pop("content-type", "application/octet-stream")
--- a/bronzeslip/logs.py
+++ b/bronzeslip/logs.py
@@ -20,6 +20,9 @@
 
 EventWriter = Callable[..., None]
 
+for _name in ("debug", "info", "warning", "error", "_write"):
+    logging.ABSLLogger.register_frame_to_skip(__file__, _name)
+
 
 class LogFormat(enum.Enum):
     """Form of one log line."""
--- a/bronzeslip/sidecar/calls.py
+++ b/bronzeslip/sidecar/calls.py
@@ -33,8 +33,8 @@
     ) -> None:
         self._metrics = metrics
         self._admission = admission
+        self._endpoint_url = httpx.URL(settings.endpoint_url)
         self._http = httpx.AsyncClient(
-            base_url=settings.endpoint_url,
             limits=httpx.Limits(
                 max_connections=None, keepalive_expiry=_KEEPALIVE_EXPIRY_S
             ),
@@ -86,11 +86,17 @@
         finally:
             self._admission.leave()
 
+    def _url_of(self, target: str) -> httpx.URL:
+        """Appends path and query to the endpoint's URL, and nothing else."""
+        base = self._endpoint_url.raw_path.rstrip(b"/")
+        below = b"/" + target.removeprefix("/").encode()
+        return self._endpoint_url.copy_with(raw_path=base + below)
+
     async def _send(self, start: frames.StartCall) -> frames.CallOutcome:
         try:
             response = await self._http.request(
                 start.method,
-                start.path,
+                self._url_of(start.path),
                 headers=[
                     (header.name, header.value) for header in start.headers
                 ],
--- a/tests/gateway/bad_input_case.py
+++ b/tests/gateway/bad_input_case.py
@@ -45,4 +45,5 @@
         self.assertIn(text, problem["detail"])
         self.assertEqual(problem["error"]["code"], code)
         self.assertEqual(problem["error"]["message"], problem["detail"])
+        self.assertTrue(answer.headers["x-request-id"])
         return problem
--- a/tests/gateway/test_bad_input.py
+++ b/tests/gateway/test_bad_input.py
@@ -2,7 +2,10 @@
 
 import typing
 import unittest
+from unittest import mock
 
+from bronzeslip import logs
+from bronzeslip.gateway import generation_session
 from tests.gateway import bad_input_case
 
 _CHAT = "/v1/chat/completions"
@@ -172,6 +175,28 @@
             answer = await self.post(_PLAIN, json=body)
             self.assertNotIn("secret words", answer.text)
 
+    async def test_unexpected_error_is_found_in_the_log(self):
+        with (
+            mock.patch.object(
+                generation_session.GenerationSession,
+                "start",
+                side_effect=ZeroDivisionError,
+            ),
+            mock.patch.object(logs.EventLogger, "_write") as written,
+        ):
+            answer = await self.post(_CHAT, json=_chat())
+        self.assert_problem(answer, 500, "internal")
+        found = {
+            event: fields
+            for _, event, fields in (
+                call.args for call in written.call_args_list
+            )
+        }
+        for event in ("request.failed", "gateway.unexpected_error"):
+            self.assertEqual(
+                found[event]["request_id"], answer.headers["x-request-id"]
+            )
+
     async def test_no_configuration_yet(self):
         parts = self.parts
         parts.configuration._record = parts.configuration._index = None
--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -61,6 +61,18 @@
             await self.assert_others_unharmed()
         self.assertEqual(self.dispatched, [])
 
+    async def test_target_that_is_not_ascii(self):
+        for target in (b"/a\xff", b"/a?x=\xff"):
+            with self.subTest(target=target):
+                head = _HEAD.replace(
+                    b"/v1/completions", b"/v1/services/commissions" + target
+                )
+                reader, _ = await self.open(head + b"x" * 1000)
+                status_line = await reader.readuntil(b"\r\n")
+                self.assertTrue(
+                    status_line.startswith(b"HTTP/1.1 400 "), status_line
+                )
+
     async def test_body_that_stalls(self):
         reader, _ = await self.open(_HEAD + _PART)
         head = await reader.readuntil(b"\r\n\r\n")
