--- a/bronzeslip/gateway/parts.py
+++ b/bronzeslip/gateway/parts.py
@@ -12,7 +12,7 @@
 from bronzeslip.membership import endpoint_subset
 from bronzeslip.metrics import gateway_metrics
 from bronzeslip.platform import client
-from bronzeslip.routing import least_outstanding
+from bronzeslip.routing import prefix_load
 from bronzeslip.routing import retry_budgets
 from bronzeslip.routing import router
 from bronzeslip.settings import gateway
@@ -32,7 +32,7 @@
     routes = router.Router(
         endpoint_subset.EndpointSubset(settings, spread.members),
         peers,
-        least_outstanding.LeastOutstandingPolicy(random.Random()),
+        prefix_load.PrefixLoadPolicy(settings, random.Random()),
     )
     claims = claim_store.ClaimStore(platform)
     return state.GatewayState(
--- a/bronzeslip/settings/gateway.py
+++ b/bronzeslip/settings/gateway.py
@@ -75,6 +75,13 @@
         minimum=0,
         maximum=60,
     )
+    request_cost_s: float = setting(
+        "price of each request that an endpoint has, in seconds of waiting",
+        "routing",
+        default=0.002,
+        minimum=0,
+        maximum=60,
+    )
     request_memory_ratio: float = setting(
         "memory that a request just sent is taken to need, as a share",
         "routing",
@@ -99,7 +106,7 @@
     prefill_bytes_per_s: float = setting(
         "bytes of prompt that an engine computes in a second",
         "routing",
-        default=250_000.0,
+        default=100_000.0,
         minimum=100,
         maximum=1_000_000_000,
     )
@@ -128,7 +135,7 @@
     prefix_min_homes: int = setting(
         "endpoints that share a prefix at least",
         "routing",
-        default=1,
+        default=2,
         minimum=0,
         maximum=64,
     )
