--- a/bronzeslip/metrics/sidecar_metrics.py
+++ b/bronzeslip/metrics/sidecar_metrics.py
@@ -42,6 +42,12 @@
             registry=self.registry,
         )
 
+        self._memory = aioprometheus.Gauge(
+            "bronzeslip_endpoint_memory_used_ratio",
+            "Share of the engine's cache memory in use",
+            registry=self.registry,
+        )
+
     def follow_load(self, load: Callable[[], link.EndpointLoad]) -> None:
         """Shows a load that is read when the metrics are asked for."""
         self._load = load
@@ -51,6 +57,7 @@
         load = self._load()
         self._requests.set({"state": "running"}, load.running)
         self._requests.set({"state": "queued"}, load.queued)
+        self._memory.set({}, load.memory_used_ratio)
 
     def admitted(self, service_name: ids.ServiceName, wait_s: float) -> None:
         """Records the wait of a request that was admitted."""
--- a/tests/processes/test_operations.py
+++ b/tests/processes/test_operations.py
@@ -109,6 +109,7 @@
             'bronzeslip_admission_wait_seconds_count{service="drafts"}',
             'bronzeslip_admission_wait_seconds_count{service="commissions"}',
             'bronzeslip_endpoint_requests{state="running"} 0',
+            "\nbronzeslip_endpoint_memory_used_ratio ",
             "\nbronzeslip_configuration_number ",
         ):
             self.assertTrue(any(text in page for page in pages), text)
