--- a/bronzeslip/gateway/remote_generation.py
+++ b/bronzeslip/gateway/remote_generation.py
@@ -259,7 +259,7 @@
     def take_lost(self, frame: frames.GenerationLost) -> None:
         """Raises that the generation is lost."""
         self._ended = True
-        raise errors.GenerationLostError(frame.reason.value)
+        raise errors.GenerationLostError(frame.reason.value, frame.crash_id)
 
     def _without_duplicates(
         self, frame: frames.Tokens, seen: int
--- a/bronzeslip/gateway/services_api.py
+++ b/bronzeslip/gateway/services_api.py
@@ -45,7 +45,7 @@
     context = parts.access.context_for_service(
         request.headers.get("authorization"), ids.ServiceName(service_name)
     )
-    with context.record.answering():
+    with context.record.answering(), parts.enter(context):
         if context.service.kind is not service.ServiceKind.PLAIN:
             raise errors.ServiceNotFoundError(
                 f"{service_name!r} is no plain service"
--- a/bronzeslip/sidecar/generations.py
+++ b/bronzeslip/sidecar/generations.py
@@ -17,6 +17,7 @@
 from bronzeslip.metrics import sidecar_metrics
 from bronzeslip.settings import sidecar
 from bronzeslip.sidecar import cache_index
+from bronzeslip.sidecar import crash_log
 from bronzeslip.sidecar import engine_reader
 from bronzeslip.transport.frames import generation as frames
 from bronzeslip.transport.frames import reason
@@ -41,6 +42,8 @@
         self._settings = settings
         self._engine = engine
         self._admission = admission
+        self._crashes = crash_log.CrashLog()
+        self._suspect_turn = asyncio.Lock()
         self._metrics = metrics or sidecar_metrics.SidecarMetrics()
         self._runs: dict[ids.GenerationId, run.GenerationRun] = {}
         self._tasks: dict[ids.GenerationId, asyncio.Task] = {}
@@ -149,6 +152,21 @@
             task.cancel()
 
     async def _run(self, current: run.GenerationRun) -> None:
+        if not current.start.suspect:
+            await self._admit(current)
+            return
+        try:
+            async with asyncio.timeout(current.start.expires_in_s):
+                await self._suspect_turn.acquire()
+        except TimeoutError:
+            current.end(_refused(current, reason.RefusalReason.EXPIRED, 0.0))
+            return
+        try:
+            await self._admit(current)
+        finally:
+            self._suspect_turn.release()
+
+    async def _admit(self, current: run.GenerationRun) -> None:
         service_name = current.start.service_name
         asked_s = time.monotonic()
         try:
@@ -172,6 +190,7 @@
             self._settings,
             self._engine,
             current,
+            self._crashes,
             self._metrics,
             lambda count: self._admission.progress(held, count),
         )
