--- /dev/null
+++ b/bench/incidents.py
@@ -0,0 +1,98 @@
+"""What goes wrong during a morning."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Sequence
+import dataclasses
+
+from bench import simulated_sidecar
+from bronzeslip.engine import messages
+
+_START_S = 15.0
+_DURATION_S = 20.0
+_SLOW_FACTOR = 3.0
+_TAKEN_SHARE = 0.5
+
+Incident = Callable[
+    [Sequence[simulated_sidecar.SimulatedSidecar]], Awaitable[None]
+]
+
+
+async def none(sidecars: Sequence[simulated_sidecar.SimulatedSidecar]) -> None:
+    """Lets the morning pass."""
+
+
+async def slow_engine(
+    sidecars: Sequence[simulated_sidecar.SimulatedSidecar],
+) -> None:
+    """Makes the steps of one engine take longer for a while."""
+    await asyncio.sleep(_START_S)
+    sidecars[0].engine.slow_factor = _SLOW_FACTOR
+    await asyncio.sleep(_DURATION_S)
+    sidecars[0].engine.slow_factor = 1.0
+
+
+async def crash(
+    sidecars: Sequence[simulated_sidecar.SimulatedSidecar],
+) -> None:
+    """Loses what runs on one engine."""
+    await asyncio.sleep(_START_S)
+    sidecars[0].engine.crash()
+
+
+async def memory_taken(
+    sidecars: Sequence[simulated_sidecar.SimulatedSidecar],
+) -> None:
+    """Takes half of the memory of one engine away for a while."""
+    await asyncio.sleep(_START_S)
+    engine = sidecars[0].engine
+    whole = engine.model.shape
+    engine.model.shape = dataclasses.replace(
+        whole, blocks_total=int(whole.blocks_total * _TAKEN_SHARE)
+    )
+    await asyncio.sleep(_DURATION_S)
+    engine.model.shape = whole
+
+
+async def no_reports(
+    sidecars: Sequence[simulated_sidecar.SimulatedSidecar],
+) -> None:
+    """Stops the load reports of every engine for a while."""
+    await asyncio.sleep(_START_S)
+    for one in sidecars:
+        one.report = None
+    await asyncio.sleep(_DURATION_S)
+    for one in sidecars:
+        one.report = one.engine.load
+
+
+async def wrong_reports(
+    sidecars: Sequence[simulated_sidecar.SimulatedSidecar],
+) -> None:
+    """Lets one engine report that it is empty for a while."""
+    await asyncio.sleep(_START_S)
+    sidecars[0].report = lambda: messages.EngineLoad(0, 0, 0, 0, 0, 0.0, 0)
+    await asyncio.sleep(_DURATION_S)
+    sidecars[0].report = sidecars[0].engine.load
+
+
+async def no_heartbeats(
+    sidecars: Sequence[simulated_sidecar.SimulatedSidecar],
+) -> None:
+    """Stops the heartbeats of one sidecar for a while."""
+    await asyncio.sleep(_START_S)
+    sidecars[0].is_heard = False
+    await asyncio.sleep(_DURATION_S)
+    sidecars[0].is_heard = True
+
+
+ALL: dict[str, Incident] = {
+    "none": none,
+    "slow-engine": slow_engine,
+    "crash": crash,
+    "memory-taken": memory_taken,
+    "no-reports": no_reports,
+    "wrong-reports": wrong_reports,
+    "no-heartbeats": no_heartbeats,
+}
--- a/bench/simulated_gateway.py
+++ b/bench/simulated_gateway.py
@@ -117,7 +117,8 @@
         while True:
             load = one.gate.load
             await asyncio.sleep(delay_s)
-            self.loads.put(one.member.address, load)
+            if one.is_heard:
+                self.loads.put(one.member.address, load)
             await asyncio.sleep(self._settings.heartbeat_interval_s)
 
     async def _try(
--- a/bench/simulated_sidecar.py
+++ b/bench/simulated_sidecar.py
@@ -1,5 +1,6 @@
 """A sidecar's admission before a simulated engine."""
 
+from collections.abc import Callable
 from typing import Protocol
 
 from bench import outcome
@@ -7,6 +8,7 @@
 from bronzeslip.admission import errors
 from bronzeslip.admission import request
 from bronzeslip.admission import ticket
+from bronzeslip.engine import messages
 from bronzeslip.membership import member
 from bronzeslip.sidecar import cache_index
 from bronzeslip.transport.frames import generation as frames
@@ -45,6 +47,8 @@
         cache: cache_index.CacheIndex,
     ) -> None:
         self.cache = cache
+        self.report: Callable[[], messages.EngineLoad] | None = engine.load
+        self.is_heard = True
         gate.cached_prefixes = cache.digest
         self.member = self_member
         self.engine = engine
--- a/bench/summary.py
+++ b/bench/summary.py
@@ -36,6 +36,7 @@
         rush_slowdown_p95: The same at the 95th percentile.
         refusals: Refusals that callers got.
         abandoned: Requests that never came whole.
+        lost: Those of them that broke off.
         prefix_hit_ratio: Share of prompt tokens found cached.
         cross_region_mb: Megabytes between regions.
     """
@@ -55,6 +56,7 @@
     rush_slowdown_p95: float
     refusals: float
     abandoned: float
+    lost: float
     prefix_hit_ratio: float
     cross_region_mb: float
 
@@ -94,6 +96,7 @@
         rush_slowdown_p95=_quantile(slowdowns, 0.95),
         refusals=sum(one.refused_count for one in outcomes),
         abandoned=sum(one.finished_s is None for one in outcomes),
+        lost=sum(one.lost for one in outcomes),
         prefix_hit_ratio=sum(one.cached_tokens for one in outcomes)
         / max(prompt_tokens, 1),
         cross_region_mb=sum(one.cross_region_bytes for one in outcomes) / 1e6,
--- a/bench/trial.py
+++ b/bench/trial.py
@@ -7,6 +7,7 @@
 from bench import caller
 from bench import contender
 from bench import distances
+from bench import incidents
 from bench import morning
 from bench import outcome
 from bench import simulated_engine
@@ -47,6 +48,7 @@
     shape: shapes.DeploymentShape,
     settings: morning.MorningSettings,
     seed: int,
+    incident: incidents.Incident = incidents.none,
 ) -> TrialResult:
     """Runs a morning; call it in a virtual loop."""
     places = distances.DISTANCES[shape.name]
@@ -63,6 +65,7 @@
         for target in sidecars
     ]
     background += [asyncio.create_task(_report(one)) for one in sidecars]
+    background.append(asyncio.create_task(incident(sidecars)))
     rng = random.Random(seed)
     outcomes = [
         outcome.Outcome(arrival)
@@ -86,9 +89,11 @@
 async def _report(one: simulated_sidecar.SimulatedSidecar) -> None:
     take = getattr(one.gate, "take_report", None)
     while take is not None:
-        report = one.engine.load()
+        report = one.report() if one.report else None
         events = one.engine.cache_events(one.cache.last_sequence)
         await asyncio.sleep(_LOAD_LAG_S)
+        if report is None:
+            continue
         take(report)
         one.cache.take_events(events, one.gate.block_bytes)
 
--- a/bronzeslip/admission/engine_view.py
+++ b/bronzeslip/admission/engine_view.py
@@ -98,6 +98,6 @@
     return (
         report.blocks_total > 0
         and report.block_tokens > 0
-        and 0 <= report.blocks_used <= report.blocks_total
+        and report.blocks_used >= 0
         and 0 < report.step_time_s < 10
     )
--- a/tests/admission/test_memory_gate.py
+++ b/tests/admission/test_memory_gate.py
@@ -207,6 +207,16 @@
 
         virtual_loop.run(main())
 
+    def test_memory_that_shrinks_below_its_use_is_believed(self):
+        async def main():
+            gate = self.gate()
+            before = len(await self.fill(gate))
+            other = self.gate()
+            other.take_report(_report(blocks_used=48, blocks_total=32))
+            self.assertLess(len(await self.fill(other)), before)
+
+        virtual_loop.run(main())
+
     def test_memory_filled_by_others_lowers_room(self):
         async def main():
             gate = self.gate()
