Start with a prior of shorter outputs; doubt endpoints of unknown load

Change: 5% a bucket below 32 tokens, 20% above; an unknown endpoint runs as much as the pool's median.

--- a/bronzeslip/admission/length_estimator.py
+++ b/bronzeslip/admission/length_estimator.py
@@ -8,7 +8,13 @@
 from bronzeslip.admission import survival_curve
 
 _FALLBACK_WEIGHT = 6.0
-_PRIOR_HAZARD = 0.08
+_PRIOR_SHORT_TOKENS = 32
+_PRIOR_SHORT_HAZARD = 0.05
+_PRIOR_LONG_HAZARD = 0.2
+_PRIOR_HAZARDS = [
+    _PRIOR_SHORT_HAZARD if edge < _PRIOR_SHORT_TOKENS else _PRIOR_LONG_HAZARD
+    for edge in length_buckets.EDGES[: length_buckets.COUNT]
+]
 _MAX_SKETCHES = 10_000
 _REFRESH_OBSERVATIONS = 16
 
@@ -38,7 +44,7 @@
         kept = self._curves.get(key)
         if kept is not None and version - kept[0] < _REFRESH_OBSERVATIONS:
             return kept[1]
-        hazards = [_PRIOR_HAZARD] * length_buckets.COUNT
+        hazards = _PRIOR_HAZARDS
         for level in _keys(asked):
             found = self._sketches.get(level)
             if found is not None:
--- a/bronzeslip/routing/endpoint_cost.py
+++ b/bronzeslip/routing/endpoint_cost.py
@@ -43,10 +43,12 @@
 
     Attributes:
         median_load: Median of the endpoints' predicted peaks of memory.
+        median_running: Median of the requests that they run.
         median_step_s: Median of their step times, in seconds.
     """
 
     median_load: float
+    median_running: float
     median_step_s: float
 
 
@@ -68,7 +70,9 @@
     """
     load = option.load
     is_known = option.load_age_s <= settings.load_trust_s
-    running = load.running if is_known else option.outstanding
+    running = load.running
+    if not is_known:
+        running = max(option.outstanding, pool.median_running)
     peak = load.memory_peak_ratio if is_known else pool.median_load
     peak += option.sent_since_load * settings.request_memory_ratio
     excess = max(peak - settings.memory_pressure_start_ratio, 0.0)
--- a/bronzeslip/routing/prefix_load.py
+++ b/bronzeslip/routing/prefix_load.py
@@ -134,5 +134,6 @@
     steps = [load.step_time_s for load in known if load.step_time_s > 0]
     return endpoint_cost.PoolView(
         statistics.median(load.memory_peak_ratio for load in known),
+        statistics.median(load.running for load in known),
         statistics.median(steps) if steps else 1.0,
     )
