--- a/bronzeslip/gateway/daemon.py
+++ b/bronzeslip/gateway/daemon.py
@@ -15,6 +15,7 @@
 from bronzeslip.membership import vm_sweeper
 from bronzeslip.metrics import gateway_metrics
 from bronzeslip.platform import client as platform_client
+from bronzeslip.routing import suspect_list
 from bronzeslip.settings import gateway
 from bronzeslip.spread import service
 from bronzeslip.transport import server as transport_server
@@ -77,6 +78,7 @@
         self._tasks.start("vm sweeper", self._vm_sweeper.run())
         self._tasks.start("readiness", self._become_ready())
         self._tasks.start("claim sweeper", self._claim_sweeper.run())
+        self._start_suspects()
         logger.info(
             "gateway.listening",
             http_port=self._http.port,
@@ -86,6 +88,14 @@
         await self._drain()
         await self._close()
 
+    def _start_suspects(self) -> None:
+        suspects = self._parts.suspects
+        follower = self._spread.hub.follower(
+            suspect_list.SUSPECTS_PREFIX, suspects.on_list, suspects.on_event
+        )
+        self._tasks.start("suspects", follower.run())
+        self._tasks.start("suspect-writes", self._parts.suspect_publisher.run())
+
     async def _become_ready(self) -> None:
         await self._spread.configuration.wait_for(ids.ConfigurationNumber(0))
         self._parts.ready = not self._signals.requested.is_set()
--- a/bronzeslip/gateway/services_api.py
+++ b/bronzeslip/gateway/services_api.py
@@ -44,7 +44,7 @@
         raise errors.ServiceNotFoundError(
             f"{service_name!r} is no plain service"
         )
-    with context.record.answering():
+    with context.record.answering(), parts.enter(context):
         wanted = call_input.CallInput(
             request.method,
             _path_with_query(request, path),
