Start the reconciler of orders in the sidecar

The sidecar has the configuration since it follows a relay. Work that an order interrupts is refused by a pause of the admission, apart from a drain. Shown by tests.processes.test_orders: three engines change versions under requests, a sidecar killed and restarted in between; no request failed.

--- a/bronzeslip/admission/gate.py
+++ b/bronzeslip/admission/gate.py
@@ -21,6 +21,7 @@
             collections.deque()
         )
         self._draining = False
+        self._paused = False
         self._idle = asyncio.Event()
         self._idle.set()
 
@@ -30,13 +31,21 @@
         return link.EndpointLoad(
             running=self._running,
             queued=len(self._waiters),
-            draining=self._draining,
+            draining=self._refuses_work,
         )
 
     def drain(self) -> None:
         """Refuses new work from now on."""
         self._draining = True
 
+    def pause(self) -> None:
+        """Refuses new work until resume is called."""
+        self._paused = True
+
+    def resume(self) -> None:
+        """Takes new work again, unless the endpoint drains."""
+        self._paused = False
+
     async def enter(self, expires_in_s: float) -> None:
         """Waits for a place on the endpoint.
 
@@ -65,6 +74,10 @@
         """Waits until nothing runs or waits."""
         await self._idle.wait()
 
+    @property
+    def _refuses_work(self) -> bool:
+        return self._draining or self._paused
+
     def _enter_one(self) -> None:
         self._running += 1
         self._idle.clear()
@@ -75,7 +88,7 @@
             self._idle.set()
 
     def _check_open(self, expires_in_s: float) -> None:
-        if self._draining:
+        if self._refuses_work:
             raise errors.AdmissionRefusedError(
                 reason.RefusalReason.DRAINING, _RETRY_AFTER_S
             )
--- a/bronzeslip/admission/memory_gate.py
+++ b/bronzeslip/admission/memory_gate.py
@@ -64,7 +64,7 @@
             queued=len(self._queue) + len(self._waiters),
             memory_used_ratio=forecast.now_tokens / usable,
             queue_wait_s=self._queue_wait_s(),
-            draining=self._draining,
+            draining=self._refuses_work,
             memory_peak_ratio=forecast.peak_tokens(self._deviations) / usable,
             step_time_s=self._view.step_time_s,
             cached_prefixes=self.cached_prefixes(),
@@ -78,7 +78,7 @@
         """
         self.used.set()
         waiting = self._pending(wanted)
-        if self._draining:
+        if self._refuses_work:
             raise self._refusal(reason.RefusalReason.DRAINING)
         if wanted.expires_in_s <= 0:
             raise self._refusal(reason.RefusalReason.EXPIRED)
--- a/bronzeslip/sidecar/daemon.py
+++ b/bronzeslip/sidecar/daemon.py
@@ -14,6 +14,7 @@
 from bronzeslip.membership import member
 from bronzeslip.membership import registrar
 from bronzeslip.metrics import sidecar_metrics
+from bronzeslip.orders import factory
 from bronzeslip.platform import client as platform_client
 from bronzeslip.settings import sidecar
 from bronzeslip.sidecar import app
@@ -79,6 +80,14 @@
             self._spread.configuration,
             self._on_leaving,
         )
+        self._orders = factory.create(
+            settings,
+            self._incarnation_id,
+            self._platform,
+            self._engine,
+            self._spread.configuration,
+            self._admission,
+        )
         self._sessions = peer_sessions.PeerSessions()
         self._peers = transport_server.PeerServer(
             settings.listen_address,
@@ -103,6 +112,7 @@
         self._tasks.start("load poller", self._poller.run())
         self._tasks.start("sweep", self._table.sweep())
         self._tasks.start("leaving watch", self._leaving.run())
+        self._tasks.start("orders", self._orders.run())
         self._tasks.start(
             "own record",
             self._spread.hub.follower(
