Tell an unknown outcome when a lost claim cannot be read

Cause: an attempt that was refused everywhere, whose claim had been taken over and whose platform then did not answer, ended in an internal error.

Change: the reading after a lost claim is under the same handling as the release. The caller is told that the outcome is unknown.

--- a/bronzeslip/gateway/claimed_call_session.py
+++ b/bronzeslip/gateway/claimed_call_session.py
@@ -146,23 +146,29 @@
     async def _give_up(
         self, held: claims.HeldClaim | None
     ) -> call_answer.CallAnswer:
-        answer = None
         try:
-            if held is not None:
-                await self._store.release(held)
-            else:
-                answer = await self._resolve_current()
-        except claim_errors.ClaimTakenError:
-            answer = await self._resolve_current()
+            answer = await self._release(held)
         except claim_errors.ClaimError as error:
             if held is not None:
                 raise claim_resolver.unknown() from error
+            answer = None
         if answer is not None:
             return answer
         raise errors.NotRunError(
             "no endpoint took the call", retry_after_s=self._retry_after_s
         )
 
+    async def _release(
+        self, held: claims.HeldClaim | None
+    ) -> call_answer.CallAnswer | None:
+        if held is not None:
+            try:
+                await self._store.release(held)
+            except claim_errors.ClaimTakenError:
+                return await self._resolve_current()
+            return None
+        return await self._resolve_current()
+
     async def _resolve_current(self) -> call_answer.CallAnswer | None:
         current = await self._store.read(self._key)
         if current is None:
