--- a/bench/simulated_sidecar.py
+++ b/bench/simulated_sidecar.py
@@ -1,5 +1,6 @@
 """A sidecar's admission before a simulated engine."""
 
+from collections.abc import Callable
 from typing import Protocol
 
 from bench import outcome
@@ -7,7 +8,9 @@
 from bronzeslip.admission import errors
 from bronzeslip.admission import request
 from bronzeslip.admission import ticket
+from bronzeslip.engine import messages
 from bronzeslip.membership import member
+from bronzeslip.sidecar import cache_index
 from bronzeslip.transport.frames import generation as frames
 from bronzeslip.transport.frames import link
 from bronzeslip.transport.frames import reason
@@ -41,7 +44,12 @@
         self_member: member.Member,
         engine: simulated_engine.SimulatedEngine,
         gate: Gate,
+        cache: cache_index.CacheIndex,
     ) -> None:
+        self.cache = cache
+        self.report: Callable[[], messages.EngineLoad] | None = engine.load
+        self.is_heard = True
+        gate.cached_prefixes = cache.digest
         self.member = self_member
         self.engine = engine
         self.gate = gate
@@ -57,6 +65,7 @@
                 wanted.generation_id, error.refusal, error.retry_after_s
             )
         whole = False
+        self.cache.add_prompt(result.arrival.prompt)
         current = sequence.Sequence(
             wanted.generation_id,
             result.arrival.prompt,
--- a/bench/trial.py
+++ b/bench/trial.py
@@ -7,6 +7,7 @@
 from bench import caller
 from bench import contender
 from bench import distances
+from bench import incidents
 from bench import morning
 from bench import outcome
 from bench import simulated_engine
@@ -16,6 +17,7 @@
 from bronzeslip.membership import member
 from bronzeslip.settings import gateway
 from bronzeslip.settings import sidecar
+from bronzeslip.sidecar import cache_index
 from standins.engine import model
 from tools import shapes
 
@@ -46,6 +48,7 @@
     shape: shapes.DeploymentShape,
     settings: morning.MorningSettings,
     seed: int,
+    incident: incidents.Incident = incidents.none,
 ) -> TrialResult:
     """Runs a morning; call it in a virtual loop."""
     places = distances.DISTANCES[shape.name]
@@ -62,6 +65,7 @@
         for target in sidecars
     ]
     background += [asyncio.create_task(_report(one)) for one in sidecars]
+    background.append(asyncio.create_task(incident(sidecars)))
     rng = random.Random(seed)
     outcomes = [
         outcome.Outcome(arrival)
@@ -85,9 +89,13 @@
 async def _report(one: simulated_sidecar.SimulatedSidecar) -> None:
     take = getattr(one.gate, "take_report", None)
     while take is not None:
-        report = one.engine.load()
+        report = one.report() if one.report else None
+        events = one.engine.cache_events(one.cache.last_sequence)
         await asyncio.sleep(_LOAD_LAG_S)
+        if report is None:
+            continue
         take(report)
+        one.cache.take_events(events, one.gate.block_bytes)
 
 
 def _sidecar(
@@ -100,6 +108,7 @@
         endpoint_id=ids.EndpointId(name),
         pool=ids.PoolName(shape.engine_pool),
         endpoint_url="",
+        **chosen.sidecar_changes,
     )
     self_member = member.Member(
         vm_id=ids.VmId(name),
@@ -115,6 +124,7 @@
         self_member,
         simulated_engine.SimulatedEngine(ENGINE_SHAPE),
         chosen.create_gate(settings),
+        cache_index.CacheIndex(settings),
     )
 
 
@@ -125,10 +135,16 @@
     places: distances.Distances,
     seed: int,
 ) -> simulated_gateway.SimulatedGateway:
-    settings = gateway.GatewaySettings(**_common(region))
+    settings = gateway.GatewaySettings(
+        **_common(region), **chosen.gateway_changes
+    )
     rng = random.Random(f"{seed} {region}")
     return simulated_gateway.SimulatedGateway(
-        settings, chosen.create_policy(settings, rng), sidecars, places
+        settings,
+        chosen.create_policy(settings, rng),
+        sidecars,
+        places,
+        chosen is contender.ORACLE,
     )
 
 
--- a/bronzeslip/admission/engine_view.py
+++ b/bronzeslip/admission/engine_view.py
@@ -75,6 +75,11 @@
         """Returns the tokens that a prompt probably has."""
         return prompt_bytes / self._bytes_per_token + self.block_tokens / 2
 
+    @property
+    def block_bytes(self) -> float:
+        """Bytes of prompt in one block of the engine."""
+        return self.block_tokens * self._bytes_per_token
+
     def _take_preemptions(self, total: int) -> None:
         known = (
             total
@@ -93,6 +98,6 @@
     return (
         report.blocks_total > 0
         and report.block_tokens > 0
-        and 0 <= report.blocks_used <= report.blocks_total
+        and report.blocks_used >= 0
         and 0 < report.step_time_s < 10
     )
--- a/bronzeslip/routing/prefix_load.py
+++ b/bronzeslip/routing/prefix_load.py
@@ -18,6 +18,7 @@
 
 _HOME_BELIEF = 0.5
 _TIE_NOISE = 0.02
+_TIE_NOISE_S = 0.0005
 
 
 class PrefixLoadPolicy:
@@ -55,8 +56,9 @@
                 self._uncached_bytes(option, request, hashes, homes),
                 option.endpoint.region == request.region,
             )
-            noise = 1 + _TIE_NOISE * self._rng.random()
-            return option.load.draining, cost.total_s * noise
+            noise = self._rng.random()
+            total_s = cost.total_s * (1 + _TIE_NOISE * noise)
+            return option.load.draining, total_s + _TIE_NOISE_S * noise
 
         return sorted(candidates, key=rank)
 
@@ -92,7 +94,7 @@
         homes: set[ids.EndpointId],
     ) -> float:
         endpoint_id = option.endpoint.endpoint_id
-        cached = float(self._index(endpoint_id).count_cached(hashes))
+        cached = float(self._cached_blocks(option, hashes))
         if endpoint_id in homes:
             shared = self._popularity.shared_blocks(hashes)
             cached = max(cached, _HOME_BELIEF * shared)
@@ -100,6 +102,18 @@
             len(request.prompt) - cached * prompt_blocks.BLOCK_BYTES, 0.0
         )
 
+    def _cached_blocks(
+        self, option: candidate.Candidate, hashes: tuple[int, ...]
+    ) -> int:
+        told = option.load.cached_prefixes
+        if told is None or option.load_age_s > self._settings.load_trust_s:
+            index = self._index(option.endpoint.endpoint_id)
+            return index.count_cached(hashes)
+        for count in range(len(hashes), 0, -1):
+            if hashes[count - 1] in told:
+                return count
+        return 0
+
     def _index(self, endpoint_id: ids.EndpointId) -> prefix_index.PrefixIndex:
         found = self._indexes.get(endpoint_id)
         if found is None:
@@ -120,5 +134,6 @@
     steps = [load.step_time_s for load in known if load.step_time_s > 0]
     return endpoint_cost.PoolView(
         statistics.median(load.memory_peak_ratio for load in known),
+        statistics.median(load.running for load in known),
         statistics.median(steps) if steps else 1.0,
     )
--- a/bronzeslip/sidecar/daemon.py
+++ b/bronzeslip/sidecar/daemon.py
@@ -7,7 +7,7 @@
 from bronzeslip import background
 from bronzeslip import ids
 from bronzeslip import logs
-from bronzeslip.admission import gate
+from bronzeslip.admission import memory_gate
 from bronzeslip.engine import client as engine_client
 from bronzeslip.http import server as http_server
 from bronzeslip.http import shutdown
@@ -17,10 +17,13 @@
 from bronzeslip.platform import client as platform_client
 from bronzeslip.settings import sidecar
 from bronzeslip.sidecar import app
+from bronzeslip.sidecar import cache_index
 from bronzeslip.sidecar import calls
 from bronzeslip.sidecar import generations
 from bronzeslip.sidecar import leaving_watch
+from bronzeslip.sidecar import load_poller
 from bronzeslip.sidecar import peer_session
+from bronzeslip.sidecar import peer_sessions
 from bronzeslip.spread import service
 from bronzeslip.transport import server as transport_server
 from bronzeslip.transport import stream
@@ -42,10 +45,15 @@
         self._signals = shutdown.ShutdownSignals()
         self._tasks = background.BackgroundTasks(self._signals.request)
         metrics = sidecar_metrics.SidecarMetrics()
-        self._admission = gate.AdmissionGate(settings)
+        self._cache = cache_index.CacheIndex(settings)
+        self._admission = memory_gate.MemoryGate(settings)
         self._engine = engine_client.EngineClient(settings.endpoint_url)
         self._table = generations.GenerationTable(
-            settings, self._engine, self._admission, metrics
+            settings, self._engine, self._admission, metrics, self._cache
+        )
+        self._admission.cached_prefixes = self._cache.digest
+        self._poller = load_poller.LoadPoller(
+            settings, self._engine, self._admission, self._cache
         )
         self._runner = calls.CallRunner(
             settings, self._incarnation_id, self._admission, metrics
@@ -71,7 +79,7 @@
             self._spread.configuration,
             self._on_leaving,
         )
-        self._sessions: set[peer_session.PeerSession] = set()
+        self._sessions = peer_sessions.PeerSessions()
         self._peers = transport_server.PeerServer(
             settings.listen_address,
             settings.peer_port,
@@ -92,6 +100,7 @@
         self._http.start()
         self._tasks.start("spread", self._spread.run())
         self._tasks.start("registration", self._registrar.keep())
+        self._tasks.start("load poller", self._poller.run())
         self._tasks.start("sweep", self._table.sweep())
         self._tasks.start("leaving watch", self._leaving.run())
         self._tasks.start(
@@ -141,10 +150,7 @@
     async def _wait_idle(self) -> None:
         await self._admission.wait_idle()
         await self._table.wait_read()
-        for session in self._sessions:
-            session.finish()
-        while self._sessions:
-            await next(iter(self._sessions)).ended.wait()
+        await self._sessions.finish()
 
     async def _close(self) -> None:
         await asyncio.sleep(self._settings.drain_notice_s)
@@ -165,12 +171,7 @@
             self._runner,
             peer,
         )
-        self._sessions.add(session)
-        try:
-            await session.run()
-        finally:
-            self._sessions.discard(session)
-            session.ended.set()
+        await self._sessions.run(session)
 
     def _member(self) -> member.Member:
         process = member.of_process(
