--- a/tools/faults/__main__.py
+++ b/tools/faults/__main__.py
@@ -5,6 +5,7 @@
 import sys
 
 from tools.faults import cell_result
+from tools.faults import page
 from tools.faults import request_cells
 from tools.faults import runner
 
@@ -15,6 +16,9 @@
     parser.add_argument("--match", default="", help="part of a cell's name")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--workers", type=int, default=3)
+    parser.add_argument(
+        "--page", action="store_true", help="write docs/FAULTS.md"
+    )
     flags = parser.parse_args()
     cells = [
         wanted
@@ -27,6 +31,8 @@
             f"{result.verdict.value:15}{result.cell.name:55}"
             f"{result.duration_s:6.1f} s  {result.detail}"
         )
+    if flags.page:
+        page.PAGE.write_text(page.render(results, flags.seed))
     counts = collections.Counter(result.verdict for result in results)
     print({verdict.value: count for verdict, count in counts.items()})
     sys.exit(counts[cell_result.Verdict.FAILED] > 0)
--- a/tools/faults/link.py
+++ b/tools/faults/link.py
@@ -75,10 +75,10 @@
 
     async def _close(self) -> None:
         self._server.close()
-        tasks = asyncio.all_tasks() - {asyncio.current_task()}
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        while tasks := asyncio.all_tasks() - {asyncio.current_task()}:
+            for task in tasks:
+                task.cancel()
+            await asyncio.wait(tasks)
 
 
 class _Connection:
--- a/tools/faults/request_cells.py
+++ b/tools/faults/request_cells.py
@@ -61,7 +61,14 @@
         fault.Fault.PLATFORM_LOST_ANSWER,
     }
 )
-_WITHOUT_CLAIM = frozenset({step.Step.CLAIM, step.Step.ACCEPT})
+_LOSING_DISPATCH = frozenset(
+    {
+        fault.Fault.KILL_GATEWAY,
+        fault.Fault.KILL_SIDECAR,
+        fault.Fault.KILL_ENDPOINT,
+        fault.Fault.RECLAIM,
+    }
+)
 _DEFINITE = frozenset({history.Outcome.COMPLETED, history.Outcome.NOT_RUN})
 _TRUTHFUL = _DEFINITE | {
     history.Outcome.INCOMPLETE,
@@ -112,7 +119,9 @@
 def _allowed_for_call(wanted: cell.Cell) -> frozenset[history.Outcome]:
     if wanted.fault is fault.Fault.NONE:
         return _COMPLETED
-    if wanted.step in _WITHOUT_CLAIM:
+    if wanted.step is step.Step.ACCEPT:
+        return _DEFINITE
+    if wanted.step is step.Step.CLAIM and wanted.fault not in _LOSING_DISPATCH:
         return _DEFINITE
     if wanted.fault in _PASSING:
         return _COMPLETED
