Check the leaving engine by requests of an interactive workspace

The checks of the reclaim test came from a draft workspace whose own long drafts fill the engine that stays, so they waited in its queue. What the test asserts of the leaving engine is unchanged.

--- a/tests/processes/test_draining.py
+++ b/tests/processes/test_draining.py
@@ -94,7 +94,7 @@
     def complete(self, gateway):
         return httpx.post(
             f"{gateway.http_url()}/v1/completions",
-            headers=local_deployment.caller_headers("smiths"),
+            headers=local_deployment.caller_headers("clerks"),
             json={
                 "model": SHAPE.model,
                 "prompt": "check #length=2",
