--- a/tests/processes/test_draining.py
+++ b/tests/processes/test_draining.py
@@ -148,7 +148,8 @@
         sidecar.wait_for_line("sidecar.leaving")
         before = self.started(engine)
         for _ in range(10):
-            self.assertEqual(self.complete(gateway).status_code, 200)
+            answer = self.complete(gateway)
+            self.assertEqual(answer.status_code, 200, answer.text)
         self.assertEqual(self.started(engine), before)
         sidecar.wait_for_line("sidecar.reclaimed")
         lost = [streaming for streaming in streams if self.is_lost(streaming)]
