Ask endpoints never heard from for their load

Cause: a gateway learns loads over connections that it opens on first use. An endpoint it had never sent to kept the price of an unknown load (0.3 s), so that with two engines some 30 long drafts went to the first and none to the second, until the first one's memory was predicted to be nearly full. A short check then waited there for more than 30 s. Ruled out: a fault in the pause or drain of the sidecar (the leaving engine got no new work), and the short check's class (interactive, reserve kept). Change: the router asks endpoints of unknown load once; the pool of connections opens one, bounded by the subset of endpoints.

--- a/bench/simulated_gateway.py
+++ b/bench/simulated_gateway.py
@@ -40,6 +40,9 @@
         now_s = asyncio.get_running_loop().time()
         return now_s - self._heard_s.get(address, -math.inf)
 
+    def ask_for_load(self, address: str) -> None:
+        """Does nothing: every sidecar tells its load."""
+
     def put(self, address: str, load: link.EndpointLoad) -> None:
         """Notes a load that has arrived."""
         self._loads[address] = load
--- a/bronzeslip/gateway/peer_pool.py
+++ b/bronzeslip/gateway/peer_pool.py
@@ -58,6 +58,11 @@
             return math.inf
         return time.monotonic() - known.connection.load_heard_s
 
+    def ask_for_load(self, address: str) -> None:
+        """Opens a connection, over which loads come, to a new address."""
+        if address not in self._peers:
+            self.peer(address)
+
     async def close(self) -> None:
         """Ends every connection."""
         for known in self._peers.values():
--- a/bronzeslip/routing/router.py
+++ b/bronzeslip/routing/router.py
@@ -3,6 +3,7 @@
 import asyncio
 import bisect
 import collections
+import math
 
 from bronzeslip import ids
 from bronzeslip.configuration import binding
@@ -76,6 +77,8 @@
 
     def _candidate(self, known: member.Member) -> candidate.Candidate:
         age_s = self._loads.load_age_s(known.address)
+        if math.isinf(age_s):
+            self._loads.ask_for_load(known.address)
         times_s = self._sent_times_s.get(known.endpoint_id, [])
         return candidate.Candidate(
             known,
