Hold calls at their dispatch and count runs of endpoints that die

The cells held the links before the sidecar had given its ticket, so that no claim came; they now stall once the claim is on its way. Runs of an endpoint are read before it is killed, for its counter dies with it.

--- a/tools/faults/holder.py
+++ b/tools/faults/holder.py
@@ -93,8 +93,7 @@
             self._wait_platform_held()
             return len(self._fleet.engines)
         if self._step is step.Step.DISPATCH:
-            self._wait_claim()
-            return len(self._fleet.engines)
+            return self._reach_dispatch()
         index = self._fleet.index_of_call(subject.key)
         if self._step is step.Step.ACKNOWLEDGE:
             self._hold_platform()
@@ -103,12 +102,9 @@
         return index
 
     def _prepare_call(self) -> None:
-        if self._step is step.Step.CLAIM:
+        if self._step in (step.Step.CLAIM, step.Step.DISPATCH):
+            self._known_claims = set(self._claims())
             self._hold_platform()
-        elif self._step is step.Step.DISPATCH:
-            self._claims_before = self._claim_count()
-            for opened in self._fleet.links[len(self._fleet.engines) :]:
-                opened.stall()
         else:
             for endpoint in self._fleet.plain_endpoints:
                 fleet.post(endpoint, "/standin/modes", {"hold": True})
@@ -140,17 +136,31 @@
             "no write was held",
         )
 
-    def _claim_count(self) -> int:
+    def _reach_dispatch(self) -> int:
+        """Lets the claim be written while the links to sidecars stall."""
+        self._wait_platform_held()
+        for opened in self._fleet.links[len(self._fleet.engines) :]:
+            opened.stall()
+        fleet.post(self._fleet.platform, "/standin/hold", None)
+
+        def written() -> str | None:
+            claims = self._claims()
+            fresh = set(claims) - self._known_claims
+            return claims[fresh.pop()] if fresh else None
+
+        address = fleet.wait_for(written, "no claim was written")
+        ports = [opened.port for opened in self._fleet.links]
+        return ports.index(int(address.rpartition(":")[2]))
+
+    def _claims(self) -> dict[str, str]:
+        """Reads the sidecar's address in each claim, by key."""
         listed = fleet.get(
             self._fleet.platform, f"/objects?prefix={_CLAIMS_PREFIX}"
         )
-        return len(listed["objects"])
-
-    def _wait_claim(self) -> None:
-        fleet.wait_for(
-            lambda: True if self._claim_count() > self._claims_before else None,
-            "no claim was written",
-        )
+        return {
+            found["key"]: found["value"]["address"]
+            for found in listed["objects"]
+        }
 
     def _wait_shown(self, index: int) -> None:
         wanted = _HELD_TOKENS.get(self._step)
--- a/tools/faults/request_trial.py
+++ b/tools/faults/request_trial.py
@@ -39,6 +39,7 @@
         held.prepare(subject)
         subject.start()
         endpoint_index = held.reach(subject)
+        runs_before = self._counts()[endpoint_index]
         bystander = self._bystander()
         bystander.start()
         injector.Injector(
@@ -47,7 +48,9 @@
         held.release(subject)
         subject.join()
         bystander.join()
-        return self._judge(subject, bystander)
+        counts = self._counts()
+        counts[endpoint_index] = counts[endpoint_index] or runs_before
+        return self._judge(subject, bystander, counts)
 
     def _subject(self) -> caller.Caller:
         gateways, first = self._fleet.gateways, self._gateway_index
@@ -70,13 +73,16 @@
         )
 
     def _judge(
-        self, subject: caller.Caller, bystander: caller.Caller
+        self,
+        subject: caller.Caller,
+        bystander: caller.Caller,
+        counts: list[dict[str, int]],
     ) -> list[str]:
         events: list[history.Event] = [bystander.answer()]
         abandoned = self._cell.fault is fault.Fault.KILL_CALLER
         if not abandoned:
             events.append(subject.answer())
-        events.extend(self._runs())
+        events.extend(_runs(counts))
         wrong = [
             f"{found.promise.value}: {found.detail}"
             for found in checker.check(events)
@@ -86,12 +92,23 @@
             wrong.append(f"ended as {subject.outcome.value}")
         return wrong
 
-    def _runs(self) -> list[history.EndpointRun]:
-        runs = []
-        for index, endpoint in enumerate(self._fleet.plain_endpoints):
-            if endpoint.exit_status is not None:
-                continue
-            for body, count in fleet.get(endpoint, "/standin/runs").items():
-                run = history.EndpointRun(f"plain-{index}", body)
-                runs.extend([run] * count)
-        return runs
+    def _counts(self) -> list[dict[str, int]]:
+        """Reads how often each endpoint has run each body.
+
+        An engine, or an endpoint that has died, has run none.
+        """
+        counts: list[dict[str, int]] = [{} for _ in self._fleet.engines]
+        for endpoint in self._fleet.plain_endpoints:
+            alive = endpoint.exit_status is None
+            shown = fleet.get(endpoint, "/standin/runs") if alive else {}
+            counts.append(shown)
+        return counts
+
+
+def _runs(counts: list[dict[str, int]]) -> list[history.EndpointRun]:
+    return [
+        history.EndpointRun(f"endpoint-{index}", body)
+        for index, shown in enumerate(counts)
+        for body, count in shown.items()
+        for _ in range(count)
+    ]
