--- a/bronzeslip/transport/frames/generation.py
+++ b/bronzeslip/transport/frames/generation.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from bronzeslip import ids
+from bronzeslip.configuration import workspace
 from bronzeslip.transport.frames import reason
 
 
@@ -22,6 +23,11 @@
         expires_in_s: Time after which the run must not start, in seconds.
         incarnation_id: Incarnation of the sidecar that alone may run it, or
             empty if any may.
+        workspace_class: Class of the workspace.
+        max_queue_wait_s: Longest expected wait to be held for, in seconds;
+            None for any.
+        suspect: Whether it was running at a crash, so that it must not run
+            beside another such one.
     """
 
     generation_id: ids.GenerationId
@@ -35,6 +41,11 @@
     weight: float
     expires_in_s: float
     incarnation_id: ids.IncarnationId = ids.IncarnationId("")
+    workspace_class: workspace.WorkspaceClass = (
+        workspace.WorkspaceClass.INTERACTIVE
+    )
+    max_queue_wait_s: float | None = None
+    suspect: bool = False
 
 
 class ResumeGeneration(msgspec.Struct, frozen=True, tag="resume"):
@@ -90,7 +101,14 @@
 
 
 class GenerationLost(msgspec.Struct, frozen=True, tag="lost"):
-    """Tells that a generation started and will not be whole."""
+    """Tells that a generation started and will not be whole.
+
+    Attributes:
+        generation_id: The generation.
+        reason: Why it was lost.
+        crash_id: Crash of the engine that it was lost to, or empty.
+    """
 
     generation_id: ids.GenerationId
     reason: reason.LossReason
+    crash_id: ids.CrashId = ids.CrashId("")
