--- a/bronzeslip/settings/gateway.py
+++ b/bronzeslip/settings/gateway.py
@@ -115,7 +115,7 @@
         "routing",
         default=100_000.0,
         minimum=100,
-        maximum=1e9,
+        maximum=1_000_000_000,
     )
     slow_endpoint_cost_s: float = setting(
         "price of steps of twice the usual time, in seconds of waiting",
