--- /dev/null
+++ b/bronzeslip/daemon_command.py
@@ -0,0 +1,49 @@
+"""Start of a daemon from its command line."""
+
+import asyncio
+from collections.abc import Callable
+import os
+import sys
+from typing import Protocol
+from typing import TypeVar
+
+from bronzeslip import logs
+from bronzeslip.settings import common
+from bronzeslip.settings import parser
+
+
+class Daemon(Protocol):
+    """A program that runs until it is told to shut down."""
+
+    async def run(self) -> None:
+        """Serves, then drains."""
+
+
+SettingsT = TypeVar("SettingsT", bound=common.CommonSettings)
+
+
+def run(
+    settings_type: type[SettingsT],
+    program: str,
+    description: str,
+    create: Callable[[SettingsT], Daemon],
+) -> None:
+    """Reads the settings of a daemon and runs it.
+
+    Args:
+        settings_type: Settings of the daemon.
+        program: Name of the command.
+        description: What the command does, for --help.
+        create: Creates the daemon; called inside the event loop.
+    """
+    settings = parser.parse_or_exit(
+        settings_type, program, description, sys.argv[1:], os.environ
+    )
+    logs.configure(settings.log_format, settings.log_level)
+    asyncio.run(_create_and_run(create, settings))
+
+
+async def _create_and_run(
+    create: Callable[[SettingsT], Daemon], settings: SettingsT
+) -> None:
+    await create(settings).run()
--- a/bronzeslip/sidecar/__main__.py
+++ b/bronzeslip/sidecar/__main__.py
@@ -1,11 +1,6 @@
 """Command bronzeslip-sidecar."""
 
-import asyncio
-import os
-import sys
-
-from bronzeslip import logs
-from bronzeslip.settings import parser
+from bronzeslip import daemon_command
 from bronzeslip.settings import sidecar
 from bronzeslip.sidecar import daemon
 
@@ -15,19 +10,9 @@
 
 def main() -> None:
     """Reads the settings and runs the sidecar."""
-    settings = parser.parse_or_exit(
-        sidecar.SidecarSettings,
-        _PROGRAM,
-        _DESCRIPTION,
-        sys.argv[1:],
-        os.environ,
+    daemon_command.run(
+        sidecar.SidecarSettings, _PROGRAM, _DESCRIPTION, daemon.SidecarDaemon
     )
-    logs.configure(settings.log_format, settings.log_level)
-    asyncio.run(_run(settings))
-
-
-async def _run(settings: sidecar.SidecarSettings) -> None:
-    await daemon.SidecarDaemon(settings).run()
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tools/faults/generation_caller.py
@@ -0,0 +1,36 @@
+"""Base of the callers of a generation."""
+
+from standins.engine import sequence
+from tools import local_process
+from tools.faults import caller
+from tools.faults import fleet
+from tools.faults import history
+
+
+class GenerationCaller(caller.Caller):
+    """Caller of a generation of a known length."""
+
+    def __init__(
+        self,
+        gateways: list[local_process.LocalProcess],
+        first_gateway: int,
+        name: str,
+        length: int,
+    ) -> None:
+        super().__init__(gateways, first_gateway, fleet.SHAPE.workspaces[0])
+        self._name = name
+        self._length = length
+        self.prompt = f"{name} #length={length}"
+        self.tokens: list[history.TokenSeen] = []
+
+    def answer(self) -> history.CallerAnswer:
+        """Describes the request and its answer."""
+        return history.CallerAnswer(
+            self._name,
+            self.outcome,
+            prompt_mark=sequence.prompt_mark(self.prompt),
+            expected_tokens=self._length,
+            tokens=tuple(self.tokens),
+            retry_after_s=self.retry_after_s,
+            in_flight_at_drain=self.in_flight_at_drain,
+        )
--- a/tools/faults/streamed_caller.py
+++ b/tools/faults/streamed_caller.py
@@ -6,17 +6,17 @@
 import httpx
 import httpx_sse
 
-from standins.engine import sequence
 from tools import local_process
 from tools.faults import caller
 from tools.faults import fleet
+from tools.faults import generation_caller
 from tools.faults import history
 from tools.faults import token_text
 
 _DONE = "[DONE]"
 
 
-class StreamedCaller(caller.Caller):
+class StreamedCaller(generation_caller.GenerationCaller):
     """Reads a stream and reconnects with the last event's id."""
 
     def __init__(
@@ -26,11 +26,7 @@
         name: str,
         length: int,
     ) -> None:
-        super().__init__(gateways, first_gateway, fleet.SHAPE.workspaces[0])
-        self._name = name
-        self._length = length
-        self.prompt = f"{name} #length={length}"
-        self.tokens: list[history.TokenSeen] = []
+        super().__init__(gateways, first_gateway, name, length)
         self._last_event_id = ""
         self._reading = threading.Event()
         self._reading.set()
@@ -51,18 +47,6 @@
                 lambda: len(self.tokens) >= count, caller.CALLER_TIMEOUT_S
             )
 
-    def answer(self) -> history.CallerAnswer:
-        """Describes the request and its answer."""
-        return history.CallerAnswer(
-            self._name,
-            self.outcome,
-            prompt_mark=sequence.prompt_mark(self.prompt),
-            expected_tokens=self._length,
-            tokens=tuple(self.tokens),
-            retry_after_s=self.retry_after_s,
-            in_flight_at_drain=self.in_flight_at_drain,
-        )
-
     def _attempt(self, url: str) -> bool:
         headers = dict(self._headers)
         if self._last_event_id:
