Keep the input of a generation in a module of its own

The fake sidecar of the session's tests waits for the connection that is asked to start a generation: since gateways open connections to learn loads, a connection alone no longer tells which sidecar was chosen.

--- a/bronzeslip/gateway/generation_session.py
+++ b/bronzeslip/gateway/generation_session.py
@@ -3,12 +3,11 @@
 from collections.abc import AsyncIterator
 import functools
 
-import msgspec
-
 from bronzeslip import ids
 from bronzeslip import logs
 from bronzeslip.admission import priorities
 from bronzeslip.gateway import errors
+from bronzeslip.gateway import generation_input
 from bronzeslip.gateway import peer_pool
 from bronzeslip.gateway import remote_generation
 from bronzeslip.gateway import request_context
@@ -31,20 +30,6 @@
 _RETRY_AFTER_S = 1.0
 
 
-class GenerationInput(msgspec.Struct, frozen=True):
-    """What the caller wants generated.
-
-    Attributes:
-        model: Model named.
-        prompt: Prompt as text.
-        max_tokens: Most tokens to produce.
-    """
-
-    model: str
-    prompt: str
-    max_tokens: int
-
-
 class GenerationSession:
     """Dispatches a generation and relays its tokens in order.
 
@@ -60,7 +45,7 @@
         members: directory.MemberDirectory,
         resume_tokens: resume_token.ResumeTokenSigner,
         context: request_context.RequestContext,
-        wanted: GenerationInput,
+        wanted: generation_input.GenerationInput,
         retries: retry_plan.RetryPlan,
         suspected: suspicion.Suspicion,
     ) -> None:
--- a/bronzeslip/gateway/generations_api.py
+++ b/bronzeslip/gateway/generations_api.py
@@ -14,7 +14,7 @@
 from bronzeslip.gateway import error_handlers
 from bronzeslip.gateway import errors
 from bronzeslip.gateway import event_stream
-from bronzeslip.gateway import generation_session
+from bronzeslip.gateway import generation_input
 from bronzeslip.gateway import openai_messages as messages
 from bronzeslip.gateway import request_context
 from bronzeslip.gateway import resume_token
@@ -94,11 +94,11 @@
     model: str,
     prompt: str,
     limit: int | None,
-) -> generation_session.GenerationInput:
+) -> generation_input.GenerationInput:
     with context.record.starting():
         _check_size(context, prompt)
     most = context.service.max_output_tokens
-    return generation_session.GenerationInput(
+    return generation_input.GenerationInput(
         model, prompt, min(limit or most, most)
     )
 
@@ -113,7 +113,7 @@
     parts: state.GatewayState,
     context: request_context.RequestContext,
     wanted: messages.ChatRequest | messages.CompletionRequest,
-    generation: generation_session.GenerationInput,
+    generation: generation_input.GenerationInput,
     form_type: type[answer_format.AnswerFormat],
 ) -> Any:
     record = context.record
--- a/bronzeslip/gateway/state.py
+++ b/bronzeslip/gateway/state.py
@@ -16,6 +16,7 @@
 from bronzeslip.gateway import call_session
 from bronzeslip.gateway import claimed_call_session
 from bronzeslip.gateway import errors
+from bronzeslip.gateway import generation_input
 from bronzeslip.gateway import generation_session
 from bronzeslip.gateway import peer_pool
 from bronzeslip.gateway import request_context
@@ -78,7 +79,7 @@
     def generation(
         self,
         context: request_context.RequestContext,
-        wanted: generation_session.GenerationInput,
+        wanted: generation_input.GenerationInput,
     ) -> generation_session.GenerationSession:
         """Creates the session of a generation."""
         return generation_session.GenerationSession(
@@ -144,7 +145,7 @@
     def _suspicion(
         self,
         context: request_context.RequestContext,
-        wanted: generation_session.GenerationInput,
+        wanted: generation_input.GenerationInput,
     ) -> suspicion.Suspicion:
         return suspicion.Suspicion(
             self.suspects,
--- a/tests/gateway/fake_sidecar.py
+++ b/tests/gateway/fake_sidecar.py
@@ -36,6 +36,17 @@
             raise AssertionError(f"{frame} is no {kind.__name__}")
         return frame
 
+    async def get_unless_closed(self) -> frames.StartGeneration | None:
+        """Waits for a start; returns None if the connection ends first."""
+        start = asyncio.create_task(self.get(frames.StartGeneration))
+        end = asyncio.create_task(self._closed.wait())
+        try:
+            await asyncio.wait((start, end), return_when="FIRST_COMPLETED")
+            return start.result() if start.done() else None
+        finally:
+            start.cancel()
+            end.cancel()
+
     async def send(self, *batch: codec.Frame) -> None:
         """Sends frames to the gateway."""
         await self._peer.write(batch)
@@ -62,6 +73,7 @@
 
     def __init__(self, name: str = "e") -> None:
         self._accepted: asyncio.Queue[FakeConnection] = asyncio.Queue()
+        self._unasked: FakeConnection | None = None
         self._server = server.PeerServer("127.0.0.1", 0, _KEY, self._serve)
         self.member = member.Member(
             vm_id=ids.VmId("vm"),
@@ -86,6 +98,16 @@
         """Waits for the next connection."""
         return await self._accepted.get()
 
+    async def asked(self) -> tuple[FakeConnection, frames.StartGeneration]:
+        """Waits for a connection that asks to start a generation."""
+        while True:
+            if self._unasked is None:
+                self._unasked = await self.accept()
+            start = await self._unasked.get_unless_closed()
+            asking, self._unasked = self._unasked, None
+            if start is not None:
+                return asking, start
+
     async def _serve(self, peer: stream.PeerStream) -> None:
         accepted = FakeConnection(peer)
         await self._accepted.put(accepted)
--- a/tests/gateway/test_generation_session.py
+++ b/tests/gateway/test_generation_session.py
@@ -11,6 +11,7 @@
 from bronzeslip.configuration import service
 from bronzeslip.configuration import workspace
 from bronzeslip.gateway import errors
+from bronzeslip.gateway import generation_input
 from bronzeslip.gateway import generation_session
 from bronzeslip.gateway import peer_pool
 from bronzeslip.gateway import request_context
@@ -71,7 +72,7 @@
             self.members,
             resume_token.ResumeTokenSigner(settings),
             context,
-            generation_session.GenerationInput("m", "p", 9),
+            generation_input.GenerationInput("m", "p", 9),
             retry_plan.RetryPlan(
                 retry_budget.RetryBudget(),
                 settings.dispatch_attempts,
@@ -90,7 +91,7 @@
     async def first_asked(self):
         """Waits until either sidecar is asked to start a generation."""
         asked = {
-            asyncio.create_task(sidecar.accept()): name
+            asyncio.create_task(sidecar.asked()): name
             for name, sidecar in self.sidecars.items()
         }
         done, rest = await asyncio.wait(
@@ -99,8 +100,8 @@
         for task in rest:
             task.cancel()
         (task,) = done
-        start = await task.result().get(frames.StartGeneration)
-        return task.result(), asked[task], start.generation_id
+        connection, start = task.result()
+        return connection, asked[task], start.generation_id
 
     async def collecting(self, session):
         await session.start()
