--- a/bronzeslip/orders/reconciler.py
+++ b/bronzeslip/orders/reconciler.py
@@ -26,6 +26,8 @@
 
 logger = logs.get_logger(__name__)
 
+_WAITING_INTERVAL_FACTOR = 6
+
 
 class Reconciler:
     """Orders one engine, under a lease and within the pool's slots."""
@@ -52,10 +54,11 @@
 
     async def run(self) -> None:
         """Reads the engine back and repairs it until cancelled."""
-        interval_s = self._settings.order_check_interval_s
         while True:
+            interval_s = self._settings.order_check_interval_s
             try:
-                await self.reconcile()
+                if not await self.reconcile():
+                    interval_s *= _WAITING_INTERVAL_FACTOR
             except (
                 errors.OrderError,
                 engine_errors.EngineError,
