--- a/bronzeslip/sidecar/leaving_watch.py
+++ b/bronzeslip/sidecar/leaving_watch.py
@@ -15,7 +15,7 @@
 
 logger = logs.get_logger(__name__)
 
-_CHECK_INTERVAL_S = 0.5
+_CHECK_INTERVAL_S = 1.0
 
 
 class LeavingWatch:
