--- a/bronzeslip/gateway/generation_session.py
+++ b/bronzeslip/gateway/generation_session.py
@@ -101,6 +101,7 @@
             if await self._try(option.endpoint):
                 return
         if self._is_pool_busy:
+            await self._suspicion.admit()
             self._max_queue_wait_s = None
             if await self._try(self._ranked()[0].endpoint):
                 return
