--- a/bench/claims_cost.py
+++ b/bench/claims_cost.py
@@ -13,7 +13,7 @@
 from bronzeslip.claims import kept_result
 from bronzeslip.claims import store
 from bronzeslip.http import server
-from bronzeslip.platform import client
+from bronzeslip.store import client
 from bronzeslip.transport.frames import call as frames
 from standins.platform import app
 
--- a/bench/configuration_apply.py
+++ b/bench/configuration_apply.py
@@ -13,7 +13,7 @@
 from bronzeslip.configuration import manifest
 from bronzeslip.configuration import store
 from bronzeslip.configuration import watcher
-from bronzeslip.platform import client
+from bronzeslip.store import client
 from standins.platform import app
 from tools import letter_size
 
--- a/bench/control_cost.py
+++ b/bench/control_cost.py
@@ -17,9 +17,9 @@
 from bronzeslip import ids
 from bronzeslip.configuration import store
 from bronzeslip.membership import member
-from bronzeslip.platform import client
 from bronzeslip.settings import common
 from bronzeslip.spread import service
+from bronzeslip.store import client
 from tools import declarations
 from tools import letter_size
 from tools import local_process
--- a/bench/spread/all_watching.py
+++ b/bench/spread/all_watching.py
@@ -5,7 +5,7 @@
 from bench.spread import figures
 from bench.spread import fleet
 from bench.spread import patch_events
-from bronzeslip.platform import objects
+from bronzeslip.store import objects
 
 _PLATFORM_READS_PER_S = 2_000
 _PREFIXES = 3
--- a/bench/spread/flat_gossip.py
+++ b/bench/spread/flat_gossip.py
@@ -8,9 +8,9 @@
 from bench.spread import patch_events
 from bench.spread import traffic
 from bronzeslip.membership import member
-from bronzeslip.platform import objects
 from bronzeslip.spread import change
 from bronzeslip.spread import packing
+from bronzeslip.store import objects
 
 _FANOUT = 3
 _ROUND_S = 1.0
--- a/bench/spread/patch_events.py
+++ b/bench/spread/patch_events.py
@@ -5,8 +5,8 @@
 from bronzeslip import ids
 from bronzeslip.configuration import manifest
 from bronzeslip.configuration import store
-from bronzeslip.platform import client
-from bronzeslip.platform import objects
+from bronzeslip.store import client
+from bronzeslip.store import objects
 from standins.platform import app
 from tools import letter_size
 
--- a/bench/spread/relay_tree.py
+++ b/bench/spread/relay_tree.py
@@ -12,13 +12,13 @@
 from bronzeslip.configuration import manifest
 from bronzeslip.membership import directory
 from bronzeslip.membership import member
-from bronzeslip.platform import objects
 from bronzeslip.settings import gateway
 from bronzeslip.spread import hub
 from bronzeslip.spread import hub_feed
 from bronzeslip.spread import packing
 from bronzeslip.spread import subscription
 from bronzeslip.spread import upstream_order
+from bronzeslip.store import objects
 from bronzeslip.transport import codec
 from bronzeslip.transport.frames import link
 from bronzeslip.transport.frames import spread as frames
--- a/bronzeslip/claims/store.py
+++ b/bronzeslip/claims/store.py
@@ -6,9 +6,9 @@
 from bronzeslip.claims import claim as claims
 from bronzeslip.claims import errors
 from bronzeslip.claims import kept_result
-from bronzeslip.platform import client
-from bronzeslip.platform import errors as platform_errors
-from bronzeslip.platform import objects
+from bronzeslip.store import client
+from bronzeslip.store import errors as platform_errors
+from bronzeslip.store import objects
 
 _WRITE_ATTEMPTS = 2
 _RETRY_AFTER_S = 2.0
--- a/bronzeslip/claims/sweeper.py
+++ b/bronzeslip/claims/sweeper.py
@@ -11,9 +11,9 @@
 from bronzeslip.claims import store
 from bronzeslip.membership import directory
 from bronzeslip.membership import rendezvous
-from bronzeslip.platform import client
-from bronzeslip.platform import errors as platform_errors
 from bronzeslip.settings import gateway
+from bronzeslip.store import client
+from bronzeslip.store import errors as platform_errors
 
 logger = logs.get_logger(__name__)
 
--- a/bronzeslip/configuration/history.py
+++ b/bronzeslip/configuration/history.py
@@ -5,8 +5,8 @@
 from bronzeslip import ids
 from bronzeslip.configuration import manifest
 from bronzeslip.configuration import record
-from bronzeslip.platform import client
-from bronzeslip.platform import errors
+from bronzeslip.store import client
+from bronzeslip.store import errors
 
 PREFIX = "configuration-history/"
 BLOCK_PATCHES = 16
--- a/bronzeslip/configuration/segment_cache.py
+++ b/bronzeslip/configuration/segment_cache.py
@@ -8,7 +8,7 @@
 from bronzeslip.configuration import manifest
 from bronzeslip.configuration import record
 from bronzeslip.configuration import segments
-from bronzeslip.platform import objects
+from bronzeslip.store import objects
 
 
 class CachedSegment(msgspec.Struct, frozen=True):
--- a/bronzeslip/configuration/segment_store.py
+++ b/bronzeslip/configuration/segment_store.py
@@ -12,9 +12,9 @@
 from bronzeslip.configuration import record
 from bronzeslip.configuration import segment_cache
 from bronzeslip.configuration import segments
-from bronzeslip.platform import client
-from bronzeslip.platform import errors
-from bronzeslip.platform import objects
+from bronzeslip.store import client
+from bronzeslip.store import errors
+from bronzeslip.store import objects
 
 _TOKEN_BYTES = 4
 _CONCURRENT_CALLS = 8
--- a/bronzeslip/configuration/store.py
+++ b/bronzeslip/configuration/store.py
@@ -13,8 +13,8 @@
 from bronzeslip.configuration import manifest
 from bronzeslip.configuration import record
 from bronzeslip.configuration import segment_store
-from bronzeslip.platform import client
-from bronzeslip.platform import errors as platform_errors
+from bronzeslip.store import client
+from bronzeslip.store import errors as platform_errors
 
 _RETRY_AFTER_S = 2.0
 
--- a/bronzeslip/configuration/watcher.py
+++ b/bronzeslip/configuration/watcher.py
@@ -6,7 +6,7 @@
 from bronzeslip.configuration import manifest
 from bronzeslip.configuration import record
 from bronzeslip.configuration import segment_cache
-from bronzeslip.platform import objects
+from bronzeslip.store import objects
 
 logger = logs.get_logger(__name__)
 
--- a/bronzeslip/gateway/daemon.py
+++ b/bronzeslip/gateway/daemon.py
@@ -14,10 +14,10 @@
 from bronzeslip.membership import registrar
 from bronzeslip.membership import vm_sweeper
 from bronzeslip.metrics import gateway_metrics
-from bronzeslip.platform import client as platform_client
 from bronzeslip.routing import suspect_list
 from bronzeslip.settings import gateway
 from bronzeslip.spread import service
+from bronzeslip.store import client as platform_client
 from bronzeslip.transport import server as transport_server
 from bronzeslip.transport import tls
 
--- a/bronzeslip/gateway/parts.py
+++ b/bronzeslip/gateway/parts.py
@@ -12,7 +12,6 @@
 from bronzeslip.gateway import state
 from bronzeslip.membership import endpoint_subset
 from bronzeslip.metrics import gateway_metrics
-from bronzeslip.platform import client
 from bronzeslip.routing import prefix_load
 from bronzeslip.routing import retry_budgets
 from bronzeslip.routing import router
@@ -21,6 +20,7 @@
 from bronzeslip.settings import gateway
 from bronzeslip.spread import service
 from bronzeslip.spread import status_collector
+from bronzeslip.store import client
 
 
 def create(
--- a/bronzeslip/membership/directory.py
+++ b/bronzeslip/membership/directory.py
@@ -4,7 +4,7 @@
 
 from bronzeslip import ids
 from bronzeslip.membership import member
-from bronzeslip.platform import objects
+from bronzeslip.store import objects
 
 
 class MemberDirectory:
--- a/bronzeslip/membership/registrar.py
+++ b/bronzeslip/membership/registrar.py
@@ -10,9 +10,9 @@
 
 from bronzeslip import logs
 from bronzeslip.membership import member
-from bronzeslip.platform import client
-from bronzeslip.platform import errors
-from bronzeslip.platform import objects
+from bronzeslip.store import client
+from bronzeslip.store import errors
+from bronzeslip.store import objects
 
 logger = logs.get_logger(__name__)
 
--- a/bronzeslip/membership/vm_sweeper.py
+++ b/bronzeslip/membership/vm_sweeper.py
@@ -13,10 +13,10 @@
 from bronzeslip.membership import directory
 from bronzeslip.membership import member
 from bronzeslip.membership import rendezvous
-from bronzeslip.platform import client
-from bronzeslip.platform import errors
-from bronzeslip.platform import objects
 from bronzeslip.settings import gateway
+from bronzeslip.store import client
+from bronzeslip.store import errors
+from bronzeslip.store import objects
 
 logger = logs.get_logger(__name__)
 
--- a/bronzeslip/orders/factory.py
+++ b/bronzeslip/orders/factory.py
@@ -7,8 +7,8 @@
 from bronzeslip.orders import reconciler
 from bronzeslip.orders import rollout_slots
 from bronzeslip.orders import work_gate
-from bronzeslip.platform import client as platform_client
 from bronzeslip.settings import sidecar
+from bronzeslip.store import client as platform_client
 
 
 def create(
--- a/bronzeslip/orders/lease_keeper.py
+++ b/bronzeslip/orders/lease_keeper.py
@@ -10,9 +10,9 @@
 from bronzeslip import logs
 from bronzeslip.orders import errors
 from bronzeslip.orders import lease
-from bronzeslip.platform import client
-from bronzeslip.platform import errors as platform_errors
-from bronzeslip.platform import objects
+from bronzeslip.store import client
+from bronzeslip.store import errors as platform_errors
+from bronzeslip.store import objects
 
 logger = logs.get_logger(__name__)
 
--- a/bronzeslip/orders/reconciler.py
+++ b/bronzeslip/orders/reconciler.py
@@ -20,9 +20,9 @@
 from bronzeslip.orders import plan
 from bronzeslip.orders import rollout_slots
 from bronzeslip.orders import work_gate
-from bronzeslip.platform import client as platform_client
-from bronzeslip.platform import errors as platform_errors
 from bronzeslip.settings import sidecar
+from bronzeslip.store import client as platform_client
+from bronzeslip.store import errors as platform_errors
 
 logger = logs.get_logger(__name__)
 
--- a/bronzeslip/routing/suspect_list.py
+++ b/bronzeslip/routing/suspect_list.py
@@ -7,10 +7,10 @@
 
 from bronzeslip import ids
 from bronzeslip import logs
-from bronzeslip.platform import objects
 from bronzeslip.routing import suspect_record
 from bronzeslip.routing import suspect_state
 from bronzeslip.settings import gateway
+from bronzeslip.store import objects
 
 logger = logs.get_logger(__name__)
 
--- a/bronzeslip/routing/suspect_publisher.py
+++ b/bronzeslip/routing/suspect_publisher.py
@@ -6,11 +6,11 @@
 from bronzeslip import logs
 from bronzeslip.membership import directory
 from bronzeslip.membership import rendezvous
-from bronzeslip.platform import client
-from bronzeslip.platform import errors
 from bronzeslip.routing import suspect_list
 from bronzeslip.routing import suspect_record
 from bronzeslip.settings import gateway
+from bronzeslip.store import client
+from bronzeslip.store import errors
 
 logger = logs.get_logger(__name__)
 
--- a/bronzeslip/sidecar/daemon.py
+++ b/bronzeslip/sidecar/daemon.py
@@ -15,7 +15,6 @@
 from bronzeslip.membership import registrar
 from bronzeslip.metrics import sidecar_metrics
 from bronzeslip.orders import factory
-from bronzeslip.platform import client as platform_client
 from bronzeslip.settings import sidecar
 from bronzeslip.sidecar import app
 from bronzeslip.sidecar import cache_index
@@ -26,6 +25,7 @@
 from bronzeslip.sidecar import peer_session
 from bronzeslip.sidecar import peer_sessions
 from bronzeslip.spread import service
+from bronzeslip.store import client as platform_client
 from bronzeslip.transport import server as transport_server
 from bronzeslip.transport import stream
 from bronzeslip.transport import tls
--- a/bronzeslip/sidecar/leaving_watch.py
+++ b/bronzeslip/sidecar/leaving_watch.py
@@ -10,8 +10,8 @@
 from bronzeslip.engine import client
 from bronzeslip.engine import errors
 from bronzeslip.membership import member
-from bronzeslip.platform import objects
 from bronzeslip.settings import sidecar
+from bronzeslip.store import objects
 
 logger = logs.get_logger(__name__)
 
--- a/bronzeslip/spread/change.py
+++ b/bronzeslip/spread/change.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from bronzeslip import ids
-from bronzeslip.platform import objects
+from bronzeslip.store import objects
 
 UNKNOWN_VERSION = ids.ObjectVersion(-1)
 
--- a/bronzeslip/spread/event_log.py
+++ b/bronzeslip/spread/event_log.py
@@ -3,7 +3,7 @@
 import collections
 
 from bronzeslip import ids
-from bronzeslip.platform import objects
+from bronzeslip.store import objects
 
 MAX_EVENTS = 2_000
 MAX_BYTES = 4_000_000
--- a/bronzeslip/spread/local_follower.py
+++ b/bronzeslip/spread/local_follower.py
@@ -4,9 +4,9 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
-from bronzeslip.platform import objects
 from bronzeslip.spread import change
 from bronzeslip.spread import prefix_state
+from bronzeslip.store import objects
 
 OnList = Callable[[objects.ObjectList], Awaitable[None]]
 OnEvent = Callable[[objects.ObjectEvent], Awaitable[None]]
--- a/bronzeslip/spread/node.py
+++ b/bronzeslip/spread/node.py
@@ -8,8 +8,6 @@
 from bronzeslip import logs
 from bronzeslip.membership import directory
 from bronzeslip.membership import member
-from bronzeslip.platform import client
-from bronzeslip.platform import errors as platform_errors
 from bronzeslip.settings import common
 from bronzeslip.spread import errors
 from bronzeslip.spread import hub
@@ -17,6 +15,8 @@
 from bronzeslip.spread import relay_link
 from bronzeslip.spread import status_board
 from bronzeslip.spread import upstream_order
+from bronzeslip.store import client
+from bronzeslip.store import errors as platform_errors
 from bronzeslip.transport import workers
 
 logger = logs.get_logger(__name__)
--- a/bronzeslip/spread/packing.py
+++ b/bronzeslip/spread/packing.py
@@ -5,8 +5,8 @@
 import msgspec
 
 from bronzeslip import ids
-from bronzeslip.platform import objects
 from bronzeslip.spread import change
+from bronzeslip.store import objects
 from bronzeslip.transport import errors
 
 _LEVEL = 6
--- a/bronzeslip/spread/platform_source.py
+++ b/bronzeslip/spread/platform_source.py
@@ -4,11 +4,11 @@
 import time
 
 from bronzeslip import ids
-from bronzeslip.platform import client
-from bronzeslip.platform import follower
-from bronzeslip.platform import objects
 from bronzeslip.spread import hub
 from bronzeslip.spread import prefix_state
+from bronzeslip.store import client
+from bronzeslip.store import follower
+from bronzeslip.store import objects
 from bronzeslip.transport import workers
 
 
--- a/bronzeslip/spread/prefix_state.py
+++ b/bronzeslip/spread/prefix_state.py
@@ -5,10 +5,10 @@
 import time
 
 from bronzeslip import ids
-from bronzeslip.platform import objects
 from bronzeslip.spread import change
 from bronzeslip.spread import errors
 from bronzeslip.spread import event_log
+from bronzeslip.store import objects
 
 
 class PrefixState:
--- a/bronzeslip/spread/service.py
+++ b/bronzeslip/spread/service.py
@@ -5,12 +5,12 @@
 from bronzeslip.configuration import watcher
 from bronzeslip.membership import directory
 from bronzeslip.membership import member
-from bronzeslip.platform import client
 from bronzeslip.settings import common
 from bronzeslip.spread import hub
 from bronzeslip.spread import node
 from bronzeslip.spread import relay
 from bronzeslip.spread import status_board
+from bronzeslip.store import client
 from bronzeslip.transport import workers
 
 SUSPECTS_PREFIX = "suspects/"
--- a/bronzeslip/platform/client.py
+++ b/bronzeslip/store/client.py
@@ -8,8 +8,8 @@
 import msgspec
 
 from bronzeslip import ids
-from bronzeslip.platform import errors
-from bronzeslip.platform import objects
+from bronzeslip.store import errors
+from bronzeslip.store import objects
 
 _WATCH_MARGIN_S = 2.0
 _CONFLICT_STATUS = 412
--- a/bronzeslip/platform/follower.py
+++ b/bronzeslip/store/follower.py
@@ -7,9 +7,9 @@
 
 from bronzeslip import ids
 from bronzeslip import logs
-from bronzeslip.platform import client
-from bronzeslip.platform import errors
-from bronzeslip.platform import objects
+from bronzeslip.store import client
+from bronzeslip.store import errors
+from bronzeslip.store import objects
 
 logger = logs.get_logger(__name__)
 
--- a/standins/platform/app.py
+++ b/standins/platform/app.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from bronzeslip import ids
-from bronzeslip.platform import objects
+from bronzeslip.store import objects
 from standins.platform import faults
 from standins.platform import holding
 from standins.platform import store
--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from bronzeslip import ids
-from bronzeslip.platform import objects
+from bronzeslip.store import objects
 
 _KEPT_EVENTS = 10_000
 MAX_VALUE_BYTES = 1_000_000
--- a/standins/platform/vm_list.py
+++ b/standins/platform/vm_list.py
@@ -4,7 +4,7 @@
 import time
 
 from bronzeslip import ids
-from bronzeslip.platform import objects
+from bronzeslip.store import objects
 
 
 class VmList:
--- a/standins/platform/weight_store.py
+++ b/standins/platform/weight_store.py
@@ -2,7 +2,7 @@
 
 import time
 
-from bronzeslip.platform import objects
+from bronzeslip.store import objects
 
 
 class WeightStore:
--- a/tests/claims/test_protocol.py
+++ b/tests/claims/test_protocol.py
@@ -18,8 +18,8 @@
 from bronzeslip.gateway import claim_resolver
 from bronzeslip.gateway import claimed_call_session
 from bronzeslip.gateway import errors
-from bronzeslip.platform import errors as platform_errors
 from bronzeslip.sidecar import call_table
+from bronzeslip.store import errors as platform_errors
 from bronzeslip.transport.frames import call as frames
 from standins.platform import store as platform_store
 from tests.claims import interleaving
--- a/tests/configuration/test_watcher.py
+++ b/tests/configuration/test_watcher.py
@@ -6,7 +6,7 @@
 from bronzeslip.configuration import manifest
 from bronzeslip.configuration import store
 from bronzeslip.configuration import watcher
-from bronzeslip.platform import objects
+from bronzeslip.store import objects
 from standins.platform import app
 from tests.configuration import test_store
 from tests.support import in_process
--- a/tests/membership/test_vm_sweeper.py
+++ b/tests/membership/test_vm_sweeper.py
@@ -7,8 +7,8 @@
 from bronzeslip.membership import member
 from bronzeslip.membership import rendezvous
 from bronzeslip.membership import vm_sweeper
-from bronzeslip.platform import objects
 from bronzeslip.settings import gateway
+from bronzeslip.store import objects
 from tests.membership import member_case
 from tests.support import in_process
 
--- a/tests/routing/test_suspect_list.py
+++ b/tests/routing/test_suspect_list.py
@@ -5,9 +5,9 @@
 
 import msgspec
 
-from bronzeslip.platform import objects
 from bronzeslip.routing import suspect_list
 from bronzeslip.routing import suspect_state
+from bronzeslip.store import objects
 
 _CLEAR = suspect_state.SuspectState.CLEAR
 _SUSPECT = suspect_state.SuspectState.SUSPECT
--- a/tests/sidecar/test_leaving_watch.py
+++ b/tests/sidecar/test_leaving_watch.py
@@ -7,8 +7,8 @@
 from bronzeslip import ids
 from bronzeslip.configuration import in_force
 from bronzeslip.membership import member
-from bronzeslip.platform import objects
 from bronzeslip.sidecar import leaving_watch
+from bronzeslip.store import objects
 from tests.membership import member_case
 
 
--- a/tests/spread/test_hub_feed.py
+++ b/tests/spread/test_hub_feed.py
@@ -2,11 +2,11 @@
 
 import unittest
 
-from bronzeslip.platform import objects
 from bronzeslip.spread import change
 from bronzeslip.spread import hub
 from bronzeslip.spread import hub_feed
 from bronzeslip.spread import packing
+from bronzeslip.store import objects
 from bronzeslip.transport import errors
 from bronzeslip.transport.frames import spread as frames
 
--- a/tests/spread/test_prefix_state.py
+++ b/tests/spread/test_prefix_state.py
@@ -6,11 +6,11 @@
 import hypothesis
 from hypothesis import strategies
 
-from bronzeslip.platform import objects
 from bronzeslip.spread import change
 from bronzeslip.spread import errors
 from bronzeslip.spread import event_log
 from bronzeslip.spread import prefix_state
+from bronzeslip.store import objects
 
 PREFIX = "members/"
 
--- a/tests/support/in_process.py
+++ b/tests/support/in_process.py
@@ -3,7 +3,7 @@
 import httpx
 
 from bronzeslip.engine import client as engine_client
-from bronzeslip.platform import client as platform_client
+from bronzeslip.store import client as platform_client
 from standins.engine import app as engine_app
 from standins.engine import model
 from standins.engine import orders
