--- a/bronzeslip/daemon_command.py
+++ b/bronzeslip/daemon_command.py
@@ -8,7 +8,6 @@
 from typing import TypeVar
 
 from bronzeslip import logs
-from bronzeslip.settings import common
 from bronzeslip.settings import parser
 
 
@@ -19,7 +18,14 @@
         """Serves, then drains."""
 
 
-SettingsT = TypeVar("SettingsT", bound=common.CommonSettings)
+class LoggingSettings(Protocol):
+    """Settings that say how a daemon logs."""
+
+    log_format: logs.LogFormat
+    log_level: logs.LogLevel
+
+
+SettingsT = TypeVar("SettingsT", bound=LoggingSettings)
 
 
 def run(
--- /dev/null
+++ b/bronzeslip/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Endpoints that are called directly, and what is known of their load."""
--- /dev/null
+++ b/bronzeslip/endpoints/report_board.py
@@ -0,0 +1,50 @@
+"""Latest reports of the model engines."""
+
+import asyncio
+import math
+
+import msgspec
+
+from bronzeslip import ids
+from bronzeslip.endpoints import report
+
+
+class DatedReport(msgspec.Struct, frozen=True):
+    """A report and when it was read.
+
+    Attributes:
+        report: The report.
+        read_s: When it was read, on the loop's clock.
+    """
+
+    report: report.EngineReport
+    read_s: float
+
+
+class ReportBoard:
+    """Keeps the latest report of each engine."""
+
+    def __init__(self) -> None:
+        self._reports: dict[ids.EndpointId, DatedReport] = {}
+
+    def put(
+        self, endpoint_id: ids.EndpointId, read: report.EngineReport
+    ) -> None:
+        """Takes a report that has just been read."""
+        now_s = asyncio.get_running_loop().time()
+        self._reports[endpoint_id] = DatedReport(read, now_s)
+
+    def get(self, endpoint_id: ids.EndpointId) -> DatedReport | None:
+        """Returns the latest report of an engine, or None."""
+        return self._reports.get(endpoint_id)
+
+    def age_s(self, endpoint_id: ids.EndpointId) -> float:
+        """Returns how long ago an engine's report was read, in seconds."""
+        known = self._reports.get(endpoint_id)
+        if known is None:
+            return math.inf
+        return asyncio.get_running_loop().time() - known.read_s
+
+    def forget(self, endpoint_id: ids.EndpointId) -> None:
+        """Drops the report of an engine that is gone."""
+        self._reports.pop(endpoint_id, None)
--- /dev/null
+++ b/bronzeslip/endpoints/report_poller.py
@@ -0,0 +1,80 @@
+"""Reads the reports of the model engines."""
+
+import asyncio
+from collections.abc import Callable
+
+from bronzeslip import ids
+from bronzeslip import logs
+from bronzeslip.endpoints import directory
+from bronzeslip.endpoints import endpoint
+from bronzeslip.endpoints import report_board
+from bronzeslip.forwarding import endpoint_client
+from bronzeslip.forwarding import endpoint_errors
+from bronzeslip.settings import entry
+
+logger = logs.get_logger(__name__)
+
+
+class ReportPoller:
+    """Keeps one task for each model engine that takes requests."""
+
+    def __init__(
+        self,
+        settings: entry.EntrySettings,
+        known: directory.EndpointDirectory,
+        client: endpoint_client.EndpointClient,
+        board: report_board.ReportBoard,
+        is_engine: Callable[[ids.ServiceName], bool],
+    ) -> None:
+        """Creates a poller.
+
+        Args:
+            settings: Interval between readings.
+            known: Endpoints.
+            client: Client of the endpoints.
+            board: Takes the reports.
+            is_engine: Tells whether a service has model engines.
+        """
+        self._settings = settings
+        self._known = known
+        self._client = client
+        self._board = board
+        self._is_engine = is_engine
+        self._tasks: dict[ids.EndpointId, asyncio.Task] = {}
+
+    async def run(self) -> None:
+        """Follows the directory until cancelled."""
+        try:
+            while True:
+                self._match_tasks()
+                await asyncio.sleep(self._settings.report_interval_s)
+        finally:
+            for task in self._tasks.values():
+                task.cancel()
+
+    def _match_tasks(self) -> None:
+        wanted = {
+            found.endpoint_id: found
+            for found in self._known.endpoints
+            if found.is_ready and self._is_engine(found.service_name)
+        }
+        for endpoint_id in self._tasks.keys() - wanted.keys():
+            self._tasks.pop(endpoint_id).cancel()
+            self._board.forget(endpoint_id)
+        for endpoint_id in wanted.keys() - self._tasks.keys():
+            self._tasks[endpoint_id] = asyncio.create_task(
+                self._poll(wanted[endpoint_id]), name=f"report {endpoint_id}"
+            )
+
+    async def _poll(self, engine: endpoint.Endpoint) -> None:
+        while True:
+            try:
+                read = await self._client.report(engine)
+                self._board.put(engine.endpoint_id, read)
+            except endpoint_errors.EndpointError as error:
+                logger.info(
+                    "reports.failed",
+                    endpoint=engine.endpoint_id,
+                    reason=error.message,
+                )
+            await asyncio.sleep(self._settings.report_interval_s)
--- /dev/null
+++ b/bronzeslip/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Gateway on an entry VM that calls endpoints itself."""
--- /dev/null
+++ b/bronzeslip/entry/named_task.py
@@ -0,0 +1,13 @@
+"""Work that runs for as long as a daemon does."""
+
+from collections.abc import Coroutine
+from typing import Any
+
+import msgspec
+
+
+class NamedTask(msgspec.Struct, frozen=True):
+    """A coroutine and its name in logs."""
+
+    name: str
+    work: Coroutine[Any, Any, None]
--- /dev/null
+++ b/bronzeslip/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Forwarding of requests to endpoints that are called directly."""
--- /dev/null
+++ b/bronzeslip/forwarding/parts.py
@@ -0,0 +1,42 @@
+"""Parts that the forwarding of requests works with."""
+
+import msgspec
+
+from bronzeslip.endpoints import directory
+from bronzeslip.endpoints import failure_memory
+from bronzeslip.endpoints import own_load
+from bronzeslip.endpoints import report_board
+from bronzeslip.forwarding import attempts
+from bronzeslip.forwarding import chooser
+from bronzeslip.forwarding import endpoint_client
+from bronzeslip.forwarding import repeat_budgets
+from bronzeslip.routes import current
+from bronzeslip.settings import entry
+
+
+class ForwardingParts(msgspec.Struct, frozen=True):
+    """Parts of one gateway, each of which exists once.
+
+    Attributes:
+        settings: Settings.
+        current: Configuration in force.
+        known: Endpoints.
+        own: Requests under way.
+        reports: Reports of the model engines.
+        failures: Failures of endpoints.
+        client: Client of the endpoints.
+        chosen: Chooses endpoints.
+        budgets: Limits repeats.
+        attempts: Tries endpoints.
+    """
+
+    settings: entry.EntrySettings
+    current: current.CurrentTable
+    known: directory.EndpointDirectory
+    own: own_load.OwnLoad
+    reports: report_board.ReportBoard
+    failures: failure_memory.FailureMemory
+    client: endpoint_client.EndpointClient
+    chosen: chooser.Chooser
+    budgets: repeat_budgets.RepeatBudgets
+    attempts: attempts.Attempts
--- /dev/null
+++ b/bronzeslip/forwarding/pipeline.py
@@ -0,0 +1,52 @@
+"""Way of a request from its arrival to its answer."""
+
+import asyncio
+
+from bronzeslip.forwarding import admission
+from bronzeslip.forwarding import admitted
+from bronzeslip.forwarding import call_forwarder
+from bronzeslip.forwarding import errors
+from bronzeslip.forwarding import incoming
+from bronzeslip.forwarding import reply
+from bronzeslip.forwarding import stream_forwarder
+from bronzeslip.routes import kind
+
+
+class Pipeline:
+    """Admits requests and hands them to the forwarder of their kind."""
+
+    def __init__(
+        self,
+        admitting: admission.Admission,
+        calls: call_forwarder.CallForwarder,
+        streams: stream_forwarder.StreamForwarder,
+    ) -> None:
+        self._admission = admitting
+        self._calls = calls
+        self._streams = streams
+
+    async def serve(
+        self, request: incoming.IncomingRequest, to_caller: reply.Reply
+    ) -> None:
+        """Serves a request until its answer has been passed on.
+
+        Raises:
+            errors.ForwardingError: If it gets no endpoint's answer, or not
+                the whole of it.
+        """
+        allowed = self._admission.admit(request)
+        try:
+            async with asyncio.timeout_at(allowed.deadline_s):
+                await self._forward(allowed, to_caller)
+        except TimeoutError as error:
+            raise errors.DeadlineExceededError(
+                "the time for an answer is over"
+            ) from error
+
+    async def _forward(
+        self, allowed: admitted.AdmittedRequest, to_caller: reply.Reply
+    ) -> None:
+        if allowed.route.kind is kind.RequestKind.STREAM:
+            await self._streams.forward(allowed, to_caller)
+        else:
+            await self._calls.forward(allowed, to_caller)
--- /dev/null
+++ b/bronzeslip/forwarding/reply.py
@@ -0,0 +1,24 @@
+"""Interface of the answer to a caller."""
+
+from typing import Protocol
+
+from bronzeslip.forwarding import endpoint_client
+
+
+class Reply(Protocol):
+    """Answer to one caller.
+
+    Attributes:
+        is_started: Whether the head has been sent.
+    """
+
+    is_started: bool
+
+    async def start(self, head: endpoint_client.AnswerHead) -> None:
+        """Sends status and headers."""
+
+    async def write(self, body: bytes) -> None:
+        """Sends a part of the body; waits while the caller does not read."""
+
+    async def finish(self) -> None:
+        """Ends the body."""
--- a/bronzeslip/http/health.py
+++ b/bronzeslip/http/health.py
@@ -11,9 +11,14 @@
 
 
 def handlers(
-    is_ready: Callable[[], bool],
+    is_ready: Callable[[], bool], ready_path: str = "/readyz"
 ) -> Sequence[litestar_handlers.BaseRouteHandler]:
-    """Returns the handlers of /livez and /readyz."""
+    """Returns the handlers of /livez and of readiness.
+
+    Args:
+        is_ready: Tells whether the process takes new work.
+        ready_path: Path at which readiness is asked for.
+    """
 
     @litestar.get(
         "/livez",
@@ -24,7 +29,7 @@
         return "ok"
 
     @litestar.get(
-        "/readyz",
+        ready_path,
         media_type=litestar.MediaType.TEXT,
         summary="Tells whether the process takes new work",
     )
--- a/bronzeslip/http/limited_protocol.py
+++ b/bronzeslip/http/limited_protocol.py
@@ -7,8 +7,8 @@
 from uvicorn.protocols.http import httptools_impl
 
 from bronzeslip import logs
+from bronzeslip.http import connection_bounds
 from bronzeslip.http import problem
-from bronzeslip.settings import http
 
 logger = logs.get_logger(__name__)
 
@@ -37,15 +37,29 @@
     """Refuses large or late headers."""
 
     def __init__(
-        self, settings: http.HttpSettings, *args: Any, **options: Any
+        self,
+        bounds: connection_bounds.BoundsSource,
+        *args: Any,
+        **options: Any,
     ) -> None:
         super().__init__(*args, **options)
-        self._settings = settings
+        self._bounds = bounds
+        self._has_received = False
+        self._is_last_request_read = False
         self._refusal = _MALFORMED
         self._in_headers = True
         self._header_bytes = 0
         self._header_timer: asyncio.TimerHandle | None = None
 
+    @property
+    def timeout_keep_alive(self) -> float:
+        """Time after which an idle connection is closed, in seconds."""
+        return self._bounds().idle_timeout_s
+
+    @timeout_keep_alive.setter
+    def timeout_keep_alive(self, _: float) -> None:
+        """Ignores the server's fixed time."""
+
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Starts to wait for the first request."""
         super().connection_made(transport)
@@ -58,11 +72,14 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses bytes and bounds those of unfinished headers."""
+        if self._is_last_request_read:
+            return
+        self._has_received = True
         super().data_received(data)
         if not self._in_headers or self.transport.is_closing():
             return
         self._header_bytes += len(data)
-        if self._header_bytes > self._settings.max_header_bytes:
+        if self._header_bytes > self._bounds().max_header_bytes:
             self._refuse(_HEADERS_TOO_LARGE)
 
     def on_message_begin(self) -> None:
@@ -81,13 +98,32 @@
         """
         self._in_headers = False
         self._stop_header_timer()
+        if self._is_last_request_read:
+            return
         size_bytes = len(self.url) + sum(
             len(name) + len(value) for name, value in self.headers
         )
-        if size_bytes > self._settings.max_header_bytes:
+        if size_bytes > self._bounds().max_header_bytes:
             self._refusal = _HEADERS_TOO_LARGE
             raise _RefusedError
+        # The request target byte for byte, which the path and query of the
+        # scope don't give back.
+        self.scope["target"] = self.url
         super().on_headers_complete()
+        if not self._bounds().may_reuse:
+            self.cycle.keep_alive = False
+
+    def on_body(self, body: bytes) -> None:
+        """Takes a part of a body, unless no further request is served."""
+        if not self._is_last_request_read:
+            super().on_body(body)
+
+    def on_message_complete(self) -> None:
+        """Ends a request; what follows one that closes is ignored."""
+        if self._is_last_request_read:
+            return
+        super().on_message_complete()
+        self._is_last_request_read = not self.cycle.keep_alive
 
     def send_400_response(self, msg: str) -> None:
         """Answers what the parser does not take."""
@@ -95,6 +131,9 @@
 
     def _refuse(self, refusal: problem.Problem) -> None:
         self._stop_header_timer()
+        if not self._has_received:
+            self.transport.close()
+            return
         logger.warning("http.refused", reason=refusal.code)
         if self.cycle is None or self.cycle.response_complete:
             self.transport.write(_render(refusal))
@@ -102,7 +141,7 @@
 
     def _start_header_timer(self) -> None:
         self._header_timer = self.loop.call_later(
-            self._settings.header_timeout_s, self._refuse, _HEADERS_TOO_LATE
+            self._bounds().header_timeout_s, self._refuse, _HEADERS_TOO_LATE
         )
 
     def _stop_header_timer(self) -> None:
--- a/bronzeslip/http/server.py
+++ b/bronzeslip/http/server.py
@@ -9,6 +9,7 @@
 
 import uvicorn
 
+from bronzeslip.http import connection_bounds
 from bronzeslip.http import limited_protocol
 from bronzeslip.settings import http
 
@@ -25,12 +26,19 @@
 class HttpServer:
     """Serves an ASGI application until told to stop."""
 
-    def __init__(self, app: Any, settings: http.HttpSettings) -> None:
+    def __init__(
+        self,
+        app: Any,
+        settings: http.HttpSettings,
+        bounds: connection_bounds.BoundsSource | None = None,
+    ) -> None:
         """Creates a server.
 
         Args:
             app: ASGI application.
             settings: Address, limits and certificate.
+            bounds: Bounds of connections where they change while the server
+                runs; those of the settings otherwise.
         """
         self._address = (settings.listen_address, settings.http_port)
         self._stall_timeout_ms = round(
@@ -40,7 +48,8 @@
         config = uvicorn.Config(
             app,
             http=functools.partial(
-                limited_protocol.LimitedHttpProtocol, settings
+                limited_protocol.LimitedHttpProtocol,
+                bounds or connection_bounds.of_settings(settings),
             ),
             ssl_certfile=settings.http_certificate_file,
             ssl_keyfile=settings.http_private_key_file,
--- /dev/null
+++ b/bronzeslip/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the platform that the users' machines stand on."""
--- /dev/null
+++ b/bronzeslip/platform/__main__.py
@@ -0,0 +1,27 @@
+"""Command that runs a gateway on the platform's machines."""
+
+import os
+import pathlib
+
+from bronzeslip import daemon_command
+from bronzeslip.platform import boot_file
+from bronzeslip.platform import gateway
+from bronzeslip.settings import entry
+
+_PROGRAM = "bronzeslip-entry"
+_DESCRIPTION = "Serves callers on an entry VM."
+
+
+def main() -> None:
+    """Reads the settings and runs the gateway."""
+    path = pathlib.Path(os.environ.pop(boot_file.PATH_VARIABLE))
+    daemon_command.run(
+        entry.EntrySettings,
+        _PROGRAM,
+        _DESCRIPTION,
+        lambda settings: gateway.create(settings, boot_file.read(path)),
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bronzeslip/platform/configuration.py
@@ -0,0 +1,178 @@
+"""The configuration as the operators write it to the store."""
+
+import msgspec
+
+from bronzeslip import ids
+from bronzeslip.platform import errors
+from bronzeslip.routes import engine_traits
+from bronzeslip.routes import kind
+from bronzeslip.routes import limits
+from bronzeslip.routes import route
+from bronzeslip.routes import route_table
+from bronzeslip.routes import service
+from bronzeslip.routes import workspace
+
+PREFIX = "config/"
+KEY = ids.ObjectKey(f"{PREFIX}main")
+
+_MS_PER_S = 1000
+_KINDS = {
+    "idempotent": kind.RequestKind.IDEMPOTENT,
+    "non_idempotent": kind.RequestKind.AT_MOST_ONCE,
+    "streaming": kind.RequestKind.STREAM,
+}
+
+
+class _Share(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    goal_ms: float
+    service: str | None = None
+    split: list[_Share] = []
+    priority: int = 0
+    max_attempts: int = 1
+    public: bool = False
+    # Set on routes that carry requests with the parts of a prompt.
+    sticky: bool = False
+    gap_aim_ms: float | None = None
+
+
+class _Engine(msgspec.Struct):
+    slots: int
+    kv_capacity: int
+    kv_token_bytes: int = 0
+    link_mbps: float = 0.0
+    moves: bool = False
+    backups: bool = False
+    handle_s: float = 0.0
+
+
+class _Service(msgspec.Struct):
+    name: str
+    health_path: str = "/health"
+    max_conns: int = 0
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_ms: float
+    idle_timeout_ms: float
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class _Document(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits | None = None
+    tenants: list[_Tenant] | None = None
+
+
+def decode(value: msgspec.Raw) -> route_table.RouteTable:
+    """Reads a configuration.
+
+    Args:
+        value: The configuration as JSON.
+
+    Raises:
+        errors.ConfigurationError: If it can't be read.
+    """
+    try:
+        document = msgspec.json.decode(value, type=_Document)
+    except msgspec.MsgspecError as error:
+        raise errors.ConfigurationError(str(error)) from error
+    return route_table.RouteTable(
+        ids.TableVersion(document.version),
+        [_route(found) for found in document.routes],
+        [_service(found) for found in document.services],
+        _workspaces(document.tenants),
+        _limits(document.limits),
+    )
+
+
+def _route(found: _Route) -> route.Route:
+    gap_ms = found.gap_aim_ms
+    return route.Route(
+        name=ids.RouteName(found.name),
+        host=found.host.lower(),
+        path_prefix=found.path_prefix,
+        # What is not known to be repeatable runs at most once.
+        kind=_KINDS.get(found.kind, kind.RequestKind.AT_MOST_ONCE),
+        timeout_s=found.timeout_ms / _MS_PER_S,
+        objective_s=found.goal_ms / _MS_PER_S,
+        priority=found.priority,
+        services=_shares(found),
+        max_attempts=found.max_attempts,
+        is_public=found.public,
+        is_generation=found.sticky,
+        gap_objective_s=None if gap_ms is None else gap_ms / _MS_PER_S,
+    )
+
+
+def _shares(found: _Route) -> tuple[route.WeightedService, ...]:
+    if not found.split:
+        return (route.WeightedService(ids.ServiceName(found.service or "")),)
+    return tuple(
+        route.WeightedService(ids.ServiceName(share.service), share.weight)
+        for share in found.split
+    )
+
+
+def _service(found: _Service) -> service.Service:
+    return service.Service(
+        name=ids.ServiceName(found.name),
+        health_path=found.health_path,
+        max_connections=found.max_conns,
+        engine=None if found.engine is None else _engine(found.engine),
+    )
+
+
+def _engine(found: _Engine) -> engine_traits.EngineTraits:
+    return engine_traits.EngineTraits(
+        slots=found.slots,
+        memory_tokens=found.kv_capacity,
+        token_bytes=found.kv_token_bytes,
+        link_mbps=found.link_mbps,
+        can_move=found.moves,
+        can_back_up=found.backups,
+        copy_lifetime_s=found.handle_s,
+    )
+
+
+def _workspaces(
+    tenants: list[_Tenant] | None,
+) -> list[workspace.KeyedWorkspace] | None:
+    if tenants is None:
+        return None
+    return [
+        workspace.KeyedWorkspace(
+            ids.WorkspaceId(found.name), tuple(found.api_keys), found.priority
+        )
+        for found in tenants
+    ]
+
+
+def _limits(found: _Limits | None) -> limits.CallerLimits:
+    if found is None:
+        return limits.CallerLimits()
+    return limits.CallerLimits(
+        max_header_bytes=found.max_header_bytes,
+        max_body_bytes=found.max_body_bytes,
+        header_timeout_s=found.header_timeout_ms / _MS_PER_S,
+        idle_timeout_s=found.idle_timeout_ms / _MS_PER_S,
+    )
--- /dev/null
+++ b/bronzeslip/platform/configuration_follower.py
@@ -0,0 +1,54 @@
+"""Puts the versions of the configuration in force as they are written."""
+
+import msgspec
+
+from bronzeslip import logs
+from bronzeslip.platform import configuration
+from bronzeslip.platform import errors
+from bronzeslip.routes import current
+from bronzeslip.store import follower
+from bronzeslip.store import objects
+from bronzeslip.store import watched_store
+
+logger = logs.get_logger(__name__)
+
+
+class ConfigurationFollower:
+    """Follows the object that holds the configuration."""
+
+    def __init__(
+        self,
+        store: watched_store.WatchedStore,
+        in_force: current.CurrentTable,
+        timing: follower.FollowTiming,
+    ) -> None:
+        self._current = in_force
+        self._follower = follower.PrefixFollower(
+            store,
+            configuration.PREFIX,
+            self._on_list,
+            self._on_event,
+            timing=timing,
+        )
+
+    async def run(self) -> None:
+        """Follows until cancelled."""
+        await self._follower.run()
+
+    async def _on_list(self, listed: objects.ObjectList) -> None:
+        for found in listed.objects:
+            if found.key == configuration.KEY:
+                self._take(found.value)
+
+    async def _on_event(self, event: objects.ObjectEvent) -> None:
+        is_put = event.kind is objects.EventKind.PUT
+        if is_put and event.key == configuration.KEY:
+            self._take(event.value)
+
+    def _take(self, value: msgspec.Raw) -> None:
+        try:
+            table = configuration.decode(value)
+        except errors.ConfigurationError as error:
+            logger.error("configuration.unreadable", reason=error.message)
+            return
+        self._current.adopt(table)
--- /dev/null
+++ b/bronzeslip/platform/discovery.py
@@ -0,0 +1,68 @@
+"""Entries by which endpoints register themselves in the store."""
+
+import math
+
+import msgspec
+
+from bronzeslip import ids
+from bronzeslip.endpoints import endpoint
+from bronzeslip.platform import boot_file
+from bronzeslip.platform import errors
+
+KIND = "servers"
+PREFIX = f"{KIND}/"
+
+_MS_PER_S = 1000
+_STATES = {
+    "ready": endpoint.EndpointState.READY,
+    "draining": endpoint.EndpointState.LEAVING,
+}
+
+
+class _Entry(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: str
+    cold_left_ms: float = 0.0
+    born: int = 0
+
+
+def decode(key: ids.ObjectKey, value: msgspec.Raw) -> endpoint.Endpoint:
+    """Reads an entry.
+
+    Args:
+        key: Key of the entry, whose last part is the endpoint's id.
+        value: The entry as JSON.
+
+    Raises:
+        errors.EntryError: If it names no endpoint to use, as entries of
+            other writers may.
+    """
+    try:
+        entry = msgspec.json.decode(value, type=_Entry)
+        address = boot_file.parse_address(entry.address)
+    except (msgspec.MsgspecError, errors.AddressError) as error:
+        raise errors.EntryError(f"{key}: {error}") from error
+    state = _STATES.get(entry.state)
+    if state is None or not entry.service or entry.slots <= 0:
+        raise errors.EntryError(f"{key}: unknown state, service or slots")
+    if not math.isfinite(entry.cold_left_ms):
+        raise errors.EntryError(f"{key}: cold_left_ms is no number")
+    return endpoint.Endpoint(
+        endpoint_id=endpoint_id_of(key),
+        service_name=ids.ServiceName(entry.service),
+        host=address.host,
+        port=address.port,
+        failure_domain=ids.FailureDomainName(entry.zone),
+        slots=entry.slots,
+        state=state,
+        started_unix_ms=entry.born,
+        cold_left_s=entry.cold_left_ms / _MS_PER_S,
+    )
+
+
+def endpoint_id_of(key: ids.ObjectKey) -> ids.EndpointId:
+    """Returns the endpoint whose entry has a key."""
+    return ids.EndpointId(key.removeprefix(PREFIX))
--- /dev/null
+++ b/bronzeslip/platform/endpoint_answer.py
@@ -0,0 +1,119 @@
+"""An endpoint's answer over HTTP."""
+
+from collections.abc import AsyncIterator
+
+import httpx
+
+from bronzeslip.forwarding import endpoint_client
+from bronzeslip.forwarding import endpoint_errors
+from bronzeslip.forwarding import incoming
+from bronzeslip.platform import headers
+from bronzeslip.platform import kept_connections
+
+_MISDIRECTED_STATUS = 421
+_TIMEOUT_FIELD = "timeout="
+# Headers of an answer that hold for the way from the endpoint only.
+_NOT_PASSED_ON = headers.HOP_BY_HOP | {
+    headers.CONTENT_LENGTH,
+    headers.ENDPOINT,
+    headers.LOAD,
+}
+
+
+class HttpEndpointAnswer:
+    """Answer that arrives on a connection of its own.
+
+    Attributes:
+        head: Status and headers.
+        verdict: Whether the request has run.
+        is_leaving: Whether the endpoint closes the connection.
+    """
+
+    def __init__(
+        self,
+        response: httpx.Response,
+        kept: kept_connections.KeptConnection,
+        pool: kept_connections.KeptConnections,
+    ) -> None:
+        self._response = response
+        self._kept = kept
+        self._pool = pool
+        self._is_whole = False
+        self.head = _head(response)
+        self.verdict = _verdict(response)
+        self.is_leaving = "close" in response.headers.get("connection", "")
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yields the body as it arrives.
+
+        Raises:
+            endpoint_errors.EndpointBrokenError: If it ends early.
+        """
+        try:
+            async for chunk in self._response.stream:
+                yield chunk
+        except (httpx.HTTPError, httpx.StreamError) as error:
+            raise endpoint_errors.EndpointBrokenError(
+                f"answer broken off: {type(error).__name__}"
+            ) from error
+        self._is_whole = True
+
+    @property
+    def echoed_id(self) -> str | None:
+        """Id of the request that it answers, if it says so."""
+        return self._response.headers.get(headers.REQUEST_ID.decode())
+
+    async def abort(self) -> None:
+        """Closes the connection at once."""
+        await self._response.stream.aclose()
+        await self._kept.transport.aclose()
+
+    async def close(self) -> None:
+        """Gives the connection back, or closes it in mid-answer."""
+        if self.verdict is not endpoint_client.RunVerdict.MAY_HAVE_RUN:
+            await self._read_rest()
+        await self._response.stream.aclose()
+        idle_s = _idle_s(self._response)
+        if self._is_whole and idle_s > 0 and not self.is_leaving:
+            self._pool.give_back(self._kept, idle_s)
+        else:
+            await self._kept.transport.aclose()
+
+    async def _read_rest(self) -> None:
+        try:
+            async for _ in self.chunks():
+                pass
+        except endpoint_errors.EndpointBrokenError:
+            # The verdict in its head stands; only the connection is lost.
+            self._is_whole = False
+
+
+def _head(response: httpx.Response) -> endpoint_client.AnswerHead:
+    length = response.headers.get("content-length", "")
+    return endpoint_client.AnswerHead(
+        response.status_code,
+        tuple(
+            incoming.HeaderField(name, value)
+            for name, value in response.headers.raw
+            if name.lower() not in _NOT_PASSED_ON
+        ),
+        int(length) if length.isdecimal() else None,
+    )
+
+
+def _verdict(response: httpx.Response) -> endpoint_client.RunVerdict:
+    if response.status_code == _MISDIRECTED_STATUS:
+        return endpoint_client.RunVerdict.OTHER_ENDPOINT
+    if headers.NOT_RUN.decode() in response.headers:
+        return endpoint_client.RunVerdict.NOT_RUN
+    return endpoint_client.RunVerdict.MAY_HAVE_RUN
+
+
+def _idle_s(response: httpx.Response) -> float:
+    """Returns the stated idle time, 0 if none is stated."""
+    for field in response.headers.get("keep-alive", "").split(","):
+        value = field.strip()
+        if value.startswith(_TIMEOUT_FIELD):
+            seconds = value.removeprefix(_TIMEOUT_FIELD)
+            return float(seconds) if seconds.isdecimal() else 0.0
+    return 0.0
--- /dev/null
+++ b/bronzeslip/platform/endpoint_http.py
@@ -0,0 +1,183 @@
+"""Calls to endpoints over HTTP."""
+
+from typing import Any
+
+import httpx
+
+from bronzeslip import ids
+from bronzeslip.endpoints import endpoint
+from bronzeslip.endpoints import report
+from bronzeslip.forwarding import dispatch
+from bronzeslip.forwarding import endpoint_client
+from bronzeslip.forwarding import endpoint_errors
+from bronzeslip.platform import endpoint_answer
+from bronzeslip.platform import engine_messages
+from bronzeslip.platform import headers
+from bronzeslip.platform import kept_connections
+from bronzeslip.settings import entry
+
+_MS_PER_S = 1000
+_OK_STATUS = 200
+
+
+class HttpEndpointClient:
+    """Calls endpoints over connections that are kept for a while."""
+
+    def __init__(self, settings: entry.EntrySettings) -> None:
+        self._settings = settings
+        self._pools: dict[str, kept_connections.KeptConnections] = {}
+        self._closed: list[kept_connections.KeptConnections] = []
+
+    async def close(self) -> None:
+        """Closes the idle connections."""
+        for pool in (*self._pools.values(), *self._closed):
+            await pool.close()
+
+    def forget(self, known: endpoint.Endpoint) -> None:
+        """Closes the idle connections to an endpoint that is gone."""
+        pool = self._pools.pop(_pool_key(known), None)
+        if pool is not None:
+            self._closed.append(pool)
+
+    async def send(
+        self, sent: dispatch.Dispatch
+    ) -> endpoint_answer.HttpEndpointAnswer:
+        """Sends a request and waits for the head of its answer.
+
+        Raises:
+            endpoint_errors.EndpointUnreachableError: If nothing was sent.
+            endpoint_errors.EndpointBrokenError: If no own answer came.
+        """
+        request = httpx.Request(
+            sent.request.method,
+            f"http://{sent.endpoint.address}/",
+            headers=_headers_of(sent),
+            content=sent.request.body,
+            extensions={
+                "target": sent.request.target,
+                "timeout": self._timeouts(None),
+            },
+        )
+        answer = await self._exchange(sent.endpoint, request)
+        echoed = answer.echoed_id
+        if echoed is not None and echoed != sent.request.request_id:
+            await answer.abort()
+            raise endpoint_errors.EndpointBrokenError(
+                "the answer belongs to another request"
+            )
+        return answer
+
+    async def report(self, known: endpoint.Endpoint) -> report.EngineReport:
+        """Reads an engine's report.
+
+        Raises:
+            endpoint_errors.EndpointError: If none came.
+        """
+        body = await self._call(
+            known, "GET", "/report", None, self._settings.report_timeout_s
+        )
+        return engine_messages.decode_report(body)
+
+    async def copy_run(
+        self,
+        source: endpoint.Endpoint,
+        request_id: ids.RequestId,
+        target: endpoint.Endpoint,
+        is_last: bool,
+        timeout_s: float,
+    ) -> endpoint_client.MovedCopy:
+        """Has an engine copy a run's memory to another engine.
+
+        Raises:
+            endpoint_errors.EndpointRefusedError: If it made no copy.
+            endpoint_errors.EndpointError: If no answer came.
+        """
+        message = engine_messages.encode_move(
+            request_id, target.address, is_last
+        )
+        body = await self._call(source, "POST", "/kv-move", message, timeout_s)
+        return engine_messages.decode_moved(body)
+
+    async def _call(
+        self,
+        known: endpoint.Endpoint,
+        method: str,
+        path: str,
+        message: bytes | None,
+        timeout_s: float,
+    ) -> bytes:
+        request = httpx.Request(
+            method,
+            f"http://{known.address}{path}",
+            headers={"Host": known.address, "Content-Type": "application/json"},
+            content=message,
+            extensions={"timeout": self._timeouts(timeout_s)},
+        )
+        answer = await self._exchange(known, request)
+        try:
+            body = b"".join([chunk async for chunk in answer.chunks()])
+        finally:
+            await answer.close()
+        if answer.head.status != _OK_STATUS:
+            raise endpoint_errors.EndpointRefusedError(
+                f"{path}: status {answer.head.status}"
+            )
+        return body
+
+    async def _exchange(
+        self, known: endpoint.Endpoint, request: httpx.Request
+    ) -> endpoint_answer.HttpEndpointAnswer:
+        pool = self._pools.get(_pool_key(known))
+        if pool is None:
+            pool = kept_connections.KeptConnections(self._settings)
+            self._pools[_pool_key(known)] = pool
+        kept = await pool.take()
+        try:
+            response = await kept.transport.handle_async_request(request)
+        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+            await kept.transport.aclose()
+            raise endpoint_errors.EndpointUnreachableError(
+                f"no connection: {type(error).__name__}"
+            ) from error
+        except httpx.HTTPError as error:
+            await kept.transport.aclose()
+            raise endpoint_errors.EndpointBrokenError(
+                f"no answer: {type(error).__name__}"
+            ) from error
+        except BaseException:
+            await kept.transport.aclose()
+            raise
+        return endpoint_answer.HttpEndpointAnswer(response, kept, pool)
+
+    def _timeouts(self, read_s: float | None) -> dict[str, Any]:
+        return {
+            "connect": self._settings.connect_timeout_s,
+            "read": read_s,
+            "write": read_s,
+            "pool": None,
+        }
+
+
+def _pool_key(known: endpoint.Endpoint) -> str:
+    return f"{known.address}/{known.endpoint_id}/{known.started_unix_ms}"
+
+
+def _headers_of(sent: dispatch.Dispatch) -> list[tuple[bytes, bytes]]:
+    left_ms = max(round(sent.left_s * _MS_PER_S), 1)
+    fields = [(found.name, found.value) for found in sent.request.headers]
+    fields.append((headers.DEADLINE_MS, str(left_ms).encode()))
+    fields.append(
+        (headers.EXPECTED_ENDPOINT, sent.endpoint.endpoint_id.encode())
+    )
+    if sent.workspace_id is not None:
+        fields.append((headers.WORKSPACE, sent.workspace_id.encode()))
+    if sent.priority is not None:
+        fields.append((headers.PRIORITY, str(sent.priority).encode()))
+    if sent.backup is not None:
+        fields.append((headers.BACKUP, sent.backup.address.encode()))
+    if sent.source is not None:
+        copy = f"{sent.source.address}/{sent.source.handle}"
+        fields.append((headers.SOURCE, copy.encode()))
+        after = sent.source.after_event_id
+        fields.append((headers.LAST_EVENT_ID, after.encode()))
+    return fields
--- /dev/null
+++ b/bronzeslip/platform/engine_messages.py
@@ -0,0 +1,85 @@
+"""Messages of the model engines' own calls."""
+
+import msgspec
+
+from bronzeslip import ids
+from bronzeslip.endpoints import report
+from bronzeslip.forwarding import endpoint_client
+from bronzeslip.forwarding import endpoint_errors
+
+_MS_PER_S = 1000
+
+
+class _Report(msgspec.Struct):
+    waiting: int
+    running: int
+    # The memory that can't yield.
+    kv_used: int
+    kv_total: int
+    # Memory reserved for copies and leases.
+    held: int = 0
+    leaves_ms: float | None = None
+    # Each run is [id, tokens in memory, events made, priority].
+    runs: list[tuple[str, int, int, int]] = []
+
+
+class _Move(msgspec.Struct, omit_defaults=True):
+    id: str
+    to: str
+    last: bool = False
+
+
+class _Moved(msgspec.Struct):
+    handle: str
+    # Events that the run had made so far, despite the name.
+    create_revision: int = 0
+
+
+def decode_report(body: bytes) -> report.EngineReport:
+    """Reads a report.
+
+    Raises:
+        endpoint_errors.EndpointBrokenError: If it can't be read.
+    """
+    read = _decode(body, _Report)
+    leaves_ms = read.leaves_ms
+    return report.EngineReport(
+        waiting=read.waiting,
+        running=read.running,
+        used_tokens=read.kv_used,
+        memory_tokens=read.kv_total,
+        held_tokens=read.held,
+        leaves_in_s=None if leaves_ms is None else leaves_ms / _MS_PER_S,
+        runs=tuple(
+            report.RunReport(ids.RequestId(run_id), tokens, events)
+            for run_id, tokens, events, _ in read.runs
+        ),
+    )
+
+
+def encode_move(
+    request_id: ids.RequestId, target_address: str, is_last: bool
+) -> bytes:
+    """Writes the order to copy a run's memory."""
+    return msgspec.json.encode(_Move(request_id, target_address, is_last))
+
+
+def decode_moved(body: bytes) -> endpoint_client.MovedCopy:
+    """Reads the answer to such an order.
+
+    Raises:
+        endpoint_errors.EndpointBrokenError: If it can't be read.
+    """
+    moved = _decode(body, _Moved)
+    return endpoint_client.MovedCopy(
+        ids.HandleId(moved.handle), moved.create_revision
+    )
+
+
+def _decode(body: bytes, wanted: type) -> object:
+    try:
+        return msgspec.json.decode(body, type=wanted)
+    except msgspec.MsgspecError as error:
+        raise endpoint_errors.EndpointBrokenError(
+            f"unreadable answer of an engine: {error}"
+        ) from error
--- /dev/null
+++ b/bronzeslip/platform/gateway.py
@@ -0,0 +1,127 @@
+"""Puts a gateway together from the product's parts and the adapter's."""
+
+import random
+
+from bronzeslip import ids
+from bronzeslip.endpoints import directory
+from bronzeslip.endpoints import failure_memory
+from bronzeslip.endpoints import own_load
+from bronzeslip.endpoints import report_board
+from bronzeslip.endpoints import report_poller
+from bronzeslip.entry import daemon
+from bronzeslip.entry import named_task
+from bronzeslip.entry import place
+from bronzeslip.entry import readiness
+from bronzeslip.forwarding import admission
+from bronzeslip.forwarding import attempts
+from bronzeslip.forwarding import call_forwarder
+from bronzeslip.forwarding import chooser
+from bronzeslip.forwarding import parts
+from bronzeslip.forwarding import pipeline
+from bronzeslip.forwarding import repeat_budgets
+from bronzeslip.forwarding import stream_forwarder
+from bronzeslip.platform import configuration_follower
+from bronzeslip.platform import discovery_follower
+from bronzeslip.platform import endpoint_http
+from bronzeslip.platform import ingress
+from bronzeslip.platform import store_client
+from bronzeslip.routes import current
+from bronzeslip.settings import entry
+from bronzeslip.store import follower
+
+
+def create(
+    settings: entry.EntrySettings, here: place.VmPlace
+) -> daemon.EntryDaemon:
+    """Creates a gateway.
+
+    Args:
+        settings: Settings.
+        here: Place of this process.
+    """
+    shared = _create_parts(settings, here)
+    ready = readiness.Readiness(shared.current, shared.known)
+    served = pipeline.Pipeline(
+        admission.Admission(settings, shared.current, random.Random()),
+        call_forwarder.CallForwarder(shared),
+        stream_forwarder.StreamForwarder(shared),
+    )
+    return daemon.EntryDaemon(
+        settings,
+        here,
+        ingress.Ingress(served, shared.current),
+        shared.current,
+        ready,
+        _tasks(settings, here, shared),
+    )
+
+
+def _create_parts(
+    settings: entry.EntrySettings, here: place.VmPlace
+) -> parts.ForwardingParts:
+    known = directory.EndpointDirectory(settings)
+    own = own_load.OwnLoad()
+    reports = report_board.ReportBoard()
+    failures = failure_memory.FailureMemory()
+    client = endpoint_http.HttpEndpointClient(settings)
+    known.add_leaving_listener(client.forget)
+    if settings.placement is entry.Placement.ROUND_ROBIN:
+        chosen = chooser.RoundRobinChooser(known)
+    else:
+        chosen = chooser.CostChooser(
+            settings, here, known, own, reports, failures, random.Random()
+        )
+    budgets = repeat_budgets.RepeatBudgets(here.bounds, lambda: 8)
+    return parts.ForwardingParts(
+        settings=settings,
+        current=current.CurrentTable(),
+        known=known,
+        own=own,
+        reports=reports,
+        failures=failures,
+        client=client,
+        chosen=chosen,
+        budgets=budgets,
+        attempts=attempts.Attempts(chosen, failures, budgets),
+    )
+
+
+def _tasks(
+    settings: entry.EntrySettings,
+    here: place.VmPlace,
+    shared: parts.ForwardingParts,
+) -> tuple[named_task.NamedTask, ...]:
+    store = store_client.StoreClient(here.store, settings)
+    timing = follower.FollowTiming(
+        settings.store_watch_s,
+        settings.store_backoff_min_s,
+        settings.store_backoff_max_s,
+    )
+    poller = report_poller.ReportPoller(
+        settings,
+        shared.known,
+        shared.client,
+        shared.reports,
+        lambda name: _has_engines(shared.current, name),
+    )
+    return (
+        named_task.NamedTask(
+            "configuration",
+            configuration_follower.ConfigurationFollower(
+                store, shared.current, timing
+            ).run(),
+        ),
+        named_task.NamedTask(
+            "discovery",
+            discovery_follower.DiscoveryFollower(
+                store, shared.known, timing
+            ).run(),
+        ),
+        named_task.NamedTask("reports", poller.run()),
+    )
+
+
+def _has_engines(in_force: current.CurrentTable, name: ids.ServiceName) -> bool:
+    table = in_force.table
+    service = None if table is None else table.service(name)
+    return service is not None and service.engine is not None
--- /dev/null
+++ b/bronzeslip/platform/kept_connections.py
@@ -0,0 +1,79 @@
+"""Connections to one endpoint that are used again."""
+
+import asyncio
+import socket
+import ssl
+
+import httpx
+import msgspec
+
+from bronzeslip.settings import entry
+
+_MS_PER_S = 1000
+# A dead peer is noticed by the third probe at the latest.
+_PROBE_COUNT = 2
+
+
+class KeptConnection(msgspec.Struct):
+    """One connection, which carries one request at a time.
+
+    Attributes:
+        transport: Transport that owns the connection.
+        usable_until_s: End of its idle time, on the loop's clock.
+    """
+
+    transport: httpx.AsyncBaseTransport
+    usable_until_s: float = 0.0
+
+
+class KeptConnections:
+    """Hands out idle connections to an endpoint, the latest used first."""
+
+    def __init__(self, settings: entry.EntrySettings) -> None:
+        self._settings = settings
+        # Requests go over plain TCP; a context that loads no certificates
+        # saves their reading for each connection.
+        self._tls = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+        self._idle: list[KeptConnection] = []
+
+    async def take(self) -> KeptConnection:
+        """Returns a connection that may be used, or a new one."""
+        now_s = asyncio.get_running_loop().time()
+        while self._idle:
+            kept = self._idle.pop()
+            if kept.usable_until_s > now_s:
+                return kept
+            await kept.transport.aclose()
+        return KeptConnection(self._create())
+
+    def give_back(self, kept: KeptConnection, idle_s: float) -> None:
+        """Takes a connection back whose answer was read to its end.
+
+        Args:
+            kept: The connection.
+            idle_s: Time that the endpoint keeps it open idle, in seconds.
+        """
+        now_s = asyncio.get_running_loop().time()
+        kept.usable_until_s = now_s + idle_s - self._settings.kept_margin_s
+        self._idle.append(kept)
+
+    async def close(self) -> None:
+        """Closes the idle connections."""
+        idle, self._idle = self._idle, []
+        for kept in idle:
+            await kept.transport.aclose()
+
+    def _create(self) -> httpx.AsyncHTTPTransport:
+        silence_ms = round(self._settings.endpoint_silence_s * _MS_PER_S)
+        return httpx.AsyncHTTPTransport(
+            verify=self._tls,
+            trust_env=False,
+            limits=httpx.Limits(max_connections=1),
+            socket_options=(
+                (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, silence_ms),
+                (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+                (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+                (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+                (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _PROBE_COUNT),
+            ),
+        )
--- /dev/null
+++ b/bronzeslip/platform/request_decoder.py
@@ -0,0 +1,121 @@
+"""Reads a platform request into the product's types."""
+
+from typing import Any
+
+from bronzeslip import ids
+from bronzeslip.forwarding import errors
+from bronzeslip.forwarding import incoming
+from bronzeslip.forwarding import prompt
+from bronzeslip.platform import headers
+
+_MS_PER_S = 1000
+
+
+def decode(
+    scope: dict[str, Any], body: bytes, arrived_s: float
+) -> incoming.IncomingRequest:
+    """Reads a request.
+
+    Args:
+        scope: ASGI scope, with the request target as it arrived.
+        body: Whole body.
+        arrived_s: When its headers had come, on the loop's clock.
+
+    Raises:
+        errors.BadRequestError: If it has no id or a header makes no sense.
+    """
+    fields: dict[bytes, bytes] = dict(scope["headers"])
+    request_id = fields.get(headers.REQUEST_ID, b"")
+    if not request_id:
+        raise errors.BadRequestError(
+            f"header {headers.REQUEST_ID.decode()} is missing"
+        )
+    return incoming.IncomingRequest(
+        request_id=ids.RequestId(_text(request_id)),
+        method=scope["method"],
+        target=scope["target"],
+        host=_host(fields),
+        path=scope["raw_path"].decode("latin-1"),
+        headers=_passed_on(scope["headers"]),
+        body=body,
+        key=_optional_text(fields, headers.KEY),
+        arrived_s=arrived_s,
+        patience_s=_patience_s(fields),
+        shape=_shape(fields),
+        last_event_id=_optional_text(fields, headers.LAST_EVENT_ID),
+    )
+
+
+def _passed_on(
+    found: list[tuple[bytes, bytes]],
+) -> tuple[incoming.HeaderField, ...]:
+    dropped = headers.HOP_BY_HOP | headers.SET_BY_SYSTEM | _named(found)
+    return tuple(
+        incoming.HeaderField(name, value)
+        for name, value in found
+        if name not in dropped
+    )
+
+
+def _named(found: list[tuple[bytes, bytes]]) -> set[bytes]:
+    """Lists the headers that the connection header names."""
+    return {
+        token.strip().lower()
+        for name, value in found
+        if name == headers.CONNECTION
+        for token in value.split(b",")
+    } - {headers.REQUEST_ID, headers.HOST, headers.CONTENT_LENGTH}
+
+
+def _host(fields: dict[bytes, bytes]) -> str:
+    host = _text(fields.get(headers.HOST, b"")).lower()
+    name, mark, port = host.rpartition(":")
+    return name if mark and port.isdecimal() else host
+
+
+def _patience_s(fields: dict[bytes, bytes]) -> float | None:
+    text = fields.get(headers.DEADLINE_MS)
+    if text is None:
+        return None
+    try:
+        patience_s = float(text) / _MS_PER_S
+    except ValueError as error:
+        raise errors.BadRequestError(
+            f"header {headers.DEADLINE_MS.decode()} is no number"
+        ) from error
+    return patience_s if patience_s > 0 else None
+
+
+def _shape(fields: dict[bytes, bytes]) -> prompt.PromptShape | None:
+    text = fields.get(headers.TOKENS)
+    if text is None:
+        return None
+    numbers = [part.strip() for part in text.split(b",")]
+    if len(numbers) != 2 or not all(part.isdigit() for part in numbers):
+        return None
+    hint = fields.get(headers.LENGTH_HINT, b"").strip()
+    return prompt.PromptShape(
+        model=_text(fields.get(headers.MODEL, b"")),
+        prompt_tokens=int(numbers[0]),
+        max_output_tokens=int(numbers[1]),
+        expected_output_tokens=int(hint) if hint.isdigit() else None,
+        parts=_parts(fields.get(headers.PROMPT_PARTS, b"")),
+    )
+
+
+def _parts(text: bytes) -> tuple[prompt.PromptPart, ...]:
+    parts = []
+    for entry in text.split(b","):
+        part_id, _, tokens = entry.strip().partition(b":")
+        if part_id and tokens.isdigit():
+            parts.append(prompt.PromptPart(_text(part_id), int(tokens)))
+    return tuple(parts)
+
+
+def _optional_text(fields: dict[bytes, bytes], name: bytes) -> str | None:
+    value = fields.get(name)
+    return None if value is None else _text(value)
+
+
+def _text(value: bytes) -> str:
+    return value.decode("latin-1")
--- /dev/null
+++ b/bronzeslip/routes/__init__.py
@@ -0,0 +1,1 @@
+"""Routes, workspaces and limits of the configuration in force."""
--- /dev/null
+++ b/bronzeslip/routes/route_table.py
@@ -0,0 +1,69 @@
+"""One version of the configuration, ready to be asked."""
+
+from collections.abc import Iterable
+
+from bronzeslip import ids
+from bronzeslip.routes import limits
+from bronzeslip.routes import route
+from bronzeslip.routes import service
+from bronzeslip.routes import workspace
+
+
+class RouteTable:
+    """Answers which route takes a request and whose key it shows.
+
+    Attributes:
+        version: Version of the configuration.
+        limits: Limits on what a caller may send.
+        has_workspaces: Whether callers have to show a key.
+    """
+
+    def __init__(
+        self,
+        version: ids.TableVersion,
+        routes: Iterable[route.Route],
+        services: Iterable[service.Service],
+        workspaces: Iterable[workspace.KeyedWorkspace] | None,
+        caller_limits: limits.CallerLimits,
+    ) -> None:
+        """Creates a table.
+
+        Args:
+            version: Version of the configuration.
+            routes: Its routes.
+            services: Its services.
+            workspaces: Its workspaces, or None if no keys are asked for.
+            caller_limits: Its limits.
+        """
+        self.version = version
+        self.limits = caller_limits
+        self.has_workspaces = workspaces is not None
+        self._services = {found.name: found for found in services}
+        self._routes: dict[str, list[route.Route]] = {}
+        for found in routes:
+            self._routes.setdefault(found.host, []).append(found)
+        for by_host in self._routes.values():
+            by_host.sort(key=lambda found: -len(found.path_prefix))
+        self._workspaces = {
+            key: found for found in workspaces or () for key in found.keys
+        }
+
+    @property
+    def services(self) -> tuple[service.Service, ...]:
+        """The services."""
+        return tuple(self._services.values())
+
+    def match(self, host: str, path: str) -> route.Route | None:
+        """Returns the route with the longest prefix of a path, or None."""
+        for found in self._routes.get(host.lower(), ()):
+            if path.startswith(found.path_prefix):
+                return found
+        return None
+
+    def service(self, name: ids.ServiceName) -> service.Service | None:
+        """Returns a service, or None if there is none of that name."""
+        return self._services.get(name)
+
+    def workspace_of(self, key: str) -> workspace.KeyedWorkspace | None:
+        """Returns the workspace that holds a key, or None."""
+        return self._workspaces.get(key)
--- a/bronzeslip/routing/retry_budget.py
+++ b/bronzeslip/routing/retry_budget.py
@@ -12,7 +12,13 @@
     """
 
     def __init__(self) -> None:
-        self._left = _RESERVE_RETRIES
+        self._reserve = _RESERVE_RETRIES
+        self._left = self._reserve
+
+    def set_reserve(self, reserve: float) -> None:
+        """Sets how many retries a quiet time saves up at most."""
+        self._reserve = reserve
+        self._left = min(self._left, reserve)
 
     def add_request(self, ratio: float) -> None:
         """Counts a request.
@@ -20,7 +26,7 @@
         Args:
             ratio: Retries allowed as a share of requests.
         """
-        self._left = min(self._left + ratio, _RESERVE_RETRIES)
+        self._left = min(self._left + ratio, self._reserve)
 
     def take(self) -> bool:
         """Takes one retry from the budget, if there is one left."""
--- /dev/null
+++ b/bronzeslip/settings/entry.py
@@ -0,0 +1,120 @@
+"""Settings of a gateway that calls endpoints itself."""
+
+import dataclasses
+import enum
+
+from bronzeslip import logs
+from bronzeslip.settings.setting import setting
+
+
+class Placement(enum.Enum):
+    """How endpoints are chosen."""
+
+    COST = "cost"
+    ROUND_ROBIN = "round-robin"
+
+
+@dataclasses.dataclass(frozen=True)
+class EntrySettings:
+    """Settings of one entry gateway."""
+
+    lapse_grace_s: float = setting(
+        "time after an outage of the store during which a missing endpoint "
+        "is still used, in seconds; the platform's pages give two",
+        "membership",
+        default=2.0,
+        minimum=0,
+        maximum=60,
+    )
+    store_watch_s: float = setting(
+        "longest wait of one watch at the store, in seconds; bounds how long "
+        "a silent connection goes unnoticed",
+        "store",
+        default=2.0,
+        minimum=0.1,
+        maximum=30,
+    )
+    store_timeout_s: float = setting(
+        "timeout of one call to the store beyond its wait, in seconds",
+        "store",
+        default=0.8,
+        minimum=0.05,
+        maximum=60,
+    )
+    store_backoff_min_s: float = setting(
+        "first pause after a failed call to the store, in seconds",
+        "store",
+        default=0.1,
+        minimum=0.01,
+        maximum=60,
+    )
+    store_backoff_max_s: float = setting(
+        "longest pause after failed calls to the store, in seconds",
+        "store",
+        default=0.8,
+        minimum=0.01,
+        maximum=60,
+    )
+    connect_timeout_s: float = setting(
+        "longest wait for a connection to an endpoint, in seconds",
+        "endpoints",
+        default=0.4,
+        minimum=0.05,
+        maximum=10,
+    )
+    endpoint_silence_s: float = setting(
+        "time without an acknowledgement after which a connection to an "
+        "endpoint counts as lost, in seconds",
+        "endpoints",
+        default=2.0,
+        minimum=0.2,
+        maximum=60,
+    )
+    kept_margin_s: float = setting(
+        "part of an endpoint's stated idle time that is left unused, in "
+        "seconds",
+        "endpoints",
+        default=0.5,
+        minimum=0,
+        maximum=60,
+    )
+    report_interval_s: float = setting(
+        "time between two readings of a model engine's report, in seconds",
+        "endpoints",
+        default=0.5,
+        minimum=0.05,
+        maximum=60,
+    )
+    report_timeout_s: float = setting(
+        "longest wait for a report, in seconds",
+        "endpoints",
+        default=0.5,
+        minimum=0.05,
+        maximum=10,
+    )
+    request_deadline_s: float = setting(
+        "deadline of a request that names none, in seconds",
+        "limits",
+        default=60.0,
+        minimum=1,
+        maximum=86_400,
+    )
+    drain_notice_s: float = setting(
+        "time to stay open after readiness fails, in seconds; two polls of "
+        "the platform's balancer and its way",
+        "shutdown",
+        default=2.5,
+        minimum=0,
+        maximum=60,
+    )
+    placement: Placement = setting(
+        "how endpoints are chosen; round-robin is a baseline",
+        "routing",
+        default=Placement.COST,
+    )
+    log_format: logs.LogFormat = setting(
+        "form of log lines", "logs", default=logs.LogFormat.JSON
+    )
+    log_level: logs.LogLevel = setting(
+        "lowest level logged", "logs", default=logs.LogLevel.INFO
+    )
--- a/bronzeslip/store/follower.py
+++ b/bronzeslip/store/follower.py
@@ -5,17 +5,32 @@
 from collections.abc import Callable
 import random
 
+import msgspec
+
 from bronzeslip import ids
 from bronzeslip import logs
-from bronzeslip.store import client
 from bronzeslip.store import errors
 from bronzeslip.store import objects
+from bronzeslip.store import watched_store
 
 logger = logs.get_logger(__name__)
 
-_WATCH_WAIT_S = 5.0
-_MIN_BACKOFF_S = 0.2
-_MAX_BACKOFF_S = 5.0
+
+class FollowTiming(msgspec.Struct, frozen=True):
+    """Times of a follower.
+
+    Attributes:
+        watch_wait_s: Longest wait of one watch, in seconds.
+        min_backoff_s: First pause after a failure, in seconds.
+        max_backoff_s: Longest pause after failures, in seconds.
+    """
+
+    watch_wait_s: float = 5.0
+    min_backoff_s: float = 0.2
+    max_backoff_s: float = 5.0
+
+
+_DEFAULT_TIMING = FollowTiming()
 
 
 class PrefixFollower:
@@ -23,11 +38,13 @@
 
     def __init__(
         self,
-        platform: client.PlatformClient,
+        platform: watched_store.WatchedStore,
         prefix: str,
         on_list: Callable[[objects.ObjectList], Awaitable[None]],
         on_event: Callable[[objects.ObjectEvent], Awaitable[None]],
         on_progress: Callable[[ids.ObjectVersion], None] | None = None,
+        on_failure: Callable[[], None] | None = None,
+        timing: FollowTiming = _DEFAULT_TIMING,
     ) -> None:
         """Creates a follower.
 
@@ -39,20 +56,24 @@
             on_event: Called with each later change, in order.
             on_progress: Called after each answer with the version up to
                 which every change has been handed over.
+            on_failure: Called whenever the platform did not answer.
+            timing: Waits and pauses.
         """
         self._platform = platform
         self._prefix = prefix
         self._on_list = on_list
         self._on_event = on_event
         self._on_progress = on_progress
+        self._on_failure = on_failure
+        self._timing = timing
 
     async def run(self) -> None:
         """Follows until cancelled; platform errors are retried."""
-        backoff_s = _MIN_BACKOFF_S
+        backoff_s = self._timing.min_backoff_s
         while True:
             try:
                 version = await self._list()
-                backoff_s = _MIN_BACKOFF_S
+                backoff_s = self._timing.min_backoff_s
                 await self._watch(version)
             except errors.WatchExpiredError:
                 continue
@@ -62,8 +83,10 @@
                     prefix=self._prefix,
                     reason=error.message,
                 )
+                if self._on_failure is not None:
+                    self._on_failure()
                 await asyncio.sleep(backoff_s * random.uniform(0.5, 1.0))
-                backoff_s = min(backoff_s * 2, _MAX_BACKOFF_S)
+                backoff_s = min(backoff_s * 2, self._timing.max_backoff_s)
 
     async def _list(self) -> ids.ObjectVersion:
         listed = await self._platform.list_objects(self._prefix)
@@ -74,7 +97,7 @@
     async def _watch(self, version: ids.ObjectVersion) -> None:
         while True:
             batch = await self._platform.watch(
-                self._prefix, version, _WATCH_WAIT_S
+                self._prefix, version, self._timing.watch_wait_s
             )
             for event in batch.events:
                 await self._on_event(event)
