Draw among endpoints by expected wait, and hold copies ahead back while a neighbour evacuates

Cause: least-cost choices over stale reports sent bursts to one engine (first tokens after 2 to 3 s), and slow copies to another region filled the link of the engine that neighbours were evacuated to (refused copies in the log). Ruled out: memory of the target, which had room in all refused cases.

--- a/bronzeslip/endpoints/neighbourhood.py
+++ b/bronzeslip/endpoints/neighbourhood.py
@@ -1,9 +1,16 @@
 """Which endpoints are near each other."""
 
+import asyncio
+
+from bronzeslip import ids
 from bronzeslip.endpoints import directory
 from bronzeslip.endpoints import endpoint
 from bronzeslip.entry import place
 
+# Time after its notice in which an engine that leaves copies its runs; spot
+# engines end some two seconds after it.
+_EVACUATION_S = 2.5
+
 
 class Neighbourhood:
     """Tells which engines can copy a run to each other quickly.
@@ -24,6 +31,19 @@
         """
         self._here = here
         self._known = known
+        self._left: dict[ids.EndpointId, float] = {}
+        self._leaving: dict[ids.EndpointId, endpoint.Endpoint] = {}
+        known.add_leaving_listener(self._on_leaving)
+
+    def is_evacuating(self, known: endpoint.Endpoint) -> bool:
+        """Tells whether an endpoint near one copies its runs away now."""
+        bound_s = asyncio.get_running_loop().time() - _EVACUATION_S
+        return any(
+            self._left[leaving.endpoint_id] > bound_s
+            and leaving.endpoint_id != known.endpoint_id
+            and self.is_near(leaving, known)
+            for leaving in self._leaving.values()
+        )
 
     def is_near(self, one: endpoint.Endpoint, other: endpoint.Endpoint) -> bool:
         """Tells whether two endpoints stand in one region."""
@@ -49,3 +69,12 @@
             option.endpoint_id != known.endpoint_id
             for option in self.around(known)
         )
+
+    def _on_leaving(self, leaving: endpoint.Endpoint) -> None:
+        now_s = asyncio.get_running_loop().time()
+        for endpoint_id, left_s in list(self._left.items()):
+            if left_s < now_s - _EVACUATION_S:
+                del self._left[endpoint_id]
+                del self._leaving[endpoint_id]
+        self._left[leaving.endpoint_id] = now_s
+        self._leaving[leaving.endpoint_id] = leaving
--- a/bronzeslip/endpoints/own_load.py
+++ b/bronzeslip/endpoints/own_load.py
@@ -14,11 +14,13 @@
 
     Attributes:
         started_s: When it was sent, on the loop's clock.
+        prompt_tokens: Length of its prompt, in tokens.
         expected_tokens: Memory that it is expected to end at, in tokens.
     """
 
     started_s: float
-    expected_tokens: int
+    prompt_tokens: int = 0
+    expected_tokens: int = 0
 
 
 class OwnLoad:
@@ -30,12 +32,16 @@
 
     @contextlib.contextmanager
     def hold(
-        self, endpoint_id: ids.EndpointId, expected_tokens: int = 0
+        self,
+        endpoint_id: ids.EndpointId,
+        prompt_tokens: int = 0,
+        expected_tokens: int = 0,
     ) -> Iterator[None]:
         """Counts a request for as long as the block runs."""
         number = self._next_number
         self._next_number += 1
-        run = OwnRun(asyncio.get_running_loop().time(), expected_tokens)
+        now_s = asyncio.get_running_loop().time()
+        run = OwnRun(now_s, prompt_tokens, expected_tokens)
         self._runs.setdefault(endpoint_id, {})[number] = run
         try:
             yield
--- a/bronzeslip/forwarding/chooser.py
+++ b/bronzeslip/forwarding/chooser.py
@@ -5,49 +5,38 @@
 import random
 from typing import Protocol
 
-import msgspec
-
 from bronzeslip import ids
 from bronzeslip.endpoints import directory
 from bronzeslip.endpoints import endpoint
 from bronzeslip.endpoints import failure_memory
 from bronzeslip.endpoints import neighbourhood
-from bronzeslip.endpoints import own_load
-from bronzeslip.endpoints import report_board
 from bronzeslip.entry import place
 from bronzeslip.forwarding import admitted
 from bronzeslip.forwarding import errors
+from bronzeslip.forwarding import load_forecast
 
-# Time that a report is old when it is read; the pages give some hundred ms.
-_REPORT_LAG_S = 0.5
 _RETRY_AFTER_S = 0.5
-# One failure weighs as much as a whole batch of requests.
-_FAILURE_COST = 1.0
-_OTHER_DOMAIN_COST = 0.05
-_OTHER_REGION_COST = 0.10
-_COLD_COST = 0.3
+# Costs are in seconds that a caller waits. One failure weighs as much as half
+# a second, so that two of them outweigh a usual queue.
+_FAILURE_COST_S = 0.5
+_CROWDING_COST_S = 0.3
+_OTHER_DOMAIN_COST_S = 0.02
+_OTHER_REGION_COST_S = 0.04
+_COLD_COST_S = 0.3
 # A long generation is lost with an engine whose neighbours have no room.
-_UNSAFE_COST = 0.5
+_UNSAFE_COST_S = 0.3
+# Runs of such an engine share its link for copies to other regions.
+_UNSAFE_RUN_COST_S = 0.05
 # Share of the memory that neighbours are filled to when one of them leaves.
 _EVACUATION_SHARE = 0.9
 # Outputs shorter than this are over before an engine that leaves ends.
 _LONG_OUTPUT_TOKENS = 100
-# Keeps gateways that read the same reports from choosing alike.
-_SPREAD_COST = 0.04
+# Engines preempt runs when their memory is full.
 _MEMORY_START = 0.6
-_MEMORY_COST = 8.0
-
-
-class EndpointForecast(msgspec.Struct, frozen=True):
-    """What is expected of an endpoint if it takes a request.
-
-    Attributes:
-        crowding: Requests for each of its slots.
-        memory: Share of its memory that is taken, 0 for plain services.
-    """
-
-    crowding: float
-    memory: float
+_MEMORY_COST_S = 8.0
+# Gateways that read the same reports would choose alike. Costs that differ by
+# less than this are therefore treated as near to equal.
+_SPREAD_COST_S = 0.1
 
 
 class Chooser(Protocol):
@@ -66,15 +55,14 @@
 
 
 class CostChooser:
-    """Chooses the endpoint at which a request is expected to cost least."""
+    """Draws among the endpoints, those that cost least most often."""
 
     def __init__(
         self,
         here: place.VmPlace,
         known: directory.EndpointDirectory,
         near: neighbourhood.Neighbourhood,
-        own: own_load.OwnLoad,
-        reports: report_board.ReportBoard,
+        loads: load_forecast.LoadForecaster,
         failures: failure_memory.FailureMemory,
         rng: random.Random,
     ) -> None:
@@ -84,16 +72,14 @@
             here: Place of this gateway.
             known: Endpoints.
             near: Tells which endpoints are near each other.
-            own: Requests that this gateway has under way.
-            reports: Reports of the model engines.
+            loads: Forecasts the load of endpoints.
             failures: Failures of endpoints.
-            rng: Source of the small random part of a cost.
+            rng: Source of the draws.
         """
         self._here = here
         self._known = known
         self._near = near
-        self._own = own
-        self._reports = reports
+        self._loads = loads
         self._failures = failures
         self._rng = rng
 
@@ -102,41 +88,32 @@
         request: admitted.AdmittedRequest,
         tried: AbstractSet[ids.EndpointId],
     ) -> endpoint.Endpoint:
-        """Returns the endpoint with the least cost."""
+        """Returns the endpoint drawn."""
         options = ready_options(self._known, request, tried)
-        return min(options, key=lambda option: self._cost(option, request))
-
-    def forecast(
+        costs_s = [self.cost_s(option, request) for option in options]
+        least_s = min(costs_s)
+        weights = [
+            math.exp((least_s - cost_s) / _SPREAD_COST_S) for cost_s in costs_s
+        ]
+        self._loads.note_prompt(request)
+        return self._rng.choices(options, weights)[0]
+
+    def cost_s(
         self, option: endpoint.Endpoint, request: admitted.AdmittedRequest
-    ) -> EndpointForecast:
-        """Expects the load of an endpoint if it takes a request."""
-        engine = request.service.engine
-        dated = self._reports.get(option.endpoint_id)
-        if engine is None or dated is None:
-            count = self._own.count(option.endpoint_id) + 1
-            return EndpointForecast(count / max(option.slots, 1), 0.0)
-        since = self._own.since(
-            option.endpoint_id, dated.read_s - _REPORT_LAG_S
-        )
-        count = dated.report.running + dated.report.waiting + len(since) + 1
-        shape = request.request.shape
-        tokens = self._used_tokens(option)
-        tokens += shape.expected_tokens if shape else 0
-        return EndpointForecast(
-            count / max(engine.slots, 1),
-            tokens / max(dated.report.memory_tokens, 1),
-        )
-
-    def _used_tokens(self, option: endpoint.Endpoint) -> int:
-        """Memory taken by the last report and by requests sent since."""
-        dated = self._reports.get(option.endpoint_id)
-        since_s = -math.inf
-        used_tokens = 0
-        if dated is not None:
-            since_s = dated.read_s - _REPORT_LAG_S
-            used_tokens = dated.report.used_tokens
-        since = self._own.since(option.endpoint_id, since_s)
-        return used_tokens + sum(run.expected_tokens for run in since)
+    ) -> float:
+        """Returns what a request would cost at an endpoint, in seconds."""
+        forecast = self._loads.forecast(option, request)
+        pressure = max(forecast.memory - _MEMORY_START, 0.0)
+        cost_s = forecast.prefill_s + _CROWDING_COST_S * forecast.crowding
+        cost_s += _MEMORY_COST_S * pressure * pressure
+        cost_s += _FAILURE_COST_S * self._failures.score_of(option.endpoint_id)
+        cost_s += _COLD_COST_S if option.cold_left_s > 0 else 0.0
+        cost_s += self._distance_s(option)
+        if is_long(request) and not self._could_be_evacuated(option, request):
+            cost_s += _UNSAFE_COST_S + _UNSAFE_RUN_COST_S * (
+                forecast.crowding * option.slots
+            )
+        return cost_s
 
     def _could_be_evacuated(
         self, option: endpoint.Endpoint, request: admitted.AdmittedRequest
@@ -148,29 +125,15 @@
         around = self._near.around(option)
         capacity_tokens = request.service.engine.memory_tokens
         room_tokens = _EVACUATION_SHARE * capacity_tokens * (len(around) - 1)
-        used_tokens = sum(self._used_tokens(found) for found in around)
+        used_tokens = sum(self._loads.used_tokens(found) for found in around)
         return used_tokens + request.request.shape.expected_tokens < room_tokens
 
-    def _cost(
-        self, option: endpoint.Endpoint, request: admitted.AdmittedRequest
-    ) -> float:
-        forecast = self.forecast(option, request)
-        pressure = max(forecast.memory - _MEMORY_START, 0.0)
-        cost = forecast.crowding + forecast.memory
-        cost += _MEMORY_COST * pressure * pressure
-        cost += _FAILURE_COST * self._failures.score_of(option.endpoint_id)
-        cost += _COLD_COST if option.cold_left_s > 0 else 0.0
-        cost += self._distance(option)
-        if is_long(request) and not self._could_be_evacuated(option, request):
-            cost += _UNSAFE_COST
-        return cost + _SPREAD_COST * self._rng.random()
-
-    def _distance(self, option: endpoint.Endpoint) -> float:
+    def _distance_s(self, option: endpoint.Endpoint) -> float:
         if option.failure_domain == self._here.failure_domain:
             return 0.0
         if self._here.is_in_region(option.failure_domain):
-            return _OTHER_DOMAIN_COST
-        return _OTHER_REGION_COST
+            return _OTHER_DOMAIN_COST_S
+        return _OTHER_REGION_COST_S
 
 
 class RoundRobinChooser:
--- a/bronzeslip/forwarding/standby_chooser.py
+++ b/bronzeslip/forwarding/standby_chooser.py
@@ -42,9 +42,15 @@
         self._reports = reports
         self._rng = rng
 
-    def has_neighbour(self, runs_at: endpoint.Endpoint) -> bool:
-        """Tells whether a ready engine is near, for a quick copy."""
-        return self._near.has_neighbour(runs_at)
+    def needs_copy_ahead(self, runs_at: endpoint.Endpoint) -> bool:
+        """Tells whether a copy made at the notice would come too late.
+
+        While a neighbour copies its own runs to this engine, a slow copy to
+        another region would hold these up.
+        """
+        return not self._near.has_neighbour(
+            runs_at
+        ) and not self._near.is_evacuating(runs_at)
 
     def choose(
         self,
@@ -76,9 +82,7 @@
         near = [
             option for option in options if self._near.is_near(option, runs_at)
         ]
-        alone = [
-            option for option in options if not self._near.has_neighbour(option)
-        ]
+        alone = [option for option in options if self.needs_copy_ahead(option)]
         options = near or alone or (options if is_urgent else [])
         if not options:
             return None
--- a/bronzeslip/forwarding/standby_keeper.py
+++ b/bronzeslip/forwarding/standby_keeper.py
@@ -79,7 +79,7 @@
         between the notice and the end of the engine that leaves; without
         one there, a copy has to be made ahead.
         """
-        return self._is_leaving or not self._parts.standbys.has_neighbour(
+        return self._is_leaving or self._parts.standbys.needs_copy_ahead(
             self._runs_at
         )
 
@@ -115,6 +115,7 @@
                 target=target.endpoint_id,
                 reason=error.message,
                 took_s=round(_now_s() - began_s, 3),
+                target_report=self._parts.reports.get(target.endpoint_id),
             )
             self._refused.add(target.endpoint_id)
             return False
--- a/bronzeslip/forwarding/stream_run.py
+++ b/bronzeslip/forwarding/stream_run.py
@@ -18,6 +18,7 @@
 from bronzeslip.forwarding import parts
 from bronzeslip.forwarding import reply
 from bronzeslip.forwarding import standby_keeper
+from bronzeslip.forwarding import stream_times
 from bronzeslip.forwarding import whole_answer
 
 logger = logs.get_logger(__name__)
@@ -38,6 +39,7 @@
         self._endpoint: endpoint.Endpoint | None = None
         self._framer = event_framer.EventFramer()
         self._events = 0
+        self._times = stream_times.StreamTimes(request.request.arrived_s)
         self._last_event_id: str | None = None
         self._load = contextlib.ExitStack()
         self._keeper: standby_keeper.StandbyKeeper | None = None
@@ -55,6 +57,7 @@
             )
             while not await self._relay(answer):
                 answer = await self._go_on()
+            self._log_end()
         finally:
             self._load.close()
             self._end_keeping()
@@ -67,7 +70,7 @@
     async def _send(
         self, chosen: endpoint.Endpoint, source: dispatch.RunSource | None
     ) -> endpoint_client.EndpointAnswer:
-        self._count_at(chosen)
+        self._count_at(chosen, source)
         answer = await self._parts.client.send(
             dispatch.Dispatch(
                 request=self._request.request,
@@ -88,12 +91,17 @@
         )
         return answer
 
-    def _count_at(self, chosen: endpoint.Endpoint) -> None:
+    def _count_at(
+        self, chosen: endpoint.Endpoint, source: dispatch.RunSource | None
+    ) -> None:
+        """Counts the run at an engine, with a prompt if it has to read it."""
         shape = self._request.request.shape
+        prompt_tokens = shape.prompt_tokens if shape and source is None else 0
+        expected_tokens = shape.expected_tokens if shape else 0
         self._load.close()
         self._load.enter_context(
             self._parts.own.hold(
-                chosen.endpoint_id, shape.expected_tokens if shape else 0
+                chosen.endpoint_id, prompt_tokens, expected_tokens
             )
         )
 
@@ -132,6 +140,7 @@
             return
         await self._start_answer(head)
         await self._to_caller.write(block.data)
+        self._times.event_sent(self._events)
         self._events += block.count
         self._last_event_id = block.last_event_id or self._last_event_id
         if self._keeping is None:
@@ -196,6 +205,19 @@
         self._keeping = None
         self._keeper = None
 
+    def _log_end(self) -> None:
+        first_s = self._times.first_s
+        logger.info(
+            "stream.done",
+            request=self._request.request.request_id,
+            route=self._request.route.name,
+            endpoint=self._endpoint.endpoint_id,
+            events=self._events,
+            first_s=None if first_s is None else round(first_s, 3),
+            longest_pause_s=round(self._times.longest_pause_s, 3),
+            longest_pause_event=self._times.longest_pause_event,
+        )
+
     def _broken_off(self, reason: str) -> errors.ForwardingError:
         logger.info(
             "stream.broken_off",
--- /dev/null
+++ b/bronzeslip/forwarding/stream_times.py
@@ -0,0 +1,39 @@
+"""Times of one stream as its caller meets them."""
+
+import asyncio
+
+
+class StreamTimes:
+    """Measures the wait for the first event and the longest pause after.
+
+    Attributes:
+        first_s: Wait for the first event, in seconds, or None before it.
+        longest_pause_s: Longest pause between two events, in seconds.
+        longest_pause_event: Number of events before that pause.
+    """
+
+    def __init__(self, arrived_s: float) -> None:
+        """Starts to measure.
+
+        Args:
+            arrived_s: When the request arrived, on the loop's clock.
+        """
+        self._last_s = arrived_s
+        self.first_s: float | None = None
+        self.longest_pause_s = 0.0
+        self.longest_pause_event = 0
+
+    def event_sent(self, events_before: int) -> None:
+        """Notes that events are sent now.
+
+        Args:
+            events_before: Number of events that were sent before.
+        """
+        now_s = asyncio.get_running_loop().time()
+        pause_s = now_s - self._last_s
+        self._last_s = now_s
+        if self.first_s is None:
+            self.first_s = pause_s
+        elif pause_s > self.longest_pause_s:
+            self.longest_pause_s = pause_s
+            self.longest_pause_event = events_before
--- a/bronzeslip/platform/gateway.py
+++ b/bronzeslip/platform/gateway.py
@@ -17,6 +17,7 @@
 from bronzeslip.forwarding import attempts
 from bronzeslip.forwarding import call_forwarder
 from bronzeslip.forwarding import chooser
+from bronzeslip.forwarding import load_forecast
 from bronzeslip.forwarding import parts
 from bronzeslip.forwarding import pipeline
 from bronzeslip.forwarding import repeat_budgets
@@ -72,7 +73,12 @@
         chosen = chooser.RoundRobinChooser(known)
     else:
         chosen = chooser.CostChooser(
-            here, known, near, own, reports, failures, random.Random()
+            here,
+            known,
+            near,
+            load_forecast.LoadForecaster(settings, own, reports),
+            failures,
+            random.Random(),
         )
     budgets = repeat_budgets.RepeatBudgets(here.bounds, lambda: 5)
     return parts.ForwardingParts(
--- a/bronzeslip/settings/entry.py
+++ b/bronzeslip/settings/entry.py
@@ -112,6 +112,14 @@
         "routing",
         default=Placement.COST,
     )
+    prefill_tokens_per_s: float = setting(
+        "tokens of prompts that an engine reads in a second; the users' "
+        "sheets give 14 a millisecond",
+        "routing",
+        default=14_000.0,
+        minimum=1,
+        maximum=10_000_000,
+    )
     log_format: logs.LogFormat = setting(
         "form of log lines", "logs", default=logs.LogFormat.JSON
     )
