--- a/bronzeslip/forwarding/call_forwarder.py
+++ b/bronzeslip/forwarding/call_forwarder.py
@@ -52,6 +52,7 @@
     ) -> None:
         self._parts = shared
         self._request = request
+        self._tries = 0
         self.failure: whole_answer.WholeAnswer | None = None
 
     async def try_at(
@@ -59,6 +60,7 @@
     ) -> whole_answer.WholeAnswer:
         """Sends the call to an endpoint and reads its whole answer."""
         self.failure = None
+        self._tries += 1
         with self._parts.own.hold(chosen.endpoint_id):
             try:
                 async with asyncio.timeout(self._try_time_s()):
@@ -79,8 +81,11 @@
         return self._request.route.kind is kind.RequestKind.IDEMPOTENT
 
     def _try_time_s(self) -> float | None:
+        """Returns the time for a try that another one may follow."""
         if not self._is_idempotent:
             return None
+        if self._tries >= self._request.route.max_attempts:
+            return None
         return max(self._request.left_s * _FIRST_TRY_SHARE, 0)
 
     async def _exchange(
--- /dev/null
+++ b/tests/forwarding/test_attempts.py
@@ -0,0 +1,107 @@
+"""Tests of bronzeslip.forwarding.attempts by calls and their answers."""
+
+import unittest
+
+from bronzeslip.forwarding import call_forwarder
+from bronzeslip.forwarding import endpoint_errors
+from bronzeslip.forwarding import errors
+from bronzeslip.routes import kind
+from tests.support import forwarding_parts
+from tests.support import scripted_endpoints
+
+_UNREACHABLE = endpoint_errors.EndpointUnreachableError("refused")
+_BROKEN = endpoint_errors.EndpointBrokenError("reset")
+
+
+class CallTest(unittest.IsolatedAsyncioTestCase):
+    async def _call(self, request_kind, first, second=None, **route_changes):
+        """Sends a call to 'one', and to 'two' if it is sent again."""
+        second = second or scripted_endpoints.ScriptedAnswer(200, [b"two"])
+        self.client = scripted_endpoints.ScriptedEndpoints(
+            {"one": [first], "two": [second]}
+        )
+        shared = forwarding_parts.create_parts(
+            self.client,
+            (
+                forwarding_parts.create_endpoint("one", service_name="desk"),
+                forwarding_parts.create_endpoint(
+                    "two", "b-1", service_name="desk", cold_left_s=9.0
+                ),
+            ),
+        )
+        self.reply = scripted_endpoints.RecordedReply()
+        request = forwarding_parts.admit(
+            forwarding_parts.create_request(), request_kind, **route_changes
+        )
+        await call_forwarder.CallForwarder(shared).forward(request, self.reply)
+
+    @property
+    def _sent_to(self):
+        return [sent.endpoint.endpoint_id for sent in self.client.sent]
+
+    async def test_answer_is_passed_on_whole(self):
+        answer = scripted_endpoints.ScriptedAnswer(
+            201, [b"a", b"b"], headers=[(b"x-y", b"z")]
+        )
+        await self._call(kind.RequestKind.AT_MOST_ONCE, answer)
+        self.assertEqual(self.reply.head.status, 201)
+        self.assertEqual(self.reply.head.content_length, 2)
+        self.assertEqual(self.reply.head.headers[0].value, b"z")
+        self.assertEqual(self.reply.body, b"ab")
+        self.assertTrue(self.reply.is_finished)
+
+    async def test_refused_request_goes_to_another_endpoint(self):
+        await self._call(
+            kind.RequestKind.AT_MOST_ONCE, scripted_endpoints.not_run()
+        )
+        self.assertEqual(self._sent_to, ["one", "two"])
+        self.assertEqual(self.reply.body, b"two")
+
+    async def test_unreachable_endpoint_is_passed_over(self):
+        await self._call(kind.RequestKind.AT_MOST_ONCE, _UNREACHABLE)
+        self.assertEqual(self._sent_to, ["one", "two"])
+
+    async def test_lost_answer_of_an_at_most_once_request_is_unknown(self):
+        with self.assertRaises(errors.OutcomeUnknownError):
+            await self._call(kind.RequestKind.AT_MOST_ONCE, _BROKEN)
+        self.assertEqual(self._sent_to, ["one"])
+
+    async def test_lost_body_of_an_at_most_once_request_is_unknown(self):
+        answer = scripted_endpoints.ScriptedAnswer(200, [b"a", _BROKEN])
+        with self.assertRaises(errors.OutcomeUnknownError):
+            await self._call(kind.RequestKind.AT_MOST_ONCE, answer)
+        self.assertFalse(self.reply.is_started)
+
+    async def test_own_failure_of_an_at_most_once_request_is_passed_on(self):
+        answer = scripted_endpoints.ScriptedAnswer(500, [b"no"])
+        await self._call(kind.RequestKind.AT_MOST_ONCE, answer)
+        self.assertEqual(self._sent_to, ["one"])
+        self.assertEqual(self.reply.head.status, 500)
+
+    async def test_idempotent_request_is_repeated_after_a_failure(self):
+        answer = scripted_endpoints.ScriptedAnswer(500, [b"no"])
+        await self._call(kind.RequestKind.IDEMPOTENT, answer)
+        self.assertEqual(self.reply.body, b"two")
+
+    async def test_idempotent_request_runs_no_more_often_than_allowed(self):
+        answer = scripted_endpoints.ScriptedAnswer(500, [b"no"])
+        await self._call(kind.RequestKind.IDEMPOTENT, answer, max_attempts=1)
+        self.assertEqual(self._sent_to, ["one"])
+        self.assertEqual(self.reply.head.status, 500)
+
+    async def test_request_that_nobody_runs_is_refused_as_not_run(self):
+        with self.assertRaises(errors.NotRunError) as caught:
+            await self._call(
+                kind.RequestKind.AT_MOST_ONCE,
+                _UNREACHABLE,
+                scripted_endpoints.not_run(),
+            )
+        self.assertGreater(caught.exception.retry_after_s, 0)
+
+    async def test_run_and_then_refused_is_unknown(self):
+        with self.assertRaises(errors.OutcomeUnknownError):
+            await self._call(
+                kind.RequestKind.IDEMPOTENT,
+                _BROKEN,
+                scripted_endpoints.not_run(),
+            )
--- /dev/null
+++ b/tests/forwarding/test_reclaims_in_series.py
@@ -0,0 +1,122 @@
+"""Load pattern: engines are reclaimed one after the other under drafts."""
+
+import asyncio
+import unittest
+
+from bronzeslip.endpoints import endpoint
+from bronzeslip.forwarding import endpoint_errors
+from bronzeslip.forwarding import errors
+from bronzeslip.forwarding import stream_run
+from tests.support import forwarding_parts
+from tests.support import scripted_endpoints
+from tests.support import until
+
+_CUT = endpoint_errors.EndpointBrokenError("reset")
+_FIRST = b"id: 1\ndata: a\n\n"
+_SECOND = b"id: 2\ndata: b\n\n"
+_THIRD = b"id: 3\ndata: c\n\n"
+
+
+class ReclaimTest(unittest.IsolatedAsyncioTestCase):
+    """A draft at 'one'; 'two' is in its region, 'far' is not."""
+
+    async def _start(self, answers, others):
+        one = forwarding_parts.create_endpoint("one")
+        self.client = scripted_endpoints.ScriptedEndpoints(answers)
+        self.parts = forwarding_parts.create_parts(self.client, (one,))
+        request = forwarding_parts.admit_draft()
+        self.reply = scripted_endpoints.RecordedReply()
+        self.run = stream_run.StreamRun(self.parts, request, self.reply)
+        serving = asyncio.create_task(self.run.serve())
+        await until.until(lambda: self.reply.body)
+        for other in others:
+            self.parts.known.put(other)
+        return serving
+
+    def _reclaim(self):
+        self.parts.known.put(
+            forwarding_parts.create_endpoint(
+                "one", state=endpoint.EndpointState.LEAVING
+            )
+        )
+
+    async def test_draft_goes_on_from_its_copy_with_each_event_once(self):
+        cut = asyncio.Event()
+        broken = [_FIRST, cut, _SECOND + b"id: 3\nda", _CUT]
+        serving = await self._start(
+            {
+                "one": [scripted_endpoints.ScriptedAnswer(200, broken)],
+                "two": [scripted_endpoints.ScriptedAnswer(200, [_THIRD])],
+            },
+            [forwarding_parts.create_endpoint("two", "a-2")],
+        )
+        self._reclaim()
+        await until.until(lambda: self.client.copies)
+        cut.set()
+        await asyncio.wait_for(serving, 5)
+        self.assertEqual(self.reply.body, _FIRST + _SECOND + _THIRD)
+        self.assertTrue(self.reply.is_finished)
+        resumed = self.client.sent[1]
+        self.assertEqual(resumed.endpoint.endpoint_id, "two")
+        self.assertEqual(resumed.source.after_event_id, "2")
+        self.assertEqual(resumed.source.handle, "h1")
+
+    async def test_no_copy_is_made_while_a_neighbour_could_take_one(self):
+        end = asyncio.Event()
+        serving = await self._start(
+            {"one": [scripted_endpoints.ScriptedAnswer(200, [_FIRST, end])]},
+            [
+                forwarding_parts.create_endpoint("two", "a-2"),
+                forwarding_parts.create_endpoint("far", "b-1"),
+            ],
+        )
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.client.copies, [])
+        end.set()
+        await asyncio.wait_for(serving, 5)
+
+    async def test_copy_is_made_ahead_without_a_neighbour(self):
+        end = asyncio.Event()
+        serving = await self._start(
+            {"one": [scripted_endpoints.ScriptedAnswer(200, [_FIRST, end])]},
+            [forwarding_parts.create_endpoint("far", "b-1")],
+        )
+        await until.until(lambda: self.client.copies)
+        self.assertEqual(self.client.copies[0], ("one", "far"))
+        end.set()
+        await asyncio.wait_for(serving, 5)
+
+    async def test_refused_renewal_leaves_the_copy_in_use(self):
+        cut = asyncio.Event()
+        serving = await self._start(
+            {
+                "one": [
+                    scripted_endpoints.ScriptedAnswer(200, [_FIRST, cut, _CUT])
+                ],
+                "two": [scripted_endpoints.ScriptedAnswer(200, [_SECOND])],
+            },
+            [forwarding_parts.create_endpoint("two", "a-2")],
+        )
+        self._reclaim()
+        await until.until(lambda: self.client.copies)
+        self.client.refuses_copies = True
+        await until.until(lambda: len(self.client.copies) > 1)
+        cut.set()
+        await asyncio.wait_for(serving, 5)
+        self.assertEqual(self.reply.body, _FIRST + _SECOND)
+
+    async def test_draft_without_a_copy_is_broken_off_at_once(self):
+        broken = [_FIRST, _CUT]
+        self.client = scripted_endpoints.ScriptedEndpoints(
+            {"one": [scripted_endpoints.ScriptedAnswer(200, broken)]}
+        )
+        self.parts = forwarding_parts.create_parts(
+            self.client, (forwarding_parts.create_endpoint("one"),)
+        )
+        reply = scripted_endpoints.RecordedReply()
+        run = stream_run.StreamRun(
+            self.parts, forwarding_parts.admit_draft(), reply
+        )
+        with self.assertRaises(errors.AnswerBrokenOffError):
+            await run.serve()
+        self.assertFalse(reply.is_finished)
--- /dev/null
+++ b/tests/platform/test_discovery.py
@@ -0,0 +1,64 @@
+"""Tests of bronzeslip.platform.discovery."""
+
+import unittest
+
+import msgspec
+
+from bronzeslip import ids
+from bronzeslip.endpoints import endpoint
+from bronzeslip.platform import discovery
+from bronzeslip.platform import errors
+
+_KEY = ids.ObjectKey("servers/i-1")
+_ENTRY = {
+    "service": "s",
+    "address": "10.0.0.9:8080",
+    "zone": "a-1",
+    "version": "v1",
+    "slots": 24,
+    "state": "ready",
+    "cold_left_ms": 1500,
+    "seq": 4,
+    "born": 1700000000123,
+}
+
+
+def _decode(**changes):
+    raw = msgspec.Raw(msgspec.json.encode({**_ENTRY, **changes}))
+    return discovery.decode(_KEY, raw)
+
+
+class DecodeTest(unittest.TestCase):
+    def test_fields_are_decoded(self):
+        found = _decode()
+        self.assertEqual(found.endpoint_id, "i-1")
+        self.assertEqual(found.address, "10.0.0.9:8080")
+        self.assertEqual(found.cold_left_s, 1.5)
+        self.assertEqual(found.started_unix_ms, 1700000000123)
+        self.assertTrue(found.is_ready)
+
+    def test_draining_endpoints_are_leaving(self):
+        found = _decode(state="draining")
+        self.assertIs(found.state, endpoint.EndpointState.LEAVING)
+
+    def test_entries_of_other_writers_name_no_endpoint(self):
+        for changes in (
+            {"state": "sleeping"},
+            {"service": 7},
+            {"service": ""},
+            {"address": "nowhere"},
+            {"address": None},
+            {"slots": 0},
+            {"slots": "many"},
+            {"zone": []},
+        ):
+            with (
+                self.subTest(changes=changes),
+                self.assertRaises(errors.EntryError),
+            ):
+                _decode(**changes)
+
+    def test_unreadable_bytes_name_no_endpoint(self):
+        for raw in (b"null", b"[]", b'"text"', b"{"):
+            with self.subTest(raw=raw), self.assertRaises(errors.EntryError):
+                discovery.decode(_KEY, msgspec.Raw(raw))
--- /dev/null
+++ b/tests/platform/test_request_decoder.py
@@ -0,0 +1,111 @@
+"""Tests of bronzeslip.platform.request_decoder."""
+
+import unittest
+
+from bronzeslip.forwarding import errors
+from bronzeslip.platform import request_decoder
+
+_HEADERS = [
+    (b"host", b"Ficu95.example:8080"),
+    (b"bronzeslip-attempt-id", b"9c41"),
+    (b"bronzeslip-deadline-ms", b"1500"),
+    (b"bronzeslip-key", b"secret"),
+    (b"content-length", b"4"),
+    (b"x-own", b"kept"),
+]
+
+
+def _decode(*extra, target=b"/a%20b/?q=%31"):
+    scope = {
+        "method": "POST",
+        "target": target,
+        "raw_path": target.partition(b"?")[0],
+        "headers": [*_HEADERS, *extra],
+    }
+    return request_decoder.decode(scope, b"body", 5.0)
+
+
+def _names(request):
+    return {field.name for field in request.headers}
+
+
+class DecodeTest(unittest.TestCase):
+    def test_request_is_kept_byte_for_byte(self):
+        request = _decode()
+        self.assertEqual(request.target, b"/a%20b/?q=%31")
+        self.assertEqual(request.body, b"body")
+        self.assertEqual(request.host, "ficu95.example")
+        self.assertEqual(request.patience_s, 1.5)
+        self.assertEqual(request.key, "secret")
+        self.assertIn(b"x-own", _names(request))
+        self.assertIn(b"bronzeslip-attempt-id", _names(request))
+
+    def test_headers_that_only_the_system_sets_are_dropped(self):
+        forged = (
+            b"bronzeslip-tenant",
+            b"bronzeslip-target-instance",
+            b"bronzeslip-request-priority",
+            b"bronzeslip-hold",
+            b"bronzeslip-pin-ms",
+            b"bronzeslip-kv-backup",
+            b"kv-from",
+            b"kv-fetch",
+        )
+        request = _decode(*((name, b"forged") for name in forged))
+        self.assertFalse(_names(request) & set(forged))
+        self.assertNotIn(b"bronzeslip-key", _names(request))
+        self.assertNotIn(b"bronzeslip-deadline-ms", _names(request))
+
+    def test_headers_of_one_connection_are_dropped(self):
+        request = _decode(
+            (b"connection", b"keep-alive, X-Hop"),
+            (b"x-hop", b"1"),
+            (b"te", b"trailers"),
+            (b"transfer-encoding", b"chunked"),
+        )
+        for name in (b"connection", b"x-hop", b"te", b"transfer-encoding"):
+            self.assertNotIn(name, _names(request))
+
+    def test_connection_header_can_not_drop_what_endpoints_need(self):
+        request = _decode((b"connection", b"bronzeslip-attempt-id, host"))
+        self.assertIn(b"bronzeslip-attempt-id", _names(request))
+        self.assertIn(b"host", _names(request))
+
+    def test_shape_of_a_generation_is_decoded(self):
+        request = _decode(
+            (b"bronzeslip-model", b"m"),
+            (b"bronzeslip-token-usage", b"1460,80"),
+            (b"bronzeslip-prompt-prefix", b"5c1e:800,91bd:410"),
+            (b"bronzeslip-length-hint", b"40"),
+        )
+        self.assertEqual(request.shape.prompt_tokens, 1460)
+        self.assertEqual(request.shape.expected_tokens, 1500)
+        self.assertEqual(request.shape.parts[1].tokens, 410)
+
+    def test_shape_that_makes_no_sense_is_passed_on_unread(self):
+        request = _decode((b"bronzeslip-token-usage", b"many"))
+        self.assertIsNone(request.shape)
+        self.assertIn(b"bronzeslip-token-usage", _names(request))
+
+    def test_deadline_that_is_no_number_is_refused(self):
+        scope = {
+            "method": "GET",
+            "target": b"/",
+            "raw_path": b"/",
+            "headers": [
+                (b"bronzeslip-attempt-id", b"1"),
+                (b"bronzeslip-deadline-ms", b"soon"),
+            ],
+        }
+        with self.assertRaises(errors.BadRequestError):
+            request_decoder.decode(scope, b"", 0.0)
+
+    def test_request_without_an_id_is_refused(self):
+        scope = {
+            "method": "GET",
+            "target": b"/",
+            "raw_path": b"/",
+            "headers": [],
+        }
+        with self.assertRaises(errors.BadRequestError):
+            request_decoder.decode(scope, b"", 0.0)
--- /dev/null
+++ b/tests/routes/test_route_table.py
@@ -0,0 +1,43 @@
+"""Tests of bronzeslip.routes.route_table and current."""
+
+import unittest
+
+from bronzeslip.routes import current
+from bronzeslip.routes import kind
+from tests.support import forwarding_parts
+
+
+class RouteTableTest(unittest.TestCase):
+    def setUp(self):
+        create = forwarding_parts.create_route
+        self.table = forwarding_parts.create_table(
+            create(kind.RequestKind.STREAM, path_prefix="/a/"),
+            create(kind.RequestKind.IDEMPOTENT, path_prefix="/a/b/"),
+            create(kind.RequestKind.AT_MOST_ONCE, host="other.example"),
+        )
+
+    def test_longest_prefix_takes_the_path(self):
+        self.assertEqual(
+            self.table.match("h.example", "/a/b/c").path_prefix, "/a/b/"
+        )
+        self.assertEqual(
+            self.table.match("H.Example", "/a/bc").path_prefix, "/a/"
+        )
+
+    def test_routes_of_other_hosts_take_nothing(self):
+        self.assertIsNone(self.table.match("other.example", "/a/b/c"))
+        self.assertIsNone(self.table.match("h.example", "/a"))
+
+    def test_key_belongs_to_its_workspace_only(self):
+        found = self.table.workspace_of(forwarding_parts.KEY)
+        self.assertEqual(found.workspace_id, "w")
+        self.assertIsNone(self.table.workspace_of(forwarding_parts.KEY + "x"))
+
+
+class CurrentTableTest(unittest.TestCase):
+    def test_older_versions_are_never_adopted(self):
+        holder = current.CurrentTable()
+        newer = forwarding_parts.create_table(version=7)
+        self.assertTrue(holder.adopt(newer))
+        self.assertFalse(holder.adopt(forwarding_parts.create_table(version=6)))
+        self.assertIs(holder.table, newer)
--- /dev/null
+++ b/tests/support/forwarding_parts.py
@@ -0,0 +1,173 @@
+"""Parts of a forwarding gateway with endpoints that a test scripts."""
+
+import asyncio
+import random
+
+from bronzeslip import ids
+from bronzeslip.endpoints import directory
+from bronzeslip.endpoints import endpoint
+from bronzeslip.endpoints import failure_memory
+from bronzeslip.endpoints import neighbourhood
+from bronzeslip.endpoints import own_load
+from bronzeslip.endpoints import report
+from bronzeslip.endpoints import report_board
+from bronzeslip.entry import place
+from bronzeslip.forwarding import admitted
+from bronzeslip.forwarding import attempts
+from bronzeslip.forwarding import chooser
+from bronzeslip.forwarding import incoming
+from bronzeslip.forwarding import load_forecast
+from bronzeslip.forwarding import parts
+from bronzeslip.forwarding import prompt
+from bronzeslip.forwarding import repeat_budgets
+from bronzeslip.forwarding import standby_chooser
+from bronzeslip.routes import current
+from bronzeslip.routes import engine_traits
+from bronzeslip.routes import kind
+from bronzeslip.routes import limits
+from bronzeslip.routes import route
+from bronzeslip.routes import route_table
+from bronzeslip.routes import service
+from bronzeslip.routes import workspace
+from bronzeslip.settings import entry
+
+MEMORY_TOKENS = 30_000
+ENGINE = engine_traits.EngineTraits(
+    slots=24,
+    memory_tokens=MEMORY_TOKENS,
+    token_bytes=1000,
+    link_mbps=1000.0,
+    can_move=True,
+    copy_lifetime_s=5.0,
+)
+POOL = service.Service(ids.ServiceName("pool"), "/health", 100, ENGINE)
+DESK = service.Service(ids.ServiceName("desk"), "/health", 100)
+KEY = "key-of-w"
+SETTINGS = entry.EntrySettings(lapse_grace_s=0.05)
+PLACE = place.VmPlace(
+    vm_id=ids.VmId("front-1"),
+    failure_domain=ids.FailureDomainName("a-1"),
+    regions={
+        ids.FailureDomainName("a-1"): ids.RegionName("a"),
+        ids.FailureDomainName("a-2"): ids.RegionName("a"),
+        ids.FailureDomainName("b-1"): ids.RegionName("b"),
+    },
+    callers=place.SocketAddress("127.0.0.1", 0),
+    readiness=place.SocketAddress("127.0.0.1", 0),
+    store=place.SocketAddress("127.0.0.1", 1),
+    bounds=place.PlaceBounds(8.0, 0.2, 50.0, 10.0),
+)
+
+
+def create_endpoint(name, domain="a-1", service_name="pool", **changes):
+    values = {
+        "endpoint_id": ids.EndpointId(name),
+        "service_name": ids.ServiceName(service_name),
+        "host": "10.0.0.1",
+        "port": 1000 + sum(name.encode()),
+        "failure_domain": ids.FailureDomainName(domain),
+        "slots": 24,
+        "state": endpoint.EndpointState.READY,
+    }
+    return endpoint.Endpoint(**{**values, **changes})
+
+
+def create_report(used_tokens=0, waiting=0, running=0, **changes):
+    return report.EngineReport(
+        waiting, running, used_tokens, MEMORY_TOKENS, **changes
+    )
+
+
+def create_route(request_kind, **changes):
+    values = {
+        "name": ids.RouteName("r"),
+        "host": "h.example",
+        "path_prefix": "/p/",
+        "kind": request_kind,
+        "timeout_s": 5.0,
+        "objective_s": 1.0,
+        "priority": 0,
+        "services": (route.WeightedService(DESK.name),),
+        "max_attempts": 2,
+    }
+    return route.Route(**{**values, **changes})
+
+
+def create_table(*routes, version=1):
+    return route_table.RouteTable(
+        ids.TableVersion(version),
+        routes,
+        (POOL, DESK),
+        (workspace.KeyedWorkspace(ids.WorkspaceId("w"), (KEY,)),),
+        limits.CallerLimits(),
+    )
+
+
+def create_request(**changes):
+    values = {
+        "request_id": ids.RequestId("q1"),
+        "method": "POST",
+        "target": b"/p/x",
+        "host": "h.example",
+        "path": "/p/x",
+        "headers": (),
+        "body": b"body",
+        "key": KEY,
+        "arrived_s": asyncio.get_running_loop().time(),
+    }
+    return incoming.IncomingRequest(**{**values, **changes})
+
+
+def create_draft(**changes):
+    """Returns a request for a long generation."""
+    shape = prompt.PromptShape("m", 3000, 2000, 1000)
+    return create_request(shape=shape, **changes)
+
+
+def admit(request, request_kind, to=DESK, **route_changes):
+    taken = create_route(request_kind, **route_changes)
+    return admitted.AdmittedRequest(
+        request=request,
+        route=taken,
+        service=to,
+        workspace_id=ids.WorkspaceId("w"),
+        priority=0,
+        deadline_s=request.arrived_s + taken.timeout_s,
+    )
+
+
+def admit_draft(**route_changes):
+    return admit(create_draft(), kind.RequestKind.STREAM, POOL, **route_changes)
+
+
+def create_parts(client, endpoints=(), settings=SETTINGS):
+    """Creates parts whose endpoints are all known."""
+    known = directory.EndpointDirectory(settings)
+    known.replace_all(endpoints)
+    near = neighbourhood.Neighbourhood(PLACE, known)
+    own = own_load.OwnLoad()
+    reports = report_board.ReportBoard()
+    failures = failure_memory.FailureMemory()
+    rng = random.Random(1)
+    chosen = chooser.CostChooser(
+        PLACE,
+        known,
+        near,
+        load_forecast.LoadForecaster(settings, own, reports),
+        failures,
+        rng,
+    )
+    budgets = repeat_budgets.RepeatBudgets(PLACE.bounds, lambda: 1)
+    return parts.ForwardingParts(
+        settings=settings,
+        current=current.CurrentTable(),
+        known=known,
+        own=own,
+        reports=reports,
+        failures=failures,
+        client=client,
+        chosen=chosen,
+        standbys=standby_chooser.StandbyChooser(near, known, reports, rng),
+        budgets=budgets,
+        attempts=attempts.Attempts(chosen, failures, budgets),
+    )
--- /dev/null
+++ b/tests/support/scripted_endpoints.py
@@ -0,0 +1,93 @@
+"""Endpoints that answer as a test says, without a network."""
+
+import asyncio
+
+from bronzeslip import ids
+from bronzeslip.forwarding import endpoint_client
+from bronzeslip.forwarding import endpoint_errors
+from bronzeslip.forwarding import incoming
+
+
+class ScriptedAnswer:
+    """Answer whose chunks are given; an exception among them is raised."""
+
+    def __init__(self, status=200, chunks=(), verdict=None, headers=()):
+        fields = tuple(incoming.HeaderField(*field) for field in headers)
+        self.head = endpoint_client.AnswerHead(status, fields)
+        self.verdict = verdict or endpoint_client.RunVerdict.MAY_HAVE_RUN
+        self.is_leaving = False
+        self.is_closed = False
+        self._chunks = chunks
+
+    async def chunks(self):
+        for chunk in self._chunks:
+            if isinstance(chunk, Exception):
+                raise chunk
+            if isinstance(chunk, asyncio.Event):
+                await chunk.wait()
+                continue
+            yield chunk
+
+    async def close(self):
+        self.is_closed = True
+
+
+class ScriptedEndpoints:
+    """Client that hands out scripted answers by endpoint.
+
+    Attributes:
+        sent: Dispatches in the order in which they were sent.
+        copies: Pairs of source and target of the copies asked for.
+    """
+
+    def __init__(self, answers):
+        self._answers = {name: list(given) for name, given in answers.items()}
+        self.sent = []
+        self.copies = []
+        self.refuses_copies = False
+
+    async def send(self, sent):
+        self.sent.append(sent)
+        answer = self._answers[sent.endpoint.endpoint_id].pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+    async def copy_run(self, source, request_id, target, is_last, timeout_s):
+        self.copies.append((source.endpoint_id, target.endpoint_id))
+        if self.refuses_copies:
+            raise endpoint_errors.EndpointRefusedError("no room")
+        return endpoint_client.MovedCopy(ids.HandleId("h1"), 1)
+
+    def forget(self, known):
+        pass
+
+
+class RecordedReply:
+    """Answer to a caller as the caller would get it.
+
+    Attributes:
+        head: Head, once sent.
+        body: Body so far.
+        is_finished: Whether the body is complete.
+    """
+
+    def __init__(self):
+        self.is_started = False
+        self.is_finished = False
+        self.head = None
+        self.body = b""
+
+    async def start(self, head):
+        self.is_started = True
+        self.head = head
+
+    async def write(self, body):
+        self.body += body
+
+    async def finish(self):
+        self.is_finished = True
+
+
+def not_run(status=503):
+    return ScriptedAnswer(status, verdict=endpoint_client.RunVerdict.NOT_RUN)
