Learn from an engine's own report that it leaves; match answers without an id

On a connection used before, an answer has to carry the request's id; other calls of engines get connections of their own.

--- a/bronzeslip/endpoints/directory.py
+++ b/bronzeslip/endpoints/directory.py
@@ -6,6 +6,8 @@
 import contextlib
 import math
 
+import msgspec
+
 from bronzeslip import ids
 from bronzeslip import logs
 from bronzeslip.endpoints import endpoint
@@ -32,6 +34,7 @@
         """
         self._settings = settings
         self._endpoints: dict[ids.EndpointId, endpoint.Endpoint] = {}
+        self._said_leaving: dict[ids.EndpointId, endpoint.Endpoint] = {}
         self._missing_since_s: dict[ids.EndpointId, float] = {}
         self._outage_end_s = -math.inf
         self._is_reachable = False
@@ -84,6 +87,24 @@
             self._by_service[service_name] = found
         return found
 
+    @property
+    def is_source_reachable(self) -> bool:
+        """Whether the source of entries answers."""
+        return self._is_reachable
+
+    def note_leaving(self, known: endpoint.Endpoint) -> None:
+        """Notes that an endpoint says of itself that it leaves.
+
+        Its entry may say so later, or not at all while the source is away.
+        """
+        if not self.takes_requests(known):
+            return
+        leaving = msgspec.structs.replace(
+            known, state=endpoint.EndpointState.LEAVING
+        )
+        self._said_leaving[known.endpoint_id] = leaving
+        self.put(leaving)
+
     def source_lost(self) -> None:
         """Notes that the source of entries does not answer."""
         if self._is_reachable:
@@ -106,6 +127,9 @@
     def put(self, known: endpoint.Endpoint) -> None:
         """Takes a new or changed entry."""
         before = self._endpoints.get(known.endpoint_id)
+        said = self._said_leaving.get(known.endpoint_id)
+        if said is not None and said.is_same_incarnation(known):
+            known = said
         self._missing_since_s.pop(known.endpoint_id, None)
         if before == known:
             return
@@ -155,6 +179,7 @@
 
     def _drop(self, known: endpoint.Endpoint) -> None:
         del self._endpoints[known.endpoint_id]
+        self._said_leaving.pop(known.endpoint_id, None)
         self._missing_since_s.pop(known.endpoint_id, None)
         self._note_change()
         if known.is_ready:
--- a/bronzeslip/endpoints/report.py
+++ b/bronzeslip/endpoints/report.py
@@ -29,6 +29,7 @@
         memory_tokens: Its whole memory, in tokens.
         held_tokens: Memory reserved for copies and leases, in tokens.
         leaves_in_s: Time until it leaves, in seconds, or None.
+        is_leaving: Whether it takes no new requests any more.
         runs: Its runs.
     """
 
@@ -38,4 +39,5 @@
     memory_tokens: int
     held_tokens: int = 0
     leaves_in_s: float | None = None
+    is_leaving: bool = False
     runs: tuple[RunReport, ...] = ()
--- a/bronzeslip/endpoints/report_poller.py
+++ b/bronzeslip/endpoints/report_poller.py
@@ -47,7 +47,7 @@
         try:
             while True:
                 self._match_tasks()
-                await asyncio.sleep(self._settings.report_interval_s)
+                await asyncio.sleep(self._interval_s)
         finally:
             for task in self._tasks.values():
                 task.cancel()
@@ -71,10 +71,23 @@
             try:
                 read = await self._client.report(engine)
                 self._board.put(engine.endpoint_id, read)
+                if read.is_leaving:
+                    self._known.note_leaving(engine)
             except endpoint_errors.EndpointError as error:
                 logger.info(
                     "reports.failed",
                     endpoint=engine.endpoint_id,
                     reason=error.message,
                 )
-            await asyncio.sleep(self._settings.report_interval_s)
+            await asyncio.sleep(self._interval_s)
+
+    @property
+    def _interval_s(self) -> float:
+        """Time to the next reading, shorter while nobody else tells.
+
+        Without the source of entries only its report tells that an engine
+        leaves.
+        """
+        if self._known.is_source_reachable:
+            return self._settings.report_interval_s
+        return self._settings.lone_report_interval_s
--- a/bronzeslip/platform/endpoint_answer.py
+++ b/bronzeslip/platform/endpoint_answer.py
@@ -4,6 +4,7 @@
 
 import httpx
 
+from bronzeslip import ids
 from bronzeslip.forwarding import endpoint_client
 from bronzeslip.forwarding import endpoint_errors
 from bronzeslip.forwarding import incoming
@@ -63,6 +64,17 @@
         """Id of the request that it answers, if it says so."""
         return self._response.headers.get(headers.REQUEST_ID.decode())
 
+    def belongs_to(self, request_id: ids.RequestId) -> bool:
+        """Tells whether it answers a request.
+
+        An endpoint may send a second answer to an earlier request, whose
+        bytes then stand where the next answer is due. On a connection that
+        has carried no request before, an answer without an id is its own.
+        """
+        if self.echoed_id is None:
+            return not self._kept.has_carried_requests
+        return self.echoed_id == request_id
+
     async def abort(self) -> None:
         """Closes the connection at once."""
         await self._response.stream.aclose()
--- a/bronzeslip/platform/endpoint_http.py
+++ b/bronzeslip/platform/endpoint_http.py
@@ -5,6 +5,7 @@
 import httpx
 
 from bronzeslip import ids
+from bronzeslip import logs
 from bronzeslip.endpoints import endpoint
 from bronzeslip.endpoints import report
 from bronzeslip.forwarding import dispatch
@@ -16,6 +17,8 @@
 from bronzeslip.platform import kept_connections
 from bronzeslip.settings import entry
 
+logger = logs.get_logger(__name__)
+
 _MS_PER_S = 1000
 _OK_STATUS = 200
 
@@ -26,18 +29,24 @@
     def __init__(self, settings: entry.EntrySettings) -> None:
         self._settings = settings
         self._pools: dict[str, kept_connections.KeptConnections] = {}
+        # Answers to these calls carry no id, so they get connections of their
+        # own.
+        self._control_pools: dict[str, kept_connections.KeptConnections] = {}
         self._closed: list[kept_connections.KeptConnections] = []
 
     async def close(self) -> None:
         """Closes the idle connections."""
-        for pool in (*self._pools.values(), *self._closed):
+        for pools in (self._pools, self._control_pools):
+            self._closed.extend(pools.values())
+        for pool in self._closed:
             await pool.close()
 
     def forget(self, known: endpoint.Endpoint) -> None:
         """Closes the idle connections to an endpoint that is gone."""
-        pool = self._pools.pop(_pool_key(known), None)
-        if pool is not None:
-            self._closed.append(pool)
+        for pools in (self._pools, self._control_pools):
+            pool = pools.pop(_pool_key(known), None)
+            if pool is not None:
+                self._closed.append(pool)
 
     async def send(
         self, sent: dispatch.Dispatch
@@ -58,10 +67,17 @@
                 "timeout": self._timeouts(None),
             },
         )
-        answer = await self._exchange(sent.endpoint, request)
-        echoed = answer.echoed_id
-        if echoed is not None and echoed != sent.request.request_id:
+        pool = self._pool_of(self._pools, sent.endpoint)
+        answer = await _exchange(pool, request)
+        if not answer.belongs_to(sent.request.request_id):
             await answer.abort()
+            logger.warning(
+                "endpoint.unmatched_answer",
+                request=sent.request.request_id,
+                endpoint=sent.endpoint.endpoint_id,
+                echoed=answer.echoed_id,
+                status=answer.head.status,
+            )
             raise endpoint_errors.EndpointBrokenError(
                 "the answer belongs to another request"
             )
@@ -129,7 +145,8 @@
             content=message,
             extensions={"timeout": self._timeouts(timeout_s)},
         )
-        answer = await self._exchange(known, request)
+        pool = self._pool_of(self._control_pools, known)
+        answer = await _exchange(pool, request)
         try:
             body = b"".join([chunk async for chunk in answer.chunks()])
         finally:
@@ -140,30 +157,15 @@
             )
         return body
 
-    async def _exchange(
-        self, known: endpoint.Endpoint, request: httpx.Request
-    ) -> endpoint_answer.HttpEndpointAnswer:
-        pool = self._pools.get(_pool_key(known))
-        if pool is None:
-            pool = kept_connections.KeptConnections(self._settings)
-            self._pools[_pool_key(known)] = pool
-        kept = await pool.take()
-        try:
-            response = await kept.transport.handle_async_request(request)
-        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
-            await kept.transport.aclose()
-            raise endpoint_errors.EndpointUnreachableError(
-                f"no connection: {type(error).__name__}"
-            ) from error
-        except httpx.HTTPError as error:
-            await kept.transport.aclose()
-            raise endpoint_errors.EndpointBrokenError(
-                f"no answer: {type(error).__name__}"
-            ) from error
-        except BaseException:
-            await kept.transport.aclose()
-            raise
-        return endpoint_answer.HttpEndpointAnswer(response, kept, pool)
+    def _pool_of(
+        self,
+        pools: dict[str, kept_connections.KeptConnections],
+        known: endpoint.Endpoint,
+    ) -> kept_connections.KeptConnections:
+        key = _pool_key(known)
+        if key not in pools:
+            pools[key] = kept_connections.KeptConnections(self._settings)
+        return pools[key]
 
     def _timeouts(self, read_s: float | None) -> dict[str, Any]:
         return {
@@ -174,6 +176,28 @@
         }
 
 
+async def _exchange(
+    pool: kept_connections.KeptConnections, request: httpx.Request
+) -> endpoint_answer.HttpEndpointAnswer:
+    kept = await pool.take()
+    try:
+        response = await kept.transport.handle_async_request(request)
+    except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+        await kept.transport.aclose()
+        raise endpoint_errors.EndpointUnreachableError(
+            f"no connection: {type(error).__name__}"
+        ) from error
+    except httpx.HTTPError as error:
+        await kept.transport.aclose()
+        raise endpoint_errors.EndpointBrokenError(
+            f"no answer: {type(error).__name__}"
+        ) from error
+    except BaseException:
+        await kept.transport.aclose()
+        raise
+    return endpoint_answer.HttpEndpointAnswer(response, kept, pool)
+
+
 def _pool_key(known: endpoint.Endpoint) -> str:
     return f"{known.address}/{known.endpoint_id}/{known.started_unix_ms}"
 
--- a/bronzeslip/platform/engine_messages.py
+++ b/bronzeslip/platform/engine_messages.py
@@ -8,6 +8,7 @@
 from bronzeslip.forwarding import endpoint_errors
 
 _MS_PER_S = 1000
+_LEAVING_STATE = "draining"
 
 
 class _Report(msgspec.Struct):
@@ -19,6 +20,7 @@
     # Memory reserved for copies and leases.
     held: int = 0
     leaves_ms: float | None = None
+    state: str = "ready"
     # Each run is [id, tokens in memory, events made, priority].
     runs: list[tuple[str, int, int, int]] = []
 
@@ -50,6 +52,7 @@
         memory_tokens=read.kv_total,
         held_tokens=read.held,
         leaves_in_s=None if leaves_ms is None else leaves_ms / _MS_PER_S,
+        is_leaving=leaves_ms is not None or read.state == _LEAVING_STATE,
         runs=tuple(
             report.RunReport(ids.RequestId(run_id), tokens, events)
             for run_id, tokens, events, _ in read.runs
--- a/bronzeslip/platform/kept_connections.py
+++ b/bronzeslip/platform/kept_connections.py
@@ -20,10 +20,12 @@
     Attributes:
         transport: Transport that owns the connection.
         usable_until_s: End of its idle time, on the loop's clock.
+        has_carried_requests: Whether it has been used before.
     """
 
     transport: httpx.AsyncBaseTransport
     usable_until_s: float = 0.0
+    has_carried_requests: bool = False
 
 
 class KeptConnections:
@@ -54,6 +56,7 @@
             idle_s: Time that the endpoint keeps it open idle, in seconds.
         """
         now_s = asyncio.get_running_loop().time()
+        kept.has_carried_requests = True
         kept.usable_until_s = now_s + idle_s - self._settings.kept_margin_s
         self._idle.append(kept)
 
--- a/bronzeslip/settings/entry.py
+++ b/bronzeslip/settings/entry.py
@@ -85,6 +85,14 @@
         minimum=0.05,
         maximum=60,
     )
+    lone_report_interval_s: float = setting(
+        "the same while the store is away, when only reports tell that an "
+        "engine leaves, in seconds",
+        "endpoints",
+        default=0.25,
+        minimum=0.05,
+        maximum=60,
+    )
     report_timeout_s: float = setting(
         "longest wait for a report, in seconds",
         "endpoints",
--- a/tests/endpoints/test_directory.py
+++ b/tests/endpoints/test_directory.py
@@ -72,3 +72,14 @@
         await asyncio.sleep(0)
         self.known.remove("one")
         await asyncio.wait_for(waiting, 1)
+
+    async def test_endpoint_that_says_it_leaves_stays_leaving(self):
+        self.known.note_leaving(self.one)
+        self.assertEqual(self._ready(), {"two"})
+        self.assertEqual([found.endpoint_id for found in self.left], ["one"])
+        self.known.put(forwarding_parts.create_endpoint("one", cold_left_s=1.0))
+        self.assertEqual(self._ready(), {"two"})
+        self.known.put(
+            forwarding_parts.create_endpoint("one", started_unix_ms=9)
+        )
+        self.assertEqual(self._ready(), {"one", "two"})
--- /dev/null
+++ b/tests/endpoints/test_report_poller.py
@@ -0,0 +1,66 @@
+"""Tests of bronzeslip.endpoints.report_poller."""
+
+import asyncio
+import contextlib
+import unittest
+
+from bronzeslip.endpoints import directory
+from bronzeslip.endpoints import report_board
+from bronzeslip.endpoints import report_poller
+from bronzeslip.forwarding import endpoint_errors
+from bronzeslip.settings import entry
+from tests.support import forwarding_parts
+from tests.support import until
+
+
+class _Reports:
+    def __init__(self):
+        self.read = forwarding_parts.create_report()
+
+    async def report(self, known):
+        if self.read is None:
+            raise endpoint_errors.EndpointUnreachableError("gone")
+        return self.read
+
+
+class ReportPollerTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        settings = entry.EntrySettings(
+            report_interval_s=0.05, lone_report_interval_s=0.05
+        )
+        self.one = forwarding_parts.create_endpoint("one")
+        self.known = directory.EndpointDirectory(settings)
+        self.known.replace_all((self.one,))
+        self.reports = _Reports()
+        self.board = report_board.ReportBoard()
+        poller = report_poller.ReportPoller(
+            settings,
+            self.known,
+            self.reports,
+            self.board,
+            lambda name: name == "pool",
+        )
+        self.running = asyncio.create_task(poller.run())
+        self.addAsyncCleanup(self._stop)
+
+    async def _stop(self):
+        self.running.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self.running
+
+    async def test_reports_are_put_on_the_board(self):
+        await until.until(lambda: self.board.get("one"))
+        self.reports.read = forwarding_parts.create_report(used_tokens=7)
+        await until.until(lambda: self.board.get("one").report.used_tokens == 7)
+
+    async def test_engine_that_says_it_leaves_takes_no_requests(self):
+        self.known.source_lost()
+        self.reports.read = forwarding_parts.create_report(is_leaving=True)
+        await until.until(lambda: not self.known.takes_requests(self.one))
+
+    async def test_failed_readings_change_nothing(self):
+        await until.until(lambda: self.board.get("one"))
+        self.reports.read = None
+        await asyncio.sleep(0.15)
+        self.assertTrue(self.known.takes_requests(self.one))
+        self.assertIsNotNone(self.board.get("one"))
--- /dev/null
+++ b/tests/platform/test_endpoint_http.py
@@ -0,0 +1,149 @@
+"""Tests of bronzeslip.platform.endpoint_http over loopback."""
+
+import asyncio
+import unittest
+
+from bronzeslip import ids
+from bronzeslip.forwarding import dispatch
+from bronzeslip.forwarding import endpoint_client
+from bronzeslip.forwarding import endpoint_errors
+from bronzeslip.forwarding import incoming
+from bronzeslip.forwarding import whole_answer
+from bronzeslip.platform import endpoint_http
+from tests.support import forwarding_parts
+from tests.support import raw_server
+
+_REFUSED = b"503 Service Unavailable"
+_NOT_RUN = b"Bronzeslip-Not-Executed: 1\r\n"
+
+
+def _echo(request_id):
+    return b"Bronzeslip-Attempt-Id: " + request_id + b"\r\n"
+
+
+class EndpointHttpTest(unittest.IsolatedAsyncioTestCase):
+    async def _start(self, *scripts):
+        self.server = raw_server.RawServer(*scripts)
+        port = await self.server.start()
+        self.addAsyncCleanup(self.server.stop)
+        self.client = endpoint_http.HttpEndpointClient(
+            forwarding_parts.SETTINGS
+        )
+        self.addAsyncCleanup(self.client.close)
+        self.endpoint = forwarding_parts.create_endpoint(
+            "i-1", host="127.0.0.1", port=port
+        )
+
+    def _dispatch(self, request_id, **changes):
+        request = forwarding_parts.create_request(
+            request_id=ids.RequestId(request_id),
+            target=b"/p/%41?b=%20",
+            headers=(
+                incoming.HeaderField(b"host", b"h.example"),
+                incoming.HeaderField(b"content-length", b"4"),
+            ),
+        )
+        values = {
+            "request": request,
+            "endpoint": self.endpoint,
+            "left_s": 1.25,
+            "workspace_id": ids.WorkspaceId("w"),
+        }
+        return dispatch.Dispatch(**{**values, **changes})
+
+    async def _call(self, request_id, **changes):
+        answer = await self.client.send(self._dispatch(request_id, **changes))
+        return await whole_answer.read(answer)
+
+    async def test_request_is_sent_byte_for_byte(self):
+        await self._start(raw_server.answer(b"ok", headers=_echo(b"q1")))
+        whole = await self._call("q1", priority=3)
+        self.assertEqual(whole.body, b"ok")
+        sent = self.server.requests[0].lower()
+        self.assertTrue(sent.startswith(b"post /p/%41?b=%20 http/1.1\r\n"))
+        self.assertTrue(sent.endswith(b"\r\n\r\nbody"))
+        for line in (
+            b"host: h.example",
+            b"bronzeslip-deadline-ms: 1250",
+            b"bronzeslip-target-instance: i-1",
+            b"bronzeslip-tenant: w",
+            b"bronzeslip-request-priority: 3",
+        ):
+            self.assertIn(line + b"\r\n", sent)
+
+    async def test_connection_is_kept_within_the_stated_time(self):
+        await self._start(
+            raw_server.answer(b"a", headers=_echo(b"q1")),
+            raw_server.answer(b"b", headers=_echo(b"q2")),
+        )
+        await self._call("q1")
+        await self._call("q2")
+        self.assertEqual(self.server.connections, 1)
+
+    async def test_second_answer_is_not_taken_for_the_next_request(self):
+        extra = raw_server.answer(b"x", headers=_echo(b"q1"))
+        await self._start(
+            raw_server.answer(b"a", headers=_echo(b"q1")) + extra,
+            raw_server.answer(b"b", headers=_echo(b"q2")),
+        )
+        await self._call("q1")
+        with self.assertRaises(endpoint_errors.EndpointBrokenError):
+            await self._call("q2")
+
+    async def test_second_answer_without_an_id_is_not_taken_either(self):
+        await self._start(
+            raw_server.answer(b"a", headers=_echo(b"q1"))
+            + raw_server.answer(b"x"),
+            raw_server.answer(b"b", headers=_echo(b"q2")),
+        )
+        await self._call("q1")
+        with self.assertRaises(endpoint_errors.EndpointBrokenError):
+            await self._call("q2")
+
+    async def test_second_refusal_is_not_taken_for_the_next_request(self):
+        await self._start(
+            raw_server.answer(b"a", headers=_echo(b"q1"))
+            + raw_server.answer(b"", _REFUSED, _NOT_RUN),
+            raw_server.answer(b"b", headers=_echo(b"q2")),
+        )
+        await self._call("q1")
+        with self.assertRaises(endpoint_errors.EndpointBrokenError):
+            await self.client.send(self._dispatch("q2"))
+
+    async def test_refusal_on_a_new_connection_needs_no_id(self):
+        await self._start(raw_server.answer(b"", _REFUSED, _NOT_RUN))
+        answer = await self.client.send(self._dispatch("q1"))
+        self.assertIs(answer.verdict, endpoint_client.RunVerdict.NOT_RUN)
+        await answer.close()
+
+    async def test_answer_that_is_cut_is_broken(self):
+        cut = raw_server.answer(b"abc", headers=_echo(b"q1"))[:-1]
+        await self._start(cut.replace(b"\r\n", b"\r\nConnection: close\r\n", 1))
+        with self.assertRaises(endpoint_errors.EndpointBrokenError):
+            await self._call("q1")
+
+    async def test_bytes_that_are_no_answer_are_broken(self):
+        await self._start(b"connection: close rubbish\r\n\r\n")
+        with self.assertRaises(endpoint_errors.EndpointBrokenError):
+            await self._call("q1")
+
+    async def test_closed_port_is_unreachable(self):
+        await self._start()
+        await self.server.stop()
+        with self.assertRaises(endpoint_errors.EndpointUnreachableError):
+            await self._call("q1")
+
+    async def test_answer_without_a_length_ends_with_its_connection(self):
+        await self._start(
+            b"HTTP/1.1 200 OK\r\nConnection: close\r\n"
+            + _echo(b"q1")
+            + b"\r\nunframed"
+        )
+        whole = await self._call("q1")
+        self.assertEqual(whole.body, b"unframed")
+
+    async def test_silent_endpoint_is_given_up_by_cancelling(self):
+        await self._start(raw_server.SILENCE)
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0.1):
+                await self._call("q1")
--- /dev/null
+++ b/tests/support/raw_server.py
@@ -0,0 +1,64 @@
+"""Server on loopback that sends scripted bytes for each request."""
+
+import asyncio
+
+SILENCE = object()
+
+
+class RawServer:
+    """Reads requests and answers each with the next script.
+
+    Attributes:
+        requests: Bytes of each request read.
+        connections: Number of connections accepted.
+    """
+
+    def __init__(self, *scripts):
+        self._scripts = list(scripts)
+        self._server = None
+        self.requests = []
+        self.connections = 0
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return self._server.sockets[0].getsockname()[1]
+
+    async def stop(self):
+        self._server.close()
+        await self._server.wait_closed()
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        try:
+            while self._scripts:
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = _length_of(head)
+                self.requests.append(head + await reader.readexactly(length))
+                script = self._scripts.pop(0)
+                if script is SILENCE:
+                    await reader.read()
+                    break
+                writer.write(script)
+                await writer.drain()
+                if b"connection: close" in script.lower():
+                    break
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+
+def _length_of(head):
+    for line in head.lower().split(b"\r\n"):
+        if line.startswith(b"content-length:"):
+            return int(line.split(b":")[1])
+    return 0
+
+
+def answer(body, status=b"200 OK", headers=b""):
+    """Returns the bytes of one answer."""
+    length = str(len(body)).encode()
+    return (
+        b"HTTP/1.1 " + status + b"\r\nContent-Length: " + length + b"\r\n"
+        b"Keep-Alive: timeout=5\r\n" + headers + b"\r\n" + body
+    )
