--- a/bronzeslip/http/limited_protocol.py
+++ b/bronzeslip/http/limited_protocol.py
@@ -44,7 +44,6 @@
     ) -> None:
         super().__init__(*args, **options)
         self._bounds = bounds
-        self._has_received = False
         self._is_last_request_read = False
         self._refusal = _MALFORMED
         self._in_headers = True
@@ -74,7 +73,6 @@
         """Parses bytes and bounds those of unfinished headers."""
         if self._is_last_request_read:
             return
-        self._has_received = True
         super().data_received(data)
         if not self._in_headers or self.transport.is_closing():
             return
@@ -131,9 +129,6 @@
 
     def _refuse(self, refusal: problem.Problem) -> None:
         self._stop_header_timer()
-        if not self._has_received:
-            self.transport.close()
-            return
         logger.warning("http.refused", reason=refusal.code)
         if self.cycle is None or self.cycle.response_complete:
             self.transport.write(_render(refusal))
