Read and choose from a bounded share of a service's endpoints

A gateway now reads eight endpoints of a service, half of them near; changes of endpoints come together within 0.1 s and the configuration's watch waits longer.

--- a/bronzeslip/endpoints/report_board.py
+++ b/bronzeslip/endpoints/report_board.py
@@ -1,7 +1,6 @@
 """Latest reports of the model engines."""
 
 import asyncio
-import math
 
 import msgspec
 
@@ -38,12 +37,13 @@
         """Returns the latest report of an engine, or None."""
         return self._reports.get(endpoint_id)
 
-    def age_s(self, endpoint_id: ids.EndpointId) -> float:
-        """Returns how long ago an engine's report was read, in seconds."""
-        known = self._reports.get(endpoint_id)
-        if known is None:
-            return math.inf
-        return asyncio.get_running_loop().time() - known.read_s
+    @property
+    def mean_used_tokens(self) -> int:
+        """Mean memory taken at the engines that are read, in tokens."""
+        if not self._reports:
+            return 0
+        used = [dated.report.used_tokens for dated in self._reports.values()]
+        return sum(used) // len(used)
 
     def forget(self, endpoint_id: ids.EndpointId) -> None:
         """Drops the report of an engine that is gone."""
--- a/bronzeslip/endpoints/report_poller.py
+++ b/bronzeslip/endpoints/report_poller.py
@@ -2,12 +2,14 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 
 from bronzeslip import ids
 from bronzeslip import logs
 from bronzeslip.endpoints import directory
 from bronzeslip.endpoints import endpoint
 from bronzeslip.endpoints import report_board
+from bronzeslip.endpoints import watched_share
 from bronzeslip.forwarding import endpoint_client
 from bronzeslip.forwarding import endpoint_errors
 from bronzeslip.settings import entry
@@ -27,24 +29,27 @@
         self,
         settings: entry.EntrySettings,
         known: directory.EndpointDirectory,
+        share: watched_share.WatchedShare,
         client: endpoint_client.EndpointClient,
         board: report_board.ReportBoard,
-        is_engine: Callable[[ids.ServiceName], bool],
+        engine_services: Callable[[], Iterable[ids.ServiceName]],
     ) -> None:
         """Creates a poller.
 
         Args:
             settings: Interval between readings.
             known: Endpoints.
+            share: Endpoints that this gateway reads.
             client: Client of the endpoints.
             board: Takes the reports.
-            is_engine: Tells whether a service has model engines.
+            engine_services: Lists the services that have model engines.
         """
         self._settings = settings
         self._known = known
+        self._share = share
         self._client = client
         self._board = board
-        self._is_engine = is_engine
+        self._engine_services = engine_services
         self._tasks: dict[ids.EndpointId, asyncio.Task] = {}
 
     async def run(self) -> None:
@@ -60,8 +65,8 @@
     def _match_tasks(self) -> None:
         wanted = {
             found.endpoint_id: found
-            for found in self._known.endpoints
-            if found.is_ready and self._is_engine(found.service_name)
+            for name in self._engine_services()
+            for found in self._share.of_service(name)
         }
         for endpoint_id in self._tasks.keys() - wanted.keys():
             self._tasks.pop(endpoint_id).cancel()
--- a/bronzeslip/forwarding/chooser.py
+++ b/bronzeslip/forwarding/chooser.py
@@ -10,6 +10,7 @@
 from bronzeslip.endpoints import endpoint
 from bronzeslip.endpoints import failure_memory
 from bronzeslip.endpoints import neighbourhood
+from bronzeslip.endpoints import watched_share
 from bronzeslip.entry import place
 from bronzeslip.forwarding import admitted
 from bronzeslip.forwarding import errors
@@ -62,6 +63,7 @@
         self,
         here: place.VmPlace,
         known: directory.EndpointDirectory,
+        share: watched_share.WatchedShare,
         near: neighbourhood.Neighbourhood,
         loads: load_forecast.LoadForecaster,
         failures: failure_memory.FailureMemory,
@@ -72,6 +74,7 @@
         Args:
             here: Place of this gateway.
             known: Endpoints.
+            share: Endpoints that this gateway chooses from.
             near: Tells which endpoints are near each other.
             loads: Forecasts the load of endpoints.
             failures: Failures of endpoints.
@@ -79,6 +82,7 @@
         """
         self._here = here
         self._known = known
+        self._share = share
         self._near = near
         self._loads = loads
         self._failures = failures
@@ -90,7 +94,11 @@
         tried: AbstractSet[ids.EndpointId],
     ) -> endpoint.Endpoint:
         """Returns the endpoint drawn."""
-        options = ready_options(self._known, request, tried)
+        options = [
+            option
+            for option in self._share.of_service(request.service.name)
+            if option.endpoint_id not in tried
+        ] or ready_options(self._known, request, tried)
         costs_s = [self.cost_s(option, request) for option in options]
         least_s = min(costs_s)
         weights = [
@@ -124,7 +132,13 @@
         around = self._near.around(option)
         capacity_tokens = request.service.engine.memory_tokens
         room_tokens = _EVACUATION_SHARE * capacity_tokens * (len(around) - 1)
-        used_tokens = sum(self._loads.used_tokens(found) for found in around)
+        read = self._share.of_service(request.service.name)
+        used_tokens = sum(
+            self._loads.used_tokens(found)
+            if found in read
+            else self._loads.usual_tokens()
+            for found in around
+        )
         return used_tokens + request.request.shape.expected_tokens < room_tokens
 
     def _unsafe_cost_s(
--- a/bronzeslip/forwarding/load_forecast.py
+++ b/bronzeslip/forwarding/load_forecast.py
@@ -92,6 +92,10 @@
             run.expected_tokens for run in self._sent_since_report(option)
         )
 
+    def usual_tokens(self) -> int:
+        """Returns the memory taken at an engine whose report is not read."""
+        return self._reports.mean_used_tokens
+
     def _unread_tokens(self, option: endpoint.Endpoint) -> float:
         """Returns the tokens of prompts that wait to be read."""
         tokens = float(
--- a/bronzeslip/platform/gateway.py
+++ b/bronzeslip/platform/gateway.py
@@ -10,6 +10,7 @@
 from bronzeslip.endpoints import own_load
 from bronzeslip.endpoints import report_board
 from bronzeslip.endpoints import report_poller
+from bronzeslip.endpoints import watched_share
 from bronzeslip.entry import daemon
 from bronzeslip.entry import gateway_registry
 from bronzeslip.entry import named_task
@@ -69,7 +70,7 @@
         shared.current,
         ready,
         (
-            *_tasks(settings, store, shared),
+            *_tasks(settings, here, store, shared),
             named_task.NamedTask("registry", registry.run()),
             named_task.NamedTask("settings", reloader.run()),
         ),
@@ -96,6 +97,7 @@
         chosen = chooser.CostChooser(
             here,
             known,
+            watched_share.WatchedShare(settings, here, known),
             near,
             load_forecast.LoadForecaster(settings, own, reports),
             failures,
@@ -121,39 +123,52 @@
 
 def _tasks(
     settings: entry.EntrySettings,
+    here: place.VmPlace,
     store: store_client.StoreClient,
     shared: parts.ForwardingParts,
 ) -> tuple[named_task.NamedTask, ...]:
-    timing = follower.FollowTiming(
+    configuration_timing = follower.FollowTiming(
+        settings.configuration_watch_s,
+        settings.store_backoff_min_s,
+        settings.store_backoff_max_s,
+    )
+    discovery_timing = follower.FollowTiming(
         settings.store_watch_s,
         settings.store_backoff_min_s,
         settings.store_backoff_max_s,
+        settings.store_batch_s,
     )
     poller = report_poller.ReportPoller(
         settings,
         shared.known,
+        watched_share.WatchedShare(settings, here, shared.known),
         shared.client,
         shared.reports,
-        lambda name: _has_engines(shared.current, name),
+        lambda: _engine_services(shared.current),
     )
     return (
         named_task.NamedTask(
             "configuration",
             configuration_follower.ConfigurationFollower(
-                store, shared.current, timing
+                store, shared.current, configuration_timing
             ).run(),
         ),
         named_task.NamedTask(
             "discovery",
             discovery_follower.DiscoveryFollower(
-                store, shared.known, timing
+                store, shared.known, discovery_timing
             ).run(),
         ),
         named_task.NamedTask("reports", poller.run()),
     )
 
 
-def _has_engines(in_force: current.CurrentTable, name: ids.ServiceName) -> bool:
+def _engine_services(
+    in_force: current.CurrentTable,
+) -> tuple[ids.ServiceName, ...]:
     table = in_force.table
-    service = None if table is None else table.service(name)
-    return service is not None and service.engine is not None
+    if table is None:
+        return ()
+    return tuple(
+        service.name for service in table.services if service.engine is not None
+    )
--- a/bronzeslip/settings/entry.py
+++ b/bronzeslip/settings/entry.py
@@ -34,6 +34,22 @@
         minimum=0.1,
         maximum=30,
     )
+    configuration_watch_s: float = setting(
+        "the same for the configuration, whose changes have seconds to come "
+        "into force",
+        "store",
+        default=2.5,
+        minimum=0.1,
+        maximum=30,
+    )
+    store_batch_s: float = setting(
+        "pause after changes of endpoints, in which further ones come "
+        "together, in seconds",
+        "store",
+        default=0.1,
+        minimum=0,
+        maximum=5,
+    )
     store_timeout_s: float = setting(
         "timeout of one call to the store beyond its wait, in seconds",
         "store",
@@ -85,6 +101,13 @@
         minimum=0.05,
         maximum=60,
     )
+    watched_endpoints: int = setting(
+        "endpoints of a service that a gateway reads and chooses from",
+        "endpoints",
+        default=8,
+        minimum=1,
+        maximum=10_000,
+    )
     lone_report_interval_s: float = setting(
         "the same while the store is away, when only reports tell that an "
         "engine leaves, in seconds",
--- a/bronzeslip/store/follower.py
+++ b/bronzeslip/store/follower.py
@@ -23,11 +23,14 @@
         watch_wait_s: Longest wait of one watch, in seconds.
         min_backoff_s: First pause after a failure, in seconds.
         max_backoff_s: Longest pause after failures, in seconds.
+        batch_s: Pause after changes, in which further ones come together,
+            in seconds.
     """
 
     watch_wait_s: float = 5.0
     min_backoff_s: float = 0.2
     max_backoff_s: float = 5.0
+    batch_s: float = 0.0
 
 
 _DEFAULT_TIMING = FollowTiming()
@@ -103,6 +106,8 @@
                 await self._on_event(event)
             version = batch.version
             self._report(version)
+            if batch.events and self._timing.batch_s:
+                await asyncio.sleep(self._timing.batch_s)
 
     def _report(self, version: ids.ObjectVersion) -> None:
         if self._on_progress is not None:
--- a/tests/endpoints/test_report_poller.py
+++ b/tests/endpoints/test_report_poller.py
@@ -7,6 +7,7 @@
 from bronzeslip.endpoints import directory
 from bronzeslip.endpoints import report_board
 from bronzeslip.endpoints import report_poller
+from bronzeslip.endpoints import watched_share
 from bronzeslip.forwarding import endpoint_errors
 from bronzeslip.settings import entry
 from tests.support import forwarding_parts
@@ -36,9 +37,12 @@
         poller = report_poller.ReportPoller(
             settings,
             self.known,
+            watched_share.WatchedShare(
+                settings, forwarding_parts.PLACE, self.known
+            ),
             self.reports,
             self.board,
-            lambda name: name == "pool",
+            lambda: ("pool",),
         )
         self.running = asyncio.create_task(poller.run())
         self.addAsyncCleanup(self._stop)
--- /dev/null
+++ b/tests/endpoints/test_watched_share.py
@@ -0,0 +1,50 @@
+"""Tests of bronzeslip.endpoints.watched_share."""
+
+import collections
+import unittest
+
+import msgspec
+
+from bronzeslip import ids
+from bronzeslip.endpoints import directory
+from bronzeslip.endpoints import watched_share
+from bronzeslip.settings import entry
+from tests.support import forwarding_parts
+
+_LIMIT = 8
+_SETTINGS = entry.EntrySettings(watched_endpoints=_LIMIT)
+
+
+class WatchedShareTest(unittest.IsolatedAsyncioTestCase):
+    def _share(self, count, vm_id="front-1"):
+        known = directory.EndpointDirectory(_SETTINGS)
+        domains = ("a-1", "a-2", "b-1")
+        known.replace_all(
+            forwarding_parts.create_endpoint(f"e{number}", domains[number % 3])
+            for number in range(count)
+        )
+        here = msgspec.structs.replace(
+            forwarding_parts.PLACE, vm_id=ids.VmId(vm_id)
+        )
+        return watched_share.WatchedShare(_SETTINGS, here, known)
+
+    async def test_small_service_is_taken_whole(self):
+        self.assertEqual(len(self._share(_LIMIT).of_service("pool")), _LIMIT)
+
+    async def test_large_service_is_bounded_and_half_of_it_near(self):
+        chosen = self._share(60).of_service("pool")
+        self.assertEqual(len(chosen), _LIMIT)
+        near = [
+            found for found in chosen if found.failure_domain.startswith("a")
+        ]
+        self.assertEqual(len(near), _LIMIT // 2)
+
+    async def test_gateways_spread_over_endpoints(self):
+        counts = collections.Counter()
+        for number in range(60):
+            share = self._share(30, f"front-{number}")
+            counts.update(
+                found.endpoint_id for found in share.of_service("pool")
+            )
+        self.assertEqual(len(counts), 30)
+        self.assertLess(max(counts.values()), 40)
--- a/tests/support/forwarding_parts.py
+++ b/tests/support/forwarding_parts.py
@@ -11,6 +11,7 @@
 from bronzeslip.endpoints import own_load
 from bronzeslip.endpoints import report
 from bronzeslip.endpoints import report_board
+from bronzeslip.endpoints import watched_share
 from bronzeslip.entry import place
 from bronzeslip.forwarding import admitted
 from bronzeslip.forwarding import attempts
@@ -152,6 +153,7 @@
     chosen = chooser.CostChooser(
         PLACE,
         known,
+        watched_share.WatchedShare(settings, PLACE, known),
         near,
         load_forecast.LoadForecaster(settings, own, reports),
         failures,
