--- a/bronzeslip/forwarding/call_forwarder.py
+++ b/bronzeslip/forwarding/call_forwarder.py
@@ -7,6 +7,7 @@
 from bronzeslip.forwarding import dispatch
 from bronzeslip.forwarding import endpoint_client
 from bronzeslip.forwarding import endpoint_errors
+from bronzeslip.forwarding import errors
 from bronzeslip.forwarding import parts
 from bronzeslip.forwarding import reply
 from bronzeslip.forwarding import whole_answer
@@ -35,7 +36,8 @@
         call = _Call(self._parts, request)
         try:
             whole = await self._parts.attempts.run(request, call.try_at)
-        except Exception:
+        except errors.ForwardingError:
+            # An endpoint's own failure tells the caller more than ours.
             if call.failure is None:
                 raise
             whole = call.failure
--- /dev/null
+++ b/bronzeslip/forwarding/copy_releaser.py
@@ -0,0 +1,38 @@
+"""Frees standby copies that are needed no longer."""
+
+import asyncio
+
+from bronzeslip import logs
+from bronzeslip.forwarding import endpoint_client
+from bronzeslip.forwarding import endpoint_errors
+from bronzeslip.forwarding import standby_copy
+
+logger = logs.get_logger(__name__)
+
+
+class CopyReleaser:
+    """Has engines free copies without holding up the request they were for.
+
+    A copy that is not freed takes memory until its lifetime is over.
+    """
+
+    def __init__(self, client: endpoint_client.EndpointClient) -> None:
+        self._client = client
+        self._tasks: set[asyncio.Task] = set()
+
+    def release(self, copy: standby_copy.StandbyCopy) -> None:
+        """Frees a copy at both of its ends."""
+        task = asyncio.create_task(self._release(copy))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _release(self, copy: standby_copy.StandbyCopy) -> None:
+        try:
+            await self._client.drop_copy(copy.source, copy.handle)
+        except endpoint_errors.EndpointError as error:
+            logger.info(
+                "standby.not_released",
+                endpoint=copy.source.endpoint_id,
+                target=copy.target.endpoint_id,
+                reason=error.message,
+            )
--- a/bronzeslip/forwarding/parts.py
+++ b/bronzeslip/forwarding/parts.py
@@ -8,6 +8,7 @@
 from bronzeslip.endpoints import report_board
 from bronzeslip.forwarding import attempts
 from bronzeslip.forwarding import chooser
+from bronzeslip.forwarding import copy_releaser
 from bronzeslip.forwarding import endpoint_client
 from bronzeslip.forwarding import repeat_budgets
 from bronzeslip.forwarding import standby_chooser
@@ -28,6 +29,7 @@
         client: Client of the endpoints.
         chosen: Chooses endpoints.
         standbys: Chooses engines for standby copies.
+        releaser: Frees standby copies.
         budgets: Limits repeats.
         attempts: Tries endpoints.
     """
@@ -41,5 +43,6 @@
     client: endpoint_client.EndpointClient
     chosen: chooser.Chooser
     standbys: standby_chooser.StandbyChooser
+    releaser: copy_releaser.CopyReleaser
     budgets: repeat_budgets.RepeatBudgets
     attempts: attempts.Attempts
--- a/bronzeslip/forwarding/stream_run.py
+++ b/bronzeslip/forwarding/stream_run.py
@@ -58,6 +58,7 @@
             while not await self._relay(answer):
                 answer = await self._go_on()
             self._log_end()
+            self._release_copy()
         finally:
             self._load.close()
             self._end_keeping()
@@ -200,6 +201,10 @@
         )
         self._keeping = asyncio.create_task(self._keeper.run())
 
+    def _release_copy(self) -> None:
+        if self._keeper is not None and self._keeper.copy is not None:
+            self._parts.releaser.release(self._keeper.copy)
+
     def _end_keeping(self) -> None:
         if self._keeping is not None:
             self._keeping.cancel()
--- a/bronzeslip/platform/gateway.py
+++ b/bronzeslip/platform/gateway.py
@@ -20,6 +20,7 @@
 from bronzeslip.forwarding import attempts
 from bronzeslip.forwarding import call_forwarder
 from bronzeslip.forwarding import chooser
+from bronzeslip.forwarding import copy_releaser
 from bronzeslip.forwarding import load_forecast
 from bronzeslip.forwarding import parts
 from bronzeslip.forwarding import pipeline
@@ -116,6 +117,7 @@
         standbys=standby_chooser.StandbyChooser(
             near, known, reports, random.Random()
         ),
+        releaser=copy_releaser.CopyReleaser(client),
         budgets=budgets,
         attempts=attempts.Attempts(chosen, failures, budgets),
     )
--- a/tests/forwarding/test_reclaims_in_series.py
+++ b/tests/forwarding/test_reclaims_in_series.py
@@ -85,6 +85,8 @@
         self.assertEqual(self.client.copies[0], ("one", "far"))
         end.set()
         await asyncio.wait_for(serving, 5)
+        await until.until(lambda: self.client.dropped)
+        self.assertEqual(self.client.dropped, [("one", "h1")])
 
     async def test_refused_renewal_leaves_the_copy_in_use(self):
         cut = asyncio.Event()
--- a/tests/support/forwarding_parts.py
+++ b/tests/support/forwarding_parts.py
@@ -16,6 +16,7 @@
 from bronzeslip.forwarding import admitted
 from bronzeslip.forwarding import attempts
 from bronzeslip.forwarding import chooser
+from bronzeslip.forwarding import copy_releaser
 from bronzeslip.forwarding import incoming
 from bronzeslip.forwarding import load_forecast
 from bronzeslip.forwarding import parts
@@ -170,6 +171,7 @@
         client=client,
         chosen=chosen,
         standbys=standby_chooser.StandbyChooser(near, known, reports, rng),
+        releaser=copy_releaser.CopyReleaser(client),
         budgets=budgets,
         attempts=attempts.Attempts(chosen, failures, budgets),
     )
--- a/tests/support/scripted_endpoints.py
+++ b/tests/support/scripted_endpoints.py
@@ -38,12 +38,14 @@
     Attributes:
         sent: Dispatches in the order in which they were sent.
         copies: Pairs of source and target of the copies asked for.
+        dropped: Pairs of engine and handle of the copies freed.
     """
 
     def __init__(self, answers):
         self._answers = {name: list(given) for name, given in answers.items()}
         self.sent = []
         self.copies = []
+        self.dropped = []
         self.refuses_copies = False
 
     async def send(self, sent):
@@ -59,6 +61,9 @@
             raise endpoint_errors.EndpointRefusedError("no room")
         return endpoint_client.MovedCopy(ids.HandleId("h1"), 1)
 
+    async def drop_copy(self, keeper, handle):
+        self.dropped.append((keeper.endpoint_id, handle))
+
     def forget(self, known):
         pass
 
