--- a/bronzeslip/forwarding/chooser.py
+++ b/bronzeslip/forwarding/chooser.py
@@ -34,11 +34,11 @@
 # Outputs shorter than this are over before an engine that leaves ends.
 _LONG_OUTPUT_TOKENS = 100
 # Engines preempt runs when their memory is full.
-_MEMORY_START = 0.4
+_MEMORY_START = 0.6
 _MEMORY_COST_S = 8.0
 # Gateways that read the same reports would choose alike. Costs that differ by
 # less than this are therefore treated as near to equal.
-_SPREAD_COST_S = 0.07
+_SPREAD_COST_S = 0.1
 
 
 class Chooser(Protocol):
