Write log lines to standard output by way of a bounded queue

Cause: lines were written where they arose, so a reader that does not read would have held up every request. A thread writes them now; lines that find no room, and lines of one event beyond 200 a second, are left out and counted.

--- a/bronzeslip/daemon_command.py
+++ b/bronzeslip/daemon_command.py
@@ -2,11 +2,13 @@
 
 import asyncio
 from collections.abc import Callable
+import contextlib
 import os
 import sys
 from typing import Protocol
 from typing import TypeVar
 
+from bronzeslip import log_queue
 from bronzeslip import logs
 from bronzeslip.settings import parser
 
@@ -46,7 +48,17 @@
         settings_type, program, description, sys.argv[1:], os.environ
     )
     logs.configure(settings.log_format, settings.log_level)
-    asyncio.run(_create_and_run(create, settings))
+    with _log_lines(settings.log_format):
+        asyncio.run(_create_and_run(create, settings))
+
+
+def _log_lines(
+    log_format: logs.LogFormat,
+) -> contextlib.AbstractContextManager[None]:
+    """Lines for machines go to standard output, by way of a queue."""
+    if log_format is logs.LogFormat.JSON:
+        return log_queue.running()
+    return contextlib.nullcontext()
 
 
 async def _create_and_run(
--- a/bronzeslip/logs.py
+++ b/bronzeslip/logs.py
@@ -14,6 +14,8 @@
 from absl.logging import converter
 import msgspec
 
+from bronzeslip import log_rate
+
 _NOISY_LIBRARIES = ("httpx", "httpcore", "uvicorn", "grpc")
 
 _PLAIN_TEXT = re.compile(r"[A-Za-z0-9_.:/@%+,*~()\[\]{}'|;?!&<>#$^-]+")
@@ -47,6 +49,7 @@
 
     def __init__(self, module: str) -> None:
         self._module = module
+        self._rates: dict[str, log_rate.LogRate] = {}
 
     @classmethod
     def set_format(cls, log_format: LogFormat) -> None:
@@ -72,6 +75,12 @@
     def _write(self, level: int, event: str, fields: dict[str, Any]) -> None:
         if level == logging.DEBUG and not logging.level_debug():
             return
+        rate = self._rates.setdefault(event, log_rate.LogRate())
+        if not rate.take():
+            return
+        left_out = rate.take_left_out()
+        if left_out:
+            fields = {**fields, "left_out": left_out}
         line = {"event": event, "module": self._module, **fields}
         if self._format is LogFormat.JSON:
             line = {**_stamp(level), **line}
--- /dev/null
+++ b/tests/test_log_queue.py
@@ -0,0 +1,69 @@
+"""Tests of bronzeslip.log_queue and bronzeslip.log_rate."""
+
+import io
+import logging
+import threading
+import time
+import unittest
+from unittest import mock
+
+from bronzeslip import log_queue
+from bronzeslip import log_rate
+
+
+class _BlockedOutput(io.StringIO):
+    """Output whose reader does not read until it is told to."""
+
+    def __init__(self):
+        super().__init__()
+        self.released = threading.Event()
+
+    def write(self, text):
+        self.released.wait(10)
+        return super().write(text)
+
+
+class LogQueueTest(unittest.TestCase):
+    def test_lines_reach_standard_output_in_order(self):
+        output = io.StringIO()
+        with mock.patch("sys.stdout", output), log_queue.running():
+            for number in range(5):
+                logging.getLogger().error("line %d", number)
+        self.assertEqual(
+            output.getvalue().splitlines(), [f"line {n}" for n in range(5)]
+        )
+
+    def test_reader_that_does_not_read_holds_up_nobody(self):
+        output = _BlockedOutput()
+        with (
+            mock.patch("sys.stdout", output),
+            mock.patch.object(log_queue, "_MAX_LINES", 10),
+            log_queue.running(),
+        ):
+            began_s = time.monotonic()
+            for number in range(1000):
+                logging.getLogger().error("line %d", number)
+            elapsed_s = time.monotonic() - began_s
+            output.released.set()
+            time.sleep(0.2)
+            logging.getLogger().error("after")
+        self.assertLess(elapsed_s, 5)
+        lines = output.getvalue().splitlines()
+        self.assertLess(len(lines), 20)
+        self.assertIn("logs.dropped", lines[-2])
+        self.assertEqual(lines[-1], "after")
+
+    def test_handlers_are_put_back(self):
+        before = logging.getLogger().handlers[:]
+        with log_queue.running():
+            pass
+        self.assertEqual(logging.getLogger().handlers, before)
+
+
+class LogRateTest(unittest.TestCase):
+    def test_lines_beyond_the_rate_are_counted(self):
+        rate = log_rate.LogRate()
+        written = sum(rate.take() for _ in range(5000))
+        self.assertLess(written, 1000)
+        self.assertEqual(rate.take_left_out(), 5000 - written)
+        self.assertEqual(rate.take_left_out(), 0)
