--- /dev/null
+++ b/tests/forwarding/test_many_gateways_one_report.py
@@ -0,0 +1,87 @@
+"""Load pattern: many gateways read the same old report of each engine."""
+
+import collections
+import unittest
+
+from bronzeslip.endpoints import report
+from bronzeslip.forwarding import errors
+from bronzeslip.routes import kind
+from tests.support import forwarding_parts
+from tests.support import scripted_endpoints
+
+_ENGINES = ("one", "two", "three", "four")
+_DRAWS = 400
+
+
+class ChoiceTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.parts = forwarding_parts.create_parts(
+            scripted_endpoints.ScriptedEndpoints({}),
+            [forwarding_parts.create_endpoint(name) for name in _ENGINES],
+        )
+        for name in _ENGINES:
+            self._report(name)
+
+    def _report(self, name, **values):
+        self.parts.reports.put(name, forwarding_parts.create_report(**values))
+
+    def _draw(self, request=None):
+        request = request or forwarding_parts.admit_draft()
+        return collections.Counter(
+            self.parts.chosen.choose(request, set()).endpoint_id
+            for _ in range(_DRAWS)
+        )
+
+    async def test_equal_engines_are_chosen_about_equally(self):
+        counts = self._draw()
+        self.assertEqual(len(counts), len(_ENGINES))
+        self.assertLess(max(counts.values()), _DRAWS / 2)
+
+    async def test_full_engine_is_avoided(self):
+        self._report("one", used_tokens=29_000, running=8)
+        self.assertLess(self._draw()["one"], _DRAWS / 100)
+
+    async def test_waiting_prompts_send_requests_elsewhere(self):
+        self._report("one", waiting=4)
+        self.assertLess(self._draw()["one"], _DRAWS / 20)
+
+    async def test_prompts_that_are_being_read_count(self):
+        runs = tuple(report.RunReport(f"q{n}", 0, 0) for n in range(6))
+        self._report("one", running=6, runs=runs)
+        self.assertLess(self._draw()["one"], _DRAWS / 20)
+
+    async def test_own_requests_since_the_report_count(self):
+        with (
+            self.parts.own.hold("one", 3000, 4000),
+            self.parts.own.hold("one", 3000, 4000),
+        ):
+            self.assertLess(self._draw()["one"], _DRAWS / 20)
+
+    async def test_engine_that_fails_is_avoided_for_a_while(self):
+        self.parts.failures.failed("one")
+        self.parts.failures.failed("one")
+        self.assertLess(self._draw()["one"], _DRAWS / 100)
+
+    async def test_drafts_go_where_neighbours_could_take_them_over(self):
+        self.parts.known.put(forwarding_parts.create_endpoint("far", "b-1"))
+        self._report("far")
+        self.assertLess(self._draw()["far"], _DRAWS / 50)
+
+    async def test_calls_prefer_the_own_failure_domain_a_little(self):
+        for name, domain in (("d1", "a-1"), ("d2", "b-1")):
+            self.parts.known.put(
+                forwarding_parts.create_endpoint(name, domain, "desk")
+            )
+        request = forwarding_parts.admit(
+            forwarding_parts.create_request(), kind.RequestKind.IDEMPOTENT
+        )
+        counts = self._draw(request)
+        self.assertGreater(counts["d1"], counts["d2"])
+        self.assertGreater(counts["d2"], 0)
+
+    async def test_without_endpoints_the_request_has_not_run(self):
+        parts = forwarding_parts.create_parts(
+            scripted_endpoints.ScriptedEndpoints({})
+        )
+        with self.assertRaises(errors.NotRunError):
+            parts.chosen.choose(forwarding_parts.admit_draft(), set())
