--- /dev/null
+++ b/tests/platform/test_settings_reloader.py
@@ -0,0 +1,55 @@
+"""Tests of bronzeslip.platform.settings_reloader."""
+
+import pathlib
+import tempfile
+import unittest
+
+from bronzeslip.platform import boot_file
+from bronzeslip.platform import settings_reloader
+
+_TEXT = """
+node_name = "front-1"
+zone = "a-1"
+[zones]
+a-1 = "a"
+[listen]
+front = "10.0.0.1:8740"
+ready = "10.0.0.1:8749"
+[bounds]
+grace_s = 8
+retry_ratio = 0.2
+retry_slack = 56
+retry_window_s = 10
+[platform]
+address = "10.0.0.9:8742"
+"""
+
+
+class SettingsReloaderTest(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = pathlib.Path(folder.name) / "settings.toml"
+        self.path.write_text(_TEXT)
+        self.bounds = []
+        self.reloader = settings_reloader.SettingsReloader(
+            self.path, boot_file.read(self.path), self.bounds.append
+        )
+
+    def test_unchanged_file_changes_nothing(self):
+        self.reloader.reload()
+        self.assertEqual(self.bounds, [])
+
+    def test_changed_bounds_are_taken_over_once(self):
+        self.path.write_text(_TEXT.replace("slack = 56", "slack = 7"))
+        self.reloader.reload()
+        self.reloader.reload()
+        self.assertEqual([found.retry_slack for found in self.bounds], [7])
+
+    def test_unreadable_file_changes_nothing(self):
+        for text in ("bounds = [", "node_name = 7", ""):
+            self.path.write_text(text)
+            self.reloader.reload()
+        self.path.unlink()
+        self.reloader.reload()
+        self.assertEqual(self.bounds, [])
