Let a repeated cancel leave the call to the engine alone

Logs of a failing run show that the gateway gave the caller up and the sidecar logged generation.ended twice, 1.5 ms apart: a gateway answers each batch that was under way with one more cancel frame, the table ended the run again, and the second task.cancel() interrupted the HTTP call that was telling the engine. The engine then ran on. Ruled out: the caller's connection (the kernel had dropped it, caller.gone was logged), the wait bound (the engine never heard of the cancel), refusal of the long request (its tokens were shown). Change: a run that has its outcome isn't ended again by a cancel. Before: 4 failures within fewer than 30 runs of the test on a quiet machine, one of them with the logs above. After: 0 of 16, and test_second_cancel_spares_the_call_that_tells_the_engine, which failed first. Conclusion: a fault of the product, not of the test; every early leave with tokens in flight could leave its generation running at the engine.

--- a/bronzeslip/sidecar/generations.py
+++ b/bronzeslip/sidecar/generations.py
@@ -80,12 +80,14 @@
         """Ends a generation that nobody reads.
 
         One that has not been started yet is not run when its start arrives.
+        A gateway repeats the frame for each batch that was under way, so the
+        work that tells the engine isn't interrupted by a second one.
         """
         known = self._runs.get(generation_id)
         if known is None:
             self._cancelled_at_s[generation_id] = time.monotonic()
             self.forget_at_engine(generation_id)
-        elif not known.has_listeners:
+        elif known.terminal is None and not known.has_listeners:
             self._end(known, reason.LossReason.CANCELLED)
 
     def forget_at_engine(self, generation_id: ids.GenerationId) -> None:
--- a/tests/sidecar/scripted_engine.py
+++ b/tests/sidecar/scripted_engine.py
@@ -26,11 +26,14 @@
     Attributes:
         resumed_at: Indexes from which streams were resumed.
         cancelled: Generations that were cancelled.
+        may_answer_cancel: Held back by a test, the engine takes its time.
     """
 
     def __init__(self, *streams, probe=None):
         self.resumed_at = []
         self.cancelled = []
+        self.may_answer_cancel = asyncio.Event()
+        self.may_answer_cancel.set()
         self.started = 0
         self._streams = list(streams)
         self._probe = probe
@@ -53,6 +56,7 @@
         )
 
     async def cancel(self, generation_id):
+        await self.may_answer_cancel.wait()
         self.cancelled.append(generation_id)
 
     async def _play(self):
--- a/tests/sidecar/test_generations.py
+++ b/tests/sidecar/test_generations.py
@@ -111,6 +111,19 @@
         table.cancel(_ID)
         self.assertEqual(current.terminal.reason, reason.LossReason.CANCELLED)
 
+    async def test_second_cancel_spares_the_call_that_tells_the_engine(self):
+        table = self.table([tokens(0, "a"), HANG])
+        current, changed = await self.reading(table, 1)
+        current.remove_listener(changed.set)
+        self.engine.may_answer_cancel.clear()
+        table.cancel(_ID)
+        await asyncio.sleep(0)
+        table.cancel(_ID)
+        await asyncio.sleep(0)
+        self.engine.may_answer_cancel.set()
+        await table.wait_ended()
+        self.assertEqual(self.engine.cancelled, [_ID])
+
     async def test_start_after_its_cancel_is_refused(self):
         table = self.table()
         table.cancel(_ID)
