Show metrics of the gateway on entry VMs and log choice and outcome

The three walks of OPERATIONS.md are played in tests/platform/test_walks.py.

Finding, with the test that failed first: a process whose log reader does not read never ended, since the end waited for the writing thread, then for the lock of its handler and of standard output. Lines now go out unbuffered by a handler without a lock, and waiting lines get half a second at the end.

--- /dev/null
+++ b/bench/log_cost.py
@@ -0,0 +1,137 @@
+"""Cost of a request's log lines, and of a reader that does not read them."""
+
+import argparse
+from collections.abc import Iterator
+import contextlib
+import os
+import sys
+import threading
+import time
+
+import msgspec
+
+from bronzeslip import log_queue
+from bronzeslip import logs
+
+logger = logs.get_logger(__name__)
+
+_US_PER_S = 1_000_000
+# Requests a second of a gateway on a machine of the users' sheets.
+_PACE_S = 1 / 40
+_REQUESTS = 400
+
+
+class Cost(msgspec.Struct, frozen=True):
+    """What the lines of one request cost.
+
+    Attributes:
+        processor_us: Processor time a request, in microseconds.
+        longest_us: Longest time that one request was held up, in
+            microseconds.
+    """
+
+    processor_us: float
+    longest_us: float
+
+
+def measure(level: logs.LogLevel, is_read: bool) -> Cost:
+    """Writes the lines of some requests at the pace of a gateway.
+
+    Args:
+        level: Lowest level that is written.
+        is_read: Whether somebody reads the lines.
+    """
+    logs.configure(logs.LogFormat.JSON, level)
+    with _standard_output(is_read), log_queue.running():
+        began_s = time.process_time()
+        longest_s = 0.0
+        for number in range(_REQUESTS):
+            at_s = time.perf_counter()
+            _write_lines(f"request-{number}")
+            longest_s = max(longest_s, time.perf_counter() - at_s)
+            time.sleep(_PACE_S)
+        spent_s = time.process_time() - began_s
+    return Cost(spent_s / _REQUESTS * _US_PER_S, longest_s * _US_PER_S)
+
+
+@contextlib.contextmanager
+def _standard_output(is_read: bool) -> Iterator[None]:
+    """Puts a pipe in the place of standard output while the block runs."""
+    read_end, write_end = os.pipe()
+    reader = threading.Thread(target=_drain, args=(read_end,), daemon=True)
+    before = sys.stdout
+    sys.stdout = os.fdopen(write_end, "w", buffering=1)
+    if not is_read:
+        # The pipe is full from the start.
+        os.set_blocking(write_end, False)
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                os.write(write_end, b"x" * 4096)
+        os.set_blocking(write_end, True)
+    else:
+        reader.start()
+    try:
+        yield
+    finally:
+        sys.stdout, blocked = before, sys.stdout
+        if not is_read:
+            reader.start()
+        blocked.close()
+        reader.join()
+
+
+def _drain(read_end: int) -> None:
+    with os.fdopen(read_end, "rb") as lines:
+        while lines.read(65536):
+            pass
+
+
+def _write_lines(request_id: str) -> None:
+    """Writes what a call that an endpoint answers writes."""
+    logger.info(
+        "request.accepted",
+        request=request_id,
+        route="orders",
+        service="desk",
+        workspace="smiths",
+        configuration=7,
+        left_s=1.5,
+    )
+    logger.info(
+        "request.chosen",
+        request=request_id,
+        endpoint="desk-1",
+        options=3,
+        cost_s=0.012,
+        least_cost_s=0.012,
+        crowding=0.3,
+        memory=0.0,
+        prefill_s=0.0,
+        report_age_s=None,
+    )
+    logger.info(
+        "request.settled",
+        request=request_id,
+        outcome="completed",
+        elapsed_s=0.03,
+    )
+
+
+def main() -> None:
+    """Prints the cost without lines, with a reader and without one."""
+    argparse.ArgumentParser(description=__doc__).parse_args()
+    rows = (
+        ("no lines", logs.LogLevel.ERROR, True),
+        ("lines that are read", logs.LogLevel.INFO, True),
+        ("lines that nobody reads", logs.LogLevel.INFO, False),
+    )
+    for name, level, is_read in rows:
+        cost = measure(level, is_read)
+        print(
+            f"{name}: {cost.processor_us:.0f} us a request, "
+            f"longest hold-up {cost.longest_us:.0f} us"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/bronzeslip/entry/daemon.py
+++ b/bronzeslip/entry/daemon.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import litestar
+from litestar import handlers
 
 from bronzeslip import background
 from bronzeslip import logs
@@ -17,6 +18,8 @@
 from bronzeslip.http import health
 from bronzeslip.http import server
 from bronzeslip.http import shutdown
+from bronzeslip.metrics import entry_metrics
+from bronzeslip.metrics import page
 from bronzeslip.routes import current
 from bronzeslip.routes import limits
 from bronzeslip.settings import entry
@@ -37,6 +40,7 @@
         app: Any,
         in_force: current.CurrentTable,
         ready: readiness.Readiness,
+        metrics: entry_metrics.EntryMetrics,
         tasks: Sequence[named_task.NamedTask],
         reload: Callable[[], None],
         withdraw: Callable[[], Awaitable[None]],
@@ -49,6 +53,7 @@
             app: ASGI application that serves callers.
             in_force: Configuration in force.
             ready: Whether callers are welcome.
+            metrics: Metrics to show.
             tasks: Work that runs beside.
             reload: Reads the settings again.
             withdraw: Takes this gateway off the records of all.
@@ -68,6 +73,12 @@
         self._balancer = server.HttpServer(
             self._readiness_app(), _http_settings(here.readiness)
         )
+        self._metrics = server.HttpServer(
+            _app(page.handler(metrics)),
+            _http_settings(
+                place.SocketAddress(here.callers.host, settings.metrics_port)
+            ),
+        )
 
     async def run(self) -> None:
         """Serves until told to shut down, then drains."""
@@ -75,6 +86,8 @@
         self._signals.on_reload(self._reload)
         self._callers.start()
         self._balancer.start()
+        if self._settings.metrics_port:
+            self._metrics.start()
         for task in self._named_tasks:
             self._tasks.start(task.name, task.work)
         logger.info("entry.listening", vm=self._here.vm_id)
@@ -83,6 +96,7 @@
         await self._withdraw()
         await self._tasks.stop()
         await self._balancer.abort()
+        await self._metrics.abort()
 
     async def _drain(self) -> None:
         """Fails readiness, then lets the running requests end."""
@@ -108,17 +122,21 @@
         )
 
     def _readiness_app(self) -> litestar.Litestar:
-        return litestar.Litestar(
-            route_handlers=[
-                *health.handlers(
-                    lambda: self._readiness.is_ready, ready_path="/ready"
-                )
-            ],
-            openapi_config=None,
-            logging_config=None,
+        return _app(
+            *health.handlers(
+                lambda: self._readiness.is_ready, ready_path="/ready"
+            )
         )
 
 
+def _app(*route_handlers: handlers.BaseRouteHandler) -> litestar.Litestar:
+    return litestar.Litestar(
+        route_handlers=route_handlers,
+        openapi_config=None,
+        logging_config=None,
+    )
+
+
 def _http_settings(address: place.SocketAddress) -> http.HttpSettings:
     return http.HttpSettings(
         listen_address=address.host, http_port=address.port
--- a/bronzeslip/forwarding/admission.py
+++ b/bronzeslip/forwarding/admission.py
@@ -67,6 +67,7 @@
             route=taken,
             service=service,
             workspace_id=caller.workspace_id if caller else None,
+            configuration=known.version,
             priority=_priority(taken, caller),
             deadline_s=request.arrived_s + min(patience_s, taken.timeout_s),
         )
--- a/bronzeslip/forwarding/admitted.py
+++ b/bronzeslip/forwarding/admitted.py
@@ -18,6 +18,7 @@
         route: Route that takes it.
         service: Service that serves it.
         workspace_id: Workspace of the caller, or None on public routes.
+        configuration: Version of the configuration that allows it.
         priority: Rank, 0 first.
         deadline_s: When its time is over, on the loop's clock.
     """
@@ -26,6 +27,7 @@
     route: route.Route
     service: service.Service
     workspace_id: ids.WorkspaceId | None
+    configuration: ids.TableVersion
     priority: int
     deadline_s: float
 
--- a/bronzeslip/forwarding/attempts.py
+++ b/bronzeslip/forwarding/attempts.py
@@ -13,6 +13,7 @@
 from bronzeslip.forwarding import endpoint_errors
 from bronzeslip.forwarding import errors
 from bronzeslip.forwarding import repeat_budgets
+from bronzeslip.metrics import entry_metrics
 from bronzeslip.routes import kind
 
 logger = logs.get_logger(__name__)
@@ -22,6 +23,8 @@
 # Endpoints tried that refuse or can't be reached, beside those that run it.
 _MAX_REFUSALS = 3
 
+_ANSWERED = "answered"
+
 ResultT = TypeVar("ResultT")
 
 
@@ -37,6 +40,7 @@
         chosen: chooser.Chooser,
         failures: failure_memory.FailureMemory,
         budgets: repeat_budgets.RepeatBudgets,
+        metrics: entry_metrics.EntryMetrics,
     ) -> None:
         """Creates attempts.
 
@@ -44,10 +48,12 @@
             chosen: Chooses endpoints.
             failures: Notes failures of endpoints.
             budgets: Limits repeats.
+            metrics: Counts attempts.
         """
         self._chooser = chosen
         self._failures = failures
         self._budgets = budgets
+        self._metrics = metrics
 
     async def run(
         self,
@@ -105,6 +111,7 @@
             result = await attempt(chosen)
         except endpoint_errors.EndpointError as error:
             self._failures.failed(chosen.endpoint_id)
+            self._metrics.attempted(error.code)
             logger.info(
                 "attempt.failed",
                 request=request.request.request_id,
@@ -114,6 +121,7 @@
             )
             raise
         self._failures.succeeded(chosen.endpoint_id)
+        self._metrics.attempted(_ANSWERED)
         return result
 
     def _may_run_again(
--- a/bronzeslip/forwarding/chooser.py
+++ b/bronzeslip/forwarding/chooser.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from bronzeslip import ids
+from bronzeslip import logs
 from bronzeslip.endpoints import directory
 from bronzeslip.endpoints import endpoint
 from bronzeslip.endpoints import failure_memory
@@ -16,6 +17,8 @@
 from bronzeslip.forwarding import errors
 from bronzeslip.forwarding import load_forecast
 
+logger = logs.get_logger(__name__)
+
 _RETRY_AFTER_S = 0.5
 # Costs are in seconds that a caller waits. One failure weighs as much as half
 # a second, so that two of them outweigh a usual queue.
@@ -105,7 +108,31 @@
             math.exp((least_s - cost_s) / _SPREAD_COST_S) for cost_s in costs_s
         ]
         self._loads.note_prompt(request)
-        return self._rng.choices(options, weights)[0]
+        index = self._rng.choices(range(len(options)), weights)[0]
+        self._log_choice(request, options[index], costs_s, index)
+        return options[index]
+
+    def _log_choice(
+        self,
+        request: admitted.AdmittedRequest,
+        chosen: endpoint.Endpoint,
+        costs_s: list[float],
+        index: int,
+    ) -> None:
+        forecast = self._loads.forecast(chosen, request)
+        age_s = self._loads.report_age_s(chosen)
+        logger.info(
+            "request.chosen",
+            request=request.request.request_id,
+            endpoint=chosen.endpoint_id,
+            options=len(costs_s),
+            cost_s=round(costs_s[index], 3),
+            least_cost_s=round(min(costs_s), 3),
+            crowding=round(forecast.crowding, 2),
+            memory=round(forecast.memory, 2),
+            prefill_s=round(forecast.prefill_s, 3),
+            report_age_s=None if age_s is None else round(age_s, 2),
+        )
 
     def cost_s(
         self, option: endpoint.Endpoint, request: admitted.AdmittedRequest
--- a/bronzeslip/forwarding/load_forecast.py
+++ b/bronzeslip/forwarding/load_forecast.py
@@ -1,5 +1,6 @@
 """Load that is expected of an endpoint if it takes a request."""
 
+import asyncio
 import math
 
 import msgspec
@@ -92,6 +93,13 @@
             run.expected_tokens for run in self._sent_since_report(option)
         )
 
+    def report_age_s(self, option: endpoint.Endpoint) -> float | None:
+        """Returns the age of an engine's report, or None without one."""
+        dated = self._reports.get(option.endpoint_id)
+        if dated is None:
+            return None
+        return asyncio.get_running_loop().time() - dated.read_s
+
     def usual_tokens(self) -> int:
         """Returns the memory taken at an engine whose report is not read."""
         return self._reports.mean_used_tokens
--- a/bronzeslip/forwarding/parts.py
+++ b/bronzeslip/forwarding/parts.py
@@ -12,6 +12,7 @@
 from bronzeslip.forwarding import endpoint_client
 from bronzeslip.forwarding import repeat_budgets
 from bronzeslip.forwarding import standby_chooser
+from bronzeslip.metrics import entry_metrics
 from bronzeslip.routes import current
 from bronzeslip.settings import entry
 
@@ -32,6 +33,7 @@
         releaser: Frees standby copies.
         budgets: Limits repeats.
         attempts: Tries endpoints.
+        metrics: Metrics of the gateway.
     """
 
     settings: entry.EntrySettings
@@ -46,3 +48,4 @@
     releaser: copy_releaser.CopyReleaser
     budgets: repeat_budgets.RepeatBudgets
     attempts: attempts.Attempts
+    metrics: entry_metrics.EntryMetrics
--- a/bronzeslip/forwarding/pipeline.py
+++ b/bronzeslip/forwarding/pipeline.py
@@ -8,6 +8,7 @@
 from bronzeslip.forwarding import errors
 from bronzeslip.forwarding import incoming
 from bronzeslip.forwarding import reply
+from bronzeslip.forwarding import request_ledger
 from bronzeslip.forwarding import stream_forwarder
 from bronzeslip.routes import kind
 
@@ -20,10 +21,20 @@
         admitting: admission.Admission,
         calls: call_forwarder.CallForwarder,
         streams: stream_forwarder.StreamForwarder,
+        ledger: request_ledger.RequestLedger,
     ) -> None:
+        """Creates a pipeline.
+
+        Args:
+            admitting: Checks requests against the configuration.
+            calls: Forwards calls.
+            streams: Forwards generations.
+            ledger: Notes what becomes of requests.
+        """
         self._admission = admitting
         self._calls = calls
         self._streams = streams
+        self._ledger = ledger
 
     async def serve(
         self, request: incoming.IncomingRequest, to_caller: reply.Reply
@@ -35,6 +46,12 @@
                 the whole of it.
         """
         allowed = self._admission.admit(request)
+        with self._ledger.settling(allowed):
+            await self._serve_in_time(allowed, to_caller)
+
+    async def _serve_in_time(
+        self, allowed: admitted.AdmittedRequest, to_caller: reply.Reply
+    ) -> None:
         try:
             async with asyncio.timeout_at(allowed.deadline_s):
                 await self._forward(allowed, to_caller)
--- /dev/null
+++ b/bronzeslip/forwarding/request_ledger.py
@@ -0,0 +1,90 @@
+"""Log lines and metrics of what becomes of requests."""
+
+import asyncio
+from collections.abc import Iterator
+import contextlib
+import functools
+
+from bronzeslip import logs
+from bronzeslip.forwarding import admitted
+from bronzeslip.forwarding import errors
+from bronzeslip.metrics import entry_metrics
+from bronzeslip.metrics import outcome as outcomes
+
+logger = logs.get_logger(__name__)
+
+RequestOutcome = outcomes.RequestOutcome
+
+
+class RequestLedger:
+    """Notes the start and the outcome of each admitted request."""
+
+    def __init__(self, metrics: entry_metrics.EntryMetrics) -> None:
+        self._metrics = metrics
+
+    @contextlib.contextmanager
+    def settling(self, request: admitted.AdmittedRequest) -> Iterator[None]:
+        """Notes a request while the block serves it.
+
+        Args:
+            request: The request.
+        """
+        logger.info(
+            "request.accepted",
+            request=request.request.request_id,
+            route=request.route.name,
+            service=request.service.name,
+            workspace=request.workspace_id,
+            configuration=request.configuration,
+            left_s=round(request.left_s, 3),
+        )
+        outcome = RequestOutcome.FAILED
+        try:
+            yield
+            outcome = RequestOutcome.COMPLETED
+        except BaseException as error:
+            outcome = _outcome_of(error)
+            raise
+        finally:
+            self._settle(request, outcome)
+
+    def _settle(
+        self, request: admitted.AdmittedRequest, outcome: RequestOutcome
+    ) -> None:
+        now_s = asyncio.get_running_loop().time()
+        elapsed_s = now_s - request.request.arrived_s
+        logger.info(
+            "request.settled",
+            request=request.request.request_id,
+            outcome=outcome,
+            elapsed_s=round(elapsed_s, 3),
+        )
+        self._metrics.settled(
+            request.workspace_id, request.route.kind, outcome, elapsed_s
+        )
+
+
+@functools.singledispatch
+def _outcome_of(_: BaseException) -> RequestOutcome:
+    return RequestOutcome.FAILED
+
+
+@_outcome_of.register
+def _(_: asyncio.CancelledError) -> RequestOutcome:
+    return RequestOutcome.CANCELLED
+
+
+@_outcome_of.register
+def _(_: errors.NotRunError) -> RequestOutcome:
+    return RequestOutcome.REFUSED
+
+
+@_outcome_of.register(errors.OutcomeUnknownError)
+@_outcome_of.register(errors.DeadlineExceededError)
+def _(_: errors.ForwardingError) -> RequestOutcome:
+    return RequestOutcome.UNKNOWN
+
+
+@_outcome_of.register
+def _(_: errors.AnswerBrokenOffError) -> RequestOutcome:
+    return RequestOutcome.INCOMPLETE
--- a/bronzeslip/forwarding/stream_run.py
+++ b/bronzeslip/forwarding/stream_run.py
@@ -213,6 +213,13 @@
 
     def _log_end(self) -> None:
         first_s = self._times.first_s
+        if first_s is not None:
+            self._parts.metrics.streamed(
+                self._request.workspace_id,
+                self._request.route.kind,
+                first_s,
+                self._times.longest_pause_s,
+            )
         logger.info(
             "stream.done",
             request=self._request.request.request_id,
--- a/bronzeslip/log_queue.py
+++ b/bronzeslip/log_queue.py
@@ -7,9 +7,13 @@
 import logging.handlers
 import queue
 import sys
+from typing import BinaryIO
 
 # Some seconds of lines at the bound of the rate, about 2 MB.
 _MAX_LINES = 4096
+# Time that waiting lines get at the end of the program; well within the time
+# that the operators leave a process that they have told to end.
+_END_S = 0.5
 
 
 class _DroppingHandler(logging.handlers.QueueHandler):
@@ -34,20 +38,53 @@
             self._dropped += 1
 
 
+class _LineHandler(logging.Handler):
+    """Writes lines from one thread.
+
+    It has no lock and no buffer, since a write that is blocked at the end of
+    the program would hold them for ever.
+    """
+
+    def __init__(self, output: BinaryIO) -> None:
+        super().__init__()
+        self._output = output
+
+    def createLock(self) -> None:  # noqa: N802
+        """Does without a lock."""
+        self.lock = None
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Writes a line."""
+        rest = f"{self.format(record)}\n".encode()
+        while rest:
+            rest = rest[self._output.write(rest) :]
+
+
+class _BoundedListener(logging.handlers.QueueListener):
+    """Writes lines; its end does not wait for a reader for ever."""
+
+    def stop(self) -> None:
+        """Writes the lines that wait, as far as they are read in time."""
+        with contextlib.suppress(queue.Full):
+            self.queue.put(self._sentinel, timeout=_END_S)
+        self._thread.join(_END_S)
+
+
 @contextlib.contextmanager
-def running() -> Iterator[None]:
-    """Has a thread write all lines to standard output while the block runs.
+def running(output: BinaryIO | None = None) -> Iterator[None]:
+    """Has a thread write all lines while the block runs.
 
     A reader that does not read blocks the thread alone. Lines that wait then
     are bounded, and further ones are left out and counted.
+
+    Args:
+        output: Where lines go, standard output if None.
     """
     lines: queue.Queue = queue.Queue(_MAX_LINES)
     root = logging.getLogger()
     before = root.handlers[:]
     root.handlers[:] = [_DroppingHandler(lines)]
-    listener = logging.handlers.QueueListener(
-        lines, logging.StreamHandler(sys.stdout)
-    )
+    listener = _BoundedListener(lines, _LineHandler(output or _own_output()))
     listener.start()
     try:
         yield
@@ -56,6 +93,15 @@
         listener.stop()
 
 
+def _own_output() -> BinaryIO:
+    """Opens standard output anew.
+
+    The interpreter flushes its own object at the end and would wait for a
+    thread that is blocked in it.
+    """
+    return open(sys.stdout.fileno(), "wb", buffering=0, closefd=False)
+
+
 def _dropped_record(count: int) -> logging.LogRecord:
     line = {"level": "WARNING", "event": "logs.dropped", "count": count}
     return logging.makeLogRecord(
--- a/bronzeslip/logs.py
+++ b/bronzeslip/logs.py
@@ -1,5 +1,6 @@
 """Structured event logging over absl.logging."""
 
+import collections
 from collections.abc import Callable
 import datetime
 import enum
@@ -22,6 +23,9 @@
 
 EventWriter = Callable[..., None]
 
+# Events of this process by name, those whose lines were left out too.
+event_counts: collections.Counter[str] = collections.Counter()
+
 for _name in ("debug", "info", "warning", "error", "_write"):
     logging.ABSLLogger.register_frame_to_skip(__file__, _name)
 
@@ -75,6 +79,7 @@
     def _write(self, level: int, event: str, fields: dict[str, Any]) -> None:
         if level == logging.DEBUG and not logging.level_debug():
             return
+        event_counts[event] += 1
         rate = self._rates.setdefault(event, log_rate.LogRate())
         if not rate.take():
             return
--- /dev/null
+++ b/bronzeslip/metrics/entry_metrics.py
@@ -0,0 +1,122 @@
+"""Metrics of a gateway that calls endpoints itself."""
+
+import aioprometheus
+
+from bronzeslip import ids
+from bronzeslip import logs
+from bronzeslip.endpoints import directory
+from bronzeslip.metrics import bounded_label
+from bronzeslip.metrics import buckets
+from bronzeslip.metrics import outcome as outcomes
+from bronzeslip.metrics import process_metrics
+from bronzeslip.routes import current
+from bronzeslip.routes import kind
+
+_NO_WORKSPACE = "(public)"
+_NO_VERSION = -1
+
+
+class EntryMetrics(process_metrics.ProcessMetrics):
+    """Metrics of requests by workspace and kind, and of each event logged."""
+
+    def __init__(
+        self, in_force: current.CurrentTable, known: directory.EndpointDirectory
+    ) -> None:
+        """Creates metrics.
+
+        Args:
+            in_force: Configuration whose version is shown.
+            known: Endpoints that are counted.
+        """
+        super().__init__()
+        self._current = in_force
+        self._known = known
+        self._workspaces = bounded_label.BoundedLabel()
+        self._answer = self._histogram(
+            "answer", "Time to the end of the answer", buckets.ANSWER_S
+        )
+        self._first_event = self._histogram(
+            "first_event", "Time to the first event", buckets.FIRST_TOKEN_S
+        )
+        self._longest_pause = self._histogram(
+            "longest_pause",
+            "Longest pause between the events of an answer",
+            buckets.BETWEEN_TOKENS_S,
+        )
+        self._attempts = self._counter(
+            "bronzeslip_attempts_total", "Requests sent to endpoints by result"
+        )
+        self._events = self._counter(
+            "bronzeslip_events_total", "Events logged, left out lines too"
+        )
+        self._endpoints = aioprometheus.Gauge(
+            "bronzeslip_endpoints",
+            "Endpoints known by state",
+            registry=self.registry,
+        )
+
+    def settled(
+        self,
+        workspace_id: ids.WorkspaceId | None,
+        request_kind: kind.RequestKind,
+        outcome: outcomes.RequestOutcome,
+        elapsed_s: float,
+    ) -> None:
+        """Records a request that has come to its end."""
+        values = self._values(workspace_id, request_kind)
+        values["outcome"] = outcome.value
+        self._answer.observe(values, elapsed_s)
+
+    def streamed(
+        self,
+        workspace_id: ids.WorkspaceId | None,
+        request_kind: kind.RequestKind,
+        first_s: float,
+        longest_pause_s: float,
+    ) -> None:
+        """Records the times of a stream that was passed on whole."""
+        values = self._values(workspace_id, request_kind)
+        self._first_event.observe(values, first_s)
+        self._longest_pause.observe(values, longest_pause_s)
+
+    def attempted(self, result: str) -> None:
+        """Counts a request sent to an endpoint.
+
+        Args:
+            result: Code of the error, or `answered`.
+        """
+        self._attempts.inc({"result": result})
+
+    def refresh(self) -> None:
+        """Reads versions, endpoints and counts of events."""
+        table = self._current.table
+        version = _NO_VERSION if table is None else table.version
+        self._configuration_number.set({}, version)
+        endpoints = self._known.endpoints
+        ready = sum(1 for known in endpoints if known.is_ready)
+        self._endpoints.set({"state": "ready"}, ready)
+        self._endpoints.set({"state": "leaving"}, len(endpoints) - ready)
+        for event, count in logs.event_counts.items():
+            self._events.set({"event": event}, count)
+
+    def _values(
+        self,
+        workspace_id: ids.WorkspaceId | None,
+        request_kind: kind.RequestKind,
+    ) -> dict[str, str]:
+        return {
+            "workspace": self._workspaces.value_of(
+                workspace_id or _NO_WORKSPACE
+            ),
+            "kind": request_kind.value,
+        }
+
+    def _histogram(
+        self, name: str, help_text: str, bounds: tuple[float, ...]
+    ) -> aioprometheus.Histogram:
+        return aioprometheus.Histogram(
+            f"bronzeslip_{name}_seconds",
+            help_text,
+            registry=self.registry,
+            buckets=bounds,
+        )
--- a/bronzeslip/platform/gateway.py
+++ b/bronzeslip/platform/gateway.py
@@ -25,8 +25,10 @@
 from bronzeslip.forwarding import parts
 from bronzeslip.forwarding import pipeline
 from bronzeslip.forwarding import repeat_budgets
+from bronzeslip.forwarding import request_ledger
 from bronzeslip.forwarding import standby_chooser
 from bronzeslip.forwarding import stream_forwarder
+from bronzeslip.metrics import entry_metrics
 from bronzeslip.platform import boot_file
 from bronzeslip.platform import configuration_follower
 from bronzeslip.platform import discovery_follower
@@ -52,9 +54,14 @@
         errors.BootFileError: If that file can't be read.
     """
     here = boot_file.read(path)
-    store = store_client.StoreClient(here.store, settings)
+    known = directory.EndpointDirectory(settings)
+    in_force = current.CurrentTable()
+    metrics = entry_metrics.EntryMetrics(in_force, known)
+    store = store_client.StoreClient(
+        here.store, settings, metrics.platform_called
+    )
     registry = gateway_registry.GatewayRegistry(store, here.vm_id)
-    shared = _create_parts(settings, here, registry)
+    shared = _create_parts(settings, here, registry, in_force, known, metrics)
     ready = readiness.Readiness(shared.current, shared.known)
     reloader = settings_reloader.SettingsReloader(
         path, here, shared.budgets.set_bounds
@@ -63,6 +70,7 @@
         admission.Admission(settings, shared.current, random.Random()),
         call_forwarder.CallForwarder(shared),
         stream_forwarder.StreamForwarder(shared),
+        request_ledger.RequestLedger(metrics),
     )
     return daemon.EntryDaemon(
         settings,
@@ -70,6 +78,7 @@
         ingress.Ingress(served, shared.current),
         shared.current,
         ready,
+        metrics,
         (
             *_tasks(settings, here, store, shared),
             named_task.NamedTask("registry", registry.run()),
@@ -84,8 +93,10 @@
     settings: entry.EntrySettings,
     here: place.VmPlace,
     registry: gateway_registry.GatewayRegistry,
+    in_force: current.CurrentTable,
+    known: directory.EndpointDirectory,
+    metrics: entry_metrics.EntryMetrics,
 ) -> parts.ForwardingParts:
-    known = directory.EndpointDirectory(settings)
     own = own_load.OwnLoad()
     reports = report_board.ReportBoard()
     failures = failure_memory.FailureMemory()
@@ -107,7 +118,7 @@
     budgets = repeat_budgets.RepeatBudgets(here.bounds, lambda: registry.count)
     return parts.ForwardingParts(
         settings=settings,
-        current=current.CurrentTable(),
+        current=in_force,
         known=known,
         own=own,
         reports=reports,
@@ -119,7 +130,8 @@
         ),
         releaser=copy_releaser.CopyReleaser(client),
         budgets=budgets,
-        attempts=attempts.Attempts(chosen, failures, budgets),
+        attempts=attempts.Attempts(chosen, failures, budgets, metrics),
+        metrics=metrics,
     )
 
 
--- a/bronzeslip/platform/store_client.py
+++ b/bronzeslip/platform/store_client.py
@@ -1,5 +1,6 @@
 """Client of the platform's store behind the product's interface."""
 
+from collections.abc import Callable
 from typing import Any
 
 import httpx
@@ -56,6 +57,7 @@
         self,
         address: place.SocketAddress,
         settings: entry.EntrySettings,
+        on_call: Callable[[str, str], None],
         transport: httpx.AsyncBaseTransport | None = None,
     ) -> None:
         """Creates a client.
@@ -63,8 +65,10 @@
         Args:
             address: Address of the store.
             settings: Timeouts.
+            on_call: Called after each call with its method and its result.
             transport: Transport to use in place of TCP, for tests.
         """
+        self._on_call = on_call
         self._timeout_s = settings.store_timeout_s
         self._http = httpx.AsyncClient(
             base_url=f"http://{address.host}:{address.port}",
@@ -176,9 +180,11 @@
         try:
             response = await self._http.request(method, path, **options)
         except httpx.HTTPError as error:
+            self._on_call(method, type(error).__name__)
             raise errors.PlatformUnavailableError(
                 f"{method} {path}: {type(error).__name__}"
             ) from error
+        self._on_call(method, str(response.status_code))
         _raise_for_status(method, path, response.status_code)
         return response
 
--- a/bronzeslip/settings/entry.py
+++ b/bronzeslip/settings/entry.py
@@ -151,6 +151,13 @@
         minimum=1,
         maximum=10_000_000,
     )
+    metrics_port: int = setting(
+        "port of the metrics page on the address for callers, 0 for none",
+        "http",
+        default=0,
+        minimum=0,
+        maximum=65_535,
+    )
     log_format: logs.LogFormat = setting(
         "form of log lines", "logs", default=logs.LogFormat.JSON
     )
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -7,6 +7,7 @@
 from bronzeslip.platform import ingress
 from bronzeslip.routes import current
 from bronzeslip.routes import kind
+from tests.support import asgi_caller
 from tests.support import forwarding_parts
 from tests.support import until
 
@@ -32,35 +33,6 @@
             raise self.error
 
 
-class _Caller:
-    """Caller that sends messages and records what it is sent."""
-
-    def __init__(self, *messages):
-        self.messages = list(messages)
-        self.sent = []
-        self.more = asyncio.Event()
-
-    async def receive(self):
-        while not self.messages:
-            await self.more.wait()
-        return self.messages.pop(0)
-
-    async def send(self, message):
-        self.sent.append(message)
-
-    def leave(self):
-        self.messages.append({"type": "http.disconnect"})
-        self.more.set()
-
-    @property
-    def status(self):
-        return self.sent[0]["status"]
-
-    @property
-    def headers(self):
-        return dict(self.sent[0]["headers"])
-
-
 _SCOPE = {
     "type": "http",
     "method": "POST",
@@ -70,10 +42,6 @@
 }
 
 
-def _body(data, more=False):
-    return {"type": "http.request", "body": data, "more_body": more}
-
-
 class IngressTest(unittest.IsolatedAsyncioTestCase):
     async def _serve(self, pipeline, caller):
         in_force = current.CurrentTable()
@@ -88,20 +56,25 @@
     async def test_body_in_parts_is_joined(self):
         pipeline = _Pipeline()
         await self._serve(
-            pipeline, _Caller(_body(b"a", more=True), _body(b"b"))
+            pipeline,
+            asgi_caller.AsgiCaller(
+                asgi_caller.body(b"a", more=True), asgi_caller.body(b"b")
+            ),
         )
         self.assertEqual(pipeline.request.body, b"ab")
 
     async def test_torn_request_is_not_served(self):
         pipeline = _Pipeline()
-        caller = _Caller(_body(b"a", more=True), {"type": "http.disconnect"})
+        caller = asgi_caller.AsgiCaller(
+            asgi_caller.body(b"a", more=True), {"type": "http.disconnect"}
+        )
         await self._serve(pipeline, caller)
         self.assertIsNone(pipeline.request)
         self.assertEqual(caller.sent, [])
 
     async def test_caller_that_leaves_cancels_the_work(self):
         pipeline = _Pipeline(waits=True)
-        caller = _Caller(_body(b""))
+        caller = asgi_caller.AsgiCaller(asgi_caller.body(b""))
         serving = asyncio.create_task(self._serve(pipeline, caller))
         await until.until(lambda: pipeline.request)
         caller.leave()
@@ -121,19 +94,19 @@
             (errors.DeadlineExceededError("x"), 504),
         ):
             with self.subTest(status=status):
-                caller = _Caller(_body(b""))
+                caller = asgi_caller.AsgiCaller(asgi_caller.body(b""))
                 await self._serve(_Pipeline(error), caller)
                 self.assertEqual(caller.status, status)
                 self.assertNotIn(b"bronzeslip-response-stamp", caller.headers)
 
     async def test_refusal_says_when_to_come_back(self):
-        caller = _Caller(_body(b""))
+        caller = asgi_caller.AsgiCaller(asgi_caller.body(b""))
         error = errors.NotRunError("x", retry_after_s=0.5)
         await self._serve(_Pipeline(error), caller)
         self.assertEqual(caller.headers[b"retry-after"], b"0.50")
 
     async def test_large_body_is_refused(self):
-        caller = _Caller(_body(b"x" * 5_000_000))
+        caller = asgi_caller.AsgiCaller(asgi_caller.body(b"x" * 5_000_000))
         pipeline = _Pipeline()
         await self._serve(pipeline, caller)
         self.assertEqual(caller.status, 413)
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -29,6 +29,7 @@
 class StoreClientTest(unittest.IsolatedAsyncioTestCase):
     def _create(self, *answers):
         self.requests = []
+        self.calls = []
         waiting = list(answers)
 
         def answer(request):
@@ -41,6 +42,7 @@
         client = store_client.StoreClient(
             place.SocketAddress("store", 1),
             forwarding_parts.SETTINGS,
+            lambda method, result: self.calls.append((method, result)),
             httpx.MockTransport(answer),
         )
         self.addAsyncCleanup(client.close)
--- /dev/null
+++ b/tests/platform/test_walks.py
@@ -0,0 +1,126 @@
+"""Walks of docs/OPERATIONS.md, from the id of a request to its cause."""
+
+import asyncio
+import unittest
+
+from bronzeslip.forwarding import endpoint_errors
+from bronzeslip.routes import kind
+from bronzeslip.routes import route
+from tests.support import forwarding_gateway
+from tests.support import forwarding_parts
+from tests.support import log_lines
+from tests.support import scripted_endpoints
+from tests.support import until
+
+_DRAFT_HEADERS = (
+    (b"bronzeslip-model", b"m"),
+    (b"bronzeslip-token-usage", b"3000,2000"),
+    (b"bronzeslip-prompt-prefix", b"aa:79,bb:2921"),
+)
+_BROKEN = endpoint_errors.EndpointBrokenError("answer broken off")
+
+
+class WalksTest(unittest.IsolatedAsyncioTestCase):
+    def _gateway(self, answers, service_name="pool"):
+        client = scripted_endpoints.ScriptedEndpoints(answers)
+        client.refuses_copies = True
+        return forwarding_gateway.ForwardingGateway(
+            client,
+            tuple(
+                forwarding_parts.create_endpoint(
+                    name, service_name=service_name
+                )
+                for name in answers
+            ),
+        )
+
+    def _draft_route(self):
+        return forwarding_parts.create_route(
+            kind.RequestKind.STREAM,
+            services=(route.WeightedService(forwarding_parts.POOL.name),),
+        )
+
+    async def test_draft_cut_midway(self):
+        events = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+        reclaimed = asyncio.Event()
+        answer = scripted_endpoints.ScriptedAnswer(
+            200, [events, reclaimed, _BROKEN]
+        )
+        gateway = self._gateway({"one": [answer], "two": []})
+        gateway.adopt(self._draft_route())
+        leaving, other = gateway.parts.known.endpoints
+        gateway.parts.known.note_leaving(other)
+        with log_lines.captured() as found:
+            serving = asyncio.create_task(gateway.serve("q7", _DRAFT_HEADERS))
+            await until.until(lambda: found.of("stream.sent"))
+            gateway.parts.known.put(
+                forwarding_parts.create_endpoint("three", "b-1")
+            )
+            gateway.parts.known.note_leaving(leaving)
+            await until.until(lambda: found.of("standby.failed"))
+            reclaimed.set()
+            caller = await serving
+        self.assertEqual(caller.status, 200)
+        settled = found.one("request.settled", request="q7")
+        self.assertEqual(settled["outcome"], "incomplete")
+        ended = found.one("request.ended", request="q7")
+        self.assertEqual(ended["code"], "answer-broken-off")
+        self.assertEqual(ended["reason"], "no copy of the run")
+        cut = found.one("stream.cut", request="q7")
+        self.assertEqual(cut["events"], 2)
+        chosen = found.one("request.chosen", request="q7")
+        self.assertEqual(chosen["endpoint"], cut["endpoint"])
+        self.assertIsNone(chosen["report_age_s"])
+        leaving = found.one("endpoints.leaving", endpoint=cut["endpoint"])
+        failed = found.of("standby.failed", request="q7")[0]
+        self.assertEqual(failed["target"], "three")
+        self.assertLess(found.lines.index(leaving), found.lines.index(failed))
+        self.assertLess(found.lines.index(failed), found.lines.index(cut))
+
+    async def test_call_whose_outcome_is_unknown(self):
+        gateway = self._gateway({"one": [_BROKEN]}, "desk")
+        gateway.adopt(
+            forwarding_parts.create_route(kind.RequestKind.AT_MOST_ONCE)
+        )
+        with log_lines.captured() as found:
+            caller = await gateway.serve("q8")
+        self.assertEqual(caller.status, 502)
+        settled = found.one("request.settled", request="q8")
+        self.assertEqual(settled["outcome"], "unknown")
+        ended = found.one("request.ended", request="q8")
+        self.assertEqual(ended["code"], "outcome-unknown")
+        failed = found.one("attempt.failed", request="q8")
+        self.assertEqual(failed["code"], "endpoint-broken")
+        self.assertEqual(failed["endpoint"], "one")
+
+    async def test_refusal_that_the_caller_doubts(self):
+        gateway = self._gateway({"one": []}, "desk")
+        with log_lines.captured() as found:
+            caller = await gateway.serve("q9")
+            gateway.adopt(
+                forwarding_parts.create_route(kind.RequestKind.IDEMPOTENT),
+                version=3,
+            )
+        self.assertEqual(caller.status, 503)
+        ended = found.one("request.ended", request="q9")
+        self.assertEqual(ended["code"], "not-run")
+        self.assertEqual(ended["retry_after_s"], 0.5)
+        self.assertEqual(found.of("request.accepted", request="q9"), [])
+        adopted = found.one("configuration.adopted")
+        self.assertEqual(adopted["version"], 3)
+        self.assertLess(found.lines.index(ended), found.lines.index(adopted))
+
+    async def test_no_line_holds_a_key_or_a_body(self):
+        answer = scripted_endpoints.ScriptedAnswer(200, [b"secret-answer"])
+        gateway = self._gateway({"one": [answer]}, "desk")
+        gateway.adopt(
+            forwarding_parts.create_route(kind.RequestKind.IDEMPOTENT)
+        )
+        with log_lines.captured() as found:
+            caller = await gateway.serve("q10")
+        self.assertEqual(caller.status, 200)
+        settled = found.one("request.settled", request="q10")
+        self.assertEqual(settled["outcome"], "completed")
+        text = str(found.lines)
+        self.assertNotIn("secret", text)
+        self.assertNotIn(forwarding_parts.KEY, text)
--- /dev/null
+++ b/tests/support/asgi_caller.py
@@ -0,0 +1,37 @@
+"""Caller of an ASGI application."""
+
+import asyncio
+
+
+class AsgiCaller:
+    """Sends messages and records what it is sent."""
+
+    def __init__(self, *messages):
+        self.messages = list(messages)
+        self.sent = []
+        self.more = asyncio.Event()
+
+    async def receive(self):
+        while not self.messages:
+            await self.more.wait()
+        return self.messages.pop(0)
+
+    async def send(self, message):
+        self.sent.append(message)
+
+    def leave(self):
+        self.messages.append({"type": "http.disconnect"})
+        self.more.set()
+
+    @property
+    def status(self):
+        return self.sent[0]["status"]
+
+    @property
+    def headers(self):
+        return dict(self.sent[0]["headers"])
+
+
+def body(data, more=False):
+    """Returns the message that brings a part of a body."""
+    return {"type": "http.request", "body": data, "more_body": more}
--- /dev/null
+++ b/tests/support/forwarding_gateway.py
@@ -0,0 +1,58 @@
+"""A gateway from its ASGI interface to endpoints that a test scripts."""
+
+import random
+
+from bronzeslip.forwarding import admission
+from bronzeslip.forwarding import call_forwarder
+from bronzeslip.forwarding import pipeline
+from bronzeslip.forwarding import request_ledger
+from bronzeslip.forwarding import stream_forwarder
+from bronzeslip.platform import ingress
+from tests.support import asgi_caller
+from tests.support import forwarding_parts
+
+
+class ForwardingGateway:
+    """Serves callers in process.
+
+    Attributes:
+        parts: What it works with.
+    """
+
+    def __init__(self, client, endpoints):
+        self.parts = forwarding_parts.create_parts(client, endpoints)
+        served = pipeline.Pipeline(
+            admission.Admission(
+                forwarding_parts.SETTINGS,
+                self.parts.current,
+                random.Random(1),
+            ),
+            call_forwarder.CallForwarder(self.parts),
+            stream_forwarder.StreamForwarder(self.parts),
+            request_ledger.RequestLedger(self.parts.metrics),
+        )
+        self._ingress = ingress.Ingress(served, self.parts.current)
+
+    def adopt(self, *routes, version=1):
+        """Puts a configuration in force."""
+        self.parts.current.adopt(
+            forwarding_parts.create_table(*routes, version=version)
+        )
+
+    async def serve(self, request_id, headers=()):
+        """Serves one request and returns its caller."""
+        caller = asgi_caller.AsgiCaller(asgi_caller.body(b"secret-body"))
+        scope = {
+            "type": "http",
+            "method": "POST",
+            "target": b"/p/x",
+            "raw_path": b"/p/x",
+            "headers": [
+                (b"host", b"h.example"),
+                (b"bronzeslip-attempt-id", request_id.encode()),
+                (b"bronzeslip-key", forwarding_parts.KEY.encode()),
+                *headers,
+            ],
+        }
+        await self._ingress(scope, caller.receive, caller.send)
+        return caller
--- a/tests/support/forwarding_parts.py
+++ b/tests/support/forwarding_parts.py
@@ -23,6 +23,7 @@
 from bronzeslip.forwarding import prompt
 from bronzeslip.forwarding import repeat_budgets
 from bronzeslip.forwarding import standby_chooser
+from bronzeslip.metrics import entry_metrics
 from bronzeslip.routes import current
 from bronzeslip.routes import engine_traits
 from bronzeslip.routes import kind
@@ -133,6 +134,7 @@
         route=taken,
         service=to,
         workspace_id=ids.WorkspaceId("w"),
+        configuration=ids.TableVersion(1),
         priority=0,
         deadline_s=request.arrived_s + taken.timeout_s,
     )
@@ -150,6 +152,8 @@
     own = own_load.OwnLoad()
     reports = report_board.ReportBoard()
     failures = failure_memory.FailureMemory()
+    in_force = current.CurrentTable()
+    metrics = entry_metrics.EntryMetrics(in_force, known)
     rng = random.Random(1)
     chosen = chooser.CostChooser(
         PLACE,
@@ -163,7 +167,7 @@
     budgets = repeat_budgets.RepeatBudgets(PLACE.bounds, lambda: 1)
     return parts.ForwardingParts(
         settings=settings,
-        current=current.CurrentTable(),
+        current=in_force,
         known=known,
         own=own,
         reports=reports,
@@ -173,5 +177,6 @@
         standbys=standby_chooser.StandbyChooser(near, known, reports, rng),
         releaser=copy_releaser.CopyReleaser(client),
         budgets=budgets,
-        attempts=attempts.Attempts(chosen, failures, budgets),
+        attempts=attempts.Attempts(chosen, failures, budgets, metrics),
+        metrics=metrics,
     )
--- a/tests/test_log_queue.py
+++ b/tests/test_log_queue.py
@@ -2,6 +2,8 @@
 
 import io
 import logging
+import subprocess
+import sys
 import threading
 import time
 import unittest
@@ -10,8 +12,16 @@
 from bronzeslip import log_queue
 from bronzeslip import log_rate
 
+_ENDLESS_LINES = """
+import logging
+from bronzeslip import log_queue
+with log_queue.running():
+    for number in range(20_000):
+        logging.getLogger().error("line %d of many", number)
+"""
+
 
-class _BlockedOutput(io.StringIO):
+class _BlockedOutput(io.BytesIO):
     """Output whose reader does not read until it is told to."""
 
     def __init__(self):
@@ -25,20 +35,20 @@
 
 class LogQueueTest(unittest.TestCase):
     def test_lines_reach_standard_output_in_order(self):
-        output = io.StringIO()
-        with mock.patch("sys.stdout", output), log_queue.running():
+        output = io.BytesIO()
+        with log_queue.running(output):
             for number in range(5):
                 logging.getLogger().error("line %d", number)
         self.assertEqual(
-            output.getvalue().splitlines(), [f"line {n}" for n in range(5)]
+            output.getvalue().decode().splitlines(),
+            [f"line {n}" for n in range(5)],
         )
 
     def test_reader_that_does_not_read_holds_up_nobody(self):
         output = _BlockedOutput()
         with (
-            mock.patch("sys.stdout", output),
             mock.patch.object(log_queue, "_MAX_LINES", 10),
-            log_queue.running(),
+            log_queue.running(output),
         ):
             began_s = time.monotonic()
             for number in range(1000):
@@ -48,11 +58,23 @@
             time.sleep(0.2)
             logging.getLogger().error("after")
         self.assertLess(elapsed_s, 5)
-        lines = output.getvalue().splitlines()
+        lines = output.getvalue().decode().splitlines()
         self.assertLess(len(lines), 20)
         self.assertIn("logs.dropped", lines[-2])
         self.assertEqual(lines[-1], "after")
 
+    def test_end_does_not_wait_for_a_reader_that_does_not_read(self):
+        program = subprocess.Popen(
+            [sys.executable, "-c", _ENDLESS_LINES],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+        )
+        self.addCleanup(program.stdout.close)
+        self.addCleanup(program.stderr.close)
+        self.addCleanup(program.kill)
+        self.assertEqual(program.wait(20), 0)
+        self.assertEqual(program.stderr.read(), b"")
+
     def test_handlers_are_put_back(self):
         before = logging.getLogger().handlers[:]
         with log_queue.running():
