Read the reports of engines with long runs more often

Ruled out: room and links (no copy was refused), detection of the outage alone (the notice is shorter than a watch and its timeout). Change: an engine that runs a long generation of this gateway is read each 0.4 s. The poller moves to forwarding, whose client it uses.

--- a/bronzeslip/endpoints/report_poller.py
+++ b/bronzeslip/forwarding/report_poller.py
@@ -8,6 +8,7 @@
 from bronzeslip import logs
 from bronzeslip.endpoints import directory
 from bronzeslip.endpoints import endpoint
+from bronzeslip.endpoints import own_load
 from bronzeslip.endpoints import report_board
 from bronzeslip.endpoints import watched_share
 from bronzeslip.forwarding import endpoint_client
@@ -30,6 +31,7 @@
         settings: entry.EntrySettings,
         known: directory.EndpointDirectory,
         share: watched_share.WatchedShare,
+        own: own_load.OwnLoad,
         client: endpoint_client.EndpointClient,
         board: report_board.ReportBoard,
         engine_services: Callable[[], Iterable[ids.ServiceName]],
@@ -40,6 +42,7 @@
             settings: Interval between readings.
             known: Endpoints.
             share: Endpoints that this gateway reads.
+            own: Requests under way.
             client: Client of the endpoints.
             board: Takes the reports.
             engine_services: Lists the services that have model engines.
@@ -47,6 +50,7 @@
         self._settings = settings
         self._known = known
         self._share = share
+        self._own = own
         self._client = client
         self._board = board
         self._engine_services = engine_services
@@ -57,7 +61,7 @@
         try:
             while True:
                 self._match_tasks()
-                await asyncio.sleep(self._interval_s)
+                await asyncio.sleep(self._settings.report_interval_s)
         finally:
             for task in self._tasks.values():
                 task.cancel()
@@ -94,16 +98,18 @@
                 )
             self._known.set_reachable(engine, failures < _MAX_FAILURES)
             await asyncio.sleep(
-                _AGAIN_INTERVAL_S if failures else self._interval_s
+                _AGAIN_INTERVAL_S if failures else self._interval_s(engine)
             )
 
-    @property
-    def _interval_s(self) -> float:
-        """Time to the next reading, shorter while nobody else tells.
+    def _interval_s(self, engine: endpoint.Endpoint) -> float:
+        """Returns the time to an engine's next reading.
 
         Without the source of entries only its report tells that an engine
-        leaves.
+        leaves, and an outage is noticed late. Long runs of this gateway are
+        lost if the notice is.
         """
-        if self._known.is_source_reachable:
-            return self._settings.report_interval_s
-        return self._settings.lone_report_interval_s
+        if not self._known.is_source_reachable:
+            return self._settings.lone_report_interval_s
+        if self._own.has_long(engine.endpoint_id):
+            return self._settings.busy_report_interval_s
+        return self._settings.report_interval_s
--- a/bronzeslip/forwarding/stream_run.py
+++ b/bronzeslip/forwarding/stream_run.py
@@ -102,7 +102,10 @@
         self._load.close()
         self._load.enter_context(
             self._parts.own.hold(
-                chosen.endpoint_id, prompt_tokens, expected_tokens
+                chosen.endpoint_id,
+                prompt_tokens,
+                expected_tokens,
+                chooser.is_long(self._request),
             )
         )
 
--- a/bronzeslip/platform/gateway.py
+++ b/bronzeslip/platform/gateway.py
@@ -9,7 +9,6 @@
 from bronzeslip.endpoints import neighbourhood
 from bronzeslip.endpoints import own_load
 from bronzeslip.endpoints import report_board
-from bronzeslip.endpoints import report_poller
 from bronzeslip.endpoints import watched_share
 from bronzeslip.entry import daemon
 from bronzeslip.entry import gateway_registry
@@ -25,6 +24,7 @@
 from bronzeslip.forwarding import parts
 from bronzeslip.forwarding import pipeline
 from bronzeslip.forwarding import repeat_budgets
+from bronzeslip.forwarding import report_poller
 from bronzeslip.forwarding import request_ledger
 from bronzeslip.forwarding import standby_chooser
 from bronzeslip.forwarding import stream_forwarder
@@ -156,6 +156,7 @@
         settings,
         shared.known,
         watched_share.WatchedShare(settings, here, shared.known),
+        shared.own,
         shared.client,
         shared.reports,
         lambda: _engine_services(shared.current),
--- a/bronzeslip/settings/entry.py
+++ b/bronzeslip/settings/entry.py
@@ -108,6 +108,14 @@
         minimum=1,
         maximum=10_000,
     )
+    busy_report_interval_s: float = setting(
+        "the same for an engine that runs a long generation of this gateway, "
+        "in seconds; a notice is given some two seconds before the end",
+        "endpoints",
+        default=0.4,
+        minimum=0.05,
+        maximum=60,
+    )
     lone_report_interval_s: float = setting(
         "the same while the store is away, when only reports tell that an "
         "engine leaves, in seconds",
--- a/tests/endpoints/test_report_poller.py
+++ b/tests/forwarding/test_report_poller.py
@@ -1,14 +1,15 @@
-"""Tests of bronzeslip.endpoints.report_poller."""
+"""Tests of bronzeslip.forwarding.report_poller."""
 
 import asyncio
 import contextlib
 import unittest
 
 from bronzeslip.endpoints import directory
+from bronzeslip.endpoints import own_load
 from bronzeslip.endpoints import report_board
-from bronzeslip.endpoints import report_poller
 from bronzeslip.endpoints import watched_share
 from bronzeslip.forwarding import endpoint_errors
+from bronzeslip.forwarding import report_poller
 from bronzeslip.settings import entry
 from tests.support import forwarding_parts
 from tests.support import until
@@ -17,8 +18,10 @@
 class _Reports:
     def __init__(self):
         self.read = forwarding_parts.create_report()
+        self.count = 0
 
     async def report(self, known):
+        self.count += 1
         if self.read is None:
             raise endpoint_errors.EndpointUnreachableError("gone")
         return self.read
@@ -27,11 +30,14 @@
 class ReportPollerTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         settings = entry.EntrySettings(
-            report_interval_s=0.05, lone_report_interval_s=0.05
+            report_interval_s=0.05,
+            busy_report_interval_s=0.01,
+            lone_report_interval_s=0.05,
         )
         self.one = forwarding_parts.create_endpoint("one")
         self.known = directory.EndpointDirectory(settings)
         self.known.replace_all((self.one,))
+        self.own = own_load.OwnLoad()
         self.reports = _Reports()
         self.board = report_board.ReportBoard()
         poller = report_poller.ReportPoller(
@@ -40,6 +46,7 @@
             watched_share.WatchedShare(
                 settings, forwarding_parts.PLACE, self.known
             ),
+            self.own,
             self.reports,
             self.board,
             lambda: ("pool",),
@@ -70,3 +77,18 @@
         self.assertIsNotNone(self.board.get("one"))
         self.reports.read = read
         await until.until(lambda: self.known.is_usable(self.one))
+
+    async def test_engine_with_a_long_run_is_read_more_often(self):
+        quiet = await self._count_readings()
+        with self.own.hold("one", is_long=True):
+            busy = await self._count_readings()
+        with self.own.hold("one"):
+            short = await self._count_readings()
+        self.assertGreater(busy, 2 * quiet)
+        self.assertGreater(busy, 2 * short)
+
+    async def _count_readings(self):
+        await asyncio.sleep(0.1)
+        before = self.reports.count
+        await asyncio.sleep(0.4)
+        return self.reports.count - before
