Bound how often a gateway watches the endpoints

Ruled out: idle waits (one call a second at most), the count of gateways (one in ten seconds). Change: watches of endpoints take from a budget of one a second with a burst of four; changes that come faster are learned together, while the reports of engines in use go on telling what leaves.

--- a/bronzeslip/platform/gateway.py
+++ b/bronzeslip/platform/gateway.py
@@ -38,6 +38,7 @@
 from bronzeslip.platform import store_client
 from bronzeslip.routes import current
 from bronzeslip.settings import entry
+from bronzeslip.store import call_budget
 from bronzeslip.store import follower
 
 
@@ -151,6 +152,9 @@
         settings.store_backoff_min_s,
         settings.store_backoff_max_s,
         settings.store_batch_s,
+        call_budget.CallRate(
+            settings.store_watches_per_s, settings.store_watch_burst
+        ),
     )
     poller = report_poller.ReportPoller(
         settings,
--- a/bronzeslip/settings/entry.py
+++ b/bronzeslip/settings/entry.py
@@ -50,6 +50,21 @@
         minimum=0,
         maximum=5,
     )
+    store_watches_per_s: float = setting(
+        "lasting rate of watches of endpoints; changes that come faster are "
+        "learned together",
+        "store",
+        default=1.0,
+        minimum=0.1,
+        maximum=100,
+    )
+    store_watch_burst: float = setting(
+        "watches of endpoints that may follow each other without that bound",
+        "store",
+        default=4.0,
+        minimum=1,
+        maximum=1000,
+    )
     store_timeout_s: float = setting(
         "timeout of one call to the store beyond its wait, in seconds",
         "store",
--- a/bronzeslip/store/follower.py
+++ b/bronzeslip/store/follower.py
@@ -9,6 +9,7 @@
 
 from bronzeslip import ids
 from bronzeslip import logs
+from bronzeslip.store import call_budget
 from bronzeslip.store import errors
 from bronzeslip.store import objects
 from bronzeslip.store import watched_store
@@ -25,12 +26,14 @@
         max_backoff_s: Longest pause after failures, in seconds.
         batch_s: Pause after changes, in which further ones come together,
             in seconds.
+        rate: Bound on calls, or None for none.
     """
 
     watch_wait_s: float = 5.0
     min_backoff_s: float = 0.2
     max_backoff_s: float = 5.0
     batch_s: float = 0.0
+    rate: call_budget.CallRate | None = None
 
 
 _DEFAULT_TIMING = FollowTiming()
@@ -69,6 +72,7 @@
         self._on_progress = on_progress
         self._on_failure = on_failure
         self._timing = timing
+        self._budget = timing.rate and call_budget.CallBudget(timing.rate)
 
     async def run(self) -> None:
         """Follows until cancelled; platform errors are retried."""
@@ -99,6 +103,8 @@
 
     async def _watch(self, version: ids.ObjectVersion) -> None:
         while True:
+            if self._budget is not None:
+                await self._budget.take()
             batch = await self._platform.watch(
                 self._prefix, version, self._timing.watch_wait_s
             )
--- /dev/null
+++ b/tests/store/test_follower_rate.py
@@ -0,0 +1,82 @@
+"""Tests of bronzeslip.store.follower under many changes, in virtual time."""
+
+import asyncio
+import contextlib
+import unittest
+
+from bench import virtual_loop
+from bronzeslip import ids
+from bronzeslip.store import call_budget
+from bronzeslip.store import follower
+from bronzeslip.store import objects
+
+_CHANGES_PER_S = 20
+_LENGTH_S = 60.0
+
+
+class _BusyStore:
+    """Store in which something changes all the time."""
+
+    def __init__(self):
+        self.calls = 0
+
+    @property
+    def version(self):
+        now_s = asyncio.get_running_loop().time()
+        return ids.ObjectVersion(int(now_s * _CHANGES_PER_S))
+
+    async def list_objects(self, prefix):
+        self.calls += 1
+        return objects.ObjectList(self.version, ())
+
+    async def watch(self, prefix, after, wait_s):
+        self.calls += 1
+        if self.version <= after:
+            await asyncio.sleep(1 / _CHANGES_PER_S)
+        return objects.WatchBatch(
+            self.version,
+            tuple(
+                objects.ObjectEvent(
+                    objects.EventKind.PUT, ids.ObjectKey("k/a"), number
+                )
+                for number in range(after + 1, self.version + 1)
+            ),
+        )
+
+
+async def _follow(rate):
+    """Follows for a while; returns calls and versions that were seen."""
+    store = _BusyStore()
+    seen = []
+
+    async def on_list(listed):
+        seen.append(listed.version)
+
+    async def on_event(event):
+        seen.append(event.version)
+
+    following = follower.PrefixFollower(
+        store,
+        "k/",
+        on_list,
+        on_event,
+        timing=follower.FollowTiming(rate=rate),
+    )
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(_LENGTH_S):
+            await following.run()
+    return store.calls, seen
+
+
+class FollowerRateTest(unittest.TestCase):
+    def test_calls_are_bounded_and_no_change_is_missed(self):
+        calls, seen = virtual_loop.run(
+            _follow(call_budget.CallRate(calls_per_s=1.0, burst_calls=4.0))
+        )
+        self.assertLessEqual(calls, _LENGTH_S + 5)
+        self.assertEqual(seen, list(range(seen[-1] + 1)))
+        self.assertGreater(seen[-1], (_LENGTH_S - 2) * _CHANGES_PER_S)
+
+    def test_without_a_rate_each_change_may_take_a_call(self):
+        calls, _ = virtual_loop.run(_follow(None))
+        self.assertGreater(calls, _LENGTH_S * _CHANGES_PER_S / 2)
