Split long modules of the gateway; read new engines at once

A new engine was first read up to a second after it had been taken in, and counted as empty until then; the poller now follows the directory (test_new_engine_is_read_at_once failed first).

--- a/bronzeslip/forwarding/report_poller.py
+++ b/bronzeslip/forwarding/report_poller.py
@@ -61,7 +61,9 @@
         try:
             while True:
                 self._match_tasks()
-                await asyncio.sleep(self._settings.report_interval_s)
+                await self._known.wait_for_change(
+                    self._settings.report_interval_s
+                )
         finally:
             for task in self._tasks.values():
                 task.cancel()
--- a/bronzeslip/gateway/generation_session.py
+++ b/bronzeslip/gateway/generation_session.py
@@ -1,34 +1,33 @@
 """One caller's generation, from dispatch to its end."""
 
 from collections.abc import AsyncIterator
-import functools
+from collections.abc import Iterator
+import contextlib
 
 from bronzeslip import ids
 from bronzeslip import logs
-from bronzeslip.admission import priorities
 from bronzeslip.gateway import errors
 from bronzeslip.gateway import generation_input
 from bronzeslip.gateway import peer_pool
 from bronzeslip.gateway import remote_generation
 from bronzeslip.gateway import request_context
 from bronzeslip.gateway import resume_token
+from bronzeslip.gateway import session_failures
+from bronzeslip.gateway import session_options
+from bronzeslip.gateway import start_frame
 from bronzeslip.gateway import suspicion
 from bronzeslip.generation import errors as generation_errors
 from bronzeslip.membership import directory
 from bronzeslip.membership import member
 from bronzeslip.routing import candidate
 from bronzeslip.routing import errors as routing_errors
-from bronzeslip.routing import policy
 from bronzeslip.routing import retry_plan
 from bronzeslip.routing import router
 from bronzeslip.settings import gateway
 from bronzeslip.transport.frames import generation as frames
-from bronzeslip.transport.frames import reason
 
 logger = logs.get_logger(__name__)
 
-_RETRY_AFTER_S = 1.0
-
 
 class GenerationSession:
     """Dispatches a generation and relays its tokens in order.
@@ -60,13 +59,12 @@
         self._wanted = wanted
         self._retries = retries
         self._suspicion = suspected
+        self._options = session_options.SessionOptions(
+            settings, routes, peers, context, wanted, suspected
+        )
         self._remote: remote_generation.RemoteGeneration | None = None
-        self._tried: set[ids.EndpointId] = set()
-        self._retry_after_s = _RETRY_AFTER_S
-        self._has_run = False
+        self._failures = session_failures.SessionFailures(context)
         self._delivered = False
-        self._is_unresolved = False
-        self._is_pool_busy = False
         self._max_queue_wait_s: float | None = None
 
     @property
@@ -100,13 +98,13 @@
                 break
             if await self._try(option.endpoint):
                 return
-        if self._is_pool_busy:
+        if self._failures.is_pool_busy:
             await self._suspicion.admit()
             self._max_queue_wait_s = None
             if await self._try(self._ranked()[0].endpoint):
                 return
         await self._suspicion.admit()
-        raise self._failure("no endpoint took the request")
+        raise self._failures.error("no endpoint took the request")
 
     async def resume(self, token: resume_token.ResumeToken) -> None:
         """Reads on where the caller of another connection stopped.
@@ -117,7 +115,7 @@
         endpoint = self._members.endpoint(token.run.endpoint_id)
         if endpoint is None:
             raise errors.GenerationGoneError("the endpoint has gone")
-        self._has_run = True
+        self._failures.has_run = True
         self._delivered = True
         self._bind(endpoint, token.run.generation_id, token.next_index)
         self._remote.resume()
@@ -183,36 +181,23 @@
             self._routes.end(self.endpoint_id)
             self._remote = None
 
-    def _routing_request(self) -> policy.RoutingRequest:
-        return policy.RoutingRequest(
-            self._context.workspace_id,
-            self._context.service_name,
-            self._wanted.prompt,
-            self._settings.region,
-        )
-
     def _ranked(self) -> list[candidate.Candidate]:
-        try:
-            return self._routes.candidates(
-                self._context.binding, self._routing_request()
-            )
-        except routing_errors.RoutingError as error:
-            self._retry_after_s = error.retry_after_s or _RETRY_AFTER_S
-            raise self._failure(error.message) from error
+        with self._converted_errors():
+            return self._options.ranked()
 
     def _candidates(self) -> list[candidate.Candidate]:
-        options = self._ranked()
-        fresh = [
-            option
-            for option in options
-            if option.endpoint.endpoint_id not in self._tried
-        ]
-        if self._suspicion.is_suspect:
-            fresh.sort(key=_work_of)
-        return sorted(
-            fresh or options,
-            key=lambda option: self._peers.is_failing(option.endpoint.address),
-        )
+        with self._converted_errors():
+            return self._options.candidates()
+
+    @contextlib.contextmanager
+    def _converted_errors(self) -> Iterator[None]:
+        try:
+            yield
+        except routing_errors.RoutingError as error:
+            self._failures.retry_after_s = (
+                error.retry_after_s or session_failures.RETRY_AFTER_S
+            )
+            raise self._failures.error(error.message) from error
 
     async def _try(self, endpoint: member.Member) -> bool:
         self._enter(endpoint)
@@ -222,19 +207,18 @@
             self.record.turned_away()
             self.close()
             self._note_crash(error)
-            self._note_failure(error)
+            self._failures.note(error)
             return False
         except BaseException:
             self.close()
             raise
         self.record.started()
-        self._has_run = True
+        self._failures.has_run = True
         return True
 
     def _enter(self, endpoint: member.Member) -> None:
-        self._tried.add(endpoint.endpoint_id)
+        self._options.note_tried(endpoint)
         self._bind(endpoint, ids.GenerationId(ids.random_id()), 0)
-        self._routes.accepted(self._routing_request(), endpoint.endpoint_id)
         self._remote.begin(self._start_frame, self._resolve_timeout_s())
 
     def _bind(
@@ -266,54 +250,15 @@
     def _start_frame(
         self, incarnation_id: ids.IncarnationId
     ) -> frames.StartGeneration:
-        return frames.StartGeneration(
+        return start_frame.create(
+            self._context,
+            self._wanted,
             self.generation_id,
-            self._context.request_id,
-            self._context.workspace_id,
-            self._context.service_name,
-            self._wanted.model,
-            self._wanted.prompt,
-            self._wanted.max_tokens,
-            priorities.priority_of(self._context.workspace.workspace_class),
-            self._context.workspace.weight,
-            self._context.remaining_s(),
             incarnation_id,
-            self._context.workspace.workspace_class,
             self._max_queue_wait_s,
             self._suspicion.is_suspect,
         )
 
-    @functools.singledispatchmethod
-    def _note_failure(self, error: generation_errors.GenerationError) -> None:
-        self._is_unresolved = True
-        self._check_may_rerun(error)
-
-    @_note_failure.register
-    def _(self, error: generation_errors.GenerationRefusedError) -> None:
-        if error.refusal is reason.RefusalReason.BUSY:
-            self._is_pool_busy = True
-        self._retry_after_s = error.retry_after_s or _RETRY_AFTER_S
-
-    @_note_failure.register
-    def _(self, error: generation_errors.GenerationLostError) -> None:
-        self._has_run = True
-        self._check_may_rerun(error)
-
-    def _check_may_rerun(
-        self, error: generation_errors.GenerationError
-    ) -> None:
-        expired = isinstance(error, generation_errors.DeadlineError)
-        if expired or not self._context.service.idempotent:
-            raise self._failure(error.message) from error
-
-    def _failure(self, text: str) -> errors.GatewayError:
-        kind = errors.NotRunError
-        if self._is_unresolved:
-            kind = errors.OutcomeUnknownError
-        if self._has_run:
-            kind = errors.IncompleteError
-        return kind(text, retry_after_s=self._retry_after_s)
-
     async def _receive(
         self, may_rerun: bool
     ) -> remote_generation.Progress | None:
@@ -322,7 +267,7 @@
         except generation_errors.GenerationError as error:
             self._note_crash(error)
             if not may_rerun:
-                raise self._failure(error.message) from error
+                raise self._failures.error(error.message) from error
             await self._rerun(error)
             return None
         if isinstance(progress, frames.GenerationFinished):
@@ -343,9 +288,5 @@
             reason=error.message,
         )
         self.close()
-        self._check_may_rerun(error)
+        self._failures.check_may_rerun(error)
         await self.start()
-
-
-def _work_of(option: candidate.Candidate) -> int:
-    return option.outstanding + option.load.running + option.load.queued
--- a/bronzeslip/gateway/remote_generation.py
+++ b/bronzeslip/gateway/remote_generation.py
@@ -2,12 +2,12 @@
 
 import asyncio
 from collections.abc import Callable
-import functools
 import random
 import time
 
 from bronzeslip import ids
 from bronzeslip import logs
+from bronzeslip.gateway import frame_taking
 from bronzeslip.gateway import inbox
 from bronzeslip.gateway import peer as gateway_peer
 from bronzeslip.gateway import peer_pool
@@ -27,7 +27,7 @@
 _MOST_GAPS_IN_A_ROW = 4
 _ACKNOWLEDGE_EVERY_TOKENS = 64
 
-Progress = frames.Tokens | frames.GenerationFinished
+Progress = frame_taking.Progress
 StartFactory = Callable[[ids.IncarnationId], frames.StartGeneration]
 
 
@@ -112,7 +112,7 @@
             errors.DeadlineError: If the request's deadline has passed.
         """
         while not self._accepted:
-            _take(await self._next_frame(), self)
+            frame_taking.take(await self._next_frame(), self)
 
     async def receive(self) -> Progress:
         """Waits for the next tokens or the end.
@@ -123,7 +123,7 @@
             errors.DeadlineError: If the request's deadline has passed.
         """
         while True:
-            progress = _take(await self._next_frame(), self)
+            progress = frame_taking.take(await self._next_frame(), self)
             if progress is not None:
                 return progress
 
@@ -289,45 +289,6 @@
         self._inbox.close()
 
 
-@functools.singledispatch
-def _take(frame: codec.Frame, _: RemoteGeneration) -> Progress | None:
-    logger.warning("generation.unexpected", frame=type(frame).__name__)
-    return None
-
-
-@_take.register
-def _(
-    _: frames.GenerationAccepted, generation: RemoteGeneration
-) -> Progress | None:
-    return generation.take_accepted()
-
-
-@_take.register
-def _(frame: frames.Tokens, generation: RemoteGeneration) -> Progress | None:
-    return generation.take_tokens(frame)
-
-
-@_take.register
-def _(
-    frame: frames.GenerationFinished, generation: RemoteGeneration
-) -> Progress | None:
-    return generation.take_finished(frame)
-
-
-@_take.register
-def _(
-    frame: frames.GenerationRefused, generation: RemoteGeneration
-) -> Progress | None:
-    return generation.take_refused(frame)
-
-
-@_take.register
-def _(
-    frame: frames.GenerationLost, generation: RemoteGeneration
-) -> Progress | None:
-    return generation.take_lost(frame)
-
-
 def _backoff_s(failures: int) -> float:
     most_s = min(_MIN_BACKOFF_S * 2 ** (failures - 1), _MAX_BACKOFF_S)
     return random.uniform(most_s / 2, most_s)
--- /dev/null
+++ b/bronzeslip/gateway/start_frame.py
@@ -0,0 +1,45 @@
+"""Frame that asks a sidecar to run a generation."""
+
+from bronzeslip import ids
+from bronzeslip.admission import priorities
+from bronzeslip.gateway import generation_input
+from bronzeslip.gateway import request_context
+from bronzeslip.transport.frames import generation as frames
+
+
+def create(
+    context: request_context.RequestContext,
+    wanted: generation_input.GenerationInput,
+    generation_id: ids.GenerationId,
+    incarnation_id: ids.IncarnationId,
+    max_queue_wait_s: float | None,
+    is_suspect: bool,
+) -> frames.StartGeneration:
+    """Creates the frame.
+
+    Args:
+        context: The request.
+        wanted: The generation that it asks for.
+        generation_id: Id of the generation.
+        incarnation_id: Incarnation of the sidecar that may take it, or empty
+            for any.
+        max_queue_wait_s: Longest wait for a place, in seconds, or None.
+        is_suspect: Whether the request may have crashed endpoints.
+    """
+    workspace = context.workspace
+    return frames.StartGeneration(
+        generation_id,
+        context.request_id,
+        context.workspace_id,
+        context.service_name,
+        wanted.model,
+        wanted.prompt,
+        wanted.max_tokens,
+        priorities.priority_of(workspace.workspace_class),
+        workspace.weight,
+        context.remaining_s(),
+        incarnation_id,
+        workspace.workspace_class,
+        max_queue_wait_s,
+        is_suspect,
+    )
--- a/tests/gateway/bad_input_case.py
+++ b/tests/gateway/bad_input_case.py
@@ -15,6 +15,9 @@
 CALLER = {"Authorization": "Bearer smiths-key"}
 OPERATOR = {"Authorization": f"Bearer {declarations.OPERATOR_CREDENTIAL}"}
 
+CHAT_PATH = "/v1/chat/completions"
+MESSAGES = [{"role": "user", "content": "x"}]
+
 
 class GatewayCase(unittest.IsolatedAsyncioTestCase):
     settings: typing.ClassVar = {}
@@ -47,3 +50,8 @@
         self.assertEqual(problem["error"]["message"], problem["detail"])
         self.assertTrue(answer.headers["x-request-id"])
         return problem
+
+
+def chat(**fields):
+    """Returns the body of a chat request with some fields changed."""
+    return {"model": "tin-drafter", "messages": MESSAGES, **fields}
