--- a/tests/forwarding/test_report_poller.py
+++ b/tests/forwarding/test_report_poller.py
@@ -14,7 +14,6 @@
 from tests.support import forwarding_parts
 from tests.support import until
 
-
 _INTERVAL_S = 0.2
 
 
