--- /dev/null
+++ b/standins/model_endpoint/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in of an endpoint of the users' platform."""
--- /dev/null
+++ b/standins/model_endpoint/__main__.py
@@ -0,0 +1,25 @@
+"""Runs the stand-in of an endpoint."""
+
+import argparse
+import asyncio
+
+from standins import serve
+from standins.model_endpoint import app
+
+
+def main() -> None:
+    """Parses the flags and serves."""
+    parser = argparse.ArgumentParser(prog="standin-model-endpoint")
+    serve.add_port_flag(parser)
+    parser.add_argument("--endpoint-id", required=True)
+    flags = parser.parse_args()
+    asyncio.run(_run(flags))
+
+
+async def _run(flags: argparse.Namespace) -> None:
+    standin = app.EndpointStandin(flags.endpoint_id)
+    await serve.serve(standin.app(), flags.port)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/object_store/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in of the store of the users' platform, by its published protocol."""
--- a/tools/local_process.py
+++ b/tools/local_process.py
@@ -1,6 +1,7 @@
 """A program started on this machine for a trial or a test."""
 
 from collections.abc import Callable
+from collections.abc import Mapping
 import os
 import re
 import signal
@@ -18,15 +19,22 @@
 class LocalProcess:
     """One started program and what it has printed."""
 
-    def __init__(self, module: str, *arguments: str) -> None:
+    def __init__(
+        self,
+        module: str,
+        *arguments: str,
+        environment: Mapping[str, str] | None = None,
+    ) -> None:
         """Starts a module of this environment's Python.
 
         Args:
             module: Module to run.
             *arguments: Its flags.
+            environment: Variables beside those of this process.
         """
         self.module = module
         self._arguments = arguments
+        self._environment = environment or {}
         self.lines: list[str] = []
         self._stop_requested = False
         self._changed = threading.Condition()
@@ -35,7 +43,11 @@
             stdout=subprocess.PIPE,
             stderr=subprocess.STDOUT,
             text=True,
-            env={**os.environ, "PYTHONUNBUFFERED": "1"},
+            env={
+                **os.environ,
+                "PYTHONUNBUFFERED": "1",
+                **self._environment,
+            },
         )
         self._reader = threading.Thread(target=self._read, daemon=True)
         self._reader.start()
@@ -46,7 +58,12 @@
         Args:
             *arguments: More flags, which go before the earlier ones.
         """
-        return LocalProcess(self.module, *self._arguments, *arguments)
+        return LocalProcess(
+            self.module,
+            *self._arguments,
+            *arguments,
+            environment=self._environment,
+        )
 
     @property
     def pid(self) -> int:
