--- a/standins/model_endpoint/app.py
+++ b/standins/model_endpoint/app.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+import uuid
 
 import litestar
 from litestar import response
@@ -10,19 +11,19 @@
 _ID = "bronzeslip-attempt-id"
 _TARGET = "bronzeslip-target-instance"
 _STREAM_TEXT = b"stream"
-_EVENTS = 5
+EVENT_COUNT = 5
+_EVENT_INTERVAL_S = 0.05
 
 
 class EndpointStandin:
-    """Answers calls and streams, and tells what it has run.
+    """Answers calls and streams, and prints the id of each that it runs.
 
-    While it holds, an answer begins only when it is let go; a stream has then
-    sent its first event.
+    While it holds, a call's answer begins only when it is let go; a stream has
+    then sent its first event.
     """
 
     def __init__(self, endpoint_id: str) -> None:
         self._endpoint_id = endpoint_id
-        self._ran: list[str] = []
         self._may_end = asyncio.Event()
         self._may_end.set()
 
@@ -32,7 +33,6 @@
             route_handlers=[
                 litestar.post("/{path:path}", status_code=200)(self._run),
                 litestar.get("/report")(self._report),
-                litestar.get("/standin/ran")(self._get_ran),
                 litestar.put("/standin/hold", status_code=200)(self._hold),
                 litestar.put("/standin/release", status_code=200)(
                     self._release
@@ -50,7 +50,7 @@
         if request.headers.get(_TARGET) != self._endpoint_id:
             not_run = {**headers, "Bronzeslip-Not-Executed": "1"}
             return litestar.Response(b"", status_code=421, headers=not_run)
-        self._ran.append(request.headers.get(_ID, ""))
+        print(f"ran {request.headers.get(_ID)}", flush=True)
         body = await request.body()
         if body == _STREAM_TEXT:
             return response.Stream(
@@ -62,9 +62,11 @@
         )
 
     async def _events(self) -> AsyncIterator[bytes]:
-        for number in range(1, _EVENTS + 1):
-            yield b"id: %d\ndata: e%d\n\n" % (number, number)
+        mark = uuid.uuid4().hex
+        for number in range(1, EVENT_COUNT + 1):
+            yield f"id: {number}\ndata: {mark}-{number}\n\n".encode()
             await self._may_end.wait()
+            await asyncio.sleep(_EVENT_INTERVAL_S)
 
     async def _report(self) -> litestar.Response:
         report = {
@@ -82,11 +84,6 @@
             msgspec.json.encode(report), media_type="application/json"
         )
 
-    async def _get_ran(self) -> litestar.Response:
-        return litestar.Response(
-            msgspec.json.encode(self._ran), media_type="application/json"
-        )
-
     async def _hold(self) -> None:
         self._may_end.clear()
 
--- /dev/null
+++ b/tools/entry_configuration.py
@@ -0,0 +1,93 @@
+"""Configuration, entries and headers for trials of gateways on entry VMs."""
+
+from typing import Any
+
+KEY = "key-of-w"
+HOST = "h.example"
+CALLS = "/calls/"
+READS = "/reads/"
+STREAMS = "/streams/"
+
+_DEADLINE_MS = 15_000
+
+
+def configuration(version: int, *more_routes: Any) -> dict[str, Any]:
+    """Returns a configuration with a route for each kind of request."""
+    return {
+        "version": version,
+        "routes": [
+            _route("calls", CALLS, "non_idempotent", "desk"),
+            _route("reads", READS, "idempotent", "desk"),
+            _route("streams", STREAMS, "streaming", "engine"),
+            *more_routes,
+        ],
+        "services": [
+            {"name": "desk", "health_path": "/health", "max_conns": 100},
+            {
+                "name": "engine",
+                "health_path": "/health",
+                "max_conns": 100,
+                "engine": {"slots": 24, "kv_capacity": 30_000},
+            },
+        ],
+        "limits": {
+            "max_header_bytes": 8_000,
+            "max_body_bytes": 100_000,
+            "header_timeout_ms": 3_000,
+            "idle_timeout_ms": 15_000,
+        },
+        "tenants": [{"name": "w", "api_keys": [KEY]}],
+    }
+
+
+def new_route(name: str) -> dict[str, Any]:
+    """Returns one more route for calls, by its name as its path."""
+    return _route(name, f"/{name}/", "non_idempotent", "desk")
+
+
+def entry(service: str, port: int, state: str, born: int) -> dict[str, Any]:
+    """Returns an endpoint's entry.
+
+    Args:
+        service: Service that it serves.
+        port: Port on the loopback address.
+        state: State as the entry spells it.
+        born: Number of its start.
+    """
+    return {
+        "service": service,
+        "address": f"127.0.0.1:{port}",
+        "zone": "a-1",
+        "version": "v1",
+        "slots": 24,
+        "state": state,
+        "cold_left_ms": 0,
+        "seq": 1,
+        "born": born,
+    }
+
+
+def headers(request_id: str) -> dict[str, str]:
+    """Returns the headers of a request."""
+    return {
+        "Host": HOST,
+        "Bronzeslip-Attempt-Id": request_id,
+        "Bronzeslip-Key": KEY,
+        "Bronzeslip-Deadline-Ms": str(_DEADLINE_MS),
+    }
+
+
+def _route(
+    name: str, path_prefix: str, kind: str, service: str
+) -> dict[str, Any]:
+    return {
+        "name": name,
+        "host": HOST,
+        "path_prefix": path_prefix,
+        "kind": kind,
+        "timeout_ms": _DEADLINE_MS,
+        "goal_ms": 1_000,
+        "priority": 0,
+        "service": service,
+        "max_attempts": 2,
+    }
--- /dev/null
+++ b/tools/entry_deployment.py
@@ -0,0 +1,257 @@
+"""Gateways on entry VMs as processes, before stand-ins of the platform."""
+
+from collections.abc import Callable
+import pathlib
+import tempfile
+import time
+from typing import Any
+from typing import TypeVar
+
+import httpx
+import msgspec
+
+from tools import entry_configuration
+from tools import free_port
+from tools import local_process
+from tools.faults import link
+
+_WAIT_S = 20.0
+_RAN = "ran "
+_BOOT = """
+node_name = "{name}"
+zone = "a-1"
+[zones]
+a-1 = "a"
+[listen]
+front = "127.0.0.1:{front}"
+ready = "127.0.0.1:{ready}"
+[bounds]
+grace_s = 8
+retry_ratio = 0.2
+retry_slack = {retry_slack}
+retry_window_s = 10
+[platform]
+address = "127.0.0.1:{store}"
+"""
+
+ResultT = TypeVar("ResultT")
+
+
+class EntryEndpoint:
+    """An endpoint, the link to it, and what it has run in all its lives.
+
+    Attributes:
+        endpoint_id: Id under which it registers.
+        process: Its process.
+        way: Link that gateways reach it by.
+    """
+
+    def __init__(self, endpoint_id: str, service: str) -> None:
+        self.endpoint_id = endpoint_id
+        self.way = link.Link()
+        self._service = service
+        self._starts = 0
+        self._earlier: list[local_process.LocalProcess] = []
+        self._start()
+
+    @property
+    def runs(self) -> list[str]:
+        """Ids of the requests run, one for each run."""
+        return [
+            line.removeprefix(_RAN)
+            for process in (*self._earlier, self.process)
+            for line in tuple(process.lines)
+            if line.startswith(_RAN)
+        ]
+
+    def entry(self, state: str = "ready") -> dict[str, Any]:
+        """Returns its entry in the store."""
+        return entry_configuration.entry(
+            self._service, self.way.port, state, self._starts
+        )
+
+    def restart(self) -> None:
+        """Kills it and starts it again; a new life knows nothing."""
+        self.process.kill()
+        self.process.stop()
+        self._earlier.append(self.process)
+        self._start()
+
+    def hold(self) -> None:
+        """Has its answers wait."""
+        httpx.put(f"{self.process.http_url()}/standin/hold").raise_for_status()
+
+    def release(self) -> None:
+        """Lets its answers go."""
+        url = f"{self.process.http_url()}/standin/release"
+        httpx.put(url).raise_for_status()
+
+    def stop(self) -> None:
+        """Ends it."""
+        self.process.stop()
+        self.way.close()
+
+    def _start(self) -> None:
+        self._starts += 1
+        self.process = local_process.LocalProcess(
+            "standins.model_endpoint", f"--endpoint-id={self.endpoint_id}"
+        )
+        self.way.set_target(self.process.http_port())
+
+
+class EntryGateway:
+    """A gateway and the link between it and the store.
+
+    Attributes:
+        process: Its process.
+        way: Link that it reaches the store by.
+        metrics_port: Port of its metrics.
+    """
+
+    def __init__(self, name: str, folder: str, store_port: int) -> None:
+        self._name = name
+        self._boot_path = pathlib.Path(folder) / f"{name}.toml"
+        self._front = free_port.find()
+        self._ready = free_port.find()
+        self.metrics_port = free_port.find()
+        self.way = link.Link()
+        self.way.set_target(store_port)
+        self.write_boot()
+        self.start()
+
+    def start(self) -> None:
+        """Starts the process."""
+        self.process = local_process.LocalProcess(
+            "bronzeslip.platform",
+            "--drain-notice-s=0.2",
+            f"--metrics-port={self.metrics_port}",
+            environment={"BRONZESLIP_BOOT": str(self._boot_path)},
+        )
+
+    def write_boot(self, retry_slack: int = 50) -> None:
+        """Writes its settings file."""
+        self._boot_path.write_text(
+            _BOOT.format(
+                name=self._name,
+                front=self._front,
+                ready=self._ready,
+                store=self.way.port,
+                retry_slack=retry_slack,
+            )
+        )
+
+    def url(self, path: str) -> str:
+        """Returns the URL of a path for callers."""
+        return f"http://127.0.0.1:{self._front}{path}"
+
+    def readiness(self) -> int:
+        """Returns the status of readiness, 0 without an answer."""
+        try:
+            url = f"http://127.0.0.1:{self._ready}/ready"
+            return httpx.get(url).status_code
+        except httpx.TransportError:
+            return 0
+
+    def call(
+        self,
+        request_id: str,
+        path: str = entry_configuration.CALLS,
+        body: bytes = b"x",
+    ) -> httpx.Response:
+        """Sends a request and returns the answer."""
+        return httpx.post(
+            self.url(path),
+            headers=entry_configuration.headers(request_id),
+            content=body,
+            timeout=_WAIT_S,
+        )
+
+    def stop(self) -> None:
+        """Ends it."""
+        self.process.stop()
+        self.way.close()
+
+
+class EntryDeployment:
+    """A store, endpoints for calls, engines, and gateways.
+
+    Attributes:
+        store: Process of the store.
+        desks: Endpoints for calls.
+        engines: Model engines.
+        gateways: Gateways.
+    """
+
+    def __init__(self, gateway_count: int = 1, endpoint_count: int = 1) -> None:
+        """Starts everything and waits until all gateways are ready."""
+        self._folder = tempfile.TemporaryDirectory()
+        self.store = local_process.LocalProcess("standins.object_store")
+        self.desks = [
+            EntryEndpoint(f"desk-{number}", "desk")
+            for number in range(endpoint_count)
+        ]
+        self.engines = [
+            EntryEndpoint(f"engine-{number}", "engine")
+            for number in range(endpoint_count)
+        ]
+        self.write("config", "main", entry_configuration.configuration(1))
+        for endpoint in self.endpoints:
+            self.register(endpoint)
+        self.gateways = [
+            EntryGateway(
+                f"front-{number}", self._folder.name, self.store.http_port()
+            )
+            for number in range(gateway_count)
+        ]
+        wait(lambda: all(found.readiness() == 200 for found in self.gateways))
+
+    @property
+    def endpoints(self) -> list[EntryEndpoint]:
+        """All endpoints."""
+        return self.desks + self.engines
+
+    def register(self, endpoint: EntryEndpoint, state: str = "ready") -> None:
+        """Writes the entry of an endpoint."""
+        self.write("servers", endpoint.endpoint_id, endpoint.entry(state))
+
+    def write(self, kind: str, name: str, spec: Any) -> None:
+        """Writes an object to the store, new or known."""
+        body = {"metadata": {"name": name}, "spec": spec}
+        content = msgspec.json.encode(body)
+        url = f"{self.store.http_url()}/objects/{kind}"
+        answer = httpx.put(f"{url}/{name}", content=content)
+        if answer.status_code == httpx.codes.NOT_FOUND:
+            answer = httpx.post(url, content=content)
+        answer.raise_for_status()
+
+    def names(self, kind: str) -> list[str]:
+        """Lists the names of the objects of a kind."""
+        listed = httpx.get(f"{self.store.http_url()}/objects/{kind}").json()
+        return [item["metadata"]["name"] for item in listed["items"]]
+
+    def trouble(self, name: str) -> None:
+        """Has the store be `busy`, `silent`, or in `none` of these."""
+        url = f"{self.store.http_url()}/standin/trouble/{name}"
+        httpx.post(url).raise_for_status()
+
+    def forget_history(self) -> None:
+        """Has the store forget its changes."""
+        url = f"{self.store.http_url()}/standin/forget"
+        httpx.post(url).raise_for_status()
+
+    def stop(self) -> None:
+        """Ends everything."""
+        for part in (*self.gateways, *self.endpoints):
+            part.stop()
+        self.store.stop()
+        self._folder.cleanup()
+
+
+def wait(condition: Callable[[], ResultT]) -> ResultT:
+    """Asks until a condition holds and returns what it returned."""
+    end_s = time.monotonic() + _WAIT_S
+    while not (result := condition()):
+        if time.monotonic() > end_s:
+            raise TimeoutError("the condition did not come about")
+        time.sleep(0.02)
+    return result
