Soak the entry gateway with seeded faults

tools/soak: gateways and endpoints as real processes before the stand-ins of the published protocol, links that stall or fall silent, signals, restarts, trouble of the store and configurations in series; callers keep their connections.

--- a/tests/processes/test_entry_gateway.py
+++ b/tests/processes/test_entry_gateway.py
@@ -110,9 +110,7 @@
         self.gateway.process.kill()
         self.gateway.process.stop()
         self.gateway.start()
-        entry_deployment.wait(
-            lambda: self.gateway.readiness() == httpx.codes.OK
-        )
+        self.gateway.wait_ready()
         self.assertEqual(self.gateway.call("q1").status_code, httpx.codes.OK)
         self.assertEqual(deployment.names("bronzeslip-gateways"), ["front-0"])
 
--- /dev/null
+++ b/tests/processes/test_soak.py
@@ -0,0 +1,20 @@
+"""A short soak with a fixed seed; more seeds are played by hand."""
+
+import unittest
+
+from tools.soak import settings
+from tools.soak import trial
+
+_SEED = 7
+
+
+class SoakTest(unittest.TestCase):
+    def test_promises_hold_under_a_series_of_faults(self):
+        played = trial.Trial(settings.SoakSettings(length_s=6.0), _SEED)
+        self.assertEqual(played.run(), [])
+        self.assertGreater(played.answer_count, 50)
+        self.assertGreater(played.run_count, 20)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tools/entry_deployment.py
+++ b/tools/entry_deployment.py
@@ -152,6 +152,21 @@
         except httpx.TransportError:
             return 0
 
+    def wait_ready(self) -> None:
+        """Waits until it welcomes callers.
+
+        Raises:
+            RuntimeError: If it ends instead.
+        """
+
+        def is_ready() -> bool:
+            if self.process.exit_status is not None:
+                printed = "\n".join(self.process.lines)
+                raise RuntimeError(f"{self._name} ended:\n{printed}")
+            return self.readiness() == httpx.codes.OK
+
+        wait(is_ready)
+
     def call(
         self,
         request_id: str,
@@ -203,7 +218,8 @@
             )
             for number in range(gateway_count)
         ]
-        wait(lambda: all(found.readiness() == 200 for found in self.gateways))
+        for gateway in self.gateways:
+            gateway.wait_ready()
 
     @property
     def endpoints(self) -> list[EntryEndpoint]:
--- /dev/null
+++ b/tools/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized faults against gateways on entry VMs."""
--- /dev/null
+++ b/tools/soak/caller.py
@@ -0,0 +1,89 @@
+"""Callers that keep sending requests while faults come."""
+
+import asyncio
+from collections.abc import Sequence
+import random
+import time
+import uuid
+
+import httpx
+
+from tools import entry_configuration
+from tools import entry_deployment
+from tools.soak import answer
+from tools.soak import request_kind
+
+_PAUSE_S = 0.05
+_TIMEOUT = httpx.Timeout(20.0, connect=1.0)
+_KINDS = tuple(request_kind.RequestKind)
+
+
+class Callers:
+    """Sends requests of every kind to every gateway.
+
+    Attributes:
+        answers: What has come of the requests, in the order of their ends.
+    """
+
+    def __init__(
+        self,
+        gateways: Sequence[entry_deployment.EntryGateway],
+        rng: random.Random,
+        began_s: float,
+    ) -> None:
+        """Creates callers.
+
+        Args:
+            gateways: Gateways to call.
+            rng: Source of draws.
+            began_s: Start of the trial on the monotonic clock.
+        """
+        self.answers: list[answer.Answer] = []
+        self._gateways = gateways
+        self._rng = rng
+        self._began_s = began_s
+
+    async def run(self, caller_count: int, stop: asyncio.Event) -> None:
+        """Sends requests until told to stop, then waits for the answers."""
+        async with asyncio.TaskGroup() as group:
+            for _ in range(caller_count):
+                group.create_task(self._call_until(stop))
+
+    async def _call_until(self, stop: asyncio.Event) -> None:
+        """Calls over connections that stay open between requests."""
+        async with httpx.AsyncClient(timeout=_TIMEOUT) as client:
+            while not stop.is_set():
+                await self._call(client)
+                await asyncio.sleep(self._rng.uniform(0, 2 * _PAUSE_S))
+
+    async def _call(self, client: httpx.AsyncClient) -> None:
+        kind = self._rng.choice(_KINDS)
+        request_id = uuid.UUID(int=self._rng.getrandbits(128)).hex[:16]
+        is_stream = kind is request_kind.RequestKind.STREAM
+        parts: list[bytes] = []
+        status = None
+        is_whole = False
+        try:
+            async with client.stream(
+                "POST",
+                self._rng.choice(self._gateways).url(kind.value),
+                headers=entry_configuration.headers(request_id),
+                content=b"stream" if is_stream else request_id.encode(),
+            ) as response:
+                status = response.status_code
+                async for part in response.aiter_bytes():
+                    parts.append(part)
+            is_whole = True
+        except httpx.HTTPError:
+            # What came so far tells what the caller knows.
+            pass
+        self.answers.append(
+            answer.Answer(
+                request_id,
+                kind,
+                status,
+                b"".join(parts),
+                is_whole,
+                time.monotonic() - self._began_s,
+            )
+        )
--- /dev/null
+++ b/tools/soak/fault.py
@@ -0,0 +1,22 @@
+"""Faults that a trial draws from."""
+
+import enum
+
+
+class Fault(enum.Enum):
+    """One fault, which is over when its method returns."""
+
+    GATEWAY_KILLED = "gateway-killed"
+    GATEWAY_RESTARTED = "gateway-restarted"
+    GATEWAY_PAUSED = "gateway-paused"
+    GATEWAY_RELOADED = "gateway-reloaded"
+    STORE_BUSY = "store-busy"
+    STORE_SILENT = "store-silent"
+    STORE_CUT_OFF = "store-cut-off"
+    HISTORY_LOST = "history-lost"
+    CONFIGURATION_CHANGED = "configuration-changed"
+    ENDPOINT_KILLED = "endpoint-killed"
+    ENDPOINT_PAUSED = "endpoint-paused"
+    ENDPOINT_DRAINED = "endpoint-drained"
+    LINK_STALLED = "link-stalled"
+    LINK_SILENCED = "link-silenced"
--- /dev/null
+++ b/tools/soak/request_kind.py
@@ -0,0 +1,18 @@
+"""Kinds of requests that callers send."""
+
+import enum
+
+from tools import entry_configuration
+
+
+class RequestKind(enum.Enum):
+    """Kind of a request, by the path that it is sent to."""
+
+    CALL = entry_configuration.CALLS
+    READ = entry_configuration.READS
+    STREAM = entry_configuration.STREAMS
+
+    @property
+    def may_repeat(self) -> bool:
+        """Whether it may run more than once."""
+        return self is RequestKind.READ
