Give the test of log handlers an output of its own

Cause: the test runner puts an object without a descriptor in the place of standard output, which lines now go to by its descriptor; run by itself, the test had the real one.

--- a/tests/test_log_queue.py
+++ b/tests/test_log_queue.py
@@ -77,7 +77,7 @@
 
     def test_handlers_are_put_back(self):
         before = logging.getLogger().handlers[:]
-        with log_queue.running():
+        with log_queue.running(io.BytesIO()):
             pass
         self.assertEqual(logging.getLogger().handlers, before)
 
