Give trial processes a loopback address each; end what a failed start began

Cause of the soak test that failed once: each trial drew ports of 127.0.0.1 at random, and trials that start together draw the same ones now and then; a gateway then ends with "address already in use" and the start fails, leaving the others running.

Ruled out: time-outs under load (starts took 10 s of 20 with eight trials at a time, none failed). Reproduced: 18 trials starting together, ports found by bind(0): 1 of 18 failed; drawn below the outgoing range: 2 of 54.

Change: a process's gateways listen on a loopback address made from its process id, ports counted; EntryDeployment ends what it started when a part fails.

--- a/tests/processes/test_entry_gateway.py
+++ b/tests/processes/test_entry_gateway.py
@@ -64,8 +64,7 @@
 
     def test_metrics_tell_what_was_served(self):
         self.gateway.call("counted")
-        port = self.gateway.metrics_port
-        shown = httpx.get(f"http://127.0.0.1:{port}/metrics").text
+        shown = self.gateway.metrics()
         self.assertIn('outcome="completed",workspace="w"', shown)
         self.assertIn("bronzeslip_configuration_number ", shown)
 
--- /dev/null
+++ b/tests/tools/test_own_address.py
@@ -0,0 +1,38 @@
+"""Tests of tools.own_address."""
+
+import pathlib
+import socket
+import unittest
+
+from tools import own_address
+
+_EPHEMERAL_RANGE = pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range")
+_LARGEST_PROCESS_ID = pathlib.Path("/proc/sys/kernel/pid_max")
+_SHARED_HOST = "127.0.0.1"
+
+
+class OwnAddressTest(unittest.TestCase):
+    def test_no_port_is_given_twice(self):
+        ports = [own_address.next_port() for _ in range(200)]
+        self.assertEqual(len(set(ports)), len(ports))
+
+    def test_ports_are_none_that_outgoing_connections_get(self):
+        first = int(_EPHEMERAL_RANGE.read_text().split()[0])
+        self.assertLess(max(own_address.next_port() for _ in range(50)), first)
+
+    def test_processes_have_addresses_of_their_own(self):
+        largest = int(_LARGEST_PROCESS_ID.read_text())
+        ids = {*range(2, 70_000), *range(largest - 300, largest)}
+        hosts = {own_address.host(process_id) for process_id in ids}
+        self.assertEqual(len(hosts), len(ids))
+        self.assertNotIn(_SHARED_HOST, hosts)
+
+    def test_port_taken_on_the_shared_address_is_free_on_the_own(self):
+        port = own_address.next_port()
+        with socket.create_server((_SHARED_HOST, port)):
+            with socket.create_server((own_address.host(), port)) as own:
+                self.assertEqual(own.getsockname(), (own_address.host(), port))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tools/entry_deployment.py
+++ b/tools/entry_deployment.py
@@ -1,6 +1,7 @@
 """Gateways on entry VMs as processes, before stand-ins of the platform."""
 
 from collections.abc import Callable
+import contextlib
 import pathlib
 import tempfile
 import time
@@ -11,8 +12,8 @@
 import msgspec
 
 from tools import entry_configuration
-from tools import free_port
 from tools import local_process
+from tools import own_address
 from tools.faults import link
 
 _WAIT_S = 20.0
@@ -23,8 +24,8 @@
 [zones]
 a-1 = "a"
 [listen]
-front = "127.0.0.1:{front}"
-ready = "127.0.0.1:{ready}"
+front = "{host}:{front}"
+ready = "{host}:{ready}"
 [bounds]
 grace_s = 8
 retry_ratio = 0.2
@@ -52,7 +53,7 @@
         self._service = service
         self._starts = 0
         self._earlier: list[local_process.LocalProcess] = []
-        self._start()
+        self.process = self._new_life()
 
     @property
     def runs(self) -> list[str]:
@@ -75,7 +76,12 @@
         self.process.kill()
         self.process.stop()
         self._earlier.append(self.process)
-        self._start()
+        self.process = self._new_life()
+        self.wait_ready()
+
+    def wait_ready(self) -> None:
+        """Waits until it listens, and leads its link there."""
+        self.way.set_target(self.process.http_port())
 
     def hold(self) -> None:
         """Has its answers wait."""
@@ -91,12 +97,11 @@
         self.process.stop()
         self.way.close()
 
-    def _start(self) -> None:
+    def _new_life(self) -> local_process.LocalProcess:
         self._starts += 1
-        self.process = local_process.LocalProcess(
+        return local_process.LocalProcess(
             "standins.model_endpoint", f"--endpoint-id={self.endpoint_id}"
         )
-        self.way.set_target(self.process.http_port())
 
 
 class EntryGateway:
@@ -105,15 +110,15 @@
     Attributes:
         process: Its process.
         way: Link that it reaches the store by.
-        metrics_port: Port of its metrics.
     """
 
     def __init__(self, name: str, folder: str, store_port: int) -> None:
         self._name = name
         self._boot_path = pathlib.Path(folder) / f"{name}.toml"
-        self._front = free_port.find()
-        self._ready = free_port.find()
-        self.metrics_port = free_port.find()
+        self._host = own_address.host()
+        self._front = own_address.next_port()
+        self._ready = own_address.next_port()
+        self._metrics = own_address.next_port()
         self.way = link.Link()
         self.way.set_target(store_port)
         self.write_boot()
@@ -124,7 +129,7 @@
         self.process = local_process.LocalProcess(
             "bronzeslip.platform",
             "--drain-notice-s=0.2",
-            f"--metrics-port={self.metrics_port}",
+            f"--metrics-port={self._metrics}",
             environment={"BRONZESLIP_BOOT": str(self._boot_path)},
         )
 
@@ -133,6 +138,7 @@
         self._boot_path.write_text(
             _BOOT.format(
                 name=self._name,
+                host=self._host,
                 front=self._front,
                 ready=self._ready,
                 store=self.way.port,
@@ -142,12 +148,16 @@
 
     def url(self, path: str) -> str:
         """Returns the URL of a path for callers."""
-        return f"http://127.0.0.1:{self._front}{path}"
+        return f"http://{self._host}:{self._front}{path}"
+
+    def metrics(self) -> str:
+        """Returns the page of its metrics."""
+        return httpx.get(f"http://{self._host}:{self._metrics}/metrics").text
 
     def readiness(self) -> int:
         """Returns the status of readiness, 0 without an answer."""
         try:
-            url = f"http://127.0.0.1:{self._ready}/ready"
+            url = f"http://{self._host}:{self._ready}/ready"
             return httpx.get(url).status_code
         except httpx.TransportError:
             return 0
@@ -198,28 +208,15 @@
     """
 
     def __init__(self, gateway_count: int = 1, endpoint_count: int = 1) -> None:
-        """Starts everything and waits until all gateways are ready."""
-        self._folder = tempfile.TemporaryDirectory()
-        self.store = local_process.LocalProcess("standins.object_store")
-        self.desks = [
-            EntryEndpoint(f"desk-{number}", "desk")
-            for number in range(endpoint_count)
-        ]
-        self.engines = [
-            EntryEndpoint(f"engine-{number}", "engine")
-            for number in range(endpoint_count)
-        ]
-        self.write("config", "main", entry_configuration.configuration(1))
-        for endpoint in self.endpoints:
-            self.register(endpoint)
-        self.gateways = [
-            EntryGateway(
-                f"front-{number}", self._folder.name, self.store.http_port()
-            )
-            for number in range(gateway_count)
-        ]
-        for gateway in self.gateways:
-            gateway.wait_ready()
+        """Starts everything and waits until all gateways are ready.
+
+        Raises:
+            RuntimeError: If a process ends instead of getting ready.
+            TimeoutError: If one does not get ready in time.
+        """
+        with contextlib.ExitStack() as started:
+            self._start(started, gateway_count, endpoint_count)
+            self._started = started.pop_all()
 
     @property
     def endpoints(self) -> list[EntryEndpoint]:
@@ -257,10 +254,32 @@
 
     def stop(self) -> None:
         """Ends everything."""
-        for part in (*self.gateways, *self.endpoints):
-            part.stop()
-        self.store.stop()
-        self._folder.cleanup()
+        self._started.close()
+
+    def _start(
+        self,
+        started: contextlib.ExitStack,
+        gateway_count: int,
+        endpoint_count: int,
+    ) -> None:
+        """Starts the parts; `started` ends each, also if a later one fails."""
+        folder = started.enter_context(tempfile.TemporaryDirectory())
+        self.store = local_process.LocalProcess("standins.object_store")
+        started.callback(self.store.stop)
+        self.desks = _endpoints(started, "desk", endpoint_count)
+        self.engines = _endpoints(started, "engine", endpoint_count)
+        self.write("config", "main", entry_configuration.configuration(1))
+        for endpoint in self.endpoints:
+            endpoint.wait_ready()
+            self.register(endpoint)
+        store_port = self.store.http_port()
+        self.gateways = []
+        for number in range(gateway_count):
+            gateway = EntryGateway(f"front-{number}", folder, store_port)
+            started.callback(gateway.stop)
+            self.gateways.append(gateway)
+        for gateway in self.gateways:
+            gateway.wait_ready()
 
 
 def wait(condition: Callable[[], ResultT]) -> ResultT:
@@ -271,3 +290,15 @@
             raise TimeoutError("the condition did not come about")
         time.sleep(0.02)
     return result
+
+
+def _endpoints(
+    started: contextlib.ExitStack, service: str, count: int
+) -> list[EntryEndpoint]:
+    """Starts the endpoints of a service, named after it."""
+    endpoints = []
+    for number in range(count):
+        endpoint = EntryEndpoint(f"{service}-{number}", service)
+        started.callback(endpoint.stop)
+        endpoints.append(endpoint)
+    return endpoints
