--- a/tests/tools/test_own_address.py
+++ b/tests/tools/test_own_address.py
@@ -29,9 +29,11 @@
 
     def test_port_taken_on_the_shared_address_is_free_on_the_own(self):
         port = own_address.next_port()
-        with socket.create_server((_SHARED_HOST, port)):
-            with socket.create_server((own_address.host(), port)) as own:
-                self.assertEqual(own.getsockname(), (own_address.host(), port))
+        with (
+            socket.create_server((_SHARED_HOST, port)),
+            socket.create_server((own_address.host(), port)) as own,
+        ):
+            self.assertEqual(own.getsockname(), (own_address.host(), port))
 
 
 if __name__ == "__main__":
