Recognise requests that crash endpoints on entry gateways

Ruled out: counting lost answers (answer_lost and reset_conns lose them at living endpoints); waiting for discovery alone (3.6 s after each crash); the record of the registry read each ten seconds (too late).

Change: forwarding.crash_watch notes what ran at an endpoint that is gone without having said that it leaves; the list of suspects and its records are those of the OpenAI path, now by the registry's part of a store's client. Found by the new process test and mended: an endpoint that could not be reached cost a repeat of the budget though nothing arrived there; with 30 gateways assumed at the start a caller was refused beside a healthy endpoint. The parts of a gateway are put together in forwarding.assembly, for the daemon and the tests alike (they stood twice).

--- a/bronzeslip/entry/gateway_registry.py
+++ b/bronzeslip/entry/gateway_registry.py
@@ -53,12 +53,19 @@
         self._store = store
         self._vm_id = vm_id
         self._key = ids.ObjectKey(f"{PREFIX}{vm_id}")
-        self._count: int | None = None
+        self._vm_ids: frozenset[ids.VmId] | None = None
 
     @property
     def count(self) -> int:
         """Number of gateways."""
-        return _ASSUMED_COUNT if self._count is None else self._count
+        if self._vm_ids is None:
+            return _ASSUMED_COUNT
+        return max(len(self._vm_ids), 1)
+
+    @property
+    def vm_ids(self) -> set[ids.VmId]:
+        """VMs of the gateways, as far as they are known."""
+        return {self._vm_id, *(self._vm_ids or ())}
 
     async def run(self) -> None:
         """Registers, then counts until cancelled."""
@@ -96,7 +103,9 @@
         except errors.PlatformError as error:
             logger.info("gateways.not_counted", reason=error.message)
             return
-        count = max(len(listed.objects), 1)
-        if count != self._count:
-            logger.info("gateways.counted", count=count)
-        self._count = count
+        vm_ids = frozenset(
+            ids.VmId(found.key.removeprefix(PREFIX)) for found in listed.objects
+        )
+        if vm_ids != self._vm_ids:
+            logger.info("gateways.counted", count=len(vm_ids))
+        self._vm_ids = vm_ids
--- a/bronzeslip/forwarding/attempts.py
+++ b/bronzeslip/forwarding/attempts.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import functools
 from typing import TypeVar
 
 from bronzeslip import ids
@@ -10,6 +11,7 @@
 from bronzeslip.endpoints import failure_memory
 from bronzeslip.forwarding import admitted
 from bronzeslip.forwarding import chooser
+from bronzeslip.forwarding import crash_watch
 from bronzeslip.forwarding import endpoint_errors
 from bronzeslip.forwarding import errors
 from bronzeslip.forwarding import repeat_budgets
@@ -40,6 +42,7 @@
         chosen: chooser.Chooser,
         failures: failure_memory.FailureMemory,
         budgets: repeat_budgets.RepeatBudgets,
+        crashes: crash_watch.CrashWatch,
         metrics: entry_metrics.EntryMetrics,
     ) -> None:
         """Creates attempts.
@@ -48,11 +51,13 @@
             chosen: Chooses endpoints.
             failures: Notes failures of endpoints.
             budgets: Limits repeats.
+            crashes: Keeps requests away that crash endpoints.
             metrics: Counts attempts.
         """
         self._chooser = chosen
         self._failures = failures
         self._budgets = budgets
+        self._crashes = crashes
         self._metrics = metrics
 
     async def run(
@@ -73,18 +78,25 @@
         budget = self._budgets.count_request(request.service.name)
         tried: set[ids.EndpointId] = set()
         runs = 0
+        # Endpoints that got the request; only these count as repeats.
+        arrivals = 0
         while True:
             chosen = self._choose(request, tried, runs)
-            if tried and not budget.take():
+            if arrivals and not budget.take():
                 raise _given_up(runs, "the budget of repeats is used up")
             tried.add(chosen.endpoint_id)
             try:
-                return await self._try(request, chosen, attempt)
+                with self._crashes.seated(request, chosen, runs > 0):
+                    return await self._try(request, chosen, attempt)
             except endpoint_errors.EndpointBrokenError as error:
                 runs += 1
+                arrivals += 1
+                self._crashes.note_broken(request, chosen)
                 if not self._may_run_again(request, runs):
                     raise errors.OutcomeUnknownError(error.message) from error
+                await self._crashes.wait_checked(request, chosen)
             except endpoint_errors.EndpointError as error:
+                arrivals += _has_arrived(error)
                 if len(tried) - runs > _MAX_REFUSALS:
                     raise _given_up(runs, error.message) from error
 
@@ -94,13 +106,28 @@
         tried: set[ids.EndpointId],
         runs: int,
     ) -> endpoint.Endpoint:
+        avoided = self._crashes.places_to_avoid(request, runs > 0)
         try:
+            self._crashes.refuse_quarantined(request)
+            if avoided - tried:
+                return self._choose_apart(request, tried, avoided)
             return self._chooser.choose(request, tried)
         except errors.NotRunError as error:
             if runs:
                 raise errors.OutcomeUnknownError(error.message) from error
             raise
 
+    def _choose_apart(
+        self,
+        request: admitted.AdmittedRequest,
+        tried: set[ids.EndpointId],
+        avoided: frozenset[ids.EndpointId],
+    ) -> endpoint.Endpoint:
+        try:
+            return self._chooser.choose(request, tried | avoided)
+        except errors.NotRunError:
+            return self._chooser.choose(request, tried)
+
     async def _try(
         self,
         request: admitted.AdmittedRequest,
@@ -136,3 +163,14 @@
     if runs:
         return errors.OutcomeUnknownError(reason)
     return errors.NotRunError(reason, retry_after_s=_RETRY_AFTER_S)
+
+
+@functools.singledispatch
+def _has_arrived(_: endpoint_errors.EndpointError) -> bool:
+    """Tells whether an endpoint got the request before it failed."""
+    return True
+
+
+@_has_arrived.register
+def _(_: endpoint_errors.EndpointUnreachableError) -> bool:
+    return False
--- a/bronzeslip/forwarding/endpoint_client.py
+++ b/bronzeslip/forwarding/endpoint_client.py
@@ -88,6 +88,21 @@
                 request may have run.
         """
 
+    async def check_presence(
+        self, known: endpoint.Endpoint, health_path: str
+    ) -> None:
+        """Asks an endpoint for its health over a new connection.
+
+        Args:
+            known: The endpoint.
+            health_path: Path of its service that tells the health.
+
+        Raises:
+            endpoint_errors.EndpointAbsentError: If nothing listens there, or
+                another endpoint does.
+            endpoint_errors.EndpointError: If it did not answer.
+        """
+
     async def report(self, known: endpoint.Endpoint) -> report.EngineReport:
         """Reads an engine's report.
 
--- a/bronzeslip/forwarding/endpoint_errors.py
+++ b/bronzeslip/forwarding/endpoint_errors.py
@@ -15,6 +15,12 @@
     code = "endpoint-unreachable"
 
 
+class EndpointAbsentError(EndpointUnreachableError):
+    """Nothing listens at the address, or another endpoint does."""
+
+    code = "endpoint-absent"
+
+
 class EndpointBrokenError(EndpointError):
     """The answer is missing or broken; the request may have run."""
 
--- a/bronzeslip/forwarding/errors.py
+++ b/bronzeslip/forwarding/errors.py
@@ -45,6 +45,12 @@
     code = "overloaded"
 
 
+class QuarantinedError(NotRunError):
+    """The request was running at crashes of endpoints and is kept away."""
+
+    code = "quarantined"
+
+
 class OutcomeUnknownError(ForwardingError):
     """The request may have run, and its answer is lost."""
 
--- a/bronzeslip/forwarding/parts.py
+++ b/bronzeslip/forwarding/parts.py
@@ -9,6 +9,7 @@
 from bronzeslip.forwarding import attempts
 from bronzeslip.forwarding import chooser
 from bronzeslip.forwarding import copy_releaser
+from bronzeslip.forwarding import crash_watch
 from bronzeslip.forwarding import endpoint_client
 from bronzeslip.forwarding import repeat_budgets
 from bronzeslip.forwarding import standby_chooser
@@ -32,6 +33,7 @@
         standbys: Chooses engines for standby copies.
         releaser: Frees standby copies.
         budgets: Limits repeats.
+        crashes: Keeps requests away that crash endpoints.
         attempts: Tries endpoints.
         metrics: Metrics of the gateway.
     """
@@ -47,5 +49,6 @@
     standbys: standby_chooser.StandbyChooser
     releaser: copy_releaser.CopyReleaser
     budgets: repeat_budgets.RepeatBudgets
+    crashes: crash_watch.CrashWatch
     attempts: attempts.Attempts
     metrics: entry_metrics.EntryMetrics
--- a/bronzeslip/forwarding/pipeline.py
+++ b/bronzeslip/forwarding/pipeline.py
@@ -5,6 +5,7 @@
 from bronzeslip.forwarding import admission
 from bronzeslip.forwarding import admitted
 from bronzeslip.forwarding import call_forwarder
+from bronzeslip.forwarding import crash_watch
 from bronzeslip.forwarding import errors
 from bronzeslip.forwarding import incoming
 from bronzeslip.forwarding import reply
@@ -21,6 +22,7 @@
         admitting: admission.Admission,
         calls: call_forwarder.CallForwarder,
         streams: stream_forwarder.StreamForwarder,
+        crashes: crash_watch.CrashWatch,
         ledger: request_ledger.RequestLedger,
     ) -> None:
         """Creates a pipeline.
@@ -29,11 +31,13 @@
             admitting: Checks requests against the configuration.
             calls: Forwards calls.
             streams: Forwards generations.
+            crashes: Clears requests that came to their end.
             ledger: Notes what becomes of requests.
         """
         self._admission = admitting
         self._calls = calls
         self._streams = streams
+        self._crashes = crashes
         self._ledger = ledger
 
     async def serve(
@@ -48,6 +52,7 @@
         allowed = self._admission.admit(request)
         with self._ledger.settling(allowed):
             await self._serve_in_time(allowed, to_caller)
+            self._crashes.note_finished(allowed)
 
     async def _serve_in_time(
         self, allowed: admitted.AdmittedRequest, to_caller: reply.Reply
--- a/bronzeslip/forwarding/stream_run.py
+++ b/bronzeslip/forwarding/stream_run.py
@@ -130,6 +130,7 @@
                 events=self._events,
                 reason=error.message,
             )
+            self._parts.crashes.note_broken(self._request, self._endpoint)
             return False
         finally:
             await answer.close()
--- a/bronzeslip/gateway/parts.py
+++ b/bronzeslip/gateway/parts.py
@@ -58,6 +58,9 @@
         limiter=workspace_limiter.WorkspaceLimiter(spread.members),
         suspects=suspects,
         suspect_publisher=suspect_publisher.SuspectPublisher(
-            settings, platform, spread.members, suspects
+            settings,
+            platform,
+            lambda: {known.vm_id for known in spread.members.gateways()},
+            suspects,
         ),
     )
--- a/bronzeslip/platform/endpoint_answer.py
+++ b/bronzeslip/platform/endpoint_answer.py
@@ -64,6 +64,11 @@
         """Id of the request that it answers, if it says so."""
         return self._response.headers.get(headers.REQUEST_ID.decode())
 
+    @property
+    def answering_endpoint(self) -> str | None:
+        """Id of the endpoint that answers, if it says so."""
+        return self._response.headers.get(headers.ENDPOINT.decode())
+
     def belongs_to(self, request_id: ids.RequestId) -> bool:
         """Tells whether it answers a request.
 
--- a/bronzeslip/platform/endpoint_http.py
+++ b/bronzeslip/platform/endpoint_http.py
@@ -83,6 +83,27 @@
             )
         return answer
 
+    async def check_presence(
+        self, known: endpoint.Endpoint, health_path: str
+    ) -> None:
+        """Asks an endpoint for its health over a new connection.
+
+        Raises:
+            endpoint_errors.EndpointAbsentError: If nothing listens there, or
+                another endpoint does.
+            endpoint_errors.EndpointError: If it did not answer.
+        """
+        request = self._control_request(
+            known, "GET", health_path, None, self._settings.report_timeout_s
+        )
+        pool = kept_connections.KeptConnections(self._settings)
+        answer = await _exchange(pool, request)
+        await answer.abort()
+        if answer.answering_endpoint not in (None, known.endpoint_id):
+            raise endpoint_errors.EndpointAbsentError(
+                f"{answer.answering_endpoint} answers there"
+            )
+
     async def report(self, known: endpoint.Endpoint) -> report.EngineReport:
         """Reads an engine's report.
 
@@ -138,13 +159,7 @@
         message: bytes | None,
         timeout_s: float,
     ) -> bytes:
-        request = httpx.Request(
-            method,
-            f"http://{known.address}{path}",
-            headers={"Host": known.address, "Content-Type": "application/json"},
-            content=message,
-            extensions={"timeout": self._timeouts(timeout_s)},
-        )
+        request = self._control_request(known, method, path, message, timeout_s)
         pool = self._pool_of(self._control_pools, known)
         answer = await _exchange(pool, request)
         try:
@@ -157,6 +172,22 @@
             )
         return body
 
+    def _control_request(
+        self,
+        known: endpoint.Endpoint,
+        method: str,
+        path: str,
+        message: bytes | None,
+        timeout_s: float,
+    ) -> httpx.Request:
+        return httpx.Request(
+            method,
+            f"http://{known.address}{path}",
+            headers={"Host": known.address, "Content-Type": "application/json"},
+            content=message,
+            extensions={"timeout": self._timeouts(timeout_s)},
+        )
+
     def _pool_of(
         self,
         pools: dict[str, kept_connections.KeptConnections],
@@ -182,10 +213,15 @@
     kept = await pool.take()
     try:
         response = await kept.transport.handle_async_request(request)
-    except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+    except httpx.ConnectError as error:
+        await kept.transport.aclose()
+        raise endpoint_errors.EndpointAbsentError(
+            "the connection is refused"
+        ) from error
+    except httpx.ConnectTimeout as error:
         await kept.transport.aclose()
         raise endpoint_errors.EndpointUnreachableError(
-            f"no connection: {type(error).__name__}"
+            "the connection does not come about in time"
         ) from error
     except httpx.HTTPError as error:
         await kept.transport.aclose()
--- a/bronzeslip/platform/gateway.py
+++ b/bronzeslip/platform/gateway.py
@@ -5,29 +5,17 @@
 
 from bronzeslip import ids
 from bronzeslip.endpoints import directory
-from bronzeslip.endpoints import failure_memory
-from bronzeslip.endpoints import neighbourhood
-from bronzeslip.endpoints import own_load
-from bronzeslip.endpoints import report_board
 from bronzeslip.endpoints import watched_share
 from bronzeslip.entry import daemon
 from bronzeslip.entry import gateway_registry
 from bronzeslip.entry import named_task
 from bronzeslip.entry import place
 from bronzeslip.entry import readiness
+from bronzeslip.entry import suspect_scope
 from bronzeslip.forwarding import admission
-from bronzeslip.forwarding import attempts
-from bronzeslip.forwarding import call_forwarder
-from bronzeslip.forwarding import chooser
-from bronzeslip.forwarding import copy_releaser
-from bronzeslip.forwarding import load_forecast
+from bronzeslip.forwarding import assembly
 from bronzeslip.forwarding import parts
-from bronzeslip.forwarding import pipeline
-from bronzeslip.forwarding import repeat_budgets
 from bronzeslip.forwarding import report_poller
-from bronzeslip.forwarding import request_ledger
-from bronzeslip.forwarding import standby_chooser
-from bronzeslip.forwarding import stream_forwarder
 from bronzeslip.metrics import entry_metrics
 from bronzeslip.platform import boot_file
 from bronzeslip.platform import configuration_follower
@@ -37,6 +25,8 @@
 from bronzeslip.platform import settings_reloader
 from bronzeslip.platform import store_client
 from bronzeslip.routes import current
+from bronzeslip.routing import suspect_list
+from bronzeslip.routing import suspect_publisher
 from bronzeslip.settings import entry
 from bronzeslip.store import call_budget
 from bronzeslip.store import follower
@@ -62,26 +52,36 @@
         here.store, settings, metrics.platform_called
     )
     registry = gateway_registry.GatewayRegistry(store, here.vm_id)
-    shared = _create_parts(settings, here, registry, in_force, known, metrics)
-    ready = readiness.Readiness(shared.current, shared.known)
+    suspects = _Suspects(settings, here, store, registry)
+    client = endpoint_http.HttpEndpointClient(settings)
+    known.add_leaving_listener(client.forget)
+    rng = random.Random()
+    shared = assembly.create_parts(
+        settings,
+        here,
+        in_force,
+        known,
+        client,
+        suspects.known,
+        suspects.publisher,
+        metrics,
+        lambda: registry.count,
+        rng,
+    )
+    admitting = admission.Admission(settings, in_force, rng)
     reloader = settings_reloader.SettingsReloader(
         path, here, shared.budgets.set_bounds
     )
-    served = pipeline.Pipeline(
-        admission.Admission(settings, shared.current, random.Random()),
-        call_forwarder.CallForwarder(shared),
-        stream_forwarder.StreamForwarder(shared),
-        request_ledger.RequestLedger(metrics),
-    )
     return daemon.EntryDaemon(
         settings,
         here,
-        ingress.Ingress(served, shared.current),
-        shared.current,
-        ready,
+        ingress.Ingress(assembly.create_pipeline(shared, admitting), in_force),
+        in_force,
+        readiness.Readiness(in_force, known),
         metrics,
         (
             *_tasks(settings, here, store, shared),
+            *suspects.tasks(),
             named_task.NamedTask("registry", registry.run()),
             named_task.NamedTask("settings", reloader.run()),
         ),
@@ -90,50 +90,44 @@
     )
 
 
-def _create_parts(
-    settings: entry.EntrySettings,
-    here: place.VmPlace,
-    registry: gateway_registry.GatewayRegistry,
-    in_force: current.CurrentTable,
-    known: directory.EndpointDirectory,
-    metrics: entry_metrics.EntryMetrics,
-) -> parts.ForwardingParts:
-    own = own_load.OwnLoad()
-    reports = report_board.ReportBoard()
-    failures = failure_memory.FailureMemory()
-    client = endpoint_http.HttpEndpointClient(settings)
-    near = neighbourhood.Neighbourhood(here, known)
-    known.add_leaving_listener(client.forget)
-    if settings.placement is entry.Placement.ROUND_ROBIN:
-        chosen = chooser.RoundRobinChooser(known)
-    else:
-        chosen = chooser.CostChooser(
-            here,
-            known,
-            watched_share.WatchedShare(settings, here, known),
-            near,
-            load_forecast.LoadForecaster(settings, own, reports),
-            failures,
-            random.Random(),
+class _Suspects:
+    """List of suspects, told to and learned from the other gateways."""
+
+    def __init__(
+        self,
+        settings: entry.EntrySettings,
+        here: place.VmPlace,
+        store: store_client.StoreClient,
+        registry: gateway_registry.GatewayRegistry,
+    ) -> None:
+        scope = suspect_scope.SuspectScope(here.vm_id, settings.suspect_ttl_s)
+        self.known = suspect_list.SuspectList(scope)
+        self.publisher = suspect_publisher.SuspectPublisher(
+            scope, store, lambda: registry.vm_ids, self.known
+        )
+        self._settings = settings
+        self._store = store
+
+    def tasks(self) -> tuple[named_task.NamedTask, ...]:
+        """Returns the work that keeps the list."""
+        timing = follower.FollowTiming(
+            self._settings.suspect_watch_s,
+            self._settings.store_backoff_min_s,
+            self._settings.store_backoff_max_s,
+            self._settings.store_batch_s,
+            _watch_rate(self._settings),
+        )
+        following = follower.PrefixFollower(
+            self._store,
+            suspect_list.SUSPECTS_PREFIX,
+            self.known.on_list,
+            self.known.on_event,
+            timing=timing,
+        )
+        return (
+            named_task.NamedTask("suspects", following.run()),
+            named_task.NamedTask("suspect-writes", self.publisher.run()),
         )
-    budgets = repeat_budgets.RepeatBudgets(here.bounds, lambda: registry.count)
-    return parts.ForwardingParts(
-        settings=settings,
-        current=in_force,
-        known=known,
-        own=own,
-        reports=reports,
-        failures=failures,
-        client=client,
-        chosen=chosen,
-        standbys=standby_chooser.StandbyChooser(
-            near, known, reports, random.Random()
-        ),
-        releaser=copy_releaser.CopyReleaser(client),
-        budgets=budgets,
-        attempts=attempts.Attempts(chosen, failures, budgets, metrics),
-        metrics=metrics,
-    )
 
 
 def _tasks(
@@ -152,9 +146,7 @@
         settings.store_backoff_min_s,
         settings.store_backoff_max_s,
         settings.store_batch_s,
-        call_budget.CallRate(
-            settings.store_watches_per_s, settings.store_watch_burst
-        ),
+        _watch_rate(settings),
     )
     poller = report_poller.ReportPoller(
         settings,
@@ -182,6 +174,12 @@
     )
 
 
+def _watch_rate(settings: entry.EntrySettings) -> call_budget.CallRate:
+    return call_budget.CallRate(
+        settings.store_watches_per_s, settings.store_watch_burst
+    )
+
+
 def _engine_services(
     in_force: current.CurrentTable,
 ) -> tuple[ids.ServiceName, ...]:
--- a/bronzeslip/routing/suspect_list.py
+++ b/bronzeslip/routing/suspect_list.py
@@ -8,8 +8,8 @@
 from bronzeslip import ids
 from bronzeslip import logs
 from bronzeslip.routing import suspect_record
+from bronzeslip.routing import suspect_settings
 from bronzeslip.routing import suspect_state
-from bronzeslip.settings import gateway
 from bronzeslip.store import objects
 
 logger = logs.get_logger(__name__)
@@ -31,7 +31,7 @@
 
     def __init__(
         self,
-        settings: gateway.GatewaySettings,
+        settings: suspect_settings.SuspectSettings,
         wall_clock: Callable[[], float] = time.time,
     ) -> None:
         """Creates an empty list.
@@ -49,6 +49,11 @@
         ] = {self._own_key: {}}
         self._holders: dict[ids.Fingerprint, set[ids.ObjectKey]] = {}
 
+    @property
+    def has_entries(self) -> bool:
+        """Whether any request has been noted and not expired everywhere."""
+        return bool(self._holders)
+
     def state_of(
         self, fingerprint: ids.Fingerprint
     ) -> suspect_state.SuspectState:
--- a/bronzeslip/routing/suspect_publisher.py
+++ b/bronzeslip/routing/suspect_publisher.py
@@ -1,16 +1,17 @@
 """Writes this gateway's suspects to the platform."""
 
 import asyncio
+from collections.abc import Callable
 import contextlib
 
+from bronzeslip import ids
 from bronzeslip import logs
-from bronzeslip.membership import directory
 from bronzeslip.membership import rendezvous
 from bronzeslip.routing import suspect_list
 from bronzeslip.routing import suspect_record
-from bronzeslip.settings import gateway
-from bronzeslip.store import client
+from bronzeslip.routing import suspect_settings
 from bronzeslip.store import errors
+from bronzeslip.store import registry_store
 
 logger = logs.get_logger(__name__)
 
@@ -24,9 +25,9 @@
 
     def __init__(
         self,
-        settings: gateway.GatewaySettings,
-        platform: client.PlatformClient,
-        members: directory.MemberDirectory,
+        settings: suspect_settings.SuspectSettings,
+        platform: registry_store.RegistryStore,
+        live_gateways: Callable[[], set[ids.VmId]],
         suspects: suspect_list.SuspectList,
     ) -> None:
         """Creates a publisher.
@@ -34,12 +35,13 @@
         Args:
             settings: VM id of the gateway.
             platform: Client of the platform.
-            members: Known gateways, one of which deletes abandoned records.
+            live_gateways: Tells the VMs of the known gateways, one of which
+                deletes abandoned records.
             suspects: The suspects.
         """
         self._settings = settings
         self._platform = platform
-        self._members = members
+        self._live_gateways = live_gateways
         self._suspects = suspects
         self._key = suspect_list.own_key(settings.vm_id)
         self._changed = asyncio.Event()
@@ -95,7 +97,7 @@
             await self._platform.update(self._key, record, found.version)
 
     async def _delete_abandoned(self) -> None:
-        live = {known.vm_id for known in self._members.gateways()}
+        live = self._live_gateways()
         own = self._settings.vm_id
         for key in self._suspects.abandoned_keys(live):
             if rendezvous.ranked(live | {own}, str, key)[0] != own:
--- a/bronzeslip/settings/entry.py
+++ b/bronzeslip/settings/entry.py
@@ -162,6 +162,21 @@
         minimum=0,
         maximum=60,
     )
+    suspect_ttl_s: float = setting(
+        "time a request that was running at a crash stays suspect, in seconds",
+        "routing",
+        default=1800.0,
+        minimum=1,
+        maximum=604_800,
+    )
+    suspect_watch_s: float = setting(
+        "longest wait of one watch of the suspects, which seldom change, in "
+        "seconds",
+        "store",
+        default=20.0,
+        minimum=0.1,
+        maximum=30,
+    )
     placement: Placement = setting(
         "how endpoints are chosen; round-robin is a baseline",
         "routing",
--- a/bronzeslip/store/registry_store.py
+++ b/bronzeslip/store/registry_store.py
@@ -18,6 +18,11 @@
     ) -> objects.PlatformObject:
         """Writes an object that must not exist yet."""
 
+    async def update(
+        self, key: ids.ObjectKey, value: Any, version: ids.ObjectVersion
+    ) -> objects.PlatformObject:
+        """Writes an object that must be at a version."""
+
     async def delete(
         self, key: ids.ObjectKey, version: ids.ObjectVersion
     ) -> None:
--- a/standins/model_endpoint/app.py
+++ b/standins/model_endpoint/app.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+import os
 import uuid
 
 import litestar
@@ -11,6 +12,8 @@
 _ID = "bronzeslip-attempt-id"
 _TARGET = "bronzeslip-target-instance"
 _STREAM_TEXT = b"stream"
+_CRASH_TEXT = b"crash"
+_CRASH_STATUS = 70
 EVENT_COUNT = 5
 _EVENT_INTERVAL_S = 0.05
 
@@ -18,6 +21,8 @@
 class EndpointStandin:
     """Answers calls and streams, and prints the id of each that it runs.
 
+    A request whose body says so ends the process at once.
+
     While it holds, a call's answer begins only when it is let go; a stream has
     then sent its first event.
     """
@@ -52,6 +57,8 @@
             return litestar.Response(b"", status_code=421, headers=not_run)
         print(f"ran {request.headers.get(_ID)}", flush=True)
         body = await request.body()
+        if body == _CRASH_TEXT:
+            os._exit(_CRASH_STATUS)
         if body == _STREAM_TEXT:
             return response.Stream(
                 self._events(), headers=headers, media_type="text/event-stream"
--- a/tests/forwarding/test_attempts.py
+++ b/tests/forwarding/test_attempts.py
@@ -14,7 +14,14 @@
 
 
 class CallTest(unittest.IsolatedAsyncioTestCase):
-    async def _call(self, request_kind, first, second=None, **route_changes):
+    async def _call(
+        self,
+        request_kind,
+        first,
+        second=None,
+        has_repeats=True,
+        **route_changes,
+    ):
         """Sends a call to 'one', and to 'two' if it is sent again."""
         second = second or scripted_endpoints.ScriptedAnswer(200, [b"two"])
         self.client = scripted_endpoints.ScriptedEndpoints(
@@ -29,6 +36,10 @@
                 ),
             ),
         )
+        if not has_repeats:
+            budget = shared.budgets.count_request(forwarding_parts.DESK.name)
+            while budget.take():
+                pass
         self.reply = scripted_endpoints.RecordedReply()
         request = forwarding_parts.admit(
             forwarding_parts.create_request(), request_kind, **route_changes
@@ -61,6 +72,21 @@
         await self._call(kind.RequestKind.AT_MOST_ONCE, _UNREACHABLE)
         self.assertEqual(self._sent_to, ["one", "two"])
 
+    async def test_endpoint_that_got_nothing_costs_no_repeat(self):
+        await self._call(
+            kind.RequestKind.AT_MOST_ONCE, _UNREACHABLE, has_repeats=False
+        )
+        self.assertEqual(self._sent_to, ["one", "two"])
+
+    async def test_endpoint_that_refused_costs_a_repeat(self):
+        with self.assertRaises(errors.NotRunError):
+            await self._call(
+                kind.RequestKind.AT_MOST_ONCE,
+                scripted_endpoints.not_run(),
+                has_repeats=False,
+            )
+        self.assertEqual(self._sent_to, ["one"])
+
     async def test_lost_answer_of_an_at_most_once_request_is_unknown(self):
         with self.assertRaises(errors.OutcomeUnknownError):
             await self._call(kind.RequestKind.AT_MOST_ONCE, _BROKEN)
--- a/tests/support/forwarding_gateway.py
+++ b/tests/support/forwarding_gateway.py
@@ -3,10 +3,7 @@
 import random
 
 from bronzeslip.forwarding import admission
-from bronzeslip.forwarding import call_forwarder
-from bronzeslip.forwarding import pipeline
-from bronzeslip.forwarding import request_ledger
-from bronzeslip.forwarding import stream_forwarder
+from bronzeslip.forwarding import assembly
 from bronzeslip.platform import ingress
 from tests.support import asgi_caller
 from tests.support import forwarding_parts
@@ -21,16 +18,10 @@
 
     def __init__(self, client, endpoints):
         self.parts = forwarding_parts.create_parts(client, endpoints)
-        served = pipeline.Pipeline(
-            admission.Admission(
-                forwarding_parts.SETTINGS,
-                self.parts.current,
-                random.Random(1),
-            ),
-            call_forwarder.CallForwarder(self.parts),
-            stream_forwarder.StreamForwarder(self.parts),
-            request_ledger.RequestLedger(self.parts.metrics),
+        admitting = admission.Admission(
+            forwarding_parts.SETTINGS, self.parts.current, random.Random(1)
         )
+        served = assembly.create_pipeline(self.parts, admitting)
         self._ingress = ingress.Ingress(served, self.parts.current)
 
     def adopt(self, *routes, version=1):
--- a/tests/support/forwarding_parts.py
+++ b/tests/support/forwarding_parts.py
@@ -6,23 +6,13 @@
 from bronzeslip import ids
 from bronzeslip.endpoints import directory
 from bronzeslip.endpoints import endpoint
-from bronzeslip.endpoints import failure_memory
-from bronzeslip.endpoints import neighbourhood
-from bronzeslip.endpoints import own_load
 from bronzeslip.endpoints import report
-from bronzeslip.endpoints import report_board
-from bronzeslip.endpoints import watched_share
 from bronzeslip.entry import place
+from bronzeslip.entry import suspect_scope
 from bronzeslip.forwarding import admitted
-from bronzeslip.forwarding import attempts
-from bronzeslip.forwarding import chooser
-from bronzeslip.forwarding import copy_releaser
+from bronzeslip.forwarding import assembly
 from bronzeslip.forwarding import incoming
-from bronzeslip.forwarding import load_forecast
-from bronzeslip.forwarding import parts
 from bronzeslip.forwarding import prompt
-from bronzeslip.forwarding import repeat_budgets
-from bronzeslip.forwarding import standby_chooser
 from bronzeslip.metrics import entry_metrics
 from bronzeslip.routes import current
 from bronzeslip.routes import engine_traits
@@ -32,6 +22,8 @@
 from bronzeslip.routes import route_table
 from bronzeslip.routes import service
 from bronzeslip.routes import workspace
+from bronzeslip.routing import suspect_list
+from bronzeslip.routing import suspect_publisher
 from bronzeslip.settings import entry
 
 MEMORY_TOKENS = 30_000
@@ -144,39 +136,29 @@
     return admit(create_draft(), kind.RequestKind.STREAM, POOL, **route_changes)
 
 
-def create_parts(client, endpoints=(), settings=SETTINGS):
-    """Creates parts whose endpoints are all known."""
+def create_parts(client, endpoints=(), settings=SETTINGS, suspects=None):
+    """Creates parts whose endpoints are all known.
+
+    Args:
+        client: Client of the endpoints.
+        endpoints: The endpoints.
+        settings: Settings.
+        suspects: Known suspects, an empty list if None.
+    """
     known = directory.EndpointDirectory(settings)
     known.replace_all(endpoints)
-    near = neighbourhood.Neighbourhood(PLACE, known)
-    own = own_load.OwnLoad()
-    reports = report_board.ReportBoard()
-    failures = failure_memory.FailureMemory()
     in_force = current.CurrentTable()
-    metrics = entry_metrics.EntryMetrics(in_force, known)
-    rng = random.Random(1)
-    chosen = chooser.CostChooser(
+    scope = suspect_scope.SuspectScope(PLACE.vm_id, settings.suspect_ttl_s)
+    suspects = suspects or suspect_list.SuspectList(scope)
+    return assembly.create_parts(
+        settings,
         PLACE,
+        in_force,
         known,
-        watched_share.WatchedShare(settings, PLACE, known),
-        near,
-        load_forecast.LoadForecaster(settings, own, reports),
-        failures,
-        rng,
-    )
-    budgets = repeat_budgets.RepeatBudgets(PLACE.bounds, lambda: 1)
-    return parts.ForwardingParts(
-        settings=settings,
-        current=in_force,
-        known=known,
-        own=own,
-        reports=reports,
-        failures=failures,
-        client=client,
-        chosen=chosen,
-        standbys=standby_chooser.StandbyChooser(near, known, reports, rng),
-        releaser=copy_releaser.CopyReleaser(client),
-        budgets=budgets,
-        attempts=attempts.Attempts(chosen, failures, budgets, metrics),
-        metrics=metrics,
+        client,
+        suspects,
+        suspect_publisher.SuspectPublisher(scope, None, set, suspects),
+        entry_metrics.EntryMetrics(in_force, known),
+        lambda: 1,
+        random.Random(1),
     )
--- a/tests/support/scripted_endpoints.py
+++ b/tests/support/scripted_endpoints.py
@@ -39,6 +39,8 @@
         sent: Dispatches in the order in which they were sent.
         copies: Pairs of source and target of the copies asked for.
         dropped: Pairs of engine and handle of the copies freed.
+        absent: Endpoints at whose address nothing listens.
+        silent: Endpoints that don't answer when asked for their health.
     """
 
     def __init__(self, answers):
@@ -47,6 +49,8 @@
         self.copies = []
         self.dropped = []
         self.refuses_copies = False
+        self.absent = set()
+        self.silent = set()
 
     async def send(self, sent):
         self.sent.append(sent)
@@ -55,6 +59,12 @@
             raise answer
         return answer
 
+    async def check_presence(self, known, health_path):
+        if known.endpoint_id in self.absent:
+            raise endpoint_errors.EndpointAbsentError("refused")
+        if known.endpoint_id in self.silent:
+            raise endpoint_errors.EndpointBrokenError("no answer")
+
     async def copy_run(self, source, request_id, target, is_last, timeout_s):
         self.copies.append((source.endpoint_id, target.endpoint_id))
         if self.refuses_copies:
--- a/tools/entry_deployment.py
+++ b/tools/entry_deployment.py
@@ -44,13 +44,16 @@
     Attributes:
         endpoint_id: Id under which it registers.
         process: Its process.
-        way: Link that gateways reach it by.
+        way: Link that gateways reach it by, unless they reach it directly.
     """
 
-    def __init__(self, endpoint_id: str, service: str) -> None:
+    def __init__(
+        self, endpoint_id: str, service: str, is_linked: bool = True
+    ) -> None:
         self.endpoint_id = endpoint_id
         self.way = link.Link()
         self._service = service
+        self._is_linked = is_linked
         self._starts = 0
         self._earlier: list[local_process.LocalProcess] = []
         self.process = self._new_life()
@@ -67,8 +70,9 @@
 
     def entry(self, state: str = "ready") -> dict[str, Any]:
         """Returns its entry in the store."""
+        port = self.way.port if self._is_linked else self.process.http_port()
         return entry_configuration.entry(
-            self._service, self.way.port, state, self._starts
+            self._service, port, state, self._starts
         )
 
     def restart(self) -> None:
@@ -207,15 +211,32 @@
         gateways: Gateways.
     """
 
-    def __init__(self, gateway_count: int = 1, endpoint_count: int = 1) -> None:
+    def __init__(
+        self,
+        gateway_count: int = 1,
+        endpoint_count: int = 1,
+        has_endpoint_links: bool = True,
+    ) -> None:
         """Starts everything and waits until all gateways are ready.
 
+        Args:
+            gateway_count: Number of gateways.
+            endpoint_count: Number of endpoints of each service.
+            has_endpoint_links: Whether endpoints are reached by links; without
+                them, connections to one that has ended are refused.
+
         Raises:
             RuntimeError: If a process ends instead of getting ready.
             TimeoutError: If one does not get ready in time.
         """
         with contextlib.ExitStack() as started:
-            self._start(started, gateway_count, endpoint_count)
+            self.desks = _endpoints(
+                started, "desk", endpoint_count, has_endpoint_links
+            )
+            self.engines = _endpoints(
+                started, "engine", endpoint_count, has_endpoint_links
+            )
+            self._start(started, gateway_count)
             self._started = started.pop_all()
 
     @property
@@ -260,14 +281,11 @@
         self,
         started: contextlib.ExitStack,
         gateway_count: int,
-        endpoint_count: int,
     ) -> None:
-        """Starts the parts; `started` ends each, also if a later one fails."""
+        """Starts the rest; `started` ends each, also if a later one fails."""
         folder = started.enter_context(tempfile.TemporaryDirectory())
         self.store = local_process.LocalProcess("standins.object_store")
         started.callback(self.store.stop)
-        self.desks = _endpoints(started, "desk", endpoint_count)
-        self.engines = _endpoints(started, "engine", endpoint_count)
         self.write("config", "main", entry_configuration.configuration(1))
         for endpoint in self.endpoints:
             endpoint.wait_ready()
@@ -293,12 +311,12 @@
 
 
 def _endpoints(
-    started: contextlib.ExitStack, service: str, count: int
+    started: contextlib.ExitStack, service: str, count: int, is_linked: bool
 ) -> list[EntryEndpoint]:
     """Starts the endpoints of a service, named after it."""
     endpoints = []
     for number in range(count):
-        endpoint = EntryEndpoint(f"{service}-{number}", service)
+        endpoint = EntryEndpoint(f"{service}-{number}", service, is_linked)
         started.callback(endpoint.stop)
         endpoints.append(endpoint)
     return endpoints
