Keep all gateways together below an endpoint's connections

Cause: max_conns of a service was decoded and not used; connections beyond it are reset, and a request on one may have run (502 where 429 would be true).

Ruled out: the same share for each gateway whatever the fleet (a gateway uses five endpoints of a service, so few gateways meet at one endpoint of many); a share of the assumed thirty gateways before the first count (would refuse callers for three seconds after each start).

Change: forwarding.connection_share; full endpoints are passed over, all full is 429 at once. Test that failed first: tests.forwarding. test_many_gateways_few_connections. An endpoint's answer before a long body has been read now has a test (tests.platform.test_endpoint_http); it passed at once.

--- a/bronzeslip/entry/gateway_registry.py
+++ b/bronzeslip/entry/gateway_registry.py
@@ -62,6 +62,11 @@
             return _ASSUMED_COUNT
         return max(len(self._vm_ids), 1)
 
+    @property
+    def is_known(self) -> bool:
+        """Whether the gateways have been counted."""
+        return self._vm_ids is not None
+
     @property
     def vm_ids(self) -> set[ids.VmId]:
         """VMs of the gateways, as far as they are known."""
--- a/bronzeslip/forwarding/assembly.py
+++ b/bronzeslip/forwarding/assembly.py
@@ -1,6 +1,5 @@
 """Puts the parts of a gateway's forwarding together."""
 
-from collections.abc import Callable
 import random
 
 from bronzeslip.endpoints import directory
@@ -14,9 +13,11 @@
 from bronzeslip.forwarding import attempts
 from bronzeslip.forwarding import call_forwarder
 from bronzeslip.forwarding import chooser
+from bronzeslip.forwarding import connection_share
 from bronzeslip.forwarding import copy_releaser
 from bronzeslip.forwarding import crash_watch
 from bronzeslip.forwarding import endpoint_client
+from bronzeslip.forwarding import gateway_count
 from bronzeslip.forwarding import load_forecast
 from bronzeslip.forwarding import parts
 from bronzeslip.forwarding import pipeline
@@ -40,7 +41,7 @@
     suspects: suspect_list.SuspectList,
     publisher: suspect_publisher.SuspectPublisher,
     metrics: entry_metrics.EntryMetrics,
-    gateway_count: Callable[[], int],
+    gateways: gateway_count.GatewayCount,
     rng: random.Random,
 ) -> parts.ForwardingParts:
     """Creates the parts.
@@ -54,7 +55,7 @@
         suspects: Requests noted at crashes of endpoints.
         publisher: Tells the other gateways of these.
         metrics: Metrics of the gateway.
-        gateway_count: Tells how many gateways there are.
+        gateways: Tells how many gateways there are.
         rng: Source of all draws.
     """
     own = own_load.OwnLoad()
@@ -71,9 +72,10 @@
             near,
             load_forecast.LoadForecaster(settings, own, reports),
             failures,
+            connection_share.ConnectionShare(settings, known, own, gateways),
             rng,
         )
-    budgets = repeat_budgets.RepeatBudgets(here.bounds, gateway_count)
+    budgets = repeat_budgets.RepeatBudgets(here.bounds, lambda: gateways.count)
     crashes = crash_watch.CrashWatch(
         suspects, publisher, client, known, settings.suspect_ttl_s
     )
--- a/bronzeslip/forwarding/chooser.py
+++ b/bronzeslip/forwarding/chooser.py
@@ -14,6 +14,7 @@
 from bronzeslip.endpoints import watched_share
 from bronzeslip.entry import place
 from bronzeslip.forwarding import admitted
+from bronzeslip.forwarding import connection_share
 from bronzeslip.forwarding import errors
 from bronzeslip.forwarding import load_forecast
 
@@ -70,6 +71,7 @@
         near: neighbourhood.Neighbourhood,
         loads: load_forecast.LoadForecaster,
         failures: failure_memory.FailureMemory,
+        connections: connection_share.ConnectionShare,
         rng: random.Random,
     ) -> None:
         """Creates a chooser.
@@ -81,6 +83,7 @@
             near: Tells which endpoints are near each other.
             loads: Forecasts the load of endpoints.
             failures: Failures of endpoints.
+            connections: Bounds the requests under way at an endpoint.
             rng: Source of the draws.
         """
         self._here = here
@@ -89,6 +92,7 @@
         self._near = near
         self._loads = loads
         self._failures = failures
+        self._connections = connections
         self._rng = rng
 
     def choose(
@@ -107,6 +111,7 @@
             for option in self._share.of_service(request.service.name)
             if option.endpoint_id not in tried
         ] or ready_options(self._known, request, tried)
+        options = self._with_connections_left(options, request)
         self._refuse_if_too_late(request, options)
         costs_s = [self.cost_s(option, request) for option in options]
         least_s = min(costs_s)
@@ -118,6 +123,23 @@
         self._log_choice(request, options[index], costs_s, index)
         return options[index]
 
+    def _with_connections_left(
+        self,
+        options: list[endpoint.Endpoint],
+        request: admitted.AdmittedRequest,
+    ) -> list[endpoint.Endpoint]:
+        found = [
+            option
+            for option in options
+            if self._connections.has_room(option, request.service)
+        ]
+        if not found:
+            raise errors.OverloadedError(
+                "every endpoint has as many connections as it may",
+                retry_after_s=_RETRY_AFTER_S,
+            )
+        return found
+
     def _refuse_if_too_late(
         self,
         request: admitted.AdmittedRequest,
--- a/bronzeslip/platform/gateway.py
+++ b/bronzeslip/platform/gateway.py
@@ -65,7 +65,7 @@
         suspects.known,
         suspects.publisher,
         metrics,
-        lambda: registry.count,
+        registry,
         rng,
     )
     admitting = admission.Admission(settings, in_force, rng)
--- /dev/null
+++ b/tests/forwarding/test_many_gateways_few_connections.py
@@ -0,0 +1,75 @@
+"""Gateways that together would open more connections than endpoints take."""
+
+import contextlib
+import dataclasses
+import types
+import unittest
+
+from bronzeslip.endpoints import directory
+from bronzeslip.endpoints import own_load
+from bronzeslip.forwarding import connection_share
+from bronzeslip.forwarding import errors
+from bronzeslip.routes import kind
+from tests.support import forwarding_parts
+from tests.support import scripted_endpoints
+
+_LIMIT = forwarding_parts.DESK.max_connections
+
+
+class ConnectionShareTest(unittest.IsolatedAsyncioTestCase):
+    def _create(self, gateways, endpoints, watched=5, is_known=True):
+        settings = dataclasses.replace(
+            forwarding_parts.SETTINGS, watched_endpoints=watched
+        )
+        known = directory.EndpointDirectory(settings)
+        known.replace_all(
+            forwarding_parts.create_endpoint(f"e{number}", service_name="desk")
+            for number in range(endpoints)
+        )
+        self.own = own_load.OwnLoad()
+        return connection_share.ConnectionShare(
+            settings,
+            known,
+            self.own,
+            types.SimpleNamespace(count=gateways, is_known=is_known),
+        )
+
+    async def test_gateways_together_stay_below_the_limit(self):
+        for gateways, endpoints in ((5, 3), (29, 6), (29, 21), (100, 100)):
+            share = self._create(gateways, endpoints)
+            at_one = min(5, endpoints) * gateways / endpoints
+            limit = share.limit(forwarding_parts.DESK)
+            self.assertLessEqual(limit * at_one, _LIMIT)
+            self.assertGreater((limit + 3) * at_one, _LIMIT)
+
+    async def test_one_request_is_always_allowed(self):
+        share = self._create(1000, 1)
+        self.assertEqual(share.limit(forwarding_parts.DESK), 1)
+
+    async def test_nobody_is_held_back_before_the_gateways_are_counted(self):
+        share = self._create(30, 3, is_known=False)
+        self.assertEqual(share.limit(forwarding_parts.DESK), _LIMIT)
+
+    async def test_full_endpoint_is_passed_over_and_all_full_are_refused(self):
+        one = forwarding_parts.create_endpoint("one", service_name="desk")
+        two = forwarding_parts.create_endpoint("two", service_name="desk")
+        parts = forwarding_parts.create_parts(
+            scripted_endpoints.ScriptedEndpoints({}), (one, two)
+        )
+        request = forwarding_parts.admit(
+            forwarding_parts.create_request(), kind.RequestKind.AT_MOST_ONCE
+        )
+        with contextlib.ExitStack() as stack:
+            for _ in range(_LIMIT):
+                stack.enter_context(parts.own.hold(one.endpoint_id))
+            chosen = parts.chosen.choose(request, frozenset())
+            self.assertEqual(chosen.endpoint_id, "two")
+            for _ in range(_LIMIT):
+                stack.enter_context(parts.own.hold(two.endpoint_id))
+            with self.assertRaises(errors.OverloadedError) as caught:
+                parts.chosen.choose(request, frozenset())
+        self.assertGreater(caught.exception.retry_after_s, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/platform/test_endpoint_http.py
+++ b/tests/platform/test_endpoint_http.py
@@ -12,6 +12,7 @@
 from bronzeslip.platform import endpoint_http
 from tests.support import forwarding_parts
 from tests.support import raw_server
+from tests.support import until
 
 _REFUSED = b"503 Service Unavailable"
 _NOT_RUN = b"Bronzeslip-Not-Executed: 1\r\n"
@@ -116,6 +117,36 @@
         self.assertIs(answer.verdict, endpoint_client.RunVerdict.NOT_RUN)
         await answer.close()
 
+    async def test_answer_before_a_long_body_leaves_the_rest_of_it_whole(self):
+        await self._start(
+            raw_server.answer(b"", _REFUSED, _NOT_RUN + _echo(b"q1")),
+            raw_server.answer(b"b", headers=_echo(b"q2")),
+        )
+        self.server.early_pause_s = 0.1
+        body = bytes(range(256)) * 40_000
+        answer = await self.client.send(self._long_dispatch("q1", body))
+        self.assertIs(answer.verdict, endpoint_client.RunVerdict.NOT_RUN)
+        await answer.close()
+        answer = await self.client.send(self._long_dispatch("q2", body))
+        whole = await whole_answer.read(answer)
+        self.assertEqual(whole.body, b"b")
+        await until.until(lambda: len(self.server.requests) == 2)
+        for request in self.server.requests:
+            self.assertTrue(request.endswith(b"\r\n\r\n" + body))
+
+    def _long_dispatch(self, request_id, body):
+        request = forwarding_parts.create_request(
+            request_id=ids.RequestId(request_id),
+            headers=(
+                incoming.HeaderField(b"host", b"h.example"),
+                incoming.HeaderField(
+                    b"content-length", str(len(body)).encode()
+                ),
+            ),
+            body=body,
+        )
+        return self._dispatch(request_id, request=request)
+
     async def test_answer_that_is_cut_is_broken(self):
         cut = raw_server.answer(b"abc", headers=_echo(b"q1"))[:-1]
         await self._start(cut.replace(b"\r\n", b"\r\nConnection: close\r\n", 1))
--- a/tests/support/forwarding_parts.py
+++ b/tests/support/forwarding_parts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import types
 
 from bronzeslip import ids
 from bronzeslip.endpoints import directory
@@ -159,6 +160,6 @@
         suspects,
         suspect_publisher.SuspectPublisher(scope, None, set, suspects),
         entry_metrics.EntryMetrics(in_force, known),
-        lambda: 1,
+        types.SimpleNamespace(count=1, is_known=True),
         random.Random(1),
     )
--- a/tests/support/raw_server.py
+++ b/tests/support/raw_server.py
@@ -11,6 +11,8 @@
     Attributes:
         requests: Bytes of each request read.
         connections: Number of connections accepted.
+        early_pause_s: Time between the answer and the reading of the body, in
+            seconds; the body is read before the answer if None.
     """
 
     def __init__(self, *scripts):
@@ -18,6 +20,7 @@
         self._server = None
         self.requests = []
         self.connections = 0
+        self.early_pause_s = None
 
     async def start(self):
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -27,13 +30,22 @@
         self._server.close()
         await self._server.wait_closed()
 
+    async def _answer_early(self, writer):
+        writer.write(self._scripts.pop(0))
+        await writer.drain()
+        await asyncio.sleep(self.early_pause_s)
+
     async def _serve(self, reader, writer):
         self.connections += 1
         try:
             while self._scripts:
                 head = await reader.readuntil(b"\r\n\r\n")
                 length = _length_of(head)
+                if self.early_pause_s is not None:
+                    await self._answer_early(writer)
                 self.requests.append(head + await reader.readexactly(length))
+                if self.early_pause_s is not None:
+                    continue
                 script = self._scripts.pop(0)
                 if script is SILENCE:
                     await reader.read()
