Look into losses that are noticed just after a check of a crash

Cause: a check's entry was dropped one turn of the loop after its end; what was noted in between waited for a check that never came. Found on reading the change; the test failed first.

--- a/bronzeslip/forwarding/crash_watch.py
+++ b/bronzeslip/forwarding/crash_watch.py
@@ -119,9 +119,9 @@
         crash_id = _crash_id(where)
         self._unconfirmed.setdefault(crash_id, set()).add(_fingerprint(request))
         if crash_id not in self._checks:
-            check = asyncio.create_task(self._check(request, where))
-            self._checks[crash_id] = check
-            check.add_done_callback(lambda _: self._checks.pop(crash_id))
+            self._checks[crash_id] = asyncio.create_task(
+                self._check(request, where)
+            )
 
     async def wait_checked(
         self, request: admitted.AdmittedRequest, where: endpoint.Endpoint
@@ -151,6 +151,7 @@
             has_crashed = await self._has_crashed(request, where)
         finally:
             noted = self._unconfirmed.pop(crash_id)
+            del self._checks[crash_id]
         if not has_crashed:
             return
         logger.warning(
--- a/tests/forwarding/test_crashing_requests.py
+++ b/tests/forwarding/test_crashing_requests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 import msgspec
 
@@ -12,6 +13,7 @@
 from bronzeslip.forwarding import errors
 from bronzeslip.routes import kind
 from bronzeslip.routing import suspect_list
+from bronzeslip.routing import suspect_publisher
 from bronzeslip.store import objects
 from tests.support import forwarding_parts
 from tests.support import scripted_endpoints
@@ -111,6 +113,23 @@
         await self._call(b"popular")
         self.assertFalse(self.suspects.has_entries)
 
+    async def test_loss_noticed_just_after_a_check_is_looked_into(self):
+        self._create_gateway({"one": [_BROKEN]})
+        self.client.absent.add("one")
+        one = self.parts.known.get("one")
+        late = forwarding_parts.admit(
+            forwarding_parts.create_request(body=b"late"),
+            kind.RequestKind.IDEMPOTENT,
+        )
+        publisher = suspect_publisher.SuspectPublisher
+        with mock.patch.object(publisher, "publish") as publish:
+            publish.side_effect = lambda: (
+                publish.call_count == 1
+                and self.parts.crashes.note_broken(late, one)
+            )
+            await self._call_and_break(b"early")
+        self.assertEqual(len(self.suspects.own_record().entries), 2)
+
     async def test_end_of_an_endpoint_that_leaves_is_no_crash(self):
         self._create_gateway({"one": [_BROKEN]})
         self.client.absent.add("one")
