--- a/tests/processes/test_crashing_requests.py
+++ b/tests/processes/test_crashing_requests.py
@@ -6,6 +6,7 @@
 
 from tools import entry_configuration
 from tools import entry_deployment
+from tools import wait
 
 _POISON = b"crash"
 _READS = entry_configuration.READS
@@ -35,7 +36,7 @@
             return answer.status_code == httpx.codes.SERVICE_UNAVAILABLE
 
         self.second.process.wait_for_line('"suspects.')
-        entry_deployment.wait(is_refused)
+        wait.until(is_refused)
         # The second gateway may meet it when it has been told of one.
         self.assertLessEqual(self._count_ended(), 3)
         for gateway in self.deployment.gateways:
--- a/tests/processes/test_entry_gateway.py
+++ b/tests/processes/test_entry_gateway.py
@@ -10,6 +10,7 @@
 
 from tools import entry_configuration
 from tools import entry_deployment
+from tools import wait
 
 _CONFIGURATION_BOUND_S = 10.0
 
@@ -43,7 +44,7 @@
     def wait_served(self, path):
         """Waits until a route is in force."""
         began_s = time.monotonic()
-        entry_deployment.wait(
+        wait.until(
             lambda: (
                 self.gateway.call("probe", path).status_code == httpx.codes.OK
             )
@@ -79,10 +80,10 @@
             entry_configuration.STREAMS,
             b"stream",
         )
-        entry_deployment.wait(lambda: "drained-call" in self.desk.runs)
-        entry_deployment.wait(lambda: "drained-stream" in self.engine.runs)
+        wait.until(lambda: "drained-call" in self.desk.runs)
+        wait.until(lambda: "drained-stream" in self.engine.runs)
         self.gateway.process.send(signal.SIGTERM)
-        entry_deployment.wait(lambda: self.gateway.readiness() == 503)
+        wait.until(lambda: self.gateway.readiness() == 503)
         self.assertIsNone(self.gateway.process.exit_status)
         self.desk.release()
         self.engine.release()
@@ -121,7 +122,7 @@
             said = [line for line in lines if "endpoints.source_" in line]
             return said and f"endpoints.source_{state}" in said[-1]
 
-        entry_deployment.wait(is_last)
+        wait.until(is_last)
 
     def test_lost_history_is_made_up_for(self):
         self.configure("later")
@@ -132,7 +133,7 @@
         def names():
             return self.deployment.names("bronzeslip-gateways")
 
-        entry_deployment.wait(names)
+        wait.until(names)
         self.gateway.process.kill()
         self.restart()
         answer = self.gateway.call("after-kill")
--- a/tools/soak/caller.py
+++ b/tools/soak/caller.py
@@ -9,7 +9,7 @@
 import httpx
 
 from tools import entry_configuration
-from tools import entry_deployment
+from tools import entry_gateway
 from tools.soak import answer
 from tools.soak import request_kind
 
@@ -27,7 +27,7 @@
 
     def __init__(
         self,
-        gateways: Sequence[entry_deployment.EntryGateway],
+        gateways: Sequence[entry_gateway.EntryGateway],
         rng: random.Random,
         began_s: float,
     ) -> None:
--- a/tools/soak/injector.py
+++ b/tools/soak/injector.py
@@ -7,6 +7,8 @@
 
 from tools import entry_configuration
 from tools import entry_deployment
+from tools import entry_endpoint
+from tools import entry_gateway
 from tools import local_process
 from tools.soak import fault
 
@@ -61,11 +63,11 @@
         self._methods[wanted]()
 
     @property
-    def _gateway(self) -> entry_deployment.EntryGateway:
+    def _gateway(self) -> entry_gateway.EntryGateway:
         return self._rng.choice(self._gateways)
 
     @property
-    def _endpoint(self) -> entry_deployment.EntryEndpoint:
+    def _endpoint(self) -> entry_endpoint.EntryEndpoint:
         return self._rng.choice(self._endpoints)
 
     def _pause(self) -> None:
