--- a/tests/platform/test_endpoint_http.py
+++ b/tests/platform/test_endpoint_http.py
@@ -117,6 +117,33 @@
         self.assertIs(answer.verdict, endpoint_client.RunVerdict.NOT_RUN)
         await answer.close()
 
+    async def test_endpoint_that_answers_as_itself_is_present(self):
+        named = b"Bronzeslip-Instance-Id: i-1\r\n"
+        await self._start(
+            raw_server.answer(b"", headers=named),
+            raw_server.answer(b"", b"503 Service Unavailable", named),
+        )
+        await self.client.check_presence(self.endpoint, "/health")
+        await self.client.check_presence(self.endpoint, "/health")
+        self.assertEqual(self.server.connections, 2)
+
+    async def test_endpoint_whose_address_another_has_is_absent(self):
+        named = b"Bronzeslip-Instance-Id: i-2\r\n"
+        await self._start(raw_server.answer(b"", headers=named))
+        with self.assertRaises(endpoint_errors.EndpointAbsentError):
+            await self.client.check_presence(self.endpoint, "/health")
+
+    async def test_endpoint_whose_port_is_closed_is_absent(self):
+        await self._start()
+        await self.server.stop()
+        with self.assertRaises(endpoint_errors.EndpointAbsentError):
+            await self.client.check_presence(self.endpoint, "/health")
+
+    async def test_silent_endpoint_is_not_told_to_be_absent(self):
+        await self._start(raw_server.SILENCE)
+        with self.assertRaises(endpoint_errors.EndpointBrokenError):
+            await self.client.check_presence(self.endpoint, "/health")
+
     async def test_answer_before_a_long_body_leaves_the_rest_of_it_whole(self):
         await self._start(
             raw_server.answer(b"", _REFUSED, _NOT_RUN + _echo(b"q1")),
