Move the list of suspects out of the adapter; say shared things once

The refusal for lack of connections said "every endpoint" where it knows of this gateway's only. No behaviour and no check changes.

--- /dev/null
+++ b/bronzeslip/entry/suspect_keeper.py
@@ -0,0 +1,66 @@
+"""Keeps an entry gateway's list of suspects and shares it with the others."""
+
+from collections.abc import Callable
+
+from bronzeslip import ids
+from bronzeslip.entry import named_task
+from bronzeslip.entry import suspect_scope
+from bronzeslip.entry import watch_rate
+from bronzeslip.routing import suspect_list
+from bronzeslip.routing import suspect_publisher
+from bronzeslip.settings import entry
+from bronzeslip.store import follower
+from bronzeslip.store import shared_store
+
+
+class SuspectKeeper:
+    """Owns the list, tells it to the other gateways and learns of theirs.
+
+    Attributes:
+        known: Requests noted by all gateways.
+        publisher: Tells the other gateways.
+    """
+
+    def __init__(
+        self,
+        settings: entry.EntrySettings,
+        vm_id: ids.VmId,
+        store: shared_store.SharedStore,
+        live_gateways: Callable[[], set[ids.VmId]],
+    ) -> None:
+        """Creates a keeper of an empty list.
+
+        Args:
+            settings: Time to live of entries, and timing of watches.
+            vm_id: VM of this gateway.
+            store: Store that keeps the records.
+            live_gateways: Tells the VMs of the known gateways.
+        """
+        scope = suspect_scope.SuspectScope(vm_id, settings.suspect_ttl_s)
+        self.known = suspect_list.SuspectList(scope)
+        self.publisher = suspect_publisher.SuspectPublisher(
+            scope, store, live_gateways, self.known
+        )
+        self._settings = settings
+        self._store = store
+
+    def tasks(self) -> tuple[named_task.NamedTask, ...]:
+        """Returns the work that keeps the list."""
+        timing = follower.FollowTiming(
+            self._settings.suspect_watch_s,
+            self._settings.store_backoff_min_s,
+            self._settings.store_backoff_max_s,
+            self._settings.store_batch_s,
+            watch_rate.of_settings(self._settings),
+        )
+        following = follower.PrefixFollower(
+            self._store,
+            suspect_list.SUSPECTS_PREFIX,
+            self.known.on_list,
+            self.known.on_event,
+            timing=timing,
+        )
+        return (
+            named_task.NamedTask("suspects", following.run()),
+            named_task.NamedTask("suspect-writes", self.publisher.run()),
+        )
--- a/bronzeslip/forwarding/chooser.py
+++ b/bronzeslip/forwarding/chooser.py
@@ -135,7 +135,7 @@
         ]
         if not found:
             raise errors.OverloadedError(
-                "every endpoint has as many connections as it may",
+                "no endpoint of this gateway has a connection left",
                 retry_after_s=_RETRY_AFTER_S,
             )
         return found
--- a/bronzeslip/platform/endpoint_http.py
+++ b/bronzeslip/platform/endpoint_http.py
@@ -93,9 +93,7 @@
                 another endpoint does.
             endpoint_errors.EndpointError: If it did not answer.
         """
-        request = self._control_request(
-            known, "GET", health_path, None, self._settings.report_timeout_s
-        )
+        request = self._control_request(known, "GET", health_path)
         pool = kept_connections.KeptConnections(self._settings)
         answer = await _exchange(pool, request)
         await answer.abort()
@@ -110,9 +108,8 @@
         Raises:
             endpoint_errors.EndpointError: If none came.
         """
-        body = await self._call(
-            known, "GET", "/report", None, self._settings.report_timeout_s
-        )
+        request = self._control_request(known, "GET", "/report")
+        body = await self._call(known, request)
         return engine_messages.decode_report(body)
 
     async def copy_run(
@@ -132,7 +129,10 @@
         message = engine_messages.encode_move(
             request_id, target.address, is_last
         )
-        body = await self._call(source, "POST", "/kv-move", message, timeout_s)
+        request = self._control_request(
+            source, "POST", "/kv-move", message, timeout_s
+        )
+        body = await self._call(source, request)
         return engine_messages.decode_moved(body)
 
     async def drop_copy(
@@ -143,23 +143,14 @@
         Raises:
             endpoint_errors.EndpointError: If it did not answer so.
         """
-        await self._call(
-            keeper,
-            "DELETE",
-            f"/kv-handle/{handle}",
-            None,
-            self._settings.report_timeout_s,
+        request = self._control_request(
+            keeper, "DELETE", f"/kv-handle/{handle}"
         )
+        await self._call(keeper, request)
 
     async def _call(
-        self,
-        known: endpoint.Endpoint,
-        method: str,
-        path: str,
-        message: bytes | None,
-        timeout_s: float,
+        self, known: endpoint.Endpoint, request: httpx.Request
     ) -> bytes:
-        request = self._control_request(known, method, path, message, timeout_s)
         pool = self._pool_of(self._control_pools, known)
         answer = await _exchange(pool, request)
         try:
@@ -168,7 +159,7 @@
             await answer.close()
         if answer.head.status != _OK_STATUS:
             raise endpoint_errors.EndpointRefusedError(
-                f"{path}: status {answer.head.status}"
+                f"{request.url.path}: status {answer.head.status}"
             )
         return body
 
@@ -177,15 +168,17 @@
         known: endpoint.Endpoint,
         method: str,
         path: str,
-        message: bytes | None,
-        timeout_s: float,
+        message: bytes | None = None,
+        timeout_s: float | None = None,
     ) -> httpx.Request:
+        """Creates a request that waits as long as for a report by default."""
+        wait_s = timeout_s or self._settings.report_timeout_s
         return httpx.Request(
             method,
             f"http://{known.address}{path}",
             headers={"Host": known.address, "Content-Type": "application/json"},
             content=message,
-            extensions={"timeout": self._timeouts(timeout_s)},
+            extensions={"timeout": self._timeouts(wait_s)},
         )
 
     def _pool_of(
--- a/bronzeslip/platform/gateway.py
+++ b/bronzeslip/platform/gateway.py
@@ -11,7 +11,8 @@
 from bronzeslip.entry import named_task
 from bronzeslip.entry import place
 from bronzeslip.entry import readiness
-from bronzeslip.entry import suspect_scope
+from bronzeslip.entry import suspect_keeper
+from bronzeslip.entry import watch_rate
 from bronzeslip.forwarding import admission
 from bronzeslip.forwarding import assembly
 from bronzeslip.forwarding import parts
@@ -25,10 +26,7 @@
 from bronzeslip.platform import settings_reloader
 from bronzeslip.platform import store_client
 from bronzeslip.routes import current
-from bronzeslip.routing import suspect_list
-from bronzeslip.routing import suspect_publisher
 from bronzeslip.settings import entry
-from bronzeslip.store import call_budget
 from bronzeslip.store import follower
 
 
@@ -52,7 +50,9 @@
         here.store, settings, metrics.platform_called
     )
     registry = gateway_registry.GatewayRegistry(store, here.vm_id)
-    suspects = _Suspects(settings, here, store, registry)
+    suspects = suspect_keeper.SuspectKeeper(
+        settings, here.vm_id, store, lambda: registry.vm_ids
+    )
     client = endpoint_http.HttpEndpointClient(settings)
     known.add_leaving_listener(client.forget)
     rng = random.Random()
@@ -90,46 +90,6 @@
     )
 
 
-class _Suspects:
-    """List of suspects, told to and learned from the other gateways."""
-
-    def __init__(
-        self,
-        settings: entry.EntrySettings,
-        here: place.VmPlace,
-        store: store_client.StoreClient,
-        registry: gateway_registry.GatewayRegistry,
-    ) -> None:
-        scope = suspect_scope.SuspectScope(here.vm_id, settings.suspect_ttl_s)
-        self.known = suspect_list.SuspectList(scope)
-        self.publisher = suspect_publisher.SuspectPublisher(
-            scope, store, lambda: registry.vm_ids, self.known
-        )
-        self._settings = settings
-        self._store = store
-
-    def tasks(self) -> tuple[named_task.NamedTask, ...]:
-        """Returns the work that keeps the list."""
-        timing = follower.FollowTiming(
-            self._settings.suspect_watch_s,
-            self._settings.store_backoff_min_s,
-            self._settings.store_backoff_max_s,
-            self._settings.store_batch_s,
-            _watch_rate(self._settings),
-        )
-        following = follower.PrefixFollower(
-            self._store,
-            suspect_list.SUSPECTS_PREFIX,
-            self.known.on_list,
-            self.known.on_event,
-            timing=timing,
-        )
-        return (
-            named_task.NamedTask("suspects", following.run()),
-            named_task.NamedTask("suspect-writes", self.publisher.run()),
-        )
-
-
 def _tasks(
     settings: entry.EntrySettings,
     here: place.VmPlace,
@@ -146,7 +106,7 @@
         settings.store_backoff_min_s,
         settings.store_backoff_max_s,
         settings.store_batch_s,
-        _watch_rate(settings),
+        watch_rate.of_settings(settings),
     )
     poller = report_poller.ReportPoller(
         settings,
@@ -174,12 +134,6 @@
     )
 
 
-def _watch_rate(settings: entry.EntrySettings) -> call_budget.CallRate:
-    return call_budget.CallRate(
-        settings.store_watches_per_s, settings.store_watch_burst
-    )
-
-
 def _engine_services(
     in_force: current.CurrentTable,
 ) -> tuple[ids.ServiceName, ...]:
--- a/bronzeslip/settings/entry.py
+++ b/bronzeslip/settings/entry.py
@@ -4,6 +4,7 @@
 import enum
 
 from bronzeslip import logs
+from bronzeslip.settings import suspects
 from bronzeslip.settings.setting import setting
 
 
@@ -162,13 +163,7 @@
         minimum=0,
         maximum=60,
     )
-    suspect_ttl_s: float = setting(
-        "time a request that was running at a crash stays suspect, in seconds",
-        "routing",
-        default=1800.0,
-        minimum=1,
-        maximum=604_800,
-    )
+    suspect_ttl_s: float = suspects.ttl_s()
     suspect_watch_s: float = setting(
         "longest wait of one watch of the suspects, which seldom change, in "
         "seconds",
--- a/bronzeslip/settings/gateway.py
+++ b/bronzeslip/settings/gateway.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from bronzeslip.settings import common
+from bronzeslip.settings import suspects
 from bronzeslip.settings import text_form
 from bronzeslip.settings.setting import setting
 
@@ -53,13 +54,7 @@
         minimum=1,
         maximum=86_400,
     )
-    suspect_ttl_s: float = setting(
-        "time a request that was running at a crash stays suspect, in seconds",
-        "routing",
-        default=1800.0,
-        minimum=1,
-        maximum=604_800,
-    )
+    suspect_ttl_s: float = suspects.ttl_s()
     quick_queue_wait_s: float = setting(
         "expected wait at which an endpoint is passed over for the next, in "
         "seconds",
--- a/tests/platform/test_walks.py
+++ b/tests/platform/test_walks.py
@@ -61,8 +61,7 @@
             reclaimed.set()
             caller = await serving
         self.assertEqual(caller.status, 200)
-        settled = found.one("request.settled", request="q7")
-        self.assertEqual(settled["outcome"], "incomplete")
+        self.assert_settled(found, "q7", "incomplete")
         ended = found.one("request.ended", request="q7")
         self.assertEqual(ended["code"], "answer-broken-off")
         self.assertEqual(ended["reason"], "no copy of the run")
@@ -77,6 +76,11 @@
         self.assertLess(found.lines.index(leaving), found.lines.index(failed))
         self.assertLess(found.lines.index(failed), found.lines.index(cut))
 
+    def assert_settled(self, found, request_id, outcome):
+        """Checks what a request's last line says of it."""
+        settled = found.one("request.settled", request=request_id)
+        self.assertEqual(settled["outcome"], outcome)
+
     async def test_call_whose_outcome_is_unknown(self):
         gateway = self._gateway({"one": [_BROKEN]}, "desk")
         gateway.adopt(
@@ -85,8 +89,7 @@
         with log_lines.captured() as found:
             caller = await gateway.serve("q8")
         self.assertEqual(caller.status, 502)
-        settled = found.one("request.settled", request="q8")
-        self.assertEqual(settled["outcome"], "unknown")
+        self.assert_settled(found, "q8", "unknown")
         ended = found.one("request.ended", request="q8")
         self.assertEqual(ended["code"], "outcome-unknown")
         failed = found.one("attempt.failed", request="q8")
@@ -119,8 +122,7 @@
         with log_lines.captured() as found:
             caller = await gateway.serve("q10")
         self.assertEqual(caller.status, 200)
-        settled = found.one("request.settled", request="q10")
-        self.assertEqual(settled["outcome"], "completed")
+        self.assert_settled(found, "q10", "completed")
         text = str(found.lines)
         self.assertNotIn("secret", text)
         self.assertNotIn(forwarding_parts.KEY, text)
