Probe a crashed endpoint again while its process is still ending

Cause: a process that ends still accepts connections and resets them. The crash check took that for an endpoint without a response and waited for discovery to remove it, some 0.6 s; meanwhile other gateways ran the request again. Ruled out: publisher (0.1 s between writes) and follower (batches of 0.1 s). Change: the probe is repeated after 0.05 s, doubling to 1 s.

--- a/bronzeslip/forwarding/crash_watch.py
+++ b/bronzeslip/forwarding/crash_watch.py
@@ -25,6 +25,10 @@
 # Enough for a refused connection, which is reported immediately. A retry does
 # not wait longer for an unresponsive endpoint.
 _CHECK_WAIT_S = 0.5
+# Pauses between the probes of an endpoint without a response. A process that is
+# ending still accepts connections and resets them a moment later.
+_MIN_PROBE_PAUSE_S = 0.05
+_MAX_PROBE_PAUSE_S = 1.0
 
 
 class CrashDetector:
@@ -179,21 +183,21 @@
     async def _has_crashed(
         self, request: admitted.AdmittedRequest, target: endpoint.Endpoint
     ) -> bool:
+        """Probes an endpoint until it responds, is absent or is removed."""
         health_path = request.service.health_path
-        try:
-            await self._client.check_presence(target, health_path)
-        except endpoint_errors.EndpointAbsentError:
-            return self._is_unannounced_exit(target)
-        except endpoint_errors.EndpointError:
-            return await self._is_removed(target)
-        return False
-
-    async def _is_removed(self, target: endpoint.Endpoint) -> bool:
-        """Waits for discovery to remove an unresponsive endpoint."""
+        pause_s = _MIN_PROBE_PAUSE_S
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(_REMOVAL_WAIT_S):
                 while self._endpoints.accepts_requests(target):
-                    await self._endpoints.wait_for_change(_REMOVAL_WAIT_S)
+                    try:
+                        await self._client.check_presence(target, health_path)
+                    except endpoint_errors.EndpointAbsentError:
+                        return self._is_unannounced_exit(target)
+                    except endpoint_errors.EndpointError:
+                        await self._endpoints.wait_for_change(pause_s)
+                        pause_s = min(2 * pause_s, _MAX_PROBE_PAUSE_S)
+                    else:
+                        return False
         return not self._endpoints.accepts_requests(
             target
         ) and self._is_unannounced_exit(target)
--- a/tests/forwarding/test_crashing_requests.py
+++ b/tests/forwarding/test_crashing_requests.py
@@ -171,6 +171,15 @@
         await self._let_checks_finish()
         self.assertTrue(self.suspects.has_entries)
 
+    async def test_endpoint_that_is_still_ending_is_probed_again(self):
+        self._create_gateway({"one": [_RESPONSE_LOST]})
+        self.client.unresponsive.add("one")
+        await self._call_and_lose_response(b"poison")
+        self.assertFalse(self.suspects.has_entries)
+        self.client.absent.add("one")
+        await asyncio.sleep(0.2)
+        self.assertTrue(self.suspects.has_entries)
+
     async def test_concurrent_request_that_completes_is_cleared(self):
         for name in _NAMES[:2]:
             self._create_gateway({name: [_RESPONSE_LOST]})
