Keep the retries of all gateways within the budget without a correct count

Cause: each gateway divided the slack by its count of gateways, which is too low when the first listing is stale or the store was restored, and the reserve of at least one retry a gateway exceeds the slack of large fleets. Starts and restarts in series and a lost store did not break it there. The slack accumulates from the start of the process and is used only 12 s after registration and with a listing younger than 8 s, on a clock that runs on while the VM is suspended; a gateway counts others for 12 s after it last saw them, and registers again if its record is missing. With fewer retries than gateways, rendezvous hashing picks owners.

--- a/bronzeslip/entry/gateway_registry.py
+++ b/bronzeslip/entry/gateway_registry.py
@@ -1,31 +1,43 @@
 """Counts the gateways, which share retry and connection limits."""
 
 import asyncio
+import collections
+from collections.abc import Callable
+import math
 import random
+import time
 
 import msgspec
 
 from bronzeslip import ids
 from bronzeslip import logs
+from bronzeslip.membership import rendezvous
 from bronzeslip.store import errors
 from bronzeslip.store import read_write_store
 
 logger = logs.get_logger(__name__)
 
 PREFIX = "bronzeslip-gateways/"
-# Gateways start and stop over minutes; a slightly outdated count only makes
-# each gateway's share of the retries slightly too small or too large.
-_REFRESH_INTERVAL_S = 10.0
+_REFRESH_INTERVAL_S = 3.0
+_REFRESH_JITTER = 0.2
 _RETRY_DELAY_S = 1.0
 # All gateways start at the same time; an earlier count would be too low.
 _STARTUP_DELAY_S = 3.0
 # Used until the first count; too high rather than too low, so that the share of
 # this gateway is too small rather than too large.
-_INITIAL_COUNT = 30
+_INITIAL_COUNT = 400
+# Age at which a listing may no longer be used for shares of a limit; longer
+# than two refreshes.
+_LISTING_LIFETIME_S = 8.0
+# Maximum age of the data in a listing, since stale reads are used.
+_MAX_STALENESS_S = 4.0
+# Time after its registration until a gateway uses its share of a limit. All
+# other gateways have then read its record or no longer use their shares.
+_SETTLING_TIME_S = _LISTING_LIFETIME_S + _MAX_STALENESS_S
 
 
 class GatewayRecord(msgspec.Struct, frozen=True):
-    """Record that a gateway writes once, at startup.
+    """Record that a gateway writes at startup.
 
     Attributes:
         vm_id: VM that the gateway runs on.
@@ -34,44 +46,89 @@
     vm_id: ids.VmId
 
 
+class _Listing(msgspec.Struct, frozen=True):
+    """Gateways that were registered at one time.
+
+    Attributes:
+        vm_ids: VMs of the gateways.
+        read_s: Time of the listing.
+    """
+
+    vm_ids: frozenset[ids.VmId]
+    read_s: float
+
+
+def _boot_time_s() -> float:
+    """Returns a clock that also advances while the VM is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class GatewayRegistry:
     """Registers this gateway and counts all registered gateways.
 
     The key of a record is the VM id, so a restarted gateway finds its own
     record. Records of VMs that ended without a shutdown make the count too
     high, which makes shares too small, never too large.
+
+    Gateways that are counted by some and not by others would use more than the
+    total of a shared limit. A gateway therefore uses its share only while its
+    listing is recent, and only after every recent listing contains it. A
+    gateway that is no longer listed is counted until its use of the limit has
+    ended.
     """
 
     def __init__(
-        self, store: read_write_store.ReadWriteStore, vm_id: ids.VmId
+        self,
+        store: read_write_store.ReadWriteStore,
+        vm_id: ids.VmId,
+        clock: Callable[[], float] = _boot_time_s,
     ) -> None:
         """Creates a registry.
 
         Args:
             store: Store that holds the records.
             vm_id: VM of this gateway.
+            clock: Clock, in seconds.
         """
         self._store = store
         self._vm_id = vm_id
+        self._clock = clock
         self._key = ids.ObjectKey(f"{PREFIX}{vm_id}")
-        self._vm_ids: frozenset[ids.VmId] | None = None
+        self._listings: collections.deque[_Listing] = collections.deque()
+        self._registered_s = math.inf
+        self._is_deregistered = False
+        self._vm_ids = frozenset((vm_id,))
+        self._rank = 0
 
     @property
     def count(self) -> int:
         """Number of gateways."""
-        if self._vm_ids is None:
+        if not self._listings:
             return _INITIAL_COUNT
-        return max(len(self._vm_ids), 1)
+        return len(self._vm_ids)
 
     @property
     def is_known(self) -> bool:
         """Whether the gateways have been counted."""
-        return self._vm_ids is not None
+        return bool(self._listings)
 
     @property
     def vm_ids(self) -> set[ids.VmId]:
         """VMs of the known gateways, including this one."""
-        return {self._vm_id, *(self._vm_ids or ())}
+        return set(self._vm_ids)
+
+    def share_of(self, total: float) -> float:
+        """Returns this gateway's share of a number of indivisible items.
+
+        If there are more gateways than items, as many gateways as there are
+        items receive one each. All gateways agree on which.
+        """
+        if not self._is_settled():
+            return 0.0
+        share = total / len(self._vm_ids)
+        if share >= 1:
+            return share
+        return 1.0 if self._rank < math.floor(total) else 0.0
 
     async def run(self) -> None:
         """Registers this gateway, then counts until cancelled."""
@@ -79,10 +136,12 @@
         await asyncio.sleep(_STARTUP_DELAY_S)
         while True:
             await self._refresh()
-            await asyncio.sleep(_REFRESH_INTERVAL_S * random.uniform(0.8, 1.2))
+            jitter = random.uniform(1 - _REFRESH_JITTER, 1 + _REFRESH_JITTER)
+            await asyncio.sleep(_REFRESH_INTERVAL_S * jitter)
 
     async def deregister(self) -> None:
         """Removes the record; one left behind after an error is harmless."""
+        self._is_deregistered = True
         try:
             record = await self._store.get(self._key)
             if record is not None:
@@ -90,20 +149,33 @@
         except errors.PlatformError as error:
             logger.info("gateways.not_withdrawn", reason=error.message)
 
+    def _is_settled(self) -> bool:
+        now_s = self._clock()
+        return (
+            now_s - self._registered_s >= _SETTLING_TIME_S
+            and bool(self._listings)
+            and now_s - self._listings[-1].read_s < _LISTING_LIFETIME_S
+        )
+
     async def _register(self) -> None:
         """Writes the record, retrying while the store is unavailable."""
-        while True:
-            try:
-                await self._store.create(self._key, GatewayRecord(self._vm_id))
-            except errors.VersionConflictError:
-                return
-            except errors.PlatformError as error:
-                logger.warning("gateways.not_registered", reason=error.message)
-                await asyncio.sleep(_RETRY_DELAY_S)
-            else:
-                return
+        while not await self._try_register():
+            await asyncio.sleep(_RETRY_DELAY_S)
+
+    async def _try_register(self) -> bool:
+        """Writes the record; returns whether the store has it."""
+        try:
+            await self._store.create(self._key, GatewayRecord(self._vm_id))
+        except errors.VersionConflictError:
+            logger.info("gateways.already_registered")
+        except errors.PlatformError as error:
+            logger.warning("gateways.not_registered", reason=error.message)
+            return False
+        self._registered_s = self._clock()
+        return True
 
     async def _refresh(self) -> None:
+        started_s = self._clock()
         try:
             listing = await self._store.list_objects(PREFIX, may_be_stale=True)
         except errors.PlatformError as error:
@@ -113,6 +185,23 @@
             ids.VmId(record.key.removeprefix(PREFIX))
             for record in listing.objects
         )
-        if vm_ids != self._vm_ids:
+        if not self._listings or vm_ids != self._listings[-1].vm_ids:
             logger.info("gateways.counted", count=len(vm_ids))
-        self._vm_ids = vm_ids
+        self._listings.append(_Listing(vm_ids, started_s))
+        while (
+            len(self._listings) > 1
+            and started_s - self._listings[0].read_s > _SETTLING_TIME_S
+        ):
+            self._listings.popleft()
+        self._update_counted()
+        if self._vm_id not in vm_ids and not self._is_deregistered:
+            # The store may have been restored from an older copy.
+            await self._try_register()
+
+    def _update_counted(self) -> None:
+        """Merges the recent listings and ranks this gateway among them."""
+        self._vm_ids = frozenset((self._vm_id,)).union(
+            *(listing.vm_ids for listing in self._listings)
+        )
+        ordered = rendezvous.ranked(self._vm_ids, str, PREFIX)
+        self._rank = ordered.index(self._vm_id)
--- a/bronzeslip/forwarding/assembly.py
+++ b/bronzeslip/forwarding/assembly.py
@@ -78,7 +78,7 @@
             rng,
         )
     retry_budgets = service_retry_budgets.ServiceRetryBudgets(
-        this_vm.bounds, lambda: gateways.count
+        this_vm.bounds, gateways, random.Random(this_vm.vm_id)
     )
     crash_detector = crash_watch.CrashDetector(
         suspects, publisher, client, endpoints, settings.suspect_ttl_s
--- a/bronzeslip/forwarding/gateway_count.py
+++ b/bronzeslip/forwarding/gateway_count.py
@@ -13,3 +13,13 @@
 
     count: int
     is_known: bool
+
+    def share_of(self, total: float) -> float:
+        """Returns this gateway's share of a number of indivisible items.
+
+        The shares of all gateways never add up to more than the total, even
+        while gateways start, restart or have lost contact with the store.
+
+        Args:
+            total: Number of items that all gateways may use together.
+        """
--- a/tests/support/forwarding_parts.py
+++ b/tests/support/forwarding_parts.py
@@ -160,7 +160,7 @@
         VM_CONFIG.vm_id, settings.suspect_ttl_s
     )
     suspects = suspects or suspect_list.SuspectList(suspect_settings)
-    return assembly.create_components(
+    components = assembly.create_components(
         settings,
         VM_CONFIG,
         current_table,
@@ -171,6 +171,11 @@
             suspect_settings, None, set, suspects
         ),
         entry_metrics.EntryMetrics(current_table, endpoint_directory),
-        types.SimpleNamespace(count=1, is_known=True),
+        types.SimpleNamespace(
+            count=1, is_known=True, share_of=lambda total: total
+        ),
         random.Random(1),
     )
+    # The gateway has been running for some time, so its slack is complete.
+    components.retry_budgets._started_s -= 60.0
+    return components
