--- a/bronzeslip/endpoints/directory.py
+++ b/bronzeslip/endpoints/directory.py
@@ -11,11 +11,13 @@
 from bronzeslip import ids
 from bronzeslip import logs
 from bronzeslip.endpoints import endpoint
+from bronzeslip.endpoints import past_incarnations
+from bronzeslip.endpoints import pauses
 from bronzeslip.settings import entry
 
 logger = logs.get_logger(__name__)
 
-LeavingListener = Callable[[endpoint.Endpoint], None]
+EndpointListener = Callable[[endpoint.Endpoint], None]
 
 
 class EndpointDirectory:
@@ -24,6 +26,10 @@
     While the source is unreachable, entries may lapse although their endpoints
     are alive. An entry that is missing after an outage is therefore kept for a
     grace period before its endpoint is dropped.
+
+    An endpoint that has started to leave never becomes ready again; only a new
+    incarnation does. A source that was restored from an older copy may list
+    incarnations that are gone; they are ignored until they change.
     """
 
     def __init__(self, settings: entry.EntrySettings) -> None:
@@ -34,14 +40,16 @@
         """
         self._settings = settings
         self._endpoints: dict[ids.EndpointId, endpoint.Endpoint] = {}
-        self._self_reported_leaving: dict[
-            ids.EndpointId, endpoint.Endpoint
-        ] = {}
+        self._leaving = past_incarnations.PastIncarnations()
+        self._removed = past_incarnations.PastIncarnations()
+        self._pauses = pauses.EndpointPauses()
+        self._is_source_restored = False
         self._unreachable: set[ids.EndpointId] = set()
         self._missing_since_s: dict[ids.EndpointId, float] = {}
         self._outage_end_s = -math.inf
         self._is_source_reachable = False
-        self._leaving_listeners: list[LeavingListener] = []
+        self._leaving_listeners: list[EndpointListener] = []
+        self._gone_listeners: list[EndpointListener] = []
         self._changed = asyncio.Event()
         self._ready_by_service: dict[
             ids.ServiceName, tuple[endpoint.Endpoint, ...]
@@ -53,10 +61,14 @@
         self._expire_missing()
         return tuple(self._endpoints.values())
 
-    def add_leaving_listener(self, listener: LeavingListener) -> None:
+    def add_leaving_listener(self, listener: EndpointListener) -> None:
         """Registers a callback for endpoints that start to leave."""
         self._leaving_listeners.append(listener)
 
+    def add_gone_listener(self, listener: EndpointListener) -> None:
+        """Registers a callback for incarnations that are dropped."""
+        self._gone_listeners.append(listener)
+
     def get(self, endpoint_id: ids.EndpointId) -> endpoint.Endpoint | None:
         """Returns an endpoint, or None if it is unknown."""
         self._expire_missing()
@@ -82,12 +94,16 @@
     ) -> tuple[endpoint.Endpoint, ...]:
         """Returns the endpoints of a service that accept new requests."""
         self._expire_missing()
+        if self._pauses.remove_ended():
+            self._signal_change()
         selected = self._ready_by_service.get(service_name)
         if selected is None:
             ready = tuple(
                 candidate
                 for candidate in self._endpoints.values()
-                if candidate.service_name == service_name and candidate.is_ready
+                if candidate.service_name == service_name
+                and candidate.is_ready
+                and not self._pauses.remaining_s(candidate)
             )
             selected = tuple(
                 candidate
@@ -100,12 +116,40 @@
         return selected
 
     def is_usable(self, snapshot: endpoint.Endpoint) -> bool:
-        """Returns whether an endpoint is ready and reachable."""
+        """Returns whether an endpoint is ready, reachable and not paused."""
         return (
             snapshot.endpoint_id not in self._unreachable
+            and not self._pauses.remaining_s(snapshot)
             and self.accepts_requests(snapshot)
         )
 
+    def pause(self, target: endpoint.Endpoint, duration_s: float) -> None:
+        """Records that an endpoint asked not to be called for some time."""
+        logger.info(
+            "endpoints.paused",
+            endpoint=target.endpoint_id,
+            duration_s=duration_s,
+        )
+        self._pauses.set(target, duration_s)
+        self._signal_change()
+
+    def pause_remaining_s(self, target: endpoint.Endpoint) -> float:
+        """Returns how long an endpoint must not be called, in seconds."""
+        return self._pauses.remaining_s(target)
+
+    def shortest_pause_s(self, service_name: ids.ServiceName) -> float | None:
+        """Returns when the first paused endpoint of a service can be called.
+
+        Returns:
+            The time until then in seconds, or None if none is paused.
+        """
+        remaining_s = (
+            self._pauses.remaining_s(candidate)
+            for candidate in self._endpoints.values()
+            if candidate.service_name == service_name and candidate.is_ready
+        )
+        return min((left_s for left_s in remaining_s if left_s), default=None)
+
     def set_reachable(
         self, target: endpoint.Endpoint, is_reachable: bool
     ) -> None:
@@ -138,13 +182,12 @@
         Its discovery entry may follow later, or not at all while the source
         is unreachable.
         """
-        if not self.accepts_requests(target):
+        known = self.get(target.endpoint_id)
+        if known is not None and not known.is_same_incarnation(target):
             return
-        leaving = msgspec.structs.replace(
-            target, state=endpoint.EndpointState.LEAVING
-        )
-        self._self_reported_leaving[target.endpoint_id] = leaving
-        self.put(leaving)
+        self._leaving.add(target)
+        if known is not None and known.is_ready:
+            self.put(target)
 
     def mark_source_lost(self) -> None:
         """Records that the discovery source is unreachable."""
@@ -153,8 +196,16 @@
         self._is_source_reachable = False
         self._outage_end_s = math.inf
 
+    def mark_source_restored(self) -> None:
+        """Records that the source was restored from an older copy."""
+        self.mark_source_lost()
+        self._is_source_restored = True
+
     def replace_all(self, listed: Iterable[endpoint.Endpoint]) -> None:
         """Replaces all entries with a complete listing."""
+        if self._is_source_restored:
+            self._is_source_restored = False
+            listed = [entry for entry in listed if not self._is_past(entry)]
         if not self._is_source_reachable:
             logger.info("endpoints.source_regained")
             self._is_source_reachable = True
@@ -168,11 +219,13 @@
     def put(self, updated: endpoint.Endpoint) -> None:
         """Adds or updates an entry."""
         previous = self._endpoints.get(updated.endpoint_id)
-        self_reported = self._self_reported_leaving.get(updated.endpoint_id)
-        if self_reported is not None and self_reported.is_same_incarnation(
-            updated
-        ):
-            updated = self_reported
+        if not updated.is_ready:
+            self._leaving.add(updated)
+        elif updated in self._leaving:
+            updated = msgspec.structs.replace(
+                updated, state=endpoint.EndpointState.LEAVING
+            )
+        self._removed.discard(updated)
         self._missing_since_s.pop(updated.endpoint_id, None)
         if previous == updated:
             return
@@ -180,6 +233,7 @@
         self._signal_change()
         if previous is not None and not previous.is_same_incarnation(updated):
             self._notify_leaving(previous, "restarted")
+            self._notify_gone(previous)
             previous = None
         if previous is None:
             logger.info(
@@ -205,8 +259,16 @@
             self._missing_since_s.setdefault(endpoint_id, _now_s())
             logger.info("endpoints.missing", endpoint=endpoint_id)
             return
+        self._removed.add(removed)
         self._drop(removed)
 
+    def _is_past(self, listed: endpoint.Endpoint) -> bool:
+        """Returns whether an older copy lists an incarnation that is gone."""
+        known = self._endpoints.get(listed.endpoint_id)
+        if known is not None and not known.is_same_incarnation(listed):
+            return listed.started_unix_ms < known.started_unix_ms
+        return known is None and listed in self._removed
+
     def _signal_change(self) -> None:
         self._ready_by_service.clear()
         self._changed.set()
@@ -226,7 +288,6 @@
 
     def _drop(self, removed: endpoint.Endpoint) -> None:
         del self._endpoints[removed.endpoint_id]
-        self._self_reported_leaving.pop(removed.endpoint_id, None)
         self._unreachable.discard(removed.endpoint_id)
         self._missing_since_s.pop(removed.endpoint_id, None)
         self._signal_change()
@@ -234,6 +295,7 @@
             self._notify_leaving(removed, "removed")
         else:
             logger.info("endpoints.dropped", endpoint=removed.endpoint_id)
+        self._notify_gone(removed)
 
     def _notify_leaving(self, leaving: endpoint.Endpoint, reason: str) -> None:
         logger.info(
@@ -242,6 +304,10 @@
         for listener in self._leaving_listeners:
             listener(leaving)
 
+    def _notify_gone(self, gone: endpoint.Endpoint) -> None:
+        for listener in self._gone_listeners:
+            listener(gone)
+
 
 def _now_s() -> float:
     return asyncio.get_running_loop().time()
--- a/bronzeslip/endpoints/failure_tracker.py
+++ b/bronzeslip/endpoints/failure_tracker.py
@@ -46,6 +46,10 @@
         score = self.score_of(endpoint_id) / 2
         self._scores[endpoint_id] = FailureScore(score, _now_s())
 
+    def remove(self, endpoint_id: ids.EndpointId) -> None:
+        """Removes the score of an endpoint that is gone."""
+        self._scores.pop(endpoint_id, None)
+
     def score_of(self, endpoint_id: ids.EndpointId) -> float:
         """Returns the current weighted number of failures."""
         recorded = self._scores.get(endpoint_id)
--- a/bronzeslip/entry/gateway_registry.py
+++ b/bronzeslip/entry/gateway_registry.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 from collections.abc import Callable
+import contextlib
 import math
 import random
 import time
@@ -12,28 +13,21 @@
 from bronzeslip import ids
 from bronzeslip import logs
 from bronzeslip.membership import rendezvous
+from bronzeslip.settings import entry
 from bronzeslip.store import errors
 from bronzeslip.store import read_write_store
 
 logger = logs.get_logger(__name__)
 
 PREFIX = "bronzeslip-gateways/"
-_REFRESH_INTERVAL_S = 3.0
 _REFRESH_JITTER = 0.2
 _RETRY_DELAY_S = 1.0
-# All gateways start at the same time; an earlier count would be too low.
-_STARTUP_DELAY_S = 3.0
 # Used until the first count; too high rather than too low, so that the share of
 # this gateway is too small rather than too large.
 _INITIAL_COUNT = 400
-# Age at which a listing may no longer be used for shares of a limit; longer
-# than two refreshes.
-_LISTING_LIFETIME_S = 8.0
-# Maximum age of the data in a listing, since stale reads are used.
-_MAX_STALENESS_S = 4.0
-# Time after its registration until a gateway uses its share of a limit. All
-# other gateways have then read its record or no longer use their shares.
-_SETTLING_TIME_S = _LISTING_LIFETIME_S + _MAX_STALENESS_S
+# Age, in refresh intervals, at which a listing may no longer be used for shares
+# of a limit; longer than two refreshes.
+_LISTING_LIFETIME_INTERVALS = 2.7
 
 
 class GatewayRecord(msgspec.Struct, frozen=True):
@@ -79,6 +73,7 @@
 
     def __init__(
         self,
+        settings: entry.EntrySettings,
         store: read_write_store.ReadWriteStore,
         vm_id: ids.VmId,
         clock: Callable[[], float] = _boot_time_s,
@@ -86,10 +81,20 @@
         """Creates a registry.
 
         Args:
+            settings: Interval of the counts and age of stale reads.
             store: Store that holds the records.
             vm_id: VM of this gateway.
             clock: Clock, in seconds.
         """
+        self._refresh_s = settings.gateway_refresh_s
+        self._listing_lifetime_s = (
+            settings.gateway_refresh_s * _LISTING_LIFETIME_INTERVALS
+        )
+        # Once it has passed, all other gateways have read the record of this
+        # one or no longer use their shares.
+        self._settling_time_s = (
+            self._listing_lifetime_s + settings.store_staleness_s
+        )
         self._store = store
         self._vm_id = vm_id
         self._clock = clock
@@ -97,6 +102,7 @@
         self._listings: collections.deque[_Listing] = collections.deque()
         self._registered_s = math.inf
         self._is_deregistered = False
+        self._refresh_due = asyncio.Event()
         self._vm_ids = frozenset((vm_id,))
         self._rank = 0
 
@@ -133,11 +139,13 @@
     async def run(self) -> None:
         """Registers this gateway, then counts until cancelled."""
         await self._register()
-        await asyncio.sleep(_STARTUP_DELAY_S)
-        while True:
-            await self._refresh()
-            jitter = random.uniform(1 - _REFRESH_JITTER, 1 + _REFRESH_JITTER)
-            await asyncio.sleep(_REFRESH_INTERVAL_S * jitter)
+        # All gateways start at the same time; an earlier count is too low.
+        await asyncio.sleep(self._refresh_s)
+        await self._refresh_until_cancelled()
+
+    def on_store_restored(self) -> None:
+        """Schedules a refresh, which writes a lost record again."""
+        self._refresh_due.set()
 
     async def deregister(self) -> None:
         """Removes the record; one left behind after an error is harmless."""
@@ -149,17 +157,29 @@
         except errors.PlatformError as error:
             logger.info("gateways.not_withdrawn", reason=error.message)
 
+    async def _refresh_until_cancelled(self) -> None:
+        while True:
+            await self._refresh()
+            jitter = random.uniform(1 - _REFRESH_JITTER, 1 + _REFRESH_JITTER)
+            self._refresh_due.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(self._refresh_s * jitter):
+                    await self._refresh_due.wait()
+                    await asyncio.sleep(random.uniform(0, _RETRY_DELAY_S))
+
     def _is_settled(self) -> bool:
         now_s = self._clock()
         return (
-            now_s - self._registered_s >= _SETTLING_TIME_S
+            now_s - self._registered_s >= self._settling_time_s
             and bool(self._listings)
-            and now_s - self._listings[-1].read_s < _LISTING_LIFETIME_S
+            and now_s - self._listings[-1].read_s < self._listing_lifetime_s
         )
 
     async def _register(self) -> None:
         """Writes the record, retrying while the store is unavailable."""
-        while not await self._try_register():
+        while True:
+            if await self._try_register():
+                return
             await asyncio.sleep(_RETRY_DELAY_S)
 
     async def _try_register(self) -> bool:
@@ -171,6 +191,8 @@
         except errors.PlatformError as error:
             logger.warning("gateways.not_registered", reason=error.message)
             return False
+        else:
+            logger.info("gateways.registered")
         self._registered_s = self._clock()
         return True
 
@@ -190,7 +212,7 @@
         self._listings.append(_Listing(vm_ids, started_s))
         while (
             len(self._listings) > 1
-            and started_s - self._listings[0].read_s > _SETTLING_TIME_S
+            and started_s - self._listings[0].read_s > self._settling_time_s
         ):
             self._listings.popleft()
         self._update_counted()
--- a/bronzeslip/entry/suspect_replicator.py
+++ b/bronzeslip/entry/suspect_replicator.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from bronzeslip import ids
+from bronzeslip import logs
 from bronzeslip.entry import named_task
 from bronzeslip.entry import suspect_list_settings
 from bronzeslip.entry import watch_rate_limit
@@ -12,6 +13,8 @@
 from bronzeslip.store import follower
 from bronzeslip.store import shared_store
 
+logger = logs.get_logger(__name__)
+
 
 class SuspectReplicator:
     """Owns the suspect list, publishes it and follows those of others.
@@ -47,6 +50,12 @@
         self._settings = settings
         self._store = store
 
+    def on_store_restored(self) -> None:
+        """Writes the record again if this gateway has suspects."""
+        if self.suspect_list.own_record().entries:
+            logger.info("suspects.written_again")
+            self.publisher.publish()
+
     def tasks(self) -> tuple[named_task.NamedTask, ...]:
         """Returns the background tasks of the replication."""
         timing = follower.FollowTiming(
--- a/bronzeslip/forwarding/assembly.py
+++ b/bronzeslip/forwarding/assembly.py
@@ -61,6 +61,7 @@
     in_flight = in_flight_requests.InFlightRequests()
     reports = report_cache.ReportCache()
     failures = failure_tracker.FailureTracker()
+    endpoints.add_gone_listener(lambda gone: failures.remove(gone.endpoint_id))
     endpoint_proximity = proximity.EndpointProximity(this_vm, endpoints)
     if settings.placement is entry.Placement.ROUND_ROBIN:
         endpoint_chooser = chooser.RoundRobinChooser(endpoints)
--- a/bronzeslip/forwarding/attempts.py
+++ b/bronzeslip/forwarding/attempts.py
@@ -16,7 +16,6 @@
 from bronzeslip.forwarding import errors
 from bronzeslip.forwarding import service_retry_budgets
 from bronzeslip.metrics import entry_metrics
-from bronzeslip.routes import kind
 
 logger = logs.get_logger(__name__)
 
@@ -34,7 +33,7 @@
 class AttemptRunner:
     """Tries endpoints until one returns a response.
 
-    A request that is not idempotent is sent to another endpoint only if the
+    A request that may run only once is sent to another endpoint only if the
     previous endpoint reported that it did not run it or was unreachable.
     """
 
@@ -164,10 +163,9 @@
     def _is_retry_allowed(
         self, request: admitted.AdmittedRequest, possible_runs: int
     ) -> bool:
-        if request.route.kind is not kind.RequestKind.IDEMPOTENT:
-            return False
         return (
-            possible_runs < request.route.max_attempts
+            request.route.may_run_again
+            and possible_runs < request.route.max_attempts
             and request.remaining_s > 0
         )
 
--- a/bronzeslip/forwarding/buffered_response.py
+++ b/bronzeslip/forwarding/buffered_response.py
@@ -13,14 +13,21 @@
     body: bytes
 
 
-async def read(response: endpoint_client.EndpointResponse) -> BufferedResponse:
+async def read(
+    response: endpoint_client.EndpointResponse, max_bytes: int
+) -> BufferedResponse:
     """Reads a response to its end and releases its connection.
 
+    Args:
+        response: The response.
+        max_bytes: Limit on the size of its body.
+
     Raises:
-        endpoint_errors.EndpointResponseLostError: If the body is truncated.
+        endpoint_errors.EndpointResponseLostError: If the body is truncated or
+            too large.
     """
     try:
-        body = b"".join([chunk async for chunk in response.chunks()])
+        body = await response.read(max_bytes)
     finally:
         await response.close()
     return BufferedResponse(response.head, body)
--- a/bronzeslip/forwarding/call_forwarder.py
+++ b/bronzeslip/forwarding/call_forwarder.py
@@ -105,7 +105,9 @@
         )
         response = await self._components.client.send(outgoing)
         await raise_if_not_run(response)
-        return await buffered_response.read(response)
+        return await buffered_response.read(
+            response, self._components.settings.response_max_bytes
+        )
 
 
 async def raise_if_not_run(response: endpoint_client.EndpointResponse) -> None:
--- a/bronzeslip/forwarding/chooser.py
+++ b/bronzeslip/forwarding/chooser.py
@@ -302,8 +302,9 @@
         if candidate.endpoint_id not in tried
     ]
     if not candidates:
+        pause_s = endpoints.shortest_pause_s(request.service.name)
         raise errors.NotRunError(
             f"service {request.service.name} has no available endpoint",
-            retry_after_s=_RETRY_AFTER_S,
+            retry_after_s=_RETRY_AFTER_S if pause_s is None else pause_s,
         )
     return candidates
--- a/bronzeslip/forwarding/dispatch.py
+++ b/bronzeslip/forwarding/dispatch.py
@@ -13,12 +13,10 @@
     Attributes:
         address: Host and port of the engine that issued the handle.
         handle: Handle of the copy at that engine.
-        after_event_id: Id of the last event that the caller has received.
     """
 
     address: str
     handle: ids.HandleId
-    after_event_id: str
 
 
 class Dispatch(msgspec.Struct, frozen=True):
@@ -31,8 +29,9 @@
         workspace_id: Workspace of the caller, or None on public routes.
         priority: Scheduling priority at the engine, 0 first, or None for
             plain services.
-        backup: Engine that receives a copy of the run's memory, or None.
         source: Copy from which the run resumes, or None.
+        after_event_id: Id of the last event that the caller has received from
+            another endpoint, or None.
     """
 
     request: incoming.IncomingRequest
@@ -40,5 +39,5 @@
     remaining_s: float
     workspace_id: ids.WorkspaceId | None = None
     priority: int | None = None
-    backup: endpoint.Endpoint | None = None
     source: ResumeSource | None = None
+    after_event_id: str | None = None
--- a/bronzeslip/forwarding/endpoint_client.py
+++ b/bronzeslip/forwarding/endpoint_client.py
@@ -60,6 +60,14 @@
             endpoint_errors.EndpointResponseLostError: If the body is truncated.
         """
 
+    async def read(self, max_bytes: int) -> bytes:
+        """Reads the complete body.
+
+        Raises:
+            endpoint_errors.EndpointResponseLostError: If the body is
+                truncated or too large.
+        """
+
     async def close(self) -> None:
         """Releases the connection, or closes it if the body is incomplete."""
 
@@ -144,4 +152,4 @@
         """
 
     def remove_endpoint(self, target: endpoint.Endpoint) -> None:
-        """Closes the idle connections to an endpoint that is shutting down."""
+        """Closes the connections to an endpoint that leaves or is gone."""
--- /dev/null
+++ b/bronzeslip/forwarding/stream_progress.py
@@ -0,0 +1,75 @@
+"""Events that the caller of a generation has received."""
+
+from bronzeslip.forwarding import admitted
+from bronzeslip.forwarding import endpoint_errors
+from bronzeslip.forwarding import event_framer
+from bronzeslip.forwarding import stream_times
+
+# Events beside those that carry output tokens.
+_MAX_OTHER_EVENTS = 16
+
+
+class StreamProgress:
+    """Splits the bytes of engines into events and counts these.
+
+    Attributes:
+        events: Number of complete events.
+        last_event_id: Id of the last event that has one, or None.
+        times: Times of the events.
+    """
+
+    def __init__(
+        self, request: admitted.AdmittedRequest, event_max_bytes: int
+    ) -> None:
+        """Creates the progress of a run without events.
+
+        Args:
+            request: Request of the run.
+            event_max_bytes: Limit on the size of an event.
+        """
+        shape = request.request.shape
+        self._max_events = (
+            shape.max_output_tokens + _MAX_OTHER_EVENTS if shape else None
+        )
+        self._event_max_bytes = event_max_bytes
+        self._framer = event_framer.EventFramer()
+        self.events = 0
+        self.last_event_id: str | None = None
+        self.times = stream_times.StreamTimes(request.request.arrived_s)
+
+    @property
+    def remainder(self) -> bytes:
+        """Bytes after the last complete event."""
+        return self._framer.remainder
+
+    def feed(self, chunk: bytes) -> event_framer.EventBlock | None:
+        """Adds bytes and returns the events completed by them, or None.
+
+        Raises:
+            endpoint_errors.EndpointResponseLostError: If an event does not end
+                or there are more events than output tokens.
+        """
+        block = self._framer.feed(chunk)
+        if len(self._framer.remainder) > self._event_max_bytes:
+            raise endpoint_errors.EndpointResponseLostError(
+                f"event of more than {self._event_max_bytes} bytes"
+            )
+        if block is not None and self._max_events is not None:
+            self._raise_if_too_many(self.events + block.count)
+        return block
+
+    def record(self, block: event_framer.EventBlock) -> None:
+        """Counts events that were sent to the caller."""
+        self.times.record_event(self.events)
+        self.events += block.count
+        self.last_event_id = block.last_event_id or self.last_event_id
+
+    def restart(self) -> None:
+        """Discards an incomplete event, which the next run sends again."""
+        self._framer = event_framer.EventFramer()
+
+    def _raise_if_too_many(self, events: int) -> None:
+        if events > self._max_events:
+            raise endpoint_errors.EndpointResponseLostError(
+                f"more than {self._max_events} events"
+            )
--- a/bronzeslip/forwarding/stream_run.py
+++ b/bronzeslip/forwarding/stream_run.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from bronzeslip import ids
 from bronzeslip import logs
 from bronzeslip.endpoints import endpoint
 from bronzeslip.forwarding import admitted
@@ -16,13 +17,15 @@
 from bronzeslip.forwarding import endpoint_client
 from bronzeslip.forwarding import endpoint_errors
 from bronzeslip.forwarding import errors
-from bronzeslip.forwarding import event_framer
 from bronzeslip.forwarding import response_writer
+from bronzeslip.forwarding import standby_copy
 from bronzeslip.forwarding import standby_keeper
-from bronzeslip.forwarding import stream_times
+from bronzeslip.forwarding import stream_progress
 
 logger = logs.get_logger(__name__)
 
+_SERVER_ERROR_STATUS = 500
+
 
 class StreamRun:
     """Relays the events of one generation."""
@@ -37,10 +40,12 @@
         self._request = request
         self._writer = writer
         self._endpoint: endpoint.Endpoint | None = None
-        self._framer = event_framer.EventFramer()
-        self._events = 0
-        self._times = stream_times.StreamTimes(request.request.arrived_s)
-        self._last_event_id: str | None = None
+        self._tried: set[ids.EndpointId] = set()
+        self._run_count = 0
+        self._error_response: buffered_response.BufferedResponse | None = None
+        self._progress = stream_progress.StreamProgress(
+            request, shared.settings.event_max_bytes
+        )
         self._load_registration = contextlib.ExitStack()
         self._keeper: standby_keeper.StandbyKeeper | None = None
         self._keeper_task: asyncio.Task | None = None
@@ -52,17 +57,27 @@
             errors.ForwardingError: If the response is missing or incomplete.
         """
         try:
-            response = await self._components.attempt_runner.run(
-                self._request, self._start_on
+            await self._serve()
+        except errors.ForwardingError:
+            # The error response of an endpoint is more specific than ours.
+            if self._error_response is None or self._writer.is_started:
+                raise
+            await buffered_response.send_to_caller(
+                self._error_response, self._writer
             )
-            while not await self._relay(response):
-                response = await self._resume()
-            self._log_completion()
-            self._release_copy()
         finally:
             self._load_registration.close()
             self._stop_keeper()
 
+    async def _serve(self) -> None:
+        response = await self._components.attempt_runner.run(
+            self._request, self._start_on
+        )
+        while not await self._relay(response):
+            response = await self._resume()
+        self._log_completion()
+        self._release_copy()
+
     async def _start_on(
         self, chosen: endpoint.Endpoint
     ) -> endpoint_client.EndpointResponse:
@@ -72,6 +87,8 @@
         self, chosen: endpoint.Endpoint, source: dispatch.ResumeSource | None
     ) -> endpoint_client.EndpointResponse:
         self._register_load(chosen, source)
+        self._tried.add(chosen.endpoint_id)
+        self._error_response = None
         response = await self._components.client.send(
             dispatch.Dispatch(
                 request=self._request.request,
@@ -80,18 +97,43 @@
                 workspace_id=self._request.workspace_id,
                 priority=self._request.priority,
                 source=source,
+                after_event_id=self._progress.last_event_id,
             )
         )
         await call_forwarder.raise_if_not_run(response)
+        self._run_count += 1
+        await self._raise_if_failed(response)
         self._endpoint = chosen
         logger.info(
             "stream.sent",
             request=self._request.request.request_id,
             endpoint=chosen.endpoint_id,
-            events=self._events,
+            events=self._progress.events,
         )
         return response
 
+    async def _raise_if_failed(
+        self, response: endpoint_client.EndpointResponse
+    ) -> None:
+        """Raises an error if a run failed that may go on elsewhere."""
+        is_server_error = response.head.status >= _SERVER_ERROR_STATUS
+        if self._writer.is_started:
+            has_failed = not response.head.is_success
+        else:
+            has_failed = is_server_error and self._request.route.may_run_again
+        if has_failed:
+            self._error_response = await self._read(response)
+            raise endpoint_errors.EndpointResponseLostError(
+                f"status {response.head.status}"
+            )
+
+    async def _read(
+        self, response: endpoint_client.EndpointResponse
+    ) -> buffered_response.BufferedResponse:
+        return await buffered_response.read(
+            response, self._components.settings.response_max_bytes
+        )
+
     def _register_load(
         self, chosen: endpoint.Endpoint, source: dispatch.ResumeSource | None
     ) -> None:
@@ -121,7 +163,7 @@
         """
         try:
             if not response.head.is_success:
-                buffered = await buffered_response.read(response)
+                buffered = await self._read(response)
                 await buffered_response.send_to_caller(buffered, self._writer)
                 return True
             async for chunk in response.chunks():
@@ -131,7 +173,7 @@
                 "stream.cut",
                 request=self._request.request.request_id,
                 endpoint=self._endpoint.endpoint_id,
-                events=self._events,
+                events=self._progress.events,
                 reason=error.message,
             )
             self._components.crash_detector.record_lost_response(
@@ -146,21 +188,19 @@
     async def _relay_chunk(
         self, head: endpoint_client.ResponseHead, chunk: bytes
     ) -> None:
-        block = self._framer.feed(chunk)
+        block = self._progress.feed(chunk)
         if block is None:
             return
         await self._start_response(head)
         await self._writer.write(block.data)
-        self._times.record_event(self._events)
-        self._events += block.count
-        self._last_event_id = block.last_event_id or self._last_event_id
+        self._progress.record(block)
         if self._keeper_task is None:
             self._start_keeper()
 
     async def _finish(self, head: endpoint_client.ResponseHead) -> None:
         await self._start_response(head)
-        if self._framer.remainder:
-            await self._writer.write(self._framer.remainder)
+        if self._progress.remainder:
+            await self._writer.write(self._progress.remainder)
         await self._writer.finish()
 
     async def _start_response(self, head: endpoint_client.ResponseHead) -> None:
@@ -175,35 +215,85 @@
             )
 
     async def _resume(self) -> endpoint_client.EndpointResponse:
-        """Resumes the run from its standby copy.
+        """Resumes the run from its standby copy or, if allowed, anew.
 
         Raises:
-            errors.ForwardingError: If there is no usable copy.
+            errors.ForwardingError: If the run can't be resumed.
         """
         copy = self._keeper.copy if self._keeper else None
         self._stop_keeper()
         self._components.copy_target_chooser.record_engine_end(self._endpoint)
-        if copy is None or self._last_event_id is None:
-            raise self._interruption_error("no copy of the run")
-        self._framer = event_framer.EventFramer()
-        source = dispatch.ResumeSource(
-            copy.source.address, copy.handle, self._last_event_id
-        )
+        self._progress.restart()
+        reason = "no copy of the run"
+        if copy is not None and self._progress.last_event_id is not None:
+            try:
+                return await self._resume_from(copy)
+            except (endpoint_errors.EndpointError, errors.NotRunError) as error:
+                reason = error.message
+        return await self._run_again(reason)
+
+    async def _resume_from(
+        self, copy: standby_copy.StandbyCopy
+    ) -> endpoint_client.EndpointResponse:
+        """Resumes the run at the engine that holds its copy.
+
+        Raises:
+            endpoint_errors.EndpointError: If that engine does not resume it.
+            errors.NotRunError: If no retry is left.
+        """
+        self._take_retry()
+        source = dispatch.ResumeSource(copy.source.address, copy.handle)
         started_s = asyncio.get_running_loop().time()
-        try:
-            response = await self._send(copy.target, source)
-        except endpoint_errors.EndpointError as error:
-            raise self._interruption_error(error.message) from error
+        response = await self._send(copy.target, source)
         logger.info(
             "stream.went_on",
             request=self._request.request.request_id,
             endpoint=copy.target.endpoint_id,
-            events=self._events,
+            events=self._progress.events,
             copied_events=copy.events,
             took_s=round(asyncio.get_running_loop().time() - started_s, 3),
         )
         return response
 
+    async def _run_again(self, reason: str) -> endpoint_client.EndpointResponse:
+        """Starts a new run after the last event, if the route allows it.
+
+        Raises:
+            errors.ForwardingError: If it does not, or no endpoint runs it.
+        """
+        route = self._request.route
+        while (
+            route.may_run_again
+            and self._run_count < route.max_attempts
+            and self._request.remaining_s > 0
+        ):
+            try:
+                self._take_retry()
+                chosen = self._components.endpoint_chooser.choose(
+                    self._request, self._tried
+                )
+                response = await self._send(chosen, None)
+            except errors.NotRunError as error:
+                reason = error.message
+                break
+            except endpoint_errors.EndpointError as error:
+                reason = error.message
+            else:
+                return response
+        raise self._interruption_error(reason)
+
+    def _take_retry(self) -> None:
+        """Consumes a retry of the service's budget.
+
+        Raises:
+            errors.NotRunError: If none is left.
+        """
+        budget = self._components.retry_budgets.of_service(
+            self._request.service.name
+        )
+        if not budget.take():
+            raise errors.NotRunError("the retry budget is exhausted")
+
     def _start_keeper(self) -> None:
         engine = self._request.service.engine
         if engine is None or not engine.can_move:
@@ -226,23 +316,23 @@
         self._keeper = None
 
     def _log_completion(self) -> None:
-        first_event_s = self._times.first_event_s
+        first_event_s = self._progress.times.first_event_s
         if first_event_s is not None:
             self._components.metrics.record_stream(
                 self._request.workspace_id,
                 self._request.route.kind,
                 first_event_s,
-                self._times.longest_pause_s,
+                self._progress.times.longest_pause_s,
             )
         logger.info(
             "stream.done",
             request=self._request.request.request_id,
             route=self._request.route.name,
             endpoint=self._endpoint.endpoint_id,
-            events=self._events,
+            events=self._progress.events,
             first_s=None if first_event_s is None else round(first_event_s, 3),
-            longest_pause_s=round(self._times.longest_pause_s, 3),
-            longest_pause_event=self._times.longest_pause_event,
+            longest_pause_s=round(self._progress.times.longest_pause_s, 3),
+            longest_pause_event=self._progress.times.longest_pause_event,
         )
 
     def _interruption_error(self, reason: str) -> errors.ForwardingError:
@@ -250,7 +340,7 @@
             "stream.broken_off",
             request=self._request.request.request_id,
             endpoint=self._endpoint.endpoint_id,
-            events=self._events,
+            events=self._progress.events,
             reason=reason,
         )
         if self._writer.is_started:
--- /dev/null
+++ b/bronzeslip/platform/bounded_transport.py
@@ -0,0 +1,130 @@
+"""HTTP transport that limits how many bytes precede a response body."""
+
+from collections.abc import Iterable
+import contextvars
+import ssl
+from typing import Any
+
+import httpcore
+import httpx
+
+
+class _HeadLimit:
+    """Counts the bytes read while a response head is awaited."""
+
+    def __init__(self, max_bytes: int) -> None:
+        self._remaining_bytes = max_bytes
+
+    def count(self, size_bytes: int) -> None:
+        """Counts bytes.
+
+        Raises:
+            httpcore.RemoteProtocolError: If the limit was exceeded before.
+        """
+        if self._remaining_bytes < 0:
+            raise httpcore.RemoteProtocolError("response head is too large")
+        self._remaining_bytes -= size_bytes
+
+
+_head_limit: contextvars.ContextVar[_HeadLimit | None] = contextvars.ContextVar(
+    "head_limit", default=None
+)
+
+
+class _CountingStream(httpcore.AsyncNetworkStream):
+    """Network stream that counts the bytes of response heads."""
+
+    def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
+        self._stream = stream
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        data = await self._stream.read(max_bytes, timeout)
+        limit = _head_limit.get()
+        if limit is not None:
+            limit.count(len(data))
+        return data
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        await self._stream.write(buffer, timeout)
+
+    async def aclose(self) -> None:
+        await self._stream.aclose()
+
+    async def start_tls(
+        self,
+        ssl_context: ssl.SSLContext,
+        server_hostname: str | None = None,
+        timeout: float | None = None,
+    ) -> httpcore.AsyncNetworkStream:
+        return _CountingStream(
+            await self._stream.start_tls(ssl_context, server_hostname, timeout)
+        )
+
+    def get_extra_info(self, info: str) -> Any:
+        return self._stream.get_extra_info(info)
+
+
+class _CountingBackend(httpcore.AnyIOBackend):
+    """Network backend whose TCP streams count the bytes of response heads."""
+
+    async def connect_tcp(
+        self,
+        host: str,
+        port: int,
+        timeout: float | None = None,
+        local_address: str | None = None,
+        socket_options: Iterable[Any] | None = None,
+    ) -> httpcore.AsyncNetworkStream:
+        stream = await super().connect_tcp(
+            host, port, timeout, local_address, socket_options
+        )
+        return _CountingStream(stream)
+
+
+class BoundedTransport(httpx.AsyncHTTPTransport):
+    """Transport that gives up a response whose head does not end.
+
+    The HTTP library limits the size of each head, but not the number of
+    interim responses that precede the final one.
+    """
+
+    def __init__(
+        self,
+        max_head_bytes: int,
+        max_connections: int,
+        socket_options: Iterable[Any] = (),
+    ) -> None:
+        """Creates a transport for plain TCP.
+
+        Args:
+            max_head_bytes: Limit on the bytes read before the final response
+                head is complete.
+            max_connections: Limit on concurrent connections.
+            socket_options: Options of the sockets.
+        """
+        # Requests use plain TCP; an empty SSL context avoids loading the CA
+        # certificates for each transport.
+        super().__init__(
+            verify=ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT), trust_env=False
+        )
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=max_connections,
+            socket_options=tuple(socket_options),
+            network_backend=_CountingBackend(),
+        )
+        self._max_head_bytes = max_head_bytes
+
+    async def handle_async_request(
+        self, request: httpx.Request
+    ) -> httpx.Response:
+        """Sends a request and returns the response, with its body unread.
+
+        Raises:
+            httpx.RemoteProtocolError: If more than the maximum number of bytes
+                arrived before the final head was complete.
+        """
+        token = _head_limit.set(_HeadLimit(self._max_head_bytes))
+        try:
+            return await super().handle_async_request(request)
+        finally:
+            _head_limit.reset(token)
--- a/bronzeslip/platform/configuration.py
+++ b/bronzeslip/platform/configuration.py
@@ -42,6 +42,7 @@
     public: bool = False
     # True for generation routes, whose requests list their prompt parts.
     sticky: bool = False
+    resumable: bool = False
     gap_aim_ms: float | None = None
 
 
@@ -121,6 +122,7 @@
         max_attempts=wire.max_attempts,
         is_public=wire.public,
         is_generation=wire.sticky,
+        is_resumable=wire.resumable,
         gap_objective_s=None if gap_ms is None else gap_ms / _MS_PER_S,
     )
 
--- a/bronzeslip/platform/connection_pool.py
+++ b/bronzeslip/platform/connection_pool.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import socket
-import ssl
 
 import httpx
 import msgspec
 
+from bronzeslip.platform import bounded_transport
 from bronzeslip.settings import entry
 
 _MS_PER_S = 1000
@@ -35,9 +35,7 @@
 
     def __init__(self, settings: entry.EntrySettings) -> None:
         self._settings = settings
-        # Requests use plain TCP; an empty SSL context avoids loading the CA
-        # certificates for each connection.
-        self._ssl_context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+        self._is_closed = False
         self._idle_connections: list[PooledConnection] = []
 
     async def acquire(self) -> PooledConnection:
@@ -50,16 +48,21 @@
             await connection.transport.aclose()
         return PooledConnection(self._create_transport())
 
-    def release(
+    async def release(
         self, connection: PooledConnection, keep_alive_s: float
     ) -> None:
         """Returns a connection whose response was read completely.
 
+        A pool that was closed meanwhile closes the connection.
+
         Args:
             connection: The connection.
             keep_alive_s: Time after which the endpoint closes the connection
                 if it is idle, in seconds.
         """
+        if self._is_closed:
+            await connection.transport.aclose()
+            return
         now_s = asyncio.get_running_loop().time()
         connection.has_carried_requests = True
         connection.expires_at_s = (
@@ -68,17 +71,17 @@
         self._idle_connections.append(connection)
 
     async def close(self) -> None:
-        """Closes the idle connections."""
+        """Closes the idle connections, and the others once released."""
+        self._is_closed = True
         idle_connections, self._idle_connections = self._idle_connections, []
         for connection in idle_connections:
             await connection.transport.aclose()
 
-    def _create_transport(self) -> httpx.AsyncHTTPTransport:
+    def _create_transport(self) -> bounded_transport.BoundedTransport:
         silence_ms = round(self._settings.endpoint_silence_s * _MS_PER_S)
-        return httpx.AsyncHTTPTransport(
-            verify=self._ssl_context,
-            trust_env=False,
-            limits=httpx.Limits(max_connections=1),
+        return bounded_transport.BoundedTransport(
+            self._settings.response_head_max_bytes,
+            max_connections=1,
             socket_options=(
                 (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, silence_ms),
                 (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
--- /dev/null
+++ b/bronzeslip/platform/endpoint_announcements.py
@@ -0,0 +1,56 @@
+"""Announcements of endpoints in the headers of their responses."""
+
+import math
+
+import httpx
+
+from bronzeslip import logs
+from bronzeslip.endpoints import directory
+from bronzeslip.endpoints import endpoint
+from bronzeslip.platform import headers
+
+logger = logs.get_logger(__name__)
+
+_LEAVING_VALUE = "1"
+
+
+def record(
+    endpoints: directory.EndpointDirectory,
+    sender: endpoint.Endpoint,
+    response: httpx.Response,
+) -> None:
+    """Records what the headers of a response say about its sender.
+
+    Args:
+        endpoints: Directory that keeps the announcements.
+        sender: Endpoint that the request was sent to.
+        response: Its response.
+    """
+    stated_id = response.headers.get(headers.ENDPOINT_ID.decode())
+    if stated_id not in (None, sender.endpoint_id):
+        # Another endpoint has taken over the address.
+        return
+    leaving = response.headers.get(headers.SERVER_LEAVING.decode(), "")
+    if leaving.strip() == _LEAVING_VALUE:
+        endpoints.mark_leaving(sender)
+    if response.status_code != httpx.codes.SERVICE_UNAVAILABLE:
+        return
+    text = response.headers.get(headers.RETRY_AFTER.decode())
+    if text is None:
+        return
+    pause_s = _parse_seconds(text)
+    if pause_s is None:
+        logger.info(
+            "endpoint.unreadable_retry_after", endpoint=sender.endpoint_id
+        )
+        return
+    endpoints.pause(sender, pause_s)
+
+
+def _parse_seconds(text: str) -> float | None:
+    """Returns a delay in seconds, or None if the text is not one."""
+    try:
+        seconds = float(text)
+    except ValueError:
+        return None
+    return seconds if math.isfinite(seconds) and seconds >= 0 else None
--- a/bronzeslip/platform/endpoint_http.py
+++ b/bronzeslip/platform/endpoint_http.py
@@ -1,17 +1,20 @@
 """HTTP client for endpoints."""
 
+import asyncio
 from typing import Any
 
 import httpx
 
 from bronzeslip import ids
 from bronzeslip import logs
+from bronzeslip.endpoints import directory
 from bronzeslip.endpoints import endpoint
 from bronzeslip.endpoints import report
 from bronzeslip.forwarding import dispatch
 from bronzeslip.forwarding import endpoint_client
 from bronzeslip.forwarding import endpoint_errors
 from bronzeslip.platform import connection_pool
+from bronzeslip.platform import endpoint_announcements
 from bronzeslip.platform import endpoint_response
 from bronzeslip.platform import engine_messages
 from bronzeslip.platform import headers
@@ -24,29 +27,49 @@
 
 
 class HttpEndpointClient:
-    """Calls endpoints over pooled connections."""
+    """Calls endpoints over pooled connections.
 
-    def __init__(self, settings: entry.EntrySettings) -> None:
+    What an endpoint says about itself in the headers of any response is
+    recorded in the directory. An endpoint that has asked for a pause is not
+    called.
+    """
+
+    def __init__(
+        self,
+        settings: entry.EntrySettings,
+        endpoints: directory.EndpointDirectory,
+    ) -> None:
+        """Creates a client without connections.
+
+        Args:
+            settings: Timeouts and size limits.
+            endpoints: Directory that records announcements of endpoints.
+        """
         self._settings = settings
+        self._endpoints = endpoints
         self._pools: dict[str, connection_pool.ConnectionPool] = {}
         # Responses to control calls carry no request id, so they must not
         # share connections with forwarded requests.
         self._control_pools: dict[str, connection_pool.ConnectionPool] = {}
-        self._removed_pools: list[connection_pool.ConnectionPool] = []
+        self._closing_tasks: set[asyncio.Task] = set()
 
     async def close(self) -> None:
         """Closes the idle connections."""
         for pools in (self._pools, self._control_pools):
-            self._removed_pools.extend(pools.values())
-        for pool in self._removed_pools:
-            await pool.close()
+            for pool in pools.values():
+                await pool.close()
 
     def remove_endpoint(self, target: endpoint.Endpoint) -> None:
-        """Removes the connection pools of an endpoint that is leaving."""
+        """Removes the connection pools of an endpoint that leaves or is gone.
+
+        Responses in progress are completed first.
+        """
         for pools in (self._pools, self._control_pools):
             pool = pools.pop(_pool_key(target), None)
             if pool is not None:
-                self._removed_pools.append(pool)
+                task = asyncio.create_task(pool.close())
+                self._closing_tasks.add(task)
+                task.add_done_callback(self._closing_tasks.discard)
 
     async def send(
         self, outgoing: dispatch.Dispatch
@@ -69,7 +92,7 @@
             },
         )
         pool = self._get_pool(self._pools, outgoing.endpoint)
-        response = await _exchange(pool, request)
+        response = await self._exchange(outgoing.endpoint, pool, request)
         if not response.is_response_to(outgoing.request.request_id):
             await response.abort()
             logger.warning(
@@ -98,7 +121,8 @@
         """
         request = self._control_request(target, "GET", health_path)
         pool = connection_pool.ConnectionPool(self._settings)
-        response = await _exchange(pool, request)
+        async with _Timeout(self._settings.report_timeout_s):
+            response = await self._exchange(target, pool, request)
         await response.abort()
         if response.responding_endpoint_id not in (None, target.endpoint_id):
             raise endpoint_errors.EndpointAbsentError(
@@ -112,7 +136,9 @@
             endpoint_errors.EndpointError: If no valid report was received.
         """
         request = self._control_request(target, "GET", "/report")
-        body = await self._call(target, request)
+        body = await self._call(
+            target, request, self._settings.report_timeout_s
+        )
         return engine_messages.decode_report(body)
 
     async def copy_run(
@@ -135,7 +161,7 @@
         request = self._control_request(
             source, "POST", "/kv-move", message, timeout_s
         )
-        body = await self._call(source, request)
+        body = await self._call(source, request, timeout_s)
         return engine_messages.decode_move_response(body)
 
     async def drop_copy(
@@ -151,23 +177,67 @@
         request = self._control_request(
             holder, "DELETE", f"/kv-handle/{handle}"
         )
-        await self._call(holder, request)
+        await self._call(holder, request, self._settings.report_timeout_s)
 
     async def _call(
-        self, target: endpoint.Endpoint, request: httpx.Request
+        self,
+        target: endpoint.Endpoint,
+        request: httpx.Request,
+        timeout_s: float,
     ) -> bytes:
+        """Makes a control call, bounded in time and in bytes as a whole."""
         pool = self._get_pool(self._control_pools, target)
-        response = await _exchange(pool, request)
-        try:
-            body = b"".join([chunk async for chunk in response.chunks()])
-        finally:
-            await response.close()
+        async with _Timeout(timeout_s):
+            response = await self._exchange(target, pool, request)
+            try:
+                body = await response.read(
+                    self._settings.control_response_max_bytes
+                )
+            finally:
+                await response.close()
         if response.head.status != _OK_STATUS:
             raise endpoint_errors.EndpointRefusedError(
                 f"{request.url.path}: status {response.head.status}"
             )
         return body
 
+    async def _exchange(
+        self,
+        target: endpoint.Endpoint,
+        pool: connection_pool.ConnectionPool,
+        request: httpx.Request,
+    ) -> endpoint_response.HttpEndpointResponse:
+        """Sends a request and reads the head of its response."""
+        if self._endpoints.pause_remaining_s(target):
+            raise endpoint_errors.EndpointRefusedError(
+                "the endpoint has asked for a pause"
+            )
+        connection = await pool.acquire()
+        try:
+            response = await connection.transport.handle_async_request(request)
+        except httpx.ConnectError as error:
+            await connection.transport.aclose()
+            raise endpoint_errors.EndpointAbsentError(
+                "connection refused"
+            ) from error
+        except httpx.ConnectTimeout as error:
+            await connection.transport.aclose()
+            raise endpoint_errors.EndpointUnreachableError(
+                "connection timed out"
+            ) from error
+        except httpx.HTTPError as error:
+            await connection.transport.aclose()
+            raise endpoint_errors.EndpointResponseLostError(
+                f"no response: {type(error).__name__}"
+            ) from error
+        except BaseException:
+            await connection.transport.aclose()
+            raise
+        endpoint_announcements.record(self._endpoints, target, response)
+        return endpoint_response.HttpEndpointResponse(
+            response, connection, pool, self._settings
+        )
+
     def _control_request(
         self,
         target: endpoint.Endpoint,
@@ -208,31 +278,25 @@
         }
 
 
-async def _exchange(
-    pool: connection_pool.ConnectionPool, request: httpx.Request
-) -> endpoint_response.HttpEndpointResponse:
-    connection = await pool.acquire()
-    try:
-        response = await connection.transport.handle_async_request(request)
-    except httpx.ConnectError as error:
-        await connection.transport.aclose()
-        raise endpoint_errors.EndpointAbsentError(
-            "connection refused"
-        ) from error
-    except httpx.ConnectTimeout as error:
-        await connection.transport.aclose()
-        raise endpoint_errors.EndpointUnreachableError(
-            "connection timed out"
-        ) from error
-    except httpx.HTTPError as error:
-        await connection.transport.aclose()
-        raise endpoint_errors.EndpointResponseLostError(
-            f"no response: {type(error).__name__}"
-        ) from error
-    except BaseException:
-        await connection.transport.aclose()
-        raise
-    return endpoint_response.HttpEndpointResponse(response, connection, pool)
+class _Timeout:
+    """Bounds a call as a whole.
+
+    The HTTP client's own timeouts restart with each byte received.
+    """
+
+    def __init__(self, timeout_s: float) -> None:
+        self._timeout = asyncio.timeout(timeout_s)
+
+    async def __aenter__(self) -> None:
+        await self._timeout.__aenter__()
+
+    async def __aexit__(self, *error_info: Any) -> None:
+        try:
+            await self._timeout.__aexit__(*error_info)
+        except TimeoutError as error:
+            raise endpoint_errors.EndpointResponseLostError(
+                "no complete response in time"
+            ) from error
 
 
 def _pool_key(target: endpoint.Endpoint) -> str:
@@ -241,8 +305,11 @@
 
 def _build_headers(outgoing: dispatch.Dispatch) -> list[tuple[bytes, bytes]]:
     remaining_ms = max(round(outgoing.remaining_s * _MS_PER_S), 1)
+    replaced = {headers.LAST_EVENT_ID} if outgoing.after_event_id else set()
     header_fields = [
-        (field.name, field.value) for field in outgoing.request.headers
+        (field.name, field.value)
+        for field in outgoing.request.headers
+        if field.name not in replaced
     ]
     header_fields.append((headers.DEADLINE_MS, str(remaining_ms).encode()))
     header_fields.append(
@@ -256,13 +323,11 @@
         header_fields.append(
             (headers.PRIORITY, str(outgoing.priority).encode())
         )
-    if outgoing.backup is not None:
-        header_fields.append(
-            (headers.KV_BACKUP, outgoing.backup.address.encode())
-        )
     if outgoing.source is not None:
         copy = f"{outgoing.source.address}/{outgoing.source.handle}"
         header_fields.append((headers.KV_SOURCE, copy.encode()))
-        last_event_id = outgoing.source.after_event_id
-        header_fields.append((headers.LAST_EVENT_ID, last_event_id.encode()))
+    if outgoing.after_event_id is not None:
+        header_fields.append(
+            (headers.LAST_EVENT_ID, outgoing.after_event_id.encode("latin-1"))
+        )
     return header_fields
--- a/bronzeslip/platform/endpoint_response.py
+++ b/bronzeslip/platform/endpoint_response.py
@@ -1,5 +1,6 @@
 """HTTP response of an endpoint."""
 
+import asyncio
 from collections.abc import AsyncIterator
 
 import httpx
@@ -10,6 +11,7 @@
 from bronzeslip.forwarding import incoming
 from bronzeslip.platform import connection_pool
 from bronzeslip.platform import headers
+from bronzeslip.settings import entry
 
 _MISDIRECTED_STATUS = 421
 _TIMEOUT_PREFIX = "timeout="
@@ -36,7 +38,9 @@
         response: httpx.Response,
         connection: connection_pool.PooledConnection,
         pool: connection_pool.ConnectionPool,
+        settings: entry.EntrySettings,
     ) -> None:
+        self._settings = settings
         self._response = response
         self._connection = connection
         self._pool = pool
@@ -61,6 +65,25 @@
             ) from error
         self._is_complete = True
 
+    async def read(self, max_bytes: int) -> bytes:
+        """Reads the complete body.
+
+        Raises:
+            endpoint_errors.EndpointResponseLostError: If the body is
+                incomplete or too large.
+        """
+        received: list[bytes] = []
+        size_bytes = 0
+        async for chunk in self.chunks():
+            size_bytes += len(chunk)
+            if size_bytes > max_bytes:
+                self._is_complete = False
+                raise endpoint_errors.EndpointResponseLostError(
+                    f"response of more than {max_bytes} bytes"
+                )
+            received.append(chunk)
+        return b"".join(received)
+
     @property
     def echoed_request_id(self) -> str | None:
         """Request id that the response states, or None."""
@@ -95,15 +118,15 @@
         await self._response.stream.aclose()
         keep_alive_s = _keep_alive_timeout_s(self._response)
         if self._is_complete and keep_alive_s > 0 and not self.is_leaving:
-            self._pool.release(self._connection, keep_alive_s)
+            await self._pool.release(self._connection, keep_alive_s)
         else:
             await self._connection.transport.aclose()
 
     async def _drain_body(self) -> None:
         try:
-            async for _ in self.chunks():
-                pass
-        except endpoint_errors.EndpointResponseLostError:
+            async with asyncio.timeout(self._settings.drain_timeout_s):
+                await self.read(self._settings.drained_max_bytes)
+        except (endpoint_errors.EndpointResponseLostError, TimeoutError):
             # The verdict from the headers remains valid; only the connection
             # can't be reused.
             self._is_complete = False
--- a/bronzeslip/platform/gateway.py
+++ b/bronzeslip/platform/gateway.py
@@ -49,12 +49,16 @@
     store = store_client.StoreClient(
         this_vm.store_address, settings, metrics.count_platform_call
     )
-    registry = gateway_registry.GatewayRegistry(store, this_vm.vm_id)
+    registry = gateway_registry.GatewayRegistry(settings, store, this_vm.vm_id)
     replicator = suspect_replicator.SuspectReplicator(
         settings, this_vm.vm_id, store, lambda: registry.vm_ids
     )
-    client = endpoint_http.HttpEndpointClient(settings)
+    store.era.add_listener(endpoint_directory.mark_source_restored)
+    store.era.add_listener(registry.on_store_restored)
+    store.era.add_listener(replicator.on_store_restored)
+    client = endpoint_http.HttpEndpointClient(settings, endpoint_directory)
     endpoint_directory.add_leaving_listener(client.remove_endpoint)
+    endpoint_directory.add_gone_listener(client.remove_endpoint)
     rng = random.Random()
     forwarding_components = assembly.create_components(
         settings,
--- a/bronzeslip/platform/headers.py
+++ b/bronzeslip/platform/headers.py
@@ -25,6 +25,10 @@
 KV_SOURCE = b"kv-from"
 KV_FETCH = b"kv-fetch"
 RETRY_AFTER = b"retry-after"
+# "1" in all responses of an endpoint that is shutting down.
+SERVER_LEAVING = b"server-leaving"
+# Rises when the store has been restored from an older copy.
+STORE_ERA = b"store-era"
 HOST = b"host"
 CONNECTION = b"connection"
 KEEP_ALIVE = b"keep-alive"
--- a/bronzeslip/platform/store_client.py
+++ b/bronzeslip/platform/store_client.py
@@ -1,5 +1,6 @@
 """Client of the platform's object store."""
 
+import asyncio
 from collections.abc import Callable
 from typing import Any
 
@@ -8,6 +9,9 @@
 
 from bronzeslip import ids
 from bronzeslip.entry import vm_config
+from bronzeslip.platform import bounded_transport
+from bronzeslip.platform import headers
+from bronzeslip.platform import store_era
 from bronzeslip.settings import entry
 from bronzeslip.store import errors
 from bronzeslip.store import objects
@@ -18,6 +22,7 @@
 _GONE_STATUS = 410
 _TOO_LARGE_STATUS = 413
 _TOO_MANY_REQUESTS_STATUS = 429
+_MAX_CONNECTIONS = 20
 
 
 class _Metadata(msgspec.Struct):
@@ -52,6 +57,9 @@
 
     The part of a key before the first slash is the kind of the object, the
     rest is its name.
+
+    Attributes:
+        era: Era of the store, to which all versions refer.
     """
 
     def __init__(
@@ -70,12 +78,17 @@
                 status code or the name of the exception.
             transport: Transport to use instead of TCP, for tests.
         """
+        self.era = store_era.StoreEra()
         self._on_call = on_call
         self._timeout_s = settings.store_timeout_s
+        self._max_body_bytes = settings.store_response_max_bytes
         self._http = httpx.AsyncClient(
             base_url=f"http://{address.host}:{address.port}",
-            timeout=settings.store_timeout_s,
-            transport=transport,
+            timeout=None,
+            transport=transport
+            or bounded_transport.BoundedTransport(
+                settings.response_head_max_bytes, _MAX_CONNECTIONS
+            ),
             trust_env=False,
         )
 
@@ -85,10 +98,10 @@
 
     async def get(self, key: ids.ObjectKey) -> objects.PlatformObject | None:
         """Reads an object; returns None if it does not exist."""
-        response = await self._call("GET", f"/objects/{key}")
-        if response.status_code == _NOT_FOUND_STATUS:
+        answer = await self._call("GET", f"/objects/{key}")
+        if answer.status == _NOT_FOUND_STATUS:
             return None
-        return _object(_kind_of(key), _decode(response, _Object))
+        return _object(_kind_of(key), _decode(answer, _Object), answer.era)
 
     async def list_objects(
         self, prefix: str, may_be_stale: bool = False
@@ -108,18 +121,18 @@
             params = {"stale_ok": "1"} if may_be_stale else {}
             if after is not None:
                 params["after"] = after
-            response = await self._call(
-                "GET", f"/objects/{kind}", params=params
-            )
-            page = _decode(response, _Page)
+            answer = await self._call("GET", f"/objects/{kind}", params=params)
+            page = _decode(answer, _Page)
             # The version of the first page: changes made while later pages
             # are read are then repeated by the watch.
-            version = page.as_of if version is None else version
-            stored += [_object(kind, item) for item in page.items]
+            if version is None:
+                version = store_era.version_of(answer.era, page.as_of)
+            self.era.check_watch(version, answer.era)
+            stored += [_object(kind, item, answer.era) for item in page.items]
             if not page.truncated or not page.items:
                 break
             after = page.items[-1].metadata.name
-        return objects.ObjectList(ids.ObjectVersion(version), tuple(stored))
+        return objects.ObjectList(version, tuple(stored))
 
     async def watch(
         self, prefix: str, after: ids.ObjectVersion, wait_s: float
@@ -130,17 +143,22 @@
             errors.WatchExpiredError: If the store no longer has the changes
                 since that version; the caller must list the objects again.
         """
+        self.era.check_watch(after, self.era.current)
         kind = _kind_of(prefix)
-        response = await self._call(
+        answer = await self._call(
             "GET",
             f"/objects/{kind}",
-            params={"watch": after, "wait_ms": round(wait_s * _MS_PER_S)},
-            timeout=wait_s + self._timeout_s,
+            wait_s,
+            params={
+                "watch": store_era.revision_of(after),
+                "wait_ms": round(wait_s * _MS_PER_S),
+            },
         )
-        batch = _decode(response, _Events)
+        self.era.check_watch(after, answer.era)
+        batch = _decode(answer, _Events)
         return objects.WatchBatch(
-            ids.ObjectVersion(batch.as_of),
-            tuple(_event(kind, event) for event in batch.events),
+            store_era.version_of(answer.era, batch.as_of),
+            tuple(_event(kind, event, answer.era) for event in batch.events),
         )
 
     async def create(
@@ -149,28 +167,37 @@
         """Creates an object that must not exist yet."""
         kind = _kind_of(key)
         body = {"metadata": {"name": _name_of(key)}, "spec": value}
-        response = await self._write("POST", f"/objects/{kind}", body)
-        return _object(kind, _decode(response, _Object))
+        answer = await self._write("POST", f"/objects/{kind}", body)
+        return _object(kind, _decode(answer, _Object), answer.era)
 
     async def update(
         self, key: ids.ObjectKey, value: Any, version: ids.ObjectVersion
     ) -> objects.PlatformObject:
         """Replaces an object if it is at the given version."""
-        metadata = {"name": _name_of(key), "revision": version}
-        response = await self._write(
+        self.era.check_write(version)
+        metadata = {
+            "name": _name_of(key),
+            "revision": store_era.revision_of(version),
+        }
+        answer = await self._write(
             "PUT", f"/objects/{key}", {"metadata": metadata, "spec": value}
         )
-        return _object(_kind_of(key), _decode(response, _Object))
+        self.era.check_written(version, answer.era)
+        return _object(_kind_of(key), _decode(answer, _Object), answer.era)
 
     async def delete(
         self, key: ids.ObjectKey, version: ids.ObjectVersion
     ) -> None:
         """Deletes an object if it is at the given version."""
-        await self._call(
-            "DELETE", f"/objects/{key}", params={"revision": version}
+        self.era.check_write(version)
+        answer = await self._call(
+            "DELETE",
+            f"/objects/{key}",
+            params={"revision": store_era.revision_of(version)},
         )
+        self.era.check_written(version, answer.era)
 
-    async def _write(self, method: str, path: str, body: Any) -> httpx.Response:
+    async def _write(self, method: str, path: str, body: Any) -> "_Answer":
         return await self._call(
             method,
             path,
@@ -179,18 +206,57 @@
         )
 
     async def _call(
-        self, method: str, path: str, **options: Any
-    ) -> httpx.Response:
+        self, method: str, path: str, wait_s: float = 0.0, **options: Any
+    ) -> "_Answer":
+        """Makes a call, bounded in time and in bytes as a whole.
+
+        Args:
+            method: HTTP method.
+            path: Path of the call.
+            wait_s: Time for which the store may hold the call, in seconds.
+            **options: Options of the HTTP request.
+        """
         try:
-            response = await self._http.request(method, path, **options)
-        except httpx.HTTPError as error:
+            async with (
+                asyncio.timeout(self._timeout_s + wait_s),
+                self._http.stream(method, path, **options) as response,
+            ):
+                body = await self._read_body(response)
+        except (httpx.HTTPError, TimeoutError) as error:
             self._on_call(method, type(error).__name__)
             raise errors.PlatformUnavailableError(
                 f"{method} {path}: {type(error).__name__}"
             ) from error
         self._on_call(method, str(response.status_code))
+        era = self.era.observe(response.headers.get(headers.STORE_ERA.decode()))
         _raise_for_status(method, path, response.status_code)
-        return response
+        return _Answer(response.status_code, body, era)
+
+    async def _read_body(self, response: httpx.Response) -> bytes:
+        chunks: list[bytes] = []
+        size_bytes = 0
+        async for chunk in response.aiter_bytes():
+            size_bytes += len(chunk)
+            if size_bytes > self._max_body_bytes:
+                raise errors.PlatformUnavailableError(
+                    f"response of more than {self._max_body_bytes} bytes"
+                )
+            chunks.append(chunk)
+        return b"".join(chunks)
+
+
+class _Answer(msgspec.Struct, frozen=True):
+    """Complete response of the store.
+
+    Attributes:
+        status: HTTP status.
+        body: Body.
+        era: Era of the store that gave it.
+    """
+
+    status: int
+    body: bytes
+    era: int
 
 
 def _kind_of(key: str) -> str:
@@ -201,16 +267,16 @@
     return key.partition("/")[2]
 
 
-def _object(kind: str, stored: _Object) -> objects.PlatformObject:
+def _object(kind: str, stored: _Object, era: int) -> objects.PlatformObject:
     return objects.PlatformObject(
         ids.ObjectKey(f"{kind}/{stored.metadata.name}"),
-        ids.ObjectVersion(stored.metadata.revision),
+        store_era.version_of(era, stored.metadata.revision),
         stored.spec,
     )
 
 
-def _event(kind: str, event: _Event) -> objects.ObjectEvent:
-    stored = _object(kind, event.object)
+def _event(kind: str, event: _Event, era: int) -> objects.ObjectEvent:
+    stored = _object(kind, event.object, era)
     change = objects.EventKind.PUT
     if event.removed:
         change = objects.EventKind.DELETE
@@ -235,9 +301,9 @@
     raise errors.PlatformError(text)
 
 
-def _decode(response: httpx.Response, response_type: type) -> Any:
+def _decode(answer: _Answer, message_type: type) -> Any:
     try:
-        return msgspec.json.decode(response.content, type=response_type)
+        return msgspec.json.decode(answer.body, type=message_type)
     except msgspec.MsgspecError as error:
         raise errors.PlatformError(
             f"invalid response from the store: {error}"
--- a/bronzeslip/routes/route.py
+++ b/bronzeslip/routes/route.py
@@ -33,6 +33,8 @@
         max_attempts: Maximum number of endpoints tried per request.
         is_public: Whether its requests need no API key.
         is_generation: Whether its requests are model generations.
+        is_resumable: Whether a stream may go on at another endpoint after the
+            last event that its caller has received.
         gap_objective_s: Objective for the longest pause between events of a
             stream, in seconds, or None.
     """
@@ -48,4 +50,12 @@
     max_attempts: int = 1
     is_public: bool = False
     is_generation: bool = False
+    is_resumable: bool = False
     gap_objective_s: float | None = None
+
+    @property
+    def may_run_again(self) -> bool:
+        """Whether a request may run on a second endpoint."""
+        if self.kind is kind.RequestKind.STREAM:
+            return self.is_resumable
+        return self.kind is kind.RequestKind.IDEMPOTENT
--- a/bronzeslip/settings/entry.py
+++ b/bronzeslip/settings/entry.py
@@ -27,6 +27,22 @@
         minimum=0,
         maximum=60,
     )
+    gateway_refresh_s: float = setting(
+        "interval between counts of the gateways, in seconds; a gateway uses "
+        "its share of common limits some intervals after its start",
+        "membership",
+        default=3.0,
+        minimum=0.05,
+        maximum=600,
+    )
+    store_staleness_s: float = setting(
+        "maximum age of what the store returns for reads that may be stale, "
+        "in seconds",
+        "store",
+        default=4.0,
+        minimum=0,
+        maximum=600,
+    )
     store_watch_s: float = setting(
         "maximum duration of a watch call to the store, in seconds; limits "
         "how long a silent connection goes undetected",
@@ -87,6 +103,59 @@
         minimum=0.01,
         maximum=60,
     )
+    store_response_max_bytes: int = setting(
+        "maximum size of a response of the store, in bytes",
+        "store",
+        default=8_388_608,
+        minimum=65_536,
+        maximum=1_073_741_824,
+    )
+    response_head_max_bytes: int = setting(
+        "maximum number of bytes before a response head is complete, interim "
+        "responses included",
+        "endpoints",
+        default=131_072,
+        minimum=1_024,
+        maximum=16_777_216,
+    )
+    response_max_bytes: int = setting(
+        "maximum size of a response that is buffered before it is forwarded, "
+        "in bytes",
+        "endpoints",
+        default=1_048_576,
+        minimum=1_024,
+        maximum=1_073_741_824,
+    )
+    control_response_max_bytes: int = setting(
+        "maximum size of a report or of the response to another control call, "
+        "in bytes",
+        "endpoints",
+        default=1_048_576,
+        minimum=1_024,
+        maximum=1_073_741_824,
+    )
+    drained_max_bytes: int = setting(
+        "bytes of a refusal's body that are read to keep its connection",
+        "endpoints",
+        default=65_536,
+        minimum=0,
+        maximum=16_777_216,
+    )
+    drain_timeout_s: float = setting(
+        "time to read a refusal's body before its connection is closed, in "
+        "seconds",
+        "endpoints",
+        default=0.2,
+        minimum=0,
+        maximum=10,
+    )
+    event_max_bytes: int = setting(
+        "maximum size of one event of a stream, in bytes",
+        "endpoints",
+        default=1_048_576,
+        minimum=1_024,
+        maximum=67_108_864,
+    )
     connect_timeout_s: float = setting(
         "timeout for connecting to an endpoint, in seconds",
         "endpoints",
--- a/bronzeslip/store/follower.py
+++ b/bronzeslip/store/follower.py
@@ -16,6 +16,8 @@
 
 logger = logs.get_logger(__name__)
 
+_MAX_RELIST_DELAY_S = 0.3
+
 
 class FollowTiming(msgspec.Struct, frozen=True):
     """Timing of a follower.
@@ -89,7 +91,8 @@
                 backoff_s = self._timing.min_backoff_s
                 await self._watch(version)
             except errors.WatchExpiredError:
-                continue
+                # The watches of all gateways expire at the same moment.
+                await asyncio.sleep(random.uniform(0, _MAX_RELIST_DELAY_S))
             except errors.PlatformError as error:
                 logger.warning(
                     "platform.follow_failed",
--- a/standins/object_store/app.py
+++ b/standins/object_store/app.py
@@ -12,6 +12,7 @@
 
 _JSON = "application/json"
 _MS_PER_S = 1000
+_ERA_HEADER = b"store-era"
 
 
 class FaultMode(enum.Enum):
@@ -44,11 +45,15 @@
                 litestar.post("/standin/trouble/{name:str}", status_code=200)(
                     self._set_fault_mode
                 ),
+                litestar.post("/standin/restore/{age_ms:int}", status_code=200)(
+                    self._restore
+                ),
                 litestar.post("/standin/forget", status_code=200)(
                     self._compact
                 ),
             ],
             before_request=self._apply_fault,
+            before_send=[self._add_era],
             exception_handlers={
                 store.ConflictError: _conflict_response,
                 store.NotFoundError: lambda _, __: _empty_response(404),
@@ -69,6 +74,11 @@
             return _empty_response(503)
         return None
 
+    async def _add_era(self, message: Any, _: Any) -> None:
+        if message["type"] == "http.response.start":
+            era = str(self._store.era).encode()
+            message["headers"] = [*message["headers"], (_ERA_HEADER, era)]
+
     async def _list(
         self, kind: str, watch: int | None = None, wait_ms: int = 0
     ) -> litestar.Response:
@@ -115,6 +125,10 @@
         self._fault_mode = FaultMode(name)
         return _empty_response(200)
 
+    async def _restore(self, age_ms: int) -> litestar.Response:
+        await self._store.restore(age_ms / _MS_PER_S)
+        return _empty_response(200)
+
     async def _compact(self) -> litestar.Response:
         await self._store.compact_history()
         return _empty_response(200)
--- a/standins/object_store/store.py
+++ b/standins/object_store/store.py
@@ -1,11 +1,14 @@
 """Versioned objects and the history of their changes."""
 
 import asyncio
+import time
 
 import msgspec
 
 from standins.object_store import objects
 
+_MAX_COPIES = 1000
+
 
 class ConflictError(Exception):
     """The object already exists or has another revision than expected.
@@ -27,11 +30,32 @@
     """The history after the requested revision has been compacted."""
 
 
+class _Copy(msgspec.Struct, frozen=True):
+    """State of the store after a change.
+
+    Attributes:
+        time_s: Time of the change on the monotonic clock, in seconds.
+        revision: Revision of the store.
+        objects_by_key: Objects by kind and name.
+    """
+
+    time_s: float
+    revision: int
+    objects_by_key: dict[tuple[str, str], objects.StoredObject]
+
+
 class ObjectStore:
-    """Objects by kind and name, with one revision counter for all of them."""
+    """Objects by kind and name, with one revision counter for all of them.
+
+    Attributes:
+        revision: Revision of the last change.
+        era: Number of the current era, which rises with each restore.
+    """
 
     def __init__(self) -> None:
         self.revision = 1
+        self.era = 1
+        self._copies = [_Copy(time.monotonic(), 1, {})]
         self._objects: dict[tuple[str, str], objects.StoredObject] = {}
         self._history: list[objects.Change] = []
         self._compacted_revision = 0
@@ -102,6 +126,7 @@
         current_object = self.get(kind, name)
         _check_revision(current_object, revision)
         del self._objects[kind, name]
+        self._keep_copy(self.revision + 1)
         await self._record_change(
             kind, current_object, current_object.metadata.create_revision, True
         )
@@ -116,9 +141,11 @@
         Raises:
             HistoryCompactedError: If some of the changes have been compacted.
         """
+        era = self.era
 
         def matching_changes() -> list[objects.Change]:
-            if after < self._compacted_revision:
+            is_unknown = era != self.era or after > self.revision
+            if is_unknown or after < self._compacted_revision:
                 raise HistoryCompactedError
             return [
                 change
@@ -140,6 +167,31 @@
             self._compacted_revision = self.revision
             self._changed.notify_all()
 
+    async def restore(self, age_s: float) -> None:
+        """Goes back to the state of some time ago, in a new era.
+
+        Revisions given out since then are given out again.
+        """
+        restored_time_s = time.monotonic() - age_s
+        copies = [
+            kept for kept in self._copies if kept.time_s <= restored_time_s
+        ]
+        restored = copies[-1] if copies else self._copies[0]
+        async with self._changed:
+            self.era += 1
+            self.revision = restored.revision
+            self._objects = dict(restored.objects_by_key)
+            self._copies = [restored]
+            self._history.clear()
+            self._compacted_revision = self.revision
+            self._changed.notify_all()
+
+    def _keep_copy(self, revision: int) -> None:
+        self._copies.append(
+            _Copy(time.monotonic(), revision, dict(self._objects))
+        )
+        del self._copies[:-_MAX_COPIES]
+
     async def _put(
         self, kind: str, new_object: objects.StoredObject, create_revision: int
     ) -> objects.StoredObject:
@@ -147,6 +199,7 @@
             kind, new_object, create_revision, False
         )
         self._objects[kind, stored_object.metadata.name] = stored_object
+        self._keep_copy(self.revision)
         return stored_object
 
     async def _record_change(
--- a/tests/entry/test_gateway_registry.py
+++ b/tests/entry/test_gateway_registry.py
@@ -3,16 +3,18 @@
 import asyncio
 import contextlib
 import unittest
-from unittest import mock
 
 import msgspec
 
 from bronzeslip import ids
 from bronzeslip.entry import gateway_registry
+from bronzeslip.settings import entry
 from bronzeslip.store import errors
 from bronzeslip.store import objects
 from tests.support import polling
 
+_SETTINGS = entry.EntrySettings(gateway_refresh_s=0.05, store_staleness_s=0.1)
+
 
 class _FakeStore:
     """In-memory store that can be made unavailable."""
@@ -50,10 +52,11 @@
         return objects.ObjectList(ids.ObjectVersion(1), stored)
 
 
-@mock.patch.object(gateway_registry, "_STARTUP_DELAY_S", 0.01)
 class GatewayRegistryTest(unittest.IsolatedAsyncioTestCase):
     def _start(self, store, vm_id):
-        registry = gateway_registry.GatewayRegistry(store, ids.VmId(vm_id))
+        registry = gateway_registry.GatewayRegistry(
+            _SETTINGS, store, ids.VmId(vm_id)
+        )
         task = asyncio.create_task(registry.run())
         self.addAsyncCleanup(self._stop, task)
         return registry
@@ -92,5 +95,35 @@
     async def test_deregistering_during_an_outage_does_not_raise(self):
         store = _FakeStore()
         store.is_unavailable = True
-        registry = gateway_registry.GatewayRegistry(store, ids.VmId("one"))
+        registry = gateway_registry.GatewayRegistry(
+            _SETTINGS, store, ids.VmId("one")
+        )
+        await registry.deregister()
+
+    async def test_lost_record_is_written_again(self):
+        store = _FakeStore()
+        registry = self._start(store, "one")
+        await polling.wait_until(lambda: registry.is_known)
+        store.values.clear()
+        await polling.wait_until(lambda: store.values)
+
+    async def test_deregistered_gateway_does_not_register_again(self):
+        store = _FakeStore()
+        registry = self._start(store, "one")
+        await polling.wait_until(lambda: registry.is_known)
         await registry.deregister()
+        await asyncio.sleep(0.2)
+        self.assertEqual(store.values, {})
+
+    async def test_restored_store_is_read_at_once(self):
+        store = _FakeStore()
+        registry = gateway_registry.GatewayRegistry(
+            entry.EntrySettings(gateway_refresh_s=60.0), store, ids.VmId("one")
+        )
+        await registry._try_register()
+        refreshing = asyncio.create_task(registry._refresh_until_cancelled())
+        self.addAsyncCleanup(self._stop, refreshing)
+        await polling.wait_until(lambda: registry.is_known)
+        store.values.clear()
+        registry.on_store_restored()
+        await polling.wait_until(lambda: store.values)
--- a/tests/forwarding/test_reclaims_in_series.py
+++ b/tests/forwarding/test_reclaims_in_series.py
@@ -64,7 +64,7 @@
         self.assertTrue(self.reply.is_finished)
         resumed = self.client.sent[1]
         self.assertEqual(resumed.endpoint.endpoint_id, "two")
-        self.assertEqual(resumed.source.after_event_id, "2")
+        self.assertEqual(resumed.after_event_id, "2")
         self.assertEqual(resumed.source.handle, "h1")
 
     async def test_no_advance_copy_is_made_with_a_neighbour(self):
--- a/tests/forwarding/test_retries_of_many_gateways.py
+++ b/tests/forwarding/test_retries_of_many_gateways.py
@@ -13,9 +13,11 @@
 from bronzeslip.entry import gateway_registry
 from bronzeslip.entry import vm_config
 from bronzeslip.forwarding import service_retry_budgets
+from bronzeslip.settings import entry
 from bronzeslip.store import errors
 from bronzeslip.store import objects
 
+_SETTINGS = entry.EntrySettings()
 _RATIO = 0.2
 _WINDOW_S = 10.0
 _STEP_S = 0.05
@@ -81,7 +83,7 @@
 
     def __init__(self, store, vm_id, bounds, clock, rng):
         self.registry = gateway_registry.GatewayRegistry(
-            _StoreOfGateway(store, vm_id), ids.VmId(vm_id), clock
+            _SETTINGS, _StoreOfGateway(store, vm_id), ids.VmId(vm_id), clock
         )
         self._budgets = service_retry_budgets.ServiceRetryBudgets(
             bounds, self.registry, rng, clock
@@ -94,12 +96,10 @@
         now_s = self._clock()
         if self._next_refresh_s is None:
             if await self.registry._try_register():
-                self._next_refresh_s = now_s + gateway_registry._STARTUP_DELAY_S
+                self._next_refresh_s = now_s + _SETTINGS.gateway_refresh_s
         elif now_s >= self._next_refresh_s:
             await self.registry._refresh()
-            self._next_refresh_s = (
-                now_s + gateway_registry._REFRESH_INTERVAL_S * 1.2
-            )
+            self._next_refresh_s = now_s + 1.2 * _SETTINGS.gateway_refresh_s
 
     def serve_failing_request(self):
         """Returns the number of retries that the gateway sends."""
--- a/tests/platform/test_endpoint_http.py
+++ b/tests/platform/test_endpoint_http.py
@@ -4,6 +4,7 @@
 import unittest
 
 from bronzeslip import ids
+from bronzeslip.endpoints import directory
 from bronzeslip.forwarding import buffered_response
 from bronzeslip.forwarding import dispatch
 from bronzeslip.forwarding import endpoint_client
@@ -14,6 +15,7 @@
 from tests.support import polling
 from tests.support import raw_server
 
+_MAX_BYTES = 100_000
 _REFUSED = b"503 Service Unavailable"
 _NOT_RUN = b"Bronzeslip-Not-Executed: 1\r\n"
 
@@ -27,8 +29,9 @@
         self.server = raw_server.RawServer(*scripts)
         port = await self.server.start()
         self.addAsyncCleanup(self.server.stop)
+        self.directory = directory.EndpointDirectory(forwarding_parts.SETTINGS)
         self.client = endpoint_http.HttpEndpointClient(
-            forwarding_parts.SETTINGS
+            forwarding_parts.SETTINGS, self.directory
         )
         self.addAsyncCleanup(self.client.close)
         self.endpoint = forwarding_parts.create_endpoint(
@@ -56,7 +59,7 @@
         endpoint_response = await self.client.send(
             self._create_dispatch(request_id, **changes)
         )
-        return await buffered_response.read(endpoint_response)
+        return await buffered_response.read(endpoint_response, _MAX_BYTES)
 
     async def test_request_is_sent_byte_for_byte(self):
         await self._start_server(
@@ -173,7 +176,7 @@
         endpoint_response = await self.client.send(
             self._create_long_dispatch("q2", body)
         )
-        response = await buffered_response.read(endpoint_response)
+        response = await buffered_response.read(endpoint_response, _MAX_BYTES)
         self.assertEqual(response.body, b"b")
         await polling.wait_until(lambda: len(self.server.requests) == 2)
         for request in self.server.requests:
--- a/tests/support/scripted_endpoints.py
+++ b/tests/support/scripted_endpoints.py
@@ -31,6 +31,12 @@
                 continue
             yield chunk
 
+    async def read(self, max_bytes):
+        body = b"".join([chunk async for chunk in self.chunks()])
+        if len(body) > max_bytes:
+            raise endpoint_errors.EndpointResponseLostError("too large")
+        return body
+
     async def close(self):
         self.is_closed = True
 
--- a/tools/entry_deployment.py
+++ b/tools/entry_deployment.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import tempfile
+import time
 from typing import Any
 
 import httpx
@@ -12,6 +13,9 @@
 from tools import entry_gateway
 from tools import local_process
 
+# Time in which a new gateway accumulates its first retries.
+_RETRY_FILL_S = 1.5
+
 
 class EntryDeployment:
     """An object store, call endpoints, engines and gateways as processes.
@@ -87,6 +91,11 @@
         url = f"{self.store.http_url()}/standin/trouble/{fault}"
         httpx.post(url).raise_for_status()
 
+    def restore_store(self, age_s: float) -> None:
+        """Makes the store go back to its state of some time ago."""
+        url = f"{self.store.http_url()}/standin/restore/{round(age_s * 1000)}"
+        httpx.post(url).raise_for_status()
+
     def discard_history(self) -> None:
         """Makes the store discard its change history."""
         url = f"{self.store.http_url()}/standin/forget"
@@ -123,6 +132,9 @@
             self.gateways.append(gateway)
         for gateway in self.gateways:
             gateway.wait_ready()
+        for gateway in self.gateways:
+            gateway.process.wait_for_line('"gateways.counted"')
+        time.sleep(_RETRY_FILL_S)
 
 
 def _endpoints(
--- a/tools/entry_gateway.py
+++ b/tools/entry_gateway.py
@@ -54,6 +54,8 @@
         self.process = local_process.LocalProcess(
             "bronzeslip.platform",
             "--drain-notice-s=0.2",
+            "--gateway-refresh-s=0.1",
+            "--store-staleness-s=0",
             f"--metrics-port={self._metrics_port}",
             environment={"BRONZESLIP_BOOT": str(self._boot_path)},
         )
