Watch the store with fewer calls

Each gateway watched the configuration in calls of 2.5 s and endpoints about once a second, though reports and response headers tell sooner which engines leave. Change: watches of the configuration and of suspects last 25 s; a failed watch for endpoints or a new era restarts them at once, so a silent connection is noticed as soon as before. Endpoints are watched each 2 s, or each 0.6 of the drain time if that is shorter.

--- a/bronzeslip/entry/suspect_replicator.py
+++ b/bronzeslip/entry/suspect_replicator.py
@@ -6,6 +6,7 @@
 from bronzeslip import logs
 from bronzeslip.entry import named_task
 from bronzeslip.entry import suspect_list_settings
+from bronzeslip.entry import vm_config
 from bronzeslip.entry import watch_rate_limit
 from bronzeslip.routing import suspect_list
 from bronzeslip.routing import suspect_publisher
@@ -27,6 +28,7 @@
     def __init__(
         self,
         settings: entry.EntrySettings,
+        bounds: vm_config.PlaceBounds,
         vm_id: ids.VmId,
         store: shared_store.SharedStore,
         live_gateways: Callable[[], set[ids.VmId]],
@@ -36,6 +38,7 @@
         Args:
             settings: Settings with the time to live of entries and the timing
                 of watches.
+            bounds: Bounds that limit how late changes are noticed.
             vm_id: VM of this gateway.
             store: Store that holds the records.
             live_gateways: Returns the VMs of the known gateways.
@@ -47,32 +50,34 @@
         self.publisher = suspect_publisher.SuspectPublisher(
             list_settings, store, live_gateways, self.suspect_list
         )
-        self._settings = settings
-        self._store = store
+        self._follower = follower.PrefixFollower(
+            store,
+            suspect_list.SUSPECTS_PREFIX,
+            self.suspect_list.on_list,
+            self.suspect_list.on_event,
+            timing=follower.FollowTiming(
+                settings.suspect_watch_s,
+                settings.store_backoff_min_s,
+                settings.store_backoff_max_s,
+                settings.store_batch_s,
+                watch_rate_limit.create(settings, bounds),
+            ),
+        )
+
+    def interrupt(self) -> None:
+        """Lists the suspects again."""
+        self._follower.interrupt()
 
     def on_store_restored(self) -> None:
         """Writes the record again if this gateway has suspects."""
+        self.interrupt()
         if self.suspect_list.own_record().entries:
             logger.info("suspects.written_again")
             self.publisher.publish()
 
     def tasks(self) -> tuple[named_task.NamedTask, ...]:
         """Returns the background tasks of the replication."""
-        timing = follower.FollowTiming(
-            self._settings.suspect_watch_s,
-            self._settings.store_backoff_min_s,
-            self._settings.store_backoff_max_s,
-            self._settings.store_batch_s,
-            watch_rate_limit.from_settings(self._settings),
-        )
-        prefix_follower = follower.PrefixFollower(
-            self._store,
-            suspect_list.SUSPECTS_PREFIX,
-            self.suspect_list.on_list,
-            self.suspect_list.on_event,
-            timing=timing,
-        )
         return (
-            named_task.NamedTask("suspects", prefix_follower.run()),
+            named_task.NamedTask("suspects", self._follower.run()),
             named_task.NamedTask("suspect-writes", self.publisher.run()),
         )
--- a/bronzeslip/entry/vm_config.py
+++ b/bronzeslip/entry/vm_config.py
@@ -24,12 +24,15 @@
         retry_slack: Further retries allowed per window, for all gateways
             together.
         retry_window_s: Window in which retries are counted, in seconds.
+        drain_s: Time after which an endpoint that the store lists as leaving
+            must receive no new requests, in seconds.
     """
 
     grace_s: float
     retry_ratio: float
     retry_slack: float
     retry_window_s: float
+    drain_s: float
 
 
 class VmConfig(msgspec.Struct, frozen=True):
--- a/bronzeslip/platform/boot_file.py
+++ b/bronzeslip/platform/boot_file.py
@@ -13,6 +13,8 @@
 # Environment variable that holds the path of the settings file.
 PATH_VARIABLE = "BRONZESLIP_BOOT"
 
+_MS_PER_S = 1000
+
 
 class _Listen(msgspec.Struct):
     front: str
@@ -24,6 +26,7 @@
     retry_ratio: float
     retry_slack: float
     retry_window_s: float
+    drain_ms: float
 
 
 class _Platform(msgspec.Struct):
@@ -74,6 +77,7 @@
             retry_ratio=boot_settings.bounds.retry_ratio,
             retry_slack=boot_settings.bounds.retry_slack,
             retry_window_s=boot_settings.bounds.retry_window_s,
+            drain_s=boot_settings.bounds.drain_ms / _MS_PER_S,
         ),
     )
 
--- a/bronzeslip/platform/configuration_follower.py
+++ b/bronzeslip/platform/configuration_follower.py
@@ -31,6 +31,10 @@
             timing=timing,
         )
 
+    def interrupt(self) -> None:
+        """Reads the configuration again."""
+        self._follower.interrupt()
+
     async def run(self) -> None:
         """Runs until cancelled."""
         await self._follower.run()
--- a/bronzeslip/platform/discovery_follower.py
+++ b/bronzeslip/platform/discovery_follower.py
@@ -1,5 +1,7 @@
 """Updates the endpoint directory from the discovery entries."""
 
+from collections.abc import Callable
+
 from bronzeslip import ids
 from bronzeslip import logs
 from bronzeslip.endpoints import directory
@@ -21,14 +23,25 @@
         store: watched_store.WatchedStore,
         endpoint_directory: directory.EndpointDirectory,
         timing: follower.FollowTiming,
+        on_failure: Callable[[], None],
     ) -> None:
+        """Creates a follower.
+
+        Args:
+            store: Client of the store.
+            endpoint_directory: Directory to update.
+            timing: Waits, delays and rate limit.
+            on_failure: Called when a call fails. Since endpoints change all
+                the time, this is the first sign of trouble at the store.
+        """
         self._endpoint_directory = endpoint_directory
+        self._on_failure = on_failure
         self._follower = follower.PrefixFollower(
             store,
             discovery.PREFIX,
             self._on_list,
             self._on_event,
-            on_failure=endpoint_directory.mark_source_lost,
+            on_failure=self._handle_failure,
             timing=timing,
         )
 
@@ -36,6 +49,10 @@
         """Runs until cancelled."""
         await self._follower.run()
 
+    def _handle_failure(self) -> None:
+        self._endpoint_directory.mark_source_lost()
+        self._on_failure()
+
     async def _on_list(self, listing: objects.ObjectList) -> None:
         endpoints = (_decode(stored) for stored in listing.objects)
         self._endpoint_directory.replace_all(
--- a/bronzeslip/platform/gateway.py
+++ b/bronzeslip/platform/gateway.py
@@ -51,7 +51,11 @@
     )
     registry = gateway_registry.GatewayRegistry(settings, store, this_vm.vm_id)
     replicator = suspect_replicator.SuspectReplicator(
-        settings, this_vm.vm_id, store, lambda: registry.vm_ids
+        settings,
+        this_vm.bounds,
+        this_vm.vm_id,
+        store,
+        lambda: registry.vm_ids,
     )
     store.era.add_listener(endpoint_directory.mark_source_restored)
     store.era.add_listener(registry.on_store_restored)
@@ -87,7 +91,9 @@
         readiness.Readiness(current_table, endpoint_directory),
         metrics,
         (
-            *_tasks(settings, this_vm, store, forwarding_components),
+            *_tasks(
+                settings, this_vm, store, forwarding_components, replicator
+            ),
             *replicator.tasks(),
             named_task.NamedTask("registry", registry.run()),
             named_task.NamedTask("settings", reloader.run()),
@@ -102,6 +108,7 @@
     this_vm: vm_config.VmConfig,
     store: store_client.StoreClient,
     forwarding_components: components.ForwardingComponents,
+    replicator: suspect_replicator.SuspectReplicator,
 ) -> tuple[named_task.NamedTask, ...]:
     configuration_timing = follower.FollowTiming(
         settings.configuration_watch_s,
@@ -113,7 +120,7 @@
         settings.store_backoff_min_s,
         settings.store_backoff_max_s,
         settings.store_batch_s,
-        watch_rate_limit.from_settings(settings),
+        watch_rate_limit.create(settings, this_vm.bounds),
     )
     poller = report_poller.ReportPoller(
         settings,
@@ -126,19 +133,24 @@
         forwarding_components.reports,
         lambda: _engine_services(forwarding_components.current),
     )
+    configuration = configuration_follower.ConfigurationFollower(
+        store, forwarding_components.current, configuration_timing
+    )
+    store.era.add_listener(configuration.interrupt)
+
+    def restart_watches() -> None:
+        configuration.interrupt()
+        replicator.interrupt()
+
+    discovery = discovery_follower.DiscoveryFollower(
+        store,
+        forwarding_components.endpoints,
+        discovery_timing,
+        restart_watches,
+    )
     return (
-        named_task.NamedTask(
-            "configuration",
-            configuration_follower.ConfigurationFollower(
-                store, forwarding_components.current, configuration_timing
-            ).run(),
-        ),
-        named_task.NamedTask(
-            "discovery",
-            discovery_follower.DiscoveryFollower(
-                store, forwarding_components.endpoints, discovery_timing
-            ).run(),
-        ),
+        named_task.NamedTask("configuration", configuration.run()),
+        named_task.NamedTask("discovery", discovery.run()),
         named_task.NamedTask("reports", poller.run()),
     )
 
--- a/bronzeslip/settings/entry.py
+++ b/bronzeslip/settings/entry.py
@@ -53,9 +53,9 @@
     )
     configuration_watch_s: float = setting(
         "maximum duration of a watch call for the configuration, in seconds; "
-        "its changes may take seconds to take effect",
+        "a failed watch for endpoints restarts it at once",
         "store",
-        default=2.5,
+        default=25.0,
         minimum=0.1,
         maximum=30,
     )
@@ -69,16 +69,16 @@
     )
     store_watches_per_s: float = setting(
         "sustained rate of watch calls for endpoints; faster changes are "
-        "batched",
+        "batched; raised if the platform's drain time requires it",
         "store",
-        default=1.0,
+        default=0.5,
         minimum=0.1,
         maximum=100,
     )
     store_watch_burst: float = setting(
         "watch calls for endpoints allowed in a burst above that rate",
         "store",
-        default=4.0,
+        default=2.0,
         minimum=1,
         maximum=1000,
     )
@@ -236,9 +236,9 @@
     suspect_ttl_s: float = suspects.suspect_ttl_setting()
     suspect_watch_s: float = setting(
         "maximum duration of a watch call for the suspects, which rarely "
-        "change, in seconds",
+        "change, in seconds; a failed watch for endpoints restarts it at once",
         "store",
-        default=20.0,
+        default=25.0,
         minimum=0.1,
         maximum=30,
     )
--- a/bronzeslip/store/follower.py
+++ b/bronzeslip/store/follower.py
@@ -77,6 +77,17 @@
         self._rate_limiter = timing.rate_limit and rate_limiter.RateLimiter(
             timing.rate_limit
         )
+        self._waiting_watch: asyncio.Timeout | None = None
+
+    def interrupt(self) -> None:
+        """Ends a waiting watch call and lists again.
+
+        Called when another call shows that the store has failed or was
+        restored, since a connection that has gone silent does not show it.
+        """
+        if self._waiting_watch is not None:
+            self._waiting_watch.reschedule(asyncio.get_running_loop().time())
+            self._waiting_watch = None
 
     async def run(self) -> None:
         """Lists and watches the objects until cancelled.
@@ -114,9 +125,7 @@
         while True:
             if self._rate_limiter is not None:
                 await self._rate_limiter.acquire()
-            batch = await self._store.watch(
-                self._prefix, version, self._timing.watch_wait_s
-            )
+            batch = await self._wait_for_changes(version)
             for event in batch.events:
                 await self._on_event(event)
             version = batch.version
@@ -124,6 +133,19 @@
             if batch.events and self._timing.batch_delay_s:
                 await asyncio.sleep(self._timing.batch_delay_s)
 
+    async def _wait_for_changes(
+        self, version: ids.ObjectVersion
+    ) -> objects.WatchBatch:
+        try:
+            async with asyncio.timeout(None) as self._waiting_watch:
+                return await self._store.watch(
+                    self._prefix, version, self._timing.watch_wait_s
+                )
+        except TimeoutError as error:
+            raise errors.WatchExpiredError("interrupted") from error
+        finally:
+            self._waiting_watch = None
+
     def _report_progress(self, version: ids.ObjectVersion) -> None:
         if self._on_progress is not None:
             self._on_progress(version)
--- a/tests/forwarding/test_retries_of_many_gateways.py
+++ b/tests/forwarding/test_retries_of_many_gateways.py
@@ -120,7 +120,7 @@
 
     def _deploy(self, count, slack, requests_per_s, lag_s=2.0):
         self.slack = slack
-        self.bounds = vm_config.PlaceBounds(8.0, _RATIO, slack, _WINDOW_S)
+        self.bounds = vm_config.PlaceBounds(8.0, _RATIO, slack, _WINDOW_S, 2.5)
         self.store = _LaggingStore(self._clock, lag_s)
         self.requests_per_s = requests_per_s
         self.names = [f"front-{number}" for number in range(count)]
--- a/tests/platform/test_settings_reloader.py
+++ b/tests/platform/test_settings_reloader.py
@@ -16,6 +16,7 @@
 front = "10.0.0.1:8740"
 ready = "10.0.0.1:8749"
 [bounds]
+drain_ms = 2500
 grace_s = 8
 retry_ratio = 0.2
 retry_slack = 56
--- a/tests/store/test_follower_rate.py
+++ b/tests/store/test_follower_rate.py
@@ -80,3 +80,31 @@
     def test_without_a_rate_limit_each_change_may_cause_a_call(self):
         calls, _ = virtual_loop.run(_follow(None))
         self.assertGreater(calls, _DURATION_S * _CHANGES_PER_S / 2)
+
+    def test_interrupted_watch_lists_again_without_waiting(self):
+        self.assertEqual(virtual_loop.run(_interrupt_silent_watch()), 2)
+
+
+class _SilentStore(_ChangingStore):
+    """Fake store whose watches are never answered."""
+
+    async def watch(self, prefix, after, wait_s):
+        await asyncio.get_running_loop().create_future()
+
+
+async def _interrupt_silent_watch():
+    """Returns how often the objects were listed within a second."""
+    store = _SilentStore()
+
+    async def ignore(_):
+        pass
+
+    prefix_follower = follower.PrefixFollower(store, "k/", ignore, ignore)
+    task = asyncio.create_task(prefix_follower.run())
+    await asyncio.sleep(0.5)
+    prefix_follower.interrupt()
+    await asyncio.sleep(0.5)
+    task.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await task
+    return store.calls
--- a/tests/support/forwarding_parts.py
+++ b/tests/support/forwarding_parts.py
@@ -53,7 +53,7 @@
     caller_address=vm_config.SocketAddress("127.0.0.1", 0),
     readiness_address=vm_config.SocketAddress("127.0.0.1", 0),
     store_address=vm_config.SocketAddress("127.0.0.1", 1),
-    bounds=vm_config.PlaceBounds(8.0, 0.2, 50.0, 10.0),
+    bounds=vm_config.PlaceBounds(8.0, 0.2, 50.0, 10.0, 2.5),
 )
 
 
--- a/tools/entry_gateway.py
+++ b/tools/entry_gateway.py
@@ -20,6 +20,7 @@
 front = "{host}:{front}"
 ready = "{host}:{ready}"
 [bounds]
+drain_ms = 2500
 grace_s = 8
 retry_ratio = 0.2
 retry_slack = {retry_slack}
