--- a/bronzeslip/forwarding/attempts.py
+++ b/bronzeslip/forwarding/attempts.py
@@ -25,6 +25,9 @@
 # Endpoints that may have run it are not counted.
 _MAX_REFUSALS = 3
 
+# Retries of a service of model engines that are left for resumptions.
+_RESUMPTION_SLACK = 1.0
+
 _ANSWERED = "answered"
 
 ResultT = TypeVar("ResultT")
@@ -83,7 +86,7 @@
         deliveries = 0
         while True:
             chosen = self._choose(request, tried, possible_runs)
-            if deliveries and not budget.take():
+            if deliveries and not budget.take(_kept_slack(request)):
                 raise _retries_exhausted(
                     possible_runs, "the retry budget is exhausted"
                 )
@@ -170,6 +173,15 @@
         )
 
 
+def _kept_slack(request: admitted.AdmittedRequest) -> float:
+    """Returns the slack to leave for resumptions of generations.
+
+    A refused request can be sent again by its caller, an interrupted generation
+    is lost.
+    """
+    return _RESUMPTION_SLACK if request.service.engine is not None else 0.0
+
+
 def _retries_exhausted(
     possible_runs: int, reason: str
 ) -> errors.ForwardingError:
--- a/bronzeslip/forwarding/service_retry_budgets.py
+++ b/bronzeslip/forwarding/service_retry_budgets.py
@@ -9,13 +9,12 @@
 from bronzeslip.forwarding import gateway_count
 from bronzeslip.forwarding import shared_retry_budget
 
-# Share of the limits that is used, since gateways count requests slightly later
-# than the endpoints receive them.
-_USED_SHARE = 0.8
-# Share of the slack, that is, the retries allowed beyond the retry ratio, that
-# may be used in one burst. The rest is added over time, so that no window of
-# the limit exceeds the full slack.
-_BURST_SHARE = 0.5
+# Share of the slack, that is, the retries allowed beyond the retry ratio, which
+# is used, since gateways count requests slightly later than endpoints do.
+_USED_SHARE = 0.9
+# Share of it that may be used in one burst. The rest is added over time, so
+# that no window of the limit exceeds the full slack.
+_BURST_SHARE = 0.8
 # Lifetime of a permit in windows of the limit. A window then contains permits
 # earned in one and a half windows, so each request earns two thirds of what
 # one window allows.
@@ -76,7 +75,10 @@
             )
             self._budgets[service_name] = budget
         burst = self._bounds.retry_slack * _USED_SHARE * _BURST_SHARE
+        capacity = self._gateways.share_of(burst)
         budget.refill_slack(
-            self._gateways.share_of(burst), self._bounds.retry_window_s
+            capacity,
+            capacity * (1 - _BURST_SHARE) / _BURST_SHARE,
+            self._bounds.retry_window_s,
         )
         return budget
--- a/standins/model_endpoint/app.py
+++ b/standins/model_endpoint/app.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import AsyncIterator
 import os
+import time
+from typing import Any
 import uuid
 
 import litestar
@@ -14,6 +16,7 @@
 _STREAM_BODY = b"stream"
 _CRASH_BODY = b"crash"
 _CRASH_EXIT_STATUS = 70
+_MS_PER_S = 1000
 EVENT_COUNT = 5
 _EVENT_INTERVAL_S = 0.05
 
@@ -21,6 +24,10 @@
 class EndpointStandin:
     """Serves calls and streams, and prints the attempt id of each of them.
 
+    It also prints, with the monotonic time, when a request arrives and when
+    one is answered with an announcement that the endpoint leaves or asks for a
+    pause.
+
     The body "stream" selects a stream of events, and the body "crash" makes
     the process exit at once. While the stand-in holds requests, calls wait
     before their response starts and streams wait after their first event.
@@ -30,6 +37,8 @@
         self._endpoint_id = endpoint_id
         self._released = asyncio.Event()
         self._released.set()
+        self._is_leaving = False
+        self._pause_ends_s = 0.0
 
     def app(self) -> litestar.Litestar:
         """Creates the ASGI application."""
@@ -40,29 +49,56 @@
                 ),
                 litestar.get("/report")(self._get_report),
                 litestar.put("/standin/hold", status_code=200)(self._hold),
+                litestar.put("/standin/leave", status_code=200)(self._leave),
+                litestar.put("/standin/pause/{pause_ms:int}", status_code=200)(
+                    self._pause
+                ),
                 litestar.put("/standin/release", status_code=200)(
                     self._release
                 ),
             ],
+            before_send=[self._announce],
             openapi_config=None,
             logging_config=None,
         )
 
+    async def _announce(self, message: Any, _: Any) -> None:
+        if message["type"] == "http.response.start" and self._is_leaving:
+            message["headers"] = [
+                *message["headers"],
+                (b"server-leaving", b"1"),
+            ]
+
     async def _handle_request(
         self, request: litestar.Request
     ) -> litestar.Response:
+        request_id = request.headers.get(_ATTEMPT_ID_HEADER, "")
         headers = {
-            "Bronzeslip-Attempt-Id": request.headers.get(
-                _ATTEMPT_ID_HEADER, ""
-            ),
+            "Bronzeslip-Attempt-Id": request_id,
             "Bronzeslip-Response-Stamp": "stamp",
         }
+        now_s = time.monotonic()
+        print(f"arrived {request_id} {now_s}", flush=True)
+        if self._is_leaving:
+            print(f"leaving {request_id} {now_s}", flush=True)
+        pause_s = self._pause_ends_s - now_s
+        if pause_s > 0:
+            print(f"paused {request_id} {now_s} {pause_s}", flush=True)
+            return litestar.Response(
+                b"",
+                status_code=503,
+                headers={
+                    **headers,
+                    "Bronzeslip-Not-Executed": "1",
+                    "Retry-After": f"{pause_s:.3f}",
+                },
+            )
         if request.headers.get(_TARGET_INSTANCE_HEADER) != self._endpoint_id:
             not_executed_headers = {**headers, "Bronzeslip-Not-Executed": "1"}
             return litestar.Response(
                 b"", status_code=421, headers=not_executed_headers
             )
-        print(f"ran {request.headers.get(_ATTEMPT_ID_HEADER)}", flush=True)
+        print(f"ran {request_id}", flush=True)
         body = await request.body()
         if body == _CRASH_BODY:
             os._exit(_CRASH_EXIT_STATUS)
@@ -98,6 +134,12 @@
             msgspec.json.encode(report), media_type="application/json"
         )
 
+    async def _leave(self) -> None:
+        self._is_leaving = True
+
+    async def _pause(self, pause_ms: int) -> None:
+        self._pause_ends_s = time.monotonic() + pause_ms / _MS_PER_S
+
     async def _hold(self) -> None:
         self._released.clear()
 
--- a/tests/entry/test_watch_rate_limit.py
+++ b/tests/entry/test_watch_rate_limit.py
@@ -23,7 +23,10 @@
                 self.assertLess(self._interval_s(drain_s), 0.8 * drain_s)
 
     def test_settings_limit_the_rate_if_there_is_time(self):
-        self.assertEqual(self._interval_s(60.0), 2.0)
+        self.assertEqual(
+            self._interval_s(60.0),
+            1 / entry.EntrySettings().store_watches_per_s,
+        )
 
 
 if __name__ == "__main__":
--- a/tools/entry_configuration.py
+++ b/tools/entry_configuration.py
@@ -7,6 +7,13 @@
 CALLS_PATH = "/calls/"
 READS_PATH = "/reads/"
 STREAMS_PATH = "/streams/"
+SERVICE_BY_PATH = {
+    CALLS_PATH: "desk",
+    READS_PATH: "desk",
+    STREAMS_PATH: "engine",
+}
+# Time after which a leaving endpoint must receive no new requests.
+DRAIN_S = 2.5
 
 _DEADLINE_MS = 15_000
 
--- a/tools/entry_deployment.py
+++ b/tools/entry_deployment.py
@@ -46,6 +46,7 @@
             RuntimeError: If a process exits before it is ready.
             TimeoutError: If a process is not ready in time.
         """
+        self._written: dict[tuple[str, str], Any] = {}
         with contextlib.ExitStack() as exit_stack:
             self.call_endpoints = _endpoints(
                 exit_stack, "desk", endpoint_count, has_endpoint_proxies
@@ -69,8 +70,14 @@
             "servers", endpoint.endpoint_id, endpoint.discovery_entry(state)
         )
 
+    def write_all_again(self) -> None:
+        """Writes what the operator and the endpoints have written last."""
+        for (kind, name), spec in tuple(self._written.items()):
+            self.put_object(kind, name, spec)
+
     def put_object(self, kind: str, name: str, spec: Any) -> None:
         """Creates or replaces an object in the store."""
+        self._written[kind, name] = spec
         body = {"metadata": {"name": name}, "spec": spec}
         content = msgspec.json.encode(body)
         url = f"{self.store.http_url()}/objects/{kind}"
--- a/tools/entry_endpoint.py
+++ b/tools/entry_endpoint.py
@@ -41,6 +41,19 @@
             if line.startswith(_RUN_LINE_PREFIX)
         ]
 
+    @property
+    def service(self) -> str:
+        """Service of the endpoint."""
+        return self._service
+
+    @property
+    def incarnation_lines(self) -> list[list[str]]:
+        """Lines that each process of the endpoint has printed."""
+        return [
+            list(process.lines)
+            for process in (*self._earlier_processes, self.process)
+        ]
+
     def discovery_entry(self, state: str = "ready") -> dict[str, Any]:
         """Returns the discovery entry of the endpoint."""
         port = self.proxy.port if self._is_proxied else self.process.http_port()
@@ -64,6 +77,15 @@
         """Makes the endpoint hold its responses."""
         httpx.put(f"{self.process.http_url()}/standin/hold").raise_for_status()
 
+    def leave(self) -> None:
+        """Makes the endpoint say in all its responses that it leaves."""
+        httpx.put(f"{self.process.http_url()}/standin/leave").raise_for_status()
+
+    def pause(self, duration_s: float) -> None:
+        """Makes the endpoint refuse requests and ask for a pause."""
+        url = f"{self.process.http_url()}/standin/pause/{duration_s * 1000:.0f}"
+        httpx.put(url).raise_for_status()
+
     def release(self) -> None:
         """Lets the endpoint send its held responses."""
         url = f"{self.process.http_url()}/standin/release"
--- a/tools/entry_gateway.py
+++ b/tools/entry_gateway.py
@@ -61,6 +61,11 @@
             environment={"BRONZESLIP_BOOT": str(self._boot_path)},
         )
 
+    @property
+    def name(self) -> str:
+        """VM id of the gateway."""
+        return self._name
+
     def write_boot_file(self, retry_slack: int = 50) -> None:
         """Writes the boot file, which holds the settings of the gateway."""
         self._boot_path.write_text(
--- a/tools/soak/caller.py
+++ b/tools/soak/caller.py
@@ -63,10 +63,12 @@
         chunks: list[bytes] = []
         status = None
         is_complete = False
+        gateway = self._rng.choice(self._gateways)
+        sent_s = time.monotonic()
         try:
             async with client.stream(
                 "POST",
-                self._rng.choice(self._gateways).url(kind.value),
+                gateway.url(kind.value),
                 headers=entry_configuration.headers(request_id),
                 content=b"stream" if is_stream else request_id.encode(),
             ) as response:
@@ -77,6 +79,7 @@
         except httpx.HTTPError:
             # The result holds the part that was received.
             pass
+        ended_s = time.monotonic()
         self.results.append(
             request_result.RequestResult(
                 request_id,
@@ -84,6 +87,9 @@
                 status,
                 b"".join(chunks),
                 is_complete,
-                time.monotonic() - self._started_s,
+                ended_s - self._started_s,
+                gateway.name,
+                sent_s,
+                ended_s,
             )
         )
--- a/tools/soak/checker.py
+++ b/tools/soak/checker.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from tools.soak import arrival_checker
 from tools.soak import invariant
 from tools.soak import request_kind
 from tools.soak import request_result
@@ -28,11 +29,13 @@
         runs: Ids of the requests that endpoints ran, one for each run.
         recovered_at_s: End of the recovery time after the last fault, in
             seconds from the start.
+        observed: Arrivals at the endpoints.
     """
 
     results: Sequence[request_result.RequestResult]
     runs: Sequence[str]
     recovered_at_s: float
+    observed: arrival_checker.Observations = arrival_checker.Observations()
 
 
 def check(history: History) -> list[violation.Violation]:
@@ -43,6 +46,7 @@
         violations += _check_runs(result, runs[result.request_id])
         violations += _check_body(result)
     violations += _check_recovery(history)
+    violations += arrival_checker.check(history.observed)
     return violations
 
 
--- /dev/null
+++ b/tools/soak/endpoint_record.py
@@ -0,0 +1,64 @@
+"""What one process of an endpoint has observed."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+_ARRIVED = "arrived"
+_LEAVING = "leaving"
+_PAUSED = "paused"
+
+
+class Arrival(msgspec.Struct, frozen=True):
+    """Arrival of a request.
+
+    Attributes:
+        request_id: Id of the request.
+        time_s: Time on the monotonic clock, in seconds.
+        pause_s: Pause that the response asked for, in seconds, 0 for none.
+    """
+
+    request_id: str
+    time_s: float
+    pause_s: float = 0.0
+
+
+class EndpointRecord(msgspec.Struct, frozen=True):
+    """Observations of one incarnation of an endpoint.
+
+    Attributes:
+        endpoint_id: Id of the endpoint.
+        service: Service of the endpoint.
+        arrivals: Requests that arrived, refused ones included.
+        leaving: Requests that were told that the endpoint leaves.
+        paused: Requests that were refused with a pause.
+    """
+
+    endpoint_id: str
+    service: str
+    arrivals: tuple[Arrival, ...]
+    leaving: tuple[Arrival, ...]
+    paused: tuple[Arrival, ...]
+
+
+def parse(
+    endpoint_id: str, service: str, lines: Iterable[str]
+) -> EndpointRecord:
+    """Creates a record from the lines that an endpoint has printed."""
+    by_kind: dict[str, list[Arrival]] = {
+        _ARRIVED: [],
+        _LEAVING: [],
+        _PAUSED: [],
+    }
+    for line in lines:
+        kind, *fields = line.split(" ")
+        if kind in by_kind and len(fields) >= 2:
+            request_id, *numbers = fields
+            by_kind[kind].append(Arrival(request_id, *map(float, numbers)))
+    return EndpointRecord(
+        endpoint_id,
+        service,
+        tuple(by_kind[_ARRIVED]),
+        tuple(by_kind[_LEAVING]),
+        tuple(by_kind[_PAUSED]),
+    )
--- a/tools/soak/fault.py
+++ b/tools/soak/fault.py
@@ -20,3 +20,6 @@
     ENDPOINT_DRAINED = "endpoint-drained"
     LINK_STALLED = "link-stalled"
     LINK_SILENCED = "link-silenced"
+    STORE_RESTORED = "store-restored"
+    ENDPOINT_ANNOUNCES_LEAVING = "endpoint-announces-leaving"
+    ENDPOINT_ASKS_FOR_PAUSE = "endpoint-asks-for-pause"
--- a/tools/soak/injector.py
+++ b/tools/soak/injector.py
@@ -1,6 +1,8 @@
 """Injects faults from outside the processes."""
 
 from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
 import random
 import signal
 import time
@@ -10,14 +12,24 @@
 from tools import entry_endpoint
 from tools import entry_gateway
 from tools import local_process
+from tools.soak import disturbance
 from tools.soak import fault
 
 _FAULT_DURATION_RANGE_S = (0.2, 2.0)
 _DRAIN_DURATION_S = 0.8
+_LEAVING_DURATION_S = 4.0
+_PAUSE_RANGE_S = (0.6, 2.5)
+_RESTORED_AGE_RANGE_S = (0.2, 6.0)
+# Time in which a disturbed connection may still deliver what was sent before.
+_AFTERMATH_S = 2.0
 
 
 class Injector:
-    """Injects one fault at a time and restarts what the fault stopped."""
+    """Injects one fault at a time and restarts what the fault stopped.
+
+    Attributes:
+        disturbances: Disturbances that excuse gateways.
+    """
 
     def __init__(
         self,
@@ -41,6 +53,7 @@
         self._endpoints = deployment.endpoints[series_index::series_count]
         self._may_change_configuration = series_index == 0
         self._version = 1
+        self.disturbances: list[disturbance.Disturbance] = []
         self._methods: dict[fault.Fault, Callable[[], None]] = {
             fault.Fault.GATEWAY_KILLED: self._kill_gateway,
             fault.Fault.GATEWAY_RESTARTED: self._restart_gateway,
@@ -56,6 +69,9 @@
             fault.Fault.ENDPOINT_DRAINED: self._drain_endpoint,
             fault.Fault.LINK_STALLED: self._stall_link,
             fault.Fault.LINK_SILENCED: self._silence_link,
+            fault.Fault.STORE_RESTORED: self._restore_store,
+            fault.Fault.ENDPOINT_ANNOUNCES_LEAVING: self._announce_leaving,
+            fault.Fault.ENDPOINT_ASKS_FOR_PAUSE: self._ask_for_pause,
         }
 
     def inject(self, fault_kind: fault.Fault) -> None:
@@ -73,19 +89,35 @@
     def _sleep_fault_duration(self) -> None:
         time.sleep(self._rng.uniform(*_FAULT_DURATION_RANGE_S))
 
+    @contextlib.contextmanager
+    def _record(self, name: str) -> Iterator[None]:
+        """Records a disturbance of a gateway or endpoint."""
+        started_s = time.monotonic()
+        try:
+            yield
+        finally:
+            ended_s = time.monotonic() + _AFTERMATH_S
+            self.disturbances.append(
+                disturbance.Disturbance(name, started_s, ended_s)
+            )
+
     def _kill_gateway(self) -> None:
         gateway = self._random_gateway
-        gateway.process.kill()
-        gateway.process.stop()
-        gateway.start()
+        with self._record(gateway.name):
+            gateway.process.kill()
+            gateway.process.stop()
+            gateway.start()
 
     def _restart_gateway(self) -> None:
         gateway = self._random_gateway
-        gateway.process.stop()
-        gateway.start()
+        with self._record(gateway.name):
+            gateway.process.stop()
+            gateway.start()
 
     def _pause_gateway(self) -> None:
-        self._pause(self._random_gateway.process)
+        gateway = self._random_gateway
+        with self._record(gateway.name):
+            self._pause(gateway.process)
 
     def _reload_gateway(self) -> None:
         gateway = self._random_gateway
@@ -133,15 +165,41 @@
         self._deployment.register(endpoint)
 
     def _stall_link(self) -> None:
-        proxy = self._random_endpoint.proxy
-        proxy.stall()
-        self._sleep_fault_duration()
-        proxy.resume()
+        endpoint = self._random_endpoint
+        with self._record(endpoint.endpoint_id):
+            endpoint.proxy.stall()
+            self._sleep_fault_duration()
+            endpoint.proxy.resume()
 
     def _silence_link(self) -> None:
-        self._rng.choice(
-            (self._random_endpoint, self._random_gateway)
-        ).proxy.blackhole_open_connections()
+        endpoint, gateway = self._random_endpoint, self._random_gateway
+        if self._rng.random() < 0.5:
+            with self._record(endpoint.endpoint_id):
+                endpoint.proxy.blackhole_open_connections()
+        else:
+            gateway.proxy.blackhole_open_connections()
+
+    def _restore_store(self) -> None:
+        """Restores the store; operator and endpoints write again."""
+        self._deployment.set_store_fault("busy")
+        self._deployment.restore_store(
+            self._rng.uniform(*_RESTORED_AGE_RANGE_S)
+        )
+        self._deployment.set_store_fault("none")
+        self._sleep_fault_duration()
+        self._deployment.write_all_again()
+
+    def _announce_leaving(self) -> None:
+        endpoint = self._random_endpoint
+        endpoint.leave()
+        time.sleep(_LEAVING_DURATION_S)
+        endpoint.restart()
+        self._deployment.register(endpoint)
+
+    def _ask_for_pause(self) -> None:
+        duration_s = self._rng.uniform(*_PAUSE_RANGE_S)
+        self._random_endpoint.pause(duration_s)
+        time.sleep(duration_s)
 
     def _pause(self, process: local_process.LocalProcess) -> None:
         process.send_signal(signal.SIGSTOP)
--- a/tools/soak/invariant.py
+++ b/tools/soak/invariant.py
@@ -16,3 +16,8 @@
     RECOVERS_AFTER_FAULTS = (
         "requests are served again after the faults are over"
     )
+    RETRIES_WITHIN_BUDGET = "retries of all gateways stay within the budget"
+    NO_WORK_FOR_LEAVING_ENDPOINTS = (
+        "an endpoint that says that it leaves receives no new requests"
+    )
+    PAUSES_ARE_KEPT = "an endpoint that asks for a pause is left alone"
--- a/tools/soak/request_result.py
+++ b/tools/soak/request_result.py
@@ -15,6 +15,9 @@
         body: Part of the body that was received.
         is_complete: Whether the end of the response was received.
         ended_at_s: When it ended, in seconds from the start of the trial.
+        gateway: VM id of the gateway that it was sent to.
+        sent_s: When it was sent on the monotonic clock, in seconds.
+        ended_s: When it ended on the monotonic clock, in seconds.
     """
 
     request_id: str
@@ -23,3 +26,6 @@
     body: bytes
     is_complete: bool
     ended_at_s: float = 0.0
+    gateway: str = ""
+    sent_s: float = 0.0
+    ended_s: float = 0.0
--- a/tools/soak/trial.py
+++ b/tools/soak/trial.py
@@ -1,12 +1,16 @@
 """One seeded soak trial."""
 
 import asyncio
+import itertools
 import random
 import time
 
 from tools import entry_deployment
+from tools.soak import arrival_checker
 from tools.soak import caller
 from tools.soak import checker
+from tools.soak import disturbance
+from tools.soak import endpoint_record
 from tools.soak import fault
 from tools.soak import injector
 from tools.soak import settings
@@ -63,7 +67,7 @@
         calling_task = asyncio.create_task(
             callers.run(self._settings.callers, stop)
         )
-        await asyncio.gather(
+        disturbances = await asyncio.gather(
             *(
                 asyncio.to_thread(self._inject_faults, deployment, series_index)
                 for series_index in range(self._settings.series)
@@ -81,12 +85,26 @@
         ]
         self.request_count = len(callers.results)
         self.run_count = len(executed_ids)
-        return checker.History(callers.results, executed_ids, recovered_at_s)
+        records = [
+            endpoint_record.parse(endpoint.endpoint_id, endpoint.service, lines)
+            for endpoint in deployment.endpoints
+            for lines in endpoint.incarnation_lines
+        ]
+        observed = arrival_checker.Observations(
+            callers.results, records, list(itertools.chain(*disturbances))
+        )
+        return checker.History(
+            callers.results, executed_ids, recovered_at_s, observed
+        )
 
     def _inject_faults(
         self, deployment: entry_deployment.EntryDeployment, series_index: int
-    ) -> None:
-        """Injects one series of faults; the series overlap."""
+    ) -> list[disturbance.Disturbance]:
+        """Injects one series of faults; the series overlap.
+
+        Returns:
+            Disturbances that excuse gateways.
+        """
         rng = random.Random(f"{self._seed} {series_index}")
         fault_injector = injector.Injector(
             deployment, rng, series_index, self._settings.series
@@ -97,3 +115,4 @@
             fault_kind = rng.choice(tuple(fault.Fault))
             self.faults.append(fault_kind)
             fault_injector.inject(fault_kind)
+        return fault_injector.disturbances
