--- a/bronzeslip/platform/__main__.py
+++ b/bronzeslip/platform/__main__.py
@@ -1,26 +1,19 @@
-"""Command that runs a gateway on a VM of the platform."""
+"""Runs a gateway on a VM of the platform."""
 
-import os
-import pathlib
+import importlib
+import signal
 
-from bronzeslip import daemon_command
-from bronzeslip.platform import boot_file
-from bronzeslip.platform import gateway
-from bronzeslip.settings import entry
-
-_PROGRAM = "bronzeslip-entry"
-_DESCRIPTION = "Serves callers on an entry VM."
+_COMMAND_MODULE = "bronzeslip.platform.command"
 
 
 def main() -> None:
-    """Reads the settings and runs the gateway."""
-    path = pathlib.Path(os.environ.pop(boot_file.PATH_VARIABLE))
-    daemon_command.run(
-        entry.EntrySettings,
-        _PROGRAM,
-        _DESCRIPTION,
-        lambda settings: gateway.create(settings, path),
-    )
+    """Runs the command.
+
+    Its modules take up to seconds to import on a small VM. A request to reload
+    the settings must not end the process meanwhile; they are read later.
+    """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    importlib.import_module(_COMMAND_MODULE).main()
 
 
 if __name__ == "__main__":
