Close idle connections to endpoints and the store after 5 s as before

Cause: the bounded transport was created without the HTTP library's default idle timeout, so connections rested for as long as the server allows. Result: tests.platform pass.

--- a/bronzeslip/platform/bounded_transport.py
+++ b/bronzeslip/platform/bounded_transport.py
@@ -9,6 +9,11 @@
 import httpx
 
 
+# Idle connections are closed after this time, whatever the server allows: what
+# lies between may have dropped them without notice.
+_IDLE_TIMEOUT_S = 5.0
+
+
 class _HeadLimit:
     """Counts the bytes read while a response head is awaited."""
 
@@ -109,6 +114,7 @@
         )
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=max_connections,
+            keepalive_expiry=_IDLE_TIMEOUT_S,
             socket_options=tuple(socket_options),
             network_backend=_CountingBackend(),
         )
