--- a/bronzeslip/platform/bounded_transport.py
+++ b/bronzeslip/platform/bounded_transport.py
@@ -8,7 +8,6 @@
 import httpcore
 import httpx
 
-
 # Idle connections are closed after this time, whatever the server allows: what
 # lies between may have dropped them without notice.
 _IDLE_TIMEOUT_S = 5.0
