Split the client modules by their jobs

Pure moves, no behaviour: messages of the store, request headers, the timeout of whole calls and the load registration of a run have modules of their own.

--- a/bronzeslip/forwarding/stream_run.py
+++ b/bronzeslip/forwarding/stream_run.py
@@ -1,7 +1,6 @@
 """Relays one generation, resuming it on another engine if needed."""
 
 import asyncio
-import contextlib
 
 import msgspec
 
@@ -18,6 +17,7 @@
 from bronzeslip.forwarding import endpoint_errors
 from bronzeslip.forwarding import errors
 from bronzeslip.forwarding import response_writer
+from bronzeslip.forwarding import run_load
 from bronzeslip.forwarding import standby_copy
 from bronzeslip.forwarding import standby_keeper
 from bronzeslip.forwarding import stream_progress
@@ -46,7 +46,7 @@
         self._progress = stream_progress.StreamProgress(
             request, shared.settings.event_max_bytes
         )
-        self._load_registration = contextlib.ExitStack()
+        self._load = run_load.RunLoad(shared.in_flight, request)
         self._keeper: standby_keeper.StandbyKeeper | None = None
         self._keeper_task: asyncio.Task | None = None
 
@@ -66,7 +66,7 @@
                 self._error_response, self._writer
             )
         finally:
-            self._load_registration.close()
+            self._load.close()
             self._stop_keeper()
 
     async def _serve(self) -> None:
@@ -86,7 +86,7 @@
     async def _send(
         self, chosen: endpoint.Endpoint, source: dispatch.ResumeSource | None
     ) -> endpoint_client.EndpointResponse:
-        self._register_load(chosen, source)
+        self._load.register(chosen, has_copy=source is not None)
         self._tried.add(chosen.endpoint_id)
         self._error_response = None
         response = await self._components.client.send(
@@ -134,27 +134,6 @@
             response, self._components.settings.response_max_bytes
         )
 
-    def _register_load(
-        self, chosen: endpoint.Endpoint, source: dispatch.ResumeSource | None
-    ) -> None:
-        """Counts the run as in flight at an engine.
-
-        The prompt is counted only if the engine has to process it, which is
-        not the case if the run resumes from a copy.
-        """
-        shape = self._request.request.shape
-        prompt_tokens = shape.prompt_tokens if shape and source is None else 0
-        expected_tokens = shape.expected_tokens if shape else 0
-        self._load_registration.close()
-        self._load_registration.enter_context(
-            self._components.in_flight.track(
-                chosen.endpoint_id,
-                prompt_tokens,
-                expected_tokens,
-                chooser.is_long_generation(self._request),
-            )
-        )
-
     async def _relay(self, response: endpoint_client.EndpointResponse) -> bool:
         """Relays a response.
 
--- a/bronzeslip/platform/endpoint_http.py
+++ b/bronzeslip/platform/endpoint_http.py
@@ -17,12 +17,12 @@
 from bronzeslip.platform import endpoint_announcements
 from bronzeslip.platform import endpoint_response
 from bronzeslip.platform import engine_messages
-from bronzeslip.platform import headers
+from bronzeslip.platform import request_headers
+from bronzeslip.platform import total_timeout
 from bronzeslip.settings import entry
 
 logger = logs.get_logger(__name__)
 
-_MS_PER_S = 1000
 _OK_STATUS = 200
 
 
@@ -84,7 +84,7 @@
         request = httpx.Request(
             outgoing.request.method,
             f"http://{outgoing.endpoint.address}/",
-            headers=_build_headers(outgoing),
+            headers=request_headers.build(outgoing),
             content=outgoing.request.body,
             extensions={
                 "target": outgoing.request.target,
@@ -121,7 +121,7 @@
         """
         request = self._control_request(target, "GET", health_path)
         pool = connection_pool.ConnectionPool(self._settings)
-        async with _Timeout(self._settings.report_timeout_s):
+        async with total_timeout.TotalTimeout(self._settings.report_timeout_s):
             response = await self._exchange(target, pool, request)
         await response.abort()
         if response.responding_endpoint_id not in (None, target.endpoint_id):
@@ -187,7 +187,7 @@
     ) -> bytes:
         """Makes a control call, bounded in time and in bytes as a whole."""
         pool = self._get_pool(self._control_pools, target)
-        async with _Timeout(timeout_s):
+        async with total_timeout.TotalTimeout(timeout_s):
             response = await self._exchange(target, pool, request)
             try:
                 body = await response.read(
@@ -278,56 +278,5 @@
         }
 
 
-class _Timeout:
-    """Bounds a call as a whole.
-
-    The HTTP client's own timeouts restart with each byte received.
-    """
-
-    def __init__(self, timeout_s: float) -> None:
-        self._timeout = asyncio.timeout(timeout_s)
-
-    async def __aenter__(self) -> None:
-        await self._timeout.__aenter__()
-
-    async def __aexit__(self, *error_info: Any) -> None:
-        try:
-            await self._timeout.__aexit__(*error_info)
-        except TimeoutError as error:
-            raise endpoint_errors.EndpointResponseLostError(
-                "no complete response in time"
-            ) from error
-
-
 def _pool_key(target: endpoint.Endpoint) -> str:
     return f"{target.address}/{target.endpoint_id}/{target.started_unix_ms}"
-
-
-def _build_headers(outgoing: dispatch.Dispatch) -> list[tuple[bytes, bytes]]:
-    remaining_ms = max(round(outgoing.remaining_s * _MS_PER_S), 1)
-    replaced = {headers.LAST_EVENT_ID} if outgoing.after_event_id else set()
-    header_fields = [
-        (field.name, field.value)
-        for field in outgoing.request.headers
-        if field.name not in replaced
-    ]
-    header_fields.append((headers.DEADLINE_MS, str(remaining_ms).encode()))
-    header_fields.append(
-        (headers.TARGET_ENDPOINT, outgoing.endpoint.endpoint_id.encode())
-    )
-    if outgoing.workspace_id is not None:
-        header_fields.append(
-            (headers.WORKSPACE, outgoing.workspace_id.encode())
-        )
-    if outgoing.priority is not None:
-        header_fields.append(
-            (headers.PRIORITY, str(outgoing.priority).encode())
-        )
-    if outgoing.source is not None:
-        copy = f"{outgoing.source.address}/{outgoing.source.handle}"
-        header_fields.append((headers.KV_SOURCE, copy.encode()))
-    if outgoing.after_event_id is not None:
-        header_fields.append(
-            (headers.LAST_EVENT_ID, outgoing.after_event_id.encode("latin-1"))
-        )
-    return header_fields
--- a/bronzeslip/platform/store_client.py
+++ b/bronzeslip/platform/store_client.py
@@ -12,46 +12,15 @@
 from bronzeslip.platform import bounded_transport
 from bronzeslip.platform import headers
 from bronzeslip.platform import store_era
+from bronzeslip.platform import store_messages
 from bronzeslip.settings import entry
 from bronzeslip.store import errors
 from bronzeslip.store import objects
 
 _MS_PER_S = 1000
-_NOT_FOUND_STATUS = 404
-_CONFLICT_STATUS = 409
-_GONE_STATUS = 410
-_TOO_LARGE_STATUS = 413
-_TOO_MANY_REQUESTS_STATUS = 429
 _MAX_CONNECTIONS = 20
 
 
-class _Metadata(msgspec.Struct):
-    name: str
-    # Revision of the object's last change.
-    revision: int = 0
-
-
-class _Object(msgspec.Struct):
-    metadata: _Metadata
-    spec: msgspec.Raw = msgspec.Raw(b"null")
-
-
-class _Page(msgspec.Struct):
-    items: list[_Object]
-    as_of: int
-    truncated: bool = False
-
-
-class _Event(msgspec.Struct):
-    object: _Object
-    removed: bool = False
-
-
-class _Events(msgspec.Struct):
-    events: list[_Event]
-    as_of: int
-
-
 class StoreClient:
     """Calls the store; every method may raise errors.PlatformError.
 
@@ -99,9 +68,13 @@
     async def get(self, key: ids.ObjectKey) -> objects.PlatformObject | None:
         """Reads an object; returns None if it does not exist."""
         answer = await self._call("GET", f"/objects/{key}")
-        if answer.status == _NOT_FOUND_STATUS:
+        if answer.status == httpx.codes.NOT_FOUND:
             return None
-        return _object(_kind_of(key), _decode(answer, _Object), answer.era)
+        return store_messages.to_object(
+            _kind_of(key),
+            store_messages.decode(answer, store_messages.StoredObject),
+            answer.era,
+        )
 
     async def list_objects(
         self, prefix: str, may_be_stale: bool = False
@@ -122,13 +95,16 @@
             if after is not None:
                 params["after"] = after
             answer = await self._call("GET", f"/objects/{kind}", params=params)
-            page = _decode(answer, _Page)
+            page = store_messages.decode(answer, store_messages.Page)
             # The version of the first page: changes made while later pages
             # are read are then repeated by the watch.
             if version is None:
                 version = store_era.version_of(answer.era, page.as_of)
             self.era.check_watch(version, answer.era)
-            stored += [_object(kind, item, answer.era) for item in page.items]
+            stored += [
+                store_messages.to_object(kind, item, answer.era)
+                for item in page.items
+            ]
             if not page.truncated or not page.items:
                 break
             after = page.items[-1].metadata.name
@@ -155,10 +131,13 @@
             },
         )
         self.era.check_watch(after, answer.era)
-        batch = _decode(answer, _Events)
+        batch = store_messages.decode(answer, store_messages.Events)
         return objects.WatchBatch(
             store_era.version_of(answer.era, batch.as_of),
-            tuple(_event(kind, event, answer.era) for event in batch.events),
+            tuple(
+                store_messages.to_event(kind, event, answer.era)
+                for event in batch.events
+            ),
         )
 
     async def create(
@@ -168,7 +147,11 @@
         kind = _kind_of(key)
         body = {"metadata": {"name": _name_of(key)}, "spec": value}
         answer = await self._write("POST", f"/objects/{kind}", body)
-        return _object(kind, _decode(answer, _Object), answer.era)
+        return store_messages.to_object(
+            kind,
+            store_messages.decode(answer, store_messages.StoredObject),
+            answer.era,
+        )
 
     async def update(
         self, key: ids.ObjectKey, value: Any, version: ids.ObjectVersion
@@ -183,7 +166,11 @@
             "PUT", f"/objects/{key}", {"metadata": metadata, "spec": value}
         )
         self.era.check_written(version, answer.era)
-        return _object(_kind_of(key), _decode(answer, _Object), answer.era)
+        return store_messages.to_object(
+            _kind_of(key),
+            store_messages.decode(answer, store_messages.StoredObject),
+            answer.era,
+        )
 
     async def delete(
         self, key: ids.ObjectKey, version: ids.ObjectVersion
@@ -197,7 +184,9 @@
         )
         self.era.check_written(version, answer.era)
 
-    async def _write(self, method: str, path: str, body: Any) -> "_Answer":
+    async def _write(
+        self, method: str, path: str, body: Any
+    ) -> store_messages.Answer:
         return await self._call(
             method,
             path,
@@ -207,7 +196,7 @@
 
     async def _call(
         self, method: str, path: str, wait_s: float = 0.0, **options: Any
-    ) -> "_Answer":
+    ) -> store_messages.Answer:
         """Makes a call, bounded in time and in bytes as a whole.
 
         Args:
@@ -229,8 +218,8 @@
             ) from error
         self._on_call(method, str(response.status_code))
         era = self.era.observe(response.headers.get(headers.STORE_ERA.decode()))
-        _raise_for_status(method, path, response.status_code)
-        return _Answer(response.status_code, body, era)
+        store_messages.raise_for_status(method, path, response.status_code)
+        return store_messages.Answer(response.status_code, body, era)
 
     async def _read_body(self, response: httpx.Response) -> bytes:
         chunks: list[bytes] = []
@@ -245,66 +234,9 @@
         return b"".join(chunks)
 
 
-class _Answer(msgspec.Struct, frozen=True):
-    """Complete response of the store.
-
-    Attributes:
-        status: HTTP status.
-        body: Body.
-        era: Era of the store that gave it.
-    """
-
-    status: int
-    body: bytes
-    era: int
-
-
 def _kind_of(key: str) -> str:
     return key.partition("/")[0]
 
 
 def _name_of(key: str) -> str:
     return key.partition("/")[2]
-
-
-def _object(kind: str, stored: _Object, era: int) -> objects.PlatformObject:
-    return objects.PlatformObject(
-        ids.ObjectKey(f"{kind}/{stored.metadata.name}"),
-        store_era.version_of(era, stored.metadata.revision),
-        stored.spec,
-    )
-
-
-def _event(kind: str, event: _Event, era: int) -> objects.ObjectEvent:
-    stored = _object(kind, event.object, era)
-    change = objects.EventKind.PUT
-    if event.removed:
-        change = objects.EventKind.DELETE
-    return objects.ObjectEvent(change, stored.key, stored.version, stored.value)
-
-
-def _raise_for_status(method: str, path: str, status: int) -> None:
-    if status < httpx.codes.BAD_REQUEST or status == _NOT_FOUND_STATUS:
-        return
-    text = f"{method} {path}: status {status}"
-    if status == _CONFLICT_STATUS:
-        raise errors.VersionConflictError(text)
-    if status == _GONE_STATUS:
-        raise errors.WatchExpiredError(text)
-    if status == _TOO_LARGE_STATUS:
-        raise errors.ValueTooLargeError(text)
-    if (
-        status == _TOO_MANY_REQUESTS_STATUS
-        or status >= httpx.codes.INTERNAL_SERVER_ERROR
-    ):
-        raise errors.PlatformUnavailableError(text)
-    raise errors.PlatformError(text)
-
-
-def _decode(answer: _Answer, message_type: type) -> Any:
-    try:
-        return msgspec.json.decode(answer.body, type=message_type)
-    except msgspec.MsgspecError as error:
-        raise errors.PlatformError(
-            f"invalid response from the store: {error}"
-        ) from error
