--- a/bronzeslip/forwarding/standby_keeper.py
+++ b/bronzeslip/forwarding/standby_keeper.py
@@ -28,6 +28,8 @@
 # Pauses after a failed copy, for a ready and for a leaving source engine.
 _RETRY_PAUSE_S = 0.4
 _LEAVING_RETRY_PAUSE_S = 0.15
+# Age up to which a polled report shows that a target does not leave.
+_REPORT_MAX_AGE_S = 0.5
 # Timeout of one copy. With 10 s, slow copies delayed fast ones.
 _COPY_TIMEOUT_S = 3.0
 
@@ -69,7 +71,7 @@
             if self.copy is None and self._is_source_leaving:
                 await asyncio.sleep(self._start_delay_s())
             target = self._choose_target()
-            if target is not None and await self._copy_to(target):
+            if target is not None and await self._try_copy(target):
                 await self._wait_until_renewal_due()
             else:
                 await self._components.endpoints.wait_for_change(
@@ -139,6 +141,37 @@
     def _is_target_usable(self) -> bool:
         return self._components.endpoints.is_usable(self.copy.target)
 
+    async def _try_copy(self, target: endpoint.Endpoint) -> bool:
+        """Copies the run to a target that is not about to leave itself."""
+        is_renewal = self.copy is not None and self.copy.target == target
+        if not is_renewal and not await self._confirm(target):
+            self._failed_targets.add(target.endpoint_id)
+            return False
+        return await self._copy_to(target)
+
+    async def _confirm(self, target: endpoint.Endpoint) -> bool:
+        """Returns whether a target is reachable and does not leave.
+
+        Most targets are not polled by this gateway, and their discovery entries
+        are up to a watch interval old.
+        """
+        latest = self._components.reports.get(target.endpoint_id)
+        if latest is not None and _now_s() - latest.read_s < _REPORT_MAX_AGE_S:
+            return True
+        try:
+            report = await self._components.client.report(target)
+        except endpoint_errors.EndpointError as error:
+            logger.info(
+                "standby.target_failed",
+                request=self._request.request.request_id,
+                target=target.endpoint_id,
+                reason=error.message,
+            )
+            return False
+        if report.is_leaving:
+            self._components.endpoints.mark_leaving(target)
+        return not report.is_leaving
+
     async def _copy_to(self, target: endpoint.Endpoint) -> bool:
         request_id = self._request.request.request_id
         started_s = _now_s()
--- a/tests/forwarding/test_reclaims_in_series.py
+++ b/tests/forwarding/test_reclaims_in_series.py
@@ -94,6 +94,42 @@
         await polling.wait_until(lambda: self.client.dropped_copies)
         self.assertEqual(self.client.dropped_copies, [("one", "h1")])
 
+    async def test_copy_avoids_targets_that_leave_or_do_not_respond(self):
+        for name in ("leaving", "unresponsive"):
+            with self.subTest(name):
+                end = asyncio.Event()
+                serving = await self._start(
+                    {
+                        "one": [
+                            scripted_endpoints.ScriptedResponse(
+                                200, [_FIRST, end]
+                            )
+                        ]
+                    },
+                    [
+                        forwarding_parts.create_endpoint("two", "a-1"),
+                        forwarding_parts.create_endpoint("three", "a-2"),
+                    ],
+                )
+                getattr(self.client, name).add("two")
+                self._reclaim()
+                await polling.wait_until(lambda: self.client.copies)
+                self.assertEqual(self.client.copies[0], ("one", "three"))
+                end.set()
+                await asyncio.wait_for(serving, 5)
+
+    async def test_target_is_confirmed_once(self):
+        end = asyncio.Event()
+        serving = await self._start(
+            {"one": [scripted_endpoints.ScriptedResponse(200, [_FIRST, end])]},
+            [forwarding_parts.create_endpoint("two", "a-1")],
+        )
+        self._reclaim()
+        await polling.wait_until(lambda: len(self.client.copies) > 1)
+        self.assertEqual(self.client.reported, ["two"])
+        end.set()
+        await asyncio.wait_for(serving, 5)
+
     async def test_refused_renewal_keeps_the_existing_copy(self):
         cut = asyncio.Event()
         serving = await self._start(
--- a/tests/support/scripted_endpoints.py
+++ b/tests/support/scripted_endpoints.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from bronzeslip import ids
+from bronzeslip.endpoints import report
 from bronzeslip.forwarding import endpoint_client
 from bronzeslip.forwarding import endpoint_errors
 from bronzeslip.forwarding import incoming
@@ -50,7 +51,9 @@
         dropped_copies: Pairs of engine and handle of the freed copies.
         refuses_copies: Whether requests for a copy are refused.
         absent: Endpoints at whose address no process listens.
-        unresponsive: Endpoints that do not respond to health checks.
+        unresponsive: Endpoints that do not respond to control calls.
+        leaving: Endpoints whose reports say that they leave.
+        reported: Endpoints whose reports were read, in order.
     """
 
     def __init__(self, responses):
@@ -63,6 +66,8 @@
         self.refuses_copies = False
         self.absent = set()
         self.unresponsive = set()
+        self.leaving = set()
+        self.reported = []
 
     async def send(self, outgoing):
         self.sent.append(outgoing)
@@ -77,6 +82,13 @@
         if target.endpoint_id in self.unresponsive:
             raise endpoint_errors.EndpointResponseLostError("no response")
 
+    async def report(self, target):
+        self.reported.append(target.endpoint_id)
+        if target.endpoint_id in self.unresponsive:
+            raise endpoint_errors.EndpointResponseLostError("no response")
+        is_leaving = target.endpoint_id in self.leaving
+        return report.EngineReport(0, 0, 0, 30_000, is_leaving=is_leaving)
+
     async def copy_run(self, source, request_id, target, is_last, timeout_s):
         self.copies.append((source.endpoint_id, target.endpoint_id))
         if self.refuses_copies:
