Mend four faults that were noted by reading

Cause: connections of replaced endpoints stayed in the pool for good; the length curve of a workspace without a histogram was cached at version 0 for good; a second cancel of an unknown generation replaced the task of the first; a removal was logged though its write met a conflict.

--- a/bronzeslip/admission/length_estimator.py
+++ b/bronzeslip/admission/length_estimator.py
@@ -34,7 +34,8 @@
             _HistogramKey, length_histogram.LengthHistogram
         ] = collections.OrderedDict()
         self._curves: dict[
-            _HistogramKey, tuple[int, survival_curve.SurvivalCurve]
+            _HistogramKey,
+            tuple[_HistogramKey | None, int, survival_curve.SurvivalCurve],
         ] = {}
 
     def curve(
@@ -42,23 +43,36 @@
     ) -> survival_curve.SurvivalCurve:
         """Returns the length survival curve for similar requests."""
         key = _level_keys(admission_request)[-1]
-        histogram = self._histograms.get(key)
-        version = histogram.version if histogram else 0
+        source, version = self._most_specific(admission_request)
         cached = self._curves.get(key)
         if (
             cached is not None
-            and version - cached[0] < _CURVE_REFRESH_OBSERVATIONS
+            and cached[0] == source
+            and version - cached[1] < _CURVE_REFRESH_OBSERVATIONS
         ):
-            return cached[1]
+            return cached[2]
         hazards = _PRIOR_HAZARDS
         for level_key in _level_keys(admission_request):
             level_histogram = self._histograms.get(level_key)
             if level_histogram is not None:
                 hazards = level_histogram.hazards(hazards, _PRIOR_WEIGHT)
         curve = survival_curve.SurvivalCurve(hazards)
-        self._curves[key] = (version, curve)
+        self._curves[key] = (source, version, curve)
         return curve
 
+    def _most_specific(
+        self, admission_request: request.AdmissionRequest
+    ) -> tuple[_HistogramKey | None, int]:
+        """Returns the most specific histogram's key and its version.
+
+        A workspace without a histogram of its own follows its class or service.
+        """
+        for key in reversed(_level_keys(admission_request)):
+            histogram = self._histograms.get(key)
+            if histogram is not None:
+                return key, histogram.version
+        return None, 0
+
     def add_progress(
         self,
         admission_request: request.AdmissionRequest,
--- a/bronzeslip/gateway/peer_pool.py
+++ b/bronzeslip/gateway/peer_pool.py
@@ -24,6 +24,7 @@
         if peer is None or peer.connection.closed:
             if peer is not None and peer.lost_at_s is not None:
                 self._lost_at_s[address] = peer.lost_at_s
+            self._drop_closed()
             peer = gateway_peer.Peer(address, self._settings)
             self._peers[address] = peer
         return peer
@@ -63,6 +64,24 @@
         if address not in self._peers:
             self.get(address)
 
+    def _drop_closed(self) -> None:
+        """Drops connections and losses that no longer matter.
+
+        Addresses of replaced endpoints are not used again.
+        """
+        cutoff_s = time.monotonic() - _FAILING_WINDOW_S
+        self._peers = {
+            address: peer
+            for address, peer in self._peers.items()
+            if not peer.connection.closed
+            or (peer.lost_at_s is not None and peer.lost_at_s > cutoff_s)
+        }
+        self._lost_at_s = {
+            address: lost_at_s
+            for address, lost_at_s in self._lost_at_s.items()
+            if lost_at_s > cutoff_s
+        }
+
     async def close(self) -> None:
         """Closes all connections."""
         for peer in self._peers.values():
--- a/bronzeslip/membership/vm_sweeper.py
+++ b/bronzeslip/membership/vm_sweeper.py
@@ -1,6 +1,7 @@
 """Reconciles member records with the platform's list of VMs."""
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Sequence
 import itertools
 import random
@@ -146,10 +147,9 @@
     async def _remove(self, record: member.Member) -> None:
         found = await self._read_unchanged(record)
         if found is not None:
-            await self._ignore_conflict(
-                self._platform.delete(found.key, found.version)
-            )
-            logger.info("membership.vm_gone", vm_id=record.vm_id)
+            write = self._platform.delete(found.key, found.version)
+            if await self._succeeds(write):
+                logger.info("membership.vm_gone", vm_id=record.vm_id)
 
     async def _mark_draining(self, record: member.Member) -> None:
         if record.state is member.MemberState.DRAINING:
@@ -159,10 +159,9 @@
             draining = msgspec.structs.replace(
                 record, state=member.MemberState.DRAINING
             )
-            await self._ignore_conflict(
-                self._platform.update(found.key, draining, found.version)
-            )
-            logger.info("membership.vm_leaving", vm_id=record.vm_id)
+            write = self._platform.update(found.key, draining, found.version)
+            if await self._succeeds(write):
+                logger.info("membership.vm_leaving", vm_id=record.vm_id)
 
     async def _read_unchanged(
         self, record: member.Member
@@ -172,8 +171,11 @@
             return None
         return found
 
-    async def _ignore_conflict(self, write: object) -> None:
+    async def _succeeds(self, write: Awaitable[object]) -> bool:
+        """Returns whether a conditional write met no conflict."""
         try:
             await write
         except errors.VersionConflictError:
             logger.info("membership.record_changed")
+            return False
+        return True
--- a/bronzeslip/sidecar/generations.py
+++ b/bronzeslip/sidecar/generations.py
@@ -95,10 +95,9 @@
 
         An earlier incarnation of the sidecar may have started it.
         """
-        if generation_id not in self._runs:
-            self._start_task(
-                generation_id, self._cancel_at_engine(generation_id)
-            )
+        if generation_id in self._runs or generation_id in self._tasks:
+            return
+        self._start_task(generation_id, self._cancel_at_engine(generation_id))
 
     def end_all(self, loss: reason.LossReason) -> None:
         """Ends every generation that has no outcome yet."""
--- a/tests/admission/test_length_estimator.py
+++ b/tests/admission/test_length_estimator.py
@@ -35,6 +35,17 @@
         self.rng = random.Random(7)
         self.estimator = length_estimator.LengthEstimator()
 
+    def test_workspace_without_outputs_follows_its_class(self):
+        newcomer = _request("new")
+        before = self.estimator.curve(newcomer)
+        for _ in range(200):
+            _observe(self.estimator, _request("busy"), 20)
+        after = self.estimator.curve(newcomer)
+        self.assertIsNot(after, before)
+        for _ in range(400):
+            _observe(self.estimator, _request("busy"), 300)
+        self.assertIsNot(self.estimator.curve(newcomer), after)
+
     def lengths(self, count):
         return [int(self.rng.lognormvariate(5, 0.8)) + 1 for _ in range(count)]
 
--- a/tests/membership/test_vm_sweeper.py
+++ b/tests/membership/test_vm_sweeper.py
@@ -1,6 +1,7 @@
 """Tests of the reconciliation of records with a lagging list of VMs."""
 
 import unittest
+from unittest import mock
 
 from bronzeslip import ids
 from bronzeslip.membership import directory
@@ -8,6 +9,7 @@
 from bronzeslip.membership import rendezvous
 from bronzeslip.membership import vm_sweeper
 from bronzeslip.settings import gateway
+from bronzeslip.store import errors
 from bronzeslip.store import objects
 from tests.membership import member_factory
 from tests.support import in_process
@@ -68,6 +70,25 @@
         await self.sweep(sweeper, 1.0)
         self.assertIsNone(await self.stored(missing))
 
+    async def test_conflict_is_not_reported_as_a_removal(self):
+        missing = member_factory.create_sidecar("vm-1")
+        await self.add(member_factory.create_gateway("entry-1"))
+        await self.add(missing)
+        sweeper = self.sweeper("entry-1")
+        self.list_vm(missing, None)
+        await self.sweep(sweeper)
+        with (
+            mock.patch.object(
+                self.platform,
+                "delete",
+                side_effect=errors.VersionConflictError("changed"),
+            ),
+            self.assertLogs("absl", "INFO") as captured,
+        ):
+            await self.sweep(sweeper, LAG_S + 1.0)
+        self.assertNotIn("membership.vm_gone", "".join(captured.output))
+        self.assertIsNotNone(await self.stored(missing))
+
     async def test_new_vm_not_yet_listed_is_kept(self):
         new = member_factory.create_sidecar("vm-1")
         await self.add(member_factory.create_gateway("entry-1"))
--- a/tests/sidecar/test_generations.py
+++ b/tests/sidecar/test_generations.py
@@ -50,6 +50,16 @@
             settings, self.engine, memory_gate.MemoryGate(settings)
         )
 
+    async def test_repeated_cancel_of_an_unknown_generation_is_made_once(self):
+        table = self.table()
+        self.engine.cancel_allowed.clear()
+        for _ in range(3):
+            table.cancel(_ID)
+            await asyncio.sleep(0)
+        self.engine.cancel_allowed.set()
+        await asyncio.wait_for(table.wait_ended(), 1.0)
+        self.assertEqual(self.engine.cancelled, [_ID])
+
     async def start_and_read(self, table, count):
         """Starts a generation and waits for a number of tokens."""
         changed = asyncio.Event()
