--- a/tests/forwarding/test_reclaims_in_series.py
+++ b/tests/forwarding/test_reclaims_in_series.py
@@ -7,6 +7,7 @@
 import asyncio
 import unittest
 
+from bronzeslip import ids
 from bronzeslip.endpoints import endpoint
 from bronzeslip.forwarding import endpoint_errors
 from bronzeslip.forwarding import errors
@@ -118,6 +119,46 @@
                 end.set()
                 await asyncio.wait_for(serving, 5)
 
+    async def test_resumption_from_a_copy_uses_the_retry_budget(self):
+        cut = asyncio.Event()
+        serving = await self._start(
+            {
+                "one": [
+                    scripted_endpoints.ScriptedResponse(
+                        200, [_FIRST, cut, _RESPONSE_LOST]
+                    )
+                ],
+                "two": [scripted_endpoints.ScriptedResponse(200, [_SECOND])],
+            },
+            [forwarding_parts.create_endpoint("two", "a-2")],
+        )
+        self._reclaim()
+        await polling.wait_until(lambda: self.client.copies)
+        budget = self.components.retry_budgets.of_service(
+            ids.ServiceName("pool")
+        )
+        while budget.take():
+            pass
+        cut.set()
+        with self.assertRaises(errors.ResponseInterruptedError):
+            await asyncio.wait_for(serving, 5)
+        self.assertEqual(len(self.client.sent), 1)
+
+    async def test_failures_of_replaced_endpoints_are_forgotten(self):
+        components = forwarding_parts.create_components(
+            scripted_endpoints.ScriptedEndpointClient({})
+        )
+        for number in range(500):
+            gone = forwarding_parts.create_endpoint(f"i-{number}")
+            components.endpoints.put(gone)
+            components.failures.record_failure(gone.endpoint_id)
+            components.endpoints.put(
+                forwarding_parts.create_endpoint(
+                    f"i-{number}", started_unix_ms=1
+                )
+            )
+            self.assertEqual(components.failures.score_of(gone.endpoint_id), 0)
+
     async def test_target_is_confirmed_once(self):
         end = asyncio.Event()
         serving = await self._start(
--- a/tests/platform/test_endpoint_http.py
+++ b/tests/platform/test_endpoint_http.py
@@ -230,3 +230,16 @@
         with self.assertRaises(TimeoutError):
             async with asyncio.timeout(0.1):
                 await self._call("q1")
+
+    async def test_nothing_is_kept_of_replaced_endpoints(self):
+        await self._start_server()
+        for number in range(500):
+            gone = forwarding_parts.create_endpoint(
+                f"i-{number}", host="127.0.0.1", port=1
+            )
+            with self.assertRaises(endpoint_errors.EndpointError):
+                await self.client.report(gone)
+            self.client.remove_endpoint(gone)
+        await polling.wait_until(lambda: not self.client._closing_tasks)
+        self.assertEqual(self.client._pools, {})
+        self.assertEqual(self.client._control_pools, {})
