--- a/bronzeslip/settings/entry.py
+++ b/bronzeslip/settings/entry.py
@@ -71,14 +71,14 @@
         "sustained rate of watch calls for endpoints; faster changes are "
         "batched; raised if the platform's drain time requires it",
         "store",
-        default=0.5,
+        default=1.0,
         minimum=0.1,
         maximum=100,
     )
     store_watch_burst: float = setting(
         "watch calls for endpoints allowed in a burst above that rate",
         "store",
-        default=2.0,
+        default=4.0,
         minimum=1,
         maximum=1000,
     )
