--- a/tests/forwarding/test_reclaims_in_series.py
+++ b/tests/forwarding/test_reclaims_in_series.py
@@ -40,6 +40,28 @@
             self.components.endpoints.put(other)
         return serving
 
+    async def _start_and_copy(self):
+        """Reclaims 'one' and waits for a copy at 'two'.
+
+        Returns:
+            The task that serves the run, and the event that cuts it.
+        """
+        cut = asyncio.Event()
+        serving = await self._start(
+            {
+                "one": [
+                    scripted_endpoints.ScriptedResponse(
+                        200, [_FIRST, cut, _RESPONSE_LOST]
+                    )
+                ],
+                "two": [scripted_endpoints.ScriptedResponse(200, [_SECOND])],
+            },
+            [forwarding_parts.create_endpoint("two", "a-2")],
+        )
+        self._reclaim()
+        await polling.wait_until(lambda: self.client.copies)
+        return serving, cut
+
     def _reclaim(self):
         self.components.endpoints.put(
             forwarding_parts.create_endpoint(
@@ -120,20 +142,7 @@
                 await asyncio.wait_for(serving, 5)
 
     async def test_resumption_from_a_copy_uses_the_retry_budget(self):
-        cut = asyncio.Event()
-        serving = await self._start(
-            {
-                "one": [
-                    scripted_endpoints.ScriptedResponse(
-                        200, [_FIRST, cut, _RESPONSE_LOST]
-                    )
-                ],
-                "two": [scripted_endpoints.ScriptedResponse(200, [_SECOND])],
-            },
-            [forwarding_parts.create_endpoint("two", "a-2")],
-        )
-        self._reclaim()
-        await polling.wait_until(lambda: self.client.copies)
+        serving, cut = await self._start_and_copy()
         budget = self.components.retry_budgets.of_service(
             ids.ServiceName("pool")
         )
@@ -172,20 +181,7 @@
         await asyncio.wait_for(serving, 5)
 
     async def test_refused_renewal_keeps_the_existing_copy(self):
-        cut = asyncio.Event()
-        serving = await self._start(
-            {
-                "one": [
-                    scripted_endpoints.ScriptedResponse(
-                        200, [_FIRST, cut, _RESPONSE_LOST]
-                    )
-                ],
-                "two": [scripted_endpoints.ScriptedResponse(200, [_SECOND])],
-            },
-            [forwarding_parts.create_endpoint("two", "a-2")],
-        )
-        self._reclaim()
-        await polling.wait_until(lambda: self.client.copies)
+        serving, cut = await self._start_and_copy()
         self.client.refuses_copies = True
         await polling.wait_until(lambda: len(self.client.copies) > 1)
         cut.set()
