Log how an engine marked the end of a stream and what followed its last event

The logs of the ORDER incident can't tell an unframed stream that its engine closed inside an event from a reset that was taken for a regular end. stream.done now has framing (length, chunked, connection-end) and unfinished_bytes. No decision reads either; tests.platform.test_endpoint_http (3 framings) and tests.forwarding.test_resumable_streams pass.

--- a/bronzeslip/forwarding/endpoint_client.py
+++ b/bronzeslip/forwarding/endpoint_client.py
@@ -9,6 +9,7 @@
 from bronzeslip import ids
 from bronzeslip.endpoints import endpoint
 from bronzeslip.endpoints import report
+from bronzeslip.forwarding import body_framing
 from bronzeslip.forwarding import dispatch
 from bronzeslip.forwarding import incoming
 
@@ -28,11 +29,13 @@
         status: HTTP status.
         headers: Headers that are forwarded to the caller.
         content_length: Length of the body, in bytes, or None if unknown.
+        framing: How the end of the body is marked.
     """
 
     status: int
     headers: tuple[incoming.HeaderField, ...]
     content_length: int | None = None
+    framing: body_framing.BodyFraming = body_framing.BodyFraming.LENGTH
 
     @property
     def is_success(self) -> bool:
--- a/bronzeslip/forwarding/stream_run.py
+++ b/bronzeslip/forwarding/stream_run.py
@@ -75,7 +75,7 @@
         )
         while not await self._relay(response):
             response = await self._resume()
-        self._log_completion()
+        self._log_completion(response.head)
         self._release_copy()
 
     async def _start_on(
@@ -294,7 +294,7 @@
         self._keeper_task = None
         self._keeper = None
 
-    def _log_completion(self) -> None:
+    def _log_completion(self, head: endpoint_client.ResponseHead) -> None:
         first_event_s = self._progress.times.first_event_s
         if first_event_s is not None:
             self._components.metrics.record_stream(
@@ -312,6 +312,8 @@
             first_s=None if first_event_s is None else round(first_event_s, 3),
             longest_pause_s=round(self._progress.times.longest_pause_s, 3),
             longest_pause_event=self._progress.times.longest_pause_event,
+            framing=head.framing.value,
+            unfinished_bytes=len(self._progress.remainder),
         )
 
     def _interruption_error(self, reason: str) -> errors.ForwardingError:
--- a/bronzeslip/platform/endpoint_response.py
+++ b/bronzeslip/platform/endpoint_response.py
@@ -6,6 +6,7 @@
 import httpx
 
 from bronzeslip import ids
+from bronzeslip.forwarding import body_framing
 from bronzeslip.forwarding import endpoint_client
 from bronzeslip.forwarding import endpoint_errors
 from bronzeslip.forwarding import incoming
@@ -142,9 +143,18 @@
             if name.lower() not in _UNFORWARDED_HEADERS
         ),
         int(length) if length.isdecimal() else None,
+        _framing(response),
     )
 
 
+def _framing(response: httpx.Response) -> body_framing.BodyFraming:
+    if headers.TRANSFER_ENCODING.decode() in response.headers:
+        return body_framing.BodyFraming.CHUNKED
+    if headers.CONTENT_LENGTH.decode() in response.headers:
+        return body_framing.BodyFraming.LENGTH
+    return body_framing.BodyFraming.CONNECTION_END
+
+
 def _verdict(response: httpx.Response) -> endpoint_client.RunVerdict:
     if response.status_code == _MISDIRECTED_STATUS:
         return endpoint_client.RunVerdict.OTHER_ENDPOINT
--- a/tests/platform/test_endpoint_http.py
+++ b/tests/platform/test_endpoint_http.py
@@ -5,6 +5,7 @@
 
 from bronzeslip import ids
 from bronzeslip.endpoints import directory
+from bronzeslip.forwarding import body_framing
 from bronzeslip.forwarding import buffered_response
 from bronzeslip.forwarding import dispatch
 from bronzeslip.forwarding import endpoint_client
@@ -225,6 +226,24 @@
         response = await self._call("q1")
         self.assertEqual(response.body, b"unframed")
 
+    async def test_head_says_how_the_end_of_the_body_is_marked(self):
+        status = b"HTTP/1.1 200 OK\r\n" + _echo(b"q1")
+        for fields, expected in (
+            (b"Content-Length: 0\r\n\r\n", body_framing.BodyFraming.LENGTH),
+            (
+                b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                body_framing.BodyFraming.CHUNKED,
+            ),
+            (
+                b"Connection: close\r\n\r\n",
+                body_framing.BodyFraming.CONNECTION_END,
+            ),
+        ):
+            with self.subTest(expected=expected):
+                await self._start_server(status + fields)
+                response = await self._call("q1")
+                self.assertIs(response.head.framing, expected)
+
     async def test_call_to_a_silent_endpoint_can_be_cancelled(self):
         await self._start_server(raw_server.NO_RESPONSE)
         with self.assertRaises(TimeoutError):
