--- a/tests/support/raw_server.py
+++ b/tests/support/raw_server.py
@@ -1,8 +1,12 @@
 """Loopback server that sends scripted bytes for each request."""
 
 import asyncio
+import socket
+import struct
 
 NO_RESPONSE = object()
+# A reset that follows at once may discard the response.
+_RESET_DELAY_S = 0.1
 
 
 class RawServer:
@@ -14,6 +18,8 @@
         body_read_delay_s: Time between sending the response and reading the
             request body, in seconds. If None, the body is read before the
             response is sent.
+        resets_connections: Whether connections end with a reset, 0.1 s after
+            the last response.
     """
 
     def __init__(self, *scripts):
@@ -22,6 +28,7 @@
         self.requests = []
         self.connection_count = 0
         self.body_read_delay_s = None
+        self.resets_connections = False
 
     async def start(self):
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -58,9 +65,19 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
+            if self.resets_connections:
+                await asyncio.sleep(_RESET_DELAY_S)
+                _reset_on_close(writer)
             writer.close()
 
 
+def _reset_on_close(writer):
+    no_linger = struct.pack("ii", 1, 0)
+    writer.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, no_linger
+    )
+
+
 def _content_length(head):
     for line in head.lower().split(b"\r\n"):
         if line.startswith(b"content-length:"):
