Relay events whose lines end with CR LF as they arrive

The event format allows CR LF.

tests.forwarding.test_event_framer: failed before at each split of such a stream, passes now. No engine of the users sends CR LF as far as seen.

--- a/bronzeslip/forwarding/event_framer.py
+++ b/bronzeslip/forwarding/event_framer.py
@@ -1,8 +1,10 @@
 """Splits a byte stream into complete server-sent events."""
 
+import re
+
 import msgspec
 
-_EVENT_END = b"\n\n"
+_EVENT_END = re.compile(rb"\r?\n\r?\n")
 _ID_FIELD = b"id:"
 
 
@@ -37,14 +39,14 @@
 
     def feed(self, chunk: bytes) -> EventBlock | None:
         """Adds bytes and returns the events completed by them, or None."""
-        complete, separator, remainder = (self._remainder + chunk).rpartition(
-            _EVENT_END
-        )
-        self._remainder = remainder
-        if not separator:
+        received = self._remainder + chunk
+        ends = [match.end() for match in _EVENT_END.finditer(received)]
+        complete_bytes = ends[-1] if ends else 0
+        self._remainder = received[complete_bytes:]
+        if not ends:
             return None
-        data = complete + separator
-        return EventBlock(data, data.count(_EVENT_END), _last_id(data))
+        data = received[:complete_bytes]
+        return EventBlock(data, len(ends), _last_id(data))
 
 
 def _last_id(data: bytes) -> str | None:
