Treat a stream that ends inside an event as broken off

Cause: a response may have neither a length nor chunks and then ends with its connection. The HTTP library can't tell a crash from the end of such a body, so StreamRun._relay saw no error, wrote the bytes of the incomplete event to the caller and ended the response. It also cleared the request of suspicion and left the engine unchecked. The class of the fault: the end of the transport was taken for the end of the message.

Change: only the events tell whether a stream is whole. StreamProgress refuses an end inside an event, however the response was framed, and an end with the connection before any event of that engine. The run then takes the path of a lost response: crash check, copy, another run where the route allows it, or a closed connection.

Elsewhere: calls are read whole and a reset raises; control calls and the store decode JSON, so a short body is an error; the sidecar's engine client ends a generation only on an outcome event. None has this fault.

--- a/bronzeslip/forwarding/event_framer.py
+++ b/bronzeslip/forwarding/event_framer.py
@@ -37,6 +37,11 @@
         """Bytes after the last complete event."""
         return self._remainder
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether an event has begun that is not complete."""
+        return bool(self._remainder.strip(b"\r\n"))
+
     def feed(self, chunk: bytes) -> EventBlock | None:
         """Adds bytes and returns the events completed by them, or None."""
         received = self._remainder + chunk
--- a/bronzeslip/forwarding/stream_progress.py
+++ b/bronzeslip/forwarding/stream_progress.py
@@ -1,6 +1,7 @@
 """Events that the caller of a generation has received."""
 
 from bronzeslip.forwarding import admitted
+from bronzeslip.forwarding import body_framing
 from bronzeslip.forwarding import endpoint_errors
 from bronzeslip.forwarding import event_framer
 from bronzeslip.forwarding import stream_times
@@ -33,6 +34,7 @@
         )
         self._event_max_bytes = event_max_bytes
         self._framer = event_framer.EventFramer()
+        self._has_event_of_engine = False
         self.events = 0
         self.last_event_id: str | None = None
         self.times = stream_times.StreamTimes(request.request.arrived_s)
@@ -62,11 +64,35 @@
         """Counts events that were sent to the caller."""
         self.times.record_event(self.events)
         self.events += block.count
+        self._has_event_of_engine = True
         self.last_event_id = block.last_event_id or self.last_event_id
 
     def restart(self) -> None:
-        """Discards an incomplete event, which the next run sends again."""
+        """Discards an incomplete event, which the next engine sends again."""
         self._framer = event_framer.EventFramer()
+        self._has_event_of_engine = False
+
+    def raise_if_unfinished(self, framing: body_framing.BodyFraming) -> None:
+        """Raises an error if the response of an engine ended too early.
+
+        Args:
+            framing: How the end of the response is marked.
+
+        Raises:
+            endpoint_errors.EndpointResponseLostError: If it ended inside an
+                event, or with its connection before any event.
+        """
+        if self._framer.is_inside_event:
+            raise endpoint_errors.EndpointResponseLostError(
+                "the response ended inside an event"
+            )
+        ends_with_connection = (
+            framing is body_framing.BodyFraming.CONNECTION_END
+        )
+        if ends_with_connection and not self._has_event_of_engine:
+            raise endpoint_errors.EndpointResponseLostError(
+                "the connection ended before any event"
+            )
 
     def _raise_if_too_many(self, events: int) -> None:
         if events > self._max_events:
--- a/bronzeslip/forwarding/stream_run.py
+++ b/bronzeslip/forwarding/stream_run.py
@@ -147,6 +147,7 @@
                 return True
             async for chunk in response.chunks():
                 await self._relay_chunk(response.head, chunk)
+            self._progress.raise_if_unfinished(response.head.framing)
         except endpoint_errors.EndpointResponseLostError as error:
             logger.info(
                 "stream.cut",
