Recognise parts of prompts that crash engines

Callers saw: requests of one kind crash engine after engine, each with all that it runs. No two of them are alike, so each was a new suspect with one crash.

Cause: a crash was blamed on whole requests (workspace, target, body), while one part of the prompt caused it. A resumable stream did not even ask the quarantine before it ran again.

Change: at a crash each gateway records the parts of the lost prompts that had not begun to be answered, without those that answers have proven sound; what the prompts of two crashes have in common, over all gateways, is refused.

--- a/bronzeslip/entry/suspect_replicator.py
+++ b/bronzeslip/entry/suspect_replicator.py
@@ -71,7 +71,7 @@
     def on_store_restored(self) -> None:
         """Writes the record again if this gateway has suspects."""
         self.interrupt()
-        if self.suspect_list.own_record().entries:
+        if not self.suspect_list.own_record().is_empty:
             logger.info("suspects.written_again")
             self.publisher.publish()
 
--- a/bronzeslip/forwarding/crash_watch.py
+++ b/bronzeslip/forwarding/crash_watch.py
@@ -13,6 +13,8 @@
 from bronzeslip.forwarding import endpoint_client
 from bronzeslip.forwarding import endpoint_errors
 from bronzeslip.forwarding import errors
+from bronzeslip.forwarding import lost_requests
+from bronzeslip.forwarding import part_watch
 from bronzeslip.routing import fingerprint
 from bronzeslip.routing import suspect_list
 from bronzeslip.routing import suspect_publisher
@@ -39,6 +41,9 @@
     reject the request. After the first crash, a request is a suspect and runs
     on a different endpoint than other suspects, so that requests that did not
     cause the crash can complete and are cleared.
+
+    Requests may also crash endpoints by a part of their prompts, no two of them
+    alike; these are recognised by the parts that lost prompts have in common.
     """
 
     def __init__(
@@ -64,7 +69,10 @@
         self._client = client
         self._endpoints = endpoints
         self._suspect_ttl_s = suspect_ttl_s
-        self._unconfirmed_suspects: dict[ids.CrashId, set[ids.Fingerprint]] = {}
+        self._parts = part_watch.PartWatch(
+            suspects.parts, publisher, suspect_ttl_s
+        )
+        self._unconfirmed: dict[ids.CrashId, lost_requests.LostRequests] = {}
         self._checks: dict[ids.CrashId, asyncio.Task] = {}
         self._suspect_runs: collections.Counter[ids.EndpointId] = (
             collections.Counter()
@@ -75,13 +83,14 @@
 
         Raises:
             errors.QuarantinedError: If the request was running during two
-                crashes.
+                crashes, or parts of its prompt were lost in several.
         """
         if self._state_of(request) is suspect_state.SuspectState.QUARANTINED:
             raise errors.QuarantinedError(
                 "the request was running during two endpoint crashes",
                 retry_after_s=self._suspect_ttl_s,
             )
+        self._parts.reject_quarantined(request)
 
     def endpoints_to_avoid(
         self, request: admitted.AdmittedRequest, has_lost_response: bool
@@ -123,16 +132,32 @@
             self._suspect_runs[target.endpoint_id] -= 1
             self._suspect_runs += collections.Counter()
 
+    def record_answered(self, request: admitted.AdmittedRequest) -> None:
+        """Records that an endpoint has begun to answer and did not crash."""
+        self._parts.record_answered(request)
+
     def record_lost_response(
-        self, request: admitted.AdmittedRequest, target: endpoint.Endpoint
+        self,
+        request: admitted.AdmittedRequest,
+        target: endpoint.Endpoint,
+        is_answered: bool = False,
     ) -> None:
-        """Records a lost response and checks whether the endpoint crashed."""
+        """Records a lost response and checks whether the endpoint crashed.
+
+        Args:
+            request: Request whose response was lost.
+            target: Endpoint that received it.
+            is_answered: Whether the endpoint had begun to answer it.
+        """
         if not self._endpoints.accepts_requests(target):
             return
         crash_id = _crash_id(target)
-        self._unconfirmed_suspects.setdefault(crash_id, set()).add(
-            _fingerprint(request)
+        lost = self._unconfirmed.setdefault(
+            crash_id, lost_requests.LostRequests()
         )
+        lost.fingerprints.add(_fingerprint(request))
+        if not is_answered:
+            lost.prompts.add(part_watch.parts_of(request))
         if crash_id not in self._checks:
             self._checks[crash_id] = asyncio.create_task(
                 self._check(request, target)
@@ -152,8 +177,8 @@
 
     def record_completion(self, request: admitted.AdmittedRequest) -> None:
         """Records that an endpoint has completed a request."""
-        for suspects in self._unconfirmed_suspects.values():
-            suspects.discard(_fingerprint(request))
+        for lost in self._unconfirmed.values():
+            lost.fingerprints.discard(_fingerprint(request))
         if self._is_suspect(request):
             self._suspects.clear(_fingerprint(request))
             self._publisher.publish()
@@ -166,7 +191,7 @@
         try:
             has_crashed = await self._has_crashed(request, target)
         finally:
-            suspects = self._unconfirmed_suspects.pop(crash_id)
+            lost = self._unconfirmed.pop(crash_id)
             del self._checks[crash_id]
         if not has_crashed:
             return
@@ -174,10 +199,12 @@
             "endpoint.crashed",
             endpoint=target.endpoint_id,
             first_request=request.request.request_id,
-            suspects=len(suspects),
+            suspects=len(lost.fingerprints),
+            unanswered=len(lost.prompts),
         )
-        for suspect in suspects:
+        for suspect in lost.fingerprints:
             self._suspects.add_crash(suspect, crash_id)
+        self._suspects.parts.add_crash(crash_id, lost.prompts)
         self._publisher.publish()
 
     async def _has_crashed(
--- a/bronzeslip/forwarding/stream_progress.py
+++ b/bronzeslip/forwarding/stream_progress.py
@@ -71,6 +71,7 @@
         """Discards an incomplete event, which the next engine sends again."""
         self._framer = event_framer.EventFramer()
         self._has_event_of_engine = False
+        self.times.restart()
 
     def raise_if_unfinished(self, framing: body_framing.BodyFraming) -> None:
         """Raises an error if the response of an engine ended too early.
--- a/bronzeslip/forwarding/stream_run.py
+++ b/bronzeslip/forwarding/stream_run.py
@@ -25,6 +25,8 @@
 logger = logs.get_logger(__name__)
 
 _SERVER_ERROR_STATUS = 500
+# An engine that a prompt crashes ends within moments of its first token.
+_ANSWERED_AFTER_S = 1.0
 
 
 class StreamRun:
@@ -49,6 +51,7 @@
         self._load = run_load.RunLoad(shared.in_flight, request)
         self._keeper: standby_keeper.StandbyKeeper | None = None
         self._keeper_task: asyncio.Task | None = None
+        self._is_answered = False
 
     async def serve(self) -> None:
         """Relays events until the last one.
@@ -157,7 +160,7 @@
                 reason=error.message,
             )
             self._components.crash_detector.record_lost_response(
-                self._request, self._endpoint
+                self._request, self._endpoint, self._is_answered
             )
             return False
         finally:
@@ -174,6 +177,8 @@
         await self._start_response(head)
         await self._writer.write(block.data)
         self._progress.record(block)
+        if self._progress.times.answering_s >= _ANSWERED_AFTER_S:
+            self._record_answered()
         if self._keeper_task is None:
             self._start_keeper()
 
@@ -182,6 +187,12 @@
         if self._progress.remainder:
             await self._writer.write(self._progress.remainder)
         await self._writer.finish()
+        self._record_answered()
+
+    def _record_answered(self) -> None:
+        if not self._is_answered:
+            self._is_answered = True
+            self._components.crash_detector.record_answered(self._request)
 
     async def _start_response(self, head: endpoint_client.ResponseHead) -> None:
         """Sends the head, without the content length.
@@ -204,6 +215,7 @@
         self._stop_keeper()
         self._components.copy_target_chooser.record_engine_end(self._endpoint)
         self._progress.restart()
+        self._is_answered = False
         reason = "no copy of the run"
         if copy is not None and self._progress.last_event_id is not None:
             try:
@@ -248,6 +260,7 @@
             and self._request.remaining_s > 0
         ):
             try:
+                await self._reject_if_quarantined()
                 self._take_retry()
                 chosen = self._components.endpoint_chooser.choose(
                     self._request, self._tried
@@ -262,6 +275,16 @@
                 return response
         raise self._interruption_error(reason)
 
+    async def _reject_if_quarantined(self) -> None:
+        """Rejects another run of a request that crashes engines.
+
+        Raises:
+            errors.QuarantinedError: If the request does.
+        """
+        crash_detector = self._components.crash_detector
+        await crash_detector.wait_for_crash_check(self._request, self._endpoint)
+        crash_detector.reject_quarantined(self._request)
+
     def _take_retry(self) -> None:
         """Consumes a retry of the service's budget.
 
--- a/bronzeslip/routing/fingerprint.py
+++ b/bronzeslip/routing/fingerprint.py
@@ -18,6 +18,12 @@
     return ids.Fingerprint(digest.hexdigest())
 
 
+def of_prompt_part(part_id: str) -> ids.Fingerprint:
+    """Returns the fingerprint of one part of a prompt, from any caller."""
+    digest = hashlib.blake2b(part_id.encode(), digest_size=_DIGEST_BYTES)
+    return ids.Fingerprint(digest.hexdigest())
+
+
 def of_call(
     workspace_id: ids.WorkspaceId | None,
     method: str,
--- a/bronzeslip/routing/suspect_list.py
+++ b/bronzeslip/routing/suspect_list.py
@@ -7,6 +7,7 @@
 
 from bronzeslip import ids
 from bronzeslip import logs
+from bronzeslip.routing import part_quarantine
 from bronzeslip.routing import suspect_record
 from bronzeslip.routing import suspect_settings
 from bronzeslip.routing import suspect_state
@@ -28,6 +29,9 @@
     has observed while the request was in flight, minus those that any gateway
     has cleared it of. Entries only grow, so the order in which records arrive
     does not matter.
+
+    Attributes:
+        parts: Quarantine of prompts by their parts, from the same records.
     """
 
     def __init__(
@@ -43,6 +47,7 @@
         """
         self._settings = settings
         self._wall_clock = wall_clock
+        self.parts = part_quarantine.PartQuarantine(settings, wall_clock)
         self._own_key = record_key(settings.vm_id)
         self._records: dict[
             ids.ObjectKey,
@@ -108,7 +113,9 @@
         for fingerprint, entry in list(own_entries.items()):
             if self._is_expired(entry) or len(own_entries) > _MAX_OWN_ENTRIES:
                 self._remove_entry(self._own_key, fingerprint)
-        return suspect_record.SuspectRecord(dict(own_entries))
+        return suspect_record.SuspectRecord(
+            dict(own_entries), self.parts.own_record()
+        )
 
     def abandoned_keys(
         self, live_vm_ids: set[ids.VmId]
@@ -128,6 +135,7 @@
             for key, entries in self._records.items()
             if key not in live_keys
             and all(self._is_expired(entry) for entry in entries.values())
+            and self.parts.records.is_expired(key)
         )
 
     async def on_list(self, listed: objects.ObjectList) -> None:
@@ -158,8 +166,9 @@
         if key == self._own_key:
             self._restore_own(record)
             return
-        self._drop_record(key)
+        self._remove_entries(key)
         self._records[key] = {}
+        self.parts.records.apply(key, record.parts)
         for fingerprint, entry in record.entries.items():
             self._store(key, fingerprint, entry)
 
@@ -168,6 +177,7 @@
         for fingerprint, entry in record.entries.items():
             if fingerprint not in own_entries:
                 self._store(self._own_key, fingerprint, entry)
+        self.parts.records.restore_own(record.parts)
 
     def _own_entry(
         self, fingerprint: ids.Fingerprint
@@ -198,9 +208,13 @@
             logger.info(f"suspects.{state.value}", fingerprint=fingerprint)
 
     def _drop_record(self, key: ids.ObjectKey) -> None:
+        self._remove_entries(key)
+        self._records.pop(key, None)
+        self.parts.records.drop(key)
+
+    def _remove_entries(self, key: ids.ObjectKey) -> None:
         for fingerprint in list(self._records.get(key, ())):
             self._remove_entry(key, fingerprint)
-        self._records.pop(key, None)
 
     def _remove_entry(
         self, key: ids.ObjectKey, fingerprint: ids.Fingerprint
--- a/bronzeslip/routing/suspect_publisher.py
+++ b/bronzeslip/routing/suspect_publisher.py
@@ -55,6 +55,12 @@
         self._requested_revision += 1
         self._changed.set()
 
+    def is_chosen(self, key: str) -> bool:
+        """Returns whether this gateway is chosen for a key among all."""
+        own_vm_id = self._settings.vm_id
+        candidates = self._live_gateways() | {own_vm_id}
+        return rendezvous.ranked(candidates, str, key)[0] == own_vm_id
+
     async def wait_published(self, timeout_s: float) -> None:
         """Waits until all changes so far are written or a timeout elapses."""
         revision = self._requested_revision
@@ -100,13 +106,8 @@
             await self._platform.update(self._key, record, stored.version)
 
     async def _delete_abandoned(self) -> None:
-        live_vm_ids = self._live_gateways()
-        own_vm_id = self._settings.vm_id
-        for key in self._suspects.abandoned_keys(live_vm_ids):
-            if (
-                rendezvous.ranked(live_vm_ids | {own_vm_id}, str, key)[0]
-                != own_vm_id
-            ):
+        for key in self._suspects.abandoned_keys(self._live_gateways()):
+            if not self.is_chosen(key):
                 continue
             try:
                 stored = await self._platform.get(key)
--- a/bronzeslip/routing/suspect_record.py
+++ b/bronzeslip/routing/suspect_record.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from bronzeslip import ids
+from bronzeslip.routing import part_record
 
 
 class SuspectEntry(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -22,6 +23,17 @@
 
 
 class SuspectRecord(msgspec.Struct, frozen=True):
-    """Entries of one gateway, which is their only writer."""
+    """Entries of one gateway, which is their only writer.
+
+    Attributes:
+        entries: Crash history by fingerprint of a request.
+        parts: Evidence about parts of prompts.
+    """
 
     entries: dict[ids.Fingerprint, SuspectEntry]
+    parts: part_record.PartRecord = part_record.PartRecord()
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether the record says nothing."""
+        return not self.entries and not self.parts.crashes
--- a/tests/forwarding/test_unfinished_streams.py
+++ b/tests/forwarding/test_unfinished_streams.py
@@ -80,8 +80,8 @@
 
         def create_and_record(*args, **kwargs):
             components = create(*args, **kwargs)
-            components.crash_detector.record_lost_response = lambda _, target: (
-                lost.append(target.endpoint_id)
+            components.crash_detector.record_lost_response = (
+                lambda _, target, *args: lost.append(target.endpoint_id)
             )
             return components
 
--- /dev/null
+++ b/tests/routing/test_quarantine_trials.py
@@ -0,0 +1,57 @@
+"""Tests of bronzeslip.routing.quarantine_trials."""
+
+import unittest
+
+from bronzeslip.membership import rendezvous
+from bronzeslip.routing import deadly_parts
+from bronzeslip.routing import quarantine_trials
+
+_DEADLY = deadly_parts.DeadlyParts(frozenset("x"), frozenset(("c1", "c2")))
+_OTHER = deadly_parts.DeadlyParts(frozenset("y"), frozenset(("c3", "c4")))
+_TOGETHER_UNIX_S = (100, 100, 101)
+_SPREAD_UNIX_S = (100, 102, 104)
+
+
+class QuarantineTrialsTest(unittest.TestCase):
+    def setUp(self):
+        self.now_unix_s = 1000.0
+
+    def _create(self, is_chosen=lambda _: True):
+        return quarantine_trials.QuarantineTrials(
+            is_chosen, lambda: self.now_unix_s
+        )
+
+    def test_one_request_may_run_in_each_interval(self):
+        trials = self._create()
+        for _ in range(3):
+            self.assertTrue(trials.take(_DEADLY, _TOGETHER_UNIX_S))
+            self.assertFalse(trials.take(_DEADLY, _TOGETHER_UNIX_S))
+            self.assertTrue(trials.take(_OTHER, _TOGETHER_UNIX_S))
+            self.now_unix_s += trials.interval_s
+
+    def test_none_may_run_once_crashes_are_spread_over_time(self):
+        trials = self._create()
+        self.assertTrue(trials.are_left(_SPREAD_UNIX_S[:2]))
+        self.assertFalse(trials.are_left(_SPREAD_UNIX_S))
+        self.assertFalse(trials.take(_DEADLY, _SPREAD_UNIX_S))
+
+    def test_engines_that_fail_together_count_once(self):
+        self.assertTrue(self._create().are_left([100] * 50 + [101] * 50))
+
+    def test_one_of_many_gateways_tries_a_request(self):
+        names = [f"front-{number}" for number in range(50)]
+
+        def create_for(name):
+            return self._create(
+                lambda key: rendezvous.ranked(names, str, key)[0] == name
+            )
+
+        gateways = [create_for(name) for name in names]
+        for _ in range(5):
+            taken = [g.take(_DEADLY, _TOGETHER_UNIX_S) for g in gateways]
+            self.assertEqual(sum(taken), 1)
+            self.now_unix_s += gateways[0].interval_s
+
+
+if __name__ == "__main__":
+    unittest.main()
