--- a/bronzeslip/forwarding/stream_run.py
+++ b/bronzeslip/forwarding/stream_run.py
@@ -10,7 +10,6 @@
 from bronzeslip.forwarding import admitted
 from bronzeslip.forwarding import buffered_response
 from bronzeslip.forwarding import call_forwarder
-from bronzeslip.forwarding import chooser
 from bronzeslip.forwarding import components
 from bronzeslip.forwarding import dispatch
 from bronzeslip.forwarding import endpoint_client
@@ -18,8 +17,8 @@
 from bronzeslip.forwarding import errors
 from bronzeslip.forwarding import response_writer
 from bronzeslip.forwarding import run_load
+from bronzeslip.forwarding import run_standby
 from bronzeslip.forwarding import standby_copy
-from bronzeslip.forwarding import standby_keeper
 from bronzeslip.forwarding import stream_progress
 
 logger = logs.get_logger(__name__)
@@ -49,8 +48,7 @@
             request, shared.settings.event_max_bytes
         )
         self._load = run_load.RunLoad(shared.in_flight, request)
-        self._keeper: standby_keeper.StandbyKeeper | None = None
-        self._keeper_task: asyncio.Task | None = None
+        self._standby = run_standby.RunStandby(shared, request)
         self._is_answered = False
 
     async def serve(self) -> None:
@@ -70,7 +68,7 @@
             )
         finally:
             self._load.close()
-            self._stop_keeper()
+            self._standby.stop()
 
     async def _serve(self) -> None:
         response = await self._components.attempt_runner.run(
@@ -79,7 +77,7 @@
         while not await self._relay(response):
             response = await self._resume()
         self._log_completion(response.head)
-        self._release_copy()
+        self._standby.release()
 
     async def _start_on(
         self, chosen: endpoint.Endpoint
@@ -179,8 +177,7 @@
         self._progress.record(block)
         if self._progress.times.answering_s >= _ANSWERED_AFTER_S:
             self._record_answered()
-        if self._keeper_task is None:
-            self._start_keeper()
+        self._standby.start(self._endpoint)
 
     async def _finish(self, head: endpoint_client.ResponseHead) -> None:
         await self._start_response(head)
@@ -211,8 +208,7 @@
         Raises:
             errors.ForwardingError: If the run can't be resumed.
         """
-        copy = self._keeper.copy if self._keeper else None
-        self._stop_keeper()
+        copy = self._standby.stop()
         self._components.copy_target_chooser.record_engine_end(self._endpoint)
         self._progress.restart()
         self._is_answered = False
@@ -297,27 +293,6 @@
         if not budget.take():
             raise errors.NotRunError("the retry budget is exhausted")
 
-    def _start_keeper(self) -> None:
-        engine = self._request.service.engine
-        if engine is None or not engine.can_move:
-            return
-        if not chooser.is_long_generation(self._request):
-            return
-        self._keeper = standby_keeper.StandbyKeeper(
-            self._components, self._request, self._endpoint
-        )
-        self._keeper_task = asyncio.create_task(self._keeper.run())
-
-    def _release_copy(self) -> None:
-        if self._keeper is not None and self._keeper.copy is not None:
-            self._components.releaser.release(self._keeper.copy)
-
-    def _stop_keeper(self) -> None:
-        if self._keeper_task is not None:
-            self._keeper_task.cancel()
-        self._keeper_task = None
-        self._keeper = None
-
     def _log_completion(self, head: endpoint_client.ResponseHead) -> None:
         first_event_s = self._progress.times.first_event_s
         if first_event_s is not None:
