Play unframed endpoints and streams cut inside an event in the stand-in and soak

Every second endpoint of a soak trial answers with neither a length nor chunks, and a tenth of the streams end inside an event.

--- a/standins/model_endpoint/app.py
+++ b/standins/model_endpoint/app.py
@@ -15,9 +15,11 @@
 _TARGET_INSTANCE_HEADER = "bronzeslip-target-instance"
 _STREAM_BODY = b"stream"
 _CRASH_BODY = b"crash"
+_BROKEN_STREAM_BODY = b"broken-stream"
 _CRASH_EXIT_STATUS = 70
 _MS_PER_S = 1000
 EVENT_COUNT = 5
+_BROKEN_EVENT_COUNT = 2
 _EVENT_INTERVAL_S = 0.05
 
 
@@ -28,13 +30,21 @@
     one is answered with an announcement that the endpoint leaves or asks for a
     pause.
 
-    The body "stream" selects a stream of events, and the body "crash" makes
-    the process exit at once. While the stand-in holds requests, calls wait
+    The body "stream" selects a stream of events, the body "broken-stream" one
+    that ends inside an event, and the body "crash" makes the process exit at
+    once. While the stand-in holds requests, calls wait
     before their response starts and streams wait after their first event.
     """
 
-    def __init__(self, endpoint_id: str) -> None:
+    def __init__(self, endpoint_id: str, is_unframed: bool = False) -> None:
+        """Creates an endpoint.
+
+        Args:
+            endpoint_id: Id that requests have to name.
+            is_unframed: Whether responses to requests state no length.
+        """
         self._endpoint_id = endpoint_id
+        self._is_unframed = is_unframed
         self._released = asyncio.Event()
         self._released.set()
         self._is_leaving = False
@@ -63,11 +73,19 @@
         )
 
     async def _announce(self, message: Any, _: Any) -> None:
-        if message["type"] == "http.response.start" and self._is_leaving:
+        if message["type"] != "http.response.start":
+            return
+        if self._is_leaving:
             message["headers"] = [
                 *message["headers"],
                 (b"server-leaving", b"1"),
             ]
+        if self._is_unframed:
+            message["headers"] = [
+                field
+                for field in message["headers"]
+                if field[0] != b"content-length"
+            ]
 
     async def _handle_request(
         self, request: litestar.Request
@@ -102,18 +120,23 @@
         body = await request.body()
         if body == _CRASH_BODY:
             os._exit(_CRASH_EXIT_STATUS)
-        if body == _STREAM_BODY:
+        if body in (_STREAM_BODY, _BROKEN_STREAM_BODY):
             return response.Stream(
-                self._events(), headers=headers, media_type="text/event-stream"
+                self._events(is_broken=body == _BROKEN_STREAM_BODY),
+                headers=headers,
+                media_type="text/event-stream",
             )
         await self._released.wait()
         return litestar.Response(
             b"ran " + body, headers=headers, media_type="text/plain"
         )
 
-    async def _events(self) -> AsyncIterator[bytes]:
+    async def _events(self, is_broken: bool) -> AsyncIterator[bytes]:
         stream_id = uuid.uuid4().hex
         for event_id in range(1, EVENT_COUNT + 1):
+            if is_broken and event_id > _BROKEN_EVENT_COUNT:
+                yield f"id: {event_id}\ndata: {stream_id}".encode()
+                return
             yield f"id: {event_id}\ndata: {stream_id}-{event_id}\n\n".encode()
             await self._released.wait()
             await asyncio.sleep(_EVENT_INTERVAL_S)
--- a/tools/entry_deployment.py
+++ b/tools/entry_deployment.py
@@ -32,6 +32,7 @@
         gateway_count: int = 1,
         endpoint_count: int = 1,
         has_endpoint_proxies: bool = True,
+        has_unframed_endpoints: bool = False,
     ) -> None:
         """Starts all processes and waits until all gateways are ready.
 
@@ -41,6 +42,8 @@
             has_endpoint_proxies: Whether gateways reach endpoints through TCP
                 proxies; without them, connections to an endpoint that has
                 exited are refused.
+            has_unframed_endpoints: Whether the responses of every second
+                endpoint, from the first on, end with their connection.
 
         Raises:
             RuntimeError: If a process exits before it is ready.
@@ -48,11 +51,15 @@
         """
         self._written: dict[tuple[str, str], Any] = {}
         with contextlib.ExitStack() as exit_stack:
-            self.call_endpoints = _endpoints(
-                exit_stack, "desk", endpoint_count, has_endpoint_proxies
-            )
-            self.engines = _endpoints(
-                exit_stack, "engine", endpoint_count, has_endpoint_proxies
+            self.call_endpoints, self.engines = (
+                _endpoints(
+                    exit_stack,
+                    service,
+                    endpoint_count,
+                    has_endpoint_proxies,
+                    has_unframed_endpoints,
+                )
+                for service in ("desk", "engine")
             )
             self._start(exit_stack, gateway_count)
             self._exit_stack = exit_stack.pop_all()
@@ -145,13 +152,20 @@
 
 
 def _endpoints(
-    exit_stack: contextlib.ExitStack, service: str, count: int, is_proxied: bool
+    exit_stack: contextlib.ExitStack,
+    service: str,
+    count: int,
+    is_proxied: bool,
+    has_unframed: bool,
 ) -> list[entry_endpoint.EntryEndpoint]:
     """Starts the endpoints of a service; their ids begin with its name."""
     endpoints = []
     for number in range(count):
         endpoint = entry_endpoint.EntryEndpoint(
-            f"{service}-{number}", service, is_proxied
+            f"{service}-{number}",
+            service,
+            is_proxied,
+            is_unframed=has_unframed and number % 2 == 0,
         )
         exit_stack.callback(endpoint.stop)
         endpoints.append(endpoint)
--- a/tools/entry_endpoint.py
+++ b/tools/entry_endpoint.py
@@ -21,12 +21,25 @@
     """
 
     def __init__(
-        self, endpoint_id: str, service: str, is_proxied: bool = True
+        self,
+        endpoint_id: str,
+        service: str,
+        is_proxied: bool = True,
+        is_unframed: bool = False,
     ) -> None:
+        """Starts the process.
+
+        Args:
+            endpoint_id: Id under which the endpoint registers.
+            service: Service of the endpoint.
+            is_proxied: Whether gateways connect through the proxy.
+            is_unframed: Whether responses end with their connection.
+        """
         self.endpoint_id = endpoint_id
         self.proxy = tcp_proxy.TcpProxy()
         self._service = service
         self._is_proxied = is_proxied
+        self._flags = ["--unframed"] if is_unframed else []
         self._start_count = 0
         self._earlier_processes: list[local_process.LocalProcess] = []
         self.process = self._start_process()
@@ -99,5 +112,7 @@
     def _start_process(self) -> local_process.LocalProcess:
         self._start_count += 1
         return local_process.LocalProcess(
-            "standins.model_endpoint", f"--endpoint-id={self.endpoint_id}"
+            "standins.model_endpoint",
+            f"--endpoint-id={self.endpoint_id}",
+            *self._flags,
         )
--- a/tools/soak/caller.py
+++ b/tools/soak/caller.py
@@ -16,6 +16,7 @@
 _PAUSE_S = 0.05
 _TIMEOUT = httpx.Timeout(20.0, connect=1.0)
 _KINDS = tuple(request_kind.RequestKind)
+_BROKEN_STREAM_SHARE = 0.1
 
 
 class Callers:
@@ -56,10 +57,15 @@
                 await self._call(client)
                 await asyncio.sleep(self._rng.uniform(0, 2 * _PAUSE_S))
 
+    def _body(self, kind: request_kind.RequestKind, request_id: str) -> bytes:
+        if kind is not request_kind.RequestKind.STREAM:
+            return request_id.encode()
+        is_broken = self._rng.random() < _BROKEN_STREAM_SHARE
+        return b"broken-stream" if is_broken else b"stream"
+
     async def _call(self, client: httpx.AsyncClient) -> None:
         kind = self._rng.choice(_KINDS)
         request_id = uuid.UUID(int=self._rng.getrandbits(128)).hex[:16]
-        is_stream = kind is request_kind.RequestKind.STREAM
         chunks: list[bytes] = []
         status = None
         is_complete = False
@@ -70,7 +76,7 @@
                 "POST",
                 gateway.url(kind.value),
                 headers=entry_configuration.headers(request_id),
-                content=b"stream" if is_stream else request_id.encode(),
+                content=self._body(kind, request_id),
             ) as response:
                 status = response.status_code
                 async for chunk in response.aiter_bytes():
--- a/tools/soak/trial.py
+++ b/tools/soak/trial.py
@@ -49,7 +49,9 @@
     def run(self) -> list[violation.Violation]:
         """Runs the trial and returns the violations found."""
         deployment = entry_deployment.EntryDeployment(
-            self._settings.gateways, self._settings.endpoints
+            self._settings.gateways,
+            self._settings.endpoints,
+            has_unframed_endpoints=True,
         )
         try:
             return checker.check(asyncio.run(self._collect_history(deployment)))
