Check that an endpoint is there when its response ends with its connection

Calls had it too, a killed endpoint's part of a body was passed on as the whole.

Change: a response with neither a length nor chunks is complete only if its endpoint still listens, does not respond within 0.15 s, or has announced that it leaves. Otherwise it is lost and takes the usual path. Cost: one health check for each such response. What can't be told: an endpoint that was killed and is back before the check.

--- a/bronzeslip/forwarding/call_forwarder.py
+++ b/bronzeslip/forwarding/call_forwarder.py
@@ -105,9 +105,13 @@
         )
         response = await self._components.client.send(outgoing)
         await raise_if_not_run(response)
-        return await buffered_response.read(
+        whole = await buffered_response.read(
             response, self._components.settings.response_max_bytes
         )
+        await self._components.crash_detector.raise_if_gone(
+            self._request, chosen, whole.head
+        )
+        return whole
 
 
 async def raise_if_not_run(response: endpoint_client.EndpointResponse) -> None:
--- a/bronzeslip/forwarding/crash_watch.py
+++ b/bronzeslip/forwarding/crash_watch.py
@@ -10,6 +10,7 @@
 from bronzeslip.endpoints import directory
 from bronzeslip.endpoints import endpoint
 from bronzeslip.forwarding import admitted
+from bronzeslip.forwarding import body_framing
 from bronzeslip.forwarding import endpoint_client
 from bronzeslip.forwarding import endpoint_errors
 from bronzeslip.forwarding import errors
@@ -27,6 +28,9 @@
 # Enough for a refused connection, which is reported immediately. A retry does
 # not wait longer for an unresponsive endpoint.
 _CHECK_WAIT_S = 0.5
+# The end of a response is held back this long at most. An endpoint that does
+# not respond in time is taken to be there.
+_END_CHECK_WAIT_S = 0.15
 # Pauses between the probes of an endpoint without a response. A process that is
 # ending still accepts connections and resets them a moment later.
 _MIN_PROBE_PAUSE_S = 0.05
@@ -175,6 +179,35 @@
         if check is not None and self._is_suspect(request):
             await asyncio.wait((check,), timeout=_CHECK_WAIT_S)
 
+    async def raise_if_gone(
+        self,
+        request: admitted.AdmittedRequest,
+        target: endpoint.Endpoint,
+        head: endpoint_client.ResponseHead,
+    ) -> None:
+        """Raises an error if a response may have been cut off.
+
+        A response that ends with its connection looks complete if its endpoint
+        is killed.
+
+        Args:
+            request: Request whose response has ended.
+            target: Endpoint that responded.
+            head: Head of the response.
+
+        Raises:
+            endpoint_errors.EndpointResponseLostError: If the response ended
+                with its connection and the endpoint has crashed.
+        """
+        if head.framing is not body_framing.BodyFraming.CONNECTION_END:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_END_CHECK_WAIT_S):
+                if await self._has_crashed(request, target):
+                    raise endpoint_errors.EndpointResponseLostError(
+                        "the endpoint is gone at the end of its response"
+                    )
+
     def record_completion(self, request: admitted.AdmittedRequest) -> None:
         """Records that an endpoint has completed a request."""
         for lost in self._unconfirmed.values():
--- a/bronzeslip/forwarding/stream_run.py
+++ b/bronzeslip/forwarding/stream_run.py
@@ -149,6 +149,9 @@
             async for chunk in response.chunks():
                 await self._relay_chunk(response.head, chunk)
             self._progress.raise_if_unfinished(response.head.framing)
+            await self._components.crash_detector.raise_if_gone(
+                self._request, self._endpoint, response.head
+            )
         except endpoint_errors.EndpointResponseLostError as error:
             logger.info(
                 "stream.cut",
--- a/tests/support/scripted_endpoints.py
+++ b/tests/support/scripted_endpoints.py
@@ -4,6 +4,7 @@
 
 from bronzeslip import ids
 from bronzeslip.endpoints import report
+from bronzeslip.forwarding import body_framing
 from bronzeslip.forwarding import endpoint_client
 from bronzeslip.forwarding import endpoint_errors
 from bronzeslip.forwarding import incoming
@@ -15,9 +16,18 @@
     An exception among the chunks is raised, and an event is waited for.
     """
 
-    def __init__(self, status=200, chunks=(), verdict=None, headers=()):
+    def __init__(
+        self,
+        status=200,
+        chunks=(),
+        verdict=None,
+        headers=(),
+        framing=body_framing.BodyFraming.CHUNKED,
+    ):
         fields = tuple(incoming.HeaderField(*field) for field in headers)
-        self.head = endpoint_client.ResponseHead(status, fields)
+        self.head = endpoint_client.ResponseHead(
+            status, fields, framing=framing
+        )
         self.verdict = verdict or endpoint_client.RunVerdict.MAY_HAVE_RUN
         self.is_leaving = False
         self.is_closed = False
