--- a/standins/model_endpoint/app.py
+++ b/standins/model_endpoint/app.py
@@ -12,11 +12,13 @@
 import msgspec
 
 _ATTEMPT_ID_HEADER = "bronzeslip-attempt-id"
+_PROMPT_PARTS_HEADER = "bronzeslip-prompt-prefix"
 _TARGET_INSTANCE_HEADER = "bronzeslip-target-instance"
 _STREAM_BODY = b"stream"
 _CRASH_BODY = b"crash"
 _BROKEN_STREAM_BODY = b"broken-stream"
 _CRASH_EXIT_STATUS = 70
+_DEADLY_PART_PREFIX = "deadly"
 _MS_PER_S = 1000
 EVENT_COUNT = 5
 _BROKEN_EVENT_COUNT = 2
@@ -32,8 +34,10 @@
 
     The body "stream" selects a stream of events, the body "broken-stream" one
     that ends inside an event, and the body "crash" makes the process exit at
-    once. While the stand-in holds requests, calls wait
-    before their response starts and streams wait after their first event.
+    once. More text may follow after a space. A prompt with a part, other than
+    the last, whose id begins with "deadly" makes the process exit too. While
+    the stand-in holds requests, calls wait before their response starts and
+    streams wait after their first event.
     """
 
     def __init__(self, endpoint_id: str, is_unframed: bool = False) -> None:
@@ -118,11 +122,12 @@
             )
         print(f"ran {request_id}", flush=True)
         body = await request.body()
-        if body == _CRASH_BODY:
+        selected, _, _ = body.partition(b" ")
+        if selected == _CRASH_BODY or _has_deadly_part(request):
             os._exit(_CRASH_EXIT_STATUS)
-        if body in (_STREAM_BODY, _BROKEN_STREAM_BODY):
+        if selected in (_STREAM_BODY, _BROKEN_STREAM_BODY):
             return response.Stream(
-                self._events(is_broken=body == _BROKEN_STREAM_BODY),
+                self._events(is_broken=selected == _BROKEN_STREAM_BODY),
                 headers=headers,
                 media_type="text/event-stream",
             )
@@ -168,3 +173,8 @@
 
     async def _release(self) -> None:
         self._released.set()
+
+
+def _has_deadly_part(request: litestar.Request) -> bool:
+    parts = request.headers.get(_PROMPT_PARTS_HEADER, "").split(",")
+    return any(part.startswith(_DEADLY_PART_PREFIX) for part in parts[:-1])
--- a/tools/entry_configuration.py
+++ b/tools/entry_configuration.py
@@ -76,14 +76,30 @@
     }
 
 
-def headers(request_id: str) -> dict[str, str]:
-    """Returns the headers of a request."""
-    return {
+def headers(request_id: str, *shared_parts: str) -> dict[str, str]:
+    """Returns the headers of a request.
+
+    Args:
+        request_id: Id of the request.
+        *shared_parts: Ids of the parts that its prompt shares with others. If
+            there are any, the request states its prompt, with a last part of
+            its own.
+    """
+    fields = {
         "Host": HOST,
         "Bronzeslip-Attempt-Id": request_id,
         "Bronzeslip-Key": API_KEY,
         "Bronzeslip-Deadline-Ms": str(_DEADLINE_MS),
     }
+    if not shared_parts:
+        return fields
+    parts = [f"{part}:100" for part in (*shared_parts, request_id)]
+    return {
+        **fields,
+        "Bronzeslip-Model": "m",
+        "Bronzeslip-Token-Usage": f"{100 * len(parts)},40",
+        "Bronzeslip-Prompt-Prefix": ",".join(parts),
+    }
 
 
 def _route(
--- a/tools/entry_deployment.py
+++ b/tools/entry_deployment.py
@@ -12,6 +12,7 @@
 from tools import entry_endpoint
 from tools import entry_gateway
 from tools import local_process
+from tools import wait
 
 # Time in which a new gateway accumulates its first retries.
 _RETRY_FILL_S = 1.5
@@ -43,7 +44,8 @@
                 proxies; without them, connections to an endpoint that has
                 exited are refused.
             has_unframed_endpoints: Whether the responses of every second
-                endpoint, from the first on, end with their connection.
+                endpoint, from the first on, end with their connection. These
+                have no proxy, as it would hide that they were killed.
 
         Raises:
             RuntimeError: If a process exits before it is ready.
@@ -83,15 +85,29 @@
             self.put_object(kind, name, spec)
 
     def put_object(self, kind: str, name: str, spec: Any) -> None:
-        """Creates or replaces an object in the store."""
+        """Creates or replaces an object, again while the store is away."""
         self._written[kind, name] = spec
         body = {"metadata": {"name": name}, "spec": spec}
         content = msgspec.json.encode(body)
+
+        def is_accepted() -> bool:
+            try:
+                response = self._write(kind, name, content)
+            except httpx.TransportError:
+                return False
+            if response.status_code == httpx.codes.SERVICE_UNAVAILABLE:
+                return False
+            response.raise_for_status()
+            return True
+
+        wait.until(is_accepted)
+
+    def _write(self, kind: str, name: str, content: bytes) -> httpx.Response:
         url = f"{self.store.http_url()}/objects/{kind}"
         response = httpx.put(f"{url}/{name}", content=content)
         if response.status_code == httpx.codes.NOT_FOUND:
             response = httpx.post(url, content=content)
-        response.raise_for_status()
+        return response
 
     def object_names(self, kind: str) -> list[str]:
         """Lists the names of all objects of a kind."""
@@ -161,11 +177,12 @@
     """Starts the endpoints of a service; their ids begin with its name."""
     endpoints = []
     for number in range(count):
+        is_unframed = has_unframed and number % 2 == 0
         endpoint = entry_endpoint.EntryEndpoint(
             f"{service}-{number}",
             service,
-            is_proxied,
-            is_unframed=has_unframed and number % 2 == 0,
+            is_proxied and not is_unframed,
+            is_unframed,
         )
         exit_stack.callback(endpoint.stop)
         endpoints.append(endpoint)
--- a/tools/entry_endpoint.py
+++ b/tools/entry_endpoint.py
@@ -1,5 +1,6 @@
 """An endpoint as a process, behind a TCP proxy."""
 
+import threading
 from typing import Any
 
 import httpx
@@ -41,6 +42,7 @@
         self._is_proxied = is_proxied
         self._flags = ["--unframed"] if is_unframed else []
         self._start_count = 0
+        self._restart_lock = threading.Lock()
         self._earlier_processes: list[local_process.LocalProcess] = []
         self.process = self._start_process()
 
@@ -76,11 +78,16 @@
 
     def restart(self) -> None:
         """Kills the process and starts a new one without its state."""
-        self.process.kill()
-        self.process.stop()
-        self._earlier_processes.append(self.process)
-        self.process = self._start_process()
-        self.wait_ready()
+        with self._restart_lock:
+            self._restart()
+
+    def restart_if_exited(self) -> bool:
+        """Starts a new process if the current one has ended by itself."""
+        with self._restart_lock:
+            if self.process.exit_status is None:
+                return False
+            self._restart()
+            return True
 
     def wait_ready(self) -> None:
         """Waits until the process listens and directs the proxy to it."""
@@ -109,6 +116,13 @@
         self.process.stop()
         self.proxy.close()
 
+    def _restart(self) -> None:
+        self.process.kill()
+        self.process.stop()
+        self._earlier_processes.append(self.process)
+        self.process = self._start_process()
+        self.wait_ready()
+
     def _start_process(self) -> local_process.LocalProcess:
         self._start_count += 1
         return local_process.LocalProcess(
--- a/tools/entry_gateway.py
+++ b/tools/entry_gateway.py
@@ -120,11 +120,19 @@
         request_id: str,
         path: str = entry_configuration.CALLS_PATH,
         body: bytes = b"x",
+        shared_parts: tuple[str, ...] = (),
     ) -> httpx.Response:
-        """Sends a request and returns the response."""
+        """Sends a request and returns the response.
+
+        Args:
+            request_id: Id of the request.
+            path: Path, which selects the route.
+            body: Body.
+            shared_parts: Parts that its prompt shares with others.
+        """
         return httpx.post(
             self.url(path),
-            headers=entry_configuration.headers(request_id),
+            headers=entry_configuration.headers(request_id, *shared_parts),
             content=body,
             timeout=_CALL_TIMEOUT_S,
         )
--- a/tools/soak/arrival_checker.py
+++ b/tools/soak/arrival_checker.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from tools import entry_configuration
+from tools.soak import deadly_prompts
 from tools.soak import disturbance
 from tools.soak import endpoint_record
 from tools.soak import invariant
@@ -18,6 +19,10 @@
 # the number of requests that may arrive later.
 _PAUSE_SLACK_S = 0.5
 _MAX_ARRIVALS_IN_PAUSE = 2
+# Crashes that a part of prompts may cause, and the number of requests with it
+# that may reach engines once all gateways know.
+_DEADLY_CRASHES = 5
+_MAX_LATER_DEADLY_ARRIVALS = 3
 
 
 class RetryLimits(msgspec.Struct, frozen=True):
@@ -54,6 +59,7 @@
     """Yields every violation."""
     sent = {result.request_id: result for result in observed.results}
     yield from _check_retries(observed, sent)
+    yield from _check_deadly_prompts(observed, sent)
     for record in observed.records:
         yield from _check_leaving(observed, record, sent)
         yield from _check_pauses(observed, record, sent)
@@ -96,6 +102,55 @@
                 break
 
 
+def _check_deadly_prompts(
+    observed: Observations, sent: dict[str, request_result.RequestResult]
+) -> Iterator[violation.Violation]:
+    arrivals_by_part: dict[str, list[endpoint_record.Arrival]] = {}
+    for record in observed.records:
+        for arrival in record.arrivals:
+            result = sent.get(arrival.request_id)
+            if result is not None and result.deadly_part:
+                arrivals_by_part.setdefault(result.deadly_part, []).append(
+                    arrival
+                )
+    for part, arrivals in arrivals_by_part.items():
+        arrivals.sort(key=lambda arrival: arrival.time_s)
+        if len(arrivals) < _DEADLY_CRASHES:
+            continue
+        known_s = (
+            arrivals[_DEADLY_CRASHES - 1].time_s + deadly_prompts.CONTACT_S
+        )
+        later = [
+            arrival.request_id
+            for arrival in arrivals
+            if sent[arrival.request_id].sent_s > known_s
+            and not _is_out_of_touch(observed, sent[arrival.request_id])
+        ]
+        if len(later) > _MAX_LATER_DEADLY_ARRIVALS:
+            yield violation.Violation(
+                invariant.Invariant.DEADLY_PROMPTS_ARE_REFUSED,
+                later[0],
+                f"{part}: {len(later)} requests of {len(arrivals)} came late",
+            )
+
+
+def _is_out_of_touch(
+    observed: Observations, result: request_result.RequestResult
+) -> bool:
+    """Returns whether the gateway may not have heard of the crashes."""
+    names = (
+        result.gateway,
+        disturbance.STORE,
+        disturbance.link_to_store(result.gateway),
+    )
+    return any(
+        excuse.name in names
+        and excuse.started_s < result.sent_s
+        and excuse.ended_s > result.sent_s - deadly_prompts.CONTACT_S
+        for excuse in observed.disturbances
+    )
+
+
 def _check_leaving(
     observed: Observations,
     record: endpoint_record.EndpointRecord,
--- a/tools/soak/injector.py
+++ b/tools/soak/injector.py
@@ -12,6 +12,7 @@
 from tools import entry_endpoint
 from tools import entry_gateway
 from tools import local_process
+from tools.soak import deadly_prompts
 from tools.soak import disturbance
 from tools.soak import fault
 
@@ -29,6 +30,7 @@
 
     Attributes:
         disturbances: Disturbances that excuse gateways.
+        deadly_prompts: Sends prompts that crash engines.
     """
 
     def __init__(
@@ -53,6 +55,9 @@
         self._endpoints = deployment.endpoints[series_index::series_count]
         self._may_change_configuration = series_index == 0
         self._version = 1
+        self.deadly_prompts = deadly_prompts.DeadlyPrompts(
+            deployment, self._gateways, rng
+        )
         self.disturbances: list[disturbance.Disturbance] = []
         self._methods: dict[fault.Fault, Callable[[], None]] = {
             fault.Fault.GATEWAY_KILLED: self._kill_gateway,
@@ -72,6 +77,7 @@
             fault.Fault.STORE_RESTORED: self._restore_store,
             fault.Fault.ENDPOINT_ANNOUNCES_LEAVING: self._announce_leaving,
             fault.Fault.ENDPOINT_ASKS_FOR_PAUSE: self._ask_for_pause,
+            fault.Fault.DEADLY_PROMPTS_SENT: self.deadly_prompts.send_series,
         }
 
     def inject(self, fault_kind: fault.Fault) -> None:
@@ -125,15 +131,17 @@
         gateway.process.send_signal(signal.SIGHUP)
 
     def _fail_store(self, name: str) -> None:
-        self._deployment.set_store_fault(name)
-        self._sleep_fault_duration()
-        self._deployment.set_store_fault("none")
+        with self._record(disturbance.STORE):
+            self._deployment.set_store_fault(name)
+            self._sleep_fault_duration()
+            self._deployment.set_store_fault("none")
 
     def _cut_off_store(self) -> None:
-        proxy = self._random_gateway.proxy
-        proxy.stall()
-        self._sleep_fault_duration()
-        proxy.resume()
+        gateway = self._random_gateway
+        with self._record(disturbance.link_to_store(gateway.name)):
+            gateway.proxy.stall()
+            self._sleep_fault_duration()
+            gateway.proxy.resume()
 
     def _discard_history(self) -> None:
         self._deployment.discard_history()
@@ -177,17 +185,19 @@
             with self._record(endpoint.endpoint_id):
                 endpoint.proxy.blackhole_open_connections()
         else:
-            gateway.proxy.blackhole_open_connections()
+            with self._record(disturbance.link_to_store(gateway.name)):
+                gateway.proxy.blackhole_open_connections()
 
     def _restore_store(self) -> None:
         """Restores the store; operator and endpoints write again."""
-        self._deployment.set_store_fault("busy")
-        self._deployment.restore_store(
-            self._rng.uniform(*_RESTORED_AGE_RANGE_S)
-        )
-        self._deployment.set_store_fault("none")
-        self._sleep_fault_duration()
-        self._deployment.write_all_again()
+        with self._record(disturbance.STORE):
+            self._deployment.set_store_fault("busy")
+            self._deployment.restore_store(
+                self._rng.uniform(*_RESTORED_AGE_RANGE_S)
+            )
+            self._deployment.set_store_fault("none")
+            self._sleep_fault_duration()
+            self._deployment.write_all_again()
 
     def _announce_leaving(self) -> None:
         endpoint = self._random_endpoint
--- a/tools/soak/trial.py
+++ b/tools/soak/trial.py
@@ -9,7 +9,6 @@
 from tools.soak import arrival_checker
 from tools.soak import caller
 from tools.soak import checker
-from tools.soak import disturbance
 from tools.soak import endpoint_record
 from tools.soak import fault
 from tools.soak import injector
@@ -69,7 +68,7 @@
         calling_task = asyncio.create_task(
             callers.run(self._settings.callers, stop)
         )
-        disturbances = await asyncio.gather(
+        injectors = await asyncio.gather(
             *(
                 asyncio.to_thread(self._inject_faults, deployment, series_index)
                 for series_index in range(self._settings.series)
@@ -87,25 +86,34 @@
         ]
         self.request_count = len(callers.results)
         self.run_count = len(executed_ids)
+        results = callers.results + [
+            result
+            for fault_injector in injectors
+            for result in fault_injector.deadly_prompts.results
+        ]
         records = [
             endpoint_record.parse(endpoint.endpoint_id, endpoint.service, lines)
             for endpoint in deployment.endpoints
             for lines in endpoint.incarnation_lines
         ]
         observed = arrival_checker.Observations(
-            callers.results, records, list(itertools.chain(*disturbances))
-        )
-        return checker.History(
-            callers.results, executed_ids, recovered_at_s, observed
+            results,
+            records,
+            list(
+                itertools.chain.from_iterable(
+                    fault_injector.disturbances for fault_injector in injectors
+                )
+            ),
         )
+        return checker.History(results, executed_ids, recovered_at_s, observed)
 
     def _inject_faults(
         self, deployment: entry_deployment.EntryDeployment, series_index: int
-    ) -> list[disturbance.Disturbance]:
+    ) -> injector.Injector:
         """Injects one series of faults; the series overlap.
 
         Returns:
-            Disturbances that excuse gateways.
+            The injector, with the disturbances that excuse gateways.
         """
         rng = random.Random(f"{self._seed} {series_index}")
         fault_injector = injector.Injector(
@@ -117,4 +125,4 @@
             fault_kind = rng.choice(tuple(fault.Fault))
             self.faults.append(fault_kind)
             fault_injector.inject(fault_kind)
-        return fault_injector.disturbances
+        return fault_injector
