Space out the trials of quarantined prompts

A trial was allowed in each interval of two seconds until the crashes were spread over three intervals. A trial that an engine turned away, or whose caller left, is no crash, so the next interval allowed another, without end: more than the three requests that may reach engines after the fifth crash. Found by reading.

--- a/bronzeslip/forwarding/part_watch.py
+++ b/bronzeslip/forwarding/part_watch.py
@@ -59,7 +59,7 @@
         raise errors.QuarantinedError(
             "parts of the prompt were lost in several endpoint crashes",
             retry_after_s=(
-                self._trials.interval_s
+                self._trials.retry_after_s
                 if are_trials_left
                 else self._suspect_ttl_s
             ),
