Do not take responses that have no body for unframed ones

A 204 or 304 has neither a length nor chunks and does not end with its connection; since each would have cost a health check at its end. Found by reading; the case of 204 in tests.platform.test_endpoint_http failed before.

--- a/bronzeslip/platform/caller_response.py
+++ b/bronzeslip/platform/caller_response.py
@@ -13,7 +13,7 @@
 
 AsgiSend = Callable[[dict[str, Any]], Awaitable[None]]
 
-_NO_BODY_STATUSES = frozenset({204, 304})
+NO_BODY_STATUSES = frozenset({204, 304})
 
 
 class _ErrorBody(msgspec.Struct):
@@ -131,7 +131,7 @@
     def _sends_content_length(self, head: endpoint_client.ResponseHead) -> bool:
         if head.content_length is None or self._method == "HEAD":
             return False
-        return head.status not in _NO_BODY_STATUSES
+        return head.status not in NO_BODY_STATUSES
 
     async def _send_body(self, body: bytes, more_body: bool) -> None:
         await self._send(
--- a/bronzeslip/platform/endpoint_response.py
+++ b/bronzeslip/platform/endpoint_response.py
@@ -10,6 +10,7 @@
 from bronzeslip.forwarding import endpoint_client
 from bronzeslip.forwarding import endpoint_errors
 from bronzeslip.forwarding import incoming
+from bronzeslip.platform import caller_response
 from bronzeslip.platform import connection_pool
 from bronzeslip.platform import headers
 from bronzeslip.settings import entry
@@ -150,7 +151,8 @@
 def _framing(response: httpx.Response) -> body_framing.BodyFraming:
     if headers.TRANSFER_ENCODING.decode() in response.headers:
         return body_framing.BodyFraming.CHUNKED
-    if headers.CONTENT_LENGTH.decode() in response.headers:
+    has_no_body = response.status_code in caller_response.NO_BODY_STATUSES
+    if has_no_body or headers.CONTENT_LENGTH.decode() in response.headers:
         return body_framing.BodyFraming.LENGTH
     return body_framing.BodyFraming.CONNECTION_END
 
--- a/tests/platform/test_endpoint_http.py
+++ b/tests/platform/test_endpoint_http.py
@@ -5,7 +5,6 @@
 
 from bronzeslip import ids
 from bronzeslip.endpoints import directory
-from bronzeslip.forwarding import body_framing
 from bronzeslip.forwarding import buffered_response
 from bronzeslip.forwarding import dispatch
 from bronzeslip.forwarding import endpoint_client
@@ -227,22 +226,21 @@
         self.assertEqual(response.body, b"unframed")
 
     async def test_head_says_how_the_end_of_the_body_is_marked(self):
-        status = b"HTTP/1.1 200 OK\r\n" + _echo(b"q1")
-        for fields, expected in (
-            (b"Content-Length: 0\r\n\r\n", body_framing.BodyFraming.LENGTH),
+        for status, fields, expected in (
+            (b"200 OK", b"Content-Length: 0\r\n\r\n", "length"),
+            (b"204 No Content", b"\r\n", "length"),
             (
+                b"200 OK",
                 b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-                body_framing.BodyFraming.CHUNKED,
-            ),
-            (
-                b"Connection: close\r\n\r\n",
-                body_framing.BodyFraming.CONNECTION_END,
+                "chunked",
             ),
+            (b"200 OK", b"Connection: close\r\n\r\n", "connection-end"),
         ):
-            with self.subTest(expected=expected):
-                await self._start_server(status + fields)
+            with self.subTest(status=status, expected=expected):
+                head = b"HTTP/1.1 " + status + b"\r\n" + _echo(b"q1")
+                await self._start_server(head + fields)
                 response = await self._call("q1")
-                self.assertIs(response.head.framing, expected)
+                self.assertEqual(response.head.framing.value, expected)
 
     async def test_call_to_a_silent_endpoint_can_be_cancelled(self):
         await self._start_server(raw_server.NO_RESPONSE)
