Refuse a prompt if any quarantined set that it holds may not be tried

A prompt may hold two quarantined sets, a deadly part and parts that are quarantined wrongly. Only the first one found was looked at, so a trial of the innocent parts let the deadly part through to an engine.

--- a/bronzeslip/forwarding/part_watch.py
+++ b/bronzeslip/forwarding/part_watch.py
@@ -42,20 +42,25 @@
         Raises:
             errors.QuarantinedError: If it does, and may not run as a trial.
         """
-        deadly = self._quarantine.find(parts_of(request))
-        if deadly is None:
+        found = self._quarantine.find(parts_of(request))
+        if not found:
             return
-        crash_times_unix_s = self._quarantine.crash_times_unix_s(deadly)
-        if self._trials.take(deadly, crash_times_unix_s):
+        crash_times_unix_s = [
+            self._quarantine.crash_times_unix_s(deadly) for deadly in found
+        ]
+        are_trials_left = all(map(self._trials.are_left, crash_times_unix_s))
+        if are_trials_left and self._trials.take(
+            found[0], crash_times_unix_s[0]
+        ):
             logger.info(
                 "suspects.parts_tried",
                 request=request.request.request_id,
-                parts=",".join(sorted(deadly.parts)),
+                parts=",".join(sorted(found[0].parts)),
             )
             return
-        if self._quarantine.renew(deadly):
+        renewals = [self._quarantine.renew(deadly) for deadly in found]
+        if any(renewals):
             self._publisher.publish()
-        are_trials_left = self._trials.are_left(crash_times_unix_s)
         raise errors.QuarantinedError(
             "parts of the prompt were lost in several endpoint crashes",
             retry_after_s=(
--- a/bronzeslip/routing/part_quarantine.py
+++ b/bronzeslip/routing/part_quarantine.py
@@ -62,14 +62,11 @@
 
     def find(
         self, parts: Collection[ids.Fingerprint]
-    ) -> deadly_parts.DeadlyParts | None:
-        """Returns quarantined parts that a prompt holds all of, or None."""
+    ) -> tuple[deadly_parts.DeadlyParts, ...]:
+        """Returns the quarantined sets of parts that a prompt holds."""
         self._refresh_if_stale()
         held = frozenset(parts)
-        for deadly in self._deadly:
-            if deadly.parts <= held:
-                return deadly
-        return None
+        return tuple(deadly for deadly in self._deadly if deadly.parts <= held)
 
     def crash_times_unix_s(self, deadly: deadly_parts.DeadlyParts) -> list[int]:
         """Returns the times of the crashes that parts explain, in order."""
--- a/tests/forwarding/test_deadly_prompt_parts.py
+++ b/tests/forwarding/test_deadly_prompt_parts.py
@@ -229,6 +229,18 @@
                 return
         self.fail("sound requests are still refused after 30 s")
 
+    # Guards against a trial of an innocent part that lets a deadly one through.
+    async def test_trial_of_other_parts_does_not_let_a_deadly_part_through(
+        self,
+    ):
+        await self._serve_in_turn(40, _PREAMBLE, _DEADLY)
+        self._assert_few_arrivals()
+        for _ in range(2):
+            await self._lose_bystanders()
+        before = len(self.engines.arrivals)
+        await self._serve_in_turn(20, _DEADLY, _PREAMBLE, "new")
+        self.assertEqual(len(self.engines.arrivals), before)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/routing/test_part_quarantine.py
+++ b/tests/routing/test_part_quarantine.py
@@ -32,7 +32,7 @@
             quarantine.add_crash(crash_id, [frozenset(prompt)])
 
     def _is_quarantined(self, quarantine, prompt="px"):
-        return quarantine.find(prompt) is not None
+        return bool(quarantine.find(prompt))
 
     def test_two_crashes_quarantine_the_parts_that_they_share(self):
         self.first.add_crash("c1", [frozenset("pax")])
@@ -91,7 +91,7 @@
     def test_evidence_is_kept_while_prompts_with_the_parts_come(self):
         self._add_crashes(self.first, "c1", "c2")
         self._pass_on(self.first, self.second)
-        deadly = self.second.find("px")
+        (deadly,) = self.second.find("px")
         self.assertFalse(self.second.renew(deadly))
         self.now_unix_s += 0.9 * _TTL_S
         self.assertTrue(self.second.renew(deadly))
@@ -101,7 +101,7 @@
 
     def test_renewed_evidence_keeps_the_time_of_the_crash(self):
         self._add_crashes(self.first, "c1", "c2")
-        deadly = self.first.find("px")
+        (deadly,) = self.first.find("px")
         before = self.first.crash_times_unix_s(deadly)
         self.now_unix_s += 0.9 * _TTL_S
         self.first.renew(deadly)
