--- a/bronzeslip/forwarding/lost_requests.py
+++ b/bronzeslip/forwarding/lost_requests.py
@@ -1,7 +1,7 @@
 """Requests of this gateway that were lost at one endpoint."""
 
 from bronzeslip import ids
-from bronzeslip.routing import deadly_parts
+from bronzeslip.routing import poison_parts
 
 
 class LostRequests:
@@ -15,4 +15,4 @@
 
     def __init__(self) -> None:
         self.fingerprints: set[ids.Fingerprint] = set()
-        self.prompts: set[deadly_parts.PartSet] = set()
+        self.prompts: set[poison_parts.PartSet] = set()
--- a/bronzeslip/forwarding/part_watch.py
+++ b/bronzeslip/forwarding/part_watch.py
@@ -3,9 +3,9 @@
 from bronzeslip import logs
 from bronzeslip.forwarding import admitted
 from bronzeslip.forwarding import errors
-from bronzeslip.routing import deadly_parts
 from bronzeslip.routing import fingerprint
 from bronzeslip.routing import part_quarantine
+from bronzeslip.routing import poison_parts
 from bronzeslip.routing import quarantine_trials
 from bronzeslip.routing import suspect_publisher
 
@@ -46,7 +46,7 @@
         if not found:
             return
         crash_times_unix_s = [
-            self._quarantine.crash_times_unix_s(deadly) for deadly in found
+            self._quarantine.crash_times_unix_s(poison) for poison in found
         ]
         are_trials_left = all(map(self._trials.are_left, crash_times_unix_s))
         if are_trials_left and self._trials.take(
@@ -58,7 +58,7 @@
                 parts=",".join(sorted(found[0].parts)),
             )
             return
-        renewals = [self._quarantine.renew(deadly) for deadly in found]
+        renewals = [self._quarantine.renew(poison) for poison in found]
         if any(renewals):
             self._publisher.publish()
         raise errors.QuarantinedError(
@@ -76,7 +76,7 @@
             self._publisher.publish()
 
 
-def parts_of(request: admitted.AdmittedRequest) -> deadly_parts.PartSet:
+def parts_of(request: admitted.AdmittedRequest) -> poison_parts.PartSet:
     """Returns the parts of a prompt that other prompts may share.
 
     The last part is the request's own.
--- a/bronzeslip/routing/crash_evidence.py
+++ b/bronzeslip/routing/crash_evidence.py
@@ -9,7 +9,7 @@
     """Prompts that an endpoint had not yet begun to answer when it crashed.
 
     Attributes:
-        part_sets: Parts of each prompt that are not known to be sound.
+        part_sets: Parts of each prompt that are not known to be safe.
         crashed_unix_s: Time of the crash by the gateway's wall clock, in
             seconds.
         noted_unix_s: Time of the last change, in seconds; used only for expiry.
--- a/bronzeslip/routing/part_quarantine.py
+++ b/bronzeslip/routing/part_quarantine.py
@@ -9,18 +9,18 @@
 from bronzeslip import ids
 from bronzeslip import logs
 from bronzeslip.routing import crash_evidence
-from bronzeslip.routing import deadly_parts
 from bronzeslip.routing import part_record
 from bronzeslip.routing import part_records
-from bronzeslip.routing import sound_parts
+from bronzeslip.routing import poison_parts
+from bronzeslip.routing import safe_parts
 from bronzeslip.routing import suspect_settings
 
 logger = logs.get_logger(__name__)
 
 _MAX_CRASHES = 32
 _MAX_PROMPTS_PER_CRASH = 8
-# An answer proves its parts sound for crashes up to this much later. After that
-# a part may have turned deadly, for example with new weights.
+# An answer proves its parts safe for crashes up to this much later. After that
+# a part may have turned poisonous, for example with new weights.
 _PROOF_LIFETIME_S = 30
 _REFRESH_INTERVAL_S = 5
 
@@ -54,33 +54,33 @@
         self.records = part_records.PartRecords(
             settings.suspect_ttl_s, wall_clock
         )
-        self._answered = sound_parts.SoundParts(wall_clock)
-        self._deadly: tuple[deadly_parts.DeadlyParts, ...] = ()
+        self._answered = safe_parts.SafeParts(wall_clock)
+        self._poison: tuple[poison_parts.PoisonParts, ...] = ()
         self._last_crash_unix_s: dict[ids.Fingerprint, int] = {}
-        self._sound_unix_s: dict[ids.Fingerprint, int] = {}
+        self._safe_unix_s: dict[ids.Fingerprint, int] = {}
         self._refreshed_unix_s = 0
 
     def find(
         self, parts: Collection[ids.Fingerprint]
-    ) -> tuple[deadly_parts.DeadlyParts, ...]:
+    ) -> tuple[poison_parts.PoisonParts, ...]:
         """Returns the quarantined sets of parts that a prompt holds."""
         self._refresh_if_stale()
         held = frozenset(parts)
-        return tuple(deadly for deadly in self._deadly if deadly.parts <= held)
+        return tuple(poison for poison in self._poison if poison.parts <= held)
 
-    def crash_times_unix_s(self, deadly: deadly_parts.DeadlyParts) -> list[int]:
+    def crash_times_unix_s(self, poison: poison_parts.PoisonParts) -> list[int]:
         """Returns the times of the crashes that parts explain, in order."""
         times_unix_s = {
             crash_id: evidence.crashed_unix_s
             for crash_id, evidence in self.records.evidence()
-            if crash_id in deadly.crash_ids
+            if crash_id in poison.crash_ids
         }
         return sorted(times_unix_s.values())
 
     def add_crash(
         self,
         crash_id: ids.CrashId,
-        prompts: Iterable[deadly_parts.PartSet],
+        prompts: Iterable[poison_parts.PartSet],
     ) -> None:
         """Records the prompts that an endpoint had not yet begun to answer.
 
@@ -93,7 +93,7 @@
         crashed_unix_s = known.crashed_unix_s if known else now_unix_s
         part_sets = set(known.part_sets if known else ())
         for prompt in prompts:
-            suspect_parts = self._without_sound(prompt, crashed_unix_s)
+            suspect_parts = self._without_safe(prompt, crashed_unix_s)
             if suspect_parts and len(part_sets) < _MAX_PROMPTS_PER_CRASH:
                 part_sets.add(tuple(sorted(suspect_parts)))
         if part_sets:
@@ -115,10 +115,10 @@
         self._refresh_if_stale()
         news = [part for part in parts if self._is_news(part)]
         if news:
-            self.records.put_sound(news)
+            self.records.put_safe(news)
         return bool(news)
 
-    def renew(self, deadly: deadly_parts.DeadlyParts) -> bool:
+    def renew(self, poison: poison_parts.PoisonParts) -> bool:
         """Keeps the evidence against parts while prompts with them come.
 
         Returns:
@@ -132,7 +132,7 @@
         now_unix_s = self._now_unix_s()
         half_ttl_s = self._settings.suspect_ttl_s / 2
         has_renewed = False
-        for crash_id in deadly.crash_ids & newest.keys():
+        for crash_id in poison.crash_ids & newest.keys():
             evidence = newest[crash_id]
             if now_unix_s - evidence.noted_unix_s > half_ttl_s:
                 renewed = msgspec.structs.replace(
@@ -157,9 +157,9 @@
         self.records.has_changed = False
         self._refreshed_unix_s = now_unix_s
         self._merge_times()
-        previous = self._deadly
-        self._deadly = deadly_parts.find(self._suspect_prompts())
-        _log_changes(previous, self._deadly)
+        previous = self._poison
+        self._poison = poison_parts.find(self._suspect_prompts())
+        _log_changes(previous, self._poison)
 
     def _merge_times(self) -> None:
         """Merges when parts were last lost in a crash and last answered."""
@@ -169,27 +169,27 @@
                 _keep_latest(
                     self._last_crash_unix_s, part, evidence.crashed_unix_s
                 )
-        self._sound_unix_s = {}
-        for part, proven_unix_s in self.records.sound_parts():
-            _keep_latest(self._sound_unix_s, part, proven_unix_s)
+        self._safe_unix_s = {}
+        for part, proven_unix_s in self.records.safe_parts():
+            _keep_latest(self._safe_unix_s, part, proven_unix_s)
 
     def _suspect_prompts(
         self,
-    ) -> dict[ids.CrashId, set[deadly_parts.PartSet]]:
-        """Returns the parts of lost prompts that are not known to be sound.
+    ) -> dict[ids.CrashId, set[poison_parts.PartSet]]:
+        """Returns the parts of lost prompts that are not known to be safe.
 
         If there are too many crashes, the newest are used, and those that
         explain what is quarantined now.
         """
         kept = {
-            crash_id for deadly in self._deadly for crash_id in deadly.crash_ids
+            crash_id for poison in self._poison for crash_id in poison.crash_ids
         }
         newest_first = sorted(
             self.records.evidence(),
             key=lambda item: (item[0] in kept, item[1].crashed_unix_s),
             reverse=True,
         )
-        crashes: dict[ids.CrashId, set[deadly_parts.PartSet]] = {}
+        crashes: dict[ids.CrashId, set[poison_parts.PartSet]] = {}
         for crash_id, evidence in newest_first:
             if crash_id not in crashes and len(crashes) >= _MAX_CRASHES:
                 continue
@@ -197,17 +197,17 @@
             for parts in evidence.part_sets:
                 if len(prompts) < _MAX_PROMPTS_PER_CRASH:
                     prompts.add(
-                        self._without_sound(parts, evidence.crashed_unix_s)
+                        self._without_safe(parts, evidence.crashed_unix_s)
                     )
         return crashes
 
-    def _without_sound(
+    def _without_safe(
         self, parts: Iterable[ids.Fingerprint], crashed_unix_s: int
-    ) -> deadly_parts.PartSet:
+    ) -> poison_parts.PartSet:
         return frozenset(
             part
             for part in parts
-            if not _covers(self._sound_unix_s.get(part), crashed_unix_s)
+            if not _covers(self._safe_unix_s.get(part), crashed_unix_s)
             and not _covers(self._answered.proven_unix_s(part), crashed_unix_s)
         )
 
@@ -216,7 +216,7 @@
         crashed_unix_s = self._last_crash_unix_s.get(part)
         if crashed_unix_s is None:
             return False
-        published_unix_s = self.records.own.sound_parts.get(part)
+        published_unix_s = self.records.own.safe_parts.get(part)
         return not _covers(published_unix_s, crashed_unix_s)
 
     def _now_unix_s(self) -> int:
@@ -239,16 +239,16 @@
 
 
 def _log_changes(
-    previous: tuple[deadly_parts.DeadlyParts, ...],
-    current: tuple[deadly_parts.DeadlyParts, ...],
+    previous: tuple[poison_parts.PoisonParts, ...],
+    current: tuple[poison_parts.PoisonParts, ...],
 ) -> None:
-    known = {deadly.parts for deadly in previous}
-    for deadly in current:
-        if deadly.parts not in known:
+    known = {poison.parts for poison in previous}
+    for poison in current:
+        if poison.parts not in known:
             logger.warning(
                 "suspects.parts_quarantined",
-                parts=",".join(sorted(deadly.parts)),
-                crashes=len(deadly.crash_ids),
+                parts=",".join(sorted(poison.parts)),
+                crashes=len(poison.crash_ids),
             )
-    for parts in known - {deadly.parts for deadly in current}:
+    for parts in known - {poison.parts for poison in current}:
         logger.info("suspects.parts_released", parts=",".join(sorted(parts)))
--- a/bronzeslip/routing/part_record.py
+++ b/bronzeslip/routing/part_record.py
@@ -1,4 +1,4 @@
-"""What one gateway has published of deadly and sound parts of prompts."""
+"""What one gateway has published of poison and safe parts of prompts."""
 
 import msgspec
 
@@ -11,10 +11,10 @@
 
     Attributes:
         crashes: Evidence by crash.
-        sound_parts: Parts of this evidence, or of the evidence of another
+        safe_parts: Parts of this evidence, or of the evidence of another
             gateway, that endpoints have answered, with the time of that by the
             gateway's wall clock, in seconds.
     """
 
     crashes: dict[ids.CrashId, crash_evidence.CrashEvidence] = {}
-    sound_parts: dict[ids.Fingerprint, int] = {}
+    safe_parts: dict[ids.Fingerprint, int] = {}
--- a/bronzeslip/routing/part_records.py
+++ b/bronzeslip/routing/part_records.py
@@ -38,10 +38,10 @@
         self.own.crashes[crash_id] = evidence
         self.has_changed = True
 
-    def put_sound(self, parts: list[ids.Fingerprint]) -> None:
-        """Records that this gateway knows parts to be sound now."""
+    def put_safe(self, parts: list[ids.Fingerprint]) -> None:
+        """Records that this gateway knows parts to be safe now."""
         now_unix_s = int(self._wall_clock())
-        self.own.sound_parts.update(dict.fromkeys(parts, now_unix_s))
+        self.own.safe_parts.update(dict.fromkeys(parts, now_unix_s))
         self.has_changed = True
 
     def apply(self, key: ids.ObjectKey, record: part_record.PartRecord) -> None:
@@ -53,8 +53,8 @@
         """Adds what this gateway had published before it was restarted."""
         for crash_id, evidence in record.crashes.items():
             self.own.crashes.setdefault(crash_id, evidence)
-        for part, proven_unix_s in record.sound_parts.items():
-            self.own.sound_parts.setdefault(part, proven_unix_s)
+        for part, proven_unix_s in record.safe_parts.items():
+            self.own.safe_parts.setdefault(part, proven_unix_s)
         self.has_changed = True
 
     def drop(self, key: ids.ObjectKey) -> None:
@@ -83,7 +83,7 @@
             },
             {
                 part: proven_unix_s
-                for part, proven_unix_s in self.own.sound_parts.items()
+                for part, proven_unix_s in self.own.safe_parts.items()
                 if not self._has_expired(proven_unix_s)
             },
         )
@@ -97,10 +97,10 @@
                 if not self._has_expired(evidence.noted_unix_s):
                     yield crash_id, evidence
 
-    def sound_parts(self) -> Iterator[tuple[ids.Fingerprint, int]]:
-        """Yields the parts known to be sound, with the time of the proof."""
+    def safe_parts(self) -> Iterator[tuple[ids.Fingerprint, int]]:
+        """Yields the parts known to be safe, with the time of the proof."""
         for record in (self.own, *self._others.values()):
-            yield from record.sound_parts.items()
+            yield from record.safe_parts.items()
 
     def _has_expired(self, noted_unix_s: int) -> bool:
         return self._wall_clock() - noted_unix_s > self._ttl_s
--- a/bronzeslip/routing/deadly_parts.py
+++ b/bronzeslip/routing/poison_parts.py
@@ -14,7 +14,7 @@
 _MIN_CRASHES = 2
 
 
-class DeadlyParts(msgspec.Struct, frozen=True):
+class PoisonParts(msgspec.Struct, frozen=True):
     """Parts that were together in the prompts of several crashes.
 
     Attributes:
@@ -28,19 +28,19 @@
 
 def find(
     crashes: Mapping[ids.CrashId, Collection[PartSet]],
-) -> tuple[DeadlyParts, ...]:
+) -> tuple[PoisonParts, ...]:
     """Returns sets of parts that each explain at least two crashes.
 
     The largest sets come first: a set explains what a subset of it explains,
-    and fewer sound requests hold all of its parts. A subset, such as a preamble
+    and fewer safe requests hold all of its parts. A subset, such as a preamble
     that most prompts share, is returned only if it explains two crashes that no
     larger set explains.
 
     Args:
-        crashes: Parts, not known to be sound, of each prompt that was lost in a
+        crashes: Parts, not known to be safe, of each prompt that was lost in a
             crash before its answer began.
     """
-    found: list[DeadlyParts] = []
+    found: list[PoisonParts] = []
     explained: set[ids.CrashId] = set()
     for parts in sorted(_common_parts(crashes), key=_by_size):
         explains = frozenset(
@@ -49,10 +49,10 @@
             if any(parts <= part_set for part_set in part_sets)
         )
         if len(explains - explained) >= _MIN_CRASHES:
-            found.append(DeadlyParts(parts, explains))
+            found.append(PoisonParts(parts, explains))
             explained |= explains
     return tuple(
-        deadly for deadly in found if not _is_coincidence(deadly, found)
+        poison for poison in found if not _is_coincidence(poison, found)
     )
 
 
@@ -85,10 +85,10 @@
 
 
 def _is_coincidence(
-    deadly: DeadlyParts, found: Collection[DeadlyParts]
+    poison: PoisonParts, found: Collection[PoisonParts]
 ) -> bool:
     """Returns whether unrelated parts explain all these crashes and more."""
     return any(
-        deadly.crash_ids < other.crash_ids and not other.parts <= deadly.parts
+        poison.crash_ids < other.crash_ids and not other.parts <= poison.parts
         for other in found
     )
--- a/bronzeslip/routing/quarantine_trials.py
+++ b/bronzeslip/routing/quarantine_trials.py
@@ -6,7 +6,7 @@
 import time
 
 from bronzeslip import ids
-from bronzeslip.routing import deadly_parts
+from bronzeslip.routing import poison_parts
 
 # Each trial comes this much later after the last crash than the one before.
 _GROWTH = 4
@@ -22,7 +22,7 @@
     """Allows single requests with quarantined parts to run.
 
     Parts that were in the prompts of two unrelated crashes would otherwise stay
-    quarantined, since no request with them runs that could prove them sound.
+    quarantined, since no request with them runs that could prove them safe.
     For each trial one gateway is chosen. There are none once the crashes are
     spread over so much time that they can't be unrelated.
     """
@@ -40,7 +40,7 @@
         """
         self._is_chosen = is_chosen
         self._wall_clock = wall_clock
-        self._last_keys: dict[deadly_parts.PartSet, str] = {}
+        self._last_keys: dict[poison_parts.PartSet, str] = {}
 
     def are_left(self, crash_times_unix_s: Sequence[int]) -> bool:
         """Returns whether any gateway may still try a request.
@@ -58,13 +58,13 @@
 
     def take(
         self,
-        deadly: deadly_parts.DeadlyParts,
+        poison: poison_parts.PoisonParts,
         crash_times_unix_s: Sequence[int],
     ) -> bool:
         """Returns whether a request may run, and uses up the trial.
 
         Args:
-            deadly: Quarantined parts that the prompt holds.
+            poison: Quarantined parts that the prompt holds.
             crash_times_unix_s: Times of the crashes, in order.
         """
         if not self.are_left(crash_times_unix_s):
@@ -74,12 +74,12 @@
         if elapsed_s < _FIRST_TRIAL_S:
             return False
         number = int(math.log(elapsed_s / _FIRST_TRIAL_S, _GROWTH))
-        key = _trial_key(deadly.parts, last_crash_unix_s, number)
-        if self._last_keys.get(deadly.parts) == key:
+        key = _trial_key(poison.parts, last_crash_unix_s, number)
+        if self._last_keys.get(poison.parts) == key:
             return False
         if not self._is_chosen(key):
             return False
-        self._last_keys[deadly.parts] = key
+        self._last_keys[poison.parts] = key
         if len(self._last_keys) > _MAX_KEYS:
             del self._last_keys[next(iter(self._last_keys))]
         return True
--- a/bronzeslip/routing/sound_parts.py
+++ b/bronzeslip/routing/safe_parts.py
@@ -9,7 +9,7 @@
 _MAX_PARTS = 20_000
 
 
-class SoundParts:
+class SafeParts:
     """Parts of prompts whose answers were begun without a crash."""
 
     def __init__(self, wall_clock: Callable[[], float]) -> None:
@@ -33,5 +33,5 @@
             self._proven_unix_s.popitem(last=False)
 
     def proven_unix_s(self, part: ids.Fingerprint) -> int | None:
-        """Returns when a part was last proven sound, or None."""
+        """Returns when a part was last proven safe, or None."""
         return self._proven_unix_s.get(part)
--- a/standins/model_endpoint/app.py
+++ b/standins/model_endpoint/app.py
@@ -18,7 +18,7 @@
 _CRASH_BODY = b"crash"
 _BROKEN_STREAM_BODY = b"broken-stream"
 _CRASH_EXIT_STATUS = 70
-_DEADLY_PART_PREFIX = "deadly"
+_POISON_PART_PREFIX = "poison"
 _MS_PER_S = 1000
 EVENT_COUNT = 5
 _BROKEN_EVENT_COUNT = 2
@@ -35,7 +35,7 @@
     The body "stream" selects a stream of events, the body "broken-stream" one
     that ends inside an event, and the body "crash" makes the process exit at
     once. More text may follow after a space. A prompt with a part, other than
-    the last, whose id begins with "deadly" makes the process exit too. While
+    the last, whose id begins with "poison" makes the process exit too. While
     the stand-in holds requests, calls wait before their response starts and
     streams wait after their first event.
     """
@@ -123,7 +123,7 @@
         print(f"ran {request_id}", flush=True)
         body = await request.body()
         selected, _, _ = body.partition(b" ")
-        if selected == _CRASH_BODY or _has_deadly_part(request):
+        if selected == _CRASH_BODY or _has_poison_part(request):
             os._exit(_CRASH_EXIT_STATUS)
         if selected in (_STREAM_BODY, _BROKEN_STREAM_BODY):
             return response.Stream(
@@ -175,6 +175,6 @@
         self._released.set()
 
 
-def _has_deadly_part(request: litestar.Request) -> bool:
+def _has_poison_part(request: litestar.Request) -> bool:
     parts = request.headers.get(_PROMPT_PARTS_HEADER, "").split(",")
-    return any(part.startswith(_DEADLY_PART_PREFIX) for part in parts[:-1])
+    return any(part.startswith(_POISON_PART_PREFIX) for part in parts[:-1])
--- a/tests/forwarding/test_deadly_prompt_parts.py
+++ b/tests/forwarding/test_poison_prompt_parts.py
@@ -1,7 +1,7 @@
 """Tests of bronzeslip.forwarding.crash_watch on parts of prompts.
 
 One part of a prompt crashes each engine that begins to answer it. The requests
-that hold it come at any gateway, no two alike; sound requests share their
+that hold it come at any gateway, no two alike; safe requests share their
 workspace and their other parts.
 """
 
@@ -28,7 +28,7 @@
 _GATEWAYS = ("front-1", "front-2", "front-3")
 _TTL_S = 300.0
 _PREAMBLE = "preamble"
-_DEADLY = "deadly"
+_POISON = "poison"
 # Crashes after which no more than three further requests may reach an engine.
 _CRASHES = 5
 _MAX_LATER_ARRIVALS = 3
@@ -98,14 +98,14 @@
         await self.suspects.on_event(event)
 
 
-class DeadlyPromptPartTest(unittest.IsolatedAsyncioTestCase):
+class PoisonPromptPartTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.numbers = itertools.count()
         self.clock = _Clock()
 
     async def asyncSetUp(self):
         self.engines = crashing_engines.CrashingEngines(_ENGINES)
-        self.engines.deadly_parts.add(_DEADLY)
+        self.engines.poison_parts.add(_POISON)
         self.gateways = [
             _Gateway(name, self.engines, self.clock) for name in _GATEWAYS
         ]
@@ -136,67 +136,67 @@
         for gateway in self.gateways:
             number = next(self.numbers)
             self.assertTrue(
-                await gateway.is_served(f"sound-{number}", *part_ids),
+                await gateway.is_served(f"safe-{number}", *part_ids),
                 (gateway.name, part_ids),
             )
 
     # Guards against requests that crash engine after engine because no two of
     # them are alike (BUDGET).
-    async def test_requests_with_a_deadly_part_reach_few_engines(self):
+    async def test_requests_with_a_poison_part_reach_few_engines(self):
         await self._serve_in_turn(3, _PREAMBLE, "session")
-        await self._serve_in_turn(40, _PREAMBLE, _DEADLY)
+        await self._serve_in_turn(40, _PREAMBLE, _POISON)
         self._assert_few_arrivals()
         await self._assert_sound_requests_are_served(_PREAMBLE, "session")
 
     async def test_sound_requests_share_all_other_parts(self):
         await self._serve_in_turn(3, _PREAMBLE, "session")
-        await self._serve_in_turn(40, _PREAMBLE, "shared", _DEADLY)
+        await self._serve_in_turn(40, _PREAMBLE, "shared", _POISON)
         self._assert_few_arrivals()
         await self._assert_sound_requests_are_served(_PREAMBLE, "shared")
-        await self._serve_in_turn(40, _PREAMBLE, "shared", _DEADLY)
+        await self._serve_in_turn(40, _PREAMBLE, "shared", _POISON)
         self._assert_few_arrivals()
 
-    async def test_other_parts_of_deadly_requests_differ(self):
+    async def test_other_parts_of_poison_requests_differ(self):
         for number in range(40):
             await self._serve_in_turn(1, _PREAMBLE, f"session-{number}")
             await self._serve_in_turn(
-                1, _PREAMBLE, f"session-{number}", _DEADLY
+                1, _PREAMBLE, f"session-{number}", _POISON
             )
         self._assert_few_arrivals()
         await self._assert_sound_requests_are_served(_PREAMBLE, "session-1")
 
-    async def test_deadly_part_may_come_first(self):
+    async def test_poison_part_may_come_first(self):
         await self._serve_in_turn(3, "session")
-        await self._serve_in_turn(40, _DEADLY, "session")
+        await self._serve_in_turn(40, _POISON, "session")
         self._assert_few_arrivals()
         await self._assert_sound_requests_are_served("session")
 
     async def test_gateways_that_know_no_sound_part_find_it(self):
-        await self._serve_in_turn(40, _PREAMBLE, "session", _DEADLY)
+        await self._serve_in_turn(40, _PREAMBLE, "session", _POISON)
         self._assert_few_arrivals()
         await self._assert_sound_requests_are_served(_PREAMBLE, "other")
 
-    async def test_resumable_streams_with_a_deadly_part_reach_few_engines(self):
+    async def test_resumable_streams_with_a_poison_part_reach_few_engines(self):
         await self._serve_in_turn(
-            40, _PREAMBLE, _DEADLY, is_resumable=True, max_attempts=3
+            40, _PREAMBLE, _POISON, is_resumable=True, max_attempts=3
         )
         self._assert_few_arrivals()
 
-    async def test_restarted_gateways_learn_what_is_deadly(self):
-        await self._serve_in_turn(20, _PREAMBLE, _DEADLY)
+    async def test_restarted_gateways_learn_what_is_poison(self):
+        await self._serve_in_turn(20, _PREAMBLE, _POISON)
         restarted = _Gateway("front-4", self.engines, self.clock)
         for other in self.gateways:
             await restarted.learn_from(other)
         self.gateways[0] = restarted
-        await self._serve_in_turn(40, _PREAMBLE, _DEADLY)
+        await self._serve_in_turn(40, _PREAMBLE, _POISON)
         self._assert_few_arrivals()
 
-    async def test_deadly_part_stays_known_while_requests_with_it_come(self):
-        await self._serve_in_turn(2 * int(_TTL_S), _PREAMBLE, _DEADLY)
+    async def test_poison_part_stays_known_while_requests_with_it_come(self):
+        await self._serve_in_turn(2 * int(_TTL_S), _PREAMBLE, _POISON)
         self._assert_few_arrivals()
 
     async def _lose_bystanders(self):
-        """Crashes all engines while each gateway runs a sound request."""
+        """Crashes all engines while each gateway runs a safe request."""
         self.engines.holds_answers = True
         bystanders = [
             asyncio.create_task(
@@ -227,18 +227,18 @@
             await self._exchange()
             if all(served):
                 return
-        self.fail("sound requests are still refused after 30 s")
+        self.fail("safe requests are still refused after 30 s")
 
-    # Guards against a trial of an innocent part that lets a deadly one through.
-    async def test_trial_of_other_parts_does_not_let_a_deadly_part_through(
+    # Guards against a trial of an innocent part that lets a poison one through.
+    async def test_trial_of_other_parts_does_not_let_a_poison_part_through(
         self,
     ):
-        await self._serve_in_turn(40, _PREAMBLE, _DEADLY)
+        await self._serve_in_turn(40, _PREAMBLE, _POISON)
         self._assert_few_arrivals()
         for _ in range(2):
             await self._lose_bystanders()
         before = len(self.engines.arrivals)
-        await self._serve_in_turn(20, _DEADLY, _PREAMBLE, "new")
+        await self._serve_in_turn(20, _POISON, _PREAMBLE, "new")
         self.assertEqual(len(self.engines.arrivals), before)
 
 
--- a/tests/processes/test_deadly_prompt_parts.py
+++ b/tests/processes/test_poison_prompt_parts.py
@@ -11,13 +11,13 @@
 
 _STREAMS_PATH = entry_configuration.STREAMS_PATH
 _PREAMBLE = "preamble"
-_DEADLY = "deadly-1"
+_POISON = "poison-1"
 _ENGINES = 8
 # Five crashes may happen before no more than three requests reach engines.
 _MAX_CRASHES = 8
 
 
-class DeadlyPromptPartTest(unittest.TestCase):
+class PoisonPromptPartTest(unittest.TestCase):
     def setUp(self):
         self.deployment = entry_deployment.EntryDeployment(
             2, _ENGINES, has_endpoint_proxies=False
@@ -45,7 +45,7 @@
 
     # Guards against requests that crash engine after engine because no two of
     # them are alike (BUDGET).
-    def test_all_gateways_refuse_prompts_that_share_a_deadly_part(self):
+    def test_all_gateways_refuse_prompts_that_share_a_poison_part(self):
         for gateway in self.deployment.gateways:
             self.assertEqual(
                 self._status(gateway, _PREAMBLE, "session"), httpx.codes.OK
@@ -55,7 +55,7 @@
         def are_refused():
             nonlocal crashes
             statuses = [
-                self._status(gateway, _PREAMBLE, "session", _DEADLY)
+                self._status(gateway, _PREAMBLE, "session", _POISON)
                 for gateway in self.deployment.gateways
             ]
             crashes += self._restart_crashed_engines()
--- a/tests/routing/test_part_quarantine.py
+++ b/tests/routing/test_part_quarantine.py
@@ -58,7 +58,7 @@
         self._add_crashes(self.first, "c1", "c2", prompt="p")
         self.assertFalse(self._is_quarantined(self.first, "p"))
 
-    def test_part_answered_long_before_the_crash_may_have_turned_deadly(self):
+    def test_part_answered_long_before_the_crash_may_have_turned_poison(self):
         self.first.add_answered(frozenset("p"))
         self.now_unix_s += 60
         self._add_crashes(self.first, "c1", "c2", prompt="p")
@@ -91,21 +91,21 @@
     def test_evidence_is_kept_while_prompts_with_the_parts_come(self):
         self._add_crashes(self.first, "c1", "c2")
         self._pass_on(self.first, self.second)
-        (deadly,) = self.second.find("px")
-        self.assertFalse(self.second.renew(deadly))
+        (poison,) = self.second.find("px")
+        self.assertFalse(self.second.renew(poison))
         self.now_unix_s += 0.9 * _TTL_S
-        self.assertTrue(self.second.renew(deadly))
-        self.assertFalse(self.second.renew(deadly))
+        self.assertTrue(self.second.renew(poison))
+        self.assertFalse(self.second.renew(poison))
         self.now_unix_s += 0.9 * _TTL_S
         self.assertTrue(self._is_quarantined(self.second))
 
     def test_renewed_evidence_keeps_the_time_of_the_crash(self):
         self._add_crashes(self.first, "c1", "c2")
-        (deadly,) = self.first.find("px")
-        before = self.first.crash_times_unix_s(deadly)
+        (poison,) = self.first.find("px")
+        before = self.first.crash_times_unix_s(poison)
         self.now_unix_s += 0.9 * _TTL_S
-        self.first.renew(deadly)
-        self.assertEqual(self.first.crash_times_unix_s(deadly), before)
+        self.first.renew(poison)
+        self.assertEqual(self.first.crash_times_unix_s(poison), before)
 
     def test_restarted_gateway_restores_its_record(self):
         self._add_crashes(self.first, "c1", "c2")
--- a/tests/routing/test_deadly_parts.py
+++ b/tests/routing/test_poison_parts.py
@@ -1,8 +1,8 @@
-"""Tests of bronzeslip.routing.deadly_parts."""
+"""Tests of bronzeslip.routing.poison_parts."""
 
 import unittest
 
-from bronzeslip.routing import deadly_parts
+from bronzeslip.routing import poison_parts
 
 
 def _crashes(**prompts_by_crash):
@@ -13,9 +13,9 @@
     }
 
 
-class DeadlyPartsTest(unittest.TestCase):
+class PoisonPartsTest(unittest.TestCase):
     def _assert_found(self, crashes, *expected):
-        found = ["".join(sorted(d.parts)) for d in deadly_parts.find(crashes)]
+        found = ["".join(sorted(d.parts)) for d in poison_parts.find(crashes)]
         self.assertEqual(sorted(found), sorted(expected))
 
     def test_part_of_two_crashes_is_found(self):
@@ -43,13 +43,13 @@
         more = _crashes(one="x uvw", two="x uvw", three="x", four="x")
         self._assert_found(more, "x")
 
-    def test_two_deadly_parts_are_both_found(self):
+    def test_two_poison_parts_are_both_found(self):
         self._assert_found(
             _crashes(one="x", two="y", three="x", four="y"), "x", "y"
         )
 
     def test_crashes_are_named(self):
-        (found,) = deadly_parts.find(_crashes(one="x", two="x", three="a"))
+        (found,) = poison_parts.find(_crashes(one="x", two="x", three="a"))
         self.assertEqual(found.crash_ids, {"one", "two"})
 
 
--- a/tests/support/crashing_engines.py
+++ b/tests/support/crashing_engines.py
@@ -1,4 +1,4 @@
-"""Engines that crash when they begin to answer a prompt with a deadly part."""
+"""Engines that crash when they begin to answer a prompt with a poison part."""
 
 import asyncio
 
@@ -13,18 +13,18 @@
     """Endpoint client that several gateways share.
 
     Attributes:
-        deadly_parts: Ids of the prompt parts that crash an engine.
+        poison_parts: Ids of the prompt parts that crash an engine.
         arrivals: Ids of the requests with such a part that reached an engine.
         crash_count: Number of crashes.
         down: Names of the engines that have crashed and are not back.
-        holds_answers: Whether engines hold sound requests until they crash.
+        holds_answers: Whether engines hold safe requests until they crash.
     """
 
     def __init__(self, names):
         self._names = names
         self._start_count = 1
         self._crashed = {name: asyncio.Event() for name in names}
-        self.deadly_parts = set()
+        self.poison_parts = set()
         self.arrivals = []
         self.crash_count = 0
         self.down = set()
@@ -57,7 +57,7 @@
             raise endpoint_errors.EndpointAbsentError("refused")
         parts = {part.part_id for part in outgoing.request.shape.parts[:-1]}
         lost = endpoint_errors.EndpointResponseLostError("reset")
-        if parts & self.deadly_parts:
+        if parts & self.poison_parts:
             self.arrivals.append(outgoing.request.request_id)
             self.crash(name)
             return scripted_endpoints.ScriptedResponse(200, [lost])
--- a/tests/tools/soak/test_arrival_checker.py
+++ b/tests/tools/soak/test_arrival_checker.py
@@ -94,9 +94,9 @@
         ]
         self.assertEqual(self._check(results, lines), [])
 
-    def _deadly(self, *times_s):
+    def _poison(self, *times_s):
         results = [
-            _result(f"q{number}", time_s, deadly_part="deadly-1")
+            _result(f"q{number}", time_s, poison_part="poison-1")
             for number, time_s in enumerate(times_s)
         ]
         lines = [
@@ -104,22 +104,22 @@
         ]
         return results, lines
 
-    def test_prompts_with_a_deadly_part_that_reach_engines_late(self):
+    def test_prompts_with_a_poison_part_that_reach_engines_late(self):
         crashes_s = [1.0, 1.1, 1.2, 1.3, 1.4]
-        results, lines = self._deadly(*crashes_s, 6.0, 6.1, 6.2, 6.3)
+        results, lines = self._poison(*crashes_s, 6.0, 6.1, 6.2, 6.3)
         self.assertEqual(
             self._check(results, lines),
-            [invariant.Invariant.DEADLY_PROMPTS_ARE_REFUSED],
+            [invariant.Invariant.POISON_PROMPTS_ARE_REFUSED],
         )
         self.assertEqual(self._check(results, lines[:-1]), [])
 
-    def test_prompts_with_a_deadly_part_may_arrive_before_all_know(self):
-        results, lines = self._deadly(*(1.0 + 0.1 * n for n in range(30)))
+    def test_prompts_with_a_poison_part_may_arrive_before_all_know(self):
+        results, lines = self._poison(*(1.0 + 0.1 * n for n in range(30)))
         self.assertEqual(self._check(results, lines), [])
 
     def test_gateway_that_was_cut_off_from_the_store_may_not_know(self):
         crashes_s = [1.0, 1.1, 1.2, 1.3, 1.4]
-        results, lines = self._deadly(*crashes_s, 6.0, 6.1, 6.2, 6.3)
+        results, lines = self._poison(*crashes_s, 6.0, 6.1, 6.2, 6.3)
         for name in ("store", "store/front-0", "front-0"):
             cut = disturbance.Disturbance(name, 2.0, 3.0)
             self.assertEqual(self._check(results, lines, [cut]), [])
--- a/tools/soak/arrival_checker.py
+++ b/tools/soak/arrival_checker.py
@@ -8,10 +8,10 @@
 import msgspec
 
 from tools import entry_configuration
-from tools.soak import deadly_prompts
 from tools.soak import disturbance
 from tools.soak import endpoint_record
 from tools.soak import invariant
+from tools.soak import poison_prompts
 from tools.soak import request_result
 from tools.soak import violation
 
@@ -21,8 +21,8 @@
 _MAX_ARRIVALS_IN_PAUSE = 2
 # Crashes that a part of prompts may cause, and the number of requests with it
 # that may reach engines once all gateways know.
-_DEADLY_CRASHES = 5
-_MAX_LATER_DEADLY_ARRIVALS = 3
+_POISON_CRASHES = 5
+_MAX_LATER_POISON_ARRIVALS = 3
 
 
 class RetryLimits(msgspec.Struct, frozen=True):
@@ -59,7 +59,7 @@
     """Yields every violation."""
     sent = {result.request_id: result for result in observed.results}
     yield from _check_retries(observed, sent)
-    yield from _check_deadly_prompts(observed, sent)
+    yield from _check_poison_prompts(observed, sent)
     for record in observed.records:
         yield from _check_leaving(observed, record, sent)
         yield from _check_pauses(observed, record, sent)
@@ -102,23 +102,23 @@
                 break
 
 
-def _check_deadly_prompts(
+def _check_poison_prompts(
     observed: Observations, sent: dict[str, request_result.RequestResult]
 ) -> Iterator[violation.Violation]:
     arrivals_by_part: dict[str, list[endpoint_record.Arrival]] = {}
     for record in observed.records:
         for arrival in record.arrivals:
             result = sent.get(arrival.request_id)
-            if result is not None and result.deadly_part:
-                arrivals_by_part.setdefault(result.deadly_part, []).append(
+            if result is not None and result.poison_part:
+                arrivals_by_part.setdefault(result.poison_part, []).append(
                     arrival
                 )
     for part, arrivals in arrivals_by_part.items():
         arrivals.sort(key=lambda arrival: arrival.time_s)
-        if len(arrivals) < _DEADLY_CRASHES:
+        if len(arrivals) < _POISON_CRASHES:
             continue
         known_s = (
-            arrivals[_DEADLY_CRASHES - 1].time_s + deadly_prompts.CONTACT_S
+            arrivals[_POISON_CRASHES - 1].time_s + poison_prompts.CONTACT_S
         )
         later = [
             arrival.request_id
@@ -126,9 +126,9 @@
             if sent[arrival.request_id].sent_s > known_s
             and not _is_out_of_touch(observed, sent[arrival.request_id])
         ]
-        if len(later) > _MAX_LATER_DEADLY_ARRIVALS:
+        if len(later) > _MAX_LATER_POISON_ARRIVALS:
             yield violation.Violation(
-                invariant.Invariant.DEADLY_PROMPTS_ARE_REFUSED,
+                invariant.Invariant.POISON_PROMPTS_ARE_REFUSED,
                 later[0],
                 f"{part}: {len(later)} requests of {len(arrivals)} came late",
             )
@@ -146,7 +146,7 @@
     return any(
         excuse.name in names
         and excuse.started_s < result.sent_s
-        and excuse.ended_s > result.sent_s - deadly_prompts.CONTACT_S
+        and excuse.ended_s > result.sent_s - poison_prompts.CONTACT_S
         for excuse in observed.disturbances
     )
 
--- a/tools/soak/fault.py
+++ b/tools/soak/fault.py
@@ -23,4 +23,4 @@
     STORE_RESTORED = "store-restored"
     ENDPOINT_ANNOUNCES_LEAVING = "endpoint-announces-leaving"
     ENDPOINT_ASKS_FOR_PAUSE = "endpoint-asks-for-pause"
-    DEADLY_PROMPTS_SENT = "deadly-prompts-sent"
+    POISON_PROMPTS_SENT = "poison-prompts-sent"
--- a/tools/soak/injector.py
+++ b/tools/soak/injector.py
@@ -12,9 +12,9 @@
 from tools import entry_endpoint
 from tools import entry_gateway
 from tools import local_process
-from tools.soak import deadly_prompts
 from tools.soak import disturbance
 from tools.soak import fault
+from tools.soak import poison_prompts
 
 _FAULT_DURATION_RANGE_S = (0.2, 2.0)
 _DRAIN_DURATION_S = 0.8
@@ -30,7 +30,7 @@
 
     Attributes:
         disturbances: Disturbances that excuse gateways.
-        deadly_prompts: Sends prompts that crash engines.
+        poison_prompts: Sends prompts that crash engines.
     """
 
     def __init__(
@@ -55,7 +55,7 @@
         self._endpoints = deployment.endpoints[series_index::series_count]
         self._may_change_configuration = series_index == 0
         self._version = 1
-        self.deadly_prompts = deadly_prompts.DeadlyPrompts(
+        self.poison_prompts = poison_prompts.PoisonPrompts(
             deployment, self._gateways, rng
         )
         self.disturbances: list[disturbance.Disturbance] = []
@@ -77,7 +77,7 @@
             fault.Fault.STORE_RESTORED: self._restore_store,
             fault.Fault.ENDPOINT_ANNOUNCES_LEAVING: self._announce_leaving,
             fault.Fault.ENDPOINT_ASKS_FOR_PAUSE: self._ask_for_pause,
-            fault.Fault.DEADLY_PROMPTS_SENT: self.deadly_prompts.send_series,
+            fault.Fault.POISON_PROMPTS_SENT: self.poison_prompts.send_series,
         }
 
     def inject(self, fault_kind: fault.Fault) -> None:
--- a/tools/soak/invariant.py
+++ b/tools/soak/invariant.py
@@ -20,7 +20,7 @@
     NO_WORK_FOR_LEAVING_ENDPOINTS = (
         "an endpoint that says that it leaves receives no new requests"
     )
-    DEADLY_PROMPTS_ARE_REFUSED = (
+    POISON_PROMPTS_ARE_REFUSED = (
         "few prompts with a part that crashes engines reach engines"
     )
     PAUSES_ARE_KEPT = "an endpoint that asks for a pause is left alone"
--- a/tools/soak/deadly_prompts.py
+++ b/tools/soak/poison_prompts.py
@@ -20,8 +20,8 @@
 _PREAMBLE = "preamble"
 
 
-class DeadlyPrompts:
-    """Sends prompts with one deadly part and restarts the crashed engines.
+class PoisonPrompts:
+    """Sends prompts with one poison part and restarts the crashed engines.
 
     Attributes:
         results: Results of the requests, in the order in which they ended.
@@ -47,7 +47,7 @@
 
     def send_series(self) -> None:
         """Sends prompts, and more once all gateways should refuse them."""
-        part = f"deadly-{self._rng.getrandbits(32):x}"
+        part = f"poison-{self._rng.getrandbits(32):x}"
         for _ in range(_FIRST_COUNT):
             self._send(part)
         time.sleep(CONTACT_S)
@@ -80,7 +80,7 @@
                 gateway=gateway.name,
                 sent_s=sent_s,
                 ended_s=time.monotonic(),
-                deadly_part=part,
+                poison_part=part,
             )
         )
         for engine in self._deployment.engines:
--- a/tools/soak/request_result.py
+++ b/tools/soak/request_result.py
@@ -18,7 +18,7 @@
         gateway: VM id of the gateway that it was sent to.
         sent_s: When it was sent on the monotonic clock, in seconds.
         ended_s: When it ended on the monotonic clock, in seconds.
-        deadly_part: Part of its prompt that crashes engines, or empty.
+        poison_part: Part of its prompt that crashes engines, or empty.
     """
 
     request_id: str
@@ -30,4 +30,4 @@
     gateway: str = ""
     sent_s: float = 0.0
     ended_s: float = 0.0
-    deadly_part: str = ""
+    poison_part: str = ""
--- a/tools/soak/trial.py
+++ b/tools/soak/trial.py
@@ -89,7 +89,7 @@
         results = callers.results + [
             result
             for fault_injector in injectors
-            for result in fault_injector.deadly_prompts.results
+            for result in fault_injector.poison_prompts.results
         ]
         records = [
             endpoint_record.parse(endpoint.endpoint_id, endpoint.service, lines)
