--- a/bronzeslip/endpoints/directory.py
+++ b/bronzeslip/endpoints/directory.py
@@ -13,6 +13,7 @@
 from bronzeslip.endpoints import endpoint
 from bronzeslip.endpoints import past_incarnations
 from bronzeslip.endpoints import pauses
+from bronzeslip.endpoints import request_limits
 from bronzeslip.settings import entry
 
 logger = logs.get_logger(__name__)
@@ -30,6 +31,9 @@
     An endpoint that has started to leave never becomes ready again; only a new
     incarnation does. A source that was restored from an older copy may list
     incarnations that are gone; they are ignored until they change.
+
+    Attributes:
+        request_limits: Limits that endpoints state on their requests.
     """
 
     def __init__(self, settings: entry.EntrySettings) -> None:
@@ -43,6 +47,7 @@
         self._leaving = past_incarnations.PastIncarnations()
         self._removed = past_incarnations.PastIncarnations()
         self._pauses = pauses.EndpointPauses()
+        self.request_limits = request_limits.RequestLimits()
         self._is_source_restored = False
         self._unreachable: set[ids.EndpointId] = set()
         self._missing_since_s: dict[ids.EndpointId, float] = {}
@@ -305,6 +310,7 @@
             listener(leaving)
 
     def _notify_gone(self, gone: endpoint.Endpoint) -> None:
+        self.request_limits.remove(gone)
         for listener in self._gone_listeners:
             listener(gone)
 
--- a/bronzeslip/metrics/entry_metrics.py
+++ b/bronzeslip/metrics/entry_metrics.py
@@ -106,6 +106,8 @@
         ready = sum(1 for endpoint in endpoints if endpoint.is_ready)
         self._endpoints.set({"state": "ready"}, ready)
         self._endpoints.set({"state": "leaving"}, len(endpoints) - ready)
+        limited = self._endpoint_directory.request_limits.limited_count()
+        self._endpoints.set({"state": "limited"}, limited)
         for event, count in logs.event_counts.items():
             self._events.set({"event": event}, count)
 
--- a/bronzeslip/platform/endpoint_announcements.py
+++ b/bronzeslip/platform/endpoint_announcements.py
@@ -1,6 +1,7 @@
 """Announcements of endpoints in the headers of their responses."""
 
 import math
+import re
 
 import httpx
 
@@ -12,6 +13,7 @@
 logger = logs.get_logger(__name__)
 
 _LEAVING_VALUE = "1"
+_DECIMAL_NUMBER = re.compile(r"[0-9]+(\.[0-9]+)?", re.ASCII)
 
 
 def record(
@@ -33,6 +35,8 @@
     leaving = response.headers.get(headers.SERVER_LEAVING.decode(), "")
     if leaving.strip() == _LEAVING_VALUE:
         endpoints.mark_leaving(sender)
+    if response.status_code != httpx.codes.MISDIRECTED_REQUEST:
+        _record_limit(endpoints, sender, response)
     if response.status_code != httpx.codes.SERVICE_UNAVAILABLE:
         return
     text = response.headers.get(headers.RETRY_AFTER.decode())
@@ -47,6 +51,20 @@
     endpoints.pause(sender, pause_s)
 
 
+def _record_limit(
+    endpoints: directory.EndpointDirectory,
+    sender: endpoint.Endpoint,
+    response: httpx.Response,
+) -> None:
+    text = response.headers.get(headers.SERVER_LIMIT.decode())
+    if text is None:
+        return
+    if not _DECIMAL_NUMBER.fullmatch(text.strip()):
+        logger.info("endpoint.unreadable_limit", endpoint=sender.endpoint_id)
+        return
+    endpoints.request_limits.state(sender, float(text))
+
+
 def _parse_seconds(text: str) -> float | None:
     """Returns a delay in seconds, or None if the text is not one."""
     try:
--- a/bronzeslip/platform/endpoint_http.py
+++ b/bronzeslip/platform/endpoint_http.py
@@ -92,6 +92,7 @@
             },
         )
         pool = self._get_pool(self._pools, outgoing.endpoint)
+        sent_s = asyncio.get_running_loop().time()
         response = await self._exchange(outgoing.endpoint, pool, request)
         if not response.is_response_to(outgoing.request.request_id):
             await response.abort()
@@ -105,6 +106,9 @@
             raise endpoint_errors.EndpointResponseLostError(
                 "received the response to another request"
             )
+        # Control calls and errors need not state a limit that is in force.
+        if response.head.is_success and not response.states_limit:
+            self._endpoints.request_limits.end(outgoing.endpoint, sent_s)
         return response
 
     async def check_presence(
--- a/bronzeslip/platform/endpoint_response.py
+++ b/bronzeslip/platform/endpoint_response.py
@@ -96,6 +96,11 @@
         """Id of the endpoint that the response states, or None."""
         return self._response.headers.get(headers.ENDPOINT_ID.decode())
 
+    @property
+    def states_limit(self) -> bool:
+        """Whether the response states a request limit, readable or not."""
+        return headers.SERVER_LIMIT.decode() in self._response.headers
+
     def is_response_to(self, request_id: ids.RequestId) -> bool:
         """Returns whether this is the response to a request.
 
--- a/bronzeslip/platform/headers.py
+++ b/bronzeslip/platform/headers.py
@@ -27,6 +27,9 @@
 RETRY_AFTER = b"retry-after"
 # "1" in all responses of an endpoint that is shutting down.
 SERVER_LEAVING = b"server-leaving"
+# Requests per second that the endpoint takes from all gateways together, in
+# responses of an endpoint that is overloaded.
+SERVER_LIMIT = b"server-limit"
 # Rises when the store has been restored from an older copy.
 STORE_ERA = b"store-era"
 HOST = b"host"
--- a/tests/platform/test_endpoint_announcements.py
+++ b/tests/platform/test_endpoint_announcements.py
@@ -21,7 +21,7 @@
 _BUSY = b"503 Service Unavailable"
 
 
-class AnnouncementTest(unittest.IsolatedAsyncioTestCase):
+class _AnnouncementCase(unittest.IsolatedAsyncioTestCase):
     async def _start(self, *scripts):
         self.server = raw_server.RawServer(*scripts)
         port = await self.server.start()
@@ -47,6 +47,8 @@
         )
         await response.close()
 
+
+class AnnouncementTest(_AnnouncementCase):
     async def _refuse(self, retry_after):
         await self._start(
             raw_server.create_response(
@@ -186,6 +188,97 @@
         )
 
 
+class RequestLimitTest(_AnnouncementCase):
+    @property
+    def _rate_per_s(self):
+        return self.directory.request_limits.rate_of(self.endpoint)
+
+    async def _respond(self, *values, status=b"200 OK"):
+        """Sends a request for each value that a response states, or None."""
+        await self._start(
+            *(
+                raw_server.create_response(
+                    b"ok",
+                    status,
+                    _ECHO
+                    if value is None
+                    else _ECHO + b"Server-Limit: " + value + b"\r\n",
+                )
+                for value in values
+            )
+        )
+        for _ in values:
+            await self._send()
+
+    async def test_stated_limit_is_recorded(self):
+        for text, rate_per_s in ((b"1.8", 1.8), (b"12", 12.0), (b"0", 0.0)):
+            with self.subTest(text):
+                await self._respond(text)
+                self.assertEqual(self._rate_per_s, rate_per_s)
+
+    async def test_unreadable_limits_are_ignored(self):
+        for text in (
+            *(b"", b"-1", b"many", b"nan", b"inf", b"1e3", b"1_0", b"0x2"),
+            *(b".5", b"1.", b"1.8, 1.8", b"\xd9\xa1"),
+        ):
+            with self.subTest(text):
+                await self._respond(text)
+                self.assertIsNone(self._rate_per_s)
+
+    async def test_unreadable_limit_leaves_the_stated_one_in_force(self):
+        await self._respond(b"1.8", b"many")
+        self.assertEqual(self._rate_per_s, 1.8)
+
+    async def test_later_limit_replaces_the_earlier_one(self):
+        await self._respond(b"1.8", b"3")
+        self.assertEqual(self._rate_per_s, 3.0)
+
+    async def test_response_without_a_limit_ends_it(self):
+        await self._respond(b"1.8", None)
+        self.assertIsNone(self._rate_per_s)
+
+    async def test_error_without_a_limit_does_not_end_it(self):
+        await self._start(
+            raw_server.create_response(
+                b"ok", headers=_ECHO + b"Server-Limit: 1.8\r\n"
+            ),
+            raw_server.create_response(b"", b"500 Internal Error", _ECHO),
+        )
+        await self._send()
+        await self._send()
+        self.assertEqual(self._rate_per_s, 1.8)
+
+    async def test_response_to_an_earlier_request_does_not_end_it(self):
+        await self._respond(b"1.8")
+        self.directory.request_limits.end(
+            self.endpoint, asyncio.get_running_loop().time() - 0.5
+        )
+        self.assertEqual(self._rate_per_s, 1.8)
+
+    async def test_report_states_a_limit_but_does_not_end_it(self):
+        await self._start(
+            raw_server.create_response(_REPORT, headers=b"Server-Limit: 2\r\n"),
+            raw_server.create_response(_REPORT),
+        )
+        await self.client.report(self.endpoint)
+        await self.client.report(self.endpoint)
+        self.assertEqual(self._rate_per_s, 2.0)
+
+    async def test_new_incarnation_ends_it(self):
+        await self._respond(b"1.8")
+        restarted = forwarding_parts.create_endpoint(
+            "i-1", host="127.0.0.1", port=1, started_unix_ms=2
+        )
+        self.directory.put(restarted)
+        self.assertIsNone(self._rate_per_s)
+        self.assertIsNone(self.directory.request_limits.rate_of(restarted))
+        self.assertEqual(self.directory.request_limits.limited_count(), 0)
+
+    async def test_limit_of_another_endpoint_at_the_address_is_ignored(self):
+        await self._respond(b"1.8", status=b"421 Misdirected Request")
+        self.assertIsNone(self._rate_per_s)
+
+
 class RestoredDirectoryTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.directory = directory.EndpointDirectory(forwarding_parts.SETTINGS)
