Add a failing test of endpoints that limit the requests of all gateways

The check counts by the rule's words: tools.soak.limit_checker, of which tests.tools.soak.test_limit_checker violates each part.

--- a/standins/model_endpoint/app.py
+++ b/standins/model_endpoint/app.py
@@ -29,8 +29,8 @@
     """Serves calls and streams, and prints the attempt id of each of them.
 
     It also prints, with the monotonic time, when a request arrives and when
-    one is answered with an announcement that the endpoint leaves or asks for a
-    pause.
+    one is answered with an announcement that the endpoint leaves, asks for a
+    pause or states a limit on its requests.
 
     The body "stream" selects a stream of events, the body "broken-stream" one
     that ends inside an event, and the body "crash" makes the process exit at
@@ -53,6 +53,7 @@
         self._released.set()
         self._is_leaving = False
         self._pause_ends_s = 0.0
+        self._stated_limit = ""
 
     def app(self) -> litestar.Litestar:
         """Creates the ASGI application."""
@@ -67,6 +68,12 @@
                 litestar.put("/standin/pause/{pause_ms:int}", status_code=200)(
                     self._pause
                 ),
+                litestar.put("/standin/limit/{value:str}", status_code=200)(
+                    self._state_limit
+                ),
+                litestar.put("/standin/no-limit", status_code=200)(
+                    self._end_limit
+                ),
                 litestar.put("/standin/release", status_code=200)(
                     self._release
                 ),
@@ -84,6 +91,11 @@
                 *message["headers"],
                 (b"server-leaving", b"1"),
             ]
+        if self._stated_limit:
+            message["headers"] = [
+                *message["headers"],
+                (b"server-limit", self._stated_limit.encode()),
+            ]
         if self._is_unframed:
             message["headers"] = [
                 field
@@ -103,6 +115,8 @@
         print(f"arrived {request_id} {now_s}", flush=True)
         if self._is_leaving:
             print(f"leaving {request_id} {now_s}", flush=True)
+        if self._stated_limit:
+            print(f"limited {request_id} {now_s} {self._stated_limit}")
         pause_s = self._pause_ends_s - now_s
         if pause_s > 0:
             print(f"paused {request_id} {now_s} {pause_s}", flush=True)
@@ -168,6 +182,13 @@
     async def _pause(self, pause_ms: int) -> None:
         self._pause_ends_s = time.monotonic() + pause_ms / _MS_PER_S
 
+    async def _state_limit(self, value: str) -> None:
+        self._stated_limit = value
+
+    async def _end_limit(self) -> None:
+        self._stated_limit = ""
+        print(f"unlimited - {time.monotonic()}", flush=True)
+
     async def _hold(self) -> None:
         self._released.clear()
 
--- a/tools/entry_endpoint.py
+++ b/tools/entry_endpoint.py
@@ -106,6 +106,20 @@
         url = f"{self.process.http_url()}/standin/pause/{duration_s * 1000:.0f}"
         httpx.put(url).raise_for_status()
 
+    def state_limit(self, value: str) -> None:
+        """Makes the endpoint state a request limit in all its responses.
+
+        Args:
+            value: Requests per second, or text that is no number.
+        """
+        url = f"{self.process.http_url()}/standin/limit/{value}"
+        httpx.put(url).raise_for_status()
+
+    def end_limit(self) -> None:
+        """Makes the endpoint state no request limit any more."""
+        url = f"{self.process.http_url()}/standin/no-limit"
+        httpx.put(url).raise_for_status()
+
     def release(self) -> None:
         """Lets the endpoint send its held responses."""
         url = f"{self.process.http_url()}/standin/release"
--- a/tools/soak/arrival_checker.py
+++ b/tools/soak/arrival_checker.py
@@ -11,6 +11,7 @@
 from tools.soak import disturbance
 from tools.soak import endpoint_record
 from tools.soak import invariant
+from tools.soak import limit_checker
 from tools.soak import poison_prompts
 from tools.soak import request_result
 from tools.soak import violation
@@ -63,6 +64,7 @@
     for record in observed.records:
         yield from _check_leaving(observed, record, sent)
         yield from _check_pauses(observed, record, sent)
+        yield from limit_checker.check(record, sent, observed.disturbances)
 
 
 def _check_retries(
--- a/tools/soak/endpoint_record.py
+++ b/tools/soak/endpoint_record.py
@@ -7,6 +7,8 @@
 _ARRIVED = "arrived"
 _LEAVING = "leaving"
 _PAUSED = "paused"
+_LIMITED = "limited"
+_UNLIMITED = "unlimited"
 
 
 class Arrival(msgspec.Struct, frozen=True):
@@ -23,6 +25,20 @@
     pause_s: float = 0.0
 
 
+class StatedLimit(msgspec.Struct, frozen=True):
+    """Response that states a limit on the requests of all gateways.
+
+    Attributes:
+        request_id: Id of the request.
+        time_s: Time on the monotonic clock, in seconds.
+        rate_per_s: Requests per second.
+    """
+
+    request_id: str
+    time_s: float
+    rate_per_s: float
+
+
 class EndpointRecord(msgspec.Struct, frozen=True):
     """Observations of one incarnation of an endpoint.
 
@@ -32,6 +48,8 @@
         arrivals: Requests that arrived, refused ones included.
         leaving: Requests that were told that the endpoint leaves.
         paused: Requests that were refused with a pause.
+        limited: Requests whose response stated a limit, in order.
+        unlimited_s: Times from which no limit was stated any more.
     """
 
     endpoint_id: str
@@ -39,6 +57,8 @@
     arrivals: tuple[Arrival, ...]
     leaving: tuple[Arrival, ...]
     paused: tuple[Arrival, ...]
+    limited: tuple[StatedLimit, ...] = ()
+    unlimited_s: tuple[float, ...] = ()
 
 
 def parse(
@@ -50,8 +70,16 @@
         _LEAVING: [],
         _PAUSED: [],
     }
+    limited: list[StatedLimit] = []
+    unlimited_s: list[float] = []
     for line in lines:
         kind, *fields = line.split(" ")
+        if kind == _LIMITED and _is_number(fields[-1]):
+            limited.append(
+                StatedLimit(fields[0], float(fields[1]), float(fields[2]))
+            )
+        elif kind == _UNLIMITED:
+            unlimited_s.append(float(fields[-1]))
         if kind in by_kind and len(fields) >= 2:
             request_id, *numbers = fields
             by_kind[kind].append(Arrival(request_id, *map(float, numbers)))
@@ -61,4 +89,10 @@
         tuple(by_kind[_ARRIVED]),
         tuple(by_kind[_LEAVING]),
         tuple(by_kind[_PAUSED]),
+        tuple(limited),
+        tuple(unlimited_s),
     )
+
+
+def _is_number(text: str) -> bool:
+    return text.replace(".", "", 1).isdecimal()
--- a/tools/soak/invariant.py
+++ b/tools/soak/invariant.py
@@ -23,4 +23,7 @@
     POISON_PROMPTS_ARE_REFUSED = (
         "few prompts with a part that crashes engines reach engines"
     )
+    LIMITS_ARE_KEPT = (
+        "an endpoint that states a limit receives no more requests than that"
+    )
     PAUSES_ARE_KEPT = "an endpoint that asks for a pause is left alone"
