Keep the request limits that endpoints state, over all gateways together

Cause: no gateway acted on the limit. The class of the fault is a statement of an endpoint to the whole fleet that each gateway would have to keep with the others. A limit for each gateway alone would have let five times as much through, an even share starves wherever callers are uneven.

Change: one gateway, chosen by rendezvous hashing over the gateways' records, coordinates each limited endpoint and grants permits; a second one grants half if it does not reply. Each first attempt, retry and resumption takes a permit. What exceeds the limit goes to another endpoint or is refused at once with a time to come back.

--- a/bronzeslip/endpoints/request_limits.py
+++ b/bronzeslip/endpoints/request_limits.py
@@ -1,7 +1,7 @@
 """Limits that endpoints state on the requests of all gateways together."""
 
-import asyncio
 from collections.abc import Callable
+import time
 
 from bronzeslip import ids
 from bronzeslip import logs
@@ -20,7 +20,13 @@
     sent after the limit had been stated, or until the endpoint restarts.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        """Creates limits without any statement.
+
+        Args:
+            clock: Clock of the event loop, in seconds.
+        """
+        self._clock = clock
         self._statements: dict[
             ids.EndpointId,
             tuple[endpoint.Endpoint, limit_statement.LimitStatement],
@@ -33,8 +39,9 @@
 
     def state(self, target: endpoint.Endpoint, rate_per_s: float) -> None:
         """Records that an endpoint stated a limit just now."""
-        stated_s = asyncio.get_running_loop().time()
-        self.merge(target, limit_statement.LimitStatement(rate_per_s, stated_s))
+        self.merge(
+            target, limit_statement.LimitStatement(rate_per_s, self._clock())
+        )
 
     def end(self, target: endpoint.Endpoint, sent_s: float) -> None:
         """Records a response without a limit.
--- a/bronzeslip/entry/daemon.py
+++ b/bronzeslip/entry/daemon.py
@@ -39,6 +39,7 @@
         settings: entry.EntrySettings,
         this_vm: vm_config.VmConfig,
         app: Any,
+        permit_handler: handlers.BaseRouteHandler,
         current_table: current.CurrentTable,
         readiness_state: readiness.Readiness,
         metrics: entry_metrics.EntryMetrics,
@@ -52,6 +53,7 @@
             settings: Settings of the gateway.
             this_vm: Configuration of this VM.
             app: ASGI application that serves callers.
+            permit_handler: Handles the requests of other gateways for permits.
             current_table: Current route table.
             readiness_state: Readiness reported to the load balancer.
             metrics: Metrics to expose.
@@ -79,6 +81,10 @@
             self._create_readiness_app(),
             _create_http_settings(this_vm.readiness_address),
         )
+        self._peer_server = server.HttpServer(
+            _create_app(permit_handler),
+            _create_http_settings(this_vm.peer_address),
+        )
         self._metrics_server = server.HttpServer(
             _create_app(page.create_handler(metrics)),
             _create_http_settings(
@@ -94,6 +100,7 @@
         self._signals.on_reload(self._reload)
         self._caller_server.start()
         self._readiness_server.start()
+        self._peer_server.start()
         if self._settings.metrics_port:
             self._metrics_server.start()
         for task in self._named_tasks:
@@ -103,6 +110,7 @@
         await self._drain()
         await self._deregister()
         await self._background_tasks.stop()
+        await self._peer_server.abort()
         await self._readiness_server.abort()
         await self._metrics_server.abort()
 
--- a/bronzeslip/entry/gateway_registry.py
+++ b/bronzeslip/entry/gateway_registry.py
@@ -1,20 +1,24 @@
 """Counts the gateways, which share retry and connection limits."""
 
 import asyncio
-import collections
 from collections.abc import Callable
 import contextlib
 import math
 import random
 import time
 
-import msgspec
-
 from bronzeslip import ids
 from bronzeslip import logs
+from bronzeslip.entry import gateway_listings
+from bronzeslip.entry import gateway_record
+from bronzeslip.entry import vm_config
 from bronzeslip.membership import rendezvous
+from bronzeslip.quota import coordinator_ranking
+from bronzeslip.quota import peer
+from bronzeslip.quota import standing
 from bronzeslip.settings import entry
 from bronzeslip.store import errors
+from bronzeslip.store import objects
 from bronzeslip.store import read_write_store
 
 logger = logs.get_logger(__name__)
@@ -30,28 +34,6 @@
 _LISTING_LIFETIME_INTERVALS = 2.7
 
 
-class GatewayRecord(msgspec.Struct, frozen=True):
-    """Record that a gateway writes at startup.
-
-    Attributes:
-        vm_id: VM that the gateway runs on.
-    """
-
-    vm_id: ids.VmId
-
-
-class _Listing(msgspec.Struct, frozen=True):
-    """Gateways that were registered at one time.
-
-    Attributes:
-        vm_ids: VMs of the gateways.
-        read_s: Time of the listing.
-    """
-
-    vm_ids: frozenset[ids.VmId]
-    read_s: float
-
-
 def _boot_time_s() -> float:
     """Returns a clock that also advances while the VM is suspended."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
@@ -69,13 +51,17 @@
     listing is recent, and only after every recent listing contains it. A
     gateway that is no longer listed is counted until its use of the limit has
     ended.
+
+    The same condition makes a gateway the only one that coordinates a key with
+    full standing. One that found its own record at its start, or whose listing
+    is no longer recent, has partial standing.
     """
 
     def __init__(
         self,
         settings: entry.EntrySettings,
         store: read_write_store.ReadWriteStore,
-        vm_id: ids.VmId,
+        own: peer.Peer,
         clock: Callable[[], float] = _boot_time_s,
     ) -> None:
         """Creates a registry.
@@ -83,7 +69,7 @@
         Args:
             settings: Interval of the counts and age of stale reads.
             store: Store that holds the records.
-            vm_id: VM of this gateway.
+            own: This gateway.
             clock: Clock, in seconds.
         """
         self._refresh_s = settings.gateway_refresh_s
@@ -96,22 +82,25 @@
             self._listing_lifetime_s + settings.store_staleness_s
         )
         self._store = store
-        self._vm_id = vm_id
+        self._own = own
         self._clock = clock
-        self._key = ids.ObjectKey(f"{PREFIX}{vm_id}")
-        self._listings: collections.deque[_Listing] = collections.deque()
+        self._key = ids.ObjectKey(f"{PREFIX}{own.vm_id}")
+        self._listings = gateway_listings.GatewayListings(
+            own, self._settling_time_s
+        )
         self._registered_s = math.inf
+        self._was_listed_before = False
         self._is_deregistered = False
         self._refresh_due = asyncio.Event()
-        self._vm_ids = frozenset((vm_id,))
-        self._rank = 0
+        self._ranking = coordinator_ranking.CoordinatorRanking()
+        self._rank_gateways()
 
     @property
     def count(self) -> int:
         """Number of gateways."""
         if not self._listings:
             return _INITIAL_COUNT
-        return len(self._vm_ids)
+        return len(self._listings.merged)
 
     @property
     def is_known(self) -> bool:
@@ -121,7 +110,7 @@
     @property
     def vm_ids(self) -> set[ids.VmId]:
         """VMs of the known gateways, including this one."""
-        return set(self._vm_ids)
+        return set(self._listings.merged)
 
     def share_of(self, total: float) -> float:
         """Returns this gateway's share of a number of indivisible items.
@@ -131,18 +120,51 @@
         """
         if not self._is_settled():
             return 0.0
-        share = total / len(self._vm_ids)
+        share = total / len(self._listings.merged)
         if share >= 1:
             return share
         return 1.0 if self._rank < math.floor(total) else 0.0
 
+    def ranked(self, key: str) -> tuple[peer.Peer, ...]:
+        """Returns the coordinator of a key and its fallback.
+
+        Returns:
+            Two gateways at most, possibly including this one; none before the
+            first listing.
+        """
+        return self._ranking.first(key) if self._listings else ()
+
+    def standing(self, key: str, is_fallback: bool) -> standing.Standing:
+        """Returns which part of the limit of a key this gateway may grant.
+
+        Args:
+            key: Key that the limit belongs to.
+            is_fallback: Whether the asking gateway did not reach the
+                coordinator.
+        """
+        ranked = self.ranked(key)
+        if self._own not in ranked or not self._is_listed_by_others():
+            return standing.Standing.NONE
+        if ranked[0] == self._own:
+            if self._is_settled():
+                return standing.Standing.FULL
+            return standing.Standing.PARTIAL
+        if is_fallback:
+            return standing.Standing.PARTIAL
+        return standing.Standing.NONE
+
     async def run(self) -> None:
         """Registers this gateway, then counts until cancelled."""
         await self._register()
         # All gateways start at the same time; an earlier count is too low.
-        await asyncio.sleep(self._refresh_s)
+        await self._wait_for_refresh(self._refresh_s)
         await self._refresh_until_cancelled()
 
+    def refresh_soon(self) -> None:
+        """Schedules the first listing, if there is none yet."""
+        if not self._listings:
+            self._refresh_due.set()
+
     def on_store_restored(self) -> None:
         """Schedules a refresh, which writes a lost record again."""
         self._refresh_due.set()
@@ -162,18 +184,27 @@
             await self._refresh()
             jitter = random.uniform(1 - _REFRESH_JITTER, 1 + _REFRESH_JITTER)
             self._refresh_due.clear()
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(self._refresh_s * jitter):
-                    await self._refresh_due.wait()
-                    await asyncio.sleep(random.uniform(0, _RETRY_DELAY_S))
+            await self._wait_for_refresh(self._refresh_s * jitter)
+
+    async def _wait_for_refresh(self, wait_s: float) -> None:
+        """Waits for a time, or less if a refresh is due earlier."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                await self._refresh_due.wait()
+                await asyncio.sleep(random.uniform(0, _RETRY_DELAY_S))
+
+    def _has_settled(self) -> bool:
+        """Returns whether all others have had time to read the record."""
+        return self._clock() - self._registered_s >= self._settling_time_s
+
+    def _is_listed_by_others(self) -> bool:
+        return not self._is_deregistered and (
+            self._was_listed_before or self._has_settled()
+        )
 
     def _is_settled(self) -> bool:
-        now_s = self._clock()
-        return (
-            now_s - self._registered_s >= self._settling_time_s
-            and bool(self._listings)
-            and now_s - self._listings[-1].read_s < self._listing_lifetime_s
-        )
+        listing_age_s = self._clock() - self._listings.latest_s
+        return self._has_settled() and listing_age_s < self._listing_lifetime_s
 
     async def _register(self) -> None:
         """Writes the record, retrying while the store is unavailable."""
@@ -184,18 +215,37 @@
 
     async def _try_register(self) -> bool:
         """Writes the record; returns whether the store has it."""
+        record = gateway_record.GatewayRecord(
+            self._own.vm_id, self._own.address
+        )
+        is_again = math.isfinite(self._registered_s)
         try:
-            await self._store.create(self._key, GatewayRecord(self._vm_id))
-        except errors.VersionConflictError:
-            logger.info("gateways.already_registered")
+            try:
+                await self._store.create(self._key, record)
+            except errors.VersionConflictError:
+                logger.info("gateways.already_registered")
+                self._was_listed_before = await self._has_same_record(record)
+            else:
+                logger.info("gateways.registered")
+                self._was_listed_before = is_again
         except errors.PlatformError as error:
             logger.warning("gateways.not_registered", reason=error.message)
             return False
-        else:
-            logger.info("gateways.registered")
         self._registered_s = self._clock()
         return True
 
+    async def _has_same_record(
+        self, record: gateway_record.GatewayRecord
+    ) -> bool:
+        """Replaces a stored record that differs; returns whether none did."""
+        stored = await self._store.get(self._key)
+        if stored is None:
+            raise errors.VersionConflictError("the record has been removed")
+        if gateway_record.decode(stored.value) == record:
+            return True
+        await self._store.update(self._key, record, stored.version)
+        return False
+
     async def _refresh(self) -> None:
         started_s = self._clock()
         try:
@@ -203,27 +253,30 @@
         except errors.PlatformError as error:
             logger.info("gateways.not_counted", reason=error.message)
             return
-        vm_ids = frozenset(
-            ids.VmId(record.key.removeprefix(PREFIX))
-            for record in listing.objects
-        )
-        if not self._listings or vm_ids != self._listings[-1].vm_ids:
-            logger.info("gateways.counted", count=len(vm_ids))
-        self._listings.append(_Listing(vm_ids, started_s))
-        while (
-            len(self._listings) > 1
-            and started_s - self._listings[0].read_s > self._settling_time_s
-        ):
-            self._listings.popleft()
-        self._update_counted()
-        if self._vm_id not in vm_ids and not self._is_deregistered:
+        addresses = {
+            ids.VmId(stored.key.removeprefix(PREFIX)): _address_of(stored)
+            for stored in listing.objects
+        }
+        if self._listings.add(addresses, started_s):
+            self._rank_gateways()
+        if self._own.vm_id not in addresses and not self._is_deregistered:
             # The store may have been restored from an older copy.
             await self._try_register()
 
-    def _update_counted(self) -> None:
-        """Merges the recent listings and ranks this gateway among them."""
-        self._vm_ids = frozenset((self._vm_id,)).union(
-            *(listing.vm_ids for listing in self._listings)
+    def _rank_gateways(self) -> None:
+        """Ranks the gateways for shares and as coordinators."""
+        addresses = self._listings.merged
+        ordered = rendezvous.ranked(addresses, str, PREFIX)
+        self._rank = ordered.index(self._own.vm_id)
+        self._ranking.replace_peers(
+            peer.Peer(vm_id, address)
+            for vm_id, address in addresses.items()
+            if address is not None
         )
-        ordered = rendezvous.ranked(self._vm_ids, str, PREFIX)
-        self._rank = ordered.index(self._vm_id)
+
+
+def _address_of(
+    stored: objects.PlatformObject,
+) -> vm_config.SocketAddress | None:
+    record = gateway_record.decode(stored.value)
+    return None if record is None else record.peer_address
--- a/bronzeslip/entry/vm_config.py
+++ b/bronzeslip/entry/vm_config.py
@@ -45,6 +45,7 @@
         caller_address: Address that callers connect to.
         readiness_address: Address of the readiness check for the load balancer.
         store_address: Address of the store.
+        peer_address: Address for calls of other gateways.
         bounds: Limits that operators set.
     """
 
@@ -54,6 +55,7 @@
     caller_address: SocketAddress
     readiness_address: SocketAddress
     store_address: SocketAddress
+    peer_address: SocketAddress
     bounds: PlaceBounds
 
     def is_in_region(self, failure_domain: ids.FailureDomainName) -> bool:
--- a/bronzeslip/forwarding/assembly.py
+++ b/bronzeslip/forwarding/assembly.py
@@ -20,12 +20,14 @@
 from bronzeslip.forwarding import endpoint_client
 from bronzeslip.forwarding import gateway_count
 from bronzeslip.forwarding import load_forecast
+from bronzeslip.forwarding import permitted_chooser
 from bronzeslip.forwarding import pipeline
 from bronzeslip.forwarding import request_ledger
 from bronzeslip.forwarding import service_retry_budgets
 from bronzeslip.forwarding import standby_chooser
 from bronzeslip.forwarding import stream_forwarder
 from bronzeslip.metrics import entry_metrics
+from bronzeslip.quota import endpoint_permits
 from bronzeslip.routes import current
 from bronzeslip.routing import suspect_list
 from bronzeslip.routing import suspect_publisher
@@ -42,6 +44,7 @@
     publisher: suspect_publisher.SuspectPublisher,
     metrics: entry_metrics.EntryMetrics,
     gateways: gateway_count.GatewayCount,
+    permits: endpoint_permits.EndpointPermits,
     rng: random.Random,
 ) -> components.ForwardingComponents:
     """Creates the forwarding components.
@@ -56,6 +59,7 @@
         publisher: Publishes the suspects to the other gateways.
         metrics: Metrics of the gateway.
         gateways: Number of running gateways.
+        permits: Permits for endpoints that have a limit.
         rng: Source of all random choices.
     """
     in_flight = in_flight_requests.InFlightRequests()
@@ -78,6 +82,9 @@
             ),
             rng,
         )
+    sending_chooser = permitted_chooser.PermittedChooser(
+        endpoint_chooser, endpoints, permits
+    )
     retry_budgets = service_retry_budgets.ServiceRetryBudgets(
         this_vm.bounds, gateways, random.Random(this_vm.vm_id)
     )
@@ -93,6 +100,8 @@
         failures=failures,
         client=client,
         endpoint_chooser=endpoint_chooser,
+        permits=permits,
+        permitted_chooser=sending_chooser,
         copy_target_chooser=standby_chooser.StandbyChooser(
             endpoint_proximity, endpoints, reports, rng
         ),
@@ -100,7 +109,7 @@
         retry_budgets=retry_budgets,
         crash_detector=crash_detector,
         attempt_runner=attempts.AttemptRunner(
-            endpoint_chooser, failures, retry_budgets, crash_detector, metrics
+            sending_chooser, failures, retry_budgets, crash_detector, metrics
         ),
         metrics=metrics,
     )
--- a/bronzeslip/forwarding/attempts.py
+++ b/bronzeslip/forwarding/attempts.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Set as AbstractSet
 import functools
 from typing import TypeVar
 
@@ -10,10 +11,11 @@
 from bronzeslip.endpoints import endpoint
 from bronzeslip.endpoints import failure_tracker
 from bronzeslip.forwarding import admitted
-from bronzeslip.forwarding import chooser
 from bronzeslip.forwarding import crash_watch
 from bronzeslip.forwarding import endpoint_errors
 from bronzeslip.forwarding import errors
+from bronzeslip.forwarding import permitted_chooser
+from bronzeslip.forwarding import resumption_reserve
 from bronzeslip.forwarding import service_retry_budgets
 from bronzeslip.metrics import entry_metrics
 
@@ -25,9 +27,6 @@
 # Endpoints that may have run it are not counted.
 _MAX_REFUSALS = 3
 
-# Retries of a service of model engines that are left for resumptions.
-_RESUMPTION_SLACK = 1.0
-
 _ANSWERED = "answered"
 
 ResultT = TypeVar("ResultT")
@@ -42,7 +41,7 @@
 
     def __init__(
         self,
-        endpoint_chooser: chooser.EndpointChooser,
+        endpoint_chooser: permitted_chooser.PermittedChooser,
         failures: failure_tracker.FailureTracker,
         retry_budgets: service_retry_budgets.ServiceRetryBudgets,
         crash_detector: crash_watch.CrashDetector,
@@ -85,8 +84,10 @@
         # Endpoints that received the request; only these use retry budget.
         deliveries = 0
         while True:
-            chosen = self._choose(request, tried, possible_runs)
-            if deliveries and not budget.take(_kept_slack(request)):
+            chosen = await self._choose(request, tried, possible_runs)
+            if deliveries and not budget.take(
+                resumption_reserve.reserved_by(request)
+            ):
                 raise _retries_exhausted(
                     possible_runs, "the retry budget is exhausted"
                 )
@@ -110,7 +111,7 @@
                         possible_runs, error.message
                     ) from error
 
-    def _choose(
+    async def _choose(
         self,
         request: admitted.AdmittedRequest,
         tried: set[ids.EndpointId],
@@ -122,23 +123,32 @@
         try:
             self._crash_detector.reject_quarantined(request)
             if avoided - tried:
-                return self._choose_excluding(request, tried, avoided)
-            return self._endpoint_chooser.choose(request, tried)
+                return await self._choose_excluding(request, tried, avoided)
+            return await self._choose_permitted(request, tried)
         except errors.NotRunError as error:
             if possible_runs:
                 raise errors.OutcomeUnknownError(error.message) from error
             raise
 
-    def _choose_excluding(
+    async def _choose_excluding(
         self,
         request: admitted.AdmittedRequest,
         tried: set[ids.EndpointId],
         avoided: frozenset[ids.EndpointId],
     ) -> endpoint.Endpoint:
         try:
-            return self._endpoint_chooser.choose(request, tried | avoided)
+            return await self._choose_permitted(request, tried | avoided)
         except errors.NotRunError:
-            return self._endpoint_chooser.choose(request, tried)
+            return await self._choose_permitted(request, tried)
+
+    async def _choose_permitted(
+        self,
+        request: admitted.AdmittedRequest,
+        excluded: AbstractSet[ids.EndpointId],
+    ) -> endpoint.Endpoint:
+        return await self._endpoint_chooser.choose(
+            request, excluded, resumption_reserve.reserved_by(request)
+        )
 
     async def _send_once(
         self,
@@ -173,15 +183,6 @@
         )
 
 
-def _kept_slack(request: admitted.AdmittedRequest) -> float:
-    """Returns the slack to leave for resumptions of generations.
-
-    A refused request can be sent again by its caller, an interrupted generation
-    is lost.
-    """
-    return _RESUMPTION_SLACK if request.service.engine is not None else 0.0
-
-
 def _retries_exhausted(
     possible_runs: int, reason: str
 ) -> errors.ForwardingError:
--- a/bronzeslip/forwarding/components.py
+++ b/bronzeslip/forwarding/components.py
@@ -11,9 +11,11 @@
 from bronzeslip.forwarding import copy_releaser
 from bronzeslip.forwarding import crash_watch
 from bronzeslip.forwarding import endpoint_client
+from bronzeslip.forwarding import permitted_chooser
 from bronzeslip.forwarding import service_retry_budgets
 from bronzeslip.forwarding import standby_chooser
 from bronzeslip.metrics import entry_metrics
+from bronzeslip.quota import endpoint_permits
 from bronzeslip.routes import current
 from bronzeslip.settings import entry
 
@@ -29,7 +31,9 @@
         reports: Latest reports of the model engines.
         failures: Recent failures of endpoints.
         client: Client for calls to endpoints.
-        endpoint_chooser: Chooses the endpoint for a request.
+        endpoint_chooser: Rates the endpoints for a request.
+        permits: Permits for endpoints that have a limit.
+        permitted_chooser: Chooses the endpoint to send a request to.
         copy_target_chooser: Chooses the engines that store standby copies.
         releaser: Frees standby copies that are no longer needed.
         retry_budgets: Limits the retries of each service.
@@ -46,6 +50,8 @@
     failures: failure_tracker.FailureTracker
     client: endpoint_client.EndpointClient
     endpoint_chooser: chooser.EndpointChooser
+    permits: endpoint_permits.EndpointPermits
+    permitted_chooser: permitted_chooser.PermittedChooser
     copy_target_chooser: standby_chooser.StandbyChooser
     releaser: copy_releaser.CopyReleaser
     retry_budgets: service_retry_budgets.ServiceRetryBudgets
--- a/bronzeslip/forwarding/errors.py
+++ b/bronzeslip/forwarding/errors.py
@@ -45,6 +45,12 @@
     code = "overloaded"
 
 
+class LimitedError(NotRunError):
+    """Every endpoint that is left has reached its limit on requests."""
+
+    code = "limited"
+
+
 class QuarantinedError(NotRunError):
     """The request was running during endpoint crashes and is rejected."""
 
--- a/bronzeslip/forwarding/standby_chooser.py
+++ b/bronzeslip/forwarding/standby_chooser.py
@@ -103,6 +103,13 @@
         candidates = neighbours or isolated or (candidates if is_urgent else [])
         if not candidates:
             return None
+        # A run resumes on an engine with a limit only if a permit is left.
+        limits = self._endpoints.request_limits
+        candidates = [
+            candidate
+            for candidate in candidates
+            if limits.rate_of(candidate) is None
+        ] or candidates
         return min(
             candidates,
             key=lambda candidate: self._cost(candidate, source, size_tokens),
--- a/bronzeslip/forwarding/stream_run.py
+++ b/bronzeslip/forwarding/stream_run.py
@@ -230,8 +230,12 @@
 
         Raises:
             endpoint_errors.EndpointError: If that engine does not resume it.
-            errors.NotRunError: If no retry is left.
+            errors.NotRunError: If no retry or permit is left.
         """
+        if await self._components.permits.acquire(copy.target):
+            raise errors.NotRunError(
+                "the engine with the copy takes no more requests"
+            )
         self._take_retry()
         source = dispatch.ResumeSource(copy.source.address, copy.handle)
         started_s = asyncio.get_running_loop().time()
@@ -261,8 +265,8 @@
             try:
                 await self._reject_if_quarantined()
                 self._take_retry()
-                chosen = self._components.endpoint_chooser.choose(
-                    self._request, self._tried
+                chosen = await self._components.permitted_chooser.choose(
+                    self._request, self._tried, reserved=0.0
                 )
                 response = await self._send(chosen, None)
             except errors.NotRunError as error:
--- a/bronzeslip/platform/boot_file.py
+++ b/bronzeslip/platform/boot_file.py
@@ -35,6 +35,9 @@
 
 class _BootFile(msgspec.Struct):
     node_name: str
+    ip: str
+    # First and last port for communication between nodes.
+    port_range: tuple[int, int]
     zone: str
     zones: dict[str, str]
     listen: _Listen
@@ -72,6 +75,9 @@
         caller_address=parse_address(boot_settings.listen.front),
         readiness_address=parse_address(boot_settings.listen.ready),
         store_address=parse_address(boot_settings.platform.address),
+        peer_address=vm_config.SocketAddress(
+            boot_settings.ip, boot_settings.port_range[0]
+        ),
         bounds=vm_config.PlaceBounds(
             grace_s=boot_settings.bounds.grace_s,
             retry_ratio=boot_settings.bounds.retry_ratio,
--- a/bronzeslip/platform/connection_pool.py
+++ b/bronzeslip/platform/connection_pool.py
@@ -6,7 +6,7 @@
 import httpx
 import msgspec
 
-from bronzeslip.platform import bounded_transport
+from bronzeslip.http import bounded_transport
 from bronzeslip.settings import entry
 
 _MS_PER_S = 1000
--- a/bronzeslip/platform/gateway.py
+++ b/bronzeslip/platform/gateway.py
@@ -9,6 +9,8 @@
 from bronzeslip.entry import daemon
 from bronzeslip.entry import gateway_registry
 from bronzeslip.entry import named_task
+from bronzeslip.entry import peer_http
+from bronzeslip.entry import permits_api
 from bronzeslip.entry import readiness
 from bronzeslip.entry import suspect_replicator
 from bronzeslip.entry import vm_config
@@ -25,6 +27,9 @@
 from bronzeslip.platform import ingress
 from bronzeslip.platform import settings_reloader
 from bronzeslip.platform import store_client
+from bronzeslip.quota import endpoint_permits
+from bronzeslip.quota import peer
+from bronzeslip.quota import permit_coordinator
 from bronzeslip.routes import current
 from bronzeslip.settings import entry
 from bronzeslip.store import follower
@@ -49,7 +54,9 @@
     store = store_client.StoreClient(
         this_vm.store_address, settings, metrics.count_platform_call
     )
-    registry = gateway_registry.GatewayRegistry(settings, store, this_vm.vm_id)
+    registry = gateway_registry.GatewayRegistry(
+        settings, store, peer.Peer(this_vm.vm_id, this_vm.peer_address)
+    )
     replicator = suspect_replicator.SuspectReplicator(
         settings,
         this_vm.bounds,
@@ -63,6 +70,16 @@
     client = endpoint_http.HttpEndpointClient(settings, endpoint_directory)
     endpoint_directory.add_leaving_listener(client.remove_endpoint)
     endpoint_directory.add_gone_listener(client.remove_endpoint)
+    coordinator = permit_coordinator.PermitCoordinator(
+        endpoint_directory, registry
+    )
+    permits = endpoint_permits.EndpointPermits(
+        this_vm.vm_id,
+        endpoint_directory,
+        registry,
+        coordinator,
+        peer_http.HttpPeerClient(settings),
+    )
     rng = random.Random()
     forwarding_components = assembly.create_components(
         settings,
@@ -74,6 +91,7 @@
         replicator.publisher,
         metrics,
         registry,
+        permits,
         rng,
     )
     request_admission = admission.Admission(settings, current_table, rng)
@@ -87,6 +105,7 @@
             assembly.create_pipeline(forwarding_components, request_admission),
             current_table,
         ),
+        permits_api.handler(coordinator),
         current_table,
         readiness.Readiness(current_table, endpoint_directory),
         metrics,
--- a/bronzeslip/platform/store_client.py
+++ b/bronzeslip/platform/store_client.py
@@ -9,7 +9,7 @@
 
 from bronzeslip import ids
 from bronzeslip.entry import vm_config
-from bronzeslip.platform import bounded_transport
+from bronzeslip.http import bounded_transport
 from bronzeslip.platform import headers
 from bronzeslip.platform import store_era
 from bronzeslip.platform import store_messages
--- /dev/null
+++ b/bronzeslip/quota/__init__.py
@@ -0,0 +1,1 @@
+"""Permits that keep all gateways together within the limits of endpoints."""
--- /dev/null
+++ b/bronzeslip/quota/permit_coordinator.py
@@ -0,0 +1,118 @@
+"""Grants permits to all gateways for the endpoints that it coordinates."""
+
+from collections.abc import Callable
+import time
+
+from bronzeslip import ids
+from bronzeslip import logs
+from bronzeslip.endpoints import directory
+from bronzeslip.endpoints import endpoint
+from bronzeslip.endpoints import limit_statement
+from bronzeslip.quota import coordinators
+from bronzeslip.quota import permit_bucket
+from bronzeslip.quota import permit_reply
+from bronzeslip.quota import permit_request
+from bronzeslip.quota import permit_verdict
+from bronzeslip.quota import standing
+
+logger = logs.get_logger(__name__)
+
+# A limit that allows nothing still ends some time; a few requests show when.
+_MIN_RATE_PER_S = 0.1
+_PARTIAL_SHARE = 0.5
+_NOT_RESPONSIBLE = permit_reply.PermitReply(
+    permit_verdict.PermitVerdict.NOT_RESPONSIBLE
+)
+
+
+class PermitCoordinator:
+    """Decides on permits, with one token bucket for each limited endpoint.
+
+    The decision rests on what this gateway itself knows of the other gateways,
+    not on whom the asking gateway takes for the coordinator.
+    """
+
+    def __init__(
+        self,
+        endpoints: directory.EndpointDirectory,
+        gateways: coordinators.Coordinators,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Creates a coordinator.
+
+        Args:
+            endpoints: Directory of the known endpoints and their limits.
+            gateways: Tells what this gateway may grant.
+            clock: Monotonic clock, in seconds.
+        """
+        self._endpoints = endpoints
+        self._gateways = gateways
+        self._clock = clock
+        self._buckets: dict[ids.EndpointId, permit_bucket.PermitBucket] = {}
+        endpoints.add_gone_listener(self._remove_bucket)
+
+    def decide(
+        self, request: permit_request.PermitRequest
+    ) -> permit_reply.PermitReply:
+        """Decides whether a gateway may send a request to an endpoint."""
+        target = self._endpoints.get(request.endpoint_id)
+        if target is None or not _is_same_incarnation(target, request):
+            return _NOT_RESPONSIBLE
+        limits = self._endpoints.request_limits
+        now_s = self._clock()
+        limits.merge(
+            target,
+            limit_statement.LimitStatement(
+                request.rate_per_s, now_s - request.statement_age_s
+            ),
+        )
+        latest = limits.latest(target)
+        delay_s = 0.0
+        if latest.rate_per_s is not None:
+            granted_share = self._granted_share(request)
+            if not granted_share:
+                return _NOT_RESPONSIBLE
+            rate_per_s = max(latest.rate_per_s * granted_share, _MIN_RATE_PER_S)
+            bucket = self._bucket_of(target, now_s)
+            delay_s = bucket.take(rate_per_s, request.reserved, now_s)
+        return permit_reply.PermitReply(
+            permit_verdict.PermitVerdict.DENIED
+            if delay_s
+            else permit_verdict.PermitVerdict.GRANTED,
+            delay_s,
+            latest.rate_per_s,
+            now_s - latest.stated_s,
+        )
+
+    def _granted_share(self, request: permit_request.PermitRequest) -> float:
+        """Returns the part of the limit that this gateway may grant."""
+        own_standing = self._gateways.standing(
+            request.endpoint_id, request.is_fallback
+        )
+        if own_standing is standing.Standing.FULL:
+            return 1.0
+        if own_standing is standing.Standing.PARTIAL:
+            return _PARTIAL_SHARE
+        return 0.0
+
+    def _bucket_of(
+        self, target: endpoint.Endpoint, now_s: float
+    ) -> permit_bucket.PermitBucket:
+        bucket = self._buckets.get(target.endpoint_id)
+        if bucket is None:
+            logger.info("permits.coordinated", endpoint=target.endpoint_id)
+            bucket = permit_bucket.PermitBucket(now_s)
+            self._buckets[target.endpoint_id] = bucket
+        return bucket
+
+    def _remove_bucket(self, gone: endpoint.Endpoint) -> None:
+        self._buckets.pop(gone.endpoint_id, None)
+
+
+def _is_same_incarnation(
+    target: endpoint.Endpoint, request: permit_request.PermitRequest
+) -> bool:
+    return (
+        target.address == request.address
+        and target.started_unix_ms == request.started_unix_ms
+    )
--- /dev/null
+++ b/bronzeslip/quota/permit_request.py
@@ -0,0 +1,29 @@
+"""Request of a gateway for a permit."""
+
+import msgspec
+
+from bronzeslip import ids
+
+
+class PermitRequest(msgspec.Struct, frozen=True):
+    """Asks the coordinator of an endpoint for a permit to send one request.
+
+    Attributes:
+        endpoint_id: Id of the endpoint.
+        address: Address of the endpoint.
+        started_unix_ms: Start time of the endpoint's incarnation, in
+            milliseconds.
+        rate_per_s: Latest limit known to the gateway, in requests per second,
+            or None if the endpoint no longer states one.
+        statement_age_s: Age of that knowledge, in seconds.
+        reserved: Permits to leave for more important requests.
+        is_fallback: Whether the coordinator could not be asked.
+    """
+
+    endpoint_id: ids.EndpointId
+    address: str
+    started_unix_ms: int
+    rate_per_s: float | None
+    statement_age_s: float
+    reserved: float
+    is_fallback: bool
--- a/bronzeslip/settings/entry.py
+++ b/bronzeslip/settings/entry.py
@@ -218,6 +218,13 @@
         minimum=0.05,
         maximum=10,
     )
+    peer_timeout_s: float = setting(
+        "timeout of a call to another gateway, in seconds",
+        "limits",
+        default=0.3,
+        minimum=0.01,
+        maximum=10,
+    )
     request_deadline_s: float = setting(
         "default deadline of a request, in seconds",
         "limits",
--- a/tests/entry/test_gateway_registry.py
+++ b/tests/entry/test_gateway_registry.py
@@ -7,10 +7,14 @@
 import msgspec
 
 from bronzeslip import ids
+from bronzeslip.entry import gateway_record
 from bronzeslip.entry import gateway_registry
+from bronzeslip.entry import vm_config
+from bronzeslip.quota import standing
 from bronzeslip.settings import entry
 from bronzeslip.store import errors
 from bronzeslip.store import objects
+from tests.support import forwarding_parts
 from tests.support import polling
 
 _SETTINGS = entry.EntrySettings(gateway_refresh_s=0.05, store_staleness_s=0.1)
@@ -31,7 +35,13 @@
         self._raise_if_unavailable()
         if key not in self.values:
             return None
-        return objects.PlatformObject(key, 1, msgspec.Raw(b"{}"))
+        return objects.PlatformObject(
+            key, 1, msgspec.Raw(msgspec.json.encode(self.values[key]))
+        )
+
+    async def update(self, key, value, version):
+        self._raise_if_unavailable()
+        self.values[key] = value
 
     async def create(self, key, value):
         self._raise_if_unavailable()
@@ -46,8 +56,10 @@
     async def list_objects(self, prefix, may_be_stale=False):
         self._raise_if_unavailable()
         stored = tuple(
-            objects.PlatformObject(key, 1, msgspec.Raw(b"{}"))
-            for key in self.values
+            objects.PlatformObject(
+                key, 1, msgspec.Raw(msgspec.json.encode(value))
+            )
+            for key, value in self.values.items()
         )
         return objects.ObjectList(ids.ObjectVersion(1), stored)
 
@@ -55,7 +67,7 @@
 class GatewayRegistryTest(unittest.IsolatedAsyncioTestCase):
     def _start(self, store, vm_id):
         registry = gateway_registry.GatewayRegistry(
-            _SETTINGS, store, ids.VmId(vm_id)
+            _SETTINGS, store, forwarding_parts.create_peer(vm_id)
         )
         task = asyncio.create_task(registry.run())
         self.addAsyncCleanup(self._stop, task)
@@ -85,6 +97,95 @@
         registry = self._start(store, "one")
         await polling.wait_until(lambda: registry.count == 1)
 
+    async def test_restart_at_another_address_replaces_the_record(self):
+        store = _FakeStore()
+        store.values[gateway_registry.PREFIX + "one"] = (
+            gateway_record.GatewayRecord(
+                ids.VmId("one"), vm_config.SocketAddress("10.0.0.9", 1)
+            )
+        )
+        registry = self._start(store, "one")
+        await polling.wait_until(lambda: registry.is_known)
+        own = forwarding_parts.create_peer("one")
+        (record,) = store.values.values()
+        self.assertEqual(record.peer_address, own.address)
+        self.assertIs(
+            registry.standing("key", is_fallback=False), standing.Standing.NONE
+        )
+
+    async def test_restarted_gateway_has_partial_standing_until_it_settles(
+        self,
+    ):
+        store = _FakeStore()
+        own = forwarding_parts.create_peer("one")
+        store.values[gateway_registry.PREFIX + "one"] = (
+            gateway_record.GatewayRecord(own.vm_id, own.address)
+        )
+        registry = self._start(store, "one")
+        await polling.wait_until(lambda: registry.is_known)
+        self.assertIs(
+            registry.standing("key", is_fallback=False),
+            standing.Standing.PARTIAL,
+        )
+        await polling.wait_until(
+            lambda: (
+                registry.standing("key", is_fallback=False)
+                is standing.Standing.FULL
+            )
+        )
+
+    async def test_new_gateway_has_no_standing_until_it_settles(self):
+        registry = self._start(_FakeStore(), "one")
+        await polling.wait_until(lambda: registry.is_known)
+        self.assertIs(
+            registry.standing("key", is_fallback=False), standing.Standing.NONE
+        )
+
+    async def test_second_gateway_stands_in_only_as_a_fallback(self):
+        store = _FakeStore()
+        registries = {name: self._start(store, name) for name in ("one", "two")}
+        await polling.wait_until(
+            lambda: all(
+                registry.count == 2 and registry._is_settled()
+                for registry in registries.values()
+            )
+        )
+        first, second = (
+            candidate.vm_id for candidate in registries["one"].ranked("key")
+        )
+        for name, is_fallback, expected in (
+            (first, False, standing.Standing.FULL),
+            (first, True, standing.Standing.FULL),
+            (second, False, standing.Standing.NONE),
+            (second, True, standing.Standing.PARTIAL),
+        ):
+            with self.subTest(name=name, is_fallback=is_fallback):
+                self.assertIs(
+                    registries[name].standing("key", is_fallback), expected
+                )
+
+    async def test_gateways_of_older_versions_are_counted_but_not_ranked(self):
+        store = _FakeStore()
+        store.values[gateway_registry.PREFIX + "old"] = {"vm_id": "old"}
+        store.values[gateway_registry.PREFIX + "odd"] = {"peer_address": 7}
+        registry = self._start(store, "one")
+        await polling.wait_until(lambda: registry.count == 3)
+        ranked = [candidate.vm_id for candidate in registry.ranked("key")]
+        self.assertEqual(ranked, ["one"])
+
+    async def test_missing_listing_is_read_as_soon_as_it_is_needed(self):
+        registry = gateway_registry.GatewayRegistry(
+            entry.EntrySettings(gateway_refresh_s=60.0),
+            _FakeStore(),
+            forwarding_parts.create_peer("one"),
+        )
+        running = asyncio.create_task(registry.run())
+        self.addAsyncCleanup(self._stop, running)
+        await asyncio.sleep(0.05)
+        self.assertEqual(registry.ranked("key"), ())
+        registry.refresh_soon()
+        await polling.wait_until(lambda: registry.is_known)
+
     async def test_deregistered_gateway_is_not_counted(self):
         store = _FakeStore()
         registry = self._start(store, "one")
@@ -96,7 +197,7 @@
         store = _FakeStore()
         store.is_unavailable = True
         registry = gateway_registry.GatewayRegistry(
-            _SETTINGS, store, ids.VmId("one")
+            _SETTINGS, store, forwarding_parts.create_peer("one")
         )
         await registry.deregister()
 
@@ -118,7 +219,9 @@
     async def test_restored_store_is_read_at_once(self):
         store = _FakeStore()
         registry = gateway_registry.GatewayRegistry(
-            entry.EntrySettings(gateway_refresh_s=60.0), store, ids.VmId("one")
+            entry.EntrySettings(gateway_refresh_s=60.0),
+            store,
+            forwarding_parts.create_peer("one"),
         )
         await registry._try_register()
         refreshing = asyncio.create_task(registry._refresh_until_cancelled())
--- a/tests/forwarding/test_retries_of_many_gateways.py
+++ b/tests/forwarding/test_retries_of_many_gateways.py
@@ -7,17 +7,12 @@
 import random
 import unittest
 
-import msgspec
-
 from bronzeslip import ids
 from bronzeslip.entry import gateway_registry
 from bronzeslip.entry import vm_config
 from bronzeslip.forwarding import service_retry_budgets
-from bronzeslip.settings import entry
-from bronzeslip.store import errors
-from bronzeslip.store import objects
+from tests.support import lagging_store
 
-_SETTINGS = entry.EntrySettings()
 _RATIO = 0.2
 _WINDOW_S = 10.0
 _STEP_S = 0.05
@@ -25,81 +20,14 @@
 _RETRIES_PER_REQUEST = 3
 
 
-class _LaggingStore:
-    """Store whose stale listings are some seconds old."""
-
-    def __init__(self, clock, lag_s):
-        self._clock = clock
-        self._lag_s = lag_s
-        self._history = [(-1e9, frozenset())]
-        self.unreachable_from = set()
-
-    @property
-    def keys(self):
-        return self._history[-1][1]
-
-    def change(self, keys):
-        self._history.append((self._clock(), frozenset(keys)))
-
-    def restore_from(self, time_s):
-        kept = [state for state in self._history if state[0] <= time_s]
-        self.change(kept[-1][1])
-        # A stale read after the restore returns the restored state.
-        self._history = [(-1e9, kept[-1][1]), self._history[-1]]
-
-    def listed_keys(self):
-        limit_s = self._clock() - self._lag_s
-        return [keys for time_s, keys in self._history if time_s <= limit_s][-1]
-
-
-class _StoreOfGateway:
-    """The store as one gateway reaches it."""
-
-    def __init__(self, store, vm_id):
-        self._store = store
-        self._vm_id = vm_id
-
-    def _check(self):
-        if self._vm_id in self._store.unreachable_from:
-            raise errors.PlatformUnavailableError("unavailable")
-
-    async def create(self, key, value):
-        self._check()
-        if key in self._store.keys:
-            raise errors.VersionConflictError(key)
-        self._store.change(self._store.keys | {key})
-
-    async def list_objects(self, prefix, may_be_stale=False):
-        self._check()
-        stored = tuple(
-            objects.PlatformObject(key, 1, msgspec.Raw(b"{}"))
-            for key in self._store.listed_keys()
-        )
-        return objects.ObjectList(ids.ObjectVersion(1), stored)
-
-
-class _Gateway:
+class _Gateway(lagging_store.RegisteredGateway):
     """One gateway process: its registration, listings and retry budget."""
 
     def __init__(self, store, vm_id, bounds, clock, rng):
-        self.registry = gateway_registry.GatewayRegistry(
-            _SETTINGS, _StoreOfGateway(store, vm_id), ids.VmId(vm_id), clock
-        )
+        super().__init__(store, vm_id, clock)
         self._budgets = service_retry_budgets.ServiceRetryBudgets(
             bounds, self.registry, rng, clock
         )
-        self._clock = clock
-        self._next_refresh_s = None
-
-    async def keep_registered(self):
-        """Does what the registry's task does, without waiting."""
-        now_s = self._clock()
-        if self._next_refresh_s is None:
-            if await self.registry._try_register():
-                self._next_refresh_s = now_s + _SETTINGS.gateway_refresh_s
-        elif now_s >= self._next_refresh_s:
-            await self.registry._refresh()
-            self._next_refresh_s = now_s + 1.2 * _SETTINGS.gateway_refresh_s
 
     def serve_failing_request(self):
         """Returns the number of retries that the gateway sends."""
@@ -121,7 +49,7 @@
     def _deploy(self, count, slack, requests_per_s, lag_s=2.0):
         self.slack = slack
         self.bounds = vm_config.PlaceBounds(8.0, _RATIO, slack, _WINDOW_S, 2.5)
-        self.store = _LaggingStore(self._clock, lag_s)
+        self.store = lagging_store.LaggingStore(self._clock, lag_s)
         self.requests_per_s = requests_per_s
         self.names = [f"front-{number}" for number in range(count)]
 
@@ -205,7 +133,7 @@
         self.store.restore_from(-1.0)
         await self._play(40.0)
         self._assert_within_budget()
-        self.assertEqual(len(self.store.keys), len(self.names))
+        self.assertEqual(len(self.store.values), len(self.names))
 
     async def test_gateway_that_stops_leaves_its_retries_in_the_window(self):
         self._deploy(3, slack=56, requests_per_s=20)
@@ -214,7 +142,7 @@
         await self._play(30.0)
         for name in self.names[1:]:
             del self.gateways[name]
-            self.store.change(self.store.keys - {_key(name)})
+            self.store.remove(_key(name))
         await self._play(20.0)
         self._assert_within_budget()
 
--- a/tests/platform/test_settings_reloader.py
+++ b/tests/platform/test_settings_reloader.py
@@ -9,6 +9,8 @@
 
 _SETTINGS_FILE = """
 node_name = "front-1"
+ip = "10.0.0.1"
+port_range = [7200, 7215]
 zone = "a-1"
 [zones]
 a-1 = "a"
--- a/tests/support/forwarding_parts.py
+++ b/tests/support/forwarding_parts.py
@@ -15,6 +15,10 @@
 from bronzeslip.forwarding import incoming
 from bronzeslip.forwarding import prompt
 from bronzeslip.metrics import entry_metrics
+from bronzeslip.quota import endpoint_permits
+from bronzeslip.quota import peer
+from bronzeslip.quota import permit_coordinator
+from bronzeslip.quota import standing
 from bronzeslip.routes import current
 from bronzeslip.routes import engine_traits
 from bronzeslip.routes import kind
@@ -53,6 +57,7 @@
     caller_address=vm_config.SocketAddress("127.0.0.1", 0),
     readiness_address=vm_config.SocketAddress("127.0.0.1", 0),
     store_address=vm_config.SocketAddress("127.0.0.1", 1),
+    peer_address=vm_config.SocketAddress("127.0.0.1", 2),
     bounds=vm_config.PlaceBounds(8.0, 0.2, 50.0, 10.0, 2.5),
 )
 
@@ -144,6 +149,25 @@
     )
 
 
+def create_peer(vm_id):
+    """Returns a gateway as other gateways reach it."""
+    address = vm_config.SocketAddress(f"{vm_id}.example", 7200)
+    return peer.Peer(ids.VmId(vm_id), address)
+
+
+def create_single_gateway():
+    """Returns the registry of a gateway that is the only one."""
+    own = peer.Peer(VM_CONFIG.vm_id, VM_CONFIG.peer_address)
+    return types.SimpleNamespace(
+        count=1,
+        is_known=True,
+        share_of=lambda total: total,
+        ranked=lambda key: (own,),
+        standing=lambda key, is_fallback: standing.Standing.FULL,
+        refresh_soon=lambda: None,
+    )
+
+
 def create_components(client, endpoints=(), settings=SETTINGS, suspects=None):
     """Creates the components of a gateway that knows all endpoints.
 
@@ -160,6 +184,14 @@
         VM_CONFIG.vm_id, settings.suspect_ttl_s
     )
     suspects = suspects or suspect_list.SuspectList(suspect_settings)
+    gateways = create_single_gateway()
+    permits = endpoint_permits.EndpointPermits(
+        VM_CONFIG.vm_id,
+        endpoint_directory,
+        gateways,
+        permit_coordinator.PermitCoordinator(endpoint_directory, gateways),
+        None,
+    )
     components = assembly.create_components(
         settings,
         VM_CONFIG,
@@ -171,9 +203,8 @@
             suspect_settings, None, set, suspects
         ),
         entry_metrics.EntryMetrics(current_table, endpoint_directory),
-        types.SimpleNamespace(
-            count=1, is_known=True, share_of=lambda total: total
-        ),
+        gateways,
+        permits,
         random.Random(1),
     )
     # The gateway has been running for some time, so its slack is complete.
--- a/tools/entry_gateway.py
+++ b/tools/entry_gateway.py
@@ -13,6 +13,8 @@
 _CALL_TIMEOUT_S = 20.0
 _BOOT_FILE_TEMPLATE = """
 node_name = "{name}"
+ip = "{host}"
+port_range = [{peer}, {peer}]
 zone = "a-1"
 [zones]
 a-1 = "a"
@@ -44,6 +46,7 @@
         self._host = loopback_address.host()
         self._front_port = loopback_address.next_port()
         self._ready_port = loopback_address.next_port()
+        self._peer_port = loopback_address.next_port()
         self._metrics_port = loopback_address.next_port()
         self.proxy = tcp_proxy.TcpProxy()
         self.proxy.set_target(store_port)
@@ -74,6 +77,7 @@
                 host=self._host,
                 front=self._front_port,
                 ready=self._ready_port,
+                peer=self._peer_port,
                 store=self.proxy.port,
                 retry_slack=retry_slack,
             )
--- a/tools/soak/fault.py
+++ b/tools/soak/fault.py
@@ -22,5 +22,6 @@
     LINK_SILENCED = "link-silenced"
     STORE_RESTORED = "store-restored"
     ENDPOINT_ANNOUNCES_LEAVING = "endpoint-announces-leaving"
+    ENDPOINT_STATES_LIMIT = "endpoint-states-limit"
     ENDPOINT_ASKS_FOR_PAUSE = "endpoint-asks-for-pause"
     POISON_PROMPTS_SENT = "poison-prompts-sent"
--- a/tools/soak/injector.py
+++ b/tools/soak/injector.py
@@ -14,12 +14,17 @@
 from tools import local_process
 from tools.soak import disturbance
 from tools.soak import fault
+from tools.soak import limit_checker
 from tools.soak import poison_prompts
 
 _FAULT_DURATION_RANGE_S = (0.2, 2.0)
 _DRAIN_DURATION_S = 0.8
 _LEAVING_DURATION_S = 4.0
 _PAUSE_RANGE_S = (0.6, 2.5)
+_LIMIT_RANGE_PER_S = (0.5, 4.0)
+# Covers a window after the time from which a limit must be kept.
+_LIMIT_DURATION_S = limit_checker.CONTACT_S + 4.5
+_UNREADABLE_LIMIT_SHARE = 0.2
 _RESTORED_AGE_RANGE_S = (0.2, 6.0)
 # Time in which a disturbed connection may still deliver what was sent before.
 _AFTERMATH_S = 2.0
@@ -76,6 +81,7 @@
             fault.Fault.LINK_SILENCED: self._silence_link,
             fault.Fault.STORE_RESTORED: self._restore_store,
             fault.Fault.ENDPOINT_ANNOUNCES_LEAVING: self._announce_leaving,
+            fault.Fault.ENDPOINT_STATES_LIMIT: self._state_limit,
             fault.Fault.ENDPOINT_ASKS_FOR_PAUSE: self._ask_for_pause,
             fault.Fault.POISON_PROMPTS_SENT: self.poison_prompts.send_series,
         }
@@ -211,6 +217,14 @@
         self._random_endpoint.pause(duration_s)
         time.sleep(duration_s)
 
+    def _state_limit(self) -> None:
+        endpoint = self._random_endpoint
+        rate_per_s = self._rng.uniform(*_LIMIT_RANGE_PER_S)
+        is_unreadable = self._rng.random() < _UNREADABLE_LIMIT_SHARE
+        endpoint.state_limit("many" if is_unreadable else f"{rate_per_s:.1f}")
+        time.sleep(_LIMIT_DURATION_S)
+        endpoint.end_limit()
+
     def _pause(self, process: local_process.LocalProcess) -> None:
         process.send_signal(signal.SIGSTOP)
         self._sleep_fault_duration()
