Ignore the limit in a late response of an incarnation that is gone

It replaced what the new incarnation had stated, and stayed in memory for good if the endpoint did not come back.

--- a/bronzeslip/platform/endpoint_announcements.py
+++ b/bronzeslip/platform/endpoint_announcements.py
@@ -62,6 +62,10 @@
     if not _DECIMAL_NUMBER.fullmatch(text.strip()):
         logger.info("endpoint.unreadable_limit", endpoint=sender.endpoint_id)
         return
+    known = endpoints.get(sender.endpoint_id)
+    if known is None or not known.is_same_incarnation(sender):
+        # A late response of an incarnation that is gone.
+        return
     endpoints.request_limits.state(sender, float(text))
 
 
--- a/tests/platform/test_endpoint_announcements.py
+++ b/tests/platform/test_endpoint_announcements.py
@@ -274,6 +274,23 @@
         self.assertIsNone(self.directory.request_limits.rate_of(restarted))
         self.assertEqual(self.directory.request_limits.limited_count(), 0)
 
+    async def test_late_response_of_a_gone_incarnation_is_ignored(self):
+        await self._start(
+            raw_server.create_response(
+                b"ok", headers=_ECHO + b"Server-Limit: 1.8\r\n"
+            )
+        )
+        gone = self.endpoint
+        restarted = forwarding_parts.create_endpoint(
+            "i-1", host=gone.host, port=gone.port, started_unix_ms=2
+        )
+        self.directory.put(restarted)
+        self.directory.request_limits.state(restarted, 3.0)
+        await self._send()
+        limits = self.directory.request_limits
+        self.assertEqual(limits.rate_of(restarted), 3.0)
+        self.assertIsNone(limits.rate_of(gone))
+
     async def test_limit_of_another_endpoint_at_the_address_is_ignored(self):
         await self._respond(b"1.8", status=b"421 Misdirected Request")
         self.assertIsNone(self._rate_per_s)
