--- a/bench/permit_cost.py
+++ b/bench/permit_cost.py
@@ -48,7 +48,7 @@
     coordinator = permit_coordinator.PermitCoordinator(
         endpoints,
         types.SimpleNamespace(
-            standing=lambda key, is_fallback: standing.Standing.FULL
+            standing_for=lambda key, is_fallback: standing.Standing.FULL
         ),
     )
     request = permit_request.PermitRequest(
--- a/bronzeslip/entry/gateway_registry.py
+++ b/bronzeslip/entry/gateway_registry.py
@@ -134,7 +134,7 @@
         """
         return self._ranking.first(key) if self._listings else ()
 
-    def standing(self, key: str, is_fallback: bool) -> standing.Standing:
+    def standing_for(self, key: str, is_fallback: bool) -> standing.Standing:
         """Returns which part of the limit of a key this gateway may grant.
 
         Args:
--- a/bronzeslip/platform/gateway.py
+++ b/bronzeslip/platform/gateway.py
@@ -82,7 +82,7 @@
     )
     end_announcer.EndAnnouncer(
         endpoint_directory, registry, coordinator, caller
-    )
+    ).start()
     rng = random.Random()
     forwarding_components = assembly.create_components(
         settings,
--- a/bronzeslip/quota/coordinators.py
+++ b/bronzeslip/quota/coordinators.py
@@ -17,7 +17,7 @@
             gateways are known.
         """
 
-    def standing(self, key: str, is_fallback: bool) -> standing.Standing:
+    def standing_for(self, key: str, is_fallback: bool) -> standing.Standing:
         """Returns which part of a limit this gateway may grant.
 
         Args:
--- a/bronzeslip/quota/end_announcer.py
+++ b/bronzeslip/quota/end_announcer.py
@@ -30,7 +30,7 @@
         caller: peer_caller.PeerCaller,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
-        """Starts to listen for ends of limits.
+        """Initializes the announcer.
 
         Args:
             endpoints: Directory of the known endpoints and their limits.
@@ -41,11 +41,15 @@
         """
         self._limits = endpoints.request_limits
         self._gateways = gateways
+        self._coordinator = coordinator
         self._caller = caller
         self._clock = clock
         self._tasks: set[asyncio.Task] = set()
+
+    def start(self) -> None:
+        """Starts to listen for ends of limits."""
         self._limits.add_ended_listener(self._tell_coordinators)
-        coordinator.add_ended_listener(self._tell)
+        self._coordinator.add_ended_listener(self._tell)
 
     def _tell_coordinators(self, target: endpoint.Endpoint) -> None:
         self._tell(target, self._gateways.ranked(target.endpoint_id))
--- a/bronzeslip/quota/permit_coordinator.py
+++ b/bronzeslip/quota/permit_coordinator.py
@@ -72,43 +72,69 @@
         target = self._endpoints.get(request.endpoint_id)
         if target is None or not _is_same_incarnation(target, request):
             return _NOT_RESPONSIBLE
+        latest = self._merge(target, request)
+        if latest.rate_per_s is None:
+            self._notify_ended(target)
+            return self._create_reply(latest, 0.0)
+        granted_share = self._granted_share(request)
+        if not granted_share:
+            return _NOT_RESPONSIBLE
+        rate_per_s = max(latest.rate_per_s * granted_share, _MIN_RATE_PER_S)
+        return self._create_reply(
+            latest, self._take(target, request, rate_per_s)
+        )
+
+    def _merge(
+        self,
+        target: endpoint.Endpoint,
+        request: permit_request.PermitRequest,
+    ) -> limit_statement.LimitStatement:
+        """Merges what the asking gateway knows; returns the latest."""
         limits = self._endpoints.request_limits
-        now_s = self._clock()
+        stated_s = self._clock() - max(request.statement_age_s, 0.0)
         limits.merge(
-            target,
-            limit_statement.LimitStatement(
-                request.rate_per_s, now_s - max(request.statement_age_s, 0.0)
-            ),
+            target, limit_statement.LimitStatement(request.rate_per_s, stated_s)
         )
-        latest = limits.latest(target)
-        delay_s = 0.0
-        if latest.rate_per_s is not None:
-            granted_share = self._granted_share(request)
-            if not granted_share:
-                return _NOT_RESPONSIBLE
-            rate_per_s = max(latest.rate_per_s * granted_share, _MIN_RATE_PER_S)
-            bucket = self._bucket_of(target, now_s)
-            delay_s = bucket.take(rate_per_s, request.reserved, now_s)
-            if delay_s:
-                self._denied.setdefault(target.endpoint_id, set()).add(
-                    request.sender
-                )
-        elif target.endpoint_id in self._denied:
-            denied = self._denied.pop(target.endpoint_id)
-            for listener in self._ended_listeners:
-                listener(target, denied)
+        return limits.latest(target)
+
+    def _take(
+        self,
+        target: endpoint.Endpoint,
+        request: permit_request.PermitRequest,
+        rate_per_s: float,
+    ) -> float:
+        """Takes a permit; returns 0 or the time to wait, in seconds."""
+        now_s = self._clock()
+        delay_s = self._bucket_of(target, now_s).take(
+            rate_per_s, request.reserved, now_s
+        )
+        if delay_s:
+            denied = self._denied.setdefault(target.endpoint_id, set())
+            denied.add(request.sender)
+        return delay_s
+
+    def _notify_ended(self, target: endpoint.Endpoint) -> None:
+        denied = self._denied.pop(target.endpoint_id, None)
+        if denied is None:
+            return
+        for listener in self._ended_listeners:
+            listener(target, denied)
+
+    def _create_reply(
+        self, latest: limit_statement.LimitStatement, delay_s: float
+    ) -> permit_reply.PermitReply:
         return permit_reply.PermitReply(
             permit_verdict.PermitVerdict.DENIED
             if delay_s
             else permit_verdict.PermitVerdict.GRANTED,
             delay_s,
             latest.rate_per_s,
-            now_s - latest.stated_s,
+            self._clock() - latest.stated_s,
         )
 
     def _granted_share(self, request: permit_request.PermitRequest) -> float:
         """Returns the part of the limit that this gateway may grant."""
-        own_standing = self._gateways.standing(
+        own_standing = self._gateways.standing_for(
             request.endpoint_id, request.is_fallback
         )
         if own_standing is standing.Standing.FULL:
--- a/bronzeslip/quota/permit_request.py
+++ b/bronzeslip/quota/permit_request.py
@@ -9,6 +9,8 @@
 class PermitRequest(msgspec.Struct, frozen=True):
     """Asks the coordinator of an endpoint for a permit to send one request.
 
+    Without a rate, it tells any gateway that the limit has ended.
+
     Attributes:
         endpoint_id: Id of the endpoint.
         address: Address of the endpoint.
--- a/tests/entry/test_gateway_registry.py
+++ b/tests/entry/test_gateway_registry.py
@@ -110,7 +110,8 @@
         (record,) = store.values.values()
         self.assertEqual(record.peer_address, own.address)
         self.assertIs(
-            registry.standing("key", is_fallback=False), standing.Standing.NONE
+            registry.standing_for("key", is_fallback=False),
+            standing.Standing.NONE,
         )
 
     async def test_restarted_gateway_has_partial_standing_until_it_settles(
@@ -124,12 +125,12 @@
         registry = self._start(store, "one")
         await polling.wait_until(lambda: registry.is_known)
         self.assertIs(
-            registry.standing("key", is_fallback=False),
+            registry.standing_for("key", is_fallback=False),
             standing.Standing.PARTIAL,
         )
         await polling.wait_until(
             lambda: (
-                registry.standing("key", is_fallback=False)
+                registry.standing_for("key", is_fallback=False)
                 is standing.Standing.FULL
             )
         )
@@ -138,7 +139,8 @@
         registry = self._start(_FakeStore(), "one")
         await polling.wait_until(lambda: registry.is_known)
         self.assertIs(
-            registry.standing("key", is_fallback=False), standing.Standing.NONE
+            registry.standing_for("key", is_fallback=False),
+            standing.Standing.NONE,
         )
 
     async def test_second_gateway_stands_in_only_as_a_fallback(self):
@@ -161,7 +163,7 @@
         ):
             with self.subTest(name=name, is_fallback=is_fallback):
                 self.assertIs(
-                    registries[name].standing("key", is_fallback), expected
+                    registries[name].standing_for("key", is_fallback), expected
                 )
 
     async def test_gateways_of_older_versions_are_counted_but_not_ranked(self):
--- a/tests/quota/test_limits_of_many_gateways.py
+++ b/tests/quota/test_limits_of_many_gateways.py
@@ -81,7 +81,7 @@
         )
         end_announcer.EndAnnouncer(
             self.directory, self.registry, self.coordinator, caller, now
-        )
+        ).start()
 
 
 class LimitsOfManyGatewaysTest(unittest.IsolatedAsyncioTestCase):
--- a/tests/support/forwarding_parts.py
+++ b/tests/support/forwarding_parts.py
@@ -164,7 +164,7 @@
         is_known=True,
         share_of=lambda total: total,
         ranked=lambda key: (own,),
-        standing=lambda key, is_fallback: standing.Standing.FULL,
+        standing_for=lambda key, is_fallback: standing.Standing.FULL,
         refresh_soon=lambda: None,
     )
 
