--- a/standins/model_endpoint/app.py
+++ b/standins/model_endpoint/app.py
@@ -116,7 +116,9 @@
         if self._is_leaving:
             print(f"leaving {request_id} {now_s}", flush=True)
         if self._stated_limit:
-            print(f"limited {request_id} {now_s} {self._stated_limit}")
+            print(
+                f"limited {request_id} {now_s} {self._stated_limit}", flush=True
+            )
         pause_s = self._pause_ends_s - now_s
         if pause_s > 0:
             print(f"paused {request_id} {now_s} {pause_s}", flush=True)
