--- /dev/null
+++ b/review/lib/engine.py
@@ -0,0 +1,337 @@
+"""Stand-in for a model engine or a plain service, as a process of its own.
+
+It speaks what the users' page PROTOCOL.md says of engines: requests with a
+target instance, event streams, /health, /report, /kv-move and /kv-handle. It
+prints one JSON line for each thing that happens and takes orders as JSON lines
+on its standard input.
+
+The text of each event names the request whose memory it was made from.
+"""
+
+import argparse
+import asyncio
+import dataclasses
+import json
+import os
+import sys
+import time
+from typing import Any
+
+_TOKENS_PER_EVENT = 4
+_STAMP = "review.stamp"
+_EVENTS = "text/event-stream"
+
+
+@dataclasses.dataclass
+class Run:
+    """A generation in progress; `memory` is the request it was read from."""
+
+    request_id: str
+    memory: str
+    total: int
+    made: int = 0
+
+
+@dataclasses.dataclass
+class Reply:
+    """A complete response."""
+
+    status: int
+    body: bytes = b""
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+class Engine:
+    """Serves one incarnation of an engine."""
+
+    def __init__(self, flags: argparse.Namespace) -> None:
+        self._flags = flags
+        self._born = round(time.time() * 1000)
+        self._address = f"127.0.0.1:{flags.port}"
+        self._runs: dict[str, Run] = {}
+        # Copies by source address and handle, for runs that may go on here.
+        self._copies: dict[str, Run] = {}
+        self._handles: dict[str, str] = {}
+        self._orders: dict[str, Any] = {}
+
+    async def serve(self) -> None:
+        """Serves until killed."""
+        server = await asyncio.start_server(
+            self._serve_connection, "127.0.0.1", self._flags.port, backlog=512
+        )
+        tell("listening", port=self._flags.port, born=self._born)
+        await asyncio.gather(server.serve_forever(), self._read_orders())
+
+    async def _read_orders(self) -> None:
+        reader = asyncio.StreamReader()
+        await asyncio.get_running_loop().connect_read_pipe(
+            lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
+        )
+        while line := await reader.readline():
+            order = json.loads(line)
+            tell("order", **order)
+            if order.get("exit"):
+                os._exit(0)
+            self._orders.update(order)
+
+    async def _serve_connection(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while await self._serve_request(reader, writer):
+                pass
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+    async def _serve_request(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Serves one request; returns whether the connection is kept."""
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        first, *lines = head.split("\r\n")
+        method, target, _ = first.split(" ")
+        headers = {
+            name.strip().lower(): value.strip()
+            for name, _, value in (
+                line.partition(":") for line in lines if line
+            )
+        }
+        body = await reader.readexactly(int(headers.get("content-length", 0)))
+        if (reply := await self._control(method, target, body)) is not None:
+            self._write(writer, reply)
+            if self._orders.get("extra") and target == "/kv-move":
+                # Bytes after a complete response: the response once more.
+                tell("extra", body=reply.body.decode())
+                self._write(writer, reply)
+            await writer.drain()
+            return True
+        return await self._run(target, headers, reader, writer)
+
+    async def _control(
+        self, method: str, target: str, body: bytes
+    ) -> Reply | None:
+        """Answers a call that is no request of a client."""
+        if target == "/report":
+            return _json(self._report())
+        if target == "/health":
+            state = 503 if self._orders.get("leaving") else 200
+            return Reply(
+                state, headers=(("Bronzeslip-Instance-Id", self._flags.id),)
+            )
+        if target == "/kv-move":
+            return await self._move(json.loads(body))
+        if target == "/standin/copy":
+            copy = json.loads(body)
+            key = f"{copy['source']}/{copy['handle']}"
+            self._copies[key] = Run("", copy["memory"], 0, copy["events"])
+            return _json({})
+        if method == "DELETE" and target.startswith("/kv-handle/"):
+            handle = target.removeprefix("/kv-handle/")
+            self._copies.pop(f"{self._address}/{handle}", None)
+            return _json({})
+        return None
+
+    def _report(self) -> dict[str, Any]:
+        return {
+            "stage": "both",
+            "models": [],
+            "busy": False,
+            "seq": 1,
+            "waiting": 0,
+            "running": len(self._runs),
+            "kv_used": 2000 * len(self._runs),
+            "kv_total": 34000,
+            "handles": len(self._handles),
+            "held": 0,
+            "pinned": 0,
+            "next": 0,
+            "state": "draining" if self._orders.get("leaving") else "ready",
+            "runs": [
+                [run.request_id, 2000, run.made, 5]
+                for run in self._runs.values()
+            ],
+            "born": self._born,
+        }
+
+    async def _move(self, order: dict[str, Any]) -> Reply:
+        run = self._runs.get(order["id"])
+        if run is None:
+            return _json({}, 404)
+        handle = self._handles.setdefault(
+            f"{run.request_id} {order['to']}", f"h{len(self._handles) + 1}"
+        )
+        copy = {
+            "source": self._address,
+            "handle": handle,
+            "memory": run.memory,
+            "events": run.made,
+        }
+        if not await _send_copy(order["to"], copy):
+            return _json({}, 503)
+        tell("copied", request=run.request_id, to=order["to"], handle=handle)
+        return _json({"handle": handle, "create_revision": run.made})
+
+    async def _run(
+        self,
+        target: str,
+        headers: dict[str, str],
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        request_id = headers.get("bronzeslip-attempt-id", "")
+        refusal = self._refusal(headers)
+        if refusal:
+            tell("refused", request=request_id, status=refusal)
+            self._write(
+                writer,
+                Reply(refusal, headers=(("Bronzeslip-Not-Executed", "1"),)),
+                request_id,
+            )
+            await writer.drain()
+            return True
+        run = Run(request_id, request_id, _event_count(headers))
+        source = headers.get("kv-from")
+        if source is not None:
+            copy = self._copies.pop(source)
+            run.memory = copy.memory
+            run.made = int(headers["last-event-id"])
+        tell(
+            "ran",
+            request=request_id,
+            target=target,
+            tenant=headers.get("bronzeslip-tenant"),
+            memory=run.memory,
+            source=source,
+            after=run.made,
+        )
+        if not run.total:
+            await asyncio.sleep(self._flags.work_ms / 1000)
+            body = f"{self._flags.service} did {request_id}".encode()
+            self._write(writer, Reply(200, body), request_id)
+            await writer.drain()
+            return True
+        return await self._stream(run, reader, writer)
+
+    def _refusal(self, headers: dict[str, str]) -> int:
+        if headers.get("bronzeslip-target-instance") not in (
+            None,
+            self._flags.id,
+        ):
+            return 421
+        source = headers.get("kv-from")
+        if source is not None and source not in self._copies:
+            return 503
+        return 0
+
+    async def _stream(
+        self,
+        run: Run,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        framing = (
+            "" if self._flags.unframed else "Transfer-Encoding: chunked\r\n"
+        )
+        writer.write(
+            (
+                "HTTP/1.1 200 OK\r\n"
+                f"Content-Type: {_EVENTS}\r\n{framing}"
+                f"Bronzeslip-Attempt-Id: {run.request_id}\r\n"
+                f"Bronzeslip-Response-Stamp: {_STAMP}\r\n"
+                f"{'Connection: close' if self._flags.unframed else 'X-A: a'}"
+                "\r\n\r\n"
+            ).encode()
+        )
+        self._runs[run.request_id] = run
+        # An engine drops a request when its connection closes.
+        closed = asyncio.create_task(reader.read(1))
+        try:
+            while run.made < run.total and not closed.done():
+                await asyncio.sleep(self._flags.event_ms / 1000)
+                run.made += 1
+                text = f"{run.memory}-{run.made}"
+                event = f"id: {run.made}\ndata: {text}\n\n".encode()
+                if not self._flags.unframed:
+                    event = b"%x\r\n%s\r\n" % (len(event), event)
+                writer.write(event)
+                await writer.drain()
+        finally:
+            del self._runs[run.request_id]
+            closed.cancel()
+        tell("stream_end", request=run.request_id, made=run.made, of=run.total)
+        if not self._flags.unframed and run.made == run.total:
+            writer.write(b"0\r\n\r\n")
+            await writer.drain()
+        return False
+
+    def _write(
+        self, writer: asyncio.StreamWriter, reply: Reply, request_id: str = ""
+    ) -> None:
+        fields = [
+            *reply.headers,
+            ("Content-Length", str(len(reply.body))),
+            ("Keep-Alive", "timeout=10"),
+        ]
+        if request_id:
+            fields += [
+                ("Bronzeslip-Attempt-Id", request_id),
+                ("Bronzeslip-Response-Stamp", _STAMP),
+            ]
+        head = "".join(f"{name}: {value}\r\n" for name, value in fields)
+        writer.write(
+            f"HTTP/1.1 {reply.status} X\r\n{head}\r\n".encode() + reply.body
+        )
+
+
+async def _send_copy(address: str, copy: dict[str, Any]) -> bool:
+    host, _, port = address.partition(":")
+    try:
+        reader, writer = await asyncio.open_connection(host, int(port))
+    except OSError:
+        return False
+    body = json.dumps(copy).encode()
+    writer.write(
+        b"POST /standin/copy HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s"
+        % (len(body), body)
+    )
+    answer = await reader.readline()
+    writer.close()
+    return b" 200 " in answer
+
+
+def _event_count(headers: dict[str, str]) -> int:
+    """Returns the events of a stream, 0 for a call."""
+    usage = headers.get("bronzeslip-token-usage")
+    return 0 if usage is None else int(usage.split(",")[1]) // _TOKENS_PER_EVENT
+
+
+def _json(value: dict[str, Any], status: int = 200) -> Reply:
+    return Reply(
+        status,
+        json.dumps(value).encode(),
+        (("Content-Type", "application/json"),),
+    )
+
+
+def tell(what: str, **fields: Any) -> None:
+    """Prints what happened, with the time on the machine's steady clock."""
+    line = {"t": round(time.monotonic(), 3), "what": what, **fields}
+    print(json.dumps(line), flush=True)
+
+
+def main() -> None:
+    """Parses the flags and serves."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--id", required=True)
+    parser.add_argument("--service", required=True)
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--event-ms", type=float, default=40)
+    parser.add_argument("--work-ms", type=float, default=20)
+    parser.add_argument("--unframed", action="store_true")
+    asyncio.run(Engine(parser.parse_args()).serve())
+
+
+if __name__ == "__main__":
+    main()
