--- a/review/lib/case.py
+++ b/review/lib/case.py
@@ -14,6 +14,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from typing import Any
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -21,9 +22,11 @@
 HOST = "review.example"
 KEY = "key-of-w"
 HELD = 0
-BROKEN = 10
+BROKEN = 1
 COULD_NOT_RUN = 2
 _TIME_LIMIT_S = 110.0
+# Lines of stand-ins and gateways that go into the record.
+_RECORDED = ('"what":', '"daemon.', '"stream.', '"standby.', '"attempt.')
 _BOOT = """
 node_name = "{name}"
 role = "gateway"
@@ -42,6 +45,7 @@
 [zones]
 ub-a = "ulaanbaatar"
 dk-a = "darkhan"
+er-a = "erdenet"
 [listen]
 front = "127.0.0.1:{front}"
 ready = "127.0.0.1:{ready}"
@@ -234,16 +238,25 @@
         self.store_port = 0
 
     def run(self, play: Callable[["Case"], Awaitable[bool]]) -> None:
-        """Plays the case and exits with 0, 10 (rule broken) or 2.
-
-        Python exits with 1 after an error, so run.sh turns 10 into 1.
+        """Plays the case and exits with 0, 1 (rule broken) or 2.
 
         Args:
             play: Plays the case; returns whether the rule held.
         """
-        sys.exit(asyncio.run(self._play(play)))
+        result = COULD_NOT_RUN
+        try:
+            result = asyncio.run(self._play(play))
+        except Exception:
+            # Python itself would exit with 1, which says "rule broken".
+            traceback.print_exc()
+        except asyncio.CancelledError:
+            print("ended by a signal", flush=True)
+        sys.exit(result)
 
     async def _play(self, play: Callable[["Case"], Awaitable[bool]]) -> int:
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel
+        )
         self.note(f"disruption: {'yes' if self.has_trouble else 'no'}")
         try:
             async with asyncio.timeout(_TIME_LIMIT_S):
@@ -263,7 +276,7 @@
         self.note(f"exit {meanings[result]}")
         for process in self._processes:
             for line in process.lines:
-                if process.name.startswith("engine") or "daemon." in line:
+                if any(word in line for word in _RECORDED):
                     self._record.append(f"  {process.name}: {line}")
         (self.path / "record.txt").write_text("\n".join(self._record) + "\n")
         return result
@@ -319,7 +332,7 @@
         await self.until("the store answers", answers)
 
     async def start_engine(
-        self, number: int, service: str, zone: str, *flags: str
+        self, number: int | str, service: str, zone: str, *flags: str
     ) -> "Engine":
         """Starts an engine and registers it."""
         engine = Engine(self, f"i-{service}-{number}", service, zone)
@@ -361,6 +374,10 @@
         if answer.status != 200:
             raise CouldNotRunError(f"store answered {answer.status}")
 
+    async def remove(self, kind: str, name: str) -> None:
+        """Removes an object, as the platform does for an engine that left."""
+        await call(self.store_port, "DELETE", f"/objects/{kind}/{name}", {})
+
     async def until(
         self, what: str, holds: Callable[[], Awaitable[bool]]
     ) -> None:
--- a/review/lib/engine.py
+++ b/review/lib/engine.py
@@ -53,6 +53,9 @@
         self._copies: dict[str, Run] = {}
         self._handles: dict[str, str] = {}
         self._orders: dict[str, Any] = {}
+        self._stream_count = 0
+        # Complete answers since the last one that was followed by more bytes.
+        self._answers = 0
 
     async def serve(self) -> None:
         """Serves until killed."""
@@ -100,15 +103,22 @@
         }
         body = await reader.readexactly(int(headers.get("content-length", 0)))
         if (reply := await self._control(method, target, body)) is not None:
-            self._write(writer, reply)
-            if self._orders.get("extra") and target == "/kv-move":
-                # Bytes after a complete response: the response once more.
-                tell("extra", body=reply.body.decode())
-                self._write(writer, reply)
+            copies = 1 + self._has_extra(target, reply)
+            writer.write(copies * _encode(reply))
             await writer.drain()
             return True
         return await self._run(target, headers, reader, writer)
 
+    def _has_extra(self, target: str, reply: Reply) -> bool:
+        """Returns whether a complete answer is followed by itself again."""
+        every = self._orders.get("extra_every", 0)
+        self._answers += every > 0
+        if not every or self._answers < every or target != "/kv-move":
+            return False
+        self._answers = 0
+        tell("extra", body=reply.body.decode())
+        return True
+
     async def _control(
         self, method: str, target: str, body: bytes
     ) -> Reply | None:
@@ -141,7 +151,7 @@
             "seq": 1,
             "waiting": 0,
             "running": len(self._runs),
-            "kv_used": 2000 * len(self._runs),
+            "kv_used": self._flags.others_tokens + 1000 * len(self._runs),
             "kv_total": 34000,
             "handles": len(self._handles),
             "held": 0,
@@ -149,7 +159,7 @@
             "next": 0,
             "state": "draining" if self._orders.get("leaving") else "ready",
             "runs": [
-                [run.request_id, 2000, run.made, 5]
+                [run.request_id, 1000, run.made, 5]
                 for run in self._runs.values()
             ],
             "born": self._born,
@@ -184,11 +194,8 @@
         refusal = self._refusal(headers)
         if refusal:
             tell("refused", request=request_id, status=refusal)
-            self._write(
-                writer,
-                Reply(refusal, headers=(("Bronzeslip-Not-Executed", "1"),)),
-                request_id,
-            )
+            reply = Reply(refusal, headers=(("Bronzeslip-Not-Executed", "1"),))
+            writer.write(_encode(reply, request_id))
             await writer.drain()
             return True
         run = Run(request_id, request_id, _event_count(headers))
@@ -209,7 +216,7 @@
         if not run.total:
             await asyncio.sleep(self._flags.work_ms / 1000)
             body = f"{self._flags.service} did {request_id}".encode()
-            self._write(writer, Reply(200, body), request_id)
+            writer.write(_encode(Reply(200, body), request_id))
             await writer.drain()
             return True
         return await self._stream(run, reader, writer)
@@ -231,17 +238,21 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> bool:
-        framing = (
-            "" if self._flags.unframed else "Transfer-Encoding: chunked\r\n"
+        self._stream_count += 1
+        first = self._flags.unframed_first
+        is_unframed = 0 < first <= self._stream_count and (
+            (self._stream_count - first) % self._flags.unframed_every == 0
         )
+        framing = "Transfer-Encoding: chunked"
+        if is_unframed:
+            framing = "Connection: close"
+            tell("unframed", request=run.request_id)
         writer.write(
             (
                 "HTTP/1.1 200 OK\r\n"
-                f"Content-Type: {_EVENTS}\r\n{framing}"
+                f"Content-Type: {_EVENTS}\r\n{framing}\r\n"
                 f"Bronzeslip-Attempt-Id: {run.request_id}\r\n"
-                f"Bronzeslip-Response-Stamp: {_STAMP}\r\n"
-                f"{'Connection: close' if self._flags.unframed else 'X-A: a'}"
-                "\r\n\r\n"
+                f"Bronzeslip-Response-Stamp: {_STAMP}\r\n\r\n"
             ).encode()
         )
         self._runs[run.request_id] = run
@@ -253,7 +264,7 @@
                 run.made += 1
                 text = f"{run.memory}-{run.made}"
                 event = f"id: {run.made}\ndata: {text}\n\n".encode()
-                if not self._flags.unframed:
+                if not is_unframed:
                     event = b"%x\r\n%s\r\n" % (len(event), event)
                 writer.write(event)
                 await writer.drain()
@@ -261,28 +272,26 @@
             del self._runs[run.request_id]
             closed.cancel()
         tell("stream_end", request=run.request_id, made=run.made, of=run.total)
-        if not self._flags.unframed and run.made == run.total:
+        if not is_unframed and run.made == run.total:
             writer.write(b"0\r\n\r\n")
             await writer.drain()
         return False
 
-    def _write(
-        self, writer: asyncio.StreamWriter, reply: Reply, request_id: str = ""
-    ) -> None:
-        fields = [
-            *reply.headers,
-            ("Content-Length", str(len(reply.body))),
-            ("Keep-Alive", "timeout=10"),
+
+def _encode(reply: Reply, request_id: str = "") -> bytes:
+    """Returns a response, with the id if it answers a client's request."""
+    fields = [
+        *reply.headers,
+        ("Content-Length", str(len(reply.body))),
+        ("Keep-Alive", "timeout=10"),
+    ]
+    if request_id:
+        fields += [
+            ("Bronzeslip-Attempt-Id", request_id),
+            ("Bronzeslip-Response-Stamp", _STAMP),
         ]
-        if request_id:
-            fields += [
-                ("Bronzeslip-Attempt-Id", request_id),
-                ("Bronzeslip-Response-Stamp", _STAMP),
-            ]
-        head = "".join(f"{name}: {value}\r\n" for name, value in fields)
-        writer.write(
-            f"HTTP/1.1 {reply.status} X\r\n{head}\r\n".encode() + reply.body
-        )
+    head = "".join(f"{name}: {value}\r\n" for name, value in fields)
+    return f"HTTP/1.1 {reply.status} X\r\n{head}\r\n".encode() + reply.body
 
 
 async def _send_copy(address: str, copy: dict[str, Any]) -> bool:
@@ -329,7 +338,12 @@
     parser.add_argument("--port", type=int, required=True)
     parser.add_argument("--event-ms", type=float, default=40)
     parser.add_argument("--work-ms", type=float, default=20)
-    parser.add_argument("--unframed", action="store_true")
+    # Memory that the requests of other gateways take.
+    parser.add_argument("--others-tokens", type=int, default=0)
+    # The first stream without length and chunks, and how many follow until
+    # the next one; 0 for none.
+    parser.add_argument("--unframed-first", type=int, default=0)
+    parser.add_argument("--unframed-every", type=int, default=20)
     asyncio.run(Engine(parser.parse_args()).serve())
 
 
--- a/review/lib/proxy.py
+++ b/review/lib/proxy.py
@@ -30,6 +30,7 @@
     def __init__(self, target_port: int) -> None:
         self._target_port = target_port
         self._flows: dict[_Flow, list[asyncio.StreamWriter]] = {}
+        self._writers: list[asyncio.StreamWriter] = []
         self._server: asyncio.Server | None = None
 
     @property
@@ -44,9 +45,8 @@
     def stop(self) -> None:
         """Stops to listen and resets all connections."""
         self._server.close()
-        for writers in self._flows.values():
-            for writer in writers:
-                writer.transport.abort()
+        for writer in self._writers:
+            writer.transport.abort()
 
     def lose_idle(self, idle_s: float) -> list[str]:
         """Silences the open connections that have been idle for some time.
@@ -84,6 +84,7 @@
             writer.close()
             return
         self._flows[flow] = [writer, upstream_writer]
+        self._writers += self._flows[flow]
         try:
             await asyncio.gather(
                 self._forward(flow, reader, upstream_writer, is_request=True),
