--- a/review/lib/engine.py
+++ b/review/lib/engine.py
@@ -19,6 +19,10 @@
 
 _TOKENS_PER_EVENT = 4
 _STAMP = "review.stamp"
+# Pieces of an answer without end and the pause after so many of them.
+_ENDLESS_PIECE = b"10\r\n" + b"x" * 16 + b"\r\n"
+_ENDLESS_BURST = 40
+_ENDLESS_PAUSE_S = 0.02
 _EVENTS = "text/event-stream"
 
 
@@ -255,6 +259,9 @@
                 f"Bronzeslip-Response-Stamp: {_STAMP}\r\n\r\n"
             ).encode()
         )
+        if self._orders.pop("endless", False):
+            await _send_without_end(run.request_id, writer)
+            return False
         self._runs[run.request_id] = run
         # An engine drops a request when its connection closes.
         closed = asyncio.create_task(reader.read(1))
@@ -310,6 +317,22 @@
     return b" 200 " in answer
 
 
+async def _send_without_end(
+    request_id: str, writer: asyncio.StreamWriter
+) -> None:
+    """Sends bytes that are no event until the caller closes."""
+    tell("endless", request=request_id)
+    sent = 0
+    try:
+        while True:
+            writer.write(_ENDLESS_BURST * _ENDLESS_PIECE)
+            await writer.drain()
+            sent += _ENDLESS_BURST * 16
+            await asyncio.sleep(_ENDLESS_PAUSE_S)
+    except OSError:
+        tell("endless_closed", request=request_id, sent_bytes=sent)
+
+
 def _event_count(headers: dict[str, str]) -> int:
     """Returns the events of a stream, 0 for a call."""
     usage = headers.get("bronzeslip-token-usage")
