--- a/review/lib/engine.py
+++ b/review/lib/engine.py
@@ -12,6 +12,7 @@
 import asyncio
 import dataclasses
 import json
+import math
 import os
 import sys
 import time
@@ -19,6 +20,8 @@
 
 _TOKENS_PER_EVENT = 4
 _STAMP = "review.stamp"
+# The answer of a stream is lost at this event.
+_LOST_AFTER_EVENTS = 60
 # Pieces of an answer without end and the pause after so many of them.
 _ENDLESS_PIECE = b"10\r\n" + b"x" * 16 + b"\r\n"
 _ENDLESS_BURST = 40
@@ -58,6 +61,7 @@
         self._handles: dict[str, str] = {}
         self._orders: dict[str, Any] = {}
         self._stream_count = 0
+        self._long_streams = 0
         # Complete answers since the last one that was followed by more bytes.
         self._answers = 0
 
@@ -236,6 +240,14 @@
             return 503
         return 0
 
+    def _lost_after(self, run: Run) -> float:
+        """Returns the event at which the answer is lost, or infinity."""
+        every = self._orders.get("lost_every", 0)
+        if not every or run.total < _LOST_AFTER_EVENTS:
+            return math.inf
+        self._long_streams += 1
+        return math.inf if self._long_streams % every else _LOST_AFTER_EVENTS
+
     async def _stream(
         self,
         run: Run,
@@ -263,12 +275,21 @@
             await _send_without_end(run.request_id, writer)
             return False
         self._runs[run.request_id] = run
-        # An engine drops a request when its connection closes.
+        # An engine drops a request when its connection closes, except one
+        # that it runs while its answer is lost.
         closed = asyncio.create_task(reader.read(1))
+        lost_after = self._lost_after(run)
         try:
-            while run.made < run.total and not closed.done():
+            while run.made < run.total and (
+                not closed.done() or run.made >= lost_after
+            ):
                 await asyncio.sleep(self._flags.event_ms / 1000)
                 run.made += 1
+                if run.made == lost_after:
+                    tell("answer_lost", request=run.request_id, made=run.made)
+                    writer.transport.abort()
+                if run.made >= lost_after:
+                    continue
                 text = f"{run.memory}-{run.made}"
                 event = f"id: {run.made}\ndata: {text}\n\n".encode()
                 if not is_unframed:
@@ -279,7 +300,7 @@
             del self._runs[run.request_id]
             closed.cancel()
         tell("stream_end", request=run.request_id, made=run.made, of=run.total)
-        if not is_unframed and run.made == run.total:
+        if not is_unframed and run.made == run.total < lost_after:
             writer.write(b"0\r\n\r\n")
             await writer.drain()
         return False
