--- a/review/4/play.py
+++ b/review/4/play.py
@@ -1,85 +1,67 @@
-"""One answer of one engine has bytes without end in its body."""
+"""The answer of a stream is lost while its engine works on."""
 
 import asyncio
-import time
 
 import case
 
-_TIMEOUT_S = 2.5
-# What a client waits; the route's timeout is shorter.
-_PATIENCE_MS = 8000
-_GRACE_S = 0.5
-_CALLS_PER_S = 5
-_CALM_S = 3
-_TROUBLED_S = 25
+_EVENTS = 200
+_STREAMS = 60
+# One in so many streams of the engine loses its answer.
+_LOST_EVERY = 20
+_STILL_S = 0.4
+_ZONES = ("ub-a", "dk-a", "er-a")
 
 
 async def play(this: case.Case) -> bool:
     """Plays the case; returns whether the rule held."""
     await this.start_store()
-    routes = [
-        case.route("drafts", "streaming", "pool"),
-        case.route("reads", "idempotent", "desk", round(1000 * _TIMEOUT_S)),
-    ]
-    await this.put("config", "main", case.configuration(1, routes))
+    routes = [case.route("drafts", "streaming", "pool")]
+    await this.put("config", "main", case.configuration(1, routes, moves=True))
     engines = [
-        await this.start_engine(number, "pool", "ub-a")
-        for number in (1, 2, 3, 4)
+        await this.start_engine(number, "pool", zone, "--event-ms=50")
+        for number, zone in enumerate(_ZONES)
     ]
-    for number in (1, 2):
-        await this.start_engine(number, "desk", "ub-a")
     gateway = await this.start_gateway()
     await asyncio.sleep(4)
-    if this.has_trouble:
-        engines[0].process.order(endless=True)
-    calls = {}
-    drafts = []
-    ready = []
-    started_s = time.monotonic()
-    for number in range((_CALM_S + _TROUBLED_S) * _CALLS_PER_S):
-        name = f"read-{number}"
-        calls[name] = asyncio.create_task(
-            gateway.request(name, "/reads/r", deadline_ms=_PATIENCE_MS)
-        )
-        if number == _CALM_S * _CALLS_PER_S:
-            this.note("drafts begin; the first at the faulty engine is hit")
-            drafts = [
-                asyncio.create_task(
-                    gateway.request(
-                        f"draft-{draft}", "/drafts/d", tokens="500,400"
-                    )
-                )
-                for draft in range(12)
-            ]
-        if number % _CALLS_PER_S == 0:
-            ready.append(asyncio.create_task(gateway.is_ready()))
-        await asyncio.sleep(1 / _CALLS_PER_S)
-    late = unanswered = 0
-    for name, call in calls.items():
-        answer = await call
-        took_s = answer.ended_s - answer.sent_s
-        if took_s < _TIMEOUT_S and answer.status:
-            continue
-        late += 1
-        has_none = not answer.status or took_s > _TIMEOUT_S + _GRACE_S
-        unanswered += has_none
-        this.note(
-            f"{name}, sent at {answer.sent_s - started_s:5.1f} s: status "
-            f"{answer.status} after {took_s:.2f} s"
+    faulty = engines[0]
+    faulty.process.order(lost_every=_LOST_EVERY if this.has_trouble else 0)
+    # From requests a gateway earns the retries that it needs to go on.
+    for number in range(20):
+        await gateway.request(f"short-{number}", "/drafts/d", tokens="9,4")
+    requests = {}
+    for number in range(_STREAMS):
+        name = f"draft-{number}"
+        requests[name] = asyncio.create_task(
+            gateway.request(name, "/drafts/d", tokens=f"300,{4 * _EVENTS}")
         )
-    said = [await answer for answer in ready]
-    this.note(f"{sum(said)} of {len(said)} questions to /ready got a 200")
-    hit = sum(len(engine.process.told("endless")) for engine in engines)
-    this.note(
-        f"{hit} of {len(drafts)} drafts hit; {late} of {len(calls)} reads had "
-        f"no answer at their route's timeout, {unanswered} of these had none "
-        f"{_GRACE_S} s later"
+        await asyncio.sleep(0.05)
+    answers = {name: await request for name, request in requests.items()}
+    await asyncio.sleep(1)
+    lost = [told["request"] for told in faulty.process.told("answer_lost")]
+    ended = {
+        told["request"]: told["t"] for told in faulty.process.told("stream_end")
+    }
+    this.note(f"answers lost at {faulty.id}: {sorted(lost) or 'none'}")
+    held = True
+    for engine in engines[1:]:
+        for run in engine.process.told("ran"):
+            if not run["source"]:
+                continue
+            name = run["request"]
+            still_s = ended.get(name, 0) - run["t"]
+            held = held and still_s <= _STILL_S
+            this.note(
+                f"{name} went on at {engine.id} after event {run['after']}; "
+                f"{faulty.id} worked on it for {still_s:.2f} s more"
+            )
+    whole = sum(
+        answer.is_complete and len(answer.events) == _EVENTS
+        for answer in answers.values()
     )
-    for draft in drafts:
-        draft.cancel()
-    if this.has_trouble and not hit:
-        raise case.CouldNotRunError("no draft went to the faulty engine")
-    return late == 0 or unanswered <= late / 2
+    this.note(f"{whole} of {_STREAMS} streams whole")
+    if this.has_trouble and not lost:
+        raise case.CouldNotRunError("no answer was lost")
+    return held
 
 
 if __name__ == "__main__":
--- a/review/5/play.py
+++ b/review/5/play.py
@@ -1,66 +1,62 @@
-"""The answer of a stream is lost while its engine works on."""
+"""The connection of the configuration's watch goes silent, no other one."""
 
 import asyncio
+import time
 
 import case
+import proxy
 
-_EVENTS = 200
-_STREAMS = 60
-# One in so many streams of the engine loses its answer.
-_LOST_EVERY = 20
-_STILL_S = 0.4
-_ZONES = ("ub-a", "dk-a", "er-a")
+_CONFIG_S = 2.5
+_CONTACT_S = 4.0
+_IDLE_S = 5.0
+_OLD_KEY = "key-of-x"
+
+
+def _configuration(version: int) -> dict:
+    """Version 1, or the later one: a route moved and a key dropped."""
+    is_first = version == 1
+    tenants = [{"name": "w", "api_keys": [case.KEY]}]
+    if is_first:
+        tenants.append({"name": "x", "api_keys": [_OLD_KEY]})
+    service = "desk" if is_first else "annex"
+    routes = [case.route("orders", "non_idempotent", service, 2500)]
+    return case.configuration(version, routes, tenants=tenants)
 
 
 async def play(this: case.Case) -> bool:
     """Plays the case; returns whether the rule held."""
     await this.start_store()
-    routes = [case.route("drafts", "streaming", "pool")]
-    await this.put("config", "main", case.configuration(1, routes, moves=True))
-    engines = [
-        await this.start_engine(number, "pool", zone, "--event-ms=50")
-        for number, zone in enumerate(_ZONES)
-    ]
-    gateway = await this.start_gateway()
-    await asyncio.sleep(4)
-    faulty = engines[0]
-    faulty.process.order(lost_every=_LOST_EVERY if this.has_trouble else 0)
-    # From requests a gateway earns the retries that it needs to go on.
-    for number in range(20):
-        await gateway.request(f"short-{number}", "/drafts/d", tokens="9,4")
-    requests = {}
-    for number in range(_STREAMS):
-        name = f"draft-{number}"
-        requests[name] = asyncio.create_task(
-            gateway.request(name, "/drafts/d", tokens=f"300,{4 * _EVENTS}")
-        )
-        await asyncio.sleep(0.05)
-    answers = {name: await request for name, request in requests.items()}
-    await asyncio.sleep(1)
-    lost = [told["request"] for told in faulty.process.told("answer_lost")]
-    ended = {
-        told["request"]: told["t"] for told in faulty.process.told("stream_end")
-    }
-    this.note(f"answers lost at {faulty.id}: {sorted(lost) or 'none'}")
+    await this.put("config", "main", _configuration(1))
+    await this.start_engine(1, "desk", "ub-a")
+    await this.start_engine(2, "annex", "ub-a")
+    firewall = proxy.Proxy(this.store_port)
+    await firewall.start()
+    gateway = await this.start_gateway(store_port=firewall.port)
+    await asyncio.sleep(_IDLE_S + 1.5)
+    if this.has_trouble:
+        for line in firewall.lose_idle(_IDLE_S):
+            this.note(f"the firewall loses track of: {line}")
+    await asyncio.sleep(_CONTACT_S + 1)
+    await this.put("config", "main", _configuration(7))
+    acknowledged_s = time.monotonic()
+    this.note("version 7 is acknowledged: orders go to annex, x has no key")
     held = True
-    for engine in engines[1:]:
-        for run in engine.process.told("ran"):
-            if not run["source"]:
-                continue
-            name = run["request"]
-            still_s = ended.get(name, 0) - run["t"]
-            held = held and still_s <= _STILL_S
-            this.note(
-                f"{name} went on at {engine.id} after event {run['after']}; "
-                f"{faulty.id} worked on it for {still_s:.2f} s more"
-            )
-    whole = sum(
-        answer.is_complete and len(answer.events) == _EVENTS
-        for answer in answers.values()
-    )
-    this.note(f"{whole} of {_STREAMS} streams whole")
-    if this.has_trouble and not lost:
-        raise case.CouldNotRunError("no answer was lost")
+    for number in range(28):
+        answer = await gateway.request(f"a-{number}", "/orders/o")
+        by_old_key = await gateway.request(
+            f"x-{number}", "/orders/o", key=_OLD_KEY
+        )
+        after_s = answer.sent_s - acknowledged_s
+        is_old = answer.body.startswith(b"desk") or by_old_key.status == 200
+        this.note(
+            f"{after_s:4.1f} s after it: {answer.status} "
+            f"{answer.body.decode()!r}, dropped key: {by_old_key.status}"
+        )
+        if is_old and after_s > _CONFIG_S:
+            held = False
+        await asyncio.sleep(0.5)
+    firewall.stop()
+    await asyncio.sleep(0.1)
     return held
 
 
