--- a/review/lib/case.py
+++ b/review/lib/case.py
@@ -26,7 +26,7 @@
 COULD_NOT_RUN = 2
 _TIME_LIMIT_S = 110.0
 # Lines of stand-ins and gateways that go into the record.
-_RECORDED = ('"what":', '"daemon.', '"stream.', '"standby.', '"attempt.')
+_RECORDED = ('"what":', '"daemon.', '"stream.', '"attempt.')
 _BOOT = """
 node_name = "{name}"
 role = "gateway"
--- a/review/lib/engine.py
+++ b/review/lib/engine.py
@@ -246,7 +246,8 @@
         if not every or run.total < _LOST_AFTER_EVENTS:
             return math.inf
         self._long_streams += 1
-        return math.inf if self._long_streams % every else _LOST_AFTER_EVENTS
+        is_lost = self._long_streams % every == every // 2
+        return _LOST_AFTER_EVENTS if is_lost else math.inf
 
     async def _stream(
         self,
