Stop a run at its engine before its stream resumes elsewhere

Cause: StreamRun took the end of a connection for the end of the run. Nothing told the engine to stop or asked whether it had.

Change: RunStopper calls the engine to stop the run, with an updated copy, and waits until the engine no longer reports it. Engines that are gone or do not know the run need no further call; one that goes on for 1.5 s costs the stream. It runs before every resumption: from a copy, anew on routes that allow it, and for the second and later engines.

The scripted client of the tests now answers a call to stop a run with "no such run", as its reports list none; no existing test changed.

--- a/bronzeslip/forwarding/endpoint_client.py
+++ b/bronzeslip/forwarding/endpoint_client.py
@@ -139,6 +139,8 @@
             timeout_s: Timeout of the call, in seconds.
 
         Raises:
+            endpoint_errors.EndpointNotFoundError: If the engine has no such
+                run.
             endpoint_errors.EndpointRefusedError: If the engine made no copy.
             endpoint_errors.EndpointError: If the engine did not respond.
         """
--- a/bronzeslip/forwarding/endpoint_errors.py
+++ b/bronzeslip/forwarding/endpoint_errors.py
@@ -31,3 +31,15 @@
     """The endpoint refused the request."""
 
     code = "endpoint-refused"
+
+
+class EndpointNotFoundError(EndpointRefusedError):
+    """The endpoint does not know the run or the copy that a call names."""
+
+    code = "endpoint-not-found"
+
+
+class RunContinuesError(EndpointError):
+    """An engine goes on with a run whose response was lost."""
+
+    code = "run-continues"
--- a/bronzeslip/forwarding/stream_run.py
+++ b/bronzeslip/forwarding/stream_run.py
@@ -18,6 +18,7 @@
 from bronzeslip.forwarding import response_writer
 from bronzeslip.forwarding import run_load
 from bronzeslip.forwarding import run_standby
+from bronzeslip.forwarding import run_stopper
 from bronzeslip.forwarding import standby_copy
 from bronzeslip.forwarding import stream_progress
 
@@ -41,6 +42,8 @@
         self._request = request
         self._writer = writer
         self._endpoint: endpoint.Endpoint | None = None
+        # Engine that received the request and may not have ended its run.
+        self._may_run_at: endpoint.Endpoint | None = None
         self._tried: set[ids.EndpointId] = set()
         self._run_count = 0
         self._error_response: buffered_response.BufferedResponse | None = None
@@ -49,6 +52,7 @@
         )
         self._load = run_load.RunLoad(shared.in_flight, request)
         self._standby = run_standby.RunStandby(shared, request)
+        self._stopper = run_stopper.RunStopper(shared, request)
         self._is_answered = False
 
     async def serve(self) -> None:
@@ -90,18 +94,7 @@
         self._load.register(chosen, has_copy=source is not None)
         self._tried.add(chosen.endpoint_id)
         self._error_response = None
-        response = await self._components.client.send(
-            dispatch.Dispatch(
-                request=self._request.request,
-                endpoint=chosen,
-                remaining_s=self._request.remaining_s,
-                workspace_id=self._request.workspace_id,
-                priority=self._request.priority,
-                source=source,
-                after_event_id=self._progress.last_event_id,
-            )
-        )
-        await call_forwarder.raise_if_not_run(response)
+        response = await self._exchange(chosen, source)
         self._run_count += 1
         await self._raise_if_failed(response)
         self._endpoint = chosen
@@ -113,6 +106,32 @@
         )
         return response
 
+    async def _exchange(
+        self, chosen: endpoint.Endpoint, source: dispatch.ResumeSource | None
+    ) -> endpoint_client.EndpointResponse:
+        """Sends the request and records whether the engine may run it."""
+        self._may_run_at = chosen
+        try:
+            response = await self._components.client.send(
+                dispatch.Dispatch(
+                    request=self._request.request,
+                    endpoint=chosen,
+                    remaining_s=self._request.remaining_s,
+                    workspace_id=self._request.workspace_id,
+                    priority=self._request.priority,
+                    source=source,
+                    after_event_id=self._progress.last_event_id,
+                )
+            )
+            await call_forwarder.raise_if_not_run(response)
+        except (
+            endpoint_errors.EndpointRefusedError,
+            endpoint_errors.EndpointUnreachableError,
+        ):
+            self._may_run_at = None
+            raise
+        return response
+
     async def _raise_if_failed(
         self, response: endpoint_client.EndpointResponse
     ) -> None:
@@ -206,7 +225,7 @@
             )
 
     async def _resume(self) -> endpoint_client.EndpointResponse:
-        """Resumes the run from its standby copy or, if allowed, anew.
+        """Resumes the run from a copy or, if allowed, starts it anew.
 
         Raises:
             errors.ForwardingError: If the run can't be resumed.
@@ -216,12 +235,54 @@
         self._progress.restart()
         self._is_answered = False
         reason = "no copy of the run"
-        if copy is not None and self._progress.last_event_id is not None:
+        while True:
+            copy = await self._stop_run(copy)
+            if copy is None and not self._may_run_again:
+                raise self._interruption_error(reason)
             try:
-                return await self._resume_from(copy)
-            except (endpoint_errors.EndpointError, errors.NotRunError) as error:
+                if copy is not None:
+                    return await self._resume_from(copy)
+                return await self._run_again()
+            except errors.NotRunError as error:
                 reason = error.message
-        return await self._run_again(reason)
+                if copy is None:
+                    raise self._interruption_error(reason) from error
+            except endpoint_errors.EndpointError as error:
+                reason = error.message
+            copy = None
+
+    async def _stop_run(
+        self, copy: standby_copy.StandbyCopy | None
+    ) -> standby_copy.StandbyCopy | None:
+        """Stops the run at the engine that may still work on it.
+
+        Args:
+            copy: Standby copy of the run, or None if there is none.
+
+        Returns:
+            The copy to resume from, or None if there is none.
+
+        Raises:
+            errors.ForwardingError: If the engine goes on with the run.
+        """
+        if self._progress.last_event_id is None:
+            return None
+        engine, self._may_run_at = self._may_run_at, None
+        if engine is None:
+            return copy
+        try:
+            return await self._stopper.stop(engine, copy)
+        except endpoint_errors.RunContinuesError as error:
+            raise self._interruption_error(error.message) from error
+
+    @property
+    def _may_run_again(self) -> bool:
+        route = self._request.route
+        return (
+            route.may_run_again
+            and self._run_count < route.max_attempts
+            and self._request.remaining_s > 0
+        )
 
     async def _resume_from(
         self, copy: standby_copy.StandbyCopy
@@ -250,33 +311,19 @@
         )
         return response
 
-    async def _run_again(self, reason: str) -> endpoint_client.EndpointResponse:
-        """Starts a new run after the last event, if the route allows it.
+    async def _run_again(self) -> endpoint_client.EndpointResponse:
+        """Starts a new run after the last event.
 
         Raises:
-            errors.ForwardingError: If it does not, or no endpoint runs it.
+            endpoint_errors.EndpointError: If the chosen engine fails.
+            errors.NotRunError: If no retry, permit or endpoint is left.
         """
-        route = self._request.route
-        while (
-            route.may_run_again
-            and self._run_count < route.max_attempts
-            and self._request.remaining_s > 0
-        ):
-            try:
-                await self._reject_if_quarantined()
-                self._take_retry()
-                chosen = await self._components.permitted_chooser.choose(
-                    self._request, self._tried, reserved=0.0
-                )
-                response = await self._send(chosen, None)
-            except errors.NotRunError as error:
-                reason = error.message
-                break
-            except endpoint_errors.EndpointError as error:
-                reason = error.message
-            else:
-                return response
-        raise self._interruption_error(reason)
+        await self._reject_if_quarantined()
+        self._take_retry()
+        chosen = await self._components.permitted_chooser.choose(
+            self._request, self._tried, reserved=0.0
+        )
+        return await self._send(chosen, None)
 
     async def _reject_if_quarantined(self) -> None:
         """Rejects another run of a request that crashes engines.
--- a/bronzeslip/platform/endpoint_http.py
+++ b/bronzeslip/platform/endpoint_http.py
@@ -24,6 +24,7 @@
 logger = logs.get_logger(__name__)
 
 _OK_STATUS = 200
+_NOT_FOUND_STATUS = 404
 
 
 class HttpEndpointClient:
@@ -156,6 +157,8 @@
         """Makes an engine copy the KV cache of a run to another engine.
 
         Raises:
+            endpoint_errors.EndpointNotFoundError: If the engine has no such
+                run.
             endpoint_errors.EndpointRefusedError: If the engine made no copy.
             endpoint_errors.EndpointError: If no response was received.
         """
@@ -199,10 +202,7 @@
                 )
             finally:
                 await response.close()
-        if response.head.status != _OK_STATUS:
-            raise endpoint_errors.EndpointRefusedError(
-                f"{request.url.path}: status {response.head.status}"
-            )
+        _raise_for_status(request.url.path, response.head.status)
         return body
 
     async def _exchange(
@@ -282,5 +282,14 @@
         }
 
 
+def _raise_for_status(path: str, status: int) -> None:
+    if status == _OK_STATUS:
+        return
+    message = f"{path}: status {status}"
+    if status == _NOT_FOUND_STATUS:
+        raise endpoint_errors.EndpointNotFoundError(message)
+    raise endpoint_errors.EndpointRefusedError(message)
+
+
 def _pool_key(target: endpoint.Endpoint) -> str:
     return f"{target.address}/{target.endpoint_id}/{target.started_unix_ms}"
--- a/tests/support/scripted_endpoints.py
+++ b/tests/support/scripted_endpoints.py
@@ -100,6 +100,9 @@
         return report.EngineReport(0, 0, 0, 30_000, is_leaving=is_leaving)
 
     async def copy_run(self, source, request_id, target, is_last, timeout_s):
+        if is_last:
+            # Lost responses are those of runs that have ended.
+            raise endpoint_errors.EndpointNotFoundError("no such run")
         self.copies.append((source.endpoint_id, target.endpoint_id))
         if self.refuses_copies:
             raise endpoint_errors.EndpointRefusedError("no memory left")
