Frame events in linear time and pace bodies of many chunks

Cause: EventFramer joined and searched all bytes since the last event for each chunk, and the chunks that one read brings were processed in one turn of the event loop, in streams, calls, control calls, refusals and calls to the store.

Change: one buffer, of which new bytes are searched; a turn for other tasks after every 64 chunks of any body; an event incomplete after 4,096 chunks is given up.

--- a/bronzeslip/forwarding/event_framer.py
+++ b/bronzeslip/forwarding/event_framer.py
@@ -5,6 +5,7 @@
 import msgspec
 
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
+_MAX_EVENT_END_BYTES = 4
 _ID_FIELD = b"id:"
 
 
@@ -27,30 +28,50 @@
 
     If an engine crashes, its stream may end in the middle of an event. A run
     that resumes on another engine then sends that event from its start.
+
+    Attributes:
+        pieces: Number of chunks that the incomplete event has arrived in.
     """
 
     def __init__(self) -> None:
-        self._remainder = b""
+        self._buffer = bytearray()
+        self.pieces = 0
 
     @property
     def remainder(self) -> bytes:
         """Bytes after the last complete event."""
-        return self._remainder
+        return bytes(self._buffer)
+
+    @property
+    def remainder_bytes(self) -> int:
+        """Number of bytes after the last complete event."""
+        return len(self._buffer)
 
     @property
     def is_inside_event(self) -> bool:
         """Whether an event has begun that is not complete."""
-        return bool(self._remainder.strip(b"\r\n"))
+        return bool(self._buffer.strip(b"\r\n"))
 
     def feed(self, chunk: bytes) -> EventBlock | None:
-        """Adds bytes and returns the events completed by them, or None."""
-        received = self._remainder + chunk
-        ends = [match.end() for match in _EVENT_END.finditer(received)]
-        complete_bytes = ends[-1] if ends else 0
-        self._remainder = received[complete_bytes:]
+        """Adds bytes and returns the events completed by them, or None.
+
+        Only the new bytes are searched, so that an event that arrives in many
+        chunks does not cost the square of its size.
+        """
+        searched_bytes = len(self._buffer) - _MAX_EVENT_END_BYTES + 1
+        self._buffer += chunk
+        self.pieces += 1
+        ends = [
+            match.end()
+            for match in _EVENT_END.finditer(
+                self._buffer, max(searched_bytes, 0)
+            )
+        ]
         if not ends:
             return None
-        data = received[:complete_bytes]
+        data = bytes(self._buffer[: ends[-1]])
+        del self._buffer[: ends[-1]]
+        self.pieces = 1 if self._buffer else 0
         return EventBlock(data, len(ends), _last_id(data))
 
 
--- a/bronzeslip/forwarding/stream_progress.py
+++ b/bronzeslip/forwarding/stream_progress.py
@@ -8,6 +8,9 @@
 
 # Events beside those that carry output tokens.
 _MAX_OTHER_EVENTS = 16
+# Engines write an event at once; even one that writes its bytes one by one
+# needs fewer chunks.
+_MAX_PIECES_OF_EVENT = 4096
 
 
 class StreamProgress:
@@ -52,10 +55,14 @@
                 or there are more events than output tokens.
         """
         block = self._framer.feed(chunk)
-        if len(self._framer.remainder) > self._event_max_bytes:
+        if self._framer.remainder_bytes > self._event_max_bytes:
             raise endpoint_errors.EndpointResponseLostError(
                 f"event of more than {self._event_max_bytes} bytes"
             )
+        if self._framer.pieces > _MAX_PIECES_OF_EVENT:
+            raise endpoint_errors.EndpointResponseLostError(
+                f"event of more than {_MAX_PIECES_OF_EVENT} pieces"
+            )
         if block is not None and self._max_events is not None:
             self._raise_if_too_many(self.events + block.count)
         return block
--- a/bronzeslip/platform/endpoint_response.py
+++ b/bronzeslip/platform/endpoint_response.py
@@ -10,6 +10,7 @@
 from bronzeslip.forwarding import endpoint_client
 from bronzeslip.forwarding import endpoint_errors
 from bronzeslip.forwarding import incoming
+from bronzeslip.http import paced_chunks
 from bronzeslip.platform import caller_response
 from bronzeslip.platform import connection_pool
 from bronzeslip.platform import headers
@@ -59,7 +60,7 @@
                 incomplete.
         """
         try:
-            async for chunk in self._response.stream:
+            async for chunk in paced_chunks.paced(self._response.stream):
                 yield chunk
         except (httpx.HTTPError, httpx.StreamError) as error:
             raise endpoint_errors.EndpointResponseLostError(
--- a/bronzeslip/platform/store_client.py
+++ b/bronzeslip/platform/store_client.py
@@ -10,6 +10,7 @@
 from bronzeslip import ids
 from bronzeslip.entry import vm_config
 from bronzeslip.http import bounded_transport
+from bronzeslip.http import paced_chunks
 from bronzeslip.platform import headers
 from bronzeslip.platform import store_era
 from bronzeslip.platform import store_messages
@@ -224,7 +225,7 @@
     async def _read_body(self, response: httpx.Response) -> bytes:
         chunks: list[bytes] = []
         size_bytes = 0
-        async for chunk in response.aiter_bytes():
+        async for chunk in paced_chunks.paced(response.aiter_bytes()):
             size_bytes += len(chunk)
             if size_bytes > self._max_body_bytes:
                 raise errors.PlatformUnavailableError(
--- a/tests/platform/test_endless_responses.py
+++ b/tests/platform/test_endless_responses.py
@@ -26,6 +26,8 @@
 # Memory that one endless response may cost the gateway.
 _MAX_GROWTH_KB = 32_768
 _CALL_TIMEOUT_S = 3.0
+# Longest pause between the events of a stream that is on time.
+_MAX_PAUSE_S = 0.18
 _HEAD = b"HTTP/1.1 200 OK\r\nBronzeslip-Attempt-Id: q1\r\n"
 _NOT_RUN_HEAD = (
     b"HTTP/1.1 503 Busy\r\nBronzeslip-Attempt-Id: q1\r\n"
@@ -55,6 +57,7 @@
         b"X-Filler: " + _FILLER + b"\r\n",
     ),
 }
+_SMALL_CHUNKS = b"1\r\nx\r\n" * 10_000
 _SLOW = {
     "slow interim heads": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
     "slow head": (_HEAD + b"X-Filler: ", b"x"),
@@ -97,6 +100,23 @@
             writer.close()
 
 
+class _PauseWatch:
+    """Measures for how long the event loop gives other tasks no turn.
+
+    Attributes:
+        longest_s: Longest time without a turn, in seconds.
+    """
+
+    def __init__(self):
+        self.longest_s = 0.0
+
+    async def run(self):
+        while True:
+            before_s = time.monotonic()
+            await asyncio.sleep(0)
+            self.longest_s = max(self.longest_s, time.monotonic() - before_s)
+
+
 class EndlessResponseTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.server = _EndlessServer()
@@ -164,6 +184,19 @@
                     self._play(script, pause_s=0.05)
                     await self._assert_bounded(call)
 
+    # Guards against holding up all requests while the chunks that one read has
+    # brought are processed.
+    async def test_small_chunks_leave_turns_to_other_tasks(self):
+        calls = {**self._control_calls(), "forward": self._forward}
+        for name, call in calls.items():
+            with self.subTest(name):
+                self._play((_HEAD + _CHUNKED, _SMALL_CHUNKS))
+                watch = _PauseWatch()
+                task = asyncio.create_task(watch.run())
+                await self._assert_bounded(call)
+                task.cancel()
+                self.assertLess(watch.longest_s, _MAX_PAUSE_S)
+
     async def test_health_checks(self):
         def check():
             return self.client.check_presence(self.endpoint, "/health")
