Probe connections to the store and to other gateways

Cause: the watches of configuration and suspects last 25 s on connections without keep-alive probes; a single connection that goes silent is noticed only then. The watch of the endpoints, which restarts them when it fails, uses another one. Calls to other gateways had no probes either; connections to endpoints had.

The kernel ends a silent connection within about 3 s.

--- a/bronzeslip/entry/peer_http.py
+++ b/bronzeslip/entry/peer_http.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from bronzeslip.http import bounded_transport
+from bronzeslip.http import silence_detection
 from bronzeslip.quota import errors
 from bronzeslip.quota import peer
 from bronzeslip.quota import permit_reply
@@ -29,7 +30,9 @@
         self._http = httpx.AsyncClient(
             timeout=None,
             transport=bounded_transport.BoundedTransport(
-                settings.response_head_max_bytes, _MAX_CONNECTIONS
+                settings.response_head_max_bytes,
+                _MAX_CONNECTIONS,
+                silence_detection.socket_options(settings.peer_silence_s),
             ),
             trust_env=False,
         )
--- a/bronzeslip/platform/connection_pool.py
+++ b/bronzeslip/platform/connection_pool.py
@@ -1,19 +1,14 @@
 """Pool of the connections to one endpoint."""
 
 import asyncio
-import socket
 
 import httpx
 import msgspec
 
 from bronzeslip.http import bounded_transport
+from bronzeslip.http import silence_detection
 from bronzeslip.settings import entry
 
-_MS_PER_S = 1000
-# Unanswered TCP keep-alive probes; a dead peer is detected when the third
-# probe is due at the latest.
-_PROBE_COUNT = 2
-
 
 class PooledConnection(msgspec.Struct):
     """A connection, which carries one request at a time.
@@ -78,15 +73,10 @@
             await connection.transport.aclose()
 
     def _create_transport(self) -> bounded_transport.BoundedTransport:
-        silence_ms = round(self._settings.endpoint_silence_s * _MS_PER_S)
         return bounded_transport.BoundedTransport(
             self._settings.response_head_max_bytes,
             max_connections=1,
-            socket_options=(
-                (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, silence_ms),
-                (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-                (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
-                (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
-                (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _PROBE_COUNT),
+            socket_options=silence_detection.socket_options(
+                self._settings.endpoint_silence_s
             ),
         )
--- a/bronzeslip/platform/store_client.py
+++ b/bronzeslip/platform/store_client.py
@@ -11,6 +11,7 @@
 from bronzeslip.entry import vm_config
 from bronzeslip.http import bounded_transport
 from bronzeslip.http import paced_chunks
+from bronzeslip.http import silence_detection
 from bronzeslip.platform import headers
 from bronzeslip.platform import store_era
 from bronzeslip.platform import store_messages
@@ -57,7 +58,9 @@
             timeout=None,
             transport=transport
             or bounded_transport.BoundedTransport(
-                settings.response_head_max_bytes, _MAX_CONNECTIONS
+                settings.response_head_max_bytes,
+                _MAX_CONNECTIONS,
+                silence_detection.socket_options(settings.store_silence_s),
             ),
             trust_env=False,
         )
--- a/bronzeslip/settings/entry.py
+++ b/bronzeslip/settings/entry.py
@@ -89,6 +89,15 @@
         minimum=0.05,
         maximum=60,
     )
+    store_silence_s: float = setting(
+        "time after which a connection to the store that does not respond to "
+        "probes is closed, in seconds; limits how long a watch that has gone "
+        "silent hides a change",
+        "store",
+        default=2.0,
+        minimum=0.5,
+        maximum=60,
+    )
     store_backoff_min_s: float = setting(
         "initial delay after a failed call to the store, in seconds",
         "store",
@@ -225,6 +234,14 @@
         minimum=0.01,
         maximum=10,
     )
+    peer_silence_s: float = setting(
+        "time after which a connection to another gateway that does not "
+        "respond to probes is closed, in seconds",
+        "limits",
+        default=2.0,
+        minimum=0.5,
+        maximum=60,
+    )
     request_deadline_s: float = setting(
         "default deadline of a request, in seconds",
         "limits",
