Do not send a request again on a connection that carried its refusal

What failed: a stream that resumes at an engine which had refused the same request at first takes the repeated refusal for its own, since the id is the same.

Change: a pooled connection records the requests refused on it and is not used for these again.

--- a/bronzeslip/platform/connection_pool.py
+++ b/bronzeslip/platform/connection_pool.py
@@ -5,6 +5,7 @@
 import httpx
 import msgspec
 
+from bronzeslip import ids
 from bronzeslip.http import bounded_transport
 from bronzeslip.http import silence_detection
 from bronzeslip.settings import entry
@@ -18,11 +19,15 @@
         expires_at_s: Time after which the connection must not be reused, on
             the event loop's clock.
         has_carried_requests: Whether it has been used before.
+        refused_request_ids: Requests that the endpoint has refused on it. A
+            faulty endpoint may send such a refusal once more, in place of the
+            next response.
     """
 
     transport: httpx.AsyncBaseTransport
     expires_at_s: float = 0.0
     has_carried_requests: bool = False
+    refused_request_ids: set[ids.RequestId] = msgspec.field(default_factory=set)
 
 
 class ConnectionPool:
@@ -33,16 +38,34 @@
         self._is_closed = False
         self._idle_connections: list[PooledConnection] = []
 
-    async def acquire(self) -> PooledConnection:
-        """Returns an idle connection that has not expired, or a new one."""
-        now_s = asyncio.get_running_loop().time()
-        while self._idle_connections:
-            connection = self._idle_connections.pop()
-            if connection.expires_at_s > now_s:
+    async def acquire(
+        self, request_id: ids.RequestId | None = None
+    ) -> PooledConnection:
+        """Returns an idle connection that has not expired, or a new one.
+
+        Args:
+            request_id: Request to send, or None for other calls. It is not
+                sent again on a connection on which it was refused.
+        """
+        await self._close_expired()
+        for connection in reversed(self._idle_connections):
+            if request_id not in connection.refused_request_ids:
+                self._idle_connections.remove(connection)
                 return connection
-            await connection.transport.aclose()
         return PooledConnection(self._create_transport())
 
+    async def _close_expired(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        expired = [
+            connection
+            for connection in self._idle_connections
+            if connection.expires_at_s <= now_s
+        ]
+        for connection in expired:
+            self._idle_connections.remove(connection)
+        for connection in expired:
+            await connection.transport.aclose()
+
     async def release(
         self, connection: PooledConnection, keep_alive_s: float
     ) -> None:
--- a/bronzeslip/platform/endpoint_http.py
+++ b/bronzeslip/platform/endpoint_http.py
@@ -94,7 +94,9 @@
         )
         pool = self._get_pool(self._pools, outgoing.endpoint)
         sent_s = asyncio.get_running_loop().time()
-        response = await self._exchange(outgoing.endpoint, pool, request)
+        response = await self._exchange(
+            outgoing.endpoint, pool, request, outgoing.request.request_id
+        )
         if not response.is_response_to(outgoing.request.request_id):
             await response.abort()
             logger.warning(
@@ -210,13 +212,21 @@
         target: endpoint.Endpoint,
         pool: connection_pool.ConnectionPool,
         request: httpx.Request,
+        request_id: ids.RequestId | None = None,
     ) -> endpoint_response.HttpEndpointResponse:
-        """Sends a request and reads the head of its response."""
+        """Sends a request and reads the head of its response.
+
+        Args:
+            target: Endpoint that receives it.
+            pool: Connections to the endpoint.
+            request: The request.
+            request_id: Id of the caller's request, None for control calls.
+        """
         if self._endpoints.pause_remaining_s(target):
             raise endpoint_errors.EndpointRefusedError(
                 "the endpoint has asked for a pause"
             )
-        connection = await pool.acquire()
+        connection = await pool.acquire(request_id)
         try:
             response = await connection.transport.handle_async_request(request)
         except httpx.ConnectError as error:
--- a/bronzeslip/platform/endpoint_response.py
+++ b/bronzeslip/platform/endpoint_response.py
@@ -122,6 +122,7 @@
     async def close(self) -> None:
         """Returns the connection to the pool, or closes it mid-response."""
         if self.verdict is not endpoint_client.RunVerdict.MAY_HAVE_RUN:
+            self._record_refusal()
             await self._drain_body()
         await self._response.stream.aclose()
         keep_alive_s = _keep_alive_timeout_s(self._response)
@@ -130,6 +131,12 @@
         else:
             await self._connection.transport.aclose()
 
+    def _record_refusal(self) -> None:
+        if self.echoed_request_id is not None:
+            self._connection.refused_request_ids.add(
+                ids.RequestId(self.echoed_request_id)
+            )
+
     async def _drain_body(self) -> None:
         try:
             async with asyncio.timeout(self._settings.drain_timeout_s):
