Answer or reject every request before the end of a gateway's grace

Change: DrainDeadline. A request that may not be repeated and whose deadline lies after the grace is rejected at once as not run; other deadlines, also of running requests, are moved before its end. The last three servers stop together.

--- a/bronzeslip/entry/daemon.py
+++ b/bronzeslip/entry/daemon.py
@@ -45,6 +45,7 @@
         metrics: entry_metrics.EntryMetrics,
         tasks: Sequence[named_task.NamedTask],
         reload: Callable[[], None],
+        begin_drain: Callable[[], None],
         deregister: Callable[[], Awaitable[None]],
     ) -> None:
         """Creates a daemon.
@@ -59,6 +60,7 @@
             metrics: Metrics to expose.
             tasks: Background tasks that run until shutdown.
             reload: Reloads the settings file; called on SIGHUP.
+            begin_drain: Called when a shutdown is requested.
             deregister: Removes this gateway from the gateway registry.
         """
         self._settings = settings
@@ -67,6 +69,7 @@
         self._readiness = readiness_state
         self._named_tasks = tasks
         self._reload = reload
+        self._begin_drain = begin_drain
         self._deregister = deregister
         self._signals = shutdown.ShutdownSignals()
         self._background_tasks = background.BackgroundTasks(
@@ -110,13 +113,16 @@
         await self._drain()
         await self._deregister()
         await self._background_tasks.stop()
-        await self._peer_server.abort()
-        await self._readiness_server.abort()
-        await self._metrics_server.abort()
+        await asyncio.gather(
+            self._peer_server.abort(),
+            self._readiness_server.abort(),
+            self._metrics_server.abort(),
+        )
 
     async def _drain(self) -> None:
         """Fails readiness checks, then waits for running requests to finish."""
         self._readiness.drain()
+        self._begin_drain()
         logger.info("entry.draining")
         completed = await self._signals.run_unless_forced(self._stop_callers())
         if not completed:
--- a/bronzeslip/forwarding/assembly.py
+++ b/bronzeslip/forwarding/assembly.py
@@ -17,6 +17,7 @@
 from bronzeslip.forwarding import connection_share
 from bronzeslip.forwarding import copy_releaser
 from bronzeslip.forwarding import crash_watch
+from bronzeslip.forwarding import drain_deadline
 from bronzeslip.forwarding import endpoint_client
 from bronzeslip.forwarding import gateway_count
 from bronzeslip.forwarding import load_forecast
@@ -116,13 +117,16 @@
 
 
 def create_pipeline(
-    shared: components.ForwardingComponents, admitter: admission.Admission
+    shared: components.ForwardingComponents,
+    admitter: admission.Admission,
+    drain: drain_deadline.DrainDeadline,
 ) -> pipeline.Pipeline:
     """Creates the pipeline that serves requests.
 
     Args:
         shared: Shared components of the gateway.
         admitter: Admits requests according to the configuration.
+        drain: Ends requests before the gateway is killed.
     """
     return pipeline.Pipeline(
         admitter,
@@ -130,4 +134,5 @@
         stream_forwarder.StreamForwarder(shared),
         shared.crash_detector,
         request_ledger.RequestLedger(shared.metrics),
+        drain,
     )
--- a/bronzeslip/forwarding/pipeline.py
+++ b/bronzeslip/forwarding/pipeline.py
@@ -6,6 +6,7 @@
 from bronzeslip.forwarding import admitted
 from bronzeslip.forwarding import call_forwarder
 from bronzeslip.forwarding import crash_watch
+from bronzeslip.forwarding import drain_deadline
 from bronzeslip.forwarding import errors
 from bronzeslip.forwarding import incoming
 from bronzeslip.forwarding import request_ledger
@@ -24,6 +25,7 @@
         streams: stream_forwarder.StreamForwarder,
         crash_detector: crash_watch.CrashDetector,
         ledger: request_ledger.RequestLedger,
+        drain: drain_deadline.DrainDeadline,
     ) -> None:
         """Initializes the pipeline.
 
@@ -33,12 +35,14 @@
             streams: Forwards generations.
             crash_detector: Clears completed requests from the suspects.
             ledger: Records the outcome of requests.
+            drain: Ends requests before the gateway is killed.
         """
         self._admitter = admitter
         self._calls = calls
         self._streams = streams
         self._crash_detector = crash_detector
         self._ledger = ledger
+        self._drain = drain
 
     async def serve(
         self,
@@ -51,7 +55,7 @@
             errors.ForwardingError: If there is no complete response of an
                 endpoint.
         """
-        admitted_request = self._admitter.admit(request)
+        admitted_request = self._drain.limit(self._admitter.admit(request))
         with self._ledger.track_outcome(admitted_request):
             await self._serve_with_deadline(admitted_request, writer)
             self._crash_detector.record_completion(admitted_request)
@@ -62,8 +66,11 @@
         writer: response_writer.ResponseWriter,
     ) -> None:
         try:
-            async with asyncio.timeout_at(admitted_request.deadline_s):
-                await self._forward(admitted_request, writer)
+            async with asyncio.timeout_at(
+                admitted_request.deadline_s
+            ) as timeout:
+                with self._drain.shorten(timeout):
+                    await self._forward(admitted_request, writer)
         except TimeoutError as error:
             raise errors.DeadlineExceededError(
                 "the deadline of the request has passed"
--- a/bronzeslip/platform/gateway.py
+++ b/bronzeslip/platform/gateway.py
@@ -18,6 +18,7 @@
 from bronzeslip.forwarding import admission
 from bronzeslip.forwarding import assembly
 from bronzeslip.forwarding import components
+from bronzeslip.forwarding import drain_deadline
 from bronzeslip.forwarding import report_poller
 from bronzeslip.metrics import entry_metrics
 from bronzeslip.platform import boot_file
@@ -98,14 +99,20 @@
         rng,
     )
     request_admission = admission.Admission(settings, current_table, rng)
-    reloader = settings_reloader.SettingsReloader(
-        path, this_vm, forwarding_components.retry_budgets.set_bounds
-    )
+    drain = drain_deadline.DrainDeadline(this_vm.bounds)
+
+    def set_bounds(bounds: vm_config.PlaceBounds) -> None:
+        forwarding_components.retry_budgets.set_bounds(bounds)
+        drain.set_bounds(bounds)
+
+    reloader = settings_reloader.SettingsReloader(path, this_vm, set_bounds)
     return daemon.EntryDaemon(
         settings,
         this_vm,
         ingress.Ingress(
-            assembly.create_pipeline(forwarding_components, request_admission),
+            assembly.create_pipeline(
+                forwarding_components, request_admission, drain
+            ),
             current_table,
         ),
         permits_api.handler(coordinator),
@@ -121,6 +128,7 @@
             named_task.NamedTask("settings", reloader.run()),
         ),
         reloader.reload,
+        drain.begin,
         registry.deregister,
     )
 
--- a/tests/processes/test_entry_gateway.py
+++ b/tests/processes/test_entry_gateway.py
@@ -13,6 +13,8 @@
 from tools import wait
 
 _CONFIGURATION_TIMEOUT_S = 10.0
+# The grace in the gateway's boot file.
+_GRACE_S = 8.0
 
 
 class EntryGatewayTest(unittest.TestCase):
@@ -100,6 +102,31 @@
             self.deployment.object_names("bronzeslip-gateways"), []
         )
 
+    # Guards against cutting a request without a response at the end of the
+    # grace, and against passing on one late that would be cut.
+    def test_requests_that_outlast_the_grace_are_answered(self):
+        self.addCleanup(self.restart_gateway)
+        self.addCleanup(self.call_endpoint.release)
+        self.call_endpoint.hold()
+        running = self.executor.submit(self.gateway.call, "outlasts-grace")
+        wait.until(
+            lambda: "outlasts-grace" in self.call_endpoint.executed_request_ids
+        )
+        self.gateway.process.send_signal(signal.SIGTERM)
+        signalled_s = time.monotonic()
+        wait.until(lambda: self.gateway.readiness_status() == 503)
+        late = self.gateway.call("late-in-grace")
+        self.assertEqual(late.status_code, httpx.codes.SERVICE_UNAVAILABLE)
+        self.assertIn("retry-after", late.headers)
+        self.assertEqual(
+            running.result().status_code, httpx.codes.GATEWAY_TIMEOUT
+        )
+        self.assertEqual(self.gateway.process.wait(), 0)
+        self.assertLess(time.monotonic() - signalled_s, _GRACE_S)
+        self.assertNotIn(
+            "late-in-grace", self.call_endpoint.executed_request_ids
+        )
+
     def test_reload_applies_settings(self):
         self.gateway.write_boot_file(retry_slack=7)
         self.gateway.process.send_signal(signal.SIGHUP)
--- a/tests/support/forwarding_gateway.py
+++ b/tests/support/forwarding_gateway.py
@@ -4,6 +4,7 @@
 
 from bronzeslip.forwarding import admission
 from bronzeslip.forwarding import assembly
+from bronzeslip.forwarding import drain_deadline
 from bronzeslip.platform import ingress
 from tests.support import asgi_caller
 from tests.support import forwarding_parts
@@ -14,6 +15,7 @@
 
     Attributes:
         components: Components of the gateway.
+        drain: Ends requests before the gateway is killed.
     """
 
     def __init__(self, client, endpoints):
@@ -21,7 +23,12 @@
         request_admission = admission.Admission(
             forwarding_parts.SETTINGS, self.components.current, random.Random(1)
         )
-        pipeline = assembly.create_pipeline(self.components, request_admission)
+        self.drain = drain_deadline.DrainDeadline(
+            forwarding_parts.VM_CONFIG.bounds
+        )
+        pipeline = assembly.create_pipeline(
+            self.components, request_admission, self.drain
+        )
         self._ingress = ingress.Ingress(pipeline, self.components.current)
 
     def adopt(self, *routes, version=1):
