Give each call on a run or a copy a connection of its own

Cause: responses to control calls were matched by order on kept connections. An engine that sent one twice shifted all later ones, so that a run was resumed from another one's copy.

Change: copying, stopping and freeing, and the report that decides whether a run has ended, use new connections. BoundedTransport rejects a response that was received before its request was sent, for the kept connections of reports, store and gateways.

--- a/bronzeslip/forwarding/endpoint_client.py
+++ b/bronzeslip/forwarding/endpoint_client.py
@@ -114,9 +114,16 @@
             endpoint_errors.EndpointError: If the endpoint did not respond.
         """
 
-    async def report(self, target: endpoint.Endpoint) -> report.EngineReport:
+    async def report(
+        self, target: endpoint.Endpoint, must_be_own: bool = False
+    ) -> report.EngineReport:
         """Fetches the load report of an engine.
 
+        Args:
+            target: The engine.
+            must_be_own: Whether the report must not be the response to an
+                earlier call.
+
         Raises:
             endpoint_errors.EndpointError: If the engine returned no report.
         """
--- a/bronzeslip/forwarding/run_stopper.py
+++ b/bronzeslip/forwarding/run_stopper.py
@@ -135,7 +135,9 @@
         request_id = self._request.request.request_id
         while True:
             try:
-                report = await self._components.client.report(source)
+                report = await self._components.client.report(
+                    source, must_be_own=True
+                )
             except endpoint_errors.EndpointUnreachableError:
                 raise
             except endpoint_errors.EndpointError as error:
--- a/bronzeslip/http/bounded_transport.py
+++ b/bronzeslip/http/bounded_transport.py
@@ -14,10 +14,15 @@
 
 
 class _HeadLimit:
-    """Counts the bytes read while a response head is awaited."""
+    """Counts the bytes read while a response head is awaited.
+
+    Attributes:
+        has_read: Whether the connection has been read from.
+    """
 
     def __init__(self, max_bytes: int) -> None:
         self._remaining_bytes = max_bytes
+        self.has_read = False
 
     def count(self, size_bytes: int) -> None:
         """Counts bytes.
@@ -25,6 +30,7 @@
         Raises:
             httpcore.RemoteProtocolError: If the limit was exceeded before.
         """
+        self.has_read = True
         if self._remaining_bytes < 0:
             raise httpcore.RemoteProtocolError("response head is too large")
         self._remaining_bytes -= size_bytes
@@ -90,6 +96,9 @@
 
     The HTTP library limits the size of each head, but not the number of
     interim responses that precede the final one.
+
+    Bytes that follow a complete response are not taken for the response to the
+    next request on the connection, unless they arrive after it was sent.
     """
 
     def __init__(
@@ -126,10 +135,18 @@
 
         Raises:
             httpx.RemoteProtocolError: If more than the maximum number of bytes
-                arrived before the final head was complete.
+                arrived before the final head was complete, or the response
+                had been received before the request was sent.
         """
-        token = _head_limit.set(_HeadLimit(self._max_head_bytes))
+        limit = _HeadLimit(self._max_head_bytes)
+        token = _head_limit.set(limit)
         try:
-            return await super().handle_async_request(request)
+            response = await super().handle_async_request(request)
         finally:
             _head_limit.reset(token)
+        if not limit.has_read:
+            await response.aclose()
+            raise httpx.RemoteProtocolError(
+                "the response was received before its request was sent"
+            )
+        return response
--- a/bronzeslip/platform/connection_pool.py
+++ b/bronzeslip/platform/connection_pool.py
@@ -33,9 +33,18 @@
 class ConnectionPool:
     """Pools the connections to an endpoint, most recently used first."""
 
-    def __init__(self, settings: entry.EntrySettings) -> None:
+    def __init__(
+        self, settings: entry.EntrySettings, keeps_connections: bool = True
+    ) -> None:
+        """Creates an empty pool.
+
+        Args:
+            settings: Timeouts and size limits.
+            keeps_connections: Whether a connection may carry more than one
+                request.
+        """
         self._settings = settings
-        self._is_closed = False
+        self._is_closed = not keeps_connections
         self._idle_connections: list[PooledConnection] = []
 
     async def acquire(
--- a/bronzeslip/platform/endpoint_http.py
+++ b/bronzeslip/platform/endpoint_http.py
@@ -33,6 +33,10 @@
     What an endpoint says about itself in the headers of any response is
     recorded in the directory. An endpoint that has asked for a pause is not
     called.
+
+    Responses to control calls name no request. A faulty endpoint may send bytes
+    after a complete response, which would be taken for the response to the next
+    call. Calls that act on a run or a copy therefore use new connections.
     """
 
     def __init__(
@@ -49,8 +53,8 @@
         self._settings = settings
         self._endpoints = endpoints
         self._pools: dict[str, connection_pool.ConnectionPool] = {}
-        # Responses to control calls carry no request id, so they must not
-        # share connections with forwarded requests.
+        # Responses without a request id must not share connections with
+        # forwarded requests.
         self._control_pools: dict[str, connection_pool.ConnectionPool] = {}
         self._closing_tasks: set[asyncio.Task] = set()
 
@@ -127,7 +131,7 @@
             endpoint_errors.EndpointError: If no response was received.
         """
         request = self._control_request(target, "GET", health_path)
-        pool = connection_pool.ConnectionPool(self._settings)
+        pool = self._create_unkept_pool()
         async with total_timeout.TotalTimeout(self._settings.report_timeout_s):
             response = await self._exchange(target, pool, request)
         await response.abort()
@@ -136,15 +140,26 @@
                 f"endpoint {response.responding_endpoint_id} has this address"
             )
 
-    async def report(self, target: endpoint.Endpoint) -> report.EngineReport:
+    async def report(
+        self, target: endpoint.Endpoint, must_be_own: bool = False
+    ) -> report.EngineReport:
         """Fetches the report of an engine.
 
+        Args:
+            target: The engine.
+            must_be_own: Whether the report must not be the response to an
+                earlier call; takes a new connection.
+
         Raises:
             endpoint_errors.EndpointError: If no valid report was received.
         """
         request = self._control_request(target, "GET", "/report")
+        if must_be_own:
+            pool = self._create_unkept_pool()
+        else:
+            pool = self._get_pool(self._control_pools, target)
         body = await self._call(
-            target, request, self._settings.report_timeout_s
+            target, pool, request, self._settings.report_timeout_s
         )
         return engine_messages.decode_report(body)
 
@@ -170,7 +185,8 @@
         request = self._control_request(
             source, "POST", "/kv-move", message, timeout_s
         )
-        body = await self._call(source, request, timeout_s)
+        pool = self._create_unkept_pool()
+        body = await self._call(source, pool, request, timeout_s)
         return engine_messages.decode_move_response(body)
 
     async def drop_copy(
@@ -186,16 +202,21 @@
         request = self._control_request(
             holder, "DELETE", f"/kv-handle/{handle}"
         )
-        await self._call(holder, request, self._settings.report_timeout_s)
+        await self._call(
+            holder,
+            self._create_unkept_pool(),
+            request,
+            self._settings.report_timeout_s,
+        )
 
     async def _call(
         self,
         target: endpoint.Endpoint,
+        pool: connection_pool.ConnectionPool,
         request: httpx.Request,
         timeout_s: float,
     ) -> bytes:
         """Makes a control call, bounded in time and in bytes as a whole."""
-        pool = self._get_pool(self._control_pools, target)
         async with total_timeout.TotalTimeout(timeout_s):
             response = await self._exchange(target, pool, request)
             try:
@@ -273,6 +294,11 @@
             extensions={"timeout": self._timeouts(wait_s)},
         )
 
+    def _create_unkept_pool(self) -> connection_pool.ConnectionPool:
+        return connection_pool.ConnectionPool(
+            self._settings, keeps_connections=False
+        )
+
     def _get_pool(
         self,
         pools: dict[str, connection_pool.ConnectionPool],
--- a/tests/forwarding/test_run_stopper.py
+++ b/tests/forwarding/test_run_stopper.py
@@ -58,7 +58,7 @@
             raise body
         return scripted_endpoints.ScriptedResponse(200, body)
 
-    async def report(self, target):
+    async def report(self, target, must_be_own=False):
         self._raise_if_absent(target)
         runs = ()
         if target.endpoint_id in self.working:
--- a/tests/support/scripted_endpoints.py
+++ b/tests/support/scripted_endpoints.py
@@ -92,7 +92,7 @@
         if target.endpoint_id in self.unresponsive:
             raise endpoint_errors.EndpointResponseLostError("no response")
 
-    async def report(self, target):
+    async def report(self, target, must_be_own=False):
         self.reported.append(target.endpoint_id)
         if target.endpoint_id in self.unresponsive:
             raise endpoint_errors.EndpointResponseLostError("no response")
