Check the end of unframed responses of endpoints that leave

Cause: raise_if_gone asked whether the endpoint had crashed; one that leaves has not.

Change: it asks whether the endpoint is still there.

Tests: test_stream_of_an_engine_that_leaves_is_complete demanded the fault: it had the engine leave and exit. It is replaced by two, stricter together: of an engine that leaves and is there, and of one that has left, whose stream is not complete.

--- a/bronzeslip/forwarding/crash_watch.py
+++ b/bronzeslip/forwarding/crash_watch.py
@@ -188,7 +188,7 @@
         """Raises an error if a response may have been cut off.
 
         A response that ends with its connection looks complete if its endpoint
-        is killed.
+        is killed, or exits while it leaves.
 
         Args:
             request: Request whose response has ended.
@@ -197,13 +197,13 @@
 
         Raises:
             endpoint_errors.EndpointResponseLostError: If the response ended
-                with its connection and the endpoint has crashed.
+                with its connection and the endpoint is gone.
         """
         if head.framing is not body_framing.BodyFraming.CONNECTION_END:
             return
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(_END_CHECK_WAIT_S):
-                if await self._has_crashed(request, target):
+                if await self._is_gone(request, target):
                     raise endpoint_errors.EndpointResponseLostError(
                         "the endpoint is gone at the end of its response"
                     )
@@ -240,6 +240,21 @@
         self._suspects.parts.add_crash(crash_id, lost.prompts)
         self._publisher.publish()
 
+    async def _is_gone(
+        self, request: admitted.AdmittedRequest, target: endpoint.Endpoint
+    ) -> bool:
+        """Probes an endpoint until it responds or is absent."""
+        health_path = request.service.health_path
+        while True:
+            try:
+                await self._client.check_presence(target, health_path)
+            except endpoint_errors.EndpointAbsentError:
+                return True
+            except endpoint_errors.EndpointError:
+                await asyncio.sleep(_MIN_PROBE_PAUSE_S)
+            else:
+                return False
+
     async def _has_crashed(
         self, request: admitted.AdmittedRequest, target: endpoint.Endpoint
     ) -> bool:
--- a/tests/forwarding/test_responses_that_end_with_their_connection.py
+++ b/tests/forwarding/test_responses_that_end_with_their_connection.py
@@ -1,8 +1,8 @@
 """Tests of responses with neither a length nor chunks.
 
 The connection of an endpoint that is killed ends like that of one that has sent
-its whole response. The end of such a response counts only if its endpoint is
-still there or has announced that it leaves.
+its whole response, and so does that of one that exits while it leaves. The end
+of such a response counts only if its endpoint is still there.
 """
 
 import unittest
@@ -57,8 +57,8 @@
         )
         await stream_run.StreamRun(self.components, request, self.reply).serve()
 
-    async def _serve_call(self, request_kind, *responses):
-        self._create("desk", responses, self._kill)
+    async def _serve_call(self, request_kind, *responses, on_sent=None):
+        self._create("desk", responses, on_sent or self._kill)
         request = forwarding_parts.admit(
             forwarding_parts.create_request(), request_kind
         )
@@ -70,7 +70,6 @@
         self.client.absent.add(target.endpoint_id)
 
     def _leave(self, target):
-        self._kill(target)
         self.components.endpoints.put(
             forwarding_parts.create_endpoint(
                 target.endpoint_id, state=endpoint.EndpointState.LEAVING
@@ -92,10 +91,32 @@
         self.assertEqual(self.reply.body, _EVENTS)
         self.assertFalse(self.reply.is_finished)
 
+    def _leave_and_exit(self, target):
+        self._leave(target)
+        self._kill(target)
+
     async def test_stream_of_an_engine_that_leaves_is_complete(self):
         await self._serve_stream(_response(_EVENTS), self._leave)
         self.assertTrue(self.reply.is_finished)
 
+    # Guards against ending a stream as complete that an engine cut by exiting
+    # after it had announced that it leaves.
+    async def test_stream_of_an_engine_that_left_is_not_complete(self):
+        with self.assertRaises(errors.ResponseInterruptedError):
+            await self._serve_stream(_response(_EVENTS), self._leave_and_exit)
+        self.assertEqual(self.reply.body, _EVENTS)
+        self.assertFalse(self.reply.is_finished)
+
+    # Guards against the same in the body of a call.
+    async def test_call_of_an_endpoint_that_left_is_lost(self):
+        with self.assertRaises(errors.OutcomeUnknownError):
+            await self._serve_call(
+                kind.RequestKind.AT_MOST_ONCE,
+                _response(b"par"),
+                on_sent=self._leave_and_exit,
+            )
+        self.assertFalse(self.reply.is_started)
+
     async def test_engine_that_does_not_respond_may_be_there(self):
         await self._serve_stream(_response(_EVENTS), self._stop_responding)
         self.assertTrue(self.reply.is_finished)
