Do not pass on a status that promises what the endpoint did not state

Evidence: test_status_alone_does_not_state_that_a_request_has_not_run failed before, for each of the three statuses.

--- a/bronzeslip/forwarding/call_forwarder.py
+++ b/bronzeslip/forwarding/call_forwarder.py
@@ -119,10 +119,16 @@
 
     Raises:
         endpoint_errors.EndpointRefusedError: If the request has not run.
+        endpoint_errors.EndpointResponseLostError: If the response would tell
+            the caller so though its endpoint does not.
     """
     if response.verdict is endpoint_client.RunVerdict.MAY_HAVE_RUN:
         return
     await response.close()
+    if response.verdict is endpoint_client.RunVerdict.UNSTATED:
+        raise endpoint_errors.EndpointResponseLostError(
+            f"status {response.head.status} without a statement on the run"
+        )
     raise endpoint_errors.EndpointRefusedError(
         f"status {response.head.status}, {response.verdict.value}"
     )
--- a/bronzeslip/forwarding/endpoint_client.py
+++ b/bronzeslip/forwarding/endpoint_client.py
@@ -18,6 +18,9 @@
     """What a response states about whether the request has run."""
 
     MAY_HAVE_RUN = "may-have-run"
+    # Callers take the status for a promise that the request has not run, but
+    # the endpoint does not state it.
+    UNSTATED = "unstated"
     NOT_RUN = "not-run"
     OTHER_ENDPOINT = "other-endpoint"
 
--- a/bronzeslip/platform/endpoint_response.py
+++ b/bronzeslip/platform/endpoint_response.py
@@ -17,6 +17,8 @@
 from bronzeslip.settings import entry
 
 _MISDIRECTED_STATUS = 421
+# Callers take these for the promise that a request has not run.
+_PROMISING_STATUSES = frozenset({408, 429, 503})
 _TIMEOUT_PREFIX = "timeout="
 # Response headers that apply only between endpoint and gateway.
 _UNFORWARDED_HEADERS = headers.HOP_BY_HOP | {
@@ -175,6 +177,8 @@
         return endpoint_client.RunVerdict.OTHER_ENDPOINT
     if headers.NOT_RUN.decode() in response.headers:
         return endpoint_client.RunVerdict.NOT_RUN
+    if response.status_code in _PROMISING_STATUSES:
+        return endpoint_client.RunVerdict.UNSTATED
     return endpoint_client.RunVerdict.MAY_HAVE_RUN
 
 
--- a/tests/platform/test_repeated_refusals.py
+++ b/tests/platform/test_repeated_refusals.py
@@ -8,6 +8,7 @@
 
 from bronzeslip import ids
 from bronzeslip.endpoints import directory
+from bronzeslip.forwarding import call_forwarder
 from bronzeslip.forwarding import dispatch
 from bronzeslip.forwarding import endpoint_client
 from bronzeslip.forwarding import endpoint_errors
@@ -100,6 +101,29 @@
                 await self._assert_refused("q1")
                 self.assertEqual(self.server.connection_count, 2)
 
+    # Guards against telling a caller "not run" by a status alone, which does
+    # not say whether the request has run.
+    async def test_status_alone_does_not_state_that_a_request_has_not_run(self):
+        for status in (
+            b"503 Service Unavailable",
+            b"429 Too Many Requests",
+            b"408 Request Timeout",
+        ):
+            with self.subTest(status=status):
+                await self._start_server(_refuse(status, b"", b"q1"))
+                request = forwarding_parts.create_request()
+                response = await self.client.send(
+                    dispatch.Dispatch(
+                        request=request,
+                        endpoint=self.endpoint,
+                        remaining_s=2.0,
+                    )
+                )
+                with self.assertRaises(
+                    endpoint_errors.EndpointResponseLostError
+                ):
+                    await call_forwarder.raise_if_not_run(response)
+
     async def test_kept_connection_carries_other_requests(self):
         refusals = [
             _refuse(*_REFUSALS[0], request_id)
