Split sending out of StreamRun

StreamSender sends a generation to engines and tracks where it may run; StreamRun relays and resumes.

--- a/bronzeslip/forwarding/run_stopper.py
+++ b/bronzeslip/forwarding/run_stopper.py
@@ -59,11 +59,12 @@
                 did not stop the run.
         """
         started_s = _now_s()
-        outcome = "stopped"
+        outcome = "cancelled"
         try:
             async with asyncio.timeout(_STOP_TIMEOUT_S):
                 copy = await self._stop_and_copy(source, copy)
                 await self._wait_until_unreported(source)
+            outcome = "stopped"
         except endpoint_errors.EndpointError as error:
             # The run has ended, with or without its engine.
             outcome = error.code
--- a/bronzeslip/forwarding/stream_run.py
+++ b/bronzeslip/forwarding/stream_run.py
@@ -4,27 +4,24 @@
 
 import msgspec
 
-from bronzeslip import ids
 from bronzeslip import logs
 from bronzeslip.endpoints import endpoint
 from bronzeslip.forwarding import admitted
 from bronzeslip.forwarding import buffered_response
-from bronzeslip.forwarding import call_forwarder
 from bronzeslip.forwarding import components
 from bronzeslip.forwarding import dispatch
 from bronzeslip.forwarding import endpoint_client
 from bronzeslip.forwarding import endpoint_errors
 from bronzeslip.forwarding import errors
 from bronzeslip.forwarding import response_writer
-from bronzeslip.forwarding import run_load
 from bronzeslip.forwarding import run_standby
 from bronzeslip.forwarding import run_stopper
 from bronzeslip.forwarding import standby_copy
 from bronzeslip.forwarding import stream_progress
+from bronzeslip.forwarding import stream_sender
 
 logger = logs.get_logger(__name__)
 
-_SERVER_ERROR_STATUS = 500
 # An engine that a prompt crashes ends within moments of its first token.
 _ANSWERED_AFTER_S = 1.0
 
@@ -42,15 +39,12 @@
         self._request = request
         self._writer = writer
         self._endpoint: endpoint.Endpoint | None = None
-        # Engine that received the request and may not have ended its run.
-        self._may_run_at: endpoint.Endpoint | None = None
-        self._tried: set[ids.EndpointId] = set()
-        self._run_count = 0
-        self._error_response: buffered_response.BufferedResponse | None = None
         self._progress = stream_progress.StreamProgress(
             request, shared.settings.event_max_bytes
         )
-        self._load = run_load.RunLoad(shared.in_flight, request)
+        self._sender = stream_sender.StreamSender(
+            shared, request, self._progress, writer
+        )
         self._standby = run_standby.RunStandby(shared, request)
         self._stopper = run_stopper.RunStopper(shared, request)
         self._is_answered = False
@@ -65,13 +59,12 @@
             await self._serve()
         except errors.ForwardingError:
             # The error response of an endpoint is more specific than ours.
-            if self._error_response is None or self._writer.is_started:
+            response = self._sender.error_response
+            if response is None or self._writer.is_started:
                 raise
-            await buffered_response.send_to_caller(
-                self._error_response, self._writer
-            )
+            await buffered_response.send_to_caller(response, self._writer)
         finally:
-            self._load.close()
+            self._sender.close()
             self._standby.stop()
 
     async def _serve(self) -> None:
@@ -91,69 +84,10 @@
     async def _send(
         self, chosen: endpoint.Endpoint, source: dispatch.ResumeSource | None
     ) -> endpoint_client.EndpointResponse:
-        self._load.register(chosen, has_copy=source is not None)
-        self._tried.add(chosen.endpoint_id)
-        self._error_response = None
-        response = await self._exchange(chosen, source)
-        self._run_count += 1
-        await self._raise_if_failed(response)
+        response = await self._sender.send(chosen, source)
         self._endpoint = chosen
-        logger.info(
-            "stream.sent",
-            request=self._request.request.request_id,
-            endpoint=chosen.endpoint_id,
-            events=self._progress.events,
-        )
-        return response
-
-    async def _exchange(
-        self, chosen: endpoint.Endpoint, source: dispatch.ResumeSource | None
-    ) -> endpoint_client.EndpointResponse:
-        """Sends the request and records whether the engine may run it."""
-        self._may_run_at = chosen
-        try:
-            response = await self._components.client.send(
-                dispatch.Dispatch(
-                    request=self._request.request,
-                    endpoint=chosen,
-                    remaining_s=self._request.remaining_s,
-                    workspace_id=self._request.workspace_id,
-                    priority=self._request.priority,
-                    source=source,
-                    after_event_id=self._progress.last_event_id,
-                )
-            )
-            await call_forwarder.raise_if_not_run(response)
-        except (
-            endpoint_errors.EndpointRefusedError,
-            endpoint_errors.EndpointUnreachableError,
-        ):
-            self._may_run_at = None
-            raise
         return response
 
-    async def _raise_if_failed(
-        self, response: endpoint_client.EndpointResponse
-    ) -> None:
-        """Raises an error if a run failed that may go on elsewhere."""
-        is_server_error = response.head.status >= _SERVER_ERROR_STATUS
-        if self._writer.is_started:
-            has_failed = not response.head.is_success
-        else:
-            has_failed = is_server_error and self._request.route.may_run_again
-        if has_failed:
-            self._error_response = await self._read(response)
-            raise endpoint_errors.EndpointResponseLostError(
-                f"status {response.head.status}"
-            )
-
-    async def _read(
-        self, response: endpoint_client.EndpointResponse
-    ) -> buffered_response.BufferedResponse:
-        return await buffered_response.read(
-            response, self._components.settings.response_max_bytes
-        )
-
     async def _relay(self, response: endpoint_client.EndpointResponse) -> bool:
         """Relays a response.
 
@@ -162,7 +96,7 @@
         """
         try:
             if not response.head.is_success:
-                buffered = await self._read(response)
+                buffered = await self._sender.read(response)
                 await buffered_response.send_to_caller(buffered, self._writer)
                 return True
             async for chunk in response.chunks():
@@ -267,20 +201,22 @@
         """
         if self._progress.last_event_id is None:
             return None
-        engine, self._may_run_at = self._may_run_at, None
+        engine = self._sender.may_run_at
         if engine is None:
             return copy
         try:
-            return await self._stopper.stop(engine, copy)
+            copy = await self._stopper.stop(engine, copy)
         except endpoint_errors.RunContinuesError as error:
             raise self._interruption_error(error.message) from error
+        self._sender.may_run_at = None
+        return copy
 
     @property
     def _may_run_again(self) -> bool:
         route = self._request.route
         return (
             route.may_run_again
-            and self._run_count < route.max_attempts
+            and self._sender.run_count < route.max_attempts
             and self._request.remaining_s > 0
         )
 
@@ -321,7 +257,7 @@
         await self._reject_if_quarantined()
         self._take_retry()
         chosen = await self._components.permitted_chooser.choose(
-            self._request, self._tried, reserved=0.0
+            self._request, self._sender.tried, reserved=0.0
         )
         return await self._send(chosen, None)
 
