Resume streams of services without engines as before

Found by reading: RunStopper assumed that each stream has a model engine, so a resumable stream of a plain service would have failed with AttributeError when its connection was lost. Such services are not asked to stop a run.

test_plain_service_is_not_called failed before.

--- a/bronzeslip/forwarding/run_stopper.py
+++ b/bronzeslip/forwarding/run_stopper.py
@@ -58,6 +58,9 @@
             endpoint_errors.RunContinuesError: If the engine can be reached and
                 did not stop the run.
         """
+        if self._request.service.engine is None:
+            # Plain services neither report nor stop their runs.
+            return copy
         started_s = _now_s()
         outcome = "cancelled"
         try:
--- a/tests/forwarding/test_run_stopper.py
+++ b/tests/forwarding/test_run_stopper.py
@@ -15,6 +15,7 @@
 from bronzeslip.forwarding import errors
 from bronzeslip.forwarding import run_stopper
 from bronzeslip.forwarding import stream_run
+from bronzeslip.routes import kind
 from tests.support import forwarding_parts
 from tests.support import scripted_endpoints
 
@@ -173,6 +174,19 @@
         self.engines.absent.add("one")
         self.assertIsNone(await asyncio.wait_for(self._stop(), 0.2))
 
+    # Guards against asking a plain service for a report that it does not have.
+    async def test_plain_service_is_not_called(self):
+        components = forwarding_parts.create_components(self.engines)
+        stopper = run_stopper.RunStopper(
+            components,
+            forwarding_parts.admit(
+                forwarding_parts.create_request(), kind.RequestKind.STREAM
+            ),
+        )
+        self.engines.working.add("one")
+        self.assertIsNone(await stopper.stop(self.source, None))
+        self.assertEqual(self.engines.stops, [])
+
     async def test_copy_of_the_stopped_run_is_returned(self):
         self.engines.working.add("one")
         copy = await self._stop()
