Do not read the body of a refused call twice

Cause: closing a refusal drains its body, and the HTTP library loops forever if a complete body is read again. Control calls read theirs first.

Change: a body whose reading has begun is not drained.

--- a/bronzeslip/platform/endpoint_response.py
+++ b/bronzeslip/platform/endpoint_response.py
@@ -49,6 +49,7 @@
         self._response = response
         self._connection = connection
         self._pool = pool
+        self._has_begun_body = False
         self._is_complete = False
         self.head = _head(response)
         self.verdict = _verdict(response)
@@ -61,6 +62,7 @@
             endpoint_errors.EndpointResponseLostError: If the body is
                 incomplete.
         """
+        self._has_begun_body = True
         try:
             async for chunk in paced_chunks.paced(self._response.stream):
                 yield chunk
@@ -125,7 +127,9 @@
         """Returns the connection to the pool, or closes it mid-response."""
         if self.verdict is not endpoint_client.RunVerdict.MAY_HAVE_RUN:
             self._record_refusal()
-            await self._drain_body()
+            # The HTTP client loops forever if a body is read twice.
+            if not self._has_begun_body:
+                await self._drain_body()
         await self._response.stream.aclose()
         keep_alive_s = _keep_alive_timeout_s(self._response)
         if self._is_complete and keep_alive_s > 0 and not self.is_leaving:
--- a/tests/platform/test_stopping_a_run.py
+++ b/tests/platform/test_stopping_a_run.py
@@ -45,6 +45,18 @@
             caught.exception, endpoint_errors.EndpointNotFoundError
         )
 
+    # Guards against reading the body of a refused call twice, which never ends
+    # and keeps the gateway from serving anything.
+    async def test_refused_call_ends(self):
+        for fields in (b"", b"Bronzeslip-Not-Executed: 1\r\n"):
+            for status in (b"503 Busy", b"429 Busy", b"408 Late"):
+                with self.subTest(status=status, fields=fields):
+                    refusal = raw_server.create_response(b"{}", status, fields)
+                    with self.assertRaises(
+                        endpoint_errors.EndpointRefusedError
+                    ):
+                        await self._stop(refusal)
+
 
 if __name__ == "__main__":
     unittest.main()
