Tell why a process ends and how much memory it uses

The hypotheses could not be told apart afterwards: an unexpected exception was logged without its module, a failed start only as a traceback, and nothing showed the memory of a process.

daemon.failed and daemon.ended state how a daemon ended, bronzeslip_process_resident_bytes shows its memory, and unexpected exceptions name their module. No other behaviour changes.

--- a/bronzeslip/daemon_command.py
+++ b/bronzeslip/daemon_command.py
@@ -12,6 +12,8 @@
 from bronzeslip import logs
 from bronzeslip.settings import parser
 
+logger = logs.get_logger(__name__)
+
 
 class Daemon(Protocol):
     """A program that runs until it is asked to shut down."""
@@ -64,4 +66,9 @@
 async def _create_and_run(
     create: Callable[[SettingsT], Daemon], settings: SettingsT
 ) -> None:
-    await create(settings).run()
+    try:
+        await create(settings).run()
+    except Exception as error:
+        logger.error("daemon.failed", reason=logs.describe(error))
+        raise
+    logger.info("daemon.ended")
--- a/bronzeslip/logs.py
+++ b/bronzeslip/logs.py
@@ -6,6 +6,7 @@
 import enum
 import json
 import logging as standard_logging
+import pathlib
 import re
 import traceback
 from typing import Any
@@ -121,7 +122,8 @@
     if error.__traceback__ is None:
         return name
     last = traceback.extract_tb(error.__traceback__)[-1]
-    return f"{name} in {last.name}, line {last.lineno}"
+    module = pathlib.PurePath(last.filename).stem
+    return f"{name} in {module}.{last.name}, line {last.lineno}"
 
 
 def configure(log_format: LogFormat, level: LogLevel) -> None:
--- a/bronzeslip/metrics/entry_metrics.py
+++ b/bronzeslip/metrics/entry_metrics.py
@@ -98,7 +98,8 @@
         self._attempts.inc({"result": result})
 
     def refresh(self) -> None:
-        """Updates the configuration version, endpoints and event counts."""
+        """Updates memory, configuration version, endpoints and event counts."""
+        super().refresh()
         table = self._current_table.table
         version = _NO_VERSION if table is None else table.version
         self._configuration_number.set({}, version)
--- a/bronzeslip/metrics/process_metrics.py
+++ b/bronzeslip/metrics/process_metrics.py
@@ -2,8 +2,12 @@
 
 import aioprometheus
 
+from bronzeslip import logs
+from bronzeslip import process_memory
 from bronzeslip.configuration import in_force
 
+logger = logs.get_logger(__name__)
+
 
 class ProcessMetrics:
     """Metrics of one process.
@@ -24,6 +28,11 @@
             registry=self.registry,
         )
         self._configuration_number.set({}, -1)
+        self._resident_memory = aioprometheus.Gauge(
+            "bronzeslip_process_resident_bytes",
+            "Resident memory of the process, in bytes",
+            registry=self.registry,
+        )
 
     def count_platform_call(self, kind: str, result: str) -> None:
         """Counts a call to the platform."""
@@ -42,6 +51,10 @@
 
     def refresh(self) -> None:
         """Updates metrics that are computed only when scraped."""
+        try:
+            self._resident_memory.set({}, process_memory.resident_bytes())
+        except OSError as error:
+            logger.info("process.memory_unknown", reason=str(error))
 
     def _counter(self, name: str, help_text: str) -> aioprometheus.Counter:
         return aioprometheus.Counter(name, help_text, registry=self.registry)
--- a/bronzeslip/metrics/sidecar_metrics.py
+++ b/bronzeslip/metrics/sidecar_metrics.py
@@ -56,6 +56,7 @@
 
     def refresh(self) -> None:
         """Sets the request and memory gauges from the current endpoint load."""
+        super().refresh()
         load = self._read_load()
         self._requests.set({"state": "running"}, load.running)
         self._requests.set({"state": "queued"}, load.queued)
