--- /dev/null
+++ b/bronzeslip/decoding/__init__.py
@@ -0,0 +1,1 @@
+"""Decoding of data from outside the process."""
