--- a/standins/object_store/app.py
+++ b/standins/object_store/app.py
@@ -29,6 +29,8 @@
     def __init__(self) -> None:
         self._store = store.ObjectStore()
         self._fault_mode = FaultMode.NONE
+        # Objects whose bytes are sent as they were written, by kind and name.
+        self._raw_objects: dict[tuple[str, str], bytes] = {}
 
     def app(self) -> litestar.Litestar:
         """Creates the ASGI application."""
@@ -51,6 +53,9 @@
                 litestar.post("/standin/forget", status_code=200)(
                     self._compact
                 ),
+                litestar.put(
+                    "/standin/raw/{kind:str}/{name:str}", status_code=200
+                )(self._put_raw),
             ],
             before_request=self._apply_fault,
             before_send=[self._add_era],
@@ -84,19 +89,40 @@
     ) -> litestar.Response:
         if watch is None:
             listing = {
-                "items": self._store.list_kind(kind),
+                "items": [
+                    self._rendered(kind, item)
+                    for item in self._store.list_kind(kind)
+                ],
                 "truncated": False,
                 "as_of": self._store.revision,
             }
             return _json_response(listing)
         changes = await self._store.changes(kind, watch, wait_ms / _MS_PER_S)
         events = [
-            {"object": change.object, "removed": change.removed}
+            {
+                "object": self._rendered(kind, change.object),
+                "removed": change.removed,
+            }
             for change in changes
         ]
         as_of = changes[-1].revision if changes else self._store.revision
         return _json_response({"events": events, "as_of": as_of})
 
+    async def _put_raw(
+        self, kind: str, name: str, request: litestar.Request
+    ) -> litestar.Response:
+        """Writes an object whose bytes may be no valid object."""
+        self._raw_objects[kind, name] = await request.body()
+        number = str(len(self._raw_objects))
+        await self._store.put_unconditionally(
+            kind, objects.StoredObject(objects.Metadata(name), number)
+        )
+        return _empty_response(200)
+
+    def _rendered(self, kind: str, stored: objects.StoredObject) -> Any:
+        raw = self._raw_objects.get((kind, stored.metadata.name))
+        return stored if raw is None else msgspec.Raw(raw)
+
     async def _get(self, kind: str, name: str) -> litestar.Response:
         return _json_response(self._store.get(kind, name))
 
--- a/standins/object_store/store.py
+++ b/standins/object_store/store.py
@@ -115,6 +115,12 @@
             kind, updated_object, current_object.metadata.create_revision
         )
 
+    async def put_unconditionally(
+        self, kind: str, stored_object: objects.StoredObject
+    ) -> objects.StoredObject:
+        """Creates or replaces an object, whatever its revision."""
+        return await self._put(kind, stored_object, self.revision + 1)
+
     async def remove(self, kind: str, name: str, revision: int) -> None:
         """Removes an object.
 
--- a/tools/entry_deployment.py
+++ b/tools/entry_deployment.py
@@ -109,6 +109,18 @@
             response = httpx.post(url, content=content)
         return response
 
+    def put_raw_object(self, kind: str, name: str, content: bytes) -> None:
+        """Writes an object that the store sends as these bytes."""
+        url = f"{self.store.http_url()}/standin/raw/{kind}/{name}"
+        httpx.put(url, content=content).raise_for_status()
+
+    def remove_object(self, kind: str, name: str) -> None:
+        """Removes an object if it exists, whatever its revision."""
+        url = f"{self.store.http_url()}/objects/{kind}/{name}"
+        response = httpx.delete(url)
+        if response.status_code != httpx.codes.NOT_FOUND:
+            response.raise_for_status()
+
     def object_names(self, kind: str) -> list[str]:
         """Lists the names of all objects of a kind."""
         object_list = httpx.get(
