Do not let a log line end the task that writes it

A field that can't be encoded (an integer of more than 4,300 digits, a lone surrogate, a value whose text raises) raised an exception out of the logging call, in whatever task was reporting a value of another program. A field of any length was written whole, so that names of a megabyte would have been queued up to 4,096 times.

Such values are now shown in ASCII, or as their type; texts are cut after 1,000 characters. test_values_that_cannot_be_encoded_are_described and test_long_values_are_cut failed before (7 subtests) and pass.

--- a/bronzeslip/logs.py
+++ b/bronzeslip/logs.py
@@ -20,6 +20,9 @@
 
 _NOISY_LIBRARIES = ("httpx", "httpcore", "uvicorn", "grpc")
 
+# Longer values are cut, since many lines may wait to be written.
+_MAX_VALUE_CHARS = 1_000
+
 _UNQUOTED_TEXT = re.compile(r"[A-Za-z0-9_.:/@%+,*~()\[\]{}'|;?!&<>#$^-]+")
 
 EventWriter = Callable[..., None]
@@ -106,9 +109,34 @@
 
 
 def _render(line: dict[str, Any], log_format: LogFormat) -> str:
+    """Renders a line, which may contain values that can't be encoded."""
+    try:
+        return _encode(line, log_format)
+    except Exception:  # Values come from other programs.
+        printable = {key: _printable(value) for key, value in line.items()}
+        return _encode(printable, log_format)
+
+
+def _encode(line: dict[str, Any], log_format: LogFormat) -> str:
+    shortened = {key: _shorten(value) for key, value in line.items()}
     if log_format is LogFormat.JSON:
-        return msgspec.json.encode(line, enc_hook=str).decode()
-    return " ".join(f"{key}={_quote(value)}" for key, value in line.items())
+        return msgspec.json.encode(shortened, enc_hook=str).decode()
+    return " ".join(
+        f"{key}={_quote(value)}" for key, value in shortened.items()
+    )
+
+
+def _shorten(value: Any) -> Any:
+    if isinstance(value, str) and len(value) > _MAX_VALUE_CHARS:
+        return f"{value[:_MAX_VALUE_CHARS]}... ({len(value)} characters)"
+    return value
+
+
+def _printable(value: Any) -> str:
+    try:
+        return ascii(value)
+    except Exception:
+        return f"({type(value).__name__} that can't be shown)"
 
 
 def _quote(value: Any) -> str:
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -41,6 +41,30 @@
         self.assertEqual(decoded["path"], 'a"\n')
         self.assertEqual(decoded["level"], "WARNING")
 
+    # Guards against a log line that ends the task which writes it.
+    def test_values_that_cannot_be_encoded_are_described(self):
+        for log_format in logs.LogFormat:
+            for value in ("\ud800", 10**5000, _Unprintable()):
+                with self.subTest(log_format=log_format, type=type(value)):
+                    line = self.write_line(log_format, reason=value)
+                    self.assertIn("thing.happened", line)
+                    line.encode()
+
+    # Guards against queued lines that fill the memory of the process.
+    def test_long_values_are_cut(self):
+        for log_format in logs.LogFormat:
+            with self.subTest(log_format=log_format):
+                line = self.write_line(log_format, key="k" * 1_000_000)
+                self.assertLess(len(line), 2_000)
+                self.assertIn("(1000000 characters)", line)
+
+
+class _Unprintable:
+    def __str__(self):
+        raise ValueError
+
+    __repr__ = __str__
+
 
 if __name__ == "__main__":
     unittest.main()
