Bound the bytes of queued log lines and survive a lost reader

The queue of log lines was bounded in lines only. A write error (a reader that is gone) ended the writing thread, so that the process logged nothing any more; on a non-blocking output that was full the thread turned without end.

The queue is bounded in characters too, a line whose reader is gone is dropped, and a full output is tried again after a delay.

--- a/bronzeslip/log_queue.py
+++ b/bronzeslip/log_queue.py
@@ -7,15 +7,44 @@
 import logging.handlers
 import queue
 import sys
+import time
 from typing import BinaryIO
 
-# Several seconds of lines at the rate limit, about 2 MB.
+# Several seconds of lines at the rate limit.
 _MAX_QUEUED_RECORDS = 4096
+_MAX_QUEUED_CHARS = 2_097_152
+# Delay before the next try to write to an output that accepts nothing.
+_RETRY_DELAY_S = 0.1
 # Time to write queued lines when the program ends; well below the time that
 # operators allow a process to terminate.
 _SHUTDOWN_TIMEOUT_S = 0.5
 
 
+class _RecordQueue(queue.Queue):
+    """Queue of records that is bounded in their number and in their size.
+
+    Its size is counted in characters, of which a record has one at least.
+    """
+
+    def __init__(self) -> None:
+        super().__init__(_MAX_QUEUED_CHARS)
+        self._queued_chars = 0
+
+    def _qsize(self) -> int:
+        if super()._qsize() >= _MAX_QUEUED_RECORDS:
+            return self.maxsize
+        return self._queued_chars
+
+    def _put(self, item: logging.LogRecord | None) -> None:
+        super()._put(item)
+        self._queued_chars += _size_chars(item)
+
+    def _get(self) -> logging.LogRecord | None:
+        item = super()._get()
+        self._queued_chars -= _size_chars(item)
+        return item
+
+
 class _DroppingHandler(logging.handlers.QueueHandler):
     """Queues records; counts those dropped because the queue is full."""
 
@@ -54,10 +83,19 @@
         self.lock = None
 
     def emit(self, record: logging.LogRecord) -> None:
-        """Writes a record as one line."""
-        unwritten = f"{self.format(record)}\n".encode()
+        """Writes a record as one line; drops it if its reader is gone."""
+        unwritten = f"{self.format(record)}\n".encode(errors="replace")
         while unwritten:
-            unwritten = unwritten[self._output.write(unwritten) :]
+            try:
+                written_bytes = self._output.write(unwritten)
+            except OSError:
+                # The next line may find a reader again.
+                return
+            if written_bytes is None:
+                # A non-blocking output accepts nothing for the moment.
+                time.sleep(_RETRY_DELAY_S)
+            else:
+                unwritten = unwritten[written_bytes:]
 
 
 class _BoundedListener(logging.handlers.QueueListener):
@@ -80,7 +118,7 @@
     Args:
         output: Stream to write to, standard output if None.
     """
-    records: queue.Queue = queue.Queue(_MAX_QUEUED_RECORDS)
+    records = _RecordQueue()
     root = logging.getLogger()
     previous_handlers = root.handlers[:]
     root.handlers[:] = [_DroppingHandler(records)]
@@ -104,6 +142,11 @@
     return open(sys.stdout.fileno(), "wb", buffering=0, closefd=False)
 
 
+def _size_chars(record: logging.LogRecord | None) -> int:
+    """Returns the size of a record, or of the mark that ends the queue."""
+    return 1 if record is None else 1 + len(record.getMessage())
+
+
 def _dropped_record(count: int) -> logging.LogRecord:
     line = {"level": "WARNING", "event": "logs.dropped", "count": count}
     return logging.makeLogRecord(
--- a/tests/test_log_queue.py
+++ b/tests/test_log_queue.py
@@ -33,6 +33,34 @@
         return super().write(text)
 
 
+class _FailingOutput(io.BytesIO):
+    """Output whose first writes fail."""
+
+    def __init__(self, failures):
+        super().__init__()
+        self._failures = failures
+
+    def write(self, text):
+        if self._failures:
+            self._failures -= 1
+            raise BrokenPipeError
+        return super().write(text)
+
+
+class _FullOutput(io.BytesIO):
+    """Non-blocking output that accepts nothing for the first writes."""
+
+    def __init__(self, refusals):
+        super().__init__()
+        self._refusals = refusals
+
+    def write(self, text):
+        if self._refusals:
+            self._refusals -= 1
+            return None
+        return super().write(text)
+
+
 class LogQueueTest(unittest.TestCase):
     def test_lines_reach_standard_output_in_order(self):
         output = io.BytesIO()
@@ -75,6 +103,40 @@
         self.assertEqual(program.wait(20), 0)
         self.assertEqual(program.stderr.read(), b"")
 
+    # Guards against queued lines that fill the memory of the process.
+    def test_size_of_queued_lines_is_bounded(self):
+        output = _BlockedOutput()
+        with (
+            mock.patch.object(log_queue, "_MAX_QUEUED_CHARS", 10_000),
+            log_queue.background_writer(output),
+        ):
+            for _ in range(1000):
+                logging.getLogger().error("%s", "x" * 1000)
+            output.released.set()
+        self.assertLess(len(output.getvalue()), 20_000)
+
+    # Guards against a reader that ends and stops all logging for good.
+    def test_lines_are_written_again_after_the_reader_was_gone(self):
+        output = _FailingOutput(failures=3)
+        with log_queue.background_writer(output):
+            for number in range(5):
+                logging.getLogger().error("line %d", number)
+        self.assertEqual(
+            output.getvalue().decode().splitlines(), ["line 3", "line 4"]
+        )
+
+    # Guards against a writer that turns without end on a full output.
+    def test_non_blocking_output_is_retried_after_a_delay(self):
+        output = _FullOutput(refusals=2)
+        with (
+            mock.patch.object(log_queue, "_RETRY_DELAY_S", 0.05),
+            log_queue.background_writer(output),
+        ):
+            started_s = time.monotonic()
+            logging.getLogger().error("line")
+        self.assertEqual(output.getvalue(), b"line\n")
+        self.assertGreaterEqual(time.monotonic() - started_s, 0.1)
+
     def test_handlers_are_restored(self):
         before = logging.getLogger().handlers[:]
         with log_queue.background_writer(io.BytesIO()):
