Share one unused TLS context between all transports

Each new connection to an endpoint and each control call created a TLS context that plain TCP never uses, with its memory and processor time.

--- a/bronzeslip/http/bounded_transport.py
+++ b/bronzeslip/http/bounded_transport.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 import contextvars
+import functools
 import ssl
 from typing import Any
 
@@ -13,6 +14,15 @@
 _IDLE_TIMEOUT_S = 5.0
 
 
+@functools.cache
+def _unused_ssl_context() -> ssl.SSLContext:
+    """Returns the context of all transports, which use plain TCP.
+
+    The HTTP client would create one with the CA certificates for each.
+    """
+    return ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+
+
 class _HeadLimit:
     """Counts the bytes read while a response head is awaited.
 
@@ -115,11 +125,7 @@
             max_connections: Limit on concurrent connections.
             socket_options: Options of the sockets.
         """
-        # Requests use plain TCP; an empty SSL context avoids loading the CA
-        # certificates for each transport.
-        super().__init__(
-            verify=ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT), trust_env=False
-        )
+        super().__init__(verify=_unused_ssl_context(), trust_env=False)
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=max_connections,
             keepalive_expiry=_IDLE_TIMEOUT_S,
