Collect garbage between tests, not within them

The test process holds up to 300,000 objects; a full collection stopped the event loop of the test that it fell into for up to 0.353 s (17 collections of over 0.05 s in one run of the 114 modules without processes), longer than the 0.3 s that a permit call may take. This is suspected of the failure of test_coordinator_does_not_decide_on_unknown_endpoints that is listed; it was not seen again, so the entry stays.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -2,6 +2,7 @@
 
 import argparse
 import faulthandler
+import gc
 import pathlib
 import sys
 import unittest
@@ -10,6 +11,8 @@
 _KNOWN_FAILURES_FILE = _ROOT / "KNOWN-RED.txt"
 _TEST_ENTRY_PREFIX = "test:"
 _TEST_TIMEOUT_S = 300
+# Allocated objects after which garbage is collected between two tests.
+_COLLECTED_AFTER_OBJECTS = 50_000
 
 
 def main() -> None:
@@ -27,6 +30,8 @@
     runner = unittest.TextTestRunner(
         verbosity=1, buffer=True, resultclass=_TimeoutResult
     )
+    # A collection within a test would stop its event loop for up to 0.4 s.
+    gc.disable()
     result = runner.run(suite)
     sys.exit(_report(result))
 
@@ -43,6 +48,9 @@
     def stopTest(self, test: unittest.TestCase) -> None:  # noqa: N802
         faulthandler.cancel_dump_traceback_later()
         super().stopTest(test)
+        allocated_objects, *_ = gc.get_count()
+        if allocated_objects > _COLLECTED_AFTER_OBJECTS:
+            gc.collect()
 
 
 def known_failures() -> tuple[str, ...]:
