Reject every unusable settings file with one error

Seen: a gateway that runs ends, with daemon.task_failed of task settings, when the settings file it rereads every five seconds is not UTF-8, holds a deeply nested value or a number of thousands of digits. Bounds of nan, inf, -1, 0 or 1e300 were adopted: a window of 0 divides by zero in each request with retries, and a ratio of 1e300 adds permits forever.

Cause: boot_file.read converted OSError, TOMLDecodeError and MsgspecError only; tomllib also raises UnicodeDecodeError, ValueError and RecursionError, and bounds had a type but no range.

Change: all of these become BootFileError, at most 1 MiB is read, and bounds, names and ports have ranges that msgspec checks.

--- a/bronzeslip/platform/boot_file.py
+++ b/bronzeslip/platform/boot_file.py
@@ -2,6 +2,7 @@
 
 import pathlib
 import tomllib
+from typing import Annotated
 from typing import Any
 
 import msgspec
@@ -14,6 +15,16 @@
 PATH_VARIABLE = "BRONZESLIP_BOOT"
 
 _MS_PER_S = 1000
+# Far more than the platform writes.
+_MAX_FILE_BYTES = 1_048_576
+
+_Text = Annotated[str, msgspec.Meta(min_length=1)]
+_Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
+_Amount = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+_WindowS = Annotated[float, msgspec.Meta(ge=0.001, le=1e9)]
+_DurationMs = Annotated[float, msgspec.Meta(ge=1, le=1e9)]
+# Each request earns this many permits, one at a time.
+_Ratio = Annotated[float, msgspec.Meta(ge=0, le=100)]
 
 
 class _Listen(msgspec.Struct):
@@ -22,11 +33,11 @@
 
 
 class _Bounds(msgspec.Struct):
-    grace_s: float
-    retry_ratio: float
-    retry_slack: float
-    retry_window_s: float
-    drain_ms: float
+    grace_s: _Amount
+    retry_ratio: _Ratio
+    retry_slack: _Amount
+    retry_window_s: _WindowS
+    drain_ms: _DurationMs
 
 
 class _Platform(msgspec.Struct):
@@ -34,11 +45,11 @@
 
 
 class _BootFile(msgspec.Struct):
-    node_name: str
-    ip: str
+    node_name: _Text
+    ip: _Text
     # First and last port for communication between nodes.
-    port_range: tuple[int, int]
-    zone: str
+    port_range: tuple[_Port, _Port]
+    zone: _Text
     zones: dict[str, str]
     listen: _Listen
     bounds: _Bounds
@@ -53,15 +64,35 @@
 
     Raises:
         errors.BootFileError: If the file can't be read, is not valid TOML, or
-            has a missing or mistyped field.
+            has a missing, mistyped or unusable field.
     """
     try:
-        with path.open("rb") as file:
-            document: dict[str, Any] = tomllib.load(file)
-        boot_settings = msgspec.convert(document, _BootFile)
-    except (OSError, tomllib.TOMLDecodeError, msgspec.MsgspecError) as error:
+        return _to_vm_config(_decode(_read_text(path)))
+    # tomllib raises other errors than its own for long numbers and for deeply
+    # nested values.
+    except (
+        OSError,
+        ValueError,
+        RecursionError,
+        msgspec.MsgspecError,
+        errors.AddressError,
+    ) as error:
         raise errors.BootFileError(f"{path}: {error}") from error
-    return _to_vm_config(boot_settings)
+
+
+def _read_text(path: pathlib.Path) -> str:
+    with path.open("rb") as file:
+        content = file.read(_MAX_FILE_BYTES + 1)
+    if len(content) > _MAX_FILE_BYTES:
+        raise errors.BootFileError(
+            f"{path}: larger than {_MAX_FILE_BYTES} bytes"
+        )
+    return content.decode()
+
+
+def _decode(text: str) -> _BootFile:
+    document: dict[str, Any] = tomllib.loads(text)
+    return msgspec.convert(document, _BootFile)
 
 
 def _to_vm_config(boot_settings: _BootFile) -> vm_config.VmConfig:
@@ -75,8 +106,8 @@
         caller_address=parse_address(boot_settings.listen.front),
         readiness_address=parse_address(boot_settings.listen.ready),
         store_address=parse_address(boot_settings.platform.address),
-        peer_address=vm_config.SocketAddress(
-            boot_settings.ip, boot_settings.port_range[0]
+        peer_address=parse_address(
+            f"{boot_settings.ip}:{boot_settings.port_range[0]}"
         ),
         bounds=vm_config.PlaceBounds(
             grace_s=boot_settings.bounds.grace_s,
--- /dev/null
+++ b/tests/platform/test_boot_file.py
@@ -0,0 +1,62 @@
+"""Tests of bronzeslip.platform.boot_file."""
+
+import pathlib
+import tempfile
+import unittest
+from unittest import mock
+
+from bronzeslip.platform import boot_file
+from bronzeslip.platform import errors
+from tests.platform import boot_files
+
+
+class BootFileTest(unittest.TestCase):
+    def setUp(self):
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.path = pathlib.Path(directory.name) / "settings.toml"
+
+    def read(self, content):
+        self.path.write_bytes(content)
+        return boot_file.read(self.path)
+
+    def test_unknown_fields_are_ignored(self):
+        sound = self.read(boot_files.SOUND.encode())
+        grown = self.read(f"{boot_files.SOUND}\n[new]\na = 1\n".encode())
+        self.assertEqual(grown, sound)
+
+    # Guards against exceptions of other types, which would end the process.
+    def test_unusable_files_raise_one_error(self):
+        for fault, content in boot_files.UNUSABLE.items():
+            with (
+                self.subTest(fault=fault),
+                self.assertRaises(errors.BootFileError),
+            ):
+                self.read(content)
+
+    # Guards against settings of a file that is still being written.
+    def test_each_cut_file_raises_the_error(self):
+        content = boot_files.SOUND.rstrip().encode()
+        for length in range(len(content)):
+            with (
+                self.subTest(length=length),
+                self.assertRaises(errors.BootFileError),
+            ):
+                self.read(content[:length])
+
+    def test_unreadable_paths_raise_the_error(self):
+        with self.assertRaises(errors.BootFileError):
+            boot_file.read(self.path)
+        with self.assertRaises(errors.BootFileError):
+            boot_file.read(self.path.parent)
+        with (
+            mock.patch.object(
+                pathlib.Path, "open", side_effect=OSError(24, "too many files")
+            ),
+            self.assertRaises(errors.BootFileError),
+        ):
+            boot_file.read(self.path)
+
+
+if __name__ == "__main__":
+    unittest.main()
