Log an unusable settings file once and tell of a new peer address

Seen: one settings.unreadable line every five seconds while a file stays unusable; no needs_restart when the address for other gateways changes, although it is read at the start only.

Change: the reloader logs a reason when it differs from the one before, and compares the peer address. The test of unusable files shows that the settings in force are kept and that the next usable file is adopted.

--- a/bronzeslip/platform/settings_reloader.py
+++ b/bronzeslip/platform/settings_reloader.py
@@ -34,6 +34,7 @@
         self._path = path
         self._this_vm = this_vm
         self._on_bounds_change = on_bounds_change
+        self._last_failure = ""
 
     async def run(self) -> None:
         """Checks for changes periodically until cancelled."""
@@ -45,9 +46,10 @@
         """Rereads the file; keeps the current settings if that fails."""
         try:
             loaded = boot_file.read(self._path)
-        except errors.AdapterError as error:
-            logger.error("settings.unreadable", reason=error.message)
+        except errors.BootFileError as error:
+            self._log_failure(error.message)
             return
+        self._last_failure = ""
         if loaded == self._this_vm:
             return
         if loaded.bounds != self._this_vm.bounds:
@@ -59,6 +61,12 @@
         )
         self._this_vm = loaded
 
+    def _log_failure(self, reason: str) -> None:
+        """Logs why the file can't be read, unless that is known already."""
+        if reason != self._last_failure:
+            logger.error("settings.unreadable", reason=reason)
+        self._last_failure = reason
+
 
 def _needs_restart(
     loaded: vm_config.VmConfig, previous: vm_config.VmConfig
@@ -68,5 +76,6 @@
         loaded.caller_address != previous.caller_address
         or loaded.readiness_address != previous.readiness_address
         or loaded.store_address != previous.store_address
+        or loaded.peer_address != previous.peer_address
         or loaded.failure_domain != previous.failure_domain
     )
--- a/tests/platform/test_settings_reloader.py
+++ b/tests/platform/test_settings_reloader.py
@@ -3,29 +3,11 @@
 import pathlib
 import tempfile
 import unittest
+from unittest import mock
 
 from bronzeslip.platform import boot_file
 from bronzeslip.platform import settings_reloader
-
-_SETTINGS_FILE = """
-node_name = "front-1"
-ip = "10.0.0.1"
-port_range = [7200, 7215]
-zone = "a-1"
-[zones]
-a-1 = "a"
-[listen]
-front = "10.0.0.1:8740"
-ready = "10.0.0.1:8749"
-[bounds]
-drain_ms = 2500
-grace_s = 8
-retry_ratio = 0.2
-retry_slack = 56
-retry_window_s = 10
-[platform]
-address = "10.0.0.9:8742"
-"""
+from tests.platform import boot_files
 
 
 class SettingsReloaderTest(unittest.TestCase):
@@ -33,8 +15,9 @@
         directory = tempfile.TemporaryDirectory()
         self.addCleanup(directory.cleanup)
         self.path = pathlib.Path(directory.name) / "settings.toml"
-        self.path.write_text(_SETTINGS_FILE)
+        self.path.write_text(boot_files.SOUND)
         self.bounds = []
+        self.logged = []
         self.reloader = settings_reloader.SettingsReloader(
             self.path, boot_file.read(self.path), self.bounds.append
         )
@@ -44,7 +27,9 @@
         self.assertEqual(self.bounds, [])
 
     def test_changed_bounds_are_applied_once(self):
-        self.path.write_text(_SETTINGS_FILE.replace("slack = 56", "slack = 7"))
+        self.path.write_text(
+            boot_files.SOUND.replace("slack = 56", "slack = 7")
+        )
         self.reloader.reload()
         self.reloader.reload()
         self.assertEqual([bounds.retry_slack for bounds in self.bounds], [7])
@@ -56,3 +41,37 @@
         self.path.unlink()
         self.reloader.reload()
         self.assertEqual(self.bounds, [])
+
+    # Guards against unusable bounds and against exceptions, which would end
+    # the process.
+    def test_settings_are_kept_until_the_file_is_usable(self):
+        for fault, content in boot_files.UNUSABLE.items():
+            with self.subTest(fault=fault):
+                self.path.write_bytes(content)
+                self.reloader.reload()
+                self.assertEqual(self.bounds, [])
+        self.path.write_text(
+            boot_files.SOUND.replace("grace_s = 8", "grace_s = 4")
+        )
+        self.reloader.reload()
+        self.assertEqual([bounds.grace_s for bounds in self.bounds], [4])
+
+    # Guards against a line every few seconds while a file stays unusable.
+    def test_a_failure_is_logged_once_until_the_file_is_usable(self):
+        for content in ("", "", boot_files.SOUND, "", "bounds = ["):
+            self.path.write_text(content)
+            with mock.patch.object(settings_reloader.logger, "error") as error:
+                self.reloader.reload()
+            self.logged.append(error.call_count)
+        self.assertEqual(self.logged, [1, 0, 0, 1, 1])
+
+    # Guards against a changed address for peers that is not told of.
+    def test_changed_addresses_need_a_restart(self):
+        for sound in ("7200", "8740", "8749", "8742"):
+            with (
+                self.subTest(port=sound),
+                mock.patch.object(settings_reloader.logger, "info") as info,
+            ):
+                self.path.write_text(boot_files.SOUND.replace(sound, "7000"))
+                self.reloader.reload()
+                self.assertTrue(info.call_args.kwargs["needs_restart"])
