--- /dev/null
+++ b/bronzeslip/platform/boot_file_reader.py
@@ -0,0 +1,45 @@
+"""Reads the settings file repeatedly."""
+
+import pathlib
+import time
+
+from bronzeslip import logs
+from bronzeslip.entry import vm_config
+from bronzeslip.platform import boot_file
+from bronzeslip.platform import errors
+
+logger = logs.get_logger(__name__)
+
+_REPEATED_LOG_INTERVAL_S = 60.0
+
+
+class BootFileReader:
+    """Reads the settings file; logs once why it is unusable, then rarely."""
+
+    def __init__(self, path: pathlib.Path) -> None:
+        """Creates a reader.
+
+        Args:
+            path: Path of the file.
+        """
+        self._path = path
+        self._last_reason = ""
+        self._logged_s = 0.0
+
+    def try_read(self) -> vm_config.VmConfig | None:
+        """Reads the file; returns None if it is unusable."""
+        try:
+            this_vm = boot_file.read(self._path)
+        except errors.BootFileError as error:
+            self._log(error.message)
+            return None
+        self._last_reason = ""
+        return this_vm
+
+    def _log(self, reason: str) -> None:
+        now_s = time.monotonic()
+        is_repeated = now_s - self._logged_s >= _REPEATED_LOG_INTERVAL_S
+        if reason != self._last_reason or is_repeated:
+            logger.error("settings.unreadable", reason=reason)
+            self._last_reason = reason
+            self._logged_s = now_s
--- a/bronzeslip/platform/gateway.py
+++ b/bronzeslip/platform/gateway.py
@@ -21,7 +21,6 @@
 from bronzeslip.forwarding import drain_deadline
 from bronzeslip.forwarding import report_poller
 from bronzeslip.metrics import entry_metrics
-from bronzeslip.platform import boot_file
 from bronzeslip.platform import configuration_follower
 from bronzeslip.platform import discovery_follower
 from bronzeslip.platform import endpoint_http
@@ -39,18 +38,17 @@
 
 
 def create(
-    settings: entry.EntrySettings, path: pathlib.Path
+    settings: entry.EntrySettings,
+    path: pathlib.Path,
+    this_vm: vm_config.VmConfig,
 ) -> daemon.EntryDaemon:
     """Creates a gateway.
 
     Args:
         settings: Settings of the gateway.
         path: Path of the platform's settings file.
-
-    Raises:
-        errors.BootFileError: If that file can't be read.
+        this_vm: Configuration read from that file.
     """
-    this_vm = boot_file.read(path)
     endpoint_directory = directory.EndpointDirectory(settings)
     current_table = current.CurrentTable()
     metrics = entry_metrics.EntryMetrics(current_table, endpoint_directory)
--- a/bronzeslip/platform/settings_reloader.py
+++ b/bronzeslip/platform/settings_reloader.py
@@ -6,8 +6,7 @@
 
 from bronzeslip import logs
 from bronzeslip.entry import vm_config
-from bronzeslip.platform import boot_file
-from bronzeslip.platform import errors
+from bronzeslip.platform import boot_file_reader
 
 logger = logs.get_logger(__name__)
 
@@ -31,10 +30,9 @@
             this_vm: Configuration read from the file at startup.
             on_bounds_change: Called with the new bounds when they have changed.
         """
-        self._path = path
+        self._reader = boot_file_reader.BootFileReader(path)
         self._this_vm = this_vm
         self._on_bounds_change = on_bounds_change
-        self._last_failure = ""
 
     async def run(self) -> None:
         """Checks for changes periodically until cancelled."""
@@ -44,13 +42,8 @@
 
     def reload(self) -> None:
         """Rereads the file; keeps the current settings if that fails."""
-        try:
-            loaded = boot_file.read(self._path)
-        except errors.BootFileError as error:
-            self._log_failure(error.message)
-            return
-        self._last_failure = ""
-        if loaded == self._this_vm:
+        loaded = self._reader.try_read()
+        if loaded is None or loaded == self._this_vm:
             return
         if loaded.bounds != self._this_vm.bounds:
             self._on_bounds_change(loaded.bounds)
@@ -61,12 +54,6 @@
         )
         self._this_vm = loaded
 
-    def _log_failure(self, reason: str) -> None:
-        """Logs why the file can't be read, unless that is known already."""
-        if reason != self._last_failure:
-            logger.error("settings.unreadable", reason=reason)
-        self._last_failure = reason
-
 
 def _needs_restart(
     loaded: vm_config.VmConfig, previous: vm_config.VmConfig
--- a/tests/platform/test_settings_reloader.py
+++ b/tests/platform/test_settings_reloader.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 from bronzeslip.platform import boot_file
+from bronzeslip.platform import boot_file_reader
 from bronzeslip.platform import settings_reloader
 from tests.platform import boot_files
 
@@ -60,7 +61,7 @@
     def test_a_failure_is_logged_once_until_the_file_is_usable(self):
         for content in ("", "", boot_files.SOUND, "", "bounds = ["):
             self.path.write_text(content)
-            with mock.patch.object(settings_reloader.logger, "error") as error:
+            with mock.patch.object(boot_file_reader.logger, "error") as error:
                 self.reloader.reload()
             self.logged.append(error.call_count)
         self.assertEqual(self.logged, [1, 0, 0, 1, 1])
--- a/tools/entry_gateway.py
+++ b/tools/entry_gateway.py
@@ -38,12 +38,14 @@
     Attributes:
         process: The current process.
         proxy: Proxy through which the gateway reaches the store.
+        boot_path: Path of the boot file.
+        host: Address that the gateway listens on.
     """
 
     def __init__(self, name: str, folder: str, store_port: int) -> None:
         self._name = name
-        self._boot_path = pathlib.Path(folder) / f"{name}.toml"
-        self._host = loopback_address.host()
+        self.boot_path = pathlib.Path(folder) / f"{name}.toml"
+        self.host = loopback_address.host()
         self._front_port = loopback_address.next_port()
         self._ready_port = loopback_address.next_port()
         self._peer_port = loopback_address.next_port()
@@ -61,7 +63,7 @@
             "--gateway-refresh-s=0.1",
             "--store-staleness-s=0",
             f"--metrics-port={self._metrics_port}",
-            environment={"BRONZESLIP_BOOT": str(self._boot_path)},
+            environment={"BRONZESLIP_BOOT": str(self.boot_path)},
         )
 
     @property
@@ -69,12 +71,22 @@
         """VM id of the gateway."""
         return self._name
 
+    @property
+    def ports(self) -> dict[str, int]:
+        """Ports that the gateway listens on, by what they are for."""
+        return {
+            "callers": self._front_port,
+            "readiness": self._ready_port,
+            "peers": self._peer_port,
+            "metrics": self._metrics_port,
+        }
+
     def write_boot_file(self, retry_slack: int = 50) -> None:
         """Writes the boot file, which holds the settings of the gateway."""
-        self._boot_path.write_text(
+        self.boot_path.write_text(
             _BOOT_FILE_TEMPLATE.format(
                 name=self._name,
-                host=self._host,
+                host=self.host,
                 front=self._front_port,
                 ready=self._ready_port,
                 peer=self._peer_port,
@@ -85,18 +97,18 @@
 
     def url(self, path: str) -> str:
         """Returns the URL that callers use for a path."""
-        return f"http://{self._host}:{self._front_port}{path}"
+        return f"http://{self.host}:{self._front_port}{path}"
 
     def fetch_metrics(self) -> str:
         """Fetches the metrics page."""
         return httpx.get(
-            f"http://{self._host}:{self._metrics_port}/metrics"
+            f"http://{self.host}:{self._metrics_port}/metrics"
         ).text
 
     def readiness_status(self) -> int:
         """Returns the HTTP status of the readiness check, 0 if unreachable."""
         try:
-            url = f"http://{self._host}:{self._ready_port}/ready"
+            url = f"http://{self.host}:{self._ready_port}/ready"
             return httpx.get(url).status_code
         except httpx.TransportError:
             return 0
