Wait for ports that are taken at the start

Seen: a gateway that starts while the port for callers, readiness, other gateways or metrics is taken for some seconds, for example by the process before it, ends at once with a traceback, whichever port it is. So does a start on an address that the machine has not been given yet.

Cause: HttpServer.start bound the port once and raised.

It logs http.port_taken once and http.listening later. A server that stops meanwhile gives up the wait. A gateway is ready only once the port for callers is bound.

After: tests.http.test_server and test_starts' cases of ports pass.

--- a/bronzeslip/entry/daemon.py
+++ b/bronzeslip/entry/daemon.py
@@ -146,7 +146,11 @@
     def _create_readiness_app(self) -> litestar.Litestar:
         return _create_app(
             *health.handlers(
-                lambda: self._readiness.is_ready, ready_path="/ready"
+                lambda: (
+                    self._caller_server.is_listening
+                    and self._readiness.is_ready
+                ),
+                ready_path="/ready",
             )
         )
 
--- a/bronzeslip/http/server.py
+++ b/bronzeslip/http/server.py
@@ -4,18 +4,15 @@
 from collections.abc import Iterator
 import contextlib
 import functools
-import socket
 from typing import Any
 
 import uvicorn
 
 from bronzeslip.http import connection_limits
 from bronzeslip.http import limited_protocol
+from bronzeslip.http import listener
 from bronzeslip.settings import http
 
-_BACKLOG = 2048
-_MS_PER_S = 1000
-
 
 class _Server(uvicorn.Server):
     @contextlib.contextmanager
@@ -40,11 +37,7 @@
             limits_source: Returns connection limits that may change while the
                 server runs; defaults to the limits of the settings.
         """
-        self._address = (settings.listen_address, settings.http_port)
-        self._stall_timeout_ms = round(
-            settings.caller_stall_timeout_s * _MS_PER_S
-        )
-        self._socket: socket.socket | None = None
+        self._listener = listener.Listener(settings)
         config = uvicorn.Config(
             app,
             http=functools.partial(
@@ -64,23 +57,21 @@
 
     @property
     def port(self) -> int:
-        """Port that the started server listens on."""
-        return self._socket.getsockname()[1]
+        """Port that the started server listens on, or will listen on."""
+        return self._listener.port
+
+    @property
+    def is_listening(self) -> bool:
+        """Whether callers can connect."""
+        return self._listener.is_open
 
     def start(self) -> None:
-        """Binds the port and starts accepting connections."""
-        self._socket = socket.create_server(self._address, backlog=_BACKLOG)
-        # Accepted sockets inherit these options. asyncio itself sets
-        # TCP_NODELAY only on sockets created with an explicit protocol number.
-        self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        # Also applies when the peer keeps its receive window closed, not only
-        # to missing acknowledgements.
-        self._socket.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, self._stall_timeout_ms
-        )
-        self._task = asyncio.create_task(
-            self._server.serve(sockets=[self._socket])
-        )
+        """Listens and accepts connections, later if the port is taken."""
+        self._listener.try_open()
+        self._task = asyncio.create_task(self._serve())
+
+    async def _serve(self) -> None:
+        await self._server.serve(sockets=[await self._listener.wait_open()])
 
     async def stop(self) -> None:
         """Stops accepting connections and waits for running requests."""
@@ -95,6 +86,7 @@
 
     async def _wait_closed(self) -> None:
         if self._task is not None:
+            if not self.is_listening:
+                self._task.cancel()
             await asyncio.wait((self._task,))
-        if self._socket is not None:
-            self._socket.close()
+        self._listener.close()
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -1,5 +1,7 @@
-"""Tests of the HTTP server with TLS."""
+"""Tests of the HTTP server with TLS and on ports that are taken."""
 
+import asyncio
+import socket
 import ssl
 import unittest
 
@@ -9,6 +11,7 @@
 from bronzeslip.settings import errors
 from bronzeslip.settings import http
 from tests.support import certificates
+from tests.support import polling
 
 
 async def _app(scope, receive, send):
@@ -52,5 +55,48 @@
             settings.check()
 
 
+class TakenPortTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.holder = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(self.holder.close)
+        self.port = self.holder.getsockname()[1]
+
+    def create_server(self, **settings):
+        http_server = server.HttpServer(
+            _app, http.HttpSettings(http_port=self.port, **settings)
+        )
+        self.addAsyncCleanup(http_server.abort)
+        return http_server
+
+    # Guards against an OSError that ends the process at its start.
+    async def test_listens_once_the_port_is_free(self):
+        http_server = self.create_server()
+        http_server.start()
+        self.assertFalse(http_server.is_listening)
+        self.assertEqual(http_server.port, self.port)
+        self.holder.close()
+        await polling.wait_until(lambda: http_server.is_listening)
+        async with httpx.AsyncClient() as client:
+            response = await client.get(f"http://127.0.0.1:{self.port}/")
+        self.assertEqual(response.status_code, 204)
+
+    # Guards against an address that the machine has not been given yet.
+    async def test_an_absent_address_is_tried_again(self):
+        http_server = self.create_server(listen_address="192.0.2.1")
+        http_server.start()
+        self.assertFalse(http_server.is_listening)
+
+    # Guards against a shutdown that waits for a port.
+    async def test_stops_while_the_port_is_taken(self):
+        for name in ("stop", "abort"):
+            with self.subTest(method=name):
+                http_server = self.create_server()
+                http_server.start()
+                await asyncio.sleep(0)
+                async with asyncio.timeout(1):
+                    await getattr(http_server, name)()
+                self.assertFalse(http_server.is_listening)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/processes/test_starts.py
+++ b/tests/processes/test_starts.py
@@ -1,6 +1,7 @@
 """Tests of gateway processes that start in adverse conditions."""
 
 import signal
+import socket
 import time
 import unittest
 
@@ -69,6 +70,42 @@
                     "Traceback", "\n".join(self.gateway.process.lines)
                 )
 
+    # Guards against ending at the start if a port is still taken.
+    def test_waits_for_ports_that_are_taken(self):
+        for use, port in self.gateway.ports.items():
+            with self.subTest(use=use):
+                address = (self.gateway.host, port)
+                with socket.create_server(address):
+                    self.gateway.start()
+                    self.gateway.process.wait_for_line("http.port_taken")
+                    time.sleep(_WAITED_S)
+                    self.assertIsNone(self.gateway.process.exit_status)
+                self.gateway.process.wait_for_line("http.listening")
+                self.assert_serves()
+                self.gateway.process.stop()
+                self.assertEqual(self.gateway.process.exit_status, 0)
+
+    # Guards against callers that wait for a port which they do not use.
+    def test_serves_callers_while_other_ports_are_taken(self):
+        for use in ("peers", "metrics"):
+            address = (self.gateway.host, self.gateway.ports[use])
+            with self.subTest(use=use), socket.create_server(address):
+                self.gateway.start()
+                self.assert_serves()
+                self.gateway.process.stop()
+                self.assertEqual(self.gateway.process.exit_status, 0)
+
+    # Guards against readiness without a port that callers can connect to.
+    def test_is_not_ready_while_the_callers_port_is_taken(self):
+        address = (self.gateway.host, self.gateway.ports["callers"])
+        with socket.create_server(address):
+            self.gateway.start()
+            self.gateway.process.wait_for_line('"gateways.counted"')
+            self.gateway.process.wait_for_line('"configuration.adopted"')
+            self.assertEqual(self.gateway.readiness_status(), 503)
+            self.gateway.process.stop()
+            self.assertEqual(self.gateway.process.exit_status, 0)
+
 
 if __name__ == "__main__":
     unittest.main()
