Restart background tasks that fail instead of ending the process

What callers saw: a gateway, and with it all gateways of a fleet that read the same data, drained and ended by itself with status 0 and did so again after each restart.

Cause: BackgroundTasks requested a shutdown when any task raised an exception. Polls of single engines had the opposite fault: their task was dead and stayed in the poller's table, so the engine was never polled again.

Change: a task is a factory of coroutines. When it fails, it is logged (name, exception, module), counted as the event daemon.task_failed and run again after a jittered delay of 0.25 to 0.5 s that doubles up to 10 s and starts anew once the task has run for a minute. Tasks that end normally are not restarted. Each task was checked for running twice: - the registry keeps its registration and listings, and does not take the record it has just written for one that all others have listed; - the publisher repeats a write that was cut off; - the report poller starts the polls that its last run cancelled, and an unforeseen exception of one poll counts as a failed poll; - the reclaim of a sidecar keeps its time; - the spread node notices when its watch ends; - followers list again, the settings reloader has no state.

--- a/bronzeslip/background.py
+++ b/bronzeslip/background.py
@@ -5,28 +5,39 @@
 from collections.abc import Coroutine
 from typing import Any
 
+from bronzeslip import backoff
 from bronzeslip import logs
 
 logger = logs.get_logger(__name__)
 
+_MIN_RESTART_DELAY_S = 0.5
+_MAX_RESTART_DELAY_S = 10.0
+# A task that ran this long before it failed starts again with the first delay.
+_STABLE_AFTER_S = 60.0
+
+TaskFactory = Callable[[], Coroutine[Any, Any, None]]
+
 
 class BackgroundTasks:
-    """Group of asyncio tasks that logs failures and is cancelled as a whole."""
+    """Group of asyncio tasks that are restarted when they fail.
 
-    def __init__(self, on_failure: Callable[[], None]) -> None:
-        """Creates an empty group of tasks.
+    The daemon goes on without a task until it is restarted. A task that ends
+    without an exception is not restarted.
+    """
 
-        Args:
-            on_failure: Called when a task raises an exception.
-        """
-        self._on_failure = on_failure
+    def __init__(self) -> None:
         self._tasks: set[asyncio.Task] = set()
 
-    def start(self, name: str, coroutine: Coroutine[Any, Any, None]) -> None:
-        """Starts a coroutine as a task with a name."""
-        task = asyncio.create_task(coroutine, name=name)
+    def start(self, name: str, run: TaskFactory) -> None:
+        """Starts a task.
+
+        Args:
+            name: Name of the task in log lines.
+            run: Runs the task; called again after each failure.
+        """
+        task = asyncio.create_task(_supervise(name, run), name=name)
         self._tasks.add(task)
-        task.add_done_callback(self._on_done)
+        task.add_done_callback(self._tasks.discard)
 
     async def stop(self) -> None:
         """Cancels all tasks and waits until they have finished."""
@@ -36,13 +47,37 @@
         if tasks:
             await asyncio.wait(tasks)
 
-    def _on_done(self, task: asyncio.Task) -> None:
-        self._tasks.discard(task)
-        if task.cancelled() or task.exception() is None:
+
+async def _supervise(name: str, run: TaskFactory) -> None:
+    """Runs a task until it ends without an exception or is cancelled."""
+    loop = asyncio.get_running_loop()
+    restart_delay = backoff.Backoff(_MIN_RESTART_DELAY_S, _MAX_RESTART_DELAY_S)
+    while True:
+        started_s = loop.time()
+        error = await _run_once(run)
+        if error is None:
             return
+        if loop.time() - started_s >= _STABLE_AFTER_S:
+            restart_delay.reset()
+        delay_s = restart_delay.next_delay_s()
         logger.error(
             "daemon.task_failed",
-            task=task.get_name(),
-            reason=logs.describe(task.exception()),
+            task=name,
+            reason=logs.describe(error),
+            restart_in_s=round(delay_s, 3),
         )
-        self._on_failure()
+        await asyncio.sleep(delay_s)
+
+
+async def _run_once(run: TaskFactory) -> BaseException | None:
+    """Runs a task once; returns the exception with which it failed."""
+    try:
+        await run()
+    except asyncio.CancelledError as error:
+        if asyncio.current_task().cancelling():
+            raise
+        # Something that the task waited for was cancelled, not the task.
+        return error
+    except Exception as error:
+        return error
+    return None
--- a/bronzeslip/entry/daemon.py
+++ b/bronzeslip/entry/daemon.py
@@ -72,9 +72,7 @@
         self._begin_drain = begin_drain
         self._deregister = deregister
         self._signals = shutdown.ShutdownSignals()
-        self._background_tasks = background.BackgroundTasks(
-            self._signals.request
-        )
+        self._background_tasks = background.BackgroundTasks()
         self._caller_server = server.HttpServer(
             app,
             _create_http_settings(this_vm.caller_address),
@@ -107,7 +105,7 @@
         if self._settings.metrics_port:
             self._metrics_server.start()
         for task in self._named_tasks:
-            self._background_tasks.start(task.name, task.coroutine)
+            self._background_tasks.start(task.name, task.run)
         logger.info("entry.listening", vm=self._this_vm.vm_id)
         await self._signals.requested.wait()
         await self._drain()
--- a/bronzeslip/entry/gateway_registry.py
+++ b/bronzeslip/entry/gateway_registry.py
@@ -154,10 +154,16 @@
         return standing.Standing.NONE
 
     async def run(self) -> None:
-        """Registers this gateway, then counts until cancelled."""
-        await self._register()
-        # All gateways start at the same time; an earlier count is too low.
-        await self._wait_for_refresh(self._refresh_s)
+        """Registers this gateway, then counts until cancelled.
+
+        When it runs again after a failure, the registration and the listings
+        of the run before remain valid.
+        """
+        if math.isinf(self._registered_s):
+            await self._register()
+        if not self._listings:
+            # All gateways start at the same time; an earlier count is too low.
+            await self._wait_for_refresh(self._refresh_s)
         await self._refresh_until_cancelled()
 
     def refresh_soon(self) -> None:
--- a/bronzeslip/entry/named_task.py
+++ b/bronzeslip/entry/named_task.py
@@ -1,13 +1,17 @@
 """Background task that runs until a daemon shuts down."""
 
-from collections.abc import Coroutine
-from typing import Any
-
 import msgspec
 
+from bronzeslip import background
+
 
 class NamedTask(msgspec.Struct, frozen=True):
-    """A coroutine and the name under which it is logged."""
+    """A task and the name under which it is logged.
+
+    Attributes:
+        name: Name of the task.
+        run: Runs the task; called again after each failure.
+    """
 
     name: str
-    coroutine: Coroutine[Any, Any, None]
+    run: background.TaskFactory
--- a/bronzeslip/entry/suspect_replicator.py
+++ b/bronzeslip/entry/suspect_replicator.py
@@ -78,6 +78,6 @@
     def tasks(self) -> tuple[named_task.NamedTask, ...]:
         """Returns the background tasks of the replication."""
         return (
-            named_task.NamedTask("suspects", self._follower.run()),
-            named_task.NamedTask("suspect-writes", self.publisher.run()),
+            named_task.NamedTask("suspects", self._follower.run),
+            named_task.NamedTask("suspect-writes", self.publisher.run),
         )
--- a/bronzeslip/forwarding/report_poller.py
+++ b/bronzeslip/forwarding/report_poller.py
@@ -78,32 +78,46 @@
         for endpoint_id in self._tasks.keys() - engines.keys():
             self._tasks.pop(endpoint_id).cancel()
             self._reports.remove(endpoint_id)
-        for endpoint_id in engines.keys() - self._tasks.keys():
-            self._tasks[endpoint_id] = asyncio.create_task(
-                self._poll(engines[endpoint_id]), name=f"report {endpoint_id}"
-            )
+        for endpoint_id, engine in engines.items():
+            task = self._tasks.get(endpoint_id)
+            # The tasks of a run that has failed are done.
+            if task is None or task.done():
+                self._tasks[endpoint_id] = asyncio.create_task(
+                    self._poll(engine), name=f"report {endpoint_id}"
+                )
 
     async def _poll(self, engine: endpoint.Endpoint) -> None:
         failures = 0
         while True:
-            try:
-                report = await self._client.report(engine)
-                failures = 0
-                self._reports.put(engine.endpoint_id, report)
-                if report.is_leaving:
-                    self._endpoints.mark_leaving(engine)
-            except endpoint_errors.EndpointError as error:
-                failures += 1
-                logger.info(
-                    "reports.failed",
-                    endpoint=engine.endpoint_id,
-                    reason=error.message,
-                )
+            failures = 0 if await self._poll_once(engine) else failures + 1
             self._endpoints.set_reachable(engine, failures < _MAX_FAILURES)
             await asyncio.sleep(
                 _RETRY_INTERVAL_S if failures else self._interval_s(engine)
             )
 
+    async def _poll_once(self, engine: endpoint.Endpoint) -> bool:
+        """Fetches a report; returns whether there is a valid one."""
+        try:
+            report = await self._client.report(engine)
+            self._reports.put(engine.endpoint_id, report)
+            if report.is_leaving:
+                self._endpoints.mark_leaving(engine)
+        except endpoint_errors.EndpointError as error:
+            logger.info(
+                "reports.failed",
+                endpoint=engine.endpoint_id,
+                reason=error.message,
+            )
+            return False
+        except Exception as error:
+            logger.error(
+                "reports.failed_unexpectedly",
+                endpoint=engine.endpoint_id,
+                reason=logs.describe(error),
+            )
+            return False
+        return True
+
     def _interval_s(self, engine: endpoint.Endpoint) -> float:
         """Returns the time until the next poll of an engine, in seconds.
 
--- a/bronzeslip/gateway/daemon.py
+++ b/bronzeslip/gateway/daemon.py
@@ -30,7 +30,7 @@
     def __init__(self, settings: gateway.GatewaySettings) -> None:
         self._settings = settings
         self._signals = shutdown.ShutdownSignals()
-        self._tasks = background.BackgroundTasks(self._signals.request)
+        self._tasks = background.BackgroundTasks()
         metrics = gateway_metrics.GatewayMetrics()
         self._platform = platform_client.PlatformClient(
             settings.platform_url,
@@ -73,11 +73,11 @@
         self._signals.install()
         await self._peers.start()
         self._http.start()
-        self._tasks.start("spread", self._replication.run())
-        self._tasks.start("registration", self._registrar.maintain())
-        self._tasks.start("vm sweeper", self._vm_sweeper.run())
-        self._tasks.start("readiness", self._set_ready_when_configured())
-        self._tasks.start("claim sweeper", self._claim_sweeper.run())
+        self._tasks.start("spread", self._replication.run)
+        self._tasks.start("registration", self._registrar.maintain)
+        self._tasks.start("vm sweeper", self._vm_sweeper.run)
+        self._tasks.start("readiness", self._set_ready_when_configured)
+        self._tasks.start("claim sweeper", self._claim_sweeper.run)
         self._start_suspect_tasks()
         logger.info(
             "gateway.listening",
@@ -93,8 +93,8 @@
         follower = self._replication.hub.create_follower(
             suspect_list.SUSPECTS_PREFIX, suspects.on_list, suspects.on_event
         )
-        self._tasks.start("suspects", follower.run())
-        self._tasks.start("suspect-writes", self._state.suspect_publisher.run())
+        self._tasks.start("suspects", follower.run)
+        self._tasks.start("suspect-writes", self._state.suspect_publisher.run)
 
     async def _set_ready_when_configured(self) -> None:
         await self._replication.configuration.wait_for(
@@ -105,7 +105,7 @@
     async def _drain(self) -> None:
         """Fails the readiness check, then waits for running requests to end."""
         self._state.ready = False
-        self._tasks.start("announcement", self._registrar.announce_draining())
+        self._tasks.start("announcement", self._registrar.announce_draining)
         finished = await self._signals.run_unless_forced(self._stop_http())
         if not finished:
             await self._http.abort()
--- a/bronzeslip/platform/gateway.py
+++ b/bronzeslip/platform/gateway.py
@@ -124,8 +124,8 @@
                 settings, this_vm, store, forwarding_components, replicator
             ),
             *replicator.tasks(),
-            named_task.NamedTask("registry", registry.run()),
-            named_task.NamedTask("settings", reloader.run()),
+            named_task.NamedTask("registry", registry.run),
+            named_task.NamedTask("settings", reloader.run),
         ),
         reloader.reload,
         drain.begin,
@@ -179,9 +179,9 @@
         restart_watches,
     )
     return (
-        named_task.NamedTask("configuration", configuration.run()),
-        named_task.NamedTask("discovery", discovery.run()),
-        named_task.NamedTask("reports", poller.run()),
+        named_task.NamedTask("configuration", configuration.run),
+        named_task.NamedTask("discovery", discovery.run),
+        named_task.NamedTask("reports", poller.run),
     )
 
 
--- a/bronzeslip/routing/suspect_publisher.py
+++ b/bronzeslip/routing/suspect_publisher.py
@@ -72,6 +72,9 @@
 
     async def run(self) -> None:
         """Writes changes and deletes abandoned records until cancelled."""
+        if self._written_revision < self._requested_revision:
+            # A write of the run before may have failed.
+            self._changed.set()
         while True:
             try:
                 async with asyncio.timeout(_CLEANUP_INTERVAL_S):
--- a/bronzeslip/sidecar/daemon.py
+++ b/bronzeslip/sidecar/daemon.py
@@ -1,6 +1,7 @@
 """Sidecar process."""
 
 import asyncio
+import functools
 
 import msgspec
 
@@ -44,7 +45,7 @@
         self._incarnation_id = ids.IncarnationId(ids.random_id())
         self._ready = False
         self._signals = shutdown.ShutdownSignals()
-        self._tasks = background.BackgroundTasks(self._signals.request)
+        self._tasks = background.BackgroundTasks()
         metrics = sidecar_metrics.SidecarMetrics()
         self._cache = cache_index.CacheIndex(settings)
         self._admission = memory_gate.MemoryGate(settings)
@@ -107,12 +108,12 @@
         self._signals.install()
         await self._peers.start()
         self._http.start()
-        self._tasks.start("spread", self._replication.run())
-        self._tasks.start("registration", self._registrar.maintain())
-        self._tasks.start("load poller", self._poller.run())
-        self._tasks.start("sweep", self._generation_table.sweep())
-        self._tasks.start("leaving watch", self._reclaim_watcher.run())
-        self._tasks.start("orders", self._reconciler.run())
+        self._tasks.start("spread", self._replication.run)
+        self._tasks.start("registration", self._registrar.maintain)
+        self._tasks.start("load poller", self._poller.run)
+        self._tasks.start("sweep", self._generation_table.sweep)
+        self._tasks.start("leaving watch", self._reclaim_watcher.run)
+        self._tasks.start("orders", self._reconciler.run)
         self._tasks.start(
             "own record",
             self._replication.hub.create_follower(
@@ -135,11 +136,15 @@
     def _on_leaving(self) -> None:
         """Refuses new work and reports as lost what cannot end in time."""
         self._refuse_new_work()
-        self._tasks.start("reclaim", self._end_before_reclaim())
-
-    async def _end_before_reclaim(self) -> None:
         notice_s = self._settings.reclaim_notice_s
-        await asyncio.sleep(max(notice_s - _RECLAIM_MARGIN_S, 0.0))
+        end_s = asyncio.get_running_loop().time() + notice_s - _RECLAIM_MARGIN_S
+        self._tasks.start(
+            "reclaim", functools.partial(self._end_before_reclaim, end_s)
+        )
+
+    async def _end_before_reclaim(self, end_s: float) -> None:
+        remaining_s = end_s - asyncio.get_running_loop().time()
+        await asyncio.sleep(max(remaining_s, 0.0))
         logger.info("sidecar.reclaimed")
         self._generation_table.end_all(reason.LossReason.RECLAIMED)
 
@@ -147,9 +152,7 @@
         if self._ready:
             self._ready = False
             self._admission.drain()
-            self._tasks.start(
-                "announcement", self._registrar.announce_draining()
-            )
+            self._tasks.start("announcement", self._registrar.announce_draining)
 
     async def _drain(self) -> None:
         self._reclaim_watcher.ignore_record()
--- a/bronzeslip/spread/node.py
+++ b/bronzeslip/spread/node.py
@@ -100,12 +100,10 @@
     async def _watch_platform(self) -> None:
         while True:
             await self._wait_until(self.watches_platform)
-            watch_task = asyncio.create_task(self._source.watch())
-            try:
-                await self._wait_until(lambda: not self.watches_platform())
-            finally:
-                watch_task.cancel()
-                await asyncio.wait((watch_task,))
+            await workers.run_until_first(
+                self._source.watch(),
+                self._wait_until(lambda: not self.watches_platform()),
+            )
 
     async def _read_platform(self) -> None:
         """Lists the platform's objects while no source has fresh data."""
--- a/tests/entry/test_gateway_registry.py
+++ b/tests/entry/test_gateway_registry.py
@@ -26,6 +26,7 @@
     def __init__(self):
         self.values = {}
         self.is_unavailable = False
+        self.list_error = None
 
     def _raise_if_unavailable(self):
         if self.is_unavailable:
@@ -55,6 +56,8 @@
 
     async def list_objects(self, prefix, may_be_stale=False):
         self._raise_if_unavailable()
+        if self.list_error is not None:
+            raise self.list_error
         stored = tuple(
             objects.PlatformObject(
                 key, 1, msgspec.Raw(msgspec.json.encode(value))
@@ -232,3 +235,39 @@
         store.values.clear()
         registry.on_store_restored()
         await polling.wait_until(lambda: store.values)
+
+    # A registry that ran again after a failure lost its share of all limits.
+    async def test_registry_that_runs_again_keeps_its_standing(self):
+        store = _FakeStore()
+        registry = gateway_registry.GatewayRegistry(
+            _SETTINGS, store, forwarding_parts.create_peer("one")
+        )
+        first = asyncio.create_task(registry.run())
+        await polling.wait_until(registry._is_settled)
+        store.list_error = RecursionError()
+        with self.assertRaises(RecursionError):
+            await first
+        store.list_error = None
+        second = asyncio.create_task(registry.run())
+        self.addAsyncCleanup(self._stop, second)
+        await asyncio.sleep(0)
+        self.assertTrue(registry._is_settled())
+        before_s = registry._listings.latest_s
+        await polling.wait_until(lambda: registry._listings.latest_s > before_s)
+        self.assertEqual(list(store.values), [registry._key])
+
+    # A gateway that was registered a moment ago took itself for one that all
+    # others had listed.
+    async def test_new_registry_that_runs_again_has_no_standing(self):
+        store = _FakeStore()
+        store.list_error = RecursionError()
+        registry = gateway_registry.GatewayRegistry(
+            _SETTINGS, store, forwarding_parts.create_peer("one")
+        )
+        with self.assertRaises(RecursionError):
+            await registry.run()
+        store.list_error = None
+        second = asyncio.create_task(registry.run())
+        self.addAsyncCleanup(self._stop, second)
+        await polling.wait_until(lambda: registry.is_known)
+        self.assertFalse(registry._was_listed_before)
--- a/tests/forwarding/test_report_poller.py
+++ b/tests/forwarding/test_report_poller.py
@@ -20,10 +20,13 @@
 class _FakeClient:
     def __init__(self):
         self.next_report = forwarding_parts.create_report()
+        self.unforeseen_error = None
         self.count = 0
 
     async def report(self, target):
         self.count += 1
+        if self.unforeseen_error is not None:
+            raise self.unforeseen_error
         if self.next_report is None:
             raise endpoint_errors.EndpointUnreachableError("gone")
         return self.next_report
@@ -42,7 +45,7 @@
         self.in_flight = in_flight_requests.InFlightRequests()
         self.client = _FakeClient()
         self.reports = report_cache.ReportCache()
-        poller = report_poller.ReportPoller(
+        self.poller = report_poller.ReportPoller(
             settings,
             self.directory,
             watched_endpoints.WatchedEndpoints(
@@ -53,7 +56,7 @@
             self.reports,
             lambda: ("pool",),
         )
-        self.running = asyncio.create_task(poller.run())
+        self.running = asyncio.create_task(self.poller.run())
         self.addAsyncCleanup(self._stop)
 
     async def _stop(self):
@@ -103,6 +106,25 @@
         self.assertGreater(busy, 2 * quiet)
         self.assertGreater(busy, 2 * short)
 
+    # An unforeseen exception ended the polling of an engine for good.
+    async def test_engine_is_polled_again_after_an_unforeseen_exception(self):
+        await polling.wait_until(lambda: self.reports.get("one"))
+        self.client.unforeseen_error = RecursionError()
+        await polling.wait_until(lambda: not self.directory.is_usable(self.one))
+        self.client.unforeseen_error = None
+        self.client.next_report = forwarding_parts.create_report(used_tokens=7)
+        await polling.wait_until(lambda: self.directory.is_usable(self.one))
+        self.assertEqual(self.reports.get("one").report.used_tokens, 7)
+
+    # A poller that ran again after a failure polled none of its engines.
+    async def test_poller_that_runs_again_polls_all_engines(self):
+        await polling.wait_until(lambda: self.reports.get("one"))
+        await self._stop()
+        await asyncio.sleep(0)
+        before = self.client.count
+        self.running = asyncio.create_task(self.poller.run())
+        await polling.wait_until(lambda: self.client.count > before)
+
     async def _count_polls(self):
         await asyncio.sleep(_INTERVAL_S)
         before = self.client.count
