Keep following records when one of them raises an exception

What callers saw: endpoints, suspects, gateways or a configuration were no longer followed, and the gateway ended, after one record raised an exception that its decoder does not convert.

Cause: the followers of the store caught the errors of the store only. Any other exception of a callback, for one change or for one record of a listing, left the loop.

Change: PrefixFollower and LocalFollower log an exception of one change with its key and go on with the next; the same holds for progress and failure callbacks. A listing, or a call, that raises an unforeseen exception is logged and repeated after a delay that is reset only once a watch has been answered, so that it never becomes a tight loop. Readers of listings isolate each record: endpoints, configuration, suspects, gateways and members. The gateway registry counts a record that can't be read, as it counts those of older versions. The publisher deletes abandoned records one by one.

--- a/bronzeslip/configuration/watcher.py
+++ b/bronzeslip/configuration/watcher.py
@@ -1,5 +1,6 @@
 """Activates configurations as their platform objects arrive."""
 
+from bronzeslip import isolation
 from bronzeslip import logs
 from bronzeslip.configuration import errors
 from bronzeslip.configuration import in_force
@@ -28,10 +29,14 @@
             if manifest.segment_key(name) not in present:
                 self._cache.remove(manifest.segment_key(name))
         for stored in listed.objects:
-            self._cache_object(stored)
-        if not listed.objects:
-            await self._active_configuration.activate(record.EMPTY)
-        await self._activate_if_complete()
+            with isolation.isolated(
+                logger, "configuration.object_failed", key=stored.key
+            ):
+                self._cache_object(stored)
+        with isolation.isolated(logger, "configuration.not_activated"):
+            if not listed.objects:
+                await self._active_configuration.activate(record.EMPTY)
+            await self._activate_if_complete()
 
     async def on_event(self, event: objects.ObjectEvent) -> None:
         """Processes a change that followed the listing."""
--- a/bronzeslip/entry/gateway_registry.py
+++ b/bronzeslip/entry/gateway_registry.py
@@ -8,6 +8,7 @@
 import time
 
 from bronzeslip import ids
+from bronzeslip import isolation
 from bronzeslip import logs
 from bronzeslip.entry import gateway_listings
 from bronzeslip.entry import gateway_record
@@ -284,5 +285,7 @@
 def _address_of(
     stored: objects.PlatformObject,
 ) -> vm_config.SocketAddress | None:
-    record = gateway_record.decode(stored.value)
+    record = None
+    with isolation.isolated(logger, "gateways.record_failed", key=stored.key):
+        record = gateway_record.decode(stored.value)
     return None if record is None else record.peer_address
--- a/bronzeslip/forwarding/report_poller.py
+++ b/bronzeslip/forwarding/report_poller.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 
 from bronzeslip import ids
+from bronzeslip import isolation
 from bronzeslip import logs
 from bronzeslip.endpoints import directory
 from bronzeslip.endpoints import endpoint
@@ -61,7 +62,8 @@
         """Starts and stops tasks as endpoints change, until cancelled."""
         try:
             while True:
-                self._reconcile_tasks()
+                with isolation.isolated(logger, "reports.not_reconciled"):
+                    self._reconcile_tasks()
                 await self._endpoints.wait_for_change(
                     self._settings.report_interval_s
                 )
--- a/bronzeslip/membership/directory.py
+++ b/bronzeslip/membership/directory.py
@@ -3,9 +3,13 @@
 import msgspec
 
 from bronzeslip import ids
+from bronzeslip import isolation
+from bronzeslip import logs
 from bronzeslip.membership import member
 from bronzeslip.store import objects
 
+logger = logs.get_logger(__name__)
+
 
 class MemberDirectory:
     """Members by key, updated by a follower of the members' prefix."""
@@ -53,7 +57,10 @@
         self._gateways.clear()
         self._pools.clear()
         for found in listed.objects:
-            self._apply(found.key, found.value)
+            with isolation.isolated(
+                logger, "membership.record_failed", key=found.key
+            ):
+                self._apply(found.key, found.value)
 
     async def on_event(self, event: objects.ObjectEvent) -> None:
         """Applies one change after the listing."""
--- a/bronzeslip/platform/configuration_follower.py
+++ b/bronzeslip/platform/configuration_follower.py
@@ -55,4 +55,7 @@
         except errors.ConfigurationError as error:
             logger.error("configuration.unreadable", reason=error.message)
             return
+        except Exception as error:
+            logger.error("configuration.failed", reason=logs.describe(error))
+            return
         self._current_table.adopt(table)
--- a/bronzeslip/platform/discovery_follower.py
+++ b/bronzeslip/platform/discovery_follower.py
@@ -77,3 +77,11 @@
     except errors.EntryError as error:
         logger.warning("endpoints.unreadable_entry", reason=error.message)
         return None
+    except Exception as error:
+        # One entry must not hide the others.
+        logger.error(
+            "endpoints.entry_failed",
+            key=stored.key,
+            reason=logs.describe(error),
+        )
+        return None
--- a/bronzeslip/routing/suspect_list.py
+++ b/bronzeslip/routing/suspect_list.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from bronzeslip import ids
+from bronzeslip import isolation
 from bronzeslip import logs
 from bronzeslip.routing import part_quarantine
 from bronzeslip.routing import suspect_record
@@ -146,7 +147,9 @@
         for key in removed_keys - {self._own_key}:
             self._drop_record(key)
         for listed_object in listed.objects:
-            self._apply(listed_object.key, listed_object.value)
+            key = listed_object.key
+            with isolation.isolated(logger, "suspects.record_failed", key=key):
+                self._apply(key, listed_object.value)
 
     async def on_event(self, event: objects.ObjectEvent) -> None:
         """Applies a change of one record."""
--- a/bronzeslip/routing/suspect_publisher.py
+++ b/bronzeslip/routing/suspect_publisher.py
@@ -5,6 +5,7 @@
 import contextlib
 
 from bronzeslip import ids
+from bronzeslip import isolation
 from bronzeslip import logs
 from bronzeslip.membership import rendezvous
 from bronzeslip.routing import suspect_list
@@ -112,9 +113,13 @@
         for key in self._suspects.abandoned_keys(self._live_gateways()):
             if not self.is_chosen(key):
                 continue
-            try:
-                stored = await self._platform.get(key)
-                if stored is not None:
-                    await self._platform.delete(key, stored.version)
-            except errors.PlatformError as error:
-                logger.warning("suspects.delete_failed", reason=error.message)
+            with isolation.isolated(logger, "suspects.delete_failed", key=key):
+                await self._delete(key)
+
+    async def _delete(self, key: ids.ObjectKey) -> None:
+        try:
+            stored = await self._platform.get(key)
+            if stored is not None:
+                await self._platform.delete(key, stored.version)
+        except errors.PlatformError as error:
+            logger.warning("suspects.delete_failed", reason=error.message)
--- a/bronzeslip/spread/local_follower.py
+++ b/bronzeslip/spread/local_follower.py
@@ -4,10 +4,14 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
+from bronzeslip import isolation
+from bronzeslip import logs
 from bronzeslip.spread import change
 from bronzeslip.spread import prefix_state
 from bronzeslip.store import objects
 
+logger = logs.get_logger(__name__)
+
 OnList = Callable[[objects.ObjectList], Awaitable[None]]
 OnEvent = Callable[[objects.ObjectEvent], Awaitable[None]]
 
@@ -54,7 +58,10 @@
                 elif isinstance(update, change.Delta):
                     version = update.version
                     for event in update.events:
-                        await self._on_event(event)
+                        with isolation.isolated(
+                            logger, "spread.event_failed", key=event.key
+                        ):
+                            await self._on_event(event)
                 else:
                     await state_changed.wait()
         finally:
--- a/bronzeslip/store/follower.py
+++ b/bronzeslip/store/follower.py
@@ -3,11 +3,15 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 import random
+from typing import Any
 
 import msgspec
 
+from bronzeslip import backoff
 from bronzeslip import ids
+from bronzeslip import isolation
 from bronzeslip import logs
 from bronzeslip.store import errors
 from bronzeslip.store import objects
@@ -42,7 +46,12 @@
 
 
 class PrefixFollower:
-    """Passes every change under a prefix to callbacks."""
+    """Passes every change under a prefix to callbacks.
+
+    An unexpected exception of a callback for one change is logged and does not
+    affect the others. If a call or the callback for a listing raises one, the
+    objects are listed again after a delay.
+    """
 
     def __init__(
         self,
@@ -64,7 +73,7 @@
             on_event: Called with each later change, in order.
             on_progress: Called after each response with the version up to
                 which all changes have been passed to the callbacks.
-            on_failure: Called after each failed call.
+            on_failure: Called after each failed call or listing.
             timing: Waits, delays and rate limit.
         """
         self._store = store
@@ -78,6 +87,13 @@
             timing.rate_limit
         )
         self._waiting_watch: asyncio.Timeout | None = None
+        self._backoff = backoff.Backoff(
+            timing.min_backoff_s, timing.max_backoff_s
+        )
+        # Not reset by a listing, since the watch after it may fail each time.
+        self._unexpected_backoff = backoff.Backoff(
+            timing.min_backoff_s, timing.max_backoff_s
+        )
 
     def interrupt(self) -> None:
         """Ends a waiting watch call and lists again.
@@ -95,11 +111,10 @@
         Lists again when the watch has expired and, after a delay, when a call
         has failed.
         """
-        backoff_s = self._timing.min_backoff_s
         while True:
             try:
                 version = await self._list()
-                backoff_s = self._timing.min_backoff_s
+                self._backoff.reset()
                 await self._watch(version)
             except errors.WatchExpiredError:
                 # The watches of all gateways expire at the same moment.
@@ -110,10 +125,14 @@
                     prefix=self._prefix,
                     reason=error.message,
                 )
-                if self._on_failure is not None:
-                    self._on_failure()
-                await asyncio.sleep(backoff_s * random.uniform(0.5, 1.0))
-                backoff_s = min(backoff_s * 2, self._timing.max_backoff_s)
+                await self._wait_after_failure(self._backoff)
+            except Exception as error:
+                logger.error(
+                    "platform.follow_failed_unexpectedly",
+                    prefix=self._prefix,
+                    reason=logs.describe(error),
+                )
+                await self._wait_after_failure(self._unexpected_backoff)
 
     async def _list(self) -> ids.ObjectVersion:
         listing = await self._store.list_objects(self._prefix)
@@ -126,8 +145,10 @@
             if self._rate_limiter is not None:
                 await self._rate_limiter.acquire()
             batch = await self._wait_for_changes(version)
+            self._unexpected_backoff.reset()
             for event in batch.events:
-                await self._on_event(event)
+                with self._isolated("platform.event_failed", key=event.key):
+                    await self._on_event(event)
             version = batch.version
             self._report_progress(version)
             if batch.events and self._timing.batch_delay_s:
@@ -148,4 +169,16 @@
 
     def _report_progress(self, version: ids.ObjectVersion) -> None:
         if self._on_progress is not None:
-            self._on_progress(version)
+            with self._isolated("platform.progress_failed"):
+                self._on_progress(version)
+
+    async def _wait_after_failure(self, delay: backoff.Backoff) -> None:
+        if self._on_failure is not None:
+            with self._isolated("platform.failure_not_handled"):
+                self._on_failure()
+        await asyncio.sleep(delay.next_delay_s())
+
+    def _isolated(
+        self, event: str, **fields: Any
+    ) -> contextlib.AbstractContextManager[None]:
+        return isolation.isolated(logger, event, prefix=self._prefix, **fields)
--- a/tests/entry/test_gateway_registry.py
+++ b/tests/entry/test_gateway_registry.py
@@ -15,6 +15,7 @@
 from bronzeslip.store import errors
 from bronzeslip.store import objects
 from tests.support import forwarding_parts
+from tests.support import nested_json
 from tests.support import polling
 
 _SETTINGS = entry.EntrySettings(gateway_refresh_s=0.05, store_staleness_s=0.1)
@@ -236,6 +237,14 @@
         registry.on_store_restored()
         await polling.wait_until(lambda: store.values)
 
+    # One deeply nested record ended all gateways that counted each other.
+    async def test_record_that_cannot_be_decoded_is_counted(self):
+        store = _FakeStore()
+        store.values[gateway_registry.PREFIX + "bad"] = nested_json.OBJECT
+        store.values[gateway_registry.PREFIX + "other"] = None
+        registry = self._start(store, "one")
+        await polling.wait_until(lambda: registry.count == 3)
+
     # A registry that ran again after a failure lost its share of all limits.
     async def test_registry_that_runs_again_keeps_its_standing(self):
         store = _FakeStore()
--- a/tests/routing/test_suspect_list.py
+++ b/tests/routing/test_suspect_list.py
@@ -8,6 +8,7 @@
 from bronzeslip.routing import suspect_list
 from bronzeslip.routing import suspect_state
 from bronzeslip.store import objects
+from tests.support import nested_json
 
 _CLEAR = suspect_state.SuspectState.CLEAR
 _SUSPECT = suspect_state.SuspectState.SUSPECT
@@ -82,6 +83,21 @@
         await self.deliver_record(self.first, "g1", restarted)
         self.assertIn("f", restarted.own_record().entries)
 
+    # One deeply nested record ended all gateways that read the list.
+    async def test_record_that_cannot_be_decoded_does_not_hide_the_others(self):
+        self.first.add_crash("f", "c1")
+        sound = msgspec.Raw(msgspec.json.encode(self.first.own_record()))
+        await self.second.on_list(
+            objects.ObjectList(
+                1,
+                (
+                    objects.PlatformObject("suspects/a", 1, nested_json.OBJECT),
+                    objects.PlatformObject("suspects/g1", 1, sound),
+                ),
+            )
+        )
+        self.assertIs(self.second.state_of("f"), _SUSPECT)
+
 
 if __name__ == "__main__":
     unittest.main()
