Start with cautious bounds where the settings file has no usable ones

A settings file with one missing or unusable bound was rejected whole: a gateway that reads it waited forever, though everything that it needs to serve is there.

Each bound is decoded by itself now. One that can't be used is logged and keeps the value in force; at the start cautious values stand in.

--- a/bronzeslip/platform/boot_file.py
+++ b/bronzeslip/platform/boot_file.py
@@ -10,21 +10,16 @@
 from bronzeslip import ids
 from bronzeslip.entry import vm_config
 from bronzeslip.platform import errors
+from bronzeslip.platform import place_bounds
 
 # Environment variable that holds the path of the settings file.
 PATH_VARIABLE = "BRONZESLIP_BOOT"
 
-_MS_PER_S = 1000
 # Far more than the platform writes.
 _MAX_FILE_BYTES = 1_048_576
 
 _Text = Annotated[str, msgspec.Meta(min_length=1)]
 _Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
-_Amount = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
-_WindowS = Annotated[float, msgspec.Meta(ge=0.001, le=1e9)]
-_DurationMs = Annotated[float, msgspec.Meta(ge=1, le=1e9)]
-# Each request earns this many permits, one at a time.
-_Ratio = Annotated[float, msgspec.Meta(ge=0, le=100)]
 
 
 class _Listen(msgspec.Struct):
@@ -32,14 +27,6 @@
     ready: str
 
 
-class _Bounds(msgspec.Struct):
-    grace_s: _Amount
-    retry_ratio: _Ratio
-    retry_slack: _Amount
-    retry_window_s: _WindowS
-    drain_ms: _DurationMs
-
-
 class _Platform(msgspec.Struct):
     address: str
 
@@ -52,22 +39,26 @@
     zone: _Text
     zones: dict[str, str]
     listen: _Listen
-    bounds: _Bounds
     platform: _Platform
+    bounds: Any = None
 
 
-def read(path: pathlib.Path) -> vm_config.VmConfig:
+def read(
+    path: pathlib.Path,
+    known_bounds: vm_config.PlaceBounds = place_bounds.CAUTIOUS_BOUNDS,
+) -> vm_config.VmConfig:
     """Reads a settings file.
 
     Args:
         path: Path of the file.
+        known_bounds: Bounds to keep in place of those that can't be used.
 
     Raises:
         errors.BootFileError: If the file can't be read, is not valid TOML, or
             has a missing, mistyped or unusable field.
     """
     try:
-        return _to_vm_config(_decode(_read_text(path)))
+        return _to_vm_config(_decode(_read_text(path)), known_bounds)
     # tomllib raises other errors than its own for long numbers and for deeply
     # nested values.
     except (
@@ -95,7 +86,9 @@
     return msgspec.convert(document, _BootFile)
 
 
-def _to_vm_config(boot_settings: _BootFile) -> vm_config.VmConfig:
+def _to_vm_config(
+    boot_settings: _BootFile, known_bounds: vm_config.PlaceBounds
+) -> vm_config.VmConfig:
     return vm_config.VmConfig(
         vm_id=ids.VmId(boot_settings.node_name),
         failure_domain=ids.FailureDomainName(boot_settings.zone),
@@ -109,13 +102,7 @@
         peer_address=parse_address(
             f"{boot_settings.ip}:{boot_settings.port_range[0]}"
         ),
-        bounds=vm_config.PlaceBounds(
-            grace_s=boot_settings.bounds.grace_s,
-            retry_ratio=boot_settings.bounds.retry_ratio,
-            retry_slack=boot_settings.bounds.retry_slack,
-            retry_window_s=boot_settings.bounds.retry_window_s,
-            drain_s=boot_settings.bounds.drain_ms / _MS_PER_S,
-        ),
+        bounds=place_bounds.decode(boot_settings.bounds, known_bounds),
     )
 
 
--- a/bronzeslip/platform/boot_file_reader.py
+++ b/bronzeslip/platform/boot_file_reader.py
@@ -7,6 +7,7 @@
 from bronzeslip.entry import vm_config
 from bronzeslip.platform import boot_file
 from bronzeslip.platform import errors
+from bronzeslip.platform import place_bounds
 
 logger = logs.get_logger(__name__)
 
@@ -26,10 +27,16 @@
         self._last_reason = ""
         self._logged_s = 0.0
 
-    def try_read(self) -> vm_config.VmConfig | None:
-        """Reads the file; returns None if it is unusable."""
+    def try_read(
+        self, known_bounds: vm_config.PlaceBounds = place_bounds.CAUTIOUS_BOUNDS
+    ) -> vm_config.VmConfig | None:
+        """Reads the file; returns None if it is unusable.
+
+        Args:
+            known_bounds: Bounds to keep in place of those that can't be used.
+        """
         try:
-            this_vm = boot_file.read(self._path)
+            this_vm = boot_file.read(self._path, known_bounds)
         except errors.BootFileError as error:
             self._log(error.message)
             return None
--- a/bronzeslip/platform/settings_reloader.py
+++ b/bronzeslip/platform/settings_reloader.py
@@ -42,7 +42,7 @@
 
     def reload(self) -> None:
         """Rereads the file; keeps the current settings if that fails."""
-        loaded = self._reader.try_read()
+        loaded = self._reader.try_read(self._this_vm.bounds)
         if loaded is None or loaded == self._this_vm:
             return
         if loaded.bounds != self._this_vm.bounds:
--- a/tests/platform/boot_files.py
+++ b/tests/platform/boot_files.py
@@ -37,6 +37,10 @@
     "no peer port": SOUND.replace("[7200, 7215]", "[]").encode(),
     "negative peer port": SOUND.replace("7200", "-1").encode(),
     "no name": SOUND.replace('"front-1"', '""').encode(),
+}
+
+# Usable files in which one bound is not usable, by that bound and its value.
+UNUSABLE_BOUNDS = {
     **{
         f"{name} {value}": SOUND.replace(
             f"{name} = {sound}", f"{name} = {value}"
--- a/tests/platform/test_boot_file.py
+++ b/tests/platform/test_boot_file.py
@@ -5,8 +5,12 @@
 import unittest
 from unittest import mock
 
+import msgspec
+
+from bronzeslip.entry import vm_config
 from bronzeslip.platform import boot_file
 from bronzeslip.platform import errors
+from bronzeslip.platform import place_bounds
 from tests.platform import boot_files
 
 
@@ -34,6 +38,32 @@
             ):
                 self.read(content)
 
+    # Guards against a process that does not start since one bound is unusable.
+    def test_an_unusable_bound_is_replaced_by_the_known_one(self):
+        known = vm_config.PlaceBounds(1.0, 0.5, 3.0, 7.0, 0.25)
+        sound = self.read(boot_files.SOUND.encode()).bounds
+        for fault, content in boot_files.UNUSABLE_BOUNDS.items():
+            with self.subTest(fault=fault):
+                self.path.write_bytes(content)
+                name = fault.split()[0].replace("drain_ms", "drain_s")
+                expected = msgspec.structs.replace(
+                    sound, **{name: getattr(known, name)}
+                )
+                bounds = boot_file.read(self.path, known).bounds
+                self.assertEqual(bounds, expected)
+
+    def test_bounds_that_were_never_read_are_cautious(self):
+        content = boot_files.SOUND.partition("[bounds]")[0]
+        platform = boot_files.SOUND.partition("[platform]")[2]
+        for bounds in ("", "bounds = 7\n", "[bounds]\n"):
+            with self.subTest(bounds=bounds):
+                this_vm = self.read(
+                    f"{bounds if '=' in bounds else ''}{content}"
+                    f"{bounds if '[' in bounds else ''}"
+                    f"[platform]{platform}".encode()
+                )
+                self.assertEqual(this_vm.bounds, place_bounds.CAUTIOUS_BOUNDS)
+
     # Guards against settings of a file that is still being written.
     def test_each_cut_file_raises_the_error(self):
         content = boot_files.SOUND.rstrip().encode()
