Reject discovery entries with values that can't be used

Callers saw: a gateway that read an entry with a value nested 100,000 levels deep or a port of 5,000 digits ended, and every gateway of the list with it. A port of 70000 or a host with a line break was taken for an endpoint, at which each request failed with status 500.

Cause: the decoder of entries converted msgspec.MsgspecError only, and numbers, addresses and ids were not checked for a usable range.

Change: entries are decoded with decoding.untrusted. Numbers have a range, a host must be an IPv4 address, a port in 1 to 65535 in ASCII digits, and an id visible ASCII, since it is sent in a header. The log line names the key.

Evidence: on the code before, tests.platform.test_discovery fails with RecursionError and 14 times 'EntryError not raised'; it passes now.

--- a/bronzeslip/platform/boot_file.py
+++ b/bronzeslip/platform/boot_file.py
@@ -7,6 +7,8 @@
 import msgspec
 
 from bronzeslip import ids
+from bronzeslip.decoding import addresses
+from bronzeslip.decoding import errors as decoding_errors
 from bronzeslip.entry import vm_config
 from bronzeslip.platform import errors
 
@@ -14,6 +16,7 @@
 PATH_VARIABLE = "BRONZESLIP_BOOT"
 
 _MS_PER_S = 1000
+_MAX_QUOTED_CHARS = 64
 
 
 class _Listen(msgspec.Struct):
@@ -92,11 +95,12 @@
     """Parses an address of the form HOST:PORT.
 
     Raises:
-        errors.AddressError: If the text is not of that form.
+        errors.AddressError: If the text is not of that form, the host is not
+            an IPv4 address or the port is out of range.
     """
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdecimal():
+    try:
+        return vm_config.SocketAddress(*addresses.parse(text))
+    except decoding_errors.UndecodableError as error:
         raise errors.AddressError(
-            f"address {text!r} is not of the form HOST:PORT"
-        )
-    return vm_config.SocketAddress(host, int(port))
+            f"address {text[:_MAX_QUOTED_CHARS]!r}: {error.message}"
+        ) from error
--- a/bronzeslip/platform/discovery.py
+++ b/bronzeslip/platform/discovery.py
@@ -1,10 +1,11 @@
 """Discovery entries that endpoints register in the store."""
 
-import math
-
 import msgspec
 
 from bronzeslip import ids
+from bronzeslip.decoding import errors as decoding_errors
+from bronzeslip.decoding import fields
+from bronzeslip.decoding import untrusted
 from bronzeslip.endpoints import endpoint
 from bronzeslip.platform import boot_file
 from bronzeslip.platform import errors
@@ -35,10 +36,10 @@
     service: str
     address: str
     zone: str
-    slots: int
+    slots: fields.Count
     state: str
-    cold_left_ms: float = 0.0
-    born: int = 0
+    cold_left_ms: fields.Quantity = 0.0
+    born: fields.Count = 0
 
 
 def decode(key: ids.ObjectKey, value: msgspec.Raw) -> endpoint.Endpoint:
@@ -53,19 +54,18 @@
             other programs may write entries under the same prefix.
     """
     try:
-        entry = msgspec.json.decode(value, type=_Entry)
+        endpoint_id = untrusted.from_builtins(
+            endpoint_id_of(key), fields.VisibleText
+        )
+        entry = untrusted.from_json(value, _Entry)
         address = boot_file.parse_address(entry.address)
-    except (msgspec.MsgspecError, errors.AddressError) as error:
-        raise errors.EntryError(f"{key}: {error}") from error
+    except (decoding_errors.UndecodableError, errors.AddressError) as error:
+        raise errors.EntryError(error.message) from error
     state = _ENDPOINT_STATES.get(entry.state)
-    if state is None or not entry.service or entry.slots <= 0:
-        raise errors.EntryError(
-            f"{key}: unknown state, empty service or no slots"
-        )
-    if not math.isfinite(entry.cold_left_ms):
-        raise errors.EntryError(f"{key}: cold_left_ms is not finite")
+    if state is None or not entry.service or not entry.slots:
+        raise errors.EntryError("unknown state, empty service or no slots")
     return endpoint.Endpoint(
-        endpoint_id=endpoint_id_of(key),
+        endpoint_id=ids.EndpointId(endpoint_id),
         service_name=ids.ServiceName(entry.service),
         host=address.host,
         port=address.port,
--- a/bronzeslip/platform/discovery_follower.py
+++ b/bronzeslip/platform/discovery_follower.py
@@ -14,6 +14,8 @@
 
 logger = logs.get_logger(__name__)
 
+_MAX_LOGGED_CHARS = 100
+
 
 class DiscoveryFollower:
     """Follows the discovery entries in the store."""
@@ -75,5 +77,9 @@
     try:
         return discovery.decode(ids.ObjectKey(stored.key), stored.value)
     except errors.EntryError as error:
-        logger.warning("endpoints.unreadable_entry", reason=error.message)
+        logger.warning(
+            "endpoints.unreadable_entry",
+            key=stored.key[:_MAX_LOGGED_CHARS],
+            reason=error.message,
+        )
         return None
--- a/tests/platform/test_discovery.py
+++ b/tests/platform/test_discovery.py
@@ -23,6 +23,9 @@
 }
 
 
+_NESTING = b"[" * 100_000 + b"]" * 100_000
+
+
 def _decode(**changes):
     raw = msgspec.Raw(msgspec.json.encode({**_ENTRY, **changes}))
     return discovery.decode(_KEY, raw)
@@ -62,3 +65,46 @@
         for raw in (b"null", b"[]", b'"text"', b"{"):
             with self.subTest(raw=raw), self.assertRaises(errors.EntryError):
                 discovery.decode(_KEY, msgspec.Raw(raw))
+
+    # Guards against entries of other writers that end the task that reads
+    # them, and with it the process.
+    def test_extreme_values_raise_the_typed_error(self):
+        entry = msgspec.json.encode(_ENTRY)[:-1]
+        for name, raw in (
+            ("nested", _NESTING),
+            ("nested unknown field", entry + b',"x":%s}' % _NESTING),
+            ("digits", entry + b',"born":%s}' % (b"9" * 5000)),
+            ("large born", entry + b',"born":%s}' % (b"9" * 4000)),
+            ("negative born", entry + b',"born":-1}'),
+            ("large slots", entry + b',"slots":9007199254740993}'),
+            ("infinite", entry + b',"cold_left_ms":1e999}'),
+            ("large warm-up", entry + b',"cold_left_ms":1e300}'),
+            ("no UTF-8", entry + b',"zone":"\xff\xfe"}'),
+        ):
+            with self.subTest(entry=name), self.assertRaises(errors.EntryError):
+                discovery.decode(_KEY, msgspec.Raw(raw))
+
+    # Guards against endpoints that every request to fails at.
+    def test_unusable_addresses_raise(self):
+        for address in (
+            "127.0.0.1:70000",
+            "127.0.0.1:" + "9" * 5000,
+            "127.0.0.1\r\nx:80",
+            "127.0.0.1 :80",
+            "[127.0.0.1]:80",
+        ):
+            with (
+                self.subTest(address=address[:30]),
+                self.assertRaises(errors.EntryError),
+            ):
+                _decode(address=address)
+
+    # Guards against ids that can't be sent in a header.
+    def test_unusable_ids_raise(self):
+        raw = msgspec.Raw(msgspec.json.encode(_ENTRY))
+        for name in ("", "a b", "a\r\nb", "\u00e9", "\U0001f600", "x" * 5000):
+            with (
+                self.subTest(name=name[:10]),
+                self.assertRaises(errors.EntryError),
+            ):
+                discovery.decode(ids.ObjectKey(f"servers/{name}"), raw)
