Keep the other objects of a listing if one can't be decoded

Callers saw: with one item that is no object, has no name, a number as its name or holds a bare NaN, a gateway that starts has no endpoint, and one that runs no longer follows the list.

Cause: the codec library rejects a page or a batch of changes as a whole.

Change: if the fast decoding fails, the items are separated first, without recursion and in linear time, and the metadata of each is decoded by itself. Values that can't be decoded are left to their readers, so that the change of a known key isn't lost. A truncated listing continues after the last name that can be read, and fails if it does not advance; before, it asked for the same page forever. Revisions have the range that a version can hold, and the era header a range. A value of an endpoint over store_entry_max_bytes is not kept, and no value keeps its whole page in memory.

--- a/bronzeslip/platform/store_client.py
+++ b/bronzeslip/platform/store_client.py
@@ -12,8 +12,10 @@
 from bronzeslip.http import bounded_transport
 from bronzeslip.http import paced_chunks
 from bronzeslip.http import silence_detection
+from bronzeslip.platform import discovery
 from bronzeslip.platform import headers
 from bronzeslip.platform import store_era
+from bronzeslip.platform import store_listings
 from bronzeslip.platform import store_messages
 from bronzeslip.settings import entry
 from bronzeslip.store import errors
@@ -53,6 +55,10 @@
         self._on_call = on_call
         self._timeout_s = settings.store_timeout_s
         self._max_body_bytes = settings.store_response_max_bytes
+        # Anyone may register endpoints.
+        self._max_value_bytes = {
+            _kind_of(discovery.PREFIX): settings.store_entry_max_bytes
+        }
         self._http = httpx.AsyncClient(
             base_url=f"http://{address.host}:{address.port}",
             timeout=None,
@@ -99,19 +105,21 @@
             if after is not None:
                 params["after"] = after
             answer = await self._call("GET", f"/objects/{kind}", params=params)
-            page = store_messages.decode(answer, store_messages.Page)
+            page = store_listings.decode_page(answer)
             # The version of the first page: changes made while later pages
             # are read are then repeated by the watch.
             if version is None:
                 version = store_era.version_of(answer.era, page.as_of)
             self.era.check_watch(version, answer.era)
             stored += [
-                store_messages.to_object(kind, item, answer.era)
+                store_messages.to_object(
+                    kind, item, answer.era, self._max_value_bytes.get(kind)
+                )
                 for item in page.items
             ]
-            if not page.truncated or not page.items:
+            if not page.truncated:
                 break
-            after = page.items[-1].metadata.name
+            after = _continuation(page, after)
         return objects.ObjectList(version, tuple(stored))
 
     async def watch(
@@ -135,11 +143,13 @@
             },
         )
         self.era.check_watch(after, answer.era)
-        batch = store_messages.decode(answer, store_messages.Events)
+        batch = store_listings.decode_events(answer)
         return objects.WatchBatch(
             store_era.version_of(answer.era, batch.as_of),
             tuple(
-                store_messages.to_event(kind, event, answer.era)
+                store_messages.to_event(
+                    kind, event, answer.era, self._max_value_bytes.get(kind)
+                )
                 for event in batch.events
             ),
         )
@@ -215,7 +225,7 @@
                 self._http.stream(method, path, **options) as response,
             ):
                 body = await self._read_body(response)
-        except (httpx.HTTPError, TimeoutError) as error:
+        except (httpx.HTTPError, httpx.InvalidURL, TimeoutError) as error:
             self._on_call(method, type(error).__name__)
             raise errors.PlatformUnavailableError(
                 f"{method} {path}: {type(error).__name__}"
@@ -238,6 +248,14 @@
         return b"".join(chunks)
 
 
+def _continuation(page: store_messages.Page, after: str | None) -> str:
+    """Returns the name after which a listing continues."""
+    name = page.items[-1].metadata.name if page.items else None
+    if name is None or name == after:
+        raise errors.PlatformError("the next part of the listing is unknown")
+    return name
+
+
 def _kind_of(key: str) -> str:
     return key.partition("/")[0]
 
--- a/bronzeslip/platform/store_era.py
+++ b/bronzeslip/platform/store_era.py
@@ -4,6 +4,7 @@
 
 from bronzeslip import ids
 from bronzeslip import logs
+from bronzeslip.decoding import numbers
 from bronzeslip.store import errors
 
 logger = logs.get_logger(__name__)
@@ -11,6 +12,7 @@
 # Revisions are counted anew in each era. A version contains both, so that
 # versions of different eras never compare equal.
 _REVISION_BITS = 48
+MAX_REVISION = (1 << _REVISION_BITS) - 1
 
 
 class StoreEra:
@@ -34,7 +36,7 @@
             errors.PlatformUnavailableError: If the response is from an older
                 era, or from an unknown one although eras are stated.
         """
-        era = int(text) if text is not None and text.isdecimal() else 0
+        era = (None if text is None else numbers.parse_count(text)) or 0
         if era < self._current:
             raise errors.PlatformUnavailableError(
                 f"response of era {era}, but the store is in {self._current}"
@@ -98,7 +100,7 @@
 
 def revision_of(version: ids.ObjectVersion) -> int:
     """Returns the store's revision."""
-    return version & ((1 << _REVISION_BITS) - 1)
+    return version & MAX_REVISION
 
 
 def _era_of(version: ids.ObjectVersion) -> int:
--- /dev/null
+++ b/bronzeslip/platform/store_listings.py
@@ -0,0 +1,106 @@
+"""Decodes listings and changes that contain objects of any writer."""
+
+from collections.abc import Callable
+from typing import TypeVar
+
+import msgspec
+
+from bronzeslip import logs
+from bronzeslip.decoding import errors as decoding_errors
+from bronzeslip.decoding import json_parts
+from bronzeslip.decoding import untrusted
+from bronzeslip.platform import store_messages
+from bronzeslip.store import errors
+
+logger = logs.get_logger(__name__)
+
+PartT = TypeVar("PartT")
+
+
+def decode_page(answer: store_messages.Answer) -> store_messages.Page:
+    """Decodes a part of a listing.
+
+    Objects whose metadata can't be decoded are left out.
+
+    Raises:
+        errors.PlatformError: If the response is not a part of a listing.
+    """
+    try:
+        return untrusted.from_json(answer.body, store_messages.Page)
+    except decoding_errors.UndecodableError:
+        # An object can't be decoded, or the page is not valid at all.
+        return _decode_separated(answer.body, _separate_page)
+
+
+def decode_events(answer: store_messages.Answer) -> store_messages.Events:
+    """Decodes changes.
+
+    Changes of objects whose metadata can't be decoded are left out.
+
+    Raises:
+        errors.PlatformError: If the response is not a list of changes.
+    """
+    try:
+        return untrusted.from_json(answer.body, store_messages.Events)
+    except decoding_errors.UndecodableError:
+        return _decode_separated(answer.body, _separate_events)
+
+
+def _decode_separated(
+    body: bytes, separate: Callable[[dict[str, bytes]], PartT]
+) -> PartT:
+    try:
+        return separate(json_parts.members(body))
+    except decoding_errors.UndecodableError as error:
+        raise errors.PlatformError(
+            f"invalid response from the store: {error.message}"
+        ) from error
+
+
+def _separate_page(members: dict[str, bytes]) -> store_messages.Page:
+    return store_messages.Page(
+        _decode_each(members.get("items", b""), _decode_object),
+        untrusted.from_json(
+            members.get("as_of", b""), store_messages.RevisionNumber
+        ),
+        untrusted.from_json(members.get("truncated", b"false"), bool),
+    )
+
+
+def _separate_events(members: dict[str, bytes]) -> store_messages.Events:
+    return store_messages.Events(
+        _decode_each(members.get("events", b""), _decode_event),
+        untrusted.from_json(
+            members.get("as_of", b""), store_messages.RevisionNumber
+        ),
+    )
+
+
+def _decode_each(array: bytes, decode: Callable[[bytes], PartT]) -> list[PartT]:
+    """Decodes the elements of an array, without those that are undecodable."""
+    decoded: list[PartT] = []
+    for element in json_parts.elements(array):
+        try:
+            decoded.append(decode(element))
+        except decoding_errors.UndecodableError as error:
+            logger.warning("platform.unreadable_object", reason=error.message)
+    return decoded
+
+
+def _decode_object(element: bytes) -> store_messages.StoredObject:
+    """Decodes the metadata of an object; its value may be undecodable."""
+    members = json_parts.members(element)
+    return store_messages.StoredObject(
+        untrusted.from_json(
+            members.get("metadata", b""), store_messages.Metadata
+        ),
+        msgspec.Raw(members.get("spec", b"null")),
+    )
+
+
+def _decode_event(element: bytes) -> store_messages.Event:
+    members = json_parts.members(element)
+    return store_messages.Event(
+        _decode_object(members.get("object", b"")),
+        untrusted.from_json(members.get("removed", b"false"), bool),
+    )
--- a/bronzeslip/platform/store_messages.py
+++ b/bronzeslip/platform/store_messages.py
@@ -1,15 +1,25 @@
 """Messages of the platform's object store."""
 
+from typing import Annotated
 from typing import Any
 
 import httpx
 import msgspec
 
 from bronzeslip import ids
+from bronzeslip import logs
+from bronzeslip.decoding import errors as decoding_errors
+from bronzeslip.decoding import untrusted
 from bronzeslip.platform import store_era
 from bronzeslip.store import errors
 from bronzeslip.store import objects
 
+logger = logs.get_logger(__name__)
+
+_MAX_LOGGED_CHARS = 100
+
+RevisionNumber = Annotated[int, msgspec.Meta(ge=0, le=store_era.MAX_REVISION)]
+
 
 class Metadata(msgspec.Struct):
     """Metadata of a stored object.
@@ -20,7 +30,7 @@
     """
 
     name: str
-    revision: int = 0
+    revision: RevisionNumber = 0
 
 
 class StoredObject(msgspec.Struct):
@@ -45,7 +55,7 @@
     """
 
     items: list[StoredObject]
-    as_of: int
+    as_of: RevisionNumber
     truncated: bool = False
 
 
@@ -70,7 +80,7 @@
     """
 
     events: list[Event]
-    as_of: int
+    as_of: RevisionNumber
 
 
 class Answer(msgspec.Struct, frozen=True):
@@ -94,27 +104,57 @@
         errors.PlatformError: If it is not a message of that type.
     """
     try:
-        return msgspec.json.decode(answer.body, type=message_type)
-    except msgspec.MsgspecError as error:
+        return untrusted.from_json(answer.body, message_type)
+    except decoding_errors.UndecodableError as error:
         raise errors.PlatformError(
-            f"invalid response from the store: {error}"
+            f"invalid response from the store: {error.message}"
         ) from error
 
 
 def to_object(
-    kind: str, stored: StoredObject, era: int
+    kind: str,
+    stored: StoredObject,
+    era: int,
+    max_value_bytes: int | None = None,
 ) -> objects.PlatformObject:
-    """Converts an object of a kind that was read in an era."""
-    return objects.PlatformObject(
-        ids.ObjectKey(f"{kind}/{stored.metadata.name}"),
-        store_era.version_of(era, stored.metadata.revision),
-        stored.spec,
-    )
-
-
-def to_event(kind: str, event: Event, era: int) -> objects.ObjectEvent:
-    """Converts a change to an object of a kind that was read in an era."""
-    stored = to_object(kind, event.object, era)
+    """Converts an object of a kind that was read in an era.
+
+    Args:
+        kind: Kind of the object.
+        stored: The object.
+        era: Era of the store.
+        max_value_bytes: Size above which a value is replaced by null, in
+            bytes, or None.
+    """
+    key = ids.ObjectKey(f"{kind}/{stored.metadata.name}")
+    size_bytes = len(memoryview(stored.spec))
+    if max_value_bytes is not None and size_bytes > max_value_bytes:
+        logger.warning(
+            "platform.value_too_large",
+            key=key[:_MAX_LOGGED_CHARS],
+            size_bytes=size_bytes,
+        )
+        value = msgspec.Raw(b"null")
+    else:
+        # The value itself would keep the whole response in memory.
+        value = stored.spec.copy()
+    version = store_era.version_of(era, stored.metadata.revision)
+    return objects.PlatformObject(key, version, value)
+
+
+def to_event(
+    kind: str, event: Event, era: int, max_value_bytes: int | None = None
+) -> objects.ObjectEvent:
+    """Converts a change to an object of a kind that was read in an era.
+
+    Args:
+        kind: Kind of the object.
+        event: The change.
+        era: Era of the store.
+        max_value_bytes: Size above which a value is replaced by null, in
+            bytes, or None.
+    """
+    stored = to_object(kind, event.object, era, max_value_bytes)
     change = objects.EventKind.PUT
     if event.removed:
         change = objects.EventKind.DELETE
--- a/bronzeslip/settings/entry.py
+++ b/bronzeslip/settings/entry.py
@@ -119,6 +119,14 @@
         minimum=65_536,
         maximum=1_073_741_824,
     )
+    store_entry_max_bytes: int = setting(
+        "maximum size of an endpoint's entry in the store, in bytes; a larger "
+        "one is not used",
+        "store",
+        default=65_536,
+        minimum=1_024,
+        maximum=16_777_216,
+    )
     response_head_max_bytes: int = setting(
         "maximum number of bytes before a response head is complete, interim "
         "responses included",
