Drop an endpoint when a change makes its entry unreadable

Callers saw: an endpoint whose entry another writer had replaced was still used by gateways that watched the list, but not by those that had started since.

Cause: a listing left unreadable entries out, while a watch ignored the change.

Change: the watch removes the endpoint as well. The next valid entry of the same incarnation makes it usable again.

Evidence: tests.platform.test_discovery_follower failed on the code before in the cases unknown state, null, no address and no UTF-8 (the endpoint stayed ready); it passes now.

--- a/bronzeslip/platform/discovery_follower.py
+++ b/bronzeslip/platform/discovery_follower.py
@@ -71,6 +71,10 @@
         )
         if decoded is not None:
             self._endpoint_directory.put(decoded)
+        else:
+            # As in a listing, such an entry names no endpoint. The next valid
+            # one of the same incarnation makes it usable again.
+            self._endpoint_directory.remove(endpoint_id)
 
 
 def _decode(stored: objects.PlatformObject) -> endpoint.Endpoint | None:
--- /dev/null
+++ b/tests/platform/test_discovery_follower.py
@@ -0,0 +1,117 @@
+"""Tests of bronzeslip.platform.discovery_follower."""
+
+import asyncio
+import unittest
+
+import msgspec
+
+from bronzeslip import ids
+from bronzeslip.endpoints import directory
+from bronzeslip.platform import discovery_follower
+from bronzeslip.store import follower
+from bronzeslip.store import objects
+from tests.support import forwarding_parts
+
+_ENTRY = {
+    "service": "s",
+    "address": "127.0.0.9:8080",
+    "zone": "a-1",
+    "slots": 24,
+    "state": "ready",
+    "born": 1700000000123,
+}
+_SOUND = msgspec.json.encode(_ENTRY)
+_UNREADABLE = {
+    "null": b"null",
+    "nested": b"[" * 100_000 + b"]" * 100_000,
+    "nested unknown field": _SOUND[:-1]
+    + b',"x":%s}' % (b"[" * 100_000 + b"]" * 100_000),
+    "no UTF-8": _SOUND[:-1] + b',"zone":"\xff"}',
+    "unknown state": _SOUND.replace(b"ready", b"asleep"),
+    "no address": _SOUND.replace(b"127.0.0.9", b"127.0.0.9\\r\\n"),
+}
+
+
+class _ScriptedStore:
+    """Store that returns one listing and then batches of changes."""
+
+    def __init__(self, listed):
+        self._listed = listed
+        self._version = 1
+        self.changes = asyncio.Queue()
+
+    async def list_objects(self, prefix):
+        stored = tuple(
+            objects.PlatformObject(
+                ids.ObjectKey(f"{prefix}{name}"), self._version, value
+            )
+            for name, value in self._listed.items()
+        )
+        return objects.ObjectList(self._version, stored)
+
+    async def watch(self, prefix, after, wait_s):
+        name, value = await self.changes.get()
+        self._version += 1
+        event = objects.ObjectEvent(
+            objects.EventKind.PUT,
+            ids.ObjectKey(f"{prefix}{name}"),
+            self._version,
+            msgspec.Raw(value),
+        )
+        return objects.WatchBatch(self._version, (event,))
+
+
+class DiscoveryFollowerTest(unittest.IsolatedAsyncioTestCase):
+    def _follow(self, **listed):
+        self.directory = directory.EndpointDirectory(forwarding_parts.SETTINGS)
+        self.store = _ScriptedStore(
+            {name: msgspec.Raw(value) for name, value in listed.items()}
+        )
+        followed = discovery_follower.DiscoveryFollower(
+            self.store,
+            self.directory,
+            follower.FollowTiming(),
+            on_failure=lambda: None,
+        )
+        task = asyncio.create_task(followed.run())
+        self.addCleanup(task.cancel)
+
+    async def _wait_for(self, *names):
+        async with asyncio.timeout(5):
+            while self._ready_names() != set(names):
+                await self.directory.wait_for_change(0.1)
+
+    def _ready_names(self):
+        ready = self.directory.ready_endpoints(ids.ServiceName("s"))
+        return {candidate.endpoint_id for candidate in ready}
+
+    # Guards against a task that an entry of another writer ends.
+    async def test_unreadable_entries_leave_the_others_of_a_listing(self):
+        for name, value in _UNREADABLE.items():
+            with self.subTest(entry=name):
+                self._follow(odd=value, sound=_SOUND)
+                await self._wait_for("sound")
+
+    # Guards against an endpoint that is used although its entry can't be read.
+    async def test_endpoint_whose_entry_becomes_unreadable_is_not_used(self):
+        for name, value in _UNREADABLE.items():
+            with self.subTest(entry=name):
+                self._follow(one=_SOUND, two=_SOUND)
+                await self._wait_for("one", "two")
+                # After an outage, removed entries are kept for some time.
+                await asyncio.sleep(forwarding_parts.SETTINGS.lapse_grace_s)
+                self.store.changes.put_nowait(("one", value))
+                await self._wait_for("two")
+
+    async def test_next_valid_entry_makes_the_endpoint_usable_again(self):
+        self._follow(one=_SOUND)
+        await self._wait_for("one")
+        await asyncio.sleep(forwarding_parts.SETTINGS.lapse_grace_s)
+        self.store.changes.put_nowait(("one", b"null"))
+        await self._wait_for()
+        self.store.changes.put_nowait(("one", _SOUND))
+        await self._wait_for("one")
+
+
+if __name__ == "__main__":
+    unittest.main()
