--- a/bronzeslip/platform/boot_file.py
+++ b/bronzeslip/platform/boot_file.py
@@ -8,6 +8,8 @@
 import msgspec
 
 from bronzeslip import ids
+from bronzeslip.decoding import addresses
+from bronzeslip.decoding import errors as decoding_errors
 from bronzeslip.entry import vm_config
 from bronzeslip.platform import errors
 from bronzeslip.platform import place_bounds
@@ -17,6 +19,7 @@
 
 # Far more than the platform writes.
 _MAX_FILE_BYTES = 1_048_576
+_MAX_QUOTED_CHARS = 64
 
 _Text = Annotated[str, msgspec.Meta(min_length=1)]
 _Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
@@ -110,11 +113,12 @@
     """Parses an address of the form HOST:PORT.
 
     Raises:
-        errors.AddressError: If the text is not of that form.
+        errors.AddressError: If the text is not of that form, the host is not
+            an IPv4 address or the port is out of range.
     """
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdecimal():
+    try:
+        return vm_config.SocketAddress(*addresses.parse(text))
+    except decoding_errors.UndecodableError as error:
         raise errors.AddressError(
-            f"address {text!r} is not of the form HOST:PORT"
-        )
-    return vm_config.SocketAddress(host, int(port))
+            f"address {text[:_MAX_QUOTED_CHARS]!r}: {error.message}"
+        ) from error
