--- a/bronzeslip/platform/boot_file.py
+++ b/bronzeslip/platform/boot_file.py
@@ -2,6 +2,7 @@
 
 import pathlib
 import tomllib
+from typing import Annotated
 from typing import Any
 
 import msgspec
@@ -11,63 +12,86 @@
 from bronzeslip.decoding import errors as decoding_errors
 from bronzeslip.entry import vm_config
 from bronzeslip.platform import errors
+from bronzeslip.platform import place_bounds
 
 # Environment variable that holds the path of the settings file.
 PATH_VARIABLE = "BRONZESLIP_BOOT"
 
-_MS_PER_S = 1000
+# Far more than the platform writes.
+_MAX_FILE_BYTES = 1_048_576
 _MAX_QUOTED_CHARS = 64
 
+_Text = Annotated[str, msgspec.Meta(min_length=1)]
+_Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
+
 
 class _Listen(msgspec.Struct):
     front: str
     ready: str
 
 
-class _Bounds(msgspec.Struct):
-    grace_s: float
-    retry_ratio: float
-    retry_slack: float
-    retry_window_s: float
-    drain_ms: float
-
-
 class _Platform(msgspec.Struct):
     address: str
 
 
 class _BootFile(msgspec.Struct):
-    node_name: str
-    ip: str
+    node_name: _Text
+    ip: _Text
     # First and last port for communication between nodes.
-    port_range: tuple[int, int]
-    zone: str
+    port_range: tuple[_Port, _Port]
+    zone: _Text
     zones: dict[str, str]
     listen: _Listen
-    bounds: _Bounds
     platform: _Platform
+    bounds: Any = None
 
 
-def read(path: pathlib.Path) -> vm_config.VmConfig:
+def read(
+    path: pathlib.Path,
+    known_bounds: vm_config.PlaceBounds = place_bounds.CAUTIOUS_BOUNDS,
+) -> vm_config.VmConfig:
     """Reads a settings file.
 
     Args:
         path: Path of the file.
+        known_bounds: Bounds to keep in place of those that can't be used.
 
     Raises:
         errors.BootFileError: If the file can't be read, is not valid TOML, or
-            has a missing or mistyped field.
+            has a missing, mistyped or unusable field.
     """
     try:
-        with path.open("rb") as file:
-            document: dict[str, Any] = tomllib.load(file)
-        boot_settings = msgspec.convert(document, _BootFile)
-    except (OSError, tomllib.TOMLDecodeError, msgspec.MsgspecError) as error:
+        return _to_vm_config(_decode(_read_text(path)), known_bounds)
+    # tomllib raises other errors than its own for long numbers and for deeply
+    # nested values.
+    except (
+        OSError,
+        ValueError,
+        RecursionError,
+        msgspec.MsgspecError,
+        errors.AddressError,
+    ) as error:
         raise errors.BootFileError(f"{path}: {error}") from error
-    return _to_vm_config(boot_settings)
 
 
-def _to_vm_config(boot_settings: _BootFile) -> vm_config.VmConfig:
+def _read_text(path: pathlib.Path) -> str:
+    with path.open("rb") as file:
+        content = file.read(_MAX_FILE_BYTES + 1)
+    if len(content) > _MAX_FILE_BYTES:
+        raise errors.BootFileError(
+            f"{path}: larger than {_MAX_FILE_BYTES} bytes"
+        )
+    return content.decode()
+
+
+def _decode(text: str) -> _BootFile:
+    document: dict[str, Any] = tomllib.loads(text)
+    return msgspec.convert(document, _BootFile)
+
+
+def _to_vm_config(
+    boot_settings: _BootFile, known_bounds: vm_config.PlaceBounds
+) -> vm_config.VmConfig:
     return vm_config.VmConfig(
         vm_id=ids.VmId(boot_settings.node_name),
         failure_domain=ids.FailureDomainName(boot_settings.zone),
@@ -78,16 +102,10 @@
         caller_address=parse_address(boot_settings.listen.front),
         readiness_address=parse_address(boot_settings.listen.ready),
         store_address=parse_address(boot_settings.platform.address),
-        peer_address=vm_config.SocketAddress(
-            boot_settings.ip, boot_settings.port_range[0]
-        ),
-        bounds=vm_config.PlaceBounds(
-            grace_s=boot_settings.bounds.grace_s,
-            retry_ratio=boot_settings.bounds.retry_ratio,
-            retry_slack=boot_settings.bounds.retry_slack,
-            retry_window_s=boot_settings.bounds.retry_window_s,
-            drain_s=boot_settings.bounds.drain_ms / _MS_PER_S,
+        peer_address=parse_address(
+            f"{boot_settings.ip}:{boot_settings.port_range[0]}"
         ),
+        bounds=place_bounds.decode(boot_settings.bounds, known_bounds),
     )
 
 
--- a/bronzeslip/platform/discovery_follower.py
+++ b/bronzeslip/platform/discovery_follower.py
@@ -87,3 +87,11 @@
             reason=error.message,
         )
         return None
+    except Exception as error:
+        # One entry must not hide the others.
+        logger.error(
+            "endpoints.entry_failed",
+            key=stored.key[:_MAX_LOGGED_CHARS],
+            reason=logs.describe(error),
+        )
+        return None
