Reject configurations with values that fail each request

Callers saw: nothing yet; found while looking for decoding errors of the same class. A document nested too deeply ended the task that reads it. A split whose weights are all zero, a health path or a tenant with line breaks and numbers far out of range were accepted and failed each request of a route with status 500.

Cause: only msgspec.MsgspecError was converted, and values had no range.

Change: the document is decoded with decoding.untrusted, and its fields have types with a usable range. The version before stays in force, as for other documents that can't be read.

Evidence: on the code before, tests.platform.test_configuration fails in 11 cases; it passes now, and the example documents of the platform are accepted.

--- a/bronzeslip/decoding/addresses.py
+++ b/bronzeslip/decoding/addresses.py
@@ -1,34 +1,8 @@
 """Network addresses in text from outside the process."""
 
-import ipaddress
-
-from bronzeslip.decoding import errors
+from bronzeslip.decoding import fields
 from bronzeslip.decoding import numbers
-
-_MAX_PORT = 65_535
-
-
-def check_host(text: str) -> str:
-    """Returns a host if it is an IPv4 address.
-
-    Raises:
-        errors.UndecodableError: If it is not.
-    """
-    try:
-        return str(ipaddress.IPv4Address(text))
-    except ValueError as error:
-        raise errors.UndecodableError("not an IPv4 address") from error
-
-
-def check_port(port: int | None) -> int:
-    """Returns a port if it is in the range of TCP ports.
-
-    Raises:
-        errors.UndecodableError: If it is not.
-    """
-    if port is None or not 0 < port <= _MAX_PORT:
-        raise errors.UndecodableError("not a TCP port")
-    return port
+from bronzeslip.decoding import untrusted
 
 
 def parse(text: str) -> tuple[str, int]:
@@ -39,4 +13,7 @@
             not an IPv4 address or the port is out of range.
     """
     host, _, port = text.rpartition(":")
-    return check_host(host), check_port(numbers.parse_count(port))
+    return (
+        untrusted.from_builtins(host, fields.Ipv4Address),
+        untrusted.from_builtins(numbers.parse_count(port), fields.Port),
+    )
--- a/bronzeslip/platform/configuration.py
+++ b/bronzeslip/platform/configuration.py
@@ -3,6 +3,9 @@
 import msgspec
 
 from bronzeslip import ids
+from bronzeslip.decoding import errors as decoding_errors
+from bronzeslip.decoding import fields
+from bronzeslip.decoding import untrusted
 from bronzeslip.platform import errors
 from bronzeslip.routes import engine_traits
 from bronzeslip.routes import kind
@@ -25,7 +28,7 @@
 
 class _Share(msgspec.Struct):
     service: str
-    weight: float
+    weight: fields.NonNegativeQuantity
 
 
 class _Route(msgspec.Struct):
@@ -33,51 +36,51 @@
     host: str
     path_prefix: str
     kind: str
-    timeout_ms: float
-    goal_ms: float
+    timeout_ms: fields.Quantity
+    goal_ms: fields.Quantity
     service: str | None = None
     split: list[_Share] = []
-    priority: int = 0
-    max_attempts: int = 1
+    priority: fields.Integer = 0
+    max_attempts: fields.Integer = 1
     public: bool = False
     # True for generation routes, whose requests list their prompt parts.
     sticky: bool = False
     resumable: bool = False
-    gap_aim_ms: float | None = None
+    gap_aim_ms: fields.Quantity | None = None
 
 
 class _Engine(msgspec.Struct):
-    slots: int
-    kv_capacity: int
-    kv_token_bytes: int = 0
-    link_mbps: float = 0.0
+    slots: fields.Count
+    kv_capacity: fields.Count
+    kv_token_bytes: fields.Count = 0
+    link_mbps: fields.Quantity = 0.0
     moves: bool = False
     backups: bool = False
-    handle_s: float = 0.0
+    handle_s: fields.Quantity = 0.0
 
 
 class _Service(msgspec.Struct):
     name: str
-    health_path: str = "/health"
-    max_conns: int = 0
+    health_path: fields.UrlPath = "/health"
+    max_conns: fields.Integer = 0
     engine: _Engine | None = None
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout_ms: float
-    idle_timeout_ms: float
+    max_header_bytes: fields.Count
+    max_body_bytes: fields.Count
+    header_timeout_ms: fields.PositiveQuantity
+    idle_timeout_ms: fields.PositiveQuantity
 
 
 class _Tenant(msgspec.Struct):
-    name: str
+    name: fields.HeaderText
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: fields.Integer | None = None
 
 
 class _Document(msgspec.Struct):
-    version: int
+    version: fields.Count
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits | None = None
@@ -92,12 +95,12 @@
 
     Raises:
         errors.ConfigurationError: If the JSON is invalid or does not have the
-            expected fields.
+            expected fields with usable values.
     """
     try:
-        document = msgspec.json.decode(value, type=_Document)
-    except msgspec.MsgspecError as error:
-        raise errors.ConfigurationError(str(error)) from error
+        document = untrusted.from_json(value, _Document)
+    except decoding_errors.UndecodableError as error:
+        raise errors.ConfigurationError(error.message) from error
     return route_table.RouteTable(
         ids.TableVersion(document.version),
         [_to_route(wire) for wire in document.routes],
@@ -130,6 +133,8 @@
 def _to_weighted_services(wire: _Route) -> tuple[route.WeightedService, ...]:
     if not wire.split:
         return (route.WeightedService(ids.ServiceName(wire.service or "")),)
+    if not any(share.weight for share in wire.split):
+        raise errors.ConfigurationError("the weights of a split are all zero")
     return tuple(
         route.WeightedService(ids.ServiceName(share.service), share.weight)
         for share in wire.split
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -7,6 +7,7 @@
 from bronzeslip.platform import configuration
 from bronzeslip.platform import errors
 from bronzeslip.routes import kind
+from tests.support import nested_json
 
 _ROUTE = {
     "name": "r-1",
@@ -24,6 +25,13 @@
     "gap_aim_ms": 180,
 }
 
+_LIMITS = {
+    "max_header_bytes": 100,
+    "max_body_bytes": 200,
+    "header_timeout_ms": 3000,
+    "idle_timeout_ms": 15000,
+}
+
 
 def _document(**changes):
     values = {
@@ -46,12 +54,7 @@
                 },
             }
         ],
-        "limits": {
-            "max_header_bytes": 100,
-            "max_body_bytes": 200,
-            "header_timeout_ms": 3000,
-            "idle_timeout_ms": 15000,
-        },
+        "limits": _LIMITS,
         "tenants": [{"name": "t", "api_keys": ["k1", "k2"], "priority": 1}],
     }
     return msgspec.Raw(msgspec.json.encode({**values, **changes}))
@@ -103,3 +106,38 @@
     def test_invalid_documents_raise(self):
         with self.assertRaises(errors.ConfigurationError):
             configuration.decode(_document(version="seven"))
+
+    # Guards against a document whose decoding ends the task that reads it.
+    def test_extreme_documents_raise(self):
+        document = bytes(_document())[:-1]
+        for name, raw in (
+            ("nested", document + b',"x":%s}' % bytes(nested_json.OBJECT)),
+            ("digits", document + b',"version":%s}' % (b"9" * 5000)),
+            ("no UTF-8", document + b',"tenants":[{"name":"\xff"}]}'),
+        ):
+            with (
+                self.subTest(document=name),
+                self.assertRaises(errors.ConfigurationError),
+            ):
+                configuration.decode(msgspec.Raw(raw))
+
+    # Guards against values with which every request of a route fails.
+    def test_unusable_values_raise(self):
+        share = {"service": "s-1", "weight": 0}
+        for changes in (
+            {"version": -1},
+            {"routes": [{**_ROUTE, "split": [share, share]}]},
+            {"routes": [{**_ROUTE, "split": [{**share, "weight": -1}]}]},
+            {"routes": [{**_ROUTE, "timeout_ms": 1e300}]},
+            {"routes": [{**_ROUTE, "priority": 10**30}]},
+            {"services": [{"name": "s-1", "health_path": "/a\r\nb"}]},
+            {"services": [{"name": "s-1", "health_path": "@host/"}]},
+            {"limits": {**_LIMITS, "max_body_bytes": -1}},
+            {"limits": {**_LIMITS, "idle_timeout_ms": 0}},
+            {"tenants": [{"name": "a\r\nb"}]},
+        ):
+            with (
+                self.subTest(changes=changes),
+                self.assertRaises(errors.ConfigurationError),
+            ):
+                configuration.decode(_document(**changes))
--- a/tests/platform/test_discovery.py
+++ b/tests/platform/test_discovery.py
@@ -8,6 +8,7 @@
 from bronzeslip.endpoints import endpoint
 from bronzeslip.platform import discovery
 from bronzeslip.platform import errors
+from tests.support import nested_json
 
 _KEY = ids.ObjectKey("servers/i-1")
 _ENTRY = {
@@ -23,7 +24,7 @@
 }
 
 
-_NESTING = b"[" * 100_000 + b"]" * 100_000
+_NESTING = bytes(nested_json.OBJECT)
 
 
 def _decode(**changes):
--- a/tests/platform/test_discovery_follower.py
+++ b/tests/platform/test_discovery_follower.py
@@ -11,6 +11,7 @@
 from bronzeslip.store import follower
 from bronzeslip.store import objects
 from tests.support import forwarding_parts
+from tests.support import nested_json
 
 _ENTRY = {
     "service": "s",
@@ -23,9 +24,9 @@
 _SOUND = msgspec.json.encode(_ENTRY)
 _UNREADABLE = {
     "null": b"null",
-    "nested": b"[" * 100_000 + b"]" * 100_000,
+    "nested": bytes(nested_json.OBJECT),
     "nested unknown field": _SOUND[:-1]
-    + b',"x":%s}' % (b"[" * 100_000 + b"]" * 100_000),
+    + b',"x":%s}' % bytes(nested_json.OBJECT),
     "no UTF-8": _SOUND[:-1] + b',"zone":"\xff"}',
     "unknown state": _SOUND.replace(b"ready", b"asleep"),
     "no address": _SOUND.replace(b"127.0.0.9", b"127.0.0.9\\r\\n"),
--- a/tests/platform/test_store_listings.py
+++ b/tests/platform/test_store_listings.py
@@ -9,8 +9,9 @@
 from bronzeslip.platform import store_client
 from bronzeslip.store import errors
 from tests.support import forwarding_parts
+from tests.support import nested_json
 
-_NESTING = b"[" * 100_000 + b"]" * 100_000
+_NESTING = bytes(nested_json.OBJECT)
 _UNREADABLE_OBJECTS = {
     "number": b"7",
     "null": b"null",
