Ignore records and replies of gateways that can't be used

Callers saw: a record of suspects with a time of hundreds of digits failed each request whose fingerprint it named with an OverflowError, and a deeply nested record of a gateway ended the task that counts gateways. A gateway with a line break in its address raised httpx.InvalidURL when it was asked for a permit, and a negative or huge delay of a reply was used.

Change: records, permit requests and replies are decoded with decoding.untrusted into types with a usable range; InvalidURL counts as an unavailable gateway.

--- a/bronzeslip/entry/gateway_record.py
+++ b/bronzeslip/entry/gateway_record.py
@@ -4,6 +4,8 @@
 
 from bronzeslip import ids
 from bronzeslip import logs
+from bronzeslip.decoding import errors as decoding_errors
+from bronzeslip.decoding import untrusted
 from bronzeslip.entry import vm_config
 
 logger = logs.get_logger(__name__)
@@ -25,7 +27,7 @@
 def decode(value: msgspec.Raw) -> GatewayRecord | None:
     """Decodes a stored record; returns None if it can't be read."""
     try:
-        return msgspec.json.decode(value, type=GatewayRecord)
-    except msgspec.MsgspecError as error:
-        logger.info("gateways.unreadable_record", reason=str(error))
+        return untrusted.from_json(value, GatewayRecord)
+    except decoding_errors.UndecodableError as error:
+        logger.warning("gateways.unreadable_record", reason=error.message)
         return None
--- a/bronzeslip/entry/peer_http.py
+++ b/bronzeslip/entry/peer_http.py
@@ -5,6 +5,8 @@
 import httpx
 import msgspec
 
+from bronzeslip.decoding import errors as decoding_errors
+from bronzeslip.decoding import untrusted
 from bronzeslip.http import bounded_transport
 from bronzeslip.http import silence_detection
 from bronzeslip.quota import errors
@@ -54,10 +56,15 @@
                     headers={"Content-Type": "application/json"},
                 )
             response.raise_for_status()
-            return msgspec.json.decode(
-                response.content, type=permit_reply.PermitReply
+            return untrusted.from_json(
+                response.content, permit_reply.PermitReply
             )
-        except (httpx.HTTPError, TimeoutError, msgspec.MsgspecError) as error:
+        except (
+            httpx.HTTPError,
+            httpx.InvalidURL,
+            TimeoutError,
+            decoding_errors.UndecodableError,
+        ) as error:
             raise errors.PeerUnavailableError(
                 f"{target.vm_id}: {type(error).__name__}"
             ) from error
--- a/bronzeslip/entry/vm_config.py
+++ b/bronzeslip/entry/vm_config.py
@@ -3,13 +3,14 @@
 import msgspec
 
 from bronzeslip import ids
+from bronzeslip.decoding import fields
 
 
 class SocketAddress(msgspec.Struct, frozen=True):
     """An IP address and a port."""
 
-    host: str
-    port: int
+    host: fields.HostName
+    port: fields.Port
 
 
 class PlaceBounds(msgspec.Struct, frozen=True):
--- a/bronzeslip/quota/permit_request.py
+++ b/bronzeslip/quota/permit_request.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from bronzeslip import ids
+from bronzeslip.decoding import fields
 from bronzeslip.quota import peer
 
 
@@ -27,8 +28,8 @@
     endpoint_id: ids.EndpointId
     address: str
     started_unix_ms: int
-    rate_per_s: float | None
-    statement_age_s: float
-    reserved: float
+    rate_per_s: fields.NonNegativeQuantity | None
+    statement_age_s: fields.Quantity
+    reserved: fields.NonNegativeQuantity
     is_fallback: bool
     sender: peer.Peer
--- a/bronzeslip/routing/suspect_list.py
+++ b/bronzeslip/routing/suspect_list.py
@@ -8,6 +8,8 @@
 from bronzeslip import ids
 from bronzeslip import isolation
 from bronzeslip import logs
+from bronzeslip.decoding import errors as decoding_errors
+from bronzeslip.decoding import untrusted
 from bronzeslip.routing import part_quarantine
 from bronzeslip.routing import suspect_record
 from bronzeslip.routing import suspect_settings
@@ -160,11 +162,9 @@
 
     def _apply(self, key: ids.ObjectKey, value: msgspec.Raw) -> None:
         try:
-            record = msgspec.json.decode(
-                value, type=suspect_record.SuspectRecord
-            )
-        except msgspec.MsgspecError as error:
-            logger.error("suspects.unreadable", key=key, reason=str(error))
+            record = untrusted.from_json(value, suspect_record.SuspectRecord)
+        except decoding_errors.UndecodableError as error:
+            logger.error("suspects.unreadable", key=key, reason=error.message)
             return
         if key == self._own_key:
             self._restore_own(record)
--- a/tests/entry/test_permits_api.py
+++ b/tests/entry/test_permits_api.py
@@ -21,6 +21,7 @@
 from bronzeslip.settings import entry
 from bronzeslip.settings import http
 from tests.support import forwarding_parts
+from tests.support import nested_json
 from tests.support import raw_server
 
 _SETTINGS = entry.EntrySettings(peer_timeout_s=0.3)
@@ -106,6 +107,12 @@
             (b"{}", b"200 OK"),
             (b'{"verdict":"maybe"}', b"200 OK"),
             (b'{"verdict":"granted"}', b"404 Not Found"),
+            (
+                b'{"verdict":"granted","x":%s}' % bytes(nested_json.OBJECT),
+                b"200 OK",
+            ),
+            (b'{"verdict":"granted","rate_per_s":1e300}', b"200 OK"),
+            (b'{"verdict":"denied","retry_after_s":-1}', b"200 OK"),
         ):
             with self.subTest(body=body, status=status):
                 target = await self._start_script(
@@ -118,6 +125,13 @@
         with self.assertRaises(errors.PeerUnavailableError):
             await self.client.ask(_peer(1), self._request())
 
+    async def test_gateway_with_an_unusable_address_is_an_error(self):
+        address = vm_config.SocketAddress("127.0.0.1\r\n", 1)
+        with self.assertRaises(errors.PeerUnavailableError):
+            await self.client.ask(
+                peer.Peer(ids.VmId("front-2"), address), self._request()
+            )
+
 
 def _peer(port):
     return peer.Peer(
--- a/tests/routing/test_suspect_list.py
+++ b/tests/routing/test_suspect_list.py
@@ -1,5 +1,6 @@
 """Tests of the suspect list and its merging across gateways."""
 
+import json
 import types
 import unittest
 
@@ -98,6 +99,28 @@
         )
         self.assertIs(self.second.state_of("f"), _SUSPECT)
 
+    # Guards against times with which every look-up of a suspect fails.
+    async def test_records_with_unusable_times_are_ignored(self):
+        evidence = {"part_sets": [], "crashed_unix_s": 1, "noted_unix_s": 1}
+        for record in (
+            {"entries": {"f": {"crash_ids": ["c"], "noted_unix_s": 10**400}}},
+            {
+                "entries": {"f": {"crash_ids": ["c"], "noted_unix_s": 1000}},
+                "parts": {"crashes": {"c": {**evidence, "noted_unix_s": -1}}},
+            },
+            {
+                "entries": {"f": {"crash_ids": ["c"], "noted_unix_s": 1000}},
+                "parts": {"safe_parts": {"p": 10**400}},
+            },
+        ):
+            value = msgspec.Raw(json.dumps(record).encode())
+            event = objects.ObjectEvent(
+                objects.EventKind.PUT, "suspects/a", 1, value
+            )
+            with self.subTest(record=str(record)[:60]):
+                await self.second.on_event(event)
+                self.assertIs(self.second.state_of("f"), _CLEAR)
+
 
 if __name__ == "__main__":
     unittest.main()
