Ignore numbers in headers that are too large to be used

Callers saw: status 500 for a request whose token counts have thousands of digits. An endpoint with an endless Retry-After was never used again, and one whose limit has hundreds of digits got an infinite rate.

Cause: int() raises ValueError above 4,300 digits, and float() returns infinity.

Change: numbers in headers are parsed by decoding.numbers, which has a range.

--- a/bronzeslip/platform/endpoint_announcements.py
+++ b/bronzeslip/platform/endpoint_announcements.py
@@ -1,11 +1,9 @@
 """Announcements of endpoints in the headers of their responses."""
 
-import math
-import re
-
 import httpx
 
 from bronzeslip import logs
+from bronzeslip.decoding import numbers
 from bronzeslip.endpoints import directory
 from bronzeslip.endpoints import endpoint
 from bronzeslip.platform import headers
@@ -13,7 +11,7 @@
 logger = logs.get_logger(__name__)
 
 _LEAVING_VALUE = "1"
-_DECIMAL_NUMBER = re.compile(r"[0-9]+(\.[0-9]+)?", re.ASCII)
+_MAX_PAUSE_S = 86_400.0
 
 
 def record(
@@ -59,20 +57,21 @@
     text = response.headers.get(headers.SERVER_LIMIT.decode())
     if text is None:
         return
-    if not _DECIMAL_NUMBER.fullmatch(text.strip()):
+    rate_per_s = numbers.parse_decimal(text.strip())
+    if rate_per_s is None:
         logger.info("endpoint.unreadable_limit", endpoint=sender.endpoint_id)
         return
     known = endpoints.get(sender.endpoint_id)
     if known is None or not known.is_same_incarnation(sender):
         # A late response of an incarnation that is gone.
         return
-    endpoints.request_limits.state(sender, float(text))
+    endpoints.request_limits.state(sender, rate_per_s)
 
 
 def _parse_seconds(text: str) -> float | None:
-    """Returns a delay in seconds, or None if the text is not one."""
+    """Returns a delay in seconds, or None if the text is not a usable one."""
     try:
         seconds = float(text)
     except ValueError:
         return None
-    return seconds if math.isfinite(seconds) and seconds >= 0 else None
+    return seconds if 0 <= seconds <= _MAX_PAUSE_S else None
--- a/bronzeslip/platform/endpoint_response.py
+++ b/bronzeslip/platform/endpoint_response.py
@@ -6,6 +6,7 @@
 import httpx
 
 from bronzeslip import ids
+from bronzeslip.decoding import numbers
 from bronzeslip.forwarding import body_framing
 from bronzeslip.forwarding import endpoint_client
 from bronzeslip.forwarding import endpoint_errors
@@ -162,7 +163,7 @@
             for name, value in response.headers.raw
             if name.lower() not in _UNFORWARDED_HEADERS
         ),
-        int(length) if length.isdecimal() else None,
+        numbers.parse_count(length),
         _framing(response),
     )
 
@@ -192,5 +193,5 @@
         value = field.strip()
         if value.startswith(_TIMEOUT_PREFIX):
             seconds = value.removeprefix(_TIMEOUT_PREFIX)
-            return float(seconds) if seconds.isdecimal() else 0.0
+            return float(numbers.parse_count(seconds) or 0)
     return 0.0
--- a/tests/platform/test_endpoint_announcements.py
+++ b/tests/platform/test_endpoint_announcements.py
@@ -173,7 +173,15 @@
         self.assertEqual(self._ready, {"i-1", "i-2"})
 
     async def test_unreadable_delays_are_ignored(self):
-        for text in (b"", b"-1", b"soon", b"nan", b"inf", b"Fri, 04 Dec 2026"):
+        for text in (
+            b"",
+            b"-1",
+            b"soon",
+            b"nan",
+            b"inf",
+            b"1e308",
+            b"Fri, 04 Dec 2026",
+        ):
             with self.subTest(text):
                 await self._refuse(text)
                 self.assertEqual(self._ready, {"i-1", "i-2"})
@@ -219,7 +227,7 @@
     async def test_unreadable_limits_are_ignored(self):
         for text in (
             *(b"", b"-1", b"many", b"nan", b"inf", b"1e3", b"1_0", b"0x2"),
-            *(b".5", b"1.", b"1.8, 1.8", b"\xd9\xa1"),
+            *(b".5", b"1.", b"1.8, 1.8", b"\xd9\xa1", b"9" * 400),
         ):
             with self.subTest(text):
                 await self._respond(text)
--- a/tests/platform/test_request_decoder.py
+++ b/tests/platform/test_request_decoder.py
@@ -87,6 +87,21 @@
         self.assertIsNone(request.shape)
         self.assertIn(b"bronzeslip-token-usage", _names(request))
 
+    # Guards against a status 500 for numbers of thousands of digits.
+    def test_numbers_of_thousands_of_digits_are_forwarded_unparsed(self):
+        digits = b"9" * 5000
+        request = _decode((b"bronzeslip-token-usage", b"1," + digits))
+        self.assertIsNone(request.shape)
+        request = _decode(
+            (b"bronzeslip-token-usage", b"7, 8"),
+            (b"bronzeslip-length-hint", digits),
+            (b"bronzeslip-prompt-prefix", b"a:%s,b:3" % digits),
+        )
+        self.assertEqual(request.shape.prompt_tokens, 7)
+        self.assertEqual(request.shape.max_output_tokens, 8)
+        self.assertIsNone(request.shape.expected_output_tokens)
+        self.assertEqual([part.tokens for part in request.shape.parts], [3])
+
     def test_deadline_that_is_not_a_number_is_rejected(self):
         scope = {
             "method": "GET",
