--- a/bronzeslip/platform/discovery_follower.py
+++ b/bronzeslip/platform/discovery_follower.py
@@ -91,7 +91,7 @@
         # One entry must not hide the others.
         logger.error(
             "endpoints.entry_failed",
-            key=stored.key,
+            key=stored.key[:_MAX_LOGGED_CHARS],
             reason=logs.describe(error),
         )
         return None
