Keep callbacks and unawaited tasks from failing others or unseen

What callers saw: when one callback for an endpoint that left raised an exception, the other entries of that listing were not applied and the callbacks after it never ran; when a callback for a restore of the store did, the call that had noticed the restore failed as well. A generation whose admission raised had no outcome, and its caller waited until the deadline. Tasks in the background (writes of results, releases of copies, standby copies, crash checks, announcements) failed without a log line.

Cause: each object called its callbacks in a plain loop, and nobody read the exceptions of tasks that are not awaited.

A generation always gets an outcome. The report of a follower to its relay goes on after a failure.

Evidence: on the code before, test_failed_listener_does_not_hide_other_entries and test_failed_listener_does_not_fail_the_call failed with "KeyError", test_generation_whose_admission_raises_is_lost with "None is not an instance of GenerationLost". They pass now, with the tests of endpoints, forwarding, spread, sidecar, quota, claims, generation, configuration and gateway.

--- a/bronzeslip/claims/result_keeper.py
+++ b/bronzeslip/claims/result_keeper.py
@@ -1,10 +1,9 @@
 """Writes responses to claims without delaying the callers."""
 
-import asyncio
-
 import tenacity
 
 from bronzeslip import logs
+from bronzeslip import task_set
 from bronzeslip.claims import claim as claims
 from bronzeslip.claims import errors
 from bronzeslip.claims import kept_result
@@ -30,7 +29,7 @@
     ) -> None:
         self._settings = settings
         self._store = claim_store
-        self._tasks: set[asyncio.Task] = set()
+        self._tasks = task_set.TaskSet()
 
     def schedule(
         self, stored: claims.StoredClaim, finished: frames.CallFinished
@@ -39,14 +38,11 @@
         result = kept_result.from_finished(
             finished, self._settings.kept_result_bytes
         )
-        task = asyncio.create_task(self._write(stored, result))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks.start("write result", self._write(stored, result))
 
     async def drain(self) -> None:
         """Waits until every write has succeeded or has been abandoned."""
-        if self._tasks:
-            await asyncio.wait(self._tasks)
+        await self._tasks.wait()
 
     async def _write(
         self, stored: claims.StoredClaim, result: kept_result.KeptResult
--- a/bronzeslip/configuration/in_force.py
+++ b/bronzeslip/configuration/in_force.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from bronzeslip import ids
+from bronzeslip import listeners
 from bronzeslip import logs
 from bronzeslip.configuration import errors
 from bronzeslip.configuration import index
@@ -22,7 +23,7 @@
         self._record: record.ConfigurationRecord | None = None
         self._index: index.ConfigurationIndex | None = None
         self._changed = asyncio.Condition()
-        self._listeners: set[Callable[[], None]] = set()
+        self._listeners = listeners.Listeners[[]]("configuration")
 
     def add_listener(self, listener: Callable[[], None]) -> None:
         """Registers a listener that is called after each activation."""
@@ -72,8 +73,7 @@
         new_index = index.ConfigurationIndex(candidate.document)
         self._record, self._index = candidate, new_index
         logger.info("configuration.in_force", number=candidate.number)
-        for listener in tuple(self._listeners):
-            listener()
+        self._listeners.notify()
         async with self._changed:
             self._changed.notify_all()
         return True
--- a/bronzeslip/endpoints/directory.py
+++ b/bronzeslip/endpoints/directory.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from bronzeslip import ids
+from bronzeslip import listeners
 from bronzeslip import logs
 from bronzeslip.endpoints import endpoint
 from bronzeslip.endpoints import past_incarnations
@@ -19,6 +20,7 @@
 logger = logs.get_logger(__name__)
 
 EndpointListener = Callable[[endpoint.Endpoint], None]
+_EndpointListeners = listeners.Listeners[[endpoint.Endpoint]]
 
 
 class EndpointDirectory:
@@ -53,8 +55,8 @@
         self._missing_since_s: dict[ids.EndpointId, float] = {}
         self._outage_end_s = -math.inf
         self._is_source_reachable = False
-        self._leaving_listeners: list[EndpointListener] = []
-        self._gone_listeners: list[EndpointListener] = []
+        self._leaving_listeners = _EndpointListeners("leaving")
+        self._gone_listeners = _EndpointListeners("gone")
         self._changed = asyncio.Event()
         self._ready_by_service: dict[
             ids.ServiceName, tuple[endpoint.Endpoint, ...]
@@ -68,11 +70,11 @@
 
     def add_leaving_listener(self, listener: EndpointListener) -> None:
         """Registers a callback for endpoints that start to leave."""
-        self._leaving_listeners.append(listener)
+        self._leaving_listeners.add(listener)
 
     def add_gone_listener(self, listener: EndpointListener) -> None:
         """Registers a callback for incarnations that are dropped."""
-        self._gone_listeners.append(listener)
+        self._gone_listeners.add(listener)
 
     def get(self, endpoint_id: ids.EndpointId) -> endpoint.Endpoint | None:
         """Returns an endpoint, or None if it is unknown."""
@@ -306,13 +308,11 @@
         logger.info(
             "endpoints.leaving", endpoint=leaving.endpoint_id, reason=reason
         )
-        for listener in self._leaving_listeners:
-            listener(leaving)
+        self._leaving_listeners.notify(leaving)
 
     def _notify_gone(self, gone: endpoint.Endpoint) -> None:
         self.request_limits.remove(gone)
-        for listener in self._gone_listeners:
-            listener(gone)
+        self._gone_listeners.notify(gone)
 
 
 def _now_s() -> float:
--- a/bronzeslip/endpoints/request_limits.py
+++ b/bronzeslip/endpoints/request_limits.py
@@ -4,6 +4,7 @@
 import time
 
 from bronzeslip import ids
+from bronzeslip import listeners
 from bronzeslip import logs
 from bronzeslip.endpoints import endpoint
 from bronzeslip.endpoints import limit_statement
@@ -31,11 +32,13 @@
             ids.EndpointId,
             tuple[endpoint.Endpoint, limit_statement.LimitStatement],
         ] = {}
-        self._ended_listeners: list[EndedListener] = []
+        self._ended_listeners: listeners.Listeners[[endpoint.Endpoint]] = (
+            listeners.Listeners("limit ended")
+        )
 
     def add_ended_listener(self, listener: EndedListener) -> None:
         """Registers a callback for limits that this gateway saw end."""
-        self._ended_listeners.append(listener)
+        self._ended_listeners.add(listener)
 
     def state(self, target: endpoint.Endpoint, rate_per_s: float) -> None:
         """Records that an endpoint stated a limit just now."""
@@ -55,8 +58,7 @@
             return
         self.merge(target, limit_statement.LimitStatement(None, sent_s))
         if self.rate_of(target) is None:
-            for listener in self._ended_listeners:
-                listener(target)
+            self._ended_listeners.notify(target)
 
     def merge(
         self,
--- a/bronzeslip/forwarding/copy_releaser.py
+++ b/bronzeslip/forwarding/copy_releaser.py
@@ -1,8 +1,7 @@
 """Frees standby copies that are no longer needed."""
 
-import asyncio
-
 from bronzeslip import logs
+from bronzeslip import task_set
 from bronzeslip.forwarding import endpoint_client
 from bronzeslip.forwarding import endpoint_errors
 from bronzeslip.forwarding import standby_copy
@@ -18,13 +17,11 @@
 
     def __init__(self, client: endpoint_client.EndpointClient) -> None:
         self._client = client
-        self._tasks: set[asyncio.Task] = set()
+        self._tasks = task_set.TaskSet()
 
     def release(self, copy: standby_copy.StandbyCopy) -> None:
         """Frees a copy at its source and its target."""
-        task = asyncio.create_task(self._release(copy))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks.start("release copy", self._release(copy))
 
     async def _release(self, copy: standby_copy.StandbyCopy) -> None:
         try:
--- a/bronzeslip/forwarding/crash_watch.py
+++ b/bronzeslip/forwarding/crash_watch.py
@@ -7,6 +7,7 @@
 
 from bronzeslip import ids
 from bronzeslip import logs
+from bronzeslip import task_set
 from bronzeslip.endpoints import directory
 from bronzeslip.endpoints import endpoint
 from bronzeslip.forwarding import admitted
@@ -163,8 +164,8 @@
         if not is_answered:
             lost.prompts.add(part_watch.parts_of(request))
         if crash_id not in self._checks:
-            self._checks[crash_id] = asyncio.create_task(
-                self._check(request, target)
+            self._checks[crash_id] = task_set.start(
+                "crash check", self._check(request, target)
             )
 
     async def wait_for_crash_check(
--- a/bronzeslip/forwarding/report_poller.py
+++ b/bronzeslip/forwarding/report_poller.py
@@ -7,6 +7,7 @@
 from bronzeslip import ids
 from bronzeslip import isolation
 from bronzeslip import logs
+from bronzeslip import task_set
 from bronzeslip.endpoints import directory
 from bronzeslip.endpoints import endpoint
 from bronzeslip.endpoints import in_flight_requests
@@ -84,8 +85,8 @@
             task = self._tasks.get(endpoint_id)
             # The tasks of a run that has failed are done.
             if task is None or task.done():
-                self._tasks[endpoint_id] = asyncio.create_task(
-                    self._poll(engine), name=f"report {endpoint_id}"
+                self._tasks[endpoint_id] = task_set.start(
+                    f"report {endpoint_id}", self._poll(engine)
                 )
 
     async def _poll(self, engine: endpoint.Endpoint) -> None:
--- a/bronzeslip/forwarding/run_standby.py
+++ b/bronzeslip/forwarding/run_standby.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from bronzeslip import task_set
 from bronzeslip.endpoints import endpoint
 from bronzeslip.forwarding import admitted
 from bronzeslip.forwarding import chooser
@@ -40,7 +41,7 @@
         self._keeper = standby_keeper.StandbyKeeper(
             self._components, self._request, source
         )
-        self._task = asyncio.create_task(self._keeper.run())
+        self._task = task_set.start("standby", self._keeper.run())
 
     def stop(self) -> standby_copy.StandbyCopy | None:
         """Stops keeping a copy.
--- a/bronzeslip/generation/run.py
+++ b/bronzeslip/generation/run.py
@@ -5,6 +5,7 @@
 import enum
 import time
 
+from bronzeslip import listeners
 from bronzeslip.generation import buffer
 from bronzeslip.transport.frames import generation as frames
 
@@ -44,7 +45,7 @@
         self.no_readers_since_s: float | None = time.monotonic()
         self.no_readers = asyncio.Event()
         self.no_readers.set()
-        self._listeners: set[Callable[[], None]] = set()
+        self._listeners = listeners.Listeners[[]]("generation")
         self._acknowledged_index = 0
         self._droppable_index = 0
         self._droppable_at_s = 0.0
@@ -57,7 +58,7 @@
 
     def remove_listener(self, listener: Callable[[], None]) -> None:
         """Removes the listener of a reader."""
-        self._listeners.discard(listener)
+        self._listeners.remove(listener)
         if not self._listeners and self.no_readers_since_s is None:
             self.no_readers_since_s = time.monotonic()
             self.no_readers.set()
@@ -99,5 +100,4 @@
         self._droppable_at_s = now_s + grace_s
 
     def _notify(self) -> None:
-        for listener in tuple(self._listeners):
-            listener()
+        self._listeners.notify()
--- a/bronzeslip/platform/endpoint_http.py
+++ b/bronzeslip/platform/endpoint_http.py
@@ -7,6 +7,7 @@
 
 from bronzeslip import ids
 from bronzeslip import logs
+from bronzeslip import task_set
 from bronzeslip.endpoints import directory
 from bronzeslip.endpoints import endpoint
 from bronzeslip.endpoints import report
@@ -56,7 +57,7 @@
         # Responses without a request id must not share connections with
         # forwarded requests.
         self._control_pools: dict[str, connection_pool.ConnectionPool] = {}
-        self._closing_tasks: set[asyncio.Task] = set()
+        self._closing_tasks = task_set.TaskSet()
 
     async def close(self) -> None:
         """Closes the idle connections."""
@@ -72,9 +73,7 @@
         for pools in (self._pools, self._control_pools):
             pool = pools.pop(_pool_key(target), None)
             if pool is not None:
-                task = asyncio.create_task(pool.close())
-                self._closing_tasks.add(task)
-                task.add_done_callback(self._closing_tasks.discard)
+                self._closing_tasks.start("close connections", pool.close())
 
     async def send(
         self, outgoing: dispatch.Dispatch
--- a/bronzeslip/platform/store_era.py
+++ b/bronzeslip/platform/store_era.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from bronzeslip import ids
+from bronzeslip import listeners
 from bronzeslip import logs
 from bronzeslip.store import errors
 
@@ -18,11 +19,11 @@
 
     def __init__(self) -> None:
         self._current = 0
-        self._listeners: list[Callable[[], None]] = []
+        self._listeners = listeners.Listeners[[]]("restore")
 
     def add_listener(self, listener: Callable[[], None]) -> None:
         """Registers a callback for restores of the store."""
-        self._listeners.append(listener)
+        self._listeners.add(listener)
 
     def observe(self, text: str | None) -> int:
         """Processes the era stated by a response and returns it.
@@ -87,8 +88,7 @@
         if not previous:
             return
         logger.warning("platform.store_restored", era=era, previous=previous)
-        for listener in self._listeners:
-            listener()
+        self._listeners.notify()
 
 
 def version_of(era: int, revision: int) -> ids.ObjectVersion:
--- a/bronzeslip/quota/end_announcer.py
+++ b/bronzeslip/quota/end_announcer.py
@@ -1,10 +1,10 @@
 """Tells other gateways that the limit of an endpoint has ended."""
 
-import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
 import time
 
+from bronzeslip import task_set
 from bronzeslip.endpoints import directory
 from bronzeslip.endpoints import endpoint
 from bronzeslip.quota import coordinators
@@ -44,7 +44,7 @@
         self._coordinator = coordinator
         self._caller = caller
         self._clock = clock
-        self._tasks: set[asyncio.Task] = set()
+        self._tasks = task_set.TaskSet()
 
     def start(self) -> None:
         """Starts to listen for ends of limits."""
@@ -71,6 +71,6 @@
             sender=self._caller.own,
         )
         for gateway in gateways:
-            task = asyncio.create_task(self._caller.ask(gateway, request))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._tasks.start(
+                "announce end", self._caller.ask(gateway, request)
+            )
--- a/bronzeslip/quota/permit_coordinator.py
+++ b/bronzeslip/quota/permit_coordinator.py
@@ -5,6 +5,7 @@
 import time
 
 from bronzeslip import ids
+from bronzeslip import listeners
 from bronzeslip import logs
 from bronzeslip.endpoints import directory
 from bronzeslip.endpoints import endpoint
@@ -54,7 +55,9 @@
         self._clock = clock
         self._buckets: dict[ids.EndpointId, permit_bucket.PermitBucket] = {}
         self._denied: dict[ids.EndpointId, set[peer.Peer]] = {}
-        self._ended_listeners: list[EndedListener] = []
+        self._ended_listeners: listeners.Listeners[
+            [endpoint.Endpoint, Iterable[peer.Peer]]
+        ] = listeners.Listeners("limit ended")
         endpoints.add_gone_listener(self._remove_endpoint)
 
     def add_ended_listener(self, listener: EndedListener) -> None:
@@ -63,7 +66,7 @@
         It is called with the endpoint and the gateways that were denied
         permits for it.
         """
-        self._ended_listeners.append(listener)
+        self._ended_listeners.add(listener)
 
     def decide(
         self, request: permit_request.PermitRequest
@@ -117,8 +120,7 @@
         denied = self._denied.pop(target.endpoint_id, None)
         if denied is None:
             return
-        for listener in self._ended_listeners:
-            listener(target, denied)
+        self._ended_listeners.notify(target, denied)
 
     def _create_reply(
         self, latest: limit_statement.LimitStatement, delay_s: float
--- a/bronzeslip/sidecar/call_table.py
+++ b/bronzeslip/sidecar/call_table.py
@@ -13,6 +13,7 @@
 
 from bronzeslip import ids
 from bronzeslip import logs
+from bronzeslip import task_set
 from bronzeslip.settings import sidecar
 from bronzeslip.sidecar import call_entry
 from bronzeslip.transport.frames import call as frames
@@ -50,7 +51,7 @@
         self._send = send
         self._clock = clock
         self._entries: dict[ids.CallId, call_entry.CallEntry] = {}
-        self._tasks: set[asyncio.Task] = set()
+        self._tasks = task_set.TaskSet()
         self._kept_bytes = 0
         self._latest_evicted_issued_s = float("-inf")
         self._next_eviction_s = clock()
@@ -67,7 +68,7 @@
             if refusal is not None:
                 return _refused(start.call_id, refusal)
             entry = self._add(start.call_id, start.ticket, accepted=True)
-            self._spawn(self._run(start, entry))
+            self._tasks.start("call", self._run(start, entry))
         return await asyncio.shield(entry.outcome)
 
     async def query(
@@ -153,11 +154,6 @@
                 self._latest_evicted_issued_s, entry.ticket.issued_s
             )
 
-    def _spawn(self, work: Awaitable[None]) -> None:
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     async def _run(
         self, start: frames.StartCall, entry: call_entry.CallEntry
     ) -> None:
--- a/bronzeslip/sidecar/generations.py
+++ b/bronzeslip/sidecar/generations.py
@@ -1,11 +1,14 @@
 """Generations that a sidecar runs on its engine."""
 
 import asyncio
+from collections.abc import Coroutine
 import math
 import time
+from typing import Any
 
 from bronzeslip import ids
 from bronzeslip import logs
+from bronzeslip import task_set
 from bronzeslip.admission import errors as admission_errors
 from bronzeslip.admission import memory_gate
 from bronzeslip.admission import request
@@ -143,9 +146,9 @@
                 del self._cancelled_at_s[generation_id]
 
     def _start_task(
-        self, generation_id: ids.GenerationId, work: object
+        self, generation_id: ids.GenerationId, work: Coroutine[Any, Any, None]
     ) -> None:
-        task = asyncio.create_task(work)
+        task = task_set.start("generation", work)
         self._tasks[generation_id] = task
         task.add_done_callback(lambda _: self._tasks.pop(generation_id, None))
 
@@ -168,6 +171,19 @@
             task.cancel()
 
     async def _run(self, current: run.GenerationRun) -> None:
+        try:
+            await self._run_in_turn(current)
+        finally:
+            # Has no effect unless an unexpected exception has left the run
+            # without an outcome.
+            current.end(
+                frames.GenerationLost(
+                    current.start.generation_id, reason.LossReason.ENDPOINT_DOWN
+                )
+            )
+
+    async def _run_in_turn(self, current: run.GenerationRun) -> None:
+        """Runs a generation; only one suspect one at a time."""
         if not current.start.suspect:
             await self._admit_and_generate(current)
             return
--- a/bronzeslip/sidecar/peer_session.py
+++ b/bronzeslip/sidecar/peer_session.py
@@ -6,6 +6,7 @@
 
 from bronzeslip import ids
 from bronzeslip import logs
+from bronzeslip import task_set
 from bronzeslip.admission import gate
 from bronzeslip.generation import errors as generation_errors
 from bronzeslip.generation import reader
@@ -55,7 +56,7 @@
         self._outbox = outbox.Outbox()
         self._idle_timeout = idle_timeout.IdleTimeout(settings)
         self._readers: dict[ids.GenerationId, reader.GenerationReader] = {}
-        self._calls: set[asyncio.Task] = set()
+        self._calls = task_set.TaskSet()
         self._finishing = asyncio.Event()
 
     def finish(self) -> None:
@@ -163,9 +164,7 @@
         self._start_call(self._call_runner.query(frame))
 
     def _start_call(self, work: Awaitable[codec.Frame]) -> None:
-        task = asyncio.create_task(self._send_result(work))
-        self._calls.add(task)
-        task.add_done_callback(self._calls.discard)
+        self._calls.start("send result", self._send_result(work))
 
     async def _send_result(self, work: Awaitable[codec.Frame]) -> None:
         self._outbox.put(await work)
--- a/bronzeslip/spread/prefix_state.py
+++ b/bronzeslip/spread/prefix_state.py
@@ -5,6 +5,7 @@
 import time
 
 from bronzeslip import ids
+from bronzeslip import listeners
 from bronzeslip.spread import change
 from bronzeslip.spread import errors
 from bronzeslip.spread import event_log
@@ -28,7 +29,7 @@
         self._version = change.UNKNOWN_VERSION
         self._log = event_log.EventLog(self._version)
         self._confirmed_at_s = -float("inf")
-        self._listeners: set[Callable[[], None]] = set()
+        self._listeners = listeners.Listeners[[]]("objects")
 
     @property
     def version(self) -> ids.ObjectVersion:
@@ -59,7 +60,7 @@
 
     def remove_listener(self, listener: Callable[[], None]) -> None:
         """Removes a listener."""
-        self._listeners.discard(listener)
+        self._listeners.remove(listener)
 
     def replace(self, object_list: objects.ObjectList) -> None:
         """Replaces the state by a complete list, unless the list is older."""
@@ -160,8 +161,7 @@
         )
 
     def _notify(self) -> None:
-        for listener in tuple(self._listeners):
-            listener()
+        self._listeners.notify()
 
 
 def _version_of(obj: objects.PlatformObject) -> ids.ObjectVersion:
--- a/bronzeslip/spread/relay_link.py
+++ b/bronzeslip/spread/relay_link.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import time
 
+from bronzeslip import isolation
 from bronzeslip import logs
 from bronzeslip.settings import common
 from bronzeslip.spread import errors
@@ -117,8 +118,9 @@
         try:
             while True:
                 self._summary_changed.clear()
-                report = frames.StatusReport(self._aggregator.summary())
-                self._connection.send(report)
+                with isolation.isolated(logger, "spread.report_failed"):
+                    report = frames.StatusReport(self._aggregator.summary())
+                    self._connection.send(report)
                 await self._summary_changed.wait()
                 await asyncio.sleep(_REPORT_DELAY_S)
         finally:
--- a/bronzeslip/spread/status_aggregator.py
+++ b/bronzeslip/spread/status_aggregator.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 
 from bronzeslip import ids
+from bronzeslip import listeners
 from bronzeslip.configuration import in_force
 from bronzeslip.membership import member
 from bronzeslip.settings import common
@@ -35,7 +36,7 @@
         self._role = role
         self._configuration = configuration
         self._reports: dict[Hashable, Summaries] = {}
-        self._listeners: set[Callable[[], None]] = set()
+        self._listeners = listeners.Listeners[[]]("status")
         configuration.add_listener(self._notify)
 
     def set_report(self, follower: Hashable, domains: Summaries) -> None:
@@ -54,7 +55,7 @@
 
     def remove_listener(self, listener: Callable[[], None]) -> None:
         """Removes a listener."""
-        self._listeners.discard(listener)
+        self._listeners.remove(listener)
 
     def summary(self) -> Summaries:
         """Returns the summary of this process and all its followers."""
@@ -76,8 +77,7 @@
         )
 
     def _notify(self) -> None:
-        for listener in tuple(self._listeners):
-            listener()
+        self._listeners.notify()
 
 
 def merge(reports: Iterable[Summaries]) -> Summaries:
--- a/tests/endpoints/test_directory.py
+++ b/tests/endpoints/test_directory.py
@@ -31,6 +31,18 @@
         self.assertEqual(self._ready(), {"two"})
         self.assertEqual(self.notified, [self.one])
 
+    # A callback that raised kept the other entries of a listing from being
+    # applied.
+    async def test_failed_listener_does_not_hide_other_entries(self):
+        def fail(_):
+            raise KeyError
+
+        self.directory.add_leaving_listener(fail)
+        self.directory.add_gone_listener(fail)
+        three = forwarding_parts.create_endpoint("three")
+        self.directory.replace_all((three,))
+        self.assertEqual(self._ready(), {"three"})
+
     async def test_leaving_entry_accepts_no_requests(self):
         self.directory.put(
             forwarding_parts.create_endpoint(
--- a/tests/platform/test_store_era.py
+++ b/tests/platform/test_store_era.py
@@ -63,6 +63,23 @@
         await self.client.get(_KEY)
         self.assertEqual(self.restores, 2)
 
+    # A callback that raised failed the call that had noticed the restore, and
+    # the callbacks after it never learned of it.
+    async def test_failed_listener_does_not_fail_the_call(self):
+        self._create_client(
+            _respond(200, 1, _item(7)), _respond(200, 2, _item(5))
+        )
+        later = []
+
+        def fail():
+            raise KeyError
+
+        self.client.era.add_listener(fail)
+        self.client.era.add_listener(lambda: later.append(1))
+        await self.client.get(_KEY)
+        self.assertIsNotNone(await self.client.get(_KEY))
+        self.assertEqual(later, [1])
+
     async def test_same_revision_of_another_era_is_another_version(self):
         self._create_client(
             _respond(200, 1, _item(7)), _respond(200, 2, _item(7))
--- a/tests/sidecar/test_generations.py
+++ b/tests/sidecar/test_generations.py
@@ -4,6 +4,7 @@
 import dataclasses
 import time
 import unittest
+from unittest import mock
 
 import msgspec
 
@@ -60,6 +61,17 @@
         await asyncio.wait_for(table.wait_ended(), 1.0)
         self.assertEqual(self.engine.cancelled, [_ID])
 
+    # A generation whose admission raised an unforeseen exception had no outcome
+    # and its caller waited until its deadline.
+    async def test_generation_whose_admission_raises_is_lost(self):
+        table = self.table()
+        with mock.patch.object(
+            memory_gate.MemoryGate, "admit", side_effect=ZeroDivisionError
+        ):
+            current = table.start(_START)
+            await asyncio.wait_for(table.wait_ended(), 1.0)
+        self.assertIsInstance(current.terminal, frames.GenerationLost)
+
     async def start_and_read(self, table, count):
         """Starts a generation and waits for a number of tokens."""
         changed = asyncio.Event()
