--- a/bronzeslip/platform/settings_reloader.py
+++ b/bronzeslip/platform/settings_reloader.py
@@ -6,8 +6,7 @@
 
 from bronzeslip import logs
 from bronzeslip.entry import vm_config
-from bronzeslip.platform import boot_file
-from bronzeslip.platform import errors
+from bronzeslip.platform import boot_file_reader
 
 logger = logs.get_logger(__name__)
 
@@ -31,7 +30,7 @@
             this_vm: Configuration read from the file at startup.
             on_bounds_change: Called with the new bounds when they have changed.
         """
-        self._path = path
+        self._reader = boot_file_reader.BootFileReader(path)
         self._this_vm = this_vm
         self._on_bounds_change = on_bounds_change
 
@@ -43,12 +42,8 @@
 
     def reload(self) -> None:
         """Rereads the file; keeps the current settings if that fails."""
-        try:
-            loaded = boot_file.read(self._path)
-        except errors.AdapterError as error:
-            logger.error("settings.unreadable", reason=error.message)
-            return
-        if loaded == self._this_vm:
+        loaded = self._reader.try_read(self._this_vm.bounds)
+        if loaded is None or loaded == self._this_vm:
             return
         if loaded.bounds != self._this_vm.bounds:
             self._on_bounds_change(loaded.bounds)
@@ -68,5 +63,6 @@
         loaded.caller_address != previous.caller_address
         or loaded.readiness_address != previous.readiness_address
         or loaded.store_address != previous.store_address
+        or loaded.peer_address != previous.peer_address
         or loaded.failure_domain != previous.failure_domain
     )
