Run each step of a shutdown even if one before it fails

Seen: an exception while a gateway drains, begins its deadline or removes its record skips all later steps. Background tasks and open connections are cut, and the process ends with a traceback and status 1, which tells of a failure where a shutdown was asked for.

Cause: EntryDaemon.run and the _close of both other daemons awaited the steps one after the other without a boundary between them.

Change: shutdown.run_step logs shutdown.step_failed and goes on. The gateway aborts the callers' server too, which has no effect after a drain that completed. The other gateway closes its HTTP server at the end as well, in case its drain failed.

--- a/bronzeslip/entry/daemon.py
+++ b/bronzeslip/entry/daemon.py
@@ -110,20 +110,25 @@
             self._background_tasks.start(task.name, task.coroutine)
         logger.info("entry.listening", vm=self._this_vm.vm_id)
         await self._signals.requested.wait()
-        await self._drain()
-        await self._deregister()
-        await self._background_tasks.stop()
+        await shutdown.run_step("notice", self._announce_drain())
+        await shutdown.run_step("drain", self._drain())
+        await shutdown.run_step("deregistration", self._deregister())
+        await shutdown.run_step("tasks", self._background_tasks.stop())
         await asyncio.gather(
-            self._peer_server.abort(),
-            self._readiness_server.abort(),
-            self._metrics_server.abort(),
+            shutdown.run_step("callers", self._caller_server.abort()),
+            shutdown.run_step("peers", self._peer_server.abort()),
+            shutdown.run_step("readiness", self._readiness_server.abort()),
+            shutdown.run_step("metrics", self._metrics_server.abort()),
         )
 
-    async def _drain(self) -> None:
-        """Fails readiness checks, then waits for running requests to finish."""
+    async def _announce_drain(self) -> None:
+        """Fails readiness checks."""
+        logger.info("entry.draining")
         self._readiness.drain()
         self._begin_drain()
-        logger.info("entry.draining")
+
+    async def _drain(self) -> None:
+        """Waits for running requests to finish."""
         completed = await self._signals.run_unless_forced(self._stop_callers())
         if not completed:
             await self._caller_server.abort()
--- a/bronzeslip/gateway/daemon.py
+++ b/bronzeslip/gateway/daemon.py
@@ -85,7 +85,7 @@
             peer_port=self._peers.port,
         )
         await self._signals.requested.wait()
-        await self._drain()
+        await shutdown.run_step("drain", self._drain())
         await self._close()
 
     def _start_suspect_tasks(self) -> None:
@@ -117,8 +117,9 @@
         await self._state.result_writer.drain()
 
     async def _close(self) -> None:
-        await self._registrar.deregister()
-        await self._tasks.stop()
-        await self._state.peers.close()
-        await self._peers.stop()
-        await self._platform.close()
+        await shutdown.run_step("deregistration", self._registrar.deregister())
+        await shutdown.run_step("tasks", self._tasks.stop())
+        await shutdown.run_step("callers", self._http.abort())
+        await shutdown.run_step("peer connections", self._state.peers.close())
+        await shutdown.run_step("peers", self._peers.stop())
+        await shutdown.run_step("platform", self._platform.close())
--- a/bronzeslip/http/shutdown.py
+++ b/bronzeslip/http/shutdown.py
@@ -1,6 +1,7 @@
 """Handling of signals that shut down a daemon."""
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Coroutine
 import signal
@@ -63,3 +64,18 @@
         event = self.forced if self.requested.is_set() else self.requested
         logger.info("shutdown.signal", hurried=event is self.forced)
         event.set()
+
+
+async def run_step(name: str, step: Awaitable[Any]) -> None:
+    """Runs a step of a shutdown, whose failure does not prevent the next one.
+
+    Args:
+        name: Name that a failure is logged with.
+        step: What to await.
+    """
+    try:
+        await step
+    except Exception as error:
+        logger.error(
+            "shutdown.step_failed", step=name, reason=logs.describe(error)
+        )
--- a/bronzeslip/sidecar/daemon.py
+++ b/bronzeslip/sidecar/daemon.py
@@ -129,7 +129,7 @@
             endpoint_id=self._settings.endpoint_id,
         )
         await self._signals.requested.wait()
-        await self._drain()
+        await shutdown.run_step("drain", self._drain())
         await self._close()
 
     def _on_leaving(self) -> None:
@@ -164,13 +164,13 @@
 
     async def _close(self) -> None:
         await asyncio.sleep(self._settings.drain_notice_s)
-        await self._registrar.deregister()
-        await self._tasks.stop()
-        await self._peers.stop()
-        await self._http.stop()
-        await self._call_runner.close()
-        await self._engine.close()
-        await self._platform.close()
+        await shutdown.run_step("deregistration", self._registrar.deregister())
+        await shutdown.run_step("tasks", self._tasks.stop())
+        await shutdown.run_step("peers", self._peers.stop())
+        await shutdown.run_step("http", self._http.stop())
+        await shutdown.run_step("calls", self._call_runner.close())
+        await shutdown.run_step("engine", self._engine.close())
+        await shutdown.run_step("platform", self._platform.close())
 
     async def _serve_peer(self, peer: stream.PeerStream) -> None:
         session = peer_session.PeerSession(
--- /dev/null
+++ b/tests/entry/test_daemon.py
@@ -0,0 +1,76 @@
+"""Tests of bronzeslip.entry.daemon."""
+
+import asyncio
+import os
+import signal
+import unittest
+
+import litestar
+
+from bronzeslip.endpoints import directory
+from bronzeslip.entry import daemon
+from bronzeslip.entry import readiness
+from bronzeslip.entry import vm_config
+from bronzeslip.metrics import entry_metrics
+from bronzeslip.routes import current
+from bronzeslip.settings import entry
+
+_ADDRESS = vm_config.SocketAddress("127.0.0.1", 0)
+
+
+@litestar.get("/permits")
+async def _permits() -> None:
+    """Handles nothing."""
+
+
+async def _fail():
+    raise LookupError("a step that fails")
+
+
+def _fail_at_once():
+    raise LookupError("a step that fails")
+
+
+class EntryDaemonTest(unittest.IsolatedAsyncioTestCase):
+    def create_daemon(self):
+        settings = entry.EntrySettings(drain_notice_s=0)
+        table = current.CurrentTable()
+        endpoints = directory.EndpointDirectory(settings)
+        return daemon.EntryDaemon(
+            settings,
+            vm_config.VmConfig(
+                vm_id="front-1",
+                failure_domain="a-1",
+                regions={},
+                caller_address=_ADDRESS,
+                readiness_address=_ADDRESS,
+                store_address=_ADDRESS,
+                peer_address=_ADDRESS,
+                bounds=vm_config.PlaceBounds(8, 0.2, 56, 10, 2.5),
+            ),
+            lambda *_: None,
+            _permits,
+            table,
+            readiness.Readiness(table, endpoints),
+            entry_metrics.EntryMetrics(table, endpoints),
+            (),
+            lambda: None,
+            _fail_at_once,
+            _fail,
+        )
+
+    # Guards against an exit that skips steps, with a traceback, after an error.
+    async def test_failed_steps_do_not_prevent_an_orderly_exit(self):
+        tasks_before = asyncio.all_tasks()
+        run = asyncio.create_task(self.create_daemon().run())
+        await asyncio.sleep(0)
+        with self.assertLogs("absl") as captured:
+            os.kill(os.getpid(), signal.SIGTERM)
+            await run
+        steps = [line for line in captured.output if "step_failed" in line]
+        self.assertEqual(len(steps), 2, steps)
+        self.assertEqual(asyncio.all_tasks() - tasks_before, set())
+
+
+if __name__ == "__main__":
+    unittest.main()
