--- a/bronzeslip/daemon_command.py
+++ b/bronzeslip/daemon_command.py
@@ -10,6 +10,7 @@
 
 from bronzeslip import log_queue
 from bronzeslip import logs
+from bronzeslip.http import shutdown
 from bronzeslip.settings import parser
 
 logger = logs.get_logger(__name__)
@@ -72,3 +73,4 @@
         logger.error("daemon.failed", reason=logs.describe(error))
         raise
     logger.info("daemon.ended")
+    shutdown.ignore_signals()
--- a/bronzeslip/http/shutdown.py
+++ b/bronzeslip/http/shutdown.py
@@ -11,6 +11,8 @@
 
 logger = logs.get_logger(__name__)
 
+_SHUTDOWN_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
 
 class ShutdownSignals:
     """Starts a drain on the first signal and forces the exit on the second.
@@ -27,7 +29,7 @@
     def install(self) -> None:
         """Installs handlers for SIGTERM and SIGINT in the running loop."""
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in _SHUTDOWN_SIGNALS:
             loop.add_signal_handler(number, self._on_signal)
 
     def on_reload(self, reload: Callable[[], None]) -> None:
@@ -79,3 +81,15 @@
         logger.error(
             "shutdown.step_failed", step=name, reason=logs.describe(error)
         )
+
+
+def ignore_signals() -> None:
+    """Ignores further signals in a process that ends anyway.
+
+    Without their handlers, which the loop removes, they would end it with a
+    status that tells of a failure.
+    """
+    loop = asyncio.get_running_loop()
+    for number in (*_SHUTDOWN_SIGNALS, signal.SIGHUP):
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
--- a/tests/http/test_shutdown.py
+++ b/tests/http/test_shutdown.py
@@ -1,6 +1,8 @@
 """Tests of bronzeslip.http.shutdown."""
 
 import asyncio
+import os
+import signal
 import unittest
 
 from bronzeslip.http import shutdown
@@ -11,6 +13,11 @@
 
 
 class ShutdownTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            previous = signal.getsignal(number)
+            self.addCleanup(signal.signal, number, previous)
+
     # Guards against steps that are skipped after one that failed.
     async def test_a_failed_step_is_logged(self):
         with self.assertLogs("absl") as captured:
@@ -27,6 +34,17 @@
         with self.assertRaises(asyncio.CancelledError):
             await step
 
+    # Guards against a signal that kills a process which has ended its work.
+    async def test_signals_at_the_end_are_ignored(self):
+        signals = shutdown.ShutdownSignals()
+        signals.install()
+        signals.on_reload(signals.request)
+        shutdown.ignore_signals()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            os.kill(os.getpid(), number)
+        await asyncio.sleep(0)
+        self.assertFalse(signals.requested.is_set())
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/test_main.py
+++ b/tests/platform/test_main.py
@@ -9,6 +9,15 @@
 from bronzeslip.platform import __main__ as platform_main
 
 _LIST_MODULES = "import sys, bronzeslip.platform.__main__; print(*sys.modules)"
+# Replaces the import of the command, which takes most of the time of a start.
+_SIGNAL_DURING_IMPORT = """
+import signal
+from bronzeslip.platform import __main__
+def import_module(_):
+    signal.raise_signal({number})
+__main__.importlib.import_module = import_module
+__main__.main()
+"""
 _SLOW_MODULES = {"httpx", "litestar", "msgspec", "bronzeslip.platform.gateway"}
 
 
@@ -20,14 +29,28 @@
             handlers.append(signal.getsignal(signal.SIGHUP))
             return mock.Mock()
 
-        previous = signal.getsignal(signal.SIGHUP)
-        self.addCleanup(signal.signal, signal.SIGHUP, previous)
+        for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+            previous = signal.getsignal(number)
+            self.addCleanup(signal.signal, number, previous)
         with mock.patch.object(
             platform_main.importlib, "import_module", import_module
         ):
             platform_main.main()
         self.assertEqual(handlers, [signal.SIG_IGN])
 
+    # Guards against a status that tells of a failure, and against a traceback.
+    def test_early_request_to_shut_down_ends_it_with_status_0(self):
+        for number in (signal.SIGTERM, signal.SIGINT):
+            with self.subTest(signal=number.name):
+                code = _SIGNAL_DURING_IMPORT.format(number=int(number))
+                result = subprocess.run(
+                    [sys.executable, "-c", code],
+                    check=False,
+                    capture_output=True,
+                    text=True,
+                )
+                self.assertEqual((result.returncode, result.stderr), (0, ""))
+
     def test_module_imports_nothing_slow_by_itself(self):
         output = subprocess.run(
             [sys.executable, "-c", _LIST_MODULES],
--- a/tests/processes/test_starts.py
+++ b/tests/processes/test_starts.py
@@ -106,6 +106,15 @@
             self.gateway.process.stop()
             self.assertEqual(self.gateway.process.exit_status, 0)
 
+    # Guards against a status that tells of a failure if a shutdown is hurried.
+    def test_repeated_signals_end_it_with_status_0(self):
+        self.gateway.start()
+        self.gateway.wait_ready()
+        while self.gateway.process.exit_status is None:
+            self.gateway.process.send_signal(signal.SIGTERM)
+            time.sleep(0.005)
+        self.assertEqual(self.gateway.process.exit_status, 0)
+
 
 if __name__ == "__main__":
     unittest.main()
