Report a lack of descriptors once per attempt to accept

Seen: a gateway that has no free descriptor takes a whole core and writes two thousand tracebacks a second to its log, so that callers on open connections are served late or not at all.

Cause: for each event of a listening socket, asyncio (Python 3.11) accepts as often as the backlog holds (2,048). With EMFILE each attempt logs an error with traceback and schedules a further one.

Change: the listening socket raises BlockingIOError after such an error, which ends that loop; asyncio tries again a second later, as before.

--- a/bronzeslip/http/listener.py
+++ b/bronzeslip/http/listener.py
@@ -4,6 +4,7 @@
 import socket
 
 from bronzeslip import logs
+from bronzeslip.http import listening_socket
 from bronzeslip.settings import http
 
 logger = logs.get_logger(__name__)
@@ -75,7 +76,8 @@
             self._socket.close()
 
     def _create_socket(self) -> socket.socket:
-        listening = socket.create_server(self._address, backlog=_BACKLOG)
+        created = socket.create_server(self._address, backlog=_BACKLOG)
+        listening = listening_socket.ListeningSocket(fileno=created.detach())
         # Accepted sockets inherit these options. asyncio itself sets
         # TCP_NODELAY only on sockets created with an explicit protocol number.
         listening.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -1,9 +1,11 @@
-"""Tests of the HTTP server with TLS and on ports that are taken."""
+"""Tests of the HTTP server: TLS, ports that are taken, no descriptors."""
 
 import asyncio
+import errno
 import socket
 import ssl
 import unittest
+from unittest import mock
 
 import httpx
 
@@ -98,5 +100,28 @@
                 self.assertFalse(http_server.is_listening)
 
 
+class DescriptorsTest(unittest.IsolatedAsyncioTestCase):
+    # Guards against thousands of errors and attempts per connection.
+    async def test_a_lack_of_descriptors_is_reported_once(self):
+        http_server = server.HttpServer(_app, http.HttpSettings())
+        http_server.start()
+        self.addAsyncCleanup(http_server.abort)
+        reports = []
+        asyncio.get_running_loop().set_exception_handler(
+            lambda _, context: reports.append(context["message"])
+        )
+        exhausted = OSError(errno.EMFILE, "too many open files")
+        with (
+            mock.patch.object(socket.socket, "accept", side_effect=exhausted),
+            socket.create_connection(("127.0.0.1", http_server.port)),
+        ):
+            await polling.wait_until(lambda: reports)
+            await asyncio.sleep(0.1)
+        self.assertEqual(reports, ["socket.accept() out of system resource"])
+        async with httpx.AsyncClient() as client:
+            response = await client.get(f"http://127.0.0.1:{http_server.port}/")
+        self.assertEqual(response.status_code, 204)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/processes/test_starts.py
+++ b/tests/processes/test_starts.py
@@ -1,5 +1,6 @@
 """Tests of gateway processes that start in adverse conditions."""
 
+import resource
 import signal
 import socket
 import time
@@ -10,6 +11,7 @@
 from tools import entry_deployment
 
 _WAITED_S = 1.0
+_MAX_DESCRIPTORS = 64
 
 
 class StartsTest(unittest.TestCase):
@@ -106,6 +108,28 @@
             self.gateway.process.stop()
             self.assertEqual(self.gateway.process.exit_status, 0)
 
+    # Guards against ending, or being busy with errors, if descriptors run out.
+    def test_outlives_a_lack_of_descriptors(self):
+        self.gateway.start()
+        self.gateway.wait_ready()
+        resource.prlimit(
+            self.gateway.process.pid,
+            resource.RLIMIT_NOFILE,
+            (_MAX_DESCRIPTORS, _MAX_DESCRIPTORS),
+        )
+        address = (self.gateway.host, self.gateway.ports["callers"])
+        connections = [
+            socket.create_connection(address) for _ in range(_MAX_DESCRIPTORS)
+        ]
+        self.gateway.process.send_signal(signal.SIGHUP)
+        time.sleep(_WAITED_S)
+        for connection in connections:
+            connection.close()
+        self.assertIsNone(self.gateway.process.exit_status)
+        output = "\n".join(self.gateway.process.lines)
+        self.assertLess(output.count("Too many open files"), _MAX_DESCRIPTORS)
+        self.assert_serves()
+
     # Guards against a status that tells of a failure if a shutdown is hurried.
     def test_repeated_signals_end_it_with_status_0(self):
         self.gateway.start()
