--- a/bronzeslip/http/shutdown.py
+++ b/bronzeslip/http/shutdown.py
@@ -1,6 +1,7 @@
 """Handling of signals that shut down a daemon."""
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Coroutine
 import signal
@@ -10,6 +11,8 @@
 
 logger = logs.get_logger(__name__)
 
+_SHUTDOWN_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
 
 class ShutdownSignals:
     """Starts a drain on the first signal and forces the exit on the second.
@@ -26,7 +29,7 @@
     def install(self) -> None:
         """Installs handlers for SIGTERM and SIGINT in the running loop."""
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in _SHUTDOWN_SIGNALS:
             loop.add_signal_handler(number, self._on_signal)
 
     def on_reload(self, reload: Callable[[], None]) -> None:
@@ -63,3 +66,30 @@
         event = self.forced if self.requested.is_set() else self.requested
         logger.info("shutdown.signal", hurried=event is self.forced)
         event.set()
+
+
+async def run_step(name: str, step: Awaitable[Any]) -> None:
+    """Runs a step of a shutdown, whose failure does not prevent the next one.
+
+    Args:
+        name: Name that a failure is logged with.
+        step: What to await.
+    """
+    try:
+        await step
+    except Exception as error:
+        logger.error(
+            "shutdown.step_failed", step=name, reason=logs.describe(error)
+        )
+
+
+def ignore_signals() -> None:
+    """Ignores further signals in a process that ends anyway.
+
+    Without their handlers, which the loop removes, they would end it with a
+    status that tells of a failure.
+    """
+    loop = asyncio.get_running_loop()
+    for number in (*_SHUTDOWN_SIGNALS, signal.SIGHUP):
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
