Convert all decoding errors of records, frames and engine answers

Callers saw: nothing yet; found while looking for paths of the same class. Deeply nested claims, members, leases, segments, history blocks, resume tokens, engine answers and events raised RecursionError where only msgspec.MsgspecError was converted, and a segment with a foreign name raised ValueError in the clean-up.

Change: they are decoded with decoding.untrusted. A history block that can't be read counts as missing, and a segment with a foreign name is kept.

--- a/bronzeslip/claims/store.py
+++ b/bronzeslip/claims/store.py
@@ -6,6 +6,8 @@
 from bronzeslip.claims import claim as claims
 from bronzeslip.claims import errors
 from bronzeslip.claims import kept_result
+from bronzeslip.decoding import errors as decoding_errors
+from bronzeslip.decoding import untrusted
 from bronzeslip.store import client
 from bronzeslip.store import errors as platform_errors
 from bronzeslip.store import objects
@@ -155,9 +157,11 @@
         errors.ClaimError: If the object does not hold a valid claim.
     """
     try:
-        claim = msgspec.json.decode(found.value, type=claims.Claim)
-    except msgspec.MsgspecError as error:
-        raise errors.ClaimError(f"cannot decode claim: {error}") from error
+        claim = untrusted.from_json(found.value, claims.Claim)
+    except decoding_errors.UndecodableError as error:
+        raise errors.ClaimError(
+            f"cannot decode claim: {error.message}"
+        ) from error
     return claims.StoredClaim(found.key, found.version, claim)
 
 
--- a/bronzeslip/cli/operator_client.py
+++ b/bronzeslip/cli/operator_client.py
@@ -16,6 +16,8 @@
 from bronzeslip.cli import problem
 from bronzeslip.configuration import record
 from bronzeslip.configuration import store
+from bronzeslip.decoding import errors as decoding_errors
+from bronzeslip.decoding import untrusted
 from bronzeslip.settings import operator
 from bronzeslip.spread import status
 
@@ -184,8 +186,8 @@
     response: httpx.Response, response_type: type[ResponseT]
 ) -> ResponseT:
     try:
-        return msgspec.json.decode(response.content, type=response_type)
-    except msgspec.MsgspecError as error:
+        return untrusted.from_json(response.content, response_type)
+    except decoding_errors.UndecodableError as error:
         raise errors.CommandError(
-            f"invalid response from the gateway: {error}"
+            f"invalid response from the gateway: {error.message}"
         ) from error
--- a/bronzeslip/cli/problem.py
+++ b/bronzeslip/cli/problem.py
@@ -4,6 +4,8 @@
 import msgspec
 
 from bronzeslip.cli import errors
+from bronzeslip.decoding import errors as decoding_errors
+from bronzeslip.decoding import untrusted
 
 _ERRORS_BY_CODE: dict[str, type[errors.CommandError]] = {
     "configuration-stale": errors.StaleConfigurationError,
@@ -21,8 +23,8 @@
 def to_error(url: str, response: httpx.Response) -> errors.CommandError:
     """Converts an error response of a gateway into a command error."""
     try:
-        document = msgspec.json.decode(response.content, type=ProblemDocument)
-    except msgspec.MsgspecError:
+        document = untrusted.from_json(response.content, ProblemDocument)
+    except decoding_errors.UndecodableError:
         document = ProblemDocument()
     detail = document.detail or f"status {response.status_code}"
     if document.code in _ERRORS_BY_CODE:
--- a/bronzeslip/configuration/document.py
+++ b/bronzeslip/configuration/document.py
@@ -10,6 +10,8 @@
 from bronzeslip.configuration import pool
 from bronzeslip.configuration import service
 from bronzeslip.configuration import workspace
+from bronzeslip.decoding import errors as decoding_errors
+from bronzeslip.decoding import untrusted
 
 
 class Document(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -32,9 +34,9 @@
             names the field and the reason.
     """
     try:
-        document = msgspec.convert(tree, Document)
-    except msgspec.ValidationError as error:
-        raise errors.InvalidDocumentError(str(error)) from error
+        document = untrusted.from_builtins(tree, Document)
+    except decoding_errors.UndecodableError as error:
+        raise errors.InvalidDocumentError(error.message) from error
     check(document)
     return document
 
--- a/bronzeslip/configuration/history.py
+++ b/bronzeslip/configuration/history.py
@@ -3,11 +3,16 @@
 import msgspec
 
 from bronzeslip import ids
+from bronzeslip import logs
 from bronzeslip.configuration import manifest
 from bronzeslip.configuration import record
+from bronzeslip.decoding import errors as decoding_errors
+from bronzeslip.decoding import untrusted
 from bronzeslip.store import client
 from bronzeslip.store import errors
 
+logger = logs.get_logger(__name__)
+
 PREFIX = "configuration-history/"
 PATCHES_PER_BLOCK = 16
 MAX_BLOCKS = 256
@@ -39,13 +44,21 @@
         )
 
     async def read_block(self, index: int) -> _Patches:
-        """Reads a block; returns an empty tuple if it does not exist."""
+        """Reads a block; returns an empty tuple without a readable one."""
         if index < 0:
             return ()
         stored = await self._platform.get(_block_key(index))
         if stored is None:
             return ()
-        return msgspec.json.decode(stored.value, type=_Patches)
+        try:
+            return untrusted.from_json(stored.value, _Patches)
+        except decoding_errors.UndecodableError as error:
+            logger.error(
+                "configuration.unreadable",
+                key=stored.key,
+                reason=error.message,
+            )
+            return ()
 
     async def append(
         self, current: manifest.Manifest, entry: record.PatchEntry
--- a/bronzeslip/configuration/manifest.py
+++ b/bronzeslip/configuration/manifest.py
@@ -4,6 +4,7 @@
 
 from bronzeslip import ids
 from bronzeslip.configuration import record
+from bronzeslip.decoding import numbers
 
 PREFIX = "configuration/"
 MANIFEST_KEY = ids.ObjectKey(f"{PREFIX}current")
@@ -48,6 +49,11 @@
     return f"{number}-{token}-{bucket}"
 
 
-def number_from_name(name: SegmentName) -> ids.ConfigurationNumber:
-    """Returns the configuration number that a segment was written for."""
-    return ids.ConfigurationNumber(int(name.split("-", 1)[0]))
+def number_from_name(name: SegmentName) -> ids.ConfigurationNumber | None:
+    """Returns the configuration number that a segment was written for.
+
+    Returns:
+        The number, or None if the name is not that of a segment.
+    """
+    number = numbers.parse_count(name.split("-", 1)[0])
+    return None if number is None else ids.ConfigurationNumber(number)
--- a/bronzeslip/configuration/segment_cache.py
+++ b/bronzeslip/configuration/segment_cache.py
@@ -8,6 +8,8 @@
 from bronzeslip.configuration import manifest
 from bronzeslip.configuration import record
 from bronzeslip.configuration import segments
+from bronzeslip.decoding import errors as decoding_errors
+from bronzeslip.decoding import untrusted
 from bronzeslip.store import objects
 
 
@@ -76,6 +78,6 @@
 
 def _decode(value: msgspec.Raw, target_type: type) -> object:
     try:
-        return msgspec.json.decode(value, type=target_type)
-    except msgspec.MsgspecError as error:
-        raise errors.InvalidDocumentError(str(error)) from error
+        return untrusted.from_json(value, target_type)
+    except decoding_errors.UndecodableError as error:
+        raise errors.InvalidDocumentError(error.message) from error
--- a/bronzeslip/configuration/segment_store.py
+++ b/bronzeslip/configuration/segment_store.py
@@ -108,8 +108,7 @@
         unused = [
             name
             for name in self._cache.names()
-            if name not in used
-            and manifest.number_from_name(name) <= current.number
+            if name not in used and _is_past(name, current)
         ]
         await asyncio.gather(*(self._delete_segment(name) for name in unused))
 
@@ -144,3 +143,8 @@
                 self._platform, key, self._cache.object_version(name)
             )
         self._cache.remove(key)
+
+
+def _is_past(name: manifest.SegmentName, current: manifest.Manifest) -> bool:
+    number = manifest.number_from_name(name)
+    return number is not None and number <= current.number
--- a/bronzeslip/decoding/untrusted.py
+++ b/bronzeslip/decoding/untrusted.py
@@ -1,6 +1,7 @@
 """Decodes data of any writer; all failures raise one typed error."""
 
 from collections.abc import Callable
+import functools
 from typing import Any
 from typing import TypeVar
 
@@ -19,7 +20,7 @@
     OverflowError,
     MemoryError,
 )
-_MAX_REASON_CHARS = 200
+_MAX_REASON_CHARS = 500
 
 
 def from_json(data: Any, value_type: type[ValueT]) -> ValueT:
@@ -32,7 +33,9 @@
     Raises:
         errors.UndecodableError: If the data is not a value of that type.
     """
-    return _decode(msgspec.json.decode, data, value_type)
+    return decoded_by(
+        functools.partial(msgspec.json.decode, type=value_type), data
+    )
 
 
 def from_msgpack(data: bytes, value_type: type[ValueT]) -> ValueT:
@@ -41,7 +44,9 @@
     Raises:
         errors.UndecodableError: If the data is not a value of that type.
     """
-    return _decode(msgspec.msgpack.decode, data, value_type)
+    return decoded_by(
+        functools.partial(msgspec.msgpack.decode, type=value_type), data
+    )
 
 
 def from_builtins(tree: Any, value_type: type[ValueT]) -> ValueT:
@@ -50,14 +55,17 @@
     Raises:
         errors.UndecodableError: If they are not a value of that type.
     """
-    return _decode(msgspec.convert, tree, value_type)
+    return decoded_by(functools.partial(msgspec.convert, type=value_type), tree)
 
 
-def _decode(
-    decoder: Callable[..., Any], data: Any, value_type: type[ValueT]
-) -> ValueT:
+def decoded_by(decode: Callable[[Any], ValueT], data: Any) -> ValueT:
+    """Decodes data with a decoder of the codec library.
+
+    Raises:
+        errors.UndecodableError: If the decoder raises an exception.
+    """
     try:
-        return decoder(data, type=value_type)
+        return decode(data)
     except _FAILURES as error:
         reason = str(error) or type(error).__name__
         raise errors.UndecodableError(reason[:_MAX_REASON_CHARS]) from error
--- a/bronzeslip/engine/client.py
+++ b/bronzeslip/engine/client.py
@@ -10,6 +10,8 @@
 import msgspec
 
 from bronzeslip import ids
+from bronzeslip.decoding import errors as decoding_errors
+from bronzeslip.decoding import untrusted
 from bronzeslip.engine import errors
 from bronzeslip.engine import messages
 
@@ -158,7 +160,9 @@
             ) as source:
                 _raise_for_status(path, source.response)
                 async for event in source.aiter_sse():
-                    yield _event_decoder.decode(event.data)
+                    yield untrusted.decoded_by(
+                        _event_decoder.decode, event.data
+                    )
 
     async def _call(
         self, method: str, path: str, **options: Any
@@ -181,8 +185,8 @@
         raise errors.EngineUnavailableError(
             f"{path}: {type(error).__name__}"
         ) from error
-    except msgspec.MsgspecError as error:
-        raise errors.EngineError(f"{path}: {error}") from error
+    except decoding_errors.UndecodableError as error:
+        raise errors.EngineError(f"{path}: {error.message}") from error
 
 
 def _raise_for_status(path: str, response: httpx.Response) -> None:
@@ -199,4 +203,4 @@
 
 def _decode(response: httpx.Response, answer_type: type[AnswerT]) -> AnswerT:
     with _converting_errors(str(response.url.path)):
-        return msgspec.json.decode(response.content, type=answer_type)
+        return untrusted.from_json(response.content, answer_type)
--- a/bronzeslip/gateway/resume_token.py
+++ b/bronzeslip/gateway/resume_token.py
@@ -7,6 +7,8 @@
 import msgspec
 
 from bronzeslip import ids
+from bronzeslip.decoding import errors as decoding_errors
+from bronzeslip.decoding import untrusted
 from bronzeslip.gateway import errors
 from bronzeslip.settings import gateway
 
@@ -114,9 +116,9 @@
         raise errors.BadResumeTokenError("the Last-Event-ID is malformed")
     try:
         data = base64.urlsafe_b64decode(parts[2].encode())
-        run = msgspec.msgpack.decode(data, type=ResumableRun)
+        run = untrusted.from_msgpack(data, ResumableRun)
         return ResumeToken(run, int(parts[0]))
-    except (ValueError, msgspec.MsgspecError) as error:
+    except (ValueError, decoding_errors.UndecodableError) as error:
         raise errors.BadResumeTokenError(
             "the Last-Event-ID is malformed"
         ) from error
--- a/bronzeslip/membership/member.py
+++ b/bronzeslip/membership/member.py
@@ -6,6 +6,8 @@
 
 from bronzeslip import ids
 from bronzeslip import logs
+from bronzeslip.decoding import errors as decoding_errors
+from bronzeslip.decoding import untrusted
 from bronzeslip.settings import common
 
 logger = logs.get_logger(__name__)
@@ -64,9 +66,9 @@
 def decode(value: msgspec.Raw) -> Member | None:
     """Decodes a stored record, returns None if it is invalid."""
     try:
-        return msgspec.json.decode(value, type=Member)
-    except msgspec.MsgspecError as error:
-        logger.error("membership.unreadable", reason=str(error))
+        return untrusted.from_json(value, Member)
+    except decoding_errors.UndecodableError as error:
+        logger.error("membership.unreadable", reason=error.message)
         return None
 
 
--- a/bronzeslip/orders/lease_keeper.py
+++ b/bronzeslip/orders/lease_keeper.py
@@ -4,10 +4,10 @@
 from collections.abc import Callable
 import time
 
-import msgspec
-
 from bronzeslip import ids
 from bronzeslip import logs
+from bronzeslip.decoding import errors as decoding_errors
+from bronzeslip.decoding import untrusted
 from bronzeslip.orders import errors
 from bronzeslip.orders import lease
 from bronzeslip.store import client
@@ -202,7 +202,7 @@
 
 def _decode(found: objects.PlatformObject) -> lease.Lease | None:
     try:
-        return msgspec.json.decode(found.value, type=lease.Lease)
-    except msgspec.MsgspecError as error:
-        logger.error("lease.unreadable", key=found.key, reason=str(error))
+        return untrusted.from_json(found.value, lease.Lease)
+    except decoding_errors.UndecodableError as error:
+        logger.error("lease.unreadable", key=found.key, reason=error.message)
         return None
--- a/bronzeslip/spread/packing.py
+++ b/bronzeslip/spread/packing.py
@@ -5,6 +5,8 @@
 import msgspec
 
 from bronzeslip import ids
+from bronzeslip.decoding import errors as decoding_errors
+from bronzeslip.decoding import untrusted
 from bronzeslip.spread import change
 from bronzeslip.store import objects
 from bronzeslip.transport import errors
@@ -71,6 +73,6 @@
     decompressor = zlib.decompressobj()
     try:
         decompressed = decompressor.decompress(data, _MAX_UNPACKED_BYTES)
-        return msgspec.json.decode(decompressed, type=expected_type)
-    except (zlib.error, msgspec.MsgspecError) as error:
+        return untrusted.from_json(decompressed, expected_type)
+    except (zlib.error, decoding_errors.UndecodableError) as error:
         raise errors.BadFrameError(str(error)) from error
--- a/bronzeslip/store/client.py
+++ b/bronzeslip/store/client.py
@@ -8,6 +8,8 @@
 import msgspec
 
 from bronzeslip import ids
+from bronzeslip.decoding import errors as decoding_errors
+from bronzeslip.decoding import untrusted
 from bronzeslip.store import errors
 from bronzeslip.store import objects
 
@@ -149,7 +151,7 @@
         operation = f"{method} /{path.split('/')[1]}"
         try:
             response = await self._http.request(method, path, **options)
-        except httpx.HTTPError as error:
+        except (httpx.HTTPError, httpx.InvalidURL) as error:
             self._on_call(operation, type(error).__name__)
             raise errors.PlatformUnavailableError(
                 f"{method} {path}: {type(error).__name__}"
@@ -183,8 +185,8 @@
     response: httpx.Response, response_type: type[ResponseT]
 ) -> ResponseT:
     try:
-        return msgspec.json.decode(response.content, type=response_type)
-    except msgspec.MsgspecError as error:
+        return untrusted.from_json(response.content, response_type)
+    except decoding_errors.UndecodableError as error:
         raise errors.PlatformError(
-            f"invalid response from the platform: {error}"
+            f"invalid response from the platform: {error.message}"
         ) from error
--- a/bronzeslip/transport/codec.py
+++ b/bronzeslip/transport/codec.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from bronzeslip.decoding import errors as decoding_errors
+from bronzeslip.decoding import untrusted
 from bronzeslip.transport import errors
 from bronzeslip.transport.frames import call
 from bronzeslip.transport.frames import generation
@@ -61,6 +63,6 @@
         errors.BadFrameError: If the data is not a valid batch of frames.
     """
     try:
-        return _decoder.decode(data)
-    except msgspec.MsgspecError as error:
-        raise errors.BadFrameError(str(error)) from error
+        return untrusted.decoded_by(_decoder.decode, data)
+    except decoding_errors.UndecodableError as error:
+        raise errors.BadFrameError(error.message) from error
--- a/tests/gateway/test_resume_token.py
+++ b/tests/gateway/test_resume_token.py
@@ -63,6 +63,12 @@
             other = base64.urlsafe_b64encode(changed).decode()
             self.assert_refused(f"{index}.{mac}.{other}")
 
+    # Guards against a status 500 for a token that is nested too deeply.
+    def test_nested_tokens_are_rejected(self):
+        run = b"\x94\xa1e\xa1g\xa1r" + b"\x91" * 5000 + b"\x90"
+        encoded_run = base64.urlsafe_b64encode(run).decode()
+        self.assert_refused(f"1.{'0' * 32}.{encoded_run}")
+
     def test_malformed_tokens_are_rejected(self):
         for text in (
             "x",
