Add a memory budget and read the limits of the process

A gateway is killed when it exceeds the memory that its settings file states, but it did not read that limit.

bronzeslip.memory holds the budget: a pool for requests and one for responses, reservations that grow, shrink and wait in the order of their arrival for a bounded time, and a typed error for a refusal. Nothing draws on it yet.

--- a/bronzeslip/entry/vm_config.py
+++ b/bronzeslip/entry/vm_config.py
@@ -35,6 +35,20 @@
     drain_s: float
 
 
+class ProcessLimits(msgspec.Struct, frozen=True):
+    """Limits that the process must keep.
+
+    Attributes:
+        memory_bytes: Memory at which the process is killed, or None if it is
+            not stated.
+        max_descriptors: Maximum number of open file descriptors, or None if it
+            is not stated.
+    """
+
+    memory_bytes: int | None = None
+    max_descriptors: int | None = None
+
+
 class VmConfig(msgspec.Struct, frozen=True):
     """Configuration of the process on one VM.
 
@@ -47,6 +61,7 @@
         store_address: Address of the store.
         peer_address: Address for calls of other gateways.
         bounds: Limits that operators set.
+        process_limits: Limits that the process must keep.
     """
 
     vm_id: ids.VmId
@@ -57,6 +72,7 @@
     store_address: SocketAddress
     peer_address: SocketAddress
     bounds: PlaceBounds
+    process_limits: ProcessLimits = ProcessLimits()
 
     def is_in_region(self, failure_domain: ids.FailureDomainName) -> bool:
         """Returns whether a failure domain is in the region of this VM."""
--- /dev/null
+++ b/bronzeslip/memory/__init__.py
@@ -0,0 +1,1 @@
+"""Budget for the memory that requests and responses take."""
--- /dev/null
+++ b/bronzeslip/memory/pool.py
@@ -0,0 +1,106 @@
+"""A part of the memory budget, from which reservations are taken."""
+
+import asyncio
+import collections
+
+from bronzeslip.memory import errors
+from bronzeslip.memory import waiter
+
+
+class MemoryPool:
+    """Counts the bytes that are taken and lets others wait for room.
+
+    Those that wait are served in the order of their arrival.
+
+    Attributes:
+        capacity_bytes: Bytes that may be taken.
+        taken_bytes: Bytes that are taken.
+        refused_count: Reservations that were refused.
+    """
+
+    def __init__(self, capacity_bytes: int) -> None:
+        """Creates a pool from which nothing is taken."""
+        self.capacity_bytes = capacity_bytes
+        self.taken_bytes = 0
+        self.refused_count = 0
+        self._waiters: collections.deque[waiter.Waiter] = collections.deque()
+
+    @property
+    def waiting_count(self) -> int:
+        """Number of reservations that wait for room."""
+        return len(self._waiters)
+
+    def try_take(self, size_bytes: int) -> bool:
+        """Takes bytes if there is room, ahead of those that wait.
+
+        Returns:
+            Whether the bytes were taken.
+        """
+        if self.taken_bytes + size_bytes > self.capacity_bytes:
+            return False
+        self.taken_bytes += size_bytes
+        return True
+
+    async def take(self, size_bytes: int, wait_s: float) -> None:
+        """Takes bytes, waiting for room behind those that wait already.
+
+        Args:
+            size_bytes: Bytes to take.
+            wait_s: Maximum wait, in seconds.
+
+        Raises:
+            errors.MemoryShortError: If there is no room in that time, or the
+                pool is smaller than that.
+        """
+        if not self._waiters and self.try_take(size_bytes):
+            return
+        if size_bytes > self.capacity_bytes:
+            self.refuse(size_bytes)
+        await self._wait(size_bytes, wait_s)
+
+    def refuse(self, size_bytes: int) -> None:
+        """Counts a reservation that is refused.
+
+        Raises:
+            errors.MemoryShortError: Always.
+        """
+        self.refused_count += 1
+        raise errors.MemoryShortError(
+            f"no room for {size_bytes} bytes: {self.taken_bytes} of "
+            f"{self.capacity_bytes} are taken"
+        )
+
+    def force(self, size_bytes: int) -> None:
+        """Takes bytes that are held already, whether or not there is room."""
+        self.taken_bytes += size_bytes
+
+    def give_back(self, size_bytes: int) -> None:
+        """Gives back bytes and wakes those that fit now."""
+        self.taken_bytes -= size_bytes
+        self._wake()
+
+    async def _wait(self, size_bytes: int, wait_s: float) -> None:
+        waiting = waiter.Waiter(
+            size_bytes, asyncio.get_running_loop().create_future()
+        )
+        self._waiters.append(waiting)
+        try:
+            async with asyncio.timeout(wait_s):
+                await waiting.granted
+        except BaseException as error:
+            self._abandon(waiting)
+            if isinstance(error, TimeoutError):
+                self.refuse(size_bytes)
+            raise
+
+    def _abandon(self, waiting: waiter.Waiter) -> None:
+        if waiting in self._waiters:
+            self._waiters.remove(waiting)
+            self._wake()
+        elif waiting.is_granted:
+            # Granted in the same turn in which the wait was cancelled.
+            self.give_back(waiting.size_bytes)
+
+    def _wake(self) -> None:
+        while self._waiters and self.try_take(self._waiters[0].size_bytes):
+            self._waiters.popleft().grant()
--- /dev/null
+++ b/bronzeslip/memory/reservation.py
@@ -0,0 +1,81 @@
+"""Bytes of a memory pool that one holder has reserved."""
+
+from types import TracebackType
+from typing import Self
+
+from bronzeslip.memory import pool
+
+
+class Reservation:
+    """Reserves bytes of a pool until it is released.
+
+    Attributes:
+        size_bytes: Bytes that are reserved.
+    """
+
+    __slots__ = ("_pool", "size_bytes")
+
+    def __init__(self, memory_pool: pool.MemoryPool) -> None:
+        """Creates a reservation of no bytes."""
+        self._pool = memory_pool
+        self.size_bytes = 0
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self.release()
+
+    def try_resize(self, size_bytes: int) -> bool:
+        """Changes the size if there is room.
+
+        Returns:
+            Whether the reservation has the new size.
+        """
+        missing_bytes = size_bytes - self.size_bytes
+        if missing_bytes <= 0:
+            self.shrink(size_bytes)
+            return True
+        if not self._pool.try_take(missing_bytes):
+            return False
+        self.size_bytes = size_bytes
+        return True
+
+    async def grow(self, size_bytes: int, wait_s: float) -> None:
+        """Grows to a size, waiting for room.
+
+        Args:
+            size_bytes: New size; a smaller one changes nothing.
+            wait_s: Maximum wait, in seconds.
+
+        Raises:
+            errors.MemoryShortError: If there is no room in that time.
+        """
+        missing_bytes = size_bytes - self.size_bytes
+        if missing_bytes > 0:
+            await self._pool.take(missing_bytes, wait_s)
+            self.size_bytes += missing_bytes
+
+    def force(self, size_bytes: int) -> None:
+        """Sets the size, whether or not there is room."""
+        if size_bytes > self.size_bytes:
+            self._pool.force(size_bytes - self.size_bytes)
+            self.size_bytes = size_bytes
+        else:
+            self.shrink(size_bytes)
+
+    def shrink(self, size_bytes: int) -> None:
+        """Gives back what exceeds a size."""
+        if size_bytes < self.size_bytes:
+            freed_bytes = self.size_bytes - size_bytes
+            self.size_bytes = size_bytes
+            self._pool.give_back(freed_bytes)
+
+    def release(self) -> None:
+        """Gives back all bytes; may be called again."""
+        self.shrink(0)
--- a/bronzeslip/platform/boot_file.py
+++ b/bronzeslip/platform/boot_file.py
@@ -9,6 +9,7 @@
 from bronzeslip import ids
 from bronzeslip.entry import vm_config
 from bronzeslip.platform import errors
+from bronzeslip.platform import process_limits
 
 # Environment variable that holds the path of the settings file.
 PATH_VARIABLE = "BRONZESLIP_BOOT"
@@ -43,6 +44,7 @@
     listen: _Listen
     bounds: _Bounds
     platform: _Platform
+    limits: Any = None
 
 
 def read(path: pathlib.Path) -> vm_config.VmConfig:
@@ -85,6 +87,7 @@
             retry_window_s=boot_settings.bounds.retry_window_s,
             drain_s=boot_settings.bounds.drain_ms / _MS_PER_S,
         ),
+        process_limits=process_limits.decode(boot_settings.limits),
     )
 
 
--- a/bronzeslip/settings/entry.py
+++ b/bronzeslip/settings/entry.py
@@ -249,6 +249,14 @@
         minimum=1,
         maximum=86_400,
     )
+    memory_limit_mb: int = setting(
+        "memory of the process where the settings file states no limit, in "
+        "MB of a million bytes",
+        "limits",
+        default=512,
+        minimum=64,
+        maximum=1_048_576,
+    )
     drain_notice_s: float = setting(
         "time to keep serving after readiness fails, in seconds; covers two "
         "polls of the platform's load balancer and their latency",
