Keep request bodies within the memory budget

Callers saw a gateway end without a line of its own: nothing bounded the bodies that it held. 40 callers that each sent one body of 4 MiB, which the configuration allows, took it over the limit at which it is killed.

A request now reserves its memory before its body is read on: all of it where the length is stated, so that a body whose reading has begun can end, and step by step otherwise. While memory is short, a large body that has nearly stopped arriving gives way. The server leaves a body in its socket until the application asks for it, reads 64 KiB at once, and hands bodies to endpoints in slices instead of as a whole, of which asyncio keeps a second copy.

The refusal reaches a caller that is still sending: the rest of its body is read and dropped, up to 8 MiB.

--- a/bronzeslip/forwarding/errors.py
+++ b/bronzeslip/forwarding/errors.py
@@ -45,6 +45,12 @@
     code = "overloaded"
 
 
+class MemoryShortError(NotRunError):
+    """The gateway has no room for the request."""
+
+    code = "memory-short"
+
+
 class LimitedError(NotRunError):
     """Every endpoint that is left has reached its limit on requests."""
 
--- a/bronzeslip/http/limited_protocol.py
+++ b/bronzeslip/http/limited_protocol.py
@@ -8,10 +8,15 @@
 
 from bronzeslip import logs
 from bronzeslip.http import connection_limits
+from bronzeslip.http import lingering_close
 from bronzeslip.http import problem
 
 logger = logs.get_logger(__name__)
 
+# Bytes read from a connection at once.
+_READ_BYTES = 64 * 1024
+_MAX_DISCARDED_BYTES = 8 * 1024 * 1024
+
 _MALFORMED = problem.create(
     "bad-request", "Bad request", 400, "the bytes are no HTTP request"
 )
@@ -48,6 +53,10 @@
         self._rejection = _MALFORMED
         self._in_headers = True
         self._header_bytes = 0
+        self._is_body_pending = False
+        self._must_pause = False
+        self._discarded_bytes = 0
+        self._closing: lingering_close.LingeringClose | None = None
         self._header_timer: asyncio.TimerHandle | None = None
 
     @property
@@ -62,18 +71,26 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Starts the header timer for the first request."""
         super().connection_made(transport)
+        transport.max_size = _READ_BYTES
         self._start_header_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Stops the header timer."""
         self._stop_header_timer()
+        if self._closing is not None:
+            self._closing.stop()
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
         """Parses data and limits the size of incomplete headers."""
+        if self._closing is not None:
+            self._closing.discard(len(data))
+            return
         if self._is_last_request_read:
             return
         super().data_received(data)
+        if self._must_pause:
+            self._pause_before_body()
         if not self._in_headers or self.transport.is_closing():
             return
         self._header_bytes += len(data)
@@ -108,18 +125,25 @@
         # and query of the scope.
         self.scope["target"] = self.url
         super().on_headers_complete()
+        self._is_body_pending = True
+        self._must_pause = True
+        self._discarded_bytes = 0
         if not self._get_limits().may_reuse:
             self.cycle.keep_alive = False
 
     def on_body(self, body: bytes) -> None:
         """Processes body data, unless the last request was read."""
-        if not self._is_last_request_read:
-            super().on_body(body)
+        if self._is_last_request_read:
+            return
+        super().on_body(body)
+        if self.cycle.response_complete:
+            self._discard(len(body))
 
     def on_message_complete(self) -> None:
         """Ends a request; data after the last request is ignored."""
         if self._is_last_request_read:
             return
+        self._is_body_pending = False
         super().on_message_complete()
         self._is_last_request_read = not self.cycle.keep_alive
 
@@ -127,12 +151,32 @@
         """Sends the error response for a request that the parser rejects."""
         self._reject(self._rejection)
 
+    def _pause_before_body(self) -> None:
+        """Leaves a body in the socket until the application asks for it."""
+        self._must_pause = False
+        if self._is_body_pending and not self.cycle.response_complete:
+            self.flow.pause_reading()
+
+    def _discard(self, size_bytes: int) -> None:
+        """Reads the rest of a body whose request was answered before.
+
+        A connection that is closed with unread data is reset, and its caller
+        might not receive the response.
+        """
+        self._discarded_bytes += size_bytes
+        if self._discarded_bytes > _MAX_DISCARDED_BYTES:
+            self.transport.close()
+
     def _reject(self, rejection: problem.Problem) -> None:
         self._stop_header_timer()
         logger.warning("http.refused", reason=rejection.code)
         if self.cycle is None or self.cycle.response_complete:
             self.transport.write(_render(rejection))
-        self.transport.close()
+            self._closing = lingering_close.LingeringClose(
+                self.transport, self.loop
+            )
+        else:
+            self.transport.close()
 
     def _start_header_timer(self) -> None:
         self._header_timer = self.loop.call_later(
--- a/bronzeslip/memory/pool.py
+++ b/bronzeslip/memory/pool.py
@@ -6,6 +6,8 @@
 from bronzeslip.memory import errors
 from bronzeslip.memory import waiter
 
+_SHORT_SHARE = 0.75
+
 
 class MemoryPool:
     """Counts the bytes that are taken and lets others wait for room.
@@ -25,6 +27,13 @@
         self.refused_count = 0
         self._waiters: collections.deque[waiter.Waiter] = collections.deque()
 
+    @property
+    def is_short(self) -> bool:
+        """Whether others wait for room or little is left."""
+        if self._waiters:
+            return True
+        return self.taken_bytes > self.capacity_bytes * _SHORT_SHARE
+
     @property
     def waiting_count(self) -> int:
         """Number of reservations that wait for room."""
--- a/bronzeslip/platform/endpoint_http.py
+++ b/bronzeslip/platform/endpoint_http.py
@@ -13,6 +13,7 @@
 from bronzeslip.forwarding import dispatch
 from bronzeslip.forwarding import endpoint_client
 from bronzeslip.forwarding import endpoint_errors
+from bronzeslip.http import sliced_body
 from bronzeslip.platform import connection_pool
 from bronzeslip.platform import endpoint_announcements
 from bronzeslip.platform import endpoint_response
@@ -96,6 +97,8 @@
                 "timeout": self._timeouts(None),
             },
         )
+        if len(outgoing.request.body) > sliced_body.SLICE_BYTES:
+            request.stream = sliced_body.SlicedBody(outgoing.request.body)
         pool = self._get_pool(self._pools, outgoing.endpoint)
         sent_s = asyncio.get_running_loop().time()
         response = await self._exchange(
--- a/bronzeslip/platform/gateway.py
+++ b/bronzeslip/platform/gateway.py
@@ -4,6 +4,7 @@
 import random
 
 from bronzeslip import ids
+from bronzeslip import process_memory
 from bronzeslip.endpoints import directory
 from bronzeslip.endpoints import watched_endpoints
 from bronzeslip.entry import daemon
@@ -20,7 +21,9 @@
 from bronzeslip.forwarding import components
 from bronzeslip.forwarding import drain_deadline
 from bronzeslip.forwarding import report_poller
+from bronzeslip.memory import budget
 from bronzeslip.metrics import entry_metrics
+from bronzeslip.platform import body_reader
 from bronzeslip.platform import boot_file
 from bronzeslip.platform import configuration_follower
 from bronzeslip.platform import discovery_follower
@@ -37,6 +40,8 @@
 from bronzeslip.settings import entry
 from bronzeslip.store import follower
 
+_BYTES_PER_MB = 1_000_000
+
 
 def create(
     settings: entry.EntrySettings, path: pathlib.Path
@@ -105,6 +110,11 @@
         forwarding_components.retry_budgets.set_bounds(bounds)
         drain.set_bounds(bounds)
 
+    memory = budget.create(
+        this_vm.process_limits.memory_bytes
+        or settings.memory_limit_mb * _BYTES_PER_MB,
+        process_memory.resident_bytes(),
+    )
     reloader = settings_reloader.SettingsReloader(path, this_vm, set_bounds)
     return daemon.EntryDaemon(
         settings,
@@ -113,7 +123,8 @@
             assembly.create_pipeline(
                 forwarding_components, request_admission, drain
             ),
-            current_table,
+            body_reader.BodyReader(memory, current_table),
+            memory,
         ),
         permits_api.handler(coordinator),
         current_table,
--- a/bronzeslip/platform/ingress.py
+++ b/bronzeslip/platform/ingress.py
@@ -9,10 +9,11 @@
 from bronzeslip.forwarding import errors
 from bronzeslip.forwarding import incoming
 from bronzeslip.forwarding import pipeline
+from bronzeslip.memory import budget
+from bronzeslip.memory import reservation
+from bronzeslip.platform import body_reader
 from bronzeslip.platform import caller_response
 from bronzeslip.platform import request_decoder
-from bronzeslip.routes import current
-from bronzeslip.routes import limits
 
 logger = logs.get_logger(__name__)
 
@@ -20,13 +21,6 @@
 AsgiReceive = Callable[[], Awaitable[dict[str, Any]]]
 AsgiSend = Callable[[dict[str, Any]], Awaitable[None]]
 
-# Used until the first configuration is received.
-_DEFAULT_LIMITS = limits.CallerLimits()
-
-
-class _CallerDisconnectedError(Exception):
-    """The caller has closed its connection."""
-
 
 class Ingress:
     """Reads requests, forwards them and sends the responses."""
@@ -34,10 +28,19 @@
     def __init__(
         self,
         request_pipeline: pipeline.Pipeline,
-        current_table: current.CurrentTable,
+        reader: body_reader.BodyReader,
+        memory: budget.MemoryBudget,
     ) -> None:
+        """Initializes the ingress.
+
+        Args:
+            request_pipeline: Serves requests.
+            reader: Reads the bodies of requests.
+            memory: Budget that each request draws on.
+        """
         self._pipeline = request_pipeline
-        self._current_table = current_table
+        self._reader = reader
+        self._memory = memory
 
     async def __call__(
         self, scope: AsgiScope, receive: AsgiReceive, send: AsgiSend
@@ -45,12 +48,22 @@
         """Serves one request."""
         if scope["type"] != "http":
             return
+        with reservation.Reservation(self._memory.requests) as held:
+            await self._receive(scope, receive, send, held)
+
+    async def _receive(
+        self,
+        scope: AsgiScope,
+        receive: AsgiReceive,
+        send: AsgiSend,
+        held: reservation.Reservation,
+    ) -> None:
         arrived_s = asyncio.get_running_loop().time()
         response = caller_response.CallerResponse(send, scope["method"])
         try:
-            body = await self._read_body(receive)
+            body = await self._reader.read(scope, receive, held)
             request = request_decoder.decode(scope, body, arrived_s)
-        except _CallerDisconnectedError:
+        except body_reader.CallerDisconnectedError:
             return
         except errors.ForwardingError as error:
             await response.fail(error)
@@ -100,25 +113,6 @@
             )
             await response.fail(error)
 
-    async def _read_body(self, receive: AsgiReceive) -> bytes:
-        table = self._current_table.table
-        caller_limits = _DEFAULT_LIMITS if table is None else table.limits
-        chunks = []
-        size_bytes = 0
-        while True:
-            message = await receive()
-            if message["type"] == "http.disconnect":
-                raise _CallerDisconnectedError
-            chunks.append(message.get("body", b""))
-            size_bytes += len(chunks[-1])
-            if size_bytes > caller_limits.max_body_bytes:
-                raise errors.BodyTooLargeError(
-                    "the request body is larger than "
-                    f"{caller_limits.max_body_bytes} bytes"
-                )
-            if not message.get("more_body", False):
-                return b"".join(chunks)
-
 
 async def _wait_for_disconnect(receive: AsgiReceive) -> None:
     while (await receive())["type"] != "http.disconnect":
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -4,6 +4,7 @@
 import unittest
 
 from bronzeslip.forwarding import errors
+from bronzeslip.platform import body_reader
 from bronzeslip.platform import ingress
 from bronzeslip.routes import current
 from bronzeslip.routes import kind
@@ -50,7 +51,10 @@
                 forwarding_parts.create_route(kind.RequestKind.IDEMPOTENT)
             )
         )
-        app = ingress.Ingress(pipeline, current_table)
+        memory = forwarding_parts.create_memory()
+        app = ingress.Ingress(
+            pipeline, body_reader.BodyReader(memory, current_table), memory
+        )
         await app(_SCOPE, caller.receive, caller.send)
 
     async def test_body_chunks_are_joined(self):
--- a/tests/support/forwarding_gateway.py
+++ b/tests/support/forwarding_gateway.py
@@ -5,6 +5,7 @@
 from bronzeslip.forwarding import admission
 from bronzeslip.forwarding import assembly
 from bronzeslip.forwarding import drain_deadline
+from bronzeslip.platform import body_reader
 from bronzeslip.platform import ingress
 from tests.support import asgi_caller
 from tests.support import forwarding_parts
@@ -16,9 +17,10 @@
     Attributes:
         components: Components of the gateway.
         drain: Ends requests before the gateway is killed.
+        memory: Budget that requests draw on.
     """
 
-    def __init__(self, client, endpoints):
+    def __init__(self, client, endpoints, memory=None):
         self.components = forwarding_parts.create_components(client, endpoints)
         request_admission = admission.Admission(
             forwarding_parts.SETTINGS, self.components.current, random.Random(1)
@@ -29,7 +31,12 @@
         pipeline = assembly.create_pipeline(
             self.components, request_admission, self.drain
         )
-        self._ingress = ingress.Ingress(pipeline, self.components.current)
+        self.memory = memory or forwarding_parts.create_memory()
+        self._ingress = ingress.Ingress(
+            pipeline,
+            body_reader.BodyReader(self.memory, self.components.current),
+            self.memory,
+        )
 
     def adopt(self, *routes, version=1):
         """Puts a configuration with these routes in force."""
@@ -42,17 +49,25 @@
         caller = asgi_caller.AsgiCaller(
             asgi_caller.create_body_message(b"secret-body")
         )
-        scope = {
-            "type": "http",
-            "method": "POST",
-            "target": b"/p/x",
-            "raw_path": b"/p/x",
-            "headers": [
-                (b"host", b"h.example"),
-                (b"bronzeslip-attempt-id", request_id.encode()),
-                (b"bronzeslip-key", forwarding_parts.API_KEY.encode()),
-                *headers,
-            ],
-        }
-        await self._ingress(scope, caller.receive, caller.send)
+        await self.serve_scope(create_scope(request_id, headers), caller)
         return caller
+
+    async def serve_scope(self, scope, caller):
+        """Serves one request of a caller."""
+        await self._ingress(scope, caller.receive, caller.send)
+
+
+def create_scope(request_id, headers=()):
+    """Returns the ASGI scope of a request."""
+    return {
+        "type": "http",
+        "method": "POST",
+        "target": b"/p/x",
+        "raw_path": b"/p/x",
+        "headers": [
+            (b"host", b"h.example"),
+            (b"bronzeslip-attempt-id", request_id.encode()),
+            (b"bronzeslip-key", forwarding_parts.API_KEY.encode()),
+            *headers,
+        ],
+    }
--- a/tests/support/forwarding_parts.py
+++ b/tests/support/forwarding_parts.py
@@ -14,6 +14,7 @@
 from bronzeslip.forwarding import assembly
 from bronzeslip.forwarding import incoming
 from bronzeslip.forwarding import prompt
+from bronzeslip.memory import budget
 from bronzeslip.metrics import entry_metrics
 from bronzeslip.quota import endpoint_permits
 from bronzeslip.quota import peer
@@ -63,6 +64,10 @@
 )
 
 
+def create_memory(limit_bytes=512_000_000, resident_bytes=0):
+    return budget.create(limit_bytes, resident_bytes)
+
+
 def create_endpoint(name, domain="a-1", service_name="pool", **changes):
     values = {
         "endpoint_id": ids.EndpointId(name),
