Keep buffered responses within the memory budget

Callers saw a gateway end without a line of its own: the response of each call is buffered as a whole, up to response_max_bytes, and then once more by asyncio, for as long as its caller does not read; nothing bounded their sum.

A response now reserves its body before it is read on: the stated length, or response_max_bytes once more than 16 KiB of an unknown length have arrived, so that each response whose reading has begun can be read to its end. Until there is room its endpoint is not read on. Requests can't take this part of the budget, and the reservation lasts until the response has been sent. Bodies are written in slices, so that the caller's connection buffers a slice only.

--- a/bronzeslip/forwarding/buffered_response.py
+++ b/bronzeslip/forwarding/buffered_response.py
@@ -2,8 +2,16 @@
 
 import msgspec
 
+from bronzeslip.forwarding import body_framing
 from bronzeslip.forwarding import endpoint_client
+from bronzeslip.forwarding import endpoint_errors
 from bronzeslip.forwarding import response_writer
+from bronzeslip.memory import errors as memory_errors
+from bronzeslip.memory import reservation
+
+# Bodies of up to this size never wait for memory.
+_SMALL_BODY_BYTES = 16 * 1024
+_SLICE_BYTES = 64 * 1024
 
 
 class BufferedResponse(msgspec.Struct, frozen=True):
@@ -14,25 +22,72 @@
 
 
 async def read(
-    response: endpoint_client.EndpointResponse, max_bytes: int
+    response: endpoint_client.EndpointResponse,
+    max_bytes: int,
+    memory: reservation.Reservation,
 ) -> BufferedResponse:
     """Reads a response to its end and releases its connection.
 
+    While there is no room for its body, it is not read on.
+
     Args:
         response: The response.
         max_bytes: Limit on the size of its body.
+        memory: Memory of the response, reserved until it has been sent.
 
     Raises:
         endpoint_errors.EndpointResponseLostError: If the body is truncated or
             too large.
     """
+    # A response that was read before has been dropped.
+    memory.release()
     try:
-        body = await response.read(max_bytes)
+        body = await _read_body(response, max_bytes, memory)
+    except memory_errors.MemoryShortError as error:
+        raise endpoint_errors.EndpointResponseLostError(
+            f"response too large for the memory of this process: {error}"
+        ) from error
     finally:
         await response.close()
+    memory.force(len(body))
     return BufferedResponse(response.head, body)
 
 
+async def _read_body(
+    response: endpoint_client.EndpointResponse,
+    max_bytes: int,
+    memory: reservation.Reservation,
+) -> bytes:
+    expected_bytes = _expected_bytes(response.head, max_bytes)
+    await _reserve(expected_bytes, memory)
+    body = bytearray()
+    async for chunk in response.chunks():
+        if len(body) + len(chunk) > max_bytes:
+            raise endpoint_errors.EndpointResponseLostError(
+                f"response of more than {max_bytes} bytes"
+            )
+        body += chunk
+        if len(body) > expected_bytes:
+            # Nothing less is known to be enough to read it to its end.
+            expected_bytes = max_bytes
+            await _reserve(expected_bytes, memory)
+    return bytes(body)
+
+
+def _expected_bytes(head: endpoint_client.ResponseHead, max_bytes: int) -> int:
+    is_stated = head.framing is body_framing.BodyFraming.LENGTH
+    if is_stated and head.content_length is not None:
+        return min(head.content_length, max_bytes)
+    return _SMALL_BODY_BYTES
+
+
+async def _reserve(size_bytes: int, memory: reservation.Reservation) -> None:
+    if size_bytes <= _SMALL_BODY_BYTES:
+        memory.force(size_bytes)
+    else:
+        await memory.grow(size_bytes)
+
+
 async def send_to_caller(
     response: BufferedResponse, writer: response_writer.ResponseWriter
 ) -> None:
@@ -41,6 +96,13 @@
         response.head, content_length=len(response.body)
     )
     await writer.start(head)
-    if response.body:
-        await writer.write(response.body)
+    await write_slices(response.body, writer)
     await writer.finish()
+
+
+async def write_slices(
+    body: bytes, writer: response_writer.ResponseWriter
+) -> None:
+    """Writes bytes, of which the caller's connection buffers a part only."""
+    for start in range(0, len(body), _SLICE_BYTES):
+        await writer.write(body[start : start + _SLICE_BYTES])
--- a/bronzeslip/forwarding/call_forwarder.py
+++ b/bronzeslip/forwarding/call_forwarder.py
@@ -35,7 +35,7 @@
         Raises:
             errors.ForwardingError: If there is no response to send.
         """
-        call = _Call(self._components, request)
+        call = _Call(self._components, request, writer)
         try:
             response = await self._components.attempt_runner.run(
                 request, call.send_to
@@ -55,9 +55,11 @@
         self,
         shared: components.ForwardingComponents,
         request: admitted.AdmittedRequest,
+        writer: response_writer.ResponseWriter,
     ) -> None:
         self._components = shared
         self._request = request
+        self._writer = writer
         self._attempt_count = 0
         self.error_response: buffered_response.BufferedResponse | None = None
 
@@ -106,7 +108,9 @@
         response = await self._components.client.send(outgoing)
         await raise_if_not_run(response)
         whole = await buffered_response.read(
-            response, self._components.settings.response_max_bytes
+            response,
+            self._components.settings.response_max_bytes,
+            self._writer.memory,
         )
         await self._components.crash_detector.raise_if_gone(
             self._request, chosen, whole.head
--- a/bronzeslip/forwarding/response_writer.py
+++ b/bronzeslip/forwarding/response_writer.py
@@ -3,6 +3,7 @@
 from typing import Protocol
 
 from bronzeslip.forwarding import endpoint_client
+from bronzeslip.memory import reservation
 
 
 class ResponseWriter(Protocol):
@@ -10,9 +11,11 @@
 
     Attributes:
         is_started: Whether the head has been sent.
+        memory: Memory of what is held for this response.
     """
 
     is_started: bool
+    memory: reservation.Reservation
 
     async def start(self, head: endpoint_client.ResponseHead) -> None:
         """Sends status and headers."""
--- a/bronzeslip/forwarding/stream_sender.py
+++ b/bronzeslip/forwarding/stream_sender.py
@@ -95,7 +95,9 @@
             endpoint_errors.EndpointResponseLostError: If it is incomplete.
         """
         return await buffered_response.read(
-            response, self._components.settings.response_max_bytes
+            response,
+            self._components.settings.response_max_bytes,
+            self._writer.memory,
         )
 
     async def _exchange(
--- a/bronzeslip/memory/pool.py
+++ b/bronzeslip/memory/pool.py
@@ -50,12 +50,13 @@
         self.taken_bytes += size_bytes
         return True
 
-    async def take(self, size_bytes: int, wait_s: float) -> None:
+    async def take(self, size_bytes: int, wait_s: float | None) -> None:
         """Takes bytes, waiting for room behind those that wait already.
 
         Args:
             size_bytes: Bytes to take.
-            wait_s: Maximum wait, in seconds.
+            wait_s: Maximum wait, in seconds, or None to wait for as long as
+                it takes.
 
         Raises:
             errors.MemoryShortError: If there is no room in that time, or the
@@ -88,7 +89,7 @@
         self.taken_bytes -= size_bytes
         self._wake()
 
-    async def _wait(self, size_bytes: int, wait_s: float) -> None:
+    async def _wait(self, size_bytes: int, wait_s: float | None) -> None:
         waiting = waiter.Waiter(
             size_bytes, asyncio.get_running_loop().create_future()
         )
--- a/bronzeslip/memory/reservation.py
+++ b/bronzeslip/memory/reservation.py
@@ -46,12 +46,13 @@
         self.size_bytes = size_bytes
         return True
 
-    async def grow(self, size_bytes: int, wait_s: float) -> None:
+    async def grow(self, size_bytes: int, wait_s: float | None = None) -> None:
         """Grows to a size, waiting for room.
 
         Args:
             size_bytes: New size; a smaller one changes nothing.
-            wait_s: Maximum wait, in seconds.
+            wait_s: Maximum wait, in seconds, or None to wait for as long as
+                it takes.
 
         Raises:
             errors.MemoryShortError: If there is no room in that time.
--- a/bronzeslip/platform/caller_response.py
+++ b/bronzeslip/platform/caller_response.py
@@ -9,6 +9,7 @@
 
 from bronzeslip.forwarding import endpoint_client
 from bronzeslip.forwarding import errors
+from bronzeslip.memory import reservation
 from bronzeslip.platform import headers
 
 AsgiSend = Callable[[dict[str, Any]], Awaitable[None]]
@@ -71,10 +72,20 @@
 
     Attributes:
         is_started: Whether status and headers have been sent.
+        memory: Memory of what is held for the response.
     """
 
-    def __init__(self, send: AsgiSend, method: str) -> None:
-        """Creates the response to a request with the given method."""
+    def __init__(
+        self, send: AsgiSend, method: str, memory: reservation.Reservation
+    ) -> None:
+        """Creates a response.
+
+        Args:
+            send: Sends ASGI messages.
+            method: Method of the request.
+            memory: Memory of what is held for the response.
+        """
+        self.memory = memory
         self._send = send
         self._method = method
         self.is_started = False
--- a/bronzeslip/platform/ingress.py
+++ b/bronzeslip/platform/ingress.py
@@ -48,18 +48,23 @@
         """Serves one request."""
         if scope["type"] != "http":
             return
-        with reservation.Reservation(self._memory.requests) as held:
-            await self._receive(scope, receive, send, held)
+        with (
+            reservation.Reservation(self._memory.requests) as held,
+            reservation.Reservation(self._memory.responses) as memory,
+        ):
+            response = caller_response.CallerResponse(
+                send, scope["method"], memory
+            )
+            await self._receive(scope, receive, response, held)
 
     async def _receive(
         self,
         scope: AsgiScope,
         receive: AsgiReceive,
-        send: AsgiSend,
+        response: caller_response.CallerResponse,
         held: reservation.Reservation,
     ) -> None:
         arrived_s = asyncio.get_running_loop().time()
-        response = caller_response.CallerResponse(send, scope["method"])
         try:
             body = await self._reader.read(scope, receive, held)
             request = request_decoder.decode(scope, body, arrived_s)
--- a/tests/platform/test_endless_responses.py
+++ b/tests/platform/test_endless_responses.py
@@ -151,7 +151,9 @@
             remaining_s=2.0,
         )
         return await buffered_response.read(
-            await self.client.send(outgoing), _MAX_BODY_BYTES
+            await self.client.send(outgoing),
+            _MAX_BODY_BYTES,
+            forwarding_parts.create_response_memory(),
         )
 
     def _control_calls(self):
--- a/tests/platform/test_endpoint_http.py
+++ b/tests/platform/test_endpoint_http.py
@@ -59,7 +59,11 @@
         endpoint_response = await self.client.send(
             self._create_dispatch(request_id, **changes)
         )
-        return await buffered_response.read(endpoint_response, _MAX_BYTES)
+        return await buffered_response.read(
+            endpoint_response,
+            _MAX_BYTES,
+            forwarding_parts.create_response_memory(),
+        )
 
     async def test_request_is_sent_byte_for_byte(self):
         await self._start_server(
@@ -176,7 +180,11 @@
         endpoint_response = await self.client.send(
             self._create_long_dispatch("q2", body)
         )
-        response = await buffered_response.read(endpoint_response, _MAX_BYTES)
+        response = await buffered_response.read(
+            endpoint_response,
+            _MAX_BYTES,
+            forwarding_parts.create_response_memory(),
+        )
         self.assertEqual(response.body, b"b")
         await polling.wait_until(lambda: len(self.server.requests) == 2)
         for request in self.server.requests:
--- a/tests/platform/test_responses_cut_in_their_head.py
+++ b/tests/platform/test_responses_cut_in_their_head.py
@@ -62,7 +62,9 @@
                 request=request, endpoint=self.endpoint, remaining_s=2.0
             )
         )
-        return await buffered_response.read(response, _MAX_BYTES)
+        return await buffered_response.read(
+            response, _MAX_BYTES, forwarding_parts.create_response_memory()
+        )
 
     async def _assert_lost(self, script, is_kept):
         if is_kept:
--- a/tests/support/forwarding_parts.py
+++ b/tests/support/forwarding_parts.py
@@ -15,6 +15,7 @@
 from bronzeslip.forwarding import incoming
 from bronzeslip.forwarding import prompt
 from bronzeslip.memory import budget
+from bronzeslip.memory import reservation
 from bronzeslip.metrics import entry_metrics
 from bronzeslip.quota import endpoint_permits
 from bronzeslip.quota import peer
@@ -68,6 +69,10 @@
     return budget.create(limit_bytes, resident_bytes)
 
 
+def create_response_memory():
+    return reservation.Reservation(create_memory().responses)
+
+
 def create_endpoint(name, domain="a-1", service_name="pool", **changes):
     values = {
         "endpoint_id": ids.EndpointId(name),
--- a/tests/support/scripted_endpoints.py
+++ b/tests/support/scripted_endpoints.py
@@ -8,6 +8,7 @@
 from bronzeslip.forwarding import endpoint_client
 from bronzeslip.forwarding import endpoint_errors
 from bronzeslip.forwarding import incoming
+from tests.support import forwarding_parts
 
 
 class ScriptedResponse:
@@ -127,6 +128,7 @@
 
     def __init__(self):
         self.is_started = False
+        self.memory = forwarding_parts.create_response_memory()
         self.is_finished = False
         self.head = None
         self.body = b""
