Keep incomplete events within the memory budget

Callers saw a gateway end without a line of its own: each stream may hold an event of up to event_max_bytes that is not complete, and nothing bounded their sum. An event that has grown to more than 16 KiB now reserves the largest size before its stream is read on, from the part of the budget for responses. Large events are written in slices.

--- a/bronzeslip/forwarding/buffered_response.py
+++ b/bronzeslip/forwarding/buffered_response.py
@@ -11,7 +11,6 @@
 
 # Bodies of up to this size never wait for memory.
 _SMALL_BODY_BYTES = 16 * 1024
-_SLICE_BYTES = 64 * 1024
 
 
 class BufferedResponse(msgspec.Struct, frozen=True):
@@ -96,13 +95,5 @@
         response.head, content_length=len(response.body)
     )
     await writer.start(head)
-    await write_slices(response.body, writer)
+    await response_writer.write_slices(response.body, writer)
     await writer.finish()
-
-
-async def write_slices(
-    body: bytes, writer: response_writer.ResponseWriter
-) -> None:
-    """Writes bytes, of which the caller's connection buffers a part only."""
-    for start in range(0, len(body), _SLICE_BYTES):
-        await writer.write(body[start : start + _SLICE_BYTES])
--- a/bronzeslip/forwarding/response_writer.py
+++ b/bronzeslip/forwarding/response_writer.py
@@ -5,6 +5,8 @@
 from bronzeslip.forwarding import endpoint_client
 from bronzeslip.memory import reservation
 
+_SLICE_BYTES = 64 * 1024
+
 
 class ResponseWriter(Protocol):
     """Sends the response to one caller.
@@ -25,3 +27,9 @@
 
     async def finish(self) -> None:
         """Ends the body."""
+
+
+async def write_slices(body: bytes, writer: ResponseWriter) -> None:
+    """Writes bytes in slices, one of which the connection buffers."""
+    for start in range(0, len(body), _SLICE_BYTES):
+        await writer.write(body[start : start + _SLICE_BYTES])
--- a/bronzeslip/forwarding/stream_progress.py
+++ b/bronzeslip/forwarding/stream_progress.py
@@ -47,6 +47,11 @@
         """Bytes after the last complete event."""
         return self._framer.remainder
 
+    @property
+    def remainder_bytes(self) -> int:
+        """Number of bytes after the last complete event."""
+        return self._framer.remainder_bytes
+
     def feed(self, chunk: bytes) -> event_framer.EventBlock | None:
         """Adds bytes and returns the events completed by them, or None.
 
--- a/bronzeslip/forwarding/stream_run.py
+++ b/bronzeslip/forwarding/stream_run.py
@@ -13,6 +13,8 @@
 from bronzeslip.forwarding import endpoint_client
 from bronzeslip.forwarding import endpoint_errors
 from bronzeslip.forwarding import errors
+from bronzeslip.forwarding import event_framer
+from bronzeslip.forwarding import event_memory
 from bronzeslip.forwarding import response_writer
 from bronzeslip.forwarding import run_standby
 from bronzeslip.forwarding import run_stopper
@@ -42,6 +44,9 @@
         self._progress = stream_progress.StreamProgress(
             request, shared.settings.event_max_bytes
         )
+        self._event_memory = event_memory.EventMemory(
+            writer.memory, shared.settings.event_max_bytes
+        )
         self._sender = stream_sender.StreamSender(
             shared, request, self._progress, writer
         )
@@ -126,10 +131,17 @@
         self, head: endpoint_client.ResponseHead, chunk: bytes
     ) -> None:
         block = self._progress.feed(chunk)
-        if block is None:
-            return
+        if block is not None:
+            await self._relay_events(head, block)
+        await self._event_memory.hold(self._progress.remainder_bytes)
+
+    async def _relay_events(
+        self,
+        head: endpoint_client.ResponseHead,
+        block: event_framer.EventBlock,
+    ) -> None:
         await self._start_response(head)
-        await self._writer.write(block.data)
+        await response_writer.write_slices(block.data, self._writer)
         self._progress.record(block)
         if self._progress.times.answering_s >= _ANSWERED_AFTER_S:
             self._record_answered()
