Keep HTTP servers running after exceptions and log those as events

What callers saw: after its periodic work had failed once, an HTTP server was taken for stopped: a shutdown cut off the requests that it still served. One that could not start to accept connections at once never did. Other gateways that sent a body nested too deeply to /permits got status 500. The operator saw tracebacks, which may hold data, between the log lines, or nothing.

Cause: nobody observed the task of the server; exceptions of applications and of callbacks reached uvicorn and asyncio, which write tracebacks; litestar converts the errors of its decoder but not RecursionError, and logs nothing.

Change: the server repeats its start and its periodic work after a failure until it is stopped. IsolatedApp logs http.app_failed; the response is 500, or cut off if it has started, as before. The daemons set an exception handler of the event loop that logs daemon.unhandled. The small applications (readiness, permits, metrics) are created in one place, which answers bodies that are nested too deeply with 400 and logs http.unexpected_error.

Evidence, on the code before: test_stop_after_a_failure_waits_for_requests and test_accepts_connections_after_a_failure failed with "the condition was not met in time", test_failed_request_is_answered_and_logged with "0 != 2", test_exception_of_a_callback_is_logged found no line; all eight requests to /permits with nested bodies got "HTTP/1.1 500", now 400. Bodies that are empty, not UTF-8, random or hold numbers out of range got 400 before too. The product front end answered nested bodies with 400 before too (tests.gateway.test_bad_input).

--- a/bronzeslip/daemon_command.py
+++ b/bronzeslip/daemon_command.py
@@ -5,6 +5,7 @@
 import contextlib
 import os
 import sys
+from typing import Any
 from typing import Protocol
 from typing import TypeVar
 
@@ -66,9 +67,21 @@
 async def _create_and_run(
     create: Callable[[SettingsT], Daemon], settings: SettingsT
 ) -> None:
+    asyncio.get_running_loop().set_exception_handler(_log_unhandled)
     try:
         await create(settings).run()
     except Exception as error:
         logger.error("daemon.failed", reason=logs.describe(error))
         raise
     logger.info("daemon.ended")
+
+
+def _log_unhandled(
+    loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+) -> None:
+    """Logs an exception that no task or callback has handled."""
+    error = context.get("exception")
+    logger.error(
+        "daemon.unhandled",
+        reason=context["message"] if error is None else logs.describe(error),
+    )
--- a/bronzeslip/entry/daemon.py
+++ b/bronzeslip/entry/daemon.py
@@ -16,6 +16,7 @@
 from bronzeslip.entry import vm_config
 from bronzeslip.http import connection_limits
 from bronzeslip.http import health
+from bronzeslip.http import internal_app
 from bronzeslip.http import server
 from bronzeslip.http import shutdown
 from bronzeslip.metrics import entry_metrics
@@ -83,11 +84,11 @@
             _create_http_settings(this_vm.readiness_address),
         )
         self._peer_server = server.HttpServer(
-            _create_app(permit_handler),
+            internal_app.create(permit_handler),
             _create_http_settings(this_vm.peer_address),
         )
         self._metrics_server = server.HttpServer(
-            _create_app(page.create_handler(metrics)),
+            internal_app.create(page.create_handler(metrics)),
             _create_http_settings(
                 vm_config.SocketAddress(
                     this_vm.caller_address.host, settings.metrics_port
@@ -142,7 +143,7 @@
         )
 
     def _create_readiness_app(self) -> litestar.Litestar:
-        return _create_app(
+        return internal_app.create(
             *health.handlers(
                 lambda: (
                     self._caller_server.is_listening
@@ -153,16 +154,6 @@
         )
 
 
-def _create_app(
-    *route_handlers: handlers.BaseRouteHandler,
-) -> litestar.Litestar:
-    return litestar.Litestar(
-        route_handlers=route_handlers,
-        openapi_config=None,
-        logging_config=None,
-    )
-
-
 def _create_http_settings(
     address: vm_config.SocketAddress,
 ) -> http.HttpSettings:
--- a/bronzeslip/http/server.py
+++ b/bronzeslip/http/server.py
@@ -1,24 +1,60 @@
 """HTTP server that leaves signal handling to the daemon."""
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
 import functools
+import socket
 from typing import Any
 
 import uvicorn
 
+from bronzeslip import logs
+from bronzeslip import task_set
 from bronzeslip.http import connection_limits
+from bronzeslip.http import isolated_app
 from bronzeslip.http import limited_protocol
 from bronzeslip.http import listener
 from bronzeslip.settings import http
 
+logger = logs.get_logger(__name__)
+
+_RETRY_DELAY_S = 0.5
+
 
 class _Server(uvicorn.Server):
+    """Server that goes on after an unexpected exception."""
+
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
         yield
 
+    async def main_loop(self) -> None:
+        """Runs periodic work until the server is stopped.
+
+        Connections are accepted and served outside of this loop.
+        """
+        await self._retry(super().main_loop)
+
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        """Starts to accept connections."""
+        await self._retry(functools.partial(super().startup, sockets))
+
+    async def _retry(self, step: Callable[[], Awaitable[None]]) -> None:
+        """Runs a step, again after a failure unless the server is stopped."""
+        while True:
+            try:
+                await step()
+            except Exception as error:
+                logger.error("http.server_failed", reason=logs.describe(error))
+            else:
+                return
+            if self.should_exit:
+                return
+            await asyncio.sleep(_RETRY_DELAY_S)
+
 
 class HttpServer:
     """Serves an ASGI application until stopped."""
@@ -39,7 +75,7 @@
         """
         self._listener = listener.Listener(settings)
         config = uvicorn.Config(
-            app,
+            isolated_app.IsolatedApp(app),
             http=functools.partial(
                 limited_protocol.LimitedHttpProtocol,
                 limits_source or connection_limits.from_settings(settings),
@@ -68,7 +104,7 @@
     def start(self) -> None:
         """Listens and accepts connections, later if the port is taken."""
         self._listener.try_open()
-        self._task = asyncio.create_task(self._serve())
+        self._task = task_set.start("http server", self._serve())
 
     async def _serve(self) -> None:
         await self._server.serve(sockets=[await self._listener.wait_open()])
