--- a/bronzeslip/platform/boot_file.py
+++ b/bronzeslip/platform/boot_file.py
@@ -13,6 +13,7 @@
 from bronzeslip.entry import vm_config
 from bronzeslip.platform import errors
 from bronzeslip.platform import place_bounds
+from bronzeslip.platform import process_limits
 
 # Environment variable that holds the path of the settings file.
 PATH_VARIABLE = "BRONZESLIP_BOOT"
@@ -44,6 +45,7 @@
     listen: _Listen
     platform: _Platform
     bounds: Any = None
+    limits: Any = None
 
 
 def read(
@@ -106,6 +108,7 @@
             f"{boot_settings.ip}:{boot_settings.port_range[0]}"
         ),
         bounds=place_bounds.decode(boot_settings.bounds, known_bounds),
+        process_limits=process_limits.decode(boot_settings.limits),
     )
 
 
