Wait for a peer port that is taken at the start

Seen: a gateway or sidecar whose peer port is still taken ends at once with a traceback.

Cause: PeerServer bound the port in its constructor and let the RuntimeError of grpc pass.

Change: it binds at once and, where that fails, again every 0.05 to 0.5 s in a task of its own, which stop() cancels. The delays are shared with the HTTP servers and the settings file. A sidecar registers meanwhile; gateways find it unreachable until the port is free.

--- a/bronzeslip/http/listener.py
+++ b/bronzeslip/http/listener.py
@@ -4,6 +4,7 @@
 import socket
 
 from bronzeslip import logs
+from bronzeslip import start_delays
 from bronzeslip.http import listening_socket
 from bronzeslip.settings import http
 
@@ -11,9 +12,6 @@
 
 _BACKLOG = 2048
 _MS_PER_S = 1000
-_DELAY_MIN_S = 0.05
-_DELAY_MAX_S = 0.5
-_DELAY_GROWTH = 2.0
 
 
 class Listener:
@@ -63,10 +61,9 @@
 
     async def wait_open(self) -> socket.socket:
         """Tries again until the socket listens; returns it."""
-        delay_s = _DELAY_MIN_S
+        delays_s = start_delays.generate()
         while self._socket is None:
-            await asyncio.sleep(delay_s)
-            delay_s = min(delay_s * _DELAY_GROWTH, _DELAY_MAX_S)
+            await asyncio.sleep(next(delays_s))
             self.try_open()
         return self._socket
 
--- a/bronzeslip/platform/starting_gateway.py
+++ b/bronzeslip/platform/starting_gateway.py
@@ -5,6 +5,7 @@
 import pathlib
 
 from bronzeslip import logs
+from bronzeslip import start_delays
 from bronzeslip.entry import vm_config
 from bronzeslip.http import shutdown
 from bronzeslip.platform import boot_file_reader
@@ -13,10 +14,6 @@
 
 logger = logs.get_logger(__name__)
 
-_DELAY_MIN_S = 0.05
-_DELAY_MAX_S = 0.5
-_DELAY_GROWTH = 2.0
-
 
 class StartingGateway:
     """Waits for the settings file, then runs the gateway.
@@ -48,15 +45,14 @@
     async def _wait_for_settings(self) -> vm_config.VmConfig | None:
         """Returns what the file holds, or None if a shutdown is requested."""
         reader = boot_file_reader.BootFileReader(self._path)
-        delay_s = _DELAY_MIN_S
+        delays_s = start_delays.generate()
         while not self._signals.requested.is_set():
             this_vm = reader.try_read()
             if this_vm is not None:
                 return this_vm
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(delay_s):
+                async with asyncio.timeout(next(delays_s)):
                     await self._signals.requested.wait()
-            delay_s = min(delay_s * _DELAY_GROWTH, _DELAY_MAX_S)
         return None
 
     def _ignore_reload(self) -> None:
--- a/bronzeslip/transport/server.py
+++ b/bronzeslip/transport/server.py
@@ -1,5 +1,6 @@
 """Server side of peer connections."""
 
+import asyncio
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -10,6 +11,7 @@
 import grpc.aio
 
 from bronzeslip import logs
+from bronzeslip import start_delays
 from bronzeslip.transport import service
 from bronzeslip.transport import stream
 
@@ -22,7 +24,7 @@
     """Accepts connections from other processes of the system.
 
     Attributes:
-        port: Port that the server listens on.
+        port: Port that the server listens on, or will listen on.
     """
 
     def __init__(
@@ -35,7 +37,7 @@
         accepted_peer_keys: Sequence[str] = (),
         credentials: grpc.ServerCredentials | None = None,
     ) -> None:
-        """Binds the port.
+        """Binds the port, unless it is taken for now.
 
         Args:
             address: IP address to listen on.
@@ -64,22 +66,57 @@
                 ),
             )
         )
-        listen_address = f"{address}:{port}"
-        if credentials is None:
-            self.port = self._server.add_insecure_port(listen_address)
-        else:
-            self.port = self._server.add_secure_port(
-                listen_address, credentials
-            )
+        self._listen_address = f"{address}:{port}"
+        self._credentials = credentials
+        self.port = port
+        self._is_bound = False
+        self._has_failed = False
+        self._start_task: asyncio.Task | None = None
+        self._try_bind()
 
     async def start(self) -> None:
-        """Starts accepting connections."""
-        await self._server.start()
+        """Starts accepting connections, later if the port is taken."""
+        if self._is_bound:
+            await self._server.start()
+        else:
+            self._start_task = asyncio.create_task(self._start_when_bound())
 
     async def stop(self) -> None:
         """Stops the server and closes every connection."""
+        if self._start_task is not None:
+            self._start_task.cancel()
+            await asyncio.wait((self._start_task,))
         await self._server.stop(0)
 
+    async def _start_when_bound(self) -> None:
+        delays_s = start_delays.generate()
+        while not self._is_bound:
+            await asyncio.sleep(next(delays_s))
+            self._try_bind()
+        await self._server.start()
+
+    def _try_bind(self) -> None:
+        try:
+            self.port = self._bind()
+        # grpc raises no error of its own.
+        except RuntimeError as error:
+            if not self._has_failed:
+                logger.warning(
+                    "transport.port_taken", port=self.port, reason=str(error)
+                )
+            self._has_failed = True
+        else:
+            self._is_bound = True
+            if self._has_failed:
+                logger.info("transport.listening", port=self.port)
+
+    def _bind(self) -> int:
+        if self._credentials is None:
+            return self._server.add_insecure_port(self._listen_address)
+        return self._server.add_secure_port(
+            self._listen_address, self._credentials
+        )
+
     async def _exchange(
         self, _: AsyncIterator[bytes], context: grpc.aio.ServicerContext
     ) -> None:
