Keep logging after standard output has failed

Seen: a process whose standard output is closed at its start ends with a traceback and status 1. One whose output fails once (full disk, a reader that went away) writes no line any more, so that later failures leave no trace. An output that does not block and is not ready makes the writer spin.

Cause: log_queue opened sys.stdout.fileno() of None, let OSError end the thread of the writer, and took None, the result of a write that would block, for a slice bound.

Change: without standard output lines go to the null device. A failed line is counted and told by logs.dropped before the next one. A write that is not ready is repeated after 10 ms.

--- a/bronzeslip/log_queue.py
+++ b/bronzeslip/log_queue.py
@@ -5,8 +5,10 @@
 import json
 import logging
 import logging.handlers
+import os
 import queue
 import sys
+import time
 from typing import BinaryIO
 
 # Several seconds of lines at the rate limit, about 2 MB.
@@ -14,6 +16,7 @@
 # Time to write queued lines when the program ends; well below the time that
 # operators allow a process to terminate.
 _SHUTDOWN_TIMEOUT_S = 0.5
+_NOT_READY_DELAY_S = 0.01
 
 
 class _DroppingHandler(logging.handlers.QueueHandler):
@@ -42,22 +45,37 @@
     """Writes lines from a single thread, without a lock or a buffer.
 
     A write that is still blocked when the program ends would hold the lock or
-    buffer forever and prevent the program from exiting.
+    buffer forever and prevent the program from exiting. An output that fails,
+    such as a full disk, may accept lines again later.
     """
 
     def __init__(self, output: BinaryIO) -> None:
         super().__init__()
         self._output = output
+        self._lost = 0
 
     def createLock(self) -> None:  # noqa: N802
         """Creates no lock."""
         self.lock = None
 
     def emit(self, record: logging.LogRecord) -> None:
-        """Writes a record as one line."""
+        """Writes a record as one line, or counts it if that fails."""
+        try:
+            if self._lost:
+                self._write_line(_dropped_record(self._lost))
+                self._lost = 0
+            self._write_line(record)
+        except OSError:
+            self._lost += 1
+
+    def _write_line(self, record: logging.LogRecord) -> None:
         unwritten = f"{self.format(record)}\n".encode()
         while unwritten:
-            unwritten = unwritten[self._output.write(unwritten) :]
+            written_bytes = self._output.write(unwritten)
+            # A descriptor that does not block is not ready.
+            if written_bytes is None:
+                time.sleep(_NOT_READY_DELAY_S)
+            unwritten = unwritten[written_bytes or 0 :]
 
 
 class _BoundedListener(logging.handlers.QueueListener):
@@ -99,8 +117,10 @@
     """Opens a separate stream on the standard output descriptor.
 
     The interpreter flushes sys.stdout at exit and would wait for a thread that
-    is blocked in it.
+    is blocked in it. A process may have been started without standard output.
     """
+    if sys.stdout is None:
+        return open(os.devnull, "wb", buffering=0)
     return open(sys.stdout.fileno(), "wb", buffering=0, closefd=False)
 
 
--- a/tests/test_log_queue.py
+++ b/tests/test_log_queue.py
@@ -20,6 +20,9 @@
         logging.getLogger().error("line %d of many", number)
 """
 
+# Arguments that precede the interpreter and its program.
+_WITHOUT_STANDARD_OUTPUT = ("/bin/sh", "-c", 'exec "$0" -c "$1" >&-')
+
 
 class _BlockedOutput(io.BytesIO):
     """Output that blocks writes until it is released."""
@@ -33,6 +36,22 @@
         return super().write(text)
 
 
+class _FailingOutput(io.BytesIO):
+    """Output that fails, is not ready, and accepts lines from then on."""
+
+    def __init__(self):
+        super().__init__()
+        self.results = [OSError(28, "full"), OSError(28, "full"), None]
+
+    def write(self, text):
+        if not self.results:
+            return super().write(text)
+        result = self.results.pop(0)
+        if result is not None:
+            raise result
+        return None
+
+
 class LogQueueTest(unittest.TestCase):
     def test_lines_reach_standard_output_in_order(self):
         output = io.BytesIO()
@@ -75,6 +94,25 @@
         self.assertEqual(program.wait(20), 0)
         self.assertEqual(program.stderr.read(), b"")
 
+    # Guards against a writer that ends, with all later lines, at an error.
+    def test_lines_are_written_after_an_output_has_failed(self):
+        output = _FailingOutput()
+        with log_queue.background_writer(output):
+            for number in range(4):
+                logging.getLogger().error("line %d", number)
+        lines = output.getvalue().decode().splitlines()
+        self.assertIn('"logs.dropped", "count": 2', lines[0])
+        self.assertEqual(lines[1:], ["line 2", "line 3"])
+
+    # Guards against a process that does not start without standard output.
+    def test_standard_output_may_be_closed(self):
+        result = subprocess.run(
+            [*_WITHOUT_STANDARD_OUTPUT, sys.executable, _LOGGING_PROGRAM],
+            check=False,
+            stderr=subprocess.PIPE,
+        )
+        self.assertEqual((result.returncode, result.stderr), (0, b""))
+
     def test_handlers_are_restored(self):
         before = logging.getLogger().handlers[:]
         with log_queue.background_writer(io.BytesIO()):
