Don't take a local lack of descriptors for an absent endpoint

Seen: on a gateway without free descriptors each new connection to an endpoint is logged as "connection refused" (endpoint-absent). A check after a lost response then takes the endpoint for crashed, and two of these quarantine requests that crashed nothing.

Cause: every httpx.ConnectError became EndpointAbsentError, whatever the system's error was.

Change: EMFILE, ENFILE, ENOBUFS, ENOMEM and EADDRNOTAVAIL become EndpointUnreachableError, which retries as before but is no evidence of a crash. All other errors stay as they were.

Evidence: tests.platform.test_connect_errors on the unfixed code: "'endpoint-absent' != 'endpoint-unreachable'". After, with test_endpoint_http: 20 passed, 0 failed.

--- a/bronzeslip/platform/endpoint_http.py
+++ b/bronzeslip/platform/endpoint_http.py
@@ -13,6 +13,7 @@
 from bronzeslip.forwarding import dispatch
 from bronzeslip.forwarding import endpoint_client
 from bronzeslip.forwarding import endpoint_errors
+from bronzeslip.platform import connect_errors
 from bronzeslip.platform import connection_pool
 from bronzeslip.platform import endpoint_announcements
 from bronzeslip.platform import endpoint_response
@@ -252,9 +253,7 @@
             response = await connection.transport.handle_async_request(request)
         except httpx.ConnectError as error:
             await connection.transport.aclose()
-            raise endpoint_errors.EndpointAbsentError(
-                "connection refused"
-            ) from error
+            raise connect_errors.to_endpoint_error(error) from error
         except httpx.ConnectTimeout as error:
             await connection.transport.aclose()
             raise endpoint_errors.EndpointUnreachableError(
