--- a/tests/processes/test_starts.py
+++ b/tests/processes/test_starts.py
@@ -8,6 +8,7 @@
 
 import httpx
 
+from tests.platform import boot_files
 from tools import entry_deployment
 
 _WAITED_S = 1.0
@@ -59,6 +60,22 @@
     def test_waits_for_a_boot_file_of_text(self):
         self.assert_waits_for(b"\xff\xfe" + self.content)
 
+    # Guards against ending at a reload, and against settings that are not kept.
+    def test_keeps_its_settings_until_the_boot_file_is_usable(self):
+        self.gateway.start()
+        self.gateway.wait_ready()
+        for fault, content in boot_files.UNUSABLE.items():
+            with self.subTest(fault=fault):
+                self.gateway.boot_path.write_bytes(content)
+                self.gateway.process.send_signal(signal.SIGHUP)
+                time.sleep(0.05)
+                self.assertIsNone(self.gateway.process.exit_status)
+        self.gateway.write_boot_file(retry_slack=7)
+        self.gateway.process.send_signal(signal.SIGHUP)
+        line = self.gateway.process.wait_for_line("settings.reloaded")
+        self.assertIn('"retry_slack":7', line)
+        self.assert_serves()
+
     # Guards against a traceback or a delay if the settings never come.
     def test_shuts_down_while_it_waits_for_the_boot_file(self):
         self.gateway.boot_path.unlink()
