Test that bursts keep a gateway within its memory limit

The boot file of the stand-in deployment now states limits, and eight tests compare the peak of a gateway process (resident memory, and bytes received but not read) with the limit of 150 MB.

--- a/standins/model_endpoint/app.py
+++ b/standins/model_endpoint/app.py
@@ -11,6 +11,8 @@
 from litestar import response
 import msgspec
 
+from standins.model_endpoint import odd_responses
+
 _ATTEMPT_ID_HEADER = "bronzeslip-attempt-id"
 _PROMPT_PARTS_HEADER = "bronzeslip-prompt-prefix"
 _TARGET_INSTANCE_HEADER = "bronzeslip-target-instance"
@@ -34,10 +36,11 @@
 
     The body "stream" selects a stream of events, the body "broken-stream" one
     that ends inside an event, and the body "crash" makes the process exit at
-    once. More text may follow after a space. A prompt with a part, other than
-    the last, whose id begins with "poison" makes the process exit too. While
-    the stand-in holds requests, calls wait before their response starts and
-    streams wait after their first event.
+    once. Others select one of the odd responses. More text may follow after a
+    space. A prompt with a part, other than the last, whose id begins with
+    "poison" makes the process exit too. While the stand-in holds requests,
+    calls wait before their response starts and streams wait after their first
+    event.
     """
 
     def __init__(self, endpoint_id: str, is_unframed: bool = False) -> None:
@@ -147,6 +150,9 @@
                 headers=headers,
                 media_type="text/event-stream",
             )
+        odd_response = odd_responses.create(body, headers)
+        if odd_response is not None:
+            return odd_response
         await self._released.wait()
         return litestar.Response(
             b"ran " + body, headers=headers, media_type="text/plain"
--- a/tools/entry_gateway.py
+++ b/tools/entry_gateway.py
@@ -10,6 +10,8 @@
 from tools import wait
 from tools.faults import tcp_proxy
 
+MEMORY_MB = 150
+
 _CALL_TIMEOUT_S = 20.0
 _BOOT_FILE_TEMPLATE = """
 node_name = "{name}"
@@ -21,6 +23,9 @@
 [listen]
 front = "{host}:{front}"
 ready = "{host}:{ready}"
+[limits]
+memory_mb = {memory_mb}
+max_fds = 4100
 [bounds]
 drain_ms = 2500
 grace_s = 8
@@ -64,6 +69,11 @@
             environment={"BRONZESLIP_BOOT": str(self._boot_path)},
         )
 
+    @property
+    def caller_address(self) -> tuple[str, int]:
+        """Address that callers connect to."""
+        return self._host, self._front_port
+
     @property
     def name(self) -> str:
         """VM id of the gateway."""
@@ -80,6 +90,7 @@
                 peer=self._peer_port,
                 store=self.proxy.port,
                 retry_slack=retry_slack,
+                memory_mb=MEMORY_MB,
             )
         )
 
