--- a/bronzeslip/entry/daemon.py
+++ b/bronzeslip/entry/daemon.py
@@ -72,9 +72,7 @@
         self._begin_drain = begin_drain
         self._deregister = deregister
         self._signals = shutdown.ShutdownSignals()
-        self._background_tasks = background.BackgroundTasks(
-            self._signals.request
-        )
+        self._background_tasks = background.BackgroundTasks()
         self._caller_server = server.HttpServer(
             app,
             _create_http_settings(this_vm.caller_address),
@@ -107,23 +105,28 @@
         if self._settings.metrics_port:
             self._metrics_server.start()
         for task in self._named_tasks:
-            self._background_tasks.start(task.name, task.coroutine)
+            self._background_tasks.start(task.name, task.run)
         logger.info("entry.listening", vm=self._this_vm.vm_id)
         await self._signals.requested.wait()
-        await self._drain()
-        await self._deregister()
-        await self._background_tasks.stop()
+        await shutdown.run_step("notice", self._announce_drain())
+        await shutdown.run_step("drain", self._drain())
+        await shutdown.run_step("deregistration", self._deregister())
+        await shutdown.run_step("tasks", self._background_tasks.stop())
         await asyncio.gather(
-            self._peer_server.abort(),
-            self._readiness_server.abort(),
-            self._metrics_server.abort(),
+            shutdown.run_step("callers", self._caller_server.abort()),
+            shutdown.run_step("peers", self._peer_server.abort()),
+            shutdown.run_step("readiness", self._readiness_server.abort()),
+            shutdown.run_step("metrics", self._metrics_server.abort()),
         )
 
-    async def _drain(self) -> None:
-        """Fails readiness checks, then waits for running requests to finish."""
+    async def _announce_drain(self) -> None:
+        """Fails readiness checks."""
+        logger.info("entry.draining")
         self._readiness.drain()
         self._begin_drain()
-        logger.info("entry.draining")
+
+    async def _drain(self) -> None:
+        """Waits for running requests to finish."""
         completed = await self._signals.run_unless_forced(self._stop_callers())
         if not completed:
             await self._caller_server.abort()
@@ -146,7 +149,11 @@
     def _create_readiness_app(self) -> litestar.Litestar:
         return _create_app(
             *health.handlers(
-                lambda: self._readiness.is_ready, ready_path="/ready"
+                lambda: (
+                    self._caller_server.is_listening
+                    and self._readiness.is_ready
+                ),
+                ready_path="/ready",
             )
         )
 
--- a/bronzeslip/sidecar/daemon.py
+++ b/bronzeslip/sidecar/daemon.py
@@ -1,6 +1,7 @@
 """Sidecar process."""
 
 import asyncio
+import functools
 
 import msgspec
 
@@ -44,7 +45,7 @@
         self._incarnation_id = ids.IncarnationId(ids.random_id())
         self._ready = False
         self._signals = shutdown.ShutdownSignals()
-        self._tasks = background.BackgroundTasks(self._signals.request)
+        self._tasks = background.BackgroundTasks()
         metrics = sidecar_metrics.SidecarMetrics()
         self._cache = cache_index.CacheIndex(settings)
         self._admission = memory_gate.MemoryGate(settings)
@@ -107,12 +108,12 @@
         self._signals.install()
         await self._peers.start()
         self._http.start()
-        self._tasks.start("spread", self._replication.run())
-        self._tasks.start("registration", self._registrar.maintain())
-        self._tasks.start("load poller", self._poller.run())
-        self._tasks.start("sweep", self._generation_table.sweep())
-        self._tasks.start("leaving watch", self._reclaim_watcher.run())
-        self._tasks.start("orders", self._reconciler.run())
+        self._tasks.start("spread", self._replication.run)
+        self._tasks.start("registration", self._registrar.maintain)
+        self._tasks.start("load poller", self._poller.run)
+        self._tasks.start("sweep", self._generation_table.sweep)
+        self._tasks.start("leaving watch", self._reclaim_watcher.run)
+        self._tasks.start("orders", self._reconciler.run)
         self._tasks.start(
             "own record",
             self._replication.hub.create_follower(
@@ -129,17 +130,21 @@
             endpoint_id=self._settings.endpoint_id,
         )
         await self._signals.requested.wait()
-        await self._drain()
+        await shutdown.run_step("drain", self._drain())
         await self._close()
 
     def _on_leaving(self) -> None:
         """Refuses new work and reports as lost what cannot end in time."""
         self._refuse_new_work()
-        self._tasks.start("reclaim", self._end_before_reclaim())
-
-    async def _end_before_reclaim(self) -> None:
         notice_s = self._settings.reclaim_notice_s
-        await asyncio.sleep(max(notice_s - _RECLAIM_MARGIN_S, 0.0))
+        end_s = asyncio.get_running_loop().time() + notice_s - _RECLAIM_MARGIN_S
+        self._tasks.start(
+            "reclaim", functools.partial(self._end_before_reclaim, end_s)
+        )
+
+    async def _end_before_reclaim(self, end_s: float) -> None:
+        remaining_s = end_s - asyncio.get_running_loop().time()
+        await asyncio.sleep(max(remaining_s, 0.0))
         logger.info("sidecar.reclaimed")
         self._generation_table.end_all(reason.LossReason.RECLAIMED)
 
@@ -147,9 +152,7 @@
         if self._ready:
             self._ready = False
             self._admission.drain()
-            self._tasks.start(
-                "announcement", self._registrar.announce_draining()
-            )
+            self._tasks.start("announcement", self._registrar.announce_draining)
 
     async def _drain(self) -> None:
         self._reclaim_watcher.ignore_record()
@@ -164,13 +167,13 @@
 
     async def _close(self) -> None:
         await asyncio.sleep(self._settings.drain_notice_s)
-        await self._registrar.deregister()
-        await self._tasks.stop()
-        await self._peers.stop()
-        await self._http.stop()
-        await self._call_runner.close()
-        await self._engine.close()
-        await self._platform.close()
+        await shutdown.run_step("deregistration", self._registrar.deregister())
+        await shutdown.run_step("tasks", self._tasks.stop())
+        await shutdown.run_step("peers", self._peers.stop())
+        await shutdown.run_step("http", self._http.stop())
+        await shutdown.run_step("calls", self._call_runner.close())
+        await shutdown.run_step("engine", self._engine.close())
+        await shutdown.run_step("platform", self._platform.close())
 
     async def _serve_peer(self, peer: stream.PeerStream) -> None:
         session = peer_session.PeerSession(
