Bound the connections of callers

A gateway kept every connection that callers opened, up to all descriptors that it may have: each takes memory, and none is left for endpoints and the store.

Above it the connection that has been idle for the longest time is closed.

--- a/bronzeslip/entry/daemon.py
+++ b/bronzeslip/entry/daemon.py
@@ -15,6 +15,7 @@
 from bronzeslip.entry import readiness
 from bronzeslip.entry import vm_config
 from bronzeslip.http import connection_limits
+from bronzeslip.http import connection_slots
 from bronzeslip.http import health
 from bronzeslip.http import server
 from bronzeslip.http import shutdown
@@ -39,6 +40,7 @@
         settings: entry.EntrySettings,
         this_vm: vm_config.VmConfig,
         app: Any,
+        slots: connection_slots.ConnectionSlots,
         permit_handler: handlers.BaseRouteHandler,
         current_table: current.CurrentTable,
         readiness_state: readiness.Readiness,
@@ -54,6 +56,7 @@
             settings: Settings of the gateway.
             this_vm: Configuration of this VM.
             app: ASGI application that serves callers.
+            slots: Bounds the number of connections of callers.
             permit_handler: Handles the requests of other gateways for permits.
             current_table: Current route table.
             readiness_state: Readiness reported to the load balancer.
@@ -79,6 +82,7 @@
             app,
             _create_http_settings(this_vm.caller_address),
             self._connection_limits,
+            slots,
         )
         self._readiness_server = server.HttpServer(
             self._create_readiness_app(),
--- a/bronzeslip/http/limited_protocol.py
+++ b/bronzeslip/http/limited_protocol.py
@@ -8,6 +8,7 @@
 
 from bronzeslip import logs
 from bronzeslip.http import connection_limits
+from bronzeslip.http import connection_slots
 from bronzeslip.http import lingering_close
 from bronzeslip.http import problem
 
@@ -15,6 +16,7 @@
 
 # Bytes read from a connection at once.
 _READ_BYTES = 64 * 1024
+_RETRY_AFTER_S = 0.5
 _MAX_DISCARDED_BYTES = 8 * 1024 * 1024
 
 _MALFORMED = problem.create(
@@ -32,6 +34,13 @@
     408,
     "the headers did not arrive in time",
 )
+_TOO_MANY_CONNECTIONS = problem.create(
+    "too-many-connections",
+    "Too many connections",
+    503,
+    "the process has too many connections; the request has not run",
+    retry_after_s=_RETRY_AFTER_S,
+)
 
 
 class _RequestRejectedError(Exception):
@@ -44,11 +53,14 @@
     def __init__(
         self,
         limits_source: connection_limits.LimitsSource,
+        slots: connection_slots.ConnectionSlots,
         *args: Any,
         **options: Any,
     ) -> None:
         super().__init__(*args, **options)
         self._get_limits = limits_source
+        self._slots = slots
+        self._has_slot = False
         self._is_last_request_read = False
         self._rejection = _MALFORMED
         self._in_headers = True
@@ -72,10 +84,16 @@
         """Starts the header timer for the first request."""
         super().connection_made(transport)
         transport.max_size = _READ_BYTES
+        self._has_slot = self._slots.open(self, self.loop.time())
+        if self._slots.has_too_many_refused and not self._has_slot:
+            self.transport.write(_render(_TOO_MANY_CONNECTIONS))
+            self.transport.close()
+            return
         self._start_header_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Stops the header timer."""
+        self._slots.close(self)
         self._stop_header_timer()
         if self._closing is not None:
             self._closing.stop()
@@ -100,6 +118,7 @@
     def on_message_begin(self) -> None:
         """Resets the header size and starts the header timer."""
         super().on_message_begin()
+        self._slots.begin(self)
         self._in_headers = True
         self._header_bytes = 0
         if self._header_timer is None:
@@ -115,6 +134,9 @@
         self._stop_header_timer()
         if self._is_last_request_read:
             return
+        if not self._has_slot:
+            self._rejection = _TOO_MANY_CONNECTIONS
+            raise _RequestRejectedError
         size_bytes = len(self.url) + sum(
             len(name) + len(value) for name, value in self.headers
         )
@@ -147,6 +169,16 @@
         super().on_message_complete()
         self._is_last_request_read = not self.cycle.keep_alive
 
+    def on_response_complete(self) -> None:
+        """Marks the connection as idle unless it carries another request."""
+        super().on_response_complete()
+        if self.cycle.response_complete and not self._in_headers:
+            self._slots.end(self, self.loop.time())
+
+    def evict(self) -> None:
+        """Closes the connection, which is idle."""
+        self.transport.close()
+
     def send_400_response(self, msg: str) -> None:
         """Sends the error response for a request that the parser rejects."""
         self._reject(self._rejection)
@@ -191,9 +223,13 @@
 
 def _render(rejection: problem.Problem) -> bytes:
     body = msgspec.json.encode(rejection)
+    retry_after = ""
+    if rejection.retry_after_s is not None:
+        retry_after = f"retry-after: {rejection.retry_after_s:.2f}\r\n"
     head = (
         f"content-type: {problem.MEDIA_TYPE}\r\n"
         f"content-length: {len(body)}\r\n"
+        f"{retry_after}"
         "connection: close\r\n\r\n"
     )
     status_line = httptools_impl.STATUS_LINE[rejection.status]
--- a/bronzeslip/http/server.py
+++ b/bronzeslip/http/server.py
@@ -10,6 +10,7 @@
 import uvicorn
 
 from bronzeslip.http import connection_limits
+from bronzeslip.http import connection_slots
 from bronzeslip.http import limited_protocol
 from bronzeslip.settings import http
 
@@ -31,6 +32,7 @@
         app: Any,
         settings: http.HttpSettings,
         limits_source: connection_limits.LimitsSource | None = None,
+        slots: connection_slots.ConnectionSlots | None = None,
     ) -> None:
         """Creates a server.
 
@@ -39,6 +41,7 @@
             settings: Address, limits and certificate.
             limits_source: Returns connection limits that may change while the
                 server runs; defaults to the limits of the settings.
+            slots: Bounds the number of connections; defaults to no bound.
         """
         self._address = (settings.listen_address, settings.http_port)
         self._stall_timeout_ms = round(
@@ -50,6 +53,7 @@
             http=functools.partial(
                 limited_protocol.LimitedHttpProtocol,
                 limits_source or connection_limits.from_settings(settings),
+                slots or connection_slots.ConnectionSlots(),
             ),
             ssl_certfile=settings.http_certificate_file,
             ssl_keyfile=settings.http_private_key_file,
--- a/bronzeslip/platform/gateway.py
+++ b/bronzeslip/platform/gateway.py
@@ -7,6 +7,7 @@
 from bronzeslip import process_memory
 from bronzeslip.endpoints import directory
 from bronzeslip.endpoints import watched_endpoints
+from bronzeslip.entry import caller_connections
 from bronzeslip.entry import daemon
 from bronzeslip.entry import gateway_registry
 from bronzeslip.entry import named_task
@@ -126,6 +127,7 @@
             body_reader.BodyReader(memory, current_table),
             memory,
         ),
+        caller_connections.create_slots(this_vm.process_limits, memory),
         permits_api.handler(coordinator),
         current_table,
         readiness.Readiness(current_table, endpoint_directory),
