--- a/bronzeslip/entry/gateway_registry.py
+++ b/bronzeslip/entry/gateway_registry.py
@@ -8,6 +8,7 @@
 import time
 
 from bronzeslip import ids
+from bronzeslip import isolation
 from bronzeslip import logs
 from bronzeslip.entry import gateway_listings
 from bronzeslip.entry import gateway_record
@@ -154,10 +155,16 @@
         return standing.Standing.NONE
 
     async def run(self) -> None:
-        """Registers this gateway, then counts until cancelled."""
-        await self._register()
-        # All gateways start at the same time; an earlier count is too low.
-        await self._wait_for_refresh(self._refresh_s)
+        """Registers this gateway, then counts until cancelled.
+
+        When it runs again after a failure, the registration and the listings
+        of the run before remain valid.
+        """
+        if math.isinf(self._registered_s):
+            await self._register()
+        if not self._listings:
+            # All gateways start at the same time; an earlier count is too low.
+            await self._wait_for_refresh(self._refresh_s)
         await self._refresh_until_cancelled()
 
     def refresh_soon(self) -> None:
@@ -278,5 +285,7 @@
 def _address_of(
     stored: objects.PlatformObject,
 ) -> vm_config.SocketAddress | None:
-    record = gateway_record.decode(stored.value)
+    record = None
+    with isolation.isolated(logger, "gateways.record_failed", key=stored.key):
+        record = gateway_record.decode(stored.value)
     return None if record is None else record.peer_address
--- a/bronzeslip/platform/discovery_follower.py
+++ b/bronzeslip/platform/discovery_follower.py
@@ -14,6 +14,8 @@
 
 logger = logs.get_logger(__name__)
 
+_MAX_LOGGED_CHARS = 100
+
 
 class DiscoveryFollower:
     """Follows the discovery entries in the store."""
@@ -69,11 +71,27 @@
         )
         if decoded is not None:
             self._endpoint_directory.put(decoded)
+        else:
+            # As in a listing, such an entry names no endpoint. The next valid
+            # one of the same incarnation makes it usable again.
+            self._endpoint_directory.remove(endpoint_id)
 
 
 def _decode(stored: objects.PlatformObject) -> endpoint.Endpoint | None:
     try:
         return discovery.decode(ids.ObjectKey(stored.key), stored.value)
     except errors.EntryError as error:
-        logger.warning("endpoints.unreadable_entry", reason=error.message)
+        logger.warning(
+            "endpoints.unreadable_entry",
+            key=stored.key[:_MAX_LOGGED_CHARS],
+            reason=error.message,
+        )
+        return None
+    except Exception as error:
+        # One entry must not hide the others.
+        logger.error(
+            "endpoints.entry_failed",
+            key=stored.key[:_MAX_LOGGED_CHARS],
+            reason=logs.describe(error),
+        )
         return None
--- a/bronzeslip/platform/gateway.py
+++ b/bronzeslip/platform/gateway.py
@@ -25,7 +25,6 @@
 from bronzeslip.memory import budget
 from bronzeslip.metrics import entry_metrics
 from bronzeslip.platform import body_reader
-from bronzeslip.platform import boot_file
 from bronzeslip.platform import configuration_follower
 from bronzeslip.platform import discovery_follower
 from bronzeslip.platform import endpoint_http
@@ -45,18 +44,17 @@
 
 
 def create(
-    settings: entry.EntrySettings, path: pathlib.Path
+    settings: entry.EntrySettings,
+    path: pathlib.Path,
+    this_vm: vm_config.VmConfig,
 ) -> daemon.EntryDaemon:
     """Creates a gateway.
 
     Args:
         settings: Settings of the gateway.
         path: Path of the platform's settings file.
-
-    Raises:
-        errors.BootFileError: If that file can't be read.
+        this_vm: Configuration read from that file.
     """
-    this_vm = boot_file.read(path)
     endpoint_directory = directory.EndpointDirectory(settings)
     current_table = current.CurrentTable()
     metrics = entry_metrics.EntryMetrics(current_table, endpoint_directory)
@@ -137,8 +135,8 @@
                 settings, this_vm, store, forwarding_components, replicator
             ),
             *replicator.tasks(),
-            named_task.NamedTask("registry", registry.run()),
-            named_task.NamedTask("settings", reloader.run()),
+            named_task.NamedTask("registry", registry.run),
+            named_task.NamedTask("settings", reloader.run),
         ),
         reloader.reload,
         drain.begin,
@@ -192,9 +190,9 @@
         restart_watches,
     )
     return (
-        named_task.NamedTask("configuration", configuration.run()),
-        named_task.NamedTask("discovery", discovery.run()),
-        named_task.NamedTask("reports", poller.run()),
+        named_task.NamedTask("configuration", configuration.run),
+        named_task.NamedTask("discovery", discovery.run),
+        named_task.NamedTask("reports", poller.run),
     )
 
 
--- a/bronzeslip/platform/store_era.py
+++ b/bronzeslip/platform/store_era.py
@@ -3,7 +3,9 @@
 from collections.abc import Callable
 
 from bronzeslip import ids
+from bronzeslip import listeners
 from bronzeslip import logs
+from bronzeslip.decoding import numbers
 from bronzeslip.store import errors
 
 logger = logs.get_logger(__name__)
@@ -11,6 +13,7 @@
 # Revisions are counted anew in each era. A version contains both, so that
 # versions of different eras never compare equal.
 _REVISION_BITS = 48
+MAX_REVISION = (1 << _REVISION_BITS) - 1
 
 
 class StoreEra:
@@ -18,11 +21,11 @@
 
     def __init__(self) -> None:
         self._current = 0
-        self._listeners: list[Callable[[], None]] = []
+        self._listeners = listeners.Listeners[[]]("restore")
 
     def add_listener(self, listener: Callable[[], None]) -> None:
         """Registers a callback for restores of the store."""
-        self._listeners.append(listener)
+        self._listeners.add(listener)
 
     def observe(self, text: str | None) -> int:
         """Processes the era stated by a response and returns it.
@@ -34,7 +37,7 @@
             errors.PlatformUnavailableError: If the response is from an older
                 era, or from an unknown one although eras are stated.
         """
-        era = int(text) if text is not None and text.isdecimal() else 0
+        era = (None if text is None else numbers.parse_count(text)) or 0
         if era < self._current:
             raise errors.PlatformUnavailableError(
                 f"response of era {era}, but the store is in {self._current}"
@@ -87,8 +90,7 @@
         if not previous:
             return
         logger.warning("platform.store_restored", era=era, previous=previous)
-        for listener in self._listeners:
-            listener()
+        self._listeners.notify()
 
 
 def version_of(era: int, revision: int) -> ids.ObjectVersion:
@@ -98,7 +100,7 @@
 
 def revision_of(version: ids.ObjectVersion) -> int:
     """Returns the store's revision."""
-    return version & ((1 << _REVISION_BITS) - 1)
+    return version & MAX_REVISION
 
 
 def _era_of(version: ids.ObjectVersion) -> int:
--- a/bronzeslip/routing/suspect_publisher.py
+++ b/bronzeslip/routing/suspect_publisher.py
@@ -5,6 +5,7 @@
 import contextlib
 
 from bronzeslip import ids
+from bronzeslip import isolation
 from bronzeslip import logs
 from bronzeslip.membership import rendezvous
 from bronzeslip.routing import suspect_list
@@ -72,6 +73,9 @@
 
     async def run(self) -> None:
         """Writes changes and deletes abandoned records until cancelled."""
+        if self._written_revision < self._requested_revision:
+            # A write of the run before may have failed.
+            self._changed.set()
         while True:
             try:
                 async with asyncio.timeout(_CLEANUP_INTERVAL_S):
@@ -109,9 +113,13 @@
         for key in self._suspects.abandoned_keys(self._live_gateways()):
             if not self.is_chosen(key):
                 continue
-            try:
-                stored = await self._platform.get(key)
-                if stored is not None:
-                    await self._platform.delete(key, stored.version)
-            except errors.PlatformError as error:
-                logger.warning("suspects.delete_failed", reason=error.message)
+            with isolation.isolated(logger, "suspects.delete_failed", key=key):
+                await self._delete(key)
+
+    async def _delete(self, key: ids.ObjectKey) -> None:
+        try:
+            stored = await self._platform.get(key)
+            if stored is not None:
+                await self._platform.delete(key, stored.version)
+        except errors.PlatformError as error:
+            logger.warning("suspects.delete_failed", reason=error.message)
