--- a/bronzeslip/http/server.py
+++ b/bronzeslip/http/server.py
@@ -14,6 +14,7 @@
 from bronzeslip import logs
 from bronzeslip import task_set
 from bronzeslip.http import connection_limits
+from bronzeslip.http import connection_slots
 from bronzeslip.http import isolated_app
 from bronzeslip.http import limited_protocol
 from bronzeslip.http import listener
@@ -64,6 +65,7 @@
         app: Any,
         settings: http.HttpSettings,
         limits_source: connection_limits.LimitsSource | None = None,
+        slots: connection_slots.ConnectionSlots | None = None,
     ) -> None:
         """Creates a server.
 
@@ -72,6 +74,7 @@
             settings: Address, limits and certificate.
             limits_source: Returns connection limits that may change while the
                 server runs; defaults to the limits of the settings.
+            slots: Bounds the number of connections; defaults to no bound.
         """
         self._listener = listener.Listener(settings)
         config = uvicorn.Config(
@@ -79,6 +82,7 @@
             http=functools.partial(
                 limited_protocol.LimitedHttpProtocol,
                 limits_source or connection_limits.from_settings(settings),
+                slots or connection_slots.ConnectionSlots(),
             ),
             ssl_certfile=settings.http_certificate_file,
             ssl_keyfile=settings.http_private_key_file,
