Reject records of suspects with times that can't be used

Seen: one record of kind "suspects" whose time has 400 digits. The next request that states its prompt ended with status 500, at each gateway and after each change of a record; records of gateways that are gone were no longer deleted; a gateway whose own record it was could publish nothing.

Cause: times were integers without a range. Comparing one of 400 digits with the clock raises OverflowError ("int too large to convert to float"), after the record was taken in.

Change: the times have the range of the other numbers of foreign data.

--- a/bronzeslip/routing/crash_evidence.py
+++ b/bronzeslip/routing/crash_evidence.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from bronzeslip import ids
+from bronzeslip.decoding import fields
 
 
 class CrashEvidence(msgspec.Struct, frozen=True):
@@ -16,5 +17,5 @@
     """
 
     part_sets: tuple[tuple[ids.Fingerprint, ...], ...]
-    crashed_unix_s: int
-    noted_unix_s: int
+    crashed_unix_s: fields.Count
+    noted_unix_s: fields.Count
--- a/bronzeslip/routing/part_record.py
+++ b/bronzeslip/routing/part_record.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from bronzeslip import ids
+from bronzeslip.decoding import fields
 from bronzeslip.routing import crash_evidence
 
 
@@ -17,4 +18,4 @@
     """
 
     crashes: dict[ids.CrashId, crash_evidence.CrashEvidence] = {}
-    safe_parts: dict[ids.Fingerprint, int] = {}
+    safe_parts: dict[ids.Fingerprint, fields.Count] = {}
--- a/bronzeslip/routing/suspect_record.py
+++ b/bronzeslip/routing/suspect_record.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from bronzeslip import ids
+from bronzeslip.decoding import fields
 from bronzeslip.routing import part_record
 
 
@@ -19,7 +20,7 @@
 
     crash_ids: tuple[ids.CrashId, ...] = ()
     cleared_ids: tuple[ids.CrashId, ...] = ()
-    noted_unix_s: int = 0
+    noted_unix_s: fields.Count = 0
 
 
 class SuspectRecord(msgspec.Struct, frozen=True):
--- a/tests/routing/test_suspect_list.py
+++ b/tests/routing/test_suspect_list.py
@@ -98,6 +98,35 @@
         )
         self.assertIs(self.second.state_of("f"), _SUSPECT)
 
+    # Guards against a time of 400 digits in the record of another writer, which
+    # made every check of a prompt raise an exception.
+    async def test_record_with_a_time_that_is_too_large_is_ignored(self):
+        for fields in (
+            b'"entries":{"f":{"crash_ids":["c"],"noted_unix_s":%s}}',
+            b'"entries":{},"parts":{"crashes":{"c":{"part_sets":[["p"]],'
+            b'"crashed_unix_s":%s,"noted_unix_s":1}}}',
+            b'"entries":{},"parts":{"crashes":{"c":{"part_sets":[["p"]],'
+            b'"crashed_unix_s":1,"noted_unix_s":%s}}}',
+            b'"entries":{},"parts":{"safe_parts":{"p":%s}}',
+        ):
+            for vm_id in ("g1", "g2"):
+                with self.subTest(fields=fields, vm_id=vm_id):
+                    await self._check_ignored(vm_id, fields % (b"9" * 400))
+
+    async def _check_ignored(self, vm_id, fields):
+        suspects = self.create("g1")
+        event = objects.ObjectEvent(
+            objects.EventKind.PUT,
+            suspect_list.record_key(vm_id),
+            1,
+            msgspec.Raw(b"{%s}" % fields),
+        )
+        await suspects.on_event(event)
+        self.assertEqual(suspects.parts.find(["p"]), ())
+        self.assertIs(suspects.state_of("f"), _CLEAR)
+        self.assertEqual(suspects.abandoned_keys(set()), ())
+        self.assertTrue(suspects.own_record().is_empty)
+
 
 if __name__ == "__main__":
     unittest.main()
