Ask no gateway for permits whose recorded address can't be used

Seen: one record of another writer among those of the gateways, with a host that holds a line break or a port of 70000. Where that gateway is the coordinator or the fallback of an endpoint that states a limit, each request for that endpoint ended with an unexpected exception, for callers with status 500.

Cause: the address was taken as it was; httpx then raises InvalidURL and, for a port out of range, an ExceptionGroup, neither of which is an HTTPError. Records were also decoded with the errors of msgspec only.

Change: a record without a usable host and port is unreadable. Its gateway is counted, as one of an older version is.

--- a/bronzeslip/decoding/addresses.py
+++ b/bronzeslip/decoding/addresses.py
@@ -1,11 +1,13 @@
 """Network addresses in text from outside the process."""
 
 import ipaddress
+import re
 
 from bronzeslip.decoding import errors
 from bronzeslip.decoding import numbers
 
 _MAX_PORT = 65_535
+_HOST_NAME = re.compile(r"[A-Za-z0-9.-]{1,253}", re.ASCII)
 
 
 def check_host(text: str) -> str:
@@ -20,6 +22,17 @@
         raise errors.UndecodableError("not an IPv4 address") from error
 
 
+def check_host_name(text: str) -> str:
+    """Returns a host if it is an IPv4 address or may be a host name.
+
+    Raises:
+        errors.UndecodableError: If it is not.
+    """
+    if not _HOST_NAME.fullmatch(text):
+        raise errors.UndecodableError("not a host name")
+    return text
+
+
 def check_port(port: int | None) -> int:
     """Returns a port if it is in the range of TCP ports.
 
--- a/bronzeslip/entry/gateway_record.py
+++ b/bronzeslip/entry/gateway_record.py
@@ -4,6 +4,9 @@
 
 from bronzeslip import ids
 from bronzeslip import logs
+from bronzeslip.decoding import addresses
+from bronzeslip.decoding import errors
+from bronzeslip.decoding import untrusted
 from bronzeslip.entry import vm_config
 
 logger = logs.get_logger(__name__)
@@ -23,9 +26,17 @@
 
 
 def decode(value: msgspec.Raw) -> GatewayRecord | None:
-    """Decodes a stored record; returns None if it can't be read."""
+    """Decodes a stored record.
+
+    Returns:
+        The record, or None if it can't be read or names no usable address.
+    """
     try:
-        return msgspec.json.decode(value, type=GatewayRecord)
-    except msgspec.MsgspecError as error:
-        logger.info("gateways.unreadable_record", reason=str(error))
+        record = untrusted.from_json(value, GatewayRecord)
+        if record.peer_address is not None:
+            addresses.check_host_name(record.peer_address.host)
+            addresses.check_port(record.peer_address.port)
+    except errors.UndecodableError as error:
+        logger.info("gateways.unreadable_record", reason=error.message)
         return None
+    return record
