--- a/tests/entry/test_gateway_record.py
+++ b/tests/entry/test_gateway_record.py
@@ -36,6 +36,10 @@
             msgspec.json.encode(_address("10.0.0.9\r\n", 80)),
             msgspec.json.encode(_address("a@b/", 80)),
             msgspec.json.encode(_address("", 80)),
+            msgspec.json.encode(_address("[::", 80)),
+            msgspec.json.encode(_address("\u00e9" * 80, 80)),
+            msgspec.json.encode(_address("a" * 1_000_000, 80)),
+            msgspec.json.encode(_address("10.0.0.9", -1)),
         ):
             with self.subTest(raw=raw[:60]):
                 self.assertIsNone(gateway_record.decode(msgspec.Raw(raw)))
