--- a/bronzeslip/log_queue.py
+++ b/bronzeslip/log_queue.py
@@ -5,6 +5,7 @@
 import json
 import logging
 import logging.handlers
+import os
 import queue
 import sys
 import time
@@ -71,31 +72,37 @@
     """Writes lines from a single thread, without a lock or a buffer.
 
     A write that is still blocked when the program ends would hold the lock or
-    buffer forever and prevent the program from exiting.
+    buffer forever and prevent the program from exiting. An output that fails,
+    such as a full disk, may accept lines again later.
     """
 
     def __init__(self, output: BinaryIO) -> None:
         super().__init__()
         self._output = output
+        self._lost = 0
 
     def createLock(self) -> None:  # noqa: N802
         """Creates no lock."""
         self.lock = None
 
     def emit(self, record: logging.LogRecord) -> None:
-        """Writes a record as one line; drops it if its reader is gone."""
+        """Writes a record as one line, or counts it if that fails."""
+        try:
+            if self._lost:
+                self._write_line(_dropped_record(self._lost))
+                self._lost = 0
+            self._write_line(record)
+        except OSError:
+            self._lost += 1
+
+    def _write_line(self, record: logging.LogRecord) -> None:
         unwritten = f"{self.format(record)}\n".encode(errors="replace")
         while unwritten:
-            try:
-                written_bytes = self._output.write(unwritten)
-            except OSError:
-                # The next line may find a reader again.
-                return
+            written_bytes = self._output.write(unwritten)
+            # A descriptor that does not block is not ready.
             if written_bytes is None:
-                # A non-blocking output accepts nothing for the moment.
                 time.sleep(_RETRY_DELAY_S)
-            else:
-                unwritten = unwritten[written_bytes:]
+            unwritten = unwritten[written_bytes or 0 :]
 
 
 class _BoundedListener(logging.handlers.QueueListener):
@@ -137,8 +144,10 @@
     """Opens a separate stream on the standard output descriptor.
 
     The interpreter flushes sys.stdout at exit and would wait for a thread that
-    is blocked in it.
+    is blocked in it. A process may have been started without standard output.
     """
+    if sys.stdout is None:
+        return open(os.devnull, "wb", buffering=0)
     return open(sys.stdout.fileno(), "wb", buffering=0, closefd=False)
 
 
