Treat a response with an invalid status as lost

Callers saw: an endpoint that responds with status 999 made the server raise KeyError, and the caller's connection was closed without a response.

Cause: the client library accepts any status of three digits, the server has a status line for 100 to 599 only.

Change: other statuses than 200 to 599 count as a lost response, like other bytes that are no response.

Evidence: on the code before, the new case of tests.platform.test_endpoint_http fails for 600 and 999; it passes now.

--- a/bronzeslip/platform/endpoint_http.py
+++ b/bronzeslip/platform/endpoint_http.py
@@ -28,6 +28,7 @@
 
 _OK_STATUS = 200
 _NOT_FOUND_STATUS = 404
+_FINAL_STATUSES = range(200, 600)
 
 
 class HttpEndpointClient:
@@ -269,6 +270,12 @@
         except BaseException:
             await connection.transport.aclose()
             raise
+        if response.status_code not in _FINAL_STATUSES:
+            await response.stream.aclose()
+            await connection.transport.aclose()
+            raise endpoint_errors.EndpointResponseLostError(
+                f"invalid status {response.status_code}"
+            )
         endpoint_announcements.record(self._endpoints, target, response)
         return endpoint_response.HttpEndpointResponse(
             response, connection, pool, self._settings
--- a/tests/platform/test_endpoint_http.py
+++ b/tests/platform/test_endpoint_http.py
@@ -218,6 +218,18 @@
         with self.assertRaises(endpoint_errors.EndpointResponseLostError):
             await self._call("q1")
 
+    # Guards against a status that can't be passed on to the caller.
+    async def test_response_with_an_invalid_status_raises(self):
+        for status in (b"999 X", b"600 X", b"099 X"):
+            await self._start_server(
+                raw_server.create_response(b"abc", status, _echo(b"q1"))
+            )
+            with (
+                self.subTest(status=status),
+                self.assertRaises(endpoint_errors.EndpointResponseLostError),
+            ):
+                await self._call("q1")
+
     async def test_closed_port_is_unreachable(self):
         await self._start_server()
         await self.server.stop()
