--- a/tests/processes/test_unreadable_entries.py
+++ b/tests/processes/test_unreadable_entries.py
@@ -42,6 +42,10 @@
     "number as name": _item(_entry(), b"7"),
     "number as item": b"7",
     "bare NaN": _item(_entry()[:-1] + b',"cold_left_ms":NaN}'),
+    "name that can't be sent": _item(_entry(), '"caf\u00e9 1"'.encode()),
+    "revision out of range": b'{"metadata":{"name":"odd","revision":-1},'
+    b'"spec":%s}' % _entry(),
+    "entry of a megabyte": _item(_entry(comment="x" * 1_000_000)),
     "text that is no UTF-8": _item(_entry()[:-1] + b',"zone":"\xff\xfe"}'),
 }
 
