Reject engine loads with numbers that can't be used

Callers saw: nothing yet; found while looking for paths of the same class. A load with a number of hundreds of digits raised OverflowError in the task of a sidecar that polls its engine, and negative counts were used.

Change: the messages of engines have types with a usable range.

Evidence: on the code before, the new cases of tests.decoding.test_untrusted_users fail (2); they pass now.

--- a/bronzeslip/engine/messages.py
+++ b/bronzeslip/engine/messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from bronzeslip import ids
+from bronzeslip.decoding import fields
 
 
 class GenerationRequest(msgspec.Struct, frozen=True):
@@ -45,11 +46,11 @@
     """
 
     kind: StreamEventKind
-    first_index: int = 0
+    first_index: fields.Count = 0
     texts: list[str] = []
     finish_reason: str = ""
-    prompt_token_count: int = 0
-    preemption_count: int = 0
+    prompt_token_count: fields.Count = 0
+    preemption_count: fields.Count = 0
 
 
 class EngineLoad(msgspec.Struct, frozen=True):
@@ -66,13 +67,13 @@
         leaving: Whether the engine is about to be reclaimed.
     """
 
-    running: int
-    waiting: int
-    blocks_used: int
-    blocks_total: int
-    block_tokens: int
-    step_time_s: float
-    preemptions_total: int
+    running: fields.Count
+    waiting: fields.Count
+    blocks_used: fields.Count
+    blocks_total: fields.Count
+    block_tokens: fields.Count
+    step_time_s: fields.Quantity
+    preemptions_total: fields.Count
     leaving: bool = False
 
 
@@ -92,7 +93,7 @@
         block_hash: Hash of the prompt up to the end of the block.
     """
 
-    sequence: int
+    sequence: fields.Count
     kind: CacheEventKind
     block_hash: int
 
--- a/tests/decoding/test_untrusted_users.py
+++ b/tests/decoding/test_untrusted_users.py
@@ -1,5 +1,6 @@
 """Tests of the modules that decode data of other processes."""
 
+import json
 import unittest
 
 import httpx
@@ -77,6 +78,27 @@
             ):
                 await call()
 
+    # Guards against a number that the sidecar can't convert to a float.
+    async def test_loads_with_unusable_numbers(self):
+        load = {
+            "running": 1,
+            "waiting": 0,
+            "blocks_used": 1,
+            "blocks_total": 9,
+            "block_tokens": 16,
+            "step_time_s": 0.1,
+            "preemptions_total": 0,
+        }
+        for changes in ({"blocks_total": 10**400}, {"running": -1}):
+            body = json.dumps({**load, **changes}).encode()
+            client = engine_client.EngineClient("http://engine", _respond(body))
+            self.addAsyncCleanup(client.close)
+            with (
+                self.subTest(changes=str(changes)[:30]),
+                self.assertRaises(engine_errors.EngineError),
+            ):
+                await client.load()
+
     async def test_events_of_an_engine(self):
         body = b"data: %s\n\n" % bytes(nested_json.OBJECT)
         stream_type = {"Content-Type": "text/event-stream"}
