--- a/tools/entry_gateway.py
+++ b/tools/entry_gateway.py
@@ -42,6 +42,7 @@
 
     Attributes:
         process: The current process.
+        processes: All processes that were started, the current one included.
         proxy: Proxy through which the gateway reaches the store.
         boot_path: Path of the boot file.
         host: Address that the gateway listens on.
@@ -57,6 +58,7 @@
         self._metrics_port = loopback_address.next_port()
         self.proxy = tcp_proxy.TcpProxy()
         self.proxy.set_target(store_port)
+        self.processes: list[local_process.LocalProcess] = []
         self.write_boot_file()
         self.start()
 
@@ -70,11 +72,12 @@
             f"--metrics-port={self._metrics_port}",
             environment={"BRONZESLIP_BOOT": str(self.boot_path)},
         )
+        self.processes.append(self.process)
 
     @property
     def caller_address(self) -> tuple[str, int]:
         """Address that callers connect to."""
-        return self._host, self._front_port
+        return self.host, self._front_port
 
     @property
     def name(self) -> str:
