Start without the regions of failure domains

Seen: a settings file whose table of regions is missing or holds a value that is no text stops the start, although requests can be served.

Change: regions that can't be read are left out, and settings.no_region is logged once while the region of the gateway's own failure domain is not known. Without it no endpoint counts as in the same region.

Evidence: tests.platform.test_boot_file on the unfixed code: "Object missing required field `zones`" and "Expected `str`, got `int`" (2 passed, 4 failed).

--- a/bronzeslip/platform/boot_file.py
+++ b/bronzeslip/platform/boot_file.py
@@ -50,10 +50,11 @@
     # First and last port for communication between nodes.
     port_range: tuple[_Port, _Port]
     zone: _Text
-    zones: dict[str, str]
     listen: _Listen
     bounds: _Bounds
     platform: _Platform
+    # Region of each failure domain. A gateway serves without it.
+    zones: Any = None
 
 
 def read(path: pathlib.Path) -> vm_config.VmConfig:
@@ -99,10 +100,7 @@
     return vm_config.VmConfig(
         vm_id=ids.VmId(boot_settings.node_name),
         failure_domain=ids.FailureDomainName(boot_settings.zone),
-        regions={
-            ids.FailureDomainName(domain): ids.RegionName(region)
-            for domain, region in boot_settings.zones.items()
-        },
+        regions=_to_regions(boot_settings.zones),
         caller_address=parse_address(boot_settings.listen.front),
         readiness_address=parse_address(boot_settings.listen.ready),
         store_address=parse_address(boot_settings.platform.address),
@@ -119,6 +117,17 @@
     )
 
 
+def _to_regions(zones: Any) -> dict[ids.FailureDomainName, ids.RegionName]:
+    """Converts the regions; leaves out those that can't be read."""
+    if not isinstance(zones, dict):
+        return {}
+    return {
+        ids.FailureDomainName(domain): ids.RegionName(region)
+        for domain, region in zones.items()
+        if isinstance(region, str)
+    }
+
+
 def parse_address(text: str) -> vm_config.SocketAddress:
     """Parses an address of the form HOST:PORT.
 
--- a/bronzeslip/platform/boot_file_reader.py
+++ b/bronzeslip/platform/boot_file_reader.py
@@ -25,6 +25,7 @@
         self._path = path
         self._last_reason = ""
         self._logged_s = 0.0
+        self._is_region_known = True
 
     def try_read(self) -> vm_config.VmConfig | None:
         """Reads the file; returns None if it is unusable."""
@@ -34,8 +35,18 @@
             self._log(error.message)
             return None
         self._last_reason = ""
+        self._check_region(this_vm)
         return this_vm
 
+    def _check_region(self, this_vm: vm_config.VmConfig) -> None:
+        """Logs if the region, which is optional, is missing from now on."""
+        is_known = this_vm.failure_domain in this_vm.regions
+        if self._is_region_known and not is_known:
+            logger.warning(
+                "settings.no_region", failure_domain=this_vm.failure_domain
+            )
+        self._is_region_known = is_known
+
     def _log(self, reason: str) -> None:
         now_s = time.monotonic()
         is_repeated = now_s - self._logged_s >= _REPEATED_LOG_INTERVAL_S
--- a/tests/platform/test_boot_file.py
+++ b/tests/platform/test_boot_file.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 from bronzeslip.platform import boot_file
+from bronzeslip.platform import boot_file_reader
 from bronzeslip.platform import errors
 from tests.platform import boot_files
 
@@ -25,6 +26,25 @@
         grown = self.read(f"{boot_files.SOUND}\n[new]\na = 1\n".encode())
         self.assertEqual(grown, sound)
 
+    # Guards against not starting without data that serving does not need.
+    def test_regions_are_optional(self):
+        for zones in ("", "[zones]", "[zones]\na-1 = 7", "[zones.a-1]"):
+            with self.subTest(zones=zones):
+                text = boot_files.SOUND.replace('[zones]\na-1 = "a"', zones)
+                self.assertEqual(self.read(text.encode()).regions, {})
+        self.assertEqual(
+            self.read(boot_files.SOUND.encode()).regions, {"a-1": "a"}
+        )
+
+    def test_a_missing_region_is_logged_once(self):
+        self.path.write_text(boot_files.SOUND.replace("[zones]", "[other]"))
+        reader = boot_file_reader.BootFileReader(self.path)
+        with self.assertLogs("absl") as captured:
+            for _ in range(3):
+                self.assertIsNotNone(reader.try_read())
+        self.assertEqual(len(captured.output), 1, captured.output)
+        self.assertIn("settings.no_region", captured.output[0])
+
     # Guards against exceptions of other types, which would end the process.
     def test_unusable_files_raise_one_error(self):
         for fault, content in boot_files.UNUSABLE.items():
