Count events in the metrics of all daemons

What operators saw: bronzeslip_events_total, which counts failures of background tasks among other events, was shown by gateways on entry VMs only. Sidecars and product gateways restart failed tasks too now, and no metric told.

Change: the counter is part of the metrics that all daemons have.

Evidence: test_failed_tasks_are_counted found no line on the code before ("not enough values to unpack (expected 1, got 0)").

--- a/bronzeslip/metrics/entry_metrics.py
+++ b/bronzeslip/metrics/entry_metrics.py
@@ -3,7 +3,6 @@
 import aioprometheus
 
 from bronzeslip import ids
-from bronzeslip import logs
 from bronzeslip.endpoints import directory
 from bronzeslip.metrics import bounded_label
 from bronzeslip.metrics import buckets
@@ -17,7 +16,7 @@
 
 
 class EntryMetrics(process_metrics.ProcessMetrics):
-    """Metrics of requests, attempts, endpoints and logged events."""
+    """Metrics of requests, attempts and endpoints."""
 
     def __init__(
         self,
@@ -48,9 +47,6 @@
         self._attempts = self._counter(
             "bronzeslip_attempts_total", "Requests sent to endpoints by result"
         )
-        self._events = self._counter(
-            "bronzeslip_events_total", "Events logged, left out lines too"
-        )
         self._endpoints = aioprometheus.Gauge(
             "bronzeslip_endpoints",
             "Endpoints known by state",
@@ -98,7 +94,7 @@
         self._attempts.inc({"result": result})
 
     def refresh(self) -> None:
-        """Updates memory, configuration version, endpoints and event counts."""
+        """Updates metrics that are computed only when scraped."""
         super().refresh()
         table = self._current_table.table
         version = _NO_VERSION if table is None else table.version
@@ -109,8 +105,6 @@
         self._endpoints.set({"state": "leaving"}, len(endpoints) - ready)
         limited = self._endpoint_directory.request_limits.limited_count()
         self._endpoints.set({"state": "limited"}, limited)
-        for event, count in logs.event_counts.items():
-            self._events.set({"event": event}, count)
 
     def _labels(
         self,
--- a/bronzeslip/metrics/process_metrics.py
+++ b/bronzeslip/metrics/process_metrics.py
@@ -34,6 +34,10 @@
             registry=self.registry,
         )
 
+        self._events = self._counter(
+            "bronzeslip_events_total", "Events logged, left out lines too"
+        )
+
     def count_platform_call(self, kind: str, result: str) -> None:
         """Counts a call to the platform."""
         self._platform_calls.inc({"kind": kind, "result": result})
@@ -55,6 +59,8 @@
             self._resident_memory.set({}, process_memory.resident_bytes())
         except OSError as error:
             logger.info("process.memory_unknown", reason=str(error))
+        for event, count in logs.event_counts.items():
+            self._events.set({"event": event}, count)
 
     def _counter(self, name: str, help_text: str) -> aioprometheus.Counter:
         return aioprometheus.Counter(name, help_text, registry=self.registry)
