--- a/bronzeslip/daemon_command.py
+++ b/bronzeslip/daemon_command.py
@@ -11,6 +11,7 @@
 
 from bronzeslip import log_queue
 from bronzeslip import logs
+from bronzeslip.http import shutdown
 from bronzeslip.settings import parser
 
 logger = logs.get_logger(__name__)
@@ -74,6 +75,7 @@
         logger.error("daemon.failed", reason=logs.describe(error))
         raise
     logger.info("daemon.ended")
+    shutdown.ignore_signals()
 
 
 def _log_unhandled(
--- a/bronzeslip/forwarding/response_writer.py
+++ b/bronzeslip/forwarding/response_writer.py
@@ -3,6 +3,9 @@
 from typing import Protocol
 
 from bronzeslip.forwarding import endpoint_client
+from bronzeslip.memory import reservation
+
+_SLICE_BYTES = 64 * 1024
 
 
 class ResponseWriter(Protocol):
@@ -10,9 +13,11 @@
 
     Attributes:
         is_started: Whether the head has been sent.
+        memory: Memory of what is held for this response.
     """
 
     is_started: bool
+    memory: reservation.Reservation
 
     async def start(self, head: endpoint_client.ResponseHead) -> None:
         """Sends status and headers."""
@@ -22,3 +27,9 @@
 
     async def finish(self) -> None:
         """Ends the body."""
+
+
+async def write_slices(body: bytes, writer: ResponseWriter) -> None:
+    """Writes bytes in slices, one of which the connection buffers."""
+    for start in range(0, len(body), _SLICE_BYTES):
+        await writer.write(body[start : start + _SLICE_BYTES])
--- a/bronzeslip/platform/boot_file.py
+++ b/bronzeslip/platform/boot_file.py
@@ -8,15 +8,19 @@
 import msgspec
 
 from bronzeslip import ids
+from bronzeslip.decoding import addresses
+from bronzeslip.decoding import errors as decoding_errors
 from bronzeslip.entry import vm_config
 from bronzeslip.platform import errors
 from bronzeslip.platform import place_bounds
+from bronzeslip.platform import process_limits
 
 # Environment variable that holds the path of the settings file.
 PATH_VARIABLE = "BRONZESLIP_BOOT"
 
 # Far more than the platform writes.
 _MAX_FILE_BYTES = 1_048_576
+_MAX_QUOTED_CHARS = 64
 
 _Text = Annotated[str, msgspec.Meta(min_length=1)]
 _Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
@@ -41,6 +45,7 @@
     listen: _Listen
     platform: _Platform
     bounds: Any = None
+    limits: Any = None
 
 
 def read(
@@ -103,6 +108,7 @@
             f"{boot_settings.ip}:{boot_settings.port_range[0]}"
         ),
         bounds=place_bounds.decode(boot_settings.bounds, known_bounds),
+        process_limits=process_limits.decode(boot_settings.limits),
     )
 
 
@@ -110,11 +116,12 @@
     """Parses an address of the form HOST:PORT.
 
     Raises:
-        errors.AddressError: If the text is not of that form.
+        errors.AddressError: If the text is not of that form, the host is not
+            an IPv4 address or the port is out of range.
     """
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdecimal():
+    try:
+        return vm_config.SocketAddress(*addresses.parse(text))
+    except decoding_errors.UndecodableError as error:
         raise errors.AddressError(
-            f"address {text!r} is not of the form HOST:PORT"
-        )
-    return vm_config.SocketAddress(host, int(port))
+            f"address {text[:_MAX_QUOTED_CHARS]!r}: {error.message}"
+        ) from error
--- a/tests/platform/test_discovery_follower.py
+++ b/tests/platform/test_discovery_follower.py
@@ -1,74 +1,117 @@
 """Tests of bronzeslip.platform.discovery_follower."""
 
+import asyncio
 import unittest
-from unittest import mock
 
 import msgspec
 
 from bronzeslip import ids
 from bronzeslip.endpoints import directory
-from bronzeslip.platform import discovery
 from bronzeslip.platform import discovery_follower
-from bronzeslip.settings import entry
 from bronzeslip.store import follower
 from bronzeslip.store import objects
+from tests.support import forwarding_parts
 from tests.support import nested_json
 
 _ENTRY = {
     "service": "s",
-    "address": "10.0.0.9:8080",
+    "address": "127.0.0.9:8080",
     "zone": "a-1",
     "slots": 24,
     "state": "ready",
     "born": 1700000000123,
 }
-_SOUND = msgspec.Raw(msgspec.json.encode(_ENTRY))
+_SOUND = msgspec.json.encode(_ENTRY)
+_UNREADABLE = {
+    "null": b"null",
+    "nested": bytes(nested_json.OBJECT),
+    "nested unknown field": _SOUND[:-1]
+    + b',"x":%s}' % bytes(nested_json.OBJECT),
+    "no UTF-8": _SOUND[:-1] + b',"zone":"\xff"}',
+    "unknown state": _SOUND.replace(b"ready", b"asleep"),
+    "no address": _SOUND.replace(b"127.0.0.9", b"127.0.0.9\\r\\n"),
+}
 
 
-def _object(name, value):
-    return objects.PlatformObject(
-        ids.ObjectKey(f"{discovery.PREFIX}{name}"), ids.ObjectVersion(1), value
-    )
+class _ScriptedStore:
+    """Store that returns one listing and then batches of changes."""
 
+    def __init__(self, listed):
+        self._listed = listed
+        self._version = 1
+        self.changes = asyncio.Queue()
 
-class DiscoveryFollowerTest(unittest.IsolatedAsyncioTestCase):
-    def setUp(self):
-        self.directory = directory.EndpointDirectory(entry.EntrySettings())
-        self.follower = discovery_follower.DiscoveryFollower(
-            None, self.directory, follower.FollowTiming(), lambda: None
-        )
-
-    # One deeply nested entry ended all gateways that read the list.
-    async def test_entry_that_cannot_be_decoded_does_not_hide_the_others(self):
-        await self._list(("bad", nested_json.OBJECT), ("good", _SOUND))
-        self.assertEqual(self._names(), ["good"])
-
-    async def test_unforeseen_exception_for_one_entry_hides_no_others(self):
-        with mock.patch.object(
-            discovery, "decode", side_effect=_fail_for_bad(discovery.decode)
-        ):
-            await self._list(("bad", _SOUND), ("good", _SOUND))
-        self.assertEqual(self._names(), ["good"])
-
-    async def _list(self, *entries):
-        await self.follower._on_list(
-            objects.ObjectList(
-                ids.ObjectVersion(1),
-                tuple(_object(name, value) for name, value in entries),
+    async def list_objects(self, prefix):
+        stored = tuple(
+            objects.PlatformObject(
+                ids.ObjectKey(f"{prefix}{name}"), self._version, value
             )
+            for name, value in self._listed.items()
         )
+        return objects.ObjectList(self._version, stored)
+
+    async def watch(self, prefix, after, wait_s):
+        name, value = await self.changes.get()
+        self._version += 1
+        event = objects.ObjectEvent(
+            objects.EventKind.PUT,
+            ids.ObjectKey(f"{prefix}{name}"),
+            self._version,
+            msgspec.Raw(value),
+        )
+        return objects.WatchBatch(self._version, (event,))
 
-    def _names(self):
-        return [known.endpoint_id for known in self.directory.endpoints]
-
-
-def _fail_for_bad(decode):
-    def decode_or_fail(key, value):
-        if key.endswith("bad"):
-            raise ZeroDivisionError
-        return decode(key, value)
 
-    return decode_or_fail
+class DiscoveryFollowerTest(unittest.IsolatedAsyncioTestCase):
+    def _follow(self, **listed):
+        self.directory = directory.EndpointDirectory(forwarding_parts.SETTINGS)
+        self.store = _ScriptedStore(
+            {name: msgspec.Raw(value) for name, value in listed.items()}
+        )
+        followed = discovery_follower.DiscoveryFollower(
+            self.store,
+            self.directory,
+            follower.FollowTiming(),
+            on_failure=lambda: None,
+        )
+        task = asyncio.create_task(followed.run())
+        self.addCleanup(task.cancel)
+
+    async def _wait_for(self, *names):
+        async with asyncio.timeout(5):
+            while self._ready_names() != set(names):
+                await self.directory.wait_for_change(0.1)
+
+    def _ready_names(self):
+        ready = self.directory.ready_endpoints(ids.ServiceName("s"))
+        return {candidate.endpoint_id for candidate in ready}
+
+    # Guards against a task that an entry of another writer ends.
+    async def test_unreadable_entries_leave_the_others_of_a_listing(self):
+        for name, value in _UNREADABLE.items():
+            with self.subTest(entry=name):
+                self._follow(odd=value, sound=_SOUND)
+                await self._wait_for("sound")
+
+    # Guards against an endpoint that is used although its entry can't be read.
+    async def test_endpoint_whose_entry_becomes_unreadable_is_not_used(self):
+        for name, value in _UNREADABLE.items():
+            with self.subTest(entry=name):
+                self._follow(one=_SOUND, two=_SOUND)
+                await self._wait_for("one", "two")
+                # After an outage, removed entries are kept for some time.
+                await asyncio.sleep(forwarding_parts.SETTINGS.lapse_grace_s)
+                self.store.changes.put_nowait(("one", value))
+                await self._wait_for("two")
+
+    async def test_next_valid_entry_makes_the_endpoint_usable_again(self):
+        self._follow(one=_SOUND)
+        await self._wait_for("one")
+        await asyncio.sleep(forwarding_parts.SETTINGS.lapse_grace_s)
+        self.store.changes.put_nowait(("one", b"null"))
+        await self._wait_for()
+        self.store.changes.put_nowait(("one", _SOUND))
+        await self._wait_for("one")
 
 
 if __name__ == "__main__":
