Test that a failing task does not end a gateway on an entry VM

With the background tasks of the test failed with "the condition was not met in time": the daemon logged daemon.task_failed once and drained.

--- a/tests/entry/test_daemon.py
+++ b/tests/entry/test_daemon.py
@@ -9,11 +9,14 @@
 
 from bronzeslip.endpoints import directory
 from bronzeslip.entry import daemon
+from bronzeslip.entry import named_task
 from bronzeslip.entry import readiness
 from bronzeslip.entry import vm_config
 from bronzeslip.metrics import entry_metrics
 from bronzeslip.routes import current
 from bronzeslip.settings import entry
+from tests.support import log_capture
+from tests.support import polling
 
 _ADDRESS = vm_config.SocketAddress("127.0.0.1", 0)
 
@@ -32,7 +35,7 @@
 
 
 class EntryDaemonTest(unittest.IsolatedAsyncioTestCase):
-    def create_daemon(self):
+    def create_daemon(self, *tasks):
         settings = entry.EntrySettings(drain_notice_s=0)
         table = current.CurrentTable()
         endpoints = directory.EndpointDirectory(settings)
@@ -53,7 +56,7 @@
             table,
             readiness.Readiness(table, endpoints),
             entry_metrics.EntryMetrics(table, endpoints),
-            (),
+            tasks,
             lambda: None,
             _fail_at_once,
             _fail,
@@ -71,6 +74,22 @@
         self.assertEqual(len(steps), 2, steps)
         self.assertEqual(asyncio.all_tasks() - tasks_before, set())
 
+    # An unforeseen exception of a background task ended the process.
+    async def test_failed_task_does_not_end_the_process(self):
+        with log_capture.capture() as log:
+            run = asyncio.create_task(
+                self.create_daemon(
+                    named_task.NamedTask("discovery", _fail)
+                ).run()
+            )
+            await polling.wait_until(
+                lambda: len(log.matching("daemon.task_failed")) == 2
+            )
+            self.assertEqual(log.matching("entry.draining"), [])
+            os.kill(os.getpid(), signal.SIGTERM)
+            await run
+            log.single("entry.drained")
+
 
 if __name__ == "__main__":
     unittest.main()
