Write the log lines of libraries as events

What operators saw: lines and tracebacks of uvicorn and asyncio between the JSON lines, one for each malformed request or response cut off, without the rate limit that all events have.

Cause: only the level of library loggers was set; their records went to the handler of the daemon's own lines.

--- a/bronzeslip/daemon_command.py
+++ b/bronzeslip/daemon_command.py
@@ -9,6 +9,7 @@
 from typing import Protocol
 from typing import TypeVar
 
+from bronzeslip import library_logs
 from bronzeslip import log_queue
 from bronzeslip import logs
 from bronzeslip.http import shutdown
@@ -52,6 +53,7 @@
         settings_type, program, description, sys.argv[1:], os.environ
     )
     logs.configure(settings.log_format, settings.log_level)
+    library_logs.configure()
     with _log_writer(settings.log_format):
         asyncio.run(_create_and_run(create, settings))
 
--- a/bronzeslip/logs.py
+++ b/bronzeslip/logs.py
@@ -18,8 +18,6 @@
 
 from bronzeslip import log_rate
 
-_NOISY_LIBRARIES = ("httpx", "httpcore", "uvicorn", "grpc")
-
 # Longer values are cut, since many lines may wait to be written.
 _MAX_VALUE_CHARS = 1_000
 
@@ -166,8 +164,6 @@
     logging.use_absl_handler()
     logging.set_verbosity(level.value)
     logging.set_stderrthreshold(level.value)
-    for library in _NOISY_LIBRARIES:
-        standard_logging.getLogger(library).setLevel(standard_logging.WARNING)
     if log_format is LogFormat.JSON:
         logging.get_absl_handler().setFormatter(None)
 
