--- a/bronzeslip/entry/daemon.py
+++ b/bronzeslip/entry/daemon.py
@@ -40,7 +40,6 @@
         settings: entry.EntrySettings,
         this_vm: vm_config.VmConfig,
         app: Any,
-        slots: connection_slots.ConnectionSlots,
         permit_handler: handlers.BaseRouteHandler,
         current_table: current.CurrentTable,
         readiness_state: readiness.Readiness,
@@ -49,6 +48,7 @@
         reload: Callable[[], None],
         begin_drain: Callable[[], None],
         deregister: Callable[[], Awaitable[None]],
+        slots: connection_slots.ConnectionSlots | None = None,
     ) -> None:
         """Creates a daemon.
 
@@ -56,7 +56,6 @@
             settings: Settings of the gateway.
             this_vm: Configuration of this VM.
             app: ASGI application that serves callers.
-            slots: Bounds the number of connections of callers.
             permit_handler: Handles the requests of other gateways for permits.
             current_table: Current route table.
             readiness_state: Readiness reported to the load balancer.
@@ -65,6 +64,7 @@
             reload: Reloads the settings file; called on SIGHUP.
             begin_drain: Called when a shutdown is requested.
             deregister: Removes this gateway from the gateway registry.
+            slots: Bounds the connections of callers; defaults to no bound.
         """
         self._settings = settings
         self._this_vm = this_vm
--- a/bronzeslip/platform/gateway.py
+++ b/bronzeslip/platform/gateway.py
@@ -125,7 +125,6 @@
             body_reader.BodyReader(memory, current_table),
             memory,
         ),
-        caller_connections.create_slots(this_vm.process_limits, memory),
         permits_api.handler(coordinator),
         current_table,
         readiness.Readiness(current_table, endpoint_directory),
@@ -141,6 +140,7 @@
         reloader.reload,
         drain.begin,
         registry.deregister,
+        caller_connections.create_slots(this_vm.process_limits, memory),
     )
 
 
