Refuse requests while the process is close to its memory limit

While little is held, refusing frees nothing, and requests are accepted. The metrics show the budget, what is taken and what is refused.

--- a/bronzeslip/http/connection_slots.py
+++ b/bronzeslip/http/connection_slots.py
@@ -78,7 +78,7 @@
         self._open.add(connection)
         self._idle_since_s[connection] = now_s
         if self._pool is not None:
-            self._pool.force(CONNECTION_BYTES)
+            self._pool.change_standing(CONNECTION_BYTES)
         return True
 
     def begin(self, connection: Evictable) -> None:
@@ -98,7 +98,7 @@
         if connection in self._open:
             self._open.remove(connection)
             if self._pool is not None:
-                self._pool.give_back(CONNECTION_BYTES)
+                self._pool.change_standing(-CONNECTION_BYTES)
 
     def _evict(self, now_s: float) -> bool:
         """Closes the connection that has been idle for the longest time."""
--- a/bronzeslip/memory/pool.py
+++ b/bronzeslip/memory/pool.py
@@ -17,6 +17,9 @@
     Attributes:
         capacity_bytes: Bytes that may be taken.
         taken_bytes: Bytes that are taken.
+        standing_bytes: Part of the taken bytes that does not become free as
+            requests end.
+        is_closed: Whether all reservations are refused.
         refused_count: Reservations that were refused.
     """
 
@@ -24,6 +27,8 @@
         """Creates a pool from which nothing is taken."""
         self.capacity_bytes = capacity_bytes
         self.taken_bytes = 0
+        self.standing_bytes = 0
+        self.is_closed = False
         self.refused_count = 0
         self._waiters: collections.deque[waiter.Waiter] = collections.deque()
 
@@ -45,6 +50,8 @@
         Returns:
             Whether the bytes were taken.
         """
+        if self.is_closed:
+            return False
         if self.taken_bytes + size_bytes > self.capacity_bytes:
             return False
         self.taken_bytes += size_bytes
@@ -64,7 +71,7 @@
         """
         if not self._waiters and self.try_take(size_bytes):
             return
-        if size_bytes > self.capacity_bytes:
+        if self.is_closed or size_bytes > self.capacity_bytes:
             self.refuse(size_bytes)
         await self._wait(size_bytes, wait_s)
 
@@ -84,6 +91,14 @@
         """Takes bytes that are held already, whether or not there is room."""
         self.taken_bytes += size_bytes
 
+    def change_standing(self, change_bytes: int) -> None:
+        """Takes or gives back bytes that are held without a request."""
+        self.standing_bytes += change_bytes
+        if change_bytes > 0:
+            self.force(change_bytes)
+        else:
+            self.give_back(-change_bytes)
+
     def give_back(self, size_bytes: int) -> None:
         """Gives back bytes and wakes those that fit now."""
         self.taken_bytes -= size_bytes
--- a/bronzeslip/metrics/entry_metrics.py
+++ b/bronzeslip/metrics/entry_metrics.py
@@ -5,8 +5,11 @@
 from bronzeslip import ids
 from bronzeslip import logs
 from bronzeslip.endpoints import directory
+from bronzeslip.http import connection_slots
+from bronzeslip.memory import budget
 from bronzeslip.metrics import bounded_label
 from bronzeslip.metrics import buckets
+from bronzeslip.metrics import memory_metrics
 from bronzeslip.metrics import outcome as outcomes
 from bronzeslip.metrics import process_metrics
 from bronzeslip.routes import current
@@ -51,12 +54,23 @@
         self._events = self._counter(
             "bronzeslip_events_total", "Events logged, left out lines too"
         )
+        self._memory: memory_metrics.MemoryMetrics | None = None
         self._endpoints = aioprometheus.Gauge(
             "bronzeslip_endpoints",
             "Endpoints known by state",
             registry=self.registry,
         )
 
+    def track_memory(
+        self,
+        memory: budget.MemoryBudget,
+        slots: connection_slots.ConnectionSlots,
+    ) -> None:
+        """Exports the memory budget and the connections of callers."""
+        self._memory = memory_metrics.MemoryMetrics(
+            self.registry, memory, slots
+        )
+
     def record_answer(
         self,
         workspace_id: ids.WorkspaceId | None,
@@ -100,6 +114,8 @@
     def refresh(self) -> None:
         """Updates memory, configuration version, endpoints and event counts."""
         super().refresh()
+        if self._memory is not None:
+            self._memory.refresh()
         table = self._current_table.table
         version = _NO_VERSION if table is None else table.version
         self._configuration_number.set({}, version)
--- a/bronzeslip/platform/gateway.py
+++ b/bronzeslip/platform/gateway.py
@@ -23,6 +23,7 @@
 from bronzeslip.forwarding import drain_deadline
 from bronzeslip.forwarding import report_poller
 from bronzeslip.memory import budget
+from bronzeslip.memory import guard
 from bronzeslip.metrics import entry_metrics
 from bronzeslip.platform import body_reader
 from bronzeslip.platform import configuration_follower
@@ -114,6 +115,8 @@
         or settings.memory_limit_mb * _BYTES_PER_MB,
         process_memory.resident_bytes(),
     )
+    slots = caller_connections.create_slots(this_vm.process_limits, memory)
+    metrics.track_memory(memory, slots)
     reloader = settings_reloader.SettingsReloader(path, this_vm, set_bounds)
     return daemon.EntryDaemon(
         settings,
@@ -136,11 +139,12 @@
             *replicator.tasks(),
             named_task.NamedTask("registry", registry.run),
             named_task.NamedTask("settings", reloader.run),
+            named_task.NamedTask("memory", guard.MemoryGuard(memory).run),
         ),
         reloader.reload,
         drain.begin,
         registry.deregister,
-        caller_connections.create_slots(this_vm.process_limits, memory),
+        slots,
     )
 
 
