Treat reports of engines with numbers out of range as lost

Seen: an engine reports memory in use with a number of 400 digits. The forecast of its load then raises an exception, and with it the choice among all engines of its service: each generation ends with status 500 at each gateway that polls this engine, though other engines are sound.

Cause: numbers of reports were integers without a range, and only the errors of msgspec were converted; a report nested 100,000 levels deep was logged as an unforeseen failure.

Change: numbers have the range of those of discovery entries, handles of copies are text that may stand in a path, and each undecodable message is a lost response.

--- a/bronzeslip/platform/engine_messages.py
+++ b/bronzeslip/platform/engine_messages.py
@@ -3,6 +3,9 @@
 import msgspec
 
 from bronzeslip import ids
+from bronzeslip.decoding import errors
+from bronzeslip.decoding import fields
+from bronzeslip.decoding import untrusted
 from bronzeslip.endpoints import report
 from bronzeslip.forwarding import endpoint_client
 from bronzeslip.forwarding import endpoint_errors
@@ -12,17 +15,17 @@
 
 
 class _Report(msgspec.Struct):
-    waiting: int
-    running: int
+    waiting: fields.Count
+    running: fields.Count
     # Tokens in memory that can't be evicted.
-    kv_used: int
-    kv_total: int
+    kv_used: fields.Count
+    kv_total: fields.Count
     # Tokens of memory reserved for copies and leases.
-    held: int = 0
-    leaves_ms: float | None = None
+    held: fields.Count = 0
+    leaves_ms: fields.Quantity | None = None
     state: str = "ready"
     # Each run is [id, tokens in memory, events generated, priority].
-    runs: list[tuple[str, int, int, int]] = []
+    runs: list[tuple[str, fields.Count, fields.Count, int]] = []
 
 
 class _MoveRequest(msgspec.Struct, omit_defaults=True):
@@ -32,9 +35,9 @@
 
 
 class _MoveResponse(msgspec.Struct):
-    handle: str
+    handle: fields.VisibleText
     # Despite its name, the number of events that the run has generated.
-    create_revision: int = 0
+    create_revision: fields.Count = 0
 
 
 def decode_report(body: bytes) -> report.EngineReport:
@@ -83,8 +86,8 @@
 
 def _decode(body: bytes, message_type: type) -> object:
     try:
-        return msgspec.json.decode(body, type=message_type)
-    except msgspec.MsgspecError as error:
+        return untrusted.from_json(body, message_type)
+    except errors.UndecodableError as error:
         raise endpoint_errors.EndpointResponseLostError(
-            f"invalid response from an engine: {error}"
+            f"invalid response from an engine: {error.message}"
         ) from error
