Leave numbers of tokens out of range in requests unparsed

Seen: a request whose token usage, length hint or prompt parts have numbers of 5,000 digits ends with status 500 and a traceback of the ASGI server; one of 400 digits is decoded and makes the choice of an engine raise an exception.

Cause: int() of header text, whose ValueError was not converted, and no range.

Change: such numbers are parsed as all numbers of foreign data are. A header with one that is out of range counts as one that is not a number.

--- a/bronzeslip/platform/request_decoder.py
+++ b/bronzeslip/platform/request_decoder.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 from bronzeslip import ids
+from bronzeslip.decoding import numbers
 from bronzeslip.forwarding import errors
 from bronzeslip.forwarding import incoming
 from bronzeslip.forwarding import prompt
@@ -96,15 +97,14 @@
     text = fields.get(headers.TOKEN_USAGE)
     if text is None:
         return None
-    counts = [part.strip() for part in text.split(b",")]
-    if len(counts) != 2 or not all(part.isdigit() for part in counts):
+    counts = [_count(part) for part in text.split(b",")]
+    if len(counts) != 2 or None in counts:
         return None
-    hint = fields.get(headers.LENGTH_HINT, b"").strip()
     return prompt.PromptShape(
         model=_decode_text(fields.get(headers.MODEL, b"")),
-        prompt_tokens=int(counts[0]),
-        max_output_tokens=int(counts[1]),
-        expected_output_tokens=int(hint) if hint.isdigit() else None,
+        prompt_tokens=counts[0],
+        max_output_tokens=counts[1],
+        expected_output_tokens=_count(fields.get(headers.LENGTH_HINT, b"")),
         parts=_prompt_parts(fields.get(headers.PROMPT_PARTS, b"")),
     )
 
@@ -112,12 +112,17 @@
 def _prompt_parts(text: bytes) -> tuple[prompt.PromptPart, ...]:
     parts = []
     for entry in text.split(b","):
-        part_id, _, tokens = entry.strip().partition(b":")
-        if part_id and tokens.isdigit():
-            parts.append(prompt.PromptPart(_decode_text(part_id), int(tokens)))
+        part_id, _, text_of_tokens = entry.strip().partition(b":")
+        tokens = _count(text_of_tokens)
+        if part_id and tokens is not None:
+            parts.append(prompt.PromptPart(_decode_text(part_id), tokens))
     return tuple(parts)
 
 
+def _count(text: bytes) -> int | None:
+    return numbers.parse_count(_decode_text(text.strip()))
+
+
 def _get_text(fields: dict[bytes, bytes], name: bytes) -> str | None:
     value = fields.get(name)
     return None if value is None else _decode_text(value)
--- a/tests/platform/test_request_decoder.py
+++ b/tests/platform/test_request_decoder.py
@@ -87,6 +87,24 @@
         self.assertIsNone(request.shape)
         self.assertIn(b"bronzeslip-token-usage", _names(request))
 
+    # Guards against numbers of thousands of digits in the headers of a caller,
+    # which raised an exception.
+    def test_token_counts_that_are_too_large_are_forwarded_unparsed(self):
+        for digits in (400, 5000):
+            large = b"9" * digits
+            with self.subTest(digits=digits):
+                for usage in (large + b",80", b"80," + large):
+                    request = _decode((b"bronzeslip-token-usage", usage))
+                    self.assertIsNone(request.shape)
+                    self.assertIn(b"bronzeslip-token-usage", _names(request))
+                shape = _decode(
+                    (b"bronzeslip-token-usage", b"1460,80"),
+                    (b"bronzeslip-prompt-prefix", b"5c1e:800,91bd:" + large),
+                    (b"bronzeslip-length-hint", large),
+                ).shape
+                self.assertEqual(len(shape.parts), 1)
+                self.assertIsNone(shape.expected_output_tokens)
+
     def test_deadline_that_is_not_a_number_is_rejected(self):
         scope = {
             "method": "GET",
