Bound the prompt lengths that load forecasts rest on

Seen: one request states a prompt of 2**53 tokens. While an engine runs it, and for hundreds of requests after it whenever an engine has a queue, the time to process the queued prompts is forecast as 6e11 seconds, and the generations of all callers are rejected with status 429.

Cause: the stated length entered the moving average of prompt lengths and the load of the engine as it was.

Change: a length counts up to the memory of an engine. An engine processes no larger prompt.

--- a/bronzeslip/forwarding/load_forecast.py
+++ b/bronzeslip/forwarding/load_forecast.py
@@ -80,11 +80,11 @@
 
     def record_prompt_length(self, request: admitted.AdmittedRequest) -> None:
         """Updates the moving average of prompt lengths."""
-        shape = request.request.shape
-        if shape is None:
+        if request.request.shape is None:
             return
-        mean = self._mean_prompt_tokens or shape.prompt_tokens
-        mean += _MEAN_PROMPT_WEIGHT * (shape.prompt_tokens - mean)
+        length_tokens = prompt_tokens(request)
+        mean = self._mean_prompt_tokens or length_tokens
+        mean += _MEAN_PROMPT_WEIGHT * (length_tokens - mean)
         self._mean_prompt_tokens = mean
 
     def used_tokens(self, candidate: endpoint.Endpoint) -> int:
@@ -131,3 +131,17 @@
         latest = self._reports.get(candidate.endpoint_id)
         since_s = -math.inf if latest is None else latest.read_s - _REPORT_LAG_S
         return self._in_flight.sent_since(candidate.endpoint_id, since_s)
+
+
+def prompt_tokens(request: admitted.AdmittedRequest) -> int:
+    """Returns the length of a prompt, in tokens.
+
+    An engine processes no prompt that is larger than its memory, whatever its
+    caller states.
+    """
+    shape, engine = request.request.shape, request.service.engine
+    if shape is None:
+        return 0
+    if engine is None:
+        return shape.prompt_tokens
+    return min(shape.prompt_tokens, engine.memory_tokens)
--- a/bronzeslip/forwarding/run_load.py
+++ b/bronzeslip/forwarding/run_load.py
@@ -6,6 +6,7 @@
 from bronzeslip.endpoints import in_flight_requests
 from bronzeslip.forwarding import admitted
 from bronzeslip.forwarding import chooser
+from bronzeslip.forwarding import load_forecast
 
 
 class RunLoad:
@@ -35,7 +36,9 @@
                 need not process the prompt.
         """
         shape = self._request.request.shape
-        prompt_tokens = shape.prompt_tokens if shape and not has_copy else 0
+        prompt_tokens = (
+            0 if has_copy else load_forecast.prompt_tokens(self._request)
+        )
         expected_tokens = shape.expected_tokens if shape else 0
         self.close()
         self._registration.enter_context(
