Continue listings after pages without a readable object

Seen: an object that fills a page of a listing by itself and whose revision can't be decoded. The listing of its kind failed each time ("the next part of the listing is unknown"): a gateway that starts gets no endpoint, and one that runs follows the list no longer once it lists again.

Cause: the next page was asked for after the last object that was decoded, of which there is none.

Change: it is asked for after the last name that can be read, also of an object that is left out.

--- a/bronzeslip/platform/store_client.py
+++ b/bronzeslip/platform/store_client.py
@@ -250,7 +250,7 @@
 
 def _continuation(page: store_messages.Page, after: str | None) -> str:
     """Returns the name after which a listing continues."""
-    name = page.items[-1].metadata.name if page.items else None
+    name = page.last_name
     if name is None or name == after:
         raise errors.PlatformError("the next part of the listing is unknown")
     return name
--- a/bronzeslip/platform/store_listings.py
+++ b/bronzeslip/platform/store_listings.py
@@ -1,6 +1,7 @@
 """Decodes listings and changes that contain objects of any writer."""
 
 from collections.abc import Callable
+import contextlib
 from typing import TypeVar
 
 import msgspec
@@ -17,6 +18,12 @@
 PartT = TypeVar("PartT")
 
 
+class _Name(msgspec.Struct):
+    """Metadata of an object without what may be undecodable."""
+
+    name: str
+
+
 def decode_page(answer: store_messages.Answer) -> store_messages.Page:
     """Decodes a part of a listing.
 
@@ -58,28 +65,42 @@
 
 
 def _separate_page(members: dict[str, bytes]) -> store_messages.Page:
+    elements = json_parts.elements(members.get("items", b""))
     return store_messages.Page(
-        _decode_each(members.get("items", b""), _decode_object),
+        _decode_each(elements, _decode_object),
         untrusted.from_json(
             members.get("as_of", b""), store_messages.RevisionNumber
         ),
         untrusted.from_json(members.get("truncated", b"false"), bool),
+        _last_name(elements),
     )
 
 
+def _last_name(elements: list[bytes]) -> str | None:
+    for element in reversed(elements):
+        with contextlib.suppress(decoding_errors.UndecodableError):
+            metadata = json_parts.members(element).get("metadata", b"")
+            return untrusted.from_json(metadata, _Name).name
+    return None
+
+
 def _separate_events(members: dict[str, bytes]) -> store_messages.Events:
     return store_messages.Events(
-        _decode_each(members.get("events", b""), _decode_event),
+        _decode_each(
+            json_parts.elements(members.get("events", b"")), _decode_event
+        ),
         untrusted.from_json(
             members.get("as_of", b""), store_messages.RevisionNumber
         ),
     )
 
 
-def _decode_each(array: bytes, decode: Callable[[bytes], PartT]) -> list[PartT]:
+def _decode_each(
+    elements: list[bytes], decode: Callable[[bytes], PartT]
+) -> list[PartT]:
     """Decodes the elements of an array, without those that are undecodable."""
     decoded: list[PartT] = []
-    for element in json_parts.elements(array):
+    for element in elements:
         try:
             decoded.append(decode(element))
         except decoding_errors.UndecodableError as error:
--- a/bronzeslip/platform/store_messages.py
+++ b/bronzeslip/platform/store_messages.py
@@ -52,11 +52,18 @@
         items: Objects.
         as_of: Revision of the store.
         truncated: Whether more objects follow.
+        last_name: Last name of an object that can be read, also if the object
+            is left out, or None.
     """
 
     items: list[StoredObject]
     as_of: RevisionNumber
     truncated: bool = False
+    last_name: str | None = None
+
+    def __post_init__(self) -> None:
+        if self.last_name is None and self.items:
+            self.last_name = self.items[-1].metadata.name
 
 
 class Event(msgspec.Struct):
--- a/tests/platform/test_store_listings.py
+++ b/tests/platform/test_store_listings.py
@@ -113,6 +113,19 @@
         self.assertEqual(list(listed), ["things/a", "things/b"])
         self.assertEqual(self.requests[1].url.params["after"], "a")
 
+    # Guards against a gateway without endpoints as long as an object that fills
+    # a page by itself can't be decoded.
+    async def test_listing_continues_after_a_page_without_readable_objects(
+        self,
+    ):
+        for revision in (b"-1", b'"x"', b"1.5", b"9" * 99):
+            item = b'{"metadata":{"name":"x","revision":%s},"spec":1}'
+            page = _page(item % revision, truncated=True)
+            with self.subTest(revision=revision[:9]):
+                listed = await self._list(page, _page(_item(b"y")))
+                self.assertEqual(list(listed), ["things/y"])
+                self.assertEqual(self.requests[1].url.params["after"], "x")
+
     # Guards against a listing that never ends.
     async def test_listing_that_does_not_advance_raises(self):
         page = _page(_item(b"a"), truncated=True)
