Read single objects of the store whose value can't be decoded

Seen: another writer has replaced the record of a gateway, or its record of suspects, by a value that is nested too deeply or holds NaN. The gateway could not read the record, so that it never replaced it: each registration and each write of suspects failed again.

Cause: listings and watches separate an object from its value before they decode it; the reading of one object did not.

Change: it does.

Evidence: tests.platform.test_store_listings on the unfixed code: 3 errors "PlatformError: invalid response from the store"; after: 46 passed, 0 failed with the tests of store_client, store_era, gateway_registry and suspect_publisher. Not shown as processes: the store of the stand-in sends raw bytes in listings only.

--- a/bronzeslip/platform/store_client.py
+++ b/bronzeslip/platform/store_client.py
@@ -81,9 +81,7 @@
         if answer.status == httpx.codes.NOT_FOUND:
             return None
         return store_messages.to_object(
-            _kind_of(key),
-            store_messages.decode(answer, store_messages.StoredObject),
-            answer.era,
+            _kind_of(key), store_listings.decode_object(answer), answer.era
         )
 
     async def list_objects(
--- a/bronzeslip/platform/store_listings.py
+++ b/bronzeslip/platform/store_listings.py
@@ -53,6 +53,20 @@
         return _decode_separated(answer.body, _separate_events)
 
 
+def decode_object(answer: store_messages.Answer) -> store_messages.StoredObject:
+    """Decodes the metadata of one object; its value may be undecodable.
+
+    Raises:
+        errors.PlatformError: If the response is not an object.
+    """
+    try:
+        return _decode_object(answer.body)
+    except decoding_errors.UndecodableError as error:
+        raise errors.PlatformError(
+            f"invalid response from the store: {error.message}"
+        ) from error
+
+
 def _decode_separated(
     body: bytes, separate: Callable[[dict[str, bytes]], PartT]
 ) -> PartT:
--- a/tests/platform/test_store_listings.py
+++ b/tests/platform/test_store_listings.py
@@ -106,6 +106,16 @@
                 changed = await self._watch(_changes(*items))
                 self.assertEqual(changed, listed)
 
+    # Guards against a gateway that never registers, and shares no suspects, as
+    # another writer has replaced its own record.
+    async def test_object_with_an_unreadable_value_can_be_replaced(self):
+        for name, value in _UNREADABLE_VALUES.items():
+            with self.subTest(value=name):
+                client = self._create_client(_item(b"own", value))
+                stored = await client.get("things/own")
+                self.assertEqual(stored.version, 3)
+                self.assertEqual(stored.value, msgspec.Raw(value))
+
     async def test_listing_continues_after_the_last_readable_name(self):
         listed = await self._list(
             _page(_item(b"a"), b"7", truncated=True), _page(_item(b"b"))
