--- a/bronzeslip/metrics/entry_metrics.py
+++ b/bronzeslip/metrics/entry_metrics.py
@@ -3,10 +3,12 @@
 import aioprometheus
 
 from bronzeslip import ids
-from bronzeslip import logs
 from bronzeslip.endpoints import directory
+from bronzeslip.http import connection_slots
+from bronzeslip.memory import budget
 from bronzeslip.metrics import bounded_label
 from bronzeslip.metrics import buckets
+from bronzeslip.metrics import memory_metrics
 from bronzeslip.metrics import outcome as outcomes
 from bronzeslip.metrics import process_metrics
 from bronzeslip.routes import current
@@ -17,7 +19,7 @@
 
 
 class EntryMetrics(process_metrics.ProcessMetrics):
-    """Metrics of requests, attempts, endpoints and logged events."""
+    """Metrics of requests, attempts and endpoints."""
 
     def __init__(
         self,
@@ -48,15 +50,23 @@
         self._attempts = self._counter(
             "bronzeslip_attempts_total", "Requests sent to endpoints by result"
         )
-        self._events = self._counter(
-            "bronzeslip_events_total", "Events logged, left out lines too"
-        )
+        self._memory: memory_metrics.MemoryMetrics | None = None
         self._endpoints = aioprometheus.Gauge(
             "bronzeslip_endpoints",
             "Endpoints known by state",
             registry=self.registry,
         )
 
+    def track_memory(
+        self,
+        memory: budget.MemoryBudget,
+        slots: connection_slots.ConnectionSlots,
+    ) -> None:
+        """Exports the memory budget and the connections of callers."""
+        self._memory = memory_metrics.MemoryMetrics(
+            self.registry, memory, slots
+        )
+
     def record_answer(
         self,
         workspace_id: ids.WorkspaceId | None,
@@ -98,8 +108,10 @@
         self._attempts.inc({"result": result})
 
     def refresh(self) -> None:
-        """Updates memory, configuration version, endpoints and event counts."""
+        """Updates metrics that are computed only when scraped."""
         super().refresh()
+        if self._memory is not None:
+            self._memory.refresh()
         table = self._current_table.table
         version = _NO_VERSION if table is None else table.version
         self._configuration_number.set({}, version)
@@ -109,8 +121,6 @@
         self._endpoints.set({"state": "leaving"}, len(endpoints) - ready)
         limited = self._endpoint_directory.request_limits.limited_count()
         self._endpoints.set({"state": "limited"}, limited)
-        for event, count in logs.event_counts.items():
-            self._events.set({"event": event}, count)
 
     def _labels(
         self,
