Return freed bodies to the system

A gateway kept the memory of bodies that it had freed: glibc gives large blocks a mapping of their own, which goes back when they are freed, but only until the first one is freed. Later bodies lie between smaller blocks that are still used. The gateway now fixes that threshold at 128 KiB.

--- a/bronzeslip/platform/gateway.py
+++ b/bronzeslip/platform/gateway.py
@@ -110,6 +110,7 @@
         forwarding_components.retry_budgets.set_bounds(bounds)
         drain.set_bounds(bounds)
 
+    process_memory.release_large_blocks()
     memory = budget.create(
         this_vm.process_limits.memory_bytes
         or settings.memory_limit_mb * _BYTES_PER_MB,
--- a/bronzeslip/process_memory.py
+++ b/bronzeslip/process_memory.py
@@ -7,6 +7,10 @@
 
 logger = logs.get_logger(__name__)
 
+# Parameter of mallopt: size from which blocks have a mapping of their own.
+_MMAP_THRESHOLD_PARAMETER = -3
+_LARGE_BLOCK_BYTES = 128 * 1024
+
 _STATUS_FILE = "/proc/self/statm"
 _RESIDENT_FIELD = 1
 
@@ -22,10 +26,23 @@
     return pages * resource.getpagesize()
 
 
+def release_large_blocks() -> None:
+    """Makes the C library return large blocks to the system when freed.
+
+    glibc does so until the first of them is freed; then it keeps blocks of that
+    size, between smaller ones that are still used.
+    """
+    _call_c_library("mallopt", _MMAP_THRESHOLD_PARAMETER, _LARGE_BLOCK_BYTES)
+
+
 def release_unused() -> None:
     """Returns freed memory that the C library keeps to the system."""
+    _call_c_library("malloc_trim", 0)
+
+
+def _call_c_library(name: str, *arguments: int) -> None:
     try:
-        ctypes.CDLL(None).malloc_trim(0)
+        getattr(ctypes.CDLL(None), name)(*arguments)
     except (AttributeError, OSError) as error:
-        # Other C libraries than glibc have no such function.
-        logger.info("memory.not_released", reason=str(error))
+        # Other C libraries than glibc lack these functions.
+        logger.info("memory.not_supported", name=name, reason=str(error))
