Open the settings file without waiting for a writer

Seen: with a pipe without a writer in place of the settings file, a running gateway answered no call any more within 20 s, and one that starts did not end on SIGTERM.

Cause: opening a pipe blocks until a writer opens it, and the file is read in the event loop, every five seconds.

Change: the file is opened with O_NONBLOCK; a pipe then reads as empty.

--- a/bronzeslip/platform/boot_file.py
+++ b/bronzeslip/platform/boot_file.py
@@ -1,5 +1,6 @@
 """Reads the settings file that the platform provides for each process."""
 
+import os
 import pathlib
 import tomllib
 from typing import Annotated
@@ -75,8 +76,9 @@
 
 
 def _read_text(path: pathlib.Path) -> str:
-    with path.open("rb") as file:
-        content = file.read(_MAX_FILE_BYTES + 1)
+    with open(path, "rb", opener=_open_without_waiting) as file:
+        # None from a pipe that is empty but has a writer.
+        content = file.read(_MAX_FILE_BYTES + 1) or b""
     if len(content) > _MAX_FILE_BYTES:
         raise errors.BootFileError(
             f"{path}: larger than {_MAX_FILE_BYTES} bytes"
@@ -84,6 +86,11 @@
     return content.decode()
 
 
+def _open_without_waiting(path: str, flags: int) -> int:
+    """Opens a file without waiting for a writer if it is a pipe."""
+    return os.open(path, flags | os.O_NONBLOCK)
+
+
 def _decode(text: str) -> _BootFile:
     document: dict[str, Any] = tomllib.loads(text)
     return msgspec.convert(document, _BootFile)
--- a/tests/platform/test_boot_file.py
+++ b/tests/platform/test_boot_file.py
@@ -1,5 +1,6 @@
 """Tests of bronzeslip.platform.boot_file."""
 
+import os
 import pathlib
 import tempfile
 import unittest
@@ -74,6 +75,19 @@
             ):
                 self.read(content[:length])
 
+    # Guards against a gateway that waits for ever for the writer of a pipe.
+    def test_pipe_does_not_block(self):
+        os.mkfifo(self.path)
+        for has_writer in (False, True):
+            if has_writer:
+                writer = os.open(self.path, os.O_RDWR)
+                self.addCleanup(os.close, writer)
+            with (
+                self.subTest(has_writer=has_writer),
+                self.assertRaises(errors.BootFileError),
+            ):
+                boot_file.read(self.path)
+
     def test_unreadable_paths_raise_the_error(self):
         with self.assertRaises(errors.BootFileError):
             boot_file.read(self.path)
