Do not decompress responses of the store

Seen: a response of 291,609 bytes with Content-Encoding gzip and 300 MB of content took the process to 607 MB; the limit on the size of responses applied only afterwards. A gateway is killed at 150 MB.

Cause: the HTTP client offered compression and decompressed each chunk as a whole before its size was counted.

Change: the body is read as it is sent, and no encoding is offered. The platform uses none.

--- a/bronzeslip/platform/store_client.py
+++ b/bronzeslip/platform/store_client.py
@@ -62,6 +62,7 @@
         self._http = httpx.AsyncClient(
             base_url=f"http://{address.host}:{address.port}",
             timeout=None,
+            headers={"Accept-Encoding": "identity"},
             transport=transport
             or bounded_transport.BoundedTransport(
                 settings.response_head_max_bytes,
@@ -234,9 +235,13 @@
         return store_messages.Answer(response.status_code, body, era)
 
     async def _read_body(self, response: httpx.Response) -> bytes:
+        """Reads the body as it is sent.
+
+        Decompressing a chunk could take any amount of memory.
+        """
         chunks: list[bytes] = []
         size_bytes = 0
-        async for chunk in paced_chunks.paced(response.aiter_bytes()):
+        async for chunk in paced_chunks.paced(response.stream):
             size_bytes += len(chunk)
             if size_bytes > self._max_body_bytes:
                 raise errors.PlatformUnavailableError(
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -1,5 +1,7 @@
 """Tests of bronzeslip.platform.store_client with scripted responses."""
 
+import gzip
+import tracemalloc
 import unittest
 
 import httpx
@@ -118,6 +120,26 @@
         client = self._create_client(httpx.Response(404))
         self.assertIsNone(await client.get("things/a"))
 
+    # Guards against a small compressed response that takes all memory.
+    async def test_compressed_responses_are_not_decompressed(self):
+        body = gzip.compress(b"0" * 100_000_000)
+        client = self._create_client(
+            httpx.Response(
+                200,
+                headers={"Content-Encoding": "gzip"},
+                stream=httpx.ByteStream(body),
+            )
+        )
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        with self.assertRaises(errors.PlatformError):
+            await client.list_objects("servers/")
+        _, peak_bytes = tracemalloc.get_traced_memory()
+        self.assertLess(peak_bytes, 10_000_000)
+        self.assertEqual(
+            self.requests[0].headers["Accept-Encoding"], "identity"
+        )
+
     async def test_invalid_responses_raise(self):
         client = self._create_client(httpx.Response(200, content=b"{"))
         with self.assertRaises(errors.PlatformError):
