Bound replies of other gateways and convert each of their errors

Seen: a reply to a request for a permit that is nested 100,000 levels deep ends the caller's request with RecursionError; one of 100 MB that is compressed to 97 kB takes 150 MB of memory.

Cause: the reply was read and decompressed as a whole, without a limit, and decoded with the errors of msgspec only.

Change: it is read as it is sent up to control-response-max-bytes and decoded as other foreign data.

--- a/bronzeslip/entry/peer_http.py
+++ b/bronzeslip/entry/peer_http.py
@@ -5,7 +5,10 @@
 import httpx
 import msgspec
 
+from bronzeslip.decoding import errors as decoding_errors
+from bronzeslip.decoding import untrusted
 from bronzeslip.http import bounded_transport
+from bronzeslip.http import paced_chunks
 from bronzeslip.http import silence_detection
 from bronzeslip.quota import errors
 from bronzeslip.quota import peer
@@ -27,8 +30,10 @@
             settings: Timeout of a call and limit on the size of a reply.
         """
         self._timeout_s = settings.peer_timeout_s
+        self._max_body_bytes = settings.control_response_max_bytes
         self._http = httpx.AsyncClient(
             timeout=None,
+            headers={"Accept-Encoding": "identity"},
             transport=bounded_transport.BoundedTransport(
                 settings.response_head_max_bytes,
                 _MAX_CONNECTIONS,
@@ -47,17 +52,36 @@
         """
         address = target.address
         try:
-            async with asyncio.timeout(self._timeout_s):
-                response = await self._http.post(
+            async with (
+                asyncio.timeout(self._timeout_s),
+                self._http.stream(
+                    "POST",
                     f"http://{address.host}:{address.port}/permits",
                     content=msgspec.json.encode(request),
                     headers={"Content-Type": "application/json"},
-                )
-            response.raise_for_status()
-            return msgspec.json.decode(
-                response.content, type=permit_reply.PermitReply
-            )
-        except (httpx.HTTPError, TimeoutError, msgspec.MsgspecError) as error:
+                ) as response,
+            ):
+                response.raise_for_status()
+                body = await self._read_body(response)
+            return untrusted.from_json(body, permit_reply.PermitReply)
+        except (
+            httpx.HTTPError,
+            TimeoutError,
+            decoding_errors.UndecodableError,
+        ) as error:
             raise errors.PeerUnavailableError(
                 f"{target.vm_id}: {type(error).__name__}"
             ) from error
+
+    async def _read_body(self, response: httpx.Response) -> bytes:
+        """Reads the body as it is sent, without decompressing it."""
+        chunks: list[bytes] = []
+        size_bytes = 0
+        async for chunk in paced_chunks.paced(response.stream):
+            size_bytes += len(chunk)
+            if size_bytes > self._max_body_bytes:
+                raise decoding_errors.UndecodableError(
+                    f"reply of more than {self._max_body_bytes} bytes"
+                )
+            chunks.append(chunk)
+        return b"".join(chunks)
--- a/tests/entry/test_permits_api.py
+++ b/tests/entry/test_permits_api.py
@@ -1,7 +1,9 @@
 """Tests of bronzeslip.entry.permits_api and peer_http over loopback."""
 
 import asyncio
+import gzip
 import time
+import tracemalloc
 import unittest
 
 import litestar
@@ -21,6 +23,7 @@
 from bronzeslip.settings import entry
 from bronzeslip.settings import http
 from tests.support import forwarding_parts
+from tests.support import nested_json
 from tests.support import raw_server
 
 _SETTINGS = entry.EntrySettings(peer_timeout_s=0.3)
@@ -114,6 +117,29 @@
                 with self.assertRaises(errors.PeerUnavailableError):
                     await self.client.ask(target, self._request())
 
+    # Guards against a reply that ends the caller's request with an exception.
+    async def test_reply_that_is_nested_too_deeply_is_an_error(self):
+        body = b'{"verdict":"granted","x":%s}' % bytes(nested_json.OBJECT)
+        target = await self._start_script(
+            raw_server.create_response(body, b"200 OK")
+        )
+        with self.assertRaises(errors.PeerUnavailableError):
+            await self.client.ask(target, self._request())
+
+    # Guards against a small reply that takes all memory.
+    async def test_compressed_reply_is_not_decompressed(self):
+        body = gzip.compress(b" " * 100_000_000)
+        target = await self._start_script(
+            b"HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\n"
+            b"Content-Length: %d\r\n\r\n%s" % (len(body), body)
+        )
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        with self.assertRaises(errors.PeerUnavailableError):
+            await self.client.ask(target, self._request())
+        _, peak_bytes = tracemalloc.get_traced_memory()
+        self.assertLess(peak_bytes, 10_000_000)
+
     async def test_gateway_that_is_not_there_is_an_error(self):
         with self.assertRaises(errors.PeerUnavailableError):
             await self.client.ask(_peer(1), self._request())
