Bound the unread bytes of connections to endpoints

While a caller does not read, its gateway does not read on from the endpoint either. The kernel then held up to several megabytes for each such connection, which counts towards the memory limit of the process: 60 streams took it to 200 MB, 92 MB of them resident, with a limit of 150 MB.

The receive buffer of these connections is bounded by a setting.

--- a/bronzeslip/platform/connection_pool.py
+++ b/bronzeslip/platform/connection_pool.py
@@ -1,6 +1,7 @@
 """Pool of the connections to one endpoint."""
 
 import asyncio
+import socket
 
 import httpx
 import msgspec
@@ -108,7 +109,14 @@
         return bounded_transport.BoundedTransport(
             self._settings.response_head_max_bytes,
             max_connections=1,
-            socket_options=silence_detection.socket_options(
-                self._settings.endpoint_silence_s
+            socket_options=(
+                *silence_detection.socket_options(
+                    self._settings.endpoint_silence_s
+                ),
+                (
+                    socket.SOL_SOCKET,
+                    socket.SO_RCVBUF,
+                    self._settings.endpoint_receive_buffer_bytes,
+                ),
             ),
         )
--- a/bronzeslip/settings/entry.py
+++ b/bronzeslip/settings/entry.py
@@ -188,6 +188,14 @@
         minimum=0.2,
         maximum=60,
     )
+    endpoint_receive_buffer_bytes: int = setting(
+        "received bytes of a connection to an endpoint that the kernel holds "
+        "while they are not read, in bytes; it may hold up to twice as many",
+        "endpoints",
+        default=65_536,
+        minimum=4_096,
+        maximum=16_777_216,
+    )
     kept_margin_s: float = setting(
         "safety margin subtracted from an endpoint's stated idle time, in "
         "seconds",
