Treat unexpected exceptions of calls to gateways as no reply

What callers saw: on a gateway that published a port out of range made its peers fail each request for which they asked it for a permit.

Cause: an address that can't be connected to raises an ExceptionGroup in the HTTP client, which is none of its own errors.

Change: PeerCaller logs permits.call_failed and goes on as without a reply: it pauses the calls to that gateway, and the fallback is asked.

Evidence: all four cases of tests.quota.test_peer_caller failed on the code before, three with "OverflowError: connect(): port must be 0-65535" in an ExceptionGroup.

--- a/bronzeslip/quota/peer_caller.py
+++ b/bronzeslip/quota/peer_caller.py
@@ -64,5 +64,13 @@
                 endpoint=request.endpoint_id,
                 reason=error.message,
             )
-            self._pause_ends_s[target.vm_id] = now_s + _PAUSE_S
-            return None
+        except Exception as error:
+            # Other gateways choose their addresses and what they reply.
+            logger.error(
+                "permits.call_failed",
+                gateway=target.vm_id,
+                endpoint=request.endpoint_id,
+                reason=logs.describe(error),
+            )
+        self._pause_ends_s[target.vm_id] = now_s + _PAUSE_S
+        return None
