--- a/bronzeslip/daemon_command.py
+++ b/bronzeslip/daemon_command.py
@@ -5,9 +5,11 @@
 import contextlib
 import os
 import sys
+from typing import Any
 from typing import Protocol
 from typing import TypeVar
 
+from bronzeslip import library_logs
 from bronzeslip import log_queue
 from bronzeslip import logs
 from bronzeslip.http import shutdown
@@ -51,6 +53,7 @@
         settings_type, program, description, sys.argv[1:], os.environ
     )
     logs.configure(settings.log_format, settings.log_level)
+    library_logs.configure()
     with _log_writer(settings.log_format):
         asyncio.run(_create_and_run(create, settings))
 
@@ -67,6 +70,7 @@
 async def _create_and_run(
     create: Callable[[SettingsT], Daemon], settings: SettingsT
 ) -> None:
+    asyncio.get_running_loop().set_exception_handler(_log_unhandled)
     try:
         await create(settings).run()
     except Exception as error:
@@ -74,3 +78,14 @@
         raise
     logger.info("daemon.ended")
     shutdown.ignore_signals()
+
+
+def _log_unhandled(
+    loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+) -> None:
+    """Logs an exception that no task or callback has handled."""
+    error = context.get("exception")
+    logger.error(
+        "daemon.unhandled",
+        reason=context["message"] if error is None else logs.describe(error),
+    )
--- a/bronzeslip/metrics/entry_metrics.py
+++ b/bronzeslip/metrics/entry_metrics.py
@@ -3,7 +3,6 @@
 import aioprometheus
 
 from bronzeslip import ids
-from bronzeslip import logs
 from bronzeslip.endpoints import directory
 from bronzeslip.http import connection_slots
 from bronzeslip.memory import budget
@@ -20,7 +19,7 @@
 
 
 class EntryMetrics(process_metrics.ProcessMetrics):
-    """Metrics of requests, attempts, endpoints and logged events."""
+    """Metrics of requests, attempts and endpoints."""
 
     def __init__(
         self,
@@ -51,9 +50,6 @@
         self._attempts = self._counter(
             "bronzeslip_attempts_total", "Requests sent to endpoints by result"
         )
-        self._events = self._counter(
-            "bronzeslip_events_total", "Events logged, left out lines too"
-        )
         self._memory: memory_metrics.MemoryMetrics | None = None
         self._endpoints = aioprometheus.Gauge(
             "bronzeslip_endpoints",
@@ -112,7 +108,7 @@
         self._attempts.inc({"result": result})
 
     def refresh(self) -> None:
-        """Updates memory, configuration version, endpoints and event counts."""
+        """Updates metrics that are computed only when scraped."""
         super().refresh()
         if self._memory is not None:
             self._memory.refresh()
@@ -125,8 +121,6 @@
         self._endpoints.set({"state": "leaving"}, len(endpoints) - ready)
         limited = self._endpoint_directory.request_limits.limited_count()
         self._endpoints.set({"state": "limited"}, limited)
-        for event, count in logs.event_counts.items():
-            self._events.set({"event": event}, count)
 
     def _labels(
         self,
--- a/bronzeslip/platform/boot_file.py
+++ b/bronzeslip/platform/boot_file.py
@@ -1,5 +1,6 @@
 """Reads the settings file that the platform provides for each process."""
 
+import os
 import pathlib
 import tomllib
 from typing import Annotated
@@ -41,11 +42,12 @@
     # First and last port for communication between nodes.
     port_range: tuple[_Port, _Port]
     zone: _Text
-    zones: dict[str, str]
     listen: _Listen
     platform: _Platform
     bounds: Any = None
     limits: Any = None
+    # Region of each failure domain. A gateway serves without it.
+    zones: Any = None
 
 
 def read(
@@ -77,8 +79,9 @@
 
 
 def _read_text(path: pathlib.Path) -> str:
-    with path.open("rb") as file:
-        content = file.read(_MAX_FILE_BYTES + 1)
+    with open(path, "rb", opener=_open_without_waiting) as file:
+        # None from a pipe that is empty but has a writer.
+        content = file.read(_MAX_FILE_BYTES + 1) or b""
     if len(content) > _MAX_FILE_BYTES:
         raise errors.BootFileError(
             f"{path}: larger than {_MAX_FILE_BYTES} bytes"
@@ -86,6 +89,11 @@
     return content.decode()
 
 
+def _open_without_waiting(path: str, flags: int) -> int:
+    """Opens a file without waiting for a writer if it is a pipe."""
+    return os.open(path, flags | os.O_NONBLOCK)
+
+
 def _decode(text: str) -> _BootFile:
     document: dict[str, Any] = tomllib.loads(text)
     return msgspec.convert(document, _BootFile)
@@ -97,10 +105,7 @@
     return vm_config.VmConfig(
         vm_id=ids.VmId(boot_settings.node_name),
         failure_domain=ids.FailureDomainName(boot_settings.zone),
-        regions={
-            ids.FailureDomainName(domain): ids.RegionName(region)
-            for domain, region in boot_settings.zones.items()
-        },
+        regions=_to_regions(boot_settings.zones),
         caller_address=parse_address(boot_settings.listen.front),
         readiness_address=parse_address(boot_settings.listen.ready),
         store_address=parse_address(boot_settings.platform.address),
@@ -112,6 +117,17 @@
     )
 
 
+def _to_regions(zones: Any) -> dict[ids.FailureDomainName, ids.RegionName]:
+    """Converts the regions; leaves out those that can't be read."""
+    if not isinstance(zones, dict):
+        return {}
+    return {
+        ids.FailureDomainName(domain): ids.RegionName(region)
+        for domain, region in zones.items()
+        if isinstance(region, str)
+    }
+
+
 def parse_address(text: str) -> vm_config.SocketAddress:
     """Parses an address of the form HOST:PORT.
 
--- a/bronzeslip/platform/endpoint_http.py
+++ b/bronzeslip/platform/endpoint_http.py
@@ -15,6 +15,7 @@
 from bronzeslip.forwarding import endpoint_client
 from bronzeslip.forwarding import endpoint_errors
 from bronzeslip.http import sliced_body
+from bronzeslip.platform import connect_errors
 from bronzeslip.platform import connection_pool
 from bronzeslip.platform import endpoint_announcements
 from bronzeslip.platform import endpoint_response
@@ -27,6 +28,7 @@
 
 _OK_STATUS = 200
 _NOT_FOUND_STATUS = 404
+_FINAL_STATUSES = range(200, 600)
 
 
 class HttpEndpointClient:
@@ -254,9 +256,7 @@
             response = await connection.transport.handle_async_request(request)
         except httpx.ConnectError as error:
             await connection.transport.aclose()
-            raise endpoint_errors.EndpointAbsentError(
-                "connection refused"
-            ) from error
+            raise connect_errors.to_endpoint_error(error) from error
         except httpx.ConnectTimeout as error:
             await connection.transport.aclose()
             raise endpoint_errors.EndpointUnreachableError(
@@ -270,6 +270,12 @@
         except BaseException:
             await connection.transport.aclose()
             raise
+        if response.status_code not in _FINAL_STATUSES:
+            await response.stream.aclose()
+            await connection.transport.aclose()
+            raise endpoint_errors.EndpointResponseLostError(
+                f"invalid status {response.status_code}"
+            )
         endpoint_announcements.record(self._endpoints, target, response)
         return endpoint_response.HttpEndpointResponse(
             response, connection, pool, self._settings
--- a/bronzeslip/platform/store_client.py
+++ b/bronzeslip/platform/store_client.py
@@ -62,6 +62,7 @@
         self._http = httpx.AsyncClient(
             base_url=f"http://{address.host}:{address.port}",
             timeout=None,
+            headers={"Accept-Encoding": "identity"},
             transport=transport
             or bounded_transport.BoundedTransport(
                 settings.response_head_max_bytes,
@@ -81,9 +82,7 @@
         if answer.status == httpx.codes.NOT_FOUND:
             return None
         return store_messages.to_object(
-            _kind_of(key),
-            store_messages.decode(answer, store_messages.StoredObject),
-            answer.era,
+            _kind_of(key), store_listings.decode_object(answer), answer.era
         )
 
     async def list_objects(
@@ -236,9 +235,13 @@
         return store_messages.Answer(response.status_code, body, era)
 
     async def _read_body(self, response: httpx.Response) -> bytes:
+        """Reads the body as it is sent.
+
+        Decompressing a chunk could take any amount of memory.
+        """
         chunks: list[bytes] = []
         size_bytes = 0
-        async for chunk in paced_chunks.paced(response.aiter_bytes()):
+        async for chunk in paced_chunks.paced(response.stream):
             size_bytes += len(chunk)
             if size_bytes > self._max_body_bytes:
                 raise errors.PlatformUnavailableError(
@@ -250,7 +253,7 @@
 
 def _continuation(page: store_messages.Page, after: str | None) -> str:
     """Returns the name after which a listing continues."""
-    name = page.items[-1].metadata.name if page.items else None
+    name = page.last_name
     if name is None or name == after:
         raise errors.PlatformError("the next part of the listing is unknown")
     return name
--- a/tools/entry_gateway.py
+++ b/tools/entry_gateway.py
@@ -10,6 +10,8 @@
 from tools import wait
 from tools.faults import tcp_proxy
 
+MEMORY_MB = 150
+
 _CALL_TIMEOUT_S = 20.0
 _BOOT_FILE_TEMPLATE = """
 node_name = "{name}"
@@ -21,6 +23,9 @@
 [listen]
 front = "{host}:{front}"
 ready = "{host}:{ready}"
+[limits]
+memory_mb = {memory_mb}
+max_fds = 4100
 [bounds]
 drain_ms = 2500
 grace_s = 8
@@ -37,6 +42,7 @@
 
     Attributes:
         process: The current process.
+        processes: All processes that were started, the current one included.
         proxy: Proxy through which the gateway reaches the store.
         boot_path: Path of the boot file.
         host: Address that the gateway listens on.
@@ -52,6 +58,7 @@
         self._metrics_port = loopback_address.next_port()
         self.proxy = tcp_proxy.TcpProxy()
         self.proxy.set_target(store_port)
+        self.processes: list[local_process.LocalProcess] = []
         self.write_boot_file()
         self.start()
 
@@ -65,6 +72,12 @@
             f"--metrics-port={self._metrics_port}",
             environment={"BRONZESLIP_BOOT": str(self.boot_path)},
         )
+        self.processes.append(self.process)
+
+    @property
+    def caller_address(self) -> tuple[str, int]:
+        """Address that callers connect to."""
+        return self.host, self._front_port
 
     @property
     def name(self) -> str:
@@ -92,6 +105,7 @@
                 peer=self._peer_port,
                 store=self.proxy.port,
                 retry_slack=retry_slack,
+                memory_mb=MEMORY_MB,
             )
         )
 
