Play unreadable entries, cut settings and large bodies in the soak

The soak now writes unusable entries into the endpoint list, cuts the settings file at a reload or restart, keeps a port taken at a restart and sends bursts of 30 bodies of 4 MiB. Two invariants are new: no gateway process ends by itself, and none exceeds its memory limit. The entries of test_unreadable_entries moved to tools.unreadable_entries unchanged.

--- a/standins/model_endpoint/odd_responses.py
+++ b/standins/model_endpoint/odd_responses.py
@@ -6,6 +6,7 @@
 import litestar
 from litestar import response
 
+_COMMAND_BYTES = 64
 _CHUNK_BYTES = 65_536
 _CHUNK_COUNT = 128
 
@@ -17,9 +18,9 @@
         body: Name of the response, and text that may follow after a space.
         headers: Headers of the response.
     """
-    name, _, argument = body[:_CHUNK_BYTES].partition(b" ")
+    name, _, argument = body[:_COMMAND_BYTES].partition(b" ")
     if name == b"discard":
-        return _whole(b"discarded", headers)
+        return _whole(b"ran " + argument.split(b" ", 1)[0], headers)
     if name == b"large":
         return _whole(bytes(int(argument)), headers)
     if name == b"cut-off":
--- a/tests/processes/test_memory_limit.py
+++ b/tests/processes/test_memory_limit.py
@@ -13,10 +13,11 @@
 from tools import entry_deployment
 from tools import entry_gateway
 from tools import memory_watch
+from tools import sampling
 from tools import wait
 
 _LIMIT_BYTES = entry_gateway.MEMORY_MB * 1_000_000
-_MAX_BODY_BYTES = 4 * 1024 * 1024
+_MAX_BODY_BYTES = entry_configuration.MAX_BODY_BYTES
 _BUFFERED_RESPONSE_BYTES = 1024 * 1024
 _BODY_START = b"discard "
 _WHOLE_BODY = _BODY_START.ljust(_MAX_BODY_BYTES, b"x")
@@ -42,9 +43,8 @@
         self.watch = memory_watch.MemoryWatch(self.gateway.process.pid)
 
     def write_wide_limits(self):
-        """Allows large bodies and many requests at once."""
+        """Allows many requests at once and long idle times."""
         document = entry_configuration.configuration(2)
-        document["limits"]["max_body_bytes"] = _MAX_BODY_BYTES
         document["limits"]["idle_timeout_ms"] = 60_000
         for service in document["services"]:
             service["max_conns"] = 500
@@ -73,7 +73,7 @@
     @contextlib.asynccontextmanager
     async def send(self, count, path, body, size_bytes=None):
         """Yields callers that have sent a request; memory is watched."""
-        with self.watch:
+        with sampling.repeat(self.watch.sample):
             async with self.connect(count) as callers:
                 for number, caller in enumerate(callers):
                     caller.send(f"n-{number}", path, body, size_bytes)
@@ -184,7 +184,7 @@
     # Guards against exceeding the memory limit by idle connections.
     async def test_idle_connections(self):
         async with contextlib.AsyncExitStack() as stack:
-            stack.enter_context(self.watch)
+            stack.enter_context(sampling.repeat(self.watch.sample))
             for _ in range(20):
                 callers = await stack.enter_async_context(self.connect(100))
                 await self.call_each(callers)
--- a/tests/processes/test_unreadable_entries.py
+++ b/tests/processes/test_unreadable_entries.py
@@ -4,48 +4,16 @@
 import unittest
 
 import httpx
-import msgspec
 
-from tools import entry_configuration
 from tools import entry_deployment
+from tools import unreadable_entries
 from tools import wait
 
-_NESTING_DEPTH = 100_000
 # Longer than a watch call and the delay after it.
 _OBSERVED_S = 3.0
 _CALLS = 16
 
 
-def _item(spec, name=b'"odd"'):
-    """Returns the bytes of a stored object."""
-    return b'{"metadata":{"name":%s,"revision":1},"spec":%s}' % (name, spec)
-
-
-def _entry(**fields):
-    """Returns the bytes of a discovery entry with some fields replaced."""
-    spec = entry_configuration.discovery_entry("desk", 9, "ready", 1)
-    return msgspec.json.encode({**spec, **fields})
-
-
-_DEEP = b"[" * _NESTING_DEPTH + b"]" * _NESTING_DEPTH
-_UNREADABLE_ITEMS = {
-    "deeply nested spec": _item(_DEEP),
-    "deeply nested unknown field": _item(_entry()[:-1] + b',"x":%s}' % _DEEP),
-    "port of thousands of digits": _item(
-        _entry(address="127.0.0.1:" + "9" * 5000)
-    ),
-    "port out of range": _item(_entry(address="127.0.0.1:70000")),
-    "host with a line break": _item(_entry(address="127.0.0.1\r\nx:80")),
-    "number too large": _item(_entry()[:-1] + b',"born":%s}' % (b"9" * 5000)),
-    "slots too large": _item(_entry(slots=0)[:-1] + b',"slots":1e999}'),
-    "no name": b'{"metadata":{},"spec":%s}' % _entry(),
-    "number as name": _item(_entry(), b"7"),
-    "number as item": b"7",
-    "bare NaN": _item(_entry()[:-1] + b',"cold_left_ms":NaN}'),
-    "text that is no UTF-8": _item(_entry()[:-1] + b',"zone":"\xff\xfe"}'),
-}
-
-
 class UnreadableEntriesTest(unittest.TestCase):
     def setUp(self):
         self.deployment = entry_deployment.EntryDeployment()
@@ -75,7 +43,7 @@
     # Guards against entries of another writer that end every gateway that
     # reads the list, or make it stop following the list.
     def test_entries_do_not_end_a_watching_gateway(self):
-        for name, item in _UNREADABLE_ITEMS.items():
+        for name, item in unreadable_entries.ITEMS.items():
             with self.subTest(item=name):
                 self.restore()
                 self.deployment.put_raw_object("servers", "odd", item)
@@ -85,7 +53,7 @@
 
     # Guards against a gateway that can't start while such an entry exists.
     def test_entries_do_not_keep_a_gateway_from_starting(self):
-        for name, item in _UNREADABLE_ITEMS.items():
+        for name, item in unreadable_entries.ITEMS.items():
             with self.subTest(item=name):
                 self.restore()
                 self.deployment.put_raw_object("servers", "odd", item)
--- a/tests/tools/test_memory_watch.py
+++ b/tests/tools/test_memory_watch.py
@@ -4,23 +4,22 @@
 import socket
 import subprocess
 import sys
-import time
 import unittest
 
 from tools import memory_watch
 
 _BYTES = 60_000_000
 _UNREAD_BYTES = 100_000
-_SAMPLED_S = 0.3
 
 
 class MemoryWatchTest(unittest.TestCase):
     def test_peak_contains_memory_that_was_freed_again(self):
-        with memory_watch.MemoryWatch(os.getpid()) as watch:
-            time.sleep(_SAMPLED_S)
-            before_bytes = watch.peak_bytes
-            block = b"x" * (before_bytes + _BYTES)
-            del block
+        watch = memory_watch.MemoryWatch(os.getpid())
+        watch.sample()
+        before_bytes = watch.peak_bytes
+        block = b"x" * (before_bytes + _BYTES)
+        del block
+        watch.sample()
         self.assertGreaterEqual(watch.peak_bytes, before_bytes + _BYTES)
         self.assertEqual(watch.peak_bytes, watch.resident_peak_bytes)
 
@@ -41,8 +40,8 @@
     def test_watch_of_an_ended_process_does_not_fail(self):
         process = subprocess.Popen([sys.executable, "-c", ""])
         process.wait()
-        with memory_watch.MemoryWatch(process.pid) as watch:
-            time.sleep(_SAMPLED_S)
+        watch = memory_watch.MemoryWatch(process.pid)
+        watch.sample()
         self.assertEqual(watch.peak_bytes, 0)
 
 
--- a/tools/entry_configuration.py
+++ b/tools/entry_configuration.py
@@ -12,6 +12,7 @@
     READS_PATH: "desk",
     STREAMS_PATH: "engine",
 }
+MAX_BODY_BYTES = 4 * 1024 * 1024
 # Time after which a leaving endpoint must receive no new requests.
 DRAIN_S = 2.5
 
@@ -39,7 +40,7 @@
         ],
         "limits": {
             "max_header_bytes": 8_000,
-            "max_body_bytes": 100_000,
+            "max_body_bytes": MAX_BODY_BYTES,
             "header_timeout_ms": 3_000,
             "idle_timeout_ms": 15_000,
         },
--- a/tools/entry_deployment.py
+++ b/tools/entry_deployment.py
@@ -1,5 +1,6 @@
 """Gateways on entry VMs as processes, with stand-ins for the platform."""
 
+from collections.abc import Callable
 import contextlib
 import tempfile
 import time
@@ -89,18 +90,23 @@
         self._written[kind, name] = spec
         body = {"metadata": {"name": name}, "spec": spec}
         content = msgspec.json.encode(body)
+        self._repeat(
+            lambda: self._write(kind, name, content)
+        ).raise_for_status()
 
-        def is_accepted() -> bool:
+    def _repeat(self, write: Callable[[], httpx.Response]) -> httpx.Response:
+        """Writes to the store, again while the store is away."""
+
+        def send() -> httpx.Response | None:
             try:
-                response = self._write(kind, name, content)
+                response = write()
             except httpx.TransportError:
-                return False
+                return None
             if response.status_code == httpx.codes.SERVICE_UNAVAILABLE:
-                return False
-            response.raise_for_status()
-            return True
+                return None
+            return response
 
-        wait.until(is_accepted)
+        return wait.until(send)
 
     def _write(self, kind: str, name: str, content: bytes) -> httpx.Response:
         url = f"{self.store.http_url()}/objects/{kind}"
@@ -115,9 +121,9 @@
         httpx.put(url, content=content).raise_for_status()
 
     def remove_object(self, kind: str, name: str) -> None:
-        """Removes an object if it exists, whatever its revision."""
+        """Removes an object if it exists, again while the store is away."""
         url = f"{self.store.http_url()}/objects/{kind}/{name}"
-        response = httpx.delete(url)
+        response = self._repeat(lambda: httpx.delete(url))
         if response.status_code != httpx.codes.NOT_FOUND:
             response.raise_for_status()
 
--- a/tools/local_process.py
+++ b/tools/local_process.py
@@ -37,6 +37,7 @@
         self._environment = environment or {}
         self.lines: list[str] = []
         self._stop_requested = False
+        self._was_ended = False
         self._lines_changed = threading.Condition()
         self._process = subprocess.Popen(
             [sys.executable, "-m", module, *arguments],
@@ -75,6 +76,11 @@
         """Exit status, or None while the process runs."""
         return self._process.poll()
 
+    @property
+    def has_ended_by_itself(self) -> bool:
+        """Whether the process has ended without being stopped or killed."""
+        return self.exit_status is not None and not self._was_ended
+
     def http_port(self) -> int:
         """Waits until the process prints its HTTP port and returns it."""
         return int(self._wait_for_port("http_port"))
@@ -98,6 +104,7 @@
 
     def kill(self) -> None:
         """Kills the process and waits until it has exited."""
+        self._note_end()
         self.send_signal(signal.SIGKILL)
         self._process.wait()
 
@@ -109,6 +116,7 @@
         """Asks the process to exit; repeated calls have no effect."""
         if not self._stop_requested:
             self._stop_requested = True
+            self._note_end()
             self.send_signal(signal.SIGCONT)
             self.send_signal(signal.SIGTERM)
 
@@ -122,6 +130,10 @@
         self._reader.join(_STOP_TIMEOUT_S)
         self._process.stdout.close()
 
+    def _note_end(self) -> None:
+        if self.exit_status is None:
+            self._was_ended = True
+
     def _read_lines(self) -> None:
         for line in self._process.stdout:
             with self._lines_changed:
--- a/tools/memory_watch.py
+++ b/tools/memory_watch.py
@@ -1,12 +1,9 @@
 """Watches how much memory a process uses."""
 
+import contextlib
 import pathlib
 import re
-import threading
-import time
-from typing import Self
 
-_INTERVAL_S = 0.05
 _BYTES_PER_KIB = 1024
 _SOCKET_LINK = re.compile(r"socket:\[(\d+)\]")
 # Columns of the kernel's table of TCP sockets.
@@ -17,7 +14,7 @@
 
 
 class MemoryWatch:
-    """Samples the memory of a process until the context ends.
+    """Samples the memory of a process.
 
     Bytes that the kernel has received for the process count as its memory.
 
@@ -30,29 +27,12 @@
         self.resident_peak_bytes = 0
         self.peak_bytes = 0
         self._folder = pathlib.Path("/proc") / str(process_id)
-        self._stop = threading.Event()
-        self._thread = threading.Thread(target=self._run, daemon=True)
 
-    def __enter__(self) -> Self:
-        """Starts to sample."""
-        self._thread.start()
-        return self
-
-    def __exit__(self, *_: object) -> None:
-        """Takes the last sample."""
-        self._stop.set()
-        self._thread.join()
-
-    def _run(self) -> None:
-        is_last = False
-        while not is_last:
-            is_last = self._stop.is_set()
-            try:
-                self._sample()
-            except (OSError, KeyError):
-                # The process has ended.
-                return
-            time.sleep(_INTERVAL_S)
+    def sample(self) -> None:
+        """Takes one sample, unless the process has ended."""
+        # A process that has ended has neither sizes nor open files.
+        with contextlib.suppress(OSError, KeyError):
+            self._sample()
 
     def _sample(self) -> None:
         status = dict(
--- a/tools/soak/checker.py
+++ b/tools/soak/checker.py
@@ -9,6 +9,8 @@
 
 from tools.soak import arrival_checker
 from tools.soak import invariant
+from tools.soak import process_checker
+from tools.soak import process_record
 from tools.soak import request_kind
 from tools.soak import request_result
 from tools.soak import violation
@@ -30,12 +32,14 @@
         recovered_at_s: End of the recovery time after the last fault, in
             seconds from the start.
         observed: Arrivals at the endpoints.
+        processes: Records of the processes of all gateways.
     """
 
     results: Sequence[request_result.RequestResult]
     runs: Sequence[str]
     recovered_at_s: float
     observed: arrival_checker.Observations = arrival_checker.Observations()
+    processes: Sequence[process_record.ProcessRecord] = ()
 
 
 def check(history: History) -> list[violation.Violation]:
@@ -47,6 +51,7 @@
         violations += _check_body(result)
     violations += _check_recovery(history)
     violations += arrival_checker.check(history.observed)
+    violations += process_checker.check(history.processes)
     return violations
 
 
--- a/tools/soak/fault.py
+++ b/tools/soak/fault.py
@@ -25,3 +25,8 @@
     ENDPOINT_STATES_LIMIT = "endpoint-states-limit"
     ENDPOINT_ASKS_FOR_PAUSE = "endpoint-asks-for-pause"
     POISON_PROMPTS_SENT = "poison-prompts-sent"
+    UNREADABLE_ENTRY_WRITTEN = "unreadable-entry-written"
+    SETTINGS_CUT_AND_RELOADED = "settings-cut-and-reloaded"
+    SETTINGS_CUT_AND_RESTARTED = "settings-cut-and-restarted"
+    PORT_TAKEN_AT_RESTART = "port-taken-at-restart"
+    LARGE_BODIES_SENT = "large-bodies-sent"
--- a/tools/soak/injector.py
+++ b/tools/soak/injector.py
@@ -5,6 +5,7 @@
 import contextlib
 import random
 import signal
+import socket
 import time
 
 import httpx
@@ -14,10 +15,13 @@
 from tools import entry_endpoint
 from tools import entry_gateway
 from tools import local_process
+from tools import unreadable_entries
 from tools.soak import disturbance
 from tools.soak import fault
+from tools.soak import large_bodies
 from tools.soak import limit_checker
 from tools.soak import poison_prompts
+from tools.soak import settings_faults
 
 _FAULT_DURATION_RANGE_S = (0.2, 2.0)
 _DRAIN_DURATION_S = 0.8
@@ -38,6 +42,7 @@
     Attributes:
         disturbances: Disturbances that excuse gateways.
         poison_prompts: Sends prompts that crash engines.
+        large_bodies: Sends bursts of large bodies.
     """
 
     def __init__(
@@ -65,6 +70,7 @@
         self.poison_prompts = poison_prompts.PoisonPrompts(
             deployment, self._gateways, rng
         )
+        self.large_bodies = large_bodies.LargeBodies(rng)
         self.disturbances: list[disturbance.Disturbance] = []
         self._methods: dict[fault.Fault, Callable[[], None]] = {
             fault.Fault.GATEWAY_KILLED: self._kill_gateway,
@@ -86,6 +92,11 @@
             fault.Fault.ENDPOINT_STATES_LIMIT: self._state_limit,
             fault.Fault.ENDPOINT_ASKS_FOR_PAUSE: self._ask_for_pause,
             fault.Fault.POISON_PROMPTS_SENT: self.poison_prompts.send_series,
+            fault.Fault.UNREADABLE_ENTRY_WRITTEN: self._write_unreadable_entry,
+            fault.Fault.SETTINGS_CUT_AND_RELOADED: self._cut_settings,
+            fault.Fault.SETTINGS_CUT_AND_RESTARTED: self._start_with_cut_file,
+            fault.Fault.PORT_TAKEN_AT_RESTART: self._start_without_port,
+            fault.Fault.LARGE_BODIES_SENT: self._send_large_bodies,
         }
 
     def inject(self, fault_kind: fault.Fault) -> None:
@@ -232,6 +243,40 @@
         with contextlib.suppress(httpx.TransportError):
             endpoint.end_limit()
 
+    def _write_unreadable_entry(self) -> None:
+        name = "odd"
+        item = self._rng.choice(tuple(unreadable_entries.ITEMS.values()))
+        self._deployment.put_raw_object("servers", name, item)
+        self._sleep_fault_duration()
+        self._deployment.remove_object("servers", name)
+
+    def _cut_settings(self) -> None:
+        gateway = self._random_gateway
+        with settings_faults.cut_boot_file(gateway, self._rng):
+            gateway.process.send_signal(signal.SIGHUP)
+            self._sleep_fault_duration()
+        gateway.process.send_signal(signal.SIGHUP)
+
+    def _start_with_cut_file(self) -> None:
+        gateway = self._random_gateway
+        with self._record(gateway.name):
+            gateway.process.stop()
+            with settings_faults.cut_boot_file(gateway, self._rng):
+                gateway.start()
+                self._sleep_fault_duration()
+
+    def _start_without_port(self) -> None:
+        gateway = self._random_gateway
+        port = self._rng.choice(tuple(gateway.ports.values()))
+        with self._record(gateway.name):
+            gateway.process.stop()
+            with socket.create_server((gateway.host, port)):
+                gateway.start()
+                self._sleep_fault_duration()
+
+    def _send_large_bodies(self) -> None:
+        self.large_bodies.send_burst(self._random_gateway)
+
     def _pause(self, process: local_process.LocalProcess) -> None:
         process.send_signal(signal.SIGSTOP)
         self._sleep_fault_duration()
--- a/tools/soak/invariant.py
+++ b/tools/soak/invariant.py
@@ -27,3 +27,5 @@
         "an endpoint that states a limit receives no more requests than that"
     )
     PAUSES_ARE_KEPT = "an endpoint that asks for a pause is left alone"
+    PROCESSES_KEEP_RUNNING = "no gateway process ends by itself"
+    MEMORY_WITHIN_LIMIT = "no gateway process exceeds its memory limit"
--- a/tools/soak/poison_prompts.py
+++ b/tools/soak/poison_prompts.py
@@ -1,6 +1,7 @@
 """Sends prompts that share a part which crashes engines."""
 
 from collections.abc import Sequence
+import contextlib
 import random
 import time
 import uuid
@@ -57,32 +58,23 @@
     def _send(self, part: str) -> None:
         gateway = self._rng.choice(self._gateways)
         request_id = uuid.UUID(int=self._rng.getrandbits(128)).hex[:16]
-        status, body = None, b""
-        sent_s = time.monotonic()
-        try:
+        sent = request_result.SentRequest(
+            request_id,
+            request_kind.RequestKind.STREAM,
+            gateway.name,
+            time.monotonic(),
+            part,
+        )
+        response = None
+        # A lost response is a result too.
+        with contextlib.suppress(httpx.HTTPError):
             response = gateway.call(
                 request_id,
                 entry_configuration.STREAMS_PATH,
                 b"stream " + request_id.encode(),
                 (_PREAMBLE, part),
             )
-            status, body = response.status_code, response.content
-        except httpx.HTTPError:
-            # The result says that no complete response was received.
-            pass
-        self.results.append(
-            request_result.RequestResult(
-                request_id,
-                request_kind.RequestKind.STREAM,
-                status,
-                body,
-                status is not None,
-                gateway=gateway.name,
-                sent_s=sent_s,
-                ended_s=time.monotonic(),
-                poison_part=part,
-            )
-        )
+        self.results.append(sent.ended(response))
         for engine in self._deployment.engines:
             if engine.restart_if_exited():
                 self._deployment.register(engine)
--- a/tools/soak/request_result.py
+++ b/tools/soak/request_result.py
@@ -1,5 +1,8 @@
 """Result of one request of a caller."""
 
+import time
+
+import httpx
 import msgspec
 
 from tools.soak import request_kind
@@ -31,3 +34,35 @@
     sent_s: float = 0.0
     ended_s: float = 0.0
     poison_part: str = ""
+
+
+class SentRequest(msgspec.Struct, frozen=True):
+    """A request that was sent whole and whose response is read whole.
+
+    Attributes:
+        request_id: Id of the request.
+        kind: Kind of the request.
+        gateway: VM id of the gateway that it was sent to.
+        sent_s: When it was sent on the monotonic clock, in seconds.
+        poison_part: Part of its prompt that crashes engines, or empty.
+    """
+
+    request_id: str
+    kind: request_kind.RequestKind
+    gateway: str
+    sent_s: float
+    poison_part: str = ""
+
+    def ended(self, response: httpx.Response | None) -> RequestResult:
+        """Returns the result, with the response or None if it was lost."""
+        return RequestResult(
+            self.request_id,
+            self.kind,
+            None if response is None else response.status_code,
+            b"" if response is None else response.content,
+            response is not None,
+            gateway=self.gateway,
+            sent_s=self.sent_s,
+            ended_s=time.monotonic(),
+            poison_part=self.poison_part,
+        )
--- a/tools/soak/trial.py
+++ b/tools/soak/trial.py
@@ -5,13 +5,17 @@
 import random
 import time
 
+import msgspec
+
 from tools import entry_deployment
+from tools import sampling
 from tools.soak import arrival_checker
 from tools.soak import caller
 from tools.soak import checker
 from tools.soak import endpoint_record
 from tools.soak import fault
 from tools.soak import injector
+from tools.soak import process_monitor
 from tools.soak import settings
 from tools.soak import violation
 
@@ -53,7 +57,12 @@
             has_unframed_endpoints=True,
         )
         try:
-            return checker.check(asyncio.run(self._collect_history(deployment)))
+            monitor = process_monitor.ProcessMonitor(deployment.gateways)
+            with sampling.repeat(monitor.sample):
+                history = asyncio.run(self._collect_history(deployment))
+            return checker.check(
+                msgspec.structs.replace(history, processes=monitor.records())
+            )
         finally:
             deployment.stop()
 
@@ -89,7 +98,10 @@
         results = callers.results + [
             result
             for fault_injector in injectors
-            for result in fault_injector.poison_prompts.results
+            for result in (
+                *fault_injector.poison_prompts.results,
+                *fault_injector.large_bodies.results,
+            )
         ]
         records = [
             endpoint_record.parse(endpoint.endpoint_id, endpoint.service, lines)
