--- a/bronzeslip/entry/daemon.py
+++ b/bronzeslip/entry/daemon.py
@@ -15,7 +15,9 @@
 from bronzeslip.entry import readiness
 from bronzeslip.entry import vm_config
 from bronzeslip.http import connection_limits
+from bronzeslip.http import connection_slots
 from bronzeslip.http import health
+from bronzeslip.http import internal_app
 from bronzeslip.http import server
 from bronzeslip.http import shutdown
 from bronzeslip.metrics import entry_metrics
@@ -47,6 +49,7 @@
         reload: Callable[[], None],
         begin_drain: Callable[[], None],
         deregister: Callable[[], Awaitable[None]],
+        slots: connection_slots.ConnectionSlots | None = None,
     ) -> None:
         """Creates a daemon.
 
@@ -62,6 +65,7 @@
             reload: Reloads the settings file; called on SIGHUP.
             begin_drain: Called when a shutdown is requested.
             deregister: Removes this gateway from the gateway registry.
+            slots: Bounds the connections of callers; defaults to no bound.
         """
         self._settings = settings
         self._this_vm = this_vm
@@ -77,17 +81,18 @@
             app,
             _create_http_settings(this_vm.caller_address),
             self._connection_limits,
+            slots,
         )
         self._readiness_server = server.HttpServer(
             self._create_readiness_app(),
             _create_http_settings(this_vm.readiness_address),
         )
         self._peer_server = server.HttpServer(
-            _create_app(permit_handler),
+            internal_app.create(permit_handler),
             _create_http_settings(this_vm.peer_address),
         )
         self._metrics_server = server.HttpServer(
-            _create_app(page.create_handler(metrics)),
+            internal_app.create(page.create_handler(metrics)),
             _create_http_settings(
                 vm_config.SocketAddress(
                     this_vm.caller_address.host, settings.metrics_port
@@ -147,7 +152,7 @@
         )
 
     def _create_readiness_app(self) -> litestar.Litestar:
-        return _create_app(
+        return internal_app.create(
             *health.handlers(
                 lambda: (
                     self._caller_server.is_listening
@@ -158,16 +163,6 @@
         )
 
 
-def _create_app(
-    *route_handlers: handlers.BaseRouteHandler,
-) -> litestar.Litestar:
-    return litestar.Litestar(
-        route_handlers=route_handlers,
-        openapi_config=None,
-        logging_config=None,
-    )
-
-
 def _create_http_settings(
     address: vm_config.SocketAddress,
 ) -> http.HttpSettings:
--- a/bronzeslip/platform/boot_file.py
+++ b/bronzeslip/platform/boot_file.py
@@ -13,6 +13,7 @@
 from bronzeslip.entry import vm_config
 from bronzeslip.platform import errors
 from bronzeslip.platform import place_bounds
+from bronzeslip.platform import process_limits
 
 # Environment variable that holds the path of the settings file.
 PATH_VARIABLE = "BRONZESLIP_BOOT"
@@ -40,10 +41,12 @@
     # First and last port for communication between nodes.
     port_range: tuple[_Port, _Port]
     zone: _Text
-    zones: dict[str, str]
     listen: _Listen
     platform: _Platform
     bounds: Any = None
+    limits: Any = None
+    # Region of each failure domain. A gateway serves without it.
+    zones: Any = None
 
 
 def read(
@@ -95,10 +98,7 @@
     return vm_config.VmConfig(
         vm_id=ids.VmId(boot_settings.node_name),
         failure_domain=ids.FailureDomainName(boot_settings.zone),
-        regions={
-            ids.FailureDomainName(domain): ids.RegionName(region)
-            for domain, region in boot_settings.zones.items()
-        },
+        regions=_to_regions(boot_settings.zones),
         caller_address=parse_address(boot_settings.listen.front),
         readiness_address=parse_address(boot_settings.listen.ready),
         store_address=parse_address(boot_settings.platform.address),
@@ -106,9 +106,21 @@
             f"{boot_settings.ip}:{boot_settings.port_range[0]}"
         ),
         bounds=place_bounds.decode(boot_settings.bounds, known_bounds),
+        process_limits=process_limits.decode(boot_settings.limits),
     )
 
 
+def _to_regions(zones: Any) -> dict[ids.FailureDomainName, ids.RegionName]:
+    """Converts the regions; leaves out those that can't be read."""
+    if not isinstance(zones, dict):
+        return {}
+    return {
+        ids.FailureDomainName(domain): ids.RegionName(region)
+        for domain, region in zones.items()
+        if isinstance(region, str)
+    }
+
+
 def parse_address(text: str) -> vm_config.SocketAddress:
     """Parses an address of the form HOST:PORT.
 
--- a/bronzeslip/platform/store_client.py
+++ b/bronzeslip/platform/store_client.py
@@ -81,9 +81,7 @@
         if answer.status == httpx.codes.NOT_FOUND:
             return None
         return store_messages.to_object(
-            _kind_of(key),
-            store_messages.decode(answer, store_messages.StoredObject),
-            answer.era,
+            _kind_of(key), store_listings.decode_object(answer), answer.era
         )
 
     async def list_objects(
@@ -250,7 +248,7 @@
 
 def _continuation(page: store_messages.Page, after: str | None) -> str:
     """Returns the name after which a listing continues."""
-    name = page.items[-1].metadata.name if page.items else None
+    name = page.last_name
     if name is None or name == after:
         raise errors.PlatformError("the next part of the listing is unknown")
     return name
