Reject requests that ask for another protocol and have a body

The HTTP parser skips the body of a request with Connection: upgrade and an Upgrade header. The application then received it as a request without a body: one with a content length ended in a 500, one in chunks would have been forwarded without its body. Found while looking for foreign bytes.

Such a request is rejected with 400 before it reaches the application. test_upgrade_with_a_body_is_rejected failed before (the application got both requests) and passes; tests.http.test_limited_protocol: 7 passed.

--- a/bronzeslip/http/limited_protocol.py
+++ b/bronzeslip/http/limited_protocol.py
@@ -19,6 +19,8 @@
 _RETRY_AFTER_S = 0.5
 _MAX_DISCARDED_BYTES = 8 * 1024 * 1024
 
+_BODY_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
+
 _MALFORMED = problem.create(
     "bad-request", "Bad request", 400, "the bytes are no HTTP request"
 )
@@ -34,6 +36,12 @@
     408,
     "the headers did not arrive in time",
 )
+_UPGRADE_WITH_BODY = problem.create(
+    "upgrade-with-body",
+    "Upgrade with a body",
+    400,
+    "a request that asks for another protocol can't have a body",
+)
 _TOO_MANY_CONNECTIONS = problem.create(
     "too-many-connections",
     "Too many connections",
@@ -143,6 +151,10 @@
         if size_bytes > self._get_limits().max_header_bytes:
             self._rejection = _HEADERS_TOO_LARGE
             raise _RequestRejectedError
+        if self.parser.should_upgrade() and self._has_body():
+            # The parser would skip the body.
+            self._rejection = _UPGRADE_WITH_BODY
+            raise _RequestRejectedError
         # The unmodified request target, which can't be restored from the path
         # and query of the scope.
         self.scope["target"] = self.url
@@ -183,6 +195,12 @@
         """Sends the error response for a request that the parser rejects."""
         self._reject(self._rejection)
 
+    def _has_body(self) -> bool:
+        return any(
+            name in _BODY_HEADERS and value != b"0"
+            for name, value in self.headers
+        )
+
     def _pause_before_body(self) -> None:
         """Leaves a body in the socket until the application asks for it."""
         self._must_pause = False
--- a/tests/http/test_limited_protocol.py
+++ b/tests/http/test_limited_protocol.py
@@ -73,6 +73,22 @@
         self.assertEqual(problem["code"], code)
         self.assertEqual(problem["error"]["code"], code)
 
+    # Guards against requests that reach an endpoint without their body.
+    async def test_upgrade_with_a_body_is_rejected(self):
+        app = StreamingApp()
+        await self.start(app)
+        head = b"POST / HTTP/1.1\r\nhost: x\r\nconnection: upgrade\r\n"
+        for fields, body in (
+            (b"content-length: 4\r\n", b"body"),
+            (b"transfer-encoding: chunked\r\n", b"4\r\nbody\r\n0\r\n\r\n"),
+        ):
+            with self.subTest(fields=fields):
+                response = await self.exchange(
+                    head + b"upgrade: h2c\r\n" + fields + b"\r\n" + body
+                )
+                self.assert_problem(response, 400, "upgrade-with-body")
+        self.assertEqual(app.request_count, 0)
+
     async def test_large_headers(self):
         app = StreamingApp()
         await self.start(app, max_header_bytes=2000)
