Ignore request limits that are too large for a number

Seen: an endpoint states a request limit of 400 digits once. The bucket of its permits then holds no number any more, and its coordinator grants no permit for it until the coordinator restarts or the endpoint does, also under a later, sound limit.

Cause: the text was converted to an infinite rate, and 0 * inf is nan. Requests and replies of gateways about permits could carry 1e308 as well.

Change: limits are parsed as other numbers of foreign data; numbers of permits have a range.

--- a/bronzeslip/platform/endpoint_announcements.py
+++ b/bronzeslip/platform/endpoint_announcements.py
@@ -1,11 +1,11 @@
 """Announcements of endpoints in the headers of their responses."""
 
 import math
-import re
 
 import httpx
 
 from bronzeslip import logs
+from bronzeslip.decoding import numbers
 from bronzeslip.endpoints import directory
 from bronzeslip.endpoints import endpoint
 from bronzeslip.platform import headers
@@ -13,7 +13,6 @@
 logger = logs.get_logger(__name__)
 
 _LEAVING_VALUE = "1"
-_DECIMAL_NUMBER = re.compile(r"[0-9]+(\.[0-9]+)?", re.ASCII)
 
 
 def record(
@@ -59,14 +58,15 @@
     text = response.headers.get(headers.SERVER_LIMIT.decode())
     if text is None:
         return
-    if not _DECIMAL_NUMBER.fullmatch(text.strip()):
+    rate_per_s = numbers.parse_decimal(text.strip())
+    if rate_per_s is None:
         logger.info("endpoint.unreadable_limit", endpoint=sender.endpoint_id)
         return
     known = endpoints.get(sender.endpoint_id)
     if known is None or not known.is_same_incarnation(sender):
         # A late response of an incarnation that is gone.
         return
-    endpoints.request_limits.state(sender, float(text))
+    endpoints.request_limits.state(sender, rate_per_s)
 
 
 def _parse_seconds(text: str) -> float | None:
--- a/bronzeslip/quota/permit_reply.py
+++ b/bronzeslip/quota/permit_reply.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from bronzeslip.decoding import fields
 from bronzeslip.quota import permit_verdict
 
 
@@ -18,6 +19,6 @@
     """
 
     verdict: permit_verdict.PermitVerdict
-    retry_after_s: float = 0.0
-    rate_per_s: float | None = None
-    statement_age_s: float = 0.0
+    retry_after_s: fields.Quantity = 0.0
+    rate_per_s: fields.Quantity | None = None
+    statement_age_s: fields.Quantity = 0.0
--- a/bronzeslip/quota/permit_request.py
+++ b/bronzeslip/quota/permit_request.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from bronzeslip import ids
+from bronzeslip.decoding import fields
 from bronzeslip.quota import peer
 
 
@@ -26,9 +27,9 @@
 
     endpoint_id: ids.EndpointId
     address: str
-    started_unix_ms: int
-    rate_per_s: float | None
-    statement_age_s: float
-    reserved: float
+    started_unix_ms: fields.Count
+    rate_per_s: fields.Quantity | None
+    statement_age_s: fields.Quantity
+    reserved: fields.Quantity
     is_fallback: bool
     sender: peer.Peer
--- a/tests/entry/test_permits_api.py
+++ b/tests/entry/test_permits_api.py
@@ -108,6 +108,8 @@
             (b"", b"200 OK"),
             (b"{}", b"200 OK"),
             (b'{"verdict":"maybe"}', b"200 OK"),
+            (b'{"verdict":"granted","rate_per_s":1e308}', b"200 OK"),
+            (b'{"verdict":"denied","retry_after_s":1e308}', b"200 OK"),
             (b'{"verdict":"granted"}', b"404 Not Found"),
         ):
             with self.subTest(body=body, status=status):
--- a/tests/platform/test_endpoint_announcements.py
+++ b/tests/platform/test_endpoint_announcements.py
@@ -225,6 +225,12 @@
                 await self._respond(text)
                 self.assertIsNone(self._rate_per_s)
 
+    # Guards against a number of 400 digits that was taken for an infinite rate,
+    # with which a coordinator grants no permit for the endpoint any more.
+    async def test_limits_that_are_too_large_are_ignored(self):
+        await self._respond(b"9" * 400)
+        self.assertIsNone(self._rate_per_s)
+
     async def test_unreadable_limit_leaves_the_stated_one_in_force(self):
         await self._respond(b"1.8", b"many")
         self.assertEqual(self._rate_per_s, 1.8)
