--- a/bronzeslip/quota/permit_request.py
+++ b/bronzeslip/quota/permit_request.py
@@ -27,7 +27,7 @@
 
     endpoint_id: ids.EndpointId
     address: str
-    started_unix_ms: int
+    started_unix_ms: fields.Count
     rate_per_s: fields.NonNegativeQuantity | None
     statement_age_s: fields.Quantity
     reserved: fields.NonNegativeQuantity
