Show that an unbalanced value hides its page of a listing (failing)

Seen: one entry among those of the endpoints whose value is 1,000 opening brackets. A gateway that starts is not ready after 6 s, with 11 platform.follow_failed; one that runs keeps what it knows and no longer follows the list once it lists again.

Cause: the parts of a listing are separated by their brackets and quotes, which then don't match for the listing as a whole.

Open: a store that sends such bytes leaves it undecided where the entry ends.

--- a/tests/platform/test_store_listings.py
+++ b/tests/platform/test_store_listings.py
@@ -106,6 +106,14 @@
                 changed = await self._watch(_changes(*items))
                 self.assertEqual(changed, listed)
 
+    # Guards against a listing that is lost as a whole for one unbalanced value.
+    async def test_unbalanced_values_leave_the_others_of_a_listing(self):
+        for value in (b"[" * 1000, b"[]]", b'"x'):
+            listed = await self._list(
+                _page(_item(b"a"), _item(b"odd", value), _item(b"b"))
+            )
+            self.assertLessEqual({"things/a", "things/b"}, set(listed))
+
     # Guards against a gateway that never registers, and shares no suspects, as
     # another writer has replaced its own record.
     async def test_object_with_an_unreadable_value_can_be_replaced(self):
