Find the other objects of a listing with an unbalanced value

When a response can't be separated from the outside in, its elements are found by their beginnings, which are the same for all objects of the store; each is kept if its own brackets match.

Two such entries join the process test.

--- a/bronzeslip/decoding/json_parts.py
+++ b/bronzeslip/decoding/json_parts.py
@@ -57,6 +57,15 @@
     return values
 
 
+def container(data: bytes) -> bytes:
+    """Returns the container that the data begins with.
+
+    Raises:
+        errors.UndecodableError: If it does not end.
+    """
+    return data[: _closing_position(data, 0, may_be_followed=True)]
+
+
 def _content(data: bytes, opening: bytes, closing: bytes) -> bytes:
     stripped = data.strip(_WHITESPACE)
     is_enclosed = stripped[:1] == opening and stripped[-1:] == closing
@@ -84,8 +93,17 @@
             position = _closing_position(content, position)
 
 
-def _closing_position(content: bytes, position: int) -> int:
-    """Returns the end of the container that begins at a position."""
+def _closing_position(
+    content: bytes, position: int, may_be_followed: bool = False
+) -> int:
+    """Returns the end of the container that begins at a position.
+
+    Args:
+        content: Content of the enclosing container.
+        position: Position of the container.
+        may_be_followed: Whether closing brackets that belong to no container
+            in the content may follow.
+    """
     depth = 0
     while True:
         brackets = _BRACKETS.match(content, position)
@@ -94,6 +112,8 @@
         length = brackets.end() - position
         is_opening = brackets[0][:1] in b"[{"
         depth += length if is_opening else -length
+        if depth < 0 and may_be_followed:
+            return brackets.end() + depth
         if depth < 0:
             raise errors.UndecodableError("brackets don't match")
         position = brackets.end()
--- a/bronzeslip/platform/store_listings.py
+++ b/bronzeslip/platform/store_listings.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 import contextlib
+import re
+from typing import Any
 from typing import TypeVar
 
 import msgspec
@@ -11,6 +13,7 @@
 from bronzeslip.decoding import json_parts
 from bronzeslip.decoding import untrusted
 from bronzeslip.platform import store_messages
+from bronzeslip.platform import store_salvage
 from bronzeslip.store import errors
 
 logger = logs.get_logger(__name__)
@@ -24,6 +27,20 @@
     name: str
 
 
+class _ListMember(msgspec.Struct, frozen=True):
+    """Member of a response that lists objects or changes.
+
+    Attributes:
+        name: Name of the member.
+        element_start: What precedes each element.
+        convert: Decodes the separated response.
+    """
+
+    name: str
+    element_start: re.Pattern[bytes]
+    convert: Callable[[store_salvage.SeparatedResponse], Any]
+
+
 def decode_page(answer: store_messages.Answer) -> store_messages.Page:
     """Decodes a part of a listing.
 
@@ -32,11 +49,11 @@
     Raises:
         errors.PlatformError: If the response is not a part of a listing.
     """
-    try:
-        return untrusted.from_json(answer.body, store_messages.Page)
-    except decoding_errors.UndecodableError:
-        # An object can't be decoded, or the page is not valid at all.
-        return _decode_separated(answer.body, _separate_page)
+    return _decode(
+        answer.body,
+        store_messages.Page,
+        _ListMember("items", store_salvage.OBJECT_START, _to_page),
+    )
 
 
 def decode_events(answer: store_messages.Answer) -> store_messages.Events:
@@ -47,10 +64,11 @@
     Raises:
         errors.PlatformError: If the response is not a list of changes.
     """
-    try:
-        return untrusted.from_json(answer.body, store_messages.Events)
-    except decoding_errors.UndecodableError:
-        return _decode_separated(answer.body, _separate_events)
+    return _decode(
+        answer.body,
+        store_messages.Events,
+        _ListMember("events", store_salvage.CHANGE_START, _to_events),
+    )
 
 
 def decode_object(answer: store_messages.Answer) -> store_messages.StoredObject:
@@ -67,26 +85,42 @@
         ) from error
 
 
-def _decode_separated(
-    body: bytes, separate: Callable[[dict[str, bytes]], PartT]
+def _decode(
+    body: bytes, message_type: type[PartT], member: _ListMember
 ) -> PartT:
+    with contextlib.suppress(decoding_errors.UndecodableError):
+        return untrusted.from_json(body, message_type)
+    # An object can't be decoded, or the response is not valid at all.
     try:
-        return separate(json_parts.members(body))
+        return member.convert(_separate(body, member))
     except decoding_errors.UndecodableError as error:
         raise errors.PlatformError(
             f"invalid response from the store: {error.message}"
         ) from error
 
 
-def _separate_page(members: dict[str, bytes]) -> store_messages.Page:
-    elements = json_parts.elements(members.get("items", b""))
+def _separate(
+    body: bytes, member: _ListMember
+) -> store_salvage.SeparatedResponse:
+    try:
+        members = json_parts.members(body)
+        return store_salvage.SeparatedResponse(
+            json_parts.elements(members.get(member.name, b"")),
+            members.get("as_of", b""),
+            members.get("truncated", b"false"),
+        )
+    except decoding_errors.UndecodableError:
+        return store_salvage.salvage(body, member.element_start)
+
+
+def _to_page(
+    separated: store_salvage.SeparatedResponse,
+) -> store_messages.Page:
     return store_messages.Page(
-        _decode_each(elements, _decode_object),
-        untrusted.from_json(
-            members.get("as_of", b""), store_messages.RevisionNumber
-        ),
-        untrusted.from_json(members.get("truncated", b"false"), bool),
-        _last_name(elements),
+        _decode_each(separated.elements, _decode_object),
+        untrusted.from_json(separated.as_of, store_messages.RevisionNumber),
+        untrusted.from_json(separated.truncated, bool),
+        _last_name(separated.elements),
     )
 
 
@@ -98,14 +132,12 @@
     return None
 
 
-def _separate_events(members: dict[str, bytes]) -> store_messages.Events:
+def _to_events(
+    separated: store_salvage.SeparatedResponse,
+) -> store_messages.Events:
     return store_messages.Events(
-        _decode_each(
-            json_parts.elements(members.get("events", b"")), _decode_event
-        ),
-        untrusted.from_json(
-            members.get("as_of", b""), store_messages.RevisionNumber
-        ),
+        _decode_each(separated.elements, _decode_event),
+        untrusted.from_json(separated.as_of, store_messages.RevisionNumber),
     )
 
 
--- a/tests/platform/test_store_listings.py
+++ b/tests/platform/test_store_listings.py
@@ -115,6 +115,21 @@
             )
             self.assertLessEqual({"things/a", "things/b"}, set(listed))
 
+    async def test_unbalanced_values_leave_the_other_changes(self):
+        for value in (b"[" * 1000, b"[]]", b'"x'):
+            with self.subTest(value=value[:9]):
+                changed = await self._watch(
+                    _changes(_item(b"a"), _item(b"odd", value), _item(b"b"))
+                )
+                self.assertLessEqual({"things/a", "things/b"}, set(changed))
+
+    async def test_unbalanced_last_value_leaves_the_others(self):
+        listed = await self._list(
+            _page(_item(b"a"), _item(b"odd", b"[" * 1000), truncated=True),
+            _page(_item(b"b")),
+        )
+        self.assertLessEqual({"things/a", "things/b"}, set(listed))
+
     # Guards against a gateway that never registers, and shares no suspects, as
     # another writer has replaced its own record.
     async def test_object_with_an_unreadable_value_can_be_replaced(self):
--- a/tools/unreadable_entries.py
+++ b/tools/unreadable_entries.py
@@ -38,5 +38,7 @@
     "revision out of range": b'{"metadata":{"name":"odd","revision":-1},'
     b'"spec":%s}' % _entry(),
     "entry of a megabyte": _item(_entry(comment="x" * 1_000_000)),
+    "brackets that don't match": _item(b"[" * 1000),
+    "string without an end": _item(b'"x'),
     "text that is no UTF-8": _item(_entry()[:-1] + b',"zone":"\xff\xfe"}'),
 }
