--- a/tests/processes/test_memory_limit.py
+++ b/tests/processes/test_memory_limit.py
@@ -18,8 +18,6 @@
 
 _LIMIT_BYTES = entry_gateway.MEMORY_MB * 1_000_000
 _MAX_BODY_BYTES = entry_configuration.MAX_BODY_BYTES
-# More new connections at once would exceed what the endpoint accepts in time.
-_CALLS_AT_ONCE = 10
 _BUFFERED_RESPONSE_BYTES = 1024 * 1024
 _BODY_START = b"discard "
 _WHOLE_BODY = _BODY_START.ljust(_MAX_BODY_BYTES, b"x")
@@ -195,15 +193,13 @@
         self.assert_within_limit()
 
     async def call_each(self, callers):
-        """Makes a small call over each connection, some at a time."""
-        for start in range(0, len(callers), _CALLS_AT_ONCE):
-            group = callers[start : start + _CALLS_AT_ONCE]
-            for number, caller in enumerate(group, start):
-                caller.send(f"small-{number}", _CALLS, b"x")
-            statuses = await self.collect(
-                caller.read_response() for caller in group
-            )
-            self.assertEqual(statuses, {httpx.codes.OK: len(group)})
+        """Makes a small call over each connection at once."""
+        for number, caller in enumerate(callers):
+            caller.send(f"small-{number}", _CALLS, b"x")
+        statuses = await self.collect(
+            caller.read_response() for caller in callers
+        )
+        self.assertEqual(statuses, {httpx.codes.OK: len(callers)})
 
     # Guards against exceeding the memory limit by streams that callers do not
     # read.
