Restrict requests to the allowed regions of routes and workspaces

Callers could not be kept in a region: requests, retries, resumptions and copies of their memory went to any endpoint of the service.

allowed_regions of the route and of the workspace are intersected at admission. AllowedRegionsFilter decides for all choosers, permits, copies and resumptions whether an endpoint is eligible. A gateway watches at least two endpoints of each region that the configuration names. Requests without an eligible endpoint are refused with 503 and a spread Retry-After; they are counted.

--- a/bronzeslip/endpoints/directory.py
+++ b/bronzeslip/endpoints/directory.py
@@ -144,16 +144,26 @@
         """Returns how long an endpoint must not be called, in seconds."""
         return self._pauses.remaining_s(target)
 
-    def shortest_pause_s(self, service_name: ids.ServiceName) -> float | None:
+    def shortest_pause_s(
+        self,
+        service_name: ids.ServiceName,
+        is_eligible: Callable[[endpoint.Endpoint], bool],
+    ) -> float | None:
         """Returns when the first paused endpoint of a service can be called.
 
+        Args:
+            service_name: Name of the service.
+            is_eligible: Tells which of its endpoints to consider.
+
         Returns:
             The time until then in seconds, or None if none is paused.
         """
         remaining_s = (
             self._pauses.remaining_s(candidate)
             for candidate in self._endpoints.values()
-            if candidate.service_name == service_name and candidate.is_ready
+            if candidate.service_name == service_name
+            and candidate.is_ready
+            and is_eligible(candidate)
         )
         return min((left_s for left_s in remaining_s if left_s), default=None)
 
--- a/bronzeslip/endpoints/watched_endpoints.py
+++ b/bronzeslip/endpoints/watched_endpoints.py
@@ -1,12 +1,18 @@
 """Subset of the endpoints of each service that a gateway watches."""
 
+from collections.abc import Sequence
+
 from bronzeslip import ids
 from bronzeslip.endpoints import directory
 from bronzeslip.endpoints import endpoint
 from bronzeslip.entry import vm_config
 from bronzeslip.membership import rendezvous
+from bronzeslip.routes import current
 from bronzeslip.settings import entry
 
+# A restricted request has a second endpoint if the first one fails.
+_MIN_PER_NAMED_REGION = 2
+
 
 class WatchedEndpoints:
     """Selects a bounded subset of endpoints, independent of the fleet size.
@@ -17,6 +23,10 @@
     distributed evenly over endpoints and a change of one endpoint affects few
     others. A service with no more endpoints than the limit is watched
     completely.
+
+    If the configuration restricts requests to regions, the selection has some
+    endpoints of each of these regions. They take the places of others, so that
+    it grows only if the regions need more places than the limit.
     """
 
     def __init__(
@@ -24,6 +34,7 @@
         settings: entry.EntrySettings,
         this_vm: vm_config.VmConfig,
         endpoints: directory.EndpointDirectory,
+        current_table: current.CurrentTable,
     ) -> None:
         """Creates the selection of one gateway.
 
@@ -31,12 +42,15 @@
             settings: Maximum number of watched endpoints per service.
             this_vm: Location of this gateway and region of each failure domain.
             endpoints: Directory of endpoints.
+            current_table: Configuration that may restrict regions.
         """
         self._settings = settings
         self._this_vm = this_vm
         self._endpoints = endpoints
+        self._current_table = current_table
         self._selected: dict[
-            tuple[endpoint.Endpoint, ...], tuple[endpoint.Endpoint, ...]
+            tuple[tuple[endpoint.Endpoint, ...], frozenset[ids.RegionName]],
+            tuple[endpoint.Endpoint, ...],
         ] = {}
 
     def for_service(
@@ -46,17 +60,30 @@
         ready = self._endpoints.ready_endpoints(service_name)
         if len(ready) <= self._settings.watched_endpoints:
             return ready
-        if ready not in self._selected:
-            self._selected = {ready: self._select(ready)}
-        return self._selected[ready]
+        named_regions = self._named_regions(service_name)
+        key = (ready, named_regions)
+        if key not in self._selected:
+            self._selected = {key: self._select(ready, named_regions)}
+        return self._selected[key]
+
+    def _named_regions(
+        self, service_name: ids.ServiceName
+    ) -> frozenset[ids.RegionName]:
+        table = self._current_table.table
+        return (
+            frozenset() if table is None else table.named_regions(service_name)
+        )
 
     def _select(
-        self, ready: tuple[endpoint.Endpoint, ...]
+        self,
+        ready: tuple[endpoint.Endpoint, ...],
+        named_regions: frozenset[ids.RegionName],
     ) -> tuple[endpoint.Endpoint, ...]:
         ordered = rendezvous.ranked(
             ready, lambda candidate: candidate.endpoint_id, self._this_vm.vm_id
         )
         limit = self._settings.watched_endpoints
+        required = self._required(ordered, named_regions)
         same_region = [
             candidate
             for candidate in ordered
@@ -68,7 +95,36 @@
             for candidate in ordered
             if not self._is_same_region(candidate)
         ]
-        return (*same_region, *other_regions[: limit - len(same_region)])
+        selected = [
+            *same_region,
+            *other_regions[: limit - len(same_region)],
+        ]
+        missing = [
+            candidate for candidate in required if candidate not in selected
+        ]
+        # The last ones are those of other regions with the lowest rank.
+        for candidate in reversed(tuple(selected)):
+            if len(selected) + len(missing) <= limit:
+                break
+            if candidate not in required:
+                selected.remove(candidate)
+        return (*selected, *missing)
+
+    def _required(
+        self,
+        ordered: Sequence[endpoint.Endpoint],
+        named_regions: frozenset[ids.RegionName],
+    ) -> list[endpoint.Endpoint]:
+        """Returns the endpoints that the named regions need at least."""
+        required: list[endpoint.Endpoint] = []
+        for region in sorted(named_regions):
+            in_region = [
+                candidate
+                for candidate in ordered
+                if self._this_vm.regions.get(candidate.failure_domain) == region
+            ]
+            required += in_region[:_MIN_PER_NAMED_REGION]
+        return required
 
     def _is_same_region(self, candidate: endpoint.Endpoint) -> bool:
         return self._this_vm.is_in_region(candidate.failure_domain)
--- a/bronzeslip/forwarding/admission.py
+++ b/bronzeslip/forwarding/admission.py
@@ -6,6 +6,8 @@
 from bronzeslip.forwarding import admitted
 from bronzeslip.forwarding import errors
 from bronzeslip.forwarding import incoming
+from bronzeslip.places import allowed_regions
+from bronzeslip.places import refusal_delay
 from bronzeslip.routes import current
 from bronzeslip.routes import route
 from bronzeslip.routes import route_table
@@ -43,6 +45,8 @@
         Raises:
             errors.NotRunError: If no configuration has been loaded yet, or
                 the configuration lacks the service of the route.
+            errors.NoEligibleEndpointError: If the route and the workspace of
+                the request have no allowed region in common.
             errors.UnknownRouteError: If no route matches the request.
             errors.UnknownKeyError: If the request has no valid key.
         """
@@ -65,6 +69,14 @@
                 f"service {service_name} is not configured",
                 retry_after_s=_RETRY_AFTER_S,
             )
+        regions = allowed_regions.intersect(
+            matched.allowed_regions, caller.allowed_regions if caller else None
+        )
+        if regions is not None and not regions:
+            raise errors.NoEligibleEndpointError(
+                "route and workspace have no allowed region in common",
+                retry_after_s=refusal_delay.draw_s(self._rng),
+            )
         timeout_s = (
             request.caller_timeout_s or self._settings.request_deadline_s
         )
@@ -76,6 +88,7 @@
             configuration=table.version,
             priority=_priority_of(matched, caller),
             deadline_s=request.arrived_s + min(timeout_s, matched.timeout_s),
+            allowed_regions=regions,
         )
 
     def _select_service(self, matched: route.Route) -> ids.ServiceName:
--- a/bronzeslip/forwarding/assembly.py
+++ b/bronzeslip/forwarding/assembly.py
@@ -28,6 +28,7 @@
 from bronzeslip.forwarding import standby_chooser
 from bronzeslip.forwarding import stream_forwarder
 from bronzeslip.metrics import entry_metrics
+from bronzeslip.places import allowed_regions
 from bronzeslip.quota import endpoint_permits
 from bronzeslip.routes import current
 from bronzeslip.routing import suspect_list
@@ -67,24 +68,28 @@
     reports = report_cache.ReportCache()
     failures = failure_tracker.FailureTracker()
     endpoints.add_gone_listener(lambda gone: failures.remove(gone.endpoint_id))
+    regions = allowed_regions.AllowedRegionsFilter(this_vm)
     endpoint_proximity = proximity.EndpointProximity(this_vm, endpoints)
     if settings.placement is entry.Placement.ROUND_ROBIN:
-        endpoint_chooser = chooser.RoundRobinChooser(endpoints)
+        endpoint_chooser = chooser.RoundRobinChooser(endpoints, regions, rng)
     else:
         endpoint_chooser = chooser.CostChooser(
             this_vm,
             endpoints,
-            watched_endpoints.WatchedEndpoints(settings, this_vm, endpoints),
+            watched_endpoints.WatchedEndpoints(
+                settings, this_vm, endpoints, current_table
+            ),
             endpoint_proximity,
             load_forecast.LoadForecaster(settings, in_flight, reports),
             failures,
             connection_share.ConnectionShare(
                 settings, endpoints, in_flight, gateways
             ),
+            regions,
             rng,
         )
     sending_chooser = permitted_chooser.PermittedChooser(
-        endpoint_chooser, endpoints, permits
+        endpoint_chooser, endpoints, permits, regions
     )
     retry_budgets = service_retry_budgets.ServiceRetryBudgets(
         this_vm.bounds, gateways, random.Random(this_vm.vm_id)
@@ -104,8 +109,9 @@
         permits=permits,
         permitted_chooser=sending_chooser,
         copy_target_chooser=standby_chooser.StandbyChooser(
-            endpoint_proximity, endpoints, reports, rng
+            endpoint_proximity, endpoints, reports, regions, rng
         ),
+        regions=regions,
         releaser=copy_releaser.CopyReleaser(client),
         retry_budgets=retry_budgets,
         crash_detector=crash_detector,
--- a/bronzeslip/forwarding/chooser.py
+++ b/bronzeslip/forwarding/chooser.py
@@ -17,6 +17,8 @@
 from bronzeslip.forwarding import connection_share
 from bronzeslip.forwarding import errors
 from bronzeslip.forwarding import load_forecast
+from bronzeslip.places import allowed_regions
+from bronzeslip.places import refusal_delay
 
 logger = logs.get_logger(__name__)
 
@@ -78,6 +80,7 @@
         load_forecaster: load_forecast.LoadForecaster,
         failures: failure_tracker.FailureTracker,
         connections: connection_share.ConnectionShare,
+        regions: allowed_regions.AllowedRegionsFilter,
         rng: random.Random,
     ) -> None:
         """Initializes the chooser.
@@ -90,6 +93,7 @@
             load_forecaster: Forecasts the load of endpoints.
             failures: Recent failures of endpoints.
             connections: Limits the requests in flight at an endpoint.
+            regions: Decides which endpoints a request may reach.
             rng: Source of random choices.
         """
         self._this_vm = this_vm
@@ -99,6 +103,7 @@
         self._load_forecaster = load_forecaster
         self._failures = failures
         self._connections = connections
+        self._regions = regions
         self._rng = rng
 
     def choose(
@@ -117,7 +122,10 @@
             candidate
             for candidate in self._watched.for_service(request.service.name)
             if candidate.endpoint_id not in tried
-        ] or ready_candidates(self._endpoints, request, tried)
+            and self._regions.is_eligible(candidate, request.allowed_regions)
+        ] or ready_candidates(
+            self._endpoints, self._regions, request, tried, self._rng
+        )
         candidates = self._with_free_connection(candidates, request)
         self._reject_if_too_late(request, candidates)
         costs_s = [self.cost_s(candidate, request) for candidate in candidates]
@@ -263,8 +271,15 @@
 class RoundRobinChooser:
     """Selects the ready endpoints in turn, as a baseline for benchmarks."""
 
-    def __init__(self, endpoints: directory.EndpointDirectory) -> None:
+    def __init__(
+        self,
+        endpoints: directory.EndpointDirectory,
+        regions: allowed_regions.AllowedRegionsFilter,
+        rng: random.Random,
+    ) -> None:
         self._endpoints = endpoints
+        self._regions = regions
+        self._rng = rng
         self._next_index = 0
 
     def choose(
@@ -273,7 +288,9 @@
         tried: AbstractSet[ids.EndpointId],
     ) -> endpoint.Endpoint:
         """Returns the next endpoint."""
-        candidates = ready_candidates(self._endpoints, request, tried)
+        candidates = ready_candidates(
+            self._endpoints, self._regions, request, tried, self._rng
+        )
         self._next_index += 1
         return candidates[self._next_index % len(candidates)]
 
@@ -288,23 +305,60 @@
 
 def ready_candidates(
     endpoints: directory.EndpointDirectory,
+    regions: allowed_regions.AllowedRegionsFilter,
     request: admitted.AdmittedRequest,
     tried: AbstractSet[ids.EndpointId],
+    rng: random.Random,
 ) -> list[endpoint.Endpoint]:
-    """Returns the ready endpoints that have not been tried yet.
+    """Returns the eligible ready endpoints that have not been tried yet.
+
+    Args:
+        endpoints: Directory of the known endpoints.
+        regions: Decides which endpoints a request may reach.
+        request: Request to send.
+        tried: Endpoints that have already been tried.
+        rng: Spreads the retry times of refused requests.
 
     Raises:
-        errors.NotRunError: If there is none.
+        errors.NoEligibleEndpointError: If no endpoint is in a place that the
+            request may be sent to.
+        errors.NotRunError: If no endpoint is left for another reason.
     """
-    candidates = [
+    eligible = [
         candidate
         for candidate in endpoints.ready_endpoints(request.service.name)
+        if regions.is_eligible(candidate, request.allowed_regions)
+    ]
+    candidates = [
+        candidate
+        for candidate in eligible
         if candidate.endpoint_id not in tried
     ]
     if not candidates:
-        pause_s = endpoints.shortest_pause_s(request.service.name)
-        raise errors.NotRunError(
-            f"service {request.service.name} has no available endpoint",
-            retry_after_s=_RETRY_AFTER_S if pause_s is None else pause_s,
-        )
+        raise _no_candidate_error(endpoints, regions, request, eligible, rng)
     return candidates
+
+
+def _no_candidate_error(
+    endpoints: directory.EndpointDirectory,
+    regions: allowed_regions.AllowedRegionsFilter,
+    request: admitted.AdmittedRequest,
+    eligible: list[endpoint.Endpoint],
+    rng: random.Random,
+) -> errors.NotRunError:
+    pause_s = endpoints.shortest_pause_s(
+        request.service.name,
+        lambda candidate: regions.is_eligible(
+            candidate, request.allowed_regions
+        ),
+    )
+    if request.allowed_regions is not None and not eligible and pause_s is None:
+        return errors.NoEligibleEndpointError(
+            f"service {request.service.name} has no available endpoint in "
+            "the allowed regions",
+            retry_after_s=refusal_delay.draw_s(rng),
+        )
+    return errors.NotRunError(
+        f"service {request.service.name} has no available endpoint",
+        retry_after_s=_RETRY_AFTER_S if pause_s is None else pause_s,
+    )
--- a/bronzeslip/forwarding/components.py
+++ b/bronzeslip/forwarding/components.py
@@ -15,6 +15,7 @@
 from bronzeslip.forwarding import service_retry_budgets
 from bronzeslip.forwarding import standby_chooser
 from bronzeslip.metrics import entry_metrics
+from bronzeslip.places import allowed_regions
 from bronzeslip.quota import endpoint_permits
 from bronzeslip.routes import current
 from bronzeslip.settings import entry
@@ -35,6 +36,7 @@
         permits: Permits for endpoints that have a limit.
         permitted_chooser: Chooses the endpoint to send a request to.
         copy_target_chooser: Chooses the engines that store standby copies.
+        regions: Decides which endpoints a request may reach.
         releaser: Frees standby copies that are no longer needed.
         retry_budgets: Limits the retries of each service.
         crash_detector: Quarantines requests that crash endpoints.
@@ -53,6 +55,7 @@
     permits: endpoint_permits.EndpointPermits
     permitted_chooser: permitted_chooser.PermittedChooser
     copy_target_chooser: standby_chooser.StandbyChooser
+    regions: allowed_regions.AllowedRegionsFilter
     releaser: copy_releaser.CopyReleaser
     retry_budgets: service_retry_budgets.ServiceRetryBudgets
     crash_detector: crash_watch.CrashDetector
--- a/bronzeslip/forwarding/errors.py
+++ b/bronzeslip/forwarding/errors.py
@@ -39,6 +39,12 @@
     code = "not-run"
 
 
+class NoEligibleEndpointError(NotRunError):
+    """No endpoint is where the request may be sent."""
+
+    code = "no-eligible-endpoint"
+
+
 class OverloadedError(NotRunError):
     """The request could not have been served in time."""
 
--- a/bronzeslip/forwarding/permitted_chooser.py
+++ b/bronzeslip/forwarding/permitted_chooser.py
@@ -11,6 +11,7 @@
 from bronzeslip.forwarding import admitted
 from bronzeslip.forwarding import chooser
 from bronzeslip.forwarding import errors
+from bronzeslip.places import allowed_regions
 from bronzeslip.quota import endpoint_permits
 from bronzeslip.quota import return_schedule
 
@@ -29,6 +30,7 @@
         endpoint_chooser: chooser.EndpointChooser,
         endpoints: directory.EndpointDirectory,
         permits: endpoint_permits.EndpointPermits,
+        regions: allowed_regions.AllowedRegionsFilter,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         """Initializes the chooser.
@@ -37,11 +39,13 @@
             endpoint_chooser: Chooses among the endpoints with permits.
             endpoints: Directory of the known endpoints.
             permits: Permits for endpoints that have a limit.
+            regions: Decides which endpoints a request may reach.
             clock: Monotonic clock, in seconds.
         """
         self._endpoint_chooser = endpoint_chooser
         self._endpoints = endpoints
         self._permits = permits
+        self._regions = regions
         self._clock = clock
         self._returns: dict[
             ids.ServiceName, return_schedule.ReturnSchedule
@@ -70,6 +74,7 @@
                 request.service.name, reserved
             ).items()
             if endpoint_id not in tried
+            and self._is_eligible(self._endpoints.get(endpoint_id), request)
         }
         while True:
             try:
@@ -93,15 +98,31 @@
                 delay_s=round(delay_s, 3),
             )
 
+    def _is_eligible(
+        self,
+        candidate: endpoint.Endpoint | None,
+        request: admitted.AdmittedRequest,
+    ) -> bool:
+        return candidate is not None and self._regions.is_eligible(
+            candidate, request.allowed_regions
+        )
+
     def _limited_error(
         self,
         request: admitted.AdmittedRequest,
         denied_s: dict[ids.EndpointId, float],
     ) -> errors.LimitedError:
         service_name = request.service.name
-        candidates = self._endpoints.ready_endpoints(service_name)
+        candidates = [
+            candidate
+            for candidate in self._endpoints.ready_endpoints(service_name)
+            if self._is_eligible(candidate, request)
+        ]
         rate_per_s = self._permits.total_rate_per_s(candidates)
-        pause_s = self._endpoints.shortest_pause_s(service_name)
+        pause_s = self._endpoints.shortest_pause_s(
+            service_name,
+            lambda candidate: self._is_eligible(candidate, request),
+        )
         returns = self._returns.setdefault(
             service_name, return_schedule.ReturnSchedule()
         )
--- a/bronzeslip/forwarding/pipeline.py
+++ b/bronzeslip/forwarding/pipeline.py
@@ -55,6 +55,14 @@
             errors.ForwardingError: If there is no complete response of an
                 endpoint.
         """
+        with self._ledger.count_refusals_by_place():
+            await self._admit_and_serve(request, writer)
+
+    async def _admit_and_serve(
+        self,
+        request: incoming.IncomingRequest,
+        writer: response_writer.ResponseWriter,
+    ) -> None:
         admitted_request = self._drain.limit(self._admitter.admit(request))
         with self._ledger.track_outcome(admitted_request):
             await self._serve_with_deadline(admitted_request, writer)
--- a/bronzeslip/forwarding/request_ledger.py
+++ b/bronzeslip/forwarding/request_ledger.py
@@ -50,6 +50,18 @@
         finally:
             self._record_outcome(request, outcome)
 
+    @contextlib.contextmanager
+    def count_refusals_by_place(self) -> Iterator[None]:
+        """Counts a request that no endpoint may receive because of its place.
+
+        Such a request may be refused before it is admitted.
+        """
+        try:
+            yield
+        except errors.NoEligibleEndpointError:
+            self._metrics.count_refusal_by_place()
+            raise
+
     def _record_outcome(
         self, request: admitted.AdmittedRequest, outcome: RequestOutcome
     ) -> None:
--- a/bronzeslip/forwarding/standby_chooser.py
+++ b/bronzeslip/forwarding/standby_chooser.py
@@ -9,6 +9,7 @@
 from bronzeslip.endpoints import proximity
 from bronzeslip.endpoints import report_cache
 from bronzeslip.forwarding import admitted
+from bronzeslip.places import allowed_regions
 
 # A copy to another failure domain occupies the network links twice as long.
 _OTHER_DOMAIN_COST = 0.25
@@ -29,6 +30,7 @@
         endpoint_proximity: proximity.EndpointProximity,
         endpoints: directory.EndpointDirectory,
         reports: report_cache.ReportCache,
+        regions: allowed_regions.AllowedRegionsFilter,
         rng: random.Random,
     ) -> None:
         """Initializes the chooser.
@@ -37,11 +39,13 @@
             endpoint_proximity: Determines which engines are near each other.
             endpoints: Directory of the known endpoints.
             reports: Latest reports of the engines.
+            regions: Decides which engines a request may reach.
             rng: Source of the random component of a cost.
         """
         self._proximity = endpoint_proximity
         self._endpoints = endpoints
         self._reports = reports
+        self._regions = regions
         self._rng = rng
 
     def record_engine_end(self, engine: endpoint.Endpoint) -> None:
@@ -88,6 +92,7 @@
             )
             if candidate.endpoint_id != source.endpoint_id
             and candidate.endpoint_id not in failed_targets
+            and self._regions.is_eligible(candidate, request.allowed_regions)
             and (is_urgent or self._has_free_memory(candidate, size_tokens))
         ]
         neighbours = [
--- a/bronzeslip/forwarding/stream_run.py
+++ b/bronzeslip/forwarding/stream_run.py
@@ -239,8 +239,15 @@
 
         Raises:
             endpoint_errors.EndpointError: If that engine does not resume it.
-            errors.NotRunError: If no retry or permit is left.
+            errors.NotRunError: If that engine must not receive the request, or
+                no retry or permit is left.
         """
+        if not self._components.regions.is_eligible(
+            copy.target, self._request.allowed_regions
+        ):
+            raise errors.NotRunError(
+                "the engine with the copy is not in an allowed region"
+            )
         if await self._components.permits.acquire(copy.target):
             raise errors.NotRunError(
                 "the engine with the copy takes no more requests"
--- a/bronzeslip/metrics/entry_metrics.py
+++ b/bronzeslip/metrics/entry_metrics.py
@@ -50,6 +50,10 @@
         self._attempts = self._counter(
             "bronzeslip_attempts_total", "Requests sent to endpoints by result"
         )
+        self._place_refusals = self._counter(
+            "bronzeslip_place_refusals_total",
+            "Requests that no endpoint may receive because of its place",
+        )
         self._memory: memory_metrics.MemoryMetrics | None = None
         self._endpoints = aioprometheus.Gauge(
             "bronzeslip_endpoints",
@@ -107,6 +111,10 @@
         """
         self._attempts.inc({"result": result})
 
+    def count_refusal_by_place(self) -> None:
+        """Counts a request that no endpoint may receive for its place."""
+        self._place_refusals.inc({})
+
     def refresh(self) -> None:
         """Updates metrics that are computed only when scraped."""
         super().refresh()
--- a/bronzeslip/platform/configuration.py
+++ b/bronzeslip/platform/configuration.py
@@ -47,6 +47,7 @@
     sticky: bool = False
     resumable: bool = False
     gap_aim_ms: fields.Quantity | None = None
+    allowed_regions: list[str] | None = None
 
 
 class _Engine(msgspec.Struct):
@@ -77,6 +78,7 @@
     name: fields.HeaderText
     api_keys: list[str] = []
     priority: fields.Integer | None = None
+    allowed_regions: list[str] | None = None
 
 
 class _Document(msgspec.Struct):
@@ -127,6 +129,7 @@
         is_generation=wire.sticky,
         is_resumable=wire.resumable,
         gap_objective_s=None if gap_ms is None else gap_ms / _MS_PER_S,
+        allowed_regions=_to_regions(wire.allowed_regions),
     )
 
 
@@ -169,12 +172,22 @@
         return None
     return [
         workspace.KeyedWorkspace(
-            ids.WorkspaceId(wire.name), tuple(wire.api_keys), wire.priority
+            ids.WorkspaceId(wire.name),
+            tuple(wire.api_keys),
+            wire.priority,
+            _to_regions(wire.allowed_regions),
         )
         for wire in tenants
     ]
 
 
+def _to_regions(
+    names: list[str] | None,
+) -> frozenset[ids.RegionName] | None:
+    """Converts a restriction; an empty one does not restrict."""
+    return frozenset(ids.RegionName(name) for name in names or ()) or None
+
+
 def _to_limits(wire: _Limits | None) -> limits.CallerLimits:
     if wire is None:
         return limits.CallerLimits()
--- a/bronzeslip/platform/gateway.py
+++ b/bronzeslip/platform/gateway.py
@@ -172,7 +172,10 @@
         settings,
         forwarding_components.endpoints,
         watched_endpoints.WatchedEndpoints(
-            settings, this_vm, forwarding_components.endpoints
+            settings,
+            this_vm,
+            forwarding_components.endpoints,
+            forwarding_components.current,
         ),
         forwarding_components.in_flight,
         forwarding_components.client,
--- a/bronzeslip/routes/route_table.py
+++ b/bronzeslip/routes/route_table.py
@@ -1,6 +1,7 @@
 """Lookup table for one version of the configuration."""
 
 from collections.abc import Iterable
+import itertools
 
 from bronzeslip import ids
 from bronzeslip.routes import limits
@@ -47,6 +48,13 @@
         self._workspaces = {
             key: entry for entry in workspaces or () for key in entry.keys
         }
+        self._named_regions = {
+            name: frozenset(regions)
+            for name, regions in _named_by_service(
+                itertools.chain.from_iterable(self._routes.values()),
+                self._workspaces.values(),
+            ).items()
+        }
 
     @property
     def services(self) -> tuple[service.Service, ...]:
@@ -64,6 +72,33 @@
         """Returns a service by name, or None if it does not exist."""
         return self._services.get(name)
 
+    def named_regions(
+        self, service_name: ids.ServiceName
+    ) -> frozenset[ids.RegionName]:
+        """Returns the regions that requests to a service are restricted to.
+
+        These are all regions named by a route to the service or by a
+        workspace.
+        """
+        return self._named_regions.get(service_name, frozenset())
+
     def workspace_of(self, key: str) -> workspace.KeyedWorkspace | None:
         """Returns the workspace that a key belongs to, or None."""
         return self._workspaces.get(key)
+
+
+def _named_by_service(
+    routes: Iterable[route.Route],
+    workspaces: Iterable[workspace.KeyedWorkspace],
+) -> dict[ids.ServiceName, set[ids.RegionName]]:
+    by_service: dict[ids.ServiceName, set[ids.RegionName]] = {}
+    by_workspace = {
+        region for entry in workspaces for region in entry.allowed_regions or ()
+    }
+    for entry in routes:
+        for option in entry.services:
+            named = by_service.setdefault(
+                option.service_name, set(by_workspace)
+            )
+            named.update(entry.allowed_regions or ())
+    return by_service
--- a/tests/endpoints/test_watched_endpoints.py
+++ b/tests/endpoints/test_watched_endpoints.py
@@ -8,6 +8,9 @@
 from bronzeslip import ids
 from bronzeslip.endpoints import directory
 from bronzeslip.endpoints import watched_endpoints
+from bronzeslip.routes import current
+from bronzeslip.routes import kind
+from bronzeslip.routes import route
 from bronzeslip.settings import entry
 from tests.support import forwarding_parts
 
@@ -16,7 +19,7 @@
 
 
 class WatchedEndpointsTest(unittest.IsolatedAsyncioTestCase):
-    def _create_watched(self, count, vm_id="front-1"):
+    def _create_watched(self, count, vm_id="front-1", **route_changes):
         endpoints = directory.EndpointDirectory(_SETTINGS)
         domains = ("a-1", "a-2", "b-1")
         endpoints.replace_all(
@@ -26,7 +29,23 @@
         this_vm = msgspec.structs.replace(
             forwarding_parts.VM_CONFIG, vm_id=ids.VmId(vm_id)
         )
-        return watched_endpoints.WatchedEndpoints(_SETTINGS, this_vm, endpoints)
+        current_table = current.CurrentTable()
+        current_table.adopt(
+            forwarding_parts.create_table(
+                forwarding_parts.create_route(
+                    kind.RequestKind.STREAM,
+                    services=(
+                        route.WeightedService(
+                            forwarding_parts.ENGINE_SERVICE.name
+                        ),
+                    ),
+                    **route_changes,
+                )
+            )
+        )
+        return watched_endpoints.WatchedEndpoints(
+            _SETTINGS, this_vm, endpoints, current_table
+        )
 
     async def test_small_service_is_watched_completely(self):
         self.assertEqual(
@@ -50,3 +69,27 @@
             )
         self.assertEqual(len(counts), 30)
         self.assertLess(max(counts.values()), 40)
+
+    # Guards against restricted requests without a polled endpoint.
+    async def test_selection_has_two_endpoints_of_each_named_region(self):
+        for regions in ({"a"}, {"b"}, {"a", "b"}):
+            for number in range(20):
+                chosen = self._create_watched(
+                    60, f"front-{number}", allowed_regions=frozenset(regions)
+                ).for_service("pool")
+                self.assertEqual(len(set(chosen)), _LIMIT)
+                for region in regions:
+                    found = [
+                        candidate
+                        for candidate in chosen
+                        if candidate.failure_domain.startswith(region)
+                    ]
+                    self.assertGreaterEqual(len(found), 2)
+
+    async def test_region_without_endpoints_does_not_change_the_selection(self):
+        self.assertEqual(
+            self._create_watched(60).for_service("pool"),
+            self._create_watched(
+                60, allowed_regions=frozenset({"elsewhere"})
+            ).for_service("pool"),
+        )
--- a/tests/forwarding/test_admission.py
+++ b/tests/forwarding/test_admission.py
@@ -58,3 +58,34 @@
                 - admitted_request.request.arrived_s,
                 expected_s,
             )
+
+    def _admit_restricted(self, route_regions, workspace_regions):
+        current_table = current.CurrentTable()
+        current_table.adopt(
+            forwarding_parts.create_table(
+                self._route(allowed_regions=route_regions),
+                workspace_regions=workspace_regions,
+            )
+        )
+        admitter = admission.Admission(
+            forwarding_parts.SETTINGS, current_table, random.Random(1)
+        )
+        return admitter.admit(forwarding_parts.create_request())
+
+    async def test_regions_of_route_and_workspace_both_apply(self):
+        first, both = frozenset({"a"}), frozenset({"a", "b"})
+        for route_regions, workspace_regions, expected in (
+            (None, None, None),
+            (both, None, both),
+            (None, first, first),
+            (both, first, first),
+        ):
+            admitted_request = self._admit_restricted(
+                route_regions, workspace_regions
+            )
+            self.assertEqual(admitted_request.allowed_regions, expected)
+
+    async def test_no_common_region_raises_at_once(self):
+        with self.assertRaises(errors.NoEligibleEndpointError) as caught:
+            self._admit_restricted(frozenset({"a"}), frozenset({"b"}))
+        self.assertGreater(caught.exception.retry_after_s, 0.0)
--- a/tests/forwarding/test_report_poller.py
+++ b/tests/forwarding/test_report_poller.py
@@ -10,6 +10,7 @@
 from bronzeslip.endpoints import watched_endpoints
 from bronzeslip.forwarding import endpoint_errors
 from bronzeslip.forwarding import report_poller
+from bronzeslip.routes import current
 from bronzeslip.settings import entry
 from tests.support import forwarding_parts
 from tests.support import polling
@@ -49,7 +50,10 @@
             settings,
             self.directory,
             watched_endpoints.WatchedEndpoints(
-                settings, forwarding_parts.VM_CONFIG, self.directory
+                settings,
+                forwarding_parts.VM_CONFIG,
+                self.directory,
+                current.CurrentTable(),
             ),
             self.in_flight,
             self.client,
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -91,6 +91,28 @@
         shares = table.match("host.example", "/a/").services
         self.assertEqual([share.weight for share in shares], [90, 10])
 
+    def test_empty_and_missing_regions_do_not_restrict(self):
+        for changes, expected in (
+            ({}, None),
+            ({"allowed_regions": []}, None),
+            ({"allowed_regions": ["a", "b"]}, frozenset({"a", "b"})),
+        ):
+            with self.subTest(changes=changes):
+                table = configuration.decode(
+                    _document(
+                        routes=[{**_ROUTE, **changes}],
+                        tenants=[{"name": "t", "api_keys": ["k"], **changes}],
+                    )
+                )
+                matched = table.match("host.example", "/a/")
+                self.assertEqual(matched.allowed_regions, expected)
+                self.assertEqual(
+                    table.workspace_of("k").allowed_regions, expected
+                )
+                self.assertEqual(
+                    table.named_regions("s-1"), expected or frozenset()
+                )
+
     def test_unknown_kinds_are_never_retried(self):
         table = configuration.decode(
             _document(routes=[{**_ROUTE, "kind": "new"}])
@@ -135,6 +157,9 @@
             {"limits": {**_LIMITS, "max_body_bytes": -1}},
             {"limits": {**_LIMITS, "idle_timeout_ms": 0}},
             {"tenants": [{"name": "a\r\nb"}]},
+            {"routes": [{**_ROUTE, "allowed_regions": "a"}]},
+            {"routes": [{**_ROUTE, "allowed_regions": [7]}]},
+            {"tenants": [{"name": "t", "allowed_regions": {"a": 1}}]},
         ):
             with (
                 self.subTest(changes=changes),
--- a/tests/support/forwarding_parts.py
+++ b/tests/support/forwarding_parts.py
@@ -107,12 +107,18 @@
     return route.Route(**{**values, **changes})
 
 
-def create_table(*routes, version=1):
+def create_table(*routes, version=1, workspace_regions=None):
     return route_table.RouteTable(
         ids.TableVersion(version),
         routes,
         (ENGINE_SERVICE, CALL_SERVICE),
-        (workspace.KeyedWorkspace(ids.WorkspaceId("w"), (API_KEY,)),),
+        (
+            workspace.KeyedWorkspace(
+                ids.WorkspaceId("w"),
+                (API_KEY,),
+                allowed_regions=workspace_regions,
+            ),
+        ),
         limits.CallerLimits(),
     )
 
@@ -138,7 +144,13 @@
     return create_request(shape=shape, **changes)
 
 
-def admit(request, request_kind, target_service=CALL_SERVICE, **route_changes):
+def admit(
+    request,
+    request_kind,
+    target_service=CALL_SERVICE,
+    allowed_regions=None,
+    **route_changes,
+):
     matched_route = create_route(request_kind, **route_changes)
     return admitted.AdmittedRequest(
         request=request,
@@ -148,6 +160,7 @@
         configuration=ids.TableVersion(1),
         priority=0,
         deadline_s=request.arrived_s + matched_route.timeout_s,
+        allowed_regions=allowed_regions,
     )
 
 
