Send nothing to endpoints of evacuated failure domains

Operators could not take a failure domain out of use without stopping its endpoints.

Gateways follow the store's kind evacuations if the settings file states evac_ms. Endpoints of a named failure domain receive no first sends, retries, resumptions or copies until the object is deleted; their runs go on, and their reports are read while they hold long generations. Choices are checked again after the wait for a permit and before the send.

--- a/bronzeslip/endpoints/directory.py
+++ b/bronzeslip/endpoints/directory.py
@@ -15,6 +15,7 @@
 from bronzeslip.endpoints import past_incarnations
 from bronzeslip.endpoints import pauses
 from bronzeslip.endpoints import request_limits
+from bronzeslip.places import evacuated_domains
 from bronzeslip.settings import entry
 
 logger = logs.get_logger(__name__)
@@ -36,6 +37,7 @@
 
     Attributes:
         request_limits: Limits that endpoints state on their requests.
+        evacuated_domains: Failure domains whose endpoints receive no requests.
     """
 
     def __init__(self, settings: entry.EntrySettings) -> None:
@@ -50,6 +52,8 @@
         self._removed = past_incarnations.PastIncarnations()
         self._pauses = pauses.EndpointPauses()
         self.request_limits = request_limits.RequestLimits()
+        self.evacuated_domains = evacuated_domains.EvacuatedDomains()
+        self.evacuated_domains.add_listener(self._signal_change)
         self._is_source_restored = False
         self._unreachable: set[ids.EndpointId] = set()
         self._missing_since_s: dict[ids.EndpointId, float] = {}
@@ -111,6 +115,7 @@
                 if candidate.service_name == service_name
                 and candidate.is_ready
                 and not self._pauses.remaining_s(candidate)
+                and not self.is_evacuated(candidate)
             )
             selected = tuple(
                 candidate
@@ -122,10 +127,36 @@
             self._ready_by_service[service_name] = selected
         return selected
 
+    def ready_or_evacuated_endpoints(
+        self, service_name: ids.ServiceName
+    ) -> tuple[endpoint.Endpoint, ...]:
+        """Returns the ready endpoints of a service and the evacuated ones.
+
+        The evacuated ones still run the requests that they have.
+        """
+        ready = self.ready_endpoints(service_name)
+        if not self.evacuated_domains:
+            return ready
+        return ready + tuple(
+            candidate
+            for candidate in self._endpoints.values()
+            if candidate.service_name == service_name
+            and candidate.is_ready
+            and self.is_evacuated(candidate)
+        )
+
+    def is_evacuated(self, target: endpoint.Endpoint) -> bool:
+        """Returns whether an endpoint is in an evacuated failure domain."""
+        return target.failure_domain in self.evacuated_domains
+
     def is_usable(self, snapshot: endpoint.Endpoint) -> bool:
-        """Returns whether an endpoint is ready, reachable and not paused."""
+        """Returns whether an endpoint can receive requests.
+
+        It has to be ready, reachable, not paused and not evacuated.
+        """
         return (
-            snapshot.endpoint_id not in self._unreachable
+            not self.is_evacuated(snapshot)
+            and snapshot.endpoint_id not in self._unreachable
             and not self._pauses.remaining_s(snapshot)
             and self.accepts_requests(snapshot)
         )
@@ -163,6 +194,7 @@
             for candidate in self._endpoints.values()
             if candidate.service_name == service_name
             and candidate.is_ready
+            and not self.is_evacuated(candidate)
             and is_eligible(candidate)
         )
         return min((left_s for left_s in remaining_s if left_s), default=None)
--- a/bronzeslip/endpoints/proximity.py
+++ b/bronzeslip/endpoints/proximity.py
@@ -84,10 +84,17 @@
         )
 
     def has_nearby_endpoint(self, target: endpoint.Endpoint) -> bool:
-        """Returns whether its service has another ready endpoint nearby."""
+        """Returns whether its service has another ready endpoint nearby.
+
+        Evacuated endpoints count, so that an evacuation alone does not start
+        copies to other regions.
+        """
         return any(
             candidate.endpoint_id != target.endpoint_id
-            for candidate in self.nearby_endpoints(target)
+            and self.is_same_region(candidate, target)
+            for candidate in self._endpoints.ready_or_evacuated_endpoints(
+                target.service_name
+            )
         )
 
     def _on_leaving(self, leaving: endpoint.Endpoint) -> None:
--- a/bronzeslip/entry/readiness.py
+++ b/bronzeslip/entry/readiness.py
@@ -7,6 +7,8 @@
 class Readiness:
     """Ready from the first configuration and endpoint until the drain.
 
+    A gateway that follows evacuations has to have listed them, too.
+
     A later outage of the store does not affect readiness, since the gateway
     keeps serving with the last known configuration and endpoints.
     """
@@ -25,6 +27,8 @@
         """Whether the gateway accepts new callers."""
         if self._is_draining or self._current_table.table is None:
             return False
+        if not self._endpoint_directory.evacuated_domains.is_ready:
+            return False
         return bool(self._endpoint_directory.endpoints)
 
     def drain(self) -> None:
--- a/bronzeslip/entry/vm_config.py
+++ b/bronzeslip/entry/vm_config.py
@@ -27,6 +27,9 @@
         retry_window_s: Window in which retries are counted, in seconds.
         drain_s: Time after which an endpoint that the store lists as leaving
             must receive no new requests, in seconds.
+        evac_s: Time after which the endpoints of an evacuated failure domain
+            must receive no requests, in seconds, or None if evacuations are not
+            followed.
     """
 
     grace_s: float
@@ -34,6 +37,7 @@
     retry_slack: float
     retry_window_s: float
     drain_s: float
+    evac_s: float | None = None
 
 
 class ProcessLimits(msgspec.Struct, frozen=True):
--- a/bronzeslip/forwarding/call_forwarder.py
+++ b/bronzeslip/forwarding/call_forwarder.py
@@ -10,6 +10,7 @@
 from bronzeslip.forwarding import endpoint_client
 from bronzeslip.forwarding import endpoint_errors
 from bronzeslip.forwarding import errors
+from bronzeslip.forwarding import evacuation_check
 from bronzeslip.forwarding import response_writer
 from bronzeslip.routes import kind
 
@@ -105,6 +106,7 @@
             remaining_s=self._request.remaining_s,
             workspace_id=self._request.workspace_id,
         )
+        evacuation_check.raise_if_evacuated(self._components.endpoints, chosen)
         response = await self._components.client.send(outgoing)
         await raise_if_not_run(response)
         whole = await buffered_response.read(
--- a/bronzeslip/forwarding/chooser.py
+++ b/bronzeslip/forwarding/chooser.py
@@ -346,19 +346,32 @@
     eligible: list[endpoint.Endpoint],
     rng: random.Random,
 ) -> errors.NotRunError:
-    pause_s = endpoints.shortest_pause_s(
-        request.service.name,
-        lambda candidate: regions.is_eligible(
-            candidate, request.allowed_regions
-        ),
-    )
-    if request.allowed_regions is not None and not eligible and pause_s is None:
+    service_name = request.service.name
+
+    def is_eligible(candidate: endpoint.Endpoint) -> bool:
+        return regions.is_eligible(candidate, request.allowed_regions)
+
+    pause_s = endpoints.shortest_pause_s(service_name, is_eligible)
+    if eligible or pause_s is not None:
+        return errors.NotRunError(
+            f"service {service_name} has no available endpoint",
+            retry_after_s=_RETRY_AFTER_S if pause_s is None else pause_s,
+        )
+    if any(
+        map(is_eligible, endpoints.ready_or_evacuated_endpoints(service_name))
+    ):
+        return errors.EvacuatedError(
+            f"all endpoints of service {service_name} that may receive the "
+            "request are evacuated",
+            retry_after_s=refusal_delay.draw_s(rng),
+        )
+    if request.allowed_regions is not None:
         return errors.NoEligibleEndpointError(
-            f"service {request.service.name} has no available endpoint in "
-            "the allowed regions",
+            f"service {service_name} has no available endpoint in the allowed "
+            "regions",
             retry_after_s=refusal_delay.draw_s(rng),
         )
     return errors.NotRunError(
-        f"service {request.service.name} has no available endpoint",
-        retry_after_s=_RETRY_AFTER_S if pause_s is None else pause_s,
+        f"service {service_name} has no available endpoint",
+        retry_after_s=_RETRY_AFTER_S,
     )
--- a/bronzeslip/forwarding/endpoint_errors.py
+++ b/bronzeslip/forwarding/endpoint_errors.py
@@ -21,6 +21,12 @@
     code = "endpoint-absent"
 
 
+class EndpointEvacuatedError(EndpointUnreachableError):
+    """The failure domain of the endpoint is evacuated; nothing was sent."""
+
+    code = "endpoint-evacuated"
+
+
 class EndpointResponseLostError(EndpointError):
     """The response is missing or invalid; the request may have run."""
 
--- a/bronzeslip/forwarding/errors.py
+++ b/bronzeslip/forwarding/errors.py
@@ -45,6 +45,12 @@
     code = "no-eligible-endpoint"
 
 
+class EvacuatedError(NoEligibleEndpointError):
+    """All endpoints that the request may be sent to are evacuated."""
+
+    code = "evacuated"
+
+
 class OverloadedError(NotRunError):
     """The request could not have been served in time."""
 
--- a/bronzeslip/forwarding/permitted_chooser.py
+++ b/bronzeslip/forwarding/permitted_chooser.py
@@ -76,10 +76,11 @@
             if endpoint_id not in tried
             and self._is_eligible(self._endpoints.get(endpoint_id), request)
         }
+        excluded = set(tried)
         while True:
             try:
                 chosen = self._endpoint_chooser.choose(
-                    request, tried | denied_s.keys()
+                    request, excluded | denied_s.keys()
                 )
             except errors.OverloadedError:
                 raise
@@ -88,6 +89,10 @@
                     raise
                 raise self._limited_error(request, denied_s) from None
             delay_s = await self._permits.acquire(chosen, reserved)
+            if self._endpoints.is_evacuated(chosen):
+                # The evacuation became known while the permit was requested.
+                excluded.add(chosen.endpoint_id)
+                continue
             if not delay_s:
                 return chosen
             denied_s[chosen.endpoint_id] = delay_s
--- a/bronzeslip/forwarding/report_poller.py
+++ b/bronzeslip/forwarding/report_poller.py
@@ -76,7 +76,7 @@
         engines = {
             engine.endpoint_id: engine
             for name in self._engine_services()
-            for engine in self._watched.for_service(name)
+            for engine in self._engines_of(name)
         }
         for endpoint_id in self._tasks.keys() - engines.keys():
             self._tasks.pop(endpoint_id).cancel()
@@ -89,6 +89,26 @@
                     f"report {endpoint_id}", self._poll(engine)
                 )
 
+    def _engines_of(
+        self, service_name: ids.ServiceName
+    ) -> tuple[endpoint.Endpoint, ...]:
+        """Returns the watched engines and the evacuated ones in use.
+
+        The latter still run long generations of this gateway, which are lost if
+        a shutdown notice is missed.
+        """
+        watched = self._watched.for_service(service_name)
+        if not self._endpoints.evacuated_domains:
+            return watched
+        return watched + tuple(
+            engine
+            for engine in self._endpoints.ready_or_evacuated_endpoints(
+                service_name
+            )
+            if self._endpoints.is_evacuated(engine)
+            and self._in_flight.has_long_request(engine.endpoint_id)
+        )
+
     async def _poll(self, engine: endpoint.Endpoint) -> None:
         failures = 0
         while True:
--- a/bronzeslip/forwarding/request_ledger.py
+++ b/bronzeslip/forwarding/request_ledger.py
@@ -58,8 +58,8 @@
         """
         try:
             yield
-        except errors.NoEligibleEndpointError:
-            self._metrics.count_refusal_by_place()
+        except errors.NoEligibleEndpointError as error:
+            self._metrics.count_refusal_by_place(error.code)
             raise
 
     def _record_outcome(
--- a/bronzeslip/forwarding/run_stopper.py
+++ b/bronzeslip/forwarding/run_stopper.py
@@ -97,7 +97,7 @@
             endpoint_errors.EndpointUnreachableError: If the engine is gone.
             endpoint_errors.EndpointNotFoundError: If it has no such run.
         """
-        target = copy.target if copy else self._choose_target(source)
+        target = self._usable_target(copy) or self._choose_target(source)
         if target is None or not self._request.service.engine.can_move:
             return copy
         while True:
@@ -123,6 +123,13 @@
                     source, target, result.handle, _now_s(), result.events
                 )
 
+    def _usable_target(
+        self, copy: standby_copy.StandbyCopy | None
+    ) -> endpoint.Endpoint | None:
+        if copy is None or self._components.endpoints.is_evacuated(copy.target):
+            return None
+        return copy.target
+
     def _choose_target(
         self, source: endpoint.Endpoint
     ) -> endpoint.Endpoint | None:
--- a/bronzeslip/forwarding/standby_keeper.py
+++ b/bronzeslip/forwarding/standby_keeper.py
@@ -150,7 +150,7 @@
         return await self._copy_to(target)
 
     async def _confirm(self, target: endpoint.Endpoint) -> bool:
-        """Returns whether a target is reachable and does not leave.
+        """Returns whether a target is reachable, stays and is not evacuated.
 
         Most targets are not polled by this gateway, and their discovery entries
         are up to a watch interval old.
@@ -170,7 +170,9 @@
             return False
         if report.is_leaving:
             self._components.endpoints.mark_leaving(target)
-        return not report.is_leaving
+        # The evacuation may have become known while the report was read.
+        is_evacuated = self._components.endpoints.is_evacuated(target)
+        return not report.is_leaving and not is_evacuated
 
     async def _copy_to(self, target: endpoint.Endpoint) -> bool:
         request_id = self._request.request.request_id
--- a/bronzeslip/forwarding/stream_run.py
+++ b/bronzeslip/forwarding/stream_run.py
@@ -248,6 +248,8 @@
             raise errors.NotRunError(
                 "the engine with the copy is not in an allowed region"
             )
+        if self._components.endpoints.is_evacuated(copy.target):
+            raise errors.NotRunError("the engine with the copy is evacuated")
         if await self._components.permits.acquire(copy.target):
             raise errors.NotRunError(
                 "the engine with the copy takes no more requests"
--- a/bronzeslip/forwarding/stream_sender.py
+++ b/bronzeslip/forwarding/stream_sender.py
@@ -10,6 +10,7 @@
 from bronzeslip.forwarding import dispatch
 from bronzeslip.forwarding import endpoint_client
 from bronzeslip.forwarding import endpoint_errors
+from bronzeslip.forwarding import evacuation_check
 from bronzeslip.forwarding import response_writer
 from bronzeslip.forwarding import run_load
 from bronzeslip.forwarding import stream_progress
@@ -105,6 +106,9 @@
     ) -> endpoint_client.EndpointResponse:
         self.may_run_at = chosen
         try:
+            evacuation_check.raise_if_evacuated(
+                self._components.endpoints, chosen
+            )
             response = await self._components.client.send(
                 dispatch.Dispatch(
                     request=self._request.request,
--- a/bronzeslip/metrics/entry_metrics.py
+++ b/bronzeslip/metrics/entry_metrics.py
@@ -52,7 +52,13 @@
         )
         self._place_refusals = self._counter(
             "bronzeslip_place_refusals_total",
-            "Requests that no endpoint may receive because of its place",
+            "Requests that no endpoint may receive because of its place, by "
+            "error code",
+        )
+        self._evacuated_domains = aioprometheus.Gauge(
+            "bronzeslip_evacuated_failure_domains",
+            "Failure domains whose endpoints receive no requests",
+            registry=self.registry,
         )
         self._memory: memory_metrics.MemoryMetrics | None = None
         self._endpoints = aioprometheus.Gauge(
@@ -111,9 +117,13 @@
         """
         self._attempts.inc({"result": result})
 
-    def count_refusal_by_place(self) -> None:
-        """Counts a request that no endpoint may receive for its place."""
-        self._place_refusals.inc({})
+    def count_refusal_by_place(self, code: str) -> None:
+        """Counts a request that no endpoint may receive for its place.
+
+        Args:
+            code: Code of the error.
+        """
+        self._place_refusals.inc({"code": code})
 
     def refresh(self) -> None:
         """Updates metrics that are computed only when scraped."""
@@ -127,6 +137,8 @@
         ready = sum(1 for endpoint in endpoints if endpoint.is_ready)
         self._endpoints.set({"state": "ready"}, ready)
         self._endpoints.set({"state": "leaving"}, len(endpoints) - ready)
+        evacuated = self._endpoint_directory.evacuated_domains
+        self._evacuated_domains.set({}, len(evacuated))
         limited = self._endpoint_directory.request_limits.limited_count()
         self._endpoints.set({"state": "limited"}, limited)
 
--- a/bronzeslip/platform/gateway.py
+++ b/bronzeslip/platform/gateway.py
@@ -29,6 +29,7 @@
 from bronzeslip.platform import configuration_follower
 from bronzeslip.platform import discovery_follower
 from bronzeslip.platform import endpoint_http
+from bronzeslip.platform import evacuation_follower
 from bronzeslip.platform import ingress
 from bronzeslip.platform import settings_reloader
 from bronzeslip.platform import store_client
@@ -186,9 +187,17 @@
         store, forwarding_components.current, configuration_timing
     )
     store.era.add_listener(configuration.interrupt)
+    evacuations = evacuation_follower.EvacuationFollower(
+        store,
+        forwarding_components.endpoints.evacuated_domains,
+        configuration_timing,
+        lambda: forwarding_components.current.table is not None,
+    )
+    store.era.add_listener(evacuations.interrupt)
 
     def restart_watches() -> None:
         configuration.interrupt()
+        evacuations.interrupt()
         replicator.interrupt()
 
     discovery = discovery_follower.DiscoveryFollower(
@@ -197,7 +206,14 @@
         discovery_timing,
         restart_watches,
     )
+    evacuation_tasks: tuple[named_task.NamedTask, ...] = ()
+    if this_vm.bounds.evac_s is not None:
+        forwarding_components.endpoints.evacuated_domains.start_following()
+        evacuation_tasks = (
+            named_task.NamedTask("evacuations", evacuations.run),
+        )
     return (
+        *evacuation_tasks,
         named_task.NamedTask("configuration", configuration.run),
         named_task.NamedTask("discovery", discovery.run),
         named_task.NamedTask("reports", poller.run),
--- a/bronzeslip/platform/place_bounds.py
+++ b/bronzeslip/platform/place_bounds.py
@@ -30,11 +30,16 @@
         minimum: Smallest usable value.
         maximum: Largest usable value.
         divisor: Number of units of the file in one unit of the bound.
+        is_optional: Whether the bound may be missing, which is not logged and
+            leads to its default.
+        cautious: Bound to use if it is stated, but was never usable.
     """
 
     minimum: float
     maximum: float = 1e9
     divisor: float = 1.0
+    is_optional: bool = False
+    cautious: float | None = None
 
 
 # By the names in the file and of the bounds.
@@ -45,6 +50,9 @@
     ("retry_slack", "retry_slack"): _Range(0),
     ("retry_window_s", "retry_window_s"): _Range(0.001),
     ("drain_ms", "drain_s"): _Range(1, divisor=_MS_PER_S),
+    ("evac_ms", "evac_s"): _Range(
+        1, divisor=_MS_PER_S, is_optional=True, cautious=1.0
+    ),
 }
 
 
@@ -63,12 +71,16 @@
         value = values.get(field)
         if _is_usable(value, usable):
             bounds[name] = value / usable.divisor
+        elif value is None and usable.is_optional:
+            bounds[name] = getattr(CAUTIOUS_BOUNDS, name)
         else:
+            known = getattr(fallback, name)
+            bounds[name] = usable.cautious if known is None else known
             logger.error(
                 "settings.bound_unusable",
                 field=field,
                 type=type(value).__name__,
-                used=getattr(fallback, name),
+                used=bounds[name],
             )
     return msgspec.structs.replace(fallback, **bounds)
 
--- a/tests/platform/test_boot_file.py
+++ b/tests/platform/test_boot_file.py
@@ -85,6 +85,21 @@
                 )
                 self.assertEqual(this_vm.bounds, place_bounds.CAUTIOUS_BOUNDS)
 
+    # Guards against evacuations that are ignored since their bound is odd.
+    def test_evacuations_are_followed_only_if_their_bound_is_stated(self):
+        for stated, expected_s in (
+            ("", None),
+            ("evac_ms = 5000", 5.0),
+            ("evac_ms = -1", 1.0),
+            ('evac_ms = "5"', 1.0),
+        ):
+            with self.subTest(stated=stated):
+                content = boot_files.SOUND.replace(
+                    "[bounds]", f"[bounds]\n{stated}"
+                )
+                bounds = self.read(content.encode()).bounds
+                self.assertEqual(bounds.evac_s, expected_s)
+
     # Guards against settings of a file that is still being written.
     def test_each_cut_file_raises_the_error(self):
         content = boot_files.SOUND.rstrip().encode()
