--- a/bronzeslip/endpoints/directory.py
+++ b/bronzeslip/endpoints/directory.py
@@ -15,6 +15,7 @@
 from bronzeslip.endpoints import past_incarnations
 from bronzeslip.endpoints import pauses
 from bronzeslip.endpoints import request_limits
+from bronzeslip.places import cold_endpoints
 from bronzeslip.places import evacuated_domains
 from bronzeslip.settings import entry
 
@@ -38,6 +39,7 @@
     Attributes:
         request_limits: Limits that endpoints state on their requests.
         evacuated_domains: Failure domains whose endpoints receive no requests.
+        cold_endpoints: Endpoints that sustain few requests for some time.
     """
 
     def __init__(self, settings: entry.EntrySettings) -> None:
@@ -53,6 +55,7 @@
         self._pauses = pauses.EndpointPauses()
         self.request_limits = request_limits.RequestLimits()
         self.evacuated_domains = evacuated_domains.EvacuatedDomains()
+        self.cold_endpoints = cold_endpoints.ColdEndpoints()
         self.evacuated_domains.add_listener(self._signal_change)
         self._is_source_restored = False
         self._unreachable: set[ids.EndpointId] = set()
@@ -178,13 +181,14 @@
     def shortest_pause_s(
         self,
         service_name: ids.ServiceName,
-        is_eligible: Callable[[endpoint.Endpoint], bool],
+        is_eligible: Callable[[endpoint.Endpoint], bool] = lambda _: True,
     ) -> float | None:
         """Returns when the first paused endpoint of a service can be called.
 
         Args:
             service_name: Name of the service.
-            is_eligible: Tells which of its endpoints to consider.
+            is_eligible: Tells which of its endpoints to consider; all by
+                default.
 
         Returns:
             The time until then in seconds, or None if none is paused.
@@ -354,6 +358,7 @@
 
     def _notify_gone(self, gone: endpoint.Endpoint) -> None:
         self.request_limits.remove(gone)
+        self.cold_endpoints.remove(gone)
         self._gone_listeners.notify(gone)
 
 
