Keep requests to cold endpoints within the limit of their service

An endpoint that has just started sustains few requests per second and crashes well above that; gateways that all saw it as idle sent it their requests at once.

Services state cold_per_s. Gateways that are counted send whole shares in a sliding window; the others ask the endpoint's coordinator for permits, at a rate that fits into the bound beyond the shares. Cold endpoints without a free share are excluded from choices, at one lookup per candidate. Refused callers get spread retry times.

--- a/bronzeslip/entry/vm_config.py
+++ b/bronzeslip/entry/vm_config.py
@@ -30,6 +30,10 @@
         evac_s: Time after which the endpoints of an evacuated failure domain
             must receive no requests, in seconds, or None if evacuations are not
             followed.
+        cold_over: Factor by which requests to a cold endpoint may exceed its
+            limit in any second.
+        cold_slack: Further requests that a cold endpoint may receive in any
+            second.
     """
 
     grace_s: float
@@ -38,6 +42,8 @@
     retry_window_s: float
     drain_s: float
     evac_s: float | None = None
+    cold_over: float = 1.0
+    cold_slack: float = 0.0
 
 
 class ProcessLimits(msgspec.Struct, frozen=True):
--- a/bronzeslip/forwarding/assembly.py
+++ b/bronzeslip/forwarding/assembly.py
@@ -29,6 +29,7 @@
 from bronzeslip.forwarding import stream_forwarder
 from bronzeslip.metrics import entry_metrics
 from bronzeslip.places import allowed_regions
+from bronzeslip.places import cold_limits
 from bronzeslip.quota import endpoint_permits
 from bronzeslip.routes import current
 from bronzeslip.routing import suspect_list
@@ -47,6 +48,7 @@
     metrics: entry_metrics.EntryMetrics,
     gateways: gateway_count.GatewayCount,
     permits: endpoint_permits.EndpointPermits,
+    limits_of_cold: cold_limits.ColdLimits,
     rng: random.Random,
 ) -> components.ForwardingComponents:
     """Creates the forwarding components.
@@ -62,6 +64,7 @@
         metrics: Metrics of the gateway.
         gateways: Number of running gateways.
         permits: Permits for endpoints that have a limit.
+        limits_of_cold: Limits the requests to cold endpoints.
         rng: Source of all random choices.
     """
     in_flight = in_flight_requests.InFlightRequests()
@@ -69,6 +72,7 @@
     failures = failure_tracker.FailureTracker()
     endpoints.add_gone_listener(lambda gone: failures.remove(gone.endpoint_id))
     regions = allowed_regions.AllowedRegionsFilter(this_vm)
+    endpoints.add_gone_listener(limits_of_cold.remove)
     endpoint_proximity = proximity.EndpointProximity(this_vm, endpoints)
     if settings.placement is entry.Placement.ROUND_ROBIN:
         endpoint_chooser = chooser.RoundRobinChooser(endpoints, regions, rng)
@@ -89,7 +93,7 @@
             rng,
         )
     sending_chooser = permitted_chooser.PermittedChooser(
-        endpoint_chooser, endpoints, permits, regions
+        endpoint_chooser, endpoints, permits, regions, limits_of_cold, rng
     )
     retry_budgets = service_retry_budgets.ServiceRetryBudgets(
         this_vm.bounds, gateways, random.Random(this_vm.vm_id)
@@ -112,6 +116,7 @@
             endpoint_proximity, endpoints, reports, regions, rng
         ),
         regions=regions,
+        cold_limits=limits_of_cold,
         releaser=copy_releaser.CopyReleaser(client),
         retry_budgets=retry_budgets,
         crash_detector=crash_detector,
--- a/bronzeslip/forwarding/components.py
+++ b/bronzeslip/forwarding/components.py
@@ -16,6 +16,7 @@
 from bronzeslip.forwarding import standby_chooser
 from bronzeslip.metrics import entry_metrics
 from bronzeslip.places import allowed_regions
+from bronzeslip.places import cold_limits
 from bronzeslip.quota import endpoint_permits
 from bronzeslip.routes import current
 from bronzeslip.settings import entry
@@ -37,6 +38,7 @@
         permitted_chooser: Chooses the endpoint to send a request to.
         copy_target_chooser: Chooses the engines that store standby copies.
         regions: Decides which endpoints a request may reach.
+        cold_limits: Limits the requests to cold endpoints.
         releaser: Frees standby copies that are no longer needed.
         retry_budgets: Limits the retries of each service.
         crash_detector: Quarantines requests that crash endpoints.
@@ -56,6 +58,7 @@
     permitted_chooser: permitted_chooser.PermittedChooser
     copy_target_chooser: standby_chooser.StandbyChooser
     regions: allowed_regions.AllowedRegionsFilter
+    cold_limits: cold_limits.ColdLimits
     releaser: copy_releaser.CopyReleaser
     retry_budgets: service_retry_budgets.ServiceRetryBudgets
     crash_detector: crash_watch.CrashDetector
--- /dev/null
+++ b/bronzeslip/forwarding/excluded_endpoints.py
@@ -0,0 +1,63 @@
+"""Endpoints that a choice must not consider."""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+from collections.abc import Set as AbstractSet
+
+from bronzeslip import ids
+from bronzeslip.endpoints import endpoint
+from bronzeslip.forwarding import admitted
+from bronzeslip.places import cold_limits
+
+
+class ExcludedEndpoints(AbstractSet[ids.EndpointId]):
+    """Named endpoints and cold ones without a free share.
+
+    Cold endpoints are looked up one by one as they are considered, so that a
+    request has no cost for those of which it considers none.
+    """
+
+    def __init__(
+        self,
+        named: AbstractSet[ids.EndpointId],
+        limits: cold_limits.ColdLimits,
+        request: admitted.AdmittedRequest,
+        candidates: Iterable[endpoint.Endpoint],
+    ) -> None:
+        """Creates the set for one choice.
+
+        Args:
+            named: Endpoints that are excluded for other reasons.
+            limits: Limits of cold endpoints.
+            request: Request to send.
+            candidates: All endpoints that may be considered.
+        """
+        self._named = named
+        self._limits = limits
+        self._request = request
+        self._candidates = candidates
+
+    def __contains__(self, endpoint_id: object) -> bool:
+        """Returns whether an endpoint is excluded."""
+        return endpoint_id in self._named or bool(
+            self._limits.delay_s(endpoint_id, self._request)
+        )
+
+    def __iter__(self) -> Iterator[ids.EndpointId]:
+        """Iterates over the excluded endpoints by checking all candidates."""
+        yield from self._named
+        for candidate in self._candidates:
+            endpoint_id = candidate.endpoint_id
+            if endpoint_id not in self._named and endpoint_id in self:
+                yield endpoint_id
+
+    def __len__(self) -> int:
+        """Returns the number of excluded endpoints."""
+        return sum(1 for _ in self)
+
+    @classmethod
+    def _from_iterable(
+        cls, iterable: Iterable[ids.EndpointId]
+    ) -> AbstractSet[ids.EndpointId]:
+        """Returns the result of a set operation."""
+        return frozenset(iterable)
--- a/bronzeslip/forwarding/permitted_chooser.py
+++ b/bronzeslip/forwarding/permitted_chooser.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Set as AbstractSet
+import random
 import time
 
 from bronzeslip import ids
@@ -11,12 +12,17 @@
 from bronzeslip.forwarding import admitted
 from bronzeslip.forwarding import chooser
 from bronzeslip.forwarding import errors
+from bronzeslip.forwarding import excluded_endpoints
 from bronzeslip.places import allowed_regions
+from bronzeslip.places import cold_limits
 from bronzeslip.quota import endpoint_permits
 from bronzeslip.quota import return_schedule
 
 logger = logs.get_logger(__name__)
 
+# Time over which callers return to an endpoint that has become warm.
+_WARM_RETURN_SPREAD_S = 1.0
+
 
 class PermittedChooser:
     """Acquires a permit for each chosen endpoint that has a limit.
@@ -31,6 +37,8 @@
         endpoints: directory.EndpointDirectory,
         permits: endpoint_permits.EndpointPermits,
         regions: allowed_regions.AllowedRegionsFilter,
+        limits_of_cold: cold_limits.ColdLimits,
+        rng: random.Random,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         """Initializes the chooser.
@@ -40,12 +48,16 @@
             endpoints: Directory of the known endpoints.
             permits: Permits for endpoints that have a limit.
             regions: Decides which endpoints a request may reach.
+            limits_of_cold: Limits the requests to cold endpoints.
+            rng: Spreads the returns to endpoints that are warm again.
             clock: Monotonic clock, in seconds.
         """
         self._endpoint_chooser = endpoint_chooser
         self._endpoints = endpoints
         self._permits = permits
         self._regions = regions
+        self._limits_of_cold = limits_of_cold
+        self._rng = rng
         self._clock = clock
         self._returns: dict[
             ids.ServiceName, return_schedule.ReturnSchedule
@@ -80,15 +92,19 @@
         while True:
             try:
                 chosen = self._endpoint_chooser.choose(
-                    request, excluded | denied_s.keys()
+                    request,
+                    self._unavailable(request, excluded | denied_s.keys()),
                 )
             except errors.OverloadedError:
                 raise
             except errors.NotRunError:
+                denied_s |= self._cold_delays_s(request, excluded)
                 if not denied_s:
                     raise
                 raise self._limited_error(request, denied_s) from None
-            delay_s = await self._permits.acquire(chosen, reserved)
+            delay_s = await self._limits_of_cold.acquire(chosen, request)
+            if not delay_s:
+                delay_s = await self._permits.acquire(chosen, reserved)
             if self._endpoints.is_evacuated(chosen):
                 # The evacuation became known while the permit was requested.
                 excluded.add(chosen.endpoint_id)
@@ -103,6 +119,42 @@
                 delay_s=round(delay_s, 3),
             )
 
+    def _unavailable(
+        self,
+        request: admitted.AdmittedRequest,
+        named: AbstractSet[ids.EndpointId],
+    ) -> AbstractSet[ids.EndpointId]:
+        """Returns named endpoints and cold ones without a free share."""
+        if not request.service.cold_per_s:
+            return named
+        return excluded_endpoints.ExcludedEndpoints(
+            named,
+            self._limits_of_cold,
+            request,
+            self._endpoints.ready_endpoints(request.service.name),
+        )
+
+    def _cold_delays_s(
+        self,
+        request: admitted.AdmittedRequest,
+        excluded: AbstractSet[ids.EndpointId],
+    ) -> dict[ids.EndpointId, float]:
+        if not request.service.cold_per_s:
+            return {}
+        return {
+            candidate.endpoint_id: delay_s
+            for candidate in self._endpoints.ready_endpoints(
+                request.service.name
+            )
+            if candidate.endpoint_id not in excluded
+            and self._is_eligible(candidate, request)
+            and (
+                delay_s := self._limits_of_cold.delay_s(
+                    candidate.endpoint_id, request
+                )
+            )
+        }
+
     def _is_eligible(
         self,
         candidate: endpoint.Endpoint | None,
@@ -124,6 +176,16 @@
             if self._is_eligible(candidate, request)
         ]
         rate_per_s = self._permits.total_rate_per_s(candidates)
+        cold_s = [
+            left_s
+            for candidate in candidates
+            if (
+                left_s := self._limits_of_cold.cold_s(
+                    candidate.endpoint_id, request
+                )
+            )
+        ]
+        rate_per_s += len(cold_s) * self._limits_of_cold.rate_per_s(request)
         pause_s = self._endpoints.shortest_pause_s(
             service_name,
             lambda candidate: self._is_eligible(candidate, request),
@@ -136,6 +198,10 @@
             1 / rate_per_s if rate_per_s else 0.0,
             self._clock(),
         )
+        if cold_s:
+            # Nobody has to wait long for an endpoint that is warm again.
+            spread_s = self._rng.uniform(0.0, _WARM_RETURN_SPREAD_S)
+            delay_s = min(delay_s, min(cold_s) + spread_s)
         return errors.LimitedError(
             f"no endpoint of service {service_name} takes more requests",
             retry_after_s=delay_s if pause_s is None else min(delay_s, pause_s),
--- a/bronzeslip/forwarding/standby_chooser.py
+++ b/bronzeslip/forwarding/standby_chooser.py
@@ -108,12 +108,14 @@
         candidates = neighbours or isolated or (candidates if is_urgent else [])
         if not candidates:
             return None
-        # A run resumes on an engine with a limit only if a permit is left.
+        # A run resumes on a limited or cold engine only if that takes more.
         limits = self._endpoints.request_limits
+        cold = self._endpoints.cold_endpoints
         candidates = [
             candidate
             for candidate in candidates
             if limits.rate_of(candidate) is None
+            and not cold.remaining_s(candidate.endpoint_id, request.service)
         ] or candidates
         return min(
             candidates,
--- a/bronzeslip/forwarding/stream_run.py
+++ b/bronzeslip/forwarding/stream_run.py
@@ -250,6 +250,12 @@
             )
         if self._components.endpoints.is_evacuated(copy.target):
             raise errors.NotRunError("the engine with the copy is evacuated")
+        if await self._components.cold_limits.acquire(
+            copy.target, self._request
+        ):
+            raise errors.NotRunError(
+                "the engine with the copy is cold and takes no more requests"
+            )
         if await self._components.permits.acquire(copy.target):
             raise errors.NotRunError(
                 "the engine with the copy takes no more requests"
--- a/bronzeslip/metrics/entry_metrics.py
+++ b/bronzeslip/metrics/entry_metrics.py
@@ -139,6 +139,8 @@
         self._endpoints.set({"state": "leaving"}, len(endpoints) - ready)
         evacuated = self._endpoint_directory.evacuated_domains
         self._evacuated_domains.set({}, len(evacuated))
+        cold = self._endpoint_directory.cold_endpoints.cold_count()
+        self._endpoints.set({"state": "cold"}, cold)
         limited = self._endpoint_directory.request_limits.limited_count()
         self._endpoints.set({"state": "limited"}, limited)
 
--- a/bronzeslip/platform/configuration.py
+++ b/bronzeslip/platform/configuration.py
@@ -64,6 +64,8 @@
     name: str
     health_path: fields.UrlPath = "/health"
     max_conns: fields.Integer = 0
+    cold_s: fields.NonNegativeQuantity = 0.0
+    cold_per_s: fields.NonNegativeQuantity = 0.0
     engine: _Engine | None = None
 
 
@@ -150,6 +152,8 @@
         health_path=wire.health_path,
         max_connections=wire.max_conns,
         engine=None if wire.engine is None else _to_engine_traits(wire.engine),
+        cold_s=wire.cold_s,
+        cold_per_s=wire.cold_per_s,
     )
 
 
--- a/bronzeslip/platform/discovery_follower.py
+++ b/bronzeslip/platform/discovery_follower.py
@@ -56,10 +56,13 @@
         self._on_failure()
 
     async def _on_list(self, listing: objects.ObjectList) -> None:
-        endpoints = (_decode(stored) for stored in listing.objects)
-        self._endpoint_directory.replace_all(
-            decoded for decoded in endpoints if decoded
-        )
+        entries = [
+            (decoded, stored.version)
+            for stored in listing.objects
+            if (decoded := _decode(stored)) is not None
+        ]
+        self._endpoint_directory.cold_endpoints.replace_all(entries)
+        self._endpoint_directory.replace_all(decoded for decoded, _ in entries)
 
     async def _on_event(self, event: objects.ObjectEvent) -> None:
         endpoint_id = discovery.endpoint_id_of(event.key)
@@ -70,6 +73,7 @@
             objects.PlatformObject(event.key, event.version, event.value)
         )
         if decoded is not None:
+            self._endpoint_directory.cold_endpoints.put(decoded, event.version)
             self._endpoint_directory.put(decoded)
         else:
             # As in a listing, such an entry names no endpoint. The next valid
--- a/bronzeslip/platform/endpoint_announcements.py
+++ b/bronzeslip/platform/endpoint_announcements.py
@@ -12,6 +12,7 @@
 
 _LEAVING_VALUE = "1"
 _MAX_PAUSE_S = 86_400.0
+_MS_PER_S = 1000
 
 
 def record(
@@ -33,6 +34,7 @@
     leaving = response.headers.get(headers.SERVER_LEAVING.decode(), "")
     if leaving.strip() == _LEAVING_VALUE:
         endpoints.mark_leaving(sender)
+    _record_cold(endpoints, sender, response)
     if response.status_code != httpx.codes.MISDIRECTED_REQUEST:
         _record_limit(endpoints, sender, response)
     if response.status_code != httpx.codes.SERVICE_UNAVAILABLE:
@@ -49,6 +51,21 @@
     endpoints.pause(sender, pause_s)
 
 
+def _record_cold(
+    endpoints: directory.EndpointDirectory,
+    sender: endpoint.Endpoint,
+    response: httpx.Response,
+) -> None:
+    text = response.headers.get(headers.COLD_MS.decode())
+    if text is None:
+        return
+    remaining_ms = numbers.parse_decimal(text.strip())
+    if remaining_ms is None:
+        logger.info("endpoint.unreadable_cold", endpoint=sender.endpoint_id)
+        return
+    endpoints.cold_endpoints.state(sender, remaining_ms / _MS_PER_S)
+
+
 def _record_limit(
     endpoints: directory.EndpointDirectory,
     sender: endpoint.Endpoint,
--- a/bronzeslip/platform/gateway.py
+++ b/bronzeslip/platform/gateway.py
@@ -25,6 +25,8 @@
 from bronzeslip.memory import budget
 from bronzeslip.memory import guard
 from bronzeslip.metrics import entry_metrics
+from bronzeslip.places import cold_limits
+from bronzeslip.places import cold_shares
 from bronzeslip.platform import body_reader
 from bronzeslip.platform import configuration_follower
 from bronzeslip.platform import discovery_follower
@@ -33,6 +35,7 @@
 from bronzeslip.platform import ingress
 from bronzeslip.platform import settings_reloader
 from bronzeslip.platform import store_client
+from bronzeslip.quota import cold_permits
 from bronzeslip.quota import end_announcer
 from bronzeslip.quota import endpoint_permits
 from bronzeslip.quota import peer
@@ -78,8 +81,9 @@
     client = endpoint_http.HttpEndpointClient(settings, endpoint_directory)
     endpoint_directory.add_leaving_listener(client.remove_endpoint)
     endpoint_directory.add_gone_listener(client.remove_endpoint)
+    shares = cold_shares.ColdShares(this_vm.bounds, registry)
     coordinator = permit_coordinator.PermitCoordinator(
-        endpoint_directory, registry
+        endpoint_directory, registry, cold_rate=shares.permits_per_s
     )
     caller = peer_caller.PeerCaller(
         own, coordinator, peer_http.HttpPeerClient(settings)
@@ -102,6 +106,11 @@
         metrics,
         registry,
         permits,
+        cold_limits.ColdLimits(
+            endpoint_directory.cold_endpoints,
+            shares,
+            cold_permits.ColdPermits(registry, caller),
+        ),
         rng,
     )
     request_admission = admission.Admission(settings, current_table, rng)
@@ -110,6 +119,7 @@
     def set_bounds(bounds: vm_config.PlaceBounds) -> None:
         forwarding_components.retry_budgets.set_bounds(bounds)
         drain.set_bounds(bounds)
+        shares.set_bounds(bounds)
 
     process_memory.release_large_blocks()
     memory = budget.create(
--- a/bronzeslip/platform/headers.py
+++ b/bronzeslip/platform/headers.py
@@ -30,6 +30,8 @@
 # Requests per second that the endpoint takes from all gateways together, in
 # responses of an endpoint that is overloaded.
 SERVER_LIMIT = b"server-limit"
+# Milliseconds for which the endpoint sustains only a limited rate of requests.
+COLD_MS = b"bronzeslip-cold-ms"
 # Rises when the store has been restored from an older copy.
 STORE_ERA = b"store-era"
 HOST = b"host"
--- a/bronzeslip/platform/place_bounds.py
+++ b/bronzeslip/platform/place_bounds.py
@@ -53,6 +53,8 @@
     ("evac_ms", "evac_s"): _Range(
         1, divisor=_MS_PER_S, is_optional=True, cautious=1.0
     ),
+    ("cold_over", "cold_over"): _Range(0, is_optional=True),
+    ("cold_slack", "cold_slack"): _Range(0, is_optional=True),
 }
 
 
--- a/bronzeslip/quota/permit_coordinator.py
+++ b/bronzeslip/quota/permit_coordinator.py
@@ -42,6 +42,7 @@
         endpoints: directory.EndpointDirectory,
         gateways: coordinators.Coordinators,
         clock: Callable[[], float] = time.monotonic,
+        cold_rate: Callable[[float], float] = lambda cold_per_s: cold_per_s,
     ) -> None:
         """Creates a coordinator.
 
@@ -49,11 +50,17 @@
             endpoints: Directory of the known endpoints and their limits.
             gateways: Tells what this gateway may grant.
             clock: Monotonic clock, in seconds.
+            cold_rate: Returns the rate of permits for a cold endpoint with the
+                given limit, both per second.
         """
         self._endpoints = endpoints
         self._gateways = gateways
         self._clock = clock
+        self._cold_rate = cold_rate
         self._buckets: dict[ids.EndpointId, permit_bucket.PermitBucket] = {}
+        self._cold_buckets: dict[
+            ids.EndpointId, permit_bucket.PermitBucket
+        ] = {}
         self._denied: dict[ids.EndpointId, set[peer.Peer]] = {}
         self._ended_listeners: listeners.Listeners[
             [endpoint.Endpoint, Iterable[peer.Peer]]
@@ -75,6 +82,8 @@
         target = self._endpoints.get(request.endpoint_id)
         if target is None or not _is_same_incarnation(target, request):
             return _NOT_RESPONSIBLE
+        if request.is_cold:
+            return self._decide_cold(target, request)
         latest = self._merge(target, request)
         if latest.rate_per_s is None:
             self._notify_ended(target)
@@ -87,6 +96,32 @@
             latest, self._take(target, request, rate_per_s)
         )
 
+    def _decide_cold(
+        self,
+        target: endpoint.Endpoint,
+        request: permit_request.PermitRequest,
+    ) -> permit_reply.PermitReply:
+        """Decides on a request to a cold endpoint.
+
+        The rate is no statement of the endpoint, so it is not recorded as one.
+        """
+        rate_per_s = self._cold_rate(request.rate_per_s or 0.0)
+        rate_per_s *= self._granted_share(request)
+        if not rate_per_s:
+            return _NOT_RESPONSIBLE
+        now_s = self._clock()
+        bucket = self._cold_buckets.get(target.endpoint_id)
+        if bucket is None:
+            logger.info("permits.coordinated_cold", endpoint=target.endpoint_id)
+            bucket = permit_bucket.PermitBucket(now_s)
+            self._cold_buckets[target.endpoint_id] = bucket
+        delay_s = bucket.take(rate_per_s, request.reserved, now_s)
+        if delay_s:
+            return permit_reply.PermitReply(
+                permit_verdict.PermitVerdict.DENIED, delay_s
+            )
+        return permit_reply.PermitReply(permit_verdict.PermitVerdict.GRANTED)
+
     def _merge(
         self,
         target: endpoint.Endpoint,
@@ -157,6 +192,7 @@
 
     def _remove_endpoint(self, gone: endpoint.Endpoint) -> None:
         self._buckets.pop(gone.endpoint_id, None)
+        self._cold_buckets.pop(gone.endpoint_id, None)
         self._denied.pop(gone.endpoint_id, None)
 
 
--- a/bronzeslip/quota/permit_request.py
+++ b/bronzeslip/quota/permit_request.py
@@ -23,6 +23,8 @@
         reserved: Permits to leave for more important requests.
         is_fallback: Whether the coordinator could not be asked.
         sender: The asking gateway.
+        is_cold: Whether the rate is that of a cold endpoint, stated by its
+            service and not by the endpoint.
     """
 
     endpoint_id: ids.EndpointId
@@ -33,3 +35,4 @@
     reserved: fields.NonNegativeQuantity
     is_fallback: bool
     sender: peer.Peer
+    is_cold: bool = False
--- a/bronzeslip/routes/service.py
+++ b/bronzeslip/routes/service.py
@@ -14,6 +14,9 @@
         health_path: Path of the health check of its endpoints.
         max_connections: Maximum number of connections to one endpoint, over
             all callers.
+        cold_s: Time for which an endpoint is cold after its start, in seconds.
+        cold_per_s: Requests per second that a cold endpoint sustains, from all
+            gateways together; 0 if it is not limited.
         engine: Traits of its model engines, or None for other services.
     """
 
@@ -21,3 +24,5 @@
     health_path: str
     max_connections: int
     engine: engine_traits.EngineTraits | None = None
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
--- a/tests/platform/test_boot_file.py
+++ b/tests/platform/test_boot_file.py
@@ -100,6 +100,21 @@
                 bounds = self.read(content.encode()).bounds
                 self.assertEqual(bounds.evac_s, expected_s)
 
+    def test_bounds_of_cold_endpoints_are_optional(self):
+        for stated, expected in (
+            ("", (1.0, 0.0)),
+            ("cold_over = 1.5\ncold_slack = 5", (1.5, 5.0)),
+            ("cold_over = -1\ncold_slack = nan", (1.0, 0.0)),
+        ):
+            with self.subTest(stated=stated):
+                content = boot_files.SOUND.replace(
+                    "[bounds]", f"[bounds]\n{stated}"
+                )
+                bounds = self.read(content.encode()).bounds
+                self.assertEqual(
+                    (bounds.cold_over, bounds.cold_slack), expected
+                )
+
     # Guards against settings of a file that is still being written.
     def test_each_cut_file_raises_the_error(self):
         content = boot_files.SOUND.rstrip().encode()
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -113,6 +113,17 @@
                     table.named_regions("s-1"), expected or frozenset()
                 )
 
+    def test_limits_of_cold_endpoints_are_optional(self):
+        for changes, expected in (
+            ({}, (0.0, 0.0)),
+            ({"cold_s": 1, "cold_per_s": 29}, (1.0, 29.0)),
+        ):
+            table = configuration.decode(
+                _document(services=[{"name": "s-1", **changes}])
+            )
+            found = table.service("s-1")
+            self.assertEqual((found.cold_s, found.cold_per_s), expected)
+
     def test_unknown_kinds_are_never_retried(self):
         table = configuration.decode(
             _document(routes=[{**_ROUTE, "kind": "new"}])
@@ -154,6 +165,8 @@
             {"routes": [{**_ROUTE, "priority": 10**30}]},
             {"services": [{"name": "s-1", "health_path": "/a\r\nb"}]},
             {"services": [{"name": "s-1", "health_path": "@host/"}]},
+            {"services": [{"name": "s-1", "cold_per_s": -1}]},
+            {"services": [{"name": "s-1", "cold_s": "1"}]},
             {"limits": {**_LIMITS, "max_body_bytes": -1}},
             {"limits": {**_LIMITS, "idle_timeout_ms": 0}},
             {"tenants": [{"name": "a\r\nb"}]},
--- a/tests/platform/test_discovery_follower.py
+++ b/tests/platform/test_discovery_follower.py
@@ -12,6 +12,7 @@
 from bronzeslip.store import objects
 from tests.support import forwarding_parts
 from tests.support import nested_json
+from tests.support import polling
 
 _ENTRY = {
     "service": "s",
@@ -104,6 +105,23 @@
                 self.store.changes.put_nowait(("one", value))
                 await self._wait_for("two")
 
+    # Guards against requests to a new endpoint above what it sustains.
+    async def test_endpoint_that_appears_or_says_so_is_cold(self):
+        service = msgspec.structs.replace(
+            forwarding_parts.CALL_SERVICE, cold_s=1.0, cold_per_s=29.0
+        )
+        self._follow(one=_SOUND)
+        await self._wait_for("one")
+        cold = self.directory.cold_endpoints
+        self.assertEqual(cold.remaining_s("one", service), 0.0)
+        self.store.changes.put_nowait(("two", _SOUND))
+        await self._wait_for("one", "two")
+        self.assertGreater(cold.remaining_s("two", service), 0.9)
+        stated = _SOUND.replace(b"{", b'{"cold_left_ms":5000,')
+        self.store.changes.put_nowait(("one", stated))
+        await polling.wait_until(lambda: cold.remaining_s("one", service))
+        self.assertGreater(cold.remaining_s("one", service), 4.0)
+
     async def test_next_valid_entry_makes_the_endpoint_usable_again(self):
         self._follow(one=_SOUND)
         await self._wait_for("one")
--- a/tests/platform/test_endpoint_announcements.py
+++ b/tests/platform/test_endpoint_announcements.py
@@ -3,6 +3,8 @@
 import asyncio
 import unittest
 
+import msgspec
+
 from bronzeslip import ids
 from bronzeslip.endpoints import directory
 from bronzeslip.endpoints import endpoint
@@ -48,6 +50,28 @@
         await response.close()
 
 
+class ColdAnnouncementTest(_AnnouncementCase):
+    async def test_only_usable_times_of_the_endpoint_count(self):
+        service = msgspec.structs.replace(
+            forwarding_parts.ENGINE_SERVICE, cold_per_s=29.0
+        )
+        for stated, expected_s in ((b"700", 0.7), (b"-1", 0), (b"x" * 99, 0)):
+            with self.subTest(stated=stated):
+                await self._start(
+                    raw_server.create_response(
+                        b"",
+                        b"200 OK",
+                        b"Bronzeslip-Cold-Ms: " + stated + b"\r\n",
+                    )
+                )
+                cold = self.directory.cold_endpoints
+                cold.replace_all([(self.endpoint, 1)])
+                await self.client.check_presence(self.endpoint, "/health")
+                self.assertAlmostEqual(
+                    cold.remaining_s("i-1", service), expected_s, delta=0.1
+                )
+
+
 class AnnouncementTest(_AnnouncementCase):
     async def _refuse(self, retry_after):
         await self._start(
--- a/tests/support/forwarding_parts.py
+++ b/tests/support/forwarding_parts.py
@@ -17,6 +17,9 @@
 from bronzeslip.memory import budget
 from bronzeslip.memory import reservation
 from bronzeslip.metrics import entry_metrics
+from bronzeslip.places import cold_limits
+from bronzeslip.places import cold_shares
+from bronzeslip.quota import cold_permits
 from bronzeslip.quota import endpoint_permits
 from bronzeslip.quota import peer
 from bronzeslip.quota import peer_caller
@@ -210,14 +213,13 @@
     suspects = suspects or suspect_list.SuspectList(suspect_settings)
     gateways = create_single_gateway()
     (own,) = gateways.ranked("")
+    caller = peer_caller.PeerCaller(
+        own,
+        permit_coordinator.PermitCoordinator(endpoint_directory, gateways),
+        None,
+    )
     permits = endpoint_permits.EndpointPermits(
-        endpoint_directory,
-        gateways,
-        peer_caller.PeerCaller(
-            own,
-            permit_coordinator.PermitCoordinator(endpoint_directory, gateways),
-            None,
-        ),
+        endpoint_directory, gateways, caller
     )
     components = assembly.create_components(
         settings,
@@ -232,6 +234,11 @@
         entry_metrics.EntryMetrics(current_table, endpoint_directory),
         gateways,
         permits,
+        cold_limits.ColdLimits(
+            endpoint_directory.cold_endpoints,
+            cold_shares.ColdShares(VM_CONFIG.bounds, gateways),
+            cold_permits.ColdPermits(gateways, caller),
+        ),
         random.Random(1),
     )
     # The gateway has been running for some time, so its slack is complete.
