--- a/bronzeslip/entry/vm_config.py
+++ b/bronzeslip/entry/vm_config.py
@@ -27,6 +27,13 @@
         retry_window_s: Window in which retries are counted, in seconds.
         drain_s: Time after which an endpoint that the store lists as leaving
             must receive no new requests, in seconds.
+        evac_s: Time after which the endpoints of an evacuated failure domain
+            must receive no requests, in seconds, or None if evacuations are not
+            followed.
+        cold_over: Factor by which requests to a cold endpoint may exceed its
+            limit in any second.
+        cold_slack: Further requests that a cold endpoint may receive in any
+            second.
     """
 
     grace_s: float
@@ -34,6 +41,9 @@
     retry_slack: float
     retry_window_s: float
     drain_s: float
+    evac_s: float | None = None
+    cold_over: float = 1.0
+    cold_slack: float = 0.0
 
 
 class ProcessLimits(msgspec.Struct, frozen=True):
--- a/bronzeslip/forwarding/errors.py
+++ b/bronzeslip/forwarding/errors.py
@@ -39,6 +39,18 @@
     code = "not-run"
 
 
+class NoEligibleEndpointError(NotRunError):
+    """No endpoint is where the request may be sent."""
+
+    code = "no-eligible-endpoint"
+
+
+class EvacuatedError(NoEligibleEndpointError):
+    """All endpoints that the request may be sent to are evacuated."""
+
+    code = "evacuated"
+
+
 class OverloadedError(NotRunError):
     """The request could not have been served in time."""
 
--- a/bronzeslip/forwarding/stream_run.py
+++ b/bronzeslip/forwarding/stream_run.py
@@ -239,8 +239,23 @@
 
         Raises:
             endpoint_errors.EndpointError: If that engine does not resume it.
-            errors.NotRunError: If no retry or permit is left.
+            errors.NotRunError: If that engine must not receive the request, or
+                no retry or permit is left.
         """
+        if not self._components.regions.is_eligible(
+            copy.target, self._request.allowed_regions
+        ):
+            raise errors.NotRunError(
+                "the engine with the copy is not in an allowed region"
+            )
+        if self._components.endpoints.is_evacuated(copy.target):
+            raise errors.NotRunError("the engine with the copy is evacuated")
+        if await self._components.cold_limits.acquire(
+            copy.target, self._request
+        ):
+            raise errors.NotRunError(
+                "the engine with the copy is cold and takes no more requests"
+            )
         if await self._components.permits.acquire(copy.target):
             raise errors.NotRunError(
                 "the engine with the copy takes no more requests"
--- a/bronzeslip/metrics/entry_metrics.py
+++ b/bronzeslip/metrics/entry_metrics.py
@@ -50,6 +50,16 @@
         self._attempts = self._counter(
             "bronzeslip_attempts_total", "Requests sent to endpoints by result"
         )
+        self._place_refusals = self._counter(
+            "bronzeslip_place_refusals_total",
+            "Requests that no endpoint may receive because of its place, by "
+            "error code",
+        )
+        self._evacuated_domains = aioprometheus.Gauge(
+            "bronzeslip_evacuated_failure_domains",
+            "Failure domains whose endpoints receive no requests",
+            registry=self.registry,
+        )
         self._memory: memory_metrics.MemoryMetrics | None = None
         self._endpoints = aioprometheus.Gauge(
             "bronzeslip_endpoints",
@@ -107,6 +117,14 @@
         """
         self._attempts.inc({"result": result})
 
+    def count_refusal_by_place(self, code: str) -> None:
+        """Counts a request that no endpoint may receive for its place.
+
+        Args:
+            code: Code of the error.
+        """
+        self._place_refusals.inc({"code": code})
+
     def refresh(self) -> None:
         """Updates metrics that are computed only when scraped."""
         super().refresh()
@@ -119,6 +137,10 @@
         ready = sum(1 for endpoint in endpoints if endpoint.is_ready)
         self._endpoints.set({"state": "ready"}, ready)
         self._endpoints.set({"state": "leaving"}, len(endpoints) - ready)
+        evacuated = self._endpoint_directory.evacuated_domains
+        self._evacuated_domains.set({}, len(evacuated))
+        cold = self._endpoint_directory.cold_endpoints.cold_count()
+        self._endpoints.set({"state": "cold"}, cold)
         limited = self._endpoint_directory.request_limits.limited_count()
         self._endpoints.set({"state": "limited"}, limited)
 
--- a/bronzeslip/platform/configuration.py
+++ b/bronzeslip/platform/configuration.py
@@ -47,6 +47,7 @@
     sticky: bool = False
     resumable: bool = False
     gap_aim_ms: fields.Quantity | None = None
+    allowed_regions: list[str] | None = None
 
 
 class _Engine(msgspec.Struct):
@@ -63,6 +64,8 @@
     name: str
     health_path: fields.UrlPath = "/health"
     max_conns: fields.Integer = 0
+    cold_s: fields.NonNegativeQuantity = 0.0
+    cold_per_s: fields.NonNegativeQuantity = 0.0
     engine: _Engine | None = None
 
 
@@ -77,6 +80,7 @@
     name: fields.HeaderText
     api_keys: list[str] = []
     priority: fields.Integer | None = None
+    allowed_regions: list[str] | None = None
 
 
 class _Document(msgspec.Struct):
@@ -127,6 +131,7 @@
         is_generation=wire.sticky,
         is_resumable=wire.resumable,
         gap_objective_s=None if gap_ms is None else gap_ms / _MS_PER_S,
+        allowed_regions=_to_regions(wire.allowed_regions),
     )
 
 
@@ -147,6 +152,8 @@
         health_path=wire.health_path,
         max_connections=wire.max_conns,
         engine=None if wire.engine is None else _to_engine_traits(wire.engine),
+        cold_s=wire.cold_s,
+        cold_per_s=wire.cold_per_s,
     )
 
 
@@ -169,12 +176,22 @@
         return None
     return [
         workspace.KeyedWorkspace(
-            ids.WorkspaceId(wire.name), tuple(wire.api_keys), wire.priority
+            ids.WorkspaceId(wire.name),
+            tuple(wire.api_keys),
+            wire.priority,
+            _to_regions(wire.allowed_regions),
         )
         for wire in tenants
     ]
 
 
+def _to_regions(
+    names: list[str] | None,
+) -> frozenset[ids.RegionName] | None:
+    """Converts a restriction; an empty one does not restrict."""
+    return frozenset(ids.RegionName(name) for name in names or ()) or None
+
+
 def _to_limits(wire: _Limits | None) -> limits.CallerLimits:
     if wire is None:
         return limits.CallerLimits()
--- a/bronzeslip/platform/gateway.py
+++ b/bronzeslip/platform/gateway.py
@@ -25,13 +25,17 @@
 from bronzeslip.memory import budget
 from bronzeslip.memory import guard
 from bronzeslip.metrics import entry_metrics
+from bronzeslip.places import cold_limits
+from bronzeslip.places import cold_shares
 from bronzeslip.platform import body_reader
 from bronzeslip.platform import configuration_follower
 from bronzeslip.platform import discovery_follower
 from bronzeslip.platform import endpoint_http
+from bronzeslip.platform import evacuation_follower
 from bronzeslip.platform import ingress
 from bronzeslip.platform import settings_reloader
 from bronzeslip.platform import store_client
+from bronzeslip.quota import cold_permits
 from bronzeslip.quota import end_announcer
 from bronzeslip.quota import endpoint_permits
 from bronzeslip.quota import peer
@@ -77,8 +81,9 @@
     client = endpoint_http.HttpEndpointClient(settings, endpoint_directory)
     endpoint_directory.add_leaving_listener(client.remove_endpoint)
     endpoint_directory.add_gone_listener(client.remove_endpoint)
+    shares = cold_shares.ColdShares(this_vm.bounds, registry)
     coordinator = permit_coordinator.PermitCoordinator(
-        endpoint_directory, registry
+        endpoint_directory, registry, cold_rate=shares.permits_per_s
     )
     caller = peer_caller.PeerCaller(
         own, coordinator, peer_http.HttpPeerClient(settings)
@@ -101,6 +106,11 @@
         metrics,
         registry,
         permits,
+        cold_limits.ColdLimits(
+            endpoint_directory.cold_endpoints,
+            shares,
+            cold_permits.ColdPermits(registry, caller),
+        ),
         rng,
     )
     request_admission = admission.Admission(settings, current_table, rng)
@@ -109,6 +119,7 @@
     def set_bounds(bounds: vm_config.PlaceBounds) -> None:
         forwarding_components.retry_budgets.set_bounds(bounds)
         drain.set_bounds(bounds)
+        shares.set_bounds(bounds)
 
     process_memory.release_large_blocks()
     memory = budget.create(
@@ -172,7 +183,10 @@
         settings,
         forwarding_components.endpoints,
         watched_endpoints.WatchedEndpoints(
-            settings, this_vm, forwarding_components.endpoints
+            settings,
+            this_vm,
+            forwarding_components.endpoints,
+            forwarding_components.current,
         ),
         forwarding_components.in_flight,
         forwarding_components.client,
@@ -183,9 +197,17 @@
         store, forwarding_components.current, configuration_timing
     )
     store.era.add_listener(configuration.interrupt)
+    evacuations = evacuation_follower.EvacuationFollower(
+        store,
+        forwarding_components.endpoints.evacuated_domains,
+        configuration_timing,
+        lambda: forwarding_components.current.table is not None,
+    )
+    store.era.add_listener(evacuations.interrupt)
 
     def restart_watches() -> None:
         configuration.interrupt()
+        evacuations.interrupt()
         replicator.interrupt()
 
     discovery = discovery_follower.DiscoveryFollower(
@@ -194,7 +216,14 @@
         discovery_timing,
         restart_watches,
     )
+    evacuation_tasks: tuple[named_task.NamedTask, ...] = ()
+    if this_vm.bounds.evac_s is not None:
+        forwarding_components.endpoints.evacuated_domains.start_following()
+        evacuation_tasks = (
+            named_task.NamedTask("evacuations", evacuations.run),
+        )
     return (
+        *evacuation_tasks,
         named_task.NamedTask("configuration", configuration.run),
         named_task.NamedTask("discovery", discovery.run),
         named_task.NamedTask("reports", poller.run),
--- a/tests/platform/test_boot_file.py
+++ b/tests/platform/test_boot_file.py
@@ -85,6 +85,36 @@
                 )
                 self.assertEqual(this_vm.bounds, place_bounds.CAUTIOUS_BOUNDS)
 
+    # Guards against evacuations that are ignored since their bound is odd.
+    def test_evacuations_are_followed_only_if_their_bound_is_stated(self):
+        for stated, expected_s in (
+            ("", None),
+            ("evac_ms = 5000", 5.0),
+            ("evac_ms = -1", 1.0),
+            ('evac_ms = "5"', 1.0),
+        ):
+            with self.subTest(stated=stated):
+                content = boot_files.SOUND.replace(
+                    "[bounds]", f"[bounds]\n{stated}"
+                )
+                bounds = self.read(content.encode()).bounds
+                self.assertEqual(bounds.evac_s, expected_s)
+
+    def test_bounds_of_cold_endpoints_are_optional(self):
+        for stated, expected in (
+            ("", (1.0, 0.0)),
+            ("cold_over = 1.5\ncold_slack = 5", (1.5, 5.0)),
+            ("cold_over = -1\ncold_slack = nan", (1.0, 0.0)),
+        ):
+            with self.subTest(stated=stated):
+                content = boot_files.SOUND.replace(
+                    "[bounds]", f"[bounds]\n{stated}"
+                )
+                bounds = self.read(content.encode()).bounds
+                self.assertEqual(
+                    (bounds.cold_over, bounds.cold_slack), expected
+                )
+
     # Guards against settings of a file that is still being written.
     def test_each_cut_file_raises_the_error(self):
         content = boot_files.SOUND.rstrip().encode()
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -91,6 +91,39 @@
         shares = table.match("host.example", "/a/").services
         self.assertEqual([share.weight for share in shares], [90, 10])
 
+    def test_empty_and_missing_regions_do_not_restrict(self):
+        for changes, expected in (
+            ({}, None),
+            ({"allowed_regions": []}, None),
+            ({"allowed_regions": ["a", "b"]}, frozenset({"a", "b"})),
+        ):
+            with self.subTest(changes=changes):
+                table = configuration.decode(
+                    _document(
+                        routes=[{**_ROUTE, **changes}],
+                        tenants=[{"name": "t", "api_keys": ["k"], **changes}],
+                    )
+                )
+                matched = table.match("host.example", "/a/")
+                self.assertEqual(matched.allowed_regions, expected)
+                self.assertEqual(
+                    table.workspace_of("k").allowed_regions, expected
+                )
+                self.assertEqual(
+                    table.named_regions("s-1"), expected or frozenset()
+                )
+
+    def test_limits_of_cold_endpoints_are_optional(self):
+        for changes, expected in (
+            ({}, (0.0, 0.0)),
+            ({"cold_s": 1, "cold_per_s": 29}, (1.0, 29.0)),
+        ):
+            table = configuration.decode(
+                _document(services=[{"name": "s-1", **changes}])
+            )
+            found = table.service("s-1")
+            self.assertEqual((found.cold_s, found.cold_per_s), expected)
+
     def test_unknown_kinds_are_never_retried(self):
         table = configuration.decode(
             _document(routes=[{**_ROUTE, "kind": "new"}])
@@ -132,9 +165,14 @@
             {"routes": [{**_ROUTE, "priority": 10**30}]},
             {"services": [{"name": "s-1", "health_path": "/a\r\nb"}]},
             {"services": [{"name": "s-1", "health_path": "@host/"}]},
+            {"services": [{"name": "s-1", "cold_per_s": -1}]},
+            {"services": [{"name": "s-1", "cold_s": "1"}]},
             {"limits": {**_LIMITS, "max_body_bytes": -1}},
             {"limits": {**_LIMITS, "idle_timeout_ms": 0}},
             {"tenants": [{"name": "a\r\nb"}]},
+            {"routes": [{**_ROUTE, "allowed_regions": "a"}]},
+            {"routes": [{**_ROUTE, "allowed_regions": [7]}]},
+            {"tenants": [{"name": "t", "allowed_regions": {"a": 1}}]},
         ):
             with (
                 self.subTest(changes=changes),
--- a/tests/support/forwarding_parts.py
+++ b/tests/support/forwarding_parts.py
@@ -17,6 +17,9 @@
 from bronzeslip.memory import budget
 from bronzeslip.memory import reservation
 from bronzeslip.metrics import entry_metrics
+from bronzeslip.places import cold_limits
+from bronzeslip.places import cold_shares
+from bronzeslip.quota import cold_permits
 from bronzeslip.quota import endpoint_permits
 from bronzeslip.quota import peer
 from bronzeslip.quota import peer_caller
@@ -107,12 +110,18 @@
     return route.Route(**{**values, **changes})
 
 
-def create_table(*routes, version=1):
+def create_table(*routes, version=1, workspace_regions=None):
     return route_table.RouteTable(
         ids.TableVersion(version),
         routes,
         (ENGINE_SERVICE, CALL_SERVICE),
-        (workspace.KeyedWorkspace(ids.WorkspaceId("w"), (API_KEY,)),),
+        (
+            workspace.KeyedWorkspace(
+                ids.WorkspaceId("w"),
+                (API_KEY,),
+                allowed_regions=workspace_regions,
+            ),
+        ),
         limits.CallerLimits(),
     )
 
@@ -138,7 +147,13 @@
     return create_request(shape=shape, **changes)
 
 
-def admit(request, request_kind, target_service=CALL_SERVICE, **route_changes):
+def admit(
+    request,
+    request_kind,
+    target_service=CALL_SERVICE,
+    allowed_regions=None,
+    **route_changes,
+):
     matched_route = create_route(request_kind, **route_changes)
     return admitted.AdmittedRequest(
         request=request,
@@ -148,6 +163,7 @@
         configuration=ids.TableVersion(1),
         priority=0,
         deadline_s=request.arrived_s + matched_route.timeout_s,
+        allowed_regions=allowed_regions,
     )
 
 
@@ -197,14 +213,13 @@
     suspects = suspects or suspect_list.SuspectList(suspect_settings)
     gateways = create_single_gateway()
     (own,) = gateways.ranked("")
+    caller = peer_caller.PeerCaller(
+        own,
+        permit_coordinator.PermitCoordinator(endpoint_directory, gateways),
+        None,
+    )
     permits = endpoint_permits.EndpointPermits(
-        endpoint_directory,
-        gateways,
-        peer_caller.PeerCaller(
-            own,
-            permit_coordinator.PermitCoordinator(endpoint_directory, gateways),
-            None,
-        ),
+        endpoint_directory, gateways, caller
     )
     components = assembly.create_components(
         settings,
@@ -219,6 +234,11 @@
         entry_metrics.EntryMetrics(current_table, endpoint_directory),
         gateways,
         permits,
+        cold_limits.ColdLimits(
+            endpoint_directory.cold_endpoints,
+            cold_shares.ColdShares(VM_CONFIG.bounds, gateways),
+            cold_permits.ColdPermits(gateways, caller),
+        ),
         random.Random(1),
     )
     # The gateway has been running for some time, so its slack is complete.
