Read the load that endpoints state in their responses

Endpoints state running and waiting requests, slots and, in newer deployments, a pace that shows how a VM suffers from other workloads. Gateways dropped the header unread. Nothing uses the statements yet.

--- a/bronzeslip/endpoints/directory.py
+++ b/bronzeslip/endpoints/directory.py
@@ -15,6 +15,7 @@
 from bronzeslip.endpoints import past_incarnations
 from bronzeslip.endpoints import pauses
 from bronzeslip.endpoints import request_limits
+from bronzeslip.load import load_statements
 from bronzeslip.settings import entry
 
 logger = logs.get_logger(__name__)
@@ -36,6 +37,7 @@
 
     Attributes:
         request_limits: Limits that endpoints state on their requests.
+        load_statements: Load that endpoints state in their responses.
     """
 
     def __init__(self, settings: entry.EntrySettings) -> None:
@@ -50,6 +52,7 @@
         self._removed = past_incarnations.PastIncarnations()
         self._pauses = pauses.EndpointPauses()
         self.request_limits = request_limits.RequestLimits()
+        self.load_statements = load_statements.LoadStatements()
         self._is_source_restored = False
         self._unreachable: set[ids.EndpointId] = set()
         self._missing_since_s: dict[ids.EndpointId, float] = {}
@@ -312,6 +315,7 @@
 
     def _notify_gone(self, gone: endpoint.Endpoint) -> None:
         self.request_limits.remove(gone)
+        self.load_statements.remove(gone)
         self._gone_listeners.notify(gone)
 
 
--- a/bronzeslip/platform/endpoint_announcements.py
+++ b/bronzeslip/platform/endpoint_announcements.py
@@ -1,5 +1,7 @@
 """Announcements of endpoints in the headers of their responses."""
 
+import asyncio
+
 import httpx
 
 from bronzeslip import logs
@@ -7,6 +9,7 @@
 from bronzeslip.endpoints import directory
 from bronzeslip.endpoints import endpoint
 from bronzeslip.platform import headers
+from bronzeslip.platform import load_header
 
 logger = logs.get_logger(__name__)
 
@@ -35,6 +38,7 @@
         endpoints.mark_leaving(sender)
     if response.status_code != httpx.codes.MISDIRECTED_REQUEST:
         _record_limit(endpoints, sender, response)
+        _record_load(endpoints, sender, response)
     if response.status_code != httpx.codes.SERVICE_UNAVAILABLE:
         return
     text = response.headers.get(headers.RETRY_AFTER.decode())
@@ -61,13 +65,35 @@
     if rate_per_s is None:
         logger.info("endpoint.unreadable_limit", endpoint=sender.endpoint_id)
         return
-    known = endpoints.get(sender.endpoint_id)
-    if known is None or not known.is_same_incarnation(sender):
-        # A late response of an incarnation that is gone.
+    if not _is_known(endpoints, sender):
         return
     endpoints.request_limits.state(sender, rate_per_s)
 
 
+def _record_load(
+    endpoints: directory.EndpointDirectory,
+    sender: endpoint.Endpoint,
+    response: httpx.Response,
+) -> None:
+    text = response.headers.get(headers.SERVER_LOAD.decode())
+    if text is None or not _is_known(endpoints, sender):
+        return
+    now_s = asyncio.get_running_loop().time()
+    statement = load_header.parse(text, now_s)
+    if statement is None:
+        endpoints.load_statements.record_malformed(sender)
+    else:
+        endpoints.load_statements.state(sender, statement)
+
+
+def _is_known(
+    endpoints: directory.EndpointDirectory, sender: endpoint.Endpoint
+) -> bool:
+    """Returns whether a response is not of an incarnation that is gone."""
+    known = endpoints.get(sender.endpoint_id)
+    return known is not None and known.is_same_incarnation(sender)
+
+
 def _parse_seconds(text: str) -> float | None:
     """Returns a delay in seconds, or None if the text is not a usable one."""
     try:
--- a/bronzeslip/platform/endpoint_http.py
+++ b/bronzeslip/platform/endpoint_http.py
@@ -120,6 +120,8 @@
         # Control calls and errors need not state a limit that is in force.
         if response.head.is_success and not response.states_limit:
             self._endpoints.request_limits.end(outgoing.endpoint, sent_s)
+        if response.head.is_success and not response.states_load:
+            self._endpoints.load_statements.record_missing(outgoing.endpoint)
         return response
 
     async def check_presence(
--- a/bronzeslip/platform/endpoint_response.py
+++ b/bronzeslip/platform/endpoint_response.py
@@ -107,6 +107,11 @@
         """Whether the response states a request limit, readable or not."""
         return headers.SERVER_LIMIT.decode() in self._response.headers
 
+    @property
+    def states_load(self) -> bool:
+        """Whether the response states the endpoint's load, readable or not."""
+        return headers.SERVER_LOAD.decode() in self._response.headers
+
     def is_response_to(self, request_id: ids.RequestId) -> bool:
         """Returns whether this is the response to a request.
 
--- a/bronzeslip/platform/headers.py
+++ b/bronzeslip/platform/headers.py
@@ -17,7 +17,8 @@
 # Present in responses to requests that the endpoint has not run.
 NOT_RUN = b"bronzeslip-not-executed"
 RESPONSE_STAMP = b"bronzeslip-response-stamp"
-# Running requests, waiting requests and slots, separated by commas.
+# Running requests, waiting requests, slots and, in newer deployments, the pace
+# in percent of the normal duration of work, separated by commas.
 SERVER_LOAD = b"bronzeslip-server-load"
 LEASE = b"bronzeslip-hold"
 PIN_MS = b"bronzeslip-pin-ms"
--- a/tests/platform/test_endpoint_announcements.py
+++ b/tests/platform/test_endpoint_announcements.py
@@ -10,6 +10,7 @@
 from bronzeslip.forwarding import endpoint_errors
 from bronzeslip.platform import endpoint_http
 from tests.support import forwarding_parts
+from tests.support import log_capture
 from tests.support import raw_server
 
 _SERVICE = ids.ServiceName("pool")
@@ -310,6 +311,62 @@
         self.assertIsNone(self._rate_per_s)
 
 
+class LoadStatementTest(_AnnouncementCase):
+    async def _respond(self, *values):
+        await self._start(
+            *(
+                raw_server.create_response(
+                    b"ok",
+                    headers=_ECHO
+                    if value is None
+                    else _ECHO + b"Bronzeslip-Server-Load: " + value + b"\r\n",
+                )
+                for value in values
+            )
+        )
+        for _ in values:
+            await self._send()
+
+    @property
+    def _latest(self):
+        return self.directory.load_statements.latest(self.endpoint)
+
+    async def test_load_of_responses_is_recorded(self):
+        await self._respond(b"3,1,24,130")
+        self.assertEqual((self._latest.waiting, self._latest.pace), (1, 1.3))
+
+    async def test_load_of_health_checks_is_recorded(self):
+        await self._start(
+            raw_server.create_response(
+                b"", headers=b"Bronzeslip-Server-Load: 3,1,24,130\r\n"
+            )
+        )
+        await self.client.check_presence(self.endpoint, "/health")
+        self.assertEqual(self._latest.running, 3)
+
+    # Guards against a false header that replaces or ends what is known, and
+    # against one that fails the response it came with.
+    async def test_malformed_or_missing_load_changes_nothing(self):
+        with log_capture.capture() as captured:
+            await self._respond(b"3,1,24,130", b"3,1,24,nan", None)
+        self.assertEqual(self._latest.pace, 1.3)
+        captured.single("load.unusable_statement", reason="malformed")
+
+    async def test_load_of_a_gone_incarnation_is_ignored(self):
+        await self._start(
+            raw_server.create_response(
+                b"ok", headers=_ECHO + b"Bronzeslip-Server-Load: 3,1,24\r\n"
+            )
+        )
+        self.directory.put(
+            forwarding_parts.create_endpoint(
+                "i-1", host="127.0.0.1", port=1, started_unix_ms=2
+            )
+        )
+        await self._send()
+        self.assertIsNone(self._latest)
+
+
 class RestoredDirectoryTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.directory = directory.EndpointDirectory(forwarding_parts.SETTINGS)
