Forecast load by pace, placements and the runs of a report

Callers saw late first events while engines shared their VM with other workloads, since the cost of an engine ignored how slow it was, and counted requests twice that a report showed already. Where a service states paces, prefill and slot cost are multiplied by the pace and the prompt of the request itself counts, which differs between engines then. Where paces are stated or placements known, requests are counted once by their id. Plain services use the latest statement for 0.5 s if it has a pace.

--- a/bronzeslip/forwarding/assembly.py
+++ b/bronzeslip/forwarding/assembly.py
@@ -27,6 +27,7 @@
 from bronzeslip.forwarding import service_retry_budgets
 from bronzeslip.forwarding import standby_chooser
 from bronzeslip.forwarding import stream_forwarder
+from bronzeslip.load import placement_ledger
 from bronzeslip.metrics import entry_metrics
 from bronzeslip.quota import endpoint_permits
 from bronzeslip.routes import current
@@ -65,6 +66,12 @@
     """
     in_flight = in_flight_requests.InFlightRequests()
     reports = report_cache.ReportCache()
+    ledger = placement_ledger.PlacementLedger()
+    reports.add_listener(ledger.apply_report)
+    endpoints.add_gone_listener(ledger.remove)
+    load_forecaster = load_forecast.LoadForecaster(
+        settings, in_flight, reports, endpoints.load_statements, ledger
+    )
     failures = failure_tracker.FailureTracker()
     endpoints.add_gone_listener(lambda gone: failures.remove(gone.endpoint_id))
     endpoint_proximity = proximity.EndpointProximity(this_vm, endpoints)
@@ -76,7 +83,7 @@
             endpoints,
             watched_endpoints.WatchedEndpoints(settings, this_vm, endpoints),
             endpoint_proximity,
-            load_forecast.LoadForecaster(settings, in_flight, reports),
+            load_forecaster,
             failures,
             connection_share.ConnectionShare(
                 settings, endpoints, in_flight, gateways
@@ -98,6 +105,8 @@
         endpoints=endpoints,
         in_flight=in_flight,
         reports=reports,
+        placement_ledger=ledger,
+        load_forecaster=load_forecaster,
         failures=failures,
         client=client,
         endpoint_chooser=endpoint_chooser,
--- a/bronzeslip/forwarding/chooser.py
+++ b/bronzeslip/forwarding/chooser.py
@@ -36,8 +36,6 @@
 _EVACUATION_RISK_RUN_COST_S = 0.05
 # Share of their memory to which the neighbours of a leaving engine are filled.
 _EVACUATION_SHARE = 0.8
-# Shorter outputs are complete before a leaving engine terminates.
-_LONG_OUTPUT_TOKENS = 100
 # Engines preempt runs when their memory is full, so the cost of memory grows
 # quadratically above this share.
 _MEMORY_PRESSURE_START = 0.6
@@ -191,6 +189,7 @@
             memory=round(forecast.memory_use, 2),
             prefill_s=round(forecast.prefill_s, 3),
             report_age_s=None if age_s is None else round(age_s, 2),
+            pace=round(forecast.pace, 2),
         )
 
     def cost_s(
@@ -199,7 +198,8 @@
         """Returns the cost of sending a request to an endpoint, in seconds."""
         forecast = self._load_forecaster.forecast(candidate, request)
         pressure = max(forecast.memory_use - _MEMORY_PRESSURE_START, 0.0)
-        cost_s = forecast.prefill_s + _SLOT_LOAD_COST_S * forecast.slot_load
+        cost_s = forecast.prefill_s + forecast.own_prefill_s
+        cost_s += _SLOT_LOAD_COST_S * forecast.slot_load * forecast.pace
         cost_s += _MEMORY_COST_S * pressure * pressure
         cost_s += _FAILURE_COST_S * self._failures.score_of(
             candidate.endpoint_id
@@ -283,7 +283,7 @@
     shape = request.request.shape
     if request.service.engine is None or shape is None:
         return False
-    return shape.max_output_tokens >= _LONG_OUTPUT_TOKENS
+    return shape.max_output_tokens >= load_forecast.LONG_OUTPUT_TOKENS
 
 
 def ready_candidates(
--- a/bronzeslip/forwarding/components.py
+++ b/bronzeslip/forwarding/components.py
@@ -11,9 +11,11 @@
 from bronzeslip.forwarding import copy_releaser
 from bronzeslip.forwarding import crash_watch
 from bronzeslip.forwarding import endpoint_client
+from bronzeslip.forwarding import load_forecast
 from bronzeslip.forwarding import permitted_chooser
 from bronzeslip.forwarding import service_retry_budgets
 from bronzeslip.forwarding import standby_chooser
+from bronzeslip.load import placement_ledger
 from bronzeslip.metrics import entry_metrics
 from bronzeslip.quota import endpoint_permits
 from bronzeslip.routes import current
@@ -29,6 +31,8 @@
         endpoints: Directory of the known endpoints.
         in_flight: Requests of this gateway in flight at each endpoint.
         reports: Latest reports of the model engines.
+        placement_ledger: Placements of generations that this gateway knows of.
+        load_forecaster: Forecasts the load of endpoints.
         failures: Recent failures of endpoints.
         client: Client for calls to endpoints.
         endpoint_chooser: Rates the endpoints for a request.
@@ -47,6 +51,8 @@
     endpoints: directory.EndpointDirectory
     in_flight: in_flight_requests.InFlightRequests
     reports: report_cache.ReportCache
+    placement_ledger: placement_ledger.PlacementLedger
+    load_forecaster: load_forecast.LoadForecaster
     failures: failure_tracker.FailureTracker
     client: endpoint_client.EndpointClient
     endpoint_chooser: chooser.EndpointChooser
--- a/bronzeslip/forwarding/load_forecast.py
+++ b/bronzeslip/forwarding/load_forecast.py
@@ -9,16 +9,22 @@
 from bronzeslip.endpoints import in_flight_requests
 from bronzeslip.endpoints import report_cache
 from bronzeslip.forwarding import admitted
+from bronzeslip.load import engine_backlog
+from bronzeslip.load import load_statement
+from bronzeslip.load import load_statements
+from bronzeslip.load import placement_ledger
+from bronzeslip.load import placement_need
+from bronzeslip.routes import engine_traits
 from bronzeslip.settings import entry
 
-# Age of a report when it is fetched. The platform documentation states some
-# hundred milliseconds.
-_REPORT_LAG_S = 0.5
+# Shorter outputs are complete before a leaving engine terminates.
+LONG_OUTPUT_TOKENS = 100
 # Average share of the prompt that is still to be processed in a run that has
 # not generated an event.
 _PENDING_PREFILL_SHARE = 0.5
-# Weight of a new prompt in the moving average of prompt lengths.
-_MEAN_PROMPT_WEIGHT = 0.05
+# The load of a plain service changes many times per second. An older statement
+# tells less than the requests that this gateway has in flight itself.
+_STATEMENT_MAX_AGE_S = 0.5
 
 
 class EndpointForecast(msgspec.Struct, frozen=True):
@@ -28,21 +34,48 @@
         slot_load: Number of requests per slot.
         memory_use: Share of the memory in use; 0 for plain services.
         prefill_s: Time to process the queued prompts, in seconds.
+        own_prefill_s: Time to process the prompt of the request, in seconds; 0
+            where no endpoint of the service states its pace, since it is then
+            the same at all of them.
+        pace: How long work takes at the endpoint, 1.0 being normal.
     """
 
     slot_load: float
     memory_use: float = 0.0
     prefill_s: float = 0.0
+    own_prefill_s: float = 0.0
+    pace: float = 1.0
+
+
+class _EngineLoad(msgspec.Struct, frozen=True):
+    """Load of an engine without the request to forecast.
+
+    Attributes:
+        requests: Number of running and queued requests.
+        used_tokens: Memory in use or expected to be, in tokens.
+        pending_tokens: Prompt tokens still to be processed.
+    """
+
+    requests: int
+    used_tokens: int
+    pending_tokens: float
 
 
 class LoadForecaster:
-    """Adds the requests sent since an engine's latest report to that report."""
+    """Adds the requests sent since an engine's latest report to that report.
+
+    Where endpoints of a service state their pace, or this gateway knows of
+    placements at an engine, a request that the report shows as running is not
+    counted again. Elsewhere it is counted twice for up to the report's age.
+    """
 
     def __init__(
         self,
         settings: entry.EntrySettings,
         in_flight: in_flight_requests.InFlightRequests,
         reports: report_cache.ReportCache,
+        statements: load_statements.LoadStatements | None = None,
+        ledger: placement_ledger.PlacementLedger | None = None,
     ) -> None:
         """Initializes the forecaster.
 
@@ -50,32 +83,54 @@
             settings: Prefill rate of the engines.
             in_flight: Requests of this gateway in flight at each endpoint.
             reports: Latest reports of the model engines.
+            statements: Load that endpoints state; none if None.
+            ledger: Placements that this gateway knows of; none if None.
         """
         self._settings = settings
         self._in_flight = in_flight
         self._reports = reports
+        self._statements = statements or load_statements.LoadStatements()
+        # An empty ledger is false.
+        self._ledger = (
+            placement_ledger.PlacementLedger() if ledger is None else ledger
+        )
         self._mean_prompt_tokens = 0.0
 
     def forecast(
         self, candidate: endpoint.Endpoint, request: admitted.AdmittedRequest
     ) -> EndpointForecast:
         """Returns the load of an endpoint if it receives a request."""
-        shape = request.request.shape
-        if request.service.engine is None or shape is None:
-            count = self._in_flight.count(candidate.endpoint_id) + 1
-            return EndpointForecast(count / max(candidate.slots, 1))
-        sent_since = self._sent_since_report(candidate)
-        latest = self._reports.get(candidate.endpoint_id)
-        running = 0
-        if latest is not None:
-            running = latest.report.running + latest.report.waiting
-        capacity_tokens = max(request.service.engine.memory_tokens, 1)
-        tokens = self.used_tokens(candidate) + shape.expected_tokens
+        need = need_of(request)
+        if request.service.engine is None or need is None:
+            return self._forecast_call(candidate)
+        return self.forecast_need(candidate, need, request.service.engine)
+
+    def forecast_need(
+        self,
+        candidate: endpoint.Endpoint,
+        need: placement_need.PlacementNeed,
+        traits: engine_traits.EngineTraits,
+    ) -> EndpointForecast:
+        """Returns the load of an engine if it receives a generation.
+
+        Args:
+            candidate: The engine.
+            need: Size of the generation.
+            traits: Capacity of each engine of the service.
+        """
+        load = self._engine_load(candidate)
+        pace = self._statements.pace_of(candidate)
+        rate_per_s = self._settings.prefill_tokens_per_s
+        own_tokens = 0
+        if self._statements.states_pace(need.service_name):
+            own_tokens = need.prompt_tokens
+        tokens = load.used_tokens + need.expected_tokens
         return EndpointForecast(
-            slot_load=(running + len(sent_since) + 1) / max(candidate.slots, 1),
-            memory_use=tokens / capacity_tokens,
-            prefill_s=self._pending_prefill_tokens(candidate)
-            / self._settings.prefill_tokens_per_s,
+            slot_load=(load.requests + 1) / max(candidate.slots, 1),
+            memory_use=tokens / max(traits.memory_tokens, 1),
+            prefill_s=load.pending_tokens / rate_per_s * pace,
+            own_prefill_s=own_tokens / rate_per_s * pace,
+            pace=pace,
         )
 
     def record_prompt_length(self, request: admitted.AdmittedRequest) -> None:
@@ -84,7 +139,7 @@
             return
         length_tokens = prompt_tokens(request)
         mean = self._mean_prompt_tokens or length_tokens
-        mean += _MEAN_PROMPT_WEIGHT * (length_tokens - mean)
+        mean += placement_ledger.MEAN_PROMPT_WEIGHT * (length_tokens - mean)
         self._mean_prompt_tokens = mean
 
     def used_tokens(self, candidate: endpoint.Endpoint) -> int:
@@ -93,11 +148,7 @@
         This is the reported memory plus the expected memory of requests sent
         since the report.
         """
-        latest = self._reports.get(candidate.endpoint_id)
-        used_tokens = 0 if latest is None else latest.report.used_tokens
-        return used_tokens + sum(
-            run.expected_tokens for run in self._sent_since_report(candidate)
-        )
+        return self._engine_load(candidate).used_tokens
 
     def report_age_s(self, candidate: endpoint.Endpoint) -> float | None:
         """Returns the age of an engine's report, in seconds, or None."""
@@ -110,27 +161,78 @@
         """Returns the memory assumed for an engine that is not polled."""
         return self._reports.mean_used_tokens
 
-    def _pending_prefill_tokens(self, candidate: endpoint.Endpoint) -> float:
-        """Returns the number of prompt tokens still to be processed."""
-        tokens = float(
-            sum(run.prompt_tokens for run in self._sent_since_report(candidate))
+    def _forecast_call(self, candidate: endpoint.Endpoint) -> EndpointForecast:
+        """Returns the load of an endpoint if it receives a plain call."""
+        count = self._in_flight.count(candidate.endpoint_id)
+        statement = self._statements.latest(candidate)
+        if statement is not None and self._is_usable(statement):
+            sent = self._in_flight.sent_since(
+                candidate.endpoint_id, statement.received_s
+            )
+            stated = statement.running + statement.waiting + len(sent)
+            # A false statement must not hide this gateway's own requests.
+            count = max(count, stated)
+        return EndpointForecast(
+            (count + 1) / max(candidate.slots, 1),
+            pace=self._statements.pace_of(candidate),
         )
+
+    def _is_usable(self, statement: load_statement.LoadStatement) -> bool:
+        return (
+            statement.pace is not None
+            and self._statements.age_s(statement) < _STATEMENT_MAX_AGE_S
+        )
+
+    def _engine_load(self, candidate: endpoint.Endpoint) -> _EngineLoad:
         latest = self._reports.get(candidate.endpoint_id)
+        placed = self._ledger.sent_since(candidate.endpoint_id, -math.inf)
+        if placed or self._statements.states_pace(candidate.service_name):
+            own = self._in_flight.sent_since(candidate.endpoint_id, -math.inf)
+            backlog = engine_backlog.create(own, placed, latest)
+        else:
+            since_s = -math.inf if latest is None else latest.state_s
+            backlog = engine_backlog.EngineBacklog(
+                self._in_flight.sent_since(candidate.endpoint_id, since_s),
+                0 if latest is None else latest.report.waiting,
+            )
+        running = 0 if latest is None else latest.report.running
+        used_tokens = 0 if latest is None else latest.report.used_tokens
+        return _EngineLoad(
+            running + backlog.count,
+            used_tokens + backlog.expected_tokens,
+            self._pending_tokens(backlog, latest),
+        )
+
+    def _pending_tokens(
+        self,
+        backlog: engine_backlog.EngineBacklog,
+        latest: report_cache.DatedReport | None,
+    ) -> float:
+        """Returns the number of prompt tokens still to be processed."""
+        tokens = float(backlog.prompt_tokens)
         if latest is None:
             return tokens
-        tokens += latest.report.waiting * self._mean_prompt_tokens
+        mean_tokens = self._ledger.mean_prompt_tokens
+        mean_tokens = mean_tokens or self._mean_prompt_tokens
+        tokens += backlog.unknown_waiting * mean_tokens
         prefilling = sum(1 for run in latest.report.runs if not run.events)
-        return (
-            tokens
-            + prefilling * _PENDING_PREFILL_SHARE * self._mean_prompt_tokens
-        )
+        return tokens + prefilling * _PENDING_PREFILL_SHARE * mean_tokens
 
-    def _sent_since_report(
-        self, candidate: endpoint.Endpoint
-    ) -> tuple[in_flight_requests.InFlightRequest, ...]:
-        latest = self._reports.get(candidate.endpoint_id)
-        since_s = -math.inf if latest is None else latest.read_s - _REPORT_LAG_S
-        return self._in_flight.sent_since(candidate.endpoint_id, since_s)
+
+def need_of(
+    request: admitted.AdmittedRequest,
+) -> placement_need.PlacementNeed | None:
+    """Returns what a generation needs, or None if the size is not known."""
+    shape = request.request.shape
+    if shape is None:
+        return None
+    return placement_need.PlacementNeed(
+        service_name=request.service.name,
+        prompt_tokens=prompt_tokens(request),
+        expected_tokens=shape.expected_tokens,
+        output_tokens=shape.output_estimate_tokens,
+        is_long=shape.max_output_tokens >= LONG_OUTPUT_TOKENS,
+    )
 
 
 def prompt_tokens(request: admitted.AdmittedRequest) -> int:
