Read streams ahead of callers that read slowly

A caller that reads slowly made its engine wait, since a gateway read no further before the last bytes were written; some engines abort a response that stays unread for some seconds, which cost the caller the generation. Where the settings file states the contract pressure, a task reads up to 256 KiB ahead, with memory that the pool for responses can spare. Events count once they were written to the caller, so that resumptions and copies are as before. Elsewhere nothing changes.

--- a/bronzeslip/forwarding/assembly.py
+++ b/bronzeslip/forwarding/assembly.py
@@ -8,6 +8,7 @@
 from bronzeslip.endpoints import proximity
 from bronzeslip.endpoints import report_cache
 from bronzeslip.endpoints import watched_endpoints
+from bronzeslip.entry import contract
 from bronzeslip.entry import vm_config
 from bronzeslip.forwarding import admission
 from bronzeslip.forwarding import attempts
@@ -23,6 +24,7 @@
 from bronzeslip.forwarding import load_forecast
 from bronzeslip.forwarding import permitted_chooser
 from bronzeslip.forwarding import pipeline
+from bronzeslip.forwarding import read_ahead
 from bronzeslip.forwarding import request_ledger
 from bronzeslip.forwarding import service_retry_budgets
 from bronzeslip.forwarding import standby_chooser
@@ -66,6 +68,7 @@
     """
     in_flight = in_flight_requests.InFlightRequests()
     reports = report_cache.ReportCache()
+    is_under_pressure = contract.Contract.PRESSURE in this_vm.contracts
     ledger = placement_ledger.PlacementLedger()
     reports.add_listener(ledger.apply_report)
     endpoints.add_gone_listener(ledger.remove)
@@ -122,6 +125,7 @@
             sending_chooser, failures, retry_budgets, crash_detector, metrics
         ),
         metrics=metrics,
+        read_ahead_bytes=read_ahead.LIMIT_BYTES if is_under_pressure else 0,
     )
 
 
--- a/bronzeslip/forwarding/components.py
+++ b/bronzeslip/forwarding/components.py
@@ -44,6 +44,8 @@
         crash_detector: Quarantines requests that crash endpoints.
         attempt_runner: Sends requests, with retries.
         metrics: Metrics of the gateway.
+        read_ahead_bytes: Bytes of a stream that are read ahead of a caller that
+            reads slowly; 0 to read nothing ahead.
     """
 
     settings: entry.EntrySettings
@@ -64,3 +66,4 @@
     crash_detector: crash_watch.CrashDetector
     attempt_runner: attempts.AttemptRunner
     metrics: entry_metrics.EntryMetrics
+    read_ahead_bytes: int = 0
--- a/bronzeslip/forwarding/stream_run.py
+++ b/bronzeslip/forwarding/stream_run.py
@@ -15,6 +15,7 @@
 from bronzeslip.forwarding import errors
 from bronzeslip.forwarding import event_framer
 from bronzeslip.forwarding import event_memory
+from bronzeslip.forwarding import read_ahead
 from bronzeslip.forwarding import response_writer
 from bronzeslip.forwarding import run_standby
 from bronzeslip.forwarding import run_stopper
@@ -104,8 +105,7 @@
                 buffered = await self._sender.read(response)
                 await buffered_response.send_to_caller(buffered, self._writer)
                 return True
-            async for chunk in response.chunks():
-                await self._relay_chunk(response.head, chunk)
+            await self._relay_body(response)
             self._progress.raise_if_unfinished(response.head.framing)
             await self._components.crash_detector.raise_if_gone(
                 self._request, self._endpoint, response.head
@@ -127,6 +127,26 @@
         await self._finish(response.head)
         return True
 
+    async def _relay_body(
+        self, response: endpoint_client.EndpointResponse
+    ) -> None:
+        """Relays the body of a successful response.
+
+        Raises:
+            endpoint_errors.EndpointResponseLostError: If it is incomplete.
+        """
+        limit_bytes = self._components.read_ahead_bytes
+        if not limit_bytes:
+            async for chunk in response.chunks():
+                await self._relay_chunk(response.head, chunk)
+            return
+        memory = self._writer.memory.create_sibling()
+        async with read_ahead.ReadAhead(
+            response.chunks(), memory, limit_bytes
+        ) as ahead:
+            async for chunk in ahead.chunks():
+                await self._relay_chunk(response.head, chunk)
+
     async def _relay_chunk(
         self, head: endpoint_client.ResponseHead, chunk: bytes
     ) -> None:
--- a/bronzeslip/memory/reservation.py
+++ b/bronzeslip/memory/reservation.py
@@ -31,6 +31,15 @@
     ) -> None:
         self.release()
 
+    @property
+    def is_pool_short(self) -> bool:
+        """Whether others wait for room in the pool or little is left."""
+        return self._pool.is_short
+
+    def create_sibling(self) -> Self:
+        """Returns an empty reservation of the same pool."""
+        return type(self)(self._pool)
+
     def try_resize(self, size_bytes: int) -> bool:
         """Changes the size if there is room.
 
