--- a/bronzeslip/endpoints/directory.py
+++ b/bronzeslip/endpoints/directory.py
@@ -15,6 +15,7 @@
 from bronzeslip.endpoints import past_incarnations
 from bronzeslip.endpoints import pauses
 from bronzeslip.endpoints import request_limits
+from bronzeslip.load import load_statements
 from bronzeslip.places import cold_endpoints
 from bronzeslip.places import evacuated_domains
 from bronzeslip.settings import entry
@@ -40,6 +41,7 @@
         request_limits: Limits that endpoints state on their requests.
         evacuated_domains: Failure domains whose endpoints receive no requests.
         cold_endpoints: Endpoints that sustain few requests for some time.
+        load_statements: Load that endpoints state in their responses.
     """
 
     def __init__(self, settings: entry.EntrySettings) -> None:
@@ -57,6 +59,7 @@
         self.evacuated_domains = evacuated_domains.EvacuatedDomains()
         self.cold_endpoints = cold_endpoints.ColdEndpoints()
         self.evacuated_domains.add_listener(self._signal_change)
+        self.load_statements = load_statements.LoadStatements()
         self._is_source_restored = False
         self._unreachable: set[ids.EndpointId] = set()
         self._missing_since_s: dict[ids.EndpointId, float] = {}
@@ -359,6 +362,7 @@
     def _notify_gone(self, gone: endpoint.Endpoint) -> None:
         self.request_limits.remove(gone)
         self.cold_endpoints.remove(gone)
+        self.load_statements.remove(gone)
         self._gone_listeners.notify(gone)
 
 
--- a/bronzeslip/forwarding/assembly.py
+++ b/bronzeslip/forwarding/assembly.py
@@ -8,6 +8,7 @@
 from bronzeslip.endpoints import proximity
 from bronzeslip.endpoints import report_cache
 from bronzeslip.endpoints import watched_endpoints
+from bronzeslip.entry import contract
 from bronzeslip.entry import vm_config
 from bronzeslip.forwarding import admission
 from bronzeslip.forwarding import attempts
@@ -23,10 +24,12 @@
 from bronzeslip.forwarding import load_forecast
 from bronzeslip.forwarding import permitted_chooser
 from bronzeslip.forwarding import pipeline
+from bronzeslip.forwarding import read_ahead
 from bronzeslip.forwarding import request_ledger
 from bronzeslip.forwarding import service_retry_budgets
 from bronzeslip.forwarding import standby_chooser
 from bronzeslip.forwarding import stream_forwarder
+from bronzeslip.load import placement_ledger
 from bronzeslip.metrics import entry_metrics
 from bronzeslip.places import allowed_regions
 from bronzeslip.places import cold_limits
@@ -69,6 +72,13 @@
     """
     in_flight = in_flight_requests.InFlightRequests()
     reports = report_cache.ReportCache()
+    is_under_pressure = contract.Contract.PRESSURE in this_vm.contracts
+    ledger = placement_ledger.PlacementLedger()
+    reports.add_listener(ledger.apply_report)
+    endpoints.add_gone_listener(ledger.remove)
+    load_forecaster = load_forecast.LoadForecaster(
+        settings, in_flight, reports, endpoints.load_statements, ledger
+    )
     failures = failure_tracker.FailureTracker()
     endpoints.add_gone_listener(lambda gone: failures.remove(gone.endpoint_id))
     regions = allowed_regions.AllowedRegionsFilter(this_vm)
@@ -84,7 +94,7 @@
                 settings, this_vm, endpoints, current_table
             ),
             endpoint_proximity,
-            load_forecast.LoadForecaster(settings, in_flight, reports),
+            load_forecaster,
             failures,
             connection_share.ConnectionShare(
                 settings, endpoints, in_flight, gateways
@@ -107,6 +117,8 @@
         endpoints=endpoints,
         in_flight=in_flight,
         reports=reports,
+        placement_ledger=ledger,
+        load_forecaster=load_forecaster,
         failures=failures,
         client=client,
         endpoint_chooser=endpoint_chooser,
@@ -124,6 +136,7 @@
             sending_chooser, failures, retry_budgets, crash_detector, metrics
         ),
         metrics=metrics,
+        read_ahead_bytes=read_ahead.LIMIT_BYTES if is_under_pressure else 0,
     )
 
 
--- a/bronzeslip/forwarding/components.py
+++ b/bronzeslip/forwarding/components.py
@@ -11,9 +11,11 @@
 from bronzeslip.forwarding import copy_releaser
 from bronzeslip.forwarding import crash_watch
 from bronzeslip.forwarding import endpoint_client
+from bronzeslip.forwarding import load_forecast
 from bronzeslip.forwarding import permitted_chooser
 from bronzeslip.forwarding import service_retry_budgets
 from bronzeslip.forwarding import standby_chooser
+from bronzeslip.load import placement_ledger
 from bronzeslip.metrics import entry_metrics
 from bronzeslip.places import allowed_regions
 from bronzeslip.places import cold_limits
@@ -31,6 +33,8 @@
         endpoints: Directory of the known endpoints.
         in_flight: Requests of this gateway in flight at each endpoint.
         reports: Latest reports of the model engines.
+        placement_ledger: Placements of generations that this gateway knows of.
+        load_forecaster: Forecasts the load of endpoints.
         failures: Recent failures of endpoints.
         client: Client for calls to endpoints.
         endpoint_chooser: Rates the endpoints for a request.
@@ -44,6 +48,8 @@
         crash_detector: Quarantines requests that crash endpoints.
         attempt_runner: Sends requests, with retries.
         metrics: Metrics of the gateway.
+        read_ahead_bytes: Bytes of a stream that are read ahead of a caller that
+            reads slowly; 0 to read nothing ahead.
     """
 
     settings: entry.EntrySettings
@@ -51,6 +57,8 @@
     endpoints: directory.EndpointDirectory
     in_flight: in_flight_requests.InFlightRequests
     reports: report_cache.ReportCache
+    placement_ledger: placement_ledger.PlacementLedger
+    load_forecaster: load_forecast.LoadForecaster
     failures: failure_tracker.FailureTracker
     client: endpoint_client.EndpointClient
     endpoint_chooser: chooser.EndpointChooser
@@ -64,3 +72,4 @@
     crash_detector: crash_watch.CrashDetector
     attempt_runner: attempts.AttemptRunner
     metrics: entry_metrics.EntryMetrics
+    read_ahead_bytes: int = 0
