Share the fair ranks of workspaces between queues

No caller sees a change. The placement coordinator needs the ranks of FairQueue for requests that are not PendingRequest objects, so the tags move to FairRanks and FairQueue uses it.

--- a/bronzeslip/admission/fair_queue.py
+++ b/bronzeslip/admission/fair_queue.py
@@ -5,19 +5,12 @@
 
 import sortedcontainers
 
-from bronzeslip import ids
+from bronzeslip.admission import fair_ranks
 from bronzeslip.admission import pending_request
 
-_MAX_TRACKED_WORKSPACES = 10_000
-
 
 class FairQueue:
-    """Start-time fair queueing over workspaces, with ageing.
-
-    The start tag of a request is the engine time that its workspace has
-    requested so far, divided by the weight of the workspace, and at least the
-    current virtual time. The rank is the tag plus the weighted arrival time,
-    which prevents starvation.
+    """Queue of each class of requests, in the order of their fair ranks.
 
     Attributes:
         total_cost_s: Total cost of the queued requests, in seconds.
@@ -30,9 +23,7 @@
             ageing_ratio: Engine time, in seconds, that one second of waiting
                 compensates for.
         """
-        self._ageing_ratio = ageing_ratio
-        self._virtual_time_s = 0.0
-        self._next_tag_s: dict[ids.WorkspaceId, float] = {}
+        self._ranks = fair_ranks.FairRanks(ageing_ratio)
         self._queues: dict[bool, sortedcontainers.SortedKeyList] = {
             is_interactive: sortedcontainers.SortedKeyList(
                 key=operator.attrgetter("rank")
@@ -48,15 +39,11 @@
         self, pending: pending_request.PendingRequest, now_s: float
     ) -> None:
         """Assigns the rank of a request and charges its workspace."""
-        workspace_id = pending.request.workspace_id
-        tag_s = max(
-            self._virtual_time_s, self._next_tag_s.get(workspace_id, 0.0)
+        pending.rank = self._ranks.assign(
+            pending.request.workspace_id,
+            pending.cost_s / pending.request.weight,
+            now_s,
         )
-        weighted_cost_s = pending.cost_s / pending.request.weight
-        self._next_tag_s[workspace_id] = tag_s + weighted_cost_s
-        pending.rank = tag_s + self._ageing_ratio * now_s
-        if len(self._next_tag_s) > _MAX_TRACKED_WORKSPACES:
-            self._evict_idle_workspaces()
 
     def add(self, pending: pending_request.PendingRequest) -> None:
         """Adds a ranked request to the queue."""
@@ -76,21 +63,9 @@
     def record_admission(
         self, pending: pending_request.PendingRequest, now_s: float
     ) -> None:
-        """Advances virtual time when a request is admitted.
-
-        Virtual time becomes at least the rank of the request minus the
-        weighted current time.
-        """
-        tag_s = pending.rank - self._ageing_ratio * now_s
-        self._virtual_time_s = max(self._virtual_time_s, tag_s)
+        """Advances virtual time when a request is admitted."""
+        self._ranks.record_start(pending.rank, now_s)
 
     def count(self, is_interactive: bool) -> int:
         """Returns the number of queued requests of a class."""
         return len(self._queues[is_interactive])
-
-    def _evict_idle_workspaces(self) -> None:
-        self._next_tag_s = {
-            workspace_id: tag_s
-            for workspace_id, tag_s in self._next_tag_s.items()
-            if tag_s > self._virtual_time_s
-        }
