Order, defer and refuse generations in the placement policy

Clients of an overloaded service will get their first events in time more often, or a refusal with a retry time, instead of queueing at engines whose memory is full. Not connected yet.

--- /dev/null
+++ b/bronzeslip/placement/client_patience.py
@@ -0,0 +1,36 @@
+"""Time for which a client waits for the first event of its stream."""
+
+from bronzeslip.placement import placement_ask
+
+# A client gives up on a stream whose first event has not arrived after the
+# longest of 2 s, four times the objective and eight times the allowed pause.
+# An ask does not contain the allowed pause, which is below a quarter of a
+# second in the known deployments, so that the first two are longer.
+_MIN_PATIENCE_S = 2.0
+_PATIENCE_OBJECTIVES = 4.0
+# Share of the patience for which a request that misses its objective may be
+# held back.
+_OVERDUE_SHARE = 0.5
+
+
+def remaining_s(ask: placement_ask.PlacementAsk) -> float:
+    """Returns the time until the client gives up, in seconds.
+
+    An ask contains no objective. It is derived from what is left of it and the
+    time waited, so that it is too short for a request that asks for the first
+    time after a failed attempt.
+    """
+    objective_s = ask.objective_left_s + ask.waited_s
+    patience_s = max(_MIN_PATIENCE_S, _PATIENCE_OBJECTIVES * objective_s)
+    return min(patience_s - ask.waited_s, ask.remaining_s)
+
+
+def overdue_in_s(ask: placement_ask.PlacementAsk) -> float:
+    """Returns the time until a request must no longer be held back.
+
+    Returns:
+        The time in seconds, 0 or less if it has been held for half of the time
+        in which its client would have given up.
+    """
+    patience_s = ask.waited_s + remaining_s(ask)
+    return _OVERDUE_SHARE * patience_s - ask.waited_s
--- a/bronzeslip/placement/placement_verdict.py
+++ b/bronzeslip/placement/placement_verdict.py
@@ -11,7 +11,7 @@
         DEFERRED: Ask again after the retry time.
         REFUSED: Refuse it to the client with the retry time.
         NOT_RESPONSIBLE: Decide otherwise; the gateway that was asked must not.
-            A policy never returns this verdict.
+            A policy returns this only if it has no candidate endpoint.
     """
 
     PLACED = "placed"
--- /dev/null
+++ b/bronzeslip/placement/reserved_capacity.py
@@ -0,0 +1,102 @@
+"""Capacity that is left for a generation behind other waiting ones."""
+
+from collections.abc import Iterable
+from collections.abc import Sequence
+
+import msgspec
+
+from bronzeslip import ids
+from bronzeslip.placement import placement_option
+from bronzeslip.placement import waiting_request
+
+# A request that could not be placed for this long gets an endpoint of its own
+# to drain, since otherwise smaller requests would always take the memory that
+# becomes free.
+_DRAIN_AFTER_S = 0.5
+# Share of the endpoints that may drain at the same time.
+_MAX_DRAINING_SHARE = 0.25
+# Prompts that an engine processes before a late request starts there, in
+# seconds; longer queues would delay requests that can still be in time.
+MAX_LATE_QUEUE_S = 0.1
+
+
+class ReservedCapacity:
+    """Subtracts the waiting requests that are first in order from options."""
+
+    def __init__(
+        self,
+        options: Sequence[placement_option.PlacementOption],
+        prefill_tokens_per_s: float,
+    ) -> None:
+        """Creates the capacity before any reservation.
+
+        Args:
+            options: Forecasts of the candidate endpoints.
+            prefill_tokens_per_s: Prompt tokens that an engine processes per
+                second while it also decodes.
+        """
+        self._options = {option.endpoint_id: option for option in options}
+        self._prefill_tokens_per_s = prefill_tokens_per_s
+        self._drains_left = max(int(_MAX_DRAINING_SHARE * len(options)), 1)
+
+    @property
+    def options(self) -> Iterable[placement_option.PlacementOption]:
+        """Options that are left."""
+        return self._options.values()
+
+    def reserve(self, waiting: waiting_request.WaitingRequest) -> None:
+        """Reserves capacity for one request."""
+        usable = [
+            self._options[endpoint_id]
+            for endpoint_id in waiting.endpoint_ids
+            if endpoint_id in self._options
+        ]
+        fitting = [option for option in usable if fits(option, waiting)]
+        if fitting:
+            self._subtract(min(fitting, key=_queue_order), waiting)
+        elif usable and self._drains_left and _needs_drain(waiting):
+            self._drains_left -= 1
+            drained = max(usable, key=_memory_order)
+            del self._options[drained.endpoint_id]
+
+    def _subtract(
+        self,
+        option: placement_option.PlacementOption,
+        waiting: waiting_request.WaitingRequest,
+    ) -> None:
+        prefill_s = waiting.ask.prompt_tokens / self._prefill_tokens_per_s
+        self._options[option.endpoint_id] = msgspec.structs.replace(
+            option,
+            cost_s=option.cost_s + prefill_s,
+            wait_s=option.wait_s + prefill_s,
+            free_tokens=option.free_tokens - waiting.ask.expected_tokens,
+            queued_prefill_s=option.queued_prefill_s + prefill_s,
+        )
+
+
+def fits(
+    option: placement_option.PlacementOption,
+    waiting: waiting_request.WaitingRequest,
+) -> bool:
+    """Returns whether a request may be placed at an endpoint."""
+    if waiting.ask.expected_tokens > option.free_tokens:
+        return False
+    return (
+        not waiting.is_held_back or option.queued_prefill_s < MAX_LATE_QUEUE_S
+    )
+
+
+def _needs_drain(waiting: waiting_request.WaitingRequest) -> bool:
+    return not waiting.is_held_back and waiting.ask.waited_s >= _DRAIN_AFTER_S
+
+
+def _queue_order(
+    option: placement_option.PlacementOption,
+) -> tuple[float, ids.EndpointId]:
+    return option.queued_prefill_s, option.endpoint_id
+
+
+def _memory_order(
+    option: placement_option.PlacementOption,
+) -> tuple[int, ids.EndpointId]:
+    return option.free_tokens, option.endpoint_id
--- /dev/null
+++ b/bronzeslip/placement/waiting_requests.py
@@ -0,0 +1,68 @@
+"""Generations that wait for a placement, in order."""
+
+from collections.abc import Iterator
+import heapq
+import operator
+
+import sortedcontainers
+
+from bronzeslip import ids
+from bronzeslip.placement import waiting_request
+
+
+class WaitingRequests:
+    """Waiting generations of one shard, ordered by their position."""
+
+    def __init__(self) -> None:
+        self._by_id: dict[ids.RequestId, waiting_request.WaitingRequest] = {}
+        self._ordered = sortedcontainers.SortedKeyList(
+            key=operator.attrgetter("position")
+        )
+        self._expirations: list[tuple[float, ids.RequestId]] = []
+
+    def __len__(self) -> int:
+        return len(self._by_id)
+
+    def get(
+        self, request_id: ids.RequestId
+    ) -> waiting_request.WaitingRequest | None:
+        """Returns a waiting request."""
+        return self._by_id.get(request_id)
+
+    def put(self, waiting: waiting_request.WaitingRequest) -> None:
+        """Adds a request or replaces its previous ask."""
+        self.remove(waiting.request_id)
+        self._by_id[waiting.request_id] = waiting
+        self._ordered.add(waiting)
+        heapq.heappush(
+            self._expirations, (waiting.expires_s, waiting.request_id)
+        )
+
+    def remove(self, request_id: ids.RequestId) -> None:
+        """Removes a request if it is waiting."""
+        waiting = self._by_id.pop(request_id, None)
+        if waiting is not None:
+            self._ordered.remove(waiting)
+
+    def remove_expired(self, now_s: float) -> None:
+        """Removes the requests that have not asked again in time."""
+        while self._expirations and self._expirations[0][0] <= now_s:
+            _, request_id = heapq.heappop(self._expirations)
+            waiting = self._by_id.get(request_id)
+            if waiting is not None and waiting.expires_s <= now_s:
+                self.remove(request_id)
+
+    def ahead_of(
+        self, waiting: waiting_request.WaitingRequest
+    ) -> Iterator[waiting_request.WaitingRequest]:
+        """Yields the requests that are to be placed first, in order.
+
+        Requests that can't be placed at the same endpoints are omitted.
+        """
+        for other in self._ordered:
+            if other.position >= waiting.position:
+                return
+            if other.request_id == waiting.request_id:
+                continue
+            if not other.endpoint_ids.isdisjoint(waiting.endpoint_ids):
+                yield other
