--- a/bronzeslip/placement/shard_policy.py
+++ b/bronzeslip/placement/shard_policy.py
@@ -134,12 +134,14 @@
             for option in capacity.options
             if reserved_capacity.fits(option, waiting)
         ]
-        if waiting.can_be_in_time:
-            candidates = [
-                option
-                for option in candidates
-                if option.wait_s <= waiting.ask.objective_left_s
-            ]
+        limit_s = (
+            waiting.ask.objective_left_s
+            if waiting.can_be_in_time
+            else client_patience.remaining_s(waiting.ask)
+        )
+        candidates = [
+            option for option in candidates if option.wait_s <= limit_s
+        ]
         return min(candidates, key=operator.attrgetter("cost_s"), default=None)
 
     def _place(
--- a/bronzeslip/placement/waiting_request.py
+++ b/bronzeslip/placement/waiting_request.py
@@ -42,11 +42,12 @@
         return not self.can_be_in_time and not self.is_overdue
 
     @property
-    def position(self) -> tuple[bool, int, bool, float, str]:
+    def position(self) -> tuple[bool, int, bool, bool, float, str]:
         """Position in the order of waiting requests; the smallest is first."""
         return (
             not self.is_aged,
             self.ask.priority,
+            not self.can_be_in_time,
             self.is_held_back,
             self.rank,
             self.request_id,
--- a/tests/support/virtual_engines.py
+++ b/tests/support/virtual_engines.py
@@ -13,6 +13,7 @@
 _STEP_S = 0.007
 _RUN_STEP_S = 0.00012
 _EVENT_TOKENS = 4
+_MAX_PAUSE_S = 0.18
 _SLOTS = 24
 _KV_TOKENS = 26_900
 _PREFILL_TOKENS_PER_S = 7_000
@@ -32,6 +33,7 @@
     to_prefill: int = 0
     generated: int = 0
     first_event_s: float | None = None
+    last_event_s: float = 0.0
     outcome: str = "open"
 
     @property
@@ -44,6 +46,17 @@
             max(2, 4 * self.objective_s), self.timeout_s
         )
 
+    def record_event(self, time_s):
+        """Late: the first event, or one after too long a pause."""
+        if self.first_event_s is None:
+            self.first_event_s = time_s
+            is_late = time_s > self.arrived_s + self.objective_s
+        else:
+            is_late = time_s - self.last_event_s > _MAX_PAUSE_S
+        self.last_event_s = time_s
+        if is_late or self.outcome == "open":
+            self.outcome = "late" if is_late else "in time"
+
 
 class Engine:
     def __init__(self, name, region="here"):
@@ -122,10 +135,8 @@
         time_s += (_STEP_S + _RUN_STEP_S * len(decoding)) * bool(decoding)
         for each in decoding:
             each.generated += 1
-            if each.first_event_s is None and each.generated >= _EVENT_TOKENS:
-                each.first_event_s = time_s
-                is_late = time_s > each.arrived_s + each.objective_s
-                each.outcome = "late" if is_late else "in time"
+            if each.generated % _EVENT_TOKENS == 0:
+                each.record_event(time_s)
             if each.generated >= each.output_tokens:
                 self.runs.remove(each)
         while self._used() > _KV_TOKENS:
