--- /dev/null
+++ b/bronzeslip/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Coordinated placement of generations."""
--- /dev/null
+++ b/bronzeslip/placement/placement_ask.py
@@ -0,0 +1,46 @@
+"""Generation for which a gateway requests a placement."""
+
+import msgspec
+
+from bronzeslip import ids
+
+
+class PlacementAsk(msgspec.Struct, frozen=True, kw_only=True):
+    """A generation that a gateway asks the coordinator to place.
+
+    Attributes:
+        service: Name of the requested service.
+        shard_index: Index of the shard of the service's endpoints.
+        shard_count: Number of shards of the service.
+        request_id: Id of the request.
+        prompt_tokens: Length of the prompt, in tokens.
+        expected_tokens: Memory that it is expected to take, in tokens.
+        output_tokens: Estimated length of the output, in tokens.
+        is_long: Whether it may outlive its endpoint.
+        priority: Priority of its route; 0 is the highest.
+        workspace: Workspace of the client.
+        remaining_s: Time to its deadline, in seconds.
+        objective_left_s: Time to the objective for its first event, in
+            seconds; negative if the objective is missed.
+        waited_s: Time for which it has waited for a placement, in seconds.
+        failure_domain: Failure domain of the asking gateway.
+        allowed_regions: Regions that it may run in, or None for all.
+        excluded: Endpoints that must not be selected.
+    """
+
+    service: ids.ServiceName
+    shard_index: int
+    shard_count: int
+    request_id: ids.RequestId
+    prompt_tokens: int
+    expected_tokens: int
+    output_tokens: int
+    is_long: bool
+    priority: int
+    workspace: ids.WorkspaceId
+    remaining_s: float
+    objective_left_s: float
+    waited_s: float = 0.0
+    failure_domain: ids.FailureDomainName = ids.FailureDomainName("")
+    allowed_regions: frozenset[ids.RegionName] | None = None
+    excluded: frozenset[ids.EndpointId] = frozenset()
