--- a/bronzeslip/endpoints/in_flight_requests.py
+++ b/bronzeslip/endpoints/in_flight_requests.py
@@ -10,7 +10,7 @@
 
 
 class InFlightRequest(msgspec.Struct, frozen=True):
-    """One request of this gateway in flight at an endpoint.
+    """One request in flight at an endpoint.
 
     Attributes:
         sent_s: Time at which it was sent on the event loop's clock, in
@@ -18,12 +18,14 @@
         prompt_tokens: Length of its prompt, in tokens.
         expected_tokens: Expected memory use at its end, in tokens.
         is_long: Whether it may outlive its engine.
+        request_id: Id of the request, or None if it is not tracked by id.
     """
 
     sent_s: float
     prompt_tokens: int = 0
     expected_tokens: int = 0
     is_long: bool = False
+    request_id: ids.RequestId | None = None
 
 
 class InFlightRequests:
@@ -40,13 +42,14 @@
         prompt_tokens: int = 0,
         expected_tokens: int = 0,
         is_long: bool = False,
+        request_id: ids.RequestId | None = None,
     ) -> Iterator[None]:
         """Tracks a request for the duration of the context."""
         request_number = self._next_number
         self._next_number += 1
         now_s = asyncio.get_running_loop().time()
         request = InFlightRequest(
-            now_s, prompt_tokens, expected_tokens, is_long
+            now_s, prompt_tokens, expected_tokens, is_long, request_id
         )
         self._requests.setdefault(endpoint_id, {})[request_number] = request
         try:
--- a/bronzeslip/forwarding/run_load.py
+++ b/bronzeslip/forwarding/run_load.py
@@ -47,6 +47,7 @@
                 prompt_tokens,
                 expected_tokens,
                 chooser.is_long_generation(self._request),
+                self._request.request.request_id,
             )
         )
 
--- /dev/null
+++ b/bronzeslip/load/__init__.py
@@ -0,0 +1,1 @@
+"""View of the load that endpoints have now."""
--- /dev/null
+++ b/tests/load/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the load view."""
