Place the generations of a service by one gateway for all

Callers saw late first events at peak load: 46 gateways chose at the same time among 5 of 21 engines each, by reports that were up to 1.5 s old, and overloaded engines in turn.

One gateway per service now polls the engines and decides for all gateways (POST /placements). Its view adds the placements that no report shows yet and the prefill done since the report. The others ask it, its fallback if it does not reply, and choose locally without a reply. They poll only engines that run their own long generations. The costs of an endpoint move to forwarding/endpoint_cost.py, which both choices use. Enabled only if the settings file's contracts list has pressure and the gateways are counted.

--- a/bronzeslip/decoding/fields.py
+++ b/bronzeslip/decoding/fields.py
@@ -11,6 +11,7 @@
 
 Integer = Annotated[int, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+PositiveCount = Annotated[int, msgspec.Meta(ge=1, le=MAX_NUMBER)]
 Quantity = Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
 NonNegativeQuantity = Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 PositiveQuantity = Annotated[float, msgspec.Meta(gt=0, le=MAX_NUMBER)]
--- a/bronzeslip/endpoints/directory.py
+++ b/bronzeslip/endpoints/directory.py
@@ -122,6 +122,21 @@
             self._ready_by_service[service_name] = selected
         return selected
 
+    def unpaused_endpoints(
+        self, service_name: ids.ServiceName
+    ) -> tuple[endpoint.Endpoint, ...]:
+        """Returns the endpoints of a service that are ready and not paused.
+
+        In contrast to `ready_endpoints`, these include unreachable ones.
+        """
+        return tuple(
+            candidate
+            for candidate in self.endpoints
+            if candidate.service_name == service_name
+            and candidate.is_ready
+            and not self._pauses.remaining_s(candidate)
+        )
+
     def is_usable(self, snapshot: endpoint.Endpoint) -> bool:
         """Returns whether an endpoint is ready, reachable and not paused."""
         return (
--- a/bronzeslip/endpoints/in_flight_requests.py
+++ b/bronzeslip/endpoints/in_flight_requests.py
@@ -64,6 +64,13 @@
         """Returns the number of requests in flight at an endpoint."""
         return len(self._requests.get(endpoint_id, ()))
 
+    def counts(self) -> dict[ids.EndpointId, int]:
+        """Returns the number of requests at each endpoint that has any."""
+        return {
+            endpoint_id: len(requests)
+            for endpoint_id, requests in self._requests.items()
+        }
+
     def has_long_request(self, endpoint_id: ids.EndpointId) -> bool:
         """Returns whether a long request is in flight at an endpoint."""
         requests = self._requests.get(endpoint_id, {})
--- a/bronzeslip/entry/daemon.py
+++ b/bronzeslip/entry/daemon.py
@@ -41,7 +41,7 @@
         settings: entry.EntrySettings,
         this_vm: vm_config.VmConfig,
         app: Any,
-        permit_handler: handlers.BaseRouteHandler,
+        peer_handlers: Sequence[handlers.BaseRouteHandler],
         current_table: current.CurrentTable,
         readiness_state: readiness.Readiness,
         metrics: entry_metrics.EntryMetrics,
@@ -57,7 +57,7 @@
             settings: Settings of the gateway.
             this_vm: Configuration of this VM.
             app: ASGI application that serves callers.
-            permit_handler: Handles the requests of other gateways for permits.
+            peer_handlers: Handle the requests of other gateways.
             current_table: Current route table.
             readiness_state: Readiness reported to the load balancer.
             metrics: Metrics to expose.
@@ -88,7 +88,7 @@
             _create_http_settings(this_vm.readiness_address),
         )
         self._peer_server = server.HttpServer(
-            internal_app.create(permit_handler),
+            internal_app.create(*peer_handlers),
             _create_http_settings(this_vm.peer_address),
         )
         self._metrics_server = server.HttpServer(
--- a/bronzeslip/entry/peer_http.py
+++ b/bronzeslip/entry/peer_http.py
@@ -1,6 +1,7 @@
 """HTTP client for calls to other gateways."""
 
 import asyncio
+from typing import TypeVar
 
 import httpx
 import msgspec
@@ -10,6 +11,8 @@
 from bronzeslip.http import bounded_transport
 from bronzeslip.http import paced_chunks
 from bronzeslip.http import silence_detection
+from bronzeslip.placement import placement_reply
+from bronzeslip.placement import placement_request
 from bronzeslip.quota import errors
 from bronzeslip.quota import peer
 from bronzeslip.quota import permit_reply
@@ -19,6 +22,8 @@
 # A gateway coordinates few endpoints, so it asks few others at once.
 _MAX_CONNECTIONS = 50
 
+ReplyT = TypeVar("ReplyT")
+
 
 class HttpPeerClient:
     """Calls other gateways over HTTP."""
@@ -50,20 +55,43 @@
         Raises:
             errors.PeerUnavailableError: If there was no valid reply in time.
         """
+        return await self._post(
+            target, "/permits", request, permit_reply.PermitReply
+        )
+
+    async def place(
+        self, target: peer.Peer, request: placement_request.PlacementRequest
+    ) -> placement_reply.PlacementReply:
+        """Asks another gateway for a placement.
+
+        Raises:
+            errors.PeerUnavailableError: If there was no valid reply in time.
+        """
+        return await self._post(
+            target, "/placements", request, placement_reply.PlacementReply
+        )
+
+    async def _post(
+        self,
+        target: peer.Peer,
+        path: str,
+        message: msgspec.Struct,
+        reply_type: type[ReplyT],
+    ) -> ReplyT:
         address = target.address
         try:
             async with (
                 asyncio.timeout(self._timeout_s),
                 self._http.stream(
                     "POST",
-                    f"http://{address.host}:{address.port}/permits",
-                    content=msgspec.json.encode(request),
+                    f"http://{address.host}:{address.port}{path}",
+                    content=msgspec.json.encode(message),
                     headers={"Content-Type": "application/json"},
                 ) as response,
             ):
                 response.raise_for_status()
                 body = await self._read_body(response)
-            return untrusted.from_json(body, permit_reply.PermitReply)
+            return untrusted.from_json(body, reply_type)
         except (
             httpx.HTTPError,
             httpx.InvalidURL,
--- a/bronzeslip/entry/vm_config.py
+++ b/bronzeslip/entry/vm_config.py
@@ -4,6 +4,7 @@
 
 from bronzeslip import ids
 from bronzeslip.decoding import fields
+from bronzeslip.entry import contract
 
 
 class SocketAddress(msgspec.Struct, frozen=True):
@@ -63,6 +64,7 @@
         peer_address: Address for calls of other gateways.
         bounds: Limits that operators set.
         process_limits: Limits that the process must keep.
+        contracts: Contracts that the deployment states.
     """
 
     vm_id: ids.VmId
@@ -74,6 +76,7 @@
     peer_address: SocketAddress
     bounds: PlaceBounds
     process_limits: ProcessLimits = ProcessLimits()
+    contracts: frozenset[contract.Contract] = frozenset()
 
     def is_in_region(self, failure_domain: ids.FailureDomainName) -> bool:
         """Returns whether a failure domain is in the region of this VM."""
--- a/bronzeslip/forwarding/assembly.py
+++ b/bronzeslip/forwarding/assembly.py
@@ -8,6 +8,7 @@
 from bronzeslip.endpoints import proximity
 from bronzeslip.endpoints import report_cache
 from bronzeslip.endpoints import watched_endpoints
+from bronzeslip.entry import gateway_registry
 from bronzeslip.entry import vm_config
 from bronzeslip.forwarding import admission
 from bronzeslip.forwarding import attempts
@@ -19,7 +20,6 @@
 from bronzeslip.forwarding import crash_watch
 from bronzeslip.forwarding import drain_deadline
 from bronzeslip.forwarding import endpoint_client
-from bronzeslip.forwarding import gateway_count
 from bronzeslip.forwarding import load_forecast
 from bronzeslip.forwarding import permitted_chooser
 from bronzeslip.forwarding import pipeline
@@ -28,6 +28,8 @@
 from bronzeslip.forwarding import standby_chooser
 from bronzeslip.forwarding import stream_forwarder
 from bronzeslip.metrics import entry_metrics
+from bronzeslip.placement import assembly as placement_assembly
+from bronzeslip.placement import placement_client
 from bronzeslip.quota import endpoint_permits
 from bronzeslip.routes import current
 from bronzeslip.routing import suspect_list
@@ -44,9 +46,10 @@
     suspects: suspect_list.SuspectList,
     publisher: suspect_publisher.SuspectPublisher,
     metrics: entry_metrics.EntryMetrics,
-    gateways: gateway_count.GatewayCount,
+    gateways: gateway_registry.GatewayRegistry,
     permits: endpoint_permits.EndpointPermits,
     rng: random.Random,
+    peers: placement_client.PlacementClient | None = None,
 ) -> components.ForwardingComponents:
     """Creates the forwarding components.
 
@@ -59,15 +62,19 @@
         suspects: Requests that were running when an endpoint crashed.
         publisher: Publishes the suspects to the other gateways.
         metrics: Metrics of the gateway.
-        gateways: Number of running gateways.
+        gateways: Counts the gateways and ranks them as coordinators.
         permits: Permits for endpoints that have a limit.
         rng: Source of all random choices.
+        peers: Client for calls to other gateways; None if there are none.
     """
     in_flight = in_flight_requests.InFlightRequests()
     reports = report_cache.ReportCache()
     failures = failure_tracker.FailureTracker()
     endpoints.add_gone_listener(lambda gone: failures.remove(gone.endpoint_id))
     endpoint_proximity = proximity.EndpointProximity(this_vm, endpoints)
+    connections = connection_share.ConnectionShare(
+        settings, endpoints, in_flight, gateways
+    )
     if settings.placement is entry.Placement.ROUND_ROBIN:
         endpoint_chooser = chooser.RoundRobinChooser(endpoints)
     else:
@@ -78,13 +85,28 @@
             endpoint_proximity,
             load_forecast.LoadForecaster(settings, in_flight, reports),
             failures,
-            connection_share.ConnectionShare(
-                settings, endpoints, in_flight, gateways
-            ),
+            connections,
             rng,
         )
+    placement_parts = placement_assembly.create(
+        settings,
+        this_vm,
+        current_table,
+        endpoints,
+        in_flight,
+        reports,
+        failures,
+        endpoint_chooser,
+        connections,
+        gateways,
+        peers,
+        metrics,
+        # The load view of the plan's part 2.1 will tell.
+        lambda _: False,
+        rng,
+    )
     sending_chooser = permitted_chooser.PermittedChooser(
-        endpoint_chooser, endpoints, permits
+        placement_parts.chooser, endpoints, permits
     )
     retry_budgets = service_retry_budgets.ServiceRetryBudgets(
         this_vm.bounds, gateways, random.Random(this_vm.vm_id)
@@ -101,6 +123,7 @@
         failures=failures,
         client=client,
         endpoint_chooser=endpoint_chooser,
+        placement=placement_parts,
         permits=permits,
         permitted_chooser=sending_chooser,
         copy_target_chooser=standby_chooser.StandbyChooser(
--- a/bronzeslip/forwarding/chooser.py
+++ b/bronzeslip/forwarding/chooser.py
@@ -15,33 +15,15 @@
 from bronzeslip.entry import vm_config
 from bronzeslip.forwarding import admitted
 from bronzeslip.forwarding import connection_share
+from bronzeslip.forwarding import endpoint_cost
 from bronzeslip.forwarding import errors
 from bronzeslip.forwarding import load_forecast
 
 logger = logs.get_logger(__name__)
 
 _RETRY_AFTER_S = 0.5
-# Costs are in seconds that a caller waits. One failure costs half a second, so
-# that two failures outweigh a typical queue.
-_FAILURE_COST_S = 0.5
-_SLOT_LOAD_COST_S = 0.3
-_OTHER_DOMAIN_COST_S = 0.02
-_OTHER_REGION_COST_S = 0.04
-_WARMUP_COST_S = 0.3
-# A long generation is lost if its engine shuts down and the neighbours have no
-# free memory. The cost is half a second for an output of 1,000 tokens.
-_EVACUATION_RISK_TOKEN_COST_S = 0.0005
-# The runs of an engine that cannot be evacuated to its neighbours share its
-# network link for copies to other regions.
-_EVACUATION_RISK_RUN_COST_S = 0.05
-# Share of their memory to which the neighbours of a leaving engine are filled.
-_EVACUATION_SHARE = 0.8
 # Shorter outputs are complete before a leaving engine terminates.
 _LONG_OUTPUT_TOKENS = 100
-# Engines preempt runs when their memory is full, so the cost of memory grows
-# quadratically above this share.
-_MEMORY_PRESSURE_START = 0.6
-_MEMORY_COST_S = 8.0
 # Gateways that read the same reports would all choose the same endpoint. Costs
 # that differ by less than this are therefore treated as nearly equal.
 _SOFTMAX_TEMPERATURE_S = 0.1
@@ -97,7 +79,7 @@
         self._watched = watched
         self._proximity = endpoint_proximity
         self._load_forecaster = load_forecaster
-        self._failures = failures
+        self._cost = endpoint_cost.EndpointCost(this_vm, failures)
         self._connections = connections
         self._rng = rng
 
@@ -198,18 +180,17 @@
     ) -> float:
         """Returns the cost of sending a request to an endpoint, in seconds."""
         forecast = self._load_forecaster.forecast(candidate, request)
-        pressure = max(forecast.memory_use - _MEMORY_PRESSURE_START, 0.0)
-        cost_s = forecast.prefill_s + _SLOT_LOAD_COST_S * forecast.slot_load
-        cost_s += _MEMORY_COST_S * pressure * pressure
-        cost_s += _FAILURE_COST_S * self._failures.score_of(
-            candidate.endpoint_id
+        cost_s = self._cost.cost_s(
+            candidate, forecast, self._this_vm.failure_domain
         )
-        cost_s += _WARMUP_COST_S if candidate.warmup_remaining_s > 0 else 0.0
-        cost_s += self._distance_cost_s(candidate)
         if is_long_generation(request) and not self._can_be_evacuated(
             candidate, request
         ):
-            cost_s += self._evacuation_risk_cost_s(candidate, request, forecast)
+            cost_s += endpoint_cost.evacuation_risk_cost_s(
+                candidate,
+                request.request.shape.output_estimate_tokens,
+                forecast,
+            )
         return cost_s
 
     def _can_be_evacuated(
@@ -221,8 +202,6 @@
         them. Engines that this gateway does not poll count with the mean use.
         """
         nearby = self._proximity.nearby_endpoints(candidate)
-        capacity_tokens = request.service.engine.memory_tokens
-        limit_tokens = _EVACUATION_SHARE * capacity_tokens * (len(nearby) - 1)
         watched_engines = self._watched.for_service(request.service.name)
         used_tokens = sum(
             self._load_forecaster.used_tokens(engine)
@@ -230,35 +209,13 @@
             else self._load_forecaster.mean_used_tokens()
             for engine in nearby
         )
-        return (
-            used_tokens + request.request.shape.expected_tokens < limit_tokens
+        return endpoint_cost.can_be_evacuated(
+            used_tokens,
+            request.request.shape.expected_tokens,
+            len(nearby),
+            request.service.engine.memory_tokens,
         )
 
-    def _evacuation_risk_cost_s(
-        self,
-        candidate: endpoint.Endpoint,
-        request: admitted.AdmittedRequest,
-        forecast: load_forecast.EndpointForecast,
-    ) -> float:
-        """Returns the cost of an engine that could not be evacuated.
-
-        The longer the expected output, the more likely the engine terminates
-        before the output is complete.
-        """
-        output_tokens = request.request.shape.output_estimate_tokens
-        runs = forecast.slot_load * candidate.slots
-        return (
-            _EVACUATION_RISK_TOKEN_COST_S * output_tokens
-            + _EVACUATION_RISK_RUN_COST_S * runs
-        )
-
-    def _distance_cost_s(self, candidate: endpoint.Endpoint) -> float:
-        if candidate.failure_domain == self._this_vm.failure_domain:
-            return 0.0
-        if self._this_vm.is_in_region(candidate.failure_domain):
-            return _OTHER_DOMAIN_COST_S
-        return _OTHER_REGION_COST_S
-
 
 class RoundRobinChooser:
     """Selects the ready endpoints in turn, as a baseline for benchmarks."""
--- a/bronzeslip/forwarding/components.py
+++ b/bronzeslip/forwarding/components.py
@@ -15,6 +15,7 @@
 from bronzeslip.forwarding import service_retry_budgets
 from bronzeslip.forwarding import standby_chooser
 from bronzeslip.metrics import entry_metrics
+from bronzeslip.placement import placement_parts
 from bronzeslip.quota import endpoint_permits
 from bronzeslip.routes import current
 from bronzeslip.settings import entry
@@ -32,6 +33,7 @@
         failures: Recent failures of endpoints.
         client: Client for calls to endpoints.
         endpoint_chooser: Rates the endpoints for a request.
+        placement: Coordinated placement of generations.
         permits: Permits for endpoints that have a limit.
         permitted_chooser: Chooses the endpoint to send a request to.
         copy_target_chooser: Chooses the engines that store standby copies.
@@ -50,6 +52,7 @@
     failures: failure_tracker.FailureTracker
     client: endpoint_client.EndpointClient
     endpoint_chooser: chooser.EndpointChooser
+    placement: placement_parts.PlacementParts
     permits: endpoint_permits.EndpointPermits
     permitted_chooser: permitted_chooser.PermittedChooser
     copy_target_chooser: standby_chooser.StandbyChooser
--- a/bronzeslip/forwarding/connection_share.py
+++ b/bronzeslip/forwarding/connection_share.py
@@ -2,6 +2,7 @@
 
 import math
 
+from bronzeslip import ids
 from bronzeslip.endpoints import directory
 from bronzeslip.endpoints import endpoint
 from bronzeslip.endpoints import in_flight_requests
@@ -19,6 +20,8 @@
     An endpoint resets connections beyond its limit, and a request on such a
     connection may have run. Each gateway uses `watched_endpoints` endpoints of
     a service, and gateways are assumed to be spread evenly over all endpoints.
+    A coordinator may name any endpoint, so that all gateways share its
+    connections then.
     """
 
     def __init__(
@@ -42,14 +45,36 @@
         self._gateways = gateways
 
     def has_free_connection(
-        self, candidate: endpoint.Endpoint, target_service: service.Service
+        self,
+        candidate: endpoint.Endpoint,
+        target_service: service.Service,
+        is_coordinated: bool = False,
     ) -> bool:
-        """Returns whether one more request may be sent to an endpoint."""
+        """Returns whether one more request may be sent to an endpoint.
+
+        Args:
+            candidate: The endpoint.
+            target_service: Service of the endpoint.
+            is_coordinated: Whether the coordinator of the service chose it.
+        """
         return self._in_flight.count(candidate.endpoint_id) < self.limit(
-            target_service
+            target_service, is_coordinated
         )
 
-    def limit(self, target_service: service.Service) -> int:
+    def exhausted_endpoints(
+        self, target_service: service.Service
+    ) -> frozenset[ids.EndpointId]:
+        """Returns the endpoints that a coordinator must not choose."""
+        limit = self.limit(target_service, is_coordinated=True)
+        return frozenset(
+            endpoint_id
+            for endpoint_id, count in self._in_flight.counts().items()
+            if count >= limit
+        )
+
+    def limit(
+        self, target_service: service.Service, is_coordinated: bool = False
+    ) -> int:
         """Returns how many requests may be in flight at one endpoint.
 
         Until the gateways have been counted, this is the full limit of the
@@ -61,9 +86,11 @@
         endpoint_count = max(
             len(self._endpoints.ready_endpoints(target_service.name)), 1
         )
-        endpoints_per_gateway = min(
-            self._settings.watched_endpoints, endpoint_count
-        )
+        endpoints_per_gateway = endpoint_count
+        if not is_coordinated:
+            endpoints_per_gateway = min(
+                self._settings.watched_endpoints, endpoint_count
+            )
         gateways_per_endpoint = max(
             self._gateways.count * endpoints_per_gateway / endpoint_count, 1.0
         )
--- a/bronzeslip/forwarding/permitted_chooser.py
+++ b/bronzeslip/forwarding/permitted_chooser.py
@@ -9,8 +9,8 @@
 from bronzeslip.endpoints import directory
 from bronzeslip.endpoints import endpoint
 from bronzeslip.forwarding import admitted
-from bronzeslip.forwarding import chooser
 from bronzeslip.forwarding import errors
+from bronzeslip.placement import coordinated_chooser
 from bronzeslip.quota import endpoint_permits
 from bronzeslip.quota import return_schedule
 
@@ -26,7 +26,7 @@
 
     def __init__(
         self,
-        endpoint_chooser: chooser.EndpointChooser,
+        endpoint_chooser: coordinated_chooser.CoordinatedChooser,
         endpoints: directory.EndpointDirectory,
         permits: endpoint_permits.EndpointPermits,
         clock: Callable[[], float] = time.monotonic,
@@ -73,7 +73,7 @@
         }
         while True:
             try:
-                chosen = self._endpoint_chooser.choose(
+                chosen = await self._endpoint_chooser.choose(
                     request, tried | denied_s.keys()
                 )
             except errors.OverloadedError:
--- a/bronzeslip/forwarding/report_poller.py
+++ b/bronzeslip/forwarding/report_poller.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Set as AbstractSet
 
 from bronzeslip import ids
 from bronzeslip import isolation
@@ -15,6 +16,7 @@
 from bronzeslip.endpoints import watched_endpoints
 from bronzeslip.forwarding import endpoint_client
 from bronzeslip.forwarding import endpoint_errors
+from bronzeslip.placement import polled_engines
 from bronzeslip.settings import entry
 
 # Consecutive failed polls before an engine counts as unreachable, and the
@@ -38,6 +40,7 @@
         client: endpoint_client.EndpointClient,
         reports: report_cache.ReportCache,
         engine_services: Callable[[], Iterable[ids.ServiceName]],
+        coordinated: polled_engines.PolledEngines | None = None,
     ) -> None:
         """Initializes the poller.
 
@@ -49,6 +52,8 @@
             client: Client for calls to endpoints.
             reports: Cache that receives the reports.
             engine_services: Returns the services that have model engines.
+            coordinated: Selects the engines in place of `watched` where
+                placement is coordinated; None if it never is.
         """
         self._settings = settings
         self._endpoints = endpoints
@@ -57,7 +62,10 @@
         self._client = client
         self._reports = reports
         self._engine_services = engine_services
+        self._coordinated = coordinated
         self._tasks: dict[ids.EndpointId, asyncio.Task] = {}
+        self._unresponsive: dict[ids.EndpointId, endpoint.Endpoint] = {}
+        self._selection_changed = asyncio.Event()
 
     async def run(self) -> None:
         """Starts and stops tasks as endpoints change, until cancelled."""
@@ -65,19 +73,49 @@
             while True:
                 with isolation.isolated(logger, "reports.not_reconciled"):
                     self._reconcile_tasks()
-                await self._endpoints.wait_for_change(
-                    self._settings.report_interval_s
-                )
+                await self._wait_for_change()
         finally:
             for task in self._tasks.values():
                 task.cancel()
 
+    def refresh(self) -> None:
+        """Applies a change of the engines to poll at once."""
+        self._selection_changed.set()
+
+    async def _wait_for_change(self) -> None:
+        """Waits for a change of the endpoints or of the engines to poll.
+
+        Where placement is coordinated, the engines to poll also change with the
+        long runs of this gateway.
+        """
+        interval_s = self._settings.report_interval_s
+        if self._coordinated is not None:
+            interval_s = min(interval_s, self._settings.busy_report_interval_s)
+        waits = (
+            asyncio.create_task(self._endpoints.wait_for_change(interval_s)),
+            asyncio.create_task(self._selection_changed.wait()),
+        )
+        try:
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for wait in waits:
+                wait.cancel()
+        self._selection_changed.clear()
+
+    def _engines_of(
+        self, service_name: ids.ServiceName
+    ) -> Iterable[endpoint.Endpoint]:
+        if self._coordinated is None:
+            return self._watched.for_service(service_name)
+        return self._coordinated.for_service(service_name)
+
     def _reconcile_tasks(self) -> None:
         engines = {
             engine.endpoint_id: engine
             for name in self._engine_services()
-            for engine in self._watched.for_service(name)
+            for engine in self._engines_of(name)
         }
+        self._forget_unresponsive(engines.keys())
         for endpoint_id in self._tasks.keys() - engines.keys():
             self._tasks.pop(endpoint_id).cancel()
             self._reports.remove(endpoint_id)
@@ -89,11 +127,36 @@
                     f"report {endpoint_id}", self._poll(engine)
                 )
 
+    def _forget_unresponsive(
+        self, polled_ids: AbstractSet[ids.EndpointId]
+    ) -> None:
+        """Makes unresponsive engines that are no longer polled usable again.
+
+        Where placement is coordinated, the coordinator polls them and does not
+        name them while they do not respond.
+        """
+        if self._coordinated is None:
+            return
+        for endpoint_id in self._unresponsive.keys() - polled_ids:
+            engine = self._unresponsive[endpoint_id]
+            if self._coordinated.is_coordinated(engine.service_name):
+                del self._unresponsive[endpoint_id]
+                self._endpoints.set_reachable(engine, True)
+
+    def _record_reachable(
+        self, engine: endpoint.Endpoint, is_reachable: bool
+    ) -> None:
+        if is_reachable:
+            self._unresponsive.pop(engine.endpoint_id, None)
+        else:
+            self._unresponsive[engine.endpoint_id] = engine
+        self._endpoints.set_reachable(engine, is_reachable)
+
     async def _poll(self, engine: endpoint.Endpoint) -> None:
         failures = 0
         while True:
             failures = 0 if await self._poll_once(engine) else failures + 1
-            self._endpoints.set_reachable(engine, failures < _MAX_FAILURES)
+            self._record_reachable(engine, failures < _MAX_FAILURES)
             await asyncio.sleep(
                 _RETRY_INTERVAL_S if failures else self._interval_s(engine)
             )
@@ -128,8 +191,14 @@
         the report then shows that an engine is leaving, and the outage itself
         is detected late. It is also shorter for engines with
         long runs of this gateway, which are lost if a shutdown notice is
-        missed.
+        missed, and for engines whose placements this gateway coordinates.
         """
+        interval_s = self._own_interval_s(engine)
+        if self._coordinated is None:
+            return interval_s
+        return min(interval_s, self._coordinated.interval_s(engine))
+
+    def _own_interval_s(self, engine: endpoint.Endpoint) -> float:
         if not self._endpoints.is_source_reachable:
             return self._settings.lone_report_interval_s
         if self._in_flight.has_long_request(engine.endpoint_id):
--- a/bronzeslip/forwarding/stream_sender.py
+++ b/bronzeslip/forwarding/stream_sender.py
@@ -58,6 +58,7 @@
     def close(self) -> None:
         """Ends the count of the run as in flight."""
         self._load.close()
+        self._components.placement.chooser.end(self._request.request.request_id)
 
     async def send(
         self, chosen: endpoint.Endpoint, source: dispatch.ResumeSource | None
--- a/bronzeslip/metrics/entry_metrics.py
+++ b/bronzeslip/metrics/entry_metrics.py
@@ -1,5 +1,7 @@
 """Metrics of the entry gateway, which calls endpoints directly."""
 
+import math
+
 import aioprometheus
 
 from bronzeslip import ids
@@ -50,6 +52,19 @@
         self._attempts = self._counter(
             "bronzeslip_attempts_total", "Requests sent to endpoints by result"
         )
+        self._placements = self._counter(
+            "bronzeslip_placements_total",
+            "Replies to requests for a placement by verdict",
+        )
+        self._local_choices = self._counter(
+            "bronzeslip_local_choices_total",
+            "Choices of a coordinated service without its coordinator",
+        )
+        self._report_age = self._histogram(
+            "placement_report_age",
+            "Age of the chosen engine's report at a placement",
+            buckets.FIRST_TOKEN_S,
+        )
         self._memory: memory_metrics.MemoryMetrics | None = None
         self._endpoints = aioprometheus.Gauge(
             "bronzeslip_endpoints",
@@ -107,6 +122,22 @@
         """
         self._attempts.inc({"result": result})
 
+    def count_placement(self, verdict: str) -> None:
+        """Counts a reply of this gateway as the coordinator of placements."""
+        self._placements.inc({"verdict": verdict})
+
+    def count_local_choice(self, reason: str) -> None:
+        """Counts a choice that was made without the coordinator's placement."""
+        self._local_choices.inc({"reason": reason})
+
+    def observe_report_age(self, age_s: float) -> None:
+        """Records the age of the report that a placement is based on.
+
+        Engines without a report are not recorded.
+        """
+        if math.isfinite(age_s):
+            self._report_age.observe({}, age_s)
+
     def refresh(self) -> None:
         """Updates metrics that are computed only when scraped."""
         super().refresh()
--- /dev/null
+++ b/bronzeslip/placement/coordinated_chooser.py
@@ -0,0 +1,237 @@
+"""Chooses the endpoint that the coordinator of a service names."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Set as AbstractSet
+import time
+
+from bronzeslip import ids
+from bronzeslip import logs
+from bronzeslip.decoding import fields
+from bronzeslip.endpoints import directory
+from bronzeslip.endpoints import endpoint
+from bronzeslip.entry import vm_config
+from bronzeslip.forwarding import admitted
+from bronzeslip.forwarding import chooser
+from bronzeslip.forwarding import connection_share
+from bronzeslip.forwarding import errors
+from bronzeslip.forwarding import load_forecast
+from bronzeslip.metrics import entry_metrics
+from bronzeslip.placement import coordinator_contact
+from bronzeslip.placement import local_reason
+from bronzeslip.placement import placement_ask
+from bronzeslip.placement import placement_caller
+from bronzeslip.placement import placement_gate
+from bronzeslip.placement import placement_reply
+from bronzeslip.placement import placement_verdict
+from bronzeslip.placement import shard
+
+logger = logs.get_logger(__name__)
+
+# Bounds how long a coordinator can delay a request by a single reply.
+_MAX_DEFERRAL_S = 0.25
+# A coordinator that asks to return at once must not keep two gateways busy.
+_MIN_DEFERRAL_S = 0.01
+# Refused clients return after this time at least.
+_MIN_RETRY_AFTER_S = 0.5
+
+Verdict = placement_verdict.PlacementVerdict
+Reason = local_reason.LocalReason
+
+
+class CoordinatedChooser:
+    """Asks the coordinator of a service; chooses locally without its reply."""
+
+    def __init__(
+        self,
+        this_vm: vm_config.VmConfig,
+        endpoints: directory.EndpointDirectory,
+        local: chooser.EndpointChooser,
+        gate: placement_gate.PlacementGate,
+        caller: placement_caller.PlacementCaller,
+        contact: coordinator_contact.CoordinatorContact,
+        connections: connection_share.ConnectionShare,
+        metrics: entry_metrics.EntryMetrics,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Initializes the chooser.
+
+        Args:
+            this_vm: Location of this gateway.
+            endpoints: Directory of the known endpoints.
+            local: Chooses where no coordinator decides.
+            gate: Decides which services are coordinated.
+            caller: Asks the coordinators.
+            contact: Records whether they reply.
+            connections: Limits the requests in flight at an endpoint.
+            metrics: Counts local choices by their reason.
+            clock: Clock of the event loop, in seconds.
+        """
+        self._this_vm = this_vm
+        self._endpoints = endpoints
+        self._local = local
+        self._gate = gate
+        self._caller = caller
+        self._contact = contact
+        self._connections = connections
+        self._metrics = metrics
+        self._clock = clock
+
+    async def choose(
+        self,
+        request: admitted.AdmittedRequest,
+        tried: AbstractSet[ids.EndpointId],
+    ) -> endpoint.Endpoint:
+        """Returns the endpoint to send a request to.
+
+        Args:
+            request: Request to send.
+            tried: Endpoints that must not be chosen.
+
+        Raises:
+            errors.OverloadedError: If the coordinator refuses the request, or
+                no endpoint could start it in time.
+            errors.NotRunError: If no endpoint is left.
+        """
+        if request.request.shape is None or not self._gate.is_coordinated(
+            request.service.name
+        ):
+            return self._local.choose(request, tried)
+        placed = await self._place(request, tried)
+        if isinstance(placed, endpoint.Endpoint):
+            return placed
+        logger.info(
+            "placement.local_choice",
+            request=request.request.request_id,
+            reason=placed,
+        )
+        self._metrics.count_local_choice(placed.value)
+        self._caller.ended.end(request.request.request_id)
+        return self._local.choose(request, tried)
+
+    def end(self, request_id: ids.RequestId) -> None:
+        """Records that a request has ended."""
+        self._caller.ended.end(request_id)
+
+    async def _place(
+        self,
+        request: admitted.AdmittedRequest,
+        tried: AbstractSet[ids.EndpointId],
+    ) -> endpoint.Endpoint | Reason:
+        """Asks until the coordinator decides.
+
+        The deadline of the request and the client's disconnection cancel the
+        wait.
+        """
+        started_s = self._clock()
+        while True:
+            ask = self._create_ask(request, tried, self._clock() - started_s)
+            reply = await self._caller.ask(ask)
+            self._contact.record(request.service.name, reply is not None)
+            if reply is None:
+                return Reason.NO_REPLY
+            if reply.verdict is Verdict.DEFERRED:
+                await self._wait(request, reply)
+            elif reply.verdict is Verdict.REFUSED:
+                return self._refuse(reply, tried)
+            else:
+                return self._validated(request, reply, tried)
+
+    async def _wait(
+        self,
+        request: admitted.AdmittedRequest,
+        reply: placement_reply.PlacementReply,
+    ) -> None:
+        """Waits until a deferred request is to ask again.
+
+        Raises:
+            errors.OverloadedError: If its deadline would pass meanwhile.
+        """
+        delay_s = max(reply.retry_after_s, _MIN_DEFERRAL_S)
+        delay_s = min(delay_s, _MAX_DEFERRAL_S)
+        if request.remaining_s <= delay_s:
+            raise errors.OverloadedError(
+                "no engine could take the request before its deadline",
+                retry_after_s=_MIN_RETRY_AFTER_S,
+            )
+        await asyncio.sleep(delay_s)
+
+    def _refuse(
+        self,
+        reply: placement_reply.PlacementReply,
+        tried: AbstractSet[ids.EndpointId],
+    ) -> Reason:
+        """Refuses a request; one that was sent before is chosen for locally.
+
+        Its client may have received a part of the response already.
+
+        Raises:
+            errors.OverloadedError: If the request has not been sent before.
+        """
+        if tried:
+            return Reason.SENT_BEFORE
+        raise errors.OverloadedError(
+            "the coordinator found no engine that could start it in time",
+            retry_after_s=max(reply.retry_after_s, _MIN_RETRY_AFTER_S),
+        )
+
+    def _validated(
+        self,
+        request: admitted.AdmittedRequest,
+        reply: placement_reply.PlacementReply,
+        tried: AbstractSet[ids.EndpointId],
+    ) -> endpoint.Endpoint | Reason:
+        """Checks a placement against what this gateway knows itself."""
+        if reply.endpoint_id is None or reply.endpoint_id in tried:
+            return Reason.INVALID_REPLY
+        target = self._endpoints.get(reply.endpoint_id)
+        if target is None or target.started_unix_ms != reply.started_unix_ms:
+            return Reason.UNKNOWN_ENDPOINT
+        if (
+            target.service_name != request.service.name
+            or not self._endpoints.is_usable(target)
+        ):
+            return Reason.UNUSABLE_ENDPOINT
+        if not self._connections.has_free_connection(
+            target, request.service, is_coordinated=True
+        ):
+            return Reason.NO_CONNECTION
+        logger.info(
+            "request.placed",
+            request=request.request.request_id,
+            endpoint=target.endpoint_id,
+            wait_s=round(reply.wait_s, 3),
+        )
+        return target
+
+    def _create_ask(
+        self,
+        request: admitted.AdmittedRequest,
+        tried: AbstractSet[ids.EndpointId],
+        waited_s: float,
+    ) -> placement_ask.PlacementAsk:
+        service_name = request.service.name
+        asked = shard.of_gateway(
+            self._this_vm.vm_id,
+            service_name,
+            len(self._endpoints.ready_endpoints(service_name)),
+        )
+        shape = request.request.shape
+        return placement_ask.PlacementAsk(
+            service=service_name,
+            shard_index=asked.index,
+            shard_count=asked.count,
+            request_id=request.request.request_id,
+            prompt_tokens=load_forecast.prompt_tokens(request),
+            expected_tokens=min(shape.expected_tokens, fields.MAX_NUMBER),
+            output_tokens=min(shape.output_estimate_tokens, fields.MAX_NUMBER),
+            is_long=chooser.is_long_generation(request),
+            priority=request.priority,
+            workspace=request.workspace_id,
+            remaining_s=request.remaining_s,
+            objective_left_s=request.remaining_objective_s,
+            waited_s=waited_s,
+            failure_domain=self._this_vm.failure_domain,
+            excluded=frozenset(tried)
+            | self._connections.exhausted_endpoints(request.service),
+        )
--- a/bronzeslip/placement/placement_ask.py
+++ b/bronzeslip/placement/placement_ask.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from bronzeslip import ids
+from bronzeslip.decoding import fields
 
 
 class PlacementAsk(msgspec.Struct, frozen=True, kw_only=True):
@@ -18,7 +19,7 @@
         output_tokens: Estimated length of the output, in tokens.
         is_long: Whether it may outlive its endpoint.
         priority: Priority of its route; 0 is the highest.
-        workspace: Workspace of the client.
+        workspace: Workspace of the client, or None on public routes.
         remaining_s: Time to its deadline, in seconds.
         objective_left_s: Time to the objective for its first event, in
             seconds; negative if the objective is missed.
@@ -29,18 +30,18 @@
     """
 
     service: ids.ServiceName
-    shard_index: int
-    shard_count: int
+    shard_index: fields.Count
+    shard_count: fields.PositiveCount
     request_id: ids.RequestId
-    prompt_tokens: int
-    expected_tokens: int
-    output_tokens: int
+    prompt_tokens: fields.Count
+    expected_tokens: fields.Count
+    output_tokens: fields.Count
     is_long: bool
-    priority: int
-    workspace: ids.WorkspaceId
-    remaining_s: float
-    objective_left_s: float
-    waited_s: float = 0.0
+    priority: fields.Integer
+    workspace: ids.WorkspaceId | None
+    remaining_s: fields.Quantity
+    objective_left_s: fields.Quantity
+    waited_s: fields.NonNegativeQuantity = 0.0
     failure_domain: ids.FailureDomainName = ids.FailureDomainName("")
     allowed_regions: frozenset[ids.RegionName] | None = None
     excluded: frozenset[ids.EndpointId] = frozenset()
--- /dev/null
+++ b/bronzeslip/placement/shard.py
@@ -0,0 +1,52 @@
+"""Shards of the endpoints of a service."""
+
+import math
+
+import msgspec
+import xxhash
+
+from bronzeslip import ids
+
+# Endpoints that one coordinator polls and compares for each generation.
+_MAX_ENDPOINTS = 64
+
+
+class Shard(msgspec.Struct, frozen=True):
+    """Endpoints of a service that one coordinator places generations on.
+
+    Attributes:
+        service_name: Name of the service.
+        index: Index of the shard.
+        count: Number of shards of the service.
+    """
+
+    service_name: ids.ServiceName
+    index: int
+    count: int
+
+    @property
+    def key(self) -> str:
+        """Key by which the coordinator is ranked."""
+        return f"placement/{self.service_name}/{self.index}/{self.count}"
+
+    def contains(self, endpoint_id: ids.EndpointId) -> bool:
+        """Returns whether an endpoint of the service is in the shard."""
+        return self.count == 1 or _index(endpoint_id, self.count) == self.index
+
+
+def of_gateway(
+    vm_id: ids.VmId, service_name: ids.ServiceName, endpoint_count: int
+) -> Shard:
+    """Returns the shard that a gateway sends the generations of a service to.
+
+    Args:
+        vm_id: VM of the gateway.
+        service_name: Name of the service.
+        endpoint_count: Number of ready endpoints of the service.
+    """
+    count = max(math.ceil(endpoint_count / _MAX_ENDPOINTS), 1)
+    return Shard(service_name, _index(vm_id, count), count)
+
+
+def _index(name: str, count: int) -> int:
+    return xxhash.xxh3_64_intdigest(name.encode()) % count
--- a/bronzeslip/platform/boot_file.py
+++ b/bronzeslip/platform/boot_file.py
@@ -12,6 +12,7 @@
 from bronzeslip.decoding import addresses
 from bronzeslip.decoding import errors as decoding_errors
 from bronzeslip.entry import vm_config
+from bronzeslip.platform import contracts
 from bronzeslip.platform import errors
 from bronzeslip.platform import place_bounds
 from bronzeslip.platform import process_limits
@@ -48,6 +49,7 @@
     limits: Any = None
     # Region of each failure domain. A gateway serves without it.
     zones: Any = None
+    contracts: Any = None
 
 
 def read(
@@ -114,6 +116,7 @@
         ),
         bounds=place_bounds.decode(boot_settings.bounds, known_bounds),
         process_limits=process_limits.decode(boot_settings.limits),
+        contracts=contracts.decode(boot_settings.contracts),
     )
 
 
--- a/bronzeslip/platform/gateway.py
+++ b/bronzeslip/platform/gateway.py
@@ -13,6 +13,7 @@
 from bronzeslip.entry import named_task
 from bronzeslip.entry import peer_http
 from bronzeslip.entry import permits_api
+from bronzeslip.entry import placements_api
 from bronzeslip.entry import readiness
 from bronzeslip.entry import suspect_replicator
 from bronzeslip.entry import vm_config
@@ -80,9 +81,8 @@
     coordinator = permit_coordinator.PermitCoordinator(
         endpoint_directory, registry
     )
-    caller = peer_caller.PeerCaller(
-        own, coordinator, peer_http.HttpPeerClient(settings)
-    )
+    peers = peer_http.HttpPeerClient(settings)
+    caller = peer_caller.PeerCaller(own, coordinator, peers)
     permits = endpoint_permits.EndpointPermits(
         endpoint_directory, registry, caller
     )
@@ -102,6 +102,7 @@
         registry,
         permits,
         rng,
+        peers,
     )
     request_admission = admission.Admission(settings, current_table, rng)
     drain = drain_deadline.DrainDeadline(this_vm.bounds)
@@ -129,7 +130,10 @@
             body_reader.BodyReader(memory, current_table),
             memory,
         ),
-        permits_api.handler(coordinator),
+        (
+            permits_api.handler(coordinator),
+            placements_api.handler(forwarding_components.placement.coordinator),
+        ),
         current_table,
         readiness.Readiness(current_table, endpoint_directory),
         metrics,
@@ -178,7 +182,9 @@
         forwarding_components.client,
         forwarding_components.reports,
         lambda: _engine_services(forwarding_components.current),
+        forwarding_components.placement.polled_engines,
     )
+    forwarding_components.placement.duties.add_begun_listener(poller.refresh)
     configuration = configuration_follower.ConfigurationFollower(
         store, forwarding_components.current, configuration_timing
     )
--- a/bronzeslip/platform/settings_reloader.py
+++ b/bronzeslip/platform/settings_reloader.py
@@ -65,4 +65,5 @@
         or loaded.store_address != previous.store_address
         or loaded.peer_address != previous.peer_address
         or loaded.failure_domain != previous.failure_domain
+        or loaded.contracts != previous.contracts
     )
--- a/tests/entry/test_daemon.py
+++ b/tests/entry/test_daemon.py
@@ -52,7 +52,7 @@
                 bounds=vm_config.PlaceBounds(8, 0.2, 56, 10, 2.5),
             ),
             lambda *_: None,
-            _permits,
+            (_permits,),
             table,
             readiness.Readiness(table, endpoints),
             entry_metrics.EntryMetrics(table, endpoints),
--- a/tools/entry_deployment.py
+++ b/tools/entry_deployment.py
@@ -1,6 +1,7 @@
 """Gateways on entry VMs as processes, with stand-ins for the platform."""
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import contextlib
 import tempfile
 import time
@@ -35,6 +36,7 @@
         endpoint_count: int = 1,
         has_endpoint_proxies: bool = True,
         has_unframed_endpoints: bool = False,
+        contracts: Sequence[str] = (),
     ) -> None:
         """Starts all processes and waits until all gateways are ready.
 
@@ -47,6 +49,7 @@
             has_unframed_endpoints: Whether the responses of every second
                 endpoint, from the first on, end with their connection. These
                 have no proxy, as it would hide that they were killed.
+            contracts: Contracts in the boot files of the gateways.
 
         Raises:
             RuntimeError: If a process exits before it is ready.
@@ -64,7 +67,7 @@
                 )
                 for service in ("desk", "engine")
             )
-            self._start(exit_stack, gateway_count)
+            self._start(exit_stack, gateway_count, contracts)
             self._exit_stack = exit_stack.pop_all()
 
     @property
@@ -157,6 +160,7 @@
         self,
         exit_stack: contextlib.ExitStack,
         gateway_count: int,
+        contracts: Sequence[str],
     ) -> None:
         """Starts the store and the gateways and registers the endpoints.
 
@@ -174,7 +178,7 @@
         self.gateways = []
         for number in range(gateway_count):
             gateway = entry_gateway.EntryGateway(
-                f"front-{number}", folder, store_port
+                f"front-{number}", folder, store_port, contracts
             )
             exit_stack.callback(gateway.stop)
             self.gateways.append(gateway)
--- a/tools/entry_gateway.py
+++ b/tools/entry_gateway.py
@@ -1,5 +1,6 @@
 """A gateway on an entry VM as a process, with its store behind a proxy."""
 
+from collections.abc import Sequence
 import pathlib
 
 import httpx
@@ -14,6 +15,7 @@
 
 _CALL_TIMEOUT_S = 20.0
 _BOOT_FILE_TEMPLATE = """
+contracts = {contracts}
 node_name = "{name}"
 ip = "{host}"
 port_range = [{peer}, {peer}]
@@ -48,7 +50,14 @@
         host: Address that the gateway listens on.
     """
 
-    def __init__(self, name: str, folder: str, store_port: int) -> None:
+    def __init__(
+        self,
+        name: str,
+        folder: str,
+        store_port: int,
+        contracts: Sequence[str] = (),
+    ) -> None:
+        self._contracts = contracts
         self._name = name
         self.boot_path = pathlib.Path(folder) / f"{name}.toml"
         self.host = loopback_address.host()
@@ -98,6 +107,7 @@
         """Writes the boot file, which holds the settings of the gateway."""
         self.boot_path.write_text(
             _BOOT_FILE_TEMPLATE.format(
+                contracts=list(self._contracts),
                 name=self._name,
                 host=self.host,
                 front=self._front_port,
