--- a/bronzeslip/placement/assembly.py
+++ b/bronzeslip/placement/assembly.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import random
+import time
 
 from bronzeslip import ids
 from bronzeslip.endpoints import directory
@@ -48,6 +49,7 @@
     metrics: entry_metrics.EntryMetrics,
     states_pace: Callable[[ids.ServiceName], bool],
     rng: random.Random,
+    clock: Callable[[], float] = time.monotonic,
 ) -> placement_parts.PlacementParts:
     """Creates the components of coordinated placement.
 
@@ -67,15 +69,16 @@
         states_pace: Returns whether an endpoint of a service has stated its
             pace.
         rng: Source of random choices.
+        clock: Clock of the event loop, in seconds.
     """
     gate = placement_gate.PlacementGate(
         settings, this_vm, current_table, gateways, states_pace
     )
-    duties = coordination_duties.CoordinationDuties()
+    duties = coordination_duties.CoordinationDuties(clock)
     contact = coordinator_contact.CoordinatorContact()
-    ledger = placement_ledger.PlacementLedger()
+    ledger = placement_ledger.PlacementLedger(clock)
     endpoints.add_gone_listener(ledger.remove)
-    view = engine_view.EngineView(settings, reports, ledger)
+    view = engine_view.EngineView(settings, reports, ledger, clock)
     coordinator = placement_coordinator.PlacementCoordinator(
         this_vm,
         endpoints,
@@ -93,12 +96,14 @@
         duties,
         metrics,
         rng,
+        clock,
     )
     caller = placement_caller.PlacementCaller(
         peer.Peer(this_vm.vm_id, this_vm.peer_address),
         gateways,
         coordinator,
         client,
+        clock,
     )
     return placement_parts.PlacementParts(
         chooser=coordinated_chooser.CoordinatedChooser(
@@ -110,6 +115,7 @@
             contact,
             connections,
             metrics,
+            clock,
         ),
         coordinator=coordinator,
         duties=duties,
--- a/bronzeslip/placement/coordinated_chooser.py
+++ b/bronzeslip/placement/coordinated_chooser.py
@@ -217,14 +217,18 @@
             len(self._endpoints.ready_endpoints(service_name)),
         )
         shape = request.request.shape
+        # An engine processes no more than its memory, whatever a client states.
+        max_tokens = min(
+            request.service.engine.memory_tokens, fields.MAX_NUMBER
+        )
         return placement_ask.PlacementAsk(
             service=service_name,
             shard_index=asked.index,
             shard_count=asked.count,
             request_id=request.request.request_id,
             prompt_tokens=load_forecast.prompt_tokens(request),
-            expected_tokens=min(shape.expected_tokens, fields.MAX_NUMBER),
-            output_tokens=min(shape.output_estimate_tokens, fields.MAX_NUMBER),
+            expected_tokens=min(shape.expected_tokens, max_tokens),
+            output_tokens=min(shape.output_estimate_tokens, max_tokens),
             is_long=chooser.is_long_generation(request),
             priority=request.priority,
             workspace=request.workspace_id,
