--- a/bronzeslip/endpoints/directory.py
+++ b/bronzeslip/endpoints/directory.py
@@ -155,6 +155,21 @@
         """Returns whether an endpoint is in an evacuated failure domain."""
         return target.failure_domain in self.evacuated_domains
 
+    def unpaused_endpoints(
+        self, service_name: ids.ServiceName
+    ) -> tuple[endpoint.Endpoint, ...]:
+        """Returns the endpoints of a service that are ready and not paused.
+
+        In contrast to `ready_endpoints`, these include unreachable ones.
+        """
+        return tuple(
+            candidate
+            for candidate in self.endpoints
+            if candidate.service_name == service_name
+            and candidate.is_ready
+            and not self._pauses.remaining_s(candidate)
+        )
+
     def is_usable(self, snapshot: endpoint.Endpoint) -> bool:
         """Returns whether an endpoint can receive requests.
 
--- a/bronzeslip/forwarding/assembly.py
+++ b/bronzeslip/forwarding/assembly.py
@@ -9,6 +9,7 @@
 from bronzeslip.endpoints import report_cache
 from bronzeslip.endpoints import watched_endpoints
 from bronzeslip.entry import contract
+from bronzeslip.entry import gateway_registry
 from bronzeslip.entry import vm_config
 from bronzeslip.forwarding import admission
 from bronzeslip.forwarding import attempts
@@ -20,7 +21,6 @@
 from bronzeslip.forwarding import crash_watch
 from bronzeslip.forwarding import drain_deadline
 from bronzeslip.forwarding import endpoint_client
-from bronzeslip.forwarding import gateway_count
 from bronzeslip.forwarding import load_forecast
 from bronzeslip.forwarding import permitted_chooser
 from bronzeslip.forwarding import pipeline
@@ -31,6 +31,8 @@
 from bronzeslip.forwarding import stream_forwarder
 from bronzeslip.load import placement_ledger
 from bronzeslip.metrics import entry_metrics
+from bronzeslip.placement import assembly as placement_assembly
+from bronzeslip.placement import placement_client
 from bronzeslip.places import allowed_regions
 from bronzeslip.places import cold_limits
 from bronzeslip.quota import endpoint_permits
@@ -49,10 +51,11 @@
     suspects: suspect_list.SuspectList,
     publisher: suspect_publisher.SuspectPublisher,
     metrics: entry_metrics.EntryMetrics,
-    gateways: gateway_count.GatewayCount,
+    gateways: gateway_registry.GatewayRegistry,
     permits: endpoint_permits.EndpointPermits,
     limits_of_cold: cold_limits.ColdLimits,
     rng: random.Random,
+    peers: placement_client.PlacementClient | None = None,
 ) -> components.ForwardingComponents:
     """Creates the forwarding components.
 
@@ -65,10 +68,11 @@
         suspects: Requests that were running when an endpoint crashed.
         publisher: Publishes the suspects to the other gateways.
         metrics: Metrics of the gateway.
-        gateways: Number of running gateways.
+        gateways: Counts the gateways and ranks them as coordinators.
         permits: Permits for endpoints that have a limit.
         limits_of_cold: Limits the requests to cold endpoints.
         rng: Source of all random choices.
+        peers: Client for calls to other gateways; None if there are none.
     """
     in_flight = in_flight_requests.InFlightRequests()
     reports = report_cache.ReportCache()
@@ -84,6 +88,9 @@
     regions = allowed_regions.AllowedRegionsFilter(this_vm)
     endpoints.add_gone_listener(limits_of_cold.remove)
     endpoint_proximity = proximity.EndpointProximity(this_vm, endpoints)
+    connections = connection_share.ConnectionShare(
+        settings, endpoints, in_flight, gateways
+    )
     if settings.placement is entry.Placement.ROUND_ROBIN:
         endpoint_chooser = chooser.RoundRobinChooser(endpoints, regions, rng)
     else:
@@ -96,14 +103,36 @@
             endpoint_proximity,
             load_forecaster,
             failures,
-            connection_share.ConnectionShare(
-                settings, endpoints, in_flight, gateways
-            ),
+            connections,
             regions,
             rng,
         )
+    placement_parts = placement_assembly.create(
+        settings,
+        this_vm,
+        current_table,
+        endpoints,
+        in_flight,
+        reports,
+        failures,
+        endpoint_chooser,
+        connections,
+        gateways,
+        peers,
+        metrics,
+        load_forecaster,
+        ledger,
+        regions,
+        endpoints.load_statements.states_pace,
+        rng,
+    )
     sending_chooser = permitted_chooser.PermittedChooser(
-        endpoint_chooser, endpoints, permits, regions, limits_of_cold, rng
+        placement_parts.chooser,
+        endpoints,
+        permits,
+        regions,
+        limits_of_cold,
+        rng,
     )
     retry_budgets = service_retry_budgets.ServiceRetryBudgets(
         this_vm.bounds, gateways, random.Random(this_vm.vm_id)
@@ -122,6 +151,7 @@
         failures=failures,
         client=client,
         endpoint_chooser=endpoint_chooser,
+        placement=placement_parts,
         permits=permits,
         permitted_chooser=sending_chooser,
         copy_target_chooser=standby_chooser.StandbyChooser(
--- a/bronzeslip/forwarding/permitted_chooser.py
+++ b/bronzeslip/forwarding/permitted_chooser.py
@@ -10,9 +10,9 @@
 from bronzeslip.endpoints import directory
 from bronzeslip.endpoints import endpoint
 from bronzeslip.forwarding import admitted
-from bronzeslip.forwarding import chooser
 from bronzeslip.forwarding import errors
 from bronzeslip.forwarding import excluded_endpoints
+from bronzeslip.placement import coordinated_chooser
 from bronzeslip.places import allowed_regions
 from bronzeslip.places import cold_limits
 from bronzeslip.quota import endpoint_permits
@@ -33,7 +33,7 @@
 
     def __init__(
         self,
-        endpoint_chooser: chooser.EndpointChooser,
+        endpoint_chooser: coordinated_chooser.CoordinatedChooser,
         endpoints: directory.EndpointDirectory,
         permits: endpoint_permits.EndpointPermits,
         regions: allowed_regions.AllowedRegionsFilter,
@@ -91,7 +91,7 @@
         excluded = set(tried)
         while True:
             try:
-                chosen = self._endpoint_chooser.choose(
+                chosen = await self._endpoint_chooser.choose(
                     request,
                     self._unavailable(request, excluded | denied_s.keys()),
                 )
--- /dev/null
+++ b/bronzeslip/placement/engine_view.py
@@ -0,0 +1,101 @@
+"""Load of engines as known to the coordinator of their placements."""
+
+from collections.abc import Callable
+import math
+import time
+
+from bronzeslip import ids
+from bronzeslip.endpoints import endpoint
+from bronzeslip.endpoints import report_cache
+from bronzeslip.forwarding import load_forecast
+from bronzeslip.load import placement
+from bronzeslip.load import placement_ledger
+from bronzeslip.load import placement_need
+from bronzeslip.placement import placed_requests
+from bronzeslip.routes import engine_traits
+
+
+class EngineView:
+    """Combines the reports of engines with the placements made since.
+
+    The clock is that of the event loop, which reports are dated by.
+    """
+
+    def __init__(
+        self,
+        load_forecaster: load_forecast.LoadForecaster,
+        reports: report_cache.ReportCache,
+        ledger: placement_ledger.PlacementLedger,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Creates a view without placements.
+
+        Args:
+            load_forecaster: Forecasts with the same reports and placements.
+            reports: Latest reports of the engines.
+            ledger: Placements that no report shows yet.
+            clock: Clock of the event loop, in seconds.
+        """
+        self._load_forecaster = load_forecaster
+        self._reports = reports
+        self._ledger = ledger
+        self._clock = clock
+        self._placed = placed_requests.PlacedRequests(clock)
+
+    def add(self, placed: placement.Placement) -> None:
+        """Adds a placement in place of an earlier one of the same request."""
+        self._ledger.add(placed)
+        self._placed.add(placed)
+
+    def end(self, request_id: ids.RequestId) -> None:
+        """Removes the placement of a request."""
+        self._ledger.end(request_id)
+        self._placed.remove(request_id)
+
+    def report_age_s(self, engine: endpoint.Endpoint) -> float:
+        """Returns the time since an engine's report was received, in seconds.
+
+        It is infinite without a report.
+        """
+        latest = self._reports.get(engine.endpoint_id)
+        return math.inf if latest is None else self._clock() - latest.read_s
+
+    def forecast_need(
+        self,
+        candidate: endpoint.Endpoint,
+        need: placement_need.PlacementNeed,
+        traits: engine_traits.EngineTraits,
+    ) -> load_forecast.EndpointForecast:
+        """Returns the load of an engine if it receives a generation."""
+        return self._load_forecaster.forecast_need(candidate, need, traits)
+
+    def used_tokens(self, engine: endpoint.Endpoint) -> int:
+        """Returns the memory in use and of placements to come, in tokens."""
+        return self._load_forecaster.used_tokens(engine)
+
+    def free_tokens(
+        self, engine: endpoint.Endpoint, traits: engine_traits.EngineTraits
+    ) -> int:
+        """Returns the memory left once all requests have their full size.
+
+        Copies that the engine holds count as used.
+        """
+        used_tokens = self.used_tokens(engine)
+        latest = self._reports.get(engine.endpoint_id)
+        if latest is None:
+            return traits.memory_tokens - used_tokens
+        growth_tokens = sum(
+            max(self._expected_tokens(run.request_id) - run.memory_tokens, 0)
+            for run in latest.report.runs
+        )
+        capacity_tokens = latest.report.memory_tokens or traits.memory_tokens
+        return (
+            capacity_tokens
+            - used_tokens
+            - latest.report.held_tokens
+            - growth_tokens
+        )
+
+    def _expected_tokens(self, request_id: ids.RequestId) -> int:
+        placed = self._placed.get(request_id)
+        return 0 if placed is None else placed.expected_tokens
--- a/bronzeslip/platform/settings_reloader.py
+++ b/bronzeslip/platform/settings_reloader.py
@@ -66,4 +66,5 @@
         or loaded.peer_address != previous.peer_address
         or loaded.failure_domain != previous.failure_domain
         or (loaded.bounds.evac_s is None) != (previous.bounds.evac_s is None)
+        or loaded.contracts != previous.contracts
     )
