Check the engine at the end of what was read ahead, bound false paces

A response without a length, read ahead of a slow caller, counted as cut off if its engine left while the caller still read the buffer; the check is now made when the last byte is read. Paces are bounded at 5 in place of 10, twice what was observed, since the rejection of requests that can't start in time uses them too.

--- a/bronzeslip/forwarding/stream_run.py
+++ b/bronzeslip/forwarding/stream_run.py
@@ -1,6 +1,7 @@
 """Relays one generation, resuming it on another engine if needed."""
 
 import asyncio
+from collections.abc import AsyncIterator
 
 import msgspec
 
@@ -105,11 +106,10 @@
                 buffered = await self._sender.read(response)
                 await buffered_response.send_to_caller(buffered, self._writer)
                 return True
-            await self._relay_body(response)
-            self._progress.raise_if_unfinished(response.head.framing)
-            await self._components.crash_detector.raise_if_gone(
-                self._request, self._endpoint, response.head
-            )
+            if self._components.read_ahead_bytes:
+                await self._relay_ahead(response)
+            else:
+                await self._relay_body(response)
         except endpoint_errors.EndpointResponseLostError as error:
             logger.info(
                 "stream.cut",
@@ -135,17 +135,45 @@
         Raises:
             endpoint_errors.EndpointResponseLostError: If it is incomplete.
         """
-        limit_bytes = self._components.read_ahead_bytes
-        if not limit_bytes:
-            async for chunk in response.chunks():
-                await self._relay_chunk(response.head, chunk)
-            return
-        memory = self._writer.memory.create_sibling()
+        async for chunk in response.chunks():
+            await self._relay_chunk(response.head, chunk)
+        self._progress.raise_if_unfinished(response.head.framing)
+        await self._raise_if_gone(response)
+
+    async def _relay_ahead(
+        self, response: endpoint_client.EndpointResponse
+    ) -> None:
+        """Relays the body of a successful response, reading it ahead.
+
+        Raises:
+            endpoint_errors.EndpointResponseLostError: If it is incomplete.
+        """
         async with read_ahead.ReadAhead(
-            response.chunks(), memory, limit_bytes
+            self._checked_chunks(response),
+            self._writer.memory.create_sibling(),
+            self._components.read_ahead_bytes,
         ) as ahead:
             async for chunk in ahead.chunks():
                 await self._relay_chunk(response.head, chunk)
+        self._progress.raise_if_unfinished(response.head.framing)
+
+    async def _checked_chunks(
+        self, response: endpoint_client.EndpointResponse
+    ) -> AsyncIterator[bytes]:
+        """Yields the chunks of a body; checks its engine at their end.
+
+        The engine may leave while the caller still reads what is buffered.
+        """
+        async for chunk in response.chunks():
+            yield chunk
+        await self._raise_if_gone(response)
+
+    async def _raise_if_gone(
+        self, response: endpoint_client.EndpointResponse
+    ) -> None:
+        await self._components.crash_detector.raise_if_gone(
+            self._request, self._endpoint, response.head
+        )
 
     async def _relay_chunk(
         self, head: endpoint_client.ResponseHead, chunk: bytes
--- a/bronzeslip/platform/load_header.py
+++ b/bronzeslip/platform/load_header.py
@@ -6,10 +6,10 @@
 _COUNT_FIELDS = 3
 # The header states paces in percent.
 _NORMAL_PACE = 100
-# Observed are 1.0 to 2.5. A false value beyond these bounds must not attract
-# all requests, nor exclude an endpoint for good.
+# Observed are 1.0 to 2.5. A false value beyond twice that must neither attract
+# all requests nor make forecasts say that no endpoint can start one in time.
 _MIN_PACE = 0.5
-_MAX_PACE = 10.0
+_MAX_PACE = 5.0
 
 
 def parse(text: str, received_s: float) -> load_statement.LoadStatement | None:
