--- a/bronzeslip/forwarding/read_ahead.py
+++ b/bronzeslip/forwarding/read_ahead.py
@@ -97,8 +97,6 @@
         async for chunk in self._source:
             self._buffer += chunk
             self._has_news.set()
-            # A caller that keeps up takes the bytes in this turn.
-            await asyncio.sleep(0)
             while not self._may_read():
                 self._has_room.clear()
                 await self._has_room.wait()
