--- a/bronzeslip/platform/settings_reloader.py
+++ b/bronzeslip/platform/settings_reloader.py
@@ -65,5 +65,6 @@
         or loaded.store_address != previous.store_address
         or loaded.peer_address != previous.peer_address
         or loaded.failure_domain != previous.failure_domain
+        or loaded.regions != previous.regions
         or (loaded.bounds.evac_s is None) != (previous.bounds.evac_s is None)
     )
--- a/tests/forwarding/test_region_of_cold_endpoints.py
+++ b/tests/forwarding/test_region_of_cold_endpoints.py
@@ -139,6 +139,18 @@
             remaining_s.call_count, watched + len(self.endpoints) + 1
         )
 
+    # Guards against copies from which a run can't resume in time.
+    async def test_copies_go_to_warm_engines(self):
+        self._start("warm")
+        request = msgspec.structs.replace(
+            forwarding_parts.admit_generation(), service=self.service
+        )
+        for _ in range(10):
+            target = self.shared.copy_target_chooser.choose(
+                request, self.endpoints[0], frozenset(), is_urgent=True
+            )
+            self.assertEqual(target.endpoint_id, "warm")
+
     async def test_run_does_not_resume_at_a_cold_engine_without_a_share(self):
         self._start()
         await self._fill()
--- a/tests/forwarding/test_report_poller.py
+++ b/tests/forwarding/test_report_poller.py
@@ -110,6 +110,16 @@
         self.assertGreater(busy, 2 * quiet)
         self.assertGreater(busy, 2 * short)
 
+    # Guards against a shutdown notice that is missed during an evacuation.
+    async def test_evacuated_engine_is_polled_while_it_has_a_long_run(self):
+        await polling.wait_until(lambda: self.reports.get("one"))
+        with self.in_flight.track("one", is_long=True):
+            self.directory.evacuated_domains.add(self.one.failure_domain)
+            busy = await self._count_polls()
+        await polling.wait_until(lambda: self.reports.get("one") is None)
+        self.assertGreater(busy, 2)
+        self.assertEqual(await self._count_polls(), 0)
+
     # An unforeseen exception ended the polling of an engine for good.
     async def test_engine_is_polled_again_after_an_unforeseen_exception(self):
         await polling.wait_until(lambda: self.reports.get("one"))
--- a/tests/platform/test_settings_reloader.py
+++ b/tests/platform/test_settings_reloader.py
@@ -68,12 +68,19 @@
         self.assertEqual(self.logged, [1, 0, 0, 1, 1])
 
     # Guards against a changed address for peers that is not told of.
-    def test_changed_addresses_need_a_restart(self):
-        for sound in ("7200", "8740", "8749", "8742"):
+    def test_changed_addresses_and_places_need_a_restart(self):
+        for sound, changed in (
+            ("7200", "7000"),
+            ("8740", "7000"),
+            ("8749", "7000"),
+            ("8742", "7000"),
+            ('a-1 = "a"', 'a-1 = "b"'),
+            ("[bounds]", "[bounds]\nevac_ms = 5000"),
+        ):
             with (
-                self.subTest(port=sound),
+                self.subTest(changed=changed),
                 mock.patch.object(settings_reloader.logger, "info") as info,
             ):
-                self.path.write_text(boot_files.SOUND.replace(sound, "7000"))
+                self.path.write_text(boot_files.SOUND.replace(sound, changed))
                 self.reloader.reload()
                 self.assertTrue(info.call_args.kwargs["needs_restart"])
