--- a/tests/processes/test_places.py
+++ b/tests/processes/test_places.py
@@ -1,6 +1,9 @@
-"""Tests of evacuations and allowed regions with processes."""
+"""Tests of evacuations, allowed regions and cold endpoints with processes."""
 
+import asyncio
 import itertools
+import random
+import time
 import unittest
 
 import httpx
@@ -8,8 +11,24 @@
 from tools import entry_configuration
 from tools import entry_deployment
 from tools import wait
+from tools.soak import caller
+from tools.soak import endpoint_record
 
-_BOUNDS = "[bounds]\nevac_ms = 5000"
+_BOUNDS = "[bounds]\nevac_ms = 5000\ncold_over = 1.5\ncold_slack = 5"
+# Longer than the calls, so that no endpoint becomes warm meanwhile.
+_COLD_S = 20.0
+# Time in which all gateways learn of an endpoint that has restarted.
+_CONTACT_S = 2.0
+_CALLED_S = 8.0
+_CALLERS = 30
+
+
+def _set_bounds(gateway):
+    """Restarts a gateway with the bounds of this test."""
+    boot_path = gateway.boot_path
+    boot_path.write_text(boot_path.read_text().replace("[bounds]", _BOUNDS))
+    gateway.process.stop()
+    gateway.start()
 
 
 class PlacesTest(unittest.TestCase):
@@ -18,8 +37,7 @@
         cls.deployment = entry_deployment.EntryDeployment()
         cls.addClassCleanup(cls.deployment.stop)
         (cls.gateway,) = cls.deployment.gateways
-        boot_path = cls.gateway.boot_path
-        boot_path.write_text(boot_path.read_text().replace("[bounds]", _BOUNDS))
+        _set_bounds(cls.gateway)
         cls.versions = itertools.count(2)
 
     def setUp(self):
@@ -81,5 +99,64 @@
             self._wait_for_status(status, f"/only-{region}/")
 
 
+class ColdEndpointTest(unittest.TestCase):
+    def setUp(self):
+        self.deployment = entry_deployment.EntryDeployment(3)
+        self.addCleanup(self.deployment.stop)
+        (self.endpoint,) = self.deployment.call_endpoints
+        for gateway in self.deployment.gateways:
+            _set_bounds(gateway)
+        for gateway in self.deployment.gateways:
+            gateway.wait_ready()
+            gateway.process.wait_for_line('"gateways.counted"')
+
+    def _start_endpoint(self, version, cold_per_s):
+        document = entry_configuration.configuration(version)
+        document["services"][0] |= {"cold_s": _COLD_S, "cold_per_s": cold_per_s}
+        self.deployment.put_object("config", "main", document)
+        time.sleep(_CONTACT_S)
+        self.endpoint.restart()
+        self.deployment.register(self.endpoint)
+        time.sleep(_CONTACT_S)
+
+    def _call_for(self, duration_s):
+        async def call():
+            stop = asyncio.Event()
+            callers = caller.Callers(
+                self.deployment.gateways, random.Random(5), time.monotonic()
+            )
+            calling = asyncio.create_task(callers.run(_CALLERS, stop))
+            await asyncio.sleep(duration_s)
+            stop.set()
+            await calling
+
+        asyncio.run(call())
+
+    def _arrivals_s(self):
+        record = endpoint_record.parse(
+            self.endpoint.endpoint_id,
+            self.endpoint.service,
+            self.endpoint.incarnation_lines[-1],
+        )
+        return [arrival.time_s for arrival in record.arrivals]
+
+    # Each gateway sent what it liked to an endpoint that had just started.
+    # Shares are whole with 6 requests per second, permits are needed with 2.
+    def test_limit_holds_for_all_gateways_together(self):
+        for version, cold_per_s in ((2, 6), (3, 2)):
+            with self.subTest(cold_per_s=cold_per_s):
+                self._start_endpoint(version, cold_per_s)
+                self._call_for(_CALLED_S)
+                arrivals_s = self._arrivals_s()
+                worst = max(
+                    sum(
+                        first_s <= time_s < first_s + 1 for time_s in arrivals_s
+                    )
+                    for first_s in arrivals_s
+                )
+                self.assertLessEqual(worst, 1.5 * cold_per_s + 5)
+                self.assertGreaterEqual(len(arrivals_s), cold_per_s)
+
+
 if __name__ == "__main__":
     unittest.main()
