Let a coordinator's placements follow the allowed regions of requests

A placement ignored the regions that a request may be sent to. A request counts as sent before by its own flag, since its excluded endpoints also include those without a permit. Forecasts move to EngineForecaster, which LoadForecaster can replace.

The modules of tests.placement, load, forwarding and endpoints pass.

--- a/bronzeslip/forwarding/assembly.py
+++ b/bronzeslip/forwarding/assembly.py
@@ -27,6 +27,7 @@
 from bronzeslip.forwarding import service_retry_budgets
 from bronzeslip.forwarding import standby_chooser
 from bronzeslip.forwarding import stream_forwarder
+from bronzeslip.load import placement_ledger
 from bronzeslip.metrics import entry_metrics
 from bronzeslip.placement import assembly as placement_assembly
 from bronzeslip.placement import placement_client
@@ -69,6 +70,9 @@
     """
     in_flight = in_flight_requests.InFlightRequests()
     reports = report_cache.ReportCache()
+    ledger = placement_ledger.PlacementLedger()
+    reports.add_listener(ledger.apply_report)
+    endpoints.add_gone_listener(ledger.remove)
     failures = failure_tracker.FailureTracker()
     endpoints.add_gone_listener(lambda gone: failures.remove(gone.endpoint_id))
     endpoint_proximity = proximity.EndpointProximity(this_vm, endpoints)
@@ -95,6 +99,7 @@
         endpoints,
         in_flight,
         reports,
+        ledger,
         failures,
         endpoint_chooser,
         connections,
--- a/bronzeslip/forwarding/permitted_chooser.py
+++ b/bronzeslip/forwarding/permitted_chooser.py
@@ -74,7 +74,7 @@
         while True:
             try:
                 chosen = await self._endpoint_chooser.choose(
-                    request, tried | denied_s.keys()
+                    request, tried | denied_s.keys(), was_sent=bool(tried)
                 )
             except errors.OverloadedError:
                 raise
--- a/bronzeslip/forwarding/report_poller.py
+++ b/bronzeslip/forwarding/report_poller.py
@@ -52,8 +52,8 @@
             client: Client for calls to endpoints.
             reports: Cache that receives the reports.
             engine_services: Returns the services that have model engines.
-            coordinated: Selects the engines in place of `watched` where
-                placement is coordinated; None if it never is.
+            coordinated: Selects the engines to poll where placement is
+                coordinated; None if it never is.
         """
         self._settings = settings
         self._endpoints = endpoints
@@ -105,9 +105,10 @@
     def _engines_of(
         self, service_name: ids.ServiceName
     ) -> Iterable[endpoint.Endpoint]:
+        watched = self._watched.for_service(service_name)
         if self._coordinated is None:
-            return self._watched.for_service(service_name)
-        return self._coordinated.for_service(service_name)
+            return watched
+        return self._coordinated.select(service_name, watched)
 
     def _reconcile_tasks(self) -> None:
         engines = {
--- a/bronzeslip/placement/assembly.py
+++ b/bronzeslip/placement/assembly.py
@@ -9,7 +9,6 @@
 from bronzeslip.endpoints import failure_tracker
 from bronzeslip.endpoints import in_flight_requests
 from bronzeslip.endpoints import report_cache
-from bronzeslip.endpoints import watched_endpoints
 from bronzeslip.entry import gateway_registry
 from bronzeslip.entry import vm_config
 from bronzeslip.forwarding import chooser
@@ -20,8 +19,10 @@
 from bronzeslip.placement import coordinated_chooser
 from bronzeslip.placement import coordination_duties
 from bronzeslip.placement import coordinator_contact
+from bronzeslip.placement import engine_forecaster
 from bronzeslip.placement import engine_view
 from bronzeslip.placement import option_rater
+from bronzeslip.placement import placed_requests
 from bronzeslip.placement import placement_caller
 from bronzeslip.placement import placement_client
 from bronzeslip.placement import placement_coordinator
@@ -41,6 +42,7 @@
     endpoints: directory.EndpointDirectory,
     in_flight: in_flight_requests.InFlightRequests,
     reports: report_cache.ReportCache,
+    ledger: placement_ledger.PlacementLedger,
     failures: failure_tracker.FailureTracker,
     local_chooser: chooser.EndpointChooser,
     connections: connection_share.ConnectionShare,
@@ -60,6 +62,7 @@
         endpoints: Directory of the known endpoints.
         in_flight: Requests of this gateway in flight at each endpoint.
         reports: Latest reports of the model engines.
+        ledger: Placements that this gateway knows of.
         failures: Recent failures of endpoints.
         local_chooser: Chooses where no coordinator decides.
         connections: Limits the requests in flight at an endpoint.
@@ -76,9 +79,11 @@
     )
     duties = coordination_duties.CoordinationDuties(clock)
     contact = coordinator_contact.CoordinatorContact()
-    ledger = placement_ledger.PlacementLedger(clock)
-    endpoints.add_gone_listener(ledger.remove)
-    view = engine_view.EngineView(settings, reports, ledger, clock)
+    placed = placed_requests.PlacedRequests(clock)
+    forecaster = engine_forecaster.EngineForecaster(
+        settings, reports, ledger, placed, clock
+    )
+    view = engine_view.EngineView(reports, ledger, placed, forecaster, clock)
     coordinator = placement_coordinator.PlacementCoordinator(
         this_vm,
         endpoints,
@@ -90,6 +95,7 @@
             endpoints,
             reports,
             view,
+            forecaster,
             endpoint_cost.EndpointCost(this_vm, failures),
         ),
         placement_policy.PlacementPolicy(),
@@ -121,7 +127,6 @@
         duties=duties,
         polled_engines=polled_engines.PolledEngines(
             endpoints,
-            watched_endpoints.WatchedEndpoints(settings, this_vm, endpoints),
             in_flight,
             gate,
             duties,
--- a/bronzeslip/placement/coordinated_chooser.py
+++ b/bronzeslip/placement/coordinated_chooser.py
@@ -25,6 +25,7 @@
 from bronzeslip.placement import placement_reply
 from bronzeslip.placement import placement_verdict
 from bronzeslip.placement import shard
+from bronzeslip.places import allowed_regions
 
 logger = logs.get_logger(__name__)
 
@@ -57,7 +58,7 @@
         """Initializes the chooser.
 
         Args:
-            this_vm: Location of this gateway.
+            this_vm: Location of this gateway and region of each failure domain.
             endpoints: Directory of the known endpoints.
             local: Chooses where no coordinator decides.
             gate: Decides which services are coordinated.
@@ -69,6 +70,7 @@
         """
         self._this_vm = this_vm
         self._endpoints = endpoints
+        self._regions = allowed_regions.AllowedRegionsFilter(this_vm)
         self._local = local
         self._gate = gate
         self._caller = caller
@@ -81,12 +83,14 @@
         self,
         request: admitted.AdmittedRequest,
         tried: AbstractSet[ids.EndpointId],
+        was_sent: bool = False,
     ) -> endpoint.Endpoint:
         """Returns the endpoint to send a request to.
 
         Args:
             request: Request to send.
             tried: Endpoints that must not be chosen.
+            was_sent: Whether the request has been sent to an endpoint before.
 
         Raises:
             errors.OverloadedError: If the coordinator refuses the request, or
@@ -97,7 +101,7 @@
             request.service.name
         ):
             return self._local.choose(request, tried)
-        placed = await self._place(request, tried)
+        placed = await self._place(request, tried, was_sent)
         if isinstance(placed, endpoint.Endpoint):
             return placed
         logger.info(
@@ -117,6 +121,7 @@
         self,
         request: admitted.AdmittedRequest,
         tried: AbstractSet[ids.EndpointId],
+        was_sent: bool,
     ) -> endpoint.Endpoint | Reason:
         """Asks until the coordinator decides.
 
@@ -133,7 +138,7 @@
             if reply.verdict is Verdict.DEFERRED:
                 await self._wait(request, reply)
             elif reply.verdict is Verdict.REFUSED:
-                return self._refuse(reply, tried)
+                return self._refuse(reply, was_sent)
             else:
                 return self._validated(request, reply, tried)
 
@@ -157,9 +162,7 @@
         await asyncio.sleep(delay_s)
 
     def _refuse(
-        self,
-        reply: placement_reply.PlacementReply,
-        tried: AbstractSet[ids.EndpointId],
+        self, reply: placement_reply.PlacementReply, was_sent: bool
     ) -> Reason:
         """Refuses a request; one that was sent before is chosen for locally.
 
@@ -168,7 +171,7 @@
         Raises:
             errors.OverloadedError: If the request has not been sent before.
         """
-        if tried:
+        if was_sent:
             return Reason.SENT_BEFORE
         raise errors.OverloadedError(
             "the coordinator found no engine that could start it in time",
@@ -190,6 +193,7 @@
         if (
             target.service_name != request.service.name
             or not self._endpoints.is_usable(target)
+            or not self._regions.is_eligible(target, request.allowed_regions)
         ):
             return Reason.UNUSABLE_ENDPOINT
         if not self._connections.has_free_connection(
@@ -236,6 +240,7 @@
             objective_left_s=request.remaining_objective_s,
             waited_s=waited_s,
             failure_domain=self._this_vm.failure_domain,
+            allowed_regions=request.allowed_regions,
             excluded=frozenset(tried)
             | self._connections.exhausted_endpoints(request.service),
         )
--- a/bronzeslip/placement/placement_policy.py
+++ b/bronzeslip/placement/placement_policy.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 import operator
 
+from bronzeslip import ids
 from bronzeslip.placement import placement_ask
 from bronzeslip.placement import placement_decision
 from bronzeslip.placement import placement_option
@@ -30,3 +31,6 @@
         return placement_decision.PlacementDecision(
             placement_verdict.PlacementVerdict.PLACED, selected.endpoint_id
         )
+
+    def forget(self, request_id: ids.RequestId) -> None:
+        """Forgets a request that no longer waits, e.g. for its client left."""
--- /dev/null
+++ b/bronzeslip/places/__init__.py
@@ -0,0 +1,1 @@
+"""Constraints on the locations that requests are sent to."""
--- a/tests/support/placement_fleet.py
+++ b/tests/support/placement_fleet.py
@@ -20,6 +20,7 @@
 from bronzeslip.forwarding import load_forecast
 from bronzeslip.forwarding import prompt
 from bronzeslip.forwarding import report_poller
+from bronzeslip.load import placement_ledger
 from bronzeslip.membership import rendezvous
 from bronzeslip.metrics import entry_metrics
 from bronzeslip.placement import assembly
@@ -105,6 +106,8 @@
         table.adopt(forwarding_parts.create_table())
         in_flight = in_flight_requests.InFlightRequests()
         reports = report_cache.ReportCache()
+        ledger = placement_ledger.PlacementLedger(_now_s)
+        reports.add_listener(ledger.apply_report)
         failures = failure_tracker.FailureTracker()
         watched = watched_endpoints.WatchedEndpoints(
             settings, this_vm, self.directory
@@ -135,6 +138,7 @@
             self.directory,
             in_flight,
             reports,
+            ledger,
             failures,
             local,
             connections,
