Forecast the prompts of running generations by their known size

It now uses the size that it placed and the progress that the run's memory shows, and divides the rate by the pace of the engine.

The modules of tests.placement pass.

--- a/bronzeslip/forwarding/assembly.py
+++ b/bronzeslip/forwarding/assembly.py
@@ -106,9 +106,10 @@
         gateways,
         peers,
         metrics,
-        # The load view of the plan's part 2.1 will tell.
-        lambda _: False,
-        rng,
+        # The load view of the plan's part 2.1 will tell both.
+        states_pace=lambda _: False,
+        pace_of=lambda _: 1.0,
+        rng=rng,
     )
     sending_chooser = permitted_chooser.PermittedChooser(
         placement_parts.chooser, endpoints, permits
--- a/bronzeslip/forwarding/report_poller.py
+++ b/bronzeslip/forwarding/report_poller.py
@@ -102,9 +102,9 @@
                 wait.cancel()
         self._selection_changed.clear()
 
-    def _engines_of(
+    def _polled_engines(
         self, service_name: ids.ServiceName
-    ) -> Iterable[endpoint.Endpoint]:
+    ) -> tuple[endpoint.Endpoint, ...]:
         watched = self._watched.for_service(service_name)
         if self._coordinated is None:
             return watched
@@ -114,7 +114,7 @@
         engines = {
             engine.endpoint_id: engine
             for name in self._engine_services()
-            for engine in self._engines_of(name)
+            for engine in self._polled_engines(name)
         }
         self._forget_unresponsive(engines.keys())
         for endpoint_id in self._tasks.keys() - engines.keys():
--- a/bronzeslip/placement/assembly.py
+++ b/bronzeslip/placement/assembly.py
@@ -6,6 +6,7 @@
 
 from bronzeslip import ids
 from bronzeslip.endpoints import directory
+from bronzeslip.endpoints import endpoint
 from bronzeslip.endpoints import failure_tracker
 from bronzeslip.endpoints import in_flight_requests
 from bronzeslip.endpoints import report_cache
@@ -50,6 +51,7 @@
     client: placement_client.PlacementClient | None,
     metrics: entry_metrics.EntryMetrics,
     states_pace: Callable[[ids.ServiceName], bool],
+    pace_of: Callable[[endpoint.Endpoint], float],
     rng: random.Random,
     clock: Callable[[], float] = time.monotonic,
 ) -> placement_parts.PlacementParts:
@@ -71,6 +73,7 @@
         metrics: Metrics of the gateway.
         states_pace: Returns whether an endpoint of a service has stated its
             pace.
+        pace_of: Returns how long work takes at an engine, 1.0 being normal.
         rng: Source of random choices.
         clock: Clock of the event loop, in seconds.
     """
@@ -81,7 +84,7 @@
     contact = coordinator_contact.CoordinatorContact()
     placed = placed_requests.PlacedRequests(clock)
     forecaster = engine_forecaster.EngineForecaster(
-        settings, reports, ledger, placed, clock
+        settings, reports, ledger, placed, pace_of, clock
     )
     view = engine_view.EngineView(reports, ledger, placed, forecaster, clock)
     coordinator = placement_coordinator.PlacementCoordinator(
--- a/bronzeslip/placement/engine_forecaster.py
+++ b/bronzeslip/placement/engine_forecaster.py
@@ -6,9 +6,9 @@
 import operator
 import time
 
-from bronzeslip import ids
 from bronzeslip.endpoints import endpoint
 from bronzeslip.endpoints import in_flight_requests
+from bronzeslip.endpoints import report
 from bronzeslip.endpoints import report_cache
 from bronzeslip.load import placement_ledger
 from bronzeslip.load import placement_need
@@ -34,6 +34,7 @@
         reports: report_cache.ReportCache,
         ledger: placement_ledger.PlacementLedger,
         placed: placed_requests.PlacedRequests,
+        pace_of: Callable[[endpoint.Endpoint], float],
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         """Initializes the forecaster.
@@ -43,12 +44,14 @@
             reports: Latest reports of the engines.
             ledger: Placements that no report shows yet.
             placed: Sizes of the placed requests.
+            pace_of: Returns how long work takes at an engine, 1.0 being normal.
             clock: Clock of the event loop, in seconds.
         """
         self._settings = settings
         self._reports = reports
         self._ledger = ledger
         self._placed = placed
+        self._pace_of = pace_of
         self._clock = clock
 
     def forecast_need(
@@ -64,13 +67,15 @@
         if latest is not None:
             requests += latest.report.running
         tokens = self.used_tokens(candidate) + need.expected_tokens
-        rate_per_s = self._prefill_rate_per_s(latest, pending)
+        pace = self._pace_of(candidate)
+        rate_per_s = self._prefill_rate_per_s(latest, pending) / pace
         return engine_forecast.EngineForecast(
             slot_load=requests / max(candidate.slots, 1),
             memory_use=tokens / max(traits.memory_tokens, 1),
             prefill_s=self._backlog_tokens(latest, pending, rate_per_s)
             / rate_per_s,
             own_prefill_s=need.prompt_tokens / rate_per_s,
+            pace=pace,
         )
 
     def used_tokens(self, engine: endpoint.Endpoint) -> int:
@@ -86,18 +91,25 @@
     ) -> tuple[in_flight_requests.InFlightRequest, ...]:
         return self._ledger.sent_since(engine.endpoint_id, -math.inf)
 
-    def _prompt_tokens(self, request_id: ids.RequestId) -> float:
-        placed = self._placed.get(request_id)
+    def _pending_prefill_tokens(self, run: report.RunReport) -> float:
+        """Returns what is left of the prompt of a run without an event.
+
+        The memory of a run shows its progress, unless the engine reserves the
+        memory of the whole prompt at the start.
+        """
+        placed = self._placed.get(run.request_id)
         if placed is None:
-            return self._placed.mean_prompt_tokens
-        return placed.prompt_tokens
+            return self._placed.mean_prompt_tokens * _PENDING_PREFILL_SHARE
+        if run.memory_tokens < placed.prompt_tokens:
+            return placed.prompt_tokens - run.memory_tokens
+        return placed.prompt_tokens * _PENDING_PREFILL_SHARE
 
     def _prefill_rate_per_s(
         self,
         latest: report_cache.DatedReport | None,
         pending: tuple[in_flight_requests.InFlightRequest, ...],
     ) -> float:
-        """Returns the prompt tokens that an engine processes per second."""
+        """Returns the prompt tokens per second at the normal pace."""
         rate_per_s = self._settings.prefill_tokens_per_s
         if pending or (latest is not None and latest.report.running):
             return rate_per_s * _DECODING_PREFILL_SHARE
@@ -133,15 +145,12 @@
         if latest is None:
             return 0.0
         prefilling_tokens = sum(
-            self._prompt_tokens(run.request_id)
+            self._pending_prefill_tokens(run)
             for run in latest.report.runs
             if not run.events
         )
         waiting = _unknown_waiting(latest, pending)
-        return (
-            waiting * self._placed.mean_prompt_tokens
-            + prefilling_tokens * _PENDING_PREFILL_SHARE
-        )
+        return waiting * self._placed.mean_prompt_tokens + prefilling_tokens
 
 
 def _unknown_waiting(
--- a/tests/support/placement_fleet.py
+++ b/tests/support/placement_fleet.py
@@ -145,9 +145,10 @@
             self,
             self,
             self.metrics,
-            lambda _: False,
-            fleet.rng,
-            _now_s,
+            states_pace=lambda _: False,
+            pace_of=lambda _: 1.0,
+            rng=fleet.rng,
+            clock=_now_s,
         )
         poller = report_poller.ReportPoller(
             settings,
