--- a/bronzeslip/forwarding/assembly.py
+++ b/bronzeslip/forwarding/assembly.py
@@ -27,7 +27,6 @@
 from bronzeslip.forwarding import service_retry_budgets
 from bronzeslip.forwarding import standby_chooser
 from bronzeslip.forwarding import stream_forwarder
-from bronzeslip.load import placement_ledger
 from bronzeslip.metrics import entry_metrics
 from bronzeslip.placement import assembly as placement_assembly
 from bronzeslip.placement import placement_client
@@ -70,9 +69,6 @@
     """
     in_flight = in_flight_requests.InFlightRequests()
     reports = report_cache.ReportCache()
-    ledger = placement_ledger.PlacementLedger()
-    reports.add_listener(ledger.apply_report)
-    endpoints.add_gone_listener(ledger.remove)
     failures = failure_tracker.FailureTracker()
     endpoints.add_gone_listener(lambda gone: failures.remove(gone.endpoint_id))
     endpoint_proximity = proximity.EndpointProximity(this_vm, endpoints)
@@ -99,17 +95,15 @@
         endpoints,
         in_flight,
         reports,
-        ledger,
         failures,
         endpoint_chooser,
         connections,
         gateways,
         peers,
         metrics,
-        # The load view of the plan's part 2.1 will tell both.
-        states_pace=lambda _: False,
-        pace_of=lambda _: 1.0,
-        rng=rng,
+        # The load view of the plan's part 2.1 will tell.
+        lambda _: False,
+        rng,
     )
     sending_chooser = permitted_chooser.PermittedChooser(
         placement_parts.chooser, endpoints, permits
--- a/bronzeslip/forwarding/report_poller.py
+++ b/bronzeslip/forwarding/report_poller.py
@@ -52,8 +52,8 @@
             client: Client for calls to endpoints.
             reports: Cache that receives the reports.
             engine_services: Returns the services that have model engines.
-            coordinated: Selects the engines to poll where placement is
-                coordinated; None if it never is.
+            coordinated: Selects the engines in place of `watched` where
+                placement is coordinated; None if it never is.
         """
         self._settings = settings
         self._endpoints = endpoints
@@ -102,19 +102,18 @@
                 wait.cancel()
         self._selection_changed.clear()
 
-    def _polled_engines(
+    def _engines_of(
         self, service_name: ids.ServiceName
-    ) -> tuple[endpoint.Endpoint, ...]:
-        watched = self._watched.for_service(service_name)
+    ) -> Iterable[endpoint.Endpoint]:
         if self._coordinated is None:
-            return watched
-        return self._coordinated.select(service_name, watched)
+            return self._watched.for_service(service_name)
+        return self._coordinated.for_service(service_name)
 
     def _reconcile_tasks(self) -> None:
         engines = {
             engine.endpoint_id: engine
             for name in self._engine_services()
-            for engine in self._polled_engines(name)
+            for engine in self._engines_of(name)
         }
         self._forget_unresponsive(engines.keys())
         for endpoint_id in self._tasks.keys() - engines.keys():
--- a/bronzeslip/load/placement_ledger.py
+++ b/bronzeslip/load/placement_ledger.py
@@ -9,8 +9,6 @@
 from bronzeslip.endpoints import report_cache
 from bronzeslip.load import placement
 
-# Weight of a new prompt in a moving average of prompt lengths.
-MEAN_PROMPT_WEIGHT = 0.05
 # A gateway that places a request sends it at once. An engine that has not
 # reported the request after this time has ended it, or never received it.
 _MAX_AGE_S = 10.0
@@ -26,10 +24,6 @@
     A placement ends when a report shows the request, when a report that must
     show it has nothing waiting, when the request's gateway states its end, or
     after a maximum age. A request has at most one placement.
-
-    Attributes:
-        mean_prompt_tokens: Moving average of the lengths of placed prompts, in
-            tokens; 0 before the first placement.
     """
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
@@ -38,7 +32,6 @@
         Args:
             clock: Clock of the event loop, in seconds.
         """
-        self.mean_prompt_tokens = 0.0
         self._clock = clock
         # In the order of their addition, which is that of their age.
         self._placements: dict[ids.RequestId, placement.Placement] = {}
@@ -58,9 +51,6 @@
         self._placements[placed.request_id] = placed
         at_endpoint = self._by_endpoint.setdefault(placed.endpoint_id, {})
         at_endpoint[placed.request_id] = placed
-        mean = self.mean_prompt_tokens or placed.prompt_tokens
-        mean += MEAN_PROMPT_WEIGHT * (placed.prompt_tokens - mean)
-        self.mean_prompt_tokens = mean
 
     def end(self, request_id: ids.RequestId) -> None:
         """Ends the placement of a request, if there is one."""
--- a/bronzeslip/placement/assembly.py
+++ b/bronzeslip/placement/assembly.py
@@ -6,10 +6,10 @@
 
 from bronzeslip import ids
 from bronzeslip.endpoints import directory
-from bronzeslip.endpoints import endpoint
 from bronzeslip.endpoints import failure_tracker
 from bronzeslip.endpoints import in_flight_requests
 from bronzeslip.endpoints import report_cache
+from bronzeslip.endpoints import watched_endpoints
 from bronzeslip.entry import gateway_registry
 from bronzeslip.entry import vm_config
 from bronzeslip.forwarding import chooser
@@ -20,10 +20,8 @@
 from bronzeslip.placement import coordinated_chooser
 from bronzeslip.placement import coordination_duties
 from bronzeslip.placement import coordinator_contact
-from bronzeslip.placement import engine_forecaster
 from bronzeslip.placement import engine_view
 from bronzeslip.placement import option_rater
-from bronzeslip.placement import placed_requests
 from bronzeslip.placement import placement_caller
 from bronzeslip.placement import placement_client
 from bronzeslip.placement import placement_coordinator
@@ -43,7 +41,6 @@
     endpoints: directory.EndpointDirectory,
     in_flight: in_flight_requests.InFlightRequests,
     reports: report_cache.ReportCache,
-    ledger: placement_ledger.PlacementLedger,
     failures: failure_tracker.FailureTracker,
     local_chooser: chooser.EndpointChooser,
     connections: connection_share.ConnectionShare,
@@ -51,7 +48,6 @@
     client: placement_client.PlacementClient | None,
     metrics: entry_metrics.EntryMetrics,
     states_pace: Callable[[ids.ServiceName], bool],
-    pace_of: Callable[[endpoint.Endpoint], float],
     rng: random.Random,
     clock: Callable[[], float] = time.monotonic,
 ) -> placement_parts.PlacementParts:
@@ -64,7 +60,6 @@
         endpoints: Directory of the known endpoints.
         in_flight: Requests of this gateway in flight at each endpoint.
         reports: Latest reports of the model engines.
-        ledger: Placements that this gateway knows of.
         failures: Recent failures of endpoints.
         local_chooser: Chooses where no coordinator decides.
         connections: Limits the requests in flight at an endpoint.
@@ -73,7 +68,6 @@
         metrics: Metrics of the gateway.
         states_pace: Returns whether an endpoint of a service has stated its
             pace.
-        pace_of: Returns how long work takes at an engine, 1.0 being normal.
         rng: Source of random choices.
         clock: Clock of the event loop, in seconds.
     """
@@ -82,11 +76,9 @@
     )
     duties = coordination_duties.CoordinationDuties(clock)
     contact = coordinator_contact.CoordinatorContact()
-    placed = placed_requests.PlacedRequests(clock)
-    forecaster = engine_forecaster.EngineForecaster(
-        settings, reports, ledger, placed, pace_of, clock
-    )
-    view = engine_view.EngineView(reports, ledger, placed, forecaster, clock)
+    ledger = placement_ledger.PlacementLedger(clock)
+    endpoints.add_gone_listener(ledger.remove)
+    view = engine_view.EngineView(settings, reports, ledger, clock)
     coordinator = placement_coordinator.PlacementCoordinator(
         this_vm,
         endpoints,
@@ -98,7 +90,6 @@
             endpoints,
             reports,
             view,
-            forecaster,
             endpoint_cost.EndpointCost(this_vm, failures),
         ),
         placement_policy.PlacementPolicy(),
@@ -130,6 +121,7 @@
         duties=duties,
         polled_engines=polled_engines.PolledEngines(
             endpoints,
+            watched_endpoints.WatchedEndpoints(settings, this_vm, endpoints),
             in_flight,
             gate,
             duties,
--- a/bronzeslip/placement/coordinated_chooser.py
+++ b/bronzeslip/placement/coordinated_chooser.py
@@ -25,7 +25,6 @@
 from bronzeslip.placement import placement_reply
 from bronzeslip.placement import placement_verdict
 from bronzeslip.placement import shard
-from bronzeslip.places import allowed_regions
 
 logger = logs.get_logger(__name__)
 
@@ -58,7 +57,7 @@
         """Initializes the chooser.
 
         Args:
-            this_vm: Location of this gateway and region of each failure domain.
+            this_vm: Location of this gateway.
             endpoints: Directory of the known endpoints.
             local: Chooses where no coordinator decides.
             gate: Decides which services are coordinated.
@@ -70,7 +69,6 @@
         """
         self._this_vm = this_vm
         self._endpoints = endpoints
-        self._regions = allowed_regions.AllowedRegionsFilter(this_vm)
         self._local = local
         self._gate = gate
         self._caller = caller
@@ -193,7 +191,6 @@
         if (
             target.service_name != request.service.name
             or not self._endpoints.is_usable(target)
-            or not self._regions.is_eligible(target, request.allowed_regions)
         ):
             return Reason.UNUSABLE_ENDPOINT
         if not self._connections.has_free_connection(
@@ -240,7 +237,6 @@
             objective_left_s=request.remaining_objective_s,
             waited_s=waited_s,
             failure_domain=self._this_vm.failure_domain,
-            allowed_regions=request.allowed_regions,
             excluded=frozenset(tried)
             | self._connections.exhausted_endpoints(request.service),
         )
--- a/bronzeslip/placement/option_rater.py
+++ b/bronzeslip/placement/option_rater.py
@@ -10,7 +10,6 @@
 from bronzeslip.entry import vm_config
 from bronzeslip.forwarding import endpoint_cost
 from bronzeslip.load import placement_need
-from bronzeslip.placement import engine_forecaster
 from bronzeslip.placement import engine_view
 from bronzeslip.placement import placement_ask
 from bronzeslip.placement import placement_option
@@ -29,7 +28,6 @@
         endpoints: directory.EndpointDirectory,
         reports: report_cache.ReportCache,
         view: engine_view.EngineView,
-        forecaster: engine_forecaster.EngineForecaster,
         cost: endpoint_cost.EndpointCost,
     ) -> None:
         """Initializes the rater.
@@ -38,15 +36,13 @@
             this_vm: Region of each failure domain.
             endpoints: Directory of the known endpoints.
             reports: Latest reports of the engines.
-            view: Memory that placements leave.
-            forecaster: Forecasts the load of the engines.
+            view: Load of the engines.
             cost: Cost of an engine with a given load.
         """
         self._this_vm = this_vm
         self._endpoints = endpoints
         self._reports = reports
         self._view = view
-        self._forecaster = forecaster
         self._cost = cost
 
     def options(
@@ -77,7 +73,7 @@
         traits: engine_traits.EngineTraits,
         stable: set[_Neighbourhood],
     ) -> placement_option.PlacementOption:
-        forecast = self._forecaster.forecast_need(candidate, need, traits)
+        forecast = self._view.forecast_need(candidate, need, traits)
         cost_s = self._cost.cost_s(candidate, forecast, ask.failure_domain)
         if need.is_long and self._neighbourhood(candidate) not in stable:
             cost_s += endpoint_cost.evacuation_risk_cost_s(
@@ -86,7 +82,7 @@
         return placement_option.PlacementOption(
             endpoint_id=candidate.endpoint_id,
             cost_s=cost_s,
-            wait_s=forecast.prefill_s + forecast.own_prefill_s,
+            wait_s=forecast.prefill_s + self._view.prefill_s(candidate, need),
             free_tokens=self._view.free_tokens(candidate, traits),
             queued_prefill_s=forecast.prefill_s,
         )
@@ -121,7 +117,7 @@
         return sum(
             mean_tokens
             if self._reports.get(engine.endpoint_id) is None
-            else self._forecaster.used_tokens(engine)
+            else self._view.used_tokens(engine)
             for engine in engines
         )
 
--- a/bronzeslip/placement/placed_requests.py
+++ b/bronzeslip/placement/placed_requests.py
@@ -11,17 +11,8 @@
 _MAX_AGE_S = 60.0
 
 
-# Weight of a new prompt in the moving average of prompt lengths.
-_MEAN_PROMPT_WEIGHT = 0.05
-
-
 class PlacedRequests:
-    """Keeps the size of each placed request until it ends.
-
-    Attributes:
-        mean_prompt_tokens: Moving average of the lengths of placed prompts, in
-            tokens; 0 before the first placement.
-    """
+    """Keeps the size of each placed request until it ends."""
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         """Starts without requests.
@@ -29,7 +20,6 @@
         Args:
             clock: Clock of the event loop, in seconds.
         """
-        self.mean_prompt_tokens = 0.0
         self._clock = clock
         # In the order of their placement.
         self._requests: dict[ids.RequestId, placement.Placement] = {}
@@ -38,9 +28,6 @@
         """Adds a request, or updates it."""
         self._requests.pop(placed.request_id, None)
         self._requests[placed.request_id] = placed
-        mean = self.mean_prompt_tokens or placed.prompt_tokens
-        mean += _MEAN_PROMPT_WEIGHT * (placed.prompt_tokens - mean)
-        self.mean_prompt_tokens = mean
         self._expire()
 
     def get(self, request_id: ids.RequestId) -> placement.Placement | None:
--- a/bronzeslip/placement/placement_coordinator.py
+++ b/bronzeslip/placement/placement_coordinator.py
@@ -21,7 +21,6 @@
 from bronzeslip.placement import placement_request
 from bronzeslip.placement import placement_verdict
 from bronzeslip.placement import shard
-from bronzeslip.places import allowed_regions
 from bronzeslip.quota import coordinators
 from bronzeslip.routes import current
 
@@ -63,7 +62,7 @@
             endpoints: Directory of the known endpoints.
             gateways: Ranks the coordinators of a shard.
             current_table: Current configuration.
-            view: Records the placements.
+            view: Load of the engines.
             rater: Rates the candidates.
             policy: Decides whether and where a generation is placed.
             duties: Records the shards that are asked for.
@@ -72,7 +71,6 @@
             clock: Clock of the event loop, in seconds.
         """
         self._this_vm = this_vm
-        self._regions = allowed_regions.AllowedRegionsFilter(this_vm)
         self._endpoints = endpoints
         self._gateways = gateways
         self._current_table = current_table
@@ -155,9 +153,17 @@
             engine
             for engine in engines
             if engine.endpoint_id not in ask.excluded
-            and self._regions.is_eligible(engine, ask.allowed_regions)
+            and self._is_eligible(ask, engine)
         ]
 
+    def _is_eligible(
+        self, ask: placement_ask.PlacementAsk, engine: endpoint.Endpoint
+    ) -> bool:
+        if ask.allowed_regions is None:
+            return True
+        region = self._this_vm.regions.get(engine.failure_domain)
+        return region in ask.allowed_regions
+
     def _reply(
         self,
         ask: placement_ask.PlacementAsk,
--- a/bronzeslip/placement/polled_engines.py
+++ b/bronzeslip/placement/polled_engines.py
@@ -6,6 +6,7 @@
 from bronzeslip.endpoints import directory
 from bronzeslip.endpoints import endpoint
 from bronzeslip.endpoints import in_flight_requests
+from bronzeslip.endpoints import watched_endpoints
 from bronzeslip.placement import coordination_duties
 from bronzeslip.placement import coordinator_contact
 from bronzeslip.placement import placement_gate
@@ -27,6 +28,7 @@
     def __init__(
         self,
         endpoints: directory.EndpointDirectory,
+        watched: watched_endpoints.WatchedEndpoints,
         in_flight: in_flight_requests.InFlightRequests,
         gate: placement_gate.PlacementGate,
         duties: coordination_duties.CoordinationDuties,
@@ -36,33 +38,28 @@
 
         Args:
             endpoints: Directory of the known endpoints.
+            watched: Endpoints that this gateway polls without coordination.
             in_flight: Requests of this gateway in flight at each endpoint.
             gate: Decides which services are coordinated.
             duties: Shards that this gateway coordinates.
             contact: Whether coordinators reply to this gateway.
         """
         self._endpoints = endpoints
+        self._watched = watched
         self._in_flight = in_flight
         self._gate = gate
         self._duties = duties
         self._contact = contact
 
-    def select(
-        self,
-        service_name: ids.ServiceName,
-        watched: tuple[endpoint.Endpoint, ...],
+    def for_service(
+        self, service_name: ids.ServiceName
     ) -> tuple[endpoint.Endpoint, ...]:
-        """Returns the engines of a service to poll.
-
-        Args:
-            service_name: Name of the service.
-            watched: Engines that this gateway polls without coordination.
-        """
+        """Returns the engines of a service to poll."""
         if not self.is_coordinated(service_name):
-            return watched
+            return self._watched.for_service(service_name)
         selected: dict[ids.EndpointId, endpoint.Endpoint] = {}
         if not self._contact.exists(service_name):
-            for engine in watched:
+            for engine in self._watched.for_service(service_name):
                 selected[engine.endpoint_id] = engine
         # Includes engines that don't respond, so that their return is noticed.
         for engine in self._endpoints.unpaused_endpoints(service_name):
--- a/bronzeslip/places/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Constraints on the locations that requests are sent to."""
--- a/tests/placement/test_replies_of_a_coordinator.py
+++ b/tests/placement/test_replies_of_a_coordinator.py
@@ -8,8 +8,6 @@
 import contextlib
 import unittest
 
-import msgspec
-
 from bronzeslip import ids
 from bronzeslip.forwarding import errors
 from bronzeslip.placement import coordinated_chooser
@@ -74,11 +72,8 @@
             asyncio.get_running_loop().time,
         )
 
-    async def choose(self, was_sent=False, regions=None, **route_changes):
-        request = msgspec.structs.replace(
-            forwarding_parts.admit_generation(**route_changes),
-            allowed_regions=regions,
-        )
+    async def choose(self, was_sent=False, **route_changes):
+        request = forwarding_parts.admit_generation(**route_changes)
         chosen = await self.chooser.choose(request, frozenset(), was_sent)
         return chosen.endpoint_id
 
@@ -145,17 +140,6 @@
 
         self._run(play)
 
-    # Guards against a coordinator of an older version that ignores regions.
-    def test_engine_outside_the_allowed_regions_is_not_used(self):
-        async def play():
-            case = _Case(_placed())
-            regions = frozenset({ids.RegionName("b")})
-            await case.choose(regions=regions)
-            self.assertEqual(case.caller.asks[0].allowed_regions, regions)
-            self.assertEqual(case.reasons, [Reason.UNUSABLE_ENDPOINT.value])
-
-        self._run(play)
-
     def test_refusal_passes_its_retry_time_on(self):
         async def play():
             with self.assertRaises(errors.OverloadedError) as caught:
--- a/tests/support/placement_fleet.py
+++ b/tests/support/placement_fleet.py
@@ -20,7 +20,6 @@
 from bronzeslip.forwarding import load_forecast
 from bronzeslip.forwarding import prompt
 from bronzeslip.forwarding import report_poller
-from bronzeslip.load import placement_ledger
 from bronzeslip.membership import rendezvous
 from bronzeslip.metrics import entry_metrics
 from bronzeslip.placement import assembly
@@ -106,8 +105,6 @@
         table.adopt(forwarding_parts.create_table())
         in_flight = in_flight_requests.InFlightRequests()
         reports = report_cache.ReportCache()
-        ledger = placement_ledger.PlacementLedger(_now_s)
-        reports.add_listener(ledger.apply_report)
         failures = failure_tracker.FailureTracker()
         watched = watched_endpoints.WatchedEndpoints(
             settings, this_vm, self.directory
@@ -138,17 +135,15 @@
             self.directory,
             in_flight,
             reports,
-            ledger,
             failures,
             local,
             connections,
             self,
             self,
             self.metrics,
-            states_pace=lambda _: False,
-            pace_of=lambda _: 1.0,
-            rng=fleet.rng,
-            clock=_now_s,
+            lambda _: False,
+            fleet.rng,
+            _now_s,
         )
         poller = report_poller.ReportPoller(
             settings,
