--- a/bronzeslip/forwarding/permitted_chooser.py
+++ b/bronzeslip/forwarding/permitted_chooser.py
@@ -94,6 +94,7 @@
                 chosen = await self._endpoint_chooser.choose(
                     request,
                     self._unavailable(request, excluded | denied_s.keys()),
+                    was_sent=bool(tried),
                 )
             except errors.OverloadedError:
                 raise
--- a/bronzeslip/placement/coordinated_chooser.py
+++ b/bronzeslip/placement/coordinated_chooser.py
@@ -85,12 +85,14 @@
         self,
         request: admitted.AdmittedRequest,
         tried: AbstractSet[ids.EndpointId],
+        was_sent: bool = False,
     ) -> endpoint.Endpoint:
         """Returns the endpoint to send a request to.
 
         Args:
             request: Request to send.
             tried: Endpoints that must not be chosen.
+            was_sent: Whether the request has been sent to an endpoint before.
 
         Raises:
             errors.OverloadedError: If the coordinator refuses the request, or
@@ -101,7 +103,7 @@
             request.service.name
         ):
             return self._local.choose(request, tried)
-        placed = await self._place(request, tried)
+        placed = await self._place(request, tried, was_sent)
         if isinstance(placed, endpoint.Endpoint):
             return placed
         logger.info(
@@ -121,6 +123,7 @@
         self,
         request: admitted.AdmittedRequest,
         tried: AbstractSet[ids.EndpointId],
+        was_sent: bool,
     ) -> endpoint.Endpoint | Reason:
         """Asks until the coordinator decides.
 
@@ -137,7 +140,7 @@
             if reply.verdict is Verdict.DEFERRED:
                 await self._wait(request, reply)
             elif reply.verdict is Verdict.REFUSED:
-                return self._refuse(reply, tried)
+                return self._refuse(reply, was_sent)
             else:
                 return self._validated(request, reply, tried)
 
@@ -161,9 +164,7 @@
         await asyncio.sleep(delay_s)
 
     def _refuse(
-        self,
-        reply: placement_reply.PlacementReply,
-        tried: AbstractSet[ids.EndpointId],
+        self, reply: placement_reply.PlacementReply, was_sent: bool
     ) -> Reason:
         """Refuses a request; one that was sent before is chosen for locally.
 
@@ -172,7 +173,7 @@
         Raises:
             errors.OverloadedError: If the request has not been sent before.
         """
-        if tried:
+        if was_sent:
             return Reason.SENT_BEFORE
         raise errors.OverloadedError(
             "the coordinator found no engine that could start it in time",
--- a/bronzeslip/placement/placement_coordinator.py
+++ b/bronzeslip/placement/placement_coordinator.py
@@ -92,6 +92,7 @@
         """Decides where a gateway is to send a generation."""
         for request_id in request.ended:
             self._view.end(request_id)
+            self._policy.forget(request_id)
         reply = self._decide(request.ask)
         self._metrics.count_placement(reply.verdict.value)
         return reply
--- a/tests/placement/test_replies_of_a_coordinator.py
+++ b/tests/placement/test_replies_of_a_coordinator.py
@@ -73,9 +73,10 @@
             asyncio.get_running_loop().time,
         )
 
-    async def choose(self, tried=frozenset(), **route_changes):
+    async def choose(self, was_sent=False, **route_changes):
         request = forwarding_parts.admit_generation(**route_changes)
-        return (await self.chooser.choose(request, tried)).endpoint_id
+        chosen = await self.chooser.choose(request, frozenset(), was_sent)
+        return chosen.endpoint_id
 
 
 def _placed(name="two", **changes):
@@ -152,7 +153,7 @@
     def test_request_that_was_sent_before_is_not_refused(self):
         async def play():
             case = _Case(_REFUSED)
-            chosen = await case.choose(tried=frozenset({"two"}))
+            chosen = await case.choose(was_sent=True)
             self.assertEqual(chosen, "one")
             self.assertEqual(case.reasons, [Reason.SENT_BEFORE.value])
 
