Test the placement policy by load patterns and judge rates by patience

Clients with 16 s of patience were refused after 0.5 s because no late request had been placed in the last 2 s (3 of 13 prompts of 16,000 tokens in one run of the fake). The tests play burst, wave, a regional spike, a large workspace, immediate retries and very large prompts against a fake of engines in virtual time.

--- a/bronzeslip/placement/backlog_forecast.py
+++ b/bronzeslip/placement/backlog_forecast.py
@@ -56,18 +56,22 @@
             The time in seconds, above 0 if it can neither be in time nor start
             before its client gives up.
         """
+        ask = waiting.ask
         tokens = self._tokens_ahead(waiting)
+        left_s = client_patience.remaining_s(ask)
+        patience_s = ask.waited_s + left_s
         if waiting.can_be_in_time:
-            wait_s = self._rates[True].wait_s(tokens[True], 0.0, now_s)
-            if wait_s + least_wait_s <= waiting.ask.objective_left_s:
+            wait_s = self._rates[True].wait_s(
+                tokens[True], patience_s, 0.0, now_s
+            )
+            if wait_s + least_wait_s <= ask.objective_left_s:
                 return 0.0
         # Late requests may be held back until they are overdue.
-        settling_s = waiting.ask.waited_s + client_patience.overdue_in_s(
-            waiting.ask
+        settling_s = ask.waited_s + client_patience.overdue_in_s(ask)
+        wait_s = self._rates[False].wait_s(
+            tokens[False], patience_s, settling_s, now_s
         )
-        wait_s = self._rates[False].wait_s(tokens[False], settling_s, now_s)
-        patience_s = client_patience.remaining_s(waiting.ask)
-        return wait_s + least_wait_s - patience_s
+        return wait_s + least_wait_s - left_s
 
     def _tokens_ahead(
         self, waiting: waiting_request.WaitingRequest
--- a/bronzeslip/placement/placement_rate.py
+++ b/bronzeslip/placement/placement_rate.py
@@ -3,8 +3,12 @@
 import collections
 import math
 
+# Bounds memory; clients with longer patience are judged by this window.
+_MAX_WINDOW_S = 10.0
 # An overloaded shard of six engines places a few late requests per second.
-_WINDOW_S = 2.0
+_MIN_WINDOW_S = 2.0
+# A client that waits longer allows a longer, more accurate measurement.
+_WINDOW_PATIENCE_SHARE = 0.25
 
 
 class PlacementRate:
@@ -13,7 +17,6 @@
     def __init__(self) -> None:
         self._waiting_since_s: float | None = None
         self._placed: collections.deque[tuple[float, int]] = collections.deque()
-        self._placed_tokens = 0
 
     def record_waiting(self, is_any_waiting: bool, now_s: float) -> None:
         """Records whether requests of the group wait."""
@@ -25,16 +28,21 @@
     def record_placed(self, expected_tokens: int, now_s: float) -> None:
         """Records that a request of the group was placed."""
         self._placed.append((now_s, expected_tokens))
-        self._placed_tokens += expected_tokens
-        self._remove_old(now_s)
+        while self._placed[0][0] < now_s - _MAX_WINDOW_S:
+            self._placed.popleft()
 
     def wait_s(
-        self, tokens_ahead: int, settling_s: float, now_s: float
+        self,
+        tokens_ahead: int,
+        patience_s: float,
+        settling_s: float,
+        now_s: float,
     ) -> float:
         """Returns the time to place the requests ahead, in seconds.
 
         Args:
             tokens_ahead: Tokens of the requests ahead.
+            patience_s: Time for which the client waits in total, in seconds.
             settling_s: Time from the first request that waits to the first
                 that is placed, in seconds.
             now_s: Current time on a monotonic clock, in seconds.
@@ -46,14 +54,17 @@
         since_s = self._waiting_since_s
         if not tokens_ahead or since_s is None:
             return 0.0
-        if now_s - since_s < settling_s + _WINDOW_S:
+        window_s = min(
+            max(_WINDOW_PATIENCE_SHARE * patience_s, _MIN_WINDOW_S),
+            _MAX_WINDOW_S,
+        )
+        if now_s - since_s < settling_s + window_s:
             return 0.0
-        self._remove_old(now_s)
-        if not self._placed_tokens:
+        placed_tokens = sum(
+            tokens
+            for placed_s, tokens in self._placed
+            if placed_s > now_s - window_s
+        )
+        if not placed_tokens:
             return math.inf
-        return tokens_ahead * _WINDOW_S / self._placed_tokens
-
-    def _remove_old(self, now_s: float) -> None:
-        while self._placed and self._placed[0][0] <= now_s - _WINDOW_S:
-            _, tokens = self._placed.popleft()
-            self._placed_tokens -= tokens
+        return tokens_ahead * window_s / placed_tokens
--- a/tests/support/placement_load.py
+++ b/tests/support/placement_load.py
@@ -8,11 +8,20 @@
 
 from bronzeslip.placement import placement_ask
 from bronzeslip.placement import placement_decision
+from bronzeslip.placement import placement_policy
 from bronzeslip.placement import placement_verdict
 from tests.support import virtual_engines
 
-_VERDICT = placement_verdict.PlacementVerdict
+PLACED = placement_verdict.PlacementVerdict.PLACED
+DEFERRED = placement_verdict.PlacementVerdict.DEFERRED
+REFUSED = placement_verdict.PlacementVerdict.REFUSED
 _POLL_S = 0.3
+_REPEAT_S = 0.05
+
+
+def create_policy():
+    """Returns a policy with fixed random retry times."""
+    return placement_policy.PlacementPolicy(rng=random.Random(1))
 
 
 class LeastCost:
@@ -21,7 +30,7 @@
     def decide(self, ask, options, now_s):
         selected = min(options, key=operator.attrgetter("cost_s"))
         return placement_decision.PlacementDecision(
-            _VERDICT.PLACED, selected.endpoint_id
+            PLACED, selected.endpoint_id
         )
 
 
@@ -30,8 +39,9 @@
 
     Attributes:
         requests: All requests, including those that were repeated.
-        repeat_s: Time after which a refused client repeats its request, or
-            None if it does not.
+        decisions: Time, ask and decision of each ask.
+        repeating_workspace: Workspace whose clients repeat refused requests
+            almost at once.
     """
 
     def __init__(self, policy, engines=6, regions=("here",), lag_s=0.5, seed=1):
@@ -42,8 +52,8 @@
             )
             for number in range(engines)
         }
-        self.requests = []
-        self.repeat_s = None
+        self.requests, self.decisions = [], []
+        self.repeating_workspace = None
         self._events, self._count = [], itertools.count()
 
     def arrive(self, time_s, is_long=False, **changes):
@@ -124,18 +134,19 @@
             if request.regions is None or engine.region in request.regions
         ]
         decision = self.policy.decide(ask, options, now_s)
-        if decision.verdict is _VERDICT.PLACED:
+        self.decisions.append((now_s, ask, decision))
+        if decision.verdict is PLACED:
             self.engines[decision.endpoint_id].add(request, now_s)
-        elif decision.verdict is _VERDICT.DEFERRED:
+        elif decision.verdict is DEFERRED:
             self._push(now_s + decision.retry_after_s, request)
         else:
             self._refuse(request, now_s)
 
     def _refuse(self, request, now_s):
         request.outcome = "refused"
-        if self.repeat_s is not None:
+        if request.workspace == self.repeating_workspace:
             self.arrive(
-                now_s + self.repeat_s,
+                now_s + _REPEAT_S,
                 prompt_tokens=request.prompt_tokens,
                 output_tokens=request.output_tokens,
                 objective_s=request.objective_s,
--- a/tests/support/virtual_engines.py
+++ b/tests/support/virtual_engines.py
@@ -1,4 +1,4 @@
-"""Model engines and their gateways in virtual time, without network.
+"""Model engines in virtual time, without network.
 
 Figures of the engines are those of the work plan: prompts are processed in
 chunks of 112 tokens (8 ms) between decode steps of 7 ms + 0.12 ms per run.
@@ -79,14 +79,9 @@
 
     def poll(self, now_s):
         load = self.queue + self.runs
-        self.reports.append(
-            (
-                now_s,
-                sum(each.to_prefill for each in load),
-                self._used() + sum(each.expected_tokens for each in self.queue),
-                len(load),
-            )
-        )
+        prefill = sum(each.to_prefill for each in load)
+        used = self._used() + sum(each.expected_tokens for each in self.queue)
+        self.reports.append((now_s, prefill, used, len(load)))
 
     def option(self, request, now_s, lag_s):
         """Latest report that has arrived, and all placements since."""
