--- a/tests/placement/test_regional_spike.py
+++ b/tests/placement/test_regional_spike.py
@@ -12,7 +12,7 @@
             placement_load.create_policy(), regions=("west", "east")
         )
         load.arrive_at_rate(
-            lambda time_s: 15 if 5 < time_s < 15 else 2,
+            lambda time_s: 60 if 5 < time_s < 7 else 2,
             0,
             20,
             workspace="west",
@@ -23,6 +23,7 @@
             0,
             20,
             workspace="east",
+            priority=1,
             regions=frozenset(["east"]),
         )
         load.play(50)
