--- a/bronzeslip/placement/engine_view.py
+++ b/bronzeslip/placement/engine_view.py
@@ -14,6 +14,11 @@
 from bronzeslip.placement import placed_requests
 from bronzeslip.routes import engine_traits
 
+# Part of the growth of all running generations that their memory reaches at the
+# same time. They start at different times, so about half have ended when the
+# others have their full size.
+_CONCURRENT_GROWTH_SHARE = 0.5
+
 
 class EngineView:
     """Combines the reports of engines with the placements made since.
@@ -74,27 +79,30 @@
         return self._load_forecaster.used_tokens(engine)
 
     def free_tokens(
-        self, engine: endpoint.Endpoint, traits: engine_traits.EngineTraits
+        self,
+        engine: endpoint.Endpoint,
+        need: placement_need.PlacementNeed,
+        traits: engine_traits.EngineTraits,
     ) -> int:
-        """Returns the memory left once all requests have their full size.
+        """Returns the memory that is left for a generation, in tokens.
 
-        Copies that the engine holds count as used.
+        A short generation ends before the others have grown. A long one lives
+        beside them, but some end while others still grow.
         """
-        used_tokens = self.used_tokens(engine)
         latest = self._reports.get(engine.endpoint_id)
+        # The used memory includes copies that the engine holds.
+        used_tokens = self.used_tokens(engine)
         if latest is None:
             return traits.memory_tokens - used_tokens
+        capacity_tokens = latest.report.memory_tokens or traits.memory_tokens
+        free_tokens = capacity_tokens - used_tokens
+        if not need.is_long:
+            return free_tokens
         growth_tokens = sum(
             max(self._expected_tokens(run.request_id) - run.memory_tokens, 0)
             for run in latest.report.runs
         )
-        capacity_tokens = latest.report.memory_tokens or traits.memory_tokens
-        return (
-            capacity_tokens
-            - used_tokens
-            - latest.report.held_tokens
-            - growth_tokens
-        )
+        return free_tokens - round(_CONCURRENT_GROWTH_SHARE * growth_tokens)
 
     def _expected_tokens(self, request_id: ids.RequestId) -> int:
         placed = self._placed.get(request_id)
--- a/bronzeslip/placement/option_rater.py
+++ b/bronzeslip/placement/option_rater.py
@@ -85,7 +85,7 @@
             endpoint_id=candidate.endpoint_id,
             cost_s=cost_s,
             wait_s=forecast.prefill_s + forecast.own_prefill_s,
-            free_tokens=self._view.free_tokens(candidate, traits),
+            free_tokens=self._view.free_tokens(candidate, need, traits),
             queued_prefill_s=forecast.prefill_s,
         )
 
