--- a/tests/placement/test_engine_view.py
+++ b/tests/placement/test_engine_view.py
@@ -1,5 +1,6 @@
 """Tests of the memory that a coordinator sees at an engine."""
 
+import time
 import unittest
 
 from bronzeslip import ids
@@ -31,9 +32,15 @@
             ledger=ledger,
         )
         self.view = engine_view.EngineView(forecaster, reports, ledger)
+        placed_s = time.monotonic()
         self.view.add(
             placement.Placement(
-                ids.RequestId("run"), _ENGINE.endpoint_id, 3000, 5000, True, 0.0
+                ids.RequestId("run"),
+                _ENGINE.endpoint_id,
+                3000,
+                5000,
+                True,
+                placed_s,
             )
         )
         reports.put(
