--- a/bronzeslip/placement/polled_engines.py
+++ b/bronzeslip/placement/polled_engines.py
@@ -1,5 +1,6 @@
 """Engines that a gateway polls where placement is coordinated."""
 
+from collections.abc import Iterable
 import math
 
 from bronzeslip import ids
@@ -69,6 +70,21 @@
                 selected[engine.endpoint_id] = engine
         return tuple(selected.values())
 
+    def relies_on_coordinators(
+        self, service_names: Iterable[ids.ServiceName]
+    ) -> bool:
+        """Returns whether others place the generations of all services.
+
+        The coordinators that do so reply, and this gateway is none of them.
+        """
+        names = tuple(service_names)
+        return bool(names) and all(
+            self.is_coordinated(name)
+            and self._contact.exists(name)
+            and not self._duties.has_shard_of(name)
+            for name in names
+        )
+
     def is_coordinated(self, service_name: ids.ServiceName) -> bool:
         """Returns whether the generations of a service are coordinated."""
         return self._gate.is_coordinated(service_name)
--- a/bronzeslip/platform/discovery_follower.py
+++ b/bronzeslip/platform/discovery_follower.py
@@ -10,6 +10,7 @@
 from bronzeslip.platform import errors
 from bronzeslip.store import follower
 from bronzeslip.store import objects
+from bronzeslip.store import rate_limiter
 from bronzeslip.store import watched_store
 
 logger = logs.get_logger(__name__)
@@ -26,6 +27,7 @@
         endpoint_directory: directory.EndpointDirectory,
         timing: follower.FollowTiming,
         on_failure: Callable[[], None],
+        current_rate_limit: Callable[[], rate_limiter.RateLimit] | None = None,
     ) -> None:
         """Creates a follower.
 
@@ -35,6 +37,8 @@
             timing: Waits, delays and rate limit.
             on_failure: Called when a call fails. Since endpoints change all
                 the time, this is the first sign of trouble at the store.
+            current_rate_limit: Returns the rate limit of the next watch call,
+                in place of that of the timing.
         """
         self._endpoint_directory = endpoint_directory
         self._on_failure = on_failure
@@ -45,6 +49,7 @@
             self._on_event,
             on_failure=self._handle_failure,
             timing=timing,
+            current_rate_limit=current_rate_limit,
         )
 
     async def run(self) -> None:
--- a/bronzeslip/platform/gateway.py
+++ b/bronzeslip/platform/gateway.py
@@ -45,6 +45,7 @@
 from bronzeslip.routes import current
 from bronzeslip.settings import entry
 from bronzeslip.store import follower
+from bronzeslip.store import rate_limiter
 
 _BYTES_PER_MB = 1_000_000
 
@@ -216,11 +217,19 @@
         evacuations.interrupt()
         replicator.interrupt()
 
+    def endpoint_rate_limit() -> rate_limiter.RateLimit:
+        polled = forwarding_components.placement.polled_engines
+        services = _engine_services(forwarding_components.current)
+        if polled.relies_on_coordinators(services):
+            return watch_rate_limit.create_relaxed(settings, this_vm.bounds)
+        return watch_rate_limit.create(settings, this_vm.bounds)
+
     discovery = discovery_follower.DiscoveryFollower(
         store,
         forwarding_components.endpoints,
         discovery_timing,
         restart_watches,
+        endpoint_rate_limit,
     )
     evacuation_tasks: tuple[named_task.NamedTask, ...] = ()
     if this_vm.bounds.evac_s is not None:
--- a/bronzeslip/store/follower.py
+++ b/bronzeslip/store/follower.py
@@ -62,6 +62,7 @@
         on_progress: Callable[[ids.ObjectVersion], None] | None = None,
         on_failure: Callable[[], None] | None = None,
         timing: FollowTiming = _DEFAULT_TIMING,
+        current_rate_limit: Callable[[], rate_limiter.RateLimit] | None = None,
     ) -> None:
         """Creates a follower.
 
@@ -75,6 +76,8 @@
                 which all changes have been passed to the callbacks.
             on_failure: Called after each failed call or listing.
             timing: Waits, delays and rate limit.
+            current_rate_limit: Returns the rate limit of the next watch call,
+                in place of that of the timing.
         """
         self._store = store
         self._prefix = prefix
@@ -86,6 +89,7 @@
         self._rate_limiter = timing.rate_limit and rate_limiter.RateLimiter(
             timing.rate_limit
         )
+        self._current_rate_limit = current_rate_limit
         self._waiting_watch: asyncio.Timeout | None = None
         self._backoff = backoff.Backoff(
             timing.min_backoff_s, timing.max_backoff_s
@@ -143,6 +147,8 @@
     async def _watch(self, version: ids.ObjectVersion) -> None:
         while True:
             if self._rate_limiter is not None:
+                if self._current_rate_limit is not None:
+                    self._rate_limiter.set_limit(self._current_rate_limit())
                 await self._rate_limiter.acquire()
             batch = await self._wait_for_changes(version)
             self._unexpected_backoff.reset()
--- a/bronzeslip/store/rate_limiter.py
+++ b/bronzeslip/store/rate_limiter.py
@@ -30,6 +30,11 @@
         self._available_calls = limit.burst_calls
         self._refilled_at_s: float | None = None
 
+    def set_limit(self, limit: RateLimit) -> None:
+        """Replaces the limit for the calls to come."""
+        self._refill()
+        self._limit = limit
+
     async def acquire(self) -> None:
         """Waits until a call is allowed and counts it."""
         self._refill()
--- a/tests/store/test_rate_limiter.py
+++ b/tests/store/test_rate_limiter.py
@@ -34,6 +34,16 @@
         times_s = virtual_loop.run(_acquire_times_s([0.05] * 104))
         self.assertAlmostEqual(times_s[-1], 100.0, delta=1.0)
 
+    def test_lower_limit_holds_from_the_next_call_on(self):
+        async def acquire():
+            limiter = rate_limiter.RateLimiter(_LIMIT)
+            limiter.set_limit(rate_limiter.RateLimit(0.5, 1.0))
+            for _ in range(11):
+                await limiter.acquire()
+            return asyncio.get_running_loop().time()
+
+        self.assertAlmostEqual(virtual_loop.run(acquire()), 20.0, delta=2.0)
+
     def test_burst_is_limited_after_an_idle_period(self):
         times_s = virtual_loop.run(_acquire_times_s([100.0] + [0.0] * 9))
         self.assertAlmostEqual(times_s[-1], 106.0)
