--- a/bronzeslip/placement/placement_ask.py
+++ b/bronzeslip/placement/placement_ask.py
@@ -18,7 +18,7 @@
         output_tokens: Estimated length of the output, in tokens.
         is_long: Whether it may outlive its endpoint.
         priority: Priority of its route; 0 is the highest.
-        workspace: Workspace of the client.
+        workspace: Workspace of the client, or None on public routes.
         remaining_s: Time to its deadline, in seconds.
         objective_left_s: Time to the objective for its first event, in
             seconds; negative if the objective is missed.
@@ -37,7 +37,7 @@
     output_tokens: int
     is_long: bool
     priority: int
-    workspace: ids.WorkspaceId
+    workspace: ids.WorkspaceId | None
     remaining_s: float
     objective_left_s: float
     waited_s: float = 0.0
--- a/bronzeslip/placement/shard_policy.py
+++ b/bronzeslip/placement/shard_policy.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Sequence
 import itertools
-import operator
 import random
 
 import msgspec
@@ -43,6 +42,9 @@
 # A waiting request is gone after this many retry times without an ask.
 _EXPIRATION_RETRIES = 2.0
 _MIN_REFUSAL_RETRY_S = 0.5
+# Smaller differences of costs are below the accuracy of the forecasts.
+_EQUAL_COST_S = 0.005
+_NO_WORKSPACE = ids.WorkspaceId("")
 # Prompts of no stated length would all be told the same retry time.
 _MIN_PROMPT_TOKENS = 100
 # Forecasts are infinite while nothing is placed.
@@ -107,7 +109,9 @@
         if previous is None:
             cost_s = ask.expected_tokens / self._prefill_tokens_per_s
             arrived_s = now_s - ask.waited_s
-            rank = self._ranks.assign(ask.workspace, cost_s, arrived_s)
+            # Public routes have no workspace; their clients share one rank.
+            workspace_id = ask.workspace or _NO_WORKSPACE
+            rank = self._ranks.assign(workspace_id, cost_s, arrived_s)
         else:
             rank = previous.rank
         waiting = waiting_request.WaitingRequest(
@@ -147,7 +151,7 @@
         )
         for other in ahead:
             capacity.reserve(other)
-        limit_s = (
+        max_wait_s = (
             waiting.ask.objective_left_s
             if waiting.can_be_in_time
             else client_patience.remaining_s(waiting.ask)
@@ -157,9 +161,14 @@
             for option in reserved_capacity.fitting_options(
                 capacity.options, waiting
             )
-            if option.wait_s <= limit_s
+            if option.wait_s <= max_wait_s
         ]
-        return min(candidates, key=operator.attrgetter("cost_s"), default=None)
+        if not candidates:
+            return None
+        limit_s = _EQUAL_COST_S + min(option.cost_s for option in candidates)
+        return self._rng.choice(
+            [option for option in candidates if option.cost_s < limit_s]
+        )
 
     def _place(
         self,
--- a/tests/placement/test_placement_policy.py
+++ b/tests/placement/test_placement_policy.py
@@ -53,6 +53,17 @@
         )
         self.assertEqual(decision.endpoint_id, "cheap")
 
+    def test_endpoints_of_equal_cost_take_turns(self):
+        """Guards against one endpoint that gets all of an idle service."""
+        options = [_option("a", 0.1), _option("b", 0.104)]
+        selected = {
+            self._decide(
+                _ask(f"{number}", workspace=None), *options
+            ).endpoint_id
+            for number in range(50)
+        }
+        self.assertEqual(selected, {"a", "b"})
+
     def test_endpoint_without_enough_memory_is_not_selected(self):
         """Guards against preemption and crashes of engines."""
         full, free = _option("full", 0.0, free=2_999), _option("free", 9.0)
