--- a/tools/entry_deployment.py
+++ b/tools/entry_deployment.py
@@ -35,6 +35,8 @@
         endpoint_count: int = 1,
         has_endpoint_proxies: bool = True,
         has_unframed_endpoints: bool = False,
+        memory_mb: int = entry_gateway.MEMORY_MB,
+        max_descriptors: int = entry_gateway.MAX_DESCRIPTORS,
     ) -> None:
         """Starts all processes and waits until all gateways are ready.
 
@@ -47,6 +49,8 @@
             has_unframed_endpoints: Whether the responses of every second
                 endpoint, from the first on, end with their connection. These
                 have no proxy, as it would hide that they were killed.
+            memory_mb: Memory limit of each gateway.
+            max_descriptors: Descriptor limit of each gateway.
 
         Raises:
             RuntimeError: If a process exits before it is ready.
@@ -64,7 +68,7 @@
                 )
                 for service in ("desk", "engine")
             )
-            self._start(exit_stack, gateway_count)
+            self._start(exit_stack, gateway_count, memory_mb, max_descriptors)
             self._exit_stack = exit_stack.pop_all()
 
     @property
@@ -157,6 +161,8 @@
         self,
         exit_stack: contextlib.ExitStack,
         gateway_count: int,
+        memory_mb: int,
+        max_descriptors: int,
     ) -> None:
         """Starts the store and the gateways and registers the endpoints.
 
@@ -174,7 +180,11 @@
         self.gateways = []
         for number in range(gateway_count):
             gateway = entry_gateway.EntryGateway(
-                f"front-{number}", folder, store_port
+                f"front-{number}",
+                folder,
+                store_port,
+                memory_mb,
+                max_descriptors,
             )
             exit_stack.callback(gateway.stop)
             self.gateways.append(gateway)
--- a/tools/entry_gateway.py
+++ b/tools/entry_gateway.py
@@ -11,6 +11,7 @@
 from tools.faults import tcp_proxy
 
 MEMORY_MB = 150
+MAX_DESCRIPTORS = 4100
 
 _CALL_TIMEOUT_S = 20.0
 _BOOT_FILE_TEMPLATE = """
@@ -25,7 +26,7 @@
 ready = "{host}:{ready}"
 [limits]
 memory_mb = {memory_mb}
-max_fds = 4100
+max_fds = {max_descriptors}
 [bounds]
 drain_ms = 2500
 grace_s = 8
@@ -48,8 +49,26 @@
         host: Address that the gateway listens on.
     """
 
-    def __init__(self, name: str, folder: str, store_port: int) -> None:
+    def __init__(
+        self,
+        name: str,
+        folder: str,
+        store_port: int,
+        memory_mb: int = MEMORY_MB,
+        max_descriptors: int = MAX_DESCRIPTORS,
+    ) -> None:
+        """Starts the gateway.
+
+        Args:
+            name: VM id of the gateway.
+            folder: Folder of its boot file.
+            store_port: Port of the store.
+            memory_mb: Memory limit that the boot file states.
+            max_descriptors: Descriptor limit that the boot file states.
+        """
         self._name = name
+        self._memory_mb = memory_mb
+        self._max_descriptors = max_descriptors
         self.boot_path = pathlib.Path(folder) / f"{name}.toml"
         self.host = loopback_address.host()
         self._front_port = loopback_address.next_port()
@@ -105,7 +124,8 @@
                 peer=self._peer_port,
                 store=self.proxy.port,
                 retry_slack=retry_slack,
-                memory_mb=MEMORY_MB,
+                memory_mb=self._memory_mb,
+                max_descriptors=self._max_descriptors,
             )
         )
 
--- a/tools/memory_watch.py
+++ b/tools/memory_watch.py
@@ -21,11 +21,13 @@
     Attributes:
         resident_peak_bytes: Peak of the resident memory.
         peak_bytes: Largest sample or, if higher, peak of the resident memory.
+        peak_descriptors: Largest number of open descriptors.
     """
 
     def __init__(self, process_id: int) -> None:
         self.resident_peak_bytes = 0
         self.peak_bytes = 0
+        self.peak_descriptors = 0
         self._folder = pathlib.Path("/proc") / str(process_id)
 
     def sample(self) -> None:
@@ -43,6 +45,9 @@
             int(status[name].split()[0]) * _BYTES_PER_KIB
             for name in ("VmRSS", "VmHWM")
         )
+        self.peak_descriptors = max(
+            self.peak_descriptors, len(list((self._folder / "fd").iterdir()))
+        )
         self.peak_bytes = max(
             self.peak_bytes,
             self.resident_peak_bytes,
