Bound what each connection holds, for every listener

Clients could make a gateway exceed its memory limit, or keep ordinary requests from being served, with data that the budget did not count: fields of incomplete heads, trailers, requests read ahead, bodies to the internal ports, bodies of unknown length.

The readiness, peer and metrics ports share slots of their own and accept bodies of up to 64 KiB. Bodies of unknown length are refused while memory is short, and a tenth of the pool is left to small requests.

Responses also state their date once: the server adds none if the application has sent one, such as that of an endpoint.

--- a/bronzeslip/entry/daemon.py
+++ b/bronzeslip/entry/daemon.py
@@ -31,6 +31,9 @@
 
 # Used until the first configuration is received.
 _DEFAULT_LIMITS = limits.CallerLimits()
+# Messages between gateways are of a few kilobytes. Decoded, a body takes up to
+# thirty times its size.
+_MAX_INTERNAL_BODY_BYTES = 64 * 1024
 
 
 class EntryDaemon:
@@ -50,6 +53,7 @@
         begin_drain: Callable[[], None],
         deregister: Callable[[], Awaitable[None]],
         slots: connection_slots.ConnectionSlots | None = None,
+        internal_slots: connection_slots.ConnectionSlots | None = None,
     ) -> None:
         """Creates a daemon.
 
@@ -66,6 +70,7 @@
             begin_drain: Called when a shutdown is requested.
             deregister: Removes this gateway from the gateway registry.
             slots: Bounds the connections of callers; defaults to no bound.
+            internal_slots: Bounds all other connections; defaults to no bound.
         """
         self._settings = settings
         self._this_vm = this_vm
@@ -83,21 +88,22 @@
             self._connection_limits,
             slots,
         )
-        self._readiness_server = server.HttpServer(
+        self._readiness_server = _create_internal_server(
             self._create_readiness_app(),
-            _create_http_settings(this_vm.readiness_address),
+            this_vm.readiness_address,
+            internal_slots,
         )
-        self._peer_server = server.HttpServer(
+        self._peer_server = _create_internal_server(
             internal_app.create(permit_handler),
-            _create_http_settings(this_vm.peer_address),
+            this_vm.peer_address,
+            internal_slots,
         )
-        self._metrics_server = server.HttpServer(
+        self._metrics_server = _create_internal_server(
             internal_app.create(page.create_handler(metrics)),
-            _create_http_settings(
-                vm_config.SocketAddress(
-                    this_vm.caller_address.host, settings.metrics_port
-                )
+            vm_config.SocketAddress(
+                this_vm.caller_address.host, settings.metrics_port
             ),
+            internal_slots,
         )
 
     async def run(self) -> None:
@@ -163,6 +169,22 @@
         )
 
 
+def _create_internal_server(
+    app: litestar.Litestar,
+    address: vm_config.SocketAddress,
+    slots: connection_slots.ConnectionSlots | None,
+) -> server.HttpServer:
+    http_settings = _create_http_settings(address)
+    return server.HttpServer(
+        app,
+        http_settings,
+        connection_limits.from_settings(
+            http_settings, _MAX_INTERNAL_BODY_BYTES
+        ),
+        slots,
+    )
+
+
 def _create_http_settings(
     address: vm_config.SocketAddress,
 ) -> http.HttpSettings:
--- a/bronzeslip/http/server.py
+++ b/bronzeslip/http/server.py
@@ -15,9 +15,11 @@
 from bronzeslip import task_set
 from bronzeslip.http import connection_limits
 from bronzeslip.http import connection_slots
+from bronzeslip.http import dated_app
 from bronzeslip.http import isolated_app
 from bronzeslip.http import limited_protocol
 from bronzeslip.http import listener
+from bronzeslip.http import read_pacer
 from bronzeslip.settings import http
 
 logger = logs.get_logger(__name__)
@@ -78,11 +80,12 @@
         """
         self._listener = listener.Listener(settings)
         config = uvicorn.Config(
-            isolated_app.IsolatedApp(app),
+            isolated_app.IsolatedApp(dated_app.DatedApp(app)),
             http=functools.partial(
                 limited_protocol.LimitedHttpProtocol,
                 limits_source or connection_limits.from_settings(settings),
                 slots or connection_slots.ConnectionSlots(),
+                read_pacer.ReadPacer(),
             ),
             ssl_certfile=settings.http_certificate_file,
             ssl_keyfile=settings.http_private_key_file,
@@ -91,6 +94,7 @@
             log_config=None,
             access_log=False,
             server_header=False,
+            date_header=False,
         )
         self._server = _Server(config)
         self._task: asyncio.Task | None = None
--- a/bronzeslip/memory/budget.py
+++ b/bronzeslip/memory/budget.py
@@ -15,6 +15,9 @@
 # Responses have their own part, so that requests which are in progress can end
 # while new ones wait.
 _RESPONSE_SHARE = 0.3
+# Part of the pool for requests that large bodies leave to small requests, so
+# that these are served while clients with large bodies take all they can get.
+_SMALL_REQUEST_SHARE = 0.1
 
 
 class MemoryBudget(msgspec.Struct, frozen=True):
@@ -58,8 +61,11 @@
         )
         capacity_bytes = _MIN_BYTES
     response_bytes = round(capacity_bytes * _RESPONSE_SHARE)
+    request_bytes = capacity_bytes - response_bytes
     return MemoryBudget(
         limit_bytes,
-        pool.MemoryPool(capacity_bytes - response_bytes),
+        pool.MemoryPool(
+            request_bytes, round(request_bytes * _SMALL_REQUEST_SHARE)
+        ),
         pool.MemoryPool(response_bytes),
     )
--- a/bronzeslip/memory/pool.py
+++ b/bronzeslip/memory/pool.py
@@ -16,6 +16,7 @@
 
     Attributes:
         capacity_bytes: Bytes that may be taken.
+        reserve_bytes: Part of these that is left to small reservations.
         taken_bytes: Bytes that are taken.
         standing_bytes: Part of the taken bytes that does not become free as
             requests end.
@@ -23,9 +24,10 @@
         refused_count: Reservations that were refused.
     """
 
-    def __init__(self, capacity_bytes: int) -> None:
+    def __init__(self, capacity_bytes: int, reserve_bytes: int = 0) -> None:
         """Creates a pool from which nothing is taken."""
         self.capacity_bytes = capacity_bytes
+        self.reserve_bytes = reserve_bytes
         self.taken_bytes = 0
         self.standing_bytes = 0
         self.is_closed = False
@@ -44,15 +46,22 @@
         """Number of reservations that wait for room."""
         return len(self._waiters)
 
-    def try_take(self, size_bytes: int) -> bool:
+    def try_take(self, size_bytes: int, is_small: bool = False) -> bool:
         """Takes bytes if there is room, ahead of those that wait.
 
+        Args:
+            size_bytes: Bytes to take.
+            is_small: Whether the reserve may be used.
+
         Returns:
             Whether the bytes were taken.
         """
         if self.is_closed:
             return False
-        if self.taken_bytes + size_bytes > self.capacity_bytes:
+        max_bytes = self.capacity_bytes
+        if not is_small:
+            max_bytes -= self.reserve_bytes
+        if self.taken_bytes + size_bytes > max_bytes:
             return False
         self.taken_bytes += size_bytes
         return True
@@ -60,6 +69,8 @@
     async def take(self, size_bytes: int, wait_s: float | None) -> None:
         """Takes bytes, waiting for room behind those that wait already.
 
+        The reserve is not used.
+
         Args:
             size_bytes: Bytes to take.
             wait_s: Maximum wait, in seconds, or None to wait for as long as
@@ -71,7 +82,8 @@
         """
         if not self._waiters and self.try_take(size_bytes):
             return
-        if self.is_closed or size_bytes > self.capacity_bytes:
+        max_bytes = self.capacity_bytes - self.reserve_bytes
+        if self.is_closed or size_bytes > max_bytes:
             self.refuse(size_bytes)
         await self._wait(size_bytes, wait_s)
 
--- a/bronzeslip/memory/reservation.py
+++ b/bronzeslip/memory/reservation.py
@@ -31,9 +31,13 @@
     ) -> None:
         self.release()
 
-    def try_resize(self, size_bytes: int) -> bool:
+    def try_resize(self, size_bytes: int, is_small: bool = False) -> bool:
         """Changes the size if there is room.
 
+        Args:
+            size_bytes: New size.
+            is_small: Whether the reserve of the pool may be used.
+
         Returns:
             Whether the reservation has the new size.
         """
@@ -41,7 +45,7 @@
         if missing_bytes <= 0:
             self.shrink(size_bytes)
             return True
-        if not self._pool.try_take(missing_bytes):
+        if not self._pool.try_take(missing_bytes, is_small):
             return False
         self.size_bytes = size_bytes
         return True
--- a/bronzeslip/metrics/entry_metrics.py
+++ b/bronzeslip/metrics/entry_metrics.py
@@ -61,10 +61,11 @@
         self,
         memory: budget.MemoryBudget,
         slots: connection_slots.ConnectionSlots,
+        internal_slots: connection_slots.ConnectionSlots,
     ) -> None:
-        """Exports the memory budget and the connections of callers."""
+        """Exports the memory budget and the connections that draw on it."""
         self._memory = memory_metrics.MemoryMetrics(
-            self.registry, memory, slots
+            self.registry, memory, slots, internal_slots
         )
 
     def record_answer(
--- a/bronzeslip/metrics/memory_metrics.py
+++ b/bronzeslip/metrics/memory_metrics.py
@@ -14,6 +14,7 @@
         registry: aioprometheus.Registry,
         memory: budget.MemoryBudget,
         slots: connection_slots.ConnectionSlots,
+        internal_slots: connection_slots.ConnectionSlots,
     ) -> None:
         """Creates the metrics.
 
@@ -21,12 +22,13 @@
             registry: Registry of the process.
             memory: Budget of the process.
             slots: Connections of callers.
+            internal_slots: Connections to all other ports.
         """
         self._pools = {
             "requests": memory.requests,
             "responses": memory.responses,
         }
-        self._slots = slots
+        self._slots = {"callers": slots, "internal": internal_slots}
         self._capacity = aioprometheus.Gauge(
             "bronzeslip_memory_budget_bytes",
             "Memory that may be taken, by purpose",
@@ -47,6 +49,16 @@
             "Open connections of callers",
             registry=registry,
         )
+        self._closed = aioprometheus.Counter(
+            "bronzeslip_connections_closed_total",
+            "Connections closed by the process, by port and reason",
+            registry=registry,
+        )
+        self._held = aioprometheus.Gauge(
+            "bronzeslip_connections_held_bytes",
+            "Memory that connections hold, by port",
+            registry=registry,
+        )
 
     def refresh(self) -> None:
         """Updates the values."""
@@ -55,5 +67,10 @@
             self._capacity.set(labels, pool.capacity_bytes)
             self._taken.set(labels, pool.taken_bytes)
             self._refused.set(labels, pool.refused_count)
-        self._refused.set({"purpose": "connections"}, self._slots.refused_count)
-        self._connections.set({}, self._slots.open_count)
+        callers = self._slots["callers"]
+        self._refused.set({"purpose": "connections"}, callers.refused_count)
+        self._connections.set({}, callers.open_count)
+        for port, slots in self._slots.items():
+            self._held.set({"port": port}, slots.held_bytes)
+            for reason, count in slots.closed_counts.items():
+                self._closed.set({"port": port, "reason": reason}, count)
--- a/bronzeslip/platform/body_reader.py
+++ b/bronzeslip/platform/body_reader.py
@@ -10,6 +10,7 @@
 from bronzeslip.memory import errors as memory_errors
 from bronzeslip.memory import reservation
 from bronzeslip.platform import headers
+from bronzeslip.platform import partial_body
 from bronzeslip.routes import current
 from bronzeslip.routes import limits
 
@@ -25,7 +26,7 @@
 # Callers give up requests that are not read for a second.
 _MAX_WAIT_S = 0.25
 _RETRY_AFTER_S = 0.5
-# While memory is short, a large body must arrive at this rate at least.
+# While memory is short, a body must arrive at this rate at least.
 _PROGRESS_BYTES = 64 * 1024
 _PROGRESS_TIME_S = 1.0
 
@@ -38,7 +39,8 @@
     """Reserves the memory of a request before its body is read on.
 
     A body of known length is reserved as a whole, so that one whose reading
-    has begun can be read to its end. Other bodies grow while there is room.
+    has begun can be read to its end. Other bodies grow while there is plenty of
+    room; they would otherwise keep all of it for as long as their callers like.
     """
 
     def __init__(
@@ -76,9 +78,7 @@
         _raise_if_too_large(length_bytes or 0, max_bytes)
         try:
             await self._reserve(length_bytes or 0, held)
-            if length_bytes is not None and length_bytes <= _SMALL_BODY_BYTES:
-                return await self._read_small(receive, max_bytes)
-            return await self._read_large(receive, held, max_bytes)
+            return await self._read_body(receive, held, max_bytes)
         except memory_errors.MemoryShortError as error:
             raise errors.MemoryShortError(
                 error.message, retry_after_s=_RETRY_AFTER_S
@@ -90,24 +90,16 @@
         size_bytes = _REQUEST_BYTES + length_bytes
         if length_bytes > _SMALL_BODY_BYTES:
             await held.grow(size_bytes, _MAX_WAIT_S)
-        elif not held.try_resize(size_bytes):
+        elif not held.try_resize(size_bytes, is_small=True):
             self._pool.refuse(size_bytes)
 
-    async def _read_small(self, receive: AsgiReceive, max_bytes: int) -> bytes:
-        body, has_more = await _next_chunk(receive)
-        while has_more:
-            chunk, has_more = await _next_chunk(receive)
-            body += chunk
-        _raise_if_too_large(len(body), max_bytes)
-        return body
-
-    async def _read_large(
+    async def _read_body(
         self,
         receive: AsgiReceive,
         held: reservation.Reservation,
         max_bytes: int,
     ) -> bytes:
-        body = bytearray()
+        body = partial_body.PartialBody()
         has_more = True
         due_s = asyncio.get_running_loop().time() + _PROGRESS_TIME_S
         due_bytes = _PROGRESS_BYTES
@@ -119,18 +111,21 @@
                 self._refuse_if_short(held)
                 due_s += _PROGRESS_TIME_S
                 continue
-            body += chunk
-            _raise_if_too_large(len(body), max_bytes)
-            needed_bytes = _REQUEST_BYTES + len(body)
+            body.add(chunk)
+            _raise_if_too_large(body.size_bytes, max_bytes)
+            needed_bytes = _REQUEST_BYTES + body.size_bytes
             if needed_bytes > held.size_bytes:
                 self._grow(held, needed_bytes)
-            if len(body) >= due_bytes:
+            if body.size_bytes >= due_bytes:
                 due_s = asyncio.get_running_loop().time() + _PROGRESS_TIME_S
-                due_bytes = len(body) + _PROGRESS_BYTES
-        return bytes(body)
+                due_bytes = body.size_bytes + _PROGRESS_BYTES
+        return body.join()
 
     def _grow(self, held: reservation.Reservation, size_bytes: int) -> None:
-        if not held.try_resize(size_bytes):
+        """Grows a body of unknown length, unless memory is short."""
+        is_small = size_bytes <= _REQUEST_BYTES + _SMALL_BODY_BYTES
+        may_grow = is_small or not self._pool.is_short
+        if not may_grow or not held.try_resize(size_bytes, is_small):
             self._pool.refuse(size_bytes)
 
     def _refuse_if_short(self, held: reservation.Reservation) -> None:
--- a/bronzeslip/platform/gateway.py
+++ b/bronzeslip/platform/gateway.py
@@ -117,7 +117,10 @@
         process_memory.resident_bytes(),
     )
     slots = caller_connections.create_slots(this_vm.process_limits, memory)
-    metrics.track_memory(memory, slots)
+    internal_slots = caller_connections.create_internal_slots(
+        this_vm.process_limits, memory
+    )
+    metrics.track_memory(memory, slots, internal_slots)
     reloader = settings_reloader.SettingsReloader(path, this_vm, set_bounds)
     return daemon.EntryDaemon(
         settings,
@@ -146,6 +149,7 @@
         drain.begin,
         registry.deregister,
         slots,
+        internal_slots,
     )
 
 
