Relay responses that are larger than the buffer

Callers of plain services received 502 "outcome unknown" for a valid response of more than 1 MiB (response_max_bytes), and it counted as a failure of the endpoint. Beyond the buffer such a response is now sent as it arrives, with its length; the endpoint is not read on while the caller does not read. If it ends before its length, it is left incomplete and the connection is closed. Large error responses of idempotent calls lead to another attempt as before.

--- a/bronzeslip/forwarding/buffered_response.py
+++ b/bronzeslip/forwarding/buffered_response.py
@@ -1,5 +1,7 @@
 """Responses that are read completely before they are forwarded."""
 
+from collections.abc import AsyncIterator
+
 import msgspec
 
 from bronzeslip.forwarding import body_framing
@@ -38,34 +40,54 @@
         endpoint_errors.EndpointResponseLostError: If the body is truncated or
             too large.
     """
+    try:
+        body = await read_up_to(
+            response.head, response.chunks(), max_bytes, memory
+        )
+    finally:
+        await response.close()
+    if len(body) > max_bytes:
+        raise endpoint_errors.EndpointResponseLostError(
+            f"response of more than {max_bytes} bytes"
+        )
+    memory.force(len(body))
+    return BufferedResponse(response.head, body)
+
+
+async def read_up_to(
+    head: endpoint_client.ResponseHead,
+    chunks: AsyncIterator[bytes],
+    max_bytes: int,
+    memory: reservation.Reservation,
+) -> bytes:
+    """Reads a body to its end, or until it is larger than what is buffered.
+
+    Raises:
+        endpoint_errors.EndpointResponseLostError: If the body is truncated.
+    """
     # A response that was read before has been dropped.
     memory.release()
     try:
-        body = await _read_body(response, max_bytes, memory)
+        return await _read_up_to(head, chunks, max_bytes, memory)
     except memory_errors.MemoryShortError as error:
         raise endpoint_errors.EndpointResponseLostError(
             f"response too large for the memory of this process: {error}"
         ) from error
-    finally:
-        await response.close()
-    memory.force(len(body))
-    return BufferedResponse(response.head, body)
 
 
-async def _read_body(
-    response: endpoint_client.EndpointResponse,
+async def _read_up_to(
+    head: endpoint_client.ResponseHead,
+    chunks: AsyncIterator[bytes],
     max_bytes: int,
     memory: reservation.Reservation,
 ) -> bytes:
-    expected_bytes = _expected_bytes(response.head, max_bytes)
+    expected_bytes = _expected_bytes(head, max_bytes)
     await _reserve(expected_bytes, memory)
     body = bytearray()
-    async for chunk in response.chunks():
-        if len(body) + len(chunk) > max_bytes:
-            raise endpoint_errors.EndpointResponseLostError(
-                f"response of more than {max_bytes} bytes"
-            )
+    async for chunk in chunks:
         body += chunk
+        if len(body) > max_bytes:
+            break
         if len(body) > expected_bytes:
             # Nothing less is known to be enough to read it to its end.
             expected_bytes = max_bytes
--- a/bronzeslip/forwarding/call_forwarder.py
+++ b/bronzeslip/forwarding/call_forwarder.py
@@ -1,4 +1,4 @@
-"""Forwards calls, whose responses are buffered completely."""
+"""Forwards calls, whose responses are buffered unless they are large."""
 
 import asyncio
 
@@ -10,6 +10,7 @@
 from bronzeslip.forwarding import endpoint_client
 from bronzeslip.forwarding import endpoint_errors
 from bronzeslip.forwarding import errors
+from bronzeslip.forwarding import relayed_response
 from bronzeslip.forwarding import response_writer
 from bronzeslip.routes import kind
 
@@ -18,6 +19,10 @@
 # is sent to another endpoint, which then still has time to respond.
 _FIRST_ATTEMPT_SHARE = 0.5
 
+_Response = (
+    buffered_response.BufferedResponse | relayed_response.RelayedResponse
+)
+
 
 class CallForwarder:
     """Forwards calls to plain services."""
@@ -40,6 +45,9 @@
             response = await self._components.attempt_runner.run(
                 request, call.send_to
             )
+            if isinstance(response, relayed_response.RelayedResponse):
+                await call.relay(response)
+                return
         except errors.ForwardingError:
             # The error response of an endpoint is more specific than ours.
             if call.error_response is None:
@@ -61,13 +69,16 @@
         self._request = request
         self._writer = writer
         self._attempt_count = 0
+        self._chosen: endpoint.Endpoint | None = None
         self.error_response: buffered_response.BufferedResponse | None = None
 
-    async def send_to(
-        self, chosen: endpoint.Endpoint
-    ) -> buffered_response.BufferedResponse:
-        """Sends the call to an endpoint and reads the complete response."""
+    async def send_to(self, chosen: endpoint.Endpoint) -> _Response:
+        """Sends the call to an endpoint and reads the response.
+
+        A response that is too large to be buffered is not read to its end.
+        """
         self.error_response = None
+        self._chosen = chosen
         self._attempt_count += 1
         with self._components.in_flight.track(chosen.endpoint_id):
             try:
@@ -78,12 +89,40 @@
                     "no response before the attempt timeout"
                 ) from error
         if response.head.status >= _SERVER_ERROR_STATUS and self._is_idempotent:
-            self.error_response = response
+            await self._keep_error(response)
             raise endpoint_errors.EndpointResponseLostError(
                 f"status {response.head.status}"
             )
         return response
 
+    async def relay(self, response: relayed_response.RelayedResponse) -> None:
+        """Sends a response as it arrives.
+
+        Raises:
+            errors.OutcomeUnknownError: If it is incomplete.
+        """
+        with self._components.in_flight.track(self._chosen.endpoint_id):
+            try:
+                await response.send_to_caller(self._writer)
+                await self._components.crash_detector.raise_if_gone(
+                    self._request, self._chosen, response.head
+                )
+            except endpoint_errors.EndpointError as error:
+                self._components.failures.record_failure(
+                    self._chosen.endpoint_id
+                )
+                raise errors.OutcomeUnknownError(error.message) from error
+            finally:
+                await response.close()
+        await self._writer.finish()
+
+    async def _keep_error(self, response: _Response) -> None:
+        """Keeps an error response in case no other endpoint responds."""
+        if isinstance(response, relayed_response.RelayedResponse):
+            await response.close()
+        else:
+            self.error_response = response
+
     @property
     def _is_idempotent(self) -> bool:
         return self._request.route.kind is kind.RequestKind.IDEMPOTENT
@@ -96,9 +135,7 @@
             return None
         return max(self._request.remaining_s * _FIRST_ATTEMPT_SHARE, 0)
 
-    async def _exchange(
-        self, chosen: endpoint.Endpoint
-    ) -> buffered_response.BufferedResponse:
+    async def _exchange(self, chosen: endpoint.Endpoint) -> _Response:
         outgoing = dispatch.Dispatch(
             request=self._request.request,
             endpoint=chosen,
@@ -107,15 +144,16 @@
         )
         response = await self._components.client.send(outgoing)
         await raise_if_not_run(response)
-        whole = await buffered_response.read(
+        received = await relayed_response.read(
             response,
             self._components.settings.response_max_bytes,
             self._writer.memory,
         )
-        await self._components.crash_detector.raise_if_gone(
-            self._request, chosen, whole.head
-        )
-        return whole
+        if isinstance(received, buffered_response.BufferedResponse):
+            await self._components.crash_detector.raise_if_gone(
+                self._request, chosen, received.head
+            )
+        return received
 
 
 async def raise_if_not_run(response: endpoint_client.EndpointResponse) -> None:
--- a/bronzeslip/http/dated_app.py
+++ b/bronzeslip/http/dated_app.py
@@ -22,7 +22,10 @@
 
         async def send_dated(message: Any) -> None:
             if message["type"] == "http.response.start":
-                message = {**message, "headers": _dated(message["headers"])}
+                message = {
+                    **message,
+                    "headers": _dated(message.get("headers", ())),
+                }
             await send(message)
 
         await self._app(scope, receive, send_dated)
--- a/tests/http/test_connection_slots.py
+++ b/tests/http/test_connection_slots.py
@@ -63,3 +63,48 @@
         self.slots.end(self.connections[0], 11.0)
         self.slots.close(self.connections[0])
         self.assertEqual(self.slots.open_count, 3)
+
+
+class HeldBytesTest(unittest.TestCase):
+    def setUp(self):
+        self.slots = connection_slots.ConnectionSlots(
+            max_bytes=10 * connection_slots.CONNECTION_BYTES
+        )
+        self.connections = [_FakeConnection() for _ in range(4)]
+        for number, connection in enumerate(self.connections):
+            self.assertTrue(self.slots.open(connection, float(number)))
+
+    def hold(self, number, share, now_s):
+        size_bytes = share * connection_slots.CONNECTION_BYTES
+        return self.slots.hold(self.connections[number], size_bytes, now_s)
+
+    def evicted(self):
+        return [item.is_evicted for item in self.connections]
+
+    # Guards against closing idle connections, each of which frees little, in
+    # place of a stalled one that holds much.
+    def test_stalled_connection_that_holds_much_gives_way(self):
+        self.assertTrue(self.hold(2, 5, 4.0))
+        self.assertTrue(self.hold(3, 5, 10.0))
+        self.assertEqual(self.evicted(), [False, False, True, False])
+
+    def test_connections_that_are_served_are_kept(self):
+        self.assertTrue(self.hold(2, 5, 4.0))
+        for connection in self.connections:
+            self.slots.begin(connection)
+        self.assertFalse(self.hold(3, 5, 10.0))
+        self.assertEqual(self.evicted(), [False] * 4)
+
+    def test_what_is_no_longer_held_is_free(self):
+        self.assertTrue(self.hold(2, 6, 0.1))
+        self.assertFalse(self.hold(3, 6, 0.1))
+        self.assertTrue(self.hold(2, 0, 0.1))
+        self.assertTrue(self.hold(3, 6, 0.1))
+        self.slots.close(self.connections[3])
+        self.assertEqual(
+            self.slots.held_bytes, 3 * connection_slots.CONNECTION_BYTES
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/http/test_limited_protocol.py
+++ b/tests/http/test_limited_protocol.py
@@ -1,6 +1,7 @@
 """Tests of the limits of the HTTP server over real connections."""
 
 import asyncio
+import contextlib
 import json
 import unittest
 
@@ -43,6 +44,32 @@
         await send({"type": "http.response.body", "body": b""})
 
 
+class EchoingApp:
+    """Responds with the path and the body of a request."""
+
+    def __init__(self):
+        self.served = []
+
+    async def __call__(self, scope, receive, send):
+        body, has_more = b"", True
+        while has_more:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                return
+            body += message["body"]
+            has_more = message["more_body"]
+        self.served.append(scope["path"])
+        body = b"%s:%s" % (scope["path"].encode(), body)
+        await send(
+            {
+                "type": "http.response.start",
+                "status": 200,
+                "headers": [(b"content-length", b"%d" % len(body))],
+            }
+        )
+        await send({"type": "http.response.body", "body": body})
+
+
 class LimitedProtocolTest(unittest.IsolatedAsyncioTestCase):
     async def start(self, app, **settings):
         http_server = server.HttpServer(app, http.HttpSettings(**settings))
@@ -138,6 +165,47 @@
             await reader.readuntil(b"0\r\n\r\n")
         self.assertEqual(app.request_count, 20)
 
+    # Guards against losing requests that are read while another is served.
+    async def test_pipelined_requests_are_served_in_order(self):
+        app = EchoingApp()
+        await self.start(app)
+        requests = [
+            b"POST /%d HTTP/1.1\r\nhost: x\r\n" % number
+            + (
+                b"transfer-encoding: chunked\r\n\r\n"
+                b"4\r\n\r\n\r\n\r\n0\r\na: b\r\n\r\n"
+                if number % 2
+                else b"content-length: 4\r\n\r\n\r\n\r\n"
+            )
+            for number in range(50)
+        ]
+        reader, writer = await self.connect()
+        writer.write(b"".join(requests))
+        async with asyncio.timeout(10):
+            for number in range(50):
+                await reader.readuntil(b"\r\n\r\n")
+                expected = b"/%d:" % number + b"\r\n\r\n"
+                body = await reader.readexactly(len(expected))
+                self.assertEqual(body, expected)
+
+    # Guards against bodies and trailers that are nearly all framing.
+    async def test_framing_and_trailers_are_bounded(self):
+        app = EchoingApp()
+        await self.start(app, max_header_bytes=2000)
+        head = b"POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n"
+        for name, body in (
+            ("trailers", b"1\r\nx\r\n0\r\n" + b"a: b\r\n" * 10_000),
+            ("trailer", b"1\r\nx\r\n0\r\na: " + b"b" * 100_000),
+            ("extension", b"1;" + b"e" * 100_000),
+            ("extensions", (b"1;%s\r\nx\r\n" % (b"e" * 900)) * 200),
+        ):
+            with self.subTest(name=name):
+                # Closed with unread data, the connection is reset.
+                with contextlib.suppress(ConnectionResetError):
+                    response = await self.exchange(head + b"\r\n" + body)
+                    self.assertEqual(response, b"")
+        self.assertEqual(app.served, [])
+
     async def test_stalled_caller_is_disconnected(self):
         app = StreamingApp(b"z" * 65536, 10**6)
         await self.start(app, caller_stall_timeout_s=0.2)
