--- a/tests/http/test_limited_protocol.py
+++ b/tests/http/test_limited_protocol.py
@@ -199,11 +199,13 @@
             ("extension", b"1;" + b"e" * 100_000),
             ("extensions", (b"1;%s\r\nx\r\n" % (b"e" * 900)) * 200),
         ):
-            with self.subTest(name=name):
-                # Closed with unread data, the connection is reset.
-                with contextlib.suppress(ConnectionResetError):
-                    response = await self.exchange(head + b"\r\n" + body)
-                    self.assertEqual(response, b"")
+            # Closed with unread data, the connection is reset.
+            with (
+                self.subTest(name=name),
+                contextlib.suppress(ConnectionResetError),
+            ):
+                response = await self.exchange(head + b"\r\n" + body)
+                self.assertEqual(response, b"")
         self.assertEqual(app.served, [])
 
     async def test_stalled_caller_is_disconnected(self):
