Bound kernel buffers of connections, and let pipelining peers give way

Large bodies that stop short left up to 80 MB in the kernel (173 MB counted, 94 resident, of 120) because paused connections were received ahead by the kernel. Listening sockets now have receive and send buffers of 64 KiB, as connections to endpoints do.

--- a/bronzeslip/http/connection_slots.py
+++ b/bronzeslip/http/connection_slots.py
@@ -6,6 +6,11 @@
 
 # Memory of an open connection without a request.
 CONNECTION_BYTES = 10 * 1024
+# The rest of the memory is for the requests on these connections.
+MEMORY_SHARE = 0.5
+_FILE_DESCRIPTORS = 200
+# The rest is for outgoing connections and for other listeners.
+DESCRIPTOR_SHARE = 0.55
 # A connection that has waited for its peer for less is likely to go on at once.
 _MIN_WAIT_S = 0.5
 # Open connections without a slot, whose requests are read to be refused.
@@ -188,3 +193,25 @@
         self.close(connection)
         self.evicted_count += 1
         connection.evict()
+
+
+def create(
+    memory_pool: pool.MemoryPool,
+    max_descriptors: int | None,
+    memory_share: float = MEMORY_SHARE,
+    descriptor_share: float = DESCRIPTOR_SHARE,
+) -> ConnectionSlots:
+    """Creates the slots of a listener, or of several that share them.
+
+    Args:
+        memory_pool: Memory that the connections take.
+        max_descriptors: Maximum number of open file descriptors, or None.
+        memory_share: Share of the memory that connections may hold.
+        descriptor_share: Share of the descriptors that they may use.
+    """
+    max_bytes = int(memory_pool.capacity_bytes * memory_share)
+    max_count = max_bytes // CONNECTION_BYTES
+    if max_descriptors is not None:
+        sockets = max(max_descriptors - _FILE_DESCRIPTORS, 0)
+        max_count = min(max_count, int(sockets * descriptor_share))
+    return ConnectionSlots(max(max_count, 1), memory_pool, max_bytes)
--- a/bronzeslip/http/limited_protocol.py
+++ b/bronzeslip/http/limited_protocol.py
@@ -1,8 +1,6 @@
 """HTTP protocol that limits the size and arrival time of headers."""
 
 import asyncio
-import contextlib
-import socket
 import time
 from typing import Any
 
@@ -27,12 +25,6 @@
 # The application reserves bodies of stated length as a whole, but others only
 # as they are read. In one turn of the event loop all connections are read.
 _CHUNKED_READ_BYTES = 16 * 1024
-# Bytes that the kernel keeps of what is not read. It counts them twice, and
-# uses half of them for its own purposes. A body that is read needs a window
-# that covers the round trip.
-_RECEIVE_BUFFER_BYTES = 16 * 1024
-_BODY_RECEIVE_BUFFER_BYTES = 512 * 1024
-_LARGE_BODY_BYTES = 64 * 1024
 _HEAD_READ_BYTES = 16 * 1024
 _SERVING_READ_BYTES = 4 * 1024
 # Bytes of further requests that are kept while one is served. With more, the
@@ -173,7 +165,6 @@
             self.transport.write(_render(_TOO_MANY_CONNECTIONS))
             self.transport.close()
             return
-        self._set_receive_buffer(_RECEIVE_BUFFER_BYTES)
         self._start_header_timer()
         self._update()
 
@@ -228,7 +219,8 @@
         self._in_headers = True
         self._header_bytes = 0
         self._field_bytes = 0
-        self._wait_for_peer()
+        if not self._is_pipelined:
+            self._wait_for_peer()
         if self._header_timer is None:
             self._start_header_timer()
 
@@ -286,8 +278,6 @@
         if self._is_last_request_read:
             return
         self._is_body_pending = False
-        if (self._stated_bytes or 0) > _LARGE_BODY_BYTES:
-            self._set_receive_buffer(_RECEIVE_BUFFER_BYTES)
         super().on_message_complete()
         self._is_last_request_read = not self.cycle.keep_alive
         if self.cycle.response_complete:
@@ -300,10 +290,12 @@
         self._is_parsing = True
         super().on_response_complete()
         self._is_parsing = False
+        was_pipelined = self._is_pipelined
         self._is_pipelined = bool(self._received)
         if not self._is_body_pending:
             self._release_request()
-        self._wait_for_peer()
+        if not (was_pipelined and self._is_pipelined):
+            self._wait_for_peer()
         if not self.transport.is_closing():
             self._parse()
 
@@ -471,16 +463,11 @@
 
     def _on_flow_change(self) -> None:
         if not self.flow.read_paused and self._is_body_pending:
-            if not self._is_body_awaited:
-                self._await_body()
-            self._wait_for_peer()
+            self._is_body_awaited = True
+            if not self._is_pipelined:
+                self._wait_for_peer()
         self._parse()
 
-    def _await_body(self) -> None:
-        self._is_body_awaited = True
-        if (self._stated_bytes or 0) > _LARGE_BODY_BYTES:
-            self._set_receive_buffer(_BODY_RECEIVE_BUFFER_BYTES)
-
     def _wait_for_peer(self) -> None:
         """Notes that the peer is expected to send or read from now on."""
         self._progress_bytes = 0
@@ -497,16 +484,19 @@
 
     def _update_waiting(self) -> None:
         is_waiting = self._is_waiting_for_peer()
-        if is_waiting and (
-            not self._is_waiting or self._progress_bytes >= _PROGRESS_BYTES
-        ):
+        has_progressed = self._progress_bytes >= _PROGRESS_BYTES
+        if self.flow.write_paused or self._is_pipelined:
+            has_progressed = False
+        if is_waiting and (has_progressed or not self._is_waiting):
             self._wait_for_peer()
         elif self._is_waiting and not is_waiting:
             self._is_waiting = False
             self._slots.begin(self)
 
     def _is_waiting_for_peer(self) -> bool:
-        if self.flow.write_paused:
+        # A peer that goes on to send requests ahead of their responses need not
+        # be reading these.
+        if self.flow.write_paused or self._is_pipelined:
             return True
         if self._is_deferred or self.flow.read_paused:
             return False
@@ -558,14 +548,6 @@
             return _CHUNKED_READ_BYTES
         return _BODY_READ_BYTES
 
-    def _set_receive_buffer(self, size_bytes: int) -> None:
-        connection = self.transport.get_extra_info("socket")
-        # A connection that is closing may have no socket any more.
-        with contextlib.suppress(OSError):
-            connection.setsockopt(
-                socket.SOL_SOCKET, socket.SO_RCVBUF, size_bytes
-            )
-
     def _discard(self, size_bytes: int) -> None:
         """Reads the rest of a body whose request was answered before.
 
--- a/bronzeslip/http/listener.py
+++ b/bronzeslip/http/listener.py
@@ -12,6 +12,11 @@
 
 _BACKLOG = 2048
 _MS_PER_S = 1000
+# Left to itself, the kernel lets it grow to megabytes. It is set before the
+# connection is accepted, as the kernel may drop what exceeds a reduced one.
+_RECEIVE_BUFFER_BYTES = 64 * 1024
+# Otherwise thousands of responses fit in that nobody reads.
+_SEND_BUFFER_BYTES = 64 * 1024
 
 
 class Listener:
@@ -78,6 +83,13 @@
         # Accepted sockets inherit these options. asyncio itself sets
         # TCP_NODELAY only on sockets created with an explicit protocol number.
         listening.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        # Bounds what the kernel holds of what is not read, as the budget does
+        # not count it. The kernel doubles the value and uses half for itself.
+        for option, size_bytes in (
+            (socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES),
+            (socket.SO_SNDBUF, _SEND_BUFFER_BYTES),
+        ):
+            listening.setsockopt(socket.SOL_SOCKET, option, size_bytes)
         # Also applies when the peer keeps its receive window closed, not only
         # to missing acknowledgements.
         listening.setsockopt(
--- a/bronzeslip/memory/budget.py
+++ b/bronzeslip/memory/budget.py
@@ -3,10 +3,12 @@
 import msgspec
 
 from bronzeslip import logs
+from bronzeslip import process_memory
 from bronzeslip.memory import pool
 
 logger = logs.get_logger(__name__)
 
+_BYTES_PER_MB = 1_000_000
 # The rest of the limit covers what is not counted: unused parts of memory that
 # the allocator keeps, and work of the background tasks.
 _USABLE_SHARE = 0.85
@@ -44,6 +46,16 @@
         return self.requests.taken_bytes + self.responses.taken_bytes
 
 
+def create_for_process(limit_mb: int) -> MemoryBudget:
+    """Creates the budget of this process, which has not served requests yet.
+
+    Args:
+        limit_mb: Memory at which the process is killed, in MB.
+    """
+    process_memory.release_large_blocks()
+    return create(limit_mb * _BYTES_PER_MB, process_memory.resident_bytes())
+
+
 def create(limit_bytes: int, resident_bytes: int) -> MemoryBudget:
     """Creates a budget from which nothing is taken.
 
--- a/bronzeslip/memory/reservation.py
+++ b/bronzeslip/memory/reservation.py
@@ -20,6 +20,16 @@
         self._pool = memory_pool
         self.size_bytes = 0
 
+    @property
+    def is_pool_short(self) -> bool:
+        """Whether others wait for room in the pool or little is left."""
+        return self._pool.is_short
+
+    @property
+    def max_bytes(self) -> int:
+        """Largest size that can be waited for."""
+        return self._pool.capacity_bytes - self._pool.reserve_bytes
+
     def __enter__(self) -> Self:
         return self
 
