Bound the memory of the OpenAI interface

A gateway's OpenAI interface held every body that its clients sent, up to 4 MB each, and decoded JSON whose values take many times their text. It now has a budget (--memory-limit-mb, 1,024 MB by default, new): connections draw on it, a body is reserved before it is read and what decoding may take before it is decoded. Beyond it requests get 503 `unavailable` with Retry-After, and JSON whose values never fit gets 413. While memory is short, a body that arrives at less than 64 KiB/s gives way.

Bodies are not kept by the request or by the trace of an error any more.

--- a/bronzeslip/gateway/daemon.py
+++ b/bronzeslip/gateway/daemon.py
@@ -7,12 +7,16 @@
 from bronzeslip import logs
 from bronzeslip.claims import sweeper
 from bronzeslip.gateway import app
+from bronzeslip.gateway import memory_app
 from bronzeslip.gateway import state_factory
+from bronzeslip.http import connection_slots
 from bronzeslip.http import server as http_server
 from bronzeslip.http import shutdown
 from bronzeslip.membership import member
 from bronzeslip.membership import registrar
 from bronzeslip.membership import vm_sweeper
+from bronzeslip.memory import budget as memory_budget
+from bronzeslip.memory import guard
 from bronzeslip.metrics import gateway_metrics
 from bronzeslip.routing import suspect_list
 from bronzeslip.settings import gateway
@@ -66,7 +70,14 @@
         self._claim_sweeper = sweeper.ClaimSweeper(
             settings, self._platform, self._replication.members
         )
-        self._http = http_server.HttpServer(app.create(self._state), settings)
+        self._memory = memory_budget.create_for_process(
+            settings.memory_limit_mb
+        )
+        self._http = http_server.HttpServer(
+            memory_app.MemoryApp(app.create(self._state), self._memory),
+            settings,
+            slots=connection_slots.create(self._memory.requests, None),
+        )
 
     async def run(self) -> None:
         """Serves until shutdown is requested, then drains."""
@@ -78,6 +89,7 @@
         self._tasks.start("vm sweeper", self._vm_sweeper.run)
         self._tasks.start("readiness", self._set_ready_when_configured)
         self._tasks.start("claim sweeper", self._claim_sweeper.run)
+        self._tasks.start("memory", guard.MemoryGuard(self._memory).run)
         self._start_suspect_tasks()
         logger.info(
             "gateway.listening",
--- a/bronzeslip/gateway/request_body.py
+++ b/bronzeslip/gateway/request_body.py
@@ -8,7 +8,11 @@
 from litestar import exceptions
 import msgspec
 
+from bronzeslip.decoding import numbers
+from bronzeslip.gateway import body_memory
 from bronzeslip.gateway import errors
+from bronzeslip.gateway import memory_app
+from bronzeslip.http import partial_body
 
 _JSON_MEDIA_TYPE = re.compile(
     r"application/(?:[\w.-]+\+)?json\s*(?:;.*)?", re.IGNORECASE
@@ -29,10 +33,24 @@
         errors.TooLargeError: If it exceeds the size limit.
         errors.ReadTimeoutError: If it does not arrive in time.
         errors.BadRequestError: If the caller did not send all of it.
+        errors.UnavailableError: If there is no memory for it.
     """
+    memory = _memory(request)
+    if memory is None:
+        return await _read(request)
+    size_bytes = _expected_bytes(request)
+    await memory.reserve(size_bytes)
+    return await memory.read(_read(request), size_bytes)
+
+
+async def _read(request: litestar.Request) -> bytes:
     try:
         async with asyncio.timeout(request.app.state.get("body_timeout_s")):
-            return await request.body()
+            # The request would keep the body that it returns as a whole.
+            body = partial_body.PartialBody(_stated_bytes(request))
+            async for chunk in request.stream():
+                body.add(chunk)
+            return body.join()
     except TimeoutError as error:
         raise errors.ReadTimeoutError(
             "the body was not received in time"
@@ -52,14 +70,56 @@
     """
     _check_media_type(request)
     data = await read(request)
+    memory = _memory(request)
+    if memory is not None:
+        await memory.reserve_decoded(data)
+    decoded = _try_decode(data, body_type)
+    if memory is not None:
+        memory.end_decoding(len(data))
+    # The trace of an error would keep the body until the next garbage
+    # collection.
+    del data
+    if isinstance(decoded, errors.BadRequestError):
+        raise decoded
+    return decoded
+
+
+def _try_decode(
+    data: bytes, body_type: type[BodyT]
+) -> BodyT | errors.BadRequestError:
     try:
         return msgspec.json.decode(data, type=body_type)
     except msgspec.ValidationError as error:
-        raise _validation_error(str(error)) from error
+        return _validation_error(str(error))
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise errors.BadRequestError(_describe_decode_error(error)) from error
-    except RecursionError as error:
-        raise errors.BadRequestError("the JSON is nested too deeply") from error
+        return errors.BadRequestError(_describe_decode_error(error))
+    except RecursionError:
+        return errors.BadRequestError("the JSON is nested too deeply")
+
+
+def _memory(request: litestar.Request) -> body_memory.BodyMemory | None:
+    """Returns the memory of the request, None if it is not bounded."""
+    held = request.scope.get(memory_app.SCOPE_KEY)
+    return None if held is None else body_memory.BodyMemory(held)
+
+
+def _expected_bytes(request: litestar.Request) -> int:
+    """Returns the largest size that the body may have."""
+    max_bytes = request.app.request_max_body_size
+    stated_bytes = _stated_bytes(request)
+    return max_bytes if stated_bytes is None else stated_bytes
+
+
+def _stated_bytes(request: litestar.Request) -> int | None:
+    """Returns the length of the body, or None if it is unknown.
+
+    A body that is stated to be too large is rejected unread.
+    """
+    if "transfer-encoding" in request.headers:
+        return None
+    stated = numbers.parse_count(request.headers.get("content-length", "0"))
+    max_bytes = request.app.request_max_body_size
+    return 0 if stated is None or stated > max_bytes else stated
 
 
 def _check_media_type(request: litestar.Request) -> None:
--- a/bronzeslip/platform/body_reader.py
+++ b/bronzeslip/platform/body_reader.py
@@ -6,11 +6,11 @@
 from typing import Any
 
 from bronzeslip.forwarding import errors
+from bronzeslip.http import partial_body
 from bronzeslip.memory import budget
 from bronzeslip.memory import errors as memory_errors
 from bronzeslip.memory import reservation
 from bronzeslip.platform import headers
-from bronzeslip.platform import partial_body
 from bronzeslip.routes import current
 from bronzeslip.routes import limits
 
@@ -78,7 +78,7 @@
         _raise_if_too_large(length_bytes or 0, max_bytes)
         try:
             await self._reserve(length_bytes or 0, held)
-            return await self._read_body(receive, held, max_bytes)
+            return await self._read_body(receive, held, length_bytes)
         except memory_errors.MemoryShortError as error:
             raise errors.MemoryShortError(
                 error.message, retry_after_s=_RETRY_AFTER_S
@@ -97,9 +97,10 @@
         self,
         receive: AsgiReceive,
         held: reservation.Reservation,
-        max_bytes: int,
+        length_bytes: int | None,
     ) -> bytes:
-        body = partial_body.PartialBody()
+        max_bytes = self._max_bytes
+        body = partial_body.PartialBody(length_bytes)
         has_more = True
         due_s = asyncio.get_running_loop().time() + _PROGRESS_TIME_S
         due_bytes = _PROGRESS_BYTES
--- a/bronzeslip/settings/gateway.py
+++ b/bronzeslip/settings/gateway.py
@@ -25,6 +25,14 @@
         minimum=1_000,
         maximum=64_000_000,
     )
+    memory_limit_mb: int = setting(
+        "memory of the process, in MB of a million bytes; requests beyond it "
+        "are refused",
+        "limits",
+        default=1_024,
+        minimum=64,
+        maximum=1_048_576,
+    )
     body_timeout_s: float = setting(
         "timeout for receiving a request body, in seconds",
         "limits",
