--- a/bronzeslip/gateway/openai_messages.py
+++ b/bronzeslip/gateway/openai_messages.py
@@ -41,6 +41,12 @@
     type: str
 
 
+# A million empty lists took 0.6 s to decode, most of it garbage collection, so
+# that these are neither lists nor known to the garbage collector.
+class Tool(msgspec.Struct, frozen=True, gc=False):
+    """A tool or function, none of which is supported."""
+
+
 class ChatRequest(msgspec.Struct, frozen=True):
     """Body of /v1/chat/completions.
 
@@ -56,8 +62,8 @@
     stream_options: StreamOptions | None = None
     n: int | None = None
     stop: str | list[str] | None = None
-    tools: list[Any] | None = None
-    functions: list[Any] | None = None
+    tools: list[Tool] | None = None
+    functions: list[Tool] | None = None
     logprobs: bool | None = None
     response_format: ResponseFormat | None = None
     modalities: list[str] | None = None
