--- a/bronzeslip/memory/reservation.py
+++ b/bronzeslip/memory/reservation.py
@@ -20,6 +20,16 @@
         self._pool = memory_pool
         self.size_bytes = 0
 
+    @property
+    def is_pool_short(self) -> bool:
+        """Whether others wait for room in the pool or little is left."""
+        return self._pool.is_short
+
+    @property
+    def max_bytes(self) -> int:
+        """Largest size that can be waited for."""
+        return self._pool.capacity_bytes - self._pool.reserve_bytes
+
     def __enter__(self) -> Self:
         return self
 
@@ -31,18 +41,17 @@
     ) -> None:
         self.release()
 
-    @property
-    def is_pool_short(self) -> bool:
-        """Whether others wait for room in the pool or little is left."""
-        return self._pool.is_short
-
     def create_sibling(self) -> Self:
         """Returns an empty reservation of the same pool."""
         return type(self)(self._pool)
 
-    def try_resize(self, size_bytes: int) -> bool:
+    def try_resize(self, size_bytes: int, is_small: bool = False) -> bool:
         """Changes the size if there is room.
 
+        Args:
+            size_bytes: New size.
+            is_small: Whether the reserve of the pool may be used.
+
         Returns:
             Whether the reservation has the new size.
         """
@@ -50,7 +59,7 @@
         if missing_bytes <= 0:
             self.shrink(size_bytes)
             return True
-        if not self._pool.try_take(missing_bytes):
+        if not self._pool.try_take(missing_bytes, is_small):
             return False
         self.size_bytes = size_bytes
         return True
--- a/tools/entry_deployment.py
+++ b/tools/entry_deployment.py
@@ -37,6 +37,8 @@
         has_endpoint_proxies: bool = True,
         has_unframed_endpoints: bool = False,
         contracts: Sequence[str] = (),
+        memory_mb: int = entry_gateway.MEMORY_MB,
+        max_descriptors: int = entry_gateway.MAX_DESCRIPTORS,
     ) -> None:
         """Starts all processes and waits until all gateways are ready.
 
@@ -50,6 +52,8 @@
                 endpoint, from the first on, end with their connection. These
                 have no proxy, as it would hide that they were killed.
             contracts: Contracts in the boot files of the gateways.
+            memory_mb: Memory limit of each gateway.
+            max_descriptors: Descriptor limit of each gateway.
 
         Raises:
             RuntimeError: If a process exits before it is ready.
@@ -67,7 +71,13 @@
                 )
                 for service in ("desk", "engine")
             )
-            self._start(exit_stack, gateway_count, contracts)
+            self._start(
+                exit_stack,
+                gateway_count,
+                contracts,
+                memory_mb,
+                max_descriptors,
+            )
             self._exit_stack = exit_stack.pop_all()
 
     @property
@@ -161,6 +171,8 @@
         exit_stack: contextlib.ExitStack,
         gateway_count: int,
         contracts: Sequence[str],
+        memory_mb: int,
+        max_descriptors: int,
     ) -> None:
         """Starts the store and the gateways and registers the endpoints.
 
@@ -178,7 +190,12 @@
         self.gateways = []
         for number in range(gateway_count):
             gateway = entry_gateway.EntryGateway(
-                f"front-{number}", folder, store_port, contracts
+                f"front-{number}",
+                folder,
+                store_port,
+                contracts,
+                memory_mb,
+                max_descriptors,
             )
             exit_stack.callback(gateway.stop)
             self.gateways.append(gateway)
