Keep coordinating after the first two gateways were killed

Records of killed gateways stay in the store and keep their rank. If both the coordinator and its fallback were among them, all gateways chose locally for good, and each lost the timeout of a call every 2 s. Now the first four ranked gateways may place, a pause doubles up to 8 s, and a request tries at most one gateway that did not reply the last time. Generations on routes that are no streams are not coordinated, as nothing stated their end and the table of asked requests would grow.

--- a/bronzeslip/entry/gateway_registry.py
+++ b/bronzeslip/entry/gateway_registry.py
@@ -126,14 +126,18 @@
             return share
         return 1.0 if self._rank < math.floor(total) else 0.0
 
-    def ranked(self, key: str) -> tuple[peer.Peer, ...]:
-        """Returns the coordinator of a key and its fallback.
+    def ranked(self, key: str, count: int = 2) -> tuple[peer.Peer, ...]:
+        """Returns the coordinator of a key and its fallbacks.
+
+        Args:
+            key: Key to coordinate.
+            count: Number of gateways to return, four at most.
 
         Returns:
-            Two gateways at most, possibly including this one; none before the
-            first listing.
+            At most that many gateways, possibly including this one; none before
+            the first listing.
         """
-        return self._ranking.first(key) if self._listings else ()
+        return self._ranking.first(key, count) if self._listings else ()
 
     def standing_for(self, key: str, is_fallback: bool) -> standing.Standing:
         """Returns which part of the limit of a key this gateway may grant.
--- a/bronzeslip/placement/coordinated_chooser.py
+++ b/bronzeslip/placement/coordinated_chooser.py
@@ -25,6 +25,7 @@
 from bronzeslip.placement import placement_reply
 from bronzeslip.placement import placement_verdict
 from bronzeslip.placement import shard
+from bronzeslip.routes import kind
 
 logger = logs.get_logger(__name__)
 
@@ -95,9 +96,7 @@
                 no endpoint could start it in time.
             errors.NotRunError: If no endpoint is left.
         """
-        if request.request.shape is None or not self._gate.is_coordinated(
-            request.service.name
-        ):
+        if not self._is_coordinated(request):
             return self._local.choose(request, tried)
         placed = await self._place(request, tried, was_sent)
         if isinstance(placed, endpoint.Endpoint):
@@ -111,6 +110,17 @@
         self._caller.ended.end(request.request.request_id)
         return self._local.choose(request, tried)
 
+    def _is_coordinated(self, request: admitted.AdmittedRequest) -> bool:
+        """Returns whether to ask a coordinator for a request.
+
+        Requests that are no streams state no end to their coordinator.
+        """
+        return (
+            request.request.shape is not None
+            and request.route.kind is kind.RequestKind.STREAM
+            and self._gate.is_coordinated(request.service.name)
+        )
+
     def end(self, request_id: ids.RequestId) -> None:
         """Records that a request has ended."""
         self._caller.ended.end(request_id)
--- a/bronzeslip/placement/placement_caller.py
+++ b/bronzeslip/placement/placement_caller.py
@@ -1,8 +1,11 @@
-"""Asks the coordinator of a shard, then its fallback."""
+"""Asks the coordinator of a shard, then a fallback."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import time
 
+import msgspec
+
 from bronzeslip import ids
 from bronzeslip import logs
 from bronzeslip.placement import ended_requests
@@ -19,8 +22,25 @@
 
 logger = logs.get_logger(__name__)
 
-# Time for which a gateway that did not reply is not asked again.
-_PAUSE_S = 2.0
+# Gateways asked for one placement, besides one that did not reply last time.
+_MAX_ASKED = 2
+# Time for which a gateway that did not reply is not asked again. It doubles
+# with each further failure, since a request loses the timeout of the call each
+# time.
+_MIN_PAUSE_S = 2.0
+_MAX_PAUSE_S = 8.0
+
+
+class _Pause(msgspec.Struct, frozen=True):
+    """Time in which a gateway is not asked.
+
+    Attributes:
+        duration_s: Duration of the pause, in seconds.
+        end_s: End of the pause on the caller's clock, in seconds.
+    """
+
+    duration_s: float
+    end_s: float
 
 
 class PlacementCaller:
@@ -52,7 +72,7 @@
         self._coordinator = coordinator
         self._client = client
         self._clock = clock
-        self._pause_ends_s: dict[ids.VmId, float] = {}
+        self._pauses: dict[ids.VmId, _Pause] = {}
         self.ended = ended_requests.EndedRequests()
 
     async def ask(
@@ -60,9 +80,8 @@
     ) -> placement_reply.PlacementReply | None:
         """Asks for a placement; returns None if no gateway decides."""
         asked = shard.Shard(ask.service, ask.shard_index, ask.shard_count)
-        for target in self._gateways.ranked(asked.key):
-            if self._is_paused(target):
-                continue
+        ranked = self._gateways.ranked(asked.key, shard.RANKED_COUNT)
+        for target in self._select(ranked):
             reply = await self._ask_gateway(target, ask)
             if (
                 reply is not None
@@ -72,9 +91,42 @@
                 return reply
         return None
 
+    def _select(self, ranked: Iterable[peer.Peer]) -> list[peer.Peer]:
+        """Returns the gateways to ask, in order.
+
+        At most one of them did not reply the last time, so that a request tries
+        few gateways in vain.
+        """
+        selected: list[peer.Peer] = []
+        has_retry = False
+        for target in ranked:
+            if self._is_paused(target):
+                continue
+            if target.vm_id in self._pauses:
+                if has_retry:
+                    continue
+                has_retry = True
+            selected.append(target)
+            if len(selected) - has_retry == _MAX_ASKED:
+                break
+        return selected
+
     def _is_paused(self, target: peer.Peer) -> bool:
-        now_s = self._clock()
-        return self._pause_ends_s.get(target.vm_id, now_s) > now_s
+        pause = self._pauses.get(target.vm_id)
+        return pause is not None and pause.end_s > self._clock()
+
+    def _pause(self, target: peer.Peer) -> None:
+        """Pauses a gateway, longer than the last time."""
+        previous = self._pauses.get(target.vm_id)
+        duration_s = _MIN_PAUSE_S
+        if previous is not None:
+            duration_s = min(2 * previous.duration_s, _MAX_PAUSE_S)
+            if previous.end_s > self._clock():
+                # Another request has failed at the same time.
+                return
+        self._pauses[target.vm_id] = _Pause(
+            duration_s, self._clock() + duration_s
+        )
 
     async def _ask_gateway(
         self, target: peer.Peer, ask: placement_ask.PlacementAsk
@@ -86,7 +138,7 @@
         if target.vm_id == self._own.vm_id:
             return self._coordinator.decide(request)
         try:
-            return await self._client.place(target, request)
+            reply = await self._client.place(target, request)
         except errors.PeerUnavailableError as error:
             logger.info(
                 "placement.peer_unavailable",
@@ -102,5 +154,8 @@
                 request=ask.request_id,
                 reason=logs.describe(error),
             )
-        self._pause_ends_s[target.vm_id] = self._clock() + _PAUSE_S
+        else:
+            self._pauses.pop(target.vm_id, None)
+            return reply
+        self._pause(target)
         return None
--- a/bronzeslip/placement/placement_coordinator.py
+++ b/bronzeslip/placement/placement_coordinator.py
@@ -118,7 +118,7 @@
         return self._reply(ask, options, decision)
 
     def _may_coordinate(self, asked: shard.Shard) -> bool:
-        """Returns whether this gateway is the coordinator or its fallback.
+        """Returns whether this gateway is the coordinator or a fallback.
 
         In contrast to permits, two coordinators at once do no harm: each of
         them lacks the placements of the other, as single gateways do. So a
@@ -126,7 +126,7 @@
         """
         return any(
             ranked.vm_id == self._this_vm.vm_id
-            for ranked in self._gateways.ranked(asked.key)
+            for ranked in self._gateways.ranked(asked.key, shard.RANKED_COUNT)
         )
 
     def _engines(self, asked: shard.Shard) -> list[endpoint.Endpoint]:
--- a/bronzeslip/placement/shard.py
+++ b/bronzeslip/placement/shard.py
@@ -7,6 +7,9 @@
 
 from bronzeslip import ids
 
+# Gateways that may place on a shard. Records of gateways that were killed stay
+# in the store, so that the first two may be gone for long.
+RANKED_COUNT = 4
 # Endpoints that one coordinator polls and compares for each generation.
 _MAX_ENDPOINTS = 64
 
--- a/bronzeslip/quota/coordinator_ranking.py
+++ b/bronzeslip/quota/coordinator_ranking.py
@@ -5,8 +5,8 @@
 from bronzeslip.membership import rendezvous
 from bronzeslip.quota import peer
 
-# The coordinator and its fallback.
-_RANKED_COUNT = 2
+# Enough for keys whose first coordinators have ended without a shutdown.
+_MAX_RANKED = 4
 
 
 class CoordinatorRanking:
@@ -23,11 +23,16 @@
             self._peers = updated
             self._ranked.clear()
 
-    def first(self, key: str) -> tuple[peer.Peer, ...]:
-        """Returns the coordinator of a key and its fallback."""
+    def first(self, key: str, count: int) -> tuple[peer.Peer, ...]:
+        """Returns the coordinator of a key and its fallbacks.
+
+        Args:
+            key: Key to coordinate.
+            count: Number of gateways to return, four at most.
+        """
         if key not in self._ranked:
             ordered = rendezvous.ranked(
                 self._peers, lambda candidate: candidate.vm_id, key
             )
-            self._ranked[key] = tuple(ordered[:_RANKED_COUNT])
-        return self._ranked[key]
+            self._ranked[key] = tuple(ordered[:_MAX_RANKED])
+        return self._ranked[key][:count]
--- a/bronzeslip/quota/coordinators.py
+++ b/bronzeslip/quota/coordinators.py
@@ -9,12 +9,16 @@
 class Coordinators(Protocol):
     """Coordinators of endpoints as seen by one gateway."""
 
-    def ranked(self, key: str) -> tuple[peer.Peer, ...]:
-        """Returns the coordinator of a key and its fallback.
+    def ranked(self, key: str, count: int = 2) -> tuple[peer.Peer, ...]:
+        """Returns the coordinator of a key and its fallbacks.
+
+        Args:
+            key: Key to coordinate.
+            count: Number of gateways to return, four at most.
 
         Returns:
-            Two gateways at most, possibly including this one; none before the
-            gateways are known.
+            At most that many gateways, possibly including this one; none before
+            the gateways are known.
         """
 
     def standing_for(self, key: str, is_fallback: bool) -> standing.Standing:
--- a/tests/placement/test_many_gateways_one_coordinator.py
+++ b/tests/placement/test_many_gateways_one_coordinator.py
@@ -98,6 +98,20 @@
         self.assertLess(quantile_s, 1.5)
         self.assertLess(len(local), 2 * _REQUESTS_PER_S)
 
+    # Records of gateways that were killed stay in the store.
+    def test_two_killed_gateways_do_not_end_the_coordination(self):
+        async def play():
+            fleet = await _start()
+            for name in fleet.coordinators:
+                fleet.gateways[name].kill()
+            await fleet.play(4.0, _REQUESTS_PER_S)
+            quantile_s = await _measure(fleet)
+            # Each gateway has found out with few requests.
+            self.assertLess(len(_local_choices(fleet)), 2 * _GATEWAYS)
+            self.assertLess(quantile_s, 1.0)
+
+        virtual_loop.run(play())
+
     def test_fallback_takes_over_from_a_frozen_coordinator(self):
         def freeze(fleet, first, _):
             fleet.gateways[first].is_frozen = True
@@ -149,7 +163,7 @@
     def test_unreachable_coordinators_leave_the_choice_to_gateways(self):
         async def play():
             fleet = await _start()
-            for name in fleet.coordinators:
+            for name in fleet.ranked:
                 fleet.gateways[name].kill()
             before = fleet.poll_count
             await _measure(fleet)
--- a/tests/support/forwarding_parts.py
+++ b/tests/support/forwarding_parts.py
@@ -173,7 +173,7 @@
         count=1,
         is_known=True,
         share_of=lambda total: total,
-        ranked=lambda key: (own,),
+        ranked=lambda key, count=2: (own,),
         standing_for=lambda key, is_fallback: standing.Standing.FULL,
         refresh_soon=lambda: None,
     )
--- a/tests/support/placement_fleet.py
+++ b/tests/support/placement_fleet.py
@@ -23,6 +23,7 @@
 from bronzeslip.membership import rendezvous
 from bronzeslip.metrics import entry_metrics
 from bronzeslip.placement import assembly
+from bronzeslip.placement import shard
 from bronzeslip.quota import errors
 from bronzeslip.routes import current
 from bronzeslip.routes import kind
@@ -165,9 +166,9 @@
     def count(self):
         return len(self._fleet.gateways)
 
-    def ranked(self, key):
+    def ranked(self, key, count=2):
         names = self.known_gateways or self._fleet.names
-        ordered = rendezvous.ranked(names, str, key)[:2]
+        ordered = rendezvous.ranked(names, str, key)[:count]
         return tuple(map(forwarding_parts.create_peer, ordered))
 
     # The client for engines.
@@ -256,9 +257,14 @@
 
     @property
     def coordinators(self):
-        """Names of the coordinator and its fallback."""
+        """Names of the coordinator and its first fallback."""
+        return self.ranked[:2]
+
+    @property
+    def ranked(self):
+        """Names of all gateways that may coordinate."""
         any_gateway = next(iter(self.gateways.values()))
-        ranked = any_gateway.ranked("placement/pool/0/1")
+        ranked = any_gateway.ranked("placement/pool/0/1", shard.RANKED_COUNT)
         return [each.vm_id for each in ranked]
 
     @property
