--- a/tests/support/placement_fleet.py
+++ b/tests/support/placement_fleet.py
@@ -128,7 +128,7 @@
         self.metrics.count_local_choice = self.local_choices.append
         self.placements = []
         self.metrics.count_placement = self.placements.append
-        self._in_flight = in_flight
+        self.in_flight = in_flight
         self.parts = assembly.create(
             settings,
             this_vm,
@@ -209,7 +209,7 @@
         )
         chosen = await self.parts.chooser.choose(request, frozenset())
         is_long = chooser.is_long_generation(request)
-        with self._in_flight.track(
+        with self.in_flight.track(
             chosen.endpoint_id,
             prompt_tokens,
             prompt_tokens + output_tokens,
