--- a/tests/support/placement_fleet.py
+++ b/tests/support/placement_fleet.py
@@ -24,6 +24,7 @@
 from bronzeslip.membership import rendezvous
 from bronzeslip.metrics import entry_metrics
 from bronzeslip.placement import assembly
+from bronzeslip.placement import shard
 from bronzeslip.places import allowed_regions
 from bronzeslip.quota import errors
 from bronzeslip.routes import current
@@ -137,7 +138,7 @@
         self.metrics.count_local_choice = self.local_choices.append
         self.placements = []
         self.metrics.count_placement = self.placements.append
-        self._in_flight = in_flight
+        self.in_flight = in_flight
         self.parts = assembly.create(
             settings,
             this_vm,
@@ -179,9 +180,9 @@
     def count(self):
         return len(self._fleet.gateways)
 
-    def ranked(self, key):
+    def ranked(self, key, count=2):
         names = self.known_gateways or self._fleet.names
-        ordered = rendezvous.ranked(names, str, key)[:2]
+        ordered = rendezvous.ranked(names, str, key)[:count]
         return tuple(map(forwarding_parts.create_peer, ordered))
 
     # The client for engines.
@@ -222,7 +223,7 @@
         )
         chosen = await self.parts.chooser.choose(request, frozenset())
         is_long = chooser.is_long_generation(request)
-        with self._in_flight.track(
+        with self.in_flight.track(
             chosen.endpoint_id,
             prompt_tokens,
             prompt_tokens + output_tokens,
@@ -270,9 +271,14 @@
 
     @property
     def coordinators(self):
-        """Names of the coordinator and its fallback."""
+        """Names of the coordinator and its first fallback."""
+        return self.ranked[:2]
+
+    @property
+    def ranked(self):
+        """Names of all gateways that may coordinate."""
         any_gateway = next(iter(self.gateways.values()))
-        ranked = any_gateway.ranked("placement/pool/0/1")
+        ranked = any_gateway.ranked("placement/pool/0/1", shard.RANKED_COUNT)
         return [each.vm_id for each in ranked]
 
     @property
