Forecast the prompts of running generations by their placed size

A coordinator took the mean length, half processed, for each run without an event. It uses the size that it placed and the progress that the run's memory shows.

--- a/bronzeslip/forwarding/load_forecast.py
+++ b/bronzeslip/forwarding/load_forecast.py
@@ -9,6 +9,7 @@
 
 from bronzeslip.endpoints import endpoint
 from bronzeslip.endpoints import in_flight_requests
+from bronzeslip.endpoints import report
 from bronzeslip.endpoints import report_cache
 from bronzeslip.forwarding import admitted
 from bronzeslip.load import engine_backlog
@@ -16,6 +17,7 @@
 from bronzeslip.load import load_statements
 from bronzeslip.load import placement_ledger
 from bronzeslip.load import placement_need
+from bronzeslip.placement import placed_requests
 from bronzeslip.routes import engine_traits
 from bronzeslip.settings import entry
 
@@ -60,6 +62,9 @@
     Where endpoints of a service state their pace, or this gateway knows of
     placements at an engine, a request that the report shows as running is not
     counted again. Elsewhere it is counted twice for up to the report's age.
+
+    Attributes:
+        placed_requests: Sizes of the generations that this gateway has placed.
     """
 
     def __init__(
@@ -90,6 +95,7 @@
             placement_ledger.PlacementLedger() if ledger is None else ledger
         )
         self._clock = clock
+        self.placed_requests = placed_requests.PlacedRequests(clock)
         self._mean_prompt_tokens = 0.0
 
     def forecast(
@@ -141,9 +147,7 @@
         backlog = self._backlog(candidate, is_coordinated=True)
         rate_per_s = self._prefill_rate_per_s(candidate, backlog)
         queued_tokens = backlog.remaining_tokens(
-            self._add_reported_tokens(
-                0.0, candidate, backlog, self._ledger.mean_prompt_tokens
-            ),
+            self._known_reported_tokens(candidate, backlog),
             rate_per_s,
             self._clock(),
         )
@@ -281,6 +285,34 @@
         prefilling = sum(1 for run in latest.report.runs if not run.events)
         return tokens + prefilling * _PENDING_PREFILL_SHARE * mean_prompt_tokens
 
+    def _known_reported_tokens(
+        self,
+        candidate: endpoint.Endpoint,
+        backlog: engine_backlog.EngineBacklog,
+    ) -> float:
+        """Returns the prompts that a report shows, by their placed sizes."""
+        latest = self._reports.get(candidate.endpoint_id)
+        if latest is None:
+            return 0.0
+        return backlog.unknown_waiting * self._ledger.mean_prompt_tokens + sum(
+            self._pending_prefill_tokens(run)
+            for run in latest.report.runs
+            if not run.events
+        )
+
+    def _pending_prefill_tokens(self, run: report.RunReport) -> float:
+        """Returns what is left of the prompt of a run without an event.
+
+        The memory of a run shows its progress, unless the engine reserves the
+        memory of the whole prompt at the start.
+        """
+        placed = self.placed_requests.get(run.request_id)
+        if placed is None:
+            return _PENDING_PREFILL_SHARE * self._ledger.mean_prompt_tokens
+        if run.memory_tokens < placed.prompt_tokens:
+            return placed.prompt_tokens - run.memory_tokens
+        return _PENDING_PREFILL_SHARE * placed.prompt_tokens
+
 
 def need_of(
     request: admitted.AdmittedRequest,
--- a/bronzeslip/placement/engine_view.py
+++ b/bronzeslip/placement/engine_view.py
@@ -11,7 +11,6 @@
 from bronzeslip.load import placement
 from bronzeslip.load import placement_ledger
 from bronzeslip.load import placement_need
-from bronzeslip.placement import placed_requests
 from bronzeslip.routes import engine_traits
 
 # Part of the growth of all running generations that their memory reaches at the
@@ -45,7 +44,7 @@
         self._reports = reports
         self._ledger = ledger
         self._clock = clock
-        self._placed = placed_requests.PlacedRequests(clock)
+        self._placed = load_forecaster.placed_requests
 
     def add(self, placed: placement.Placement) -> None:
         """Adds a placement in place of an earlier one of the same request."""
