--- a/bronzeslip/forwarding/event_framer.py
+++ b/bronzeslip/forwarding/event_framer.py
@@ -4,7 +4,9 @@
 
 import msgspec
 
-_EVENT_END = re.compile(rb"\r?\n\r?\n")
+# Begins with a literal: 64 KiB without one are searched in 0.06 ms. With the
+# optional carriage return before it, they took 1.45 ms.
+_EVENT_END = re.compile(rb"\n\r?\n")
 _MAX_EVENT_END_BYTES = 4
 _ID_FIELD = b"id:"
 
--- a/bronzeslip/http/bounded_transport.py
+++ b/bronzeslip/http/bounded_transport.py
@@ -1,5 +1,6 @@
 """HTTP transport that limits how many bytes precede a response body."""
 
+import asyncio
 from collections.abc import Iterable
 import contextvars
 import functools
@@ -12,6 +13,9 @@
 # Idle connections are closed after this time, whatever the server allows: what
 # lies between may have dropped them without notice.
 _IDLE_TIMEOUT_S = 5.0
+# Turns of the event loop in which a connection may still be opened after its
+# timeout. It takes five; the others are in reserve.
+_TURNS_AFTER_TIMEOUT = 10
 
 
 @functools.cache
@@ -85,7 +89,12 @@
 
 
 class _CountingBackend(httpcore.AnyIOBackend):
-    """Network backend whose TCP streams count the bytes of response heads."""
+    """Network backend whose TCP streams count the bytes of response heads.
+
+    A connection that the peer has accepted is open after a few turns of the
+    event loop. While these are long, the timeout would expire first, and the
+    peer be taken for unreachable: of 100 calls at once, some got 503.
+    """
 
     async def connect_tcp(
         self,
@@ -95,10 +104,20 @@
         local_address: str | None = None,
         socket_options: Iterable[Any] | None = None,
     ) -> httpcore.AsyncNetworkStream:
-        stream = await super().connect_tcp(
-            host, port, timeout, local_address, socket_options
+        connecting = asyncio.create_task(
+            super().connect_tcp(host, port, None, local_address, socket_options)
         )
-        return _CountingStream(stream)
+        try:
+            await asyncio.wait((connecting,), timeout=timeout)
+            for _ in range(_TURNS_AFTER_TIMEOUT):
+                if connecting.done():
+                    break
+                await asyncio.sleep(0)
+            else:
+                raise httpcore.ConnectTimeout
+        finally:
+            connecting.cancel()
+        return _CountingStream(connecting.result())
 
 
 class BoundedTransport(httpx.AsyncHTTPTransport):
