Separate the pure parts of admission and choices from their side effects

The explanation of a choice needs the candidates, the costs and the coordinators without drawing a service or an endpoint. Choices are unchanged; tests.forwarding.test_admission and the tests of coordinated replies pass.

--- a/bronzeslip/forwarding/admission.py
+++ b/bronzeslip/forwarding/admission.py
@@ -6,6 +6,7 @@
 from bronzeslip.forwarding import admitted
 from bronzeslip.forwarding import errors
 from bronzeslip.forwarding import incoming
+from bronzeslip.forwarding import matched_request
 from bronzeslip.places import allowed_regions
 from bronzeslip.places import refusal_delay
 from bronzeslip.routes import current
@@ -50,6 +51,20 @@
             errors.UnknownRouteError: If no route matches the request.
             errors.UnknownKeyError: If the request has no valid key.
         """
+        matched = self.match(request)
+        service_name = self._select_service(matched.route)
+        return self.admit_to(request, matched, service_name)
+
+    def match(
+        self, request: incoming.IncomingRequest
+    ) -> matched_request.MatchedRequest:
+        """Returns the route and the workspace of a request.
+
+        Raises:
+            errors.NotRunError: If no configuration has been loaded yet.
+            errors.UnknownRouteError: If no route matches the request.
+            errors.UnknownKeyError: If the request has no valid key.
+        """
         table = self._current_table.table
         if table is None:
             raise errors.NotRunError(
@@ -62,7 +77,27 @@
                 "no route matches this host and path"
             )
         caller = _authenticate(table, matched, request)
-        service_name = self._select_service(matched)
+        return matched_request.MatchedRequest(table, matched, caller)
+
+    def admit_to(
+        self,
+        request: incoming.IncomingRequest,
+        matched: matched_request.MatchedRequest,
+        service_name: ids.ServiceName,
+    ) -> admitted.AdmittedRequest:
+        """Admits a request to one of the services of its route.
+
+        Args:
+            request: Request to admit.
+            matched: Its route and workspace.
+            service_name: Name of the service.
+
+        Raises:
+            errors.NotRunError: If the configuration lacks the service.
+            errors.NoEligibleEndpointError: If the route and the workspace of
+                the request have no allowed region in common.
+        """
+        table, caller = matched.table, matched.workspace
         service = table.service(service_name)
         if service is None:
             raise errors.NotRunError(
@@ -70,7 +105,8 @@
                 retry_after_s=_RETRY_AFTER_S,
             )
         regions = allowed_regions.intersect(
-            matched.allowed_regions, caller.allowed_regions if caller else None
+            matched.route.allowed_regions,
+            caller.allowed_regions if caller else None,
         )
         if regions is not None and not regions:
             raise errors.NoEligibleEndpointError(
@@ -82,12 +118,13 @@
         )
         return admitted.AdmittedRequest(
             request=request,
-            route=matched,
+            route=matched.route,
             service=service,
             workspace_id=caller.workspace_id if caller else None,
             configuration=table.version,
-            priority=_priority_of(matched, caller),
-            deadline_s=request.arrived_s + min(timeout_s, matched.timeout_s),
+            priority=_priority_of(matched.route, caller),
+            deadline_s=request.arrived_s
+            + min(timeout_s, matched.route.timeout_s),
             allowed_regions=regions,
         )
 
--- a/bronzeslip/forwarding/chooser.py
+++ b/bronzeslip/forwarding/chooser.py
@@ -1,5 +1,6 @@
 """Selects the endpoint for a request."""
 
+from collections.abc import Sequence
 from collections.abc import Set as AbstractSet
 import math
 import random
@@ -47,6 +48,35 @@
             errors.NotRunError: If no endpoint is left.
         """
 
+    def candidates(
+        self,
+        request: admitted.AdmittedRequest,
+        tried: AbstractSet[ids.EndpointId],
+        rng: random.Random,
+    ) -> list[endpoint.Endpoint]:
+        """Returns the endpoints to choose from, without choosing one.
+
+        Args:
+            request: Request to send.
+            tried: Endpoints that have already been tried.
+            rng: Spreads the retry times of refused requests.
+
+        Raises:
+            errors.NotRunError: If no endpoint is left.
+        """
+
+    def preferred(
+        self,
+        request: admitted.AdmittedRequest,
+        candidates: Sequence[endpoint.Endpoint],
+    ) -> endpoint.Endpoint:
+        """Returns the best of some candidates, without choosing it."""
+
+    def cost_s(
+        self, candidate: endpoint.Endpoint, request: admitted.AdmittedRequest
+    ) -> float:
+        """Returns the cost of sending a request to an endpoint, in seconds."""
+
 
 class CostChooser:
     """Selects an endpoint at random, weighted by a softmax over the costs."""
@@ -98,16 +128,7 @@
                 could start the request in time.
             errors.NotRunError: If no endpoint is left.
         """
-        candidates = [
-            candidate
-            for candidate in self._watched.for_service(request.service.name)
-            if candidate.endpoint_id not in tried
-            and self._regions.is_eligible(candidate, request.allowed_regions)
-        ] or ready_candidates(
-            self._endpoints, self._regions, request, tried, self._rng
-        )
-        candidates = self._with_free_connection(candidates, request)
-        self._reject_if_too_late(request, candidates)
+        candidates = self.candidates(request, tried, self._rng)
         costs_s = [self.cost_s(candidate, request) for candidate in candidates]
         lowest_s = min(costs_s)
         weights = [
@@ -119,6 +140,46 @@
         self._log_choice(request, candidates[index], costs_s, index)
         return candidates[index]
 
+    def candidates(
+        self,
+        request: admitted.AdmittedRequest,
+        tried: AbstractSet[ids.EndpointId],
+        rng: random.Random,
+    ) -> list[endpoint.Endpoint]:
+        """Returns the endpoints to choose from, without choosing one.
+
+        Args:
+            request: Request to send.
+            tried: Endpoints that have already been tried.
+            rng: Spreads the retry times of refused requests.
+
+        Raises:
+            errors.OverloadedError: If no endpoint has a free connection or
+                could start the request in time.
+            errors.NotRunError: If no endpoint is left.
+        """
+        candidates = [
+            candidate
+            for candidate in self._watched.for_service(request.service.name)
+            if candidate.endpoint_id not in tried
+            and self._regions.is_eligible(candidate, request.allowed_regions)
+        ] or ready_candidates(
+            self._endpoints, self._regions, request, tried, rng
+        )
+        candidates = self._with_free_connection(candidates, request)
+        self._reject_if_too_late(request, candidates)
+        return candidates
+
+    def preferred(
+        self,
+        request: admitted.AdmittedRequest,
+        candidates: Sequence[endpoint.Endpoint],
+    ) -> endpoint.Endpoint:
+        """Returns the candidate with the least cost."""
+        return min(
+            candidates, key=lambda candidate: self.cost_s(candidate, request)
+        )
+
     def _with_free_connection(
         self,
         candidates: list[endpoint.Endpoint],
@@ -245,11 +306,37 @@
         tried: AbstractSet[ids.EndpointId],
     ) -> endpoint.Endpoint:
         """Returns the next endpoint."""
-        candidates = ready_candidates(
-            self._endpoints, self._regions, request, tried, self._rng
-        )
+        candidates = self.candidates(request, tried, self._rng)
+        chosen = self.preferred(request, candidates)
         self._next_index += 1
-        return candidates[self._next_index % len(candidates)]
+        return chosen
+
+    def candidates(
+        self,
+        request: admitted.AdmittedRequest,
+        tried: AbstractSet[ids.EndpointId],
+        rng: random.Random,
+    ) -> list[endpoint.Endpoint]:
+        """Returns the ready endpoints, without choosing one."""
+        return ready_candidates(
+            self._endpoints, self._regions, request, tried, rng
+        )
+
+    def preferred(
+        self,
+        request: admitted.AdmittedRequest,
+        candidates: Sequence[endpoint.Endpoint],
+    ) -> endpoint.Endpoint:
+        """Returns the candidate whose turn is next."""
+        del request
+        return candidates[(self._next_index + 1) % len(candidates)]
+
+    def cost_s(
+        self, candidate: endpoint.Endpoint, request: admitted.AdmittedRequest
+    ) -> float:
+        """Returns 0, since costs are not compared."""
+        del candidate, request
+        return 0.0
 
 
 def is_long_generation(request: admitted.AdmittedRequest) -> bool:
--- a/bronzeslip/placement/coordinated_chooser.py
+++ b/bronzeslip/placement/coordinated_chooser.py
@@ -26,6 +26,7 @@
 from bronzeslip.placement import placement_verdict
 from bronzeslip.placement import shard
 from bronzeslip.places import allowed_regions
+from bronzeslip.quota import peer
 from bronzeslip.routes import kind
 
 logger = logs.get_logger(__name__)
@@ -100,7 +101,7 @@
                 no endpoint could start it in time.
             errors.NotRunError: If no endpoint is left.
         """
-        if not self._is_coordinated(request):
+        if not self.is_coordinated(request):
             return self._local.choose(request, tried)
         placed = await self._place(request, tried, was_sent)
         if isinstance(placed, endpoint.Endpoint):
@@ -114,7 +115,7 @@
         self._caller.ended.end(request.request.request_id)
         return self._local.choose(request, tried)
 
-    def _is_coordinated(self, request: admitted.AdmittedRequest) -> bool:
+    def is_coordinated(self, request: admitted.AdmittedRequest) -> bool:
         """Returns whether to ask a coordinator for a request.
 
         Requests that are no streams state no end to their coordinator.
@@ -125,6 +126,12 @@
             and self._gate.is_coordinated(request.service.name)
         )
 
+    def coordinators(
+        self, request: admitted.AdmittedRequest
+    ) -> tuple[peer.Peer, ...]:
+        """Returns the gateways to ask for a placement now, in order."""
+        return self._caller.gateways_to_ask(self._shard_of(request))
+
     def end(self, request_id: ids.RequestId) -> None:
         """Records that a request has ended."""
         self._caller.ended.end(request_id)
@@ -220,25 +227,28 @@
         )
         return target
 
+    def _shard_of(self, request: admitted.AdmittedRequest) -> shard.Shard:
+        service_name = request.service.name
+        return shard.of_gateway(
+            self._this_vm.vm_id,
+            service_name,
+            len(self._endpoints.ready_endpoints(service_name)),
+        )
+
     def _create_ask(
         self,
         request: admitted.AdmittedRequest,
         tried: AbstractSet[ids.EndpointId],
         waited_s: float,
     ) -> placement_ask.PlacementAsk:
-        service_name = request.service.name
-        asked = shard.of_gateway(
-            self._this_vm.vm_id,
-            service_name,
-            len(self._endpoints.ready_endpoints(service_name)),
-        )
+        asked = self._shard_of(request)
         shape = request.request.shape
         # An engine processes no more than its memory, whatever a client states.
         max_tokens = min(
             request.service.engine.memory_tokens, fields.MAX_NUMBER
         )
         return placement_ask.PlacementAsk(
-            service=service_name,
+            service=request.service.name,
             shard_index=asked.index,
             shard_count=asked.count,
             request_id=request.request.request_id,
--- a/bronzeslip/placement/placement_caller.py
+++ b/bronzeslip/placement/placement_caller.py
@@ -80,8 +80,7 @@
     ) -> placement_reply.PlacementReply | None:
         """Asks for a placement; returns None if no gateway decides."""
         asked = shard.Shard(ask.service, ask.shard_index, ask.shard_count)
-        ranked = self._gateways.ranked(asked.key, shard.RANKED_COUNT)
-        for target in self._select(ranked):
+        for target in self.gateways_to_ask(asked):
             reply = await self._ask_gateway(target, ask)
             if (
                 reply is not None
@@ -91,6 +90,11 @@
                 return reply
         return None
 
+    def gateways_to_ask(self, asked: shard.Shard) -> tuple[peer.Peer, ...]:
+        """Returns the gateways that are asked now, in order."""
+        ranked = self._gateways.ranked(asked.key, shard.RANKED_COUNT)
+        return tuple(self._select(ranked))
+
     def _select(self, ranked: Iterable[peer.Peer]) -> list[peer.Peer]:
         """Returns the gateways to ask, in order.
 
