Explain at the peer address where a request would go

Operators could not see why a gateway prefers or skips an endpoint without sending a request. POST /explanations answers with the route, the service, the view of each endpoint and the decision, and acquires nothing.

--- a/bronzeslip/endpoints/directory.py
+++ b/bronzeslip/endpoints/directory.py
@@ -242,6 +242,10 @@
             self._unreachable.add(target.endpoint_id)
         self._signal_change()
 
+    def is_reachable(self, target: endpoint.Endpoint) -> bool:
+        """Returns whether this gateway currently reaches an endpoint."""
+        return target.endpoint_id not in self._unreachable
+
     @property
     def is_source_reachable(self) -> bool:
         """Whether the discovery source is reachable."""
--- /dev/null
+++ b/bronzeslip/explanation/__init__.py
@@ -0,0 +1,1 @@
+"""Explanations of where requests would be sent."""
--- a/bronzeslip/platform/gateway.py
+++ b/bronzeslip/platform/gateway.py
@@ -9,6 +9,7 @@
 from bronzeslip.endpoints import watched_endpoints
 from bronzeslip.entry import caller_connections
 from bronzeslip.entry import daemon
+from bronzeslip.entry import explanations_api
 from bronzeslip.entry import gateway_registry
 from bronzeslip.entry import named_task
 from bronzeslip.entry import peer_http
@@ -18,6 +19,7 @@
 from bronzeslip.entry import suspect_replicator
 from bronzeslip.entry import vm_config
 from bronzeslip.entry import watch_rate_limit
+from bronzeslip.explanation import assembly as explanation_assembly
 from bronzeslip.forwarding import admission
 from bronzeslip.forwarding import assembly
 from bronzeslip.forwarding import components
@@ -29,6 +31,7 @@
 from bronzeslip.places import cold_limits
 from bronzeslip.places import cold_shares
 from bronzeslip.platform import body_reader
+from bronzeslip.platform import caller_response
 from bronzeslip.platform import configuration_follower
 from bronzeslip.platform import discovery_follower
 from bronzeslip.platform import endpoint_http
@@ -148,6 +151,14 @@
         (
             permits_api.handler(coordinator),
             placements_api.handler(forwarding_components.placement.coordinator),
+            explanations_api.handler(
+                explanation_assembly.create(
+                    this_vm,
+                    forwarding_components,
+                    registry,
+                    caller_response.http_status,
+                )
+            ),
         ),
         current_table,
         readiness.Readiness(current_table, endpoint_directory),
--- /dev/null
+++ b/tests/explanation/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of bronzeslip.explanation."""
