Add bronzeslipctl explain

Operators see as a table or as JSON where an entry gateway would send a request and why it skips endpoints.

--- a/bronzeslip/cli/arguments.py
+++ b/bronzeslip/cli/arguments.py
@@ -3,11 +3,13 @@
 import argparse
 
 from bronzeslip.cli import exit_status
+from bronzeslip.settings import explain
 from bronzeslip.settings import operator
 from bronzeslip.settings import parser as settings_parser
 
 PROGRAM = "bronzeslipctl"
 HASH_COMMAND = "hash-credential"
+EXPLAIN_COMMAND = "explain"
 _DESCRIPTION = "Manages the configuration of bronzeslip from declaration files."
 _WAIT_TIMEOUT_S = 60.0
 
@@ -33,6 +35,7 @@
         "shows which number is in force in each failure domain",
     )
     _add_watch(commands)
+    _add_explain(commands)
     commands.add_parser(
         HASH_COMMAND,
         help="reads a credential from standard input and prints its digest",
@@ -50,12 +53,15 @@
 
 
 def _add_command(
-    commands: argparse._SubParsersAction, name: str, help_text: str
+    commands: argparse._SubParsersAction,
+    name: str,
+    help_text: str,
+    settings_type: type = operator.OperatorSettings,
 ) -> argparse.ArgumentParser:
     command_parser = commands.add_parser(
         name, help=help_text, description=help_text, allow_abbrev=False
     )
-    settings_parser.add_settings(command_parser, operator.OperatorSettings)
+    settings_parser.add_settings(command_parser, settings_type)
     return command_parser
 
 
@@ -133,3 +139,26 @@
         metavar="NUMBER",
         help="exit once this configuration number is current",
     )
+
+
+def _add_explain(commands: argparse._SubParsersAction) -> None:
+    parser = _add_command(
+        commands,
+        EXPLAIN_COMMAND,
+        "shows where an entry gateway would send a request, and why",
+        explain.ExplainSettings,
+    )
+    parser.add_argument("host", metavar="HOST", help="host of the request")
+    parser.add_argument("path", metavar="PATH", help="path of the request")
+    parser.add_argument(
+        "--prompt-tokens",
+        type=int,
+        metavar="TOKENS",
+        help="length of the prompt, in tokens",
+    )
+    parser.add_argument(
+        "--output-tokens",
+        type=int,
+        metavar="TOKENS",
+        help="length of the output, in tokens",
+    )
--- /dev/null
+++ b/bronzeslip/cli/explanation_client.py
@@ -0,0 +1,70 @@
+"""HTTP client of the explanations of entry gateways."""
+
+import httpx
+import msgspec
+
+from bronzeslip.cli import errors
+from bronzeslip.decoding import errors as decoding_errors
+from bronzeslip.decoding import untrusted
+from bronzeslip.explanation import explanation
+from bronzeslip.explanation import explanation_request
+from bronzeslip.settings import explain
+
+
+class ExplanationClient:
+    """Asks one entry gateway at its peer address."""
+
+    def __init__(
+        self,
+        settings: explain.ExplainSettings,
+        transport: httpx.AsyncBaseTransport | None = None,
+    ) -> None:
+        """Creates a client.
+
+        Args:
+            settings: Address of the gateway and timeout.
+            transport: HTTP transport to use instead of the network, or None.
+        """
+        self._address = settings.peer_address
+        self._http = httpx.AsyncClient(
+            transport=transport,
+            timeout=settings.request_timeout_s,
+            trust_env=False,
+        )
+
+    async def close(self) -> None:
+        """Closes the connections."""
+        await self._http.aclose()
+
+    async def explain(
+        self, request: explanation_request.ExplanationRequest
+    ) -> explanation.Explanation:
+        """Asks where a request would go.
+
+        Raises:
+            errors.UnreachableError: If the gateway does not respond.
+            errors.CommandError: If it gives no explanation.
+        """
+        try:
+            response = await self._http.post(
+                f"http://{self._address}/explanations",
+                content=msgspec.json.encode(request),
+                headers={"Content-Type": "application/json"},
+            )
+        except httpx.HTTPError as error:
+            raise errors.UnreachableError(
+                f"{self._address}: {type(error).__name__}"
+            ) from error
+        if response.status_code != httpx.codes.OK:
+            raise errors.CommandError(
+                f"{self._address}: status {response.status_code}; the address "
+                "must be the peer port of an entry gateway of this version"
+            )
+        try:
+            return untrusted.from_json(
+                response.content, explanation.Explanation
+            )
+        except decoding_errors.UndecodableError as error:
+            raise errors.CommandError(
+                f"invalid response from the gateway: {error.message}"
+            ) from error
--- a/bronzeslip/cli/program.py
+++ b/bronzeslip/cli/program.py
@@ -12,9 +12,12 @@
 from bronzeslip.cli import commands
 from bronzeslip.cli import errors
 from bronzeslip.cli import exit_status
+from bronzeslip.cli import explain_command
+from bronzeslip.cli import explanation_client
 from bronzeslip.cli import operator_client
 from bronzeslip.cli import printer
 from bronzeslip.settings import errors as settings_errors
+from bronzeslip.settings import explain
 from bronzeslip.settings import operator
 from bronzeslip.settings import parser as settings_parser
 
@@ -55,6 +58,8 @@
             if arguments.command == command_line.HASH_COMMAND:
                 self._printer.show(commands.hash_credential(self._stdin))
                 return exit_status.ExitStatus.OK
+            if arguments.command == command_line.EXPLAIN_COMMAND:
+                return asyncio.run(self._explain(arguments))
             return asyncio.run(self._run(arguments))
         except settings_errors.SettingsError as error:
             self._printer.show_error(error.code, error.message)
@@ -78,3 +83,21 @@
             return await getattr(handlers, arguments.command)(arguments)
         finally:
             await client.close()
+
+    async def _explain(
+        self, arguments: argparse.Namespace
+    ) -> exit_status.ExitStatus:
+        settings = settings_parser.parse(
+            explain.ExplainSettings, arguments, self._environment
+        )
+        self._printer = printer.Printer(
+            settings.output, self._stdout, self._stderr
+        )
+        client = explanation_client.ExplanationClient(settings, self._transport)
+        try:
+            command = explain_command.ExplainCommand(
+                settings, client, self._printer
+            )
+            return await command.run(arguments)
+        finally:
+            await client.close()
--- a/bronzeslip/cli/render.py
+++ b/bronzeslip/cli/render.py
@@ -8,7 +8,9 @@
 import yaml
 
 from bronzeslip.cli import difference
+from bronzeslip.cli import explanation_table
 from bronzeslip.cli import results
+from bronzeslip.explanation import explanation
 from bronzeslip.spread import status
 
 _SIGNS = {
@@ -85,6 +87,11 @@
     return result.sha256
 
 
+@to_text.register
+def _(result: explanation.Explanation) -> str:
+    return explanation_table.to_text(result)
+
+
 def _change_lines(changes: tuple[difference.Change, ...]) -> str:
     return "\n".join(_change_line(change) for change in changes)
 
--- a/bronzeslip/settings/programs.py
+++ b/bronzeslip/settings/programs.py
@@ -1,6 +1,7 @@
 """Settings classes of all programs by program name."""
 
 from bronzeslip.settings import entry
+from bronzeslip.settings import explain
 from bronzeslip.settings import gateway
 from bronzeslip.settings import operator
 from bronzeslip.settings import sidecar
@@ -10,4 +11,5 @@
     "bronzeslip-entry": entry.EntrySettings,
     "bronzeslip-sidecar": sidecar.SidecarSettings,
     "bronzeslipctl": operator.OperatorSettings,
+    "bronzeslipctl explain": explain.ExplainSettings,
 }
--- a/bronzeslip/settings/text_format.py
+++ b/bronzeslip/settings/text_format.py
@@ -6,6 +6,9 @@
 import re
 import urllib.parse
 
+from bronzeslip.decoding import addresses
+from bronzeslip.decoding import errors
+
 
 @dataclasses.dataclass(frozen=True)
 class TextFormat:
@@ -34,6 +37,14 @@
     return True
 
 
+def _is_socket_address(text: str) -> bool:
+    try:
+        addresses.parse(text)
+    except errors.UndecodableError:
+        return False
+    return True
+
+
 _SHA256_DIGEST = re.compile(r"[0-9a-f]{64}")
 
 HTTP_URL = TextFormat("an http or https URL", _is_http_url)
@@ -41,6 +52,9 @@
     "a comma-separated list of http or https URLs", _is_http_url
 )
 IP_ADDRESS = TextFormat("an IP address", _is_ip_address)
+SOCKET_ADDRESS = TextFormat(
+    "an IPv4 address and a port as HOST:PORT", _is_socket_address
+)
 SHA256_DIGESTS = TextFormat(
     "a comma-separated list of SHA-256 digests in hexadecimal",
     lambda text: bool(_SHA256_DIGEST.fullmatch(text)),
