--- a/bronzeslip/cli/arguments.py
+++ b/bronzeslip/cli/arguments.py
@@ -3,6 +3,10 @@
 import argparse
 
 from bronzeslip.cli import exit_status
+from bronzeslip.decoding import errors
+from bronzeslip.decoding import fields
+from bronzeslip.decoding import numbers
+from bronzeslip.decoding import untrusted
 from bronzeslip.settings import explain
 from bronzeslip.settings import operator
 from bronzeslip.settings import parser as settings_parser
@@ -152,13 +156,23 @@
     parser.add_argument("path", metavar="PATH", help="path of the request")
     parser.add_argument(
         "--prompt-tokens",
-        type=int,
+        type=_count,
         metavar="TOKENS",
         help="length of the prompt, in tokens",
     )
     parser.add_argument(
         "--output-tokens",
-        type=int,
+        type=_count,
         metavar="TOKENS",
         help="length of the output, in tokens",
     )
+
+
+def _count(text: str) -> int:
+    """Converts an argument that must not be negative."""
+    try:
+        return untrusted.from_builtins(numbers.parse_count(text), fields.Count)
+    except errors.UndecodableError as error:
+        raise argparse.ArgumentTypeError(
+            "allowed: a number that is not negative"
+        ) from error
--- a/bronzeslip/cli/explanation_client.py
+++ b/bronzeslip/cli/explanation_client.py
@@ -55,10 +55,14 @@
             raise errors.UnreachableError(
                 f"{self._address}: {type(error).__name__}"
             ) from error
+        if response.status_code == httpx.codes.NOT_FOUND:
+            raise errors.CommandError(
+                f"{self._address}: status 404; the address must be the peer "
+                "port of an entry gateway that knows explanations"
+            )
         if response.status_code != httpx.codes.OK:
             raise errors.CommandError(
-                f"{self._address}: status {response.status_code}; the address "
-                "must be the peer port of an entry gateway of this version"
+                f"{self._address}: status {response.status_code}"
             )
         try:
             return untrusted.from_json(
--- a/bronzeslip/cli/explanation_table.py
+++ b/bronzeslip/cli/explanation_table.py
@@ -82,7 +82,7 @@
         limit = f"{view.limit_per_s:.1f}/s"
     return (
         view.endpoint_id,
-        view.state.value,
+        view.state.value + (", unreachable" if view.is_unreachable else ""),
         view.failure_domain,
         _ABSENT if view.report_age_s is None else f"{view.report_age_s:.1f} s",
         _or_absent(view.running),
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -89,6 +89,15 @@
             self._run("h.example", "/p/x", "--api-key-file", f"{path}-2"), 2
         )
 
+    def test_invalid_token_counts_are_usage_errors(self):
+        for count in ("-1", "many", str(2**60)):
+            with self.subTest(count=count):
+                self.assertEqual(
+                    self._run("h.example", "/p/x", f"--prompt-tokens={count}"),
+                    2,
+                )
+                self.assertEqual(self.transport.requests, [])
+
     def test_invalid_addresses_are_usage_errors(self):
         for address in ("", "gateway", "127.0.0.1:0", "127.0.0.1:7200/x"):
             with self.subTest(address=address):
@@ -98,7 +107,12 @@
 
     # Guards against a traceback where a gateway is older, or another program.
     def test_other_responses_are_errors(self):
-        for status, content in ((404, b""), (200, b"{}"), (200, b"text")):
+        for status, content in (
+            (404, b""),
+            (500, b""),
+            (200, b"{}"),
+            (200, b"text"),
+        ):
             with self.subTest(status=status, content=content):
                 self.transport = httpx.MockTransport(
                     lambda _, s=status, c=content: httpx.Response(s, content=c)
--- a/tests/explanation/test_explainer.py
+++ b/tests/explanation/test_explainer.py
@@ -1,6 +1,7 @@
 """Tests of bronzeslip.explanation.explainer without network."""
 
 import asyncio
+import collections
 import unittest
 
 import msgspec
@@ -13,6 +14,7 @@
 from bronzeslip.load import load_statement
 from bronzeslip.routes import kind
 from bronzeslip.routes import route
+from bronzeslip.settings import entry
 from tests.support import explaining_gateway
 from tests.support import forwarding_parts
 
@@ -162,6 +164,76 @@
             },
         )
 
+    # Guards against a reason for endpoints that are used since none is better.
+    async def test_unreachable_endpoints_are_used_if_no_other_is_left(self):
+        gateway = _gateway()
+        endpoints = gateway.components.endpoints
+        for target in endpoints.endpoints:
+            endpoints.set_reachable(target, False)
+        [service] = gateway.explain().services
+        self.assertIs(service.decision.verdict, Verdict.SEND)
+        self.assertEqual(set(_exclusions(service).values()), {()})
+        self.assertTrue(all(view.is_unreachable for view in service.endpoints))
+
+    async def test_endpoints_beyond_the_watched_ones_are_named(self):
+        gateway = explaining_gateway.ExplainingGateway(
+            [
+                forwarding_parts.create_endpoint(f"{domain}-{index}", domain)
+                for domain in ("a-1", "b-1")
+                for index in range(4)
+            ],
+            entry.EntrySettings(watched_endpoints=5),
+        )
+        gateway.adopt()
+        [service] = gateway.explain().services
+        exclusions = _exclusions(service)
+        self.assertEqual(exclusions[service.decision.endpoint_id], ())
+        self.assertEqual(
+            collections.Counter(exclusions.values()),
+            {(): 5, (Exclusion.NOT_WATCHED,): 3},
+        )
+
+    # Guards against an explanation that takes the turn of a request.
+    async def test_next_endpoint_in_turn_is_named(self):
+        gateway = explaining_gateway.ExplainingGateway(
+            [forwarding_parts.create_endpoint(f"i-{i}") for i in range(3)],
+            entry.EntrySettings(placement=entry.Placement.ROUND_ROBIN),
+        )
+        gateway.adopt()
+        request = forwarding_parts.admit_generation()
+        for _ in range(4):
+            gateway.explain()
+            [service] = gateway.explain().services
+            chosen = gateway.components.endpoint_chooser.choose(request, set())
+            self.assertEqual(service.decision.endpoint_id, chosen.endpoint_id)
+
+    async def test_cold_endpoint_without_a_free_share_is_not_used(self):
+        gateway = _gateway()
+        cold_service = msgspec.structs.replace(
+            forwarding_parts.ENGINE_SERVICE, cold_s=60.0, cold_per_s=1.0
+        )
+        table = gateway.components.current.table
+        table._services[cold_service.name] = cold_service
+        endpoints = gateway.components.endpoints
+        target = endpoints.get(ids.EndpointId("one"))
+        endpoints.cold_endpoints.replace_all([])
+        endpoints.cold_endpoints.put(target, ids.ObjectVersion(1))
+        request = forwarding_parts.admit(
+            forwarding_parts.create_generation_request(),
+            kind.RequestKind.STREAM,
+            cold_service,
+        )
+        [service] = gateway.explain().services
+        self.assertEqual(_exclusions(service)["one"], ())
+        for _ in range(20):
+            if await gateway.components.cold_limits.acquire(target, request):
+                break
+        [service] = gateway.explain().services
+        self.assertEqual(_exclusions(service)["one"], (Exclusion.COLD,))
+        [view] = [v for v in service.endpoints if v.endpoint_id == "one"]
+        self.assertGreater(view.cold_s, 50.0)
+        self.assertNotEqual(service.decision.endpoint_id, "one")
+
     async def test_report_is_shown(self):
         gateway = _gateway()
         report = forwarding_parts.create_report(15_000, waiting=2, running=7)
