Let other tasks run while endpoints are explained

The explanation now yields after each endpoint, and one is made at a time. The test of side effects now includes refusals, whose retry times are random; it fails if the explainer uses the gateway's source of random choices.

--- a/bronzeslip/entry/explanations_api.py
+++ b/bronzeslip/entry/explanations_api.py
@@ -21,6 +21,6 @@
     async def explain(
         data: explanation_request.ExplanationRequest,
     ) -> explanation.Explanation:
-        return explaining.explain(data)
+        return await explaining.explain(data)
 
     return explain
--- a/bronzeslip/explanation/endpoint_viewer.py
+++ b/bronzeslip/explanation/endpoint_viewer.py
@@ -1,5 +1,6 @@
 """Describes endpoints as a gateway sees them for one request."""
 
+import asyncio
 from collections.abc import Mapping
 
 from bronzeslip import ids
@@ -38,7 +39,7 @@
         self._watched = watched
         self._connections = connections
 
-    def view_all(
+    async def view_all(
         self,
         request: admitted.AdmittedRequest,
         denied_s: Mapping[ids.EndpointId, float],
@@ -46,22 +47,24 @@
     ) -> tuple[endpoint_explanation.EndpointExplanation, ...]:
         """Describes all known endpoints of a request's service.
 
+        Lets other tasks run after each endpoint: the cost of a long generation
+        at all of 150 engines takes over 0.1 s, which would delay streams.
+
         Args:
             request: The request.
             denied_s: Time for which permits are denied, by endpoint, in
                 seconds.
             is_coordinated: Whether a coordinator places the request.
         """
-        views = [
-            self._view(
-                target,
-                request,
-                denied_s.get(target.endpoint_id, 0.0),
-                is_coordinated,
+        views = []
+        for target in self._shared.endpoints.endpoints:
+            if target.service_name != request.service.name:
+                continue
+            target_denied_s = denied_s.get(target.endpoint_id, 0.0)
+            views.append(
+                self._view(target, request, target_denied_s, is_coordinated)
             )
-            for target in self._shared.endpoints.endpoints
-            if target.service_name == request.service.name
-        ]
+            await asyncio.sleep(0)
         return tuple(sorted(views, key=lambda view: view.endpoint_id))
 
     def _view(
--- a/bronzeslip/explanation/explainer.py
+++ b/bronzeslip/explanation/explainer.py
@@ -66,11 +66,18 @@
         self._viewer = viewer
         self._http_status = http_status
         self._rng = rng
+        self._lock = asyncio.Lock()
 
-    def explain(
+    async def explain(
+        self, asked: explanation_request.ExplanationRequest
+    ) -> explanation.Explanation:
+        """Explains where a request would be sent now, one at a time."""
+        async with self._lock:
+            return await self._explain(asked)
+
+    async def _explain(
         self, asked: explanation_request.ExplanationRequest
     ) -> explanation.Explanation:
-        """Explains where a request would be sent now."""
         request = _to_incoming(asked)
         table = self._shared.current.table
         version = None if table is None else table.version
@@ -83,15 +90,19 @@
                 route=_matched_route_name(table, asked),
                 refusal=self._refusal(error),
             )
-        return self._explain_matched(
+        return await self._explain_matched(
             _with_size(request, matched, asked), matched
         )
 
-    def _explain_matched(
+    async def _explain_matched(
         self,
         request: incoming.IncomingRequest,
         matched: matched_request.MatchedRequest,
     ) -> explanation.Explanation:
+        services = [
+            await self._explain_service(request, matched, option)
+            for option in matched.route.services
+        ]
         workspace = matched.workspace
         regions = allowed_regions.intersect(
             matched.route.allowed_regions,
@@ -103,13 +114,10 @@
             route=matched.route.name,
             workspace=workspace.workspace_id if workspace else None,
             allowed_regions=None if regions is None else tuple(sorted(regions)),
-            services=tuple(
-                self._explain_service(request, matched, option)
-                for option in matched.route.services
-            ),
+            services=tuple(services),
         )
 
-    def _explain_service(
+    async def _explain_service(
         self,
         request: incoming.IncomingRequest,
         matched: matched_request.MatchedRequest,
@@ -148,7 +156,7 @@
             decision=self._decide(
                 admitted_request, denied_s, bool(coordinators)
             ),
-            endpoints=self._viewer.view_all(
+            endpoints=await self._viewer.view_all(
                 admitted_request, denied_s, is_coordinated
             ),
         )
--- a/tests/explanation/test_explainer.py
+++ b/tests/explanation/test_explainer.py
@@ -57,12 +57,12 @@
 
 class RefusalTest(unittest.IsolatedAsyncioTestCase):
     async def test_gateway_without_configuration_refuses(self):
-        explained = explaining_gateway.ExplainingGateway([]).explain()
+        explained = await explaining_gateway.ExplainingGateway([]).explain()
         self.assertEqual(explained.refusal.status, 503)
         self.assertIsNone(explained.configuration)
 
     async def test_unknown_path_is_not_found(self):
-        explained = _gateway().explain(path="/other")
+        explained = await _gateway().explain(path="/other")
         self.assertEqual(explained.refusal.status, 404)
         self.assertIsNone(explained.route)
 
@@ -70,7 +70,7 @@
     async def test_unknown_key_is_refused_and_not_repeated(self):
         for key in (None, "secret-of-nobody"):
             with self.subTest(key=key):
-                explained = _gateway().explain(key=key)
+                explained = await _gateway().explain(key=key)
                 self.assertEqual(explained.refusal.status, 401)
                 self.assertEqual(explained.route, "r")
                 encoded = msgspec.json.encode(explained)
@@ -78,7 +78,7 @@
 
     # Guards against an explanation that discloses the key.
     async def test_valid_key_is_not_repeated(self):
-        explained = _gateway().explain()
+        explained = await _gateway().explain()
         self.assertEqual(explained.workspace, "w")
         encoded = msgspec.json.encode(explained)
         self.assertNotIn(forwarding_parts.API_KEY.encode(), encoded)
@@ -87,7 +87,7 @@
         gateway = _gateway(
             allowed_regions=_REGION_A, workspace_regions=_REGION_B
         )
-        [service] = gateway.explain().services
+        [service] = (await gateway.explain()).services
         self.assertEqual(service.decision.status, 503)
         self.assertEqual(service.decision.code, "no-eligible-endpoint")
         self.assertGreater(service.decision.retry_after_s, 0)
@@ -97,7 +97,7 @@
         for name in ("a-1", "a-2", "b-1"):
             domain = ids.FailureDomainName(name)
             gateway.components.endpoints.evacuated_domains.add(domain)
-        [service] = gateway.explain().services
+        [service] = (await gateway.explain()).services
         self.assertEqual(service.decision.code, "evacuated")
         self.assertEqual(
             set(_exclusions(service).values()), {(Exclusion.EVACUATED,)}
@@ -111,7 +111,7 @@
         target = _limit(gateway, "one", 0.5)
         delay_s = await gateway.components.permits.acquire(target, 1.0)
         self.assertGreater(delay_s, 0)
-        [service] = gateway.explain().services
+        [service] = (await gateway.explain()).services
         self.assertEqual(service.decision.code, "limited")
         self.assertAlmostEqual(
             service.decision.retry_after_s, delay_s, delta=0.2
@@ -123,7 +123,7 @@
     async def test_endpoint_with_the_least_cost_is_named(self):
         gateway = _gateway()
         gateway.components.failures.record_failure("one", 4.0)
-        [service] = gateway.explain().services
+        [service] = (await gateway.explain()).services
         costs_s = {view.endpoint_id: view.cost_s for view in service.endpoints}
         self.assertIs(service.decision.verdict, Verdict.SEND)
         self.assertEqual(service.decision.endpoint_id, "two")
@@ -135,7 +135,7 @@
         gateway = _gateway()
         for name in ("one", "three"):
             gateway.components.failures.record_failure(name, 8.0)
-        [service] = gateway.explain().services
+        [service] = (await gateway.explain()).services
         chosen = await gateway.components.permitted_chooser.choose(
             forwarding_parts.admit_generation(), frozenset(), 0.0
         )
@@ -149,7 +149,7 @@
         endpoints.put(forwarding_parts.create_endpoint("four", state=leaving))
         endpoints.put(forwarding_parts.create_endpoint("five"))
         endpoints.set_reachable(endpoints.get(ids.EndpointId("five")), False)
-        explained = gateway.explain()
+        explained = await gateway.explain()
         [service] = explained.services
         self.assertEqual(explained.allowed_regions, ("a",))
         self.assertEqual(service.decision.endpoint_id, "two")
@@ -170,7 +170,7 @@
         endpoints = gateway.components.endpoints
         for target in endpoints.endpoints:
             endpoints.set_reachable(target, False)
-        [service] = gateway.explain().services
+        [service] = (await gateway.explain()).services
         self.assertIs(service.decision.verdict, Verdict.SEND)
         self.assertEqual(set(_exclusions(service).values()), {()})
         self.assertTrue(all(view.is_unreachable for view in service.endpoints))
@@ -185,7 +185,7 @@
             entry.EntrySettings(watched_endpoints=5),
         )
         gateway.adopt()
-        [service] = gateway.explain().services
+        [service] = (await gateway.explain()).services
         exclusions = _exclusions(service)
         self.assertEqual(exclusions[service.decision.endpoint_id], ())
         self.assertEqual(
@@ -202,8 +202,8 @@
         gateway.adopt()
         request = forwarding_parts.admit_generation()
         for _ in range(4):
-            gateway.explain()
-            [service] = gateway.explain().services
+            await gateway.explain()
+            [service] = (await gateway.explain()).services
             chosen = gateway.components.endpoint_chooser.choose(request, set())
             self.assertEqual(service.decision.endpoint_id, chosen.endpoint_id)
 
@@ -223,12 +223,12 @@
             kind.RequestKind.STREAM,
             cold_service,
         )
-        [service] = gateway.explain().services
+        [service] = (await gateway.explain()).services
         self.assertEqual(_exclusions(service)["one"], ())
         for _ in range(20):
             if await gateway.components.cold_limits.acquire(target, request):
                 break
-        [service] = gateway.explain().services
+        [service] = (await gateway.explain()).services
         self.assertEqual(_exclusions(service)["one"], (Exclusion.COLD,))
         [view] = [v for v in service.endpoints if v.endpoint_id == "one"]
         self.assertGreater(view.cold_s, 50.0)
@@ -238,7 +238,7 @@
         gateway = _gateway()
         report = forwarding_parts.create_report(15_000, waiting=2, running=7)
         gateway.components.reports.put(ids.EndpointId("one"), report)
-        [service] = gateway.explain().services
+        [service] = (await gateway.explain()).services
         [view] = [v for v in service.endpoints if v.endpoint_id == "one"]
         self.assertEqual((view.running, view.waiting), (7, 2))
         self.assertGreater(view.memory_use, 0.5)
@@ -252,7 +252,7 @@
                 route.WeightedService(forwarding_parts.CALL_SERVICE.name, 1),
             ),
         )
-        pool, desk = gateway.explain().services
+        pool, desk = (await gateway.explain()).services
         self.assertEqual((pool.share, desk.share), (0.75, 0.25))
         self.assertIs(pool.decision.verdict, Verdict.SEND)
         self.assertIs(desk.decision.verdict, Verdict.REFUSE)
@@ -261,7 +261,7 @@
     async def test_coordinator_is_named(self):
         gateway = _gateway()
         _state_pace(gateway, "one")
-        [service] = gateway.explain().services
+        [service] = (await gateway.explain()).services
         self.assertTrue(service.is_coordinated)
         self.assertEqual(service.coordinators, ("front-1",))
         self.assertIs(service.decision.verdict, Verdict.ASK_COORDINATOR)
@@ -276,8 +276,13 @@
         for explanation_count in (0, 50):
             gateway = _gateway()
             for _ in range(explanation_count):
-                gateway.explain()
-                gateway.explain(path="/other")
+                await gateway.explain()
+                await gateway.explain(path="/other")
+                # The retry time of this refusal is random.
+                domains = gateway.components.endpoints.evacuated_domains
+                domains.replace_all(("a-1", "a-2", "b-1"))
+                await gateway.explain()
+                domains.replace_all(())
             request = forwarding_parts.admit_generation()
             chooser = gateway.components.endpoint_chooser
             choices = [chooser.choose(request, set()) for _ in range(30)]
@@ -285,6 +290,19 @@
         self.assertEqual(chosen[0], chosen[1])
         self.assertGreater(len(set(chosen[0])), 1)
 
+    # Guards against streams that stop while many endpoints are described.
+    async def test_other_tasks_run_meanwhile(self):
+        gateway = explaining_gateway.ExplainingGateway(
+            [forwarding_parts.create_endpoint(f"i-{i}") for i in range(150)]
+        )
+        gateway.adopt()
+        explaining = asyncio.create_task(gateway.explain())
+        turns = 0
+        while not explaining.done():
+            await asyncio.sleep(0)
+            turns += 1
+        self.assertGreater(turns, 100)
+
     # Guards against a permit, a share or a placement that is used up.
     async def test_nothing_is_acquired(self):
         gateway = _gateway()
@@ -299,7 +317,7 @@
         components.cold_limits.acquire = fail
         components.placement.chooser._caller.ask = fail
         components.placement.coordinator.decide = fail
-        [service] = gateway.explain().services
+        [service] = (await gateway.explain()).services
         self.assertIsNotNone(service.decision.endpoint_id)
         self.assertEqual(components.in_flight.counts(), {})
         self.assertEqual(len(components.placement_ledger), 0)
--- a/tests/support/explaining_gateway.py
+++ b/tests/support/explaining_gateway.py
@@ -46,7 +46,7 @@
             )
         )
 
-    def explain(self, **changes):
+    async def explain(self, **changes):
         """Explains a request with a valid key."""
         values = {
             "host": "h.example",
@@ -56,6 +56,6 @@
             "output_tokens": 200,
             **changes,
         }
-        return self.explainer.explain(
+        return await self.explainer.explain(
             explanation_request.ExplanationRequest(**values)
         )
