Choose the target of a stopped run's copy again after an evacuation

While an engine turned away the call that stops a run, the call was repeated for up to 1.5 s with the target chosen first, also after the target's failure domain was evacuated. The run then had a copy that it could not resume from, and its caller saw the stream end. The target is now checked before each call.

The new test of the run stopper failed with a second copy to the evacuated engine; the module passes now.

--- a/bronzeslip/forwarding/run_stopper.py
+++ b/bronzeslip/forwarding/run_stopper.py
@@ -97,10 +97,11 @@
             endpoint_errors.EndpointUnreachableError: If the engine is gone.
             endpoint_errors.EndpointNotFoundError: If it has no such run.
         """
-        target = self._usable_target(copy) or self._choose_target(source)
-        if target is None or not self._request.service.engine.can_move:
-            return copy
         while True:
+            # An evacuation may become known between two calls.
+            target = self._usable_target(copy) or self._choose_target(source)
+            if target is None or not self._request.service.engine.can_move:
+                return copy
             try:
                 result = await self._components.client.copy_run(
                     source,
--- a/tests/forwarding/test_run_stopper.py
+++ b/tests/forwarding/test_run_stopper.py
@@ -14,6 +14,7 @@
 from bronzeslip.forwarding import endpoint_errors
 from bronzeslip.forwarding import errors
 from bronzeslip.forwarding import run_stopper
+from bronzeslip.forwarding import standby_copy
 from bronzeslip.forwarding import stream_run
 from bronzeslip.routes import kind
 from tests.support import forwarding_parts
@@ -37,6 +38,8 @@
         copied: Set once a copy of the running request has been made.
         busy_count: Number of calls to copy a run that are turned away first.
         stops: Engines that were told to stop the run.
+        targets: Targets of the copies that were to be made on stopping.
+        on_busy: Called when a call to copy a run is turned away.
     """
 
     def __init__(self, *bodies):
@@ -48,6 +51,8 @@
         self.copied = asyncio.Event()
         self.busy_count = 0
         self.stops = []
+        self.targets = []
+        self.on_busy = lambda: None
 
     async def send(self, outgoing):
         self.sent.append(outgoing)
@@ -71,8 +76,10 @@
         if not is_last:
             self.copied.set()
             return endpoint_client.CopyResult(ids.HandleId("early"), 1)
+        self.targets.append(target.endpoint_id)
         if self.busy_count:
             self.busy_count -= 1
+            self.on_busy()
             raise endpoint_errors.EndpointRefusedError("copy in progress")
         self.stops.append(source.endpoint_id)
         if source.endpoint_id not in self.working:
@@ -194,6 +201,30 @@
             (copy.handle, copy.target.endpoint_id), ("last", "two")
         )
 
+    # Guards against copying a run to an engine that was evacuated while the
+    # call to stop the run was repeated.
+    async def test_copy_goes_elsewhere_once_its_target_is_evacuated(self):
+        targets = [
+            forwarding_parts.create_endpoint("two", "b-1"),
+            forwarding_parts.create_endpoint("three", "a-1"),
+        ]
+        components = forwarding_parts.create_components(
+            self.engines, [self.source, *targets]
+        )
+        stopper = run_stopper.RunStopper(
+            components, forwarding_parts.admit_generation()
+        )
+        self.engines.working.add("one")
+        self.engines.busy_count = 1
+        domains = components.endpoints.evacuated_domains
+        self.engines.on_busy = lambda: domains.add("b-1")
+        earlier = standby_copy.StandbyCopy(
+            self.source, targets[0], ids.HandleId("early"), 0.0, 1
+        )
+        copy = await stopper.stop(self.source, earlier)
+        self.assertEqual(self.engines.targets, ["two", "three"])
+        self.assertEqual(copy.target.endpoint_id, "three")
+
 
 if __name__ == "__main__":
     unittest.main()
