Keep what is known of a cold endpoint if an older copy is listed

After a restore of the store, a listing may hold an endpoint's incarnation before the known one. The directory ignored it, but the tracker of cold endpoints replaced its record, so that the running incarnation counted as warm after cold_s and its later statements were ignored: gateways could exceed its limit. Only incarnations that the directory holds are recorded now.

--- a/bronzeslip/platform/discovery_follower.py
+++ b/bronzeslip/platform/discovery_follower.py
@@ -66,8 +66,17 @@
             for stored in listing.objects
             if (decoded := _decode(stored)) is not None
         ]
-        self._endpoint_directory.cold_endpoints.replace_all(entries)
         self._endpoint_directory.replace_all(decoded for decoded, _ in entries)
+        # An older copy of the store may list incarnations that are gone.
+        self._endpoint_directory.cold_endpoints.replace_all(
+            (decoded, version)
+            for decoded, version in entries
+            if self._is_known(decoded)
+        )
+
+    def _is_known(self, listed: endpoint.Endpoint) -> bool:
+        known = self._endpoint_directory.get(listed.endpoint_id)
+        return known is not None and known.is_same_incarnation(listed)
 
     async def _on_event(self, event: objects.ObjectEvent) -> None:
         endpoint_id = discovery.endpoint_id_of(event.key)
--- a/tests/platform/test_discovery_follower.py
+++ b/tests/platform/test_discovery_follower.py
@@ -8,6 +8,7 @@
 from bronzeslip import ids
 from bronzeslip.endpoints import directory
 from bronzeslip.platform import discovery_follower
+from bronzeslip.store import errors
 from bronzeslip.store import follower
 from bronzeslip.store import objects
 from tests.support import forwarding_parts
@@ -35,10 +36,15 @@
 
 
 class _ScriptedStore:
-    """Store that returns one listing and then batches of changes."""
+    """Store that returns a listing and then batches of changes.
+
+    Attributes:
+        listed: Values that are listed, by name.
+        changes: Names and values of changes, or errors of the watch.
+    """
 
     def __init__(self, listed):
-        self._listed = listed
+        self.listed = listed
         self._version = 1
         self.changes = asyncio.Queue()
 
@@ -47,12 +53,15 @@
             objects.PlatformObject(
                 ids.ObjectKey(f"{prefix}{name}"), self._version, value
             )
-            for name, value in self._listed.items()
+            for name, value in self.listed.items()
         )
         return objects.ObjectList(self._version, stored)
 
     async def watch(self, prefix, after, wait_s):
-        name, value = await self.changes.get()
+        change = await self.changes.get()
+        if isinstance(change, Exception):
+            raise change
+        name, value = change
         self._version += 1
         event = objects.ObjectEvent(
             objects.EventKind.PUT,
@@ -122,6 +131,28 @@
         await polling.wait_until(lambda: cold.remaining_s("one", service))
         self.assertGreater(cold.remaining_s("one", service), 4.0)
 
+    # Guards against requests to a cold endpoint above what it sustains, since
+    # an older copy of the store lists the incarnation before.
+    async def test_endpoint_stays_cold_if_an_older_copy_is_listed(self):
+        service = msgspec.structs.replace(
+            forwarding_parts.CALL_SERVICE, cold_s=0.1, cold_per_s=29.0
+        )
+        self._follow(one=_SOUND)
+        await self._wait_for("one")
+        cold = self.directory.cold_endpoints
+        restarted = _SOUND.replace(b"{", b'{"cold_left_ms":9000,').replace(
+            b"0123", b"9123"
+        )
+        self.store.changes.put_nowait(("one", restarted))
+        await polling.wait_until(lambda: cold.remaining_s("one", service) > 5.0)
+        self.directory.mark_source_restored()
+        self.store.changes.put_nowait(errors.WatchExpiredError("restored"))
+        await polling.wait_until(lambda: self.directory.is_source_reachable)
+        self.assertGreater(cold.remaining_s("one", service), 5.0)
+        known = self.directory.get(ids.EndpointId("one"))
+        cold.state(known, 20.0)
+        self.assertGreater(cold.remaining_s("one", service), 15.0)
+
     async def test_next_valid_entry_makes_the_endpoint_usable_again(self):
         self._follow(one=_SOUND)
         await self._wait_for("one")
