Refuse generations without any candidate before asking coordinators

Where placement is coordinated and no endpoint was left in a request's regions or outside evacuations, its gateway asked two other gateways first, which took up to their timeouts, and then took itself to be without a coordinator, so that it polled engines again. Such requests are refused at once now.

The new test saw an ask in both cases before; test_replies_of_a_coordinator, test_gateways_that_do_not_reply, test_requests_with_allowed_regions and test_evacuated_failure_domains pass.

--- a/bronzeslip/placement/coordinated_chooser.py
+++ b/bronzeslip/placement/coordinated_chooser.py
@@ -100,7 +100,9 @@
                 no endpoint could start it in time.
             errors.NotRunError: If no endpoint is left.
         """
-        if not self._is_coordinated(request):
+        if not self._is_coordinated(request) or not self._has_candidate(
+            request, tried
+        ):
             return self._local.choose(request, tried)
         placed = await self._place(request, tried, was_sent)
         if isinstance(placed, endpoint.Endpoint):
@@ -125,6 +127,24 @@
             and self._gate.is_coordinated(request.service.name)
         )
 
+    def _has_candidate(
+        self,
+        request: admitted.AdmittedRequest,
+        tried: AbstractSet[ids.EndpointId],
+    ) -> bool:
+        """Returns whether a coordinator could name a usable endpoint.
+
+        Stops at the first one, which is among the first of all endpoints
+        unless the request is restricted.
+        """
+        return any(
+            candidate.endpoint_id not in tried
+            and self._regions.is_eligible(candidate, request.allowed_regions)
+            for candidate in self._endpoints.ready_endpoints(
+                request.service.name
+            )
+        )
+
     def end(self, request_id: ids.RequestId) -> None:
         """Records that a request has ended."""
         self._caller.ended.end(request_id)
--- a/tests/placement/test_replies_of_a_coordinator.py
+++ b/tests/placement/test_replies_of_a_coordinator.py
@@ -211,6 +211,41 @@
         self.assertEqual(len(ended.take("front-1")), 100 - len(first))
         self.assertEqual(ended.take("front-1"), ())
 
+    # Guards against refusals that wait for gateways which can't place the
+    # request either, and against polls as if no coordinator replied.
+    def test_request_without_any_candidate_is_refused_without_an_ask(self):
+        def evacuate(case):
+            case.components.endpoints.evacuated_domains.add("a-1")
+
+        cases = (
+            (None, errors.NoEligibleEndpointError, frozenset({"b"})),
+            (evacuate, errors.EvacuatedError, None),
+        )
+        for prepare, error_type, allowed_regions in cases:
+
+            async def play(
+                prepare=prepare,
+                error_type=error_type,
+                allowed_regions=allowed_regions,
+            ):
+                case = _Case(None)
+                case.contact.record("pool", is_answered=True)
+                if prepare is not None:
+                    prepare(case)
+                request = forwarding_parts.admit(
+                    forwarding_parts.create_generation_request(),
+                    kind.RequestKind.STREAM,
+                    forwarding_parts.ENGINE_SERVICE,
+                    allowed_regions,
+                )
+                with self.assertRaises(error_type):
+                    await case.chooser.choose(request, frozenset())
+                self.assertEqual(case.caller.asks, [])
+                self.assertTrue(case.contact.exists("pool"))
+
+            with self.subTest(error=error_type.__name__):
+                self._run(play)
+
     def test_plain_calls_are_not_coordinated(self):
         async def play():
             case = _Case(_placed())
