List only used cold endpoints as excluded from a placement

Where placement is coordinated and a service states cold_per_s, each request looked up all ready endpoints of its service to state the excluded ones, so that its cost grew with their number. Only endpoints that this gateway has used while they are cold can be without a free share, so only these are looked up.

The new test counted 100 or more look-ups before, and fewer than 5 now; test_region_of_cold_endpoints, test_cold_endpoints_of_many_gateways and test_replies_of_a_coordinator pass.

--- a/bronzeslip/forwarding/excluded_endpoints.py
+++ b/bronzeslip/forwarding/excluded_endpoints.py
@@ -5,7 +5,6 @@
 from collections.abc import Set as AbstractSet
 
 from bronzeslip import ids
-from bronzeslip.endpoints import endpoint
 from bronzeslip.forwarding import admitted
 from bronzeslip.places import cold_limits
 
@@ -22,7 +21,6 @@
         named: AbstractSet[ids.EndpointId],
         limits: cold_limits.ColdLimits,
         request: admitted.AdmittedRequest,
-        candidates: Iterable[endpoint.Endpoint],
     ) -> None:
         """Creates the set for one choice.
 
@@ -30,12 +28,10 @@
             named: Endpoints that are excluded for other reasons.
             limits: Limits of cold endpoints.
             request: Request to send.
-            candidates: All endpoints that may be considered.
         """
         self._named = named
         self._limits = limits
         self._request = request
-        self._candidates = candidates
 
     def __contains__(self, endpoint_id: object) -> bool:
         """Returns whether an endpoint is excluded."""
@@ -44,10 +40,12 @@
         )
 
     def __iter__(self) -> Iterator[ids.EndpointId]:
-        """Iterates over the excluded endpoints by checking all candidates."""
+        """Iterates over the excluded endpoints.
+
+        A cold endpoint is excluded only after this gateway has used it.
+        """
         yield from self._named
-        for candidate in self._candidates:
-            endpoint_id = candidate.endpoint_id
+        for endpoint_id in self._limits.used_endpoints(self._request):
             if endpoint_id not in self._named and endpoint_id in self:
                 yield endpoint_id
 
--- a/bronzeslip/forwarding/permitted_chooser.py
+++ b/bronzeslip/forwarding/permitted_chooser.py
@@ -129,10 +129,7 @@
         if not request.service.cold_per_s:
             return named
         return excluded_endpoints.ExcludedEndpoints(
-            named,
-            self._limits_of_cold,
-            request,
-            self._endpoints.ready_endpoints(request.service.name),
+            named, self._limits_of_cold, request
         )
 
     def _cold_delays_s(
--- a/bronzeslip/places/cold_limits.py
+++ b/bronzeslip/places/cold_limits.py
@@ -45,11 +45,14 @@
         self._permits = permits
         self._clock = clock
         self._windows: dict[ids.EndpointId, request_window.RequestWindow] = {}
+        # Cold endpoints that requests were intended for, by service.
+        self._used: dict[ids.ServiceName, set[ids.EndpointId]] = {}
 
     def remove(self, gone: endpoint.Endpoint) -> None:
         """Removes an endpoint that is gone."""
         self._windows.pop(gone.endpoint_id, None)
         self._permits.remove(gone.endpoint_id)
+        self._used.get(gone.service_name, set()).discard(gone.endpoint_id)
 
     def delay_s(
         self, endpoint_id: ids.EndpointId, request: admitted.AdmittedRequest
@@ -70,6 +73,21 @@
         """Returns how long an endpoint is cold, in seconds."""
         return self._cold.remaining_s(endpoint_id, request.service)
 
+    def used_endpoints(
+        self, request: admitted.AdmittedRequest
+    ) -> frozenset[ids.EndpointId]:
+        """Returns the cold endpoints of a service that were used while cold.
+
+        Only these may have no free share, or a permit that was denied.
+        """
+        used = self._used.get(request.service.name)
+        if not used:
+            return frozenset()
+        used.difference_update(
+            [name for name in used if not self.cold_s(name, request)]
+        )
+        return frozenset(used)
+
     async def acquire(
         self, target: endpoint.Endpoint, request: admitted.AdmittedRequest
     ) -> float:
@@ -82,6 +100,8 @@
         cold_s = self._cold.remaining_s(target.endpoint_id, request.service)
         if not cold_s:
             return 0.0
+        used = self._used.setdefault(target.service_name, set())
+        used.add(target.endpoint_id)
         delay_s = self._share_delay_s(target.endpoint_id, request)
         if not delay_s:
             delay_s = await self._take(target, request)
