Do not take endpoints whose entries lapsed for ones that have just started

After an outage of the store in which entries lapsed, the running endpoints registered again and counted as cold for cold_s, although they were warm; a service whose endpoints all did so refused requests. What was stated before the lapse was forgotten as well. An incarnation that is known by its start time now keeps what is known of it.

--- a/bronzeslip/places/cold_endpoints.py
+++ b/bronzeslip/places/cold_endpoints.py
@@ -16,6 +16,8 @@
 
 # Bounds the time for which one false statement limits an endpoint.
 _MAX_STATED_S = 3600.0
+# Far more than the endpoints whose entries lapse during one outage.
+_MAX_PAST_RECORDS = 4096
 
 
 class _Record(msgspec.Struct):
@@ -56,6 +58,8 @@
         """
         self._clock = clock
         self._records: dict[ids.EndpointId, _Record] = {}
+        # Of endpoints whose entries were removed or have lapsed.
+        self._past: dict[ids.EndpointId, _Record] = {}
         self._is_listed = False
 
     def replace_all(
@@ -89,10 +93,21 @@
             self._extend(record, remaining_s)
 
     def remove(self, gone: endpoint.Endpoint) -> None:
-        """Removes an incarnation."""
+        """Removes an incarnation.
+
+        What is known of it is kept for the case that its entry has lapsed while
+        it runs. Without a start time it can't be told from its successor.
+        """
         record = self._records.get(gone.endpoint_id)
-        if record is not None and record.incarnation.is_same_incarnation(gone):
-            del self._records[gone.endpoint_id]
+        if record is None or not record.incarnation.is_same_incarnation(gone):
+            return
+        del self._records[gone.endpoint_id]
+        if not gone.started_unix_ms:
+            return
+        self._past.pop(gone.endpoint_id, None)
+        self._past[gone.endpoint_id] = record
+        if len(self._past) > _MAX_PAST_RECORDS:
+            del self._past[next(iter(self._past))]
 
     def remaining_s(
         self, endpoint_id: ids.EndpointId, target_service: service.Service
@@ -132,7 +147,11 @@
     ) -> _Record:
         record = self._records.get(target.endpoint_id)
         if record is None or not record.incarnation.is_same_incarnation(target):
-            record = _Record(target, appeared_s=appeared_s)
+            record = self._past.pop(target.endpoint_id, None)
+            if record is None or not record.incarnation.is_same_incarnation(
+                target
+            ):
+                record = _Record(target, appeared_s=appeared_s)
             self._records[target.endpoint_id] = record
         return record
 
--- a/tests/places/test_cold_endpoints.py
+++ b/tests/places/test_cold_endpoints.py
@@ -49,6 +49,32 @@
         self.cold.replace_all([(_create_endpoint(0.0, 2), 3)])
         self._assert_cold_for(_COLD_S)
 
+    # Guards against refusals while many entries that lapsed in an outage of the
+    # store are registered again.
+    def test_endpoint_whose_entry_lapsed_does_not_appear_anew(self):
+        entry = _create_endpoint(0.8)
+        self.cold.replace_all([(entry, 1)])
+        self.cold.remove(entry)
+        self.clock.advance(0.5)
+        self.cold.put(_create_endpoint(), 2)
+        self._assert_cold_for(0.3)
+        self.clock.advance(0.5)
+        self.cold.remove(entry)
+        self.cold.put(_create_endpoint(), 3)
+        self._assert_cold_for(0.0)
+        self.cold.remove(entry)
+        self.cold.put(_create_endpoint(started_unix_ms=2), 4)
+        self._assert_cold_for(_COLD_S)
+
+    # Guards against taking a restarted endpoint for the one before if entries
+    # state no start time.
+    def test_endpoint_without_a_start_time_appears_anew(self):
+        entry = _create_endpoint(started_unix_ms=0)
+        self.cold.replace_all([(entry, 1)])
+        self.cold.remove(entry)
+        self.cold.put(entry, 2)
+        self._assert_cold_for(_COLD_S)
+
     # Guards against entries that are listed again and again after outages.
     def test_listing_the_same_entry_again_is_no_statement(self):
         entry = _create_endpoint(0.8)
