Keep the selection of watched endpoints of each service

Only the latest selection was kept, so a gateway that serves two services with more endpoints than it watches ranked all endpoints of a service for nearly every request, and looked the selection up by a hash of all of them. Each service has its own selection now, recognized by the directory's unchanged tuple. The selected endpoints are the same.

--- a/bronzeslip/endpoints/watched_endpoints.py
+++ b/bronzeslip/endpoints/watched_endpoints.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Sequence
 
+import msgspec
+
 from bronzeslip import ids
 from bronzeslip.endpoints import directory
 from bronzeslip.endpoints import endpoint
@@ -14,6 +16,34 @@
 _MIN_PER_NAMED_REGION = 2
 
 
+class _Selection(msgspec.Struct, frozen=True):
+    """Selected endpoints of a service and what they were selected from.
+
+    Attributes:
+        ready: Ready endpoints of the service.
+        named_regions: Regions that its requests are restricted to.
+        selected: Endpoints to watch.
+    """
+
+    ready: tuple[endpoint.Endpoint, ...]
+    named_regions: frozenset[ids.RegionName]
+    selected: tuple[endpoint.Endpoint, ...]
+
+    def is_of(
+        self,
+        ready: tuple[endpoint.Endpoint, ...],
+        named_regions: frozenset[ids.RegionName],
+    ) -> bool:
+        """Returns whether nothing has changed since the selection.
+
+        The directory returns the same tuple until a change, which is faster to
+        recognize than equal endpoints.
+        """
+        if self.named_regions != named_regions:
+            return False
+        return self.ready is ready or self.ready == ready
+
+
 class WatchedEndpoints:
     """Selects a bounded subset of endpoints, independent of the fleet size.
 
@@ -48,10 +78,7 @@
         self._this_vm = this_vm
         self._endpoints = endpoints
         self._current_table = current_table
-        self._selected: dict[
-            tuple[tuple[endpoint.Endpoint, ...], frozenset[ids.RegionName]],
-            tuple[endpoint.Endpoint, ...],
-        ] = {}
+        self._selections: dict[ids.ServiceName, _Selection] = {}
 
     def for_service(
         self, service_name: ids.ServiceName
@@ -61,10 +88,13 @@
         if len(ready) <= self._settings.watched_endpoints:
             return ready
         named_regions = self._named_regions(service_name)
-        key = (ready, named_regions)
-        if key not in self._selected:
-            self._selected = {key: self._select(ready, named_regions)}
-        return self._selected[key]
+        latest = self._selections.get(service_name)
+        if latest is None or not latest.is_of(ready, named_regions):
+            latest = _Selection(
+                ready, named_regions, self._select(ready, named_regions)
+            )
+            self._selections[service_name] = latest
+        return latest.selected
 
     def _named_regions(
         self, service_name: ids.ServiceName
--- a/tests/endpoints/test_watched_endpoints.py
+++ b/tests/endpoints/test_watched_endpoints.py
@@ -2,12 +2,14 @@
 
 import collections
 import unittest
+from unittest import mock
 
 import msgspec
 
 from bronzeslip import ids
 from bronzeslip.endpoints import directory
 from bronzeslip.endpoints import watched_endpoints
+from bronzeslip.membership import rendezvous
 from bronzeslip.routes import current
 from bronzeslip.routes import kind
 from bronzeslip.routes import route
@@ -52,6 +54,34 @@
             len(self._create_watched(_LIMIT).for_service("pool")), _LIMIT
         )
 
+    # Guards against ranking all endpoints for each request where a gateway
+    # serves several large services by turns.
+    async def test_services_used_by_turns_are_selected_once_each(self):
+        endpoints = directory.EndpointDirectory(_SETTINGS)
+        endpoints.replace_all(
+            forwarding_parts.create_endpoint(
+                f"{name}-{number}", ("a-1", "b-1")[number % 2], name
+            )
+            for name in ("pool", "desk")
+            for number in range(60)
+        )
+        watched = watched_endpoints.WatchedEndpoints(
+            _SETTINGS,
+            forwarding_parts.VM_CONFIG,
+            endpoints,
+            current.CurrentTable(),
+        )
+        with mock.patch.object(
+            rendezvous, "ranked", wraps=rendezvous.ranked
+        ) as ranked:
+            for _ in range(10):
+                self.assertEqual(len(watched.for_service("pool")), _LIMIT)
+                self.assertEqual(len(watched.for_service("desk")), _LIMIT)
+            self.assertEqual(ranked.call_count, 2)
+            before = watched.for_service("pool")
+            endpoints.mark_leaving(before[0])
+            self.assertNotIn(before[0], watched.for_service("pool"))
+
     async def test_large_service_is_limited_and_half_in_own_region(self):
         chosen = self._create_watched(60).for_service("pool")
         self.assertEqual(len(chosen), _LIMIT)
