List ready and evacuated endpoints once for each change

While a failure domain was evacuated, each check of whether an engine has neighbours built a list of all endpoints of its service, and the choice of a copy's target made this check for each candidate, so that its cost grew with the square of their number for every long generation. The list is now kept until an endpoint or the evacuations change.

--- a/bronzeslip/endpoints/directory.py
+++ b/bronzeslip/endpoints/directory.py
@@ -71,6 +71,9 @@
         self._ready_by_service: dict[
             ids.ServiceName, tuple[endpoint.Endpoint, ...]
         ] = {}
+        self._ready_or_evacuated_by_service: dict[
+            ids.ServiceName, tuple[endpoint.Endpoint, ...]
+        ] = {}
 
     @property
     def endpoints(self) -> tuple[endpoint.Endpoint, ...]:
@@ -143,13 +146,17 @@
         ready = self.ready_endpoints(service_name)
         if not self.evacuated_domains:
             return ready
-        return ready + tuple(
-            candidate
-            for candidate in self._endpoints.values()
-            if candidate.service_name == service_name
-            and candidate.is_ready
-            and self.is_evacuated(candidate)
-        )
+        listed = self._ready_or_evacuated_by_service.get(service_name)
+        if listed is None:
+            listed = ready + tuple(
+                candidate
+                for candidate in self._endpoints.values()
+                if candidate.service_name == service_name
+                and candidate.is_ready
+                and self.is_evacuated(candidate)
+            )
+            self._ready_or_evacuated_by_service[service_name] = listed
+        return listed
 
     def is_evacuated(self, target: endpoint.Endpoint) -> bool:
         """Returns whether an endpoint is in an evacuated failure domain."""
@@ -342,6 +349,7 @@
 
     def _signal_change(self) -> None:
         self._ready_by_service.clear()
+        self._ready_or_evacuated_by_service.clear()
         self._changed.set()
         self._changed = asyncio.Event()
 
--- a/tests/endpoints/test_directory.py
+++ b/tests/endpoints/test_directory.py
@@ -31,6 +31,29 @@
         self.assertEqual(self._ready(), {"two"})
         self.assertEqual(self.notified, [self.one])
 
+    # Guards against copies that compare all engines with each other, and list
+    # them each time, while a failure domain is evacuated.
+    async def test_endpoints_with_evacuated_ones_are_listed_once(self):
+        three = forwarding_parts.create_endpoint("three", "b-1")
+        self.directory.put(three)
+        self.directory.evacuated_domains.add("b-1")
+        listed = self.directory.ready_or_evacuated_endpoints("pool")
+        self.assertEqual(set(listed), {self.one, self.two, three})
+        self.assertIs(
+            self.directory.ready_or_evacuated_endpoints("pool"), listed
+        )
+        self.directory.mark_leaving(three)
+        self.assertEqual(
+            set(self.directory.ready_or_evacuated_endpoints("pool")),
+            {self.one, self.two},
+        )
+        self.directory.evacuated_domains.add("a-1")
+        self.assertEqual(self._ready(), set())
+        self.assertEqual(
+            set(self.directory.ready_or_evacuated_endpoints("pool")),
+            {self.one, self.two},
+        )
+
     # A callback that raised kept the other entries of a listing from being
     # applied.
     async def test_failed_listener_does_not_hide_other_entries(self):
