Bound the time that a request waits for permits of cold endpoints

A gateway without links to the others asked the coordinators of each cold endpoint in turn, with a timeout of 0.3 s each, so that a request could be held until its deadline though a warm endpoint was left or a refusal was due. After 0.5 s the cold endpoints that are left are passed over now.

--- a/bronzeslip/forwarding/excluded_endpoints.py
+++ b/bronzeslip/forwarding/excluded_endpoints.py
@@ -21,6 +21,7 @@
         named: AbstractSet[ids.EndpointId],
         limits: cold_limits.ColdLimits,
         request: admitted.AdmittedRequest,
+        excludes_all_cold: bool = False,
     ) -> None:
         """Creates the set for one choice.
 
@@ -28,15 +29,20 @@
             named: Endpoints that are excluded for other reasons.
             limits: Limits of cold endpoints.
             request: Request to send.
+            excludes_all_cold: Whether cold endpoints with a free share are
+                excluded, too.
         """
         self._named = named
         self._limits = limits
         self._request = request
+        self._excluding_delay_s = (
+            limits.cold_s if excludes_all_cold else limits.delay_s
+        )
 
     def __contains__(self, endpoint_id: object) -> bool:
         """Returns whether an endpoint is excluded."""
         return endpoint_id in self._named or bool(
-            self._limits.delay_s(endpoint_id, self._request)
+            self._excluding_delay_s(endpoint_id, self._request)
         )
 
     def __iter__(self) -> Iterator[ids.EndpointId]:
--- a/bronzeslip/forwarding/permitted_chooser.py
+++ b/bronzeslip/forwarding/permitted_chooser.py
@@ -22,6 +22,10 @@
 
 # Time over which callers return to an endpoint that has become warm.
 _WARM_RETURN_SPREAD_S = 1.0
+# Time that a request waits for permits before it passes over all cold endpoints
+# left. Two gateways that do not reply to a call take 0.6 s, so a request still
+# asks the coordinators of a second endpoint if only one is unreachable.
+_MAX_PERMIT_WAIT_S = 0.5
 
 
 class PermittedChooser:
@@ -89,11 +93,14 @@
             and self._is_eligible(self._endpoints.get(endpoint_id), request)
         }
         excluded = set(tried)
+        waited_s = 0.0
         while True:
             try:
                 chosen = await self._endpoint_chooser.choose(
                     request,
-                    self._unavailable(request, excluded | denied_s.keys()),
+                    self._unavailable(
+                        request, excluded | denied_s.keys(), waited_s
+                    ),
                     was_sent=bool(tried),
                 )
             except errors.OverloadedError:
@@ -103,9 +110,9 @@
                 if not denied_s:
                     raise
                 raise self._limited_error(request, denied_s) from None
-            delay_s = await self._limits_of_cold.acquire(chosen, request)
-            if not delay_s:
-                delay_s = await self._permits.acquire(chosen, reserved)
+            asked_s = self._clock()
+            delay_s = await self._acquire(chosen, request, reserved)
+            waited_s += self._clock() - asked_s
             if self._endpoints.is_evacuated(chosen):
                 # The evacuation became known while the permit was requested.
                 excluded.add(chosen.endpoint_id)
@@ -120,16 +127,35 @@
                 delay_s=round(delay_s, 3),
             )
 
+    async def _acquire(
+        self,
+        chosen: endpoint.Endpoint,
+        request: admitted.AdmittedRequest,
+        reserved: float,
+    ) -> float:
+        """Returns 0 if an endpoint may be used, else the time to wait."""
+        delay_s = await self._limits_of_cold.acquire(chosen, request)
+        if delay_s:
+            return delay_s
+        return await self._permits.acquire(chosen, reserved)
+
     def _unavailable(
         self,
         request: admitted.AdmittedRequest,
         named: AbstractSet[ids.EndpointId],
+        waited_s: float,
     ) -> AbstractSet[ids.EndpointId]:
-        """Returns named endpoints and cold ones without a free share."""
+        """Returns named endpoints and cold ones without a free share.
+
+        After a long wait for permits, these are all cold ones.
+        """
         if not request.service.cold_per_s:
             return named
         return excluded_endpoints.ExcludedEndpoints(
-            named, self._limits_of_cold, request
+            named,
+            self._limits_of_cold,
+            request,
+            excludes_all_cold=waited_s >= _MAX_PERMIT_WAIT_S,
         )
 
     def _cold_delays_s(
--- a/tests/forwarding/test_region_of_cold_endpoints.py
+++ b/tests/forwarding/test_region_of_cold_endpoints.py
@@ -8,6 +8,7 @@
 
 from bronzeslip.forwarding import call_forwarder
 from bronzeslip.forwarding import errors
+from bronzeslip.forwarding import permitted_chooser
 from bronzeslip.forwarding import standby_copy
 from bronzeslip.forwarding import stream_run
 from bronzeslip.places import cold_endpoints
@@ -120,6 +121,41 @@
         with self.assertRaises(errors.NoEligibleEndpointError):
             await self._call(frozenset({"b"}))
 
+    # Guards against a gateway without links to the others that asks each cold
+    # endpoint's coordinators in turn, until the deadline of the request.
+    async def test_wait_for_permits_does_not_grow_with_the_endpoints(self):
+        for warm_names in ((), ("warm",)):
+            with self.subTest(warm=warm_names):
+                self._start(*warm_names)
+                # The warm one is never chosen first.
+                self.shared.failures.record_failure("warm", 8.0)
+                for candidate in self.endpoints[:_COLD_COUNT]:
+                    self.shared.endpoints.cold_endpoints.state(candidate, 60.0)
+                limits = self.shared.cold_limits
+                asked = []
+
+                async def ask_in_vain(target, *_, asked=asked):
+                    asked.append(target.endpoint_id)
+                    await asyncio.sleep(0.06)
+                    return 1.0
+
+                with (
+                    mock.patch.object(
+                        limits._shares, "requests_per_s", return_value=0
+                    ),
+                    mock.patch.object(limits._permits, "acquire", ask_in_vain),
+                    mock.patch.object(
+                        permitted_chooser, "_MAX_PERMIT_WAIT_S", 0.1
+                    ),
+                ):
+                    if warm_names:
+                        await self._call()
+                        self.assertEqual(self._count_sent("warm"), 1)
+                    else:
+                        with self.assertRaises(errors.LimitedError):
+                            await self._call()
+                self.assertEqual(len(asked), 2)
+
     # Guards against a cost per request for endpoints it does not consider.
     async def test_a_request_looks_up_each_candidate_once(self):
         self._start("warm")
