--- a/bronzeslip/placement/coordinated_chooser.py
+++ b/bronzeslip/placement/coordinated_chooser.py
@@ -101,7 +101,9 @@
                 no endpoint could start it in time.
             errors.NotRunError: If no endpoint is left.
         """
-        if not self.is_coordinated(request):
+        if not self.is_coordinated(request) or not self._has_candidate(
+            request, tried
+        ):
             return self._local.choose(request, tried)
         placed = await self._place(request, tried, was_sent)
         if isinstance(placed, endpoint.Endpoint):
@@ -132,6 +134,24 @@
         """Returns the gateways to ask for a placement now, in order."""
         return self._caller.gateways_to_ask(self._shard_of(request))
 
+    def _has_candidate(
+        self,
+        request: admitted.AdmittedRequest,
+        tried: AbstractSet[ids.EndpointId],
+    ) -> bool:
+        """Returns whether a coordinator could name a usable endpoint.
+
+        Stops at the first one, which is among the first of all endpoints
+        unless the request is restricted.
+        """
+        return any(
+            candidate.endpoint_id not in tried
+            and self._regions.is_eligible(candidate, request.allowed_regions)
+            for candidate in self._endpoints.ready_endpoints(
+                request.service.name
+            )
+        )
+
     def end(self, request_id: ids.RequestId) -> None:
         """Records that a request has ended."""
         self._caller.ended.end(request_id)
