Poll the new incarnation of an engine that restarts under its id

Gateways went on to poll the address of the previous incarnation when an engine restarted without being missing from a listing. The new incarnation became unreachable for them if its address differed, a shutdown notice in its report was ignored, and the last report of the previous one counted as its load. The poller compared ids only. It now stops the task, drops the report and polls anew, with the engine taken for reachable until polls fail.

tests.forwarding.test_report_poller: the two new tests failed before (error and time-out) and pass now, 10 passed.

--- a/bronzeslip/forwarding/report_poller.py
+++ b/bronzeslip/forwarding/report_poller.py
@@ -64,6 +64,8 @@
         self._engine_services = engine_services
         self._coordinated = coordinated
         self._tasks: dict[ids.EndpointId, asyncio.Task] = {}
+        # Incarnation that each task polls.
+        self._polled: dict[ids.EndpointId, endpoint.Endpoint] = {}
         self._unresponsive: dict[ids.EndpointId, endpoint.Endpoint] = {}
         self._selection_changed = asyncio.Event()
 
@@ -110,16 +112,27 @@
         }
         self._forget_unresponsive(engines.keys())
         for endpoint_id in self._tasks.keys() - engines.keys():
-            self._tasks.pop(endpoint_id).cancel()
-            self._reports.remove(endpoint_id)
+            self._stop_polling(endpoint_id)
         for endpoint_id, engine in engines.items():
+            polled = self._polled.get(endpoint_id)
+            if polled is not None and not polled.is_same_incarnation(engine):
+                # The new incarnation may have another address, and neither the
+                # load nor the reachability of the previous one.
+                self._stop_polling(endpoint_id)
+                self._record_reachable(engine, True)
             task = self._tasks.get(endpoint_id)
             # The tasks of a run that has failed are done.
             if task is None or task.done():
+                self._polled[endpoint_id] = engine
                 self._tasks[endpoint_id] = task_set.start(
                     f"report {endpoint_id}", self._poll(engine)
                 )
 
+    def _stop_polling(self, endpoint_id: ids.EndpointId) -> None:
+        del self._polled[endpoint_id]
+        self._tasks.pop(endpoint_id).cancel()
+        self._reports.remove(endpoint_id)
+
     def _engines_of(
         self, service_name: ids.ServiceName
     ) -> tuple[endpoint.Endpoint, ...]:
--- a/tests/forwarding/test_report_poller.py
+++ b/tests/forwarding/test_report_poller.py
@@ -4,6 +4,8 @@
 import contextlib
 import unittest
 
+import msgspec
+
 from bronzeslip.endpoints import directory
 from bronzeslip.endpoints import in_flight_requests
 from bronzeslip.endpoints import report_cache
@@ -23,9 +25,11 @@
         self.next_report = forwarding_parts.create_report()
         self.unforeseen_error = None
         self.count = 0
+        self.last_target = None
 
     async def report(self, target):
         self.count += 1
+        self.last_target = target
         if self.unforeseen_error is not None:
             raise self.unforeseen_error
         if self.next_report is None:
@@ -120,6 +124,36 @@
         self.assertGreater(busy, 2)
         self.assertEqual(await self._count_polls(), 0)
 
+    # The address of the incarnation before was polled for good, so the new one
+    # seemed unreachable and its shutdown notice was missed.
+    async def test_engine_that_restarts_under_its_id_is_polled_anew(self):
+        await polling.wait_until(lambda: self.reports.get("one"))
+        restarted = msgspec.structs.replace(
+            self.one,
+            started_unix_ms=self.one.started_unix_ms + 1,
+            port=self.one.port + 1,
+        )
+        self.directory.put(restarted)
+        await polling.wait_until(lambda: self.client.last_target == restarted)
+        self.client.next_report = forwarding_parts.create_report(
+            is_leaving=True
+        )
+        await polling.wait_until(
+            lambda: not self.directory.accepts_requests(restarted)
+        )
+
+    # The load of the incarnation before was taken for that of the new one until
+    # a poll succeeded.
+    async def test_report_of_an_earlier_incarnation_is_dropped(self):
+        await polling.wait_until(lambda: self.reports.get("one"))
+        self.client.next_report = None
+        self.directory.put(
+            msgspec.structs.replace(
+                self.one, started_unix_ms=self.one.started_unix_ms + 1
+            )
+        )
+        await polling.wait_until(lambda: self.reports.get("one") is None)
+
     # An unforeseen exception ended the polling of an engine for good.
     async def test_engine_is_polled_again_after_an_unforeseen_exception(self):
         await polling.wait_until(lambda: self.reports.get("one"))
