Poll watched engines again when placements can't be used

A gateway in contact with its coordinator polls only engines with long runs of its own. A coordinator with an old directory replied, so the contact stayed, but each of its placements was rejected and the gateway chose locally without a report, for as long as the directories differed. A reply now counts as contact only if it defers, refuses or names a usable engine.

tests.placement.test_replies_of_a_coordinator: the new test failed before and passes now.

--- a/bronzeslip/placement/coordinated_chooser.py
+++ b/bronzeslip/placement/coordinated_chooser.py
@@ -144,15 +144,30 @@
         while True:
             ask = self._create_ask(request, tried, self._clock() - started_s)
             reply = await self._caller.ask(ask)
-            self._contact.record(request.service.name, reply is not None)
-            if reply is None:
-                return Reason.NO_REPLY
-            if reply.verdict is Verdict.DEFERRED:
-                await self._wait(request, reply)
-            elif reply.verdict is Verdict.REFUSED:
+            placed = self._interpret(request, reply, tried)
+            # A gateway in contact polls few engines, so placements that it
+            # can't use must end the contact: local choices need reports.
+            self._contact.record(
+                request.service.name, not isinstance(placed, Reason)
+            )
+            if placed is not None:
+                return placed
+            if reply.verdict is Verdict.REFUSED:
                 return self._refuse(reply, was_sent)
-            else:
-                return self._validated(request, reply, tried)
+            await self._wait(request, reply)
+
+    def _interpret(
+        self,
+        request: admitted.AdmittedRequest,
+        reply: placement_reply.PlacementReply | None,
+        tried: AbstractSet[ids.EndpointId],
+    ) -> endpoint.Endpoint | Reason | None:
+        """Returns what a reply leads to; None if deferred or refused."""
+        if reply is None:
+            return Reason.NO_REPLY
+        if reply.verdict in (Verdict.DEFERRED, Verdict.REFUSED):
+            return None
+        return self._validated(request, reply, tried)
 
     async def _wait(
         self,
--- a/tests/placement/test_replies_of_a_coordinator.py
+++ b/tests/placement/test_replies_of_a_coordinator.py
@@ -197,6 +197,22 @@
             with self.subTest(reason=reason):
                 self._run(play)
 
+    # A gateway whose coordinator named engines of an old directory chose
+    # locally without any report, as its contact kept it from polling.
+    def test_unusable_placement_ends_the_contact(self):
+        async def play():
+            case = _Case(
+                _placed(), _placed(started_unix_ms=7), _deferred(), _placed()
+            )
+            await case.choose()
+            self.assertTrue(case.contact.exists("pool"))
+            await case.choose()
+            self.assertFalse(case.contact.exists("pool"))
+            await case.choose()
+            self.assertTrue(case.contact.exists("pool"))
+
+        self._run(play)
+
     # Guards against a coordinator that counts ended requests as load.
     def test_ends_are_stated_to_the_coordinators_that_were_asked(self):
         ended = ended_requests.EndedRequests()
