Choose locally once a coordinator deferred a request for too long

A coordinator that deferred every ask held a request until its deadline, and its client got 429 although an engine could have taken it. The gateway had no bound of its own. It now chooses locally once the request has waited for the patience of its client; a coordinator that follows its policy refuses before.

tests.placement.test_replies_of_a_coordinator: the new test failed with OverloadedError before and passes now.

--- a/bronzeslip/placement/client_patience.py
+++ b/bronzeslip/placement/client_patience.py
@@ -16,13 +16,14 @@
 def remaining_s(ask: placement_ask.PlacementAsk) -> float:
     """Returns the time until the client gives up, in seconds.
 
-    An ask contains no objective. It is derived from what is left of it and the
-    time waited, so that it is too short for a request that asks for the first
-    time after a failed attempt.
+    It is limited by the deadline.
     """
-    objective_s = ask.objective_left_s + ask.waited_s
-    patience_s = max(_MIN_PATIENCE_S, _PATIENCE_OBJECTIVES * objective_s)
-    return min(patience_s - ask.waited_s, ask.remaining_s)
+    return min(_patience_s(ask) - ask.waited_s, ask.remaining_s)
+
+
+def is_exhausted(ask: placement_ask.PlacementAsk) -> bool:
+    """Returns whether a request has waited for as long as its client does."""
+    return ask.waited_s >= _patience_s(ask)
 
 
 def overdue_in_s(ask: placement_ask.PlacementAsk) -> float:
@@ -34,3 +35,14 @@
     """
     patience_s = ask.waited_s + remaining_s(ask)
     return _OVERDUE_SHARE * patience_s - ask.waited_s
+
+
+def _patience_s(ask: placement_ask.PlacementAsk) -> float:
+    """Returns for how long a client waits in total, in seconds.
+
+    An ask contains no objective. It is derived from what is left of it and the
+    time waited, so that it is too short for a request that asks for the first
+    time after a failed attempt.
+    """
+    objective_s = ask.objective_left_s + ask.waited_s
+    return max(_MIN_PATIENCE_S, _PATIENCE_OBJECTIVES * objective_s)
--- a/bronzeslip/placement/coordinated_chooser.py
+++ b/bronzeslip/placement/coordinated_chooser.py
@@ -17,6 +17,7 @@
 from bronzeslip.forwarding import errors
 from bronzeslip.forwarding import load_forecast
 from bronzeslip.metrics import entry_metrics
+from bronzeslip.placement import client_patience
 from bronzeslip.placement import coordinator_contact
 from bronzeslip.placement import local_reason
 from bronzeslip.placement import placement_ask
@@ -144,7 +145,7 @@
         while True:
             ask = self._create_ask(request, tried, self._clock() - started_s)
             reply = await self._caller.ask(ask)
-            placed = self._interpret(request, reply, tried)
+            placed = self._interpret(request, ask, reply, tried)
             # A gateway in contact polls few engines, so placements that it
             # can't use must end the contact: local choices need reports.
             self._contact.record(
@@ -159,14 +160,19 @@
     def _interpret(
         self,
         request: admitted.AdmittedRequest,
+        ask: placement_ask.PlacementAsk,
         reply: placement_reply.PlacementReply | None,
         tried: AbstractSet[ids.EndpointId],
     ) -> endpoint.Endpoint | Reason | None:
         """Returns what a reply leads to; None if deferred or refused."""
         if reply is None:
             return Reason.NO_REPLY
-        if reply.verdict in (Verdict.DEFERRED, Verdict.REFUSED):
+        if reply.verdict is Verdict.REFUSED:
             return None
+        if reply.verdict is Verdict.DEFERRED:
+            # A coordinator refuses a request in time, unless it is faulty.
+            is_exhausted = client_patience.is_exhausted(ask)
+            return Reason.HELD_TOO_LONG if is_exhausted else None
         return self._validated(request, reply, tried)
 
     async def _wait(
--- a/bronzeslip/placement/local_reason.py
+++ b/bronzeslip/placement/local_reason.py
@@ -12,6 +12,7 @@
         UNKNOWN_ENDPOINT: This gateway does not know the incarnation.
         UNUSABLE_ENDPOINT: This gateway must not or can't use the endpoint.
         NO_CONNECTION: This gateway has no connection to the endpoint left.
+        HELD_TOO_LONG: Replies deferred it for as long as its client waits.
         SENT_BEFORE: The coordinator refused a request that may have run.
     """
 
@@ -20,4 +21,5 @@
     UNKNOWN_ENDPOINT = "unknown-endpoint"
     UNUSABLE_ENDPOINT = "unusable-endpoint"
     NO_CONNECTION = "no-connection"
+    HELD_TOO_LONG = "held-too-long"
     SENT_BEFORE = "sent-before"
--- a/tests/placement/test_replies_of_a_coordinator.py
+++ b/tests/placement/test_replies_of_a_coordinator.py
@@ -213,6 +213,23 @@
 
         self._run(play)
 
+    # Guards against a faulty coordinator that holds a request until its
+    # deadline though an engine could take it.
+    def test_request_deferred_beyond_its_patience_is_chosen_locally(self):
+        async def play():
+            case = _Case(_deferred())
+            started_s = asyncio.get_running_loop().time()
+            self.assertEqual(
+                await case.choose(timeout_s=60.0, objective_s=1.0), "one"
+            )
+            elapsed_s = asyncio.get_running_loop().time() - started_s
+            self.assertGreater(elapsed_s, 3.5)
+            self.assertLess(elapsed_s, 4.5)
+            self.assertEqual(case.reasons, [Reason.HELD_TOO_LONG.value])
+            self.assertFalse(case.contact.exists("pool"))
+
+        self._run(play)
+
     # Guards against a coordinator that counts ended requests as load.
     def test_ends_are_stated_to_the_coordinators_that_were_asked(self):
         ended = ended_requests.EndedRequests()
