Treat an error of the own coordinator as no reply

An unforeseen exception in the coordinator of the gateway itself failed the client's request, while the same exception behind POST /placements led other gateways to the fallback. The own call is now guarded like calls to others.

tests.placement.test_gateways_that_do_not_reply: the new test failed with RecursionError before and passes now.

--- a/bronzeslip/placement/placement_caller.py
+++ b/bronzeslip/placement/placement_caller.py
@@ -135,10 +135,11 @@
             ask, self.ended.take(target.vm_id), self._own
         )
         self.ended.record_asked(ask.request_id, target.vm_id)
-        if target.vm_id == self._own.vm_id:
-            return self._coordinator.decide(request)
         try:
-            reply = await self._client.place(target, request)
+            if target.vm_id == self._own.vm_id:
+                reply = self._coordinator.decide(request)
+            else:
+                reply = await self._client.place(target, request)
         except errors.PeerUnavailableError as error:
             logger.info(
                 "placement.peer_unavailable",
--- a/tests/placement/test_gateways_that_do_not_reply.py
+++ b/tests/placement/test_gateways_that_do_not_reply.py
@@ -113,6 +113,24 @@
         self.assertEqual(await self._asked(), ["one", "two"])
         self.assertEqual(await self._asked(), ["two"])
 
+    # An unforeseen error of a gateway's own coordinator failed its requests,
+    # and those of other gateways did not.
+    async def test_unforeseen_error_of_the_own_coordinator_is_no_reply(self):
+        class Failing:
+            def decide(self, request):
+                raise RecursionError
+
+        caller = placement_caller.PlacementCaller(
+            forwarding_parts.create_peer("one"),
+            self.network,
+            Failing(),
+            self.network,
+            self.clock,
+        )
+        reply = await caller.ask(_ASK)
+        self.assertIs(reply.verdict, self.network.verdict)
+        self.assertEqual(self.network.asked, ["two"])
+
     async def test_ended_requests_are_stated_once(self):
         requests = []
 
