Drop ended requests of coordinators that are gone

Each gateway kept up to 256 ids for every coordinator that it had ever asked and that was replaced before it could be told. The ids are now kept for 64 coordinators, those with the latest ends.

tests.placement.test_gateways_that_do_not_reply: the new test failed before and passes now.

--- a/bronzeslip/placement/ended_requests.py
+++ b/bronzeslip/placement/ended_requests.py
@@ -9,6 +9,9 @@
 # Coordinators forget placements by themselves later, so the oldest ends may be
 # dropped while nothing is asked.
 _MAX_KEPT = 256
+# A shard has four coordinators at most at a time. Those of few shards are asked
+# by one gateway; others are gone and are not asked again.
+_MAX_COORDINATORS = 64
 
 
 class EndedRequests:
@@ -18,6 +21,10 @@
         self._asked: dict[ids.RequestId, set[ids.VmId]] = {}
         self._ended: dict[ids.VmId, collections.deque[ids.RequestId]] = {}
 
+    def __len__(self) -> int:
+        """Returns the number of ends that are not stated yet."""
+        return sum(map(len, self._ended.values()))
+
     def record_asked(
         self, request_id: ids.RequestId, coordinator: ids.VmId
     ) -> None:
@@ -27,11 +34,14 @@
     def end(self, request_id: ids.RequestId) -> None:
         """Records that a request has ended or runs elsewhere."""
         for coordinator in self._asked.pop(request_id, ()):
-            ended = self._ended.get(coordinator)
+            # The coordinator whose requests ended last is the last one.
+            ended = self._ended.pop(coordinator, None)
             if ended is None:
                 ended = collections.deque(maxlen=_MAX_KEPT)
-                self._ended[coordinator] = ended
             ended.append(request_id)
+            self._ended[coordinator] = ended
+            if len(self._ended) > _MAX_COORDINATORS:
+                del self._ended[next(iter(self._ended))]
 
     def take(self, coordinator: ids.VmId) -> tuple[ids.RequestId, ...]:
         """Removes and returns the oldest ends to state to a coordinator."""
--- a/tests/placement/test_gateways_that_do_not_reply.py
+++ b/tests/placement/test_gateways_that_do_not_reply.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from bronzeslip import ids
+from bronzeslip.placement import ended_requests
 from bronzeslip.placement import placement_ask
 from bronzeslip.placement import placement_caller
 from bronzeslip.placement import placement_reply
@@ -131,6 +132,16 @@
         self.assertIs(reply.verdict, self.network.verdict)
         self.assertEqual(self.network.asked, ["two"])
 
+    # Gateways are replaced all the time, each with a new id.
+    async def test_ends_for_gateways_that_are_gone_are_dropped(self):
+        ended = ended_requests.EndedRequests()
+        for number in range(1000):
+            ended.record_asked(f"q{number}", f"front-{number}")
+            ended.end(f"q{number}")
+        self.assertEqual(ended.take("front-0"), ())
+        self.assertEqual(ended.take("front-999"), ("q999",))
+        self.assertLess(len(ended), 100)
+
     async def test_ended_requests_are_stated_once(self):
         requests = []
 
