Do not hold back generations that are resumed

A stream whose engine was lost asked for a placement with its objective long missed. The policy treated it as late and deferred it for up to a second while all engines had queued prompts, so that its pause grew; and refused it if no engine started it within 2 s, which led to a local choice. The ask now states whether the request was sent before. Then it is overdue from the start and limited by its deadline only; memory and order still apply.

tests.placement.test_placement_policy: the new test failed (deferred) before and passes now; 45 passed with the modules around it.

--- a/bronzeslip/placement/client_patience.py
+++ b/bronzeslip/placement/client_patience.py
@@ -16,8 +16,11 @@
 def remaining_s(ask: placement_ask.PlacementAsk) -> float:
     """Returns the time until the client gives up, in seconds.
 
-    It is limited by the deadline.
+    It is limited by the deadline. The client of a request that was sent before
+    may be reading its response, so that only the deadline counts.
     """
+    if ask.was_sent:
+        return ask.remaining_s
     return min(_patience_s(ask) - ask.waited_s, ask.remaining_s)
 
 
@@ -31,8 +34,11 @@
 
     Returns:
         The time in seconds, 0 or less if it has been held for half of the time
-        in which its client would have given up.
+        in which its client would have given up, or if it was sent before: a
+        pause of a stream that has begun grows with each deferral.
     """
+    if ask.was_sent:
+        return 0.0
     patience_s = ask.waited_s + remaining_s(ask)
     return _OVERDUE_SHARE * patience_s - ask.waited_s
 
--- a/bronzeslip/placement/coordinated_chooser.py
+++ b/bronzeslip/placement/coordinated_chooser.py
@@ -143,7 +143,8 @@
         """
         started_s = self._clock()
         while True:
-            ask = self._create_ask(request, tried, self._clock() - started_s)
+            waited_s = self._clock() - started_s
+            ask = self._create_ask(request, tried, waited_s, was_sent)
             reply = await self._caller.ask(ask)
             placed = self._interpret(request, ask, reply, tried)
             # A gateway in contact polls few engines, so placements that it
@@ -246,6 +247,7 @@
         request: admitted.AdmittedRequest,
         tried: AbstractSet[ids.EndpointId],
         waited_s: float,
+        was_sent: bool,
     ) -> placement_ask.PlacementAsk:
         service_name = request.service.name
         asked = shard.of_gateway(
@@ -272,6 +274,7 @@
             remaining_s=request.remaining_s,
             objective_left_s=request.remaining_objective_s,
             waited_s=waited_s,
+            was_sent=was_sent,
             failure_domain=self._this_vm.failure_domain,
             allowed_regions=request.allowed_regions,
             excluded=frozenset(tried)
--- a/bronzeslip/placement/placement_ask.py
+++ b/bronzeslip/placement/placement_ask.py
@@ -24,6 +24,8 @@
         objective_left_s: Time to the objective for its first event, in
             seconds; negative if the objective is missed.
         waited_s: Time for which it has waited for a placement, in seconds.
+        was_sent: Whether it was sent to an endpoint before, so that its client
+            may have received a part of the response.
         failure_domain: Failure domain of the asking gateway.
         allowed_regions: Regions that it may run in, or None for all.
         excluded: Endpoints that must not be selected.
@@ -42,6 +44,7 @@
     remaining_s: fields.Quantity
     objective_left_s: fields.Quantity
     waited_s: fields.NonNegativeQuantity = 0.0
+    was_sent: bool = False
     failure_domain: ids.FailureDomainName = ids.FailureDomainName("")
     allowed_regions: frozenset[ids.RegionName] | None = None
     excluded: frozenset[ids.EndpointId] = frozenset()
--- a/tests/placement/test_placement_policy.py
+++ b/tests/placement/test_placement_policy.py
@@ -93,6 +93,19 @@
             self._decide(ask, queue)
             self.assertEqual(self.verdict.value, verdict)
 
+    def test_resumed_request_is_not_held_back(self):
+        """Guards against streams that pause for a second to be resumed.
+
+        Their objective is long missed, but their client already reads them.
+        """
+        resumed = _ask("a", objective_left_s=-20.0, was_sent=True)
+        self._decide(resumed, _option(queued_s=1.0, wait_s=1.3))
+        self.assertIs(self.verdict, _VERDICT.PLACED)
+        self._decide(resumed, _option(queued_s=2.5, wait_s=2.8))
+        self.assertIs(self.verdict, _VERDICT.PLACED)
+        self._decide(resumed, _option(free=0))
+        self.assertIs(self.verdict, _VERDICT.DEFERRED)
+
     def test_deferral_is_shorter_than_a_quarter_of_a_second(self):
         """Guards against deferrals that gateways do not accept."""
         for number in range(200):
--- a/tests/placement/test_replies_of_a_coordinator.py
+++ b/tests/placement/test_replies_of_a_coordinator.py
@@ -111,6 +111,7 @@
         async def play():
             case = _Case(_deferred(), _deferred(9.0), _placed())
             self.assertEqual(await case.choose(), "two")
+            self.assertFalse(any(ask.was_sent for ask in case.caller.asks))
             waited_s = [round(ask.waited_s, 2) for ask in case.caller.asks]
             self.assertEqual(waited_s, [0.0, 0.1, 0.35])
 
@@ -156,6 +157,7 @@
             chosen = await case.choose(was_sent=True)
             self.assertEqual(chosen, "one")
             self.assertEqual(case.reasons, [Reason.SENT_BEFORE.value])
+            self.assertTrue(case.caller.asks[0].was_sent)
 
         self._run(play)
 
