Compute the backlog of an engine once for each ask

An ask for a long generation computed the backlog of each engine three times: for the forecast, the free memory and the neighbours' memory. Forecasts now carry the memory in use. The free memory also counts this gateway's own requests as the forecast does, not twice while a report shows them as running.

--- a/bronzeslip/forwarding/load_forecast.py
+++ b/bronzeslip/forwarding/load_forecast.py
@@ -46,6 +46,8 @@
             states its pace, since it is then the same at all of them.
         pace: How long work takes at the endpoint, 1.0 being normal.
         usual_pace: The same without passing disturbances.
+        used_tokens: Memory in use and of the requests sent since the report,
+            in tokens, without the request itself.
     """
 
     slot_load: float
@@ -54,6 +56,7 @@
     own_prefill_s: float = 0.0
     pace: float = 1.0
     usual_pace: float = 1.0
+    used_tokens: int = 0
 
 
 class LoadForecaster:
@@ -221,7 +224,8 @@
     ) -> EndpointForecast:
         latest = self._reports.get(candidate.endpoint_id)
         running = 0 if latest is None else latest.report.running
-        tokens = self._used_tokens(candidate, backlog) + need.expected_tokens
+        used_tokens = self._used_tokens(candidate, backlog)
+        tokens = used_tokens + need.expected_tokens
         return EndpointForecast(
             slot_load=(running + backlog.count + 1) / max(candidate.slots, 1),
             memory_use=tokens / max(traits.memory_tokens, 1),
@@ -229,6 +233,7 @@
             own_prefill_s=own_prefill_s,
             pace=self._statements.pace_of(candidate),
             usual_pace=self._statements.usual_pace_of(candidate),
+            used_tokens=used_tokens,
         )
 
     def _used_tokens(
--- a/bronzeslip/placement/engine_view.py
+++ b/bronzeslip/placement/engine_view.py
@@ -82,15 +82,24 @@
         engine: endpoint.Endpoint,
         need: placement_need.PlacementNeed,
         traits: engine_traits.EngineTraits,
+        forecast: load_forecast.EndpointForecast | None = None,
     ) -> int:
         """Returns the memory that is left for a generation, in tokens.
 
         A short generation ends before the others have grown. A long one lives
         beside them, but some end while others still grow.
+
+        Args:
+            engine: The engine.
+            need: Size of the generation.
+            traits: Capacity of each engine of the service.
+            forecast: Forecast for the same need; computed if None.
         """
         latest = self._reports.get(engine.endpoint_id)
+        if forecast is None:
+            forecast = self.forecast_need(engine, need, traits)
         # The used memory includes copies that the engine holds.
-        used_tokens = self.used_tokens(engine)
+        used_tokens = forecast.used_tokens
         if latest is None:
             return traits.memory_tokens - used_tokens
         capacity_tokens = latest.report.memory_tokens or traits.memory_tokens
--- a/bronzeslip/placement/option_rater.py
+++ b/bronzeslip/placement/option_rater.py
@@ -1,6 +1,7 @@
 """Rates the candidates for a placement."""
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 from collections.abc import Sequence
 
 from bronzeslip import ids
@@ -9,6 +10,7 @@
 from bronzeslip.endpoints import report_cache
 from bronzeslip.entry import vm_config
 from bronzeslip.forwarding import endpoint_cost
+from bronzeslip.forwarding import load_forecast
 from bronzeslip.load import placement_need
 from bronzeslip.placement import engine_view
 from bronzeslip.placement import placement_ask
@@ -17,6 +19,7 @@
 
 # Region, or the failure domain where the region is not known.
 _Neighbourhood = str
+_Forecasts = Mapping[endpoint.Endpoint, load_forecast.EndpointForecast]
 
 
 class OptionRater:
@@ -59,21 +62,25 @@
             ask.output_tokens,
             ask.is_long,
         )
-        stable = self._stable_neighbourhoods(need, traits)
-        return [
-            self._option(ask, candidate, need, traits, stable)
+        forecasts = {
+            candidate: self._view.forecast_need(candidate, need, traits)
             for candidate in candidates
+        }
+        stable = self._stable_neighbourhoods(need, traits, forecasts)
+        return [
+            self._option(ask, candidate, forecast, need, traits, stable)
+            for candidate, forecast in forecasts.items()
         ]
 
     def _option(
         self,
         ask: placement_ask.PlacementAsk,
         candidate: endpoint.Endpoint,
+        forecast: load_forecast.EndpointForecast,
         need: placement_need.PlacementNeed,
         traits: engine_traits.EngineTraits,
         stable: set[_Neighbourhood],
     ) -> placement_option.PlacementOption:
-        forecast = self._view.forecast_need(candidate, need, traits)
         cost_s = self._cost.cost_s(candidate, forecast, ask.failure_domain)
         if need.is_long:
             cost_s += endpoint_cost.pause_risk_cost_s(forecast)
@@ -85,7 +92,9 @@
             endpoint_id=candidate.endpoint_id,
             cost_s=cost_s,
             wait_s=forecast.prefill_s + forecast.own_prefill_s,
-            free_tokens=self._view.free_tokens(candidate, need, traits),
+            free_tokens=self._view.free_tokens(
+                candidate, need, traits, forecast
+            ),
             queued_prefill_s=forecast.prefill_s,
         )
 
@@ -93,6 +102,7 @@
         self,
         need: placement_need.PlacementNeed,
         traits: engine_traits.EngineTraits,
+        forecasts: _Forecasts,
     ) -> set[_Neighbourhood]:
         """Returns where the runs of any engine fit into its neighbours."""
         if not need.is_long:
@@ -106,22 +116,27 @@
             neighbourhood
             for neighbourhood, engines in neighbours.items()
             if endpoint_cost.can_be_evacuated(
-                self._used_tokens(engines),
+                self._used_tokens(engines, forecasts),
                 need.expected_tokens,
                 len(engines),
                 traits.memory_tokens,
             )
         }
 
-    def _used_tokens(self, engines: Sequence[endpoint.Endpoint]) -> int:
+    def _used_tokens(
+        self, engines: Sequence[endpoint.Endpoint], forecasts: _Forecasts
+    ) -> int:
         """Returns the memory in use; the mean for engines without a report."""
         mean_tokens = self._reports.mean_used_tokens
-        return sum(
-            mean_tokens
-            if self._reports.get(engine.endpoint_id) is None
-            else self._view.used_tokens(engine)
-            for engine in engines
-        )
+        used_tokens = 0
+        for engine in engines:
+            if self._reports.get(engine.endpoint_id) is None:
+                used_tokens += mean_tokens
+            elif engine in forecasts:
+                used_tokens += forecasts[engine].used_tokens
+            else:
+                used_tokens += self._view.used_tokens(engine)
+        return used_tokens
 
     def _neighbourhood(self, engine: endpoint.Endpoint) -> _Neighbourhood:
         domain: ids.FailureDomainName = engine.failure_domain
--- a/tests/placement/test_many_gateways_one_coordinator.py
+++ b/tests/placement/test_many_gateways_one_coordinator.py
@@ -6,8 +6,13 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from bronzeslip.placement import local_reason
+from bronzeslip.placement import placement_ask
+from bronzeslip.placement import placement_request
+from bronzeslip.placement import placement_verdict
+from tests.support import forwarding_parts
 from tests.support import placement_fleet
 from tests.support import virtual_loop
 
@@ -15,6 +20,20 @@
 _ENGINES = 21
 _REQUESTS_PER_S = 35.0
 _PLAY_S = 12.0
+_LONG_ASK = placement_ask.PlacementAsk(
+    service=forwarding_parts.ENGINE_SERVICE.name,
+    shard_index=0,
+    shard_count=1,
+    request_id="long",
+    prompt_tokens=1_000,
+    expected_tokens=1_500,
+    output_tokens=500,
+    is_long=True,
+    priority=0,
+    workspace=None,
+    remaining_s=30.0,
+    objective_left_s=1.5,
+)
 
 
 async def _start(is_coordinated=True):
@@ -51,6 +70,28 @@
         self.assertLess(together_s, alone_s / 2)
         self.assertLess(polls, polls_alone)
 
+    # Guards against a coordinator that is busy with the asks of 400 gateways:
+    # with three backlogs per engine, an ask took 4 ms at 64 engines.
+    def test_ask_computes_the_backlog_of_each_engine_once(self):
+        async def play():
+            fleet = await _start()
+            first, _ = fleet.coordinators
+            ledger = fleet.gateways[first].ledger
+            with mock.patch.object(
+                ledger, "sent_since", wraps=ledger.sent_since
+            ) as sent_since:
+                reply = fleet.gateways[first].parts.coordinator.decide(
+                    placement_request.PlacementRequest(
+                        _LONG_ASK, (), forwarding_parts.create_peer("front-1")
+                    )
+                )
+            self.assertIs(
+                reply.verdict, placement_verdict.PlacementVerdict.PLACED
+            )
+            self.assertEqual(sent_since.call_count, _ENGINES)
+
+        virtual_loop.run(play())
+
     # Guards against a change for deployments that do not call for it.
     def test_without_contract_and_pace_nothing_is_asked(self):
         async def play():
--- a/tests/support/placement_fleet.py
+++ b/tests/support/placement_fleet.py
@@ -114,6 +114,7 @@
         )
         regions = allowed_regions.AllowedRegionsFilter(this_vm)
         ledger = placement_ledger.PlacementLedger(_now_s)
+        self.ledger = ledger
         reports.add_listener(ledger.apply_report)
         self.directory.add_gone_listener(ledger.remove)
         forecaster = load_forecast.LoadForecaster(
