Reject placements for implausible shards

A gateway could name any shard index and count. The coordinator recorded each for 12 s, compared it with every engine at every poll, and evicted the waiting requests of real shards from its policy beyond 64 of them. An ask for a shard whose index is not below its count, or with more than twice the shards that the coordinator itself derives, now gets not-responsible.

tests.placement.test_many_gateways_one_coordinator: the new test failed before and passes now; 22 passed with the modules around it.

--- a/bronzeslip/placement/coordination_duties.py
+++ b/bronzeslip/placement/coordination_duties.py
@@ -58,6 +58,10 @@
             for asked in self._shards_of(candidate)
         )
 
+    def has_shard(self, asked: shard.Shard) -> bool:
+        """Returns whether a shard is or was recently asked for."""
+        return self._is_within(asked, _ACTIVE_S + _IDLE_S)
+
     def has_shard_of(self, service_name: ids.ServiceName) -> bool:
         """Returns whether a shard of a service is or was recently asked for."""
         return any(
--- a/bronzeslip/placement/placement_coordinator.py
+++ b/bronzeslip/placement/placement_coordinator.py
@@ -105,7 +105,10 @@
         service = None if table is None else table.service(ask.service)
         if service is None or service.engine is None:
             return placement_reply.NOT_RESPONSIBLE
-        if not self._may_coordinate(asked):
+        ready = self._endpoints.ready_endpoints(ask.service)
+        if not asked.is_plausible(len(ready)) or not self._may_coordinate(
+            asked
+        ):
             return placement_reply.NOT_RESPONSIBLE
         self._duties.record_asked(asked)
         engines = self._engines(asked)
--- a/bronzeslip/placement/shard.py
+++ b/bronzeslip/placement/shard.py
@@ -12,6 +12,9 @@
 RANKED_COUNT = 4
 # Endpoints that one coordinator polls and compares for each generation.
 _MAX_ENDPOINTS = 64
+# Gateways that see twice as many endpoints as the coordinator are served. More
+# shards would come from a faulty gateway and cost work for each engine.
+_MAX_COUNT_RATIO = 2
 
 
 class Shard(msgspec.Struct, frozen=True):
@@ -32,6 +35,16 @@
         """Key by which the coordinator is ranked."""
         return f"placement/{self.service_name}/{self.index}/{self.count}"
 
+    def is_plausible(self, endpoint_count: int) -> bool:
+        """Returns whether a gateway may ask for the shard.
+
+        Args:
+            endpoint_count: Number of ready endpoints known here. That of the
+                asking gateway may differ, for example by a failure domain.
+        """
+        max_count = _MAX_COUNT_RATIO * _count(endpoint_count)
+        return self.index < self.count <= max_count
+
     def contains(self, endpoint_id: ids.EndpointId) -> bool:
         """Returns whether an endpoint of the service is in the shard."""
         return self.count == 1 or _index(endpoint_id, self.count) == self.index
@@ -47,9 +60,13 @@
         service_name: Name of the service.
         endpoint_count: Number of ready endpoints of the service.
     """
-    count = max(math.ceil(endpoint_count / _MAX_ENDPOINTS), 1)
+    count = _count(endpoint_count)
     return Shard(service_name, _index(vm_id, count), count)
 
 
+def _count(endpoint_count: int) -> int:
+    return max(math.ceil(endpoint_count / _MAX_ENDPOINTS), 1)
+
+
 def _index(name: str, count: int) -> int:
     return xxhash.xxh3_64_intdigest(name.encode()) % count
--- a/tests/placement/test_many_gateways_one_coordinator.py
+++ b/tests/placement/test_many_gateways_one_coordinator.py
@@ -8,10 +8,13 @@
 import unittest
 from unittest import mock
 
+import msgspec
+
 from bronzeslip.placement import local_reason
 from bronzeslip.placement import placement_ask
 from bronzeslip.placement import placement_request
 from bronzeslip.placement import placement_verdict
+from bronzeslip.placement import shard
 from tests.support import forwarding_parts
 from tests.support import placement_fleet
 from tests.support import virtual_loop
@@ -92,6 +95,33 @@
 
         virtual_loop.run(play())
 
+    # A faulty gateway could name any number of shards; each was kept for 12 s,
+    # compared with every engine, and forgot the waiting requests of others.
+    def test_implausible_shards_are_not_coordinated(self):
+        async def play():
+            fleet = placement_fleet.Fleet(3, _ENGINES)
+            await fleet.play(3.0, _REQUESTS_PER_S)
+            first, _ = fleet.coordinators
+            parts = fleet.gateways[first].parts
+            recorded = {}
+            for index, count in ((0, 1), (1, 1), (1, 2), (2, 900)):
+                ask = msgspec.structs.replace(
+                    _LONG_ASK, shard_index=index, shard_count=count
+                )
+                request = placement_request.PlacementRequest(
+                    ask, (), forwarding_parts.create_peer("front-1")
+                )
+                parts.coordinator.decide(request)
+                recorded[index, count] = parts.duties.has_shard(
+                    shard.Shard(ask.service, index, count)
+                )
+            self.assertEqual(
+                recorded,
+                {(0, 1): True, (1, 1): False, (1, 2): True, (2, 900): False},
+            )
+
+        virtual_loop.run(play())
+
     # Guards against a change for deployments that do not call for it.
     def test_without_contract_and_pace_nothing_is_asked(self):
         async def play():
