--- a/bronzeslip/placement/client_patience.py
+++ b/bronzeslip/placement/client_patience.py
@@ -16,13 +16,17 @@
 def remaining_s(ask: placement_ask.PlacementAsk) -> float:
     """Returns the time until the client gives up, in seconds.
 
-    An ask contains no objective. It is derived from what is left of it and the
-    time waited, so that it is too short for a request that asks for the first
-    time after a failed attempt.
+    It is limited by the deadline. The client of a request that was sent before
+    may be reading its response, so that only the deadline counts.
     """
-    objective_s = ask.objective_left_s + ask.waited_s
-    patience_s = max(_MIN_PATIENCE_S, _PATIENCE_OBJECTIVES * objective_s)
-    return min(patience_s - ask.waited_s, ask.remaining_s)
+    if ask.was_sent:
+        return ask.remaining_s
+    return min(_patience_s(ask) - ask.waited_s, ask.remaining_s)
+
+
+def is_exhausted(ask: placement_ask.PlacementAsk) -> bool:
+    """Returns whether a request has waited for as long as its client does."""
+    return ask.waited_s >= _patience_s(ask)
 
 
 def overdue_in_s(ask: placement_ask.PlacementAsk) -> float:
@@ -30,7 +34,21 @@
 
     Returns:
         The time in seconds, 0 or less if it has been held for half of the time
-        in which its client would have given up.
+        in which its client would have given up, or if it was sent before: a
+        pause of a stream that has begun grows with each deferral.
     """
+    if ask.was_sent:
+        return 0.0
     patience_s = ask.waited_s + remaining_s(ask)
     return _OVERDUE_SHARE * patience_s - ask.waited_s
+
+
+def _patience_s(ask: placement_ask.PlacementAsk) -> float:
+    """Returns for how long a client waits in total, in seconds.
+
+    An ask contains no objective. It is derived from what is left of it and the
+    time waited, so that it is too short for a request that asks for the first
+    time after a failed attempt.
+    """
+    objective_s = ask.objective_left_s + ask.waited_s
+    return max(_MIN_PATIENCE_S, _PATIENCE_OBJECTIVES * objective_s)
--- a/bronzeslip/placement/coordinated_chooser.py
+++ b/bronzeslip/placement/coordinated_chooser.py
@@ -17,6 +17,7 @@
 from bronzeslip.forwarding import errors
 from bronzeslip.forwarding import load_forecast
 from bronzeslip.metrics import entry_metrics
+from bronzeslip.placement import client_patience
 from bronzeslip.placement import coordinator_contact
 from bronzeslip.placement import local_reason
 from bronzeslip.placement import placement_ask
@@ -169,17 +170,38 @@
         """
         started_s = self._clock()
         while True:
-            ask = self._create_ask(request, tried, self._clock() - started_s)
+            waited_s = self._clock() - started_s
+            ask = self._create_ask(request, tried, waited_s, was_sent)
             reply = await self._caller.ask(ask)
-            self._contact.record(request.service.name, reply is not None)
-            if reply is None:
-                return Reason.NO_REPLY
-            if reply.verdict is Verdict.DEFERRED:
-                await self._wait(request, reply)
-            elif reply.verdict is Verdict.REFUSED:
+            placed = self._interpret(request, ask, reply, tried)
+            # A gateway in contact polls few engines, so placements that it
+            # can't use must end the contact: local choices need reports.
+            self._contact.record(
+                request.service.name, not isinstance(placed, Reason)
+            )
+            if placed is not None:
+                return placed
+            if reply.verdict is Verdict.REFUSED:
                 return self._refuse(reply, was_sent)
-            else:
-                return self._validated(request, reply, tried)
+            await self._wait(request, reply)
+
+    def _interpret(
+        self,
+        request: admitted.AdmittedRequest,
+        ask: placement_ask.PlacementAsk,
+        reply: placement_reply.PlacementReply | None,
+        tried: AbstractSet[ids.EndpointId],
+    ) -> endpoint.Endpoint | Reason | None:
+        """Returns what a reply leads to; None if deferred or refused."""
+        if reply is None:
+            return Reason.NO_REPLY
+        if reply.verdict is Verdict.REFUSED:
+            return None
+        if reply.verdict is Verdict.DEFERRED:
+            # A coordinator refuses a request in time, unless it is faulty.
+            is_exhausted = client_patience.is_exhausted(ask)
+            return Reason.HELD_TOO_LONG if is_exhausted else None
+        return self._validated(request, reply, tried)
 
     async def _wait(
         self,
@@ -260,6 +282,7 @@
         request: admitted.AdmittedRequest,
         tried: AbstractSet[ids.EndpointId],
         waited_s: float,
+        was_sent: bool,
     ) -> placement_ask.PlacementAsk:
         asked = self._shard_of(request)
         shape = request.request.shape
@@ -281,6 +304,7 @@
             remaining_s=request.remaining_s,
             objective_left_s=request.remaining_objective_s,
             waited_s=waited_s,
+            was_sent=was_sent,
             failure_domain=self._this_vm.failure_domain,
             allowed_regions=request.allowed_regions,
             excluded=frozenset(tried)
--- a/tests/placement/test_gateways_that_do_not_reply.py
+++ b/tests/placement/test_gateways_that_do_not_reply.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from bronzeslip import ids
+from bronzeslip.placement import ended_requests
 from bronzeslip.placement import placement_ask
 from bronzeslip.placement import placement_caller
 from bronzeslip.placement import placement_reply
@@ -113,6 +114,34 @@
         self.assertEqual(await self._asked(), ["one", "two"])
         self.assertEqual(await self._asked(), ["two"])
 
+    # An unforeseen error of a gateway's own coordinator failed its requests,
+    # and those of other gateways did not.
+    async def test_unforeseen_error_of_the_own_coordinator_is_no_reply(self):
+        class Failing:
+            def decide(self, request):
+                raise RecursionError
+
+        caller = placement_caller.PlacementCaller(
+            forwarding_parts.create_peer("one"),
+            self.network,
+            Failing(),
+            self.network,
+            self.clock,
+        )
+        reply = await caller.ask(_ASK)
+        self.assertIs(reply.verdict, self.network.verdict)
+        self.assertEqual(self.network.asked, ["two"])
+
+    # Gateways are replaced all the time, each with a new id.
+    async def test_ends_for_gateways_that_are_gone_are_dropped(self):
+        ended = ended_requests.EndedRequests()
+        for number in range(1000):
+            ended.record_asked(f"q{number}", f"front-{number}")
+            ended.end(f"q{number}")
+        self.assertEqual(ended.take("front-0"), ())
+        self.assertEqual(ended.take("front-999"), ("q999",))
+        self.assertLess(len(ended), 100)
+
     async def test_ended_requests_are_stated_once(self):
         requests = []
 
--- a/tests/placement/test_replies_of_a_coordinator.py
+++ b/tests/placement/test_replies_of_a_coordinator.py
@@ -111,6 +111,7 @@
         async def play():
             case = _Case(_deferred(), _deferred(9.0), _placed())
             self.assertEqual(await case.choose(), "two")
+            self.assertFalse(any(ask.was_sent for ask in case.caller.asks))
             waited_s = [round(ask.waited_s, 2) for ask in case.caller.asks]
             self.assertEqual(waited_s, [0.0, 0.1, 0.35])
 
@@ -156,6 +157,7 @@
             chosen = await case.choose(was_sent=True)
             self.assertEqual(chosen, "one")
             self.assertEqual(case.reasons, [Reason.SENT_BEFORE.value])
+            self.assertTrue(case.caller.asks[0].was_sent)
 
         self._run(play)
 
@@ -197,6 +199,39 @@
             with self.subTest(reason=reason):
                 self._run(play)
 
+    # A gateway whose coordinator named engines of an old directory chose
+    # locally without any report, as its contact kept it from polling.
+    def test_unusable_placement_ends_the_contact(self):
+        async def play():
+            case = _Case(
+                _placed(), _placed(started_unix_ms=7), _deferred(), _placed()
+            )
+            await case.choose()
+            self.assertTrue(case.contact.exists("pool"))
+            await case.choose()
+            self.assertFalse(case.contact.exists("pool"))
+            await case.choose()
+            self.assertTrue(case.contact.exists("pool"))
+
+        self._run(play)
+
+    # Guards against a faulty coordinator that holds a request until its
+    # deadline though an engine could take it.
+    def test_request_deferred_beyond_its_patience_is_chosen_locally(self):
+        async def play():
+            case = _Case(_deferred())
+            started_s = asyncio.get_running_loop().time()
+            self.assertEqual(
+                await case.choose(timeout_s=60.0, objective_s=1.0), "one"
+            )
+            elapsed_s = asyncio.get_running_loop().time() - started_s
+            self.assertGreater(elapsed_s, 3.5)
+            self.assertLess(elapsed_s, 4.5)
+            self.assertEqual(case.reasons, [Reason.HELD_TOO_LONG.value])
+            self.assertFalse(case.contact.exists("pool"))
+
+        self._run(play)
+
     # Guards against a coordinator that counts ended requests as load.
     def test_ends_are_stated_to_the_coordinators_that_were_asked(self):
         ended = ended_requests.EndedRequests()
