Free connections that clients reset at once

A client that resets idle connections made a gateway keep each of them until its idle timeout, without a slot: the base class stops the idle timer only if a connection ends without an error, and the timer refers to the protocol. Stop it in any case.

tests.http.test_connections_after_their_response fails before the change (the protocol is alive after a collection) and passes after it.

--- a/bronzeslip/http/limited_protocol.py
+++ b/bronzeslip/http/limited_protocol.py
@@ -176,6 +176,9 @@
         if self._closing is not None:
             self._closing.stop()
         super().connection_lost(exc)
+        # The base class leaves it running after a reset; it would keep this
+        # object until the idle timeout.
+        self._unset_keepalive_if_required()
         # Otherwise kept until the next garbage collection, as protocol and flow
         # refer to each other.
         self._drop_head()
--- /dev/null
+++ b/tests/http/test_connections_after_their_response.py
@@ -0,0 +1,80 @@
+"""Tests of what a connection keeps once its response is complete."""
+
+import asyncio
+import gc
+import socket
+import struct
+import unittest
+import weakref
+
+from bronzeslip.http import connection_limits
+from bronzeslip.http import server
+from bronzeslip.settings import http
+from tests.support import polling
+
+_HEAD = b"POST / HTTP/1.1\r\nhost: x\r\n"
+_TIMEOUT_S = 10.0
+_LARGE_BYTES = 100_000
+
+
+class _RefusingApp:
+    """Responds after one part of a body, without the others."""
+
+    def __init__(self):
+        self.may_respond = asyncio.Event()
+        self.may_respond.set()
+
+    async def __call__(self, scope, receive, send):
+        await receive()
+        await self.may_respond.wait()
+        await send(
+            {
+                "type": "http.response.start",
+                "status": 503,
+                "headers": [(b"content-length", b"0")],
+            }
+        )
+        await send({"type": "http.response.body", "body": b""})
+
+
+class ConnectionsAfterTheirResponseTest(unittest.IsolatedAsyncioTestCase):
+    async def start(self, idle_timeout_s):
+        limits = connection_limits.ConnectionLimits(8000, 5.0, idle_timeout_s)
+        self.app = _RefusingApp()
+        self.server = server.HttpServer(
+            self.app, http.HttpSettings(), lambda: limits
+        )
+        self.server.start()
+        self.addAsyncCleanup(self.server.abort)
+        self.reader, self.writer = await asyncio.open_connection(
+            "127.0.0.1", self.server.port
+        )
+        self.addCleanup(self.writer.close)
+
+    async def read_response(self):
+        async with asyncio.timeout(_TIMEOUT_S):
+            return await self.reader.readuntil(b"\r\n\r\n")
+
+    @property
+    def protocols(self):
+        return self.server._server.server_state.connections
+
+    # Guards against memory without a slot: clients that reset idle connections
+    # made the process keep each of them until its idle timeout.
+    async def test_reset_connection_is_not_kept(self):
+        await self.start(idle_timeout_s=600.0)
+        self.writer.write(_HEAD + b"content-length: 0\r\n\r\n")
+        await self.read_response()
+        protocol = weakref.ref(next(iter(self.protocols)))
+        self.writer.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+        self.writer.transport.abort()
+        await polling.wait_until(lambda: not self.protocols)
+        await asyncio.sleep(0)
+        gc.collect()
+        self.assertIsNone(protocol())
+
+
+if __name__ == "__main__":
+    unittest.main()
