Drop unread parts of a body when its response is complete

A client whose request was refused while its body arrived left up to 128 KiB of it in the request, which stayed until the next request on that connection and was counted neither by the slots nor by the budget. Drop it with the response.

tests.http.test_connections_after_their_response fails before the change (34,464 bytes kept of 100,000) and passes after it.

--- a/bronzeslip/http/limited_protocol.py
+++ b/bronzeslip/http/limited_protocol.py
@@ -295,6 +295,8 @@
         self._is_parsing = False
         was_pipelined = self._is_pipelined
         self._is_pipelined = bool(self._received)
+        # Not counted any more, and not read by anyone.
+        self.cycle.body = bytearray()
         if not self._is_body_pending:
             self._release_request()
         if not (was_pipelined and self._is_pipelined):
--- a/tests/http/test_connections_after_their_response.py
+++ b/tests/http/test_connections_after_their_response.py
@@ -75,6 +75,22 @@
         gc.collect()
         self.assertIsNone(protocol())
 
+    # Guards against memory without a slot: what had arrived of a body when its
+    # request was refused was kept, uncounted, until the next request.
+    async def test_unread_part_of_a_body_is_not_kept(self):
+        await self.start(idle_timeout_s=600.0)
+        self.app.may_respond.clear()
+        self.writer.write(_HEAD + b"content-length: 4000000\r\n\r\n")
+        await polling.wait_until(lambda: self.protocols)
+        (protocol,) = self.protocols
+        self.writer.write(b"x" * _LARGE_BYTES)
+        await polling.wait_until(
+            lambda: protocol.cycle is not None and len(protocol.cycle.body)
+        )
+        self.app.may_respond.set()
+        await self.read_response()
+        self.assertEqual(len(protocol.cycle.body), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
