Apply the idle timeout after data that begins no request

A connection whose request was answered before its body was complete, or that sent an empty line after a response, was never closed by the idle timeout: any data stops its timer, and only a further response starts it again. Start it again after such data, so that a slow but steady rest of a body is still read.

tests.http.test_connections_after_their_response: three cases fail before the change (still open after 10 s with a timeout of 0.3 s) and pass after it.

--- a/bronzeslip/http/limited_protocol.py
+++ b/bronzeslip/http/limited_protocol.py
@@ -369,11 +369,25 @@
         super().data_received(piece)
         if self._closing is not None or self.transport.is_closing():
             return
+        self._restart_idle_timer()
         if was_in_body:
             self._check_body()
         elif self._in_headers:
             self._check_head()
 
+    def _restart_idle_timer(self) -> None:
+        """Limits the wait for further data after a complete response.
+
+        The base class stops the timer at any data, also if that is the rest of
+        a body or an empty line and begins no request.
+        """
+        if self.cycle is None or self._is_serving:
+            return
+        if self._header_timer is None and self.timeout_keep_alive_task is None:
+            self.timeout_keep_alive_task = self.loop.call_later(
+                self.timeout_keep_alive, self.timeout_keep_alive_handler
+            )
+
     def _check_head(self) -> None:
         """Rejects a head that is too large before it is complete."""
         delimiters_bytes = _REQUEST_LINE_DELIMITER_BYTES
--- a/tests/http/test_connections_after_their_response.py
+++ b/tests/http/test_connections_after_their_response.py
@@ -18,14 +18,17 @@
 
 
 class _RefusingApp:
-    """Responds after one part of a body, without the others."""
+    """Responds after one part of a body, or none, without the others."""
 
     def __init__(self):
+        self.may_read = asyncio.Event()
+        self.may_read.set()
         self.may_respond = asyncio.Event()
         self.may_respond.set()
 
     async def __call__(self, scope, receive, send):
-        await receive()
+        if self.may_read.is_set():
+            await receive()
         await self.may_respond.wait()
         await send(
             {
@@ -91,6 +94,38 @@
         await self.read_response()
         self.assertEqual(len(protocol.cycle.body), 0)
 
+    # Guards against connections without any time limit: data after a response
+    # that began no request stopped the idle timeout.
+    async def test_idle_timeout_follows_data_after_the_response(self):
+        for name, length, data in (
+            ("rest of the body", b"4", b"rest"),
+            ("part of the rest", b"4", b"re"),
+            ("empty line", b"0", b"\r\n"),
+        ):
+            with self.subTest(name=name):
+                await self.start(idle_timeout_s=0.3)
+                self.app.may_read.clear()
+                self.writer.write(
+                    _HEAD + b"content-length: " + length + b"\r\n\r\n"
+                )
+                await self.read_response()
+                self.writer.write(data)
+                async with asyncio.timeout(_TIMEOUT_S):
+                    self.assertEqual(await self.reader.read(), b"")
+
+    # Guards against closing the connection of a client that sends the rest of
+    # a refused body more slowly than the idle timeout.
+    async def test_steady_rest_of_a_body_is_read(self):
+        await self.start(idle_timeout_s=0.5)
+        self.app.may_read.clear()
+        self.writer.write(_HEAD + b"content-length: 12\r\n\r\n")
+        await self.read_response()
+        for _ in range(12):
+            self.writer.write(b"x")
+            await asyncio.sleep(0.1)
+        self.writer.write(_HEAD + b"content-length: 0\r\n\r\n")
+        await self.read_response()
+
 
 if __name__ == "__main__":
     unittest.main()
