Serve the last pipelined request as any other

A client that pipelined two requests had its connection closed while it waited for the second response, or sent the body of the second request, if connections ran short: a connection counted as pipelining until the next response. It counts so now only while further requests have been received.

tests.http.test_many_connections fails before the change (connection closed without a response) and passes after it.

--- a/bronzeslip/http/limited_protocol.py
+++ b/bronzeslip/http/limited_protocol.py
@@ -328,6 +328,14 @@
         """Whether a response is not complete yet."""
         return self.cycle is not None and not self.cycle.response_complete
 
+    @property
+    def _is_request_ahead(self) -> bool:
+        """Whether the peer goes on to send requests ahead of their responses.
+
+        The last one of a few pipelined requests is served as any other.
+        """
+        return self._is_pipelined and bool(self._received)
+
     @property
     def _may_parse(self) -> bool:
         """Whether received bytes may be parsed now."""
@@ -504,7 +512,7 @@
     def _update_waiting(self) -> None:
         is_waiting = self._is_waiting_for_peer()
         has_progressed = self._progress_bytes >= _PROGRESS_BYTES
-        if self.flow.write_paused or self._is_pipelined:
+        if self.flow.write_paused or self._is_request_ahead:
             has_progressed = False
         if is_waiting and (has_progressed or not self._is_waiting):
             self._wait_for_peer()
@@ -515,7 +523,7 @@
     def _is_waiting_for_peer(self) -> bool:
         # A peer that goes on to send requests ahead of their responses need not
         # be reading these.
-        if self.flow.write_paused or self._is_pipelined:
+        if self.flow.write_paused or self._is_request_ahead:
             return True
         if self._is_deferred or self.flow.read_paused:
             return False
--- a/tests/http/test_many_connections.py
+++ b/tests/http/test_many_connections.py
@@ -1,6 +1,7 @@
 """Tests of a server to which more connections are opened than it can hold."""
 
 import asyncio
+import types
 import unittest
 
 from bronzeslip.http import connection_slots
@@ -90,6 +91,24 @@
         for head in await asyncio.gather(*tasks):
             self.assertTrue(head.startswith(b"HTTP/1.1 200 "), head)
 
+    # Guards against closing clients that pipeline two requests and wait for the
+    # second response.
+    async def test_last_pipelined_request_is_served(self):
+        (pipelining,) = await self.connect()
+        turns = asyncio.Semaphore(1)
+        self.app.may_respond = types.SimpleNamespace(wait=turns.acquire)
+        pipelining[1].write(_REQUEST + _REQUEST)
+        await pipelining[0].readuntil(b"\r\n\r\n")
+        await polling.wait_until(lambda: self.app.request_count == 2)
+        # They wait for less time than the pipelined request is served.
+        await asyncio.sleep(0.7)
+        others = await self.connect(_MAX_COUNT)
+        await asyncio.sleep(0.1)
+        turns.release()
+        head = await pipelining[0].readuntil(b"\r\n\r\n")
+        self.assertTrue(head.startswith(b"HTTP/1.1 200 "), head)
+        self.assertEqual(len(others), _MAX_COUNT)
+
     async def test_connections_are_reused_as_before(self):
         (connection,) = await self.connect()
         for _ in range(3 * _MAX_COUNT):
