--- a/bronzeslip/http/limited_protocol.py
+++ b/bronzeslip/http/limited_protocol.py
@@ -176,6 +176,9 @@
         if self._closing is not None:
             self._closing.stop()
         super().connection_lost(exc)
+        # The base class leaves it running after a reset; it would keep this
+        # object until the idle timeout.
+        self._unset_keepalive_if_required()
         # Otherwise kept until the next garbage collection, as protocol and flow
         # refer to each other.
         self._drop_head()
@@ -292,6 +295,8 @@
         self._is_parsing = False
         was_pipelined = self._is_pipelined
         self._is_pipelined = bool(self._received)
+        # Not counted any more, and not read by anyone.
+        self.cycle.body = bytearray()
         if not self._is_body_pending:
             self._release_request()
         if not (was_pipelined and self._is_pipelined):
@@ -323,6 +328,14 @@
         """Whether a response is not complete yet."""
         return self.cycle is not None and not self.cycle.response_complete
 
+    @property
+    def _is_request_ahead(self) -> bool:
+        """Whether the peer goes on to send requests ahead of their responses.
+
+        The last one of a few pipelined requests is served as any other.
+        """
+        return self._is_pipelined and bool(self._received)
+
     @property
     def _may_parse(self) -> bool:
         """Whether received bytes may be parsed now."""
@@ -364,11 +377,25 @@
         super().data_received(piece)
         if self._closing is not None or self.transport.is_closing():
             return
+        self._restart_idle_timer()
         if was_in_body:
             self._check_body()
         elif self._in_headers:
             self._check_head()
 
+    def _restart_idle_timer(self) -> None:
+        """Limits the wait for further data after a complete response.
+
+        The base class stops the timer at any data, also if that is the rest of
+        a body or an empty line and begins no request.
+        """
+        if self.cycle is None or self._is_serving:
+            return
+        if self._header_timer is None and self.timeout_keep_alive_task is None:
+            self.timeout_keep_alive_task = self.loop.call_later(
+                self.timeout_keep_alive, self.timeout_keep_alive_handler
+            )
+
     def _check_head(self) -> None:
         """Rejects a head that is too large before it is complete."""
         delimiters_bytes = _REQUEST_LINE_DELIMITER_BYTES
@@ -485,7 +512,7 @@
     def _update_waiting(self) -> None:
         is_waiting = self._is_waiting_for_peer()
         has_progressed = self._progress_bytes >= _PROGRESS_BYTES
-        if self.flow.write_paused or self._is_pipelined:
+        if self.flow.write_paused or self._is_request_ahead:
             has_progressed = False
         if is_waiting and (has_progressed or not self._is_waiting):
             self._wait_for_peer()
@@ -496,7 +523,7 @@
     def _is_waiting_for_peer(self) -> bool:
         # A peer that goes on to send requests ahead of their responses need not
         # be reading these.
-        if self.flow.write_paused or self._is_pipelined:
+        if self.flow.write_paused or self._is_request_ahead:
             return True
         if self._is_deferred or self.flow.read_paused:
             return False
