Spread retries of restricted requests apart from those of other regions

Refused requests of a service shared one schedule of retry times, so that many refusals in one region told clients restricted to another one to come back up to 10 s later than its endpoints had permits. Each set of allowed regions has its own schedule now; unrestricted requests are spread as before.

The new test got a retry time of 10.1 s instead of less than 1 s before; test_requests_with_allowed_regions, test_requests_above_a_limit and test_region_of_cold_endpoints pass.

--- a/bronzeslip/forwarding/permitted_chooser.py
+++ b/bronzeslip/forwarding/permitted_chooser.py
@@ -63,8 +63,10 @@
         self._limits_of_cold = limits_of_cold
         self._rng = rng
         self._clock = clock
+        # Requests restricted to other regions wait for other permits.
         self._returns: dict[
-            ids.ServiceName, return_schedule.ReturnSchedule
+            tuple[ids.ServiceName, frozenset[ids.RegionName] | None],
+            return_schedule.ReturnSchedule,
         ] = {}
 
     async def choose(
@@ -215,7 +217,8 @@
             lambda candidate: self._is_eligible(candidate, request),
         )
         returns = self._returns.setdefault(
-            service_name, return_schedule.ReturnSchedule()
+            (service_name, request.allowed_regions),
+            return_schedule.ReturnSchedule(),
         )
         delay_s = returns.next_delay_s(
             min(denied_s.values()),
--- a/tests/forwarding/test_requests_with_allowed_regions.py
+++ b/tests/forwarding/test_requests_with_allowed_regions.py
@@ -69,6 +69,20 @@
             await self._call(_REGION_B)
         self.assertEqual(self._receivers(), {"b1", "b2"})
 
+    # Guards against long retry times because of refusals in another region.
+    async def test_refusals_elsewhere_do_not_delay_a_retry(self):
+        self._start()
+        limits = self.shared.endpoints.request_limits
+        for candidate in self.shared.endpoints.ready_endpoints("desk"):
+            is_slow = candidate.failure_domain.startswith("a")
+            limits.state(candidate, 0.5 if is_slow else 10.0)
+        for _ in range(10):
+            with self.assertRaises(errors.LimitedError):
+                await self._call(frozenset({"a"}))
+        with self.assertRaises(errors.LimitedError) as caught:
+            await self._call(_REGION_B)
+        self.assertLess(caught.exception.retry_after_s, 1.0)
+
     async def test_calls_without_an_allowed_endpoint_are_refused(self):
         self._start()
         delays_s = set()
