Place nothing on engines without a recent report

A coordinator is ready once half of its engines have reported. The others seemed idle, so a coordinator that had just taken over, or one that could not poll some engines, preferred engines that were possibly full.

--- a/bronzeslip/placement/placement_coordinator.py
+++ b/bronzeslip/placement/placement_coordinator.py
@@ -145,21 +145,28 @@
 
     def _is_ready(self, engines: list[endpoint.Endpoint]) -> bool:
         """Returns whether enough engines have reported recently."""
-        reported = sum(
-            self._view.report_age_s(engine) < _MAX_REPORT_AGE_S
-            for engine in engines
-        )
+        reported = sum(map(self._has_recent_report, engines))
         return reported > 0 and reported >= _MIN_REPORTED_SHARE * len(engines)
 
+    def _has_recent_report(self, engine: endpoint.Endpoint) -> bool:
+        return self._view.report_age_s(engine) < _MAX_REPORT_AGE_S
+
     def _candidates(
         self,
         ask: placement_ask.PlacementAsk,
         engines: list[endpoint.Endpoint],
     ) -> list[endpoint.Endpoint]:
+        """Returns the engines that a generation may be placed on.
+
+        Without a recent report an engine would seem idle. New engines are
+        polled at once, so these are ones that don't respond, or that a new
+        coordinator has not reached yet.
+        """
         return [
             engine
             for engine in engines
             if engine.endpoint_id not in ask.excluded
+            and self._has_recent_report(engine)
             and self._regions.is_eligible(engine, ask.allowed_regions)
         ]
 
--- a/tests/placement/test_many_gateways_one_coordinator.py
+++ b/tests/placement/test_many_gateways_one_coordinator.py
@@ -95,6 +95,32 @@
 
         virtual_loop.run(play())
 
+    # Engines without a report seemed idle, so that a new coordinator filled
+    # those that had not reported yet although they were busy.
+    def test_engines_without_a_recent_report_are_not_named(self):
+        async def play():
+            fleet = await _start()
+            first, _ = fleet.coordinators
+            gateway = fleet.gateways[first]
+            gateway.reports.remove("engine-0")
+            self.assertTrue(
+                gateway.directory.is_usable(fleet.engines["engine-0"].endpoint)
+            )
+            named = set()
+            for number in range(100):
+                ask = msgspec.structs.replace(
+                    _LONG_ASK, request_id=f"q{number}"
+                )
+                request = placement_request.PlacementRequest(
+                    ask, (), forwarding_parts.create_peer("front-1")
+                )
+                reply = gateway.parts.coordinator.decide(request)
+                named.add(reply.endpoint_id)
+            self.assertNotIn("engine-0", named)
+            self.assertIn("engine-1", named)
+
+        virtual_loop.run(play())
+
     # A faulty gateway could name any number of shards; each was kept for 12 s,
     # compared with every engine, and forgot the waiting requests of others.
     def test_implausible_shards_are_not_coordinated(self):
--- a/tests/support/placement_fleet.py
+++ b/tests/support/placement_fleet.py
@@ -116,6 +116,7 @@
         ledger = placement_ledger.PlacementLedger(_now_s)
         self.ledger = ledger
         reports.add_listener(ledger.apply_report)
+        self.reports = reports
         self.directory.add_gone_listener(ledger.remove)
         forecaster = load_forecast.LoadForecaster(
             settings, in_flight, reports, ledger=ledger, clock=_now_s
