Limit the sizes of asks at the coordinator

One ask of a faulty gateway with a prompt of 2^53 tokens raised the mean prompt of the coordinator to 4.5e14 tokens. With queued requests of unknown size, the forecast waits then refused all generations for hundreds of placements. Sizes are limited to the memory of an engine, as gateways do.

tests.placement.test_many_gateways_one_coordinator: the new test failed before and passes now; 15 passed.

--- a/bronzeslip/placement/placement_coordinator.py
+++ b/bronzeslip/placement/placement_coordinator.py
@@ -4,6 +4,8 @@
 import random
 import time
 
+import msgspec
+
 from bronzeslip import logs
 from bronzeslip.endpoints import directory
 from bronzeslip.endpoints import endpoint
@@ -93,10 +95,30 @@
         for request_id in request.ended:
             self._view.end(request_id)
             self._policy.forget(request_id)
-        reply = self._decide(request.ask)
+        reply = self._decide(self._limited(request.ask))
         self._metrics.count_placement(reply.verdict.value)
         return reply
 
+    def _limited(
+        self, ask: placement_ask.PlacementAsk
+    ) -> placement_ask.PlacementAsk:
+        """Returns an ask whose sizes fit the memory of an engine.
+
+        Gateways limit them too, but the mean prompt must not depend on it.
+        """
+        table = self._current_table.table
+        service = None if table is None else table.service(ask.service)
+        if service is None or service.engine is None:
+            return ask
+        max_tokens = service.engine.memory_tokens
+        if max(ask.prompt_tokens, ask.expected_tokens) <= max_tokens:
+            return ask
+        return msgspec.structs.replace(
+            ask,
+            prompt_tokens=min(ask.prompt_tokens, max_tokens),
+            expected_tokens=min(ask.expected_tokens, max_tokens),
+        )
+
     def _decide(
         self, ask: placement_ask.PlacementAsk
     ) -> placement_reply.PlacementReply:
--- a/tests/placement/test_many_gateways_one_coordinator.py
+++ b/tests/placement/test_many_gateways_one_coordinator.py
@@ -121,6 +121,34 @@
 
         virtual_loop.run(play())
 
+    # One ask of a faulty gateway made the mean prompt, and with it the forecast
+    # wait at all engines, endless.
+    def test_sizes_beyond_the_memory_of_an_engine_are_limited(self):
+        async def play():
+            fleet = await _start()
+            first, _ = fleet.coordinators
+            gateway = fleet.gateways[first]
+            ask = msgspec.structs.replace(
+                _LONG_ASK,
+                prompt_tokens=2**53,
+                expected_tokens=10,
+                objective_left_s=2.0**53,
+                remaining_s=2.0**53,
+            )
+            request = placement_request.PlacementRequest(
+                ask, (), forwarding_parts.create_peer("front-1")
+            )
+            reply = gateway.parts.coordinator.decide(request)
+            self.assertIs(
+                reply.verdict, placement_verdict.PlacementVerdict.PLACED
+            )
+            self.assertLess(
+                gateway.ledger.mean_prompt_tokens,
+                forwarding_parts.MEMORY_TOKENS,
+            )
+
+        virtual_loop.run(play())
+
     # A faulty gateway could name any number of shards; each was kept for 12 s,
     # compared with every engine, and forgot the waiting requests of others.
     def test_implausible_shards_are_not_coordinated(self):
