Poll unresponsive engines until they respond

A gateway that found an engine unresponsive dropped it from the ready endpoints, from which it selects the engines to poll. Its poll task ended, so the engine stayed unusable for that gateway for good unless no other engine responded. With coordinated placement but no reply from a coordinator, the engine became usable and unusable in turn, as it was forgotten with each end of its task. Unresponsive engines are now polled at the usual interval until they respond, leave, or a coordinator polls them. A new incarnation is taken for reachable. This also adds polls in deployments without pace or pressure, of engines that do not respond only.

tests.forwarding.test_report_poller: the test of an engine beside others failed before and passes now; the tests of restarts and of engines that are gone guard the change. 28 passed with test_directory and test_polled_engines.

--- a/bronzeslip/endpoints/directory.py
+++ b/bronzeslip/endpoints/directory.py
@@ -301,8 +301,13 @@
         if previous == updated:
             return
         self._endpoints[updated.endpoint_id] = updated
+        is_restarted = (
+            previous is not None and not previous.is_same_incarnation(updated)
+        )
+        if is_restarted:
+            self._unreachable.discard(updated.endpoint_id)
         self._signal_change()
-        if previous is not None and not previous.is_same_incarnation(updated):
+        if is_restarted:
             self._notify_leaving(previous, "restarted")
             self._notify_gone(previous)
             previous = None
--- a/bronzeslip/forwarding/report_poller.py
+++ b/bronzeslip/forwarding/report_poller.py
@@ -80,6 +80,10 @@
             for task in self._tasks.values():
                 task.cancel()
 
+    def polls(self, endpoint_id: ids.EndpointId) -> bool:
+        """Returns whether an engine is being polled."""
+        return endpoint_id in self._tasks
+
     def refresh(self) -> None:
         """Applies a change of the engines to poll at once."""
         self._selection_changed.set()
@@ -111,6 +115,8 @@
             for engine in self._engines_of(name)
         }
         self._forget_unresponsive(engines.keys())
+        # They are not among the ready endpoints that engines are selected from.
+        engines = self._unresponsive | engines
         for endpoint_id in self._tasks.keys() - engines.keys():
             self._stop_polling(endpoint_id)
         for endpoint_id, engine in engines.items():
@@ -163,16 +169,21 @@
     def _forget_unresponsive(
         self, polled_ids: AbstractSet[ids.EndpointId]
     ) -> None:
-        """Makes unresponsive engines that are no longer polled usable again.
+        """Forgets unresponsive engines that need no polls of this gateway.
 
-        Where placement is coordinated, the coordinator polls them and does not
-        name them while they do not respond.
+        These are gone or leaving, or the coordinator of their placements polls
+        them and does not name them while they do not respond.
         """
-        if self._coordinated is None:
-            return
         for endpoint_id in self._unresponsive.keys() - polled_ids:
             engine = self._unresponsive[endpoint_id]
-            if self._coordinated.is_coordinated(engine.service_name):
+            if not self._endpoints.accepts_requests(engine):
+                del self._unresponsive[endpoint_id]
+            elif (
+                self._coordinated is not None
+                and self._coordinated.has_polling_coordinator(
+                    engine.service_name
+                )
+            ):
                 del self._unresponsive[endpoint_id]
                 self._endpoints.set_reachable(engine, True)
 
@@ -190,9 +201,17 @@
         while True:
             failures = 0 if await self._poll_once(engine) else failures + 1
             self._record_reachable(engine, failures < _MAX_FAILURES)
-            await asyncio.sleep(
-                _RETRY_INTERVAL_S if failures else self._interval_s(engine)
-            )
+            interval_s = self._interval_s(engine)
+            if 0 < failures < _MAX_FAILURES or self._is_selected(engine):
+                interval_s = _RETRY_INTERVAL_S if failures else interval_s
+            await asyncio.sleep(interval_s)
+
+    def _is_selected(self, engine: endpoint.Endpoint) -> bool:
+        """Returns whether an engine is polled even if it is responsive."""
+        return any(
+            selected.endpoint_id == engine.endpoint_id
+            for selected in self._engines_of(engine.service_name)
+        )
 
     async def _poll_once(self, engine: endpoint.Endpoint) -> bool:
         """Fetches a report; returns whether there is a valid one."""
--- a/bronzeslip/placement/polled_engines.py
+++ b/bronzeslip/placement/polled_engines.py
@@ -70,6 +70,12 @@
                 selected[engine.endpoint_id] = engine
         return tuple(selected.values())
 
+    def has_polling_coordinator(self, service_name: ids.ServiceName) -> bool:
+        """Returns whether a coordinator polls the engines of a service."""
+        return self.is_coordinated(service_name) and self._contact.exists(
+            service_name
+        )
+
     def relies_on_coordinators(
         self, service_names: Iterable[ids.ServiceName]
     ) -> bool:
@@ -79,8 +85,7 @@
         """
         names = tuple(service_names)
         return bool(names) and all(
-            self.is_coordinated(name)
-            and self._contact.exists(name)
+            self.has_polling_coordinator(name)
             and not self._duties.has_shard_of(name)
             for name in names
         )
--- a/tests/forwarding/test_report_poller.py
+++ b/tests/forwarding/test_report_poller.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from bronzeslip.endpoints import directory
+from bronzeslip.endpoints import endpoint
 from bronzeslip.endpoints import in_flight_requests
 from bronzeslip.endpoints import report_cache
 from bronzeslip.endpoints import watched_endpoints
@@ -26,10 +27,13 @@
         self.unforeseen_error = None
         self.count = 0
         self.last_target = None
+        self.silent = frozenset()
 
     async def report(self, target):
         self.count += 1
         self.last_target = target
+        if target.endpoint_id in self.silent:
+            raise endpoint_errors.EndpointUnreachableError("silent")
         if self.unforeseen_error is not None:
             raise self.unforeseen_error
         if self.next_report is None:
@@ -124,6 +128,44 @@
         self.assertGreater(busy, 2)
         self.assertEqual(await self._count_polls(), 0)
 
+    # An unresponsive engine is not among the ready endpoints while others are,
+    # so nothing polled it again and this gateway lost it for good.
+    async def test_unresponsive_engine_beside_others_is_usable_again(self):
+        other = forwarding_parts.create_endpoint("two")
+        self.directory.put(other)
+        await polling.wait_until(lambda: self.reports.get("two"))
+        self.client.silent = {"one"}
+        await polling.wait_until(lambda: not self.directory.is_usable(self.one))
+        await asyncio.sleep(2 * _INTERVAL_S)
+        self.assertFalse(self.directory.is_usable(self.one))
+        self.client.silent = set()
+        await polling.wait_until(lambda: self.directory.is_usable(self.one))
+
+    async def test_unresponsive_engine_that_restarts_is_usable(self):
+        self.directory.put(forwarding_parts.create_endpoint("two"))
+        self.client.silent = {"one"}
+        await polling.wait_until(lambda: not self.directory.is_usable(self.one))
+        self.client.silent = set()
+        restarted = msgspec.structs.replace(
+            self.one, started_unix_ms=self.one.started_unix_ms + 1
+        )
+        self.directory.put(restarted)
+        self.assertTrue(self.directory.is_usable(restarted))
+        await polling.wait_until(lambda: self.client.last_target == restarted)
+
+    async def test_unresponsive_engine_is_forgotten_once_it_is_gone(self):
+        self.directory.put(forwarding_parts.create_endpoint("two"))
+        self.client.silent = {"one"}
+        await polling.wait_until(lambda: not self.directory.is_usable(self.one))
+        self.directory.put(
+            msgspec.structs.replace(
+                self.one, state=endpoint.EndpointState.LEAVING
+            )
+        )
+        await polling.wait_until(lambda: not self.poller.polls("one"))
+        await asyncio.sleep(2 * _INTERVAL_S)
+        self.assertFalse(self.poller.polls("one"))
+
     # The address of the incarnation before was polled for good, so the new one
     # seemed unreachable and its shutdown notice was missed.
     async def test_engine_that_restarts_under_its_id_is_polled_anew(self):
