State the time since arrival in asks for placements

A request that had waited for a placement and was then denied a permit asked again as if it had just arrived: its order was lost, and it could be held back for as long as before. The patience of its client was also taken for shorter, as the objective is derived from the time waited. The ask now states the time since the arrival. The gateway's own bound on deferrals still counts from the choice, and is 2 s for streams that have begun.

--- a/bronzeslip/placement/client_patience.py
+++ b/bronzeslip/placement/client_patience.py
@@ -24,9 +24,12 @@
     return min(_patience_s(ask) - ask.waited_s, ask.remaining_s)
 
 
-def is_exhausted(ask: placement_ask.PlacementAsk) -> bool:
-    """Returns whether a request has waited for as long as its client does."""
-    return ask.waited_s >= _patience_s(ask)
+def max_deferral_s(ask: placement_ask.PlacementAsk) -> float:
+    """Returns for how long a gateway accepts deferrals, in seconds.
+
+    It is short for a stream that has begun, which pauses meanwhile.
+    """
+    return _MIN_PATIENCE_S if ask.was_sent else _patience_s(ask)
 
 
 def overdue_in_s(ask: placement_ask.PlacementAsk) -> float:
@@ -47,8 +50,7 @@
     """Returns for how long a client waits in total, in seconds.
 
     An ask contains no objective. It is derived from what is left of it and the
-    time waited, so that it is too short for a request that asks for the first
-    time after a failed attempt.
+    time waited.
     """
     objective_s = ask.objective_left_s + ask.waited_s
     return max(_MIN_PATIENCE_S, _PATIENCE_OBJECTIVES * objective_s)
--- a/bronzeslip/placement/coordinated_chooser.py
+++ b/bronzeslip/placement/coordinated_chooser.py
@@ -143,10 +143,10 @@
         """
         started_s = self._clock()
         while True:
-            waited_s = self._clock() - started_s
-            ask = self._create_ask(request, tried, waited_s, was_sent)
+            ask = self._create_ask(request, tried, was_sent)
             reply = await self._caller.ask(ask)
-            placed = self._interpret(request, ask, reply, tried)
+            held_s = self._clock() - started_s
+            placed = self._interpret(request, ask, reply, tried, held_s)
             # A gateway in contact polls few engines, so placements that it
             # can't use must end the contact: local choices need reports.
             self._contact.record(
@@ -164,6 +164,7 @@
         ask: placement_ask.PlacementAsk,
         reply: placement_reply.PlacementReply | None,
         tried: AbstractSet[ids.EndpointId],
+        held_s: float,
     ) -> endpoint.Endpoint | Reason | None:
         """Returns what a reply leads to; None if deferred or refused."""
         if reply is None:
@@ -172,7 +173,7 @@
             return None
         if reply.verdict is Verdict.DEFERRED:
             # A coordinator refuses a request in time, unless it is faulty.
-            is_exhausted = client_patience.is_exhausted(ask)
+            is_exhausted = held_s >= client_patience.max_deferral_s(ask)
             return Reason.HELD_TOO_LONG if is_exhausted else None
         return self._validated(request, reply, tried)
 
@@ -246,7 +247,6 @@
         self,
         request: admitted.AdmittedRequest,
         tried: AbstractSet[ids.EndpointId],
-        waited_s: float,
         was_sent: bool,
     ) -> placement_ask.PlacementAsk:
         service_name = request.service.name
@@ -256,6 +256,7 @@
             len(self._endpoints.ready_endpoints(service_name)),
         )
         shape = request.request.shape
+        objective_left_s = request.remaining_objective_s
         # An engine processes no more than its memory, whatever a client states.
         max_tokens = min(
             request.service.engine.memory_tokens, fields.MAX_NUMBER
@@ -272,8 +273,10 @@
             priority=request.priority,
             workspace=request.workspace_id,
             remaining_s=request.remaining_s,
-            objective_left_s=request.remaining_objective_s,
-            waited_s=waited_s,
+            objective_left_s=objective_left_s,
+            # The client waits from the arrival on, also while permits are
+            # requested.
+            waited_s=max(request.route.objective_s - objective_left_s, 0.0),
             was_sent=was_sent,
             failure_domain=self._this_vm.failure_domain,
             allowed_regions=request.allowed_regions,
--- a/bronzeslip/placement/placement_ask.py
+++ b/bronzeslip/placement/placement_ask.py
@@ -23,7 +23,7 @@
         remaining_s: Time to its deadline, in seconds.
         objective_left_s: Time to the objective for its first event, in
             seconds; negative if the objective is missed.
-        waited_s: Time for which it has waited for a placement, in seconds.
+        waited_s: Time since its arrival at the gateway, in seconds.
         was_sent: Whether it was sent to an endpoint before, so that its client
             may have received a part of the response.
         failure_domain: Failure domain of the asking gateway.
--- a/tests/placement/test_replies_of_a_coordinator.py
+++ b/tests/placement/test_replies_of_a_coordinator.py
@@ -117,6 +117,25 @@
 
         self._run(play)
 
+    # A request that was denied a permit after a wait counted as new, and could
+    # be held back for as long again.
+    def test_wait_before_a_denied_permit_counts(self):
+        async def play():
+            case = _Case(_deferred(), _placed())
+            request = forwarding_parts.admit_generation()
+            for _ in range(2):
+                await case.chooser.choose(request, frozenset())
+                await asyncio.sleep(0.2)
+            waited_s = [round(ask.waited_s, 2) for ask in case.caller.asks]
+            self.assertEqual(waited_s, [0.0, 0.1, 0.3])
+            objectives_s = {
+                round(ask.objective_left_s + ask.waited_s, 2)
+                for ask in case.caller.asks
+            }
+            self.assertEqual(objectives_s, {request.route.objective_s})
+
+        self._run(play)
+
     def test_deferred_request_is_refused_before_its_deadline(self):
         async def play():
             case = _Case(_deferred())
@@ -232,6 +251,21 @@
 
         self._run(play)
 
+    # Guards against a stream that ignores the memory of engines, since it runs
+    # for longer than its client would have waited for its first event.
+    def test_resumed_request_accepts_deferrals_for_two_seconds(self):
+        async def play():
+            case = _Case(_deferred())
+            request = forwarding_parts.admit_generation(timeout_s=60.0)
+            await asyncio.sleep(20.0)
+            started_s = asyncio.get_running_loop().time()
+            await case.chooser.choose(request, frozenset(), was_sent=True)
+            elapsed_s = asyncio.get_running_loop().time() - started_s
+            self.assertGreater(elapsed_s, 1.8)
+            self.assertLess(elapsed_s, 2.2)
+
+        self._run(play)
+
     # Guards against a coordinator that counts ended requests as load.
     def test_ends_are_stated_to_the_coordinators_that_were_asked(self):
         ended = ended_requests.EndedRequests()
