Refuse stopped bodies of the OpenAI interface after a second

Clients that stated bodies of 4 MB and stopped sending kept their reservations for up to 60 s (body_timeout_s) while other clients were refused: the required rate was applied to the stated length as a whole. Apply it each second to what has arrived, as the entry gateway does.

--- a/bronzeslip/gateway/body_memory.py
+++ b/bronzeslip/gateway/body_memory.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from bronzeslip.gateway import errors
+from bronzeslip.http import partial_body
 from bronzeslip.memory import errors as memory_errors
 from bronzeslip.memory import reservation
 
@@ -16,9 +17,9 @@
 # Clients give up requests that are not read for a second.
 _MAX_WAIT_S = 0.25
 _RETRY_AFTER_S = 0.5
-# While memory is short, a body must arrive within this time and at this rate.
+# While memory is short, a body must arrive at this rate at least.
 _PROGRESS_TIME_S = 1.0
-_PROGRESS_BYTES_PER_S = 64 * 1024
+_PROGRESS_BYTES = 64 * 1024
 # Memory of a decoded value beside its text, and what delimits values. Those in
 # strings are counted too, so that the cost is an upper bound.
 _VALUE_BYTES = 64
@@ -52,26 +53,26 @@
         await self._grow(needed_bytes)
 
     async def read(
-        self, reading: Coroutine[Any, Any, bytes], size_bytes: int
+        self,
+        reading: Coroutine[Any, Any, bytes],
+        received: partial_body.PartialBody,
     ) -> bytes:
         """Reads a body; while memory is short, slow ones give way.
 
         Args:
             reading: Reads the body.
-            size_bytes: Bytes that were reserved for it.
+            received: What it has read so far.
 
         Raises:
             errors.UnavailableError: If the body was given up.
         """
-        loop = asyncio.get_running_loop()
-        due_s = loop.time() + _PROGRESS_TIME_S
-        due_s += size_bytes / _PROGRESS_BYTES_PER_S
         task = asyncio.create_task(reading)
         try:
             while not task.done():
+                due_bytes = received.size_bytes + _PROGRESS_BYTES
                 await asyncio.wait((task,), timeout=_PROGRESS_TIME_S)
-                is_late = loop.time() > due_s and not task.done()
-                if is_late and self._held.is_pool_short:
+                is_slow = not task.done() and received.size_bytes < due_bytes
+                if is_slow and self._held.is_pool_short:
                     raise _unavailable()
             return task.result()
         finally:
--- a/bronzeslip/gateway/request_body.py
+++ b/bronzeslip/gateway/request_body.py
@@ -36,18 +36,21 @@
         errors.UnavailableError: If there is no memory for it.
     """
     memory = _memory(request)
+    if memory is not None:
+        await memory.reserve(_expected_bytes(request))
+    # The request would keep the body that it returns as a whole.
+    body = partial_body.PartialBody(_stated_bytes(request))
+    reading = _read(request, body)
     if memory is None:
-        return await _read(request)
-    size_bytes = _expected_bytes(request)
-    await memory.reserve(size_bytes)
-    return await memory.read(_read(request), size_bytes)
+        return await reading
+    return await memory.read(reading, body)
 
 
-async def _read(request: litestar.Request) -> bytes:
+async def _read(
+    request: litestar.Request, body: partial_body.PartialBody
+) -> bytes:
     try:
         async with asyncio.timeout(request.app.state.get("body_timeout_s")):
-            # The request would keep the body that it returns as a whole.
-            body = partial_body.PartialBody(_stated_bytes(request))
             async for chunk in request.stream():
                 body.add(chunk)
             return body.join()
