Let connections that wait for the parser give way to new ones

Ordinary clients got 503 too-many-connections while many clients sent chunks of one byte: a connection counted as busy while it waited for its turn to be parsed, which takes seconds with hundreds of them, so it could not be closed.

tests.http.test_read_pacer fails before the change (503) and passes after it.

--- a/bronzeslip/http/limited_protocol.py
+++ b/bronzeslip/http/limited_protocol.py
@@ -522,10 +522,11 @@
 
     def _is_waiting_for_peer(self) -> bool:
         # A peer that goes on to send requests ahead of their responses need not
-        # be reading these.
+        # be reading these. One whose data waits for its turn is not spared: many
+        # of these would otherwise keep all slots for as long as they like.
         if self.flow.write_paused or self._is_request_ahead:
             return True
-        if self._is_deferred or self.flow.read_paused:
+        if self.flow.read_paused:
             return False
         return self._is_body_pending or not self._is_serving
 
