--- a/bronzeslip/http/limited_protocol.py
+++ b/bronzeslip/http/limited_protocol.py
@@ -522,8 +522,8 @@
 
     def _is_waiting_for_peer(self) -> bool:
         # A peer that goes on to send requests ahead of their responses need not
-        # be reading these. One whose data waits for its turn is not spared: many
-        # of these would otherwise keep all slots for as long as they like.
+        # be reading these. One whose data waits for its turn is not spared, as
+        # many of these would otherwise keep all slots.
         if self.flow.write_paused or self._is_request_ahead:
             return True
         if self.flow.read_paused:
