Exit within the grace despite stalled clients

A client that stopped in the middle of a body, or did not read its response, kept a gateway from exiting after SIGTERM until it was killed at the end of the grace; its record remained in the registry. Requests were answered in time, but the drain waited for connections without a limit. Abort these after 15/16 of the grace, when all requests have been answered.

tests.entry.test_daemon fails before the change (still running after 5 s) and passes after it.

--- a/bronzeslip/entry/daemon.py
+++ b/bronzeslip/entry/daemon.py
@@ -50,7 +50,7 @@
         metrics: entry_metrics.EntryMetrics,
         tasks: Sequence[named_task.NamedTask],
         reload: Callable[[], None],
-        begin_drain: Callable[[], None],
+        begin_drain: Callable[[], float],
         deregister: Callable[[], Awaitable[None]],
         slots: connection_slots.ConnectionSlots | None = None,
         internal_slots: connection_slots.ConnectionSlots | None = None,
@@ -67,7 +67,8 @@
             metrics: Metrics to expose.
             tasks: Background tasks that run until shutdown.
             reload: Reloads the settings file; called on SIGHUP.
-            begin_drain: Called when a shutdown is requested.
+            begin_drain: Called when a shutdown is requested; returns the time
+                after which open connections are aborted, in seconds.
             deregister: Removes this gateway from the gateway registry.
             slots: Bounds the connections of callers; defaults to no bound.
             internal_slots: Bounds all other connections; defaults to no bound.
@@ -79,6 +80,7 @@
         self._named_tasks = tasks
         self._reload = reload
         self._begin_drain = begin_drain
+        self._max_drain_s = this_vm.bounds.grace_s
         self._deregister = deregister
         self._signals = shutdown.ShutdownSignals()
         self._background_tasks = background.BackgroundTasks()
@@ -134,11 +136,18 @@
         """Fails readiness checks."""
         logger.info("entry.draining")
         self._readiness.drain()
-        self._begin_drain()
+        self._max_drain_s = self._begin_drain()
 
     async def _drain(self) -> None:
-        """Waits for running requests to finish."""
-        completed = await self._signals.run_unless_forced(self._stop_callers())
+        """Waits for running requests to finish, but not for stalled clients."""
+        completed = False
+        try:
+            async with asyncio.timeout(self._max_drain_s):
+                completed = await self._signals.run_unless_forced(
+                    self._stop_callers()
+                )
+        except TimeoutError:
+            logger.warning("entry.drain_timeout", after_s=self._max_drain_s)
         if not completed:
             await self._caller_server.abort()
         logger.info("entry.drained", hurried=not completed)
--- a/bronzeslip/forwarding/drain_deadline.py
+++ b/bronzeslip/forwarding/drain_deadline.py
@@ -13,6 +13,9 @@
 # Share of the grace that is left for the last responses, for removing the
 # gateway's record and for the exit of the process.
 _END_MARGIN_SHARE = 1 / 8
+# Share of the grace that is left when connections of clients that have stopped
+# sending or reading are aborted. All requests have been answered before.
+_ABORT_MARGIN_SHARE = 1 / 16
 # Other gateways can take the request at once.
 _RETRY_AFTER_S = 0.1
 
@@ -39,12 +42,17 @@
         """Replaces the bounds, unless the gateway drains already."""
         self._bounds = bounds
 
-    def begin(self) -> None:
-        """Starts the grace and shortens the timeouts of running requests."""
+    def begin(self) -> float:
+        """Starts the grace and shortens the timeouts of running requests.
+
+        Returns:
+            Time after which open connections are aborted, in seconds.
+        """
         grace_s = self._bounds.grace_s * (1 - _END_MARGIN_SHARE)
         self._end_s = asyncio.get_running_loop().time() + grace_s
         for timeout in self._timeouts:
             timeout.reschedule(min(timeout.when(), self._end_s))
+        return self._bounds.grace_s * (1 - _ABORT_MARGIN_SHARE)
 
     def limit(
         self, request: admitted.AdmittedRequest
--- a/tests/entry/test_daemon.py
+++ b/tests/entry/test_daemon.py
@@ -35,7 +35,7 @@
 
 
 class EntryDaemonTest(unittest.IsolatedAsyncioTestCase):
-    def create_daemon(self, *tasks):
+    def create_daemon(self, *tasks, app=None, begin_drain=_fail_at_once):
         settings = entry.EntrySettings(drain_notice_s=0)
         table = current.CurrentTable()
         endpoints = directory.EndpointDirectory(settings)
@@ -51,14 +51,14 @@
                 peer_address=_ADDRESS,
                 bounds=vm_config.PlaceBounds(8, 0.2, 56, 10, 2.5),
             ),
-            lambda *_: None,
+            app or (lambda *_: None),
             (_permits,),
             table,
             readiness.Readiness(table, endpoints),
             entry_metrics.EntryMetrics(table, endpoints),
             tasks,
             lambda: None,
-            _fail_at_once,
+            begin_drain,
             _fail,
         )
 
@@ -90,6 +90,31 @@
             await run
             log.single("entry.drained")
 
+    # Guards against clients that stop in the middle of a body and so prevent an
+    # exit before the process is killed, and the removal of its record.
+    async def test_unfinished_body_does_not_prevent_an_orderly_exit(self):
+        async def read_body(scope, receive, send):
+            while (await receive())["type"] != "http.disconnect":
+                pass
+
+        created = self.create_daemon(app=read_body, begin_drain=lambda: 0.3)
+        with log_capture.capture() as log:
+            run = asyncio.create_task(created.run())
+            await polling.wait_until(lambda: created._caller_server.port)
+            _, writer = await asyncio.open_connection(
+                "127.0.0.1", created._caller_server.port
+            )
+            self.addCleanup(writer.close)
+            writer.write(b"POST / HTTP/1.1\r\ncontent-length: 9\r\n\r\nx")
+            await asyncio.sleep(0.2)
+            os.kill(os.getpid(), signal.SIGTERM)
+            done, _ = await asyncio.wait((run,), timeout=5)
+            if not done:
+                os.kill(os.getpid(), signal.SIGTERM)
+                await run
+            self.assertTrue(done)
+            log.single("entry.drained")
+
 
 if __name__ == "__main__":
     unittest.main()
