Cover regions, evacuations, cold endpoints and placement in the soak

The soak sent nothing over restricted routes, wrote no evacuations, had no cold endpoints, no load headers and no coordinated placement, so faults of these parts could not show. Zones are evacuated, endpoints become cold, state steady, noisy or false load and stop doing so, and the gateway that places most is killed. Three invariants check arrivals. The new faults are drawn from a random stream of their own.

--- a/standins/model_endpoint/app.py
+++ b/standins/model_endpoint/app.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 import os
+import random
 import time
 from typing import Any
 import uuid
@@ -19,12 +20,21 @@
 _STREAM_BODY = b"stream"
 _CRASH_BODY = b"crash"
 _BROKEN_STREAM_BODY = b"broken-stream"
+_LARGE_STREAM_BODY = b"large-stream"
+_STREAM_BODIES = (_STREAM_BODY, _BROKEN_STREAM_BODY, _LARGE_STREAM_BODY)
 _CRASH_EXIT_STATUS = 70
 _POISON_PART_PREFIX = "poison"
 _MS_PER_S = 1000
 EVENT_COUNT = 5
 _BROKEN_EVENT_COUNT = 2
 _EVENT_INTERVAL_S = 0.05
+# All events of a large stream together exceed what gateways read ahead.
+_LARGE_EVENT_BYTES = 150_000
+_SLOTS = 24
+# Paces that were observed, in percent.
+_PACES = (100, 130, 250)
+# False statements: an idle endpoint, a full one, and values that can't be read.
+_FALSE_LOADS = ("0,0,9999,1", "9999,9999,1,100000", "-1,x,,nan", "", "1,2")
 
 
 class EndpointStandin:
@@ -35,12 +45,12 @@
     pause or states a limit on its requests.
 
     The body "stream" selects a stream of events, the body "broken-stream" one
-    that ends inside an event, and the body "crash" makes the process exit at
-    once. Others select one of the odd responses. More text may follow after a
-    space. A prompt with a part, other than the last, whose id begins with
-    "poison" makes the process exit too. While the stand-in holds requests,
-    calls wait before their response starts and streams wait after their first
-    event.
+    that ends inside an event, the body "large-stream" one of large events, and
+    the body "crash" makes the process exit at once. Others select one of the
+    odd responses. More text may follow after a space. A prompt with a part,
+    other than the last, whose id begins with "poison" makes the process exit
+    too. While the stand-in holds requests, calls wait before their response
+    starts and streams wait after their first event.
     """
 
     def __init__(self, endpoint_id: str, is_unframed: bool = False) -> None:
@@ -57,6 +67,8 @@
         self._is_leaving = False
         self._pause_ends_s = 0.0
         self._stated_limit = ""
+        self._load_mode = "none"
+        self._running = 0
 
     def app(self) -> litestar.Litestar:
         """Creates the ASGI application."""
@@ -77,6 +89,9 @@
                 litestar.put("/standin/no-limit", status_code=200)(
                     self._end_limit
                 ),
+                litestar.put("/standin/load/{mode:str}", status_code=200)(
+                    self._state_load
+                ),
                 litestar.put("/standin/release", status_code=200)(
                     self._release
                 ),
@@ -99,6 +114,11 @@
                 *message["headers"],
                 (b"server-limit", self._stated_limit.encode()),
             ]
+        if self._load_mode != "none":
+            message["headers"] = [
+                *message["headers"],
+                (b"bronzeslip-server-load", self._load().encode()),
+            ]
         if self._is_unframed:
             message["headers"] = [
                 field
@@ -106,6 +126,12 @@
                 if field[0] != b"content-length"
             ]
 
+    def _load(self) -> str:
+        if self._load_mode == "lying":
+            return random.choice(_FALSE_LOADS)
+        pace = random.choice(_PACES) if self._load_mode == "noisy" else 100
+        return f"{self._running},0,{_SLOTS},{pace}"
+
     async def _handle_request(
         self, request: litestar.Request
     ) -> litestar.Response:
@@ -144,9 +170,9 @@
         selected, _, _ = body.partition(b" ")
         if selected == _CRASH_BODY or _has_poison_part(request):
             os._exit(_CRASH_EXIT_STATUS)
-        if selected in (_STREAM_BODY, _BROKEN_STREAM_BODY):
+        if selected in _STREAM_BODIES:
             return response.Stream(
-                self._events(is_broken=selected == _BROKEN_STREAM_BODY),
+                self._counted_events(selected),
                 headers=headers,
                 media_type="text/event-stream",
             )
@@ -158,8 +184,19 @@
             b"ran " + body, headers=headers, media_type="text/plain"
         )
 
-    async def _events(self, is_broken: bool) -> AsyncIterator[bytes]:
+    async def _counted_events(self, selected: bytes) -> AsyncIterator[bytes]:
+        self._running += 1
+        try:
+            async for event in self._events(selected):
+                yield event
+        finally:
+            self._running -= 1
+
+    async def _events(self, selected: bytes) -> AsyncIterator[bytes]:
+        is_broken = selected == _BROKEN_STREAM_BODY
         stream_id = uuid.uuid4().hex
+        if selected == _LARGE_STREAM_BODY:
+            stream_id += "x" * _LARGE_EVENT_BYTES
         for event_id in range(1, EVENT_COUNT + 1):
             if is_broken and event_id > _BROKEN_EVENT_COUNT:
                 yield f"id: {event_id}\ndata: {stream_id}".encode()
@@ -197,6 +234,10 @@
         self._stated_limit = ""
         print(f"unlimited - {time.monotonic()}", flush=True)
 
+    async def _state_load(self, mode: str) -> None:
+        """Selects the load headers: steady, noisy, lying or none."""
+        self._load_mode = mode
+
     async def _hold(self) -> None:
         self._released.clear()
 
--- a/tools/entry_configuration.py
+++ b/tools/entry_configuration.py
@@ -12,9 +12,20 @@
     READS_PATH: "desk",
     STREAMS_PATH: "engine",
 }
+# Paths of routes that are restricted to the region of this name.
+REGIONAL_PATH_BY_REGION = {"a": "/only-a/", "b": "/only-b/"}
+REGION_BY_ZONE = {"a-1": "a", "b-1": "b"}
 MAX_BODY_BYTES = 4 * 1024 * 1024
 # Time after which a leaving endpoint must receive no new requests.
 DRAIN_S = 2.5
+# Time after which nothing may be sent to an evacuated failure domain.
+EVACUATION_S = 5.0
+# Time for which an endpoint that has started is cold, and the requests per
+# second of all gateways that it then sustains.
+COLD_S = 1.0
+COLD_PER_S = 4.0
+COLD_FACTOR = 1.5
+COLD_SLACK = 5
 
 _DEADLINE_MS = 15_000
 
@@ -53,8 +64,30 @@
     return _route(name, f"/{name}/", "non_idempotent", "desk")
 
 
+def regional_configuration(version: int, *more_routes: Any) -> dict[str, Any]:
+    """Returns a configuration with regional routes and cold limits of calls."""
+    routes = [
+        {
+            **_route(f"only-{region}", path, "non_idempotent", "desk"),
+            "allowed_regions": [region],
+        }
+        for region, path in REGIONAL_PATH_BY_REGION.items()
+    ]
+    document = configuration(version, *routes, *more_routes)
+    document["services"][0] |= {
+        "cold_s": COLD_S,
+        "cold_per_s": COLD_PER_S,
+    }
+    return document
+
+
 def discovery_entry(
-    service: str, port: int, state: str, start_number: int
+    service: str,
+    port: int,
+    state: str,
+    start_number: int,
+    zone: str = "a-1",
+    cold_left_s: float = 0.0,
 ) -> dict[str, Any]:
     """Returns the discovery entry of an endpoint.
 
@@ -63,15 +96,17 @@
         port: Port on the loopback address.
         state: State, as spelled in the entry.
         start_number: Sequence number of the endpoint's current start.
+        zone: Failure domain of the endpoint.
+        cold_left_s: Time for which the endpoint stays cold, in seconds.
     """
     return {
         "service": service,
         "address": f"127.0.0.1:{port}",
-        "zone": "a-1",
+        "zone": zone,
         "version": "v1",
         "slots": 24,
         "state": state,
-        "cold_left_ms": 0,
+        "cold_left_ms": round(cold_left_s * 1000),
         "seq": 1,
         "born": start_number,
     }
--- a/tools/entry_deployment.py
+++ b/tools/entry_deployment.py
@@ -39,6 +39,7 @@
         contracts: Sequence[str] = (),
         memory_mb: int = entry_gateway.MEMORY_MB,
         max_descriptors: int = entry_gateway.MAX_DESCRIPTORS,
+        has_regions: bool = False,
     ) -> None:
         """Starts all processes and waits until all gateways are ready.
 
@@ -54,12 +55,17 @@
             contracts: Contracts in the boot files of the gateways.
             memory_mb: Memory limit of each gateway.
             max_descriptors: Descriptor limit of each gateway.
+            has_regions: Whether every second endpoint is in another region,
+                with routes restricted to each region, evacuations and limits
+                of cold endpoints.
 
         Raises:
             RuntimeError: If a process exits before it is ready.
             TimeoutError: If a process is not ready in time.
         """
         self._written: dict[tuple[str, str], Any] = {}
+        self._removed: set[tuple[str, str]] = set()
+        self._has_regions = has_regions
         with contextlib.ExitStack() as exit_stack:
             self.call_endpoints, self.engines = (
                 _endpoints(
@@ -68,6 +74,7 @@
                     endpoint_count,
                     has_endpoint_proxies,
                     has_unframed_endpoints,
+                    has_regions,
                 )
                 for service in ("desk", "engine")
             )
@@ -93,14 +100,27 @@
             "servers", endpoint.endpoint_id, endpoint.discovery_entry(state)
         )
 
+    def configuration(self, version: int, *more_routes: Any) -> dict[str, Any]:
+        """Returns the configuration of this deployment."""
+        if self._has_regions:
+            return entry_configuration.regional_configuration(
+                version, *more_routes
+            )
+        return entry_configuration.configuration(version, *more_routes)
+
     def write_all_again(self) -> None:
-        """Writes what the operator and the endpoints have written last."""
+        """Writes and removes what was written and removed last."""
+        for kind, name in tuple(self._removed):
+            self.remove_object(kind, name)
         for (kind, name), spec in tuple(self._written.items()):
-            self.put_object(kind, name, spec)
+            # Another series of faults may have removed it meanwhile.
+            if (kind, name) in self._written:
+                self.put_object(kind, name, spec)
 
     def put_object(self, kind: str, name: str, spec: Any) -> None:
         """Creates or replaces an object, again while the store is away."""
         self._written[kind, name] = spec
+        self._removed.discard((kind, name))
         body = {"metadata": {"name": name}, "spec": spec}
         content = msgspec.json.encode(body)
         self._repeat(
@@ -135,6 +155,8 @@
 
     def remove_object(self, kind: str, name: str) -> None:
         """Removes an object if it exists, again while the store is away."""
+        self._written.pop((kind, name), None)
+        self._removed.add((kind, name))
         url = f"{self.store.http_url()}/objects/{kind}/{name}"
         response = self._repeat(lambda: httpx.delete(url))
         if response.status_code != httpx.codes.NOT_FOUND:
@@ -182,7 +204,7 @@
         folder = exit_stack.enter_context(tempfile.TemporaryDirectory())
         self.store = local_process.LocalProcess("standins.object_store")
         exit_stack.callback(self.store.stop)
-        self.put_object("config", "main", entry_configuration.configuration(1))
+        self.put_object("config", "main", self.configuration(1))
         for endpoint in self.endpoints:
             endpoint.wait_ready()
             self.register(endpoint)
@@ -196,6 +218,7 @@
                 contracts,
                 memory_mb,
                 max_descriptors,
+                self._has_regions,
             )
             exit_stack.callback(gateway.stop)
             self.gateways.append(gateway)
@@ -212,6 +235,7 @@
     count: int,
     is_proxied: bool,
     has_unframed: bool,
+    has_regions: bool,
 ) -> list[entry_endpoint.EntryEndpoint]:
     """Starts the endpoints of a service; their ids begin with its name."""
     endpoints = []
@@ -222,6 +246,7 @@
             service,
             is_proxied and not is_unframed,
             is_unframed,
+            "b-1" if has_regions and number % 2 else "a-1",
         )
         exit_stack.callback(endpoint.stop)
         endpoints.append(endpoint)
--- a/tools/entry_endpoint.py
+++ b/tools/entry_endpoint.py
@@ -19,6 +19,7 @@
         endpoint_id: Id under which the endpoint registers.
         process: The current process.
         proxy: Proxy that gateways connect to, unless they connect directly.
+        zone: Failure domain of the endpoint.
     """
 
     def __init__(
@@ -27,6 +28,7 @@
         service: str,
         is_proxied: bool = True,
         is_unframed: bool = False,
+        zone: str = "a-1",
     ) -> None:
         """Starts the process.
 
@@ -35,8 +37,10 @@
             service: Service of the endpoint.
             is_proxied: Whether gateways connect through the proxy.
             is_unframed: Whether responses end with their connection.
+            zone: Failure domain of the endpoint.
         """
         self.endpoint_id = endpoint_id
+        self.zone = zone
         self.proxy = tcp_proxy.TcpProxy()
         self._service = service
         self._is_proxied = is_proxied
@@ -69,11 +73,18 @@
             for process in (*self._earlier_processes, self.process)
         ]
 
-    def discovery_entry(self, state: str = "ready") -> dict[str, Any]:
+    def discovery_entry(
+        self, state: str = "ready", cold_left_s: float = 0.0
+    ) -> dict[str, Any]:
         """Returns the discovery entry of the endpoint."""
         port = self.proxy.port if self._is_proxied else self.process.http_port()
         return entry_configuration.discovery_entry(
-            self._service, port, state, self._start_count
+            self._service,
+            port,
+            state,
+            self._start_count,
+            self.zone,
+            cold_left_s,
         )
 
     def restart(self) -> None:
@@ -120,6 +131,11 @@
         url = f"{self.process.http_url()}/standin/no-limit"
         httpx.put(url).raise_for_status()
 
+    def state_load(self, mode: str) -> None:
+        """Selects load headers: `steady`, `noisy`, `lying` or `none`."""
+        url = f"{self.process.http_url()}/standin/load/{mode}"
+        httpx.put(url).raise_for_status()
+
     def release(self) -> None:
         """Lets the endpoint send its held responses."""
         url = f"{self.process.http_url()}/standin/release"
--- a/tools/entry_gateway.py
+++ b/tools/entry_gateway.py
@@ -23,7 +23,7 @@
 zone = "a-1"
 [zones]
 a-1 = "a"
-[listen]
+{more_zones}[listen]
 front = "{host}:{front}"
 ready = "{host}:{ready}"
 [limits]
@@ -35,9 +35,15 @@
 retry_ratio = 0.2
 retry_slack = {retry_slack}
 retry_window_s = 10
-[platform]
+{more_bounds}[platform]
 address = "127.0.0.1:{store}"
 """
+_MORE_ZONES = 'b-1 = "b"\n'
+_MORE_BOUNDS = f"""
+evac_ms = {entry_configuration.EVACUATION_S * 1000:.0f}
+cold_over = {entry_configuration.COLD_FACTOR}
+cold_slack = {entry_configuration.COLD_SLACK}
+"""
 
 
 class EntryGateway:
@@ -59,6 +65,7 @@
         contracts: Sequence[str] = (),
         memory_mb: int = MEMORY_MB,
         max_descriptors: int = MAX_DESCRIPTORS,
+        has_regions: bool = False,
     ) -> None:
         """Starts the gateway.
 
@@ -69,11 +76,14 @@
             contracts: Contracts that the boot file lists.
             memory_mb: Memory limit that the boot file states.
             max_descriptors: Descriptor limit that the boot file states.
+            has_regions: Whether the boot file has a second region and the
+                bounds of evacuations and cold endpoints.
         """
         self._contracts = contracts
         self._name = name
         self._memory_mb = memory_mb
         self._max_descriptors = max_descriptors
+        self._has_regions = has_regions
         self.boot_path = pathlib.Path(folder) / f"{name}.toml"
         self.host = loopback_address.host()
         self._front_port = loopback_address.next_port()
@@ -132,6 +142,8 @@
                 retry_slack=retry_slack,
                 memory_mb=self._memory_mb,
                 max_descriptors=self._max_descriptors,
+                more_zones=_MORE_ZONES if self._has_regions else "",
+                more_bounds=_MORE_BOUNDS if self._has_regions else "",
             )
         )
 
--- a/tools/soak/arrival_checker.py
+++ b/tools/soak/arrival_checker.py
@@ -12,6 +12,8 @@
 from tools.soak import endpoint_record
 from tools.soak import invariant
 from tools.soak import limit_checker
+from tools.soak import place_checker
+from tools.soak import place_demand
 from tools.soak import poison_prompts
 from tools.soak import request_result
 from tools.soak import violation
@@ -48,12 +50,14 @@
         records: Records of all incarnations of all endpoints.
         disturbances: Disturbances that excuse gateways.
         retry_limits: Limits of the deployment.
+        demands: Evacuations and times in which endpoints were cold.
     """
 
     results: Sequence[request_result.RequestResult] = ()
     records: Sequence[endpoint_record.EndpointRecord] = ()
     disturbances: Sequence[disturbance.Disturbance] = ()
     retry_limits: RetryLimits = RetryLimits()
+    demands: Sequence[place_demand.PlaceDemand] = ()
 
 
 def check(observed: Observations) -> Iterator[violation.Violation]:
@@ -65,6 +69,9 @@
         yield from _check_leaving(observed, record, sent)
         yield from _check_pauses(observed, record, sent)
         yield from limit_checker.check(record, sent, observed.disturbances)
+        yield from place_checker.check(
+            record, sent, observed.disturbances, observed.demands
+        )
 
 
 def _check_retries(
--- a/tools/soak/disturbance.py
+++ b/tools/soak/disturbance.py
@@ -23,3 +23,8 @@
 def link_to_store(gateway: str) -> str:
     """Returns the name of a gateway's link to the store."""
     return f"{STORE}/{gateway}"
+
+
+def process_of(endpoint_id: str) -> str:
+    """Returns the name of the process of an endpoint."""
+    return f"process/{endpoint_id}"
--- a/tools/soak/endpoint_record.py
+++ b/tools/soak/endpoint_record.py
@@ -50,6 +50,7 @@
         paused: Requests that were refused with a pause.
         limited: Requests whose response stated a limit, in order.
         unlimited_s: Times from which no limit was stated any more.
+        zone: Failure domain of the endpoint.
     """
 
     endpoint_id: str
@@ -59,10 +60,11 @@
     paused: tuple[Arrival, ...]
     limited: tuple[StatedLimit, ...] = ()
     unlimited_s: tuple[float, ...] = ()
+    zone: str = ""
 
 
 def parse(
-    endpoint_id: str, service: str, lines: Iterable[str]
+    endpoint_id: str, service: str, lines: Iterable[str], zone: str = ""
 ) -> EndpointRecord:
     """Creates a record from the lines that an endpoint has printed."""
     by_kind: dict[str, list[Arrival]] = {
@@ -91,6 +93,7 @@
         tuple(by_kind[_PAUSED]),
         tuple(limited),
         tuple(unlimited_s),
+        zone,
     )
 
 
--- a/tools/soak/fault.py
+++ b/tools/soak/fault.py
@@ -30,3 +30,18 @@
     SETTINGS_CUT_AND_RESTARTED = "settings-cut-and-restarted"
     PORT_TAKEN_AT_RESTART = "port-taken-at-restart"
     LARGE_BODIES_SENT = "large-bodies-sent"
+    LOAD_STATED = "load-stated"
+    ZONE_EVACUATED = "zone-evacuated"
+    ENDPOINT_BECOMES_COLD = "endpoint-becomes-cold"
+    COORDINATOR_KILLED = "coordinator-killed"
+
+
+# Drawn from a random stream of their own, so that the faults which a seed
+# draws from the others stay the same.
+SEPARATE_FAULTS = (
+    Fault.LOAD_STATED,
+    Fault.ZONE_EVACUATED,
+    Fault.ENDPOINT_BECOMES_COLD,
+    Fault.COORDINATOR_KILLED,
+)
+COMMON_FAULTS = tuple(item for item in Fault if item not in SEPARATE_FAULTS)
--- a/tools/soak/injector.py
+++ b/tools/soak/injector.py
@@ -20,6 +20,7 @@
 from tools.soak import fault
 from tools.soak import large_bodies
 from tools.soak import limit_checker
+from tools.soak import place_faults
 from tools.soak import poison_prompts
 from tools.soak import settings_faults
 
@@ -42,6 +43,7 @@
     Attributes:
         disturbances: Disturbances that excuse gateways.
         poison_prompts: Sends prompts that crash engines.
+        places: Injects faults of locations, load and the coordinator.
         large_bodies: Sends bursts of large bodies.
     """
 
@@ -51,6 +53,7 @@
         rng: random.Random,
         series_index: int,
         series_count: int,
+        place_rng: random.Random,
     ) -> None:
         """Creates an injector.
 
@@ -60,6 +63,7 @@
             series_index: Index of the series of this injector.
             series_count: Number of series, each of which affects its own
                 processes; only the first one changes the configuration.
+            place_rng: Source of random numbers of the separate faults.
         """
         self._deployment = deployment
         self._rng = rng
@@ -71,6 +75,13 @@
             deployment, self._gateways, rng
         )
         self.large_bodies = large_bodies.LargeBodies(rng)
+        self.places = place_faults.PlaceFaults(
+            deployment,
+            self._gateways,
+            self._endpoints,
+            self._kill,
+            place_rng,
+        )
         self.disturbances: list[disturbance.Disturbance] = []
         self._methods: dict[fault.Fault, Callable[[], None]] = {
             fault.Fault.GATEWAY_KILLED: self._kill_gateway,
@@ -97,6 +108,7 @@
             fault.Fault.SETTINGS_CUT_AND_RESTARTED: self._start_with_cut_file,
             fault.Fault.PORT_TAKEN_AT_RESTART: self._start_without_port,
             fault.Fault.LARGE_BODIES_SENT: self._send_large_bodies,
+            **self.places.methods,
         }
 
     def inject(self, fault_kind: fault.Fault) -> None:
@@ -127,7 +139,9 @@
             )
 
     def _kill_gateway(self) -> None:
-        gateway = self._random_gateway
+        self._kill(self._random_gateway)
+
+    def _kill(self, gateway: entry_gateway.EntryGateway) -> None:
         with self._record(gateway.name):
             gateway.process.kill()
             gateway.process.stop()
@@ -173,7 +187,7 @@
         self._deployment.put_object(
             "config",
             "main",
-            entry_configuration.configuration(self._version, route),
+            self._deployment.configuration(self._version, route),
         )
 
     def _kill_endpoint(self) -> None:
@@ -182,7 +196,9 @@
         self._deployment.register(endpoint)
 
     def _pause_endpoint(self) -> None:
-        self._pause(self._random_endpoint.process)
+        endpoint = self._random_endpoint
+        with self._record(disturbance.process_of(endpoint.endpoint_id)):
+            self._pause(endpoint.process)
 
     def _drain_endpoint(self) -> None:
         endpoint = self._random_endpoint
--- a/tools/soak/invariant.py
+++ b/tools/soak/invariant.py
@@ -27,5 +27,10 @@
         "an endpoint that states a limit receives no more requests than that"
     )
     PAUSES_ARE_KEPT = "an endpoint that asks for a pause is left alone"
+    REGIONS_ARE_KEPT = "a request reaches only endpoints in its regions"
+    EVACUATIONS_ARE_KEPT = "an evacuated failure domain receives no requests"
+    COLD_LIMITS_ARE_KEPT = (
+        "a cold endpoint receives no more requests than it sustains"
+    )
     PROCESSES_KEEP_RUNNING = "no gateway process ends by itself"
     MEMORY_WITHIN_LIMIT = "no gateway process exceeds its memory limit"
--- a/tools/soak/request_result.py
+++ b/tools/soak/request_result.py
@@ -22,6 +22,7 @@
         sent_s: When it was sent on the monotonic clock, in seconds.
         ended_s: When it ended on the monotonic clock, in seconds.
         poison_part: Part of its prompt that crashes engines, or empty.
+        allowed_region: Region that its route allows, empty for any.
     """
 
     request_id: str
@@ -34,6 +35,7 @@
     sent_s: float = 0.0
     ended_s: float = 0.0
     poison_part: str = ""
+    allowed_region: str = ""
 
 
 class SentRequest(msgspec.Struct, frozen=True):
--- a/tools/soak/trial.py
+++ b/tools/soak/trial.py
@@ -23,6 +23,8 @@
 # Enough for watches of the store, retries and restarts to complete.
 _RECOVERY_S = 4.0
 _OBSERVATION_S = 2.0
+# An evacuation alone takes 7 s, about the length of a short trial.
+_SEPARATE_FAULT_SHARE = 0.3
 
 
 class Trial:
@@ -55,6 +57,8 @@
             self._settings.gateways,
             self._settings.endpoints,
             has_unframed_endpoints=True,
+            contracts=("pressure",),
+            has_regions=True,
         )
         try:
             monitor = process_monitor.ProcessMonitor(deployment.gateways)
@@ -71,7 +75,10 @@
     ) -> checker.History:
         started_s = time.monotonic()
         callers = caller.Callers(
-            deployment.gateways, random.Random(self._seed), started_s
+            deployment.gateways,
+            random.Random(self._seed),
+            started_s,
+            random.Random(f"{self._seed} requests"),
         )
         stop = asyncio.Event()
         calling_task = asyncio.create_task(
@@ -104,7 +111,9 @@
             )
         ]
         records = [
-            endpoint_record.parse(endpoint.endpoint_id, endpoint.service, lines)
+            endpoint_record.parse(
+                endpoint.endpoint_id, endpoint.service, lines, endpoint.zone
+            )
             for endpoint in deployment.endpoints
             for lines in endpoint.incarnation_lines
         ]
@@ -116,6 +125,11 @@
                     fault_injector.disturbances for fault_injector in injectors
                 )
             ),
+            demands=[
+                demand
+                for fault_injector in injectors
+                for demand in fault_injector.places.demands
+            ],
         )
         return checker.History(results, executed_ids, recovered_at_s, observed)
 
@@ -128,13 +142,17 @@
             The injector, with the disturbances that excuse gateways.
         """
         rng = random.Random(f"{self._seed} {series_index}")
+        place_rng = random.Random(f"{self._seed} {series_index} places")
         fault_injector = injector.Injector(
-            deployment, rng, series_index, self._settings.series
+            deployment, rng, series_index, self._settings.series, place_rng
         )
         deadline_s = time.monotonic() + self._settings.length_s
         while time.monotonic() < deadline_s:
             time.sleep(rng.uniform(0, _MAX_PAUSE_S))
-            fault_kind = rng.choice(tuple(fault.Fault))
-            self.faults.append(fault_kind)
-            fault_injector.inject(fault_kind)
+            fault_kinds = [rng.choice(fault.COMMON_FAULTS)]
+            if place_rng.random() < _SEPARATE_FAULT_SHARE:
+                fault_kinds.append(place_rng.choice(fault.SEPARATE_FAULTS))
+            for fault_kind in fault_kinds:
+                self.faults.append(fault_kind)
+                fault_injector.inject(fault_kind)
         return fault_injector
