--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -1,6 +1,7 @@
 """Runs seeded soak trials."""
 
 import argparse
+import pathlib
 import sys
 
 from tools.soak import settings
@@ -19,6 +20,11 @@
     parser.add_argument("--endpoints", type=int, default=_DEFAULTS.endpoints)
     parser.add_argument("--callers", type=int, default=_DEFAULTS.callers)
     parser.add_argument("--series", type=int, default=_DEFAULTS.series)
+    parser.add_argument(
+        "--logs",
+        type=pathlib.Path,
+        help="folder for the logs of the processes of failed seeds",
+    )
     flags = parser.parse_args()
     trial_settings = settings.SoakSettings(
         flags.length_s,
@@ -29,7 +35,7 @@
     )
     end_seed = flags.first_seed + flags.count
     failed_count = sum(
-        _run_seed(trial_settings, seed)
+        _run_seed(trial_settings, seed, flags.logs)
         for seed in range(flags.first_seed, end_seed)
     )
     print(
@@ -39,9 +45,13 @@
     sys.exit(1 if failed_count else 0)
 
 
-def _run_seed(trial_settings: settings.SoakSettings, seed: int) -> bool:
+def _run_seed(
+    trial_settings: settings.SoakSettings,
+    seed: int,
+    logs_folder: pathlib.Path | None,
+) -> bool:
     """Runs the trial of one seed and returns whether it found violations."""
-    soak_trial = trial.Trial(trial_settings, seed)
+    soak_trial = trial.Trial(trial_settings, seed, logs_folder)
     violations = soak_trial.run()
     print(
         f"seed {seed}: {len(soak_trial.faults)} faults, "
@@ -54,10 +64,7 @@
             f"  {violation.invariant.value}: {violation.request_id} "
             f"{violation.detail}"
         )
-    if violations:
-        print(
-            "  faults:", ", ".join(fault.value for fault in soak_trial.faults)
-        )
+    print("  faults:", ", ".join(fault.value for fault in soak_trial.faults))
     return bool(violations)
 
 
--- a/tools/soak/trial.py
+++ b/tools/soak/trial.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import pathlib
 import random
 import time
 
@@ -37,19 +38,25 @@
     """
 
     def __init__(
-        self, trial_settings: settings.SoakSettings, seed: int
+        self,
+        trial_settings: settings.SoakSettings,
+        seed: int,
+        logs_folder: pathlib.Path | None = None,
     ) -> None:
         """Creates a trial.
 
         Args:
             trial_settings: Size and duration of the trial.
             seed: Seed of the callers and the faults.
+            logs_folder: Folder for the logs of all processes if the trial
+                finds violations, or None to keep none.
         """
         self.faults: list[fault.Fault] = []
         self.request_count = 0
         self.run_count = 0
         self._settings = trial_settings
         self._seed = seed
+        self._logs_folder = logs_folder
 
     def run(self) -> list[violation.Violation]:
         """Runs the trial and returns the violations found."""
@@ -64,12 +71,34 @@
             monitor = process_monitor.ProcessMonitor(deployment.gateways)
             with sampling.repeat(monitor.sample):
                 history = asyncio.run(self._collect_history(deployment))
-            return checker.check(
+            violations = checker.check(
                 msgspec.structs.replace(history, processes=monitor.records())
             )
+            if violations and self._logs_folder is not None:
+                self._write_logs(deployment, self._logs_folder)
+            return violations
         finally:
             deployment.stop()
 
+    def _write_logs(
+        self,
+        deployment: entry_deployment.EntryDeployment,
+        folder: pathlib.Path,
+    ) -> None:
+        """Writes one file for each process of a gateway or endpoint."""
+        lines_by_name = {
+            gateway.name: [list(process.lines) for process in gateway.processes]
+            for gateway in deployment.gateways
+        } | {
+            endpoint.endpoint_id: endpoint.incarnation_lines
+            for endpoint in deployment.endpoints
+        }
+        folder.mkdir(parents=True, exist_ok=True)
+        for name, processes in lines_by_name.items():
+            for number, lines in enumerate(processes):
+                path = folder / f"{self._seed}-{name}-{number}.log"
+                path.write_text("\n".join(lines))
+
     async def _collect_history(
         self, deployment: entry_deployment.EntryDeployment
     ) -> checker.History:
