Send more requests in the soak while an endpoint is cold

The callers of a trial send a plain endpoint about 3 requests per second, so the limit of 11 in a second could not be exceeded and the check had no effect. 30 more callers now send requests while an endpoint is cold.

--- a/tools/soak/place_faults.py
+++ b/tools/soak/place_faults.py
@@ -1,5 +1,6 @@
 """Faults of locations, of stated load and of the placement coordinator."""
 
+import asyncio
 from collections.abc import Callable
 from collections.abc import Sequence
 import contextlib
@@ -13,15 +14,20 @@
 from tools import entry_deployment
 from tools import entry_endpoint
 from tools import entry_gateway
+from tools.soak import caller
 from tools.soak import fault
 from tools.soak import place_checker
 from tools.soak import place_demand
+from tools.soak import request_result
 
 _LOAD_MODES = ("steady", "noisy", "lying")
 _LOAD_RANGE_S = (0.5, 2.0)
 # Leaves time to observe arrivals after the bound.
 _EVACUATION_DURATION_S = entry_configuration.EVACUATION_S + 2.0
 _COLD_DURATION_S = place_checker.COLD_CONTACT_S + 2.0
+# With these callers, requests for a cold endpoint without limit exceed what it
+# may get; the callers of a trial alone send it about 3 requests per second.
+_COLD_CALLERS = 30
 _PLACED = re.compile(
     r'bronzeslip_placements_total\{verdict="placed"\} ([0-9.]+)'
 )
@@ -32,6 +38,7 @@
 
     Attributes:
         demands: Demands that were made of the gateways.
+        results: Results of the requests sent while endpoints were cold.
     """
 
     def __init__(
@@ -52,6 +59,7 @@
             rng: Source of random numbers.
         """
         self.demands: list[place_demand.PlaceDemand] = []
+        self.results: list[request_result.RequestResult] = []
         self._deployment = deployment
         self._gateways = gateways
         self._endpoints = endpoints
@@ -84,7 +92,12 @@
         self._deployment.put_object("evacuations", zone, {})
         started_s = time.monotonic()
         time.sleep(_EVACUATION_DURATION_S)
-        self._demand(place_demand.DemandKind.EVACUATION, zone, started_s)
+        self._demand(
+            place_demand.DemandKind.EVACUATION,
+            zone,
+            started_s,
+            time.monotonic(),
+        )
         self._deployment.remove_object("evacuations", zone)
 
     def _cool_endpoint(self) -> None:
@@ -102,17 +115,38 @@
             endpoint.discovery_entry(cold_left_s=_COLD_DURATION_S),
         )
         started_s = time.monotonic()
-        time.sleep(_COLD_DURATION_S)
+        asyncio.run(self._call_for(_COLD_DURATION_S))
         self._demand(
-            place_demand.DemandKind.COLD, endpoint.endpoint_id, started_s
+            place_demand.DemandKind.COLD,
+            endpoint.endpoint_id,
+            started_s,
+            started_s + _COLD_DURATION_S,
         )
         self._deployment.register(endpoint)
 
+    async def _call_for(self, duration_s: float) -> None:
+        """Sends requests to all gateways for a time."""
+        callers = caller.Callers(
+            self._deployment.gateways,
+            random.Random(self._rng.getrandbits(64)),
+            time.monotonic(),
+        )
+        stop = asyncio.Event()
+        calling_task = asyncio.create_task(callers.run(_COLD_CALLERS, stop))
+        await asyncio.sleep(duration_s)
+        stop.set()
+        await calling_task
+        self.results += callers.results
+
     def _demand(
-        self, kind: place_demand.DemandKind, name: str, started_s: float
+        self,
+        kind: place_demand.DemandKind,
+        name: str,
+        started_s: float,
+        ended_s: float,
     ) -> None:
         self.demands.append(
-            place_demand.PlaceDemand(kind, name, started_s, time.monotonic())
+            place_demand.PlaceDemand(kind, name, started_s, ended_s)
         )
 
     def _kill_coordinator(self) -> None:
--- a/tools/soak/trial.py
+++ b/tools/soak/trial.py
@@ -137,6 +137,7 @@
             for result in (
                 *fault_injector.poison_prompts.results,
                 *fault_injector.large_bodies.results,
+                *fault_injector.places.results,
             )
         ]
         records = [
