--- a/tools/soak/trial.py
+++ b/tools/soak/trial.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import pathlib
 import random
 import time
 
@@ -23,6 +24,8 @@
 # Enough for watches of the store, retries and restarts to complete.
 _RECOVERY_S = 4.0
 _OBSERVATION_S = 2.0
+# An evacuation alone takes 7 s, about the length of a short trial.
+_SEPARATE_FAULT_SHARE = 0.3
 
 
 class Trial:
@@ -35,19 +38,25 @@
     """
 
     def __init__(
-        self, trial_settings: settings.SoakSettings, seed: int
+        self,
+        trial_settings: settings.SoakSettings,
+        seed: int,
+        logs_folder: pathlib.Path | None = None,
     ) -> None:
         """Creates a trial.
 
         Args:
             trial_settings: Size and duration of the trial.
             seed: Seed of the callers and the faults.
+            logs_folder: Folder for the logs of all processes if the trial
+                finds violations, or None to keep none.
         """
         self.faults: list[fault.Fault] = []
         self.request_count = 0
         self.run_count = 0
         self._settings = trial_settings
         self._seed = seed
+        self._logs_folder = logs_folder
 
     def run(self) -> list[violation.Violation]:
         """Runs the trial and returns the violations found."""
@@ -55,23 +64,50 @@
             self._settings.gateways,
             self._settings.endpoints,
             has_unframed_endpoints=True,
+            contracts=("pressure",),
+            has_regions=True,
         )
         try:
             monitor = process_monitor.ProcessMonitor(deployment.gateways)
             with sampling.repeat(monitor.sample):
                 history = asyncio.run(self._collect_history(deployment))
-            return checker.check(
+            violations = checker.check(
                 msgspec.structs.replace(history, processes=monitor.records())
             )
+            if violations and self._logs_folder is not None:
+                self._write_logs(deployment, self._logs_folder)
+            return violations
         finally:
             deployment.stop()
 
+    def _write_logs(
+        self,
+        deployment: entry_deployment.EntryDeployment,
+        folder: pathlib.Path,
+    ) -> None:
+        """Writes one file for each process of a gateway or endpoint."""
+        lines_by_name = {
+            gateway.name: [list(process.lines) for process in gateway.processes]
+            for gateway in deployment.gateways
+        } | {
+            endpoint.endpoint_id: endpoint.incarnation_lines
+            for endpoint in deployment.endpoints
+        }
+        folder.mkdir(parents=True, exist_ok=True)
+        for name, processes in lines_by_name.items():
+            for number, lines in enumerate(processes):
+                path = folder / f"{self._seed}-{name}-{number}.log"
+                path.write_text("\n".join(lines))
+
     async def _collect_history(
         self, deployment: entry_deployment.EntryDeployment
     ) -> checker.History:
         started_s = time.monotonic()
         callers = caller.Callers(
-            deployment.gateways, random.Random(self._seed), started_s
+            deployment.gateways,
+            random.Random(self._seed),
+            started_s,
+            random.Random(f"{self._seed} requests"),
         )
         stop = asyncio.Event()
         calling_task = asyncio.create_task(
@@ -101,10 +137,13 @@
             for result in (
                 *fault_injector.poison_prompts.results,
                 *fault_injector.large_bodies.results,
+                *fault_injector.places.results,
             )
         ]
         records = [
-            endpoint_record.parse(endpoint.endpoint_id, endpoint.service, lines)
+            endpoint_record.parse(
+                endpoint.endpoint_id, endpoint.service, lines, endpoint.zone
+            )
             for endpoint in deployment.endpoints
             for lines in endpoint.incarnation_lines
         ]
@@ -116,6 +155,11 @@
                     fault_injector.disturbances for fault_injector in injectors
                 )
             ),
+            demands=[
+                demand
+                for fault_injector in injectors
+                for demand in fault_injector.places.demands
+            ],
         )
         return checker.History(results, executed_ids, recovered_at_s, observed)
 
@@ -128,13 +172,17 @@
             The injector, with the disturbances that excuse gateways.
         """
         rng = random.Random(f"{self._seed} {series_index}")
+        place_rng = random.Random(f"{self._seed} {series_index} places")
         fault_injector = injector.Injector(
-            deployment, rng, series_index, self._settings.series
+            deployment, rng, series_index, self._settings.series, place_rng
         )
         deadline_s = time.monotonic() + self._settings.length_s
         while time.monotonic() < deadline_s:
             time.sleep(rng.uniform(0, _MAX_PAUSE_S))
-            fault_kind = rng.choice(tuple(fault.Fault))
-            self.faults.append(fault_kind)
-            fault_injector.inject(fault_kind)
+            fault_kinds = [rng.choice(fault.COMMON_FAULTS)]
+            if place_rng.random() < _SEPARATE_FAULT_SHARE:
+                fault_kinds.append(place_rng.choice(fault.SEPARATE_FAULTS))
+            for fault_kind in fault_kinds:
+                self.faults.append(fault_kind)
+                fault_injector.inject(fault_kind)
         return fault_injector
