Send one response to a refused request whose body is invalid

A client whose request had been refused and whose chunked body then exceeded the bounds received a second response, 400 or 431, on the same connection, and could take it for the response to its next request. Close the connection without a further response, reading for a moment so that it is not reset.

tests.http.test_connections_after_their_response fails before the change (a 431 after the response) and passes after it.

--- a/bronzeslip/http/limited_protocol.py
+++ b/bronzeslip/http/limited_protocol.py
@@ -597,7 +597,9 @@
         self._drop_head()
         if self._has_slot:
             self._slots.hold(self, 0, self.loop.time())
-        self.transport.write(_render(rejection))
+        # A request whose body is still arriving has been answered.
+        if not self._is_body_pending:
+            self.transport.write(_render(rejection))
         self._closing = lingering_close.LingeringClose(
             self.transport, self.loop
         )
--- a/tests/http/test_connections_after_their_response.py
+++ b/tests/http/test_connections_after_their_response.py
@@ -126,6 +126,17 @@
         self.writer.write(_HEAD + b"content-length: 0\r\n\r\n")
         await self.read_response()
 
+    # Guards against a second response, which a client takes for the one to its
+    # next request.
+    async def test_rest_of_a_body_gets_no_response_of_its_own(self):
+        await self.start(idle_timeout_s=5.0)
+        self.app.may_read.clear()
+        self.writer.write(_HEAD + b"transfer-encoding: chunked\r\n\r\n")
+        await self.read_response()
+        self.writer.write(b"1;" + b"e" * _LARGE_BYTES)
+        async with asyncio.timeout(_TIMEOUT_S):
+            self.assertEqual(await self.reader.read(), b"")
+
 
 if __name__ == "__main__":
     unittest.main()
