--- a/bronzeslip/gateway/body_memory.py
+++ b/bronzeslip/gateway/body_memory.py
@@ -57,7 +57,7 @@
         reading: Coroutine[Any, Any, bytes],
         received: partial_body.PartialBody,
     ) -> bytes:
-        """Reads a body; while memory is short, slow ones give way.
+        """Reads a body; while memory is short, slow ones are refused.
 
         Args:
             reading: Reads the body.
