Ask again without an engine that the gateway does not know yet

A coordinator knows new engines up to 2.4 s before a gateway that asks the store less often, and names them first. The engine is now excluded from a further ask, three times at most. The test of unusable placements names its engine twice, as the first one only leads to the further ask.

--- a/bronzeslip/placement/coordinated_chooser.py
+++ b/bronzeslip/placement/coordinated_chooser.py
@@ -36,6 +36,9 @@
 _MAX_DEFERRAL_S = 0.25
 # A coordinator that asks to return at once must not keep two gateways busy.
 _MIN_DEFERRAL_S = 0.01
+# A coordinator learns of new engines up to some seconds before this gateway,
+# and names them first, since they are idle.
+_MAX_UNKNOWN_ENDPOINTS = 3
 # Refused clients return after this time at least.
 _MIN_RETRY_AFTER_S = 0.5
 
@@ -169,11 +172,19 @@
         wait.
         """
         started_s = self._clock()
+        unknown: set[ids.EndpointId] = set()
         while True:
-            ask = self._create_ask(request, tried, was_sent)
+            ask = self._create_ask(request, tried | unknown, was_sent)
             reply = await self._caller.ask(ask)
             held_s = self._clock() - started_s
             placed = self._interpret(request, ask, reply, tried, held_s)
+            if (
+                placed is Reason.UNKNOWN_ENDPOINT
+                and reply.endpoint_id not in unknown
+                and len(unknown) < _MAX_UNKNOWN_ENDPOINTS
+            ):
+                unknown.add(reply.endpoint_id)
+                continue
             # A gateway in contact polls few engines, so placements that it
             # can't use must end the contact: local choices need reports.
             self._contact.record(
