--- a/bronzeslip/cli/explanation_table.py
+++ b/bronzeslip/cli/explanation_table.py
@@ -30,7 +30,7 @@
 
 def to_text(explained: explanation.Explanation) -> str:
     """Renders an explanation as lines and one table per service."""
-    regions = explained.allowed_regions
+    regions = explained.permitted_regions
     lines = [
         f"gateway {explained.gateway}, "
         f"configuration {_or_absent(explained.configuration)}",
--- a/bronzeslip/explanation/endpoint_viewer.py
+++ b/bronzeslip/explanation/endpoint_viewer.py
@@ -114,7 +114,7 @@
             Exclusion.LEAVING: not target.is_ready,
             Exclusion.EVACUATED: shared.endpoints.is_evacuated(target),
             Exclusion.OTHER_REGION: not shared.regions.is_eligible(
-                target, request.allowed_regions
+                target, request.permitted_regions
             ),
             Exclusion.PAUSED: shared.endpoints.pause_remaining_s(target) > 0,
             Exclusion.UNREACHABLE: not shared.endpoints.is_reachable(target)
--- a/bronzeslip/explanation/explainer.py
+++ b/bronzeslip/explanation/explainer.py
@@ -24,7 +24,7 @@
 from bronzeslip.forwarding import matched_request
 from bronzeslip.forwarding import prompt
 from bronzeslip.forwarding import resumption_reserve
-from bronzeslip.places import allowed_regions
+from bronzeslip.places import permitted_regions
 from bronzeslip.routes import route
 from bronzeslip.routes import route_table
 
@@ -104,16 +104,18 @@
             for option in matched.route.services
         ]
         workspace = matched.workspace
-        regions = allowed_regions.intersect(
-            matched.route.allowed_regions,
-            workspace.allowed_regions if workspace else None,
+        regions = permitted_regions.intersect(
+            matched.route.permitted_regions,
+            workspace.permitted_regions if workspace else None,
         )
         return explanation.Explanation(
             gateway=self._this_vm.vm_id,
             configuration=matched.table.version,
             route=matched.route.name,
             workspace=workspace.workspace_id if workspace else None,
-            allowed_regions=None if regions is None else tuple(sorted(regions)),
+            permitted_regions=None
+            if regions is None
+            else tuple(sorted(regions)),
             services=tuple(services),
         )
 
@@ -207,7 +209,7 @@
             delay_s
             for candidate in self._shared.endpoints.ready_endpoints(name)
             if self._shared.regions.is_eligible(
-                candidate, request.allowed_regions
+                candidate, request.permitted_regions
             )
             and (
                 delay_s := denied_s.get(candidate.endpoint_id, 0.0)
@@ -221,7 +223,7 @@
         pause_s = self._shared.endpoints.shortest_pause_s(
             name,
             lambda candidate: self._shared.regions.is_eligible(
-                candidate, request.allowed_regions
+                candidate, request.permitted_regions
             ),
         )
         if pause_s is not None:
--- a/bronzeslip/explanation/explanation.py
+++ b/bronzeslip/explanation/explanation.py
@@ -18,8 +18,8 @@
         route: Name of the matched route, or None if the request is refused
             before.
         workspace: Workspace of the key, or None.
-        allowed_regions: Regions that the request may be sent to, or None if it
-            may be sent anywhere.
+        permitted_regions: Regions that the request may be sent to, or None if
+            it may be sent anywhere.
         refusal: Refusal that does not depend on the service, or None.
         services: What would be done for each service of the route. A request
             goes to one of them, at random by their shares.
@@ -29,6 +29,6 @@
     configuration: ids.TableVersion | None = None
     route: ids.RouteName | None = None
     workspace: ids.WorkspaceId | None = None
-    allowed_regions: tuple[ids.RegionName, ...] | None = None
+    permitted_regions: tuple[ids.RegionName, ...] | None = None
     refusal: decision.Decision | None = None
     services: tuple[service_explanation.ServiceExplanation, ...] = ()
--- a/bronzeslip/forwarding/admission.py
+++ b/bronzeslip/forwarding/admission.py
@@ -7,7 +7,7 @@
 from bronzeslip.forwarding import errors
 from bronzeslip.forwarding import incoming
 from bronzeslip.forwarding import matched_request
-from bronzeslip.places import allowed_regions
+from bronzeslip.places import permitted_regions
 from bronzeslip.places import refusal_delay
 from bronzeslip.routes import current
 from bronzeslip.routes import route
@@ -104,9 +104,9 @@
                 f"service {service_name} is not configured",
                 retry_after_s=_RETRY_AFTER_S,
             )
-        regions = allowed_regions.intersect(
-            matched.route.allowed_regions,
-            caller.allowed_regions if caller else None,
+        regions = permitted_regions.intersect(
+            matched.route.permitted_regions,
+            caller.permitted_regions if caller else None,
         )
         if regions is not None and not regions:
             raise errors.NoEligibleEndpointError(
@@ -125,7 +125,7 @@
             priority=_priority_of(matched.route, caller),
             deadline_s=request.arrived_s
             + min(timeout_s, matched.route.timeout_s),
-            allowed_regions=regions,
+            permitted_regions=regions,
         )
 
     def _select_service(self, matched: route.Route) -> ids.ServiceName:
--- a/bronzeslip/forwarding/admitted.py
+++ b/bronzeslip/forwarding/admitted.py
@@ -21,8 +21,8 @@
         configuration: Version of the configuration used for admission.
         priority: Scheduling priority; 0 is served first.
         deadline_s: Deadline on the event loop's clock, in seconds.
-        allowed_regions: Regions of the endpoints that the request and copies of
-            its memory may be sent to, or None if they may be sent anywhere.
+        permitted_regions: Regions of the endpoints that the request and copies
+            of its memory may be sent to, or None if they may be sent anywhere.
     """
 
     request: incoming.IncomingRequest
@@ -32,7 +32,7 @@
     configuration: ids.TableVersion
     priority: int
     deadline_s: float
-    allowed_regions: frozenset[ids.RegionName] | None = None
+    permitted_regions: frozenset[ids.RegionName] | None = None
 
     @property
     def remaining_s(self) -> float:
--- a/bronzeslip/forwarding/assembly.py
+++ b/bronzeslip/forwarding/assembly.py
@@ -33,8 +33,8 @@
 from bronzeslip.metrics import entry_metrics
 from bronzeslip.placement import assembly as placement_assembly
 from bronzeslip.placement import placement_client
-from bronzeslip.places import allowed_regions
 from bronzeslip.places import cold_limits
+from bronzeslip.places import permitted_regions
 from bronzeslip.quota import endpoint_permits
 from bronzeslip.routes import current
 from bronzeslip.routing import suspect_list
@@ -85,7 +85,7 @@
     )
     failures = failure_tracker.FailureTracker()
     endpoints.add_gone_listener(lambda gone: failures.remove(gone.endpoint_id))
-    regions = allowed_regions.AllowedRegionsFilter(this_vm)
+    regions = permitted_regions.PermittedRegionsFilter(this_vm)
     endpoints.add_gone_listener(limits_of_cold.remove)
     endpoint_proximity = proximity.EndpointProximity(this_vm, endpoints)
     connections = connection_share.ConnectionShare(
--- a/bronzeslip/forwarding/chooser.py
+++ b/bronzeslip/forwarding/chooser.py
@@ -19,7 +19,7 @@
 from bronzeslip.forwarding import endpoint_cost
 from bronzeslip.forwarding import errors
 from bronzeslip.forwarding import load_forecast
-from bronzeslip.places import allowed_regions
+from bronzeslip.places import permitted_regions
 from bronzeslip.places import refusal_delay
 
 logger = logs.get_logger(__name__)
@@ -90,7 +90,7 @@
         load_forecaster: load_forecast.LoadForecaster,
         failures: failure_tracker.FailureTracker,
         connections: connection_share.ConnectionShare,
-        regions: allowed_regions.AllowedRegionsFilter,
+        regions: permitted_regions.PermittedRegionsFilter,
         rng: random.Random,
     ) -> None:
         """Initializes the chooser.
@@ -162,7 +162,7 @@
             candidate
             for candidate in self._watched.for_service(request.service.name)
             if candidate.endpoint_id not in tried
-            and self._regions.is_eligible(candidate, request.allowed_regions)
+            and self._regions.is_eligible(candidate, request.permitted_regions)
         ] or ready_candidates(
             self._endpoints, self._regions, request, tried, rng
         )
@@ -292,7 +292,7 @@
     def __init__(
         self,
         endpoints: directory.EndpointDirectory,
-        regions: allowed_regions.AllowedRegionsFilter,
+        regions: permitted_regions.PermittedRegionsFilter,
         rng: random.Random,
     ) -> None:
         self._endpoints = endpoints
@@ -349,7 +349,7 @@
 
 def ready_candidates(
     endpoints: directory.EndpointDirectory,
-    regions: allowed_regions.AllowedRegionsFilter,
+    regions: permitted_regions.PermittedRegionsFilter,
     request: admitted.AdmittedRequest,
     tried: AbstractSet[ids.EndpointId],
     rng: random.Random,
@@ -371,7 +371,7 @@
     eligible = [
         candidate
         for candidate in endpoints.ready_endpoints(request.service.name)
-        if regions.is_eligible(candidate, request.allowed_regions)
+        if regions.is_eligible(candidate, request.permitted_regions)
     ]
     candidates = [
         candidate
@@ -385,7 +385,7 @@
 
 def _no_candidate_error(
     endpoints: directory.EndpointDirectory,
-    regions: allowed_regions.AllowedRegionsFilter,
+    regions: permitted_regions.PermittedRegionsFilter,
     request: admitted.AdmittedRequest,
     eligible: list[endpoint.Endpoint],
     rng: random.Random,
@@ -393,7 +393,7 @@
     service_name = request.service.name
 
     def is_eligible(candidate: endpoint.Endpoint) -> bool:
-        return regions.is_eligible(candidate, request.allowed_regions)
+        return regions.is_eligible(candidate, request.permitted_regions)
 
     pause_s = endpoints.shortest_pause_s(service_name, is_eligible)
     if eligible or pause_s is not None:
@@ -409,7 +409,7 @@
             "request are evacuated",
             retry_after_s=refusal_delay.draw_s(rng),
         )
-    if request.allowed_regions is not None:
+    if request.permitted_regions is not None:
         return errors.NoEligibleEndpointError(
             f"service {service_name} has no available endpoint in the allowed "
             "regions",
--- a/bronzeslip/forwarding/components.py
+++ b/bronzeslip/forwarding/components.py
@@ -18,8 +18,8 @@
 from bronzeslip.load import placement_ledger
 from bronzeslip.metrics import entry_metrics
 from bronzeslip.placement import placement_parts
-from bronzeslip.places import allowed_regions
 from bronzeslip.places import cold_limits
+from bronzeslip.places import permitted_regions
 from bronzeslip.quota import endpoint_permits
 from bronzeslip.routes import current
 from bronzeslip.settings import entry
@@ -68,7 +68,7 @@
     permits: endpoint_permits.EndpointPermits
     permitted_chooser: permitted_chooser.PermittedChooser
     copy_target_chooser: standby_chooser.StandbyChooser
-    regions: allowed_regions.AllowedRegionsFilter
+    regions: permitted_regions.PermittedRegionsFilter
     cold_limits: cold_limits.ColdLimits
     releaser: copy_releaser.CopyReleaser
     retry_budgets: service_retry_budgets.ServiceRetryBudgets
--- a/bronzeslip/forwarding/permitted_chooser.py
+++ b/bronzeslip/forwarding/permitted_chooser.py
@@ -13,8 +13,8 @@
 from bronzeslip.forwarding import errors
 from bronzeslip.forwarding import excluded_endpoints
 from bronzeslip.placement import coordinated_chooser
-from bronzeslip.places import allowed_regions
 from bronzeslip.places import cold_limits
+from bronzeslip.places import permitted_regions
 from bronzeslip.quota import endpoint_permits
 from bronzeslip.quota import return_schedule
 
@@ -40,7 +40,7 @@
         endpoint_chooser: coordinated_chooser.CoordinatedChooser,
         endpoints: directory.EndpointDirectory,
         permits: endpoint_permits.EndpointPermits,
-        regions: allowed_regions.AllowedRegionsFilter,
+        regions: permitted_regions.PermittedRegionsFilter,
         limits_of_cold: cold_limits.ColdLimits,
         rng: random.Random,
         clock: Callable[[], float] = time.monotonic,
@@ -187,7 +187,7 @@
         request: admitted.AdmittedRequest,
     ) -> bool:
         return candidate is not None and self._regions.is_eligible(
-            candidate, request.allowed_regions
+            candidate, request.permitted_regions
         )
 
     def _limited_error(
@@ -217,7 +217,7 @@
             lambda candidate: self._is_eligible(candidate, request),
         )
         returns = self._returns.setdefault(
-            (service_name, request.allowed_regions),
+            (service_name, request.permitted_regions),
             return_schedule.ReturnSchedule(),
         )
         delay_s = returns.next_delay_s(
--- a/bronzeslip/forwarding/standby_chooser.py
+++ b/bronzeslip/forwarding/standby_chooser.py
@@ -9,7 +9,7 @@
 from bronzeslip.endpoints import proximity
 from bronzeslip.endpoints import report_cache
 from bronzeslip.forwarding import admitted
-from bronzeslip.places import allowed_regions
+from bronzeslip.places import permitted_regions
 
 # A copy to another failure domain occupies the network links twice as long.
 _OTHER_DOMAIN_COST = 0.25
@@ -30,7 +30,7 @@
         endpoint_proximity: proximity.EndpointProximity,
         endpoints: directory.EndpointDirectory,
         reports: report_cache.ReportCache,
-        regions: allowed_regions.AllowedRegionsFilter,
+        regions: permitted_regions.PermittedRegionsFilter,
         rng: random.Random,
     ) -> None:
         """Initializes the chooser.
@@ -92,7 +92,7 @@
             )
             if candidate.endpoint_id != source.endpoint_id
             and candidate.endpoint_id not in failed_targets
-            and self._regions.is_eligible(candidate, request.allowed_regions)
+            and self._regions.is_eligible(candidate, request.permitted_regions)
             and (is_urgent or self._has_free_memory(candidate, size_tokens))
         ]
         neighbours = [
--- a/bronzeslip/forwarding/stream_run.py
+++ b/bronzeslip/forwarding/stream_run.py
@@ -291,7 +291,7 @@
                 no retry or permit is left.
         """
         if not self._components.regions.is_eligible(
-            copy.target, self._request.allowed_regions
+            copy.target, self._request.permitted_regions
         ):
             raise errors.NotRunError(
                 "the engine with the copy is not in an allowed region"
--- a/bronzeslip/placement/assembly.py
+++ b/bronzeslip/placement/assembly.py
@@ -32,7 +32,7 @@
 from bronzeslip.placement import placement_parts
 from bronzeslip.placement import placement_policy
 from bronzeslip.placement import polled_engines
-from bronzeslip.places import allowed_regions
+from bronzeslip.places import permitted_regions
 from bronzeslip.quota import peer
 from bronzeslip.routes import current
 from bronzeslip.routes import service
@@ -55,7 +55,7 @@
     metrics: entry_metrics.EntryMetrics,
     load_forecaster: load_forecast.LoadForecaster,
     ledger: placement_ledger.PlacementLedger,
-    regions: allowed_regions.AllowedRegionsFilter,
+    regions: permitted_regions.PermittedRegionsFilter,
     states_pace: Callable[[ids.ServiceName], bool],
     rng: random.Random,
     clock: Callable[[], float] = time.monotonic,
--- a/bronzeslip/placement/coordinated_chooser.py
+++ b/bronzeslip/placement/coordinated_chooser.py
@@ -26,7 +26,7 @@
 from bronzeslip.placement import placement_reply
 from bronzeslip.placement import placement_verdict
 from bronzeslip.placement import shard
-from bronzeslip.places import allowed_regions
+from bronzeslip.places import permitted_regions
 from bronzeslip.quota import peer
 from bronzeslip.routes import kind
 
@@ -58,7 +58,7 @@
         caller: placement_caller.PlacementCaller,
         contact: coordinator_contact.CoordinatorContact,
         connections: connection_share.ConnectionShare,
-        regions: allowed_regions.AllowedRegionsFilter,
+        regions: permitted_regions.PermittedRegionsFilter,
         metrics: entry_metrics.EntryMetrics,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
@@ -150,7 +150,7 @@
         """
         return any(
             candidate.endpoint_id not in tried
-            and self._regions.is_eligible(candidate, request.allowed_regions)
+            and self._regions.is_eligible(candidate, request.permitted_regions)
             for candidate in self._endpoints.ready_endpoints(
                 request.service.name
             )
@@ -266,7 +266,7 @@
         if (
             target.service_name != request.service.name
             or not self._endpoints.is_usable(target)
-            or not self._regions.is_eligible(target, request.allowed_regions)
+            or not self._regions.is_eligible(target, request.permitted_regions)
         ):
             return Reason.UNUSABLE_ENDPOINT
         if not self._connections.has_free_connection(
@@ -320,7 +320,7 @@
             waited_s=max(request.route.objective_s - objective_left_s, 0.0),
             was_sent=was_sent,
             failure_domain=self._this_vm.failure_domain,
-            allowed_regions=request.allowed_regions,
+            permitted_regions=request.permitted_regions,
             excluded=frozenset(tried)
             | self._connections.exhausted_endpoints(request.service),
         )
--- a/bronzeslip/placement/placement_ask.py
+++ b/bronzeslip/placement/placement_ask.py
@@ -27,7 +27,7 @@
         was_sent: Whether it was sent to an endpoint before, so that its client
             may have received a part of the response.
         failure_domain: Failure domain of the asking gateway.
-        allowed_regions: Regions that it may run in, or None for all.
+        permitted_regions: Regions that it may run in, or None for all.
         excluded: Endpoints that must not be selected.
     """
 
@@ -46,5 +46,5 @@
     waited_s: fields.NonNegativeQuantity = 0.0
     was_sent: bool = False
     failure_domain: ids.FailureDomainName = ids.FailureDomainName("")
-    allowed_regions: frozenset[ids.RegionName] | None = None
+    permitted_regions: frozenset[ids.RegionName] | None = None
     excluded: frozenset[ids.EndpointId] = frozenset()
--- a/bronzeslip/placement/placement_coordinator.py
+++ b/bronzeslip/placement/placement_coordinator.py
@@ -23,7 +23,7 @@
 from bronzeslip.placement import placement_request
 from bronzeslip.placement import placement_verdict
 from bronzeslip.placement import shard
-from bronzeslip.places import allowed_regions
+from bronzeslip.places import permitted_regions
 from bronzeslip.quota import coordinators
 from bronzeslip.routes import current
 
@@ -50,7 +50,7 @@
         endpoints: directory.EndpointDirectory,
         gateways: coordinators.Coordinators,
         current_table: current.CurrentTable,
-        regions: allowed_regions.AllowedRegionsFilter,
+        regions: permitted_regions.PermittedRegionsFilter,
         view: engine_view.EngineView,
         rater: option_rater.OptionRater,
         policy: placement_policy.PlacementPolicy,
@@ -189,7 +189,7 @@
             for engine in engines
             if engine.endpoint_id not in ask.excluded
             and self._has_recent_report(engine)
-            and self._regions.is_eligible(engine, ask.allowed_regions)
+            and self._regions.is_eligible(engine, ask.permitted_regions)
         ]
 
     def _reply(
--- a/bronzeslip/places/allowed_regions.py
+++ b/bronzeslip/places/permitted_regions.py
@@ -5,7 +5,7 @@
 from bronzeslip.entry import vm_config
 
 
-class AllowedRegionsFilter:
+class PermittedRegionsFilter:
     """Tells whether endpoints are in the allowed regions of a request.
 
     Requests are restricted by where endpoints are, not by where gateways are.
@@ -22,7 +22,7 @@
     def is_eligible(
         self,
         candidate: endpoint.Endpoint,
-        allowed_regions: frozenset[ids.RegionName] | None,
+        permitted_regions: frozenset[ids.RegionName] | None,
     ) -> bool:
         """Returns whether an endpoint is in one of the allowed regions.
 
@@ -30,12 +30,12 @@
 
         Args:
             candidate: The endpoint.
-            allowed_regions: Regions that a request may be sent to, or None if
+            permitted_regions: Regions that a request may be sent to, or None if
                 it may be sent anywhere.
         """
-        if allowed_regions is None:
+        if permitted_regions is None:
             return True
-        return self._regions.get(candidate.failure_domain) in allowed_regions
+        return self._regions.get(candidate.failure_domain) in permitted_regions
 
 
 def intersect(
--- a/bronzeslip/platform/configuration.py
+++ b/bronzeslip/platform/configuration.py
@@ -131,7 +131,7 @@
         is_generation=wire.sticky,
         is_resumable=wire.resumable,
         gap_objective_s=None if gap_ms is None else gap_ms / _MS_PER_S,
-        allowed_regions=_to_regions(wire.allowed_regions),
+        permitted_regions=_to_regions(wire.allowed_regions),
     )
 
 
--- a/bronzeslip/routes/route.py
+++ b/bronzeslip/routes/route.py
@@ -37,8 +37,8 @@
             last event that its caller has received.
         gap_objective_s: Objective for the longest pause between events of a
             stream, in seconds, or None.
-        allowed_regions: Regions of the endpoints that its requests may be sent
-            to, or None if they may be sent anywhere.
+        permitted_regions: Regions of the endpoints that its requests may be
+            sent to, or None if they may be sent anywhere.
     """
 
     name: ids.RouteName
@@ -54,7 +54,7 @@
     is_generation: bool = False
     is_resumable: bool = False
     gap_objective_s: float | None = None
-    allowed_regions: frozenset[ids.RegionName] | None = None
+    permitted_regions: frozenset[ids.RegionName] | None = None
 
     @property
     def may_run_again(self) -> bool:
--- a/bronzeslip/routes/route_table.py
+++ b/bronzeslip/routes/route_table.py
@@ -93,12 +93,14 @@
 ) -> dict[ids.ServiceName, set[ids.RegionName]]:
     by_service: dict[ids.ServiceName, set[ids.RegionName]] = {}
     by_workspace = {
-        region for entry in workspaces for region in entry.allowed_regions or ()
+        region
+        for entry in workspaces
+        for region in entry.permitted_regions or ()
     }
     for entry in routes:
         for option in entry.services:
             named = by_service.setdefault(
                 option.service_name, set(by_workspace)
             )
-            named.update(entry.allowed_regions or ())
+            named.update(entry.permitted_regions or ())
     return by_service
--- a/bronzeslip/routes/workspace.py
+++ b/bronzeslip/routes/workspace.py
@@ -12,11 +12,11 @@
         workspace_id: Id of the workspace.
         keys: Keys that its callers present.
         priority: Priority that overrides that of the route, or None.
-        allowed_regions: Regions of the endpoints that its requests may be sent
-            to, or None if they may be sent anywhere.
+        permitted_regions: Regions of the endpoints that its requests may be
+            sent to, or None if they may be sent anywhere.
     """
 
     workspace_id: ids.WorkspaceId
     keys: tuple[str, ...]
     priority: int | None = None
-    allowed_regions: frozenset[ids.RegionName] | None = None
+    permitted_regions: frozenset[ids.RegionName] | None = None
--- a/tests/cli/test_explanation_table.py
+++ b/tests/cli/test_explanation_table.py
@@ -16,7 +16,7 @@
         explanation.Explanation(
             gateway="front-1",
             route="r",
-            allowed_regions=("a", "b"),
+            permitted_regions=("a", "b"),
             services=(
                 service_explanation.ServiceExplanation(
                     service="pool",
--- a/tests/endpoints/test_watched_endpoints.py
+++ b/tests/endpoints/test_watched_endpoints.py
@@ -105,7 +105,7 @@
         for regions in ({"a"}, {"b"}, {"a", "b"}):
             for number in range(20):
                 chosen = self._create_watched(
-                    60, f"front-{number}", allowed_regions=frozenset(regions)
+                    60, f"front-{number}", permitted_regions=frozenset(regions)
                 ).for_service("pool")
                 self.assertEqual(len(set(chosen)), _LIMIT)
                 for region in regions:
@@ -120,6 +120,6 @@
         self.assertEqual(
             self._create_watched(60).for_service("pool"),
             self._create_watched(
-                60, allowed_regions=frozenset({"elsewhere"})
+                60, permitted_regions=frozenset({"elsewhere"})
             ).for_service("pool"),
         )
--- a/tests/entry/test_placements_api.py
+++ b/tests/entry/test_placements_api.py
@@ -42,7 +42,7 @@
     workspace=None,
     remaining_s=5.0,
     objective_left_s=-1.0,
-    allowed_regions=frozenset({ids.RegionName("a")}),
+    permitted_regions=frozenset({ids.RegionName("a")}),
     excluded=frozenset({ids.EndpointId("i-2")}),
 )
 _REQUEST = placement_request.PlacementRequest(
--- a/tests/explanation/test_explainer.py
+++ b/tests/explanation/test_explainer.py
@@ -85,7 +85,7 @@
 
     async def test_regions_without_overlap_are_refused(self):
         gateway = _gateway(
-            allowed_regions=_REGION_A, workspace_regions=_REGION_B
+            permitted_regions=_REGION_A, workspace_regions=_REGION_B
         )
         [service] = (await gateway.explain()).services
         self.assertEqual(service.decision.status, 503)
@@ -142,7 +142,7 @@
         self.assertEqual(service.decision.endpoint_id, chosen.endpoint_id)
 
     async def test_reasons_of_endpoints_that_are_not_used(self):
-        gateway = _gateway(allowed_regions=_REGION_A)
+        gateway = _gateway(permitted_regions=_REGION_A)
         endpoints = gateway.components.endpoints
         endpoints.pause(endpoints.get(ids.EndpointId("one")), 3.0)
         leaving = endpoint.EndpointState.LEAVING
@@ -151,7 +151,7 @@
         endpoints.set_reachable(endpoints.get(ids.EndpointId("five")), False)
         explained = await gateway.explain()
         [service] = explained.services
-        self.assertEqual(explained.allowed_regions, ("a",))
+        self.assertEqual(explained.permitted_regions, ("a",))
         self.assertEqual(service.decision.endpoint_id, "two")
         self.assertEqual(
             _exclusions(service),
--- a/tests/forwarding/test_admission.py
+++ b/tests/forwarding/test_admission.py
@@ -63,7 +63,7 @@
         current_table = current.CurrentTable()
         current_table.adopt(
             forwarding_parts.create_table(
-                self._route(allowed_regions=route_regions),
+                self._route(permitted_regions=route_regions),
                 workspace_regions=workspace_regions,
             )
         )
@@ -83,7 +83,7 @@
             admitted_request = self._admit_restricted(
                 route_regions, workspace_regions
             )
-            self.assertEqual(admitted_request.allowed_regions, expected)
+            self.assertEqual(admitted_request.permitted_regions, expected)
 
     async def test_no_common_region_raises_at_once(self):
         with self.assertRaises(errors.NoEligibleEndpointError) as caught:
--- a/tests/forwarding/test_evacuated_failure_domains.py
+++ b/tests/forwarding/test_evacuated_failure_domains.py
@@ -44,11 +44,11 @@
         )
         self.domains = self.shared.endpoints.evacuated_domains
 
-    async def _call(self, allowed_regions=None):
+    async def _call(self, permitted_regions=None):
         request = forwarding_parts.admit(
             forwarding_parts.create_request(),
             kind.RequestKind.AT_MOST_ONCE,
-            allowed_regions=allowed_regions,
+            permitted_regions=permitted_regions,
         )
         await call_forwarder.CallForwarder(self.shared).forward(
             request, scripted_endpoints.RecordedReply()
@@ -78,7 +78,7 @@
         self.assertEqual(len(delays_s), 3)
         self.assertEqual(self.client.sent, [])
 
-    async def test_evacuation_of_all_allowed_regions_refuses_at_once(self):
+    async def test_evacuation_of_all_permitted_regions_refuses_at_once(self):
         self.domains.add("b-1")
         with self.assertRaises(errors.EvacuatedError):
             await self._call(frozenset({"b"}))
--- a/tests/forwarding/test_region_of_cold_endpoints.py
+++ b/tests/forwarding/test_region_of_cold_endpoints.py
@@ -54,12 +54,12 @@
         for candidate in self.endpoints[:_COLD_COUNT]:
             cold.put(candidate, 2)
 
-    async def _call(self, allowed_regions=None):
+    async def _call(self, permitted_regions=None):
         request = forwarding_parts.admit(
             forwarding_parts.create_request(),
             kind.RequestKind.IDEMPOTENT,
             self.service,
-            allowed_regions,
+            permitted_regions,
         )
         await call_forwarder.CallForwarder(self.shared).forward(
             request, scripted_endpoints.RecordedReply()
--- a/tests/forwarding/test_requests_with_allowed_regions.py
+++ b/tests/forwarding/test_requests_with_permitted_regions.py
@@ -23,7 +23,7 @@
     ]
 
 
-class CallsWithAllowedRegionsTest(unittest.IsolatedAsyncioTestCase):
+class CallsWithPermittedRegionsTest(unittest.IsolatedAsyncioTestCase):
     def _start(self, response=None, settings=forwarding_parts.SETTINGS):
         self.client = scripted_endpoints.ScriptedEndpointClient(
             {
@@ -38,11 +38,11 @@
             self.client, _create_endpoints("desk"), settings
         )
 
-    async def _call(self, allowed_regions):
+    async def _call(self, permitted_regions):
         request = forwarding_parts.admit(
             forwarding_parts.create_request(),
             kind.RequestKind.IDEMPOTENT,
-            allowed_regions=allowed_regions,
+            permitted_regions=permitted_regions,
             max_attempts=4,
         )
         reply = scripted_endpoints.RecordedReply()
@@ -51,7 +51,7 @@
     def _receivers(self):
         return {sent.endpoint.endpoint_id for sent in self.client.sent}
 
-    async def test_all_choosers_send_only_to_allowed_regions(self):
+    async def test_all_choosers_send_only_to_permitted_regions(self):
         for placement in entry.Placement:
             with self.subTest(placement=placement):
                 self._start(
@@ -63,7 +63,7 @@
                     await self._call(_REGION_B)
                 self.assertLessEqual(self._receivers(), {"b1", "b2"})
 
-    async def test_retries_stay_in_allowed_regions(self):
+    async def test_retries_stay_in_permitted_regions(self):
         self._start(scripted_endpoints.create_not_run_response())
         with self.assertRaises(errors.NotRunError):
             await self._call(_REGION_B)
@@ -115,7 +115,7 @@
             await self._call(frozenset({"c"}))
 
 
-class GenerationsWithAllowedRegionsTest(unittest.IsolatedAsyncioTestCase):
+class GenerationsWithPermittedRegionsTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.client = scripted_endpoints.ScriptedEndpointClient({})
         self.engines = {
@@ -137,7 +137,7 @@
             self.request, self.engines[source], failed, is_urgent
         )
 
-    async def test_copies_stay_in_allowed_regions(self):
+    async def test_copies_stay_in_permitted_regions(self):
         for is_urgent in (True, False):
             target = self._copy_target("b1", is_urgent=is_urgent)
             self.assertEqual(target.endpoint_id, "b2")
--- a/tests/placement/test_replies_of_a_coordinator.py
+++ b/tests/placement/test_replies_of_a_coordinator.py
@@ -316,12 +316,12 @@
             (None, errors.NoEligibleEndpointError, frozenset({"b"})),
             (evacuate, errors.EvacuatedError, None),
         )
-        for prepare, error_type, allowed_regions in cases:
+        for prepare, error_type, permitted_regions in cases:
 
             async def play(
                 prepare=prepare,
                 error_type=error_type,
-                allowed_regions=allowed_regions,
+                permitted_regions=permitted_regions,
             ):
                 case = _Case(None)
                 case.contact.record("pool", is_answered=True)
@@ -331,7 +331,7 @@
                     forwarding_parts.create_generation_request(),
                     kind.RequestKind.STREAM,
                     forwarding_parts.ENGINE_SERVICE,
-                    allowed_regions,
+                    permitted_regions,
                 )
                 with self.assertRaises(error_type):
                     await case.chooser.choose(request, frozenset())
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -105,9 +105,9 @@
                     )
                 )
                 matched = table.match("host.example", "/a/")
-                self.assertEqual(matched.allowed_regions, expected)
+                self.assertEqual(matched.permitted_regions, expected)
                 self.assertEqual(
-                    table.workspace_of("k").allowed_regions, expected
+                    table.workspace_of("k").permitted_regions, expected
                 )
                 self.assertEqual(
                     table.named_regions("s-1"), expected or frozenset()
--- a/tests/support/forwarding_parts.py
+++ b/tests/support/forwarding_parts.py
@@ -119,7 +119,7 @@
             workspace.KeyedWorkspace(
                 ids.WorkspaceId("w"),
                 (API_KEY,),
-                allowed_regions=workspace_regions,
+                permitted_regions=workspace_regions,
             ),
         ),
         limits.CallerLimits(),
@@ -151,7 +151,7 @@
     request,
     request_kind,
     target_service=CALL_SERVICE,
-    allowed_regions=None,
+    permitted_regions=None,
     **route_changes,
 ):
     matched_route = create_route(request_kind, **route_changes)
@@ -163,7 +163,7 @@
         configuration=ids.TableVersion(1),
         priority=0,
         deadline_s=request.arrived_s + matched_route.timeout_s,
-        allowed_regions=allowed_regions,
+        permitted_regions=permitted_regions,
     )
 
 
--- a/tests/support/placement_fleet.py
+++ b/tests/support/placement_fleet.py
@@ -25,7 +25,7 @@
 from bronzeslip.metrics import entry_metrics
 from bronzeslip.placement import assembly
 from bronzeslip.placement import shard
-from bronzeslip.places import allowed_regions
+from bronzeslip.places import permitted_regions
 from bronzeslip.quota import errors
 from bronzeslip.routes import current
 from bronzeslip.routes import kind
@@ -112,7 +112,7 @@
         watched = watched_endpoints.WatchedEndpoints(
             settings, this_vm, self.directory, table
         )
-        regions = allowed_regions.AllowedRegionsFilter(this_vm)
+        regions = permitted_regions.PermittedRegionsFilter(this_vm)
         ledger = placement_ledger.PlacementLedger(_now_s)
         self.ledger = ledger
         reports.add_listener(ledger.apply_report)
