Reproduce responses made up of parts of two

The HTTP library reads the second status line as a part of the reason phrase or of a field. The head then has the status of the earlier response, and the id, stamp and body of the later one, so that the comparison of ids lets it pass.

--- /dev/null
+++ b/tests/platform/test_responses_of_parts.py
@@ -0,0 +1,168 @@
+"""Tests of second responses that break off before the next one, over loopback.
+
+A faulty endpoint may send a response once more and stop inside its head. The
+next response on the connection then follows without a boundary.
+"""
+
+import asyncio
+import itertools
+import unittest
+
+from bronzeslip import ids
+from bronzeslip.endpoints import directory
+from bronzeslip.forwarding import buffered_response
+from bronzeslip.forwarding import dispatch
+from bronzeslip.forwarding import endpoint_client
+from bronzeslip.forwarding import endpoint_errors
+from bronzeslip.platform import endpoint_http
+from tests.support import forwarding_parts
+from tests.support import raw_server
+
+_MAX_BYTES = 1000
+# Time in which bytes that follow a response arrive.
+_ARRIVAL_S = 0.02
+_OK = b"200 OK"
+_FAILED = b"500 Internal Server Error"
+_REFUSED = b"503 Service Unavailable"
+
+
+def _response(request_id, status, fields=b""):
+    return raw_server.create_response(
+        b"body of " + request_id,
+        status,
+        fields + b"Bronzeslip-Attempt-Id: " + request_id + b"\r\n"
+        b"Bronzeslip-Response-Stamp: stamp of " + request_id + b"\r\n",
+    )
+
+
+def _head_length(response):
+    return response.index(b"\r\n\r\n")
+
+
+class ResponseOfPartsTest(unittest.IsolatedAsyncioTestCase):
+    async def _start_endpoint(self, *scripts):
+        self.server = raw_server.RawServer(*scripts)
+        port = await self.server.start()
+        self.addAsyncCleanup(self.server.stop)
+        self.client = endpoint_http.HttpEndpointClient(
+            forwarding_parts.SETTINGS,
+            directory.EndpointDirectory(forwarding_parts.SETTINGS),
+        )
+        self.addAsyncCleanup(self.client.close)
+        self.endpoint = forwarding_parts.create_endpoint(
+            "i-1", host="127.0.0.1", port=port
+        )
+
+    async def _send(self, request_id):
+        return await self.client.send(
+            dispatch.Dispatch(
+                request=forwarding_parts.create_request(
+                    request_id=ids.RequestId(request_id)
+                ),
+                endpoint=self.endpoint,
+                remaining_s=2.0,
+            )
+        )
+
+    async def _call(self, request_id):
+        response = await self._send(request_id)
+        return await buffered_response.read(
+            response, _MAX_BYTES, forwarding_parts.create_response_memory()
+        )
+
+    async def _is_merged(self, second, *scripts):
+        """Returns whether q2 gets a response that its endpoint did not send.
+
+        Args:
+            second: Whole response to q2.
+            *scripts: What the endpoint sends for each request.
+        """
+        await self._start_endpoint(*scripts)
+        first_call = await self._call("q1")
+        self.assertEqual(first_call.body, b"body of q1")
+        await asyncio.sleep(_ARRIVAL_S)
+        try:
+            second_call = await asyncio.wait_for(self._call("q2"), 2.0)
+        except endpoint_errors.EndpointResponseLostError:
+            return False
+        status_line = b"HTTP/1.1 %d " % second_call.head.status
+        return (
+            not second.startswith(status_line)
+            or second_call.body != b"body of q2"
+        )
+
+    # Guards against a success made up of the status of an earlier response that
+    # came twice and broke off, and of the failure that follows it.
+    async def test_success_is_not_merged_with_the_failure_after_it(self):
+        first = _response(b"q1", _OK)
+        second = _response(b"q2", _FAILED)
+        merged_cuts = [
+            cut
+            for cut in range(1, _head_length(first))
+            if await self._is_merged(second, first, first[:cut] + second)
+        ]
+        self.assertEqual(merged_cuts, [])
+
+    # Guards against the same if the part was received with the response before.
+    async def test_success_received_early_is_not_merged(self):
+        first = _response(b"q1", _OK)
+        second = _response(b"q2", _FAILED)
+        merged_cuts = [
+            cut
+            for cut in range(1, _head_length(first), 3)
+            if await self._is_merged(
+                second, first + first[:cut], second, second
+            )
+        ]
+        self.assertEqual(merged_cuts, [])
+
+    # Guards against the same if the part arrives in two halves, before and
+    # after the next request.
+    async def test_success_received_in_halves_is_not_merged(self):
+        first = _response(b"q1", _OK)
+        second = _response(b"q2", _FAILED)
+        cuts = range(2, _head_length(first), 5)
+        merged_cuts = [
+            (middle, cut)
+            for middle, cut in itertools.combinations(cuts, 2)
+            if await self._is_merged(
+                second,
+                first + first[:middle],
+                first[middle:cut] + second,
+                second,
+            )
+        ]
+        self.assertEqual(merged_cuts, [])
+
+    async def _verdict_after(self, first, next_bytes):
+        """Returns what the response to q2 states, or None if it is lost."""
+        await self._start_endpoint(first, next_bytes)
+        refusal = await self._send("q1")
+        await refusal.close()
+        try:
+            response = await asyncio.wait_for(self._send("q2"), 2.0)
+        except endpoint_errors.EndpointResponseLostError:
+            return None
+        await response.close()
+        return response.verdict
+
+    # Guards against telling a caller "not run" of a request that has run, by
+    # the beginning of an earlier refusal.
+    async def test_refusal_is_not_merged_with_the_success_after_it(self):
+        first = _response(
+            b"q1",
+            _REFUSED,
+            b"Bronzeslip-Not-Executed: 1\r\nX-Reason: queue is full\r\n",
+        )
+        second = _response(b"q2", _OK)
+        merged_cuts = [
+            cut
+            for cut in range(1, _head_length(first))
+            if await self._verdict_after(first, first[:cut] + second)
+            not in (None, endpoint_client.RunVerdict.MAY_HAVE_RUN)
+        ]
+        self.assertEqual(merged_cuts, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
