Log which response a caller received

The hypotheses differ in the stamp and in the place of the response on its connection, which no line stated. request.settled now names endpoint, status, stamp, the number of the connection and of the response on it; endpoint.unmatched_answer names the same.

--- a/bronzeslip/forwarding/endpoint_client.py
+++ b/bronzeslip/forwarding/endpoint_client.py
@@ -12,6 +12,7 @@
 from bronzeslip.forwarding import body_framing
 from bronzeslip.forwarding import dispatch
 from bronzeslip.forwarding import incoming
+from bronzeslip.forwarding import response_origin
 
 
 class RunVerdict(enum.Enum):
@@ -33,12 +34,14 @@
         headers: Headers that are forwarded to the caller.
         content_length: Length of the body, in bytes, or None if unknown.
         framing: How the end of the body is marked.
+        origin: Where the response came from, or None in tests.
     """
 
     status: int
     headers: tuple[incoming.HeaderField, ...]
     content_length: int | None = None
     framing: body_framing.BodyFraming = body_framing.BodyFraming.LENGTH
+    origin: response_origin.ResponseOrigin | None = None
 
     @property
     def is_success(self) -> bool:
--- a/bronzeslip/forwarding/pipeline.py
+++ b/bronzeslip/forwarding/pipeline.py
@@ -64,7 +64,7 @@
         writer: response_writer.ResponseWriter,
     ) -> None:
         admitted_request = self._drain.limit(self._admitter.admit(request))
-        with self._ledger.track_outcome(admitted_request):
+        with self._ledger.track_outcome(admitted_request, writer):
             await self._serve_with_deadline(admitted_request, writer)
             self._crash_detector.record_completion(admitted_request)
 
--- a/bronzeslip/forwarding/request_ledger.py
+++ b/bronzeslip/forwarding/request_ledger.py
@@ -4,10 +4,13 @@
 from collections.abc import Iterator
 import contextlib
 import functools
+from typing import Any
 
 from bronzeslip import logs
 from bronzeslip.forwarding import admitted
+from bronzeslip.forwarding import endpoint_client
 from bronzeslip.forwarding import errors
+from bronzeslip.forwarding import response_writer
 from bronzeslip.metrics import entry_metrics
 from bronzeslip.metrics import outcome as outcomes
 
@@ -24,12 +27,15 @@
 
     @contextlib.contextmanager
     def track_outcome(
-        self, request: admitted.AdmittedRequest
+        self,
+        request: admitted.AdmittedRequest,
+        writer: response_writer.ResponseWriter,
     ) -> Iterator[None]:
         """Records a request and the outcome of the block that serves it.
 
         Args:
             request: Request served by the block.
+            writer: Response that the block sends to the caller.
         """
         logger.info(
             "request.accepted",
@@ -48,7 +54,7 @@
             outcome = _outcome_of(error)
             raise
         finally:
-            self._record_outcome(request, outcome)
+            self._record_outcome(request, outcome, writer.endpoint_head)
 
     @contextlib.contextmanager
     def count_refusals_by_place(self) -> Iterator[None]:
@@ -63,7 +69,10 @@
             raise
 
     def _record_outcome(
-        self, request: admitted.AdmittedRequest, outcome: RequestOutcome
+        self,
+        request: admitted.AdmittedRequest,
+        outcome: RequestOutcome,
+        endpoint_head: endpoint_client.ResponseHead | None,
     ) -> None:
         now_s = asyncio.get_running_loop().time()
         elapsed_s = now_s - request.request.arrived_s
@@ -72,12 +81,28 @@
             request=request.request.request_id,
             outcome=outcome,
             elapsed_s=round(elapsed_s, 3),
+            **_origin_fields(endpoint_head),
         )
         self._metrics.record_answer(
             request.workspace_id, request.route.kind, outcome, elapsed_s
         )
 
 
+def _origin_fields(
+    head: endpoint_client.ResponseHead | None,
+) -> dict[str, Any]:
+    """Returns the log fields that name the response a caller received."""
+    if head is None or head.origin is None:
+        return {}
+    return {
+        "endpoint": head.origin.endpoint_id,
+        "status": head.status,
+        "stamp": head.origin.stamp,
+        "connection": head.origin.connection_number,
+        "response": head.origin.response_number,
+    }
+
+
 @functools.singledispatch
 def _outcome_of(_: BaseException) -> RequestOutcome:
     return RequestOutcome.FAILED
--- a/bronzeslip/forwarding/response_writer.py
+++ b/bronzeslip/forwarding/response_writer.py
@@ -13,10 +13,12 @@
 
     Attributes:
         is_started: Whether the head has been sent.
+        endpoint_head: Head of an endpoint's response, once it has been sent.
         memory: Memory of what is held for this response.
     """
 
     is_started: bool
+    endpoint_head: endpoint_client.ResponseHead | None
     memory: reservation.Reservation
 
     async def start(self, head: endpoint_client.ResponseHead) -> None:
--- a/bronzeslip/http/bounded_transport.py
+++ b/bronzeslip/http/bounded_transport.py
@@ -10,6 +10,8 @@
 import httpcore
 import httpx
 
+from bronzeslip.http import connection_use
+
 # Idle connections are closed after this time, whatever the server allows: what
 # lies between may have dropped them without notice.
 _IDLE_TIMEOUT_S = 5.0
@@ -56,9 +58,14 @@
 
 
 class _CountingStream(httpcore.AsyncNetworkStream):
-    """Network stream that counts the bytes of response heads."""
+    """Network stream that counts the bytes of response heads.
+
+    Attributes:
+        use: Number of the connection and of its responses.
+    """
 
     def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
+        self.use = connection_use.ConnectionUse()
         self._stream = stream
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
@@ -174,4 +181,16 @@
             raise httpx.RemoteProtocolError(
                 "the response was received before its request was sent"
             )
+        connection_use_of(response).response_count += 1
         return response
+
+
+def connection_use_of(
+    response: httpx.Response,
+) -> connection_use.ConnectionUse:
+    """Returns the use of the connection that a response is received on.
+
+    Args:
+        response: Response of a `BoundedTransport`.
+    """
+    return response.extensions["network_stream"].use
--- a/bronzeslip/platform/caller_response.py
+++ b/bronzeslip/platform/caller_response.py
@@ -72,6 +72,7 @@
 
     Attributes:
         is_started: Whether status and headers have been sent.
+        endpoint_head: Head of an endpoint's response, once it has been sent.
         memory: Memory of what is held for the response.
     """
 
@@ -89,10 +90,12 @@
         self._send = send
         self._method = method
         self.is_started = False
+        self.endpoint_head: endpoint_client.ResponseHead | None = None
 
     async def start(self, head: endpoint_client.ResponseHead) -> None:
         """Sends status and headers."""
         self.is_started = True
+        self.endpoint_head = head
         header_fields = [(field.name, field.value) for field in head.headers]
         if self._sends_content_length(head):
             length = str(head.content_length).encode()
--- a/bronzeslip/platform/endpoint_http.py
+++ b/bronzeslip/platform/endpoint_http.py
@@ -107,12 +107,16 @@
         )
         if not response.is_response_to(outgoing.request.request_id):
             await response.abort()
+            origin = response.head.origin
             logger.warning(
                 "endpoint.unmatched_answer",
                 request=outgoing.request.request_id,
                 endpoint=outgoing.endpoint.endpoint_id,
                 echoed=response.echoed_request_id,
                 status=response.head.status,
+                stamp=origin.stamp,
+                connection=origin.connection_number,
+                response=origin.response_number,
             )
             raise endpoint_errors.EndpointResponseLostError(
                 "received the response to another request"
@@ -299,7 +303,7 @@
             )
         endpoint_announcements.record(self._endpoints, target, response)
         return endpoint_response.HttpEndpointResponse(
-            response, connection, pool, self._settings
+            response, connection, pool, self._settings, target.endpoint_id
         )
 
     def _control_request(
--- a/bronzeslip/platform/endpoint_response.py
+++ b/bronzeslip/platform/endpoint_response.py
@@ -11,6 +11,8 @@
 from bronzeslip.forwarding import endpoint_client
 from bronzeslip.forwarding import endpoint_errors
 from bronzeslip.forwarding import incoming
+from bronzeslip.forwarding import response_origin
+from bronzeslip.http import bounded_transport
 from bronzeslip.http import paced_chunks
 from bronzeslip.platform import caller_response
 from bronzeslip.platform import connection_pool
@@ -45,14 +47,24 @@
         connection: connection_pool.PooledConnection,
         pool: connection_pool.ConnectionPool,
         settings: entry.EntrySettings,
+        sender_id: ids.EndpointId,
     ) -> None:
+        """Creates a response whose body is unread.
+
+        Args:
+            response: Response of the HTTP client.
+            connection: Connection that it is read from.
+            pool: Pool of the connection.
+            settings: Timeouts and size limits.
+            sender_id: Endpoint that the request was sent to.
+        """
         self._settings = settings
         self._response = response
         self._connection = connection
         self._pool = pool
         self._has_begun_body = False
         self._is_complete = False
-        self.head = _head(response)
+        self.head = _head(response, sender_id)
         self.verdict = _verdict(response)
         self.is_leaving = "close" in response.headers.get("connection", "")
 
@@ -159,7 +171,9 @@
             self._is_complete = False
 
 
-def _head(response: httpx.Response) -> endpoint_client.ResponseHead:
+def _head(
+    response: httpx.Response, sender_id: ids.EndpointId
+) -> endpoint_client.ResponseHead:
     length = response.headers.get("content-length", "")
     return endpoint_client.ResponseHead(
         response.status_code,
@@ -170,6 +184,19 @@
         ),
         numbers.parse_count(length),
         _framing(response),
+        _origin(response, sender_id),
+    )
+
+
+def _origin(
+    response: httpx.Response, sender_id: ids.EndpointId
+) -> response_origin.ResponseOrigin:
+    use = bounded_transport.connection_use_of(response)
+    return response_origin.ResponseOrigin(
+        sender_id,
+        response.headers.get(headers.RESPONSE_STAMP.decode()),
+        use.number,
+        use.response_count,
     )
 
 
--- a/tests/support/scripted_endpoints.py
+++ b/tests/support/scripted_endpoints.py
@@ -128,6 +128,7 @@
 
     def __init__(self):
         self.is_started = False
+        self.endpoint_head = None
         self.memory = forwarding_parts.create_response_memory()
         self.is_finished = False
         self.head = None
@@ -136,6 +137,7 @@
     async def start(self, head):
         self.is_started = True
         self.head = head
+        self.endpoint_head = head
 
     async def write(self, body):
         self.body += body
