Reject response heads that are made up of two responses

Cause: an endpoint that sends a response once more and stops inside its head leaves a beginning to which the next response is joined without a boundary. The parser takes the second status line for the end of the reason phrase or of a field's value. Status of the one, id, stamp and body of the other: the id matches. The same beginning of a refusal told "not run" of a request that had run, after which it may have run twice.

Why this works: the joined head always holds the second status line as a whole, as a status line can't be (part of) the name of a field. BoundedTransport, the one transport for endpoints, the store and other gateways, takes such a head for no response. The request then counts as one that may have run. A field whose value is a status line itself makes a response unusable too; that is accepted, as the two can't be told apart.

--- a/bronzeslip/http/bounded_transport.py
+++ b/bronzeslip/http/bounded_transport.py
@@ -11,6 +11,7 @@
 import httpx
 
 from bronzeslip.http import connection_use
+from bronzeslip.http import response_boundary
 
 # Idle connections are closed after this time, whatever the server allows: what
 # lies between may have dropped them without notice.
@@ -134,7 +135,8 @@
     interim responses that precede the final one.
 
     Bytes that follow a complete response are not taken for the response to the
-    next request on the connection, unless they arrive after it was sent.
+    next request on the connection, nor for its beginning. A whole response that
+    arrives after that request was sent can only be told by what it states.
     """
 
     def __init__(
@@ -167,8 +169,9 @@
 
         Raises:
             httpx.RemoteProtocolError: If more than the maximum number of bytes
-                arrived before the final head was complete, or the response
-                had been received before the request was sent.
+                arrived before the final head was complete, the response had
+                been received before the request was sent, or its head is
+                made up of two responses.
         """
         limit = _HeadLimit(self._max_head_bytes)
         token = _head_limit.set(limit)
@@ -182,6 +185,12 @@
                 "the response was received before its request was sent"
             )
         connection_use_of(response).response_count += 1
+        reason_phrase = response.extensions["reason_phrase"]
+        if response_boundary.is_merged(reason_phrase, response.headers.raw):
+            await response.aclose()
+            raise httpx.RemoteProtocolError(
+                "the head contains the status line of another response"
+            )
         return response
 
 
--- a/bronzeslip/platform/endpoint_http.py
+++ b/bronzeslip/platform/endpoint_http.py
@@ -290,7 +290,7 @@
         except httpx.HTTPError as error:
             await connection.transport.aclose()
             raise endpoint_errors.EndpointResponseLostError(
-                f"no response: {type(error).__name__}"
+                f"no response: {type(error).__name__} ({error})"
             ) from error
         except BaseException:
             await connection.transport.aclose()
