Replace connections on which bytes follow a complete response

What callers saw: 502 for a request that was sent on a connection whose buffer held bytes of an endpoint that answers twice; idempotent requests ran once more. Cause: such bytes were looked for only after the request had been sent. The HTTP library replaces an idle connection whose socket is readable, but not one whose parser has buffered bytes. Change: a connection with such bytes counts as expired, so the request goes out on a new one. Bytes that arrive later are still told by the id.

--- a/bronzeslip/http/bounded_transport.py
+++ b/bronzeslip/http/bounded_transport.py
@@ -10,6 +10,7 @@
 import httpcore
 import httpx
 
+from bronzeslip.http import checked_connection_pool
 from bronzeslip.http import connection_use
 from bronzeslip.http import response_boundary
 
@@ -154,7 +155,7 @@
             socket_options: Options of the sockets.
         """
         super().__init__(verify=_unused_ssl_context(), trust_env=False)
-        self._pool = httpcore.AsyncConnectionPool(
+        self._pool = checked_connection_pool.CheckedConnectionPool(
             max_connections=max_connections,
             keepalive_expiry=_IDLE_TIMEOUT_S,
             socket_options=tuple(socket_options),
