Count responses on the connection that they were received on

What callers saw: 502 where an endpoint answered without an id (its own error for a broken request) on a new connection. Cause: whether a connection had been used was kept beside the pooled transport, inside which the HTTP library replaces connections that have expired or that the endpoint has closed. Change: the count is that of the connection itself (ConnectionUse).

--- a/bronzeslip/platform/connection_pool.py
+++ b/bronzeslip/platform/connection_pool.py
@@ -19,7 +19,6 @@
         transport: Transport that owns the connection.
         expires_at_s: Time after which the connection must not be reused, on
             the event loop's clock.
-        has_carried_requests: Whether it has been used before.
         refused_request_ids: Requests that the endpoint has refused on it. A
             faulty endpoint may send such a refusal once more, in place of the
             next response.
@@ -27,7 +26,6 @@
 
     transport: httpx.AsyncBaseTransport
     expires_at_s: float = 0.0
-    has_carried_requests: bool = False
     refused_request_ids: set[ids.RequestId] = msgspec.field(default_factory=set)
 
 
@@ -92,7 +90,6 @@
             await connection.transport.aclose()
             return
         now_s = asyncio.get_running_loop().time()
-        connection.has_carried_requests = True
         connection.expires_at_s = (
             now_s + keep_alive_s - self._settings.kept_margin_s
         )
--- a/bronzeslip/platform/endpoint_response.py
+++ b/bronzeslip/platform/endpoint_response.py
@@ -129,11 +129,10 @@
 
         An endpoint may send a second response to an earlier request, which is
         then read in place of the response to the next one. A response without
-        an id is therefore accepted only on a connection that has carried no
-        request before.
+        an id is therefore accepted only as the first one on its connection.
         """
         if self.echoed_request_id is None:
-            return not self._connection.has_carried_requests
+            return self.head.origin.response_number == 1
         return self.echoed_request_id == request_id
 
     async def abort(self) -> None:
--- a/tests/platform/test_endpoint_http.py
+++ b/tests/platform/test_endpoint_http.py
@@ -16,6 +16,7 @@
 from tests.support import raw_server
 
 _MAX_BYTES = 100_000
+_FAILED = b"500 Internal Server Error"
 _REFUSED = b"503 Service Unavailable"
 _NOT_RUN = b"Bronzeslip-Not-Executed: 1\r\n"
 
@@ -122,6 +123,17 @@
             raw_server.create_response(b"", _REFUSED, _NOT_RUN)
         )
 
+    # Guards against losing a response without an id because the connection
+    # before it, which the HTTP client has replaced, was used.
+    async def test_first_response_of_a_replaced_connection_needs_no_id(self):
+        first = raw_server.create_response(b"a", headers=_echo(b"q1"))
+        await self._start_server(
+            first + b"rest", raw_server.create_response(b"b", _FAILED)
+        )
+        await self._call("q1")
+        self.assertEqual((await self._call("q2")).body, b"b")
+        self.assertEqual(self.server.connection_count, 2)
+
     async def test_refusal_on_a_new_connection_needs_no_id(self):
         await self._start_server(
             raw_server.create_response(b"", _REFUSED, _NOT_RUN)
