Send no request again on a connection on which it has failed

What a caller could get: a generation that is resumed at an engine where it had failed before is broken off by that earlier failure, written once more; the id is the same. Only refusals were looked at. The ids of refusals were also kept for as long as the connection, without a limit. Change: the ids of all responses that are no success are kept, and a connection with 100 of them is not kept.

Tests: test_request_is_not_sent_again_where_it_has_failed and test_connection_is_not_kept_after_many_failures failed before (1 connection, not 2).

--- a/bronzeslip/platform/connection_pool.py
+++ b/bronzeslip/platform/connection_pool.py
@@ -11,6 +11,9 @@
 from bronzeslip.http import silence_detection
 from bronzeslip.settings import entry
 
+# Failed requests after which a connection is not kept, as it holds their ids.
+_MAX_FAILED_REQUESTS = 100
+
 
 class PooledConnection(msgspec.Struct):
     """A connection, which carries one request at a time.
@@ -19,14 +22,14 @@
         transport: Transport that owns the connection.
         expires_at_s: Time after which the connection must not be reused, on
             the event loop's clock.
-        refused_request_ids: Requests that the endpoint has refused on it. A
-            faulty endpoint may send such a refusal once more, in place of the
-            next response.
+        failed_request_ids: Requests that were refused or failed on it, which
+            may be sent to the endpoint again. A faulty endpoint may send the
+            same response once more, in place of the next one.
     """
 
     transport: httpx.AsyncBaseTransport
     expires_at_s: float = 0.0
-    refused_request_ids: set[ids.RequestId] = msgspec.field(default_factory=set)
+    failed_request_ids: set[ids.RequestId] = msgspec.field(default_factory=set)
 
 
 class ConnectionPool:
@@ -53,11 +56,11 @@
 
         Args:
             request_id: Request to send, or None for other calls. It is not
-                sent again on a connection on which it was refused.
+                sent again on a connection on which it has failed.
         """
         await self._close_expired()
         for connection in reversed(self._idle_connections):
-            if request_id not in connection.refused_request_ids:
+            if request_id not in connection.failed_request_ids:
                 self._idle_connections.remove(connection)
                 return connection
         return PooledConnection(self._create_transport())
@@ -86,7 +89,10 @@
             keep_alive_s: Time after which the endpoint closes the connection
                 if it is idle, in seconds.
         """
-        if self._is_closed:
+        has_failed_often = (
+            len(connection.failed_request_ids) >= _MAX_FAILED_REQUESTS
+        )
+        if self._is_closed or has_failed_often:
             await connection.transport.aclose()
             return
         now_s = asyncio.get_running_loop().time()
--- a/bronzeslip/platform/endpoint_response.py
+++ b/bronzeslip/platform/endpoint_response.py
@@ -142,11 +142,14 @@
 
     async def close(self) -> None:
         """Returns the connection to the pool, or closes it mid-response."""
-        if self.verdict is not endpoint_client.RunVerdict.MAY_HAVE_RUN:
-            self._record_refusal()
-            # The HTTP client loops forever if a body is read twice.
-            if not self._has_begun_body:
-                await self._drain_body()
+        if not self.head.is_success:
+            self._record_failure()
+        has_not_run = (
+            self.verdict is not endpoint_client.RunVerdict.MAY_HAVE_RUN
+        )
+        # The HTTP client loops forever if a body is read twice.
+        if has_not_run and not self._has_begun_body:
+            await self._drain_body()
         await self._response.stream.aclose()
         keep_alive_s = _keep_alive_timeout_s(self._response)
         if self._is_complete and keep_alive_s > 0 and not self.is_leaving:
@@ -154,9 +157,9 @@
         else:
             await self._connection.transport.aclose()
 
-    def _record_refusal(self) -> None:
+    def _record_failure(self) -> None:
         if self.echoed_request_id is not None:
-            self._connection.refused_request_ids.add(
+            self._connection.failed_request_ids.add(
                 ids.RequestId(self.echoed_request_id)
             )
 
--- a/tests/platform/test_repeated_refusals.py
+++ b/tests/platform/test_repeated_refusals.py
@@ -16,6 +16,7 @@
 from tests.support import forwarding_parts
 from tests.support import raw_server
 
+_MAX_BYTES = 1000
 _NOT_RUN = b"Bronzeslip-Not-Executed: 1\r\n"
 _REFUSALS = (
     (b"503 Service Unavailable", _NOT_RUN),
@@ -45,16 +46,19 @@
             "i-1", host="127.0.0.1", port=port
         )
 
-    async def _send(self, request_id):
-        """Sends a request; returns what is known about its run."""
+    async def _open(self, request_id):
         request = forwarding_parts.create_request(
             request_id=ids.RequestId(request_id)
         )
-        response = await self.client.send(
+        return await self.client.send(
             dispatch.Dispatch(
                 request=request, endpoint=self.endpoint, remaining_s=2.0
             )
         )
+
+    async def _send(self, request_id):
+        """Sends a request; returns what is known about its run."""
+        response = await self._open(request_id)
         await response.close()
         return response.verdict
 
@@ -101,6 +105,29 @@
                 await self._assert_refused("q1")
                 self.assertEqual(self.server.connection_count, 2)
 
+    # Guards against taking an earlier failure for that of a resumed run, at an
+    # engine where the same request has failed before.
+    async def test_request_is_not_sent_again_where_it_has_failed(self):
+        failure = _refuse(b"500 Internal Server Error", b"", b"q1")
+        await self._start_server(failure, failure)
+        for _ in range(2):
+            response = await self._open("q1")
+            await response.read(_MAX_BYTES)
+            await response.close()
+        self.assertEqual(self.server.connection_count, 2)
+
+    # Guards against a connection that holds the ids of all requests that have
+    # ever failed on it.
+    async def test_connection_is_not_kept_after_many_failures(self):
+        failures = [
+            _refuse(b"503 Service Unavailable", _NOT_RUN, b"q%d" % number)
+            for number in range(150)
+        ]
+        await self._start_server(*failures)
+        for number in range(150):
+            await self._assert_refused(f"q{number}")
+        self.assertEqual(self.server.connection_count, 2)
+
     # Guards against telling a caller "not run" by a status alone, which does
     # not say whether the request has run.
     async def test_status_alone_does_not_state_that_a_request_has_not_run(self):
