Read the response that follows one to another request

Cause: the gateway closed the connection at the foreign response.

Change: up to three responses that name another request are skipped, bounded by the bytes that may precede a response and by the request's own time limits. A response that names no request, or one without a length, still ends the connection, as what follows it can't be told. CheckedConnection decides about bytes and heads, ResponseMatcher about ids; the count of responses, the merged heads and the skipped ones are now in one place, for every client of BoundedTransport.

--- a/bronzeslip/http/bounded_transport.py
+++ b/bronzeslip/http/bounded_transport.py
@@ -12,7 +12,6 @@
 
 from bronzeslip.http import checked_connection_pool
 from bronzeslip.http import connection_use
-from bronzeslip.http import response_boundary
 
 # Idle connections are closed after this time, whatever the server allows: what
 # lies between may have dropped them without notice.
@@ -135,9 +134,8 @@
     The HTTP library limits the size of each head, but not the number of
     interim responses that precede the final one.
 
-    Bytes that follow a complete response are not taken for the response to the
-    next request on the connection, nor for its beginning. A whole response that
-    arrives after that request was sent can only be told by what it states.
+    Which response on a connection is the one to a request is decided by
+    `checked_connection.CheckedConnection`.
     """
 
     def __init__(
@@ -185,13 +183,6 @@
             raise httpx.RemoteProtocolError(
                 "the response was received before its request was sent"
             )
-        connection_use_of(response).response_count += 1
-        reason_phrase = response.extensions["reason_phrase"]
-        if response_boundary.is_merged(reason_phrase, response.headers.raw):
-            await response.aclose()
-            raise httpx.RemoteProtocolError(
-                "the head contains the status line of another response"
-            )
         return response
 
 
--- a/bronzeslip/http/checked_connection.py
+++ b/bronzeslip/http/checked_connection.py
@@ -1,19 +1,120 @@
-"""HTTP connection that is not used again while it holds unread bytes."""
+"""HTTP connection that ties each response to the request it answers."""
 
+from collections.abc import Callable
+from typing import Any
+
+import h11
 import httpcore
 
+from bronzeslip.http import response_boundary
+
+# Extension of a request, which tells whether a response is one to another
+# request. It is called once for each response received.
+IS_FOREIGN = "is_foreign"
+ForeignCheck = Callable[[httpcore.Response], bool]
+
+# Responses to other requests that are skipped for one request.
+_MAX_SKIPPED_RESPONSES = 3
+_HTTP_VERSION = "http_version"
+_BODY_FIELDS = frozenset({b"content-length", b"transfer-encoding"})
+
 
 class CheckedConnection(httpcore.AsyncHTTPConnection):
-    """Connection that expires if bytes follow its last response.
+    """Connection to a server that may send more than one response to a request.
 
-    Such bytes belong to no request. They would be read as the response to the
-    next one, or as its beginning.
+    Bytes that follow a complete response belong to no request. A connection
+    that holds such bytes expires. Responses that arrive later and are known to
+    be those of other requests are skipped, and a head that is made up of two
+    responses is no response.
     """
 
     def has_expired(self) -> bool:
         """Returns whether the connection must not be used again."""
         return super().has_expired() or self._has_unread_bytes
 
+    async def handle_async_request(
+        self, request: httpcore.Request
+    ) -> httpcore.Response:
+        """Sends a request and reads the head of its response.
+
+        Raises:
+            httpcore.RemoteProtocolError: If the bytes received are not the
+                response to this request.
+        """
+        response = await super().handle_async_request(request)
+        try:
+            return await self._own_response(request, response)
+        except BaseException:
+            await response.aclose()
+            await self.aclose()
+            raise
+
+    async def _own_response(
+        self, request: httpcore.Request, response: httpcore.Response
+    ) -> httpcore.Response:
+        is_foreign: ForeignCheck | None = request.extensions.get(IS_FOREIGN)
+        skipped_count = 0
+        while True:
+            response.extensions["network_stream"].use.response_count += 1
+            if response_boundary.is_merged(
+                response.extensions["reason_phrase"], response.headers
+            ):
+                raise httpcore.RemoteProtocolError(
+                    "the head contains the status line of another response"
+                )
+            if is_foreign is None or not is_foreign(response):
+                return response
+            if skipped_count == _MAX_SKIPPED_RESPONSES:
+                raise httpcore.RemoteProtocolError(
+                    "too many responses to other requests"
+                )
+            skipped_count += 1
+            response = await self._next_response(request, response)
+
+    async def _next_response(
+        self, request: httpcore.Request, skipped: httpcore.Response
+    ) -> httpcore.Response:
+        """Skips the body of a response and reads the head of the next one.
+
+        Args:
+            request: Request whose own response has not been received.
+            skipped: Response to another request; its stream stays open, as
+                closing it would let the connection be used again.
+
+        Raises:
+            httpcore.RemoteProtocolError: If no other response may follow.
+        """
+        connection = self._connection
+        async for _ in connection._receive_response_body(request=request):
+            pass
+        state = connection._h11_state
+        if state.our_state is not h11.DONE or state.their_state is not h11.DONE:
+            raise httpcore.RemoteProtocolError(
+                "the response to another request ended the connection"
+            )
+        state.start_next_cycle()
+        # The request was sent before; the parser has to expect its response.
+        state.send(_bodiless(request))
+        state.send(h11.EndOfMessage())
+        (
+            version,
+            status,
+            reason_phrase,
+            fields,
+            _,
+        ) = await connection._receive_response_headers(request=request)
+        extensions: dict[str, Any] = {
+            **skipped.extensions,
+            _HTTP_VERSION: version,
+            "reason_phrase": reason_phrase,
+        }
+        return httpcore.Response(
+            status,
+            headers=fields,
+            content=skipped.stream,
+            extensions=extensions,
+        )
+
     @property
     def _has_unread_bytes(self) -> bool:
         # The library does not offer the bytes that its parser has buffered.
@@ -24,3 +125,15 @@
             return False
         unread, _ = connection._h11_state.trailing_data
         return bool(unread)
+
+
+def _bodiless(request: httpcore.Request) -> h11.Request:
+    return h11.Request(
+        method=request.method,
+        target=request.url.target,
+        headers=[
+            (name, value)
+            for name, value in request.headers
+            if name.lower() not in _BODY_FIELDS
+        ],
+    )
--- a/bronzeslip/platform/endpoint_http.py
+++ b/bronzeslip/platform/endpoint_http.py
@@ -14,6 +14,7 @@
 from bronzeslip.forwarding import dispatch
 from bronzeslip.forwarding import endpoint_client
 from bronzeslip.forwarding import endpoint_errors
+from bronzeslip.http import checked_connection
 from bronzeslip.http import sliced_body
 from bronzeslip.platform import connect_errors
 from bronzeslip.platform import connection_pool
@@ -21,6 +22,8 @@
 from bronzeslip.platform import endpoint_response
 from bronzeslip.platform import engine_messages
 from bronzeslip.platform import request_headers
+from bronzeslip.platform import response_match
+from bronzeslip.platform import response_matcher
 from bronzeslip.platform import total_timeout
 from bronzeslip.settings import entry
 
@@ -88,6 +91,7 @@
             endpoint_errors.EndpointResponseLostError: If no response to this
                 request was received.
         """
+        matcher = response_matcher.ResponseMatcher(outgoing)
         request = httpx.Request(
             outgoing.request.method,
             f"http://{outgoing.endpoint.address}/",
@@ -96,6 +100,7 @@
             extensions={
                 "target": outgoing.request.target,
                 "timeout": self._timeouts(None),
+                checked_connection.IS_FOREIGN: matcher.is_foreign,
             },
         )
         if len(outgoing.request.body) > sliced_body.SLICE_BYTES:
@@ -105,21 +110,10 @@
         response = await self._exchange(
             outgoing.endpoint, pool, request, outgoing.request.request_id
         )
-        if not response.is_response_to(outgoing.request.request_id):
+        if matcher.match is not response_match.ResponseMatch.OWN:
             await response.abort()
-            origin = response.head.origin
-            logger.warning(
-                "endpoint.unmatched_answer",
-                request=outgoing.request.request_id,
-                endpoint=outgoing.endpoint.endpoint_id,
-                echoed=response.echoed_request_id,
-                status=response.head.status,
-                stamp=origin.stamp,
-                connection=origin.connection_number,
-                response=origin.response_number,
-            )
             raise endpoint_errors.EndpointResponseLostError(
-                "received the response to another request"
+                "received a response that names no request"
             )
         # Control calls and errors need not state a limit that is in force.
         if response.head.is_success and not response.states_limit:
--- a/bronzeslip/platform/endpoint_response.py
+++ b/bronzeslip/platform/endpoint_response.py
@@ -124,17 +124,6 @@
         """Whether the response states the endpoint's load, readable or not."""
         return headers.SERVER_LOAD.decode() in self._response.headers
 
-    def is_response_to(self, request_id: ids.RequestId) -> bool:
-        """Returns whether this is the response to a request.
-
-        An endpoint may send a second response to an earlier request, which is
-        then read in place of the response to the next one. A response without
-        an id is therefore accepted only as the first one on its connection.
-        """
-        if self.echoed_request_id is None:
-            return self.head.origin.response_number == 1
-        return self.echoed_request_id == request_id
-
     async def abort(self) -> None:
         """Closes the connection immediately."""
         await self._response.stream.aclose()
--- /dev/null
+++ b/bronzeslip/platform/response_matcher.py
@@ -0,0 +1,67 @@
+"""Matching of the responses on a connection with the request that was sent."""
+
+from collections.abc import Iterable
+
+import httpcore
+
+from bronzeslip import logs
+from bronzeslip.forwarding import dispatch
+from bronzeslip.platform import headers
+from bronzeslip.platform import response_match
+
+logger = logs.get_logger(__name__)
+
+_ENCODING = "latin-1"
+
+
+class ResponseMatcher:
+    """Decides which response on a connection is the one to a request.
+
+    Attributes:
+        match: Relation of the last response to the request.
+    """
+
+    def __init__(self, outgoing: dispatch.Dispatch) -> None:
+        """Creates a matcher.
+
+        Args:
+            outgoing: Request that awaits its response.
+        """
+        self._outgoing = outgoing
+        self.match = response_match.ResponseMatch.UNNAMED
+
+    def is_foreign(self, response: httpcore.Response) -> bool:
+        """Returns whether a response is one to another request.
+
+        Args:
+            response: Response, whose body need not have been read.
+        """
+        use = response.extensions["network_stream"].use
+        self.match = response_match.match(
+            self._outgoing.request.request_id,
+            _values(response.headers, headers.REQUEST_ID),
+            use.response_count,
+        )
+        if self.match is not response_match.ResponseMatch.OWN:
+            logger.warning(
+                "endpoint.unmatched_answer",
+                request=self._outgoing.request.request_id,
+                endpoint=self._outgoing.endpoint.endpoint_id,
+                match=self.match.value,
+                echoed=_values(response.headers, headers.REQUEST_ID),
+                status=response.status,
+                stamp=_values(response.headers, headers.RESPONSE_STAMP),
+                connection=use.number,
+                response=use.response_count,
+            )
+        return self.match is response_match.ResponseMatch.FOREIGN
+
+
+def _values(fields: Iterable[tuple[bytes, bytes]], name: bytes) -> str | None:
+    """Returns the values of a field, separated by commas, or None."""
+    values = [
+        value.decode(_ENCODING)
+        for field_name, value in fields
+        if field_name.lower() == name
+    ]
+    return ", ".join(values) if values else None
--- /dev/null
+++ b/tests/platform/test_late_second_responses.py
@@ -0,0 +1,117 @@
+"""Tests of second responses that arrive where the next one is due.
+
+A faulty endpoint may send a response once more, late. The response to the next
+request on the connection follows it.
+"""
+
+import unittest
+
+from bronzeslip import ids
+from bronzeslip.endpoints import directory
+from bronzeslip.forwarding import buffered_response
+from bronzeslip.forwarding import dispatch
+from bronzeslip.forwarding import endpoint_errors
+from bronzeslip.platform import endpoint_http
+from tests.support import forwarding_parts
+from tests.support import raw_server
+
+_MAX_BYTES = 200_000
+_FAILED = b"500 Internal Server Error"
+
+
+def _response(request_id, status=b"200 OK", body=b"body"):
+    return raw_server.create_response(
+        body, status, b"Bronzeslip-Attempt-Id: " + request_id + b"\r\n"
+    )
+
+
+_FIRST = _response(b"q1", body=b"first")
+_OWN = _response(b"q2", _FAILED, b"own")
+_CHUNKED = (
+    b"HTTP/1.1 200 OK\r\nBronzeslip-Attempt-Id: q1\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n0\r\n\r\n"
+)
+_UNFRAMED = b"HTTP/1.1 200 OK\r\nBronzeslip-Attempt-Id: q1\r\n\r\nfirst"
+
+
+class LateSecondResponseTest(unittest.IsolatedAsyncioTestCase):
+    async def _call(self, request_id):
+        response = await self.client.send(
+            dispatch.Dispatch(
+                request=forwarding_parts.create_request(
+                    request_id=ids.RequestId(request_id)
+                ),
+                endpoint=self.endpoint,
+                remaining_s=2.0,
+            )
+        )
+        return await buffered_response.read(
+            response, _MAX_BYTES, forwarding_parts.create_response_memory()
+        )
+
+    async def _call_after(self, *scripts):
+        """Returns the response to q2, sent after q1 on one connection."""
+        self.server = raw_server.RawServer(_FIRST, *scripts)
+        port = await self.server.start()
+        self.addAsyncCleanup(self.server.stop)
+        self.client = endpoint_http.HttpEndpointClient(
+            forwarding_parts.SETTINGS,
+            directory.EndpointDirectory(forwarding_parts.SETTINGS),
+        )
+        self.addAsyncCleanup(self.client.close)
+        self.endpoint = forwarding_parts.create_endpoint(
+            "i-1", host="127.0.0.1", port=port
+        )
+        await self._call("q1")
+        return await self._call("q2")
+
+    # Guards against losing the response to a request, which may not be
+    # repeated, because the one to an earlier request came before it.
+    async def test_own_response_after_that_of_another_request_is_used(self):
+        for extra in (_FIRST, _CHUNKED, _FIRST + _CHUNKED):
+            with self.subTest(extra=extra):
+                response = await self._call_after(extra + _OWN)
+                self.assertEqual(response.head.status, 500)
+                self.assertEqual(response.body, b"own")
+                self.assertEqual(self.server.connection_count, 1)
+
+    async def test_connection_is_kept_after_a_skipped_response(self):
+        await self._call_after(_FIRST + _OWN, _response(b"q3"))
+        response = await self._call("q3")
+        self.assertEqual(response.head.origin.response_number, 4)
+        self.assertEqual(self.server.connection_count, 1)
+
+    # Guards against reading responses to other requests without an end.
+    async def test_many_responses_to_other_requests_are_given_up(self):
+        with self.assertRaises(endpoint_errors.EndpointResponseLostError):
+            await self._call_after(10 * _FIRST + _OWN)
+
+    async def test_large_response_to_another_request_is_given_up(self):
+        large = _response(b"q1", body=300_000 * b"x")
+        with self.assertRaises(endpoint_errors.EndpointResponseLostError):
+            await self._call_after(large + _OWN)
+
+    # Guards against taking the end of a response that was cut off for the
+    # beginning of the next.
+    async def test_cut_body_of_another_request_loses_the_response(self):
+        for extra in (_FIRST, _CHUNKED):
+            head_length = extra.index(b"\r\n\r\n") + 4
+            for cut in range(head_length, len(extra)):
+                with (
+                    self.subTest(extra=extra, cut=cut),
+                    self.assertRaises(
+                        endpoint_errors.EndpointResponseLostError
+                    ),
+                ):
+                    await self._call_after(extra[:cut] + _OWN)
+
+    # Guards against reading a response that ends with its connection, as its
+    # end is unknown.
+    async def test_response_after_one_without_a_length_is_lost(self):
+        script = _UNFRAMED + _OWN + b"connection: close"
+        with self.assertRaises(endpoint_errors.EndpointResponseLostError):
+            await self._call_after(script)
+
+
+if __name__ == "__main__":
+    unittest.main()
