Give up a skipped body that takes in the response after it

Cause: the body of a response to another request is read up to the end that its own head states. If it was cut off, it takes in the own response.

Change: skipped bytes, framing included, are searched for a status line as they arrive; a body that contains one ends the connection. Why this works: a response that is taken in whole has its status line in them, and one that is taken in in part fails to parse.

--- a/bronzeslip/http/checked_connection.py
+++ b/bronzeslip/http/checked_connection.py
@@ -7,6 +7,7 @@
 import httpcore
 
 from bronzeslip.http import response_boundary
+from bronzeslip.http import skipped_body
 
 # Extension of a request, which tells whether a response is one to another
 # request. It is called once for each response received.
@@ -85,8 +86,8 @@
             httpcore.RemoteProtocolError: If no other response may follow.
         """
         connection = self._connection
-        async for _ in connection._receive_response_body(request=request):
-            pass
+        timeouts = request.extensions.get("timeout", {})
+        await skipped_body.skip(connection, timeouts.get("read"))
         state = connection._h11_state
         if state.our_state is not h11.DONE or state.their_state is not h11.DONE:
             raise httpcore.RemoteProtocolError(
--- a/bronzeslip/http/response_boundary.py
+++ b/bronzeslip/http/response_boundary.py
@@ -10,6 +10,8 @@
 import re
 
 _STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
+# Length of what is recognised as a status line, in bytes.
+STATUS_LINE_BYTES = len(b"HTTP/1.1 200")
 
 
 def is_merged(
@@ -21,6 +23,11 @@
         reason_phrase: Reason phrase of the head.
         fields: Names and values of its fields.
     """
-    if _STATUS_LINE.search(reason_phrase):
+    if contains_status_line(reason_phrase):
         return True
-    return any(_STATUS_LINE.search(value) for _, value in fields)
+    return any(contains_status_line(value) for _, value in fields)
+
+
+def contains_status_line(data: bytes) -> bool:
+    """Returns whether bytes contain the status line of a response."""
+    return _STATUS_LINE.search(data) is not None
--- a/tests/platform/test_late_second_responses.py
+++ b/tests/platform/test_late_second_responses.py
@@ -4,6 +4,7 @@
 request on the connection follows it.
 """
 
+import asyncio
 import unittest
 
 from bronzeslip import ids
@@ -17,6 +18,8 @@
 
 _MAX_BYTES = 200_000
 _FAILED = b"500 Internal Server Error"
+# Far below the time limit of a request.
+_IMMEDIATE_S = 1.0
 
 
 def _response(request_id, status=b"200 OK", body=b"body"):
@@ -105,6 +108,36 @@
                 ):
                     await self._call_after(extra[:cut] + _OWN)
 
+    async def _assert_lost_at_once(self, *scripts):
+        """Asserts that q2 is lost while its connection stays open."""
+        with self.assertRaises(endpoint_errors.EndpointResponseLostError):
+            await asyncio.wait_for(
+                self._call_after(*scripts, raw_server.NO_RESPONSE), _IMMEDIATE_S
+            )
+
+    # Guards against a success in place of a failure: a response that was cut
+    # off takes in the own one, and a second one of the same id follows.
+    async def test_own_response_taken_in_by_a_body_is_not_replaced(self):
+        own = _response(b"q2", _FAILED, b"")
+        second = _response(b"q2")
+        for extra in (
+            b"HTTP/1.1 200 OK\r\nBronzeslip-Attempt-Id: q1\r\n"
+            b"Content-Length: %d\r\n\r\n" % len(own),
+            _CHUNKED.removesuffix(b"\r\n") + b"X-Trailer: v",
+            _CHUNKED.removesuffix(b"\r\n\r\n") + b";extension",
+        ):
+            with self.subTest(extra=extra):
+                await self._assert_lost_at_once(extra + own + second)
+
+    # Guards against waiting until the deadline for a response that was taken
+    # in by a longer one that was cut off, or by one to HEAD.
+    async def test_own_response_taken_in_by_a_body_is_not_awaited(self):
+        cut = _response(b"q1", body=1000 * b"x")[:-900]
+        to_head = _response(b"q1", body=1000 * b"x")[:-1000]
+        for extra in (cut, to_head):
+            with self.subTest(extra=extra):
+                await self._assert_lost_at_once(extra + _OWN)
+
     # Guards against reading a response that ends with its connection, as its
     # end is unknown.
     async def test_response_after_one_without_a_length_is_lost(self):
