Give up a response to another request that has no length at once

Cause: the body was read to the end of the connection before the gateway decided that nothing may follow it. Change: the framing is looked at first.

Test: test_response_without_a_length_is_given_up_at_once failed before (no end in 1 s). The test beside it lets the endpoint close the connection, which hid this. The test of the own response has 204 as another case, which has no length either and is skipped; it passed before too.

--- a/bronzeslip/http/checked_connection.py
+++ b/bronzeslip/http/checked_connection.py
@@ -18,6 +18,7 @@
 _MAX_SKIPPED_RESPONSES = 3
 _HTTP_VERSION = "http_version"
 _BODY_FIELDS = frozenset({b"content-length", b"transfer-encoding"})
+_NO_BODY_STATUSES = frozenset({204, 304})
 
 
 class CheckedConnection(httpcore.AsyncHTTPConnection):
@@ -85,6 +86,10 @@
         Raises:
             httpcore.RemoteProtocolError: If no other response may follow.
         """
+        if not _states_its_end(request, skipped):
+            raise httpcore.RemoteProtocolError(
+                "the response to another request ends with the connection"
+            )
         connection = self._connection
         timeouts = request.extensions.get("timeout", {})
         await skipped_body.skip(connection, timeouts.get("read"))
@@ -138,3 +143,11 @@
             if name.lower() not in _BODY_FIELDS
         ],
     )
+
+
+def _states_its_end(
+    request: httpcore.Request, response: httpcore.Response
+) -> bool:
+    if request.method == b"HEAD" or response.status in _NO_BODY_STATUSES:
+        return True
+    return any(name.lower() in _BODY_FIELDS for name, _ in response.headers)
--- a/tests/platform/test_late_second_responses.py
+++ b/tests/platform/test_late_second_responses.py
@@ -34,6 +34,7 @@
     b"HTTP/1.1 200 OK\r\nBronzeslip-Attempt-Id: q1\r\n"
     b"Transfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n0\r\n\r\n"
 )
+_NO_CONTENT = b"HTTP/1.1 204 No Content\r\nBronzeslip-Attempt-Id: q1\r\n\r\n"
 _UNFRAMED = b"HTTP/1.1 200 OK\r\nBronzeslip-Attempt-Id: q1\r\n\r\nfirst"
 
 
@@ -71,7 +72,7 @@
     # Guards against losing the response to a request, which may not be
     # repeated, because the one to an earlier request came before it.
     async def test_own_response_after_that_of_another_request_is_used(self):
-        for extra in (_FIRST, _CHUNKED, _FIRST + _CHUNKED):
+        for extra in (_FIRST, _CHUNKED, _FIRST + _CHUNKED, _NO_CONTENT):
             with self.subTest(extra=extra):
                 response = await self._call_after(extra + _OWN)
                 self.assertEqual(response.head.status, 500)
@@ -145,6 +146,11 @@
         with self.assertRaises(endpoint_errors.EndpointResponseLostError):
             await self._call_after(script)
 
+    # Guards against waiting for the end of such a response, which comes when
+    # the endpoint closes the idle connection.
+    async def test_response_without_a_length_is_given_up_at_once(self):
+        await self._assert_lost_at_once(_UNFRAMED)
+
 
 if __name__ == "__main__":
     unittest.main()
