Pass on chunked bodies without a length stated beside the chunks

What callers saw: where an endpoint sends both Content-Length and Transfer-Encoding, a body of over 1 MiB was passed on with that length. It ended there and looked complete, though the chunks went on. Cause: the head kept the stated length, which does not hold beside chunks (RFC 9112, 6.3); buffered bodies replace it, relayed ones do not. Change: a chunked response has no stated length, so that the caller gets chunks.

Test: test_length_beside_chunks_does_not_end_the_response failed before (head with the stated length, 65,536 bytes of 2 MiB and a closed connection).

--- a/bronzeslip/platform/endpoint_response.py
+++ b/bronzeslip/platform/endpoint_response.py
@@ -165,7 +165,7 @@
 def _head(
     response: httpx.Response, sender_id: ids.EndpointId
 ) -> endpoint_client.ResponseHead:
-    length = response.headers.get("content-length", "")
+    framing = _framing(response)
     return endpoint_client.ResponseHead(
         response.status_code,
         tuple(
@@ -173,8 +173,8 @@
             for name, value in response.headers.raw
             if name.lower() not in _UNFORWARDED_HEADERS
         ),
-        numbers.parse_count(length),
-        _framing(response),
+        _content_length(response, framing),
+        framing,
         _origin(response, sender_id),
     )
 
@@ -191,6 +191,15 @@
     )
 
 
+def _content_length(
+    response: httpx.Response, framing: body_framing.BodyFraming
+) -> int | None:
+    """Returns the stated length, or None if it is not that of the body."""
+    if framing is body_framing.BodyFraming.CHUNKED:
+        return None
+    return numbers.parse_count(response.headers.get("content-length", ""))
+
+
 def _framing(response: httpx.Response) -> body_framing.BodyFraming:
     if headers.TRANSFER_ENCODING.decode() in response.headers:
         return body_framing.BodyFraming.CHUNKED
--- /dev/null
+++ b/tests/platform/test_responses_to_callers.py
@@ -0,0 +1,55 @@
+"""Tests of the bytes that callers receive for responses, over loopback."""
+
+import unittest
+
+from bronzeslip.routes import kind
+from tests.support import forwarding_parts
+from tests.support import loopback_gateway
+
+_IDENTITY = b"Bronzeslip-Attempt-Id: q1\r\nBronzeslip-Response-Stamp: stamp\r\n"
+_SLICE = 64 * 1024 * b"x"
+_SLICE_COUNT = 2 * forwarding_parts.SETTINGS.response_max_bytes // len(_SLICE)
+
+
+def _chunked(fields, *parts):
+    """Returns the bytes of a response whose body has these chunks."""
+    chunks = [b"%x\r\n%s\r\n" % (len(part), part) for part in parts]
+    return (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+        + _IDENTITY
+        + fields
+        + b"\r\n"
+        + b"".join(chunks)
+        + b"0\r\n\r\n"
+    )
+
+
+class ResponsesToCallersTest(unittest.IsolatedAsyncioTestCase):
+    async def _receive(self, *scripts):
+        """Returns the head and the rest of what a caller receives."""
+        self.gateway = loopback_gateway.LoopbackGateway(*scripts)
+        await self.gateway.start(
+            forwarding_parts.create_route(kind.RequestKind.AT_MOST_ONCE)
+        )
+        self.addAsyncCleanup(self.gateway.stop)
+        received = await self.gateway.exchange(
+            loopback_gateway.create_request()
+        )
+        head, _, rest = received.partition(b"\r\n\r\n")
+        return head.split(b"\r\n"), rest
+
+    # Guards against a response that looks complete after the length that its
+    # endpoint stated beside the chunks.
+    async def test_length_beside_chunks_does_not_end_the_response(self):
+        fields = b"Content-Length: %d\r\n" % len(_SLICE)
+        head, rest = await self._receive(
+            _chunked(fields, *(_SLICE for _ in range(_SLICE_COUNT)))
+        )
+        self.assertNotIn(fields.strip().lower(), head)
+        self.assertIn(b"transfer-encoding: chunked", head)
+        self.assertEqual(rest.count(b"x"), _SLICE_COUNT * len(_SLICE))
+        self.assertTrue(rest.endswith(b"\r\n0\r\n\r\n"))
+
+
+if __name__ == "__main__":
+    unittest.main()
