Take a head with control characters for no response

What callers saw: a connection closed without a response, where an endpoint sends a field value with a control character. Cause: the HTTP client accepts most of them (RFC 9110, 5.5 forbids them all), but the server refuses to write them, after the response counts as started. Change: CheckedConnection takes such a head for no response, for every client of it: an idempotent request goes to another endpoint, others get 502. The field is not dropped instead, as it may be the stamp, and the bytes are those of a faulty server.

Test: test_control_characters_in_a_head_lose_the_response failed before (three values; nothing received in place of 502).

--- a/bronzeslip/http/checked_connection.py
+++ b/bronzeslip/http/checked_connection.py
@@ -6,6 +6,7 @@
 import h11
 import httpcore
 
+from bronzeslip.http import field_values
 from bronzeslip.http import response_boundary
 
 # Extension of a request, which tells whether a response is one to another
@@ -62,6 +63,10 @@
                 raise httpcore.RemoteProtocolError(
                     "the head contains the status line of another response"
                 )
+            if not field_values.are_valid(response.headers):
+                raise httpcore.RemoteProtocolError(
+                    "the head contains control characters"
+                )
             if is_foreign is None or not is_foreign(response):
                 return response
             if skipped_count == _MAX_SKIPPED_RESPONSES:
--- a/tests/platform/test_responses_to_callers.py
+++ b/tests/platform/test_responses_to_callers.py
@@ -5,6 +5,7 @@
 from bronzeslip.routes import kind
 from tests.support import forwarding_parts
 from tests.support import loopback_gateway
+from tests.support import raw_server
 
 _IDENTITY = b"Bronzeslip-Attempt-Id: q1\r\nBronzeslip-Response-Stamp: stamp\r\n"
 _SLICE = 64 * 1024 * b"x"
@@ -50,6 +51,17 @@
         self.assertEqual(rest.count(b"x"), _SLICE_COUNT * len(_SLICE))
         self.assertTrue(rest.endswith(b"\r\n0\r\n\r\n"))
 
+    # Guards against closing the connection of a caller without a response.
+    async def test_control_characters_in_a_head_lose_the_response(self):
+        for value in (b"a\x01b", b"a\x1b[0m", b"a\x7f"):
+            with self.subTest(value=value):
+                head, _ = await self._receive(
+                    raw_server.create_response(
+                        b"own", headers=_IDENTITY + b"X-A: " + value + b"\r\n"
+                    )
+                )
+                self.assertEqual(head[0], b"HTTP/1.1 502 Bad Gateway")
+
 
 if __name__ == "__main__":
     unittest.main()
