Drop response headers that apply to the endpoint's connection

What callers saw: fields that an endpoint names in its Connection header. They hold between endpoint and gateway only (RFC 9110, 7.6.1) and may change the meaning of what follows at the caller. Cause: only a fixed set was dropped; requests already had the rule. Change: both directions use connection_options. Request id, stamp and Retry-After are passed on even if named, as a success without its stamp is worth nothing.

Test: test_connection_options_of_an_endpoint_are_not_passed_on failed before (x-hop received).

--- a/bronzeslip/platform/endpoint_response.py
+++ b/bronzeslip/platform/endpoint_response.py
@@ -15,6 +15,7 @@
 from bronzeslip.http import bounded_transport
 from bronzeslip.http import paced_chunks
 from bronzeslip.platform import caller_response
+from bronzeslip.platform import connection_options
 from bronzeslip.platform import connection_pool
 from bronzeslip.platform import headers
 from bronzeslip.settings import entry
@@ -30,6 +31,11 @@
     headers.SERVER_LOAD,
 }
 
+# Headers that are forwarded even if the Connection header names them.
+_END_TO_END_HEADERS = frozenset(
+    {headers.REQUEST_ID, headers.RESPONSE_STAMP, headers.RETRY_AFTER}
+)
+
 
 class HttpEndpointResponse:
     """Response that is read from a pooled connection.
@@ -166,12 +172,15 @@
     response: httpx.Response, sender_id: ids.EndpointId
 ) -> endpoint_client.ResponseHead:
     framing = _framing(response)
+    fields = [(name.lower(), value) for name, value in response.headers.raw]
+    options = connection_options.named_in(fields) - _END_TO_END_HEADERS
+    dropped = _UNFORWARDED_HEADERS | options
     return endpoint_client.ResponseHead(
         response.status_code,
         tuple(
             incoming.HeaderField(name, value)
-            for name, value in response.headers.raw
-            if name.lower() not in _UNFORWARDED_HEADERS
+            for name, value in fields
+            if name not in dropped
         ),
         _content_length(response, framing),
         framing,
--- a/bronzeslip/platform/request_decoder.py
+++ b/bronzeslip/platform/request_decoder.py
@@ -7,9 +7,14 @@
 from bronzeslip.forwarding import errors
 from bronzeslip.forwarding import incoming
 from bronzeslip.forwarding import prompt
+from bronzeslip.platform import connection_options
 from bronzeslip.platform import headers
 
 _MS_PER_S = 1000
+# Headers that are forwarded even if the Connection header names them.
+_END_TO_END_HEADERS = frozenset(
+    {headers.REQUEST_ID, headers.HOST, headers.CONTENT_LENGTH}
+)
 
 
 def decode(
@@ -52,11 +57,8 @@
 def _forwarded_headers(
     received: list[tuple[bytes, bytes]],
 ) -> tuple[incoming.HeaderField, ...]:
-    dropped = (
-        headers.HOP_BY_HOP
-        | headers.INTERNAL_ONLY
-        | _connection_options(received)
-    )
+    options = connection_options.named_in(received) - _END_TO_END_HEADERS
+    dropped = headers.HOP_BY_HOP | headers.INTERNAL_ONLY | options
     return tuple(
         incoming.HeaderField(name, value)
         for name, value in received
@@ -64,16 +66,6 @@
     )
 
 
-def _connection_options(received: list[tuple[bytes, bytes]]) -> set[bytes]:
-    """Returns the headers that the Connection header makes hop-by-hop."""
-    return {
-        token.strip().lower()
-        for name, value in received
-        if name == headers.CONNECTION
-        for token in value.split(b",")
-    } - {headers.REQUEST_ID, headers.HOST, headers.CONTENT_LENGTH}
-
-
 def _host(fields: dict[bytes, bytes]) -> str:
     host = _decode_text(fields.get(headers.HOST, b"")).lower()
     name, separator, port = host.rpartition(":")
--- a/tests/platform/test_responses_to_callers.py
+++ b/tests/platform/test_responses_to_callers.py
@@ -62,6 +62,29 @@
                 )
                 self.assertEqual(head[0], b"HTTP/1.1 502 Bad Gateway")
 
+    # Guards against passing on fields that hold for the connection between
+    # gateway and endpoint only.
+    async def test_connection_options_of_an_endpoint_are_not_passed_on(self):
+        head, _ = await self._receive(
+            raw_server.create_response(
+                b"own",
+                headers=_IDENTITY + b"Connection: X-Hop, Upgrade\r\n"
+                b"X-Hop: 1\r\nUpgrade: h2c\r\nX-End: 2\r\n",
+            )
+        )
+        names = {line.partition(b":")[0] for line in head}
+        self.assertFalse(names & {b"x-hop", b"upgrade"})
+        self.assertIn(b"x-end: 2", head)
+        self.assertEqual(head.count(b"connection: close"), 1)
+
+    # Guards against a success without the stamp of its endpoint.
+    async def test_stamp_is_passed_on_even_as_a_connection_option(self):
+        option = b"Connection: Bronzeslip-Response-Stamp\r\n"
+        head, _ = await self._receive(
+            raw_server.create_response(b"own", headers=_IDENTITY + option)
+        )
+        self.assertIn(b"bronzeslip-response-stamp: stamp", head)
+
 
 if __name__ == "__main__":
     unittest.main()
