Reject requests that state their id or host more than once

What callers saw: 502. With two ids the request ran, its response named one of them and the gateway, which went by the other, took it for a foreign one. With two hosts the HTTP client refused to send it, which counted as a response that the endpoint had lost; that can look like a crash. Cause: the last value of a repeated header was taken, and all were forwarded. Change: the decoder rejects both with 400 (RFC 9112, 3.2 asks it for the host).

--- a/bronzeslip/platform/request_decoder.py
+++ b/bronzeslip/platform/request_decoder.py
@@ -16,6 +16,10 @@
     {headers.REQUEST_ID, headers.HOST, headers.CONTENT_LENGTH}
 )
 
+# Headers whose values decide which response belongs to the request, and whether
+# it can be sent at all.
+_SINGLE_HEADERS = (headers.REQUEST_ID, headers.HOST)
+
 
 def decode(
     scope: dict[str, Any], body: bytes, arrived_s: float
@@ -29,9 +33,10 @@
             loop's clock.
 
     Raises:
-        errors.BadRequestError: If the request has no id or its deadline is not
-            a number.
+        errors.BadRequestError: If the request has no id, states its id or host
+            more than once, or its deadline is not a number.
     """
+    _raise_if_repeated(scope["headers"])
     fields: dict[bytes, bytes] = dict(scope["headers"])
     request_id = fields.get(headers.REQUEST_ID, b"")
     if not request_id:
@@ -54,6 +59,15 @@
     )
 
 
+def _raise_if_repeated(received: list[tuple[bytes, bytes]]) -> None:
+    names = [name for name, _ in received]
+    for name in _SINGLE_HEADERS:
+        if names.count(name) > 1:
+            raise errors.BadRequestError(
+                f"header {name.decode()} is present more than once"
+            )
+
+
 def _forwarded_headers(
     received: list[tuple[bytes, bytes]],
 ) -> tuple[incoming.HeaderField, ...]:
--- a/tests/platform/test_request_decoder.py
+++ b/tests/platform/test_request_decoder.py
@@ -71,6 +71,21 @@
         self.assertIn(b"bronzeslip-attempt-id", _names(request))
         self.assertIn(b"host", _names(request))
 
+    # Guards against running a request whose response can't be recognized, and
+    # against counting one that can't be sent as lost by its endpoint.
+    def test_repeated_id_or_host_is_rejected(self):
+        for field in (
+            (b"bronzeslip-attempt-id", b"9c42"),
+            (b"bronzeslip-attempt-id", b"9c41"),
+            (b"bronzeslip-attempt-id", b""),
+            (b"host", b"other.example"),
+        ):
+            with (
+                self.subTest(field=field),
+                self.assertRaises(errors.BadRequestError),
+            ):
+                _decode(field)
+
     def test_prompt_shape_is_decoded(self):
         request = _decode(
             (b"bronzeslip-model", b"m"),
