Reject requests for a tunnel

What callers saw: 500 for a request with the method CONNECT, after it had been sent to an endpoint. Cause: the HTTP client takes what follows a success for a tunnel, whose stream has no counts of responses (AttributeError). Change: the decoder rejects it with 400.

Test: tests.platform.test_tunnels failed before (500, one request at the endpoint).

--- a/bronzeslip/platform/request_decoder.py
+++ b/bronzeslip/platform/request_decoder.py
@@ -11,6 +11,8 @@
 from bronzeslip.platform import headers
 
 _MS_PER_S = 1000
+# What follows a success is not HTTP.
+_TUNNEL_METHOD = "CONNECT"
 # Headers that are forwarded even if the Connection header names them.
 _END_TO_END_HEADERS = frozenset(
     {headers.REQUEST_ID, headers.HOST, headers.CONTENT_LENGTH}
@@ -34,8 +36,10 @@
 
     Raises:
         errors.BadRequestError: If the request has no id, states its id or host
-            more than once, or its deadline is not a number.
+            more than once, asks for a tunnel, or its deadline is not a number.
     """
+    if scope["method"] == _TUNNEL_METHOD:
+        raise errors.BadRequestError("tunnels are not supported")
     _raise_if_repeated(scope["headers"])
     fields: dict[bytes, bytes] = dict(scope["headers"])
     request_id = fields.get(headers.REQUEST_ID, b"")
