Reject request bodies with an unknown transfer coding

What callers saw: "gzip, chunked" reached the endpoint without the chunks and without the field that names the other coding, so that it ran with another body than the caller's; for other codings the connection was closed without a response. Cause: the parser removes the chunks and accepts any coding before them. Change: only chunked is accepted, the rest gets 501 (RFC 9112, 6.1).

Test: test_unknown_transfer_coding_is_rejected failed before for all four codings (200 for two, nothing for two).

--- a/bronzeslip/http/limited_protocol.py
+++ b/bronzeslip/http/limited_protocol.py
@@ -74,6 +74,12 @@
     400,
     "a request that asks for another protocol can't have a body",
 )
+_UNKNOWN_CODING = problem.create(
+    "unknown-transfer-coding",
+    "Unknown transfer coding",
+    501,
+    "the only supported transfer coding is chunked",
+)
 _FRAMING_TOO_LARGE = problem.create(
     "framing-too-large",
     "Framing too large",
@@ -438,6 +444,8 @@
         if self.parser.should_upgrade() and self._has_body():
             # The parser would skip the body.
             return _UPGRADE_WITH_BODY
+        if self._has_unknown_coding():
+            return _UNKNOWN_CODING
         stated_bytes = self._find_stated_bytes()
         if limits.max_body_bytes is not None and stated_bytes is not None:
             return (
@@ -476,6 +484,13 @@
             for name, value in self.headers
         )
 
+    def _has_unknown_coding(self) -> bool:
+        # The parser only removes the chunks.
+        return any(
+            name == b"transfer-encoding" and value.lower() != b"chunked"
+            for name, value in self.headers
+        )
+
     def _release_request(self) -> None:
         """Drops the head of a request that has been served."""
         self._field_bytes = 0
--- a/tests/http/test_limited_protocol.py
+++ b/tests/http/test_limited_protocol.py
@@ -9,6 +9,12 @@
 from bronzeslip.settings import http
 
 _REQUEST = b"GET / HTTP/1.1\r\nhost: x\r\n"
+_UNKNOWN_CODINGS = (
+    b"gzip, chunked",
+    b"gzip\r\ntransfer-encoding: chunked",
+    b"identity",
+    b"xchunked",
+)
 
 
 class StreamingApp:
@@ -116,6 +122,19 @@
                 self.assert_problem(response, 400, "upgrade-with-body")
         self.assertEqual(app.request_count, 0)
 
+    # Guards against a body that its application takes for another one.
+    async def test_unknown_transfer_coding_is_rejected(self):
+        app = StreamingApp()
+        await self.start(app)
+        head = b"POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: "
+        for coding in _UNKNOWN_CODINGS:
+            with self.subTest(coding=coding):
+                response = await self.exchange(
+                    head + coding + b"\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+                )
+                self.assert_problem(response, 501, "unknown-transfer-coding")
+        self.assertEqual(app.request_count, 0)
+
     async def test_large_headers(self):
         app = StreamingApp()
         await self.start(app, max_header_bytes=2000)
