Record announcements of responses to the request only

What operators saw: an endpoint paused, limited or marked as leaving by a response without an id that followed another one on its connection. Such a response is an earlier one, written once more; what it states no longer holds. With Retry-After: 30 no request goes there for 30 s. Cause: announcements were recorded before the response was matched with the request. Change: the response is matched first.

--- a/bronzeslip/platform/endpoint_http.py
+++ b/bronzeslip/platform/endpoint_http.py
@@ -108,13 +108,8 @@
         pool = self._get_pool(self._pools, outgoing.endpoint)
         sent_s = asyncio.get_running_loop().time()
         response = await self._exchange(
-            outgoing.endpoint, pool, request, outgoing.request.request_id
+            outgoing.endpoint, pool, request, matcher
         )
-        if matcher.match is not response_match.ResponseMatch.OWN:
-            await response.abort()
-            raise endpoint_errors.EndpointResponseLostError(
-                "received a response that names no request"
-            )
         # Control calls and errors need not state a limit that is in force.
         if response.head.is_success and not response.states_limit:
             self._endpoints.request_limits.end(outgoing.endpoint, sent_s)
@@ -256,7 +251,7 @@
         target: endpoint.Endpoint,
         pool: connection_pool.ConnectionPool,
         request: httpx.Request,
-        request_id: ids.RequestId | None = None,
+        matcher: response_matcher.ResponseMatcher | None = None,
     ) -> endpoint_response.HttpEndpointResponse:
         """Sends a request and reads the head of its response.
 
@@ -264,13 +259,14 @@
             target: Endpoint that receives it.
             pool: Connections to the endpoint.
             request: The request.
-            request_id: Id of the caller's request, None for control calls.
+            matcher: Matcher of the responses to a caller's request, None for
+                control calls.
         """
         if self._endpoints.pause_remaining_s(target):
             raise endpoint_errors.EndpointRefusedError(
                 "the endpoint has asked for a pause"
             )
-        connection = await pool.acquire(request_id)
+        connection = await pool.acquire(matcher and matcher.request_id)
         try:
             response = await connection.transport.handle_async_request(request)
         except httpx.ConnectError as error:
@@ -295,6 +291,12 @@
             raise endpoint_errors.EndpointResponseLostError(
                 f"invalid status {response.status_code}"
             )
+        if matcher and matcher.match is not response_match.ResponseMatch.OWN:
+            await response.stream.aclose()
+            await connection.transport.aclose()
+            raise endpoint_errors.EndpointResponseLostError(
+                "received a response that names no request"
+            )
         endpoint_announcements.record(self._endpoints, target, response)
         return endpoint_response.HttpEndpointResponse(
             response, connection, pool, self._settings, target.endpoint_id
--- a/bronzeslip/platform/response_matcher.py
+++ b/bronzeslip/platform/response_matcher.py
@@ -4,6 +4,7 @@
 
 import httpcore
 
+from bronzeslip import ids
 from bronzeslip import logs
 from bronzeslip.forwarding import dispatch
 from bronzeslip.platform import headers
@@ -30,6 +31,11 @@
         self._outgoing = outgoing
         self.match = response_match.ResponseMatch.UNNAMED
 
+    @property
+    def request_id(self) -> ids.RequestId:
+        """Id of the request."""
+        return self._outgoing.request.request_id
+
     def is_foreign(self, response: httpcore.Response) -> bool:
         """Returns whether a response is one to another request.
 
--- a/tests/support/forwarding_parts.py
+++ b/tests/support/forwarding_parts.py
@@ -12,6 +12,7 @@
 from bronzeslip.entry import vm_config
 from bronzeslip.forwarding import admitted
 from bronzeslip.forwarding import assembly
+from bronzeslip.forwarding import dispatch
 from bronzeslip.forwarding import incoming
 from bronzeslip.forwarding import prompt
 from bronzeslip.memory import budget
@@ -141,6 +142,12 @@
     return incoming.IncomingRequest(**{**values, **changes})
 
 
+def create_dispatch(target, request_id):
+    """Returns a request that is about to be sent to an endpoint."""
+    request = create_request(request_id=ids.RequestId(request_id))
+    return dispatch.Dispatch(request, target, remaining_s=2.0)
+
+
 def create_generation_request(**changes):
     """Returns a request for a long generation."""
     shape = prompt.PromptShape("m", 3000, 2000, 1000)
