Use the checked transport for sidecars, engines and the store

What callers saw: where an endpoint behind a sidecar sends a response once more, the next call got it as its own; for a call that runs at most once it was kept with the claim as well. Loads of engines and objects of the product's store lagged behind in the same way. Cause: these clients used the HTTP library's own pool, which takes the bytes that follow a response for the next one. Change: they use BoundedTransport (url_transport), so that such connections are replaced and heads made up of two responses are lost.

A response that arrives late, exactly when the next one is due, is still taken for it: these requests carry no id that is echoed. The CLI's clients are as before; they ask the system's own gateways.

--- a/bronzeslip/engine/client.py
+++ b/bronzeslip/engine/client.py
@@ -14,6 +14,7 @@
 from bronzeslip.decoding import untrusted
 from bronzeslip.engine import errors
 from bronzeslip.engine import messages
+from bronzeslip.http import url_transport
 
 _CONNECT_TIMEOUT_S = 1.0
 _CALL_TIMEOUT_S = 5.0
@@ -39,18 +40,15 @@
             transport: Transport to use in place of TCP, for tests.
         """
         timeout = httpx.Timeout(_CALL_TIMEOUT_S, connect=_CONNECT_TIMEOUT_S)
-        limits = httpx.Limits(max_connections=None)
         self._http = httpx.AsyncClient(
             base_url=base_url,
             timeout=timeout,
-            limits=limits,
-            transport=transport,
+            transport=transport or url_transport.create(),
         )
         self._unpooled_http = httpx.AsyncClient(
             base_url=base_url,
             timeout=timeout,
-            limits=httpx.Limits(max_keepalive_connections=0),
-            transport=transport,
+            transport=transport or url_transport.create(max_idle_connections=0),
         )
 
     async def close(self) -> None:
--- a/bronzeslip/http/bounded_transport.py
+++ b/bronzeslip/http/bounded_transport.py
@@ -15,7 +15,7 @@
 
 # Idle connections are closed after this time, whatever the server allows: what
 # lies between may have dropped them without notice.
-_IDLE_TIMEOUT_S = 5.0
+IDLE_TIMEOUT_S = 5.0
 # Turns of the event loop in which a connection may still be opened after its
 # timeout. It takes five; the others are in reserve.
 _TURNS_AFTER_TIMEOUT = 10
@@ -23,7 +23,7 @@
 
 @functools.cache
 def _unused_ssl_context() -> ssl.SSLContext:
-    """Returns the context of all transports, which use plain TCP.
+    """Returns the context of the base class, which is not used.
 
     The HTTP client would create one with the CA certificates for each.
     """
@@ -141,21 +141,30 @@
     def __init__(
         self,
         max_head_bytes: int,
-        max_connections: int,
+        max_connections: int | None,
         socket_options: Iterable[Any] = (),
+        max_idle_connections: int | None = None,
+        idle_timeout_s: float = IDLE_TIMEOUT_S,
+        ssl_context: ssl.SSLContext | None = None,
     ) -> None:
-        """Creates a transport for plain TCP.
+        """Creates a transport.
 
         Args:
             max_head_bytes: Limit on the bytes read before the final response
                 head is complete.
-            max_connections: Limit on concurrent connections.
+            max_connections: Limit on concurrent connections, or None.
             socket_options: Options of the sockets.
+            max_idle_connections: Limit on idle connections; by default, that on
+                concurrent ones. With 0, each request uses a new connection.
+            idle_timeout_s: Time after which an idle connection is closed.
+            ssl_context: TLS settings for https, or None for plain TCP only.
         """
         super().__init__(verify=_unused_ssl_context(), trust_env=False)
         self._pool = checked_connection_pool.CheckedConnectionPool(
+            ssl_context=ssl_context,
             max_connections=max_connections,
-            keepalive_expiry=_IDLE_TIMEOUT_S,
+            max_keepalive_connections=max_idle_connections,
+            keepalive_expiry=idle_timeout_s,
             socket_options=tuple(socket_options),
             network_backend=_CountingBackend(),
         )
--- a/bronzeslip/http/checked_connection_pool.py
+++ b/bronzeslip/http/checked_connection_pool.py
@@ -6,7 +6,7 @@
 
 
 class CheckedConnectionPool(httpcore.AsyncConnectionPool):
-    """Pool for plain TCP that replaces connections with unread bytes."""
+    """Pool that replaces connections with unread bytes."""
 
     def create_connection(
         self, origin: httpcore.Origin
@@ -14,6 +14,7 @@
         """Creates a connection to a server."""
         return checked_connection.CheckedConnection(
             origin=origin,
+            ssl_context=self._ssl_context,
             keepalive_expiry=self._keepalive_expiry,
             network_backend=self._network_backend,
             socket_options=self._socket_options,
--- a/bronzeslip/sidecar/calls.py
+++ b/bronzeslip/sidecar/calls.py
@@ -8,6 +8,7 @@
 from bronzeslip import logs
 from bronzeslip.admission import errors as admission_errors
 from bronzeslip.admission import gate
+from bronzeslip.http import url_transport
 from bronzeslip.metrics import sidecar_metrics
 from bronzeslip.settings import sidecar
 from bronzeslip.sidecar import call_table
@@ -35,9 +36,7 @@
         self._admission = admission
         self._endpoint_url = httpx.URL(settings.endpoint_url)
         self._http = httpx.AsyncClient(
-            limits=httpx.Limits(
-                max_connections=None, keepalive_expiry=_KEEPALIVE_EXPIRY_S
-            ),
+            transport=url_transport.create(idle_timeout_s=_KEEPALIVE_EXPIRY_S)
         )
         self._table = call_table.CallTable(
             settings, incarnation_id, self._admit_and_send
--- a/bronzeslip/store/client.py
+++ b/bronzeslip/store/client.py
@@ -10,10 +10,13 @@
 from bronzeslip import ids
 from bronzeslip.decoding import errors as decoding_errors
 from bronzeslip.decoding import untrusted
+from bronzeslip.http import url_transport
 from bronzeslip.store import errors
 from bronzeslip.store import objects
 
 _WATCH_TIMEOUT_MARGIN_S = 2.0
+_MAX_CONNECTIONS = 100
+_MAX_IDLE_CONNECTIONS = 20
 _PRECONDITION_FAILED_STATUS = 412
 _TOO_LARGE_STATUS = 413
 _GONE_STATUS = 410
@@ -44,7 +47,10 @@
         """
         self._on_call = on_call or _ignore_call
         self._http = httpx.AsyncClient(
-            base_url=base_url, timeout=timeout_s, transport=transport
+            base_url=base_url,
+            timeout=timeout_s,
+            transport=transport
+            or url_transport.create(_MAX_CONNECTIONS, _MAX_IDLE_CONNECTIONS),
         )
 
     async def close(self) -> None:
--- a/tests/sidecar/test_calls.py
+++ b/tests/sidecar/test_calls.py
@@ -2,13 +2,9 @@
 
 import unittest
 
-from bronzeslip.admission import gate
 from bronzeslip.http import server
-from bronzeslip.metrics import sidecar_metrics
 from bronzeslip.settings import http
-from bronzeslip.settings import sidecar
-from bronzeslip.sidecar import calls
-from bronzeslip.transport.frames import call as frames
+from tests.support import call_runners
 
 
 class RecordingEndpoint:
@@ -37,27 +33,9 @@
         return endpoint, f"127.0.0.1:{instance.port}"
 
     async def run_call(self, address, path):
-        settings = sidecar.SidecarSettings(
-            vm_id="vm-0",
-            region="brum",
-            failure_domain="brum-1",
-            peer_key="key",
-            platform_url="http://127.0.0.1:1",
-            endpoint_id="ledger-0",
-            pool="ledger",
-            endpoint_url=f"http://{address}",
-        )
-        runner = calls.CallRunner(
-            settings,
-            "incarnation",
-            gate.AdmissionGate(settings),
-            sidecar_metrics.SidecarMetrics(),
-        )
-        start = frames.StartCall(
-            "c1", "r1", "clerks", "awards", "GET", path, (), b"", True, 5.0
-        )
+        runner = call_runners.create(f"http://{address}")
         try:
-            return await runner.run(start)
+            return await runner.run(call_runners.create_start(path))
         finally:
             await runner.close()
 
