--- a/bronzeslip/platform/endpoint_response.py
+++ b/bronzeslip/platform/endpoint_response.py
@@ -15,6 +15,7 @@
 from bronzeslip.http import bounded_transport
 from bronzeslip.http import paced_chunks
 from bronzeslip.platform import caller_response
+from bronzeslip.platform import connection_options
 from bronzeslip.platform import connection_pool
 from bronzeslip.platform import headers
 from bronzeslip.settings import entry
@@ -30,6 +31,11 @@
     headers.SERVER_LOAD,
 }
 
+# Headers that are forwarded even if the Connection header names them.
+_END_TO_END_HEADERS = frozenset(
+    {headers.REQUEST_ID, headers.RESPONSE_STAMP, headers.RETRY_AFTER}
+)
+
 
 class HttpEndpointResponse:
     """Response that is read from a pooled connection.
@@ -165,16 +171,19 @@
 def _head(
     response: httpx.Response, sender_id: ids.EndpointId
 ) -> endpoint_client.ResponseHead:
-    length = response.headers.get("content-length", "")
+    framing = _framing(response)
+    fields = [(name.lower(), value) for name, value in response.headers.raw]
+    options = connection_options.named_in(fields) - _END_TO_END_HEADERS
+    dropped = _UNFORWARDED_HEADERS | options
     return endpoint_client.ResponseHead(
         response.status_code,
         tuple(
             incoming.HeaderField(name, value)
-            for name, value in response.headers.raw
-            if name.lower() not in _UNFORWARDED_HEADERS
+            for name, value in fields
+            if name not in dropped
         ),
-        numbers.parse_count(length),
-        _framing(response),
+        _content_length(response, framing),
+        framing,
         _origin(response, sender_id),
     )
 
@@ -191,6 +200,15 @@
     )
 
 
+def _content_length(
+    response: httpx.Response, framing: body_framing.BodyFraming
+) -> int | None:
+    """Returns the stated length, or None if it is not that of the body."""
+    if framing is body_framing.BodyFraming.CHUNKED:
+        return None
+    return numbers.parse_count(response.headers.get("content-length", ""))
+
+
 def _framing(response: httpx.Response) -> body_framing.BodyFraming:
     if headers.TRANSFER_ENCODING.decode() in response.headers:
         return body_framing.BodyFraming.CHUNKED
--- a/bronzeslip/platform/request_decoder.py
+++ b/bronzeslip/platform/request_decoder.py
@@ -7,9 +7,20 @@
 from bronzeslip.forwarding import errors
 from bronzeslip.forwarding import incoming
 from bronzeslip.forwarding import prompt
+from bronzeslip.platform import connection_options
 from bronzeslip.platform import headers
 
 _MS_PER_S = 1000
+# What follows a success is not HTTP.
+_TUNNEL_METHOD = "CONNECT"
+# Headers that are forwarded even if the Connection header names them.
+_END_TO_END_HEADERS = frozenset(
+    {headers.REQUEST_ID, headers.HOST, headers.CONTENT_LENGTH}
+)
+
+# Headers whose values decide which response belongs to the request, and whether
+# it can be sent at all.
+_SINGLE_HEADERS = (headers.REQUEST_ID, headers.HOST)
 
 
 def decode(
@@ -24,9 +35,12 @@
             loop's clock.
 
     Raises:
-        errors.BadRequestError: If the request has no id or its deadline is not
-            a number.
+        errors.BadRequestError: If the request has no id, states its id or host
+            more than once, asks for a tunnel, or its deadline is not a number.
     """
+    if scope["method"] == _TUNNEL_METHOD:
+        raise errors.BadRequestError("tunnels are not supported")
+    _raise_if_repeated(scope["headers"])
     fields: dict[bytes, bytes] = dict(scope["headers"])
     request_id = fields.get(headers.REQUEST_ID, b"")
     if not request_id:
@@ -49,14 +63,20 @@
     )
 
 
+def _raise_if_repeated(received: list[tuple[bytes, bytes]]) -> None:
+    names = [name for name, _ in received]
+    for name in _SINGLE_HEADERS:
+        if names.count(name) > 1:
+            raise errors.BadRequestError(
+                f"header {name.decode()} is present more than once"
+            )
+
+
 def _forwarded_headers(
     received: list[tuple[bytes, bytes]],
 ) -> tuple[incoming.HeaderField, ...]:
-    dropped = (
-        headers.HOP_BY_HOP
-        | headers.INTERNAL_ONLY
-        | _connection_options(received)
-    )
+    options = connection_options.named_in(received) - _END_TO_END_HEADERS
+    dropped = headers.HOP_BY_HOP | headers.INTERNAL_ONLY | options
     return tuple(
         incoming.HeaderField(name, value)
         for name, value in received
@@ -64,16 +84,6 @@
     )
 
 
-def _connection_options(received: list[tuple[bytes, bytes]]) -> set[bytes]:
-    """Returns the headers that the Connection header makes hop-by-hop."""
-    return {
-        token.strip().lower()
-        for name, value in received
-        if name == headers.CONNECTION
-        for token in value.split(b",")
-    } - {headers.REQUEST_ID, headers.HOST, headers.CONTENT_LENGTH}
-
-
 def _host(fields: dict[bytes, bytes]) -> str:
     host = _decode_text(fields.get(headers.HOST, b"")).lower()
     name, separator, port = host.rpartition(":")
