Reject interim responses that take in the final one

Without a second response the request waits until its deadline.

Change: heads are checked where they are parsed, interim ones too, in CheckedHttp11Connection; CheckedConnection no longer checks the final one by itself.

--- a/bronzeslip/http/checked_connection.py
+++ b/bronzeslip/http/checked_connection.py
@@ -6,7 +6,7 @@
 import h11
 import httpcore
 
-from bronzeslip.http import response_boundary
+from bronzeslip.http import checked_http11_connection
 from bronzeslip.http import skipped_body
 
 # Extension of a request, which tells whether a response is one to another
@@ -43,6 +43,7 @@
             httpcore.RemoteProtocolError: If the bytes received are not the
                 response to this request.
         """
+        await self._open(request)
         response = await super().handle_async_request(request)
         try:
             return await self._own_response(request, response)
@@ -51,6 +52,21 @@
             await self.aclose()
             raise
 
+    async def _open(self, request: httpcore.Request) -> None:
+        # The library offers no other way to choose the type of connection.
+        try:
+            async with self._request_lock:
+                if self._connection is None:
+                    stream = await self._connect(request)
+                    self._connection = (
+                        checked_http11_connection.CheckedHttp11Connection(
+                            self._origin, stream, self._keepalive_expiry
+                        )
+                    )
+        except BaseException:
+            self._connect_failed = True
+            raise
+
     async def _own_response(
         self, request: httpcore.Request, response: httpcore.Response
     ) -> httpcore.Response:
@@ -58,12 +74,6 @@
         skipped_count = 0
         while True:
             response.extensions["network_stream"].use.response_count += 1
-            if response_boundary.is_merged(
-                response.extensions["reason_phrase"], response.headers
-            ):
-                raise httpcore.RemoteProtocolError(
-                    "the head contains the status line of another response"
-                )
             if is_foreign is None or not is_foreign(response):
                 return response
             if skipped_count == _MAX_SKIPPED_RESPONSES:
--- /dev/null
+++ b/bronzeslip/http/checked_http11_connection.py
@@ -0,0 +1,51 @@
+"""HTTP/1.1 connection whose response heads are those of one response each."""
+
+import http
+
+import h11
+import httpcore
+
+from bronzeslip.http import response_boundary
+
+_HTTP_PREFIX = b"HTTP/"
+
+
+class CheckedHttp11Connection(httpcore.AsyncHTTP11Connection):
+    """Connection that rejects heads made up of two responses.
+
+    Interim responses are checked too. The library drops them, and with them
+    the final head that one has taken in.
+    """
+
+    async def _receive_response_headers(
+        self, request: httpcore.Request
+    ) -> tuple[bytes, int, bytes, list[tuple[bytes, bytes]], bytes]:
+        timeouts = request.extensions.get("timeout", {})
+        is_final = False
+        while not is_final:
+            head = await self._receive_event(timeouts.get("read"))
+            if isinstance(head, h11.Response | h11.InformationalResponse):
+                _check_boundary(head)
+                is_final = _is_final(head)
+        unread, _ = self._h11_state.trailing_data
+        return (
+            _HTTP_PREFIX + head.http_version,
+            head.status_code,
+            head.reason,
+            head.headers.raw_items(),
+            unread,
+        )
+
+
+def _is_final(head: h11.Response | h11.InformationalResponse) -> bool:
+    return (
+        isinstance(head, h11.Response)
+        or head.status_code == http.HTTPStatus.SWITCHING_PROTOCOLS
+    )
+
+
+def _check_boundary(head: h11.Response | h11.InformationalResponse) -> None:
+    if response_boundary.is_merged(head.reason, head.headers):
+        raise httpcore.RemoteProtocolError(
+            "the head contains the status line of another response"
+        )
--- a/tests/platform/test_responses_of_parts.py
+++ b/tests/platform/test_responses_of_parts.py
@@ -134,6 +134,44 @@
         ]
         self.assertEqual(merged_cuts, [])
 
+    # Guards against a failure that is lost in the head of an interim response
+    # that broke off, and a success of the same id that is taken in its place.
+    async def test_failure_is_not_merged_with_an_interim_response(self):
+        first = _response(b"q1", _OK)
+        failure = (
+            b"HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n"
+            b"Bronzeslip-Attempt-Id: q2\r\n\r\n"
+        )
+        second = _response(b"q2", _OK)
+        interim = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+        merged_cuts = [
+            cut
+            for cut in range(1, _head_length(interim))
+            if await self._is_merged(
+                failure, first, interim[:cut] + failure + second
+            )
+        ]
+        self.assertEqual(merged_cuts, [])
+
+    async def test_response_after_interim_ones_is_used(self):
+        interim = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+        await self._start_endpoint(2 * interim + _response(b"q1", _OK))
+        self.assertEqual((await self._call("q1")).body, b"body of q1")
+
+    # Guards against waiting until the deadline for a response whose head was
+    # lost in that of an interim one.
+    async def test_failure_merged_with_an_interim_response_is_not_awaited(self):
+        failure = (
+            b"HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n"
+            b"Bronzeslip-Attempt-Id: q1\r\n\r\n"
+        )
+        await self._start_endpoint(
+            b"HTTP/1.1 103 Early Hints\r\nLink: </a>" + failure,
+            raw_server.NO_RESPONSE,
+        )
+        with self.assertRaises(endpoint_errors.EndpointResponseLostError):
+            await asyncio.wait_for(self._call("q1"), 1.0)
+
     async def _verdict_after(self, first, next_bytes):
         """Returns what the response to q2 states, or None if it is lost."""
         await self._start_endpoint(first, next_bytes)
