Take no success that answers CONNECT

Cause: after a success of CONNECT the parser takes all that follows for a tunnel and returns no body, and the library wraps the stream, whose count of responses is then not found. Change: such a response is lost. One that truly has no body is lost too, as the two look alike.

Test: test_success_of_a_connect_request_is_lost failed before in both cases with AttributeError, and on because the success was taken.

--- a/bronzeslip/http/checked_connection.py
+++ b/bronzeslip/http/checked_connection.py
@@ -46,6 +46,11 @@
         await self._open(request)
         response = await super().handle_async_request(request)
         try:
+            # The parser reads no body after CONNECT.
+            if self._connection._h11_state.their_state is h11.SWITCHED_PROTOCOL:
+                raise httpcore.RemoteProtocolError(
+                    "the connection became a tunnel"
+                )
             return await self._own_response(request, response)
         except BaseException:
             await response.aclose()
--- a/tests/platform/test_endpoint_http.py
+++ b/tests/platform/test_endpoint_http.py
@@ -84,6 +84,22 @@
         ):
             self.assertIn(line + b"\r\n", sent)
 
+    # Guards against a success without its body, and against an error of the
+    # gateway's own, as the parser takes what follows for a tunnel.
+    async def test_success_of_a_connect_request_is_lost(self):
+        for body in (b"", b"ok"):
+            with self.subTest(body=body):
+                await self._start_server(
+                    raw_server.create_response(body, headers=_echo(b"q1"))
+                )
+                request = forwarding_parts.create_request(
+                    method="CONNECT", body=b""
+                )
+                with self.assertRaises(
+                    endpoint_errors.EndpointResponseLostError
+                ):
+                    await self._call("q1", request=request)
+
     async def test_connection_is_reused_within_the_keep_alive_timeout(self):
         await self._start_server(
             raw_server.create_response(b"a", headers=_echo(b"q1")),
