Skip no response that may be the one to the request

Cause: any value that differs from the id counted as that of another request, so the own response was skipped and the next one awaited. Change: a response that states several ids counts as ambiguous and ends the connection.

Test: test_response_that_names_its_request_twice_is_not_skipped failed before in both cases (no end in 1 s).

--- a/bronzeslip/platform/response_match.py
+++ b/bronzeslip/platform/response_match.py
@@ -8,6 +8,8 @@
 
 from bronzeslip import ids
 
+_SEPARATOR = ","
+
 
 class ResponseMatch(enum.Enum):
     """Relation of a response to the request that awaits one."""
@@ -17,6 +19,8 @@
     FOREIGN = "foreign"
     # The response names no request and follows others on its connection.
     UNNAMED = "unnamed"
+    # The response names several requests, or its own several times.
+    AMBIGUOUS = "ambiguous"
 
 
 def match(
@@ -37,4 +41,6 @@
         return ResponseMatch.OWN if is_first else ResponseMatch.UNNAMED
     if echoed_request_id == request_id:
         return ResponseMatch.OWN
+    if _SEPARATOR in echoed_request_id:
+        return ResponseMatch.AMBIGUOUS
     return ResponseMatch.FOREIGN
--- a/tests/platform/test_late_second_responses.py
+++ b/tests/platform/test_late_second_responses.py
@@ -151,6 +151,13 @@
     async def test_response_without_a_length_is_given_up_at_once(self):
         await self._assert_lost_at_once(_UNFRAMED)
 
+    # Guards against waiting until the deadline after the own response, because
+    # it states its request twice.
+    async def test_response_that_names_its_request_twice_is_not_skipped(self):
+        for values in (b"q2\r\nBronzeslip-Attempt-Id: q2", b"q1, q2"):
+            with self.subTest(values=values):
+                await self._assert_lost_at_once(_response(values))
+
 
 if __name__ == "__main__":
     unittest.main()
