Look for a tunnel after each response that is read

What callers could get since: for CONNECT, a success without its body where a response to another request was skipped before it. Cause: only the first response on the wire was looked at. Change: each one is.

Test: test_success_of_a_connect_request_is_lost_after_another failed before (the success was taken).

--- a/bronzeslip/http/checked_connection.py
+++ b/bronzeslip/http/checked_connection.py
@@ -46,11 +46,6 @@
         await self._open(request)
         response = await super().handle_async_request(request)
         try:
-            # The parser reads no body after CONNECT.
-            if self._connection._h11_state.their_state is h11.SWITCHED_PROTOCOL:
-                raise httpcore.RemoteProtocolError(
-                    "the connection became a tunnel"
-                )
             return await self._own_response(request, response)
         except BaseException:
             await response.aclose()
@@ -78,6 +73,11 @@
         is_foreign: ForeignCheck | None = request.extensions.get(IS_FOREIGN)
         skipped_count = 0
         while True:
+            # The parser reads no body after CONNECT.
+            if self._connection._h11_state.their_state is h11.SWITCHED_PROTOCOL:
+                raise httpcore.RemoteProtocolError(
+                    "the connection became a tunnel"
+                )
             response.extensions["network_stream"].use.response_count += 1
             if is_foreign is None or not is_foreign(response):
                 return response
--- a/tests/platform/test_endpoint_http.py
+++ b/tests/platform/test_endpoint_http.py
@@ -100,6 +100,18 @@
                 ):
                     await self._call("q1", request=request)
 
+    # Guards against the same after a response that is skipped.
+    async def test_success_of_a_connect_request_is_lost_after_another(self):
+        failure = raw_server.create_response(
+            b"", b"500 Failed", headers=_echo(b"q0")
+        )
+        await self._start_server(
+            failure + raw_server.create_response(b"ok", headers=_echo(b"q1"))
+        )
+        request = forwarding_parts.create_request(method="CONNECT", body=b"")
+        with self.assertRaises(endpoint_errors.EndpointResponseLostError):
+            await self._call("q1", request=request)
+
     async def test_connection_is_reused_within_the_keep_alive_timeout(self):
         await self._start_server(
             raw_server.create_response(b"a", headers=_echo(b"q1")),
