--- a/bronzeslip/platform/endpoint_http.py
+++ b/bronzeslip/platform/endpoint_http.py
@@ -295,7 +295,7 @@
             await response.stream.aclose()
             await connection.transport.aclose()
             raise endpoint_errors.EndpointResponseLostError(
-                "received a response that names no request"
+                "received a response that does not name the request"
             )
         endpoint_announcements.record(self._endpoints, target, response)
         return endpoint_response.HttpEndpointResponse(
