Pass on the bodies of a sidecar's calls as they are encoded

What callers saw: of a plain service whose endpoint compresses, a body that they could not decode: it had been decoded already, but Content-Encoding was passed on. Cause: the HTTP client asks for encodings that the caller has not asked for, and decodes. Change: the sidecar asks for none and takes the body's bytes as they are, as the entry gateways do.

Tests: both of tests.sidecar.test_encoded_responses failed before.

--- a/bronzeslip/sidecar/calls.py
+++ b/bronzeslip/sidecar/calls.py
@@ -36,7 +36,8 @@
         self._admission = admission
         self._endpoint_url = httpx.URL(settings.endpoint_url)
         self._http = httpx.AsyncClient(
-            transport=url_transport.create(idle_timeout_s=_KEEPALIVE_EXPIRY_S)
+            headers={"Accept-Encoding": "identity"},
+            transport=url_transport.create(idle_timeout_s=_KEEPALIVE_EXPIRY_S),
         )
         self._table = call_table.CallTable(
             settings, incarnation_id, self._admit_and_send
@@ -95,17 +96,7 @@
 
     async def _send(self, start: frames.StartCall) -> frames.CallOutcome:
         try:
-            response = await self._http.request(
-                start.method,
-                self._target_url(start.path),
-                headers=[
-                    (header.name, header.value) for header in start.headers
-                ],
-                content=start.body,
-                timeout=httpx.Timeout(
-                    start.expires_in_s, connect=_CONNECT_TIMEOUT_S
-                ),
-            )
+            response, body = await self._exchange(start)
         except (httpx.ConnectError, httpx.ConnectTimeout):
             return frames.CallRefused(
                 start.call_id,
@@ -124,5 +115,21 @@
             for name, value in response.headers.multi_items()
         )
         return frames.CallFinished(
-            start.call_id, response.status_code, headers, response.content
+            start.call_id, response.status_code, headers, body
         )
+
+    async def _exchange(
+        self, start: frames.StartCall
+    ) -> tuple[httpx.Response, bytes]:
+        """Returns a response and its body, which is not decoded."""
+        async with self._http.stream(
+            start.method,
+            self._target_url(start.path),
+            headers=[(header.name, header.value) for header in start.headers],
+            content=start.body,
+            timeout=httpx.Timeout(
+                start.expires_in_s, connect=_CONNECT_TIMEOUT_S
+            ),
+        ) as response:
+            chunks = [chunk async for chunk in response.aiter_raw()]
+        return response, b"".join(chunks)
