Send generations and orders to engines on new connections

What callers could get: the tokens of another generation. An engine that sends an earlier stream once more, where the next one is due, had it read as the stream of the next generation; events name none. In the same way an order was confirmed by the response to an earlier one. Cause: all calls of a sidecar to its engine shared kept connections. Change: generations, cancellations and orders use a new connection each, as resumptions and probes do. Only reports (load, state, cache events) still share some; a late one is taken for the next, which lags behind by one.

The cost of the connections was not measured.

--- a/bronzeslip/engine/client.py
+++ b/bronzeslip/engine/client.py
@@ -26,7 +26,11 @@
 
 
 class EngineClient:
-    """Client of one engine; all requests may raise errors.EngineError."""
+    """Client of one engine; all requests may raise errors.EngineError.
+
+    Responses name no request. A faulty engine may send one again where the next
+    is due, so only reports, which lag behind anyway, share connections.
+    """
 
     def __init__(
         self,
@@ -67,7 +71,7 @@
             errors.EngineUnavailableError: If the stream broke off.
         """
         async for event in self._stream(
-            self._http,
+            self._unpooled_http,
             "POST",
             "/v1/generations",
             content=msgspec.json.encode(request),
@@ -92,11 +96,13 @@
 
     async def cancel(self, generation_id: ids.GenerationId) -> None:
         """Cancels a generation; an unknown id is not an error."""
-        await self._call("DELETE", f"/v1/generations/{generation_id}")
+        await self._call(
+            self._unpooled_http, "DELETE", f"/v1/generations/{generation_id}"
+        )
 
     async def load(self) -> messages.EngineLoad:
         """Reads the engine's load report, which lags behind its state."""
-        response = await self._call("GET", "/v1/load")
+        response = await self._call(self._http, "GET", "/v1/load")
         return _decode(response, messages.EngineLoad)
 
     async def probe(self) -> messages.EngineLoad:
@@ -120,13 +126,16 @@
     ) -> tuple[messages.CacheEvent, ...]:
         """Reads the cache events after a sequence number."""
         response = await self._call(
-            "GET", "/v1/cache-events", params={"after": after_sequence}
+            self._http,
+            "GET",
+            "/v1/cache-events",
+            params={"after": after_sequence},
         )
         return _decode(response, tuple[messages.CacheEvent, ...])
 
     async def state(self) -> messages.EngineState:
         """Reads which model and adapters the engine has loaded."""
-        response = await self._call("GET", "/v1/state")
+        response = await self._call(self._http, "GET", "/v1/state")
         return _decode(response, messages.EngineState)
 
     async def send_order(
@@ -140,7 +149,10 @@
                 order may have been carried out.
         """
         response = await self._call(
-            "POST", "/v1/orders", content=msgspec.json.encode(order)
+            self._unpooled_http,
+            "POST",
+            "/v1/orders",
+            content=msgspec.json.encode(order),
         )
         return _decode(response, messages.EngineState)
 
@@ -163,10 +175,10 @@
                     )
 
     async def _call(
-        self, method: str, path: str, **options: Any
+        self, http: httpx.AsyncClient, method: str, path: str, **options: Any
     ) -> httpx.Response:
         with _converting_errors(path):
-            response = await self._http.request(method, path, **options)
+            response = await http.request(method, path, **options)
         _raise_for_status(path, response)
         return response
 
--- a/bronzeslip/sidecar/engine_reader.py
+++ b/bronzeslip/sidecar/engine_reader.py
@@ -91,7 +91,6 @@
             async with asyncio.timeout(
                 self._silence_timeout_s
             ) as stream_timeout:
-                # The connection can be reused only once it is read to its end.
                 async for event in events:
                     self._handle_event(event)
                     stream_timeout.reschedule(
--- a/tests/support/raw_server.py
+++ b/tests/support/raw_server.py
@@ -20,6 +20,8 @@
             response is sent.
         resets_connections: Whether connections end with a reset, 0.1 s after
             the last response.
+        repeats_responses: Whether each response of a connection is sent once
+            more, before the next one.
     """
 
     def __init__(self, *scripts):
@@ -29,6 +31,7 @@
         self.connection_count = 0
         self.body_read_delay_s = None
         self.resets_connections = False
+        self.repeats_responses = False
 
     async def start(self):
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -45,6 +48,7 @@
 
     async def _serve(self, reader, writer):
         self.connection_count += 1
+        earlier = b""
         try:
             while self._scripts:
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -58,8 +62,10 @@
                 if script is NO_RESPONSE:
                     await reader.read()
                     break
-                writer.write(script)
+                writer.write(earlier + script)
                 await writer.drain()
+                if self.repeats_responses:
+                    earlier = script
                 if b"connection: close" in script.lower():
                     break
         except (asyncio.IncompleteReadError, ConnectionError):
