Use a new connection for each call that runs at most once

What callers could get: the response to an earlier call, where the endpoint behind a sidecar sends it once more when the next is due. Responses name no call, and that of a call that runs at most once is kept with its claim, so that retries get it too. Change: such calls use a new connection each; idempotent ones still share some, and may still get a late response.

Test: test_late_response_is_no_outcome_of_a_call_that_runs_once failed before ("first" twice). The cost of the connections was not measured.

--- a/bronzeslip/sidecar/calls.py
+++ b/bronzeslip/sidecar/calls.py
@@ -35,9 +35,13 @@
         self._metrics = metrics
         self._admission = admission
         self._endpoint_url = httpx.URL(settings.endpoint_url)
-        self._http = httpx.AsyncClient(
-            headers={"Accept-Encoding": "identity"},
-            transport=url_transport.create(idle_timeout_s=_KEEPALIVE_EXPIRY_S),
+        self._http = _create_client(
+            url_transport.create(idle_timeout_s=_KEEPALIVE_EXPIRY_S)
+        )
+        # A response to an earlier call may arrive where the next is due, and
+        # names no call. The outcome of a call that runs once is kept.
+        self._unpooled_http = _create_client(
+            url_transport.create(max_idle_connections=0)
         )
         self._table = call_table.CallTable(
             settings, incarnation_id, self._admit_and_send
@@ -46,6 +50,7 @@
     async def close(self) -> None:
         """Closes the connections to the endpoint."""
         await self._http.aclose()
+        await self._unpooled_http.aclose()
 
     async def run(self, start: frames.StartCall) -> frames.CallOutcome:
         """Runs a call and returns its outcome, a refusal if it was not run."""
@@ -122,7 +127,8 @@
         self, start: frames.StartCall
     ) -> tuple[httpx.Response, bytes]:
         """Returns a response and its body, which is not decoded."""
-        async with self._http.stream(
+        http = self._http if start.idempotent else self._unpooled_http
+        async with http.stream(
             start.method,
             self._target_url(start.path),
             headers=[(header.name, header.value) for header in start.headers],
@@ -133,3 +139,9 @@
         ) as response:
             chunks = [chunk async for chunk in response.aiter_raw()]
         return response, b"".join(chunks)
+
+
+def _create_client(transport: httpx.AsyncBaseTransport) -> httpx.AsyncClient:
+    return httpx.AsyncClient(
+        headers={"Accept-Encoding": "identity"}, transport=transport
+    )
--- a/tests/sidecar/test_extra_responses.py
+++ b/tests/sidecar/test_extra_responses.py
@@ -7,6 +7,7 @@
 
 from bronzeslip.engine import client as engine_client
 from bronzeslip.store import client as store_client
+from bronzeslip.transport.frames import call as frames
 from tests.support import call_runners
 from tests.support import raw_server
 
@@ -48,6 +49,27 @@
             bodies.append(outcome.body)
         self.assertEqual(bodies, [b"first", b"second"])
 
+    # Guards against keeping the response to an earlier call with the claim of
+    # a call that must not be repeated, if it arrives where the next is due.
+    async def test_late_response_is_no_outcome_of_a_call_that_runs_once(self):
+        server = raw_server.RawServer(
+            raw_server.create_response(b"first"),
+            raw_server.create_response(b"second"),
+        )
+        server.repeats_responses = True
+        port = await server.start()
+        self.addAsyncCleanup(server.stop)
+        runner = call_runners.create(f"http://127.0.0.1:{port}")
+        self.addAsyncCleanup(runner.close)
+        bodies = []
+        for call_id in ("c1", "c2"):
+            ticket = runner.prepare(frames.PrepareCall(call_id)).ticket
+            start = call_runners.create_start(
+                "/x", call_id, idempotent=False, ticket=ticket
+            )
+            bodies.append((await runner.run(start)).body)
+        self.assertEqual(bodies, [b"first", b"second"])
+
     # Guards against loads that lag behind by one more for each extra one.
     async def test_extra_response_is_no_later_load_of_an_engine(self):
         engine = engine_client.EngineClient(
--- a/tests/support/call_runners.py
+++ b/tests/support/call_runners.py
@@ -1,5 +1,7 @@
 """Runners of calls on plain endpoints."""
 
+import msgspec
+
 from bronzeslip.admission import gate
 from bronzeslip.metrics import sidecar_metrics
 from bronzeslip.settings import sidecar
@@ -27,8 +29,9 @@
     )
 
 
-def create_start(path, call_id="c1"):
+def create_start(path, call_id="c1", **changes):
     """Returns the frame that starts an idempotent call."""
-    return frames.StartCall(
+    start = frames.StartCall(
         call_id, "r1", "clerks", "awards", "GET", path, (), b"", True, 5.0
     )
+    return msgspec.structs.replace(start, **changes)
