Find an extra response in a body that ends with its connection

What callers saw: a body that consists of the endpoint's and of the head and body of an extra response, as a complete success; on a stream, the extra head as an event. Cause: a response with neither a length nor chunks ends with its connection, so that a second response is read as part of its body. Change: such bodies are searched for a status line that is followed by fields, one of them the request id. The response is then lost, or left incomplete if its beginning has been passed on; where it ended is not known. Bodies that quote HTTP without the request id, or with other line ends, are passed on as before. An extra response that names no request is still not told from the body.

--- a/bronzeslip/platform/endpoint_response.py
+++ b/bronzeslip/platform/endpoint_response.py
@@ -13,6 +13,7 @@
 from bronzeslip.forwarding import incoming
 from bronzeslip.forwarding import response_origin
 from bronzeslip.http import bounded_transport
+from bronzeslip.http import head_scanner
 from bronzeslip.http import paced_chunks
 from bronzeslip.platform import caller_response
 from bronzeslip.platform import connection_options
@@ -79,12 +80,20 @@
 
         Raises:
             endpoint_errors.EndpointResponseLostError: If the body is
-                incomplete.
+                incomplete, or followed by another response without a boundary.
         """
         self._has_begun_body = True
+        scanner = None
+        if self.head.framing is body_framing.BodyFraming.CONNECTION_END:
+            scanner = head_scanner.HeadScanner(headers.REQUEST_ID)
         try:
             async for chunk in paced_chunks.paced(self._response.stream):
-                yield chunk
+                own_bytes = scanner and scanner.find(chunk)
+                yield chunk[:own_bytes]
+                if own_bytes is not None:
+                    raise endpoint_errors.EndpointResponseLostError(
+                        "the body contains the head of another response"
+                    )
         except (httpx.HTTPError, httpx.StreamError) as error:
             raise endpoint_errors.EndpointResponseLostError(
                 f"incomplete response: {type(error).__name__}"
--- a/tests/platform/test_responses_to_callers.py
+++ b/tests/platform/test_responses_to_callers.py
@@ -85,6 +85,30 @@
         )
         self.assertIn(b"bronzeslip-response-stamp: stamp", head)
 
+    # Guards against a body that contains an extra response, as it has neither
+    # a length nor chunks.
+    async def test_extra_response_is_no_part_of_an_unframed_body(self):
+        unframed = b"HTTP/1.1 200 OK\r\n" + _IDENTITY + b"\r\n"
+        extra = raw_server.create_response(b"late", headers=_IDENTITY)
+        for body in (b"own", b""):
+            with self.subTest(body=body):
+                head, _ = await self._receive(unframed + body + extra)
+                self.assertEqual(head[0], b"HTTP/1.1 502 Bad Gateway")
+
+    # Guards against the same where the beginning has been passed on.
+    async def test_large_unframed_body_with_an_extra_response_is_cut(self):
+        unframed = b"HTTP/1.1 200 OK\r\n" + _IDENTITY + b"\r\n"
+        unframed += _SLICE_COUNT * _SLICE
+        extra = raw_server.create_response(b"late", headers=_IDENTITY)
+        for script, is_complete in (
+            (unframed, True),
+            (unframed + extra, False),
+        ):
+            with self.subTest(is_complete=is_complete):
+                _, rest = await self._receive(script)
+                self.assertEqual(rest.endswith(b"\r\n0\r\n\r\n"), is_complete)
+                self.assertNotIn(b"late", rest)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/test_unframed_streams.py
+++ b/tests/platform/test_unframed_streams.py
@@ -70,6 +70,13 @@
             await self._serve(_EVENTS, resets_connections=True)
         self.assertFalse(self.reply.is_finished)
 
+    # Guards against passing on an extra response as events.
+    async def test_stream_with_an_extra_response_is_not_complete(self):
+        with self.assertRaises(errors.ResponseInterruptedError):
+            await self._serve(_EVENTS + _HEAD + _EVENTS)
+        self.assertEqual(self.reply.body, _EVENTS)
+        self.assertFalse(self.reply.is_finished)
+
 
 if __name__ == "__main__":
     unittest.main()
