Go on with a stream only by a response of the same kind

What callers saw: a stream that was complete after some of its events. When a run is resumed at another engine and that one answers 204, its empty body ended the stream. A page with another media type was passed on up to its last blank line. Cause: any 2xx was taken for the rest of the stream. Change: the response that goes on has the status of the first one and, where both state one, its media type; otherwise the engine has failed.

Tests: test_response_of_another_status_or_type_does_not_go_on failed before (with 204 the stream was finished; its other cases were not reached then).

--- a/bronzeslip/forwarding/endpoint_client.py
+++ b/bronzeslip/forwarding/endpoint_client.py
@@ -14,6 +14,8 @@
 from bronzeslip.forwarding import incoming
 from bronzeslip.forwarding import response_origin
 
+_CONTENT_TYPE = b"content-type"
+
 
 class RunVerdict(enum.Enum):
     """What a response states about whether the request has run."""
@@ -48,6 +50,14 @@
         """Whether the status is in the 2xx range."""
         return 200 <= self.status < 300
 
+    @property
+    def media_type(self) -> bytes | None:
+        """Media type of the body in lower case, or None if it is not stated."""
+        for field in self.headers:
+            if field.name.lower() == _CONTENT_TYPE:
+                return field.value.partition(b";")[0].strip().lower()
+        return None
+
 
 class EndpointResponse(Protocol):
     """Streaming response of an endpoint.
--- a/bronzeslip/forwarding/stream_sender.py
+++ b/bronzeslip/forwarding/stream_sender.py
@@ -136,7 +136,7 @@
         """Raises an error if a run failed that may go on elsewhere."""
         is_server_error = response.head.status >= _SERVER_ERROR_STATUS
         if self._writer.is_started:
-            has_failed = not response.head.is_success
+            has_failed = not _goes_on(self._writer.endpoint_head, response.head)
         else:
             has_failed = is_server_error and self._request.route.may_run_again
         if has_failed:
@@ -144,3 +144,11 @@
             raise endpoint_errors.EndpointResponseLostError(
                 f"status {response.head.status}"
             )
+
+
+def _goes_on(
+    first: endpoint_client.ResponseHead, next_head: endpoint_client.ResponseHead
+) -> bool:
+    """Returns whether a response may go on with the body of another one."""
+    types = {first.media_type, next_head.media_type} - {None}
+    return next_head.status == first.status and len(types) <= 1
--- a/tests/forwarding/test_resumable_streams.py
+++ b/tests/forwarding/test_resumable_streams.py
@@ -174,6 +174,47 @@
             )
         self.assertLess(len(self.reply.body), sum(map(len, events)))
 
+    # Guards against ending a stream as complete, or going on with other bytes,
+    # by a response that is no stream of events.
+    async def test_response_of_another_status_or_type_does_not_go_on(self):
+        events, page = b"text/event-stream", b"text/html"
+        for status, media_type, body in (
+            (204, events, b""),
+            (202, events, _SECOND),
+            (200, page, b"<p>\n\n"),
+        ):
+            with (
+                self.subTest(status=status, media_type=media_type),
+                self.assertRaises(errors.ResponseInterruptedError),
+            ):
+                await self._serve(
+                    scripted_endpoints.ScriptedResponse(
+                        200,
+                        [_FIRST, _RESPONSE_LOST],
+                        headers=[(b"content-type", events)],
+                    ),
+                    scripted_endpoints.ScriptedResponse(
+                        status, [body], headers=[(b"content-type", media_type)]
+                    ),
+                )
+            self.assertEqual(self.reply.body, _FIRST)
+            self.assertFalse(self.reply.is_finished)
+
+    async def test_parameters_of_the_media_type_may_differ(self):
+        await self._serve(
+            scripted_endpoints.ScriptedResponse(
+                200,
+                [_FIRST, _RESPONSE_LOST],
+                headers=[(b"content-type", b"text/event-stream")],
+            ),
+            scripted_endpoints.ScriptedResponse(
+                200,
+                [_SECOND],
+                headers=[(b"Content-Type", b"Text/Event-Stream;charset=utf-8")],
+            ),
+        )
+        self.assertEqual(self.reply.body, _FIRST + _SECOND)
+
 
 if __name__ == "__main__":
     unittest.main()
