Resume a stream only by events that follow those passed on

What callers saw: events twice, where an engine that a run is resumed at begins anew in place of after Last-Event-Id. Cause: events were passed on whatever their ids. Change: the first event of a further engine must have a higher id than the last one passed on, or another one if ids are no numbers; otherwise that engine has failed. Ids inside the response of one engine are not compared.

--- a/bronzeslip/forwarding/event_framer.py
+++ b/bronzeslip/forwarding/event_framer.py
@@ -1,5 +1,6 @@
 """Splits a byte stream into complete server-sent events."""
 
+from collections.abc import Iterable
 import re
 
 import msgspec
@@ -24,6 +25,11 @@
     count: int
     last_event_id: str | None
 
+    @property
+    def first_event_id(self) -> str | None:
+        """Id of the first event that has one, or None."""
+        return _first_id(self.data.splitlines())
+
 
 class EventFramer:
     """Buffers the bytes of an event until it is complete.
@@ -78,7 +84,11 @@
 
 
 def _last_id(data: bytes) -> str | None:
-    for line in reversed(data.splitlines()):
+    return _first_id(reversed(data.splitlines()))
+
+
+def _first_id(lines: Iterable[bytes]) -> str | None:
+    for line in lines:
         if line.startswith(_ID_FIELD):
             return line.removeprefix(_ID_FIELD).strip().decode("latin-1")
     return None
--- a/bronzeslip/forwarding/stream_progress.py
+++ b/bronzeslip/forwarding/stream_progress.py
@@ -1,5 +1,6 @@
 """Events that the caller of a generation has received."""
 
+from bronzeslip.decoding import numbers
 from bronzeslip.forwarding import admitted
 from bronzeslip.forwarding import body_framing
 from bronzeslip.forwarding import endpoint_errors
@@ -56,8 +57,9 @@
         """Adds bytes and returns the events completed by them, or None.
 
         Raises:
-            endpoint_errors.EndpointResponseLostError: If an event does not end
-                or there are more events than output tokens.
+            endpoint_errors.EndpointResponseLostError: If an event does not
+                end, there are more events than output tokens, or the first
+                events of an engine do not follow those of the one before.
         """
         block = self._framer.feed(chunk)
         if self._framer.remainder_bytes > self._event_max_bytes:
@@ -70,6 +72,8 @@
             )
         if block is not None and self._max_events is not None:
             self._raise_if_too_many(self.events + block.count)
+        if block is not None and not self._has_event_of_engine:
+            self._raise_if_not_next(block)
         return block
 
     def record(self, block: event_framer.EventBlock) -> None:
@@ -112,3 +116,19 @@
             raise endpoint_errors.EndpointResponseLostError(
                 f"more than {self._max_events} events"
             )
+
+    def _raise_if_not_next(self, block: event_framer.EventBlock) -> None:
+        first_id = block.first_event_id
+        if self.last_event_id is None or first_id is None:
+            return
+        last_number = numbers.parse_count(self.last_event_id)
+        first_number = numbers.parse_count(first_id)
+        is_earlier = (
+            last_number is not None
+            and first_number is not None
+            and first_number <= last_number
+        )
+        if is_earlier or first_id == self.last_event_id:
+            raise endpoint_errors.EndpointResponseLostError(
+                f"event {first_id!r} does not follow {self.last_event_id!r}"
+            )
--- a/tests/forwarding/test_resumable_streams.py
+++ b/tests/forwarding/test_resumable_streams.py
@@ -215,6 +215,35 @@
         )
         self.assertEqual(self.reply.body, _FIRST + _SECOND)
 
+    # Guards against events that the caller gets twice, from an engine that
+    # begins anew.
+    async def test_events_that_do_not_follow_are_not_passed_on(self):
+        for first, repeated in (
+            (_FIRST + _SECOND, _FIRST + _SECOND),
+            (_FIRST + _SECOND, _SECOND),
+            (b"id: 10\ndata: a\n\n", _SECOND),
+            (b"id: x\ndata: a\n\n", b"id: x\ndata: a\n\n"),
+        ):
+            with (
+                self.subTest(first=first, repeated=repeated),
+                self.assertRaises(errors.ResponseInterruptedError),
+            ):
+                await self._serve(
+                    scripted_endpoints.ScriptedResponse(
+                        200, [first, _RESPONSE_LOST]
+                    ),
+                    scripted_endpoints.ScriptedResponse(200, [repeated]),
+                )
+            self.assertEqual(self.reply.body, first)
+
+    async def test_ids_are_compared_as_numbers(self):
+        ninth, tenth = (b"id: %d\ndata: a\n\n" % number for number in (9, 10))
+        await self._serve(
+            scripted_endpoints.ScriptedResponse(200, [ninth, _RESPONSE_LOST]),
+            scripted_endpoints.ScriptedResponse(200, [tenth]),
+        )
+        self.assertEqual(self.reply.body, ninth + tenth)
+
 
 if __name__ == "__main__":
     unittest.main()
