Send no stream without event ids to a further engine

What callers saw: the first events twice, where an engine that sends no ids breaks a stream off on a route that may be resumed: the request was sent again without Last-Event-Id. Change: once events were passed on, another engine is asked only if one of them has an id.

Test: test_stream_without_ids_is_not_begun_anew failed before (no error, three events in place of one).

--- a/bronzeslip/forwarding/stream_progress.py
+++ b/bronzeslip/forwarding/stream_progress.py
@@ -53,6 +53,11 @@
         """Number of bytes after the last complete event."""
         return self._framer.remainder_bytes
 
+    @property
+    def may_be_resumed(self) -> bool:
+        """Whether another engine can be told after which event to go on."""
+        return not self.events or self.last_event_id is not None
+
     def feed(self, chunk: bytes) -> event_framer.EventBlock | None:
         """Adds bytes and returns the events completed by them, or None.
 
--- a/bronzeslip/forwarding/stream_run.py
+++ b/bronzeslip/forwarding/stream_run.py
@@ -276,6 +276,7 @@
         route = self._request.route
         return (
             route.may_run_again
+            and self._progress.may_be_resumed
             and self._sender.run_count < route.max_attempts
             and self._request.remaining_s > 0
         )
--- a/tests/forwarding/test_resumable_streams.py
+++ b/tests/forwarding/test_resumable_streams.py
@@ -236,6 +236,19 @@
                 )
             self.assertEqual(self.reply.body, first)
 
+    # Guards against the same where events have no ids.
+    async def test_stream_without_ids_is_not_begun_anew(self):
+        event = b"data: a\n\n"
+        with self.assertRaises(errors.ResponseInterruptedError):
+            await self._serve(
+                scripted_endpoints.ScriptedResponse(
+                    200, [event, _RESPONSE_LOST]
+                ),
+                scripted_endpoints.ScriptedResponse(200, [event, event]),
+            )
+        self.assertEqual(self.reply.body, event)
+        self.assertEqual(len(self._sent_to), 1)
+
     async def test_ids_are_compared_as_numbers(self):
         ninth, tenth = (b"id: %d\ndata: a\n\n" % number for number in (9, 10))
         await self._serve(
