Close connections without a response where no request waits

What callers saw: one more response than requests, a 503, after a complete response on a connection whose unsent bytes exceed what connections may hold (in a trial with a caller that does not read: 27 requests, 28 responses). The next request on such a connection, which is discarded, would have taken it for its own. Cause: the connection was rejected as if a request had begun. Change: between two requests it is closed, after what was written has been sent.

--- a/bronzeslip/http/limited_protocol.py
+++ b/bronzeslip/http/limited_protocol.py
@@ -334,6 +334,13 @@
         """Whether a response is not complete yet."""
         return self.cycle is not None and not self.cycle.response_complete
 
+    @property
+    def _is_between_requests(self) -> bool:
+        """Whether a response is complete and no further request has begun."""
+        if self.cycle is None or self._is_serving or self._is_body_pending:
+            return False
+        return not self._in_headers
+
     @property
     def _is_request_ahead(self) -> bool:
         """Whether the peer goes on to send requests ahead of their responses.
@@ -566,7 +573,11 @@
         if self._slots.hold(self, size_bytes, self.loop.time()):
             self._held_bytes = size_bytes
             return True
-        self._reject(_MEMORY_SHORT)
+        if self._is_between_requests:
+            self._log_closed(_MEMORY_SHORT.code)
+            self.transport.close()
+        else:
+            self._reject(_MEMORY_SHORT)
         return False
 
     def _update_reading(self) -> None:
