--- a/bronzeslip/sidecar/calls.py
+++ b/bronzeslip/sidecar/calls.py
@@ -35,8 +35,13 @@
         self._metrics = metrics
         self._admission = admission
         self._endpoint_url = httpx.URL(settings.endpoint_url)
-        self._http = httpx.AsyncClient(
-            transport=url_transport.create(idle_timeout_s=_KEEPALIVE_EXPIRY_S)
+        self._http = _create_client(
+            url_transport.create(idle_timeout_s=_KEEPALIVE_EXPIRY_S)
+        )
+        # A response to an earlier call may arrive where the next is due, and
+        # names no call. The outcome of a call that runs once is kept.
+        self._unpooled_http = _create_client(
+            url_transport.create(max_idle_connections=0)
         )
         self._table = call_table.CallTable(
             settings, incarnation_id, self._admit_and_send
@@ -45,6 +50,7 @@
     async def close(self) -> None:
         """Closes the connections to the endpoint."""
         await self._http.aclose()
+        await self._unpooled_http.aclose()
 
     async def run(self, start: frames.StartCall) -> frames.CallOutcome:
         """Runs a call and returns its outcome, a refusal if it was not run."""
@@ -95,17 +101,7 @@
 
     async def _send(self, start: frames.StartCall) -> frames.CallOutcome:
         try:
-            response = await self._http.request(
-                start.method,
-                self._target_url(start.path),
-                headers=[
-                    (header.name, header.value) for header in start.headers
-                ],
-                content=start.body,
-                timeout=httpx.Timeout(
-                    start.expires_in_s, connect=_CONNECT_TIMEOUT_S
-                ),
-            )
+            response, body = await self._exchange(start)
         except (httpx.ConnectError, httpx.ConnectTimeout):
             return frames.CallRefused(
                 start.call_id,
@@ -124,5 +120,28 @@
             for name, value in response.headers.multi_items()
         )
         return frames.CallFinished(
-            start.call_id, response.status_code, headers, response.content
+            start.call_id, response.status_code, headers, body
         )
+
+    async def _exchange(
+        self, start: frames.StartCall
+    ) -> tuple[httpx.Response, bytes]:
+        """Returns a response and its body, which is not decoded."""
+        http = self._http if start.idempotent else self._unpooled_http
+        async with http.stream(
+            start.method,
+            self._target_url(start.path),
+            headers=[(header.name, header.value) for header in start.headers],
+            content=start.body,
+            timeout=httpx.Timeout(
+                start.expires_in_s, connect=_CONNECT_TIMEOUT_S
+            ),
+        ) as response:
+            chunks = [chunk async for chunk in response.aiter_raw()]
+        return response, b"".join(chunks)
+
+
+def _create_client(transport: httpx.AsyncBaseTransport) -> httpx.AsyncClient:
+    return httpx.AsyncClient(
+        headers={"Accept-Encoding": "identity"}, transport=transport
+    )
--- a/tests/forwarding/test_resumable_streams.py
+++ b/tests/forwarding/test_resumable_streams.py
@@ -174,6 +174,89 @@
             )
         self.assertLess(len(self.reply.body), sum(map(len, events)))
 
+    # Guards against ending a stream as complete, or going on with other bytes,
+    # by a response that is no stream of events.
+    async def test_response_of_another_status_or_type_does_not_go_on(self):
+        events, page = b"text/event-stream", b"text/html"
+        for status, media_type, body in (
+            (204, events, b""),
+            (202, events, _SECOND),
+            (200, page, b"<p>\n\n"),
+        ):
+            with (
+                self.subTest(status=status, media_type=media_type),
+                self.assertRaises(errors.ResponseInterruptedError),
+            ):
+                await self._serve(
+                    scripted_endpoints.ScriptedResponse(
+                        200,
+                        [_FIRST, _RESPONSE_LOST],
+                        headers=[(b"content-type", events)],
+                    ),
+                    scripted_endpoints.ScriptedResponse(
+                        status, [body], headers=[(b"content-type", media_type)]
+                    ),
+                )
+            self.assertEqual(self.reply.body, _FIRST)
+            self.assertFalse(self.reply.is_finished)
+
+    async def test_parameters_of_the_media_type_may_differ(self):
+        await self._serve(
+            scripted_endpoints.ScriptedResponse(
+                200,
+                [_FIRST, _RESPONSE_LOST],
+                headers=[(b"content-type", b"text/event-stream")],
+            ),
+            scripted_endpoints.ScriptedResponse(
+                200,
+                [_SECOND],
+                headers=[(b"Content-Type", b"Text/Event-Stream;charset=utf-8")],
+            ),
+        )
+        self.assertEqual(self.reply.body, _FIRST + _SECOND)
+
+    # Guards against events that the caller gets twice, from an engine that
+    # begins anew.
+    async def test_events_that_do_not_follow_are_not_passed_on(self):
+        for first, repeated in (
+            (_FIRST + _SECOND, _FIRST + _SECOND),
+            (_FIRST + _SECOND, _SECOND),
+            (b"id: 10\ndata: a\n\n", _SECOND),
+            (b"id: x\ndata: a\n\n", b"id: x\ndata: a\n\n"),
+        ):
+            with (
+                self.subTest(first=first, repeated=repeated),
+                self.assertRaises(errors.ResponseInterruptedError),
+            ):
+                await self._serve(
+                    scripted_endpoints.ScriptedResponse(
+                        200, [first, _RESPONSE_LOST]
+                    ),
+                    scripted_endpoints.ScriptedResponse(200, [repeated]),
+                )
+            self.assertEqual(self.reply.body, first)
+
+    # Guards against the same where events have no ids.
+    async def test_stream_without_ids_is_not_begun_anew(self):
+        event = b"data: a\n\n"
+        with self.assertRaises(errors.ResponseInterruptedError):
+            await self._serve(
+                scripted_endpoints.ScriptedResponse(
+                    200, [event, _RESPONSE_LOST]
+                ),
+                scripted_endpoints.ScriptedResponse(200, [event, event]),
+            )
+        self.assertEqual(self.reply.body, event)
+        self.assertEqual(len(self._sent_to), 1)
+
+    async def test_ids_are_compared_as_numbers(self):
+        ninth, tenth = (b"id: %d\ndata: a\n\n" % number for number in (9, 10))
+        await self._serve(
+            scripted_endpoints.ScriptedResponse(200, [ninth, _RESPONSE_LOST]),
+            scripted_endpoints.ScriptedResponse(200, [tenth]),
+        )
+        self.assertEqual(self.reply.body, ninth + tenth)
+
 
 if __name__ == "__main__":
     unittest.main()
