Reject interim responses and trailers with the head of a response

What callers could get: a success where the endpoint had answered a failure, or the other way round. Cause: the HTTP library drops interim responses and trailers. An endpoint that stops inside the head of an interim response, or inside the trailer of an earlier response, leaves a beginning that takes up the head of the next one.

Change: CheckedConnection opens connections that look at the interim responses and trailers too. Why this works: as for final heads, the joined part always holds the second status line as a whole.

Modules run: interim_responses, endpoint_http, late_second_responses, responses_of_parts, http.test_bounded_transport, connect_errors; none failed.

--- a/bronzeslip/http/checked_connection.py
+++ b/bronzeslip/http/checked_connection.py
@@ -6,6 +6,7 @@
 import h11
 import httpcore
 
+from bronzeslip.http import checked_http11_connection
 from bronzeslip.http import response_boundary
 
 # Extension of a request, which tells whether a response is one to another
@@ -41,6 +42,7 @@
             httpcore.RemoteProtocolError: If the bytes received are not the
                 response to this request.
         """
+        await self._open(request)
         response = await super().handle_async_request(request)
         try:
             return await self._own_response(request, response)
@@ -49,6 +51,22 @@
             await self.aclose()
             raise
 
+    async def _open(self, request: httpcore.Request) -> None:
+        # The library would create a connection without checks.
+        try:
+            async with self._request_lock:
+                if self._connection is None:
+                    self._connection = (
+                        checked_http11_connection.CheckedHttp11Connection(
+                            self._origin,
+                            await self._connect(request),
+                            self._keepalive_expiry,
+                        )
+                    )
+        except BaseException:
+            self._connect_failed = True
+            raise
+
     async def _own_response(
         self, request: httpcore.Request, response: httpcore.Response
     ) -> httpcore.Response:
