--- a/tests/platform/test_late_second_responses.py
+++ b/tests/platform/test_late_second_responses.py
@@ -146,6 +146,15 @@
         with self.assertRaises(endpoint_errors.EndpointResponseLostError):
             await self._call_after(script)
 
+    # Guards against an error of the HTTP library in place of a lost response,
+    # after one that announces the end of its connection.
+    async def test_response_after_the_last_of_a_connection_is_lost(self):
+        closing = _FIRST.replace(b"Keep-Alive: timeout=5", b"Connection: close")
+        outdated = _FIRST.replace(b"HTTP/1.1", b"HTTP/1.0")
+        for extra in (closing, outdated):
+            with self.subTest(extra=extra):
+                await self._assert_lost_at_once(extra + _OWN)
+
     # Guards against waiting for the end of such a response, which comes when
     # the endpoint closes the idle connection.
     async def test_response_without_a_length_is_given_up_at_once(self):
