--- a/tests/http/test_checked_connection.py
+++ b/tests/http/test_checked_connection.py
@@ -53,6 +53,31 @@
         self.assertTrue(connection.is_closed())
 
 
+class HeadRequestTest(unittest.IsolatedAsyncioTestCase):
+    # Guards against losing the response to HEAD, which needs no length, after
+    # one to another request.
+    async def test_response_without_a_length_is_skipped(self):
+        connection = checked_connection.CheckedConnection(
+            httpcore.Origin(b"http", b"h", 80),
+            network_backend=_Backend(
+                [b"HTTP/1.1 200 OK\r\n\r\n", b"HTTP/1.1 404 Missing\r\n\r\n"]
+            ),
+        )
+        request = httpcore.Request(
+            "HEAD",
+            "http://h/",
+            headers={"Host": "h"},
+            extensions={
+                checked_connection.IS_FOREIGN: lambda head: head.status == 200
+            },
+        )
+        response = await connection.handle_async_request(request)
+        self.assertEqual(response.status, 404)
+        self.assertEqual(
+            response.extensions["network_stream"].use.response_count, 2
+        )
+
+
 class CheckedConnectionTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.server = raw_server.RawServer(
