Reproduce bodies made up of two responses

Not mended: the bytes alone do not tell such a body from one that quotes a response, so a check would cost those theirs.

--- a/tests/platform/test_responses_of_parts.py
+++ b/tests/platform/test_responses_of_parts.py
@@ -153,6 +153,29 @@
         ]
         self.assertEqual(merged_cuts, [])
 
+    # Guards against a success whose body broke off and goes on with the bytes
+    # of another response.
+    async def test_body_is_not_merged_with_another_response(self):
+        other = _response(b"q1", _OK)
+        merged_lengths = [
+            length
+            for length in range(1, len(other) + 1)
+            if await self._is_body_merged(length, other)
+        ]
+        self.assertEqual(merged_lengths, [])
+
+    async def _is_body_merged(self, missing_bytes, other):
+        """Returns whether q1 gets a body that goes on with another response."""
+        own = raw_server.create_response(
+            missing_bytes * b"x", headers=b"Bronzeslip-Attempt-Id: q1\r\n"
+        )
+        await self._start_endpoint(own[:-missing_bytes] + other)
+        try:
+            response = await self._call("q1")
+        except endpoint_errors.EndpointResponseLostError:
+            return False
+        return response.body != missing_bytes * b"x"
+
     async def test_response_after_interim_ones_is_used(self):
         interim = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
         await self._start_endpoint(2 * interim + _response(b"q1", _OK))
