Decode the request id of a response as that of the request

Cause: the ids that have failed on a connection were decoded by the HTTP client, which guesses UTF-8, those of requests as Latin-1, so that they did not compare equal. Change: one function decodes the fields of responses (response_fields).

Test: test_odd_id_is_not_sent_again_where_it_was_refused failed before.

--- a/bronzeslip/platform/endpoint_response.py
+++ b/bronzeslip/platform/endpoint_response.py
@@ -19,6 +19,7 @@
 from bronzeslip.platform import connection_options
 from bronzeslip.platform import connection_pool
 from bronzeslip.platform import headers
+from bronzeslip.platform import response_fields
 from bronzeslip.settings import entry
 
 _MISDIRECTED_STATUS = 421
@@ -122,7 +123,9 @@
     @property
     def echoed_request_id(self) -> str | None:
         """Request id that the response states, or None."""
-        return self._response.headers.get(headers.REQUEST_ID.decode())
+        return response_fields.text_of(
+            self._response.headers.raw, headers.REQUEST_ID
+        )
 
     @property
     def responding_endpoint_id(self) -> str | None:
--- a/bronzeslip/platform/response_matcher.py
+++ b/bronzeslip/platform/response_matcher.py
@@ -1,19 +1,16 @@
 """Matching of the responses on a connection with the request that was sent."""
 
-from collections.abc import Iterable
-
 import httpcore
 
 from bronzeslip import ids
 from bronzeslip import logs
 from bronzeslip.forwarding import dispatch
 from bronzeslip.platform import headers
+from bronzeslip.platform import response_fields
 from bronzeslip.platform import response_match
 
 logger = logs.get_logger(__name__)
 
-_ENCODING = "latin-1"
-
 
 class ResponseMatcher:
     """Decides which response on a connection is the one to a request.
@@ -45,7 +42,7 @@
         use = response.extensions["network_stream"].use
         self.match = response_match.match(
             self._outgoing.request.request_id,
-            _values(response.headers, headers.REQUEST_ID),
+            response_fields.text_of(response.headers, headers.REQUEST_ID),
             use.response_count,
         )
         if self.match is not response_match.ResponseMatch.OWN:
@@ -54,20 +51,14 @@
                 request=self._outgoing.request.request_id,
                 endpoint=self._outgoing.endpoint.endpoint_id,
                 match=self.match.value,
-                echoed=_values(response.headers, headers.REQUEST_ID),
+                echoed=response_fields.text_of(
+                    response.headers, headers.REQUEST_ID
+                ),
                 status=response.status,
-                stamp=_values(response.headers, headers.RESPONSE_STAMP),
+                stamp=response_fields.text_of(
+                    response.headers, headers.RESPONSE_STAMP
+                ),
                 connection=use.number,
                 response=use.response_count,
             )
         return self.match is response_match.ResponseMatch.FOREIGN
-
-
-def _values(fields: Iterable[tuple[bytes, bytes]], name: bytes) -> str | None:
-    """Returns the values of a field, separated by commas, or None."""
-    values = [
-        value.decode(_ENCODING)
-        for field_name, value in fields
-        if field_name.lower() == name
-    ]
-    return ", ".join(values) if values else None
--- a/tests/platform/test_repeated_refusals.py
+++ b/tests/platform/test_repeated_refusals.py
@@ -116,6 +116,15 @@
             await response.close()
         self.assertEqual(self.server.connection_count, 2)
 
+    # Guards against the same for an id that is not ASCII.
+    async def test_odd_id_is_not_sent_again_where_it_was_refused(self):
+        odd_id = "q\u00e9".encode().decode("latin-1")
+        refusal = _refuse(*_REFUSALS[0], odd_id.encode("latin-1"))
+        await self._start_server(refusal, refusal)
+        await self._assert_refused(odd_id)
+        await self._assert_refused(odd_id)
+        self.assertEqual(self.server.connection_count, 2)
+
     # Guards against a connection that holds the ids of all requests that have
     # ever failed on it.
     async def test_connection_is_not_kept_after_many_failures(self):
