Drop fields of the endpoint's connection from calls of plain services

What callers saw: Keep-Alive, Upgrade and fields named by Connection, as the endpoint behind the sidecar sent them; a Keep-Alive of 5 s is not that of the gateway. Cause: a fixed set of names, without these. Change: the rule of the entry gateways moves to bronzeslip.http.hop_by_hop, and is used here too.

Test: test_fields_of_one_connection_are_not_passed_on failed before.

--- a/bronzeslip/gateway/services_api.py
+++ b/bronzeslip/gateway/services_api.py
@@ -16,6 +16,7 @@
 from bronzeslip.gateway import request_body
 from bronzeslip.gateway import request_context
 from bronzeslip.gateway import state
+from bronzeslip.http import hop_by_hop
 from bronzeslip.transport.frames import call as frames
 
 _METHODS = ["GET", "POST", "PUT", "PATCH", "DELETE"]
@@ -25,9 +26,7 @@
 _FORWARDED_REQUEST_HEADERS = frozenset(
     {"accept", "accept-language", "content-type", "idempotency-key"}
 )
-_DROPPED_RESPONSE_HEADERS = frozenset(
-    {"connection", "content-length", "date", "server", "transfer-encoding"}
-)
+_DROPPED_RESPONSE_HEADERS = frozenset({b"content-length", b"date", b"server"})
 
 
 @litestar.route(
@@ -105,10 +104,16 @@
 def _to_response(
     call_result: call_response.CallResponse, own_headers: dict[str, str]
 ) -> litestar.Response[bytes]:
+    dropped = _DROPPED_RESPONSE_HEADERS | hop_by_hop.names_in(
+        [
+            (header.name.encode(), header.value.encode())
+            for header in call_result.headers
+        ]
+    )
     headers = {
         header.name: header.value
         for header in call_result.headers
-        if header.name not in _DROPPED_RESPONSE_HEADERS
+        if header.name.encode() not in dropped
     }
     headers.update(own_headers)
     if call_result.replayed:
--- a/bronzeslip/platform/endpoint_response.py
+++ b/bronzeslip/platform/endpoint_response.py
@@ -14,9 +14,9 @@
 from bronzeslip.forwarding import response_origin
 from bronzeslip.http import bounded_transport
 from bronzeslip.http import head_scanner
+from bronzeslip.http import hop_by_hop
 from bronzeslip.http import paced_chunks
 from bronzeslip.platform import caller_response
-from bronzeslip.platform import connection_options
 from bronzeslip.platform import connection_pool
 from bronzeslip.platform import headers
 from bronzeslip.platform import response_fields
@@ -27,11 +27,9 @@
 _PROMISING_STATUSES = frozenset({408, 429, 503})
 _TIMEOUT_PREFIX = "timeout="
 # Response headers that apply only between endpoint and gateway.
-_UNFORWARDED_HEADERS = headers.HOP_BY_HOP | {
-    headers.CONTENT_LENGTH,
-    headers.ENDPOINT_ID,
-    headers.SERVER_LOAD,
-}
+_UNFORWARDED_HEADERS = frozenset(
+    {headers.CONTENT_LENGTH, headers.ENDPOINT_ID, headers.SERVER_LOAD}
+)
 
 # Headers that are forwarded even if the Connection header names them.
 _END_TO_END_HEADERS = frozenset(
@@ -185,8 +183,9 @@
 ) -> endpoint_client.ResponseHead:
     framing = _framing(response)
     fields = [(name.lower(), value) for name, value in response.headers.raw]
-    options = connection_options.named_in(fields) - _END_TO_END_HEADERS
-    dropped = _UNFORWARDED_HEADERS | options
+    dropped = _UNFORWARDED_HEADERS | hop_by_hop.names_in(
+        fields, _END_TO_END_HEADERS
+    )
     return endpoint_client.ResponseHead(
         response.status_code,
         tuple(
--- a/bronzeslip/platform/headers.py
+++ b/bronzeslip/platform/headers.py
@@ -36,26 +36,9 @@
 # Rises when the store has been restored from an older copy.
 STORE_ERA = b"store-era"
 HOST = b"host"
-CONNECTION = b"connection"
-KEEP_ALIVE = b"keep-alive"
 CONTENT_LENGTH = b"content-length"
 TRANSFER_ENCODING = b"transfer-encoding"
 
-# Headers that apply to a single connection.
-HOP_BY_HOP = frozenset(
-    {
-        CONNECTION,
-        KEEP_ALIVE,
-        TRANSFER_ENCODING,
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"upgrade",
-    }
-)
-
 # Headers that only the gateway may set; they are removed from the requests of
 # callers.
 INTERNAL_ONLY = frozenset(
--- a/bronzeslip/platform/request_decoder.py
+++ b/bronzeslip/platform/request_decoder.py
@@ -7,7 +7,7 @@
 from bronzeslip.forwarding import errors
 from bronzeslip.forwarding import incoming
 from bronzeslip.forwarding import prompt
-from bronzeslip.platform import connection_options
+from bronzeslip.http import hop_by_hop
 from bronzeslip.platform import headers
 
 _MS_PER_S = 1000
@@ -75,8 +75,9 @@
 def _forwarded_headers(
     received: list[tuple[bytes, bytes]],
 ) -> tuple[incoming.HeaderField, ...]:
-    options = connection_options.named_in(received) - _END_TO_END_HEADERS
-    dropped = headers.HOP_BY_HOP | headers.INTERNAL_ONLY | options
+    dropped = headers.INTERNAL_ONLY | hop_by_hop.names_in(
+        received, _END_TO_END_HEADERS
+    )
     return tuple(
         incoming.HeaderField(name, value)
         for name, value in received
--- a/tests/gateway/test_services_api.py
+++ b/tests/gateway/test_services_api.py
@@ -4,6 +4,7 @@
 import unittest
 
 from bronzeslip.gateway import call_response
+from bronzeslip.transport.frames import call as frames
 from tests.gateway import gateway_case
 
 _PREFIX = "/v1/services/commissions"
@@ -13,6 +14,7 @@
     async def asyncSetUp(self):
         await super().asyncSetUp()
         self.targets = []
+        self.fields = ()
         self.state.create_claimed_call_session = (
             self.create_claimed_call_session
         )
@@ -20,7 +22,7 @@
     def create_claimed_call_session(self, context, call, key):
         async def run():
             self.targets.append(call.path)
-            return call_response.CallResponse(204, (), b"", False)
+            return call_response.CallResponse(204, self.fields, b"", False)
 
         return types.SimpleNamespace(run=run)
 
@@ -36,6 +38,24 @@
                 self.assertEqual(self.targets.pop(), target)
                 self.assertTrue(response.headers["x-request-id"])
 
+    # Guards against passing on fields that hold for the connection between
+    # sidecar and endpoint only.
+    async def test_fields_of_one_connection_are_not_passed_on(self):
+        self.fields = tuple(
+            frames.Header(name, value)
+            for name, value in (
+                ("connection", "x-hop"),
+                ("keep-alive", "timeout=5"),
+                ("upgrade", "h2c"),
+                ("x-hop", "1"),
+                ("x-end", "2"),
+            )
+        )
+        response = await self.call("/a")
+        self.assertEqual(response.headers["x-end"], "2")
+        for name in ("connection", "keep-alive", "upgrade", "x-hop"):
+            self.assertNotIn(name, response.headers)
+
     async def test_dot_segments_are_refused(self):
         for target in ("/%2e%2e/x", "/a/%2E/b", "/a/.%2e"):
             with self.subTest(target=target):
