Take an interim head made up of two responses for no response

What a caller could get: a success where the endpoint answered a failure. If an interim response breaks off inside its head and the final one follows, both are one interim head to the HTTP library, which skips it; what follows, such as a second response to the same request with another status, was taken for the final one. The id is right then. Cause: only final heads were checked. Change: ResponseConnection checks interim heads too.

Test: test_failure_in_an_interim_head_is_not_skipped failed before in both cases.

--- a/bronzeslip/http/checked_connection.py
+++ b/bronzeslip/http/checked_connection.py
@@ -8,6 +8,7 @@
 
 from bronzeslip.http import field_values
 from bronzeslip.http import response_boundary
+from bronzeslip.http import response_connection
 
 # Extension of a request, which tells whether a response is one to another
 # request. It is called once for each response received.
@@ -42,6 +43,7 @@
             httpcore.RemoteProtocolError: If the bytes received are not the
                 response to this request.
         """
+        await self._open(request)
         response = await super().handle_async_request(request)
         try:
             return await self._own_response(request, response)
@@ -50,6 +52,20 @@
             await self.aclose()
             raise
 
+    async def _open(self, request: httpcore.Request) -> None:
+        """Connects, as the base class would, unless that has been done."""
+        async with self._request_lock:
+            if self._connection is not None:
+                return
+            try:
+                stream = await self._connect(request)
+            except BaseException:
+                self._connect_failed = True
+                raise
+            self._connection = response_connection.ResponseConnection(
+                self._origin, stream, self._keepalive_expiry
+            )
+
     async def _own_response(
         self, request: httpcore.Request, response: httpcore.Response
     ) -> httpcore.Response:
--- a/tests/platform/test_responses_of_parts.py
+++ b/tests/platform/test_responses_of_parts.py
@@ -163,6 +163,32 @@
         ]
         self.assertEqual(merged_cuts, [])
 
+    # Guards against a success that follows a failure, whose head is part of an
+    # interim one that broke off.
+    async def test_failure_in_an_interim_head_is_not_skipped(self):
+        own = (
+            b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n"
+            b"Bronzeslip-Attempt-Id: q1\r\n\r\n"
+        )
+        for interim in (
+            b"HTTP/1.1 103 Early",
+            b"HTTP/1.1 103 Early Hints\r\nLink: a",
+        ):
+            with self.subTest(interim=interim):
+                await self._start_endpoint(
+                    interim + own + _response(b"q1", _OK)
+                )
+                with self.assertRaises(
+                    endpoint_errors.EndpointResponseLostError
+                ):
+                    await self._call("q1")
+
+    async def test_complete_interim_responses_are_skipped(self):
+        interim = b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
+        await self._start_endpoint(2 * interim + _response(b"q1", _OK))
+        response = await self._call("q1")
+        self.assertEqual(response.body, b"body of q1")
+
 
 if __name__ == "__main__":
     unittest.main()
