--- /dev/null
+++ b/standins/stuttering/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for a faulty endpoint that sends more than one response."""
--- /dev/null
+++ b/tests/standins/stuttering/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the stuttering endpoint stand-in."""
