--- a/standins/stuttering/repetition.py
+++ b/standins/stuttering/repetition.py
@@ -65,7 +65,7 @@
     encoded = wire_format.encode(response, kind, rng)
     if not repetition.is_broken_off:
         return encoded
-    end = len(encoded)
+    head_bytes = encoded.index(wire_format.HEAD_END) + len(wire_format.HEAD_END)
     if rng.random() < _BROKEN_HEAD_SHARE:
-        end = encoded.index(wire_format.HEAD_END) + len(wire_format.HEAD_END)
-    return encoded[: rng.randrange(1, end)]
+        return encoded[: rng.randrange(1, head_bytes)]
+    return encoded[: rng.randrange(head_bytes, len(encoded))]
--- a/standins/stuttering/wire_format.py
+++ b/standins/stuttering/wire_format.py
@@ -8,6 +8,7 @@
 from standins.stuttering import sent_response
 
 HEAD_END = b"\r\n\r\n"
+_KEEP_ALIVE_S = 30
 
 
 def encode(
@@ -29,6 +30,8 @@
         fields.append(("Connection", "close"))
     else:
         fields.append(("Content-Length", str(len(response.body))))
+        # Gateways keep no connection without it.
+        fields.append(("Keep-Alive", f"timeout={_KEEP_ALIVE_S}"))
     rng.shuffle(fields)
     return encode_fields(response.status, fields, response.body)
 
