Test gateways before endpoints that answer twice

It had been reproduced with one client in one process only.

tests.processes.test_stuttering_endpoints: two real gateways before four stuttering endpoints, 24 callers on kept connections, 1,440 requests a run (GET of an idempotent route and calls that may run once, deadlines of 0.15 to 15 s, callers that leave). Each response with a stamp must be the one that the endpoint recorded for that id (status, whole body), no call may run twice, and 408, 421, 429 and 503 need a request that has not run. tools.soak.response_checker compares the records. EntryDeployment starts stuttering endpoints, from a list of seeds.

--- a/tools/entry_deployment.py
+++ b/tools/entry_deployment.py
@@ -14,6 +14,7 @@
 from tools import entry_endpoint
 from tools import entry_gateway
 from tools import local_process
+from tools import stuttering_endpoint
 from tools import wait
 
 # Time in which a new gateway accumulates its first retries.
@@ -27,6 +28,8 @@
         store: Process of the store.
         call_endpoints: Endpoints that serve calls.
         engines: Model engines.
+        stuttering_endpoints: Endpoints that serve calls and send more than one
+            response to some of them.
         gateways: Gateways.
     """
 
@@ -40,6 +43,7 @@
         memory_mb: int = entry_gateway.MEMORY_MB,
         max_descriptors: int = entry_gateway.MAX_DESCRIPTORS,
         has_regions: bool = False,
+        stuttering_seeds: Sequence[str] = (),
     ) -> None:
         """Starts all processes and waits until all gateways are ready.
 
@@ -58,6 +62,7 @@
             has_regions: Whether every second endpoint is in another region,
                 with routes restricted to each region, evacuations and limits
                 of cold endpoints.
+            stuttering_seeds: Seeds of stuttering endpoints, one for each.
 
         Raises:
             RuntimeError: If a process exits before it is ready.
@@ -78,6 +83,9 @@
                 )
                 for service in ("desk", "engine")
             )
+            self.stuttering_endpoints = _stuttering_endpoints(
+                exit_stack, stuttering_seeds, has_regions
+            )
             self._start(
                 exit_stack,
                 gateway_count,
@@ -89,7 +97,7 @@
 
     @property
     def endpoints(self) -> list[entry_endpoint.EntryEndpoint]:
-        """All endpoints."""
+        """All endpoints that send one response to a request."""
         return self.call_endpoints + self.engines
 
     def register(
@@ -205,7 +213,7 @@
         self.store = local_process.LocalProcess("standins.object_store")
         exit_stack.callback(self.store.stop)
         self.put_object("config", "main", self.configuration(1))
-        for endpoint in self.endpoints:
+        for endpoint in (*self.endpoints, *self.stuttering_endpoints):
             endpoint.wait_ready()
             self.register(endpoint)
         store_port = self.store.http_port()
@@ -246,8 +254,26 @@
             service,
             is_proxied and not is_unframed,
             is_unframed,
-            "b-1" if has_regions and number % 2 else "a-1",
+            _zone(number, has_regions),
+        )
+        exit_stack.callback(endpoint.stop)
+        endpoints.append(endpoint)
+    return endpoints
+
+
+def _stuttering_endpoints(
+    exit_stack: contextlib.ExitStack, seeds: Sequence[str], has_regions: bool
+) -> list[stuttering_endpoint.StutteringEndpoint]:
+    """Starts the stuttering endpoints of the service that serves calls."""
+    endpoints = []
+    for number, seed in enumerate(seeds):
+        endpoint = stuttering_endpoint.StutteringEndpoint(
+            f"stuttering-{number}", "desk", seed, _zone(number, has_regions)
         )
         exit_stack.callback(endpoint.stop)
         endpoints.append(endpoint)
     return endpoints
+
+
+def _zone(number: int, has_regions: bool) -> str:
+    return "b-1" if has_regions and number % 2 else "a-1"
--- a/tools/entry_endpoint.py
+++ b/tools/entry_endpoint.py
@@ -155,8 +155,11 @@
 
     def _start_process(self) -> local_process.LocalProcess:
         self._start_count += 1
-        return local_process.LocalProcess(
+        return local_process.LocalProcess(*self._module_and_flags())
+
+    def _module_and_flags(self) -> list[str]:
+        return [
             "standins.model_endpoint",
             f"--endpoint-id={self.endpoint_id}",
             *self._flags,
-        )
+        ]
--- a/tools/soak/checker.py
+++ b/tools/soak/checker.py
@@ -19,7 +19,7 @@
 
 _OK_STATUS = 200
 # Refusals that guarantee that the request has not run and will not run.
-_NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 _EVENT = re.compile(rb"id: (\d+)\ndata: (\w+)-(\d+)\n\n")
 
 
@@ -47,7 +47,7 @@
     runs = collections.Counter(history.runs)
     violations = list(_check_only_sent(history))
     for result in history.results:
-        violations += _check_runs(result, runs[result.request_id])
+        violations += check_runs(result, runs[result.request_id])
         violations += _check_body(result)
     violations += _check_recovery(history)
     violations += arrival_checker.check(history.observed)
@@ -65,16 +65,17 @@
         )
 
 
-def _check_runs(
+def check_runs(
     result: request_result.RequestResult, runs: int
 ) -> Iterator[violation.Violation]:
+    """Returns the violations of one request by the number of its runs."""
     if runs > 1 and not result.kind.may_repeat:
         yield violation.Violation(
             invariant.Invariant.AT_MOST_ONCE, result.request_id, f"{runs} runs"
         )
     if (
         runs
-        and result.status in _NOT_RUN_STATUSES
+        and result.status in NOT_RUN_STATUSES
         and not result.kind.may_repeat
     ):
         yield violation.Violation(
--- a/tools/soak/invariant.py
+++ b/tools/soak/invariant.py
@@ -11,6 +11,7 @@
     OWN_COMPLETE_RESULT = (
         "a complete response is whole and belongs to its request"
     )
+    OWN_RESPONSE = "a response is one that its endpoint sent for the request"
     EVENTS_IN_ORDER = "each event arrives once, in order, from one run"
     ONLY_SENT_REQUESTS = "endpoints run only requests that callers have sent"
     RECOVERS_AFTER_FAULTS = (
--- a/tools/soak/request_result.py
+++ b/tools/soak/request_result.py
@@ -23,6 +23,7 @@
         ended_s: When it ended on the monotonic clock, in seconds.
         poison_part: Part of its prompt that crashes engines, or empty.
         allowed_region: Region that its route allows, empty for any.
+        stamp: Stamp of the endpoint's response, or empty.
     """
 
     request_id: str
@@ -36,6 +37,12 @@
     ended_s: float = 0.0
     poison_part: str = ""
     allowed_region: str = ""
+    stamp: str = ""
+
+    @property
+    def is_success(self) -> bool:
+        """Whether the status is a success."""
+        return self.status is not None and httpx.codes.is_success(self.status)
 
 
 class SentRequest(msgspec.Struct, frozen=True):
