Find a second response in every body that is cut off

Cause: a stated length is met by whatever bytes follow. Change: bodies of every framing are searched for the head of a response that names a request, as those that end with their connection were; where the length ends inside that head, what was received after it is looked at too. A body that merely quotes HTTP is passed on. Open: a second response that names no request, or whose rest has not arrived.

--- a/bronzeslip/http/checked_connection.py
+++ b/bronzeslip/http/checked_connection.py
@@ -59,11 +59,13 @@
             async with self._request_lock:
                 if self._connection is None:
                     stream = await self._connect(request)
-                    self._connection = (
+                    connection = (
                         checked_http11_connection.CheckedHttp11Connection(
                             self._origin, stream, self._keepalive_expiry
                         )
                     )
+                    stream.use.unread_bytes = connection.unread_bytes
+                    self._connection = connection
         except BaseException:
             self._connect_failed = True
             raise
@@ -143,14 +145,10 @@
 
     @property
     def _has_unread_bytes(self) -> bool:
-        # The library does not offer the bytes that its parser has buffered.
         connection = self._connection
-        if not isinstance(connection, httpcore.AsyncHTTP11Connection):
+        if connection is None or not connection.is_idle():
             return False
-        if not connection.is_idle():
-            return False
-        unread, _ = connection._h11_state.trailing_data
-        return bool(unread)
+        return bool(connection.unread_bytes())
 
 
 def _bodiless(request: httpcore.Request) -> h11.Request:
--- a/bronzeslip/http/checked_http11_connection.py
+++ b/bronzeslip/http/checked_http11_connection.py
@@ -17,6 +17,11 @@
     the final head that one has taken in.
     """
 
+    def unread_bytes(self) -> bytes:
+        """Returns the bytes received that were not parsed yet."""
+        unread, _ = self._h11_state.trailing_data
+        return unread
+
     async def _receive_response_headers(
         self, request: httpcore.Request
     ) -> tuple[bytes, int, bytes, list[tuple[bytes, bytes]], bytes]:
@@ -27,13 +32,12 @@
             if isinstance(head, h11.Response | h11.InformationalResponse):
                 _check_boundary(head)
                 is_final = _is_final(head)
-        unread, _ = self._h11_state.trailing_data
         return (
             _HTTP_PREFIX + head.http_version,
             head.status_code,
             head.reason,
             head.headers.raw_items(),
-            unread,
+            self.unread_bytes(),
         )
 
 
--- a/bronzeslip/http/head_scanner.py
+++ b/bronzeslip/http/head_scanner.py
@@ -11,8 +11,8 @@
 class HeadScanner:
     """Finds the head of a response in the chunks of a body.
 
-    A body that ends with its connection has no boundary to what a faulty server
-    sends after it.
+    A body that is cut off, or that ends with its connection, has no boundary to
+    what a faulty server sends after it.
     """
 
     def __init__(self, field_name: bytes) -> None:
@@ -37,12 +37,24 @@
             chunk: Next bytes of the body.
         """
         data = self._beginning + chunk
+        if _VERSION not in data:
+            self._beginning = data[1 - len(_VERSION) :]
+            return None
         found = self._pattern.search(data)
         if found is not None:
             return max(found.start() - len(self._beginning), 0)
         self._beginning = _possible_beginning(data)
         return None
 
+    def reaches_beyond(self, following: bytes) -> bool:
+        """Returns whether a head begins in the body and goes on after it.
+
+        Args:
+            following: Bytes received after the end of the body.
+        """
+        found = self._pattern.search(self._beginning + following)
+        return found is not None and found.start() < len(self._beginning)
+
 
 def _possible_beginning(data: bytes) -> bytes:
     start = data.find(_VERSION, data.rfind(_HEAD_END) + 1)
--- a/bronzeslip/platform/endpoint_response.py
+++ b/bronzeslip/platform/endpoint_response.py
@@ -82,21 +82,20 @@
                 incomplete, or followed by another response without a boundary.
         """
         self._has_begun_body = True
-        scanner = None
-        if self.head.framing is body_framing.BodyFraming.CONNECTION_END:
-            scanner = head_scanner.HeadScanner(headers.REQUEST_ID)
+        scanner = head_scanner.HeadScanner(headers.REQUEST_ID)
         try:
             async for chunk in paced_chunks.paced(self._response.stream):
-                own_bytes = scanner and scanner.find(chunk)
+                own_bytes = scanner.find(chunk)
                 yield chunk[:own_bytes]
                 if own_bytes is not None:
-                    raise endpoint_errors.EndpointResponseLostError(
-                        "the body contains the head of another response"
-                    )
+                    raise _merged_body_error()
         except (httpx.HTTPError, httpx.StreamError) as error:
             raise endpoint_errors.EndpointResponseLostError(
                 f"incomplete response: {type(error).__name__}"
             ) from error
+        use = bounded_transport.connection_use_of(self._response)
+        if scanner.reaches_beyond(use.unread_bytes()):
+            raise _merged_body_error()
         self._is_complete = True
 
     async def read(self, max_bytes: int) -> bytes:
@@ -178,6 +177,12 @@
             self._is_complete = False
 
 
+def _merged_body_error() -> endpoint_errors.EndpointResponseLostError:
+    return endpoint_errors.EndpointResponseLostError(
+        "the body contains the head of another response"
+    )
+
+
 def _head(
     response: httpx.Response, sender_id: ids.EndpointId
 ) -> endpoint_client.ResponseHead:
--- a/tests/http/test_head_scanner.py
+++ b/tests/http/test_head_scanner.py
@@ -50,6 +50,20 @@
             scanner.find(b"HTTP/1.1 200 " + 10_000 * b"x")
         self.assertLess(len(scanner._beginning), 40_000)
 
+    def test_head_that_goes_on_after_the_body_is_found(self):
+        for split in range(1, len(_HEAD)):
+            with self.subTest(split=split):
+                scanner = head_scanner.HeadScanner(b"x-request")
+                found = scanner.find(b"body" + _HEAD[:split])
+                self.assertTrue(
+                    found is not None or scanner.reaches_beyond(_HEAD[split:])
+                )
+
+    def test_head_that_begins_after_the_body_is_no_part_of_it(self):
+        scanner = head_scanner.HeadScanner(b"x-request")
+        scanner.find(b"body")
+        self.assertFalse(scanner.reaches_beyond(_HEAD))
+
 
 if __name__ == "__main__":
     unittest.main()
