Draw stuttering endpoints in the soak

Half of the seeds now have one or two more endpoints for calls that stutter, drawn from a random stream of their own, so that a seed keeps its other faults. The seventeenth invariant compares each response that bears a stamp of theirs with what the endpoint recorded. Every success needs a stamp; the results in the soak's own checker test therefore have one.

The stand-in answers "discard" bodies, as the other one does.

--- a/standins/stuttering/connection.py
+++ b/standins/stuttering/connection.py
@@ -20,6 +20,8 @@
 _REPORT_PATH = "/report"
 _TARGET_INSTANCE_HEADER = "bronzeslip-target-instance"
 _ATTEMPT_ID_HEADER = "bronzeslip-attempt-id"
+# Only the next word of such a body is part of the response.
+_DISCARDED_PREFIX = b"discard "
 _Time = repetition_time.RepetitionTime
 
 
@@ -90,6 +92,8 @@
         if kind.has_run:
             print(f"ran {request_id}", flush=True)
         text = received.body or request_id.encode() + self._behavior.filler()
+        if text.startswith(_DISCARDED_PREFIX):
+            _, text, _ = text.split(b" ", 2)
         await asyncio.sleep(self._behavior.duration_s())
         body = b"ran " + text
         if kind.status != response_kind.ResponseKind.SUCCESS.status:
--- a/tests/standins/stuttering/test_server.py
+++ b/tests/standins/stuttering/test_server.py
@@ -32,14 +32,16 @@
         self.addCleanup(process.stop)
         return process
 
-    def _send(self, process, request_id, endpoint_id=_ENDPOINT_ID):
+    def _send(
+        self, process, request_id, endpoint_id=_ENDPOINT_ID, content=b"x"
+    ):
         return self.client.post(
             f"{process.http_url()}/calls/",
             headers={
                 "Bronzeslip-Attempt-Id": request_id,
                 "Bronzeslip-Target-Instance": endpoint_id,
             },
-            content=b"x",
+            content=content,
         )
 
     def _record(self, process):
@@ -120,6 +122,11 @@
             client.close()
         self.assertGreater(unreadable_count, 0)
 
+    def test_discarded_part_of_a_body_is_not_sent_back(self):
+        process = self._start("1", "--repetition-share=0")
+        response = self._send(process, "q1", content=b"discard q1 xx x")
+        self.assertEqual(response.content, b"ran q1")
+
     def test_request_for_another_endpoint_is_not_run(self):
         process = self._start("1")
         response = self._send(process, "q1", "i-2")
--- a/tests/tools/soak/test_checker.py
+++ b/tests/tools/soak/test_checker.py
@@ -25,7 +25,12 @@
         body = b"ran " + request_id.encode()
         if kind is _STREAM:
             body = _events(1, 2, 3, 4, 5)
-    fields = {"is_complete": True, "ended_at_s": 1.0, **overrides}
+    fields = {
+        "is_complete": True,
+        "ended_at_s": 1.0,
+        "stamp": "stamp",
+        **overrides,
+    }
     return request_result.RequestResult(
         request_id, kind, status, body, **fields
     )
@@ -83,6 +88,14 @@
             [invariant.Invariant.OWN_COMPLETE_RESULT],
         )
 
+    def test_response_that_no_endpoint_sent(self):
+        for stamp in ("", "i.0, i.1"):
+            with self.subTest(stamp=stamp):
+                self.assertEqual(
+                    self.violated(_result("a", stamp=stamp)),
+                    [invariant.Invariant.OWN_RESPONSE],
+                )
+
     def test_complete_stream_with_missing_events(self):
         self.assertEqual(
             self.violated(_result("a", _STREAM, body=_events(1, 2, 3))),
--- a/tools/entry_deployment.py
+++ b/tools/entry_deployment.py
@@ -100,6 +100,11 @@
         """All endpoints that send one response to a request."""
         return self.call_endpoints + self.engines
 
+    @property
+    def all_endpoints(self) -> list[entry_endpoint.EntryEndpoint]:
+        """All endpoints, stuttering ones included."""
+        return [*self.endpoints, *self.stuttering_endpoints]
+
     def register(
         self, endpoint: entry_endpoint.EntryEndpoint, state: str = "ready"
     ) -> None:
@@ -213,7 +218,7 @@
         self.store = local_process.LocalProcess("standins.object_store")
         exit_stack.callback(self.store.stop)
         self.put_object("config", "main", self.configuration(1))
-        for endpoint in (*self.endpoints, *self.stuttering_endpoints):
+        for endpoint in self.all_endpoints:
             endpoint.wait_ready()
             self.register(endpoint)
         store_port = self.store.http_port()
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -54,7 +54,8 @@
     soak_trial = trial.Trial(trial_settings, seed, logs_folder)
     violations = soak_trial.run()
     print(
-        f"seed {seed}: {len(soak_trial.faults)} faults, "
+        f"seed {seed}: {len(soak_trial.stuttering_seeds)} stuttering "
+        f"endpoints, {len(soak_trial.faults)} faults, "
         f"{soak_trial.request_count} requests, {soak_trial.run_count} runs, "
         f"{len(violations)} violations",
         flush=True,
--- a/tools/soak/caller.py
+++ b/tools/soak/caller.py
@@ -90,6 +90,7 @@
         shared_parts = (_SHARED_PROMPT_PART,) if variant.has_prompt else ()
         chunks: list[bytes] = []
         status = None
+        stamp = ""
         is_complete = False
         gateway = self._rng.choice(self._gateways)
         sent_s = time.monotonic()
@@ -101,6 +102,7 @@
                 content=self._body(kind, request_id, variant),
             ) as response:
                 status = response.status_code
+                stamp = response.headers.get(request_result.STAMP_HEADER, "")
                 async for chunk in response.aiter_bytes():
                     chunks.append(chunk)
                     if variant.reads_slowly:
@@ -122,5 +124,6 @@
                 sent_s,
                 ended_s,
                 allowed_region=variant.allowed_region,
+                stamp=stamp,
             )
         )
--- a/tools/soak/checker.py
+++ b/tools/soak/checker.py
@@ -7,12 +7,14 @@
 
 import msgspec
 
+from standins.stuttering import sent_response
 from tools.soak import arrival_checker
 from tools.soak import invariant
 from tools.soak import process_checker
 from tools.soak import process_record
 from tools.soak import request_kind
 from tools.soak import request_result
+from tools.soak import response_checker
 from tools.soak import violation
 
 EVENT_COUNT = 5
@@ -33,6 +35,7 @@
             seconds from the start.
         observed: Arrivals at the endpoints.
         processes: Records of the processes of all gateways.
+        sent_responses: Responses that stuttering endpoints have sent.
     """
 
     results: Sequence[request_result.RequestResult]
@@ -40,6 +43,7 @@
     recovered_at_s: float
     observed: arrival_checker.Observations = arrival_checker.Observations()
     processes: Sequence[process_record.ProcessRecord] = ()
+    sent_responses: Sequence[sent_response.SentResponse] = ()
 
 
 def check(history: History) -> list[violation.Violation]:
@@ -49,6 +53,9 @@
     for result in history.results:
         violations += check_runs(result, runs[result.request_id])
         violations += _check_body(result)
+    violations += response_checker.check(
+        history.results, history.sent_responses
+    )
     violations += _check_recovery(history)
     violations += arrival_checker.check(history.observed)
     violations += process_checker.check(history.processes)
--- a/tools/soak/request_result.py
+++ b/tools/soak/request_result.py
@@ -7,6 +7,8 @@
 
 from tools.soak import request_kind
 
+STAMP_HEADER = "Bronzeslip-Response-Stamp"
+
 
 class RequestResult(msgspec.Struct, frozen=True):
     """Response to one request, as received by the caller.
@@ -74,4 +76,7 @@
             sent_s=self.sent_s,
             ended_s=time.monotonic(),
             poison_part=self.poison_part,
+            stamp=""
+            if response is None
+            else response.headers.get(STAMP_HEADER, ""),
         )
--- a/tools/soak/trial.py
+++ b/tools/soak/trial.py
@@ -26,6 +26,7 @@
 _OBSERVATION_S = 2.0
 # An evacuation alone takes 7 s, about the length of a short trial.
 _SEPARATE_FAULT_SHARE = 0.3
+_STUTTERING_COUNTS = (0, 0, 1, 2)
 
 
 class Trial:
@@ -35,6 +36,7 @@
         faults: Injected faults, in order.
         request_count: Number of requests that ended.
         run_count: Number of runs of requests at endpoints.
+        stuttering_seeds: Seeds of the stuttering endpoints.
     """
 
     def __init__(
@@ -54,6 +56,8 @@
         self.faults: list[fault.Fault] = []
         self.request_count = 0
         self.run_count = 0
+        count = random.Random(f"{seed} stuttering").choice(_STUTTERING_COUNTS)
+        self.stuttering_seeds = [f"{seed} {number}" for number in range(count)]
         self._settings = trial_settings
         self._seed = seed
         self._logs_folder = logs_folder
@@ -66,6 +70,7 @@
             has_unframed_endpoints=True,
             contracts=("pressure",),
             has_regions=True,
+            stuttering_seeds=self.stuttering_seeds,
         )
         try:
             monitor = process_monitor.ProcessMonitor(deployment.gateways)
@@ -91,7 +96,7 @@
             for gateway in deployment.gateways
         } | {
             endpoint.endpoint_id: endpoint.incarnation_lines
-            for endpoint in deployment.endpoints
+            for endpoint in deployment.all_endpoints
         }
         folder.mkdir(parents=True, exist_ok=True)
         for name, processes in lines_by_name.items():
@@ -126,7 +131,7 @@
         await calling_task
         executed_ids = [
             run
-            for endpoint in deployment.endpoints
+            for endpoint in deployment.all_endpoints
             for run in endpoint.executed_request_ids
         ]
         self.request_count = len(callers.results)
@@ -144,7 +149,7 @@
             endpoint_record.parse(
                 endpoint.endpoint_id, endpoint.service, lines, endpoint.zone
             )
-            for endpoint in deployment.endpoints
+            for endpoint in deployment.all_endpoints
             for lines in endpoint.incarnation_lines
         ]
         observed = arrival_checker.Observations(
@@ -161,7 +166,18 @@
                 for demand in fault_injector.places.demands
             ],
         )
-        return checker.History(results, executed_ids, recovered_at_s, observed)
+        sent_responses = [
+            response
+            for endpoint in deployment.stuttering_endpoints
+            for response in endpoint.sent_responses()
+        ]
+        return checker.History(
+            results,
+            executed_ids,
+            recovered_at_s,
+            observed,
+            sent_responses=sent_responses,
+        )
 
     def _inject_faults(
         self, deployment: entry_deployment.EntryDeployment, series_index: int
