--- a/bronzeslip/platform/endpoint_http.py
+++ b/bronzeslip/platform/endpoint_http.py
@@ -113,7 +113,7 @@
         if matcher.match is not response_match.ResponseMatch.OWN:
             await response.abort()
             raise endpoint_errors.EndpointResponseLostError(
-                "received a response that names no request"
+                "received a response that does not name this request"
             )
         # Control calls and errors need not state a limit that is in force.
         if response.head.is_success and not response.states_limit:
