--- a/bronzeslip/platform/response_match.py
+++ b/bronzeslip/platform/response_match.py
@@ -19,8 +19,8 @@
     FOREIGN = "foreign"
     # The response names no request and follows others on its connection.
     UNNAMED = "unnamed"
-    # The response names several requests, or its own several times.
-    AMBIGUOUS = "ambiguous"
+    # What the response names can't be an earlier request on its connection.
+    UNKNOWN = "unknown"
 
 
 def match(
@@ -32,15 +32,17 @@
 
     Args:
         request_id: Id of the request.
-        echoed_request_id: Request id that the response states, or None.
+        echoed_request_id: Request ids that the response states, separated by
+            commas, or None.
         response_number: Number of the response on its connection, from 1.
     """
+    is_first = response_number == 1
     if echoed_request_id is None:
         # Endpoints name no request in responses to malformed ones.
-        is_first = response_number == 1
         return ResponseMatch.OWN if is_first else ResponseMatch.UNNAMED
     if echoed_request_id == request_id:
         return ResponseMatch.OWN
-    if _SEPARATOR in echoed_request_id:
-        return ResponseMatch.AMBIGUOUS
+    names_one = echoed_request_id and _SEPARATOR not in echoed_request_id
+    if is_first or not names_one:
+        return ResponseMatch.UNKNOWN
     return ResponseMatch.FOREIGN
