Remember the last requests of a connection, whatever their outcome

Cause: only failed requests were remembered for a connection, and any id but the request's counted as that of an earlier one. Change: a connection remembers the last 50 ids it carried. A request is not sent where its id is among them; a response is skipped only if it names one of them, any other id ends the connection at once. The bound replaces the end of a connection after 100 failures.

--- a/bronzeslip/platform/connection_pool.py
+++ b/bronzeslip/platform/connection_pool.py
@@ -9,11 +9,9 @@
 from bronzeslip import ids
 from bronzeslip.http import bounded_transport
 from bronzeslip.http import silence_detection
+from bronzeslip.platform import recent_request_ids
 from bronzeslip.settings import entry
 
-# Failed requests after which a connection is not kept, as it holds their ids.
-_MAX_FAILED_REQUESTS = 100
-
 
 class PooledConnection(msgspec.Struct):
     """A connection, which carries one request at a time.
@@ -22,14 +20,15 @@
         transport: Transport that owns the connection.
         expires_at_s: Time after which the connection must not be reused, on
             the event loop's clock.
-        failed_request_ids: Requests that were refused or failed on it, which
-            may be sent to the endpoint again. A faulty endpoint may send the
-            same response once more, in place of the next one.
+        recent_ids: Requests that it has carried last. A faulty endpoint may
+            send a response once more, in place of the next one.
     """
 
     transport: httpx.AsyncBaseTransport
     expires_at_s: float = 0.0
-    failed_request_ids: set[ids.RequestId] = msgspec.field(default_factory=set)
+    recent_ids: recent_request_ids.RecentRequestIds = msgspec.field(
+        default_factory=recent_request_ids.RecentRequestIds
+    )
 
 
 class ConnectionPool:
@@ -56,14 +55,24 @@
 
         Args:
             request_id: Request to send, or None for other calls. It is not
-                sent again on a connection on which it has failed.
+                sent again on a connection that has carried it.
         """
         await self._close_expired()
+        connection = self._take_idle(request_id)
+        if connection is None:
+            connection = PooledConnection(self._create_transport())
+        if request_id is not None:
+            connection.recent_ids.add(request_id)
+        return connection
+
+    def _take_idle(
+        self, request_id: ids.RequestId | None
+    ) -> PooledConnection | None:
         for connection in reversed(self._idle_connections):
-            if request_id not in connection.failed_request_ids:
+            if request_id not in connection.recent_ids:
                 self._idle_connections.remove(connection)
                 return connection
-        return PooledConnection(self._create_transport())
+        return None
 
     async def _close_expired(self) -> None:
         now_s = asyncio.get_running_loop().time()
@@ -89,10 +98,7 @@
             keep_alive_s: Time after which the endpoint closes the connection
                 if it is idle, in seconds.
         """
-        has_failed_often = (
-            len(connection.failed_request_ids) >= _MAX_FAILED_REQUESTS
-        )
-        if self._is_closed or has_failed_often:
+        if self._is_closed:
             await connection.transport.aclose()
             return
         now_s = asyncio.get_running_loop().time()
--- a/bronzeslip/platform/endpoint_http.py
+++ b/bronzeslip/platform/endpoint_http.py
@@ -267,6 +267,8 @@
                 "the endpoint has asked for a pause"
             )
         connection = await pool.acquire(matcher and matcher.request_id)
+        if matcher:
+            matcher.earlier_ids = connection.recent_ids
         try:
             response = await connection.transport.handle_async_request(request)
         except httpx.ConnectError as error:
--- a/bronzeslip/platform/endpoint_response.py
+++ b/bronzeslip/platform/endpoint_response.py
@@ -19,7 +19,6 @@
 from bronzeslip.platform import caller_response
 from bronzeslip.platform import connection_pool
 from bronzeslip.platform import headers
-from bronzeslip.platform import response_fields
 from bronzeslip.settings import entry
 
 _MISDIRECTED_STATUS = 421
@@ -117,13 +116,6 @@
             received.append(chunk)
         return b"".join(received)
 
-    @property
-    def echoed_request_id(self) -> str | None:
-        """Request id that the response states, or None."""
-        return response_fields.text_of(
-            self._response.headers.raw, headers.REQUEST_ID
-        )
-
     @property
     def responding_endpoint_id(self) -> str | None:
         """Id of the endpoint that the response states, or None."""
@@ -146,8 +138,6 @@
 
     async def close(self) -> None:
         """Returns the connection to the pool, or closes it mid-response."""
-        if not self.head.is_success:
-            self._record_failure()
         has_not_run = (
             self.verdict is not endpoint_client.RunVerdict.MAY_HAVE_RUN
         )
@@ -161,12 +151,6 @@
         else:
             await self._connection.transport.aclose()
 
-    def _record_failure(self) -> None:
-        if self.echoed_request_id is not None:
-            self._connection.failed_request_ids.add(
-                ids.RequestId(self.echoed_request_id)
-            )
-
     async def _drain_body(self) -> None:
         try:
             async with asyncio.timeout(self._settings.drain_timeout_s):
--- a/bronzeslip/platform/response_match.py
+++ b/bronzeslip/platform/response_match.py
@@ -4,12 +4,11 @@
 is then read in place of the response to the next request on the connection.
 """
 
+from collections.abc import Container
 import enum
 
 from bronzeslip import ids
 
-_SEPARATOR = ","
-
 
 class ResponseMatch(enum.Enum):
     """Relation of a response to the request that awaits one."""
@@ -19,7 +18,7 @@
     FOREIGN = "foreign"
     # The response names no request and follows others on its connection.
     UNNAMED = "unnamed"
-    # What the response names can't be an earlier request on its connection.
+    # The response names no request that its connection has carried.
     UNKNOWN = "unknown"
 
 
@@ -27,6 +26,7 @@
     request_id: ids.RequestId,
     echoed_request_id: str | None,
     response_number: int,
+    earlier_ids: Container[str],
 ) -> ResponseMatch:
     """Returns how a response relates to a request.
 
@@ -35,14 +35,14 @@
         echoed_request_id: Request ids that the response states, separated by
             commas, or None.
         response_number: Number of the response on its connection, from 1.
+        earlier_ids: Requests that the connection has carried.
     """
-    is_first = response_number == 1
     if echoed_request_id is None:
+        is_first = response_number == 1
         # Endpoints name no request in responses to malformed ones.
         return ResponseMatch.OWN if is_first else ResponseMatch.UNNAMED
     if echoed_request_id == request_id:
         return ResponseMatch.OWN
-    names_one = echoed_request_id and _SEPARATOR not in echoed_request_id
-    if is_first or not names_one:
-        return ResponseMatch.UNKNOWN
-    return ResponseMatch.FOREIGN
+    if echoed_request_id in earlier_ids:
+        return ResponseMatch.FOREIGN
+    return ResponseMatch.UNKNOWN
--- a/bronzeslip/platform/response_matcher.py
+++ b/bronzeslip/platform/response_matcher.py
@@ -6,6 +6,7 @@
 from bronzeslip import logs
 from bronzeslip.forwarding import dispatch
 from bronzeslip.platform import headers
+from bronzeslip.platform import recent_request_ids
 from bronzeslip.platform import response_fields
 from bronzeslip.platform import response_match
 
@@ -17,6 +18,7 @@
 
     Attributes:
         match: Relation of the last response to the request.
+        earlier_ids: Requests that the connection has carried.
     """
 
     def __init__(self, outgoing: dispatch.Dispatch) -> None:
@@ -27,6 +29,7 @@
         """
         self._outgoing = outgoing
         self.match = response_match.ResponseMatch.UNNAMED
+        self.earlier_ids = recent_request_ids.RecentRequestIds()
 
     @property
     def request_id(self) -> ids.RequestId:
@@ -44,6 +47,7 @@
             self._outgoing.request.request_id,
             response_fields.text_of(response.headers, headers.REQUEST_ID),
             use.response_count,
+            self.earlier_ids,
         )
         if self.match is not response_match.ResponseMatch.OWN:
             logger.warning(
