--- a/bronzeslip/http/checked_connection.py
+++ b/bronzeslip/http/checked_connection.py
@@ -1,7 +1,6 @@
 """HTTP connection that ties each response to the request it answers."""
 
 from collections.abc import Callable
-from typing import Any
 
 import h11
 import httpcore
@@ -17,7 +16,6 @@
 
 # Responses to other requests that are skipped for one request.
 _MAX_SKIPPED_RESPONSES = 3
-_HTTP_VERSION = "http_version"
 _BODY_FIELDS = frozenset({b"content-length", b"transfer-encoding"})
 _NO_BODY_STATUSES = frozenset({204, 304})
 
@@ -76,7 +74,7 @@
         is_foreign: ForeignCheck | None = request.extensions.get(IS_FOREIGN)
         skipped_count = 0
         while True:
-            # The parser reads no body after CONNECT.
+            # The parser takes what follows for other bytes than a body.
             if self._connection._h11_state.their_state is h11.SWITCHED_PROTOCOL:
                 raise httpcore.RemoteProtocolError(
                     "the connection became a tunnel"
@@ -131,16 +129,15 @@
             fields,
             _,
         ) = await connection._receive_response_headers(request=request)
-        extensions: dict[str, Any] = {
-            **skipped.extensions,
-            _HTTP_VERSION: version,
-            "reason_phrase": reason_phrase,
-        }
         return httpcore.Response(
             status,
             headers=fields,
             content=skipped.stream,
-            extensions=extensions,
+            extensions={
+                **skipped.extensions,
+                "http_version": version,
+                "reason_phrase": reason_phrase,
+            },
         )
 
     @property
--- a/tests/platform/test_late_second_responses.py
+++ b/tests/platform/test_late_second_responses.py
@@ -7,16 +7,10 @@
 import asyncio
 import unittest
 
-from bronzeslip import ids
-from bronzeslip.endpoints import directory
-from bronzeslip.forwarding import buffered_response
-from bronzeslip.forwarding import dispatch
 from bronzeslip.forwarding import endpoint_errors
-from bronzeslip.platform import endpoint_http
-from tests.support import forwarding_parts
+from tests.support import raw_endpoint
 from tests.support import raw_server
 
-_MAX_BYTES = 200_000
 _FAILED = b"500 Internal Server Error"
 # Far below the time limit of a request.
 _IMMEDIATE_S = 1.0
@@ -39,35 +33,13 @@
 
 
 class LateSecondResponseTest(unittest.IsolatedAsyncioTestCase):
-    async def _call(self, request_id):
-        response = await self.client.send(
-            dispatch.Dispatch(
-                request=forwarding_parts.create_request(
-                    request_id=ids.RequestId(request_id)
-                ),
-                endpoint=self.endpoint,
-                remaining_s=2.0,
-            )
-        )
-        return await buffered_response.read(
-            response, _MAX_BYTES, forwarding_parts.create_response_memory()
-        )
-
     async def _call_after(self, *scripts):
         """Returns the response to q2, sent after q1 on one connection."""
-        self.server = raw_server.RawServer(_FIRST, *scripts)
-        port = await self.server.start()
-        self.addAsyncCleanup(self.server.stop)
-        self.client = endpoint_http.HttpEndpointClient(
-            forwarding_parts.SETTINGS,
-            directory.EndpointDirectory(forwarding_parts.SETTINGS),
-        )
-        self.addAsyncCleanup(self.client.close)
-        self.endpoint = forwarding_parts.create_endpoint(
-            "i-1", host="127.0.0.1", port=port
+        self.endpoint = await self.enterAsyncContext(
+            raw_endpoint.RawEndpoint(_FIRST, *scripts)
         )
-        await self._call("q1")
-        return await self._call("q2")
+        await self.endpoint.call("q1")
+        return await self.endpoint.call("q2")
 
     # Guards against losing the response to a request, which may not be
     # repeated, because the one to an earlier request came before it.
@@ -77,13 +49,13 @@
                 response = await self._call_after(extra + _OWN)
                 self.assertEqual(response.head.status, 500)
                 self.assertEqual(response.body, b"own")
-                self.assertEqual(self.server.connection_count, 1)
+                self.assertEqual(self.endpoint.server.connection_count, 1)
 
     async def test_connection_is_kept_after_a_skipped_response(self):
         await self._call_after(_FIRST + _OWN, _response(b"q3"))
-        response = await self._call("q3")
+        response = await self.endpoint.call("q3")
         self.assertEqual(response.head.origin.response_number, 4)
-        self.assertEqual(self.server.connection_count, 1)
+        self.assertEqual(self.endpoint.server.connection_count, 1)
 
     # Guards against reading responses to other requests without an end.
     async def test_many_responses_to_other_requests_are_given_up(self):
--- a/tests/platform/test_responses_of_parts.py
+++ b/tests/platform/test_responses_of_parts.py
@@ -8,17 +8,11 @@
 import itertools
 import unittest
 
-from bronzeslip import ids
-from bronzeslip.endpoints import directory
-from bronzeslip.forwarding import buffered_response
-from bronzeslip.forwarding import dispatch
 from bronzeslip.forwarding import endpoint_client
 from bronzeslip.forwarding import endpoint_errors
-from bronzeslip.platform import endpoint_http
-from tests.support import forwarding_parts
+from tests.support import raw_endpoint
 from tests.support import raw_server
 
-_MAX_BYTES = 1000
 # Time in which bytes that follow a response arrive.
 _ARRIVAL_S = 0.02
 _OK = b"200 OK"
@@ -41,33 +35,8 @@
 
 class ResponseOfPartsTest(unittest.IsolatedAsyncioTestCase):
     async def _start_endpoint(self, *scripts):
-        self.server = raw_server.RawServer(*scripts)
-        port = await self.server.start()
-        self.addAsyncCleanup(self.server.stop)
-        self.client = endpoint_http.HttpEndpointClient(
-            forwarding_parts.SETTINGS,
-            directory.EndpointDirectory(forwarding_parts.SETTINGS),
-        )
-        self.addAsyncCleanup(self.client.close)
-        self.endpoint = forwarding_parts.create_endpoint(
-            "i-1", host="127.0.0.1", port=port
-        )
-
-    async def _send(self, request_id):
-        return await self.client.send(
-            dispatch.Dispatch(
-                request=forwarding_parts.create_request(
-                    request_id=ids.RequestId(request_id)
-                ),
-                endpoint=self.endpoint,
-                remaining_s=2.0,
-            )
-        )
-
-    async def _call(self, request_id):
-        response = await self._send(request_id)
-        return await buffered_response.read(
-            response, _MAX_BYTES, forwarding_parts.create_response_memory()
+        self.endpoint = await self.enterAsyncContext(
+            raw_endpoint.RawEndpoint(*scripts)
         )
 
     async def _is_merged(self, second, *scripts):
@@ -78,11 +47,11 @@
             *scripts: What the endpoint sends for each request.
         """
         await self._start_endpoint(*scripts)
-        first_call = await self._call("q1")
+        first_call = await self.endpoint.call("q1")
         self.assertEqual(first_call.body, b"body of q1")
         await asyncio.sleep(_ARRIVAL_S)
         try:
-            second_call = await asyncio.wait_for(self._call("q2"), 2.0)
+            second_call = await asyncio.wait_for(self.endpoint.call("q2"), 2.0)
         except endpoint_errors.EndpointResponseLostError:
             return False
         status_line = b"HTTP/1.1 %d " % second_call.head.status
@@ -171,7 +140,7 @@
         )
         await self._start_endpoint(own[:-missing_bytes] + other)
         try:
-            response = await self._call("q1")
+            response = await self.endpoint.call("q1")
         except endpoint_errors.EndpointResponseLostError:
             return False
         return response.body != missing_bytes * b"x"
@@ -179,7 +148,7 @@
     async def test_response_after_interim_ones_is_used(self):
         interim = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
         await self._start_endpoint(2 * interim + _response(b"q1", _OK))
-        self.assertEqual((await self._call("q1")).body, b"body of q1")
+        self.assertEqual((await self.endpoint.call("q1")).body, b"body of q1")
 
     # Guards against waiting until the deadline for a response whose head was
     # lost in that of an interim one.
@@ -193,15 +162,15 @@
             raw_server.NO_RESPONSE,
         )
         with self.assertRaises(endpoint_errors.EndpointResponseLostError):
-            await asyncio.wait_for(self._call("q1"), 1.0)
+            await asyncio.wait_for(self.endpoint.call("q1"), 1.0)
 
     async def _verdict_after(self, first, next_bytes):
         """Returns what the response to q2 states, or None if it is lost."""
         await self._start_endpoint(first, next_bytes)
-        refusal = await self._send("q1")
+        refusal = await self.endpoint.send("q1")
         await refusal.close()
         try:
-            response = await asyncio.wait_for(self._send("q2"), 2.0)
+            response = await asyncio.wait_for(self.endpoint.send("q2"), 2.0)
         except endpoint_errors.EndpointResponseLostError:
             return None
         await response.close()
@@ -242,12 +211,12 @@
                 with self.assertRaises(
                     endpoint_errors.EndpointResponseLostError
                 ):
-                    await self._call("q1")
+                    await self.endpoint.call("q1")
 
     async def test_complete_interim_responses_are_skipped(self):
         interim = b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
         await self._start_endpoint(2 * interim + _response(b"q1", _OK))
-        response = await self._call("q1")
+        response = await self.endpoint.call("q1")
         self.assertEqual(response.body, b"body of q1")
 
 
--- a/tests/support/raw_endpoint.py
+++ b/tests/support/raw_endpoint.py
@@ -36,9 +36,9 @@
         await self._client.close()
         await self.server.stop()
 
-    async def call(self, request_id, **changes):
-        """Sends a request and reads the whole response."""
-        response = await self._client.send(
+    async def send(self, request_id, **changes):
+        """Sends a request and reads the head of its response."""
+        return await self._client.send(
             dispatch.Dispatch(
                 request=forwarding_parts.create_request(
                     request_id=ids.RequestId(request_id), **changes
@@ -47,6 +47,10 @@
                 remaining_s=2.0,
             )
         )
+
+    async def call(self, request_id, **changes):
+        """Sends a request and reads the whole response."""
+        response = await self.send(request_id, **changes)
         return await buffered_response.read(
             response, _MAX_BYTES, forwarding_parts.create_response_memory()
         )
