Tell for how long changes to followed state were unknown

- request.accepted: configuration_age_s; configuration.adopted: max_age_s; platform.follow_resumed: for how long changes were unknown.
- bronzeslip_followed_age_seconds for each thing that is followed.
- The wiring of the followers moves to platform/followed_state.py, which exports these ages; evacuations use the same record.

No decision changes.

--- a/bronzeslip/entry/gateway_registry.py
+++ b/bronzeslip/entry/gateway_registry.py
@@ -113,6 +113,12 @@
         """VMs of the known gateways, including this one."""
         return set(self._listings.merged)
 
+    def listing_age_s(self) -> float | None:
+        """Returns the age of the latest listing, in seconds, or None."""
+        if not self._listings:
+            return None
+        return self._clock() - self._listings.latest_s
+
     def share_of(self, total: float) -> float:
         """Returns this gateway's share of a number of indivisible items.
 
--- a/bronzeslip/entry/suspect_replicator.py
+++ b/bronzeslip/entry/suspect_replicator.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from bronzeslip import ids
+from bronzeslip import last_confirmation
 from bronzeslip import logs
 from bronzeslip.entry import named_task
 from bronzeslip.entry import suspect_list_settings
@@ -64,6 +65,11 @@
             ),
         )
 
+    @property
+    def confirmation(self) -> last_confirmation.LastConfirmation:
+        """Record of the store's responses."""
+        return self._follower.confirmation
+
     def interrupt(self) -> None:
         """Lists the suspects again."""
         self._follower.interrupt()
--- a/bronzeslip/forwarding/admission.py
+++ b/bronzeslip/forwarding/admission.py
@@ -126,6 +126,7 @@
             deadline_s=request.arrived_s
             + min(timeout_s, matched.route.timeout_s),
             permitted_regions=regions,
+            configuration_age_s=self._current_table.confirmation.rounded_age_s,
         )
 
     def _select_service(self, matched: route.Route) -> ids.ServiceName:
--- a/bronzeslip/forwarding/admitted.py
+++ b/bronzeslip/forwarding/admitted.py
@@ -19,6 +19,8 @@
         service: Service selected for the request.
         workspace_id: Workspace of the caller, or None on public routes.
         configuration: Version of the configuration used for admission.
+        configuration_age_s: Time since this version was known to be the newest
+            one, in seconds, or None if it never was.
         priority: Scheduling priority; 0 is served first.
         deadline_s: Deadline on the event loop's clock, in seconds.
         permitted_regions: Regions of the endpoints that the request and copies
@@ -33,6 +35,7 @@
     priority: int
     deadline_s: float
     permitted_regions: frozenset[ids.RegionName] | None = None
+    configuration_age_s: float | None = None
 
     @property
     def remaining_s(self) -> float:
--- a/bronzeslip/forwarding/request_ledger.py
+++ b/bronzeslip/forwarding/request_ledger.py
@@ -44,6 +44,7 @@
             service=request.service.name,
             workspace=request.workspace_id,
             configuration=request.configuration,
+            configuration_age_s=request.configuration_age_s,
             left_s=round(request.remaining_s, 3),
         )
         outcome = RequestOutcome.FAILED
--- a/bronzeslip/metrics/entry_metrics.py
+++ b/bronzeslip/metrics/entry_metrics.py
@@ -1,5 +1,6 @@
 """Metrics of the entry gateway, which calls endpoints directly."""
 
+from collections.abc import Callable
 import math
 
 import aioprometheus
@@ -18,6 +19,7 @@
 
 _NO_WORKSPACE = "(public)"
 _NO_VERSION = -1
+_NO_AGE = -1.0
 
 
 class EntryMetrics(process_metrics.ProcessMetrics):
@@ -75,6 +77,13 @@
             "Age of the chosen engine's report at a placement",
             buckets.FIRST_TOKEN_S,
         )
+        self._followed_age = aioprometheus.Gauge(
+            "bronzeslip_followed_age_seconds",
+            "Time since what is followed was last known to be up to date, -1 "
+            "before that",
+            registry=self.registry,
+        )
+        self._ages: dict[str, Callable[[], float | None]] = {}
         self._memory: memory_metrics.MemoryMetrics | None = None
         self._endpoints = aioprometheus.Gauge(
             "bronzeslip_endpoints",
@@ -93,6 +102,18 @@
             self.registry, memory, slots, internal_slots
         )
 
+    def track_age(
+        self, followed: str, age_s: Callable[[], float | None]
+    ) -> None:
+        """Exports the age of what is known of something that is followed.
+
+        Args:
+            followed: Value of the label.
+            age_s: Returns the time since the last confirmation, in seconds, or
+                None before the first.
+        """
+        self._ages[followed] = age_s
+
     def record_answer(
         self,
         workspace_id: ids.WorkspaceId | None,
@@ -165,6 +186,11 @@
         table = self._current_table.table
         version = _NO_VERSION if table is None else table.version
         self._configuration_number.set({}, version)
+        for followed, age_s in self._ages.items():
+            age = age_s()
+            self._followed_age.set(
+                {"followed": followed}, _NO_AGE if age is None else age
+            )
         endpoints = self._endpoint_directory.endpoints
         ready = sum(1 for endpoint in endpoints if endpoint.is_ready)
         self._endpoints.set({"state": "ready"}, ready)
--- a/bronzeslip/places/evacuated_domains.py
+++ b/bronzeslip/places/evacuated_domains.py
@@ -5,6 +5,7 @@
 import time
 
 from bronzeslip import ids
+from bronzeslip import last_confirmation
 from bronzeslip import listeners
 from bronzeslip import logs
 
@@ -20,16 +21,19 @@
     """Set of evacuated failure domains as last listed by its source.
 
     The last known set remains in effect while the source is unavailable.
+
+    Attributes:
+        confirmation: Confirmed whenever the set is known to be up to date.
     """
 
     def __init__(self) -> None:
         """Creates a set that is empty and not followed."""
+        self.confirmation = last_confirmation.LastConfirmation()
         self._domains: frozenset[ids.FailureDomainName] = frozenset()
         self._is_followed = False
         self._is_listed = False
         self._is_source_lost = False
         self._refused_since_s: float | None = None
-        self._confirmed_s: float | None = None
         self._listeners = listeners.Listeners[[]]("evacuation")
 
     def __bool__(self) -> bool:
@@ -82,10 +86,6 @@
         """Removes a failure domain."""
         self._change(self._domains - {domain})
 
-    def mark_confirmed(self) -> None:
-        """Records that the set is up to date."""
-        self._confirmed_s = time.monotonic()
-
     def mark_source_lost(self, is_store_answering: bool) -> None:
         """Records that the source is unavailable.
 
@@ -113,7 +113,8 @@
 
     def _log(self, event: str, domain: ids.FailureDomainName) -> None:
         """Logs a change and the time within which it was made."""
-        max_age_s = None
-        if self._confirmed_s is not None:
-            max_age_s = round(time.monotonic() - self._confirmed_s, 3)
-        logger.info(event, failure_domain=domain, max_age_s=max_age_s)
+        logger.info(
+            event,
+            failure_domain=domain,
+            max_age_s=self.confirmation.rounded_age_s,
+        )
--- a/bronzeslip/platform/configuration_follower.py
+++ b/bronzeslip/platform/configuration_follower.py
@@ -29,6 +29,7 @@
             self._on_list,
             self._on_event,
             timing=timing,
+            confirmation=current_table.confirmation,
         )
 
     def interrupt(self) -> None:
--- a/bronzeslip/platform/discovery_follower.py
+++ b/bronzeslip/platform/discovery_follower.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from bronzeslip import ids
+from bronzeslip import last_confirmation
 from bronzeslip import logs
 from bronzeslip.endpoints import directory
 from bronzeslip.endpoints import endpoint
@@ -52,6 +53,11 @@
             current_rate_limit=current_rate_limit,
         )
 
+    @property
+    def confirmation(self) -> last_confirmation.LastConfirmation:
+        """Record of the store's responses."""
+        return self._follower.confirmation
+
     async def run(self) -> None:
         """Runs until cancelled."""
         await self._follower.run()
--- a/bronzeslip/platform/evacuation_follower.py
+++ b/bronzeslip/platform/evacuation_follower.py
@@ -41,9 +41,9 @@
             PREFIX,
             self._on_list,
             self._on_event,
-            on_progress=lambda _: domains.mark_confirmed(),
             on_failure=self._handle_failure,
             timing=timing,
+            confirmation=domains.confirmation,
         )
 
     def interrupt(self) -> None:
--- a/bronzeslip/platform/gateway.py
+++ b/bronzeslip/platform/gateway.py
@@ -32,10 +32,8 @@
 from bronzeslip.places import cold_shares
 from bronzeslip.platform import body_reader
 from bronzeslip.platform import caller_response
-from bronzeslip.platform import configuration_follower
-from bronzeslip.platform import discovery_follower
 from bronzeslip.platform import endpoint_http
-from bronzeslip.platform import evacuation_follower
+from bronzeslip.platform import followed_state
 from bronzeslip.platform import ingress
 from bronzeslip.platform import settings_reloader
 from bronzeslip.platform import store_client
@@ -47,7 +45,6 @@
 from bronzeslip.quota import permit_coordinator
 from bronzeslip.routes import current
 from bronzeslip.settings import entry
-from bronzeslip.store import follower
 from bronzeslip.store import rate_limiter
 
 _BYTES_PER_MB = 1_000_000
@@ -138,6 +135,8 @@
     )
     metrics.track_memory(memory, slots, internal_slots)
     reloader = settings_reloader.SettingsReloader(path, this_vm, set_bounds)
+    metrics.track_age("gateways", registry.listing_age_s)
+    metrics.track_age("settings", reloader.confirmation.age_s)
     return daemon.EntryDaemon(
         settings,
         this_vm,
@@ -165,9 +164,13 @@
         metrics,
         (
             *_tasks(
-                settings, this_vm, store, forwarding_components, replicator
+                settings,
+                this_vm,
+                store,
+                forwarding_components,
+                replicator,
+                metrics,
             ),
-            *replicator.tasks(),
             named_task.NamedTask("registry", registry.run),
             named_task.NamedTask("settings", reloader.run),
             named_task.NamedTask("memory", guard.MemoryGuard(memory).run),
@@ -186,19 +189,8 @@
     store: store_client.StoreClient,
     forwarding_components: components.ForwardingComponents,
     replicator: suspect_replicator.SuspectReplicator,
+    metrics: entry_metrics.EntryMetrics,
 ) -> tuple[named_task.NamedTask, ...]:
-    configuration_timing = follower.FollowTiming(
-        settings.configuration_watch_s,
-        settings.store_backoff_min_s,
-        settings.store_backoff_max_s,
-    )
-    discovery_timing = follower.FollowTiming(
-        settings.store_watch_s,
-        settings.store_backoff_min_s,
-        settings.store_backoff_max_s,
-        settings.store_batch_s,
-        watch_rate_limit.create(settings, this_vm.bounds),
-    )
     poller = report_poller.ReportPoller(
         settings,
         forwarding_components.endpoints,
@@ -215,22 +207,6 @@
         forwarding_components.placement.polled_engines,
     )
     forwarding_components.placement.duties.add_begun_listener(poller.refresh)
-    configuration = configuration_follower.ConfigurationFollower(
-        store, forwarding_components.current, configuration_timing
-    )
-    store.era.add_listener(configuration.interrupt)
-    evacuations = evacuation_follower.EvacuationFollower(
-        store,
-        forwarding_components.endpoints.evacuated_domains,
-        configuration_timing,
-        lambda: forwarding_components.current.table is not None,
-    )
-    store.era.add_listener(evacuations.interrupt)
-
-    def restart_watches() -> None:
-        configuration.interrupt()
-        evacuations.interrupt()
-        replicator.interrupt()
 
     def endpoint_rate_limit() -> rate_limiter.RateLimit:
         polled = forwarding_components.placement.polled_engines
@@ -239,23 +215,18 @@
             return watch_rate_limit.create_relaxed(settings, this_vm.bounds)
         return watch_rate_limit.create(settings, this_vm.bounds)
 
-    discovery = discovery_follower.DiscoveryFollower(
+    followed = followed_state.FollowedState(
+        settings,
+        this_vm,
         store,
+        forwarding_components.current,
         forwarding_components.endpoints,
-        discovery_timing,
-        restart_watches,
+        replicator,
         endpoint_rate_limit,
     )
-    evacuation_tasks: tuple[named_task.NamedTask, ...] = ()
-    if this_vm.bounds.evac_s is not None:
-        forwarding_components.endpoints.evacuated_domains.start_following()
-        evacuation_tasks = (
-            named_task.NamedTask("evacuations", evacuations.run),
-        )
+    followed.export_ages(metrics)
     return (
-        *evacuation_tasks,
-        named_task.NamedTask("configuration", configuration.run),
-        named_task.NamedTask("discovery", discovery.run),
+        *followed.tasks(),
         named_task.NamedTask("reports", poller.run),
         named_task.NamedTask(
             "paces", forwarding_components.placement.pace_reader.run
--- a/bronzeslip/platform/settings_reloader.py
+++ b/bronzeslip/platform/settings_reloader.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import pathlib
 
+from bronzeslip import last_confirmation
 from bronzeslip import logs
 from bronzeslip.entry import vm_config
 from bronzeslip.platform import boot_file_reader
@@ -15,7 +16,11 @@
 
 
 class SettingsReloader:
-    """Rereads the settings file on request and periodically."""
+    """Rereads the settings file on request and periodically.
+
+    Attributes:
+        confirmation: Confirmed whenever the file was read.
+    """
 
     def __init__(
         self,
@@ -30,6 +35,7 @@
             this_vm: Configuration read from the file at startup.
             on_bounds_change: Called with the new bounds when they have changed.
         """
+        self.confirmation = last_confirmation.LastConfirmation()
         self._reader = boot_file_reader.BootFileReader(path)
         self._this_vm = this_vm
         self._on_bounds_change = on_bounds_change
@@ -43,7 +49,10 @@
     def reload(self) -> None:
         """Rereads the file; keeps the current settings if that fails."""
         loaded = self._reader.try_read(self._this_vm.bounds)
-        if loaded is None or loaded == self._this_vm:
+        if loaded is None:
+            return
+        self.confirmation.confirm()
+        if loaded == self._this_vm:
             return
         if loaded.bounds != self._this_vm.bounds:
             self._on_bounds_change(loaded.bounds)
--- a/bronzeslip/routes/current.py
+++ b/bronzeslip/routes/current.py
@@ -1,5 +1,6 @@
 """Active version of the configuration in this process."""
 
+from bronzeslip import last_confirmation
 from bronzeslip import logs
 from bronzeslip.routes import route_table
 
@@ -7,9 +8,14 @@
 
 
 class CurrentTable:
-    """Holds the newest known version and rejects older ones."""
+    """Holds the newest known version and rejects older ones.
+
+    Attributes:
+        confirmation: Confirmed whenever the newest version is known.
+    """
 
     def __init__(self) -> None:
+        self.confirmation = last_confirmation.LastConfirmation()
         self._table: route_table.RouteTable | None = None
 
     @property
@@ -25,6 +31,10 @@
         """
         if self._table is not None and new_table.version <= self._table.version:
             return False
-        logger.info("configuration.adopted", version=new_table.version)
+        logger.info(
+            "configuration.adopted",
+            version=new_table.version,
+            max_age_s=self.confirmation.rounded_age_s,
+        )
         self._table = new_table
         return True
--- a/bronzeslip/store/follower.py
+++ b/bronzeslip/store/follower.py
@@ -12,6 +12,7 @@
 from bronzeslip import backoff
 from bronzeslip import ids
 from bronzeslip import isolation
+from bronzeslip import last_confirmation
 from bronzeslip import logs
 from bronzeslip.store import errors
 from bronzeslip.store import objects
@@ -51,6 +52,10 @@
     An unexpected exception of a callback for one change is logged and does not
     affect the others. If a call or the callback for a listing raises one, the
     objects are listed again after a delay.
+
+    Attributes:
+        confirmation: Confirmed after each response, once its changes have been
+            passed to the callbacks.
     """
 
     def __init__(
@@ -63,6 +68,7 @@
         on_failure: Callable[[], None] | None = None,
         timing: FollowTiming = _DEFAULT_TIMING,
         current_rate_limit: Callable[[], rate_limiter.RateLimit] | None = None,
+        confirmation: last_confirmation.LastConfirmation | None = None,
     ) -> None:
         """Creates a follower.
 
@@ -78,7 +84,9 @@
             timing: Waits, delays and rate limit.
             current_rate_limit: Returns the rate limit of the next watch call,
                 in place of that of the timing.
+            confirmation: Record of the responses; by default, one of its own.
         """
+        self.confirmation = confirmation or last_confirmation.LastConfirmation()
         self._store = store
         self._prefix = prefix
         self._on_list = on_list
@@ -91,6 +99,7 @@
         )
         self._current_rate_limit = current_rate_limit
         self._waiting_watch: asyncio.Timeout | None = None
+        self._has_failed = False
         self._backoff = backoff.Backoff(
             timing.min_backoff_s, timing.max_backoff_s
         )
@@ -141,6 +150,13 @@
     async def _list(self) -> ids.ObjectVersion:
         listing = await self._store.list_objects(self._prefix)
         await self._on_list(listing)
+        if self._has_failed:
+            self._has_failed = False
+            logger.info(
+                "platform.follow_resumed",
+                prefix=self._prefix,
+                unconfirmed_s=self.confirmation.rounded_age_s,
+            )
         self._report_progress(listing.version)
         return listing.version
 
@@ -174,11 +190,13 @@
             self._waiting_watch = None
 
     def _report_progress(self, version: ids.ObjectVersion) -> None:
+        self.confirmation.confirm()
         if self._on_progress is not None:
             with self._isolated("platform.progress_failed"):
                 self._on_progress(version)
 
     async def _wait_after_failure(self, delay: backoff.Backoff) -> None:
+        self._has_failed = True
         if self._on_failure is not None:
             with self._isolated("platform.failure_not_handled"):
                 self._on_failure()
--- a/tests/metrics/test_entry_metrics.py
+++ b/tests/metrics/test_entry_metrics.py
@@ -64,6 +64,15 @@
                 shown[f"bronzeslip_answer_seconds_count{{{labels}}}"], 1
             )
 
+    # Guards against a watch that is silent for long and shows nowhere.
+    async def test_ages_of_what_is_followed_are_shown(self):
+        self.metrics.track_age("configuration", lambda: 2.5)
+        self.metrics.track_age("suspects", lambda: None)
+        shown = await self._render()
+        name = "bronzeslip_followed_age_seconds"
+        self.assertEqual(shown[f'{name}{{followed="configuration"}}'], 2.5)
+        self.assertEqual(shown[f'{name}{{followed="suspects"}}'], -1)
+
     async def test_workspaces_beyond_the_limit_add_no_series(self):
         for number in range(500):
             self.metrics.record_answer(
--- a/tests/store/test_follower.py
+++ b/tests/store/test_follower.py
@@ -127,6 +127,15 @@
         self.assertGreater(store.lists, 10)
         self.assertLess(store.lists, 40)
 
+    # Guards against a gap in what is known that no log line tells.
+    def test_log_tells_for_how_long_changes_were_unknown(self):
+        self.callbacks.list_errors = [RecursionError()]
+        store = _Store(_event("a", 1))
+        with log_capture.capture() as log:
+            virtual_loop.run(_follow(store, self.callbacks))
+        line = log.single("platform.follow_resumed", prefix="k/")
+        self.assertIsNone(line["unconfirmed_s"])
+
     def test_watches_that_always_fail_are_repeated_ever_more_rarely(self):
         store = _Store()
         store.watch_error = RecursionError()
