Reproduce versions that a forgotten watch hides

A store that never answers the watches that wait, while it answers everything else, hides a new version from a gateway for 25.6 s (config_ms: 2.5 s), evacuations and suspects for 25.7 and 24.2 s; leaving endpoints are known in time.

The stand-in of the store can forget the waiting watches of a kind.

--- a/standins/object_store/app.py
+++ b/standins/object_store/app.py
@@ -1,6 +1,7 @@
 """HTTP application of the object store stand-in."""
 
 import asyncio
+import collections
 import enum
 from typing import Any
 
@@ -29,6 +30,8 @@
     def __init__(self) -> None:
         self._store = store.ObjectStore()
         self._fault_mode = FaultMode.NONE
+        # How often the waiting watches of a kind were lost.
+        self._watch_losses: collections.Counter[str] = collections.Counter()
         # Objects whose bytes are sent as they were written, by kind and name.
         self._raw_objects: dict[tuple[str, str], bytes] = {}
 
@@ -50,6 +53,9 @@
                 litestar.post("/standin/restore/{age_ms:int}", status_code=200)(
                     self._restore
                 ),
+                litestar.post(
+                    "/standin/lose-watches/{kind:str}", status_code=200
+                )(self._lose_watches),
                 litestar.post("/standin/forget", status_code=200)(
                     self._compact
                 ),
@@ -97,7 +103,10 @@
                 "as_of": self._store.revision,
             }
             return _json_response(listing)
+        losses = self._watch_losses[kind]
         changes = await self._store.changes(kind, watch, wait_ms / _MS_PER_S)
+        if self._watch_losses[kind] != losses:
+            await asyncio.get_running_loop().create_future()
         events = [
             {
                 "object": self._rendered(kind, change.object),
@@ -155,6 +164,11 @@
         await self._store.restore(age_ms / _MS_PER_S)
         return _empty_response(200)
 
+    async def _lose_watches(self, kind: str) -> litestar.Response:
+        """Never answers the watches of a kind that wait now."""
+        self._watch_losses[kind] += 1
+        return _empty_response(200)
+
     async def _compact(self) -> litestar.Response:
         await self._store.compact_history()
         return _empty_response(200)
--- a/tools/entry_deployment.py
+++ b/tools/entry_deployment.py
@@ -192,6 +192,11 @@
         url = f"{self.store.http_url()}/standin/restore/{round(age_s * 1000)}"
         httpx.post(url).raise_for_status()
 
+    def lose_watches(self, kind: str) -> None:
+        """Makes the store never answer the watches of a kind that wait now."""
+        url = f"{self.store.http_url()}/standin/lose-watches/{kind}"
+        httpx.post(url).raise_for_status()
+
     def discard_history(self) -> None:
         """Makes the store discard its change history."""
         url = f"{self.store.http_url()}/standin/forget"
