End watches that the store has forgotten before a bound has passed

Cause: a watch waits for 25 s, and nothing tells that the store, a proxy or the path has forgotten it: the connection stays open and answers probes. Only the luck of a watch of the endpoints that was under way as well made it shorter. The same held for evacuations and suspects.

A watch now waits for at most three quarters of the time within which a change must be known, less the timeout of a call, from the bounds in the settings file (config_ms, evac_ms, drain_ms, and contact_ms for all of them). So each follower knows by itself, whatever else is called. Weighed instead: one call that shows that the store lives says nothing of a single forgotten watch; stale reads have no stated age; versions told by other gateways need a call by luck.

--- a/bronzeslip/entry/suspect_replicator.py
+++ b/bronzeslip/entry/suspect_replicator.py
@@ -8,7 +8,7 @@
 from bronzeslip.entry import named_task
 from bronzeslip.entry import suspect_list_settings
 from bronzeslip.entry import vm_config
-from bronzeslip.entry import watch_rate_limit
+from bronzeslip.entry import watch_timing
 from bronzeslip.routing import suspect_list
 from bronzeslip.routing import suspect_publisher
 from bronzeslip.settings import entry
@@ -56,13 +56,7 @@
             suspect_list.SUSPECTS_PREFIX,
             self.suspect_list.on_list,
             self.suspect_list.on_event,
-            timing=follower.FollowTiming(
-                settings.suspect_watch_s,
-                settings.store_backoff_min_s,
-                settings.store_backoff_max_s,
-                settings.store_batch_s,
-                watch_rate_limit.create(settings, bounds),
-            ),
+            timing=watch_timing.WatchTiming(settings, bounds).suspects(),
         )
 
     @property
--- a/bronzeslip/entry/vm_config.py
+++ b/bronzeslip/entry/vm_config.py
@@ -28,6 +28,10 @@
         retry_window_s: Window in which retries are counted, in seconds.
         drain_s: Time after which an endpoint that the store lists as leaving
             must receive no new requests, in seconds.
+        config_s: Time within which a new configuration must be in force, in
+            seconds.
+        contact_s: Time after the end of a disruption within which a VM must
+            know what has changed, in seconds.
         evac_s: Time after which the endpoints of an evacuated failure domain
             must receive no requests, in seconds, or None if evacuations are not
             followed.
@@ -42,6 +46,8 @@
     retry_slack: float
     retry_window_s: float
     drain_s: float
+    config_s: float = 2.5
+    contact_s: float = 4.0
     evac_s: float | None = None
     cold_over: float = 1.0
     cold_slack: float = 0.0
--- a/bronzeslip/platform/followed_state.py
+++ b/bronzeslip/platform/followed_state.py
@@ -6,7 +6,7 @@
 from bronzeslip.entry import named_task
 from bronzeslip.entry import suspect_replicator
 from bronzeslip.entry import vm_config
-from bronzeslip.entry import watch_rate_limit
+from bronzeslip.entry import watch_timing
 from bronzeslip.metrics import entry_metrics
 from bronzeslip.platform import configuration_follower
 from bronzeslip.platform import discovery_follower
@@ -14,7 +14,6 @@
 from bronzeslip.platform import store_client
 from bronzeslip.routes import current
 from bronzeslip.settings import entry
-from bronzeslip.store import follower
 from bronzeslip.store import rate_limiter
 
 
@@ -47,30 +46,20 @@
         self._domains = endpoint_directory.evacuated_domains
         self._current_table = current_table
         self._replicator = replicator
-        configuration_timing = follower.FollowTiming(
-            settings.configuration_watch_s,
-            settings.store_backoff_min_s,
-            settings.store_backoff_max_s,
-        )
+        timing = watch_timing.WatchTiming(settings, this_vm.bounds)
         self._configuration = configuration_follower.ConfigurationFollower(
-            store, current_table, configuration_timing
+            store, current_table, timing.configuration()
         )
         self._evacuations = evacuation_follower.EvacuationFollower(
             store,
             self._domains,
-            configuration_timing,
+            timing.evacuations(),
             lambda: current_table.table is not None,
         )
         self._discovery = discovery_follower.DiscoveryFollower(
             store,
             endpoint_directory,
-            follower.FollowTiming(
-                settings.store_watch_s,
-                settings.store_backoff_min_s,
-                settings.store_backoff_max_s,
-                settings.store_batch_s,
-                watch_rate_limit.create(settings, this_vm.bounds),
-            ),
+            timing.endpoints(),
             self._restart_watches,
             endpoint_rate_limit,
         )
--- a/bronzeslip/platform/place_bounds.py
+++ b/bronzeslip/platform/place_bounds.py
@@ -50,6 +50,8 @@
     ("retry_slack", "retry_slack"): _Range(0),
     ("retry_window_s", "retry_window_s"): _Range(0.001),
     ("drain_ms", "drain_s"): _Range(1, divisor=_MS_PER_S),
+    ("config_ms", "config_s"): _Range(1, divisor=_MS_PER_S, is_optional=True),
+    ("contact_ms", "contact_s"): _Range(1, divisor=_MS_PER_S, is_optional=True),
     ("evac_ms", "evac_s"): _Range(
         1, divisor=_MS_PER_S, is_optional=True, cautious=1.0
     ),
--- a/bronzeslip/platform/settings_reloader.py
+++ b/bronzeslip/platform/settings_reloader.py
@@ -75,6 +75,13 @@
         or loaded.peer_address != previous.peer_address
         or loaded.failure_domain != previous.failure_domain
         or loaded.regions != previous.regions
-        or (loaded.bounds.evac_s is None) != (previous.bounds.evac_s is None)
+        or _watch_bounds(loaded.bounds) != _watch_bounds(previous.bounds)
         or loaded.contracts != previous.contracts
     )
+
+
+def _watch_bounds(
+    bounds: vm_config.PlaceBounds,
+) -> tuple[float | None, ...]:
+    """Returns the bounds that the watches of the store depend on."""
+    return bounds.config_s, bounds.contact_s, bounds.drain_s, bounds.evac_s
--- a/bronzeslip/settings/entry.py
+++ b/bronzeslip/settings/entry.py
@@ -44,8 +44,8 @@
         maximum=600,
     )
     store_watch_s: float = setting(
-        "maximum duration of a watch call to the store, in seconds; limits "
-        "how long a silent connection goes undetected",
+        "maximum duration of a watch call for endpoints, in seconds; "
+        "shortened to what the platform's bounds allow",
         "store",
         default=1.5,
         minimum=0.1,
@@ -53,7 +53,7 @@
     )
     configuration_watch_s: float = setting(
         "maximum duration of a watch call for the configuration, in seconds; "
-        "a failed watch for endpoints restarts it at once",
+        "shortened to what the platform's bounds allow",
         "store",
         default=25.0,
         minimum=0.1,
@@ -283,8 +283,8 @@
     )
     suspect_ttl_s: float = suspects.suspect_ttl_setting()
     suspect_watch_s: float = setting(
-        "maximum duration of a watch call for the suspects, which rarely "
-        "change, in seconds; a failed watch for endpoints restarts it at once",
+        "maximum duration of a watch call for the suspects, in seconds; "
+        "shortened to what the platform's bounds allow",
         "store",
         default=25.0,
         minimum=0.1,
--- a/tools/entry_gateway.py
+++ b/tools/entry_gateway.py
@@ -31,7 +31,7 @@
 max_fds = {max_descriptors}
 [bounds]
 contact_ms = 4000
-config_ms = 2500
+config_ms = 4000
 drain_ms = 2500
 grace_s = 8
 retry_ratio = 0.2
