Leave time for one listing after an unanswered watch

In place of a share of the bound: the bound, less the timeouts of the watch and of a listing and the first delay. At 4 s watches wait 2.7 s instead of 2.4, which is a tenth fewer calls.

--- a/bronzeslip/entry/watch_timing.py
+++ b/bronzeslip/entry/watch_timing.py
@@ -7,9 +7,6 @@
 from bronzeslip.settings import entry
 from bronzeslip.store import follower
 
-# Share of the time within which a change must be known that may pass until an
-# unanswered watch is given up; the rest is for the listing that follows.
-_WATCH_SHARE = 0.75
 # Bounds the calls to the store if a bound is very short.
 _MIN_WAIT_S = 0.5
 
@@ -70,10 +67,12 @@
     def _create(
         self, max_wait_s: float, bound_s: float
     ) -> follower.FollowTiming:
-        known_in_s = min(bound_s, self._bounds.contact_s)
-        wait_s = _WATCH_SHARE * known_in_s - self._settings.store_timeout_s
+        settings = self._settings
+        # Until an unanswered watch is given up and the objects are listed.
+        overhead_s = settings.store_backoff_min_s + 2 * settings.store_timeout_s
+        wait_s = min(bound_s, self._bounds.contact_s) - overhead_s
         return follower.FollowTiming(
             min(max_wait_s, max(wait_s, _MIN_WAIT_S)),
-            self._settings.store_backoff_min_s,
-            self._settings.store_backoff_max_s,
+            settings.store_backoff_min_s,
+            settings.store_backoff_max_s,
         )
