Lose responses that more than 100 interim ones precede

Sound endpoints send a few.

test_interim_responses_leave_turns_to_other_tasks, 24 callers, failed before: the requests took 5.07 s instead of 3 s. The endless server moves to tests/support; its checks are unchanged.

--- a/bronzeslip/http/checked_http11_connection.py
+++ b/bronzeslip/http/checked_http11_connection.py
@@ -8,6 +8,8 @@
 from bronzeslip.http import response_boundary
 
 _HTTP_PREFIX = b"HTTP/"
+# They take much longer to parse than to send.
+_MAX_INTERIM_RESPONSES = 100
 
 
 class CheckedHttp11Connection(httpcore.AsyncHTTP11Connection):
@@ -27,11 +29,14 @@
     ) -> tuple[bytes, int, bytes, list[tuple[bytes, bytes]], bytes]:
         timeouts = request.extensions.get("timeout", {})
         is_final = False
+        interim_count = -1
         while not is_final:
             head = await self._receive_event(timeouts.get("read"))
             if isinstance(head, h11.Response | h11.InformationalResponse):
                 _check_boundary(head)
                 is_final = _is_final(head)
+                interim_count += 1
+                _check_interim_count(interim_count)
         return (
             _HTTP_PREFIX + head.http_version,
             head.status_code,
@@ -48,6 +53,13 @@
     )
 
 
+def _check_interim_count(count: int) -> None:
+    if count > _MAX_INTERIM_RESPONSES:
+        raise httpcore.RemoteProtocolError(
+            f"more than {_MAX_INTERIM_RESPONSES} interim responses"
+        )
+
+
 def _check_boundary(head: h11.Response | h11.InformationalResponse) -> None:
     if response_boundary.is_merged(head.reason, head.headers):
         raise httpcore.RemoteProtocolError(
--- a/tests/platform/test_endless_responses.py
+++ b/tests/platform/test_endless_responses.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import resource
 import time
 import unittest
 
@@ -20,84 +19,18 @@
 from bronzeslip.platform import endpoint_http
 from bronzeslip.platform import store_client
 from bronzeslip.store import errors
+from tests.support import endless_server
 from tests.support import forwarding_parts
 
 _MAX_BODY_BYTES = 100_000
-# Memory that one endless response may cost the gateway.
-_MAX_GROWTH_KB = 32_768
-_CALL_TIMEOUT_S = 3.0
 # Longest pause between the events of a stream that is on time.
 _MAX_PAUSE_S = 0.18
-_HEAD = b"HTTP/1.1 200 OK\r\nBronzeslip-Attempt-Id: q1\r\n"
+_CALLERS = 24
 _NOT_RUN_HEAD = (
     b"HTTP/1.1 503 Busy\r\nBronzeslip-Attempt-Id: q1\r\n"
     b"Bronzeslip-Not-Executed: 1\r\n"
 )
-_CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
-_FILLER = b"x" * 60_000
-_CHUNK = b"ea60\r\n" + _FILLER + b"\r\n"
-
-# First bytes, then bytes that are repeated without end.
-_HEADS = {
-    "interim heads": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 1000),
-    "headers": (_HEAD, b"X-Filler: " + _FILLER + b"\r\n"),
-    "one header": (_HEAD + b"X-Filler: ", _FILLER),
-    "bytes that are no head": (b"", _FILLER),
-}
-_BODIES = {
-    "body without length": (_HEAD + b"\r\n", _FILLER),
-    "body of gigabytes": (
-        _HEAD + b"Content-Length: 9000000000\r\n\r\n",
-        _FILLER,
-    ),
-    "chunks": (_HEAD + _CHUNKED, _CHUNK),
-    "chunk size": (_HEAD + _CHUNKED, b"0" * 60_000),
-    "trailers": (
-        _HEAD + _CHUNKED + b"0\r\n",
-        b"X-Filler: " + _FILLER + b"\r\n",
-    ),
-}
 _SMALL_CHUNKS = b"1\r\nx\r\n" * 10_000
-_SLOW = {
-    "slow interim heads": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
-    "slow head": (_HEAD + b"X-Filler: ", b"x"),
-    "slow body": (_HEAD + b"\r\n", b"x"),
-}
-
-
-class _EndlessServer:
-    """Responds to each request with bytes that never end."""
-
-    def __init__(self):
-        self.first = b""
-        self.repeated = b""
-        self.pause_s = 0.0
-        self._server = None
-
-    async def start(self):
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        return self._server.sockets[0].getsockname()[1]
-
-    async def stop(self):
-        self._server.close()
-        await self._server.wait_closed()
-
-    async def _serve(self, reader, writer):
-        try:
-            await reader.readuntil(b"\r\n\r\n")
-            writer.write(self.first)
-            while True:
-                writer.write(self.repeated)
-                await writer.drain()
-                await asyncio.sleep(self.pause_s)
-        except (
-            ConnectionError,
-            asyncio.CancelledError,
-            asyncio.IncompleteReadError,
-        ):
-            pass
-        finally:
-            writer.close()
 
 
 class _PauseWatch:
@@ -119,7 +52,7 @@
 
 class EndlessResponseTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
-        self.server = _EndlessServer()
+        self.server = endless_server.EndlessServer()
         self.port = await self.server.start()
         self.addAsyncCleanup(self.server.stop)
         self.client = endpoint_http.HttpEndpointClient(
@@ -131,18 +64,8 @@
             "i-1", host="127.0.0.1", port=self.port
         )
 
-    def _play(self, script, pause_s=0.0):
-        self.server.first, self.server.repeated = script
-        self.server.pause_s = pause_s
-
     async def _assert_bounded(self, call, error=endpoint_errors.EndpointError):
-        before_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
-        started_s = time.monotonic()
-        with self.assertRaises(error):
-            await asyncio.wait_for(call(), 2 * _CALL_TIMEOUT_S)
-        self.assertLess(time.monotonic() - started_s, _CALL_TIMEOUT_S)
-        after_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
-        self.assertLess(after_kb - before_kb, _MAX_GROWTH_KB)
+        await endless_server.assert_bounded(self, call, error)
 
     async def _forward(self):
         outgoing = dispatch.Dispatch(
@@ -167,23 +90,23 @@
         }
 
     async def test_forwarded_requests(self):
-        for name, script in {**_HEADS, **_BODIES}.items():
+        for name, script in endless_server.HEADS_AND_BODIES.items():
             with self.subTest(name):
-                self._play(script)
+                self.server.play(script)
                 await self._assert_bounded(self._forward)
 
     async def test_control_calls(self):
         for call_name, call in self._control_calls().items():
-            for name, script in {**_HEADS, **_BODIES}.items():
+            for name, script in endless_server.HEADS_AND_BODIES.items():
                 with self.subTest(f"{call_name}: {name}"):
-                    self._play(script)
+                    self.server.play(script)
                     await self._assert_bounded(call)
 
     async def test_slow_control_calls(self):
         for call_name, call in self._control_calls().items():
-            for name, script in _SLOW.items():
+            for name, script in endless_server.SLOW.items():
                 with self.subTest(f"{call_name}: {name}"):
-                    self._play(script, pause_s=0.05)
+                    self.server.play(script, pause_s=0.05)
                     await self._assert_bounded(call)
 
     # Guards against holding up all requests while the chunks that one read has
@@ -192,27 +115,43 @@
         calls = {**self._control_calls(), "forward": self._forward}
         for name, call in calls.items():
             with self.subTest(name):
-                self._play((_HEAD + _CHUNKED, _SMALL_CHUNKS))
+                self.server.play(
+                    (
+                        endless_server.HEAD + endless_server.CHUNKED,
+                        _SMALL_CHUNKS,
+                    )
+                )
                 watch = _PauseWatch()
                 task = asyncio.create_task(watch.run())
                 await self._assert_bounded(call)
                 task.cancel()
                 self.assertLess(watch.longest_s, _MAX_PAUSE_S)
 
+    # Guards against holding up all requests while interim responses are parsed,
+    # which takes much longer than sending them.
+    async def test_interim_responses_leave_turns_to_other_tasks(self):
+        self.server.play(endless_server.HEADS["interim heads"])
+        watch = _PauseWatch()
+        task = asyncio.create_task(watch.run())
+        calls = [self._assert_bounded(self._forward) for _ in range(_CALLERS)]
+        await asyncio.gather(*calls)
+        task.cancel()
+        self.assertLess(watch.longest_s, _MAX_PAUSE_S)
+
     async def test_health_checks(self):
         def check():
             return self.client.check_presence(self.endpoint, "/health")
 
-        for name, script in _HEADS.items():
+        for name, script in endless_server.HEADS.items():
             with self.subTest(name):
-                self._play(script)
+                self.server.play(script)
                 await self._assert_bounded(check)
-        self._play(_SLOW["slow head"], pause_s=0.05)
+        self.server.play(endless_server.SLOW["slow head"], pause_s=0.05)
         await self._assert_bounded(check)
 
     async def test_body_of_a_refusal(self):
-        for pause_s, repeated in ((0.0, _FILLER), (0.05, b"x")):
-            self._play((_NOT_RUN_HEAD + b"\r\n", repeated), pause_s)
+        for pause_s, repeated in ((0.0, endless_server.FILLER), (0.05, b"x")):
+            self.server.play((_NOT_RUN_HEAD + b"\r\n", repeated), pause_s)
             outgoing = dispatch.Dispatch(
                 request=forwarding_parts.create_request(),
                 endpoint=self.endpoint,
@@ -228,16 +167,16 @@
             lambda method, result: None,
         )
         self.addAsyncCleanup(client.close)
-        for name, script in {**_HEADS, **_BODIES}.items():
+        for name, script in endless_server.HEADS_AND_BODIES.items():
             with self.subTest(name):
-                self._play(script)
+                self.server.play(script)
                 await self._assert_bounded(
                     lambda: client.list_objects("things/"),
                     errors.PlatformError,
                 )
-        for name, script in _SLOW.items():
+        for name, script in endless_server.SLOW.items():
             with self.subTest(name):
-                self._play(script, pause_s=0.05)
+                self.server.play(script, pause_s=0.05)
                 await self._assert_bounded(
                     lambda: client.list_objects("things/"),
                     errors.PlatformError,
@@ -248,7 +187,9 @@
             {"waiting": 0, "running": 1, "kv_used": 2, "kv_total": 3}
         )
         length = b"Content-Length: %d\r\n\r\n" % len(body)
-        self._play((_HEAD + length + body, _FILLER))
+        self.server.play(
+            (endless_server.HEAD + length + body, endless_server.FILLER)
+        )
         report = await self.client.report(self.endpoint)
         self.assertEqual(report.used_tokens, 2)
 
