Bound listings of the store as a whole

A listing now ends after ten timeouts of a call or four times the size of a response. The new tests did not end before.

Reading a body within a limit becomes http/bounded_exchange.read_body.

--- a/bronzeslip/platform/store_client.py
+++ b/bronzeslip/platform/store_client.py
@@ -9,8 +9,8 @@
 
 from bronzeslip import ids
 from bronzeslip.entry import vm_config
+from bronzeslip.http import bounded_exchange
 from bronzeslip.http import bounded_transport
-from bronzeslip.http import paced_chunks
 from bronzeslip.http import silence_detection
 from bronzeslip.platform import discovery
 from bronzeslip.platform import headers
@@ -23,6 +23,10 @@
 
 _MS_PER_S = 1000
 _MAX_CONNECTIONS = 20
+# A listing comes in parts of about a megabyte. The limits on a single call,
+# times these factors, bound it as a whole.
+_LISTING_TIMEOUT_FACTOR = 10
+_LISTING_SIZE_FACTOR = 4
 
 
 class StoreClient:
@@ -95,8 +99,21 @@
             may_be_stale: Whether the result may be some seconds old, which is
                 cheaper for the store.
         """
-        kind = _kind_of(prefix)
+        try:
+            async with asyncio.timeout(
+                self._timeout_s * _LISTING_TIMEOUT_FACTOR
+            ):
+                return await self._list_parts(_kind_of(prefix), may_be_stale)
+        except TimeoutError as error:
+            raise errors.PlatformUnavailableError(
+                f"listing of {prefix} not complete in time"
+            ) from error
+
+    async def _list_parts(
+        self, kind: str, may_be_stale: bool
+    ) -> objects.ObjectList:
         stored: list[objects.PlatformObject] = []
+        size_bytes = 0
         after: str | None = None
         version = None
         while True:
@@ -104,6 +121,8 @@
             if after is not None:
                 params["after"] = after
             answer = await self._call("GET", f"/objects/{kind}", params=params)
+            size_bytes += len(answer.body)
+            self._check_listing_size(size_bytes)
             page = store_listings.decode_page(answer)
             # The version of the first page: changes made while later pages
             # are read are then repeated by the watch.
@@ -121,6 +140,13 @@
             after = _continuation(page, after)
         return objects.ObjectList(version, tuple(stored))
 
+    def _check_listing_size(self, size_bytes: int) -> None:
+        max_bytes = self._max_body_bytes * _LISTING_SIZE_FACTOR
+        if size_bytes > max_bytes:
+            raise errors.PlatformUnavailableError(
+                f"listing of more than {max_bytes} bytes"
+            )
+
     async def watch(
         self, prefix: str, after: ids.ObjectVersion, wait_s: float
     ) -> objects.WatchBatch:
@@ -223,7 +249,9 @@
                 asyncio.timeout(self._timeout_s + wait_s),
                 self._http.stream(method, path, **options) as response,
             ):
-                body = await self._read_body(response)
+                body = await bounded_exchange.read_body(
+                    response, self._max_body_bytes
+                )
         except (httpx.HTTPError, httpx.InvalidURL, TimeoutError) as error:
             self._on_call(method, type(error).__name__)
             raise errors.PlatformUnavailableError(
@@ -234,22 +262,6 @@
         store_messages.raise_for_status(method, path, response.status_code)
         return store_messages.Answer(response.status_code, body, era)
 
-    async def _read_body(self, response: httpx.Response) -> bytes:
-        """Reads the body as it is sent.
-
-        Decompressing a chunk could take any amount of memory.
-        """
-        chunks: list[bytes] = []
-        size_bytes = 0
-        async for chunk in paced_chunks.paced(response.stream):
-            size_bytes += len(chunk)
-            if size_bytes > self._max_body_bytes:
-                raise errors.PlatformUnavailableError(
-                    f"response of more than {self._max_body_bytes} bytes"
-                )
-            chunks.append(chunk)
-        return b"".join(chunks)
-
 
 def _continuation(page: store_messages.Page, after: str | None) -> str:
     """Returns the name after which a listing continues."""
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -1,5 +1,6 @@
 """Tests of bronzeslip.platform.store_client with scripted responses."""
 
+import asyncio
 import gzip
 import tracemalloc
 import unittest
@@ -28,10 +29,16 @@
     }
 
 
+# Ten times the timeout of a call.
+_LISTING_TIMEOUT_S = 6.0
+
+
 class StoreClientTest(unittest.IsolatedAsyncioTestCase):
-    def _create_client(self, *responses):
+    def setUp(self):
         self.requests = []
         self.calls = []
+
+    def _create_client(self, *responses):
         remaining = list(responses)
 
         def handle(request):
@@ -41,6 +48,9 @@
                 raise response_or_error
             return response_or_error
 
+        return self._create_client_of(handle)
+
+    def _create_client_of(self, handle):
         client = store_client.StoreClient(
             vm_config.SocketAddress("store", 1),
             forwarding_parts.SETTINGS,
@@ -77,6 +87,49 @@
         self.assertEqual(listing.version, 9)
         self.assertEqual(self.requests[1].url.params["after"], "a")
 
+    # Guards against a listing without end that fills the memory.
+    async def test_listing_whose_parts_never_end_is_given_up(self):
+        part_count = 0
+
+        def handle(request):
+            nonlocal part_count
+            part_count += 1
+            item = _item(f"{part_count:09}", part_count, "x" * 1_000_000)
+            return httpx.Response(
+                200,
+                json={
+                    "items": [item],
+                    "truncated": True,
+                    "as_of": part_count,
+                },
+            )
+
+        with self.assertRaises(errors.PlatformUnavailableError):
+            await self._create_client_of(handle).list_objects("things/")
+        self.assertLess(part_count, 40)
+
+    # Guards against small parts without end, which take all of the time.
+    async def test_listing_is_given_up_after_a_time(self):
+        part_count = 0
+
+        async def handle(request):
+            nonlocal part_count
+            part_count += 1
+            await asyncio.sleep(0.1)
+            return httpx.Response(
+                200,
+                json={
+                    "items": [_item(f"{part_count:09}", part_count, 1)],
+                    "truncated": True,
+                    "as_of": part_count,
+                },
+            )
+
+        client = self._create_client_of(handle)
+        async with asyncio.timeout(2 * _LISTING_TIMEOUT_S):
+            with self.assertRaises(errors.PlatformUnavailableError):
+                await client.list_objects("things/")
+
     async def test_watch_returns_changes_and_removals(self):
         events = [
             {"removed": False, "object": _item("a", 5, {"x": 1})},
