Bound every response that the product's own clients read

Affected: sidecars (reports and streams of engines, relayed responses of plain endpoints) and the clients of the store and of the command line; not the gateways on the platform, whose clients were bounded. Cause: the HTTP client reads bodies of any size, and its timeouts restart with each byte.

http/bounded_exchange.request bounds an exchange as a whole; one event of a stream is limited, as are the tokens to those that were asked for. The calls of other gateways use the same function instead of a copy of their own.

--- a/bronzeslip/cli/explanation_client.py
+++ b/bronzeslip/cli/explanation_client.py
@@ -8,8 +8,11 @@
 from bronzeslip.decoding import untrusted
 from bronzeslip.explanation import explanation
 from bronzeslip.explanation import explanation_request
+from bronzeslip.http import bounded_exchange
 from bronzeslip.settings import explain
 
+_MAX_BODY_BYTES = 16 * 1024 * 1024
+
 
 class ExplanationClient:
     """Asks one entry gateway at its peer address."""
@@ -26,6 +29,7 @@
             transport: HTTP transport to use instead of the network, or None.
         """
         self._address = settings.peer_address
+        self._timeout_s = settings.request_timeout_s
         self._http = httpx.AsyncClient(
             transport=transport,
             timeout=settings.request_timeout_s,
@@ -46,10 +50,17 @@
             errors.CommandError: If it gives no explanation.
         """
         try:
-            response = await self._http.post(
+            response = await bounded_exchange.request(
+                self._http,
+                "POST",
                 f"http://{self._address}/explanations",
+                self._timeout_s,
+                _MAX_BODY_BYTES,
                 content=msgspec.json.encode(request),
-                headers={"Content-Type": "application/json"},
+                headers={
+                    "Accept-Encoding": "identity",
+                    "Content-Type": "application/json",
+                },
             )
         except httpx.HTTPError as error:
             raise errors.UnreachableError(
--- a/bronzeslip/cli/operator_client.py
+++ b/bronzeslip/cli/operator_client.py
@@ -18,6 +18,7 @@
 from bronzeslip.configuration import store
 from bronzeslip.decoding import errors as decoding_errors
 from bronzeslip.decoding import untrusted
+from bronzeslip.http import bounded_exchange
 from bronzeslip.settings import operator
 from bronzeslip.spread import status
 
@@ -25,6 +26,7 @@
 _PATCHES_PATH = "/v1/configuration/patches"
 _STATUS_PATH = "/v1/configuration/status"
 _MAX_RETRY_DELAY_S = 5.0
+_MAX_BODY_BYTES = 64 * 1024 * 1024
 
 ResponseT = TypeVar("ResponseT")
 
@@ -58,7 +60,10 @@
             transport=transport,
             timeout=settings.request_timeout_s,
             verify=_tls_context(settings),
-            headers={"Authorization": f"Bearer {_credential(settings)}"},
+            headers={
+                "Accept-Encoding": "identity",
+                "Authorization": f"Bearer {_credential(settings)}",
+            },
         )
 
     async def close(self) -> None:
@@ -124,8 +129,13 @@
     ) -> httpx.Response:
         url = self._settings.gateway_urls[self._url_index]
         try:
-            response = await self._http.request(
-                method, url.rstrip("/") + path, content=content
+            response = await bounded_exchange.request(
+                self._http,
+                method,
+                url.rstrip("/") + path,
+                self._settings.request_timeout_s,
+                _MAX_BODY_BYTES,
+                content=content,
             )
         except (httpx.HTTPError, httpx.InvalidURL) as error:
             self._select_next_gateway()
--- a/bronzeslip/engine/client.py
+++ b/bronzeslip/engine/client.py
@@ -12,13 +12,18 @@
 from bronzeslip import ids
 from bronzeslip.decoding import errors as decoding_errors
 from bronzeslip.decoding import untrusted
+from bronzeslip.engine import bounded_events
 from bronzeslip.engine import errors
 from bronzeslip.engine import messages
+from bronzeslip.http import bounded_exchange
 from bronzeslip.http import url_transport
 
 _CONNECT_TIMEOUT_S = 1.0
 _CALL_TIMEOUT_S = 5.0
 _PROBE_TIMEOUT_S = 1.0
+_MAX_BODY_BYTES = 1024 * 1024
+_MAX_EVENT_BYTES = 1024 * 1024
+_FIELDS = {"Accept-Encoding": "identity"}
 
 _event_decoder = msgspec.json.Decoder(messages.StreamEvent)
 
@@ -47,11 +52,13 @@
         self._http = httpx.AsyncClient(
             base_url=base_url,
             timeout=timeout,
+            headers=_FIELDS,
             transport=transport or url_transport.create(),
         )
         self._unpooled_http = httpx.AsyncClient(
             base_url=base_url,
             timeout=timeout,
+            headers=_FIELDS,
             transport=transport or url_transport.create(max_idle_connections=0),
         )
 
@@ -115,8 +122,13 @@
         """
         path = "/v1/load"
         with _converting_errors(path):
-            response = await self._unpooled_http.get(
-                path, timeout=_PROBE_TIMEOUT_S
+            response = await bounded_exchange.request(
+                self._unpooled_http,
+                "GET",
+                path,
+                _PROBE_TIMEOUT_S,
+                _MAX_BODY_BYTES,
+                timeout=_PROBE_TIMEOUT_S,
             )
         _raise_for_status(path, response)
         return _decode(response, messages.EngineLoad)
@@ -169,7 +181,12 @@
                 http, method, path, timeout=timeout, **options
             ) as source:
                 _raise_for_status(path, source.response)
+                bounded = bounded_events.BoundedEvents(
+                    source.response.stream, _MAX_EVENT_BYTES
+                )
+                source.response.stream = bounded
                 async for event in source.aiter_sse():
+                    bounded.record_event()
                     yield untrusted.decoded_by(
                         _event_decoder.decode, event.data
                     )
@@ -178,7 +195,9 @@
         self, http: httpx.AsyncClient, method: str, path: str, **options: Any
     ) -> httpx.Response:
         with _converting_errors(path):
-            response = await http.request(method, path, **options)
+            response = await bounded_exchange.request(
+                http, method, path, _CALL_TIMEOUT_S, _MAX_BODY_BYTES, **options
+            )
         _raise_for_status(path, response)
         return response
 
--- a/bronzeslip/entry/peer_http.py
+++ b/bronzeslip/entry/peer_http.py
@@ -1,6 +1,5 @@
 """HTTP client for calls to other gateways."""
 
-import asyncio
 from typing import TypeVar
 
 import httpx
@@ -8,8 +7,8 @@
 
 from bronzeslip.decoding import errors as decoding_errors
 from bronzeslip.decoding import untrusted
+from bronzeslip.http import bounded_exchange
 from bronzeslip.http import bounded_transport
-from bronzeslip.http import paced_chunks
 from bronzeslip.http import silence_detection
 from bronzeslip.placement import placement_reply
 from bronzeslip.placement import placement_request
@@ -80,37 +79,22 @@
     ) -> ReplyT:
         address = target.address
         try:
-            async with (
-                asyncio.timeout(self._timeout_s),
-                self._http.stream(
-                    "POST",
-                    f"http://{address.host}:{address.port}{path}",
-                    content=msgspec.json.encode(message),
-                    headers={"Content-Type": "application/json"},
-                ) as response,
-            ):
-                response.raise_for_status()
-                body = await self._read_body(response)
-            return untrusted.from_json(body, reply_type)
+            response = await bounded_exchange.request(
+                self._http,
+                "POST",
+                f"http://{address.host}:{address.port}{path}",
+                self._timeout_s,
+                self._max_body_bytes,
+                content=msgspec.json.encode(message),
+                headers={"Content-Type": "application/json"},
+            )
+            response.raise_for_status()
+            return untrusted.from_json(response.content, reply_type)
         except (
             httpx.HTTPError,
             httpx.InvalidURL,
-            TimeoutError,
             decoding_errors.UndecodableError,
         ) as error:
             raise errors.PeerUnavailableError(
                 f"{target.vm_id}: {type(error).__name__}"
             ) from error
-
-    async def _read_body(self, response: httpx.Response) -> bytes:
-        """Reads the body as it is sent, without decompressing it."""
-        chunks: list[bytes] = []
-        size_bytes = 0
-        async for chunk in paced_chunks.paced(response.stream):
-            size_bytes += len(chunk)
-            if size_bytes > self._max_body_bytes:
-                raise decoding_errors.UndecodableError(
-                    f"reply of more than {self._max_body_bytes} bytes"
-                )
-            chunks.append(chunk)
-        return b"".join(chunks)
--- a/bronzeslip/settings/sidecar.py
+++ b/bronzeslip/settings/sidecar.py
@@ -33,6 +33,13 @@
         minimum=1,
         maximum=100_000,
     )
+    response_max_bytes: int = setting(
+        "maximum size of the endpoint's response to a call, in bytes",
+        "endpoint",
+        default=4_194_304,
+        minimum=1_024,
+        maximum=67_108_864,
+    )
     memory_overflow_probability: float = setting(
         "accepted probability that admitted work exceeds the engine's memory",
         "admission",
--- a/bronzeslip/sidecar/calls.py
+++ b/bronzeslip/sidecar/calls.py
@@ -1,5 +1,6 @@
 """Calls that a sidecar runs on its plain endpoint."""
 
+import asyncio
 import time
 
 import httpx
@@ -8,6 +9,7 @@
 from bronzeslip import logs
 from bronzeslip.admission import errors as admission_errors
 from bronzeslip.admission import gate
+from bronzeslip.http import bounded_exchange
 from bronzeslip.http import url_transport
 from bronzeslip.metrics import sidecar_metrics
 from bronzeslip.settings import sidecar
@@ -34,6 +36,7 @@
     ) -> None:
         self._metrics = metrics
         self._admission = admission
+        self._max_response_bytes = settings.response_max_bytes
         self._endpoint_url = httpx.URL(settings.endpoint_url)
         self._http = _create_client(
             url_transport.create(idle_timeout_s=_KEEPALIVE_EXPIRY_S)
@@ -128,17 +131,27 @@
     ) -> tuple[httpx.Response, bytes]:
         """Returns a response and its body, which is not decoded."""
         http = self._http if start.idempotent else self._unpooled_http
-        async with http.stream(
-            start.method,
-            self._target_url(start.path),
-            headers=[(header.name, header.value) for header in start.headers],
-            content=start.body,
-            timeout=httpx.Timeout(
-                start.expires_in_s, connect=_CONNECT_TIMEOUT_S
-            ),
-        ) as response:
-            chunks = [chunk async for chunk in response.aiter_raw()]
-        return response, b"".join(chunks)
+        try:
+            async with (
+                asyncio.timeout(start.expires_in_s),
+                http.stream(
+                    start.method,
+                    self._target_url(start.path),
+                    headers=[
+                        (header.name, header.value) for header in start.headers
+                    ],
+                    content=start.body,
+                    timeout=httpx.Timeout(
+                        start.expires_in_s, connect=_CONNECT_TIMEOUT_S
+                    ),
+                ) as response,
+            ):
+                body = await bounded_exchange.read_body(
+                    response, self._max_response_bytes
+                )
+        except TimeoutError as error:
+            raise httpx.ReadTimeout("no complete response in time") from error
+        return response, body
 
 
 def _create_client(transport: httpx.AsyncBaseTransport) -> httpx.AsyncClient:
--- a/bronzeslip/sidecar/engine_reader.py
+++ b/bronzeslip/sidecar/engine_reader.py
@@ -102,6 +102,10 @@
             )
 
     def _handle_event(self, event: messages.StreamEvent) -> None:
+        # Would otherwise be kept, and count as progress, without end.
+        token_count = event.first_index + len(event.texts)
+        if token_count > self._run.start.max_tokens:
+            raise errors.EngineError(f"token {token_count} was not asked for")
         self._silence_timeout_s = self._settings.engine_silence_timeout_s
         self._last_answer_at_s = time.monotonic()
         if self._run.state is run.RunState.QUEUED:
--- a/bronzeslip/store/client.py
+++ b/bronzeslip/store/client.py
@@ -10,6 +10,7 @@
 from bronzeslip import ids
 from bronzeslip.decoding import errors as decoding_errors
 from bronzeslip.decoding import untrusted
+from bronzeslip.http import bounded_exchange
 from bronzeslip.http import url_transport
 from bronzeslip.store import errors
 from bronzeslip.store import objects
@@ -17,6 +18,8 @@
 _WATCH_TIMEOUT_MARGIN_S = 2.0
 _MAX_CONNECTIONS = 100
 _MAX_IDLE_CONNECTIONS = 20
+# A listing holds all objects under its prefix.
+_MAX_BODY_BYTES = 64 * 1024 * 1024
 _PRECONDITION_FAILED_STATUS = 412
 _TOO_LARGE_STATUS = 413
 _GONE_STATUS = 410
@@ -46,9 +49,11 @@
                 exception.
         """
         self._on_call = on_call or _ignore_call
+        self._timeout_s = timeout_s
         self._http = httpx.AsyncClient(
             base_url=base_url,
-            timeout=timeout_s,
+            timeout=None,
+            headers={"Accept-Encoding": "identity"},
             transport=transport
             or url_transport.create(_MAX_CONNECTIONS, _MAX_IDLE_CONNECTIONS),
         )
@@ -124,7 +129,7 @@
             "GET",
             "/watch",
             params={"prefix": prefix, "after": after, "wait_s": wait_s},
-            timeout=wait_s + _WATCH_TIMEOUT_MARGIN_S,
+            timeout_s=wait_s + _WATCH_TIMEOUT_MARGIN_S,
         )
         return _decode(response, objects.WatchBatch)
 
@@ -152,11 +157,22 @@
         return _decode(response, objects.PlatformObject)
 
     async def _call(
-        self, method: str, path: str, **options: Any
+        self,
+        method: str,
+        path: str,
+        timeout_s: float | None = None,
+        **options: Any,
     ) -> httpx.Response:
         operation = f"{method} /{path.split('/')[1]}"
         try:
-            response = await self._http.request(method, path, **options)
+            response = await bounded_exchange.request(
+                self._http,
+                method,
+                path,
+                self._timeout_s if timeout_s is None else timeout_s,
+                _MAX_BODY_BYTES,
+                **options,
+            )
         except (httpx.HTTPError, httpx.InvalidURL) as error:
             self._on_call(operation, type(error).__name__)
             raise errors.PlatformUnavailableError(
--- a/tests/sidecar/test_engine_reader.py
+++ b/tests/sidecar/test_engine_reader.py
@@ -89,6 +89,18 @@
         )
         self.assert_lost(current, reason.LossReason.ENDPOINT_DOWN)
 
+    # Guards against tokens without end, which would be kept until the memory is
+    # exhausted and count as progress.
+    async def test_tokens_beyond_the_requested_number_are_not_kept(self):
+        max_tokens = generation_frames.create_start_frame().max_tokens
+        excess = [tokens(max_tokens, "x")] * 2
+        current = await self.read(
+            [tokens(0, *["x"] * max_tokens), *excess],
+            *([excess] * 20),
+        )
+        self.assertEqual(current.buffer.next_index, max_tokens)
+        self.assert_lost(current, reason.LossReason.ENDPOINT_DOWN)
+
     async def test_generation_is_refused_if_engine_is_unreachable(self):
         self.assert_refused(await self.read([_UNREACHABLE]))
 
