Accept null and 7.0 in configurations where the value is valid

A document that can't be decoded as it is, is decoded once more without nulls and with integers for such numbers. What is required or out of range is refused as before, with the whole version.

The first new test failed before; the second one guards the refusals.

--- a/bronzeslip/platform/configuration.py
+++ b/bronzeslip/platform/configuration.py
@@ -1,5 +1,7 @@
 """Decodes the configuration that operators write to the store."""
 
+from typing import Any
+
 import msgspec
 
 from bronzeslip import ids
@@ -102,7 +104,7 @@
             expected fields with usable values.
     """
     try:
-        document = untrusted.from_json(value, _Document)
+        document = _decode_document(value)
     except decoding_errors.UndecodableError as error:
         raise errors.ConfigurationError(error.message) from error
     return route_table.RouteTable(
@@ -114,6 +116,33 @@
     )
 
 
+def _decode_document(value: msgspec.Raw) -> _Document:
+    try:
+        return untrusted.from_json(value, _Document)
+    except decoding_errors.UndecodableError:
+        return untrusted.decoded_by(_decode_normalized, value)
+
+
+def _decode_normalized(value: msgspec.Raw) -> _Document:
+    """Decodes a document of a writer that writes some values differently."""
+    return msgspec.convert(_normalize(msgspec.json.decode(value)), _Document)
+
+
+def _normalize(value: Any) -> Any:
+    """Removes members that are null; makes whole numbers integers."""
+    if isinstance(value, dict):
+        return {
+            name: _normalize(member)
+            for name, member in value.items()
+            if member is not None
+        }
+    if isinstance(value, list):
+        return [_normalize(element) for element in value]
+    if isinstance(value, float) and value.is_integer():
+        return int(value)
+    return value
+
+
 def _to_route(wire: _Route) -> route.Route:
     gap_ms = wire.gap_aim_ms
     return route.Route(
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -74,6 +74,43 @@
         self.assertEqual(engine.memory_tokens, 34392)
         self.assertTrue(engine.can_move)
 
+    # Guards against staying on an older version because a writer encodes the
+    # same values differently.
+    def test_null_and_fractional_notation_of_whole_numbers_are_accepted(self):
+        optional = dict.fromkeys(
+            ("split", "priority", "max_attempts", "resumable", "gap_aim_ms")
+        )
+        table = configuration.decode(
+            _document(
+                version=7.0,
+                routes=[{**_ROUTE, "timeout_ms": 6e3, **optional}],
+                limits={**_LIMITS, "max_body_bytes": 200.0},
+                tenants=[{"name": "t", "api_keys": ["k1"], "priority": None}],
+            )
+        )
+        self.assertEqual(table.version, 7)
+        route = table.match("host.example", "/a/x")
+        self.assertEqual(route.timeout_s, 6.0)
+        self.assertEqual(route.max_attempts, 1)
+        self.assertEqual(table.limits.max_body_bytes, 200)
+        self.assertIsNotNone(table.workspace_of("k1"))
+
+    # Guards against taking an invalid version.
+    def test_null_and_fractions_are_not_accepted_for_what_is_required(self):
+        invalid = (
+            {"version": 7.5},
+            {"version": None},
+            {"routes": [{**_ROUTE, "host": None}]},
+            {"routes": [{**_ROUTE, "max_attempts": "1"}]},
+            {"limits": {**_LIMITS, "idle_timeout_ms": 0}},
+        )
+        for changes in invalid:
+            with (
+                self.subTest(changes),
+                self.assertRaises(errors.ConfigurationError),
+            ):
+                configuration.decode(_document(**changes))
+
     def test_all_keys_of_a_workspace_are_accepted(self):
         table = configuration.decode(_document())
         for key in ("k1", "k2"):
