--- a/bronzeslip/http/checked_http11_connection.py
+++ b/bronzeslip/http/checked_http11_connection.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 connection whose response heads are those of one response each."""
 
+import asyncio
 import http
 
 import h11
@@ -10,6 +11,8 @@
 _HTTP_PREFIX = b"HTTP/"
 # They take much longer to parse than to send.
 _MAX_INTERIM_RESPONSES = 100
+# Interim responses that are parsed before other tasks get a turn.
+_INTERIM_RESPONSES_PER_TURN = 10
 
 
 class CheckedHttp11Connection(httpcore.AsyncHTTP11Connection):
@@ -29,14 +32,15 @@
     ) -> tuple[bytes, int, bytes, list[tuple[bytes, bytes]], bytes]:
         timeouts = request.extensions.get("timeout", {})
         is_final = False
-        interim_count = -1
+        interim_count = 0
         while not is_final:
             head = await self._receive_event(timeouts.get("read"))
             if isinstance(head, h11.Response | h11.InformationalResponse):
                 _check_boundary(head)
                 is_final = _is_final(head)
-                interim_count += 1
-                _check_interim_count(interim_count)
+                if not is_final:
+                    interim_count += 1
+                    await _pace(interim_count)
         return (
             _HTTP_PREFIX + head.http_version,
             head.status_code,
@@ -53,11 +57,14 @@
     )
 
 
-def _check_interim_count(count: int) -> None:
-    if count > _MAX_INTERIM_RESPONSES:
+async def _pace(interim_count: int) -> None:
+    """Bounds the interim responses that are parsed, and those at once."""
+    if interim_count > _MAX_INTERIM_RESPONSES:
         raise httpcore.RemoteProtocolError(
             f"more than {_MAX_INTERIM_RESPONSES} interim responses"
         )
+    if interim_count % _INTERIM_RESPONSES_PER_TURN == 0:
+        await asyncio.sleep(0)
 
 
 def _check_boundary(head: h11.Response | h11.InformationalResponse) -> None:
--- a/bronzeslip/sidecar/calls.py
+++ b/bronzeslip/sidecar/calls.py
@@ -133,7 +133,7 @@
         http = self._http if start.idempotent else self._unpooled_http
         try:
             async with (
-                asyncio.timeout(start.expires_in_s),
+                asyncio.timeout(start.expires_in_s + _CONNECT_TIMEOUT_S),
                 http.stream(
                     start.method,
                     self._target_url(start.path),
--- a/tests/support/endless_server.py
+++ b/tests/support/endless_server.py
@@ -1,10 +1,14 @@
 """Loopback server whose responses never end, and the check of its callers."""
 
 import asyncio
+import re
 import resource
 import time
 
-HEAD = b"HTTP/1.1 200 OK\r\nBronzeslip-Attempt-Id: q1\r\n"
+_ID_FIELD = b"Bronzeslip-Attempt-Id: "
+_ID = b"q1"
+_REQUEST_ID = re.compile(rb"(?i)\r\nbronzeslip-attempt-id: *([^\r]+)")
+HEAD = b"HTTP/1.1 200 OK\r\n" + _ID_FIELD + _ID + b"\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
 FILLER = b"x" * 60_000
 CHUNK = b"ea60\r\n" + FILLER + b"\r\n"
@@ -42,12 +46,20 @@
 
 
 class EndlessServer:
-    """Responds to each request with bytes that never end."""
+    """Responds to each request with bytes that never end.
+
+    Attributes:
+        first: First bytes of each response.
+        repeated: Bytes that are repeated without end.
+        pause_s: Pause between the repetitions, in seconds.
+        echoes_ids: Whether responses name the requests that they answer.
+    """
 
     def __init__(self):
         self.first = b""
         self.repeated = b""
         self.pause_s = 0.0
+        self.echoes_ids = True
         self._server = None
 
     async def start(self):
@@ -60,8 +72,8 @@
 
     async def _serve(self, reader, writer):
         try:
-            await reader.readuntil(b"\r\n\r\n")
-            writer.write(self.first)
+            head = await reader.readuntil(b"\r\n\r\n")
+            writer.write(self._named(self.first, head))
             while True:
                 writer.write(self.repeated)
                 await writer.drain()
@@ -75,6 +87,13 @@
         finally:
             writer.close()
 
+    def _named(self, response, request_head):
+        """Returns a response with the id of a request, if that has one."""
+        request_id = _REQUEST_ID.search(request_head)
+        if request_id is None or not self.echoes_ids:
+            return response
+        return response.replace(_ID_FIELD + _ID, _ID_FIELD + request_id[1])
+
     def play(self, script, pause_s=0.0):
         """Sets the bytes of the responses to come.
 
