--- a/tests/http/test_endless_exchanges.py
+++ b/tests/http/test_endless_exchanges.py
@@ -16,7 +16,6 @@
 from bronzeslip.entry import vm_config
 from bronzeslip.explanation import explanation_request
 from bronzeslip.quota import peer
-from bronzeslip.quota import permit_request
 from bronzeslip.settings import explain
 from bronzeslip.settings import operator
 from bronzeslip.store import client as store_client
@@ -138,16 +137,7 @@
     async def test_calls_of_other_gateways(self):
         client = peer_http.HttpPeerClient(forwarding_parts.SETTINGS)
         target = peer.Peer(ids.VmId("front-2"), self.address)
-        request = permit_request.PermitRequest(
-            endpoint_id=ids.EndpointId("i-1"),
-            address="10.0.0.1:1000",
-            started_unix_ms=1,
-            rate_per_s=2.0,
-            statement_age_s=0.0,
-            reserved=0.0,
-            is_fallback=False,
-            sender=forwarding_parts.create_peer("front-1"),
-        )
+        request = forwarding_parts.create_permit_request()
 
         async def ask():
             await client.ask(target, request)
--- a/tests/platform/test_silent_connections.py
+++ b/tests/platform/test_silent_connections.py
@@ -15,7 +15,6 @@
 from bronzeslip.platform import endpoint_http
 from bronzeslip.platform import store_client
 from bronzeslip.quota import peer
-from bronzeslip.quota import permit_request
 from bronzeslip.store import errors
 from bronzeslip.store import follower
 from tests.support import forwarding_parts
@@ -132,16 +131,7 @@
             ids.VmId("front-2"),
             vm_config.SocketAddress("127.0.0.1", self.port),
         )
-        request = permit_request.PermitRequest(
-            endpoint_id=ids.EndpointId("i-1"),
-            address="10.0.0.1:1000",
-            started_unix_ms=1,
-            rate_per_s=2.0,
-            statement_age_s=0.0,
-            reserved=0.0,
-            is_fallback=False,
-            sender=forwarding_parts.create_peer("front-1"),
-        )
+        request = forwarding_parts.create_permit_request()
         self._start(client.ask(target, request))
         await self._wait_for_probes()
 
--- a/tests/support/forwarding_parts.py
+++ b/tests/support/forwarding_parts.py
@@ -25,6 +25,7 @@
 from bronzeslip.quota import peer
 from bronzeslip.quota import peer_caller
 from bronzeslip.quota import permit_coordinator
+from bronzeslip.quota import permit_request
 from bronzeslip.quota import standing
 from bronzeslip.routes import current
 from bronzeslip.routes import engine_traits
@@ -183,6 +184,20 @@
     )
 
 
+def create_permit_request():
+    """Returns the request of a gateway for a permit."""
+    return permit_request.PermitRequest(
+        endpoint_id=ids.EndpointId("i-1"),
+        address="10.0.0.1:1000",
+        started_unix_ms=1,
+        rate_per_s=2.0,
+        statement_age_s=0.0,
+        reserved=0.0,
+        is_fallback=False,
+        sender=create_peer("front-1"),
+    )
+
+
 def create_peer(vm_id):
     """Returns a gateway as other gateways reach it."""
     address = vm_config.SocketAddress(f"{vm_id}.example", 7200)
