--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
 cd "$(dirname "$0")/../.."
 export PYTHONDONTWRITEBYTECODE=1
-exec timeout -s TERM -k 5 110 python3 review/9/play.py
+exec timeout -s INT -k 5 110 python3 review/9/play.py
--- a/review/lib2/kit.py
+++ b/review/lib2/kit.py
@@ -415,11 +415,15 @@
         for number in range(1, events + 1):
             last = " last" if number == events else ""
             event = f"id: {number}\ndata: {'t' * 250}{last}\n\n".encode()
-            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
-            await writer.drain()
+            await self.write_event(writer, event)
             await asyncio.sleep(self._pause_s)
         writer.write(b"0\r\n\r\n")
 
+    async def write_event(self, writer, event):
+        """Writes an event as a chunk."""
+        writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+        await writer.drain()
+
 
 def route(name, kind, service, timeout_ms, goal_ms, attempts=1, **more):
     """Returns a route of the configuration; its path is its name."""
