--- a/review/lib3/engine.py
+++ b/review/lib3/engine.py
@@ -5,17 +5,21 @@
 """
 
 import asyncio
+from concurrent import futures
 import dataclasses
 import json
 import socket
 import struct
+import threading
 
 from review.lib3 import wire
 
 _STAMP = "3e1b.07.5a2.600.0.c9f2a4d1"
 _EVENT_S = 0.1
-# Small, so that a few other callers fill it.
-_BACKLOG = 1
+# As in the configuration.
+MAX_CONNECTIONS = 282
+_BACKLOG = 512
+_RESET = struct.pack("ii", 1, 0)
 
 
 @dataclasses.dataclass
@@ -35,52 +39,55 @@
 
     Attributes:
         runs: All runs, in the order of their start.
+        max_connections: Connections that it accepts now. It accepts fewer
+            while its queue is long.
+        reset_count: Connections beyond these, which it has reset.
     """
 
-    def __init__(self, instance_id: str, events: int) -> None:
+    def __init__(
+        self, instance_id: str, events: int, is_unframed: bool = False
+    ) -> None:
         self.instance_id = instance_id
+        self.max_connections = MAX_CONNECTIONS
+        self._is_unframed = is_unframed
         self.address = ""
         self.runs: list[Run] = []
         self._events = events
         self._socket = socket.socket()
         self._peers: dict[str, Engine] = {}
         self._copies: dict[str, tuple[str, int]] = {}
-        self._fillers: list[socket.socket] = []
-        self._tasks: set[asyncio.Task] = set()
+        self._others: list[socket.socket] = []
+        self._open_count = 0
+        self._serving: set[futures.Future] = set()
+        self.reset_count = 0
 
     def start(self, host: str, peers: dict[str, "Engine"]) -> None:
         """Listens on a free port."""
         self._socket.bind((host, 0))
         self._socket.listen(_BACKLOG)
-        self._socket.setblocking(False)
         self.address = f"{host}:{self._socket.getsockname()[1]}"
         self._peers = peers
         peers[self.address] = self
-        self.accept()
-
-    def accept(self) -> None:
-        """Accepts connections."""
-        for filler in self._fillers:
-            filler.close()
-        self._fillers.clear()
-        asyncio.get_running_loop().add_reader(self._socket, self._accept_one)
-
-    def fill_queue(self) -> None:
-        """Stops to accept; others fill the queue of new connections."""
-        asyncio.get_running_loop().remove_reader(self._socket)
+        self._loop = asyncio.get_running_loop()
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def occupy(self) -> None:
+        """Lets other callers open all the connections that it accepts."""
         host, _, port = self.address.partition(":")
-        for _ in range(_BACKLOG + 3):
-            filler = socket.socket()
-            filler.setblocking(False)
-            filler.connect_ex((host, int(port)))
-            self._fillers.append(filler)
+        for _ in range(MAX_CONNECTIONS):
+            other = socket.create_connection((host, int(port)))
+            self._others.append(other)
+
+    def free(self) -> None:
+        """Lets the other callers close their connections."""
+        for other in self._others:
+            other.close()
+        self._others.clear()
 
     def break_off(self, run: Run) -> None:
         """Resets the connection of a run, which goes on."""
         connection = run.writer.get_extra_info("socket")
-        connection.setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-        )
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
         run.writer.transport.abort()
         run.writer = None
 
@@ -107,14 +114,25 @@
                 return run
         return None
 
-    def _accept_one(self) -> None:
-        try:
+    def _accept(self) -> None:
+        """Accepts connections and resets those beyond the limit, at once."""
+        while True:
             connection, _ = self._socket.accept()
-        except OSError:
-            return
-        task = asyncio.create_task(self._open(connection))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+            if self._open_count >= self.max_connections:
+                self.reset_count += 1
+                connection.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET
+                )
+                connection.close()
+                continue
+            self._open_count += 1
+            connection.setblocking(False)
+            serving = asyncio.run_coroutine_threadsafe(
+                self._open(connection), self._loop
+            )
+            # The event loop alone would not keep it.
+            self._serving.add(serving)
+            serving.add_done_callback(self._serving.discard)
 
     async def _open(self, connection: socket.socket) -> None:
         reader, writer = await asyncio.open_connection(sock=connection)
@@ -125,6 +143,7 @@
             # The peer has closed the connection, or the script ends.
             pass
         finally:
+            self._open_count -= 1
             writer.close()
 
     async def _answer(
@@ -204,11 +223,15 @@
                 "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
                 f"Bronzeslip-Attempt-Id: {attempt_id}\r\n"
                 f"Bronzeslip-Response-Stamp: {_STAMP}\r\n"
-                "Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
+                f"{self._framing}Connection: close\r\n\r\n"
             ).encode()
         )
         run.task = asyncio.create_task(self._work(run))
         await asyncio.wait((run.task,))
+        if self._is_unframed:
+            await writer.drain()
+            # The end of the connection is that of the stream.
+            raise ConnectionAbortedError
 
     async def _work(self, run: Run) -> None:
         try:
@@ -216,12 +239,19 @@
                 await asyncio.sleep(_EVENT_S)
                 text = f"id: {run.next_event}\ndata: {'x' * 40}\n\n"
                 run.next_event += 1
-                self._send(run, b"%x\r\n%s\r\n" % (len(text), text.encode()))
-            self._send(run, b"0\r\n\r\n")
+                self._send(run, text.encode())
+            self._send(run, b"")
         finally:
             run.end_s = run.end_s or asyncio.get_running_loop().time()
 
+    @property
+    def _framing(self) -> str:
+        return "" if self._is_unframed else "Transfer-Encoding: chunked\r\n"
+
     def _send(self, run: Run, data: bytes) -> None:
+        """Sends an event, or without bytes the end of the stream."""
+        if not self._is_unframed:
+            data = b"%x\r\n%s\r\n" % (len(data), data)
         if run.writer is not None:
             run.writer.write(data)
 
--- a/review/lib3/queue_trial.py
+++ b/review/lib3/stop_trial.py
@@ -1,12 +1,12 @@
-"""A stream whose engine can't be called for a moment.
+"""A stream whose engine accepts no more connections for a moment.
 
-Usage: python3 -m review.lib3.queue_trial FOLDER
+Usage: python3 -m review.lib3.stop_trial FOLDER
 
 Two engines. The one that runs a draft resets the connection of its answer, and
-for a second its queue of new connections is full. It writes FOLDER/record.txt
-and exits with 1 if both engines work on the draft 400 ms after the second
-began, 0 if not and 2 if the trial couldn't run. TROUBLE=0 leaves the queue
-empty, and the connection is reset all the same.
+for a second it has as many connections of other callers as it accepts. The
+script writes FOLDER/record.txt and exits with 1 if both engines work on the
+draft 400 ms after the second began, 0 if not and 2 if the trial couldn't run.
+TROUBLE=0 leaves out the other callers; the connection is reset all the same.
 """
 
 import asyncio
@@ -96,13 +96,15 @@
         first = found[0]
         self.note(f"{first.instance_id} resets the connection of its answer")
         if os.environ.get("TROUBLE") != "0":
-            self.note("and its queue of new connections is full")
-            first.fill_queue()
+            await asyncio.to_thread(first.occupy)
+            self.note("and has as many connections as it accepts")
         first.break_off(first.working(_ATTEMPT_ID))
         await asyncio.sleep(_FULL_S)
-        first.accept()
+        first.free()
         await asyncio.wait((caller,), timeout=20)
         caller.cancel()
+        for event in front.events("stream.run_stopped"):
+            self.note(f"log of the gateway: {event}")
         return self._judge(engines)
 
     async def _call(self, front: gateway.Gateway) -> None:
@@ -140,6 +142,8 @@
                 f"{one.instance_id} worked on {run.attempt_id} from "
                 f"{run.begin_s:.3f} s to {end}"
             )
+        for one in engines:
+            self.note(f"{one.instance_id} reset {one.reset_count} connections")
         self.note(f"the client: {self._outcome}, {len(self._ids)} events")
         is_in_order = self._ids == [str(n + 1) for n in range(len(self._ids))]
         self.note(f"events in order, each once: {is_in_order}")
