--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,6 +7,7 @@
 PYTHONDONTWRITEBYTECODE=1 python3 - <<'END'
 import pathlib
 
-for path in sorted(pathlib.Path("review").glob("lib2/*.py")):
-    compile(path.read_text(), str(path), "exec")
+for folder in ("lib2", "lib3"):
+    for path in sorted(pathlib.Path("review").glob(f"{folder}/*.py")):
+        compile(path.read_text(), str(path), "exec")
 END
--- a/review/lib3/deployment.py
+++ b/review/lib3/deployment.py
@@ -1,6 +1,7 @@
-"""A store, servers of a plain service and one gateway."""
+"""A store, servers of a plain service and gateways."""
 
 import asyncio
+from collections.abc import Sequence
 import pathlib
 
 from review.lib3 import callers
@@ -9,17 +10,20 @@
 from review.lib3 import platform_standin
 
 _START_S = 25.0
-# The gateway counts the gateways some seconds after its start.
+# A gateway counts the gateways some seconds after its start.
 _SETTLE_S = 8.0
 
 
 async def start(
-    folder: pathlib.Path, desks: list[desk.Desk], timeout_ms: int
-) -> gateway.Gateway:
-    """Starts everything and waits until the gateway serves.
+    folder: pathlib.Path,
+    desks: list[desk.Desk],
+    timeout_ms: int,
+    names: Sequence[str],
+) -> list[gateway.Gateway]:
+    """Starts everything and waits until the gateways serve.
 
     Raises:
-        RuntimeError: If the gateway does not start; it has been stopped then.
+        RuntimeError: If one does not start; all have been stopped then.
     """
     store = platform_standin.Store()
     address = await store.start(gateway.loopback_host())
@@ -31,15 +35,18 @@
             server.instance_id,
             server.entry("brum-a", gateway.now_ms()),
         )
-    front = gateway.Gateway("front-brum-a-1", address, folder)
-    if not await _wait_ready(front):
-        front.stop()
-        raise RuntimeError("the gateway did not start")
+    fronts = [gateway.Gateway(name, address, folder) for name in names]
+    for front in fronts:
+        if not await wait_ready(front):
+            for started in fronts:
+                started.stop()
+            raise RuntimeError("a gateway did not start")
     await asyncio.sleep(_SETTLE_S)
-    return front
+    return fronts
 
 
-async def _wait_ready(front: gateway.Gateway) -> bool:
+async def wait_ready(front: gateway.Gateway) -> bool:
+    """Waits until a gateway says that it is ready; returns whether it does."""
     for _ in range(round(_START_S / 0.2)):
         if front.process.poll() is not None:
             return False
--- a/review/lib3/desk.py
+++ b/review/lib3/desk.py
@@ -10,9 +10,6 @@
 _STAMP = "3e1b.07.5a2.600.0.c9f2a4d1"
 
 
-_STAMP_FIELD = b"Bronzeslip-Response-Stamp"
-
-
 class Desk:
     """One server with an id, which answers one request at a time each."""
 
@@ -93,45 +90,3 @@
             Bronzeslip_Response_Stamp=_STAMP,
             Keep_Alive="timeout=10",
         )
-
-
-class SpoilingDesk(Desk):
-    """Server that spoils some of its answers while it is faulty.
-
-    Attributes:
-        is_faulty: Whether it does so now.
-        spoiled: Requests whose answers were spoiled.
-    """
-
-    def __init__(
-        self, instance_id: str, service: str, work_s: float, every: int
-    ) -> None:
-        super().__init__(instance_id, service, work_s)
-        self.is_faulty = False
-        self.spoiled: list[str] = []
-        self._every = every
-        self._count = 0
-
-    def _respond(self, attempt_id: str, writer: asyncio.StreamWriter) -> None:
-        self._count += self.is_faulty
-        if not self.is_faulty or self._count % self._every:
-            super()._respond(attempt_id, writer)
-            return
-        self.spoiled.append(attempt_id)
-        answer = _Collector()
-        super()._respond(attempt_id, answer)
-        # The bytes of the field with the signature are wrong.
-        begin = answer.data.index(_STAMP_FIELD)
-        end = answer.data.index(b"\r\n", begin)
-        wrong = b"x" * 12 + b": " + b"x" * (end - begin - 14)
-        writer.write(answer.data[:begin] + wrong + answer.data[end:])
-
-
-class _Collector:
-    """Collects what is written."""
-
-    def __init__(self) -> None:
-        self.data = b""
-
-    def write(self, data: bytes) -> None:
-        self.data += data
--- a/review/lib3/gateway.py
+++ b/review/lib3/gateway.py
@@ -4,6 +4,7 @@
 import os
 import pathlib
 import random
+import resource
 import subprocess
 import sys
 import time
@@ -116,6 +117,11 @@
             )
         )
         self.log_path = folder / f"{name}.log"
+        self._settings_path = path
+        self.start()
+
+    def start(self) -> None:
+        """Starts the process with the command of the deploy file."""
         role = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         command = role["roles"]["gateway"]["run"].split(" ")
         if command[0] == "python3":
@@ -126,7 +132,8 @@
             if name in os.environ
         }
         environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
-        environment["BRONZESLIP_BOOT"] = str(path)
+        environment["BRONZESLIP_BOOT"] = str(self._settings_path)
+        allow_descriptors()
         with open(self.log_path, "ab") as log:
             self.process = subprocess.Popen(
                 command,
@@ -164,6 +171,20 @@
         return found
 
 
+def allow_descriptors() -> None:
+    """Uses what this process and its children may have of descriptors.
+
+    The platform's machines have MAX_FDS of them for a process.
+    """
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if hard != resource.RLIM_INFINITY:
+        wanted = min(hard, MAX_FDS)
+    else:
+        wanted = MAX_FDS
+    if soft != resource.RLIM_INFINITY and soft < wanted:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
+
+
 def now_ms() -> int:
     """Returns the time of day in milliseconds."""
     return round(time.time() * 1000)
